--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Set-up is done by each target that needs it; see README.md.
+GO ?= go
+PARALLEL ?= 4
+
+.PHONY: build demo test lint bench model setup race events
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+test: setup
+	$(GO) test -p $(PARALLEL) -timeout 20m ./...
+
+race: setup
+	$(GO) test -race -p $(PARALLEL) -timeout 40m ./...
+
+lint: setup
+	@test -z "$$(gofmt -l cmd internal test 2>/dev/null)" || { gofmt -l cmd internal test; echo "gofmt: files above need formatting"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+model: setup
+	spec/run.sh
+
+bench: build
+	scripts/bench.sh
--- /dev/null
+++ b/cmd/chutelock/main.go
@@ -0,0 +1,4 @@
+// Command chutelock is the node.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/telemetry/event.go
@@ -0,0 +1,104 @@
+// Package telemetry gives the numbered log events and the metrics registry
+// that every concern uses.
+package telemetry
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Event is a numbered kind of log line. Numbers are never reused; ranges:
+// 1000 node, 2000 gateway and routing, 3000 jobs, 4000 ledger, 5000 settings,
+// 6000 membership, 7000 fleet and placement, 8000 stand-ins and lab.
+type Event struct {
+	Number  int
+	Name    string
+	Meaning string
+}
+
+// Record is one emitted event, kept for the operators' event listing.
+type Record struct {
+	At      time.Time
+	Number  int
+	Name    string
+	Error   string `json:",omitempty"`
+	Details map[string]string
+}
+
+// recentLimit bounds the number of records kept in memory.
+const recentLimit = 2048
+
+var (
+	catalogueMutex sync.Mutex
+	catalogue      = map[int]Event{}
+
+	recentMutex sync.Mutex
+	recent      []Record
+	recentNext  int
+)
+
+// Define adds an event to the catalogue; it panics on a number in use, so
+// call it only from package-level variables.
+func Define(number int, name, meaning string) Event {
+	catalogueMutex.Lock()
+	defer catalogueMutex.Unlock()
+	if other, taken := catalogue[number]; taken {
+		panic(fmt.Sprintf("telemetry: event %d is %q already", number, other.Name))
+	}
+	event := Event{Number: number, Name: name, Meaning: meaning}
+	catalogue[number] = event
+	return event
+}
+
+// Catalogue lists all defined events by number.
+func Catalogue() []Event {
+	catalogueMutex.Lock()
+	defer catalogueMutex.Unlock()
+	events := make([]Event, 0, len(catalogue))
+	for _, event := range catalogue {
+		events = append(events, event)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Info logs the event with pairs of keys and values.
+func (e Event) Info(keysAndValues ...any) {
+	klog.InfoSDepth(1, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+	e.remember("", keysAndValues)
+}
+
+// Error logs the event as an error.
+func (e Event) Error(err error, keysAndValues ...any) {
+	klog.ErrorSDepth(1, err, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+	e.remember(fmt.Sprint(err), keysAndValues)
+}
+
+func (e Event) remember(failure string, keysAndValues []any) {
+	details := make(map[string]string, len(keysAndValues)/2)
+	for i := 0; i+1 < len(keysAndValues); i += 2 {
+		details[fmt.Sprint(keysAndValues[i])] = fmt.Sprint(keysAndValues[i+1])
+	}
+	record := Record{At: time.Now(), Number: e.Number, Name: e.Name, Error: failure, Details: details}
+	recentMutex.Lock()
+	defer recentMutex.Unlock()
+	if len(recent) < recentLimit {
+		recent = append(recent, record)
+		return
+	}
+	recent[recentNext] = record
+	recentNext = (recentNext + 1) % recentLimit
+}
+
+// Recent lists the newest records of this process, oldest first.
+func Recent() []Record {
+	recentMutex.Lock()
+	defer recentMutex.Unlock()
+	ordered := make([]Record, 0, len(recent))
+	ordered = append(ordered, recent[recentNext:]...)
+	return append(ordered, recent[:recentNext]...)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,22 @@
+package telemetry
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestRecentKeepsTheNewestRecordsInOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	event := Define(9999, "test event", "only in this test")
+	for i := 0; i < recentLimit+3; i++ {
+		event.remember("", []any{"i", i})
+	}
+	event.Error(errors.New("broken"), "peer", "p")
+	records := Recent()
+	g.Expect(records).To(gomega.HaveLen(recentLimit))
+	g.Expect(records[recentLimit-2].Details).To(gomega.HaveKeyWithValue("i", "2050"))
+	g.Expect(records[recentLimit-1].Error).To(gomega.Equal("broken"))
+	g.Expect(func() { Define(9999, "again", "") }).To(gomega.Panic())
+}
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs what building, testing and model checking need and is not there yet.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+need=()
+command -v spin >/dev/null || need+=(spin)
+command -v gcc >/dev/null || need+=(gcc libc6-dev)
+command -v curl >/dev/null || need+=(curl)
+if [ ${#need[@]} -gt 0 ]; then
+  apt-get update -qq && apt-get install -y -qq "${need[@]}" >/dev/null
+fi
+go mod download
