--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -102,3 +102,11 @@
 	ordered = append(ordered, recent[recentNext:]...)
 	return append(ordered, recent[:recentNext]...)
 }
+
+// Verbose logs an expected failure at a klog verbosity level, and does not
+// keep it among the recent records.
+func (e Event) Verbose(level klog.Level, err error, keysAndValues ...any) {
+	if klog.V(level).Enabled() {
+		klog.InfoSDepth(1, e.Name, append([]any{"event", e.Number, "err", err}, keysAndValues...)...)
+	}
+}
