Node settings file: koanf and validator, every mistake named by file and field

Change: internal/config reads the node's file, flags named by path override it, unknown fields and host names are refused. Tests: six kinds of mistakes, defaults, overrides.

--- /dev/null
+++ b/internal/config/address.go
@@ -0,0 +1,13 @@
+package config
+
+import (
+	"net/netip"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// isIPPort accepts "ip:port" only: processes talk by IP number.
+func isIPPort(level validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(level.Field().String())
+	return err == nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,193 @@
+// Package config reads a node's own settings file: its name, place, addresses
+// and folders. What the fleet serves is in the settings tree instead.
+package config
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/go-viper/mapstructure/v2"
+	"github.com/gravitational/trace"
+	"github.com/knadh/koanf/parsers/yaml"
+	"github.com/knadh/koanf/providers/confmap"
+	"github.com/knadh/koanf/providers/file"
+	"github.com/knadh/koanf/v2"
+)
+
+// Node is a node's settings file.
+type Node struct {
+	Node     Identity `koanf:"node"`
+	Listen   Listen   `koanf:"listen"`
+	Peers    Peers    `koanf:"peers"`
+	Platform Platform `koanf:"platform"`
+	Data     Data     `koanf:"data"`
+	TLS      TLS      `koanf:"tls"`
+	Drain    Drain    `koanf:"drain"`
+	Ledger   Ledger   `koanf:"ledger"`
+}
+
+// Identity is who and where the node is.
+type Identity struct {
+	Name   string `koanf:"name" validate:"required,hostname_rfc1123"`
+	Zone   string `koanf:"zone" validate:"required,hostname_rfc1123"`
+	Region string `koanf:"region" validate:"required,hostname_rfc1123"`
+}
+
+// Listen holds the addresses ("ip:port", port 0 allowed) of the node's ports.
+type Listen struct {
+	Callers   string `koanf:"callers" validate:"required,ip_port"`
+	Operators string `koanf:"operators" validate:"required,ip_port"`
+	Peers     string `koanf:"peers" validate:"required,ip_port"`
+}
+
+// Peers says how the node finds and trusts its peers.
+type Peers struct {
+	// Seeds are peers' addresses to join by; at least one that lives suffices.
+	Seeds []string `koanf:"seeds" validate:"dive,ip_port"`
+	// KeyFile holds the shared keys, one hexadecimal key a line.
+	KeyFile string `koanf:"key_file" validate:"required"`
+}
+
+// Platform is where the platform's services are.
+type Platform struct {
+	Address string `koanf:"address" validate:"required,url"`
+}
+
+// Data is the folder for bulk data; empty means that the node keeps nothing.
+type Data struct {
+	Folder string `koanf:"folder"`
+}
+
+// TLS holds certificates for callers' and operators' ports; both files or none.
+type TLS struct {
+	Certificate string `koanf:"certificate" validate:"required_with=Key"`
+	Key         string `koanf:"key" validate:"required_with=Certificate"`
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	Timeout time.Duration `koanf:"timeout" validate:"min=0"`
+}
+
+// Ledger is the shape of the ledger; it must be the same on all nodes.
+type Ledger struct {
+	Shards int `koanf:"shards" validate:"min=1,max=4096"`
+	// Copies is the number of replicas a shard; 5 survives any two losses.
+	Copies int `koanf:"copies" validate:"oneof=1 3 5"`
+	// ReplaceAfter is how long a data node is gone before it is replaced.
+	ReplaceAfter time.Duration `koanf:"replace_after" validate:"min=1s"`
+}
+
+// defaults hold for what neither file nor flags say.
+var defaults = map[string]any{
+	"listen.callers":       "127.0.0.1:0",
+	"listen.operators":     "127.0.0.1:0",
+	"listen.peers":         "127.0.0.1:0",
+	"drain.timeout":        "60s",
+	"ledger.shards":        8,
+	"ledger.copies":        5,
+	"ledger.replace_after": "60s",
+}
+
+// Overrides are the settings that flags may set, by their path in the file.
+type Overrides map[string]any
+
+// RegisterFlags adds a flag for each single-valued setting, named by its path.
+// Flags that were given end up in the returned Overrides after parsing.
+func RegisterFlags(flags *flag.FlagSet) Overrides {
+	overrides := Overrides{}
+	for _, path := range settingPaths(reflect.TypeOf(Node{}), "") {
+		flags.Func(path, "override "+path+" of the settings file", func(value string) error {
+			overrides[path] = value
+			return nil
+		})
+	}
+	return overrides
+}
+
+func settingPaths(structure reflect.Type, prefix string) []string {
+	var paths []string
+	for i := range structure.NumField() {
+		field := structure.Field(i)
+		path := prefix + field.Tag.Get("koanf")
+		switch {
+		case field.Type.Kind() == reflect.Struct:
+			paths = append(paths, settingPaths(field.Type, path+".")...)
+		case field.Type.Kind() != reflect.Slice:
+			paths = append(paths, path)
+		}
+	}
+	return paths
+}
+
+// Load reads and checks the settings file at path, with overrides on top. Its
+// error names the file and every wrong field.
+func Load(path string, overrides Overrides) (*Node, error) {
+	tree := koanf.New(".")
+	if err := tree.Load(confmap.Provider(defaults, "."), nil); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if path != "" {
+		if err := tree.Load(file.Provider(path), yaml.Parser()); err != nil {
+			return nil, trace.BadParameter("%s: %v", path, err)
+		}
+	}
+	if err := tree.Load(confmap.Provider(overrides, "."), nil); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var node Node
+	if err := unmarshalStrictly(tree, &node); err != nil {
+		return nil, trace.BadParameter("%s: %v", path, err)
+	}
+	if err := check(&node); err != nil {
+		return nil, trace.BadParameter("%s: %v", path, err)
+	}
+	return &node, nil
+}
+
+func unmarshalStrictly(tree *koanf.Koanf, node *Node) error {
+	return tree.UnmarshalWithConf("", node, koanf.UnmarshalConf{
+		DecoderConfig: &mapstructure.DecoderConfig{
+			Result:           node,
+			TagName:          "koanf",
+			ErrorUnused:      true,
+			WeaklyTypedInput: true,
+			DecodeHook:       mapstructure.StringToTimeDurationHookFunc(),
+		},
+	})
+}
+
+// check validates every field and reports all that are wrong, by path.
+func check(node *Node) error {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("koanf") })
+	if err := validate.RegisterValidation("ip_port", isIPPort); err != nil {
+		return trace.Wrap(err)
+	}
+	err := validate.Struct(node)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return err
+	}
+	lines := make([]string, 0, len(failures))
+	for _, failure := range failures {
+		path := strings.TrimPrefix(failure.Namespace(), "Node.")
+		rule := strings.TrimSpace(failure.Tag() + " " + failure.Param())
+		lines = append(lines, fmt.Sprintf("%s: %q does not satisfy %q", path, fmt.Sprint(failure.Value()), rule))
+	}
+	return errors.New(strings.Join(lines, "; "))
+}
+
+// Describe writes the settings in force, for -check.
+func Describe(out io.Writer, node *Node) {
+	fmt.Fprintf(out, "node %s in zone %s, region %s: settings are valid\n", node.Node.Name, node.Node.Zone, node.Node.Region)
+	fmt.Fprintf(out, "  callers %s, operators %s, peers %s\n", node.Listen.Callers, node.Listen.Operators, node.Listen.Peers)
+	fmt.Fprintf(out, "  platform %s, data folder %q, %d shards of %d copies\n",
+		node.Platform.Address, node.Data.Folder, node.Ledger.Shards, node.Ledger.Copies)
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const valid = `
+node: {name: n1, zone: z1, region: r1}
+listen: {callers: "127.0.0.1:0"}
+peers: {seeds: ["127.0.0.1:7000"], key_file: keys}
+platform: {address: "http://127.0.0.1:9000"}
+drain: {timeout: 5s}
+`
+
+func write(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestFileFlagsAndDefaultsMerge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	flags := flag.NewFlagSet("test", flag.ContinueOnError)
+	overrides := RegisterFlags(flags)
+	g.Expect(flags.Parse([]string{"-node.zone", "z2", "-ledger.copies", "3"})).To(gomega.Succeed())
+	node, err := Load(write(t, valid), overrides)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(node.Node.Zone).To(gomega.Equal("z2"))
+	g.Expect(node.Ledger).To(gomega.Equal(Ledger{Shards: 8, Copies: 3, ReplaceAfter: time.Minute}))
+	g.Expect(node.Drain.Timeout).To(gomega.Equal(5 * time.Second))
+}
+
+func TestMistakesNameFileAndField(t *testing.T) {
+	for name, tc := range map[string]struct{ extra, want string }{
+		"unknown section": {"listem: {callers: x}\n", "listem"},
+		"unknown field":   {"data: {foldr: x}\n", "foldr"},
+		"host name":       {"data: {folder: x}\ntls: {certificate: c}\n", "tls.key"},
+		"copies":          {"ledger: {copies: 4}\n", "ledger.copies"},
+		"not YAML":        {"{{{\n", "node.yaml"},
+		"bad duration":    {"ledger: {replace_after: soon}\n", "replace_after"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, err := Load(write(t, valid+tc.extra), nil)
+			g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("node.yaml")))
+			g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(tc.want)))
+		})
+	}
+	g := gomega.NewWithT(t)
+	_, err := Load(write(t, valid), Overrides{"listen.peers": "localhost:1", "node.name": ""})
+	g.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring("listen.peers"), gomega.ContainSubstring("node.name"))))
+}
