--- /dev/null
+++ b/internal/fleet/registry/pull.go
@@ -0,0 +1,167 @@
+package registry
+
+import (
+	"errors"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+// ErrNotWhole says that a peer has no whole view to give yet.
+var ErrNotWhole = errors.New("registry: this node's view is not whole")
+
+// HandlePull answers a peer's pull: the zone's engines with all that is known
+// of them, or some of them only.
+func (r *Registry) HandlePull(now time.Time, payload []byte) ([]byte, error) {
+	zone, ids, err := decodePull(payload)
+	if err != nil {
+		return nil, err
+	}
+	if zone != r.version.Zone {
+		return r.answerFromStore(zone)
+	}
+	if len(ids) > 0 {
+		return r.answerSome(now, ids)
+	}
+	if !r.ready {
+		return nil, trace.Wrap(ErrNotWhole)
+	}
+	var entries []byte
+	for _, name := range r.names {
+		one := r.entryOf(now, r.engines[EngineID(name)])
+		entries = appendEntry(entries, &one)
+	}
+	fields := [][]byte{entries}
+	for _, id := range r.sampleIDs() {
+		fields = append(fields, r.samples[id].raw)
+	}
+	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash, Whole: true}
+	return wire.Marshal(messageVersion, answer, fields...)
+}
+
+func (r *Registry) sampleIDs() []uint64 {
+	ids := make([]uint64, 0, len(r.samples))
+	for id := range r.samples {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// answerFromStore gives another zone of the region its list, at a reader.
+func (r *Registry) answerFromStore(zone uint64) ([]byte, error) {
+	for _, list := range r.reader {
+		if list.version.Zone != zone {
+			continue
+		}
+		var entries []byte
+		for _, spec := range list.specs {
+			one := entry{spec: spec, record: loadRecord{Engine: EngineID(spec.Name)}}
+			entries = appendEntry(entries, &one)
+		}
+		answer := pullAnswer{Revision: list.version.Revision, ListHash: list.version.Hash, Whole: true}
+		return wire.Marshal(messageVersion, answer, entries)
+	}
+	return nil, trace.Wrap(ErrNotWhole)
+}
+
+func (r *Registry) answerSome(now time.Time, ids []uint64) ([]byte, error) {
+	var entries []byte
+	for _, id := range ids {
+		if state, known := r.engines[id]; known {
+			one := r.entryOf(now, state)
+			entries = appendEntry(entries, &one)
+		}
+	}
+	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash}
+	return wire.Marshal(messageVersion, answer, entries)
+}
+
+// HandlePullAnswer takes a peer's answer to a pull.
+func (r *Registry) HandlePullAnswer(now time.Time, from transport.Address, payload []byte) (Output, error) {
+	var answer pullAnswer
+	fields, err := wire.Unmarshal(payload, messageVersion, &answer, -1)
+	if err != nil {
+		return Output{}, err
+	}
+	if len(fields) == 0 {
+		return Output{}, trace.Wrap(errRecord)
+	}
+	entries, err := decodeEntries(fields[0])
+	if err != nil {
+		return Output{}, err
+	}
+	peer := r.nameAt(from)
+	if answer.Whole {
+		specs := make([]fleet.Spec, 0, len(entries))
+		for i := range entries {
+			specs = append(specs, entries[i].spec)
+		}
+		list := newZoneList(r.self.Zone, answer.Revision, specs)
+		if list.version.Hash != answer.ListHash {
+			return Output{}, trace.Wrap(errRecord)
+		}
+		r.adoptList(now, list, peer)
+	}
+	for i := range entries {
+		r.takeEntry(now, &entries[i], peer)
+	}
+	for _, raw := range fields[1:] {
+		r.takePulledSummary(now, raw)
+	}
+	if answer.Whole {
+		r.becomeReady()
+	}
+	return r.take(), nil
+}
+
+// clockTolerance is the difference in age that two ways of one report may
+// show by their delays.
+const clockTolerance = time.Second
+
+// takeEntry takes in what a peer knows of an engine, unless it is known better.
+func (r *Registry) takeEntry(now time.Time, one *entry, peer string) {
+	state, known := r.engines[one.record.Engine]
+	if !known || !one.record.Measured && one.record.Sources == 0 {
+		return
+	}
+	facts := stateOf(now, one)
+	if facts.load.At.Before(state.load.At.Add(-clockTolerance)) {
+		return
+	}
+	if r.isHome(state) && !state.heard.IsZero() {
+		return
+	}
+	state.load = facts.load
+	state.facts = factsHash(&facts.load)
+	if one.record.Sources&SourceList != 0 {
+		state.listMark = now
+	}
+	r.setSources(state, one.record.Sources, peer)
+	r.touch(state)
+}
+
+// takePulledSummary keeps another zone's summary that a peer had.
+func (r *Registry) takePulledSummary(now time.Time, raw []byte) {
+	one, err := decodeSummary(raw)
+	if err != nil {
+		return
+	}
+	id := zoneID(one.zone)
+	if _, exists := r.samples[id]; exists || id == r.version.Zone {
+		return
+	}
+	sample := &zoneSample{zone: one.zone, heard: now, raw: raw, models: one.models, engines: map[uint64]*engineState{}}
+	for i := range one.sample {
+		state := stateOf(now, &one.sample[i])
+		state.home = r.remoteHome(&state.spec)
+		sample.engines[state.id] = state
+	}
+	r.samples[id] = sample
+	r.dirty = true
+}
