--- a/internal/membership/swim/doc.go
+++ b/internal/membership/swim/doc.go
@@ -10,8 +10,8 @@
 // suspicion in time by a higher incarnation. Changes travel on the probes, a
 // bounded number of times, and at once to a few members by whoever learns them.
 //
-// Two elected delegates of each zone exchange table hashes with those of other
-// zones; where the hashes differ, the records of that zone are exchanged. The
+// Two elected delegates of each zone send table hashes to a member of each other
+// zone; where the hashes differ, the records of that zone are exchanged. The
 // same exchange with a random member, with a member believed dead and with the
 // seeds repairs what was lost and lets halves of a fleet that was cut heal.
 //
--- a/internal/membership/swim/repair.go
+++ b/internal/membership/swim/repair.go
@@ -24,44 +24,58 @@
 	}
 }
 
-// digestToZones makes a delegate of this zone tell each other zone's delegate
-// of its own rank the hashes; a zone that differs asks for the records.
+// digestToZones makes a delegate of this zone tell a random member of each
+// other zone the hashes; one that differs asks for the records. The member is
+// random because the delegates known of a zone may all be dead.
 func (n *Node) digestToZones() {
-	rank := n.delegateRank()
-	if rank < 0 {
+	if !n.isDelegate() {
 		return
 	}
 	for _, zone := range n.otherZones() {
-		if delegates := n.delegatesOf(zone); len(delegates) > 0 {
-			n.sendDigest(delegates[rank%len(delegates)].Address)
-		}
+		names := n.table.byZone[zone]
+		name := names[n.random.IntN(len(names))]
+		n.sendDigest(n.table.entries[name].member.Address)
 	}
 }
 
-// delegateRank is this node's place among its zone's delegates, or -1.
-func (n *Node) delegateRank() int {
-	if !n.self.Live() {
-		return -1
-	}
-	for rank, delegate := range n.delegatesOf(n.self.Zone) {
+// isDelegate says whether this node speaks for its zone.
+func (n *Node) isDelegate() bool {
+	for _, delegate := range n.delegatesOf(n.self.Zone) {
 		if delegate.Name == n.self.Name {
-			return rank
+			return true
 		}
 	}
-	return -1
+	return false
 }
 
+// delegatesOf elects a zone's delegates among its live members; where all that
+// is left is leaving, those speak to the end.
 func (n *Node) delegatesOf(zone string) []membership.Member {
-	var candidates []membership.Member
-	for _, name := range n.table.byZone[zone] {
-		if member := n.table.entries[name].member; member.Live() {
-			candidates = append(candidates, member)
+	var live, leaving []membership.Member
+	for _, member := range n.inZone(zone) {
+		switch {
+		case member.Live():
+			live = append(live, member)
+		case member.State == membership.StateLeaving:
+			leaving = append(leaving, member)
 		}
 	}
+	if len(live) == 0 {
+		live = leaving
+	}
+	return membership.Elect(DelegateRole(zone), live, Delegates)
+}
+
+// inZone lists a zone's members that are not dead, with the node itself.
+func (n *Node) inZone(zone string) []membership.Member {
+	members := make([]membership.Member, 0, len(n.table.byZone[zone])+1)
+	for _, name := range n.table.byZone[zone] {
+		members = append(members, n.table.entries[name].member)
+	}
 	if zone == n.self.Zone {
-		candidates = append(candidates, n.self)
+		members = append(members, n.self)
 	}
-	return membership.Elect(DelegateRole(zone), candidates, Delegates)
+	return members
 }
 
 // DelegateRole names the role for which a zone's delegates are elected.
