--- a/internal/ledger/replication/election.go
+++ b/internal/ledger/replication/election.go
@@ -2,6 +2,7 @@
 
 // preCampaign asks whether an election could be won, without disturbing anyone.
 func (r *Replica) preCampaign() {
+	r.resetCampaignDeadline()
 	if !r.mayCampaign() {
 		return
 	}
@@ -18,6 +19,7 @@
 // campaign stands for election at the next term.
 func (r *Replica) campaign(forced bool) {
 	r.becomeFollower(r.term+1, 0)
+	r.resetCampaignDeadline()
 	r.role = RoleCandidate
 	r.vote = r.config.ID
 	r.votes = map[ReplicaID]bool{r.config.ID: true}
--- /dev/null
+++ b/internal/ledger/replication/main_test.go
@@ -0,0 +1,29 @@
+package replication
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// campaign says that the environment asks for a long run with fresh seeds.
+var campaign = os.Getenv("CHUTELOCK_CAMPAIGN") != ""
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	settings := map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.steps": "80", "rapid.nofailfile": "true"}
+	if campaign {
+		settings = map[string]string{"rapid.checks": "10000", "rapid.steps": "80"}
+	}
+	explicit := map[string]bool{}
+	flag.Visit(func(set *flag.Flag) { explicit[set.Name] = true })
+	for name, value := range settings {
+		if explicit[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/ledger/replication/replica.go
+++ b/internal/ledger/replication/replica.go
@@ -96,7 +96,6 @@
 		return
 	}
 	if !now.Before(r.electionDeadline) {
-		r.resetElectionDeadline()
 		r.preCampaign()
 	}
 }
@@ -197,9 +196,21 @@
 	r.resetElectionDeadline()
 }
 
+// campaignRetryDivisor makes a candidate try again sooner than a follower
+// gives its leader up: it is only waiting for answers.
+const campaignRetryDivisor = 4
+
+func (r *Replica) resetCampaignDeadline() {
+	r.electionDeadline = r.now.Add(r.randomTimeout(r.config.ElectionTimeout / campaignRetryDivisor))
+}
+
 func (r *Replica) resetElectionDeadline() {
-	timeout := r.config.ElectionTimeout
-	r.electionDeadline = r.now.Add(timeout + time.Duration(r.random.Int64N(int64(timeout))))
+	r.electionDeadline = r.now.Add(r.randomTimeout(r.config.ElectionTimeout))
+}
+
+// randomTimeout draws at least the shortest and less than twice that.
+func (r *Replica) randomTimeout(shortest time.Duration) time.Duration {
+	return shortest + time.Duration(r.random.Int64N(int64(shortest)))
 }
 
 // send queues a message; its term is the present one unless it is set.
