--- /dev/null
+++ b/internal/ledger/storage/events.go
@@ -0,0 +1,21 @@
+package storage
+
+import "chutelock.dev/chutelock/internal/telemetry"
+
+// Events of the disk store: 4100 to 4149.
+var (
+	eventCreated = telemetry.Define(4100, "ledger folder created",
+		"The data folder held no ledger, so that this node starts with a new disk incarnation.")
+	eventFull = telemetry.Define(4101, "ledger disk full",
+		"Free space fell below the reserve; this node takes no new entries until space is freed.")
+	eventRoomAgain = telemetry.Define(4102, "ledger disk has room again",
+		"Free space rose above the reserve; this node takes entries again.")
+	eventFailed = telemetry.Define(4103, "ledger disk failed",
+		"A write or sync failed; this node's replicas stop. Restart the node once the disk is well.")
+	eventCorrupt = telemetry.Define(4104, "ledger folder corrupt",
+		"Damage was found that is no torn tail; the folder must be discarded and fetched from peers.")
+	eventDiscarded = telemetry.Define(4105, "ledger folder discarded",
+		"The ledger folder was removed; its replicas rejoin under a new disk incarnation.")
+	eventSlow = telemetry.Define(4106, "ledger disk slow",
+		"A disk operation has been running for longer than the bound.")
+)
--- /dev/null
+++ b/internal/ledger/storage/store.go
@@ -0,0 +1,324 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/bloom"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/ledger"
+)
+
+// Sizes and bounds of the store.
+const (
+	memTableBytes   = 16 << 20
+	blockCacheBytes = 16 << 20
+	// slowDisk is when a disk operation is reported as slow.
+	slowDisk = 2 * time.Second
+	// spaceInterval is the time between two looks at the free space.
+	spaceInterval = time.Second
+	// DefaultReserve is the free space, in bytes, below which no new entry is
+	// taken.
+	DefaultReserve = 256 << 20
+	folderMode     = 0o750
+)
+
+// Options of a store.
+type Options struct {
+	// Folder is the ledger's folder, made if it is missing.
+	Folder string
+	// FS is the file system; nil means the machine's.
+	FS vfs.FS
+	// Reserve is the free space in bytes below which the store counts as
+	// full; 0 means DefaultReserve.
+	Reserve uint64
+}
+
+// Store is the ledger's disk of one node. All methods may be called
+// concurrently. Lock order: mutex is a leaf; no call is made under it.
+type Store struct {
+	options     Options
+	db          *pebble.DB
+	health      io.Closer
+	incarnation uint64
+	committer   *committer
+	full        atomic.Bool
+	slow        atomic.Int64 // UnixNano of the last slow operation
+
+	mutex   sync.Mutex
+	failure error         // why failed was closed
+	failed  chan struct{} // closed when nothing more can be written
+	stop    chan struct{}
+	watcher sync.WaitGroup
+}
+
+// Open opens or makes the store. It fails with ErrCorrupt when the folder
+// must be discarded.
+func Open(options Options) (*Store, error) {
+	if options.FS == nil {
+		options.FS = vfs.Default
+	}
+	if options.Reserve == 0 {
+		options.Reserve = DefaultReserve
+	}
+	s := &Store{options: options, failed: make(chan struct{}), stop: make(chan struct{})}
+	if err := s.open(); err != nil {
+		return nil, trace.Wrap(classify(err), "open the ledger folder %s", options.Folder)
+	}
+	s.committer = startCommitter(s.db, s.failed, s.fail)
+	if err := s.loadIncarnation(); err != nil {
+		_ = s.Close()
+		return nil, trace.Wrap(err, "read the disk incarnation in %s", options.Folder)
+	}
+	s.lookAtSpace()
+	s.watcher.Add(1)
+	go s.watchSpace()
+	return s, nil
+}
+
+func (s *Store) open() error {
+	if err := s.options.FS.MkdirAll(s.options.Folder, folderMode); err != nil {
+		return err
+	}
+	marked, err := markedCorrupt(s.options)
+	if err != nil {
+		return err
+	}
+	if marked {
+		return ErrCorrupt
+	}
+	fs, health := vfs.WithDiskHealthChecks(s.options.FS, slowDisk, nil, s.diskSlow)
+	s.health = health
+	s.db, err = pebble.Open(s.options.Folder, s.pebbleOptions(fs))
+	if err != nil {
+		_ = health.Close()
+	}
+	return err
+}
+
+func (s *Store) pebbleOptions(fs vfs.FS) *pebble.Options {
+	cache := pebble.NewCache(blockCacheBytes)
+	defer cache.Unref() // the store holds its own reference
+	options := &pebble.Options{
+		FS:                          fs,
+		Cache:                       cache,
+		MemTableSize:                memTableBytes,
+		MemTableStopWritesThreshold: 4,
+		L0CompactionThreshold:       2,
+		L0StopWritesThreshold:       1000,
+		FormatMajorVersion:          pebble.FormatWALSyncChunks,
+		Logger:                      &storeLogger{store: s},
+		EventListener:               &pebble.EventListener{DataCorruption: s.dataCorrupt},
+	}
+	for level := range options.Levels {
+		options.Levels[level].FilterPolicy = bloom.FilterPolicy(10)
+	}
+	return options
+}
+
+// loadIncarnation reads the folder's identity or gives it one.
+func (s *Store) loadIncarnation() error {
+	value, closer, err := s.db.Get(incarnationKey)
+	if errors.Is(err, pebble.ErrNotFound) {
+		return s.createIncarnation()
+	}
+	if err != nil {
+		return classify(err)
+	}
+	defer closer.Close()
+	if len(value) != 8 {
+		return fmt.Errorf("%w: incarnation of %d bytes", ErrCorrupt, len(value))
+	}
+	s.incarnation = binary.BigEndian.Uint64(value)
+	return nil
+}
+
+func (s *Store) createIncarnation() error {
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return err
+	}
+	random[0] &= 0x7f // reads well as a signed number, too
+	random[7] |= 1    // never 0
+	batch := s.db.NewBatch()
+	defer batch.Close()
+	if err := batch.Set(incarnationKey, random[:], nil); err != nil {
+		return err
+	}
+	if err := s.committer.commit(batch, true); err != nil {
+		return err
+	}
+	s.incarnation = binary.BigEndian.Uint64(random[:])
+	eventCreated.Info("folder", s.options.Folder, "incarnation", s.incarnation)
+	return nil
+}
+
+// Incarnation identifies the folder: it is never 0, stays the same as long as
+// the folder's content does, and is another one for every new folder.
+func (s *Store) Incarnation() uint64 { return s.incarnation }
+
+// Full says that no new entry may be taken for want of space.
+func (s *Store) Full() bool { return s.full.Load() }
+
+// Failed is closed when the store can't write any more; Failure says why.
+func (s *Store) Failed() <-chan struct{} { return s.failed }
+
+// Failure returns why Failed was closed: ErrFailed or ErrCorrupt, with its
+// cause. It is nil before.
+func (s *Store) Failure() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.failure
+}
+
+// SlowSince returns when a disk operation was last found to hang for longer
+// than two seconds; zero if never.
+func (s *Store) SlowSince() time.Time {
+	at := s.slow.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
+// DiskBytes returns the disk space that the store uses.
+func (s *Store) DiskBytes() uint64 { return s.db.Metrics().DiskSpaceUsage() }
+
+// MemoryBytes estimates the memory that the store uses for tables and cache.
+func (s *Store) MemoryBytes() uint64 {
+	metrics := s.db.Metrics()
+	return metrics.MemTable.Size + uint64(metrics.BlockCache.Size)
+}
+
+// Close closes the store. What was not committed is lost.
+func (s *Store) Close() error {
+	close(s.stop)
+	s.watcher.Wait()
+	s.committer.close()
+	if s.Failure() != nil {
+		return nil // its goroutines may hang in the disk; the process must end
+	}
+	err := s.db.Close()
+	_ = s.health.Close()
+	return trace.Wrap(classify(err), "close the ledger folder %s", s.options.Folder)
+}
+
+func (s *Store) fail(cause error) {
+	kind := ErrFailed
+	if errors.Is(classify(cause), ErrCorrupt) {
+		kind = ErrCorrupt
+	}
+	s.mutex.Lock()
+	first := s.failure == nil
+	if first {
+		s.failure = fmt.Errorf("%w: %w", kind, cause)
+	}
+	s.mutex.Unlock()
+	if !first {
+		return
+	}
+	close(s.failed)
+	event := eventFailed
+	if kind == ErrCorrupt {
+		event = eventCorrupt
+	}
+	event.Error(cause, "folder", s.options.Folder, "incarnation", s.incarnation)
+}
+
+func (s *Store) dataCorrupt(info pebble.DataCorruptionInfo) {
+	markCorrupt(s.options)
+	s.fail(fmt.Errorf("%w: %s", ErrCorrupt, info.Path))
+}
+
+func (s *Store) diskSlow(info vfs.DiskSlowInfo) {
+	s.slow.Store(time.Now().UnixNano())
+	eventSlow.Info("folder", s.options.Folder, "operation", info.OpType.String(), "duration", info.Duration)
+}
+
+func (s *Store) watchSpace() {
+	defer s.watcher.Done()
+	ticker := time.NewTicker(spaceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.lookAtSpace()
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *Store) lookAtSpace() {
+	usage, err := s.options.FS.GetDiskUsage(s.options.Folder)
+	if errors.Is(err, vfs.ErrUnsupported) {
+		return
+	}
+	full := err != nil || usage.AvailBytes < s.options.Reserve
+	if s.full.Swap(full) == full {
+		return
+	}
+	event := eventRoomAgain
+	if full {
+		event = eventFull
+	}
+	event.Info("folder", s.options.Folder, "available", usage.AvailBytes, "reserve", s.options.Reserve)
+}
+
+// NewTransaction starts the writes of applied entries of a shard.
+func (s *Store) NewTransaction(shard ledger.ShardID) *Transaction {
+	batch := s.db.NewIndexedBatch()
+	return &Transaction{
+		keySpace: keySpace{reader: batch, prefix: sectionKey(shard, sectionMachine)},
+		batch:    batch,
+		shard:    shard,
+	}
+}
+
+// CommitApplied commits the transaction together with the shard's new applied
+// state. Without sync it may be lost in a crash, but never in part and never
+// without what was committed after it.
+func (s *Store) CommitApplied(t *Transaction, applied Applied, sync bool) error {
+	if err := t.batch.Set(sectionKey(t.shard, sectionApplied), applied.encode(), nil); err != nil {
+		return trace.Wrap(err, "write the applied index of shard %d", t.shard)
+	}
+	return trace.Wrap(s.committer.commit(t.batch, sync), "commit applied entries of shard %d", t.shard)
+}
+
+// NewView opens a consistent view of a shard's machine.
+func (s *Store) NewView(shard ledger.ShardID) *View {
+	snapshot := s.db.NewSnapshot()
+	return &View{
+		keySpace: keySpace{reader: snapshot, prefix: sectionKey(shard, sectionMachine)},
+		snapshot: snapshot,
+	}
+}
+
+// LiveReader reads the newest state of a shard's machine, without a snapshot
+// over several calls.
+func (s *Store) LiveReader(shard ledger.ShardID) ledger.Reader {
+	return &keySpace{reader: s.db, prefix: sectionKey(shard, sectionMachine)}
+}
+
+// LoadApplied returns the shard's applied state; ok is false for a new shard.
+func (s *Store) LoadApplied(shard ledger.ShardID) (applied Applied, ok bool, err error) {
+	value, closer, err := s.db.Get(sectionKey(shard, sectionApplied))
+	if errors.Is(err, pebble.ErrNotFound) {
+		return Applied{}, false, nil
+	}
+	if err != nil {
+		return Applied{}, false, trace.Wrap(classify(err), "read the applied index of shard %d", shard)
+	}
+	defer closer.Close()
+	applied, err = decodeApplied(value)
+	return applied, err == nil, trace.Wrap(err, "decode the applied index of shard %d", shard)
+}
