--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -106,11 +106,9 @@
 }
 
 func (s *Store) pebbleOptions(fs vfs.FS) *pebble.Options {
-	cache := pebble.NewCache(blockCacheBytes)
-	defer cache.Unref() // the store holds its own reference
 	options := &pebble.Options{
 		FS:                          fs,
-		Cache:                       cache,
+		CacheSize:                   blockCacheBytes,
 		MemTableSize:                memTableBytes,
 		MemTableStopWritesThreshold: 4,
 		L0CompactionThreshold:       2,
