--- a/internal/ledger/local/local.go
+++ b/internal/ledger/local/local.go
@@ -11,12 +11,19 @@
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
-// localTerm is the term of a shard that never changes its leader.
-const localTerm = 1
+const (
+	// localTerm is the term of a shard that never changes its leader.
+	localTerm = 1
+	// localReplica is the only replica.
+	localReplica replication.ReplicaID = 1
+	// compactEvery is the number of entries after which the log is dropped.
+	compactEvery = 1024
+)
 
 // Options of a local ledger.
 type Options struct {
@@ -80,25 +87,28 @@
 
 // Shard is a shard with a single copy.
 type Shard struct {
-	store   *storage.Store
-	id      ledger.ShardID
+	disk    *storage.Shard
 	machine ledger.StateMachine
 
-	mutex   sync.Mutex // held while an entry is applied
-	applied uint64
+	mutex sync.Mutex // held while an entry is applied
 }
 
 var _ ledger.Shard = (*Shard)(nil)
 
 func openShard(store *storage.Store, id ledger.ShardID, machine ledger.StateMachine) (*Shard, error) {
-	applied, _, err := store.LoadApplied(id)
+	disk, err := store.OpenShard(id)
 	if err != nil {
 		return nil, err
 	}
-	if err := machine.Reload(store.LiveReader(id)); err != nil {
-		return nil, trace.Wrap(err, "reload the machine")
+	if disk.Empty() {
+		err := disk.Bootstrap(replication.BootstrapMarker(localReplica), replication.BootstrapState(), nil)
+		if err != nil {
+			return nil, err
+		}
 	}
-	return &Shard{store: store, id: id, machine: machine, applied: applied.Index}, nil
+	shard := &Shard{disk: disk, machine: machine}
+	err = shard.Read(context.Background(), machine.Reload)
+	return shard, trace.Wrap(err, "reload the machine")
 }
 
 // Propose implements ledger.Shard.
@@ -108,24 +118,42 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	transaction := s.store.NewTransaction(s.id)
+	marker, err := s.disk.Snapshot()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	marker.Index++
+	return s.apply(marker, entry)
+}
+
+func (s *Shard) apply(marker replication.SnapshotMarker, entry []byte) ([]byte, error) {
+	logged := []replication.Entry{{Index: marker.Index, Term: marker.Term, Data: entry}}
+	hard := replication.HardState{Term: marker.Term, Commit: marker.Index}
+	if err := s.disk.Save(&hard, logged, true); err != nil {
+		return nil, ledger.ErrUnknownOutcome
+	}
+	transaction := s.disk.NewTransaction()
 	defer transaction.Close()
-	answer, err := s.machine.Apply(transaction, s.applied+1, entry)
+	answer, err := s.machine.Apply(transaction, marker.Index, entry)
 	if err != nil {
-		return nil, trace.Wrap(err, "apply an entry to shard %d", s.id)
+		return nil, trace.Wrap(err, "apply an entry to shard %d", s.disk.ID())
 	}
 	answer = append([]byte(nil), answer...)
-	applied := storage.Applied{Index: s.applied + 1, Term: localTerm}
-	if err := s.store.CommitApplied(transaction, applied, true); err != nil {
+	if err := s.disk.CommitApplied(transaction, marker, true); err != nil {
 		return nil, ledger.ErrUnknownOutcome
 	}
-	s.applied++
+	if marker.Index%compactEvery == 0 {
+		return answer, trace.Wrap(s.disk.Compact(marker.Index))
+	}
 	return answer, nil
 }
 
 // Read implements ledger.Shard.
 func (s *Shard) Read(_ context.Context, query func(ledger.Reader) error) error {
-	view := s.store.NewView(s.id)
+	view, err := s.disk.NewView()
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	defer view.Close()
 	return query(view)
 }
--- a/internal/ledger/storage/keyspace.go
+++ b/internal/ledger/storage/keyspace.go
@@ -74,7 +74,7 @@
 type Transaction struct {
 	keySpace
 	batch *pebble.Batch
-	shard ledger.ShardID
+	state []byte // prefix of the edition
 }
 
 var _ ledger.Writer = (*Transaction)(nil)
@@ -108,6 +108,8 @@
 type View struct {
 	keySpace
 	snapshot *pebble.Snapshot
+	applied  applied
+	state    []byte // prefix of the edition
 }
 
 // Close releases the view.
--- /dev/null
+++ b/internal/ledger/storage/shard.go
@@ -0,0 +1,296 @@
+package storage
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replication"
+)
+
+// Shard is the disk of one replica: its log, hard state and applied state. It
+// implements replication.Storage. The writing methods (Bootstrap, Save,
+// CommitApplied, Compact, InstallSnapshot, Destroy) must be called by one
+// goroutine at a time; reading may run beside them.
+type Shard struct {
+	store *Store
+	id    ledger.ShardID
+
+	mutex      sync.RWMutex // a leaf: guards what is below
+	generation uint64
+	hard       replication.HardState
+	applied    applied
+	compacted  position // the entry before the log's first
+	last       uint64   // the log's last index
+	logBytes   uint64   // estimate, since the last compaction
+}
+
+var _ replication.Storage = (*Shard)(nil)
+
+// OpenShard reads and checks a shard's records. It fails with ErrCorrupt when
+// they don't fit together. A new shard is empty.
+func (s *Store) OpenShard(id ledger.ShardID) (*Shard, error) {
+	shard := &Shard{store: s, id: id}
+	if err := shard.load(); err != nil {
+		if errors.Is(err, ErrCorrupt) {
+			markCorrupt(s.options)
+			s.fail(err)
+		}
+		return nil, trace.Wrap(err, "load shard %d", id)
+	}
+	return shard, nil
+}
+
+// ShardIDs lists the shards that have a replica here.
+func (s *Store) ShardIDs() ([]ledger.ShardID, error) {
+	iterator, err := s.db.NewIter(&pebble.IterOptions{
+		LowerBound: []byte{spaceShard},
+		UpperBound: []byte{spaceShard + 1},
+	})
+	if err != nil {
+		return nil, trace.Wrap(classify(err), "list shards")
+	}
+	var ids []ledger.ShardID
+	for valid := iterator.First(); valid; {
+		id := ledger.ShardID(binary.BigEndian.Uint32(iterator.Key()[1:]))
+		ids = append(ids, id)
+		valid = iterator.SeekGE(prefixEnd(shardPrefix(id)))
+	}
+	return ids, trace.Wrap(classify(iterator.Close()), "list shards")
+}
+
+// ID returns the shard's number.
+func (s *Shard) ID() ledger.ShardID { return s.id }
+
+// Incarnation identifies this replica's memory: it changes with the folder's
+// incarnation, and when the replica was destroyed.
+func (s *Shard) Incarnation() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.store.incarnation + s.generation
+}
+
+// Empty says that the replica was neither bootstrapped nor sent anything.
+func (s *Shard) Empty() bool {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.last == 0 && s.hard == (replication.HardState{})
+}
+
+func (s *Shard) load() error {
+	steps := []func() error{s.loadGeneration, s.loadHardState, s.loadApplied, s.loadCompacted, s.loadLog}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	if s.last < s.hard.Commit || s.last < s.applied.marker.Index {
+		return fmt.Errorf("%w: shard %d ends at %d, before its commit index %d or its applied index %d",
+			ErrCorrupt, s.id, s.last, s.hard.Commit, s.applied.marker.Index)
+	}
+	return s.removeStagedEditions()
+}
+
+func (s *Shard) loadGeneration() error {
+	record, found, err := s.store.getRecord(generationKey(s.id))
+	if err != nil || !found {
+		return err
+	}
+	generation, err := decodePosition(record)
+	s.generation = generation.Index
+	return err
+}
+
+func (s *Shard) loadHardState() error {
+	record, found, err := s.store.getRecord(sectionKey(s.id, sectionHardState))
+	if err != nil || !found {
+		return err
+	}
+	s.hard, err = replication.UnmarshalHardState(record)
+	if err != nil {
+		return fmt.Errorf("%w: hard state: %w", ErrCorrupt, err)
+	}
+	return nil
+}
+
+func (s *Shard) loadApplied() error {
+	record, found, err := s.store.getRecord(sectionKey(s.id, sectionApplied))
+	if err != nil || !found {
+		return err
+	}
+	s.applied, err = decodeApplied(record)
+	return err
+}
+
+func (s *Shard) loadCompacted() error {
+	record, found, err := s.store.getRecord(sectionKey(s.id, sectionCompacted))
+	if err != nil || !found {
+		return err
+	}
+	s.compacted, err = decodePosition(record)
+	return err
+}
+
+// loadLog checks every entry of the log.
+func (s *Shard) loadLog() error {
+	s.last = s.compacted.Index
+	return s.scanLog(s.compacted.Index+1, ^uint64(0), func(entry replication.Entry, size int) (bool, error) {
+		if entry.Index != s.last+1 {
+			return false, fmt.Errorf("%w: shard %d has entry %d after %d", ErrCorrupt, s.id, entry.Index, s.last)
+		}
+		s.last = entry.Index
+		s.logBytes += uint64(size)
+		return true, nil
+	})
+}
+
+// removeStagedEditions drops what a snapshot that was never installed left.
+func (s *Shard) removeStagedEditions() error {
+	batch := s.store.db.NewBatch()
+	defer batch.Close()
+	err := errors.Join(
+		batch.DeleteRange(sectionKey(s.id, sectionState), statePrefix(s.id, s.applied.edition), nil),
+		batch.DeleteRange(prefixEnd(statePrefix(s.id, s.applied.edition)), sectionKey(s.id, sectionState+1), nil),
+	)
+	if err != nil {
+		return err
+	}
+	return s.store.committer.commit(batch, false)
+}
+
+// HardState implements replication.Storage.
+func (s *Shard) HardState() (replication.HardState, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.hard, nil
+}
+
+// Snapshot implements replication.Storage.
+func (s *Shard) Snapshot() (replication.SnapshotMarker, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.applied.marker, nil
+}
+
+// FirstIndex implements replication.Storage.
+func (s *Shard) FirstIndex() (uint64, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.compacted.Index + 1, nil
+}
+
+// LastIndex implements replication.Storage.
+func (s *Shard) LastIndex() (uint64, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.last, nil
+}
+
+// Term implements replication.Storage.
+func (s *Shard) Term(index uint64) (uint64, error) {
+	if index == 0 {
+		return 0, nil
+	}
+	if err := s.within(index); err != nil {
+		return s.termOfCompacted(index, err)
+	}
+	var term uint64
+	err := s.scanLog(index, index+1, func(entry replication.Entry, _ int) (bool, error) {
+		term = entry.Term
+		return false, nil
+	})
+	if err == nil && term == 0 {
+		err = replication.ErrUnavailable // replaced meanwhile
+	}
+	return term, err
+}
+
+// within says whether the log holds the index.
+func (s *Shard) within(index uint64) error {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	switch {
+	case index <= s.compacted.Index:
+		return replication.ErrCompacted
+	case index > s.last:
+		return replication.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *Shard) termOfCompacted(index uint64, err error) (uint64, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	if index == s.compacted.Index {
+		return s.compacted.Term, nil
+	}
+	return 0, err
+}
+
+// Entries implements replication.Storage.
+func (s *Shard) Entries(from, to uint64, maxBytes int) ([]replication.Entry, error) {
+	if err := s.within(from); err != nil {
+		return nil, err
+	}
+	var entries []replication.Entry
+	total := 0
+	err := s.scanLog(from, to, func(entry replication.Entry, size int) (bool, error) {
+		total += size
+		if total > maxBytes && len(entries) > 0 {
+			return false, nil
+		}
+		entries = append(entries, entry)
+		return true, nil
+	})
+	if err == nil && len(entries) == 0 {
+		err = replication.ErrCompacted // compacted meanwhile
+	}
+	return entries, err
+}
+
+// scanLog visits the entries from ≤ index < to, in order. Entries own their data.
+func (s *Shard) scanLog(from, to uint64, visit func(entry replication.Entry, size int) (bool, error)) error {
+	iterator, err := s.store.db.NewIter(&pebble.IterOptions{LowerBound: logKey(s.id, from), UpperBound: logKey(s.id, to)})
+	if err != nil {
+		return trace.Wrap(classify(err), "open the log of shard %d", s.id)
+	}
+	err = s.visitLog(iterator, visit)
+	if closeErr := iterator.Close(); closeErr != nil && err == nil {
+		err = trace.Wrap(classify(closeErr), "read the log of shard %d", s.id)
+	}
+	return err
+}
+
+func (s *Shard) visitLog(iterator *pebble.Iterator, visit func(replication.Entry, int) (bool, error)) error {
+	for valid := iterator.First(); valid; valid = iterator.Next() {
+		sealed, err := iterator.ValueAndErr()
+		if err != nil {
+			return classify(err)
+		}
+		record, err := unseal(iterator.Key(), sealed)
+		if err != nil {
+			return err
+		}
+		entry, err := replication.UnmarshalEntry(append([]byte(nil), record...))
+		if err != nil {
+			return fmt.Errorf("%w: entry: %w", ErrCorrupt, err)
+		}
+		more, err := visit(entry, len(record))
+		if err != nil || !more {
+			return err
+		}
+	}
+	return classify(iterator.Error())
+}
+
+// LogBytes estimates the size of the log.
+func (s *Shard) LogBytes() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.logBytes
+}
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -14,8 +14,6 @@
 	"github.com/cockroachdb/pebble/v2/bloom"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/gravitational/trace"
-
-	"chutelock.dev/chutelock/internal/ledger"
 )
 
 // Sizes and bounds of the store.
@@ -125,19 +123,16 @@
 
 // loadIncarnation reads the folder's identity or gives it one.
 func (s *Store) loadIncarnation() error {
-	value, closer, err := s.db.Get(incarnationKey)
-	if errors.Is(err, pebble.ErrNotFound) {
-		return s.createIncarnation()
-	}
+	record, found, err := s.getRecord(incarnationKey())
 	if err != nil {
-		return classify(err)
+		return err
 	}
-	defer closer.Close()
-	if len(value) != 8 {
-		return fmt.Errorf("%w: incarnation of %d bytes", ErrCorrupt, len(value))
+	if !found {
+		return s.createIncarnation()
 	}
-	s.incarnation = binary.BigEndian.Uint64(value)
-	return nil
+	identity, err := decodePosition(record)
+	s.incarnation = identity.Index
+	return err
 }
 
 func (s *Store) createIncarnation() error {
@@ -149,13 +144,18 @@
 	random[7] |= 1    // never 0
 	batch := s.db.NewBatch()
 	defer batch.Close()
-	if err := batch.Set(incarnationKey, random[:], nil); err != nil {
+	incarnation := binary.BigEndian.Uint64(random[:])
+	record, err := position{Index: incarnation}.encode()
+	if err != nil {
+		return err
+	}
+	if err := put(batch, incarnationKey(), record); err != nil {
 		return err
 	}
 	if err := s.committer.commit(batch, true); err != nil {
 		return err
 	}
-	s.incarnation = binary.BigEndian.Uint64(random[:])
+	s.incarnation = incarnation
 	eventCreated.Info("folder", s.options.Folder, "incarnation", s.incarnation)
 	return nil
 }
@@ -271,52 +271,3 @@
 	}
 	event.Info("folder", s.options.Folder, "available", usage.AvailBytes, "reserve", s.options.Reserve)
 }
-
-// NewTransaction starts the writes of applied entries of a shard.
-func (s *Store) NewTransaction(shard ledger.ShardID) *Transaction {
-	batch := s.db.NewIndexedBatch()
-	return &Transaction{
-		keySpace: keySpace{reader: batch, prefix: sectionKey(shard, sectionMachine)},
-		batch:    batch,
-		shard:    shard,
-	}
-}
-
-// CommitApplied commits the transaction together with the shard's new applied
-// state. Without sync it may be lost in a crash, but never in part and never
-// without what was committed after it.
-func (s *Store) CommitApplied(t *Transaction, applied Applied, sync bool) error {
-	if err := t.batch.Set(sectionKey(t.shard, sectionApplied), applied.encode(), nil); err != nil {
-		return trace.Wrap(err, "write the applied index of shard %d", t.shard)
-	}
-	return trace.Wrap(s.committer.commit(t.batch, sync), "commit applied entries of shard %d", t.shard)
-}
-
-// NewView opens a consistent view of a shard's machine.
-func (s *Store) NewView(shard ledger.ShardID) *View {
-	snapshot := s.db.NewSnapshot()
-	return &View{
-		keySpace: keySpace{reader: snapshot, prefix: sectionKey(shard, sectionMachine)},
-		snapshot: snapshot,
-	}
-}
-
-// LiveReader reads the newest state of a shard's machine, without a snapshot
-// over several calls.
-func (s *Store) LiveReader(shard ledger.ShardID) ledger.Reader {
-	return &keySpace{reader: s.db, prefix: sectionKey(shard, sectionMachine)}
-}
-
-// LoadApplied returns the shard's applied state; ok is false for a new shard.
-func (s *Store) LoadApplied(shard ledger.ShardID) (applied Applied, ok bool, err error) {
-	value, closer, err := s.db.Get(sectionKey(shard, sectionApplied))
-	if errors.Is(err, pebble.ErrNotFound) {
-		return Applied{}, false, nil
-	}
-	if err != nil {
-		return Applied{}, false, trace.Wrap(classify(err), "read the applied index of shard %d", shard)
-	}
-	defer closer.Close()
-	applied, err = decodeApplied(value)
-	return applied, err == nil, trace.Wrap(err, "decode the applied index of shard %d", shard)
-}
