--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,368 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/fleet"
+)
+
+// Router places attempts on endpoints and learns from their outcomes.
+type Router struct {
+	config Config
+	random *rand.Rand
+
+	states   map[string]*endpointState
+	pools    map[string]*pool
+	prefixes map[string]*prefixTable
+	swept    *fleet.Snapshot
+
+	hard    []Filter // must pass
+	soft    []Filter // pass if any endpoint does
+	scorers []weightedScorer
+	prefix  *prefixScorer
+	picker  Picker
+
+	usualFirstToken time.Duration
+	transitions     []Transition
+
+	// Buffers that are used again in each decision.
+	candidates []Candidate
+	preferred  []Candidate
+	scores     []float64
+	scratch    []float64
+}
+
+type weightedScorer struct {
+	scorer Scorer
+	weight float64
+}
+
+// pool is the endpoints that may serve a model, by one snapshot.
+type pool struct {
+	snapshot *fleet.Snapshot
+	regions  []string
+	members  []member
+	compared time.Time
+}
+
+type member struct {
+	endpoint *fleet.Endpoint
+	state    *endpointState
+	hash     uint64
+	// others is the streams of other nodes in the endpoint's report.
+	others float64
+}
+
+// NewRouter returns a router without knowledge.
+func NewRouter(config Config) *Router {
+	config = config.withDefaults()
+	router := &Router{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, xxhash.Sum64String(config.Zone))),
+		states:   map[string]*endpointState{},
+		pools:    map[string]*pool{},
+		prefixes: map[string]*prefixTable{},
+		prefix:   &prefixScorer{},
+		picker:   &nearBestPicker{},
+	}
+	router.hard = []Filter{triedFilter{}, slotsFilter{}}
+	router.soft = []Filter{ejectedFilter{}, busyFilter{}, stalledFilter{router}}
+	router.scorers = []weightedScorer{
+		{loadScorer{}, config.Weights.Load},
+		{kvScorer{}, config.Weights.KV},
+		{router.prefix, config.Weights.Prefix},
+		{adapterScorer{}, config.Weights.Adapter},
+		{zoneScorer{}, config.Weights.Zone},
+	}
+	return router
+}
+
+// Pick chooses the endpoint for an attempt and charges it with the attempt. It
+// fails with *NoEndpointError.
+func (r *Router) Pick(now time.Time, request Request, snapshot *fleet.Snapshot) (Decision, error) {
+	pool := r.pool(now, &request, snapshot)
+	r.compare(now, pool)
+	view := View{Now: now, Request: &request, Zone: r.config.Zone, Region: r.config.Region, config: &r.config, random: r.random}
+	if len(request.Prefix) > 0 {
+		view.prefixes = r.prefixTable(now, request.Model)
+	}
+	if reason := r.filter(&view, pool); reason != "" {
+		return Decision{}, &NoEndpointError{Model: request.Model, Reason: reason}
+	}
+	view.MeanLoad = meanLoad(r.candidates)
+	r.scores = slices.Grow(r.scores[:0], len(r.candidates))[:len(r.candidates)]
+	clear(r.scores)
+	for _, stage := range r.scorers {
+		if stage.weight != 0 {
+			stage.scorer.Score(&view, r.candidates, stage.weight, r.scores)
+		}
+	}
+	return r.decide(&view, r.picker.Pick(&view, r.candidates, r.scores)), nil
+}
+
+func (r *Router) decide(view *View, chosen int) Decision {
+	candidate := &r.candidates[chosen]
+	probe := candidate.state.ejected
+	decision := Decision{
+		Endpoint: candidate.Endpoint,
+		Attempt:  candidate.state.begin(view.Now, probe),
+		Score:    r.scores[chosen],
+		Probe:    probe,
+	}
+	if view.prefixes != nil && len(r.prefix.expected) > 0 {
+		decision.ExpectedPrefix = r.prefix.expected[chosen]
+		keys := view.Request.Prefix
+		view.prefixes.record(view.Now, keys[:min(len(keys), MaxPrefixKeys)], candidate.hash)
+	}
+	return decision
+}
+
+// filter fills r.candidates; it returns why when none is left.
+func (r *Router) filter(view *View, pool *pool) Reason {
+	r.fillCandidates(view, pool)
+	if len(r.candidates) == 0 {
+		return ReasonNoEndpoint
+	}
+	for _, stage := range r.hard {
+		r.candidates = keep(r.candidates[:0], r.candidates, view, stage)
+		if len(r.candidates) > 0 {
+			continue
+		}
+		if stage.Name() == (triedFilter{}).Name() {
+			return ReasonAllTried
+		}
+		return ReasonFull
+	}
+	for _, stage := range r.soft {
+		r.preferred = keep(r.preferred[:0], r.candidates, view, stage)
+		if len(r.preferred) > 0 {
+			r.candidates, r.preferred = r.preferred, r.candidates
+		}
+	}
+	return ""
+}
+
+func keep(into, from []Candidate, view *View, stage Filter) []Candidate {
+	for i := range from {
+		if stage.Keep(view, &from[i]) {
+			into = append(into, from[i])
+		}
+	}
+	return into
+}
+
+// fillCandidates estimates the load of each endpoint of the pool.
+func (r *Router) fillCandidates(view *View, pool *pool) {
+	r.candidates = r.candidates[:0]
+	sum, weights := 0.0, 0.0
+	for i := range pool.members {
+		m := &pool.members[i]
+		freshness := r.freshness(view.Now, m.endpoint.Load.At)
+		sum += m.others * freshness
+		weights += freshness
+		r.candidates = append(r.candidates, Candidate{Endpoint: m.endpoint, InFlight: m.state.inFlight, Load: m.others, Freshness: freshness, hash: m.hash, state: m.state})
+	}
+	usual := 0.0
+	if weights > 0 {
+		usual = sum / weights
+	}
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		c.Load = float64(c.InFlight) + c.Load*c.Freshness + usual*(1-c.Freshness)
+	}
+}
+
+func (r *Router) freshness(now, at time.Time) float64 {
+	if at.IsZero() {
+		return 0
+	}
+	age := now.Sub(at)
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(r.config.LoadHalfLife))
+}
+
+func meanLoad(candidates []Candidate) float64 {
+	sum := 0.0
+	for i := range candidates {
+		sum += candidates[i].Load
+	}
+	return sum / float64(len(candidates))
+}
+
+// pool returns the endpoints that may serve the request by the snapshot. What
+// doesn't change within a snapshot is filtered once for it: endpoints that are
+// leaving, don't have the model, or are in a region where it may not run.
+func (r *Router) pool(now time.Time, request *Request, snapshot *fleet.Snapshot) *pool {
+	if r.swept != snapshot {
+		r.sweep(snapshot)
+	}
+	current := r.pools[request.Model]
+	if current != nil && current.snapshot == snapshot && slices.Equal(current.regions, request.Regions) {
+		return current
+	}
+	next := &pool{snapshot: snapshot, regions: request.Regions}
+	if current != nil {
+		next.compared = current.compared
+		next.members = make([]member, 0, len(current.members))
+	}
+	for _, endpoint := range snapshot.Endpoints {
+		if serves(endpoint, request) {
+			next.members = append(next.members, r.member(endpoint))
+		}
+	}
+	r.pools[request.Model] = next
+	return next
+}
+
+func serves(endpoint *fleet.Endpoint, request *Request) bool {
+	if endpoint.Leaving || endpoint.Load.Draining {
+		return false
+	}
+	if len(request.Regions) > 0 && !slices.Contains(request.Regions, endpoint.Region) {
+		return false
+	}
+	return slices.Contains(endpoint.Load.Models, request.Model)
+}
+
+func (r *Router) member(endpoint *fleet.Endpoint) member {
+	state := r.states[endpoint.Name]
+	if state == nil {
+		state = &endpointState{name: endpoint.Name}
+		r.states[endpoint.Name] = state
+	}
+	load := &endpoint.Load
+	batch := float64(load.RunningBatch + load.WaitingBatch)
+	online := max(0, float64(load.Running+load.Waiting)-batch)
+	own := 0
+	if !load.At.IsZero() {
+		own = state.inFlightAt(load.At)
+	}
+	return member{
+		endpoint: endpoint,
+		state:    state,
+		hash:     xxhash.Sum64String(endpoint.Name),
+		others:   max(0, online-float64(own)) + batch*r.config.BatchLoadWeight,
+	}
+}
+
+// sweep forgets endpoints that are gone and have nothing in flight, and pools
+// and prefixes of models that nobody serves any more.
+func (r *Router) sweep(snapshot *fleet.Snapshot) {
+	r.swept = snapshot
+	if len(r.states) <= 2*len(snapshot.Endpoints) {
+		return
+	}
+	present := make(map[string]bool, len(snapshot.Endpoints))
+	for _, endpoint := range snapshot.Endpoints {
+		present[endpoint.Name] = true
+	}
+	for name, state := range r.states {
+		if !present[name] && state.inFlight == 0 {
+			delete(r.states, name)
+		}
+	}
+	for model, pool := range r.pools {
+		if len(pool.members) == 0 {
+			delete(r.pools, model)
+			delete(r.prefixes, model)
+		}
+	}
+}
+
+func (r *Router) prefixTable(now time.Time, model string) *prefixTable {
+	table := r.prefixes[model]
+	if table == nil {
+		table = newPrefixTable(now, r.config.PrefixEntries)
+		r.prefixes[model] = table
+	}
+	return table
+}
+
+// Observe takes in what was seen of an attempt.
+func (r *Router) Observe(now time.Time, outcome Outcome) {
+	attempt := outcome.Attempt
+	if attempt == nil || attempt.ended {
+		return
+	}
+	if outcome.Kind == OutcomeFirstToken {
+		r.observeFirstToken(now, attempt)
+		return
+	}
+	wasWaiting := attempt.waiting
+	attempt.state.end(now, attempt)
+	switch outcome.Kind {
+	case OutcomeFinished:
+		if !wasWaiting && outcome.Tokens > 1 {
+			attempt.state.betweenToken.add(now.Sub(attempt.started).Seconds() / float64(outcome.Tokens-1))
+		}
+		attempt.state.failures = 0
+		if attempt.state.ejected && attempt.probe {
+			r.restore(attempt.state)
+		}
+	case OutcomeFailed:
+		r.observeFailure(now, outcome, wasWaiting)
+	}
+}
+
+// Capacity estimates how many streams of the model this node may have in
+// flight at once: its own and the free slots that it sees on the endpoints.
+func (r *Router) Capacity(now time.Time, request Request, snapshot *fleet.Snapshot) int {
+	pool := r.pool(now, &request, snapshot)
+	view := View{Now: now, Request: &request, config: &r.config}
+	r.fillCandidates(&view, pool)
+	if request.Slots <= 0 {
+		if len(r.candidates) == 0 {
+			return 0
+		}
+		return math.MaxInt32
+	}
+	capacity := 0
+	for i := range r.candidates {
+		candidate := &r.candidates[i]
+		capacity += candidate.InFlight
+		if (ejectedFilter{}).Keep(&view, candidate) {
+			capacity += max(0, int(float64(request.Slots)-candidate.Load))
+		}
+	}
+	return capacity
+}
+
+// InFlight counts this node's own attempts on an endpoint.
+func (r *Router) InFlight(endpoint string) int {
+	if state := r.states[endpoint]; state != nil {
+		return state.inFlight
+	}
+	return 0
+}
+
+// Ejected counts the endpoints that are set aside.
+func (r *Router) Ejected() int {
+	count := 0
+	for _, state := range r.states {
+		if state.ejected {
+			count++
+		}
+	}
+	return count
+}
+
+// Transitions returns and forgets the endpoints set aside and taken back since
+// the last call.
+func (r *Router) Transitions() []Transition {
+	transitions := r.transitions
+	r.transitions = nil
+	return transitions
+}
+
+// FateOf maps a failed attempt to its outcome.
+func FateOf(attempt *Attempt, failure *engine.Error, timedOut bool) Outcome {
+	return Outcome{Attempt: attempt, Kind: OutcomeFailed, Fate: failure.Fate, Status: failure.Status, RetryAfter: failure.RetryAfter, TimedOut: timedOut}
+}
--- /dev/null
+++ b/internal/routing/score.go
@@ -0,0 +1,160 @@
+package routing
+
+import "slices"
+
+// loadScorer prefers endpoints with few online streams. It reads
+// Candidate.Load: this node's own streams now and, discounted by age, the
+// streams of others in the endpoint's lagging report; a stale or missing
+// report counts as the peers' mean, so that nobody rushes at the unknown.
+// Score: 1 for an idle endpoint, 0.5 at the mean load, towards 0 above.
+type loadScorer struct{}
+
+func (loadScorer) Name() string { return "load" }
+
+func (loadScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	scale := 1 / (1 + view.MeanLoad)
+	for i := range candidates {
+		scores[i] += weight / (1 + candidates[i].Load*scale)
+	}
+}
+
+// kvHighWater is the use of KV cache from which an endpoint loses score.
+const kvHighWater = 0.8
+
+// kvScorer avoids endpoints whose KV cache is nearly full, which would
+// preempt streams. It reads Load.KVUse; by its age a report counts less, and
+// a missing one not at all. Score: 1 up to the high water, 0 when full.
+type kvScorer struct{}
+
+func (kvScorer) Name() string { return "kv" }
+
+func (kvScorer) Score(_ *View, candidates []Candidate, weight float64, scores []float64) {
+	for i := range candidates {
+		over := max(0, min(1, (candidates[i].Endpoint.Load.KVUse-kvHighWater)/(1-kvHighWater)))
+		scores[i] += weight * (1 - over*candidates[i].Freshness)
+	}
+}
+
+// adapterScorer prefers endpoints that have the adapter loaded already. It
+// reads Load.Adapters, which change seldom, so that age doesn't matter; an
+// endpoint without a report counts as not having it. Score: 1 or 0.
+type adapterScorer struct{}
+
+func (adapterScorer) Name() string { return "adapter" }
+
+func (adapterScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	if view.Request.Adapter == "" {
+		return
+	}
+	for i := range candidates {
+		if slices.Contains(candidates[i].Endpoint.Load.Adapters, view.Request.Adapter) {
+			scores[i] += weight
+		}
+	}
+}
+
+// Scores of the zoneScorer.
+const (
+	scoreSameZone   = 1.0
+	scoreSameRegion = 0.6
+)
+
+// zoneScorer prefers near endpoints. It reads the endpoint's zone and region,
+// which don't change. Score: 1 in this node's zone, 0.6 in its region, else 0.
+type zoneScorer struct{}
+
+func (zoneScorer) Name() string { return "zone" }
+
+func (zoneScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	for i := range candidates {
+		switch endpoint := candidates[i].Endpoint; {
+		case endpoint.Zone == view.Zone:
+			scores[i] += weight * scoreSameZone
+		case endpoint.Region == view.Region:
+			scores[i] += weight * scoreSameRegion
+		}
+	}
+}
+
+// prefixScorer prefers endpoints that hold the prompt's beginning in their
+// prefix cache, under a bound on their load. It reads this node's own table of
+// prefixes (where it sent them, and how often each is seen) and a rendezvous
+// ranking of the endpoints that all nodes share. A forgotten or unknown prefix
+// scores by the ranking alone, at little weight. Score: the share of the
+// prompt expected to be cached; 0 over the load bound.
+type prefixScorer struct {
+	plan     plan
+	expected []float64
+}
+
+func (*prefixScorer) Name() string { return "prefix" }
+
+func (s *prefixScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	s.expected = s.expected[:0]
+	keys := view.Request.Prefix
+	if len(keys) > MaxPrefixKeys {
+		keys = keys[:MaxPrefixKeys]
+	}
+	if len(keys) == 0 || view.prefixes == nil {
+		return
+	}
+	view.prefixes.lay(view.Now, keys, len(candidates), &s.plan)
+	s.expected = slices.Grow(s.expected, len(candidates))[:len(candidates)]
+	bound := view.config.LoadBoundFactor*view.MeanLoad + view.config.LoadBoundSlack
+	s.scoreHolders(keys, candidates, bound)
+	s.scoreRanked(keys, candidates, bound)
+	for i := range candidates {
+		scores[i] += weight * s.expected[i]
+	}
+}
+
+// scoreHolders rates endpoints that this node itself sent the prefix to.
+func (s *prefixScorer) scoreHolders(keys []uint64, candidates []Candidate, bound float64) {
+	for i := range candidates {
+		s.expected[i] = 0
+		if candidates[i].Load > bound {
+			continue
+		}
+		for depth := s.plan.known; depth > 0; depth-- {
+			if slices.Contains(s.plan.entries[depth-1].holders[:], candidates[i].hash) {
+				s.expected[i] = float64(depth) / float64(len(keys))
+				break
+			}
+		}
+	}
+}
+
+// scoreRanked rates the endpoints that rank first for the plan's anchor among
+// those under the load bound.
+func (s *prefixScorer) scoreRanked(keys []uint64, candidates []Candidate, bound float64) {
+	replicas := s.plan.replicas
+	if replicas > maxReplicas || replicas >= len(candidates) {
+		return // the prefix is everywhere; load alone decides
+	}
+	var best [maxReplicas]int
+	var weights [maxReplicas]uint64
+	count := 0
+	for i := range candidates {
+		if candidates[i].Load > bound {
+			continue
+		}
+		weight := rank(s.plan.anchor, candidates[i].hash)
+		position := count
+		for position > 0 && weight > weights[position-1] {
+			position--
+		}
+		if position >= replicas {
+			continue
+		}
+		if count < replicas {
+			count++
+		}
+		copy(weights[position+1:count], weights[position:count-1])
+		copy(best[position+1:count], best[position:count-1])
+		weights[position], best[position] = weight, i
+	}
+	share := max(coldAffinity, float64(s.plan.known)/float64(len(keys)))
+	for _, i := range best[:count] {
+		s.expected[i] = max(s.expected[i], share)
+	}
+}
