--- a/internal/admission/online/controller.go
+++ b/internal/admission/online/controller.go
@@ -259,17 +259,6 @@
 	return verdicts
 }
 
-// RefuseWaiting refuses all waiting tickets, for a node that stops.
-func (c *Controller) RefuseWaiting(now time.Time) []Verdict {
-	var verdicts []Verdict
-	for _, service := range c.services {
-		for service.queue.length > 0 {
-			verdicts = append(verdicts, c.drop(now, service.queue.first(), ReasonDraining))
-		}
-	}
-	return verdicts
-}
-
 // limit applies the tenant's own limits.
 func (c *Controller) limit(now time.Time, state *tenantState, tenant *settings.Tenant) *Refusal {
 	if tenant.MaxConcurrent > 0 && state.inFlight >= tenant.MaxConcurrent {
--- a/internal/admission/online/gate.go
+++ b/internal/admission/online/gate.go
@@ -132,12 +132,11 @@
 	g.startTicking()
 }
 
-// Drain refuses all tickets from now on, and those that wait.
+// Drain refuses all new tickets from now on; those that wait go on waiting.
 func (g *Gate) Drain() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.draining = true
-	g.deliver(g.controller.RefuseWaiting(g.now()))
 }
 
 // QueueLength counts the waiting tickets of each model.
--- /dev/null
+++ b/internal/gateway/authenticate.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"chutelock.dev/chutelock/internal/gateway/apierror"
+	"chutelock.dev/chutelock/internal/settings"
+)
+
+// bearerPrefix precedes the key in the Authorization header.
+const bearerPrefix = "Bearer "
+
+// retryAfterNoSettings is when to come back to a node that has no settings yet.
+const retryAfterNoSettings = time.Second
+
+// Authenticate finds the tenant whose key the request carries.
+func Authenticate(snapshot *settings.Snapshot, r *http.Request) (*settings.Tenant, *apierror.Error) {
+	if snapshot == nil {
+		return nil, apierror.NotRun(http.StatusServiceUnavailable, retryAfterNoSettings, "this node has no settings yet")
+	}
+	values := r.Header.Values("Authorization")
+	if len(values) != 1 || len(values[0]) <= len(bearerPrefix) || !strings.EqualFold(values[0][:len(bearerPrefix)], bearerPrefix) {
+		return nil, apierror.InvalidKey("give one API key as 'Authorization: Bearer KEY'")
+	}
+	tenant, ok := snapshot.TenantByKey(settings.HashKey(strings.TrimSpace(values[0][len(bearerPrefix):])))
+	if !ok {
+		return nil, apierror.InvalidKey("the API key is not known")
+	}
+	return tenant, nil
+}
+
+// MayUse says whether the tenant may use the model.
+func MayUse(tenant *settings.Tenant, model string) bool {
+	if len(tenant.Models) == 0 {
+		return true
+	}
+	for _, allowed := range tenant.Models {
+		if allowed == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,429 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chutelock.dev/chutelock/internal/admission/online"
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/gateway/apierror"
+	"chutelock.dev/chutelock/internal/gateway/relay"
+	"chutelock.dev/chutelock/internal/routing"
+	"chutelock.dev/chutelock/internal/settings"
+)
+
+// Headers that callers may set.
+const (
+	// HeaderRepeatable with "false" marks a request that runs at most once.
+	HeaderRepeatable = "Chutelock-Repeatable"
+	// HeaderTimeout bounds the request's time: seconds or a Go duration.
+	HeaderTimeout = "Chutelock-Timeout"
+)
+
+// defaultRetryBudget is the share of retries where a service sets none.
+const defaultRetryBudget = 0.1
+
+// Dependencies are what a Gateway works with.
+type Dependencies struct {
+	Settings settings.Source
+	Fleet    fleet.Source
+	Clients  fleet.Clients
+	// Observer may be nil.
+	Observer fleet.OnlineObserver
+	// Registry takes the metrics; nil leaves them unregistered.
+	Registry prometheus.Registerer
+	Routing  routing.Config
+	Config   Config
+}
+
+// Gateway is the HTTP handler of the online API. All methods may be called
+// concurrently.
+type Gateway struct {
+	settings  settings.Source
+	clients   fleet.Clients
+	observer  fleet.OnlineObserver
+	config    Config
+	metrics   *metrics
+	placement *placement
+	gate      *online.Gate
+
+	budgetsMutex sync.Mutex
+	budgets      map[string]*relay.Budget
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a gateway that is ready to serve.
+func New(dependencies Dependencies) *Gateway {
+	metrics := newMetrics(dependencies.Registry)
+	g := &Gateway{
+		settings:  dependencies.Settings,
+		clients:   dependencies.Clients,
+		observer:  dependencies.Observer,
+		config:    dependencies.Config.withDefaults(),
+		metrics:   metrics,
+		placement: &placement{fleet: dependencies.Fleet, metrics: metrics, router: routing.NewRouter(dependencies.Routing)},
+		budgets:   map[string]*relay.Budget{},
+	}
+	if g.observer == nil {
+		g.observer = noObserver{}
+	}
+	g.gate = online.NewGate(g.placement.capacity)
+	if dependencies.Registry != nil {
+		dependencies.Registry.MustRegister(newQueueCollector(g.gate.QueueLength))
+	}
+	return g
+}
+
+// WithRequestID gives each request an id: in its answer's
+// apierror.HeaderRequestID, from where handlers may read it.
+func WithRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		setRequestID(w)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// setRequestID sets the id of a request unless it has one, and returns it.
+func setRequestID(w http.ResponseWriter) string {
+	id := w.Header().Get(apierror.HeaderRequestID)
+	if id == "" {
+		id = uuid.NewString()
+		w.Header().Set(apierror.HeaderRequestID, id)
+	}
+	return id
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := setRequestID(w)
+	g.inFlight.Add(1)
+	g.metrics.inFlight.Inc()
+	defer func() {
+		g.inFlight.Add(-1)
+		g.metrics.inFlight.Dec()
+	}()
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	switch r.URL.Path {
+	case PathChatCompletions, PathCompletions:
+		if r.Method != http.MethodPost {
+			refuseMethod(w, r, http.MethodPost)
+			return
+		}
+		code := g.serveCompletion(w, r, id)
+		g.metrics.requests.WithLabelValues(r.URL.Path, code).Inc()
+	case PathModels:
+		if r.Method != http.MethodGet {
+			refuseMethod(w, r, http.MethodGet)
+			return
+		}
+		g.serveModels(w, r)
+	default:
+		apierror.Write(w, apierror.NotFound("there is no %s", r.URL.Path))
+	}
+}
+
+func refuseMethod(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	apierror.Write(w, apierror.MethodNotAllowed(r.Method, allowed))
+}
+
+// serveCompletion answers a request and returns the code of the answer.
+func (g *Gateway) serveCompletion(w http.ResponseWriter, r *http.Request, id string) string {
+	started := time.Now()
+	admitted, failure := g.check(w, r, started)
+	if failure != nil {
+		apierror.Write(w, failure)
+		return string(failure.Code)
+	}
+	ticket := online.Ticket{Tenant: admitted.tenant, Service: admitted.service, Deadline: admitted.deadline}
+	release, refusal, err := g.gate.Admit(r.Context(), ticket)
+	if err != nil {
+		return codeCallerLeft
+	}
+	if refusal != nil {
+		failure := g.refused(refusal)
+		apierror.Write(w, failure)
+		return string(failure.Code)
+	}
+	defer release()
+	return g.exchange(w, id, started, admitted).serve(r.Context())
+}
+
+// checked is a request that may ask for admission.
+type checked struct {
+	path       string
+	tenant     *settings.Tenant
+	service    *settings.Service
+	adapter    string
+	completion *Completion
+	repeatable bool
+	deadline   time.Time
+}
+
+// check authenticates and checks a request; nothing is kept of one that fails.
+func (g *Gateway) check(w http.ResponseWriter, r *http.Request, now time.Time) (*checked, *apierror.Error) {
+	snapshot := g.settings.Current()
+	tenant, failure := Authenticate(snapshot, r)
+	if failure != nil {
+		return nil, failure
+	}
+	request := &checked{path: r.URL.Path, tenant: tenant}
+	if failure := g.readHeaders(r, request, now); failure != nil {
+		return nil, failure
+	}
+	body, failure := g.readBody(w, r)
+	if failure != nil {
+		return nil, failure
+	}
+	if request.completion, failure = ParseCompletion(r.URL.Path, body); failure != nil {
+		return nil, failure
+	}
+	model := request.completion.Model
+	service, adapter, ok := ResolveModel(snapshot, model)
+	if !ok || !MayUse(tenant, service.Model) {
+		return nil, apierror.ModelNotFound(model)
+	}
+	request.service, request.adapter = service, adapter
+	return request, nil
+}
+
+// ResolveModel finds the service of a model's name. "MODEL:ADAPTER" names an
+// adapter of the service.
+func ResolveModel(snapshot *settings.Snapshot, name string) (service *settings.Service, adapter string, ok bool) {
+	if service, ok = snapshot.ServiceByModel(name); ok {
+		return service, "", true
+	}
+	model, adapter, found := strings.Cut(name, ":")
+	if !found {
+		return nil, "", false
+	}
+	service, ok = snapshot.ServiceByModel(model)
+	if !ok || !slices.Contains(service.Adapters, adapter) {
+		return nil, "", false
+	}
+	return service, adapter, true
+}
+
+func (g *Gateway) readHeaders(r *http.Request, request *checked, now time.Time) *apierror.Error {
+	switch value := r.Header.Get(HeaderRepeatable); value {
+	case "", "true":
+		request.repeatable = true
+	case "false":
+	default:
+		return apierror.Invalid(HeaderRepeatable, "expected true or false")
+	}
+	timeout := g.config.RequestTimeout
+	if value := r.Header.Get(HeaderTimeout); value != "" {
+		asked, ok := parseTimeout(value)
+		if !ok {
+			return apierror.Invalid(HeaderTimeout, "expected a positive number of seconds or a duration like 2.5s")
+		}
+		timeout = min(timeout, asked)
+	}
+	request.deadline = now.Add(timeout)
+	return nil
+}
+
+func parseTimeout(value string) (time.Duration, bool) {
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if !(seconds > 0 && seconds < time.Duration(1<<62).Seconds()) {
+			return 0, false
+		}
+		return time.Duration(seconds * float64(time.Second)), true
+	}
+	duration, err := time.ParseDuration(value)
+	return duration, err == nil && duration > 0
+}
+
+// readBody reads a JSON body within the limits of size and time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apierror.Error) {
+	if kind := r.Header.Get("Content-Type"); kind != "" {
+		media, _, err := mime.ParseMediaType(kind)
+		if err != nil || media != "application/json" {
+			return nil, unsupportedMedia("Content-Type")
+		}
+	}
+	if encoding := r.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return nil, unsupportedMedia("Content-Encoding")
+	}
+	if r.ContentLength > g.config.MaxBodyBytes {
+		w.Header().Set("Connection", "close")
+		return nil, apierror.BodyTooLarge(g.config.MaxBodyBytes)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
+	if err != nil {
+		return nil, g.bodyFailure(w, err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func unsupportedMedia(header string) *apierror.Error {
+	return &apierror.Error{Status: http.StatusUnsupportedMediaType, Code: apierror.CodeUnsupportedMedia, Type: apierror.TypeInvalidRequest, Param: header, Message: "send the body as application/json without a content encoding"}
+}
+
+func (g *Gateway) bodyFailure(w http.ResponseWriter, err error) *apierror.Error {
+	w.Header().Set("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return apierror.BodyTooLarge(tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return apierror.BodyTimeout(g.config.BodyTimeout)
+	}
+	return apierror.InvalidJSON("", "the body broke off")
+}
+
+// refused turns admission's refusal into the final answer.
+func (g *Gateway) refused(refusal *online.Refusal) *apierror.Error {
+	g.metrics.refusals.WithLabelValues(string(refusal.Reason)).Inc()
+	status := http.StatusServiceUnavailable
+	if refusal.Reason.OfTenant() {
+		status = http.StatusTooManyRequests
+	}
+	return apierror.NotRun(status, refusal.RetryAfter, "%s; the request was not run", refusalText[refusal.Reason])
+}
+
+var refusalText = map[online.Reason]string{
+	online.ReasonRate:        "your requests per second are over your limit",
+	online.ReasonConcurrency: "your requests in progress are over your limit",
+	online.ReasonQueueFull:   "all engines are busy and the queue is full",
+	online.ReasonShed:        "all engines are busy and a request of higher priority took the place in the queue",
+	online.ReasonTooLate:     "all engines are busy and the request can't be served in its time",
+	online.ReasonDraining:    "this node is stopping",
+}
+
+func (g *Gateway) exchange(w http.ResponseWriter, id string, started time.Time, request *checked) *exchange {
+	shape := newShape(request.path, id, request.completion.Model, started)
+	service, completion := request.service, request.completion
+	x := &exchange{
+		gateway:    g,
+		id:         id,
+		path:       request.path,
+		tenant:     request.tenant.Name,
+		priority:   engine.PriorityOnline + engine.Priority(request.tenant.Priority),
+		completion: completion,
+		placing: routing.Request{
+			Model:      service.Model,
+			Adapter:    request.adapter,
+			Regions:    service.Regions,
+			Prefix:     routing.PrefixKeys(completion.Model, completion.Prompt),
+			Repeatable: request.repeatable,
+			Slots:      service.SlotsPerEngine,
+		},
+		deadline:        request.deadline,
+		started:         started,
+		firstTokenLimit: g.config.tokenTimeout(service.TimeToFirstToken, g.config.FirstTokenFactor, g.config.FirstTokenTimeout),
+		nextTokenLimit:  g.config.tokenTimeout(service.TimeBetweenTokens, g.config.NextTokenFactor, g.config.NextTokenTimeout),
+		ends:            make(chan ended, relay.MaxAttempts),
+		call:            g.newCall(request),
+		attempts:        make(map[uint32]*attempt, 1),
+	}
+	if completion.Stream {
+		x.answer = newStreamAnswer(shape, w, g.config.WriteTimeout, completion.IncludeUsage)
+	} else {
+		x.answer = &wholeAnswer{shape: shape, writer: w}
+	}
+	return x
+}
+
+// newCall makes the call of a request on the retry budget of its service.
+func (g *Gateway) newCall(request *checked) *relay.Call {
+	g.budgetsMutex.Lock()
+	defer g.budgetsMutex.Unlock()
+	budget := g.budgets[request.service.Model]
+	if budget == nil {
+		budget = relay.NewBudget(defaultRetryBudget, relay.DefaultReserve)
+		g.budgets[request.service.Model] = budget
+	}
+	if ratio := request.service.RetryBudget; ratio > 0 {
+		budget.SetRatio(ratio)
+	}
+	return relay.NewCall(request.repeatable, request.deadline, budget)
+}
+
+type modelObject struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string        `json:"object"`
+	Data   []modelObject `json:"data"`
+}
+
+func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
+	snapshot := g.settings.Current()
+	tenant, failure := Authenticate(snapshot, r)
+	if failure != nil {
+		apierror.Write(w, failure)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelObject{}}
+	models := snapshot.Models()
+	slices.Sort(models)
+	for _, model := range models {
+		if MayUse(tenant, model) {
+			list.Data = append(list.Data, modelObject{ID: model, Object: "model", OwnedBy: "chutelock"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// Ready says whether callers should send requests here.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.settings.Current() != nil }
+
+// drainPoll is how often Drain looks whether requests are in progress.
+const drainPoll = 5 * time.Millisecond
+
+// Drain stops the gateway: from now on it isn't ready; after the settle time
+// it refuses new requests as not run; and it returns when none is in progress
+// any more, or with an error when ctx ends first. The caller then shuts the
+// HTTP server down.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	eventDrainStarted.Info("in_progress", g.inFlight.Load())
+	settle := time.NewTimer(g.config.DrainSettle)
+	defer settle.Stop()
+	select {
+	case <-settle.C:
+	case <-ctx.Done():
+	}
+	g.gate.Drain()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for g.inFlight.Load() > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			eventDrainEnded.Info("in_progress", g.inFlight.Load())
+			return ctx.Err()
+		}
+	}
+	eventDrainEnded.Info("in_progress", 0)
+	return nil
+}
--- a/internal/gateway/relay/budget.go
+++ b/internal/gateway/relay/budget.go
@@ -1,17 +1,18 @@
 package relay
 
+import "sync"
+
 // DefaultReserve is the number of retries that a quiet service may spend at
 // once.
 const DefaultReserve = 10
 
-// Budget bounds retries to a share of requests. The zero value allows none. It
-// is not safe for concurrent use.
+// Budget bounds retries to a share of requests. The zero value allows none.
+// All calls of a service share one, from any goroutine; its lock is the
+// innermost.
 type Budget struct {
-	// Ratio is the retries earned by each request.
-	Ratio float64
-	// Reserve bounds what is saved up.
-	Reserve float64
-
+	mutex    sync.Mutex
+	ratio    float64 // retries earned by each request
+	reserve  float64 // bounds what is saved up
 	balance  float64
 	requests uint64
 	retries  uint64
@@ -20,17 +21,28 @@
 
 // NewBudget returns a budget with a full reserve.
 func NewBudget(ratio, reserve float64) *Budget {
-	return &Budget{Ratio: ratio, Reserve: reserve, balance: reserve}
+	return &Budget{ratio: ratio, reserve: reserve, balance: reserve}
+}
+
+// SetRatio changes the retries earned by each request from now on.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.ratio = ratio
 }
 
 // Earn counts a new request.
 func (b *Budget) Earn() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.requests++
-	b.balance = min(b.Reserve, b.balance+b.Ratio)
+	b.balance = min(b.reserve, b.balance+b.ratio)
 }
 
 // Spend takes one retry out of the budget if there is one.
 func (b *Budget) Spend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	if b.balance < 1 {
 		b.denied++
 		return false
@@ -42,6 +54,8 @@
 
 // Amplification is attempts divided by requests.
 func (b *Budget) Amplification() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	if b.requests == 0 {
 		return 1
 	}
