Settings tree: typed inheritance, YAML and stored forms, resolution, thin sources

The other concerns need a settings.Source: tree.LoadFolder gives one from YAML files, tree.Follow keeps one at the store's state. Resolution is a pure function of the nodes; an invalid stored field inherits and is reported.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,12 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // KeyHash is the SHA-256 of a caller's key; keys are stored only so.
@@ -51,31 +56,91 @@
 // Snapshot is the whole resolved tree at one revision. It is immutable, and
 // its methods may be called concurrently without locks.
 type Snapshot struct {
+	// Revision orders snapshots: its high bits are the settings epoch, its low
+	// bits the store's revision (see Version).
 	Revision uint64
-	tenants  map[KeyHash]*Tenant
-	byName   map[string]*Tenant
+	tenants  *index[KeyHash, *Tenant]
+	byName   *index[string, *Tenant]
 	services map[string]*Service
 }
 
 // NewSnapshot builds a snapshot from resolved parts.
 func NewSnapshot(revision uint64, tenants map[KeyHash]*Tenant, services map[string]*Service) *Snapshot {
-	byName := make(map[string]*Tenant, len(tenants))
+	empty := &Snapshot{
+		tenants: newIndex[KeyHash, *Tenant](hashKeyHash),
+		byName:  newIndex[string, *Tenant](xxhash.Sum64String),
+	}
+	names := make(map[string]*Tenant, len(tenants))
 	for _, tenant := range tenants {
-		byName[tenant.Name] = tenant
+		names[tenant.Name] = tenant
 	}
-	return &Snapshot{Revision: revision, tenants: tenants, byName: byName, services: services}
+	return empty.Edit(revision, Edit{Keys: tenants, Names: names, Services: services})
 }
 
-// TenantByKey finds the tenant whose key hashes to hash.
-func (s *Snapshot) TenantByKey(hash KeyHash) (*Tenant, bool) {
-	tenant, ok := s.tenants[hash]
-	return tenant, ok
+// Edit is what differs between two snapshots; a nil value removes the entry.
+type Edit struct {
+	Keys     map[KeyHash]*Tenant
+	Names    map[string]*Tenant
+	Services map[string]*Service
+}
+
+// Edit derives the snapshot of a later revision; the receiver stays as it is.
+// Its cost grows with the edit, not with the snapshot.
+func (s *Snapshot) Edit(revision uint64, edit Edit) *Snapshot {
+	return &Snapshot{
+		Revision: revision,
+		tenants:  editIndex(s.tenants, edit.Keys),
+		byName:   editIndex(s.byName, edit.Names),
+		services: editServices(s.services, edit.Services),
+	}
 }
 
+func editIndex[K comparable](old *index[K, *Tenant], changes map[K]*Tenant) *index[K, *Tenant] {
+	if len(changes) == 0 {
+		return old
+	}
+	return old.edit(func(editor *indexEditor[K, *Tenant]) {
+		for key, tenant := range changes {
+			if tenant == nil {
+				editor.remove(key)
+				continue
+			}
+			editor.set(key, tenant)
+		}
+	})
+}
+
+func editServices(old, changes map[string]*Service) map[string]*Service {
+	if len(changes) == 0 && old != nil {
+		return old
+	}
+	services := make(map[string]*Service, len(old)+len(changes))
+	maps.Copy(services, old)
+	for model, service := range changes {
+		if service == nil {
+			delete(services, model)
+			continue
+		}
+		services[model] = service
+	}
+	return services
+}
+
+// hashKeyHash needs no mixing: a KeyHash is uniformly distributed already.
+func hashKeyHash(hash KeyHash) uint64 { return binary.BigEndian.Uint64(hash[:8]) }
+
+// TenantByKey finds the tenant whose key hashes to hash.
+func (s *Snapshot) TenantByKey(hash KeyHash) (*Tenant, bool) { return s.tenants.get(hash) }
+
 // TenantByName finds a tenant by its name.
-func (s *Snapshot) TenantByName(name string) (*Tenant, bool) {
-	tenant, ok := s.byName[name]
-	return tenant, ok
+func (s *Snapshot) TenantByName(name string) (*Tenant, bool) { return s.byName.get(name) }
+
+// Tenants counts the tenants.
+func (s *Snapshot) Tenants() int { return s.byName.size }
+
+// EachTenant visits all tenants in no order.
+func (s *Snapshot) EachTenant(visit func(*Tenant)) {
+	s.byName.each(func(_ string, tenant *Tenant) { visit(tenant) })
 }
 
 // ServiceByModel finds the service of a model.
@@ -84,13 +149,9 @@
 	return service, ok
 }
 
-// Models lists the models that have a service.
+// Models lists the models that have a service, in order.
 func (s *Snapshot) Models() []string {
-	models := make([]string, 0, len(s.services))
-	for model := range s.services {
-		models = append(models, model)
-	}
-	return models
+	return slices.Sorted(maps.Keys(s.services))
 }
 
 // Source gives the snapshot in force.
--- /dev/null
+++ b/internal/settings/tree/check.go
@@ -0,0 +1,95 @@
+package tree
+
+import (
+	"encoding/hex"
+	"errors"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"chutelock.dev/chutelock/internal/settings"
+)
+
+// keyPrefix marks the stored form of a key.
+const keyPrefix = "sha256:"
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	result := validator.New(validator.WithRequiredStructEnabled())
+	result.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	return result
+}
+
+// checkNode finds what is wrong with a node by itself.
+func checkNode(node *Node) []Problem {
+	var problems []Problem
+	report := func(field, reason string) {
+		problems = append(problems, Problem{Path: node.Path, Field: field, Reason: reason})
+	}
+	if err := CheckPath(node.Path); err != nil {
+		report("path", err.Error())
+	}
+	var violations validator.ValidationErrors
+	if errors.As(validate.Struct(node), &violations) {
+		for _, violation := range violations {
+			report(fieldOf(violation), reasonOf(violation))
+		}
+	}
+	if node.Kind == KindService && node.Model == "" {
+		report("model", "a service needs a model")
+	}
+	if node.Kind != KindService && node.Model != "" {
+		report("model", "only a service has a model")
+	}
+	if node.Kind != KindTenant && (node.Name != "" || len(node.Keys) > 0) {
+		report("keys", "only a tenant has a name or keys")
+	}
+	for _, key := range node.Keys {
+		if _, ok := parseKey(key); !ok {
+			report("keys", "a stored key must be sha256: and 64 hex digits")
+		}
+	}
+	return problems
+}
+
+func fieldOf(violation validator.FieldError) string {
+	_, field, found := strings.Cut(violation.Namespace(), ".")
+	if !found {
+		return violation.Field()
+	}
+	return strings.TrimPrefix(field, "Fields.")
+}
+
+var comparisons = map[string]string{
+	"gte": "must be at least ", "lte": "must be at most ", "gt": "must be more than ",
+	"oneof": "must be one of ", "unique": "must not repeat a value", "required": "must not be empty",
+}
+
+func reasonOf(violation validator.FieldError) string {
+	return comparisons[violation.Tag()] + violation.Param()
+}
+
+// parseKey reads the stored form of a key.
+func parseKey(text string) (settings.KeyHash, bool) {
+	var hash settings.KeyHash
+	digits, ok := strings.CutPrefix(text, keyPrefix)
+	if !ok || len(digits) != hex.EncodedLen(len(hash)) {
+		return hash, false
+	}
+	_, err := hex.Decode(hash[:], []byte(digits))
+	return hash, err == nil
+}
+
+// storedKey is the stored form of a key from a file, in the clear or hashed.
+func storedKey(key string) string {
+	if strings.HasPrefix(key, keyPrefix) {
+		return strings.ToLower(key)
+	}
+	hash := settings.HashKey(key)
+	return keyPrefix + hex.EncodeToString(hash[:])
+}
--- /dev/null
+++ b/internal/settings/tree/encode.go
@@ -0,0 +1,83 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// ParseFile reads the nodes of a YAML file, one a document. Unknown fields are
+// refused; keys come out hashed.
+func ParseFile(file string, content []byte) ([]*Node, []Problem) {
+	var nodes []*Node
+	var problems []Problem
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	for number := 1; ; number++ {
+		node := &Node{}
+		err := decoder.Decode(node)
+		if errors.Is(err, io.EOF) {
+			return nodes, problems
+		}
+		where := node.Path
+		if where == "" {
+			where = fmt.Sprintf("document %d", number)
+		}
+		problems = append(problems, yamlProblems(file, where, err)...)
+		var typeError *yaml.TypeError
+		if err != nil && !errors.As(err, &typeError) {
+			return nodes, problems
+		}
+		if err != nil {
+			continue
+		}
+		for i, key := range node.Keys {
+			node.Keys[i] = storedKey(key)
+		}
+		for _, problem := range checkNode(node) {
+			problem.File = file
+			problem.Path = where
+			problems = append(problems, problem)
+		}
+		nodes = append(nodes, node)
+	}
+}
+
+func yamlProblems(file, where string, err error) []Problem {
+	if err == nil {
+		return nil
+	}
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) {
+		return []Problem{{File: file, Path: where, Reason: err.Error()}}
+	}
+	var problems []Problem
+	for _, message := range typeError.Errors {
+		problems = append(problems, Problem{File: file, Path: where, Reason: message})
+	}
+	return problems
+}
+
+// Encode gives the stored form of a node.
+func Encode(node *Node) (json.RawMessage, error) {
+	spec, err := json.Marshal(node)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", node.Path, err)
+	}
+	return spec, nil
+}
+
+// Decode reads the stored form of a node. Unlike files, it may hold fields
+// that only a newer release knows.
+func Decode(path string, spec []byte) (*Node, error) {
+	node := &Node{}
+	if err := json.Unmarshal(spec, node); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", path, err)
+	}
+	node.Path = path
+	return node, nil
+}
--- /dev/null
+++ b/internal/settings/tree/folder.go
@@ -0,0 +1,67 @@
+package tree
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// folderRevision is the revision of a snapshot that was read from files.
+const folderRevision = 1
+
+// ReadFolder reads all YAML files below a folder.
+func ReadFolder(folder string) ([]*Node, []Problem, error) {
+	var nodes []*Node
+	var problems []Problem
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !isYAML(path) {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		some, wrong := ParseFile(path, content)
+		nodes = append(nodes, some...)
+		problems = append(problems, wrong...)
+		return nil
+	})
+	if err != nil {
+		return nil, nil, trace.Wrap(err, "read settings folder %s", folder)
+	}
+	return nodes, problems, nil
+}
+
+func isYAML(path string) bool {
+	return strings.HasSuffix(path, ".yaml") || strings.HasSuffix(path, ".yml")
+}
+
+// LoadFolder resolves the YAML files below a folder once, for tests and for a
+// node that runs without a platform. Any problem is an error.
+func LoadFolder(folder string) (*Live, error) {
+	nodes, problems, err := ReadFolder(folder)
+	if err != nil {
+		return nil, err
+	}
+	return LoadNodes(nodes, problems)
+}
+
+// LoadNodes resolves nodes once. Any problem is an error.
+func LoadNodes(nodes []*Node, problems []Problem) (*Live, error) {
+	whole := New()
+	updates := make([]Update, 0, len(nodes))
+	for _, node := range nodes {
+		updates = append(updates, Update{Path: node.Path, Node: node})
+	}
+	snapshot := whole.Apply(folderRevision, updates)
+	if len(problems) == 0 {
+		problems = whole.Problems()
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return NewLive(snapshot), nil
+}
--- /dev/null
+++ b/internal/settings/tree/follow.go
@@ -0,0 +1,48 @@
+package tree
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/platform"
+)
+
+// Follow keeps live at the state of the store until ctx ends or the store
+// fails; the caller calls it again. It serves a deployment of a single node;
+// a fleet uses package dissemination, which spares the store's readers.
+func Follow(ctx context.Context, store platform.Store, live *Live) error {
+	objects, revision, err := store.List(ctx, platform.KindSetting)
+	if err != nil {
+		return trace.Wrap(err, "list settings")
+	}
+	whole := New()
+	updates := make([]Update, 0, len(objects))
+	for _, object := range objects {
+		updates = append(updates, UpdateOf(PathOf(object.Name), object.Spec))
+	}
+	live.Publish(whole.Apply(revision, updates))
+	err = store.Watch(ctx, platform.KindSetting, revision, func(event platform.Event) error {
+		if update, ok := updateOfEvent(event); ok {
+			live.Publish(whole.Apply(event.Object.Revision, []Update{update}))
+		}
+		return nil
+	})
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err, "watch settings")
+}
+
+func updateOfEvent(event platform.Event) (Update, bool) {
+	path := PathOf(event.Object.Name)
+	switch event.Type {
+	case platform.EventAdded, platform.EventModified:
+		return UpdateOf(path, event.Object.Spec), true
+	case platform.EventDeleted:
+		return Update{Path: path}, true
+	default:
+		return Update{}, false
+	}
+}
--- /dev/null
+++ b/internal/settings/tree/path.go
@@ -0,0 +1,54 @@
+package tree
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// MaxPathLength bounds a path, in bytes.
+const MaxPathLength = 240
+
+// EpochObject is the name of the stored object that holds the epoch; it is
+// not a node, so that no path may start with it.
+const EpochObject = "epoch"
+
+var segmentPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// CheckPath refuses a malformed path.
+func CheckPath(path string) error {
+	if path == "" {
+		return fmt.Errorf("path is missing")
+	}
+	if len(path) > MaxPathLength {
+		return fmt.Errorf("path is longer than %d bytes", MaxPathLength)
+	}
+	for _, segment := range strings.Split(path, "/") {
+		if !segmentPattern.MatchString(segment) {
+			return fmt.Errorf("path segment %q must be lower-case letters, digits and inner dashes", segment)
+		}
+	}
+	if Parent(path) == "" && path == EpochObject {
+		return fmt.Errorf("path %q is reserved", path)
+	}
+	return nil
+}
+
+// Parent is the path of the parent, empty for a root.
+func Parent(path string) string {
+	cut := strings.LastIndexByte(path, '/')
+	if cut < 0 {
+		return ""
+	}
+	return path[:cut]
+}
+
+// Base is the last segment of a path.
+func Base(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
+
+// ObjectName is the name of the stored object of a path; stored names follow
+// the Kubernetes rule of dot-separated labels.
+func ObjectName(path string) string { return strings.ReplaceAll(path, "/", ".") }
+
+// PathOf is the path of a stored object's name.
+func PathOf(objectName string) string { return strings.ReplaceAll(objectName, ".", "/") }
--- /dev/null
+++ b/internal/settings/tree/tree.go
@@ -0,0 +1,222 @@
+package tree
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
+)
+
+// Tree is the set of nodes and the snapshot resolved from it. Only one
+// goroutine may use a Tree; the snapshots that it gives out are immutable.
+type Tree struct {
+	nodes    map[string]*Node
+	children map[string]map[string]struct{}
+	// effective holds the resolved fields of nodes that have children.
+	effective map[string]*Fields
+	problems  map[string][]Problem
+	// orphans are the paths of nodes without a parent node.
+	orphans  map[string]struct{}
+	snapshot  *settings.Snapshot
+	claims    claims
+}
+
+// New makes an empty tree.
+func New() *Tree {
+	return &Tree{
+		nodes:     make(map[string]*Node),
+		children:  make(map[string]map[string]struct{}),
+		effective: make(map[string]*Fields),
+		problems:  make(map[string][]Problem),
+		orphans:   make(map[string]struct{}),
+		snapshot:  settings.NewSnapshot(0, nil, nil),
+		claims:    newClaims(),
+	}
+}
+
+// Update is the new content of one path; a nil Node deletes it. A Problem
+// that kept a stored node from being read is carried along.
+type Update struct {
+	Path    string
+	Node    *Node
+	Problem *Problem
+}
+
+// UpdateOf reads a stored node. One that can't be read passes its parent's
+// fields on and is reported as a problem.
+func UpdateOf(path string, spec []byte) Update {
+	node, err := Decode(path, spec)
+	if err != nil {
+		problem := &Problem{Path: path, Reason: err.Error()}
+		return Update{Path: path, Node: &Node{Path: path, Kind: KindFolder}, Problem: problem}
+	}
+	if node.Deleted {
+		return Update{Path: path}
+	}
+	return Update{Path: path, Node: node}
+}
+
+// Resolve derives the snapshot of all stored nodes.
+func Resolve(objects []platform.Object, revision uint64) (*settings.Snapshot, []Problem) {
+	updates := make([]Update, 0, len(objects))
+	for _, object := range objects {
+		if object.Name == EpochObject {
+			continue
+		}
+		updates = append(updates, UpdateOf(PathOf(object.Name), object.Spec))
+	}
+	result := New()
+	snapshot := result.Apply(revision, updates)
+	return snapshot, result.Problems()
+}
+
+// Apply puts the updates in and resolves again what they touch: the nodes
+// themselves and, where inheritable fields may have changed, all below them.
+func (t *Tree) Apply(revision uint64, updates []Update) *settings.Snapshot {
+	touched := make(map[string]struct{})
+	for _, update := range updates {
+		t.put(update)
+		t.collect(update.Path, touched)
+	}
+	for _, path := range slices.Sorted(maps.Keys(touched)) {
+		t.resolve(path)
+	}
+	t.snapshot = t.snapshot.Edit(revision, t.claims.takeEdit())
+	return t.snapshot
+}
+
+// Snapshot is the newest resolved snapshot.
+func (t *Tree) Snapshot() *settings.Snapshot { return t.snapshot }
+
+// Node gives the node at a path.
+func (t *Tree) Node(path string) (*Node, bool) {
+	node, ok := t.nodes[path]
+	return node, ok
+}
+
+// Paths lists all paths in order.
+func (t *Tree) Paths() []string { return slices.Sorted(maps.Keys(t.nodes)) }
+
+// Problems lists what is wrong with the tree, ordered by path.
+func (t *Tree) Problems() []Problem {
+	var all []Problem
+	for _, path := range slices.Sorted(maps.Keys(t.problems)) {
+		all = append(all, t.problems[path]...)
+	}
+	for _, path := range slices.Sorted(maps.Keys(t.orphans)) {
+		reason := fmt.Sprintf("there is no node at %q", Parent(path))
+		all = append(all, Problem{Path: path, Field: "path", Reason: reason})
+	}
+	return append(all, t.claims.contested()...)
+}
+
+func (t *Tree) put(update Update) {
+	delete(t.problems, update.Path)
+	if update.Node == nil {
+		delete(t.nodes, update.Path)
+		t.unlink(update.Path)
+		return
+	}
+	problems := checkNode(update.Node)
+	if update.Problem != nil {
+		problems = append(problems, *update.Problem)
+	}
+	if len(problems) > 0 {
+		t.problems[update.Path] = problems
+	}
+	t.nodes[update.Path] = withoutFaults(update.Node, problems)
+	t.link(update.Path)
+}
+
+// withoutFaults takes the offending fields out, so that the inherited values
+// hold instead.
+func withoutFaults(node *Node, problems []Problem) *Node {
+	if len(problems) == 0 {
+		return node
+	}
+	clean := *node
+	for _, problem := range problems {
+		dropField(&clean.Fields, problem.Field)
+	}
+	return &clean
+}
+
+// link makes the path known to all its ancestors, present or not.
+func (t *Tree) link(path string) {
+	for parent := Parent(path); parent != ""; path, parent = parent, Parent(parent) {
+		if t.children[parent] == nil {
+			t.children[parent] = make(map[string]struct{})
+		}
+		t.children[parent][path] = struct{}{}
+	}
+}
+
+// unlink forgets paths that have neither a node nor anything below them.
+func (t *Tree) unlink(path string) {
+	for path != "" && t.nodes[path] == nil && len(t.children[path]) == 0 {
+		parent := Parent(path)
+		delete(t.children[parent], path)
+		if len(t.children[parent]) == 0 {
+			delete(t.children, parent)
+		}
+		path = parent
+	}
+}
+
+// collect adds a path and all below it.
+func (t *Tree) collect(path string, into map[string]struct{}) {
+	if _, seen := into[path]; seen {
+		return
+	}
+	into[path] = struct{}{}
+	for child := range t.children[path] {
+		t.collect(child, into)
+	}
+}
+
+// resolve derives one node; its parent has been resolved before.
+func (t *Tree) resolve(path string) {
+	t.claims.release(path)
+	node, present := t.nodes[path]
+	if !present {
+		delete(t.effective, path)
+		delete(t.orphans, path)
+		return
+	}
+	t.checkParent(path)
+	effective := inherit(&node.Fields, t.inherited(path))
+	if len(t.children[path]) > 0 {
+		t.effective[path] = effective
+	} else {
+		delete(t.effective, path)
+	}
+	t.claims.claim(node, effective)
+}
+
+// checkParent records whether the parent exists.
+func (t *Tree) checkParent(path string) {
+	parent := Parent(path)
+	if parent == "" || t.nodes[parent] != nil {
+		delete(t.orphans, path)
+		return
+	}
+	t.orphans[path] = struct{}{}
+}
+
+// inherited is what the node at path inherits: the effective fields of the
+// nearest ancestor that exists.
+func (t *Tree) inherited(path string) *Fields {
+	for ancestor := Parent(path); ancestor != ""; ancestor = Parent(ancestor) {
+		if effective, ok := t.effective[ancestor]; ok {
+			return effective
+		}
+		if node, ok := t.nodes[ancestor]; ok {
+			effective := inherit(&node.Fields, t.inherited(ancestor))
+			t.effective[ancestor] = effective
+			return effective
+		}
+	}
+	return &defaults
+}
