Settings commands: checked whole, compare-and-swap, lost answers, recovery

An operator's change is checked against the whole tree in force before a node is written; every problem is named. Racing writers: the loser sees both versions field by field. A lost answer: each stored node carries the id of the write that made it and of up to eight before, so that a write is recognised also when others have written since. Deletions leave a trace in the store, so that a listing tells them from a store that lost nodes. A store that went back is not written; RecoverStore writes what is in force to it and raises the epoch.

--- /dev/null
+++ b/internal/settings/command/events.go
@@ -0,0 +1,8 @@
+package command
+
+import "chutelock.dev/chutelock/internal/telemetry"
+
+var (
+	eventApplied   = telemetry.Define(5001, "settings change written", "An operator's change was checked and written to the store.")
+	eventRecovered = telemetry.Define(5002, "store recovered", "What is in force was written to a store that had gone back, under a new epoch.")
+)
--- /dev/null
+++ b/internal/settings/command/recover.go
@@ -0,0 +1,102 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+// ErrEpochExhausted says that the epoch can't rise any more.
+var ErrEpochExhausted = errors.New("settings: no epoch left")
+
+// Recovery is what RecoverStore did.
+type Recovery struct {
+	Epoch   uint16   `json:"epoch"`
+	Written []string `json:"written"` // paths that were written again
+	Removed []string `json:"removed"` // paths that only the old copy had
+}
+
+// RecoverStore writes the state in force to a store that went back, and then
+// raises the epoch, which makes every node take the store's state again. It
+// may be repeated after an error.
+func (w *Writer) RecoverStore(ctx context.Context, id, by string) (*Recovery, error) {
+	version, known := w.inForce.Version()
+	if !known {
+		return nil, &NotReadyError{Reason: "it has no settings yet"}
+	}
+	if version.Epoch() == settings.MaxEpoch {
+		return nil, ErrEpochExhausted
+	}
+	listed, _, err := w.store.List(ctx, platform.KindSetting)
+	if err != nil {
+		return nil, trace.Wrap(err, "list the stored settings")
+	}
+	recovery := &Recovery{Epoch: version.Epoch() + 1}
+	stored := make(map[string]platform.Object, len(listed))
+	for _, object := range listed {
+		stored[object.Name] = object
+	}
+	if err := w.restoreObjects(ctx, stored, recovery); err != nil {
+		return recovery, err
+	}
+	if err := w.removeOthers(ctx, stored, recovery, id, by); err != nil {
+		return recovery, err
+	}
+	epoch := platform.Object{Kind: platform.KindSetting, Name: tree.EpochObject, Revision: stored[tree.EpochObject].Revision}
+	if epoch.Spec, err = json.Marshal(tree.Epoch{Epoch: recovery.Epoch}); err != nil {
+		return recovery, trace.Wrap(err)
+	}
+	if _, err := w.store.Put(ctx, epoch); err != nil {
+		return recovery, trace.Wrap(err, "raise the epoch")
+	}
+	eventRecovered.Info("epoch", recovery.Epoch, "by", by, "written", len(recovery.Written), "removed", len(recovery.Removed))
+	return recovery, nil
+}
+
+// restoreObjects writes what is in force where the store differs.
+func (w *Writer) restoreObjects(ctx context.Context, stored map[string]platform.Object, recovery *Recovery) error {
+	for _, object := range w.inForce.Objects() {
+		old, present := stored[object.Name]
+		if present && bytes.Equal(old.Spec, object.Spec) {
+			continue
+		}
+		object.Kind = platform.KindSetting
+		object.Revision = old.Revision
+		if _, err := w.store.Put(ctx, object); err != nil {
+			return trace.Wrap(err, "write %s again", object.Name)
+		}
+		recovery.Written = append(recovery.Written, tree.PathOf(object.Name))
+	}
+	return nil
+}
+
+// removeOthers deletes what only the store has.
+func (w *Writer) removeOthers(ctx context.Context, stored map[string]platform.Object, recovery *Recovery, id, by string) error {
+	for _, object := range w.inForce.Objects() {
+		delete(stored, object.Name)
+	}
+	for name, object := range stored {
+		node := decode(tree.PathOf(name), object, true)
+		if name == tree.EpochObject || node.Deleted {
+			continue
+		}
+		removal := &step{path: node.Path, stored: node}
+		spec, err := tree.Encode(removal.replacement(&Change{ID: id, By: by}, w.now()))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		object.Kind, object.Spec = platform.KindSetting, spec
+		if _, err := w.store.Put(ctx, object); err != nil {
+			return trace.Wrap(err, "delete %s", node.Path)
+		}
+		recovery.Removed = append(recovery.Removed, node.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/command/store_test.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+var errLost = errors.New("connection cut")
+
+// memoryStore is a store whose next writes fail as told.
+type memoryStore struct {
+	objects  map[string]platform.Object
+	revision uint64
+	// beforePut, if set, runs once before the next write takes effect.
+	beforePut func()
+	// loseAnswers and loseRequests count writes that fail after or before
+	// they took effect.
+	loseAnswers, loseRequests int
+	puts                      int
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
+
+func (s *memoryStore) Get(_ context.Context, _, name string) (platform.Object, error) {
+	object, ok := s.objects[name]
+	if !ok {
+		return object, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+func (s *memoryStore) List(context.Context, string) ([]platform.Object, uint64, error) {
+	return slices.Collect(maps.Values(s.objects)), s.revision, nil
+}
+
+func (s *memoryStore) Put(_ context.Context, object platform.Object) (platform.Object, error) {
+	if race := s.beforePut; race != nil {
+		s.beforePut = nil
+		race()
+	}
+	if s.loseRequests > 0 {
+		s.loseRequests--
+		return platform.Object{}, errLost
+	}
+	if s.objects[object.Name].Revision != object.Revision {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.puts++
+	s.revision++
+	object.Revision = s.revision
+	s.objects[object.Name] = object
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return platform.Object{}, errLost
+	}
+	return object, nil
+}
+
+// followed is what a node in step with the store has in force.
+type followed struct {
+	*tree.Live
+	objects []platform.Object
+	behind  bool
+}
+
+func (f *followed) Version() (settings.Version, bool) {
+	return settings.Version(f.Current().Revision), true
+}
+func (f *followed) Objects() []platform.Object { return f.objects }
+func (f *followed) StoreBehind() bool          { return f.behind }
+
+// follow takes the store's state in force.
+func follow(store *memoryStore) *followed {
+	var updates []tree.Update
+	var objects []platform.Object
+	for name, object := range store.objects {
+		update := tree.UpdateOf(tree.PathOf(name), object.Revision, object.Spec)
+		updates = append(updates, update)
+		if update.Node != nil {
+			objects = append(objects, object)
+		}
+	}
+	live := tree.NewLive()
+	live.Replace(settings.MakeVersion(0, store.revision), updates)
+	return &followed{Live: live, objects: objects}
+}
+
+type platformObject = platform.Object
+
+func errorsAs(err error, target any) bool { return errors.As(err, target) }
+
+// overwritingStore runs afterLoss once behind a write whose answer was lost.
+type overwritingStore struct {
+	*memoryStore
+	afterLoss func()
+}
+
+func (s *overwritingStore) Put(ctx context.Context, object platform.Object) (platform.Object, error) {
+	written, err := s.memoryStore.Put(ctx, object)
+	if race := s.afterLoss; race != nil && errors.Is(err, errLost) {
+		s.afterLoss = nil
+		race()
+	}
+	return written, err
+}
--- a/internal/settings/tree/encode.go
+++ b/internal/settings/tree/encode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -23,6 +24,9 @@
 		if errors.Is(err, io.EOF) {
 			return nodes, problems
 		}
+		if err == nil && reflect.ValueOf(node).Elem().IsZero() {
+			continue // an empty document, as behind a closing separator
+		}
 		where := node.Path
 		if where == "" {
 			where = fmt.Sprintf("document %d", number)
--- /dev/null
+++ b/internal/settings/tree/explain_test.go
@@ -0,0 +1,70 @@
+package tree
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func sampleLive(t *testing.T) *Live {
+	t.Helper()
+	live, err := LoadNodes(parse(t, sampleFile), nil)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return live
+}
+
+func TestExplainNamesTheAncestorOfEachValue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	explanation, err := sampleLive(t).Explain("fleet/hall/drafting/clerks")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	from := make(map[string]string)
+	for _, value := range explanation.Values {
+		from[value.Field] = string(value.Value) + " " + value.From
+	}
+	g.Expect(from).To(gomega.HaveLen(len(fieldNames)))
+	for field, want := range map[string]string{
+		"burst": "7 fleet/hall/drafting/clerks", "queueTimeout": `"3s" fleet/hall/drafting`,
+		"priority": "2 fleet/hall", "batchShare": "0.2 fleet", "batchWeight": "1 default",
+	} {
+		g.Expect(from).To(gomega.HaveKeyWithValue(field, want))
+	}
+	_, err = sampleLive(t).Explain("fleet/hall/nobody/here")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(`the nearest one above is "fleet/hall"`)))
+}
+
+func TestCheckFindsAddedProblemsAndChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := sampleLive(t)
+	live.Apply(2, []Update{{Path: "fleet/odd", Node: &Node{Path: "fleet/odd", Kind: "team"}}})
+	before, snapshot := live.Problems(), live.Current()
+	g.Expect(before).To(gomega.HaveLen(1))
+	for name, test := range map[string]struct {
+		update Update
+		want   int
+	}{
+		"harmless":       {Update{Path: "fleet/new", Node: &Node{Path: "fleet/new", Kind: KindFolder}}, 0},
+		"orphan":         {Update{Path: "x/y", Node: &Node{Path: "x/y", Kind: KindFolder}}, 1},
+		"taken model":    {Update{Path: "fleet/zz", Node: &Node{Path: "fleet/zz", Kind: KindService, Model: "drafts"}}, 1},
+		"taken name":     {Update{Path: "fleet/clerks", Node: &Node{Path: "fleet/clerks", Kind: KindTenant}}, 1},
+		"with children":  {Update{Path: "fleet/hall"}, 1},
+		"mends the odd":  {Update{Path: "fleet/odd"}, 0},
+		"breaks another": {Update{Path: "fleet/odd", Node: &Node{Path: "fleet/odd", Kind: KindFolder, Fields: Fields{Burst: ref(-1)}}}, 1},
+	} {
+		g.Expect(live.Check([]Update{test.update})).To(gomega.HaveLen(test.want), name)
+		g.Expect(live.Problems()).To(gomega.Equal(before), name)
+		g.Expect(live.tree.Snapshot()).To(gomega.BeIdenticalTo(snapshot), name)
+	}
+	live.Apply(3, nil)
+	resolved, _ := live.Current().TenantByName("clerks")
+	g.Expect(resolved.Priority).To(gomega.Equal(2))
+}
+
+func TestDifferencesFieldByField(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old := &Node{Kind: KindFolder, Fields: Fields{Burst: ref(1), Priority: ref(2)}}
+	changed := &Node{Kind: KindFolder, Fields: Fields{Burst: ref(3), Models: ref([]string{"m"})}}
+	g.Expect(Differences(old, changed)).To(gomega.Equal([]FieldChange{
+		{"models", Inherited, `["m"]`}, {"burst", "1", "3"}, {"priority", "2", Inherited},
+	}))
+	g.Expect(Differences(nil, old)).To(gomega.HaveLen(3))
+}
--- a/internal/settings/tree/fields.go
+++ b/internal/settings/tree/fields.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -30,18 +31,12 @@
 	return &effective
 }
 
-// setFields lists which inheritable fields a node sets itself, with the JSON
-// of their values.
-func setFields(fields *Fields) map[string]string {
-	set := make(map[string]string)
-	values := reflect.ValueOf(fields).Elem()
-	for i, name := range fieldNames {
-		if values.Field(i).IsNil() {
-			continue
-		}
-		set[name] = textOf(values.Field(i).Interface())
+// dropField makes a field inherit again; other names are passed over.
+func dropField(fields *Fields, name string) {
+	name, _, _ = strings.Cut(name, "[")
+	if i := slices.Index(fieldNames, name); i >= 0 {
+		reflect.ValueOf(fields).Elem().Field(i).SetZero()
 	}
-	return set
 }
 
 func textOf(value any) string {
@@ -52,12 +47,76 @@
 	return string(text)
 }
 
-// dropField makes a field inherit again; other names are passed over.
-func dropField(fields *Fields, name string) {
-	name, _, _ = strings.Cut(name, "[")
-	for i, candidate := range fieldNames {
-		if candidate == name {
-			reflect.ValueOf(fields).Elem().Field(i).SetZero()
+// Inherited is shown in place of a value that a node does not set.
+const Inherited = "(inherited)"
+
+// FieldChange is how one field differs between two versions of a node.
+type FieldChange struct {
+	Field string `json:"field"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
+
+// Differences lists the fields that differ between two versions of a node;
+// either may be nil for "no node".
+func Differences(old, changed *Node) []FieldChange {
+	before, after := describe(old), describe(changed)
+	var changes []FieldChange
+	for _, name := range append([]string{"kind", "model", "name", "keys"}, fieldNames...) {
+		if before[name] != after[name] {
+			changes = append(changes, FieldChange{Field: name, Old: shown(before[name]), New: shown(after[name])})
+		}
+	}
+	return changes
+}
+
+func shown(text string) string {
+	if text == "" {
+		return Inherited
+	}
+	return text
+}
+
+// describe gives the JSON of each field that a node sets.
+func describe(node *Node) map[string]string {
+	texts := make(map[string]string)
+	if node == nil || node.Deleted {
+		return texts
+	}
+	texts["kind"] = string(node.Kind)
+	texts["model"] = node.Model
+	texts["name"] = node.Name
+	if len(node.Keys) > 0 {
+		texts["keys"] = textOf(node.Keys)
+	}
+	values := reflect.ValueOf(&node.Fields).Elem()
+	for i, name := range fieldNames {
+		if !values.Field(i).IsNil() {
+			texts[name] = textOf(values.Field(i).Interface())
+		}
+	}
+	return texts
+}
+
+// FieldConflict is a field in which a racing write and one's own differ.
+type FieldConflict struct {
+	Field  string `json:"field"`
+	Before string `json:"before"`
+	Theirs string `json:"theirs"`
+	Yours  string `json:"yours"`
+}
+
+// Conflicts lists the fields in which theirs and yours differ from each other
+// or from the version before both.
+func Conflicts(before, theirs, yours *Node) []FieldConflict {
+	base, other, own := describe(before), describe(theirs), describe(yours)
+	var conflicts []FieldConflict
+	for _, name := range append([]string{"kind", "model", "name", "keys"}, fieldNames...) {
+		if base[name] == other[name] && other[name] == own[name] {
+			continue
 		}
+		conflict := FieldConflict{Field: name, Before: shown(base[name]), Theirs: shown(other[name]), Yours: shown(own[name])}
+		conflicts = append(conflicts, conflict)
 	}
+	return conflicts
 }
--- a/internal/settings/tree/folder.go
+++ b/internal/settings/tree/folder.go
@@ -51,17 +51,17 @@
 
 // LoadNodes resolves nodes once. Any problem is an error.
 func LoadNodes(nodes []*Node, problems []Problem) (*Live, error) {
-	whole := New()
+	live := NewLive()
 	updates := make([]Update, 0, len(nodes))
 	for _, node := range nodes {
 		updates = append(updates, Update{Path: node.Path, Node: node})
 	}
-	snapshot := whole.Apply(folderRevision, updates)
+	live.Replace(folderRevision, updates)
 	if len(problems) == 0 {
-		problems = whole.Problems()
+		problems = live.Problems()
 	}
 	if len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
-	return NewLive(snapshot), nil
+	return live, nil
 }
--- a/internal/settings/tree/follow.go
+++ b/internal/settings/tree/follow.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
 )
 
 // Follow keeps live at the state of the store until ctx ends or the store
@@ -17,15 +18,14 @@
 	if err != nil {
 		return trace.Wrap(err, "list settings")
 	}
-	whole := New()
 	updates := make([]Update, 0, len(objects))
 	for _, object := range objects {
-		updates = append(updates, UpdateOf(PathOf(object.Name), object.Spec))
+		updates = append(updates, UpdateOf(PathOf(object.Name), object.Revision, object.Spec))
 	}
-	live.Publish(whole.Apply(revision, updates))
+	live.Replace(settings.MakeVersion(0, revision), updates)
 	err = store.Watch(ctx, platform.KindSetting, revision, func(event platform.Event) error {
 		if update, ok := updateOfEvent(event); ok {
-			live.Publish(whole.Apply(event.Object.Revision, []Update{update}))
+			live.Apply(settings.MakeVersion(0, event.Object.Revision), []Update{update})
 		}
 		return nil
 	})
@@ -39,7 +39,7 @@
 	path := PathOf(event.Object.Name)
 	switch event.Type {
 	case platform.EventAdded, platform.EventModified:
-		return UpdateOf(path, event.Object.Spec), true
+		return UpdateOf(path, event.Object.Revision, event.Object.Spec), true
 	case platform.EventDeleted:
 		return Update{Path: path}, true
 	default:
--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -1,28 +1,85 @@
 package tree
 
 import (
+	"strings"
+	"sync"
 	"sync/atomic"
 
 	"chutelock.dev/chutelock/internal/settings"
 )
 
-// Live is a settings.Source whose snapshot is replaced as a whole. Reading
-// takes no lock.
+// Live is the tree in force at this node. Current takes no lock; the other
+// methods share one mutex, which is a leaf: nothing else is locked under it.
 type Live struct {
 	current atomic.Pointer[settings.Snapshot]
+	mutex   sync.Mutex
+	tree    *Tree
 }
 
 var _ settings.Source = (*Live)(nil)
 
-// NewLive starts with a snapshot, which may be nil.
-func NewLive(snapshot *settings.Snapshot) *Live {
-	live := &Live{}
-	live.current.Store(snapshot)
-	return live
-}
+// NewLive starts without a snapshot.
+func NewLive() *Live { return &Live{tree: New()} }
 
 // Current implements settings.Source.
 func (l *Live) Current() *settings.Snapshot { return l.current.Load() }
 
-// Publish puts a snapshot in force. The caller publishes rising revisions only.
-func (l *Live) Publish(snapshot *settings.Snapshot) { l.current.Store(snapshot) }
+// Apply puts updates in force. The caller's versions rise.
+func (l *Live) Apply(version settings.Version, updates []Update) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.current.Store(l.tree.Apply(uint64(version), updates))
+}
+
+// Replace puts a whole tree in force.
+func (l *Live) Replace(version settings.Version, updates []Update) {
+	fresh := New()
+	snapshot := fresh.Apply(uint64(version), updates)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.tree = fresh
+	l.current.Store(snapshot)
+}
+
+// Check lists the problems that updates would add to the tree, which stays as
+// it is.
+func (l *Live) Check(updates []Update) []Problem {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.Check(updates)
+}
+
+// Problems lists what is wrong with the tree in force.
+func (l *Live) Problems() []Problem {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.Problems()
+}
+
+// Explain gives the effective settings of a node.
+func (l *Live) Explain(path string) (Explanation, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.Explain(path)
+}
+
+// Nodes lists the node at path and, if recursive, all below it. An empty path
+// stands for the whole tree.
+func (l *Live) Nodes(path string, recursive bool) ([]*Node, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var nodes []*Node
+	for _, candidate := range l.tree.Paths() {
+		if candidate == path || recursive && below(candidate, path) {
+			nodes = append(nodes, l.tree.nodes[candidate])
+		}
+	}
+	if len(nodes) == 0 && path != "" {
+		return nil, &NotFoundError{Path: path, Nearest: l.tree.nearest(path)}
+	}
+	return nodes, nil
+}
+
+func below(path, ancestor string) bool {
+	return ancestor == "" || strings.HasPrefix(path, ancestor+"/")
+}
--- a/internal/settings/tree/node.go
+++ b/internal/settings/tree/node.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/settings"
@@ -54,7 +55,10 @@
 // Node is one node of the tree.
 type Node struct {
 	Path string `json:"-" yaml:"path"`
-	Kind Kind   `json:"kind" yaml:"kind" validate:"required,oneof=folder service tenant"`
+	// Revision is the store's revision of this version. In a file it is the
+	// revision that the file was made from; zero does not say.
+	Revision uint64 `json:"-" yaml:"revision"`
+	Kind     Kind   `json:"kind" yaml:"kind" validate:"required,oneof=folder service tenant"`
 	// Model is what a service serves.
 	Model string `json:"model,omitempty" yaml:"model"`
 	// Name is a tenant's name; empty means the last segment of the path.
@@ -146,3 +150,21 @@
 		Adapters:          *effective.Adapters,
 	}
 }
+
+// Includes says whether a write or one of those before it has the id.
+func (c *Change) Includes(id string) bool {
+	return c != nil && (c.ID == id || slices.Contains(c.Previous, id))
+}
+
+// NextChange identifies the write that replaces the node, which may be nil.
+func (n *Node) NextChange(id, by string, at time.Time) *Change {
+	next := &Change{ID: id, By: by, At: at}
+	if n == nil || n.Change == nil {
+		return next
+	}
+	next.Previous = append([]string{n.Change.ID}, n.Change.Previous...)
+	if len(next.Previous) > maxPreviousChanges {
+		next.Previous = next.Previous[:maxPreviousChanges]
+	}
+	return next
+}
--- a/internal/settings/tree/path.go
+++ b/internal/settings/tree/path.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"encoding/json"
 	"fmt"
 	"regexp"
 	"strings"
@@ -52,3 +53,17 @@
 
 // PathOf is the path of a stored object's name.
 func PathOf(objectName string) string { return strings.ReplaceAll(objectName, ".", "/") }
+
+// Epoch is the content of the epoch object.
+type Epoch struct {
+	Epoch uint16 `json:"epoch"`
+}
+
+// EpochOf reads the epoch object; a store without one is in epoch 0.
+func EpochOf(spec []byte) (uint16, error) {
+	var epoch Epoch
+	if err := json.Unmarshal(spec, &epoch); err != nil {
+		return 0, fmt.Errorf("decode the settings epoch: %w", err)
+	}
+	return epoch.Epoch, nil
+}
--- a/internal/settings/tree/tree.go
+++ b/internal/settings/tree/tree.go
@@ -17,10 +17,12 @@
 	// effective holds the resolved fields of nodes that have children.
 	effective map[string]*Fields
 	problems  map[string][]Problem
+	// faulty keeps updates with problems as they came.
+	faulty map[string]Update
 	// orphans are the paths of nodes without a parent node.
 	orphans  map[string]struct{}
-	snapshot  *settings.Snapshot
-	claims    claims
+	snapshot *settings.Snapshot
+	claims   claims
 }
 
 // New makes an empty tree.
@@ -30,6 +32,7 @@
 		children:  make(map[string]map[string]struct{}),
 		effective: make(map[string]*Fields),
 		problems:  make(map[string][]Problem),
+		faulty:    make(map[string]Update),
 		orphans:   make(map[string]struct{}),
 		snapshot:  settings.NewSnapshot(0, nil, nil),
 		claims:    newClaims(),
@@ -46,12 +49,13 @@
 
 // UpdateOf reads a stored node. One that can't be read passes its parent's
 // fields on and is reported as a problem.
-func UpdateOf(path string, spec []byte) Update {
+func UpdateOf(path string, revision uint64, spec []byte) Update {
 	node, err := Decode(path, spec)
 	if err != nil {
 		problem := &Problem{Path: path, Reason: err.Error()}
-		return Update{Path: path, Node: &Node{Path: path, Kind: KindFolder}, Problem: problem}
+		return Update{Path: path, Node: &Node{Path: path, Kind: KindFolder, Revision: revision}, Problem: problem}
 	}
+	node.Revision = revision
 	if node.Deleted {
 		return Update{Path: path}
 	}
@@ -65,7 +69,7 @@
 		if object.Name == EpochObject {
 			continue
 		}
-		updates = append(updates, UpdateOf(PathOf(object.Name), object.Spec))
+		updates = append(updates, UpdateOf(PathOf(object.Name), object.Revision, object.Spec))
 	}
 	result := New()
 	snapshot := result.Apply(revision, updates)
@@ -87,6 +91,39 @@
 	return t.snapshot
 }
 
+// Check lists the problems that updates would add; the tree stays as it is.
+func (t *Tree) Check(updates []Update) []Problem {
+	known := make(map[Problem]bool)
+	for _, problem := range t.Problems() {
+		known[problem] = true
+	}
+	snapshot := t.snapshot
+	inverse := t.inverse(updates)
+	t.Apply(snapshot.Revision, updates)
+	var added []Problem
+	for _, problem := range t.Problems() {
+		if !known[problem] {
+			added = append(added, problem)
+		}
+	}
+	t.Apply(snapshot.Revision, inverse)
+	t.snapshot = snapshot
+	return added
+}
+
+// inverse gives the updates that undo updates.
+func (t *Tree) inverse(updates []Update) []Update {
+	undo := make([]Update, 0, len(updates))
+	for _, update := range updates {
+		before, faulty := t.faulty[update.Path]
+		if !faulty {
+			before = Update{Path: update.Path, Node: t.nodes[update.Path]}
+		}
+		undo = append(undo, before)
+	}
+	return undo
+}
+
 // Snapshot is the newest resolved snapshot.
 func (t *Tree) Snapshot() *settings.Snapshot { return t.snapshot }
 
@@ -114,6 +151,7 @@
 
 func (t *Tree) put(update Update) {
 	delete(t.problems, update.Path)
+	delete(t.faulty, update.Path)
 	if update.Node == nil {
 		delete(t.nodes, update.Path)
 		t.unlink(update.Path)
@@ -125,6 +163,7 @@
 	}
 	if len(problems) > 0 {
 		t.problems[update.Path] = problems
+		t.faulty[update.Path] = update
 	}
 	t.nodes[update.Path] = withoutFaults(update.Node, problems)
 	t.link(update.Path)
--- a/internal/settings/version.go
+++ b/internal/settings/version.go
@@ -24,3 +24,6 @@
 
 // String shows epoch and revision, as operators read them.
 func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch(), v.Revision()) }
+
+// MaxEpoch is the last epoch.
+const MaxEpoch = 1<<16 - 1
