lab: open-loop load against real processes

Poisson arrivals with bursts, prompt families with shared prefixes, latency histograms, every outcome counted by its code and every answer checked. Latencies count from the scheduled arrival, so that a slow server does not slow the measurement.

--- /dev/null
+++ b/internal/lab/load/client.go
@@ -0,0 +1,271 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// The API's paths, and the header that names a request in every answer.
+const (
+	completionsPath = "/v1/completions"
+	chatPath        = "/v1/chat/completions"
+	requestIDHeader = "Chutelock-Request-Id"
+)
+
+// Bounds of what is read of an answer.
+const (
+	maxAnswerBytes = 64 << 20
+	maxLineBytes   = 1 << 20
+)
+
+// call is one request to send.
+type call struct {
+	target    string
+	prompt    string
+	maxTokens int
+	scheduled time.Time
+}
+
+// answer is what came of a call.
+type answer struct {
+	target     string
+	requestID  string
+	scheduled  time.Time
+	ended      time.Time
+	outcome    string
+	detail     string
+	text       string
+	tokenTimes []time.Time
+}
+
+// client sends calls.
+type client struct {
+	config Config
+	http   *http.Client
+}
+
+func newClient(config Config) *client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConns = config.MaxInFlight
+	transport.MaxIdleConnsPerHost = config.MaxInFlight
+	transport.DisableCompression = true
+	return &client{config: config, http: &http.Client{Transport: transport}}
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type requestBody struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Messages  []message `json:"messages,omitempty"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+type choice struct {
+	Text    string  `json:"text"`
+	Delta   message `json:"delta"`
+	Message message `json:"message"`
+}
+
+func (c choice) content() string { return c.Text + c.Delta.Content + c.Message.Content }
+
+type responseBody struct {
+	Choices []choice `json:"choices"`
+	Error   *struct {
+		Code    any    `json:"code"`
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func (r responseBody) errorCode() string {
+	if r.Error == nil {
+		return "no_code"
+	}
+	if r.Error.Code != nil {
+		return fmt.Sprint(r.Error.Code)
+	}
+	return r.Error.Type
+}
+
+// do runs a call to its end; it never fails but in its outcome.
+func (c *client) do(ctx context.Context, call call) answer {
+	ctx, cancel := context.WithDeadline(ctx, call.scheduled.Add(c.config.Timeout))
+	defer cancel()
+	result := answer{target: call.target, scheduled: call.scheduled}
+	err := c.exchange(ctx, call, &result)
+	result.ended = time.Now()
+	if result.outcome == "" {
+		result.outcome = outcomeOf(err)
+	}
+	if err != nil && result.detail == "" {
+		result.detail = err.Error()
+	}
+	if result.outcome == OutcomeOK {
+		c.check(call, &result)
+	}
+	return result
+}
+
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return OutcomeOK
+	case errors.Is(err, context.DeadlineExceeded):
+		return OutcomeTimeout
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return OutcomeTruncated
+	default:
+		return OutcomeTransport
+	}
+}
+
+func (c *client) exchange(ctx context.Context, call call, result *answer) error {
+	request, err := c.request(ctx, call)
+	if err != nil {
+		return trace.Wrap(err, "build request to %v", call.target)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return trace.Wrap(err, "send to %v", call.target)
+	}
+	defer func() { _ = response.Body.Close() }()
+	result.requestID = response.Header.Get(requestIDHeader)
+	if response.StatusCode != http.StatusOK {
+		return readRefusal(response, result)
+	}
+	if c.config.Stream {
+		return readStream(response.Body, result)
+	}
+	return readWhole(response.Body, result)
+}
+
+func (c *client) request(ctx context.Context, call call) (*http.Request, error) {
+	body := requestBody{Model: c.config.Model, MaxTokens: call.maxTokens, Stream: c.config.Stream}
+	path := completionsPath
+	if c.config.Chat {
+		path = chatPath
+		body.Messages = []message{{Role: "user", Content: call.prompt}}
+	} else {
+		body.Prompt = call.prompt
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, call.target+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.config.Key)
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func readRefusal(response *http.Response, result *answer) error {
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	if err != nil {
+		return trace.Wrap(err, "read refusal")
+	}
+	var body responseBody
+	_ = json.Unmarshal(raw, &body) // a foreign body counts as "no_code"
+	result.outcome = fmt.Sprintf("http_%d_%s", response.StatusCode, body.errorCode())
+	result.detail = string(raw)
+	return nil
+}
+
+func readWhole(body io.Reader, result *answer) error {
+	var decoded responseBody
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&decoded); err != nil {
+		return trace.Wrap(err, "read answer")
+	}
+	result.tokenTimes = append(result.tokenTimes, time.Now())
+	for _, choice := range decoded.Choices {
+		result.text += choice.content()
+	}
+	return nil
+}
+
+// readStream reads server-sent events until [DONE]; a stream that ends before
+// it is truncated.
+func readStream(body io.Reader, result *answer) error {
+	lines := bufio.NewScanner(io.LimitReader(body, maxAnswerBytes))
+	lines.Buffer(nil, maxLineBytes)
+	var text strings.Builder
+	defer func() { result.text = text.String() }()
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data:")
+		if !isData {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return nil
+		}
+		if err := readEvent(data, &text, result); err != nil || result.outcome != "" {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return trace.Wrap(err, "read stream")
+	}
+	return trace.Wrap(io.ErrUnexpectedEOF, "stream ended without [DONE]")
+}
+
+func readEvent(data string, text *strings.Builder, result *answer) error {
+	var event responseBody
+	if err := json.Unmarshal([]byte(data), &event); err != nil {
+		return trace.Wrap(err, "decode stream event")
+	}
+	if event.Error != nil {
+		result.outcome = "stream_" + event.errorCode()
+		result.detail = data
+		return nil
+	}
+	content := ""
+	for _, choice := range event.Choices {
+		content += choice.content()
+	}
+	if content != "" {
+		text.WriteString(content)
+		result.tokenTimes = append(result.tokenTimes, time.Now())
+	}
+	return nil
+}
+
+// check compares an answer with the expected text.
+func (c *client) check(call call, result *answer) {
+	if c.config.Expected == nil {
+		return
+	}
+	expected := c.config.Expected(c.config.Model, call.prompt, call.maxTokens)
+	if result.text != expected {
+		result.outcome = OutcomeWrongText
+		result.detail = fmt.Sprintf("got %q, want %q", clip(result.text), clip(expected))
+	}
+}
+
+// clipLength bounds the texts quoted in examples.
+const clipLength = 120
+
+func clip(text string) string {
+	if len(text) <= clipLength {
+		return text
+	}
+	return text[:clipLength] + "…"
+}
--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,73 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/lab/arrivals"
+	"chutelock.dev/chutelock/internal/lab/load"
+)
+
+const requests = 20
+
+func echo(_, prompt string, _ int) string { return "<" + prompt + ">" }
+
+func writeEvents(w http.ResponseWriter, text string, end string) {
+	for _, part := range strings.SplitAfter(text, " ") {
+		data, _ := json.Marshal(part)
+		fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%s}]}\n\n", data)
+	}
+	fmt.Fprint(w, end)
+}
+
+func TestRunTellsGoodAnswersFromBadOnes(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	cases := map[string]struct {
+		stream  bool
+		answer  func(w http.ResponseWriter, prompt string)
+		outcome string
+	}{
+		"whole stream":    {true, func(w http.ResponseWriter, p string) { writeEvents(w, echo("", p, 0), done) }, load.OutcomeOK},
+		"crossed stream":  {true, func(w http.ResponseWriter, p string) { writeEvents(w, "other", done) }, load.OutcomeWrongText},
+		"cut stream":      {true, func(w http.ResponseWriter, p string) { writeEvents(w, echo("", p, 0), "") }, load.OutcomeTruncated},
+		"error in stream": {true, func(w http.ResponseWriter, p string) { writeEvents(w, "a", `data: {"error":{"code":"lost"}}`+"\n\n") }, "stream_lost"},
+		"refusal": {true, func(w http.ResponseWriter, p string) {
+			w.WriteHeader(503)
+			fmt.Fprint(w, `{"error":{"code":"not_run"}}`)
+		}, "http_503_not_run"},
+		"refusal, no JSON": {true, func(w http.ResponseWriter, p string) { w.WriteHeader(502) }, "http_502_no_code"},
+		"never answered":   {true, func(w http.ResponseWriter, p string) { time.Sleep(2 * time.Second) }, load.OutcomeTimeout},
+		"whole answer": {false, func(w http.ResponseWriter, p string) {
+			_ = json.NewEncoder(w).Encode(map[string]any{"choices": []any{map[string]any{"text": echo("", p, 0)}}})
+		}, load.OutcomeOK},
+		"cut answer": {false, func(w http.ResponseWriter, p string) { fmt.Fprint(w, `{"choices":[{"text":`) }, load.OutcomeTruncated},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				var body struct{ Prompt string }
+				_ = json.NewDecoder(r.Body).Decode(&body)
+				test.answer(w, body.Prompt)
+			}))
+			defer server.Close()
+			summary, err := load.Run(context.Background(), load.Config{
+				Targets: []string{server.URL}, Model: "m", Stream: test.stream, Seed: 1,
+				Online: arrivals.Online{Rate: 1000, Prompts: arrivals.Prompts{
+					Families: 2, SharedTokens: 3, OwnTokens: arrivals.Span{Min: 2, Max: 2}, OutputTokens: arrivals.Span{Min: 4, Max: 4}}},
+				Duration: time.Minute, MaxRequests: requests, MaxInFlight: requests, Timeout: time.Second, Expected: echo,
+			})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(summary.Outcomes).To(gomega.Equal(map[string]int{test.outcome: requests}))
+		})
+	}
+}
