--- /dev/null
+++ b/internal/standin/truth/text.go
@@ -0,0 +1,167 @@
+package truth
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// TokenBytes is the number of prompt bytes that count as one token.
+const TokenBytes = 4
+
+// DefaultMaxTokens is the output length when a request names none.
+const DefaultMaxTokens = 16
+
+// PromptTokens counts the tokens of a prompt.
+func PromptTokens(prompt string) int {
+	return max(1, (len(prompt)+TokenBytes-1)/TokenBytes)
+}
+
+// Generator yields the output of one prompt.
+type Generator struct{ seed uint64 }
+
+// NewGenerator returns the generator of a model's output for a prompt.
+func NewGenerator(model, prompt string) Generator {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(prompt)
+	return Generator{seed: digest.Sum64()}
+}
+
+const hexDigits = "0123456789abcdef"
+
+// tokenDigits is the length of a token's text without its leading space.
+const tokenDigits = 4
+
+// Append appends the text of the token at the index: a space and four
+// hexadecimal digits, so that it never needs escaping in JSON.
+func (g Generator) Append(text []byte, index int) []byte {
+	var input [16]byte
+	binary.BigEndian.PutUint64(input[:8], g.seed)
+	binary.BigEndian.PutUint64(input[8:], uint64(index))
+	sum := xxhash.Sum64(input[:])
+	text = append(text, ' ')
+	for digit := 0; digit < tokenDigits; digit++ {
+		text = append(text, hexDigits[sum&0xf])
+		sum >>= 4
+	}
+	return text
+}
+
+// Token returns the text of the token at the index.
+func (g Generator) Token(index int) string { return string(g.Append(nil, index)) }
+
+// Text returns the tokens from one index up to another, not included.
+func (g Generator) Text(from, to int) string {
+	text := make([]byte, 0, max(0, to-from)*(1+tokenDigits))
+	for index := from; index < to; index++ {
+		text = g.Append(text, index)
+	}
+	return string(text)
+}
+
+// ExpectedText is the whole output that a stand-in engine gives for a prompt.
+func ExpectedText(model, prompt string, maxTokens int) string {
+	return NewGenerator(model, prompt).Text(0, maxTokens)
+}
+
+// body is the part of a request that decides the output.
+type body struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Errors of ParseRequest.
+var (
+	ErrNoPrompt = errors.New("truth: the request has neither a prompt nor messages")
+	ErrPrompt   = errors.New("truth: the prompt or a message's content is neither a string nor a list of text parts")
+)
+
+// Request is what decides the output of a request.
+type Request struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+}
+
+// ParseRequest reads the JSON body of a completion or a chat completion. The
+// prompt of a chat is the concatenation of its messages' contents.
+func ParseRequest(data []byte) (Request, error) {
+	var parsed body
+	if err := json.Unmarshal(data, &parsed); err != nil {
+		return Request{}, err
+	}
+	request := Request{Model: parsed.Model, MaxTokens: DefaultMaxTokens}
+	if parsed.MaxTokens != nil {
+		request.MaxTokens = *parsed.MaxTokens
+	}
+	if parsed.MaxCompletionTokens != nil {
+		request.MaxTokens = *parsed.MaxCompletionTokens
+	}
+	if len(parsed.Prompt) == 0 && len(parsed.Messages) == 0 {
+		return Request{}, ErrNoPrompt
+	}
+	contents := []json.RawMessage{parsed.Prompt}
+	if len(parsed.Prompt) == 0 {
+		contents = contents[:0]
+		for _, part := range parsed.Messages {
+			contents = append(contents, part.Content)
+		}
+	}
+	var prompt strings.Builder
+	for _, content := range contents {
+		text, err := contentText(content)
+		if err != nil {
+			return Request{}, err
+		}
+		prompt.WriteString(text)
+	}
+	request.Prompt = prompt.String()
+	return request, nil
+}
+
+// contentText reads a string, a list of strings or a list of text parts.
+func contentText(content json.RawMessage) (string, error) {
+	content = bytes.TrimSpace(content)
+	var text string
+	if json.Unmarshal(content, &text) == nil {
+		return text, nil
+	}
+	var texts []string
+	if json.Unmarshal(content, &texts) == nil {
+		return strings.Join(texts, ""), nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(content, &parts) != nil {
+		return "", ErrPrompt
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		joined.WriteString(part.Text)
+	}
+	return joined.String(), nil
+}
+
+// Expected is the whole output for the JSON body of a request.
+func Expected(data []byte) (string, error) {
+	request, err := ParseRequest(data)
+	if err != nil {
+		return "", err
+	}
+	return ExpectedText(request.Model, request.Prompt, request.MaxTokens), nil
+}
