--- a/cmd/chutelock-lab/expected.go
+++ b/cmd/chutelock-lab/expected.go
@@ -1,6 +1,9 @@
 package main
 
-import "chutelock.dev/chutelock/internal/lab/load"
+import (
+	"chutelock.dev/chutelock/internal/lab/load"
+	"chutelock.dev/chutelock/internal/standin/truth"
+)
 
-// expectedText is how stand-in engines answer; nil until they are linked in.
-var expectedText load.ExpectedText
+// expectedText is how stand-in engines answer.
+var expectedText load.ExpectedText = truth.ExpectedText
