--- /dev/null
+++ b/cmd/chutelock-lab/run.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"chutelock.dev/chutelock/internal/lab/experiment"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{
+		name:    "run",
+		summary: "run an experiment file in virtual time and write its results",
+		run:     runExperiment,
+	})
+}
+
+// defaultParallel is how many seeds run at once.
+const defaultParallel = 4
+
+func runExperiment(arguments []string) int {
+	flags := flag.NewFlagSet("run", flag.ContinueOnError)
+	output := flags.String("out", "", "folder for NAME.csv and NAME.html; empty writes no files")
+	parallel := flags.Int("parallel", defaultParallel, "seeds that run at once")
+	seeds := flags.Int("seeds", 0, "number of seeds; 0 takes the file's")
+	if err := flags.Parse(arguments); err != nil {
+		return exitUsage
+	}
+	if flags.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: chutelock-lab run [flags] EXPERIMENT.yaml")
+		return exitUsage
+	}
+	file, err := experiment.Load(flags.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "run:", err)
+		return exitUsage
+	}
+	if *seeds > 0 {
+		file.Seeds.Count = *seeds
+	}
+	outcome, err := experiment.Run(file, *parallel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "run:", err)
+		return exitFailure
+	}
+	outcome.WriteText(os.Stdout)
+	if *output == "" {
+		return 0
+	}
+	if err := writeOutcome(outcome, filepath.Join(*output, file.Name)); err != nil {
+		fmt.Fprintln(os.Stderr, "run:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+func writeOutcome(outcome *experiment.Outcome, base string) error {
+	table, err := os.Create(base + ".csv")
+	if err != nil {
+		return err
+	}
+	if err := outcome.WriteCSV(table); err != nil {
+		_ = table.Close()
+		return err
+	}
+	return table.Close()
+}
--- a/internal/admission/batch/controller.go
+++ b/internal/admission/batch/controller.go
@@ -32,7 +32,12 @@
 	Stream string
 	// PromptTokens is an estimate, for started streams.
 	PromptTokens int
-	Load         engine.Load
+	// Deadline of a started batch stream; zero means none.
+	Deadline time.Time
+	// Suspended says that an EventBatchEnded is the engine's answer to
+	// ActionSuspend: the stream waits for ActionResume or ActionCancel.
+	Suspended bool
+	Load      engine.Load
 }
 
 // ActionKind says what to do.
--- /dev/null
+++ b/internal/lab/sim/bound.go
@@ -0,0 +1,68 @@
+package sim
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/lab/arrivals"
+)
+
+// FluidBound is an upper bound on the batch tokens that any scheduler can
+// produce between the warm-up and the end beside the recorded online work. It
+// takes every step as full (MaxRunning streams), harm to online as allowed,
+// prefixes as cached, and work as divisible, so that only the step-time model,
+// the online work itself and the arrival of items limit it:
+//
+//	batch tokens × (base/slots + sequence + prefill tokens each × prefill)
+//	  ≤ time − online tokens × (base/slots + sequence) − online prefill × prefill
+//
+// for each engine and second, and no more than what has arrived.
+func FluidBound(config Config, seed uint64, recording *Recording) float64 {
+	bins := int(config.Duration / bin)
+	first := int(config.Warmup / bin)
+	offered := offeredTokens(config, seed, bins)
+	bound := offered[bins-1]
+	later := 0.0
+	for second := bins - 1; second >= first; second-- {
+		later += freeTokens(config, recording, second)
+		before := 0.0
+		if second > 0 {
+			before = offered[second-1]
+		}
+		// Everything offered before this second, and all capacity from it on.
+		bound = min(bound, before+later)
+		if second == first {
+			bound = min(bound, offered[bins-1], later)
+		}
+	}
+	return bound
+}
+
+// freeTokens is what all engines could add in one second.
+func freeTokens(config Config, recording *Recording, second int) float64 {
+	shape := config.Deployment.Engine
+	slotTime := shape.StepBase.Seconds()/float64(shape.MaxRunning) + shape.StepPerSequence.Seconds()
+	prefill := shape.StepPerPrefillToken.Seconds()
+	prompts := config.Batch.Prompts
+	ownPerToken := prompts.OwnTokens.Mean() / max(1, prompts.OutputTokens.Mean())
+	total := 0.0
+	for _, bins := range recording.bins {
+		work := bins[second]
+		free := bin.Seconds() - float64(work.tokens)*slotTime - float64(work.prefilled)*prefill
+		total += max(0, free) / (slotTime + ownPerToken*prefill)
+	}
+	return total
+}
+
+// offeredTokens is the output tokens of all items that have arrived by the
+// end of each second.
+func offeredTokens(config Config, seed uint64, bins int) []float64 {
+	offered := make([]float64, bins)
+	for _, heap := range arrivals.NewBatch(config.Batch, seed, time.Duration(bins)*bin) {
+		for _, item := range heap.Items {
+			for second := int(heap.At / bin); second < bins; second++ {
+				offered[second] += float64(item.OutputTokens)
+			}
+		}
+	}
+	return offered
+}
--- /dev/null
+++ b/internal/lab/sim/gateway.go
@@ -0,0 +1,164 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/lab/arrivals"
+)
+
+// node is a chutelock node: a gateway, and the home of some engines.
+type node struct {
+	simulation *simulation
+	index      int
+	zone       int
+	gateway    *gateway
+}
+
+func newNode(s *simulation, index, zone int) *node {
+	return &node{simulation: s, index: index, zone: zone}
+}
+
+// gateway is the online path of a node. It routes by what it knows: its own
+// requests in flight and lagging reports.
+type gateway struct {
+	node     *node
+	inFlight []int
+	reports  []engine.Load
+	// unusable engines are known to be leaving or dead.
+	unusable []bool
+}
+
+func newGateway(node *node, engines int) *gateway {
+	return &gateway{
+		node:     node,
+		inFlight: make([]int, engines),
+		reports:  make([]engine.Load, engines),
+		unusable: make([]bool, engines),
+	}
+}
+
+// onlineRequest is an online request on its way through a gateway.
+type onlineRequest struct {
+	gateway  *gateway
+	request  arrivals.Request
+	engine   *emulatedEngine
+	attempt  int
+	received int // tokens handed to the client
+	lastAt   time.Duration
+}
+
+var _ receiver = (*onlineRequest)(nil)
+
+func (g *gateway) accept(request arrivals.Request) {
+	g.send(&onlineRequest{gateway: g, request: request})
+}
+
+func (g *gateway) send(r *onlineRequest) {
+	s := g.node.simulation
+	chosen := g.route(r.request)
+	if chosen == nil {
+		s.result.OnlineFailed++
+		return
+	}
+	r.engine = chosen
+	r.attempt++
+	g.inFlight[chosen.index]++
+	home := s.believedHome(g.node, chosen.index)
+	if home != nil {
+		s.after(s.latency(g.node.zone, home.node.zone), func() { home.onlineStarted(r.id(), r.request.PromptTokens()) })
+	}
+	sequence := sequenceOf(r.id(), int(engine.PriorityOnline), r.request, s.config.Deployment.Engine.BlockTokens)
+	sequence.ResumeFrom = r.received
+	s.after(s.latency(g.node.zone, chosen.zone), func() {
+		s.record.arrival(chosen.index, s.clock.now, r.request.Number)
+		chosen.submit(sequence, r)
+	})
+}
+
+// route is the stand-in for internal/routing: least in flight by the gateway's
+// own count plus the lagging report's waiting online requests, at random among
+// equals.
+func (g *gateway) route(request arrivals.Request) *emulatedEngine {
+	s := g.node.simulation
+	if s.plan != nil && s.policy.Kind == PolicyClairvoyant {
+		if planned, ok := s.plan.engineOf[request.Number]; ok {
+			return s.engines[planned]
+		}
+	}
+	var best []*emulatedEngine
+	lowest := 0
+	for _, candidate := range s.engines[:s.policy.onlineEngines(len(s.engines))] {
+		if g.unusable[candidate.index] {
+			continue
+		}
+		score := g.inFlight[candidate.index] + g.reports[candidate.index].Waiting - g.reports[candidate.index].WaitingBatch
+		if len(best) == 0 || score < lowest {
+			best, lowest = best[:0], score
+		}
+		if score == lowest {
+			best = append(best, candidate)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[s.random.IntN(len(best))]
+}
+
+// believedHome is the home to which the node announces online requests.
+func (s *simulation) believedHome(from *node, engine int) *home {
+	if rival := s.rivals[engine]; rival != nil && from.index%2 == 1 {
+		return rival
+	}
+	return s.homes[engine]
+}
+
+func (r *onlineRequest) id() string {
+	return fmt.Sprintf("o%d-%d", r.request.Number, r.attempt)
+}
+
+func (r *onlineRequest) receiverZone() int { return r.gateway.node.zone }
+
+func (r *onlineRequest) batch() bool { return false }
+
+func (r *onlineRequest) token(index int) {
+	s := r.gateway.node.simulation
+	if index != r.received {
+		s.result.OnlineWrong++
+		return
+	}
+	r.received++
+	at := s.clock.now + s.config.Deployment.Network.Client
+	if index == 0 {
+		s.result.firstToken(r.request.At, at)
+	} else {
+		s.result.nextToken(r.request.At, r.lastAt, at)
+	}
+	r.lastAt = at
+}
+
+func (r *onlineRequest) finished(cached, prompt int) {
+	s := r.gateway.node.simulation
+	r.release()
+	s.result.onlineDone(r.request, s.clock.now+s.config.Deployment.Network.Client, cached, prompt)
+}
+
+// broken sends the request to another engine, from where the client is.
+func (r *onlineRequest) broken() {
+	r.release()
+	r.gateway.unusable[r.engine.index] = true
+	r.gateway.node.simulation.result.OnlineRetried++
+	r.gateway.send(r)
+}
+
+func (r *onlineRequest) release() {
+	s := r.gateway.node.simulation
+	r.gateway.inFlight[r.engine.index]--
+	id := r.id()
+	home := s.believedHome(r.gateway.node, r.engine.index)
+	if home != nil {
+		s.after(s.latency(r.gateway.node.zone, home.node.zone), func() { home.onlineFinished(id) })
+	}
+}
