--- /dev/null
+++ b/internal/jobs/machine/command.go
@@ -0,0 +1,227 @@
+package machine
+
+import (
+	"fmt"
+	"time"
+
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+// Kind names a command.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	KindFileBegin Kind = iota + 1
+	KindFileAppend
+	KindFileSeal
+	KindFileDelete
+	KindJobBegin
+	KindJobAppend
+	KindJobSeal
+	KindLease
+	KindStart
+	KindReport
+	KindExpireLeases
+	KindCancel
+	KindTick
+)
+
+const entryVersion = 1
+
+// DigestSize is the size of content digests (SHA-256), in bytes.
+const DigestSize = 32
+
+// Digest is a SHA-256.
+type Digest [DigestSize]byte
+
+// Command is one of the command types of this package.
+type Command interface {
+	kind() Kind
+	marshal() ([]byte, error)
+	unmarshal(message []byte) error
+}
+
+type entryHeader struct {
+	Kind Kind
+	At   int64 // Unix milliseconds at the proposer
+}
+
+// Encode makes an entry of a command; at is the proposer's time.
+func Encode(at time.Time, command Command) ([]byte, error) {
+	body, err := command.marshal()
+	if err != nil {
+		return nil, err
+	}
+	return wire.Marshal(entryVersion, entryHeader{command.kind(), at.UnixMilli()}, body)
+}
+
+// Decode reads an entry. The command's byte fields alias the entry.
+func Decode(entry []byte) (time.Time, Command, error) {
+	var header entryHeader
+	fields, err := wire.Unmarshal(entry, entryVersion, &header, 1)
+	if err != nil {
+		return time.Time{}, nil, err
+	}
+	command := newCommand(header.Kind)
+	if command == nil {
+		return time.Time{}, nil, fmt.Errorf("machine: unknown command kind %d", header.Kind)
+	}
+	if err := command.unmarshal(fields[0]); err != nil {
+		return time.Time{}, nil, err
+	}
+	return time.UnixMilli(header.At), command, nil
+}
+
+func newCommand(kind Kind) Command {
+	switch kind {
+	case KindFileBegin:
+		return &FileBegin{}
+	case KindFileAppend:
+		return &FileAppend{}
+	case KindFileSeal:
+		return &FileSeal{}
+	case KindFileDelete:
+		return &FileDelete{}
+	case KindJobBegin:
+		return &JobBegin{}
+	case KindJobAppend:
+		return &JobAppend{}
+	case KindJobSeal:
+		return &JobSeal{}
+	case KindLease:
+		return &LeaseItems{}
+	case KindStart:
+		return &Start{}
+	case KindReport:
+		return &Report{}
+	case KindExpireLeases:
+		return &ExpireLeases{}
+	case KindCancel:
+		return &Cancel{}
+	case KindTick:
+		return &Tick{}
+	default:
+		return nil
+	}
+}
+
+// FileBegin opens an input file, which is not readable before FileSeal.
+type FileBegin struct {
+	FileID    string
+	Tenant    string
+	Name      string
+	Purpose   string
+	Retention time.Duration
+}
+
+// FileAppend adds chunk number Chunk, counted from 0, which holds whole lines.
+// A chunk that is there already is left as it is.
+type FileAppend struct {
+	FileID string
+	Chunk  uint32
+	Data   []byte
+}
+
+// FileSeal makes the file readable, if all of its chunks are there.
+type FileSeal struct {
+	FileID   string
+	Chunks   uint32
+	Lines    uint32
+	Bytes    uint64
+	Digest   Digest
+	Model    string
+	Endpoint string
+}
+
+// FileDelete removes a file of the tenant.
+type FileDelete struct {
+	FileID string
+	Tenant string
+}
+
+// JobBegin opens a job, or finds the job that the idempotency key names.
+type JobBegin struct {
+	JobID  string
+	Tenant string
+	// Key is the caller's idempotency key; never empty.
+	Key string
+	// Content is the digest of the input and the parameters: a resend must
+	// have the same.
+	Content   Digest
+	FileID    string
+	Model     string
+	Endpoint  string
+	Window    string
+	Metadata  []byte // JSON object, or empty
+	Items     uint32
+	Deadline  time.Time
+	Weight    uint32 // the tenant's share, in thousandths
+	MaxTries  uint8
+	Retention time.Duration
+}
+
+// JobAppend adds items First, First+1, ... to a job that is not sealed yet.
+type JobAppend struct {
+	JobID string
+	First uint32
+	Items []jobs.Item
+}
+
+// JobSeal accepts the job, if all Items items are there.
+type JobSeal struct {
+	JobID string
+	Items uint32
+}
+
+// LeaseItems leases up to Count open items of a model, of at most MaxBytes
+// together, to a dispatcher.
+type LeaseItems struct {
+	Dispatcher string
+	Model      string
+	Count      uint32
+	MaxBytes   uint32
+}
+
+// Start records that a non-repeatable item is about to be sent.
+type Start struct {
+	JobID string
+	Index uint32
+	Epoch uint64
+}
+
+// Report records results. A result of status ItemOpen hands the item back:
+// see ReturnReason.
+type Report struct {
+	Results []jobs.Result
+}
+
+// ExpireLeases ends leases of a dispatcher that stopped renewing them.
+type ExpireLeases struct {
+	Dispatcher string
+	Epochs     []uint64
+}
+
+// Cancel cancels a job of the tenant.
+type Cancel struct {
+	JobID  string
+	Tenant string
+}
+
+// Tick lets time act: deadlines, retention, and what was never sealed.
+type Tick struct{}
+
+func (*FileBegin) kind() Kind    { return KindFileBegin }
+func (*FileAppend) kind() Kind   { return KindFileAppend }
+func (*FileSeal) kind() Kind     { return KindFileSeal }
+func (*FileDelete) kind() Kind   { return KindFileDelete }
+func (*JobBegin) kind() Kind     { return KindJobBegin }
+func (*JobAppend) kind() Kind    { return KindJobAppend }
+func (*JobSeal) kind() Kind      { return KindJobSeal }
+func (*LeaseItems) kind() Kind   { return KindLease }
+func (*Start) kind() Kind        { return KindStart }
+func (*Report) kind() Kind       { return KindReport }
+func (*ExpireLeases) kind() Kind { return KindExpireLeases }
+func (*Cancel) kind() Kind       { return KindCancel }
+func (*Tick) kind() Kind         { return KindTick }
--- /dev/null
+++ b/internal/jobs/machine/lease.go
@@ -0,0 +1,255 @@
+package machine
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"chutelock.dev/chutelock/internal/jobs"
+)
+
+const (
+	// maxLeaseItems bounds one LeaseItems command.
+	maxLeaseItems = 1024
+	// urgentSlack is the slack below which a job goes before the tenants'
+	// shares are looked at, in milliseconds.
+	urgentSlack = 60_000
+	// shareUnit is the virtual time of one item at weight 1 (1000 thousandths).
+	shareUnit = 1_000_000
+)
+
+func (tx *transaction) leaseItems(c *LeaseItems) (Answer, error) {
+	if !validIdentifier(c.Dispatcher) || c.Count > maxLeaseItems {
+		return Answer{Code: CodeMalformed}, nil
+	}
+	answer := Answer{Code: CodeOK}
+	budget := leaseBudget{items: c.Count, bytes: int64(c.MaxBytes)}
+	for budget.items > 0 && budget.bytes > 0 {
+		job := tx.machine.mostUrgent(c.Model, tx.now)
+		if job == nil {
+			break
+		}
+		given, err := tx.leaseFrom(job, c.Dispatcher, &budget)
+		if err != nil {
+			return Answer{}, err
+		}
+		if len(given.Items) == 0 {
+			break
+		}
+		answer.Leases = append(answer.Leases, given)
+	}
+	return answer, nil
+}
+
+// leaseBudget is what a LeaseItems command may still take.
+type leaseBudget struct {
+	items uint32
+	bytes int64
+}
+
+// mostUrgent returns the job to lease from next: the least slack among the
+// urgent ones, else the least slack of the tenant whose share is least used.
+func (m *Machine) mostUrgent(model string, now int64) *openJob {
+	var best *openJob
+	for _, job := range m.open {
+		if job.available == 0 || job.record.Model != model || job.record.Deadline.UnixMilli() <= now {
+			continue
+		}
+		if best == nil || m.before(job, best, now) {
+			best = job
+		}
+	}
+	return best
+}
+
+// before is a total order, so that the choice does not depend on the order in
+// which a map is visited.
+func (m *Machine) before(a, b *openJob, now int64) bool {
+	slackA, slackB := m.slack(a, now), m.slack(b, now)
+	urgentA, urgentB := slackA < urgentSlack, slackB < urgentSlack
+	if urgentA != urgentB {
+		return urgentA
+	}
+	if shareA, shareB := m.shares[a.record.Tenant], m.shares[b.record.Tenant]; !urgentA && shareA != shareB {
+		return shareA < shareB
+	}
+	if slackA != slackB {
+		return slackA < slackB
+	}
+	return a.record.JobID < b.record.JobID
+}
+
+// slack is the time to spare, in milliseconds, if the job's remaining items
+// ran alone at the measured rate.
+func (m *Machine) slack(job *openJob, now int64) int64 {
+	work := int64(0)
+	if rate, ok := m.rates[job.record.Model]; ok {
+		work = rate.timeFor(uint64(job.remainingItems()))
+	}
+	return job.record.Deadline.UnixMilli() - now - work
+}
+
+func (tx *transaction) leaseFrom(job *openJob, dispatcher string, budget *leaseBudget) (jobs.Lease, error) {
+	record := &job.record
+	given := jobs.Lease{
+		JobID: record.JobID, Tenant: record.Tenant, Model: record.Model, Deadline: record.Deadline, Epoch: tx.index,
+	}
+	held := &lease{dispatcher: dispatcher}
+	for job.available > 0 && budget.items > 0 && budget.bytes > 0 {
+		index := job.take(tx.index, held)
+		item, err := GetItem(tx, record.JobID, index)
+		if err != nil {
+			return jobs.Lease{}, err
+		}
+		size := int64(len(item.Body))
+		if size > budget.bytes && len(given.Items) > 0 {
+			job.untake(index, held)
+			budget.bytes = 0
+			break
+		}
+		budget.items--
+		budget.bytes -= size
+		given.Items = append(given.Items, item)
+	}
+	if len(given.Items) == 0 {
+		return given, nil
+	}
+	job.leases[tx.index] = held
+	if err := tx.storeLease(job, tx.index); err != nil {
+		return jobs.Lease{}, err
+	}
+	return given, tx.charge(job, uint64(len(given.Items)))
+}
+
+func (tx *transaction) storeLease(job *openJob, epoch uint64) error {
+	held := job.leases[epoch]
+	record := leaseRecord{dispatcher: held.dispatcher, indexes: held.indexes}
+	encoded, err := record.encode()
+	if err != nil {
+		return err
+	}
+	return tx.Set(key64(tableLease, job.record.JobID, epoch), encoded)
+}
+
+// charge moves the tenant's virtual time by the items leased to it.
+func (tx *transaction) charge(job *openJob, items uint64) error {
+	share := tx.machine.shares[job.record.Tenant] + items*shareUnit/uint64(job.record.Weight)
+	return tx.setShare(job.record.Tenant, share)
+}
+
+func (tx *transaction) setShare(tenant string, share uint64) error {
+	tx.machine.shares[tenant] = share
+	return tx.Set(key(tableShare, tenant), binary.BigEndian.AppendUint64(nil, share))
+}
+
+// joinShares lets a tenant in at the least virtual time of the others, so
+// that it neither starves nor catches up for the time it was away.
+func (tx *transaction) joinShares(tenant string) error {
+	if _, ok := tx.machine.shares[tenant]; ok {
+		return nil
+	}
+	least := uint64(math.MaxUint64)
+	for _, share := range tx.machine.shares {
+		least = min(least, share)
+	}
+	if least == math.MaxUint64 {
+		least = 0
+	}
+	return tx.setShare(tenant, least)
+}
+
+// leaveShares forgets a tenant that has no open job.
+func (tx *transaction) leaveShares(tenant string) error {
+	for _, job := range tx.machine.open {
+		if job.record.Tenant == tenant {
+			return nil
+		}
+	}
+	delete(tx.machine.shares, tenant)
+	return tx.Delete(key(tableShare, tenant))
+}
+
+func (tx *transaction) start(c *Start) (Answer, error) {
+	job, ok := tx.machine.open[c.JobID]
+	if !ok || job.record.Deadline.UnixMilli() <= tx.now {
+		return Answer{Code: CodeRefused}, nil
+	}
+	if epoch, leased := job.leased[c.Index]; !leased || epoch != c.Epoch {
+		return Answer{Code: CodeRefused}, nil
+	}
+	if epoch, started := job.started[c.Index]; started {
+		// The same lease asks again only when its first answer was lost.
+		if epoch == c.Epoch {
+			return Answer{Code: CodeOK}, nil
+		}
+		return Answer{Code: CodeRefused}, nil
+	}
+	job.started[c.Index] = c.Epoch
+	return Answer{Code: CodeOK}, tx.Set(key32(tableStarted, c.JobID, c.Index),
+		binary.BigEndian.AppendUint64(nil, c.Epoch))
+}
+
+func (tx *transaction) expireLeases(c *ExpireLeases) (Answer, error) {
+	answer := Answer{Code: CodeOK}
+	for _, jobID := range sortedKeys(tx.machine.open) {
+		job := tx.machine.open[jobID]
+		for _, epoch := range c.Epochs {
+			held, ok := job.leases[epoch]
+			if !ok || held.dispatcher != c.Dispatcher {
+				continue
+			}
+			answer.Count++
+			if err := tx.endLease(job, epoch); err != nil {
+				return Answer{}, err
+			}
+		}
+	}
+	return answer, nil
+}
+
+// endLease makes a lease's items open again, but for those that were started
+// and must not be sent twice: their outcome is not known.
+func (tx *transaction) endLease(job *openJob, epoch uint64) error {
+	held := job.leases[epoch]
+	for _, index := range held.indexes {
+		if job.leased[index] != epoch || job.done.has(index) {
+			continue
+		}
+		if _, started := job.started[index]; started {
+			if err := tx.recordUnknown(job, index, epoch); err != nil {
+				return err
+			}
+			continue
+		}
+		job.reopen(index)
+	}
+	delete(job.leases, epoch)
+	return tx.Delete(key64(tableLease, job.record.JobID, epoch))
+}
+
+func (tx *transaction) recordUnknown(job *openJob, index uint32, epoch uint64) error {
+	return tx.record(job, jobs.Result{
+		JobID: job.record.JobID, Index: index, Epoch: epoch, Status: jobs.ItemOutcomeUnknown,
+		Body: errorBody(codeOutcomeUnknown, "the item was sent once and its outcome is not known; it is not repeatable"),
+	})
+}
+
+// feasible says whether items more items of a model can be done by deadline,
+// and if not, by when. Without a measured rate every future deadline is taken.
+func (tx *transaction) feasible(model string, items uint32, deadline int64) (possible int64, ok bool) {
+	rate, known := tx.machine.rates[model]
+	ahead := uint64(items)
+	for _, job := range tx.machine.open {
+		if job.record.Model == model && job.record.Deadline.UnixMilli() <= deadline {
+			ahead += uint64(job.remainingItems())
+		}
+	}
+	possible = tx.now + minimumLead.Milliseconds()
+	if known {
+		possible = max(possible, tx.now+rate.timeFor(ahead))
+	}
+	return possible, possible <= deadline
+}
+
+// minimumLead is the shortest time from submission to a deadline.
+const minimumLead = time.Second
--- /dev/null
+++ b/internal/jobs/machine/record.go
@@ -0,0 +1,258 @@
+package machine
+
+import (
+	"encoding/binary"
+	"time"
+
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+const recordVersion = 1
+
+// FileRecord is a stored input file.
+type FileRecord struct {
+	FileID    string
+	Tenant    string
+	Name      string
+	Purpose   string
+	Created   time.Time
+	Retention time.Duration
+	Sealed    bool
+	// Chunks counts the chunks that are there.
+	Chunks uint32
+	// The others are set when the file is sealed.
+	Lines    uint32
+	Bytes    uint64
+	Digest   Digest
+	Model    string
+	Endpoint string
+}
+
+type fileRecordNumbers struct {
+	Created   int64
+	Retention int64
+	Sealed    bool
+	Chunks    uint32
+	Lines     uint32
+	Bytes     uint64
+	Digest    Digest
+}
+
+func (f *FileRecord) encode() ([]byte, error) {
+	fixed := fileRecordNumbers{f.Created.UnixMilli(), int64(f.Retention), f.Sealed, f.Chunks, f.Lines, f.Bytes, f.Digest}
+	return wire.Marshal(recordVersion, fixed, []byte(f.FileID), []byte(f.Tenant), []byte(f.Name),
+		[]byte(f.Purpose), []byte(f.Model), []byte(f.Endpoint))
+}
+
+// DecodeFile reads a stored file record.
+func DecodeFile(stored []byte) (FileRecord, error) {
+	var fixed fileRecordNumbers
+	fields, err := wire.Unmarshal(stored, recordVersion, &fixed, 6)
+	if err != nil {
+		return FileRecord{}, err
+	}
+	record := FileRecord{
+		Created: time.UnixMilli(fixed.Created), Retention: time.Duration(fixed.Retention), Sealed: fixed.Sealed,
+		Chunks: fixed.Chunks, Lines: fixed.Lines, Bytes: fixed.Bytes, Digest: fixed.Digest,
+	}
+	setStrings(fields, &record.FileID, &record.Tenant, &record.Name, &record.Purpose, &record.Model, &record.Endpoint)
+	return record, nil
+}
+
+// State is the state of a job.
+type State uint8
+
+// States of a job. The last three are final.
+const (
+	StateReceiving  State = iota + 1 // not accepted yet
+	StateInProgress                  // accepted
+	StateCompleted                   // every item has a result
+	StateCancelled
+	StateExpired // its deadline passed before every item had a result
+)
+
+// Final says that the state never changes again.
+func (s State) Final() bool { return s >= StateCompleted }
+
+// JobRecord is a stored job.
+type JobRecord struct {
+	JobID     string
+	Tenant    string
+	Key       string
+	Content   Digest
+	FileID    string
+	Model     string
+	Endpoint  string
+	Window    string
+	Metadata  []byte
+	Items     uint32
+	Appended  uint32
+	Created   time.Time
+	Accepted  time.Time // zero until accepted
+	Ended     time.Time // zero until final
+	Deadline  time.Time
+	Weight    uint32
+	MaxTries  uint8
+	Retention time.Duration
+	State     State
+}
+
+type jobRecordNumbers struct {
+	Content   Digest
+	Items     uint32
+	Appended  uint32
+	Created   int64
+	Accepted  int64
+	Ended     int64
+	Deadline  int64
+	Weight    uint32
+	MaxTries  uint8
+	Retention int64
+	State     State
+}
+
+func (j *JobRecord) encode() ([]byte, error) {
+	fixed := jobRecordNumbers{
+		Content: j.Content, Items: j.Items, Appended: j.Appended, Created: j.Created.UnixMilli(),
+		Accepted: milliseconds(j.Accepted), Ended: milliseconds(j.Ended), Deadline: j.Deadline.UnixMilli(),
+		Weight: j.Weight, MaxTries: j.MaxTries, Retention: int64(j.Retention), State: j.State,
+	}
+	return wire.Marshal(recordVersion, fixed, []byte(j.JobID), []byte(j.Tenant), []byte(j.Key), []byte(j.FileID),
+		[]byte(j.Model), []byte(j.Endpoint), []byte(j.Window), j.Metadata)
+}
+
+// DecodeJob reads a stored job record; it aliases nothing.
+func DecodeJob(stored []byte) (JobRecord, error) {
+	var fixed jobRecordNumbers
+	fields, err := wire.Unmarshal(stored, recordVersion, &fixed, 8)
+	if err != nil {
+		return JobRecord{}, err
+	}
+	record := JobRecord{
+		Content: fixed.Content, Items: fixed.Items, Appended: fixed.Appended,
+		Created: time.UnixMilli(fixed.Created), Accepted: timeOf(fixed.Accepted), Ended: timeOf(fixed.Ended),
+		Deadline: time.UnixMilli(fixed.Deadline), Weight: fixed.Weight, MaxTries: fixed.MaxTries,
+		Retention: time.Duration(fixed.Retention), State: fixed.State,
+	}
+	setStrings(fields, &record.JobID, &record.Tenant, &record.Key, &record.FileID, &record.Model, &record.Endpoint,
+		&record.Window)
+	record.Metadata = append([]byte(nil), fields[7]...)
+	return record, nil
+}
+
+func milliseconds(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func timeOf(milliseconds int64) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(milliseconds)
+}
+
+// Counters counts a job's results.
+type Counters struct {
+	Succeeded uint32
+	Failed    uint32
+	Unknown   uint32
+	// Dropped counts results that came second.
+	Dropped uint32
+	Tokens  uint64
+}
+
+// Final counts the items that have a result.
+func (c Counters) Final() uint32 { return c.Succeeded + c.Failed + c.Unknown }
+
+func (c Counters) encode() ([]byte, error) { return wire.Marshal(recordVersion, c) }
+
+// DecodeCounters reads a job's counters.
+func DecodeCounters(stored []byte) (Counters, error) {
+	var counters Counters
+	_, err := wire.Unmarshal(stored, recordVersion, &counters, 0)
+	return counters, err
+}
+
+// ResultRecord is the kept result of an item.
+type ResultRecord struct {
+	Index      uint32
+	Status     jobs.ItemStatus
+	HTTPStatus uint16
+	Tokens     uint32
+	Epoch      uint64
+	At         time.Time
+	CustomID   string
+	Body       []byte
+}
+
+type resultRecordNumbers struct {
+	Status     jobs.ItemStatus
+	HTTPStatus uint16
+	Tokens     uint32
+	Epoch      uint64
+	At         int64
+}
+
+func (r *ResultRecord) encode() ([]byte, error) {
+	fixed := resultRecordNumbers{r.Status, r.HTTPStatus, r.Tokens, r.Epoch, r.At.UnixMilli()}
+	return wire.Marshal(recordVersion, fixed, []byte(r.CustomID), r.Body)
+}
+
+// DecodeResult reads a stored result; Body aliases stored, and Index is left
+// to the caller.
+func DecodeResult(stored []byte) (ResultRecord, error) {
+	var fixed resultRecordNumbers
+	fields, err := wire.Unmarshal(stored, recordVersion, &fixed, 2)
+	if err != nil {
+		return ResultRecord{}, err
+	}
+	return ResultRecord{
+		Status: fixed.Status, HTTPStatus: fixed.HTTPStatus, Tokens: fixed.Tokens, Epoch: fixed.Epoch,
+		At: time.UnixMilli(fixed.At), CustomID: string(fields[0]), Body: fields[1],
+	}, nil
+}
+
+// leaseRecord is a stored lease: the items that it was given, less those
+// handed back. Items with a result stay in the list.
+type leaseRecord struct {
+	dispatcher string
+	indexes    []uint32
+}
+
+func (l *leaseRecord) encode() ([]byte, error) {
+	indexes := make([]byte, 0, 4*len(l.indexes))
+	for _, index := range l.indexes {
+		indexes = binary.BigEndian.AppendUint32(indexes, index)
+	}
+	return wire.Marshal(recordVersion, numbers{}, []byte(l.dispatcher), indexes)
+}
+
+func decodeLeaseRecord(stored []byte) (leaseRecord, error) {
+	fields, err := wire.Unmarshal(stored, recordVersion, &numbers{}, 2)
+	if err != nil {
+		return leaseRecord{}, err
+	}
+	record := leaseRecord{dispatcher: string(fields[0])}
+	for rest := fields[1]; len(rest) >= 4; rest = rest[4:] {
+		record.indexes = append(record.indexes, binary.BigEndian.Uint32(rest))
+	}
+	return record, nil
+}
+
+// tries counts what went wrong with an item.
+type tries struct {
+	Faults uint8 // the engine's own errors
+	Losses uint8 // engines that vanished while they ran it
+}
+
+func (t tries) encode() ([]byte, error) { return wire.Marshal(recordVersion, t) }
+
+func decodeTries(stored []byte) (tries, error) {
+	var decoded tries
+	_, err := wire.Unmarshal(stored, recordVersion, &decoded, 0)
+	return decoded, err
+}
--- /dev/null
+++ b/internal/jobs/machine/result.go
@@ -0,0 +1,213 @@
+package machine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"chutelock.dev/chutelock/internal/jobs"
+)
+
+// A result of status ItemOpen hands an item back to its job. Its HTTPStatus
+// says why; these are the reasons beside the engine's own error statuses.
+const (
+	// ReturnNotRun: no engine ran any of it; nothing is counted.
+	ReturnNotRun uint16 = 0
+	// ReturnLost: the engine vanished while it ran the item.
+	ReturnLost uint16 = http.StatusBadGateway
+)
+
+// maximumLosses is how many engines an item may lose before it is taken for
+// the cause.
+const maximumLosses = 8
+
+const codeOutcomeUnknown = "outcome_unknown"
+
+// errorBody is an OpenAI-shaped error.
+func errorBody(code, message string) []byte {
+	type inner struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	}
+	body, _ := json.Marshal(struct { // two strings always encode
+		Error inner `json:"error"`
+	}{inner{code, message}})
+	return body
+}
+
+func (tx *transaction) report(c *Report) (Answer, error) {
+	answer := Answer{Code: CodeOK}
+	for _, result := range c.Results {
+		kept, err := tx.reportOne(result)
+		if err != nil {
+			return Answer{}, err
+		}
+		if kept {
+			answer.Count++
+		}
+	}
+	return answer, nil
+}
+
+func (tx *transaction) reportOne(result jobs.Result) (kept bool, err error) {
+	job, ok := tx.machine.open[result.JobID]
+	if !ok {
+		return false, tx.drop(result)
+	}
+	if result.Index >= job.record.Items || result.Status > jobs.ItemExpired {
+		return false, nil
+	}
+	if job.done.has(result.Index) {
+		return false, tx.drop(result)
+	}
+	if result.Status == jobs.ItemOpen {
+		return false, tx.handBack(job, result)
+	}
+	return true, tx.record(job, result)
+}
+
+// drop counts a result that came second or too late, unless it is a repeat of
+// the kept one.
+func (tx *transaction) drop(result jobs.Result) error {
+	if result.Status == jobs.ItemOpen {
+		return nil
+	}
+	stored, ok, err := GetResult(tx, result.JobID, result.Index)
+	if err != nil || (ok && stored.Epoch == result.Epoch) {
+		return err
+	}
+	touched, err := tx.touch(result.JobID)
+	if err != nil || touched == nil {
+		return err
+	}
+	touched.counters.Dropped++
+	return nil
+}
+
+// record keeps the first result of an item.
+func (tx *transaction) record(job *openJob, result jobs.Result) error {
+	jobID := job.record.JobID
+	item, err := GetItem(tx, jobID, result.Index)
+	if err != nil {
+		return err
+	}
+	kept := ResultRecord{
+		Status: result.Status, HTTPStatus: result.HTTPStatus, Tokens: result.CompletionTokens,
+		Epoch: result.Epoch, At: time.UnixMilli(tx.now), CustomID: item.CustomID, Body: result.Body,
+	}
+	encoded, err := kept.encode()
+	if err != nil {
+		return err
+	}
+	if err := tx.Set(key32(tableResult, jobID, result.Index), encoded); err != nil {
+		return err
+	}
+	if err := tx.Delete(key32(tableItem, jobID, result.Index)); err != nil {
+		return err
+	}
+	return tx.count(job, result)
+}
+
+// count updates the job's summary and counters for a kept result.
+func (tx *transaction) count(job *openJob, result jobs.Result) error {
+	touched, err := tx.touch(job.record.JobID)
+	if err != nil {
+		return err
+	}
+	touched.blocks[result.Index/blockItems] = true
+	switch result.Status {
+	case jobs.ItemSucceeded:
+		touched.counters.Succeeded++
+	case jobs.ItemOutcomeUnknown:
+		touched.counters.Unknown++
+	default:
+		touched.counters.Failed++
+	}
+	touched.counters.Tokens += uint64(result.CompletionTokens)
+	tx.countRate(job.record.Model)
+	epoch, leased := job.leased[result.Index]
+	job.finish(result.Index)
+	if leased {
+		return tx.shrinkLease(job, epoch)
+	}
+	return nil
+}
+
+// shrinkLease removes a lease when its last item has a result.
+func (tx *transaction) shrinkLease(job *openJob, epoch uint64) error {
+	held := job.leases[epoch]
+	held.remaining--
+	if held.remaining > 0 {
+		return nil
+	}
+	delete(job.leases, epoch)
+	return tx.Delete(key64(tableLease, job.record.JobID, epoch))
+}
+
+// handBack makes a leased item open again, or fails it after too many tries.
+func (tx *transaction) handBack(job *openJob, result jobs.Result) error {
+	if epoch, leased := job.leased[result.Index]; !leased || epoch != result.Epoch {
+		return nil
+	}
+	if _, started := job.started[result.Index]; started {
+		if result.HTTPStatus != ReturnNotRun {
+			return tx.recordUnknown(job, result.Index, result.Epoch)
+		}
+		delete(job.started, result.Index)
+		if err := tx.Delete(key32(tableStarted, job.record.JobID, result.Index)); err != nil {
+			return err
+		}
+	}
+	if result.HTTPStatus != ReturnNotRun {
+		exhausted, err := tx.countTry(job, result)
+		if err != nil {
+			return err
+		}
+		if exhausted {
+			result.Status = jobs.ItemFailed
+			return tx.record(job, result)
+		}
+	}
+	return tx.releaseItem(job, result.Index, result.Epoch)
+}
+
+func (tx *transaction) releaseItem(job *openJob, index uint32, epoch uint64) error {
+	held := job.leases[epoch]
+	for position, candidate := range held.indexes {
+		if candidate == index {
+			held.indexes = append(held.indexes[:position], held.indexes[position+1:]...)
+			break
+		}
+	}
+	job.reopen(index)
+	held.remaining--
+	if held.remaining > 0 {
+		return tx.storeLease(job, epoch)
+	}
+	delete(job.leases, epoch)
+	return tx.Delete(key64(tableLease, job.record.JobID, epoch))
+}
+
+// countTry counts a failed try and says whether it was the last one.
+func (tx *transaction) countTry(job *openJob, result jobs.Result) (exhausted bool, err error) {
+	storeKey := key32(tableTries, job.record.JobID, result.Index)
+	var counted tries
+	if stored, ok, err := tx.Get(storeKey); err != nil {
+		return false, err
+	} else if ok {
+		if counted, err = decodeTries(stored); err != nil {
+			return false, err
+		}
+	}
+	if result.HTTPStatus == ReturnLost {
+		counted.Losses++
+	} else {
+		counted.Faults++
+	}
+	encoded, err := counted.encode()
+	if err != nil {
+		return false, err
+	}
+	exhausted = counted.Faults >= job.record.MaxTries || counted.Losses >= maximumLosses
+	return exhausted, tx.Set(storeKey, encoded)
+}
