--- /dev/null
+++ b/internal/jobs/command/leader.go
@@ -0,0 +1,235 @@
+package command
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/jobs/machine"
+	"chutelock.dev/chutelock/internal/jobs/remote"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+// Keeper does the work of the shards that this node leads: it answers offers,
+// leases and renewals, ends leases that are no longer renewed, and lets
+// deadlines and retention act.
+type Keeper struct {
+	directory ledger.Directory
+	machines  func(ledger.ShardID) *machine.Machine
+
+	// mutex guards states; the machines' own locks are never taken under it.
+	mutex  sync.Mutex
+	states map[ledger.ShardID]*keeperState
+}
+
+// NewKeeper returns the keeper of a node; machines gives the machine of each
+// shard that has a replica here.
+func NewKeeper(directory ledger.Directory, machines func(ledger.ShardID) *machine.Machine) *Keeper {
+	return &Keeper{directory: directory, machines: machines, states: map[ledger.ShardID]*keeperState{}}
+}
+
+// Register sets the handlers of the lease operations.
+func (k *Keeper) Register(server *remote.Server) {
+	server.Handle(remote.OperationOffer, k.offer)
+	server.Handle(remote.OperationLease, k.lease)
+	server.Handle(remote.OperationRenew, k.renew)
+}
+
+const (
+	keeperInterval = 500 * time.Millisecond
+	// retentionInterval is the time between looks for files and jobs that are
+	// due to be removed.
+	retentionInterval = 10 * time.Second
+)
+
+// Run works until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(keeperInterval)
+	defer ticker.Stop()
+	lastRetention := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			retention := now.Sub(lastRetention) >= retentionInterval
+			if retention {
+				lastRetention = now
+			}
+			k.tickAll(ctx, now, retention)
+		}
+	}
+}
+
+func (k *Keeper) tickAll(ctx context.Context, now time.Time, retention bool) {
+	for id := range ledger.ShardID(k.directory.Shards()) {
+		shard, ok := k.directory.Local(id)
+		if !ok {
+			continue
+		}
+		leading, term := shard.Leading()
+		if !leading {
+			continue
+		}
+		if err := k.tick(ctx, id, shard, term, now, retention); err != nil && ctx.Err() == nil {
+			eventKeeperFailed.Error(err, "shard", id)
+		}
+	}
+}
+
+func (k *Keeper) tick(ctx context.Context, id ledger.ShardID, shard ledger.Shard, term uint64, now time.Time,
+	retention bool) error {
+	ctx, cancel := context.WithTimeout(ctx, keeperInterval*4)
+	defer cancel()
+	held := k.machines(id).HeldLeases()
+	for _, ended := range k.expired(id, now, term, held) {
+		eventLeasesExpired.Info("shard", id, "dispatcher", ended.Dispatcher, "leases", len(ended.Epochs))
+		if err := k.propose(ctx, shard, now, &ended); err != nil {
+			return trace.Wrap(err, "end leases of %s", ended.Dispatcher)
+		}
+	}
+	due := k.machines(id).DeadlinePassed(now)
+	if !due && retention {
+		var err error
+		if due, err = retentionDue(ctx, shard, now); err != nil {
+			return trace.Wrap(err, "look for what is due")
+		}
+	}
+	if !due {
+		return nil
+	}
+	return trace.Wrap(k.propose(ctx, shard, now, &machine.Tick{}), "tick")
+}
+
+func (k *Keeper) propose(ctx context.Context, shard ledger.Shard, now time.Time, command machine.Command) error {
+	entry, err := machine.Encode(now, command)
+	if err != nil {
+		return err
+	}
+	_, err = shard.Propose(ctx, entry)
+	return err
+}
+
+func retentionDue(ctx context.Context, shard ledger.Shard, now time.Time) (due bool, err error) {
+	err = shard.Read(ctx, func(reader ledger.Reader) error {
+		due, err = machine.RemovalDue(reader, now)
+		return err
+	})
+	return due, err
+}
+
+func (k *Keeper) expired(id ledger.ShardID, now time.Time, term uint64, held []machine.HeldLease) []machine.ExpireLeases {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.state(id).expired(now, term, held)
+}
+
+func (k *Keeper) state(id ledger.ShardID) *keeperState {
+	state, ok := k.states[id]
+	if !ok {
+		state = &keeperState{}
+		k.states[id] = state
+	}
+	return state
+}
+
+// lease proposes a LeaseItems entry unless nothing waits: an idle fleet that
+// asks must not fill the log.
+func (k *Keeper) lease(ctx context.Context, id ledger.ShardID, shard ledger.Shard, entry []byte) ([]byte, error) {
+	_, command, err := machine.Decode(entry)
+	if err != nil {
+		return nil, err
+	}
+	wanted, ok := command.(*machine.LeaseItems)
+	if !ok {
+		return nil, trace.BadParameter("a lease operation carries %T", command)
+	}
+	if _, waits := k.machines(id).Waiting(time.Now())[wanted.Model]; !waits {
+		return machine.Answer{Code: machine.CodeOK}.Encode()
+	}
+	return shard.Propose(ctx, entry)
+}
+
+const messageVersion = 1
+
+// offerNumbers tells how much waits for a model in a shard.
+type offerNumbers struct {
+	Items uint64
+	Slack int64 // milliseconds; the least of the waiting jobs
+}
+
+// offer lists what waits: fields of model and offerNumbers in turn.
+func (k *Keeper) offer(_ context.Context, id ledger.ShardID, _ ledger.Shard, _ []byte) ([]byte, error) {
+	var fields [][]byte
+	for model, waiting := range k.machines(id).Waiting(time.Now()) {
+		encoded, err := wire.Marshal(messageVersion, offerNumbers{waiting.Items, waiting.Slack.Milliseconds()})
+		if err != nil {
+			return nil, err
+		}
+		fields = append(fields, []byte(model), encoded)
+	}
+	return wire.Marshal(messageVersion, none{}, fields...)
+}
+
+// none is the fixed part of a message without numbers.
+type none struct{}
+
+// renewRequest renews the leases of a dispatcher in one shard.
+type renewRequest struct {
+	dispatcher string
+	epochs     []uint64
+	jobIDs     []string
+}
+
+func (r *renewRequest) encode() ([]byte, error) {
+	fields := [][]byte{[]byte(r.dispatcher), machine.EncodeEpochs(r.epochs)}
+	for _, jobID := range r.jobIDs {
+		fields = append(fields, []byte(jobID))
+	}
+	return wire.Marshal(messageVersion, none{}, fields...)
+}
+
+func decodeRenewRequest(message []byte) (renewRequest, error) {
+	fields, err := wire.Unmarshal(message, messageVersion, &none{}, -1)
+	if err != nil {
+		return renewRequest{}, err
+	}
+	if len(fields) < 2 {
+		return renewRequest{}, wire.ErrLength
+	}
+	epochs, err := machine.DecodeEpochs(fields[1])
+	return renewRequest{string(fields[0]), epochs, texts(fields[2:])}, err
+}
+
+func texts(fields [][]byte) []string {
+	converted := make([]string, 0, len(fields))
+	for _, field := range fields {
+		converted = append(converted, string(field))
+	}
+	return converted
+}
+
+// renew answers with the jobs that are not open any more. Reading through the
+// shard confirms that this replica still leads: a leader that was cut off must
+// not extend the life of leases whose job its successor has cancelled.
+func (k *Keeper) renew(ctx context.Context, id ledger.ShardID, shard ledger.Shard, payload []byte) ([]byte, error) {
+	request, err := decodeRenewRequest(payload)
+	if err != nil {
+		return nil, err
+	}
+	if err := shard.Read(ctx, func(ledger.Reader) error { return nil }); err != nil {
+		return nil, err
+	}
+	closed := k.machines(id).Closed(request.jobIDs)
+	k.mutex.Lock()
+	k.state(id).renewed(time.Now(), request.dispatcher, request.epochs)
+	k.mutex.Unlock()
+	fields := make([][]byte, 0, len(closed))
+	for _, jobID := range closed {
+		fields = append(fields, []byte(jobID))
+	}
+	return wire.Marshal(messageVersion, none{}, fields...)
+}
--- /dev/null
+++ b/internal/jobs/command/work.go
@@ -0,0 +1,358 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/jobs/machine"
+	"chutelock.dev/chutelock/internal/jobs/remote"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+const (
+	// leaseBytes bounds the items of one lease.
+	leaseBytes = 4 << 20
+	// offerTimeout bounds the wait for the offers of all shards.
+	offerTimeout = time.Second
+	// The time between looks at all shards' offers grows with their number, so
+	// that the look costs a node the same at any size.
+	offerInterval         = 500 * time.Millisecond
+	offerIntervalPerShard = 50 * time.Millisecond
+	// reportBytes and reportResults bound one Report entry.
+	reportBytes   = 4 << 20
+	reportResults = 512
+)
+
+// Work implements jobs.Work from any node. Its methods may be called
+// concurrently.
+type Work struct {
+	caller Caller
+
+	// mutex guards the fields below; no call is made while it is held.
+	mutex    sync.Mutex
+	offers   map[ledger.ShardID]map[string]offerNumbers
+	offersAt time.Time
+	looking  bool
+	held     map[heldKey]*heldLease
+}
+
+// heldKey names a lease that this node was given.
+type heldKey struct {
+	jobID string
+	epoch uint64
+}
+
+type heldLease struct {
+	dispatcher string
+	shard      ledger.ShardID
+	remaining  map[uint32]struct{}
+}
+
+var _ jobs.Work = (*Work)(nil)
+
+// NewWork returns the work of a node.
+func NewWork(caller Caller) *Work {
+	return &Work{
+		caller: caller, held: map[heldKey]*heldLease{}, offers: map[ledger.ShardID]map[string]offerNumbers{},
+	}
+}
+
+// Lease implements jobs.Work. The leases' Expires is the time until which the
+// dispatcher may start their items, by this node's clock.
+func (w *Work) Lease(ctx context.Context, dispatcher, model string, count int) ([]jobs.Lease, error) {
+	w.refreshOffers(ctx)
+	var failures []error
+	for _, shard := range w.shardsWith(model) {
+		leases, err := w.leaseAt(ctx, shard, dispatcher, model, count)
+		if err != nil {
+			failures = append(failures, err)
+			w.setOffer(shard, model, offerNumbers{})
+			continue
+		}
+		if len(leases) > 0 {
+			return leases, nil
+		}
+	}
+	return nil, trace.NewAggregate(failures...)
+}
+
+func (w *Work) leaseAt(ctx context.Context, shard ledger.ShardID, dispatcher, model string, count int) ([]jobs.Lease, error) {
+	sent := time.Now()
+	answer, err := perform(ctx, w.caller, remote.OperationLease, shard, &machine.LeaseItems{
+		Dispatcher: dispatcher, Model: model, Count: uint32(count), MaxBytes: leaseBytes,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := expect("lease items", answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Leases) == 0 {
+		w.setOffer(shard, model, offerNumbers{})
+	}
+	for i := range answer.Leases {
+		answer.Leases[i].Expires = sent.Add(StartValidity)
+		w.hold(shard, dispatcher, answer.Leases[i])
+	}
+	return answer.Leases, nil
+}
+
+func (w *Work) hold(shard ledger.ShardID, dispatcher string, lease jobs.Lease) {
+	held := &heldLease{dispatcher: dispatcher, shard: shard, remaining: make(map[uint32]struct{}, len(lease.Items))}
+	for _, item := range lease.Items {
+		held.remaining[item.Index] = struct{}{}
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.held[heldKey{lease.JobID, lease.Epoch}] = held
+}
+
+func (w *Work) setOffer(shard ledger.ShardID, model string, offer offerNumbers) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.offers[shard] == nil {
+		w.offers[shard] = map[string]offerNumbers{}
+	}
+	w.offers[shard][model] = offer
+}
+
+// shardsWith lists the shards where items of the model wait, the least slack
+// first.
+func (w *Work) shardsWith(model string) []ledger.ShardID {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var shards []ledger.ShardID
+	for shard, offers := range w.offers {
+		if offers[model].Items > 0 {
+			shards = append(shards, shard)
+		}
+	}
+	slices.SortFunc(shards, func(a, b ledger.ShardID) int {
+		return cmp.Or(cmp.Compare(w.offers[a][model].Slack, w.offers[b][model].Slack), cmp.Compare(a, b))
+	})
+	return shards
+}
+
+// refreshOffers asks all shards for their offers, unless that was done lately
+// or is being done.
+func (w *Work) refreshOffers(ctx context.Context) {
+	if !w.beginLook(time.Now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	fresh := make([]map[string]offerNumbers, w.caller.Shards())
+	var group errgroup.Group
+	for shard := range fresh {
+		group.Go(func() error {
+			fresh[shard] = w.offersOf(ctx, ledger.ShardID(shard))
+			return nil
+		})
+	}
+	_ = group.Wait() // a shard that can't be reached offers nothing
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.looking = false
+	for shard, offers := range fresh {
+		w.offers[ledger.ShardID(shard)] = offers
+	}
+}
+
+func (w *Work) beginLook(now time.Time) bool {
+	interval := max(offerInterval, time.Duration(w.caller.Shards())*offerIntervalPerShard)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.looking || now.Sub(w.offersAt) < interval {
+		return false
+	}
+	w.looking = true
+	w.offersAt = now
+	return true
+}
+
+func (w *Work) offersOf(ctx context.Context, shard ledger.ShardID) map[string]offerNumbers {
+	answer, err := w.caller.Call(ctx, remote.OperationOffer, shard, nil)
+	if err != nil {
+		return nil
+	}
+	fields, err := wire.Unmarshal(answer, messageVersion, &none{}, -1)
+	if err != nil {
+		return nil
+	}
+	offers := map[string]offerNumbers{}
+	for ; len(fields) >= 2; fields = fields[2:] {
+		var offer offerNumbers
+		if _, err := wire.Unmarshal(fields[1], messageVersion, &offer, 0); err == nil {
+			offers[string(fields[0])] = offer
+		}
+	}
+	return offers
+}
+
+// Start implements jobs.Work. An error means that the item must not be sent,
+// and that its start may or may not be recorded: hand it back.
+func (w *Work) Start(ctx context.Context, lease jobs.Lease, index uint32) (bool, error) {
+	shard, ok := jobs.ShardOfJob(lease.JobID, w.caller.Shards())
+	if !ok {
+		return false, ErrNotFound
+	}
+	answer, err := propose(ctx, w.caller, shard, &machine.Start{JobID: lease.JobID, Index: index, Epoch: lease.Epoch})
+	if err != nil {
+		return false, trace.Wrap(err, "start item %d of %s", index, lease.JobID)
+	}
+	return answer.Code == machine.CodeOK, nil
+}
+
+// Report implements jobs.Work.
+func (w *Work) Report(ctx context.Context, results []jobs.Result) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for shard, ofShard := range w.byShard(results) {
+		group.Go(func() error { return w.reportTo(ctx, shard, ofShard) })
+	}
+	return group.Wait()
+}
+
+func (w *Work) byShard(results []jobs.Result) map[ledger.ShardID][]jobs.Result {
+	grouped := map[ledger.ShardID][]jobs.Result{}
+	for _, result := range results {
+		if shard, ok := jobs.ShardOfJob(result.JobID, w.caller.Shards()); ok {
+			grouped[shard] = append(grouped[shard], result)
+		}
+	}
+	return grouped
+}
+
+func (w *Work) reportTo(ctx context.Context, shard ledger.ShardID, results []jobs.Result) error {
+	for len(results) > 0 {
+		count := entrySize(results)
+		if _, err := propose(ctx, w.caller, shard, &machine.Report{Results: results[:count]}); err != nil {
+			return trace.Wrap(err, "report results")
+		}
+		w.reported(results[:count])
+		results = results[count:]
+	}
+	return nil
+}
+
+// entrySize is how many of the results go into one entry.
+func entrySize(results []jobs.Result) int {
+	bytes := 0
+	for i, result := range results {
+		bytes += len(result.Body)
+		if i > 0 && (i == reportResults || bytes > reportBytes) {
+			return i
+		}
+	}
+	return len(results)
+}
+
+// reported forgets items that were reported, and leases without items, so
+// that they are not renewed any more.
+func (w *Work) reported(results []jobs.Result) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, result := range results {
+		key := heldKey{result.JobID, result.Epoch}
+		held, ok := w.held[key]
+		if !ok {
+			continue
+		}
+		delete(held.remaining, result.Index)
+		if len(held.remaining) == 0 {
+			delete(w.held, key)
+		}
+	}
+}
+
+// Renew implements jobs.Work: it renews the dispatcher's leases of the jobs.
+// A job is revoked when it is final. A failure is a *jobs.RenewError.
+func (w *Work) Renew(ctx context.Context, dispatcher string, jobIDs []string) (revoked []string, err error) {
+	requests := w.renewals(dispatcher, jobIDs)
+	answers := make([][]string, len(requests))
+	failures := make([]error, len(requests))
+	var group sync.WaitGroup
+	for i, request := range requests {
+		group.Go(func() { answers[i], failures[i] = w.renewAt(ctx, request.shard, &request.renewRequest) })
+	}
+	group.Wait()
+	failed := &jobs.RenewError{}
+	for i, answer := range answers {
+		revoked = append(revoked, answer...)
+		if failures[i] != nil {
+			failed.JobIDs = append(failed.JobIDs, requests[i].jobIDs...)
+			failed.Cause = failures[i]
+		}
+	}
+	w.forget(revoked)
+	if failed.Cause != nil {
+		return revoked, failed
+	}
+	return revoked, nil
+}
+
+type shardRenewal struct {
+	shard ledger.ShardID
+	renewRequest
+}
+
+func (w *Work) renewals(dispatcher string, jobIDs []string) []shardRenewal {
+	byShard := map[ledger.ShardID]*shardRenewal{}
+	for _, jobID := range jobIDs {
+		shard, ok := jobs.ShardOfJob(jobID, w.caller.Shards())
+		if !ok {
+			continue
+		}
+		if byShard[shard] == nil {
+			byShard[shard] = &shardRenewal{shard, renewRequest{dispatcher: dispatcher}}
+		}
+		byShard[shard].jobIDs = append(byShard[shard].jobIDs, jobID)
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for key, held := range w.held {
+		renewal, wanted := byShard[held.shard]
+		if wanted && held.dispatcher == dispatcher && slices.Contains(renewal.jobIDs, key.jobID) {
+			renewal.epochs = append(renewal.epochs, key.epoch)
+		}
+	}
+	renewals := make([]shardRenewal, 0, len(byShard))
+	for _, renewal := range byShard {
+		renewals = append(renewals, *renewal)
+	}
+	return renewals
+}
+
+func (w *Work) renewAt(ctx context.Context, shard ledger.ShardID, request *renewRequest) ([]string, error) {
+	payload, err := request.encode()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	answer, err := w.caller.Call(ctx, remote.OperationRenew, shard, payload)
+	if err != nil {
+		return nil, trace.Wrap(err, "renew leases")
+	}
+	fields, err := wire.Unmarshal(answer, messageVersion, &none{}, -1)
+	if err != nil {
+		return nil, trace.Wrap(err, "renew leases")
+	}
+	return texts(fields), nil
+}
+
+// forget drops the leases of jobs that are final.
+func (w *Work) forget(jobIDs []string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for key := range w.held {
+		if slices.Contains(jobIDs, key.jobID) {
+			delete(w.held, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/identifier.go
@@ -0,0 +1,95 @@
+package jobs
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chutelock.dev/chutelock/internal/ledger"
+)
+
+// Prefixes of identifiers. Behind the prefix come four hexadecimal digits of
+// the shard, so that any node can find the shard, and a random part.
+const (
+	prefixFile   = "file-"
+	prefixJob    = "batch_"
+	prefixOutput = "file-out-"
+	prefixErrors = "file-err-"
+)
+
+const (
+	shardDigits  = 4
+	randomBytes  = 10
+	randomDigits = 2 * randomBytes
+)
+
+// ShardOfKey is the shard of a job: that of its tenant and idempotency key, so
+// that a resend meets its own record.
+func ShardOfKey(tenant, idempotencyKey string, shards int) ledger.ShardID {
+	return ledger.ShardID(xxhash.Sum64String(tenant+"\x00"+idempotencyKey) % uint64(shards))
+}
+
+// NewFileID makes an identifier of an input file in a shard.
+func NewFileID(shard ledger.ShardID) string { return newIdentifier(prefixFile, shard) }
+
+// NewJobID makes an identifier of a job in a shard.
+func NewJobID(shard ledger.ShardID) string { return newIdentifier(prefixJob, shard) }
+
+func newIdentifier(prefix string, shard ledger.ShardID) string {
+	return fmt.Sprintf("%s%04x%s", prefix, shard, randomText())
+}
+
+func randomText() string {
+	var random [randomBytes]byte
+	_, _ = rand.Read(random[:]) // never fails
+	return hex.EncodeToString(random[:])
+}
+
+// NewKey makes an idempotency key for a caller that gave none.
+func NewKey() string { return "none-" + randomText() }
+
+// OutputFileID names the file of a job's good results.
+func OutputFileID(jobID string) string { return prefixOutput + strings.TrimPrefix(jobID, prefixJob) }
+
+// ErrorFileID names the file of a job's other results.
+func ErrorFileID(jobID string) string { return prefixErrors + strings.TrimPrefix(jobID, prefixJob) }
+
+// ShardOfJob reads the shard out of a job's identifier.
+func ShardOfJob(jobID string, shards int) (ledger.ShardID, bool) {
+	return shardOf(jobID, prefixJob, shards)
+}
+
+// ShardOfFile reads the shard out of an input file's identifier.
+func ShardOfFile(fileID string, shards int) (ledger.ShardID, bool) {
+	return shardOf(fileID, prefixFile, shards)
+}
+
+// ResultFile splits the identifier of a result file.
+func ResultFile(fileID string) (jobID string, errors, ok bool) {
+	if rest, found := strings.CutPrefix(fileID, prefixOutput); found {
+		return prefixJob + rest, false, true
+	}
+	if rest, found := strings.CutPrefix(fileID, prefixErrors); found {
+		return prefixJob + rest, true, true
+	}
+	return "", false, false
+}
+
+func shardOf(identifier, prefix string, shards int) (ledger.ShardID, bool) {
+	rest, found := strings.CutPrefix(identifier, prefix)
+	if !found || len(rest) != shardDigits+randomDigits {
+		return 0, false
+	}
+	if _, err := hex.DecodeString(rest); err != nil {
+		return 0, false
+	}
+	shard, err := strconv.ParseUint(rest[:shardDigits], 16, 16)
+	if err != nil || shard >= uint64(shards) {
+		return 0, false
+	}
+	return ledger.ShardID(shard), true
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -71,3 +71,16 @@
 	// revoked (cancelled): their items must stop at once.
 	Renew(ctx context.Context, dispatcher string, jobIDs []string) (revoked []string, err error)
 }
+
+// RenewError says which jobs' leases Renew could not renew; those of the
+// other jobs were renewed.
+type RenewError struct {
+	JobIDs []string
+	Cause  error
+}
+
+// Error implements error.
+func (e *RenewError) Error() string { return "jobs: leases were not renewed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RenewError) Unwrap() error { return e.Cause }
--- a/internal/jobs/machine/answer.go
+++ b/internal/jobs/machine/answer.go
@@ -44,7 +44,8 @@
 	Sealed bool
 }
 
-func (a Answer) encode() ([]byte, error) {
+// Encode encodes the answer.
+func (a Answer) Encode() ([]byte, error) {
 	fields := make([][]byte, 0, 1+len(a.Leases))
 	fields = append(fields, []byte(a.JobID))
 	for _, lease := range a.Leases {
--- a/internal/jobs/machine/codec.go
+++ b/internal/jobs/machine/codec.go
@@ -235,7 +235,7 @@
 }
 
 func (c *ExpireLeases) marshal() ([]byte, error) {
-	return wire.Marshal(bodyVersion, numbers{}, []byte(c.Dispatcher), encodeEpochs(c.Epochs))
+	return wire.Marshal(bodyVersion, numbers{}, []byte(c.Dispatcher), EncodeEpochs(c.Epochs))
 }
 
 func (c *ExpireLeases) unmarshal(message []byte) error {
@@ -244,7 +244,7 @@
 		return err
 	}
 	setStrings(fields, &c.Dispatcher)
-	c.Epochs, err = decodeEpochs(fields[1])
+	c.Epochs, err = DecodeEpochs(fields[1])
 	return err
 }
 
@@ -289,7 +289,8 @@
 	return item, nil
 }
 
-func encodeEpochs(epochs []uint64) []byte {
+// EncodeEpochs encodes epochs as one variable field.
+func EncodeEpochs(epochs []uint64) []byte {
 	encoded := make([]byte, 0, 8*len(epochs))
 	for _, epoch := range epochs {
 		encoded = binary.BigEndian.AppendUint64(encoded, epoch)
@@ -297,7 +298,8 @@
 	return encoded
 }
 
-func decodeEpochs(encoded []byte) ([]uint64, error) {
+// DecodeEpochs reads what EncodeEpochs made.
+func DecodeEpochs(encoded []byte) ([]uint64, error) {
 	if len(encoded)%8 != 0 {
 		return nil, wire.ErrLength
 	}
--- a/internal/jobs/machine/intake.go
+++ b/internal/jobs/machine/intake.go
@@ -30,7 +30,7 @@
 }
 
 func (tx *transaction) setFile(record FileRecord) error {
-	encoded, err := record.encode()
+	encoded, err := record.Encode()
 	if err != nil {
 		return err
 	}
@@ -144,7 +144,7 @@
 }
 
 func (tx *transaction) setJob(record JobRecord) error {
-	encoded, err := record.encode()
+	encoded, err := record.Encode()
 	if err != nil {
 		return err
 	}
--- a/internal/jobs/machine/machine.go
+++ b/internal/jobs/machine/machine.go
@@ -63,7 +63,7 @@
 	defer m.mutex.Unlock()
 	at, command, err := Decode(entry)
 	if err != nil {
-		return Answer{Code: CodeMalformed}.encode()
+		return Answer{Code: CodeMalformed}.Encode()
 	}
 	tx := &transaction{Writer: writer, machine: m, index: index}
 	if err := tx.advanceClock(at); err != nil {
@@ -76,7 +76,7 @@
 	if err := tx.storeTouched(); err != nil {
 		return nil, trace.Wrap(err, "apply entry %d: counters", index)
 	}
-	return answer.encode()
+	return answer.Encode()
 }
 
 // advanceClock moves the clock to at, but never back.
@@ -276,7 +276,7 @@
 func (tx *transaction) storeTouched() error {
 	for _, jobID := range sortedKeys(tx.touched) {
 		touched := tx.touched[jobID]
-		encoded, err := touched.counters.encode()
+		encoded, err := touched.counters.Encode()
 		if err != nil {
 			return err
 		}
--- a/internal/jobs/machine/read.go
+++ b/internal/jobs/machine/read.go
@@ -1,6 +1,8 @@
 package machine
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/jobs"
@@ -157,13 +159,51 @@
 	return closed
 }
 
-// OpenItems counts, for each model, the items that wait to be leased.
-func (m *Machine) OpenItems() map[string]uint64 {
+// WaitingItems are the items of a model that wait to be leased.
+type WaitingItems struct {
+	Items uint64
+	// Slack is the least slack of their jobs.
+	Slack time.Duration
+}
+
+// Waiting tells what waits for each model, from the summary in memory.
+func (m *Machine) Waiting(now time.Time) map[string]WaitingItems {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
-	waiting := map[string]uint64{}
+	waiting := map[string]WaitingItems{}
 	for _, job := range m.open {
-		waiting[job.record.Model] += uint64(job.available)
+		if job.available == 0 || !job.record.Deadline.After(now) {
+			continue
+		}
+		slack := time.Duration(m.slack(job, now.UnixMilli())) * time.Millisecond
+		ofModel, seen := waiting[job.record.Model]
+		if !seen || slack < ofModel.Slack {
+			ofModel.Slack = slack
+		}
+		ofModel.Items += uint64(job.available)
+		waiting[job.record.Model] = ofModel
 	}
 	return waiting
 }
+
+// DeadlinePassed says whether a Tick at now would expire a job.
+func (m *Machine) DeadlinePassed(now time.Time) bool {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	for _, job := range m.open {
+		if !job.record.Deadline.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// RemovalDue says whether a Tick at now would remove a file or job.
+func RemovalDue(reader ledger.Reader, now time.Time) (due bool, err error) {
+	from, _ := tableRange(tableExpiry)
+	err = reader.Scan(from, keyOfExpiry(now.UnixMilli()+1, ""), func(_, _ []byte) (bool, error) {
+		due = true
+		return false, nil
+	})
+	return due, err
+}
--- a/internal/jobs/machine/record.go
+++ b/internal/jobs/machine/record.go
@@ -39,7 +39,8 @@
 	Digest    Digest
 }
 
-func (f *FileRecord) encode() ([]byte, error) {
+// Encode encodes the record as it is stored.
+func (f *FileRecord) Encode() ([]byte, error) {
 	fixed := fileRecordNumbers{f.Created.UnixMilli(), int64(f.Retention), f.Sealed, f.Chunks, f.Lines, f.Bytes, f.Digest}
 	return wire.Marshal(recordVersion, fixed, []byte(f.FileID), []byte(f.Tenant), []byte(f.Name),
 		[]byte(f.Purpose), []byte(f.Model), []byte(f.Endpoint))
@@ -112,7 +113,8 @@
 	State     State
 }
 
-func (j *JobRecord) encode() ([]byte, error) {
+// Encode encodes the record as it is stored.
+func (j *JobRecord) Encode() ([]byte, error) {
 	fixed := jobRecordNumbers{
 		Content: j.Content, Items: j.Items, Appended: j.Appended, Created: j.Created.UnixMilli(),
 		Accepted: milliseconds(j.Accepted), Ended: milliseconds(j.Ended), Deadline: j.Deadline.UnixMilli(),
@@ -168,7 +170,8 @@
 // Final counts the items that have a result.
 func (c Counters) Final() uint32 { return c.Succeeded + c.Failed + c.Unknown }
 
-func (c Counters) encode() ([]byte, error) { return wire.Marshal(recordVersion, c) }
+// Encode encodes the counters as they are stored.
+func (c Counters) Encode() ([]byte, error) { return wire.Marshal(recordVersion, c) }
 
 // DecodeCounters reads a job's counters.
 func DecodeCounters(stored []byte) (Counters, error) {
--- /dev/null
+++ b/internal/jobs/query/query.go
@@ -0,0 +1,204 @@
+package query
+
+import (
+	"context"
+	"sort"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/jobs/machine"
+	"chutelock.dev/chutelock/internal/jobs/remote"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+// ErrNotFound says that the tenant has no such file or job.
+var ErrNotFound = trace.NotFound("no such file or batch")
+
+// Caller reaches the leaders of shards.
+type Caller interface {
+	Shards() int
+	Call(ctx context.Context, operation remote.Operation, shard ledger.ShardID, payload []byte) ([]byte, error)
+}
+
+// Queries reads from any node. Its methods may be called concurrently.
+type Queries struct {
+	caller Caller
+}
+
+// New returns the queries of a node.
+func New(caller Caller) *Queries { return &Queries{caller: caller} }
+
+// ask asks one shard. It fails with ErrNotFound when nothing was found.
+func (q *Queries) ask(ctx context.Context, shard ledger.ShardID, asked request) (found, [][]byte, error) {
+	payload, err := asked.encode()
+	if err != nil {
+		return found{}, nil, trace.Wrap(err)
+	}
+	answer, err := q.caller.Call(ctx, remote.OperationQuery, shard, payload)
+	if err != nil {
+		return found{}, nil, trace.Wrap(err, "query shard %d", shard)
+	}
+	var fixed found
+	fields, err := wire.Unmarshal(answer, version, &fixed, -1)
+	if err != nil {
+		return found{}, nil, trace.Wrap(err, "answer of shard %d", shard)
+	}
+	if !fixed.Found {
+		return found{}, nil, ErrNotFound
+	}
+	return fixed, fields, nil
+}
+
+// File reads the record of a tenant's sealed input file.
+func (q *Queries) File(ctx context.Context, tenant, fileID string) (machine.FileRecord, error) {
+	shard, ok := jobs.ShardOfFile(fileID, q.caller.Shards())
+	if !ok {
+		return machine.FileRecord{}, ErrNotFound
+	}
+	asked := request{question: question{Kind: kindFile}, identifier: fileID, tenant: tenant}
+	_, fields, err := q.ask(ctx, shard, asked)
+	if err != nil {
+		return machine.FileRecord{}, err
+	}
+	if len(fields) != 1 {
+		return machine.FileRecord{}, trace.Wrap(wire.ErrLength)
+	}
+	return machine.DecodeFile(fields[0])
+}
+
+// Chunk reads a chunk of a file that File has found.
+func (q *Queries) Chunk(ctx context.Context, fileID string, chunk uint32) ([]byte, error) {
+	shard, ok := jobs.ShardOfFile(fileID, q.caller.Shards())
+	if !ok {
+		return nil, ErrNotFound
+	}
+	asked := request{question: question{Kind: kindChunk, Number: chunk}, identifier: fileID}
+	_, fields, err := q.ask(ctx, shard, asked)
+	if err != nil {
+		return nil, err
+	}
+	if len(fields) != 1 {
+		return nil, trace.Wrap(wire.ErrLength)
+	}
+	return fields[0], nil
+}
+
+// Job reads a tenant's accepted job.
+func (q *Queries) Job(ctx context.Context, tenant, jobID string) (Job, error) {
+	shard, ok := jobs.ShardOfJob(jobID, q.caller.Shards())
+	if !ok {
+		return Job{}, ErrNotFound
+	}
+	_, fields, err := q.ask(ctx, shard, request{question: question{Kind: kindJob}, identifier: jobID, tenant: tenant})
+	if err != nil {
+		return Job{}, err
+	}
+	found, err := decodeJobs(fields)
+	if err != nil || len(found) != 1 {
+		return Job{}, trace.Wrap(wire.ErrLength)
+	}
+	return found[0], nil
+}
+
+func decodeJobs(fields [][]byte) ([]Job, error) {
+	decoded := make([]Job, 0, len(fields)/2)
+	for ; len(fields) >= 2; fields = fields[2:] {
+		record, err := machine.DecodeJob(fields[0])
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		counters, err := machine.DecodeCounters(fields[1])
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		decoded = append(decoded, Job{record, counters})
+	}
+	return decoded, nil
+}
+
+// Jobs lists a tenant's accepted jobs at all shards, the newest first, from
+// the one behind after when that is not empty.
+func (q *Queries) Jobs(ctx context.Context, tenant, after string, limit int) ([]Job, error) {
+	limit = max(1, min(limit, maxListed))
+	var behind Job
+	if after != "" {
+		var err error
+		if behind, err = q.Job(ctx, tenant, after); err != nil {
+			return nil, err
+		}
+	}
+	pages := make([][]Job, q.caller.Shards())
+	group, ctx := errgroup.WithContext(ctx)
+	for shard := range pages {
+		group.Go(func() (err error) {
+			pages[shard], err = q.jobsOf(ctx, ledger.ShardID(shard), tenant, behind, limit)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return newest(pages, limit), nil
+}
+
+func newest(pages [][]Job, limit int) []Job {
+	var merged []Job
+	for _, page := range pages {
+		merged = append(merged, page...)
+	}
+	sort.Slice(merged, func(a, b int) bool {
+		if !merged[a].Created.Equal(merged[b].Created) {
+			return merged[a].Created.After(merged[b].Created)
+		}
+		return merged[a].JobID < merged[b].JobID
+	})
+	return merged[:min(limit, len(merged))]
+}
+
+// jobsOf lists one shard's jobs of the tenant that come behind a job.
+func (q *Queries) jobsOf(ctx context.Context, shard ledger.ShardID, tenant string, behind Job, limit int) ([]Job, error) {
+	asked := request{question: question{Kind: kindJobs, Limit: uint32(limit)}, tenant: tenant}
+	if behind.JobID != "" {
+		asked.identifier = behind.JobID
+		asked.After = behind.Created.UnixMilli()
+	}
+	_, fields, err := q.ask(ctx, shard, asked)
+	if err != nil {
+		return nil, err
+	}
+	return decodeJobs(fields)
+}
+
+// Results visits a tenant's job's results in the order of its items: the good
+// ones, or with errors the others. Of a job that is not final it visits what
+// is there so far.
+func (q *Queries) Results(ctx context.Context, tenant, jobID string, errors bool,
+	visit func(machine.ResultRecord) error) error {
+	shard, ok := jobs.ShardOfJob(jobID, q.caller.Shards())
+	if !ok {
+		return ErrNotFound
+	}
+	asked := request{question: question{Kind: kindResults, Errors: errors}, identifier: jobID, tenant: tenant}
+	for {
+		page, fields, err := q.ask(ctx, shard, asked)
+		if err != nil {
+			return err
+		}
+		for _, field := range fields {
+			result, err := decodeResult(field)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			if err := visit(result); err != nil {
+				return err
+			}
+		}
+		if !page.More {
+			return nil
+		}
+		asked.Number = page.Next
+	}
+}
