Stand-ins of engine and platform as processes, with their HTTP adapters

Engine: completions and chat, plain and SSE, suspend, cancel, fenced orders, lagging /metrics, KV events, export and import. Platform: objects with compare-and-swap, list and watch with bookmarks and 410, leases, lagging machine list, weight store, reader budget, kept in a folder.

--- /dev/null
+++ b/cmd/chutelock-lab/engine.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+
+	"chutelock.dev/chutelock/internal/standin/engine"
+	"chutelock.dev/chutelock/internal/standin/process"
+	"chutelock.dev/chutelock/internal/standin/truth"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{
+		name:    "engine",
+		summary: "run one stand-in of a model engine",
+		run:     runEngine,
+	})
+}
+
+func runEngine(arguments []string) int {
+	flags := newStandinFlags("engine")
+	platformAddress := flags.set.String("platform", "", "`address` of the platform, over the settings file")
+	if code, done := flags.parse(arguments); done {
+		return code
+	}
+	config := engine.DefaultConfig()
+	if err := process.LoadConfig(flags.config, &config); err != nil {
+		return flags.fail(err)
+	}
+	override(&config.Name, flags.name)
+	override(&config.Listen, flags.listen)
+	override(&config.Control, flags.control)
+	override(&config.TruthLog, flags.truthLog)
+	override(&config.Platform, *platformAddress)
+	log, err := truth.OpenLog(config.TruthLog, config.Name)
+	if err != nil {
+		return flags.fail(err)
+	}
+	defer func() { _ = log.Close() }()
+	if err := serveEngine(config, log, flags.readyFile); err != nil {
+		return flags.fail(err)
+	}
+	return exitOK
+}
+
+// serveEngine runs the engine until a signal. It then says that it is leaving,
+// goes on with what it has, and ends when that is done.
+func serveEngine(config engine.Config, log *truth.Log, readyFile string) error {
+	server, err := engine.New(config, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go server.Run(ctx)
+	host, err := process.Start(process.Service{
+		Name:           config.Name,
+		Listen:         config.Listen,
+		Control:        config.Control,
+		Handler:        server.Handler(),
+		ControlHandler: server.ControlHandler(),
+		Injector:       server.Injector(),
+	})
+	if err != nil {
+		return err
+	}
+	defer host.Close()
+	ready := host.Ready()
+	registering, deregister := context.WithCancel(ctx)
+	deregistered := make(chan struct{})
+	go func() {
+		defer close(deregistered)
+		server.Register(registering, ready.Address)
+	}()
+	if err := process.WriteReadyFile(readyFile, ready); err != nil {
+		deregister()
+		return err
+	}
+	engine.EventReady.Info("engine", config.Name, "address", ready.Address, "control", ready.Control)
+	err = untilStopped(host)
+	server.Drain(true)
+	draining, stopDraining := context.WithTimeout(ctx, config.DrainTime)
+	defer stopDraining()
+	server.WaitIdle(draining)
+	host.Shutdown(draining)
+	deregister()
+	<-deregistered
+	engine.EventStopped.Info("engine", config.Name)
+	return err
+}
--- /dev/null
+++ b/cmd/chutelock-lab/platform.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"chutelock.dev/chutelock/internal/standin/platform"
+	"chutelock.dev/chutelock/internal/standin/process"
+	"chutelock.dev/chutelock/internal/standin/truth"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{
+		name:    "platform",
+		summary: "run the stand-in of the platform's services",
+		run:     runPlatform,
+	})
+}
+
+// platformShutdown bounds how long a planned stop waits; open watches are cut.
+const platformShutdown = 500 * time.Millisecond
+
+func runPlatform(arguments []string) int {
+	flags := newStandinFlags("platform")
+	folder := flags.set.String("folder", "", "`folder` that keeps the state, over the settings file")
+	if code, done := flags.parse(arguments); done {
+		return code
+	}
+	config := platform.DefaultConfig()
+	if err := process.LoadConfig(flags.config, &config); err != nil {
+		return flags.fail(err)
+	}
+	override(&config.Name, flags.name)
+	override(&config.Listen, flags.listen)
+	override(&config.Control, flags.control)
+	override(&config.TruthLog, flags.truthLog)
+	override(&config.Folder, *folder)
+	log, err := truth.OpenLog(config.TruthLog, config.Name)
+	if err != nil {
+		return flags.fail(err)
+	}
+	defer func() { _ = log.Close() }()
+	if err := servePlatform(config, log, flags.readyFile); err != nil {
+		return flags.fail(err)
+	}
+	return exitOK
+}
+
+func servePlatform(config platform.Config, log *truth.Log, readyFile string) error {
+	server, err := platform.New(config, log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = server.Close() }()
+	host, err := process.Start(process.Service{
+		Name:           config.Name,
+		Listen:         config.Listen,
+		Control:        config.Control,
+		Handler:        server.Handler(),
+		ControlHandler: server.ControlHandler(),
+		Injector:       server.Injector(),
+	})
+	if err != nil {
+		return err
+	}
+	defer host.Close()
+	ready := host.Ready()
+	if err := process.WriteReadyFile(readyFile, ready); err != nil {
+		return err
+	}
+	platform.EventReady.Info("platform", config.Name, "address", ready.Address, "control", ready.Control)
+	err = untilStopped(host)
+	stopping, cancel := context.WithTimeout(context.Background(), platformShutdown)
+	defer cancel()
+	host.Shutdown(stopping)
+	platform.EventStopped.Info("platform", config.Name)
+	return err
+}
--- /dev/null
+++ b/cmd/chutelock-lab/standin.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chutelock.dev/chutelock/internal/standin/process"
+)
+
+// Exit codes of the stand-ins, beside exitUsage.
+const (
+	exitOK      = 0
+	exitFailure = 1
+)
+
+// standinFlags are common to both stand-ins.
+type standinFlags struct {
+	set       *flag.FlagSet
+	config    string
+	readyFile string
+	name      string
+	listen    string
+	control   string
+	truthLog  string
+}
+
+func newStandinFlags(verb string) *standinFlags {
+	flags := &standinFlags{set: flag.NewFlagSet(verb, flag.ContinueOnError)}
+	flags.set.StringVar(&flags.config, "config", "", "settings `file` in YAML; without one the defaults hold")
+	flags.set.StringVar(&flags.readyFile, "ready-file", "", "`file` that gets the addresses as JSON once the stand-in serves")
+	flags.set.StringVar(&flags.name, "name", "", "name, over the settings file")
+	flags.set.StringVar(&flags.listen, "listen", "", "`address` of the protocol, over the settings file; port 0 takes a free one")
+	flags.set.StringVar(&flags.control, "control", "", "`address` of the control endpoint, over the settings file")
+	flags.set.StringVar(&flags.truthLog, "truth-log", "", "`file` to which what really happened is appended as JSON lines")
+	return flags
+}
+
+// override puts a flag's value over the settings file's.
+func override(target *string, flagged string) {
+	if flagged != "" {
+		*target = flagged
+	}
+}
+
+// parse reads the command line; done says that there is nothing more to do.
+func (f *standinFlags) parse(arguments []string) (code int, done bool) {
+	err := f.set.Parse(arguments)
+	switch {
+	case err == flag.ErrHelp:
+		return exitOK, true
+	case err != nil:
+		return exitUsage, true
+	case f.set.NArg() > 0:
+		fmt.Fprintf(os.Stderr, "%s: unexpected argument %q\n", f.set.Name(), f.set.Arg(0))
+		return exitUsage, true
+	}
+	return exitOK, false
+}
+
+func (f *standinFlags) fail(err error) int {
+	fmt.Fprintf(os.Stderr, "chutelock-lab %s: %v\n", f.set.Name(), err)
+	return exitFailure
+}
+
+// untilStopped waits for SIGTERM or SIGINT, or for serving to fail.
+func untilStopped(host *process.Host) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-host.Failed():
+		return err
+	}
+}
--- a/internal/standin/engine/scheduler/config.go
+++ b/internal/standin/engine/scheduler/config.go
@@ -8,25 +8,25 @@
 // Config is the shape of an engine.
 type Config struct {
 	// MaxRunning bounds the sequences that hold a slot at once.
-	MaxRunning int
+	MaxRunning int `koanf:"max_running"`
 	// TokenBudget bounds the tokens that one step computes.
-	TokenBudget int
+	TokenBudget int `koanf:"token_budget"`
 	// BlockTokens is the number of tokens that a KV block holds.
-	BlockTokens int
+	BlockTokens int `koanf:"block_tokens"`
 	// Blocks is the number of KV blocks.
-	Blocks int
+	Blocks int `koanf:"blocks"`
 	// StepBase is the time of a step, however little it computes.
-	StepBase time.Duration
+	StepBase time.Duration `koanf:"step_base"`
 	// StepPerSequence is added for each sequence in the step.
-	StepPerSequence time.Duration
+	StepPerSequence time.Duration `koanf:"step_per_sequence"`
 	// StepPerPrefillToken is added for each prefilled token.
-	StepPerPrefillToken time.Duration
+	StepPerPrefillToken time.Duration `koanf:"step_per_prefill_token"`
 	// BatchPriority is the priority from which a sequence counts as batch work
 	// in Load.
-	BatchPriority int
+	BatchPriority int `koanf:"batch_priority"`
 	// PreemptSlots lets a waiting sequence also take the slot of a running one
 	// of lower priority. Without it only a shortage of KV blocks preempts.
-	PreemptSlots bool
+	PreemptSlots bool `koanf:"preempt_slots"`
 }
 
 // DefaultConfig is a small engine with steps of a few milliseconds.
--- a/internal/standin/engine/scheduler/scheduler.go
+++ b/internal/standin/engine/scheduler/scheduler.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// Config returns the configuration in force, defaults filled in.
+func (s *Scheduler) Config() Config { return s.config }
+
 // Submit queues a sequence. It fails with ErrDuplicate, ErrInvalid or
 // ErrTooLong, and then nothing has changed.
 func (s *Scheduler) Submit(_ time.Time, submitted Sequence) error {
@@ -148,6 +151,9 @@
 // Reset forgets all sequences and the whole cache, as a restart does.
 func (s *Scheduler) Reset() { *s = *New(s.config) }
 
+// Waiting counts the sequences that wait for a slot.
+func (s *Scheduler) Waiting() int { return len(s.queue) }
+
 // Load returns a snapshot; it costs a pass over the running and the waiting.
 func (s *Scheduler) Load() Load {
 	load := s.load
--- /dev/null
+++ b/internal/standin/fault/listener.go
@@ -0,0 +1,138 @@
+package fault
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// relistenPause is the time between attempts to take the address again.
+const relistenPause = 10 * time.Millisecond
+
+// Listener is a TCP listener that can go down and come back at the same
+// address. While it is down, connections are refused.
+type Listener struct {
+	address net.Addr
+
+	// mutex guards the fields below; no other lock is taken under it.
+	mutex       sync.Mutex
+	inner       net.Listener
+	connections map[*trackedConnection]struct{}
+	closed      bool
+	up          chan struct{} // closed while the listener is up
+}
+
+var _ net.Listener = (*Listener)(nil)
+
+// Listen listens on a TCP address; port 0 takes a free port.
+func Listen(address string) (*Listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	up := make(chan struct{})
+	close(up)
+	return &Listener{
+		address:     inner.Addr(),
+		inner:       inner,
+		connections: map[*trackedConnection]struct{}{},
+		up:          up,
+	}, nil
+}
+
+// Accept implements net.Listener; it outlasts a time down.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, up, closed := l.present()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		select {
+		case <-up:
+		default:
+			<-up
+			continue
+		}
+		connection, err := inner.Accept()
+		if err == nil {
+			return l.track(connection), nil
+		}
+		if latest, latestUp, _ := l.present(); latest == inner && latestUp == up {
+			return nil, err
+		}
+	}
+}
+
+func (l *Listener) present() (net.Listener, chan struct{}, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.inner, l.up, l.closed
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+	return l.inner.Close()
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.address }
+
+// Down refuses connections and cuts the present ones, and comes back after
+// the duration.
+func (l *Listener) Down(duration time.Duration) {
+	l.mutex.Lock()
+	up := make(chan struct{})
+	l.up = up
+	_ = l.inner.Close()
+	for connection := range l.connections {
+		_ = connection.Conn.Close()
+	}
+	clear(l.connections)
+	l.mutex.Unlock()
+	time.AfterFunc(duration, func() { l.comeBack(up) })
+}
+
+func (l *Listener) comeBack(up chan struct{}) {
+	for {
+		l.mutex.Lock()
+		if l.closed || l.up != up {
+			l.mutex.Unlock()
+			close(up)
+			return
+		}
+		inner, err := net.Listen("tcp", l.address.String())
+		if err == nil {
+			l.inner = inner
+			l.mutex.Unlock()
+			close(up)
+			return
+		}
+		l.mutex.Unlock()
+		time.Sleep(relistenPause)
+	}
+}
+
+func (l *Listener) track(connection net.Conn) net.Conn {
+	tracked := &trackedConnection{Conn: connection, listener: l}
+	l.mutex.Lock()
+	l.connections[tracked] = struct{}{}
+	l.mutex.Unlock()
+	return tracked
+}
+
+// trackedConnection tells the listener when it is closed.
+type trackedConnection struct {
+	net.Conn
+	listener *Listener
+}
+
+// Close implements net.Conn.
+func (c *trackedConnection) Close() error {
+	c.listener.mutex.Lock()
+	delete(c.listener.connections, c)
+	c.listener.mutex.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/platform/objects/leases.go
@@ -0,0 +1,78 @@
+package objects
+
+import "time"
+
+// Lease is a claim with an end. Its epoch rises with each new holder and when
+// a holder takes it again after it had lapsed.
+type Lease struct {
+	Name    string        `json:"name"`
+	Holder  string        `json:"holder"`
+	Epoch   uint64        `json:"epoch"`
+	TTL     time.Duration `json:"ttl"`
+	Renewed time.Time     `json:"renewed"`
+}
+
+func (l Lease) lapsed(now time.Time) bool {
+	return l.Holder == "" || now.Sub(l.Renewed) >= l.TTL
+}
+
+// Leases grants leases. A released or lapsed lease keeps its epoch.
+type Leases struct{ byName map[string]Lease }
+
+// NewLeases returns leases with the given state.
+func NewLeases(state []Lease) *Leases {
+	leases := &Leases{byName: map[string]Lease{}}
+	for _, lease := range state {
+		leases.byName[lease.Name] = lease
+	}
+	return leases
+}
+
+// Acquire takes or renews a lease. With ErrConflict it returns the lease of
+// the present holder.
+func (l *Leases) Acquire(now time.Time, name, holder string, ttl time.Duration) (Lease, error) {
+	lease := l.byName[name]
+	if lease.lapsed(now) {
+		lease.Epoch++
+	} else if lease.Holder != holder {
+		return lease, ErrConflict
+	}
+	lease.Name = name
+	lease.Holder = holder
+	lease.TTL = ttl
+	lease.Renewed = now
+	l.byName[name] = lease
+	return lease, nil
+}
+
+// Release ends the holder's claim of the epoch.
+func (l *Leases) Release(name, holder string, epoch uint64) (Lease, error) {
+	lease, found := l.byName[name]
+	if !found {
+		return Lease{}, ErrNotFound
+	}
+	if lease.Holder != holder || lease.Epoch != epoch {
+		return lease, ErrConflict
+	}
+	lease.Holder = ""
+	l.byName[name] = lease
+	return lease, nil
+}
+
+// Get returns a lease as it stands.
+func (l *Leases) Get(name string) (Lease, error) {
+	lease, found := l.byName[name]
+	if !found {
+		return Lease{}, ErrNotFound
+	}
+	return lease, nil
+}
+
+// All returns all leases, in no order.
+func (l *Leases) All() []Lease {
+	all := make([]Lease, 0, len(l.byName))
+	for _, lease := range l.byName {
+		all = append(all, lease)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,273 @@
+package platform
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"chutelock.dev/chutelock/internal/standin/fault"
+	"chutelock.dev/chutelock/internal/standin/platform/objects"
+	"chutelock.dev/chutelock/internal/standin/truth"
+)
+
+// Server is the platform. Lock order: mutex, then the truth log's.
+type Server struct {
+	config   Config
+	log      *truth.Log
+	injector *fault.Injector
+	requests *rate.Limiter
+	weights  *rate.Limiter
+
+	mutex    sync.Mutex
+	disk     *disk
+	store    *objects.Store
+	leases   *objects.Leases
+	machines *objects.Machines
+	watches  int
+	// changed is closed and replaced with each change of the store;
+	// generation counts the stores, because a restore ends all watches.
+	changed    chan struct{}
+	generation int
+	copies     map[string]state // checkpoints without a folder
+}
+
+// New opens the platform's state.
+func New(config Config, log *truth.Log) (*Server, error) {
+	server := &Server{
+		config:   config,
+		log:      log,
+		injector: fault.NewInjector(config.Seed),
+		requests: rate.NewLimiter(rate.Limit(config.RequestRate), config.RequestBurst),
+		weights:  rate.NewLimiter(rate.Limit(config.WeightRate), weightPiece),
+		machines: objects.NewMachines(),
+		changed:  make(chan struct{}),
+		copies:   map[string]state{},
+	}
+	opened, err := openDisk(config.Folder, config.Sync)
+	if err != nil {
+		return nil, err
+	}
+	server.disk = opened
+	loaded, err := opened.load()
+	if err != nil {
+		return nil, err
+	}
+	server.use(loaded)
+	start := time.Now()
+	for _, listed := range config.Machines {
+		server.machines.Set(start.Add(-config.MachineLag), listed.machine(), 0)
+	}
+	server.registerFaults()
+	for _, configured := range config.Faults {
+		if err := server.injector.Add(start, configured); err != nil {
+			return nil, trace.Wrap(err, "fault of the platform")
+		}
+	}
+	log.Record(truth.Entry{Kind: truth.KindStarted, Revision: loaded.revision})
+	return server, nil
+}
+
+// use makes a state the present one and ends all watches; the mutex is held,
+// but for the first time.
+func (s *Server) use(loaded state) {
+	s.store = objects.NewStore(loaded.objects, loaded.revision, s.config.History)
+	s.leases = objects.NewLeases(loaded.leases)
+	s.generation++
+	s.announce()
+}
+
+func (s *Server) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Injector holds the platform's faults.
+func (s *Server) Injector() *fault.Injector { return s.injector }
+
+// Close closes the stored state.
+func (s *Server) Close() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.disk.close()
+}
+
+// Handler serves the platform's protocol, faults and budget included.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+objectsRoot+"/{kind}", s.listOrWatch)
+	mux.HandleFunc("GET "+objectsRoot+"/{kind}/{name...}", s.get)
+	mux.HandleFunc("PUT "+objectsRoot+"/{kind}/{name...}", s.put)
+	mux.HandleFunc("DELETE "+objectsRoot+"/{kind}/{name...}", s.delete)
+	mux.HandleFunc("GET /leases/{name...}", s.getLease)
+	mux.HandleFunc("POST /leases/{name...}", s.acquireLease)
+	mux.HandleFunc("DELETE /leases/{name...}", s.releaseLease)
+	mux.HandleFunc("GET /machines", s.listMachines)
+	mux.HandleFunc("POST /machines", s.setMachine)
+	mux.HandleFunc("DELETE /machines/{name}", s.removeMachine)
+	mux.HandleFunc("GET /weights/{name}/{version}", s.readWeights)
+	return s.injector.Middleware(s.withinBudget(mux))
+}
+
+// withinBudget refuses requests above the rate. Machines that tell of
+// themselves and weights are no reads of the object API and go free.
+func (s *Server) withinBudget(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if isCounted(request) && !s.requests.Allow() {
+			writeStatus(writer, http.StatusTooManyRequests, "TooManyRequests", "the budget of requests a second is used up")
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func isCounted(request *http.Request) bool {
+	if strings.HasPrefix(request.URL.Path, "/weights/") {
+		return false
+	}
+	return request.Method == http.MethodGet || !strings.HasPrefix(request.URL.Path, "/machines")
+}
+
+// ControlHandler serves /control/faults, /control/machines, /control/compact
+// and /control/checkpoints/{name}; the budget doesn't bind it.
+func (s *Server) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/control/faults", s.injector.Control())
+	mux.HandleFunc("POST /control/machines", s.setMachine)
+	mux.HandleFunc("DELETE /control/machines/{name}", s.removeMachine)
+	mux.HandleFunc("POST /control/compact", func(writer http.ResponseWriter, request *http.Request) {
+		s.Compact(parseRevision(request.URL.Query().Get("revision")))
+	})
+	mux.HandleFunc("POST /control/checkpoints/{name}", func(writer http.ResponseWriter, request *http.Request) {
+		if err := s.Checkpoint(request.PathValue("name")); err != nil {
+			writeStatus(writer, http.StatusInternalServerError, "InternalError", err.Error())
+		}
+	})
+	return mux
+}
+
+func (s *Server) registerFaults() {
+	s.injector.On(fault.DiskLoss, func(fault.Fault) error { return s.replace("") })
+	s.injector.On(fault.Restore, func(restored fault.Fault) error {
+		if restored.Target == "" {
+			return trace.BadParameter("restore needs a target, the checkpoint's name")
+		}
+		return s.replace(restored.Target)
+	})
+}
+
+// Compact forgets the history up to a revision, 0 meaning all of it.
+func (s *Server) Compact(revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision == 0 {
+		revision = s.store.Revision()
+	}
+	s.store.Compact(revision)
+}
+
+// Checkpoint keeps a copy of the present state under a name.
+func (s *Server) Checkpoint(name string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.disk != nil {
+		return s.disk.checkpoint(name)
+	}
+	s.copies[name] = state{objects: s.store.All(), leases: s.leases.All(), revision: s.store.Revision()}
+	return nil
+}
+
+// replace goes back to a checkpoint, or to nothing if name is empty.
+func (s *Server) replace(name string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.disk == nil {
+		copied, found := s.copies[name]
+		if name != "" && !found {
+			return trace.NotFound("no checkpoint %q", name)
+		}
+		s.use(copied)
+		return nil
+	}
+	replaced, err := s.disk.replace(name)
+	if err != nil {
+		return err
+	}
+	s.disk = replaced
+	loaded, err := replaced.load()
+	if err != nil {
+		return err
+	}
+	s.use(loaded)
+	return nil
+}
+
+// write applies one change to the store and the disk.
+func (s *Server) write(apply func(*objects.Store) (objects.Change, error)) (objects.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change, err := apply(s.store)
+	if err != nil {
+		return objects.Object{}, err
+	}
+	if err := s.disk.saveChange(change); err != nil {
+		return objects.Object{}, err
+	}
+	kind := truth.KindWrite
+	if change.Type == objects.Deleted {
+		kind = truth.KindDelete
+	}
+	name := change.Object.Kind + "/" + change.Object.Name
+	s.log.Record(truth.Entry{Kind: kind, Name: name, Revision: change.Object.Revision})
+	s.announce()
+	return change.Object, nil
+}
+
+func parseRevision(text string) uint64 {
+	revision, _ := strconv.ParseUint(text, 10, 64)
+	return revision
+}
+
+// statusBody is an error in the Kubernetes API conventions.
+type statusBody struct {
+	Kind       string `json:"kind"`
+	APIVersion string `json:"apiVersion"`
+	Status     string `json:"status"`
+	Message    string `json:"message"`
+	Reason     string `json:"reason"`
+	Code       int    `json:"code"`
+}
+
+func newStatus(code int, reason, message string) statusBody {
+	return statusBody{Kind: "Status", APIVersion: "v1", Status: "Failure", Message: message, Reason: reason, Code: code}
+}
+
+func writeStatus(writer http.ResponseWriter, code int, reason, message string) {
+	if code == http.StatusTooManyRequests {
+		writer.Header().Set("Retry-After", "1")
+	}
+	writeJSON(writer, code, newStatus(code, reason, message))
+}
+
+// writeFailure tells an error of the store.
+func writeFailure(writer http.ResponseWriter, err error) {
+	status := statusOf(err)
+	writeStatus(writer, status.Code, status.Reason, status.Message)
+}
+
+func statusOf(err error) statusBody {
+	switch {
+	case errors.Is(err, objects.ErrConflict):
+		return newStatus(http.StatusConflict, "Conflict", err.Error())
+	case errors.Is(err, objects.ErrNotFound):
+		return newStatus(http.StatusNotFound, "NotFound", err.Error())
+	case errors.Is(err, objects.ErrCompacted), errors.Is(err, objects.ErrFuture):
+		return newStatus(http.StatusGone, "Expired", err.Error())
+	}
+	return newStatus(http.StatusInternalServerError, "InternalError", err.Error())
+}
--- a/internal/standin/truth/text.go
+++ b/internal/standin/truth/text.go
@@ -70,13 +70,19 @@
 	return NewGenerator(model, prompt).Text(0, maxTokens)
 }
 
-// body is the part of a request that decides the output.
+// body is the part of a request that a stand-in engine reads.
 type body struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
 	Messages            []message       `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	Priority            int             `json:"priority"`
+	ResumeFrom          int             `json:"resume_from"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 type message struct {
@@ -90,11 +96,17 @@
 	ErrPrompt   = errors.New("truth: the prompt or a message's content is neither a string nor a list of text parts")
 )
 
-// Request is what decides the output of a request.
+// Request is the body of a completion request as an engine understands it.
+// Model, Prompt and MaxTokens decide the output.
 type Request struct {
 	Model     string
 	Prompt    string
 	MaxTokens int
+
+	Stream       bool
+	IncludeUsage bool
+	Priority     int
+	ResumeFrom   int
 }
 
 // ParseRequest reads the JSON body of a completion or a chat completion. The
@@ -104,33 +116,42 @@
 	if err := json.Unmarshal(data, &parsed); err != nil {
 		return Request{}, err
 	}
-	request := Request{Model: parsed.Model, MaxTokens: DefaultMaxTokens}
+	request := Request{
+		Model:        parsed.Model,
+		MaxTokens:    DefaultMaxTokens,
+		Stream:       parsed.Stream,
+		IncludeUsage: parsed.StreamOptions.IncludeUsage,
+		Priority:     parsed.Priority,
+		ResumeFrom:   parsed.ResumeFrom,
+	}
 	if parsed.MaxTokens != nil {
 		request.MaxTokens = *parsed.MaxTokens
 	}
 	if parsed.MaxCompletionTokens != nil {
 		request.MaxTokens = *parsed.MaxCompletionTokens
 	}
-	if len(parsed.Prompt) == 0 && len(parsed.Messages) == 0 {
-		return Request{}, ErrNoPrompt
+	prompt, err := parsed.text()
+	request.Prompt = prompt
+	return request, err
+}
+
+// text joins the prompt, or else the messages' contents.
+func (b body) text() (string, error) {
+	if len(b.Prompt) > 0 {
+		return contentText(b.Prompt)
 	}
-	contents := []json.RawMessage{parsed.Prompt}
-	if len(parsed.Prompt) == 0 {
-		contents = contents[:0]
-		for _, part := range parsed.Messages {
-			contents = append(contents, part.Content)
-		}
+	if len(b.Messages) == 0 {
+		return "", ErrNoPrompt
 	}
 	var prompt strings.Builder
-	for _, content := range contents {
-		text, err := contentText(content)
+	for _, part := range b.Messages {
+		text, err := contentText(part.Content)
 		if err != nil {
-			return Request{}, err
+			return "", err
 		}
 		prompt.WriteString(text)
 	}
-	request.Prompt = prompt.String()
-	return request, nil
+	return prompt.String(), nil
 }
 
 // contentText reads a string, a list of strings or a list of text parts.
