replication: fuzzing knows of configurations in transit

Cause of the open failure: the harness took a disk from a fourth voter while the entry that made it one was still on its way; four voters survive one loss only.

--- a/internal/ledger/replication/fuzz_test.go
+++ b/internal/ledger/replication/fuzz_test.go
@@ -25,34 +25,36 @@
 
 func isRunning(node *simulatedNode) bool { return node.replica != nil && !node.paused }
 
-// survives says whether every configuration that any node knows of keeps a
-// quorum of intact disks when the node loses its own.
+// survives says whether every configuration that any node knows of, or may
+// yet hear of, keeps a quorum of intact disks when the node loses its own.
 func (m *faultMachine) survives(loser *simulatedNode) bool {
-	for _, node := range m.nodes {
-		for _, known := range knownConfigurations(node) {
-			intact := 0
-			for _, voter := range known.configuration.Voters {
-				if holder := m.node(voter); holder != nil && holder != loser {
-					intact++
-				}
-			}
-			if len(known.configuration.Voters) > 0 && intact < known.configuration.Quorum() {
-				return false
+	return !slices.ContainsFunc(m.knownConfigurations(), func(known indexedConfiguration) bool {
+		intact := 0
+		for _, voter := range known.configuration.Voters {
+			if holder := m.node(voter); holder != nil && holder != loser {
+				intact++
 			}
 		}
-	}
-	return true
+		return len(known.configuration.Voters) > 0 && intact < known.configuration.Quorum()
+	})
 }
 
-func knownConfigurations(node *simulatedNode) configurationHistory {
-	if node.replica != nil {
-		return node.replica.configurations
+func (m *faultMachine) knownConfigurations() configurationHistory {
+	var known configurationHistory
+	for _, node := range m.nodes {
+		reader := node.replica
+		if reader == nil {
+			reader, _ = New(Config{ID: node.id, Storage: node.disk})
+		}
+		known = append(known, reader.configurations...)
 	}
-	reader, err := New(Config{ID: node.id, Storage: node.disk})
-	if err != nil {
-		return nil
+	for sent := range m.transit {
+		carrier := &Replica{log: &log{}}
+		carrier.noteConfigurations(0, sent.message.Entries)
+		known = append(known, carrier.configurations...)
+		known = append(known, indexedConfiguration{configuration: sent.message.Snapshot.Configuration})
 	}
-	return reader.configurations
+	return known
 }
 
 func (m *faultMachine) wantedIDs() []ReplicaID {
--- a/internal/ledger/replication/simulation_test.go
+++ b/internal/ledger/replication/simulation_test.go
@@ -19,6 +19,7 @@
 	events   eventQueue
 	sequence int
 	cut      map[[2]int]bool // directed pairs of nodes
+	transit  map[*delivery]bool
 	noise    noise
 	oracle   oracle
 	proposed int
@@ -40,7 +41,7 @@
 	paused      bool
 	writing     *Ready
 	staged      *delivery
-	waiting     []delivery // arrived during a pause
+	waiting     []*delivery // arrived during a pause
 	acks        map[uint64]uint64
 	reads       map[uint64]uint64 // token to what the oracle demands
 	confirmed   []ReadState
@@ -115,7 +116,7 @@
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)),
 		now:    time.Unix(1, 0),
-		cut:    map[[2]int]bool{},
+		cut:    map[[2]int]bool{}, transit: map[*delivery]bool{},
 		noise:  noise{maxDelay: 3 * time.Millisecond},
 		oracle: oracle{entries: map[uint64]Entry{}, leaders: map[uint64]ReplicaID{}, acked: map[uint64]bool{}},
 	}
@@ -189,7 +190,7 @@
 		s.oracle.failf("node %d does not start: %v", node.position, err)
 		return
 	}
-	node.replica, node.writing, node.staged, node.waiting = replica, nil, nil, nil
+	node.replica, node.staged = replica, nil
 	node.acks, node.reads, node.confirmed = map[uint64]uint64{}, map[uint64]uint64{}, nil
 	s.tick(node)
 }
@@ -205,8 +206,11 @@
 	if node.writing != nil && s.random.IntN(2) == 0 {
 		s.persist(node)
 	}
+	for _, arrived := range node.waiting {
+		delete(s.transit, arrived)
+	}
 	node.generation++
-	node.replica, node.writing, node.paused = nil, nil, false
+	node.replica, node.writing, node.waiting, node.paused = nil, nil, nil, false
 }
 
 // loseDisk crashes a node and gives it an empty disk: a new identity.
@@ -256,7 +260,8 @@
 	if to == nil || s.cut[[2]int{from.position, to.position}] {
 		return
 	}
-	sent := delivery{message: message, state: from.state[:len(from.state):len(from.state)]}
+	sent := &delivery{message: message, state: from.state[:len(from.state):len(from.state)]}
+	s.transit[sent] = true
 	delay := time.Millisecond + time.Duration(s.random.Int64N(int64(s.noise.maxDelay)))
 	s.after(delay, func() {
 		if to.paused {
@@ -267,7 +272,8 @@
 	})
 }
 
-func (s *simulation) deliver(to *simulatedNode, arrived delivery) {
+func (s *simulation) deliver(to *simulatedNode, arrived *delivery) {
+	delete(s.transit, arrived)
 	if to.replica == nil || to.id != arrived.message.To {
 		return
 	}
@@ -275,7 +281,7 @@
 		if to.staged != nil {
 			return
 		}
-		to.staged = &arrived
+		to.staged = arrived
 	}
 	if err := to.replica.Step(arrived.message); err != nil {
 		s.oracle.failf("node %d: %v", to.position, err)
