--- a/internal/jobs/command/jobs.go
+++ b/internal/jobs/command/jobs.go
@@ -99,7 +99,7 @@
 		tries = DefaultMaxTries
 	}
 	return &machine.JobBegin{
-		JobID: jobID, Tenant: s.Tenant, Key: s.Key, Content: s.content(), FileID: s.File.FileID, Model: s.File.Model,
+		JobID: jobID, Tenant: s.Tenant, Key: s.Key, Content: s.content(), FileID: s.File.FileID, FileDigest: s.File.Digest, Model: s.File.Model,
 		Endpoint: s.Endpoint, Window: s.Window, Metadata: s.Metadata, Items: s.File.Lines, Deadline: s.Deadline,
 		Weight: weight, MaxTries: uint8(min(tries, maxMaxTries)), Retention: s.Retention,
 	}
--- a/internal/jobs/machine/codec.go
+++ b/internal/jobs/machine/codec.go
@@ -80,16 +80,17 @@
 }
 
 type jobBeginNumbers struct {
-	Content   Digest
-	Items     uint32
-	Deadline  int64
-	Weight    uint32
-	MaxTries  uint8
-	Retention int64
+	Content    Digest
+	FileDigest Digest
+	Items      uint32
+	Deadline   int64
+	Weight     uint32
+	MaxTries   uint8
+	Retention  int64
 }
 
 func (c *JobBegin) marshal() ([]byte, error) {
-	fixed := jobBeginNumbers{c.Content, c.Items, c.Deadline.UnixMilli(), c.Weight, c.MaxTries, int64(c.Retention)}
+	fixed := jobBeginNumbers{c.Content, c.FileDigest, c.Items, c.Deadline.UnixMilli(), c.Weight, c.MaxTries, int64(c.Retention)}
 	return wire.Marshal(bodyVersion, fixed, []byte(c.JobID), []byte(c.Tenant), []byte(c.Key),
 		[]byte(c.FileID), []byte(c.Model), []byte(c.Endpoint), []byte(c.Window), c.Metadata)
 }
@@ -100,6 +101,7 @@
 	if err != nil {
 		return err
 	}
+	c.FileDigest = fixed.FileDigest
 	c.Content, c.Items, c.Weight, c.MaxTries = fixed.Content, fixed.Items, fixed.Weight, fixed.MaxTries
 	c.Deadline = time.UnixMilli(fixed.Deadline)
 	c.Retention = time.Duration(fixed.Retention)
--- a/internal/jobs/machine/command.go
+++ b/internal/jobs/machine/command.go
@@ -149,17 +149,18 @@
 	Key string
 	// Content is the digest of the input and the parameters: a resend must
 	// have the same.
-	Content   Digest
-	FileID    string
-	Model     string
-	Endpoint  string
-	Window    string
-	Metadata  []byte // JSON object, or empty
-	Items     uint32
-	Deadline  time.Time
-	Weight    uint32 // the tenant's share, in thousandths
-	MaxTries  uint8
-	Retention time.Duration
+	Content    Digest
+	FileID     string
+	FileDigest Digest
+	Model      string
+	Endpoint   string
+	Window     string
+	Metadata   []byte // JSON object, or empty
+	Items      uint32
+	Deadline   time.Time
+	Weight     uint32 // the tenant's share, in thousandths
+	MaxTries   uint8
+	Retention  time.Duration
 }
 
 // JobAppend adds items First, First+1, ... to a job that is not sealed yet.
--- a/internal/jobs/machine/intake.go
+++ b/internal/jobs/machine/intake.go
@@ -129,7 +129,7 @@
 
 func (tx *transaction) createJob(c *JobBegin) (Answer, error) {
 	record := JobRecord{
-		JobID: c.JobID, Tenant: c.Tenant, Key: c.Key, Content: c.Content, FileID: c.FileID, Model: c.Model,
+		JobID: c.JobID, Tenant: c.Tenant, Key: c.Key, Content: c.Content, FileID: c.FileID, FileDigest: c.FileDigest, Model: c.Model,
 		Endpoint: c.Endpoint, Window: c.Window, Metadata: c.Metadata, Items: c.Items,
 		Created: time.UnixMilli(tx.now), Deadline: c.Deadline, Weight: c.Weight, MaxTries: c.MaxTries,
 		Retention: c.Retention, State: StateReceiving,
--- a/internal/jobs/machine/record.go
+++ b/internal/jobs/machine/record.go
@@ -78,45 +78,47 @@
 
 // JobRecord is a stored job.
 type JobRecord struct {
-	JobID     string
-	Tenant    string
-	Key       string
-	Content   Digest
-	FileID    string
-	Model     string
-	Endpoint  string
-	Window    string
-	Metadata  []byte
-	Items     uint32
-	Appended  uint32
-	Created   time.Time
-	Accepted  time.Time // zero until accepted
-	Ended     time.Time // zero until final
-	Deadline  time.Time
-	Weight    uint32
-	MaxTries  uint8
-	Retention time.Duration
-	State     State
+	JobID      string
+	Tenant     string
+	Key        string
+	Content    Digest
+	FileID     string
+	FileDigest Digest
+	Model      string
+	Endpoint   string
+	Window     string
+	Metadata   []byte
+	Items      uint32
+	Appended   uint32
+	Created    time.Time
+	Accepted   time.Time // zero until accepted
+	Ended      time.Time // zero until final
+	Deadline   time.Time
+	Weight     uint32
+	MaxTries   uint8
+	Retention  time.Duration
+	State      State
 }
 
 type jobRecordNumbers struct {
-	Content   Digest
-	Items     uint32
-	Appended  uint32
-	Created   int64
-	Accepted  int64
-	Ended     int64
-	Deadline  int64
-	Weight    uint32
-	MaxTries  uint8
-	Retention int64
-	State     State
+	Content    Digest
+	FileDigest Digest
+	Items      uint32
+	Appended   uint32
+	Created    int64
+	Accepted   int64
+	Ended      int64
+	Deadline   int64
+	Weight     uint32
+	MaxTries   uint8
+	Retention  int64
+	State      State
 }
 
 // Encode encodes the record as it is stored.
 func (j *JobRecord) Encode() ([]byte, error) {
 	fixed := jobRecordNumbers{
-		Content: j.Content, Items: j.Items, Appended: j.Appended, Created: j.Created.UnixMilli(),
+		Content: j.Content, FileDigest: j.FileDigest, Items: j.Items, Appended: j.Appended, Created: j.Created.UnixMilli(),
 		Accepted: milliseconds(j.Accepted), Ended: milliseconds(j.Ended), Deadline: j.Deadline.UnixMilli(),
 		Weight: j.Weight, MaxTries: j.MaxTries, Retention: int64(j.Retention), State: j.State,
 	}
@@ -132,7 +134,7 @@
 		return JobRecord{}, err
 	}
 	record := JobRecord{
-		Content: fixed.Content, Items: fixed.Items, Appended: fixed.Appended,
+		Content: fixed.Content, FileDigest: fixed.FileDigest, Items: fixed.Items, Appended: fixed.Appended,
 		Created: time.UnixMilli(fixed.Created), Accepted: timeOf(fixed.Accepted), Ended: timeOf(fixed.Ended),
 		Deadline: time.UnixMilli(fixed.Deadline), Weight: fixed.Weight, MaxTries: fixed.MaxTries,
 		Retention: time.Duration(fixed.Retention), State: fixed.State,
--- a/internal/jobs/query/codec.go
+++ b/internal/jobs/query/codec.go
@@ -17,6 +17,7 @@
 	kindJob
 	kindJobs
 	kindResults
+	kindJobByKey
 )
 
 const version = 1
@@ -67,6 +68,13 @@
 // Remaining counts the items without a result.
 func (j *Job) Remaining() uint32 { return j.Items - j.Counters.Final() }
 
+// InputFile is what the job remembers of its input file, which may be gone.
+func (j *Job) InputFile() machine.FileRecord {
+	return machine.FileRecord{
+		FileID: j.FileID, Tenant: j.Tenant, Lines: j.Items, Digest: j.FileDigest, Model: j.Model, Endpoint: j.Endpoint,
+	}
+}
+
 type resultNumbers struct {
 	Index      uint32
 	Status     jobs.ItemStatus
--- a/internal/jobs/query/handler.go
+++ b/internal/jobs/query/handler.go
@@ -18,7 +18,7 @@
 	pageItems = 1024
 	pageBytes = 1 << 20
 	// maxListed bounds one page of jobs.
-	maxListed = 100
+	maxListed = 101
 )
 
 // Handle answers a question at the shard's leader; it is the handler of
@@ -43,7 +43,11 @@
 		chunk, ok, err := machine.GetChunk(reader, asked.identifier, asked.Number)
 		return marshal(found{Found: ok}, [][]byte{chunk}, err)
 	case kindJob:
-		return answerJob(reader, asked)
+		record, ok, err := machine.GetJob(reader, asked.identifier)
+		return answerJob(reader, asked, record, ok, err)
+	case kindJobByKey:
+		record, ok, err := machine.GetJobByKey(reader, asked.tenant, asked.identifier)
+		return answerJob(reader, asked, record, ok, err)
 	case kindJobs:
 		return answerJobs(reader, asked)
 	case kindResults:
@@ -72,8 +76,7 @@
 	return marshal(found{Found: true}, [][]byte{encoded}, err)
 }
 
-func answerJob(reader ledger.Reader, asked request) ([]byte, error) {
-	record, ok, err := machine.GetJob(reader, asked.identifier)
+func answerJob(reader ledger.Reader, asked request, record machine.JobRecord, ok bool, err error) ([]byte, error) {
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jobs/query/query.go
+++ b/internal/jobs/query/query.go
@@ -92,7 +92,19 @@
 	if !ok {
 		return Job{}, ErrNotFound
 	}
-	_, fields, err := q.ask(ctx, shard, request{question: question{Kind: kindJob}, identifier: jobID, tenant: tenant})
+	return q.oneJob(ctx, shard, request{question: question{Kind: kindJob}, identifier: jobID, tenant: tenant})
+}
+
+// JobByKey reads a tenant's accepted job by its idempotency key.
+func (q *Queries) JobByKey(ctx context.Context, tenant, idempotencyKey string) (Job, error) {
+	shard := jobs.ShardOfKey(tenant, idempotencyKey, q.caller.Shards())
+	return q.oneJob(ctx, shard, request{
+		question: question{Kind: kindJobByKey}, identifier: idempotencyKey, tenant: tenant,
+	})
+}
+
+func (q *Queries) oneJob(ctx context.Context, shard ledger.ShardID, asked request) (Job, error) {
+	_, fields, err := q.ask(ctx, shard, asked)
 	if err != nil {
 		return Job{}, err
 	}
