--- a/cmd/chutelock-lab/load.go
+++ b/cmd/chutelock-lab/load.go
@@ -25,12 +25,6 @@
 	})
 }
 
-// Exit codes of the load verb.
-const (
-	exitBadAnswers = 1 // a wrong or truncated answer was seen
-	exitFailure    = 3 // the run itself failed
-)
-
 // Defaults of the load verb.
 const (
 	defaultDuration    = 10 * time.Second
--- a/cmd/chutelock-lab/main.go
+++ b/cmd/chutelock-lab/main.go
@@ -14,8 +14,13 @@
 	run     func(arguments []string) int
 }
 
-// exitUsage is the exit code for a wrong command line.
-const exitUsage = 2
+// Exit codes of all verbs.
+const (
+	exitOK         = 0
+	exitFailure    = 1 // the run itself failed
+	exitUsage      = 2 // wrong command line
+	exitBadAnswers = 3 // a wrong or truncated answer was seen
+)
 
 // subcommands is filled by the init functions of this package's other files.
 var subcommands []subcommand
--- a/cmd/chutelock-lab/standin.go
+++ b/cmd/chutelock-lab/standin.go
@@ -11,12 +11,6 @@
 	"chutelock.dev/chutelock/internal/standin/process"
 )
 
-// Exit codes of the stand-ins, beside exitUsage.
-const (
-	exitOK      = 0
-	exitFailure = 1
-)
-
 // standinFlags are common to both stand-ins.
 type standinFlags struct {
 	set       *flag.FlagSet
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/engine/openaihttp"
+	"chutelock.dev/chutelock/internal/fleet/registry"
+	"chutelock.dev/chutelock/internal/fleet/tracker"
+	"chutelock.dev/chutelock/internal/gateway"
+	"chutelock.dev/chutelock/internal/ledger/replica"
+	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/membership/agent"
+	"chutelock.dev/chutelock/internal/membership/swim"
+	"chutelock.dev/chutelock/internal/node/operator"
+	"chutelock.dev/chutelock/internal/platform/objecthttp"
+	"chutelock.dev/chutelock/internal/settings/tree"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+const (
+	keyFileInterval   = time.Second
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	settingsRetry     = 500 * time.Millisecond
+	readyPollInterval = 20 * time.Millisecond
+)
+
+// Addresses are where a node serves; the ready file holds them as JSON.
+type Addresses struct {
+	Name      string `json:"name"`
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// Node is an assembled node.
+type Node struct {
+	config    *config.Node
+	registry  *prometheus.Registry
+	readiness *operator.Readiness
+	sockets   *sockets
+	servers   []*http.Server
+
+	keys      *transport.Keyring
+	peers     *transport.Node
+	platform  *objecthttp.Client
+	settings  *tree.Live
+	members   *agent.Agent
+	engines   *tracker.Tracker
+	ledger    *replica.Service
+	batch     *batch
+	gateway   *gateway.Gateway
+	operators *http.ServeMux
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// Open assembles a node and opens its ports; nothing runs before Start.
+func Open(settings *config.Node) (*Node, error) {
+	n := &Node{
+		config:    settings,
+		registry:  prometheus.NewRegistry(),
+		readiness: &operator.Readiness{},
+	}
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	var err error
+	if n.sockets, err = openSockets(settings); err != nil {
+		return nil, err
+	}
+	if err := n.openPeers(); err != nil {
+		return nil, err
+	}
+	n.platform = objecthttp.New(settings.Platform.Address, objecthttp.Options{})
+	n.settings = tree.NewLive()
+	n.openMembership()
+	n.openEngines()
+	if err := n.openLedger(); err != nil {
+		return nil, err
+	}
+	n.openGateway()
+	n.openOperators()
+	return n, nil
+}
+
+func (n *Node) openPeers() error {
+	keys, err := transport.OpenKeyring(n.config.Peers.KeyFile)
+	if err != nil {
+		return err
+	}
+	n.keys = keys
+	n.peers, err = transport.Listen(transport.Options{
+		Listen:   n.config.Listen.Peers,
+		Keys:     keys,
+		Registry: n.registry,
+	})
+	return trace.Wrap(err, "opening the peers' port")
+}
+
+func (n *Node) self() membership.Member {
+	return membership.Member{
+		Name:    n.config.Node.Name,
+		Address: n.peers.Address(),
+		Callers: n.sockets.callers.Addr().String(),
+		Zone:    n.config.Node.Zone,
+		Region:  n.config.Node.Region,
+		HasData: n.config.Data.Folder != "",
+		// A restarted process must have a higher incarnation than before.
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+}
+
+func (n *Node) openMembership() {
+	var seeds []transport.Address
+	for _, seed := range n.config.Peers.Seeds {
+		seeds = append(seeds, transport.Address(seed))
+	}
+	n.members = agent.New(agent.Config{
+		Protocol: swim.Config{Self: n.self(), Seeds: seeds, Seed: uint64(time.Now().UnixNano())},
+		Sender:   n.peers,
+		Receiver: n.peers,
+	})
+}
+
+func (n *Node) openEngines() {
+	n.engines = tracker.New(tracker.Config{
+		Registry: registry.Config{Self: n.members.Self(), Seed: uint64(time.Now().UnixNano())},
+		Members:  n.members,
+		Sender:   n.peers,
+		Receiver: n.peers,
+		Store:    n.platform,
+		Machines: n.platform,
+		Dial: func(address string) engine.Client {
+			return openaihttp.New(address, address, openaihttp.Options{})
+		},
+	})
+	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
+}
+
+func (n *Node) openLedger() error {
+	machines := &machines{}
+	options := replica.Options{
+		Sender:       n.peers,
+		Receiver:     n.peers,
+		Members:      n.members,
+		Store:        n.platform,
+		Shards:       n.config.Ledger.Shards,
+		Copies:       n.config.Ledger.Copies,
+		NewMachine:   machines.make,
+		Registry:     n.registry,
+		ReplaceAfter: n.config.Ledger.ReplaceAfter,
+	}
+	if n.config.Data.Folder != "" {
+		options.Folder = filepath.Join(n.config.Data.Folder, "ledger")
+	}
+	var err error
+	if n.ledger, err = replica.Open(options); err != nil {
+		return trace.Wrap(err, "opening the ledger")
+	}
+	n.batch = newBatch(n.ledger, n.peers, machines)
+	return nil
+}
+
+func (n *Node) openGateway() {
+	n.gateway = gateway.New(gateway.Dependencies{
+		Settings: n.settings,
+		Fleet:    n.engines,
+		Clients:  n.engines,
+		Observer: n.engines,
+		Registry: n.registry,
+	})
+	n.readiness.Add("settings", func() (bool, string) { return n.settings.Current() != nil, "no settings are in force yet" })
+	batchHandler := n.batch.handler(n.settings)
+	mux := http.NewServeMux()
+	mux.Handle("/v1/files", batchHandler)
+	mux.Handle("/v1/files/", batchHandler)
+	mux.Handle("/v1/batches", batchHandler)
+	mux.Handle("/v1/batches/", batchHandler)
+	mux.Handle("/", n.gateway)
+	n.addServer(gateway.WithRequestID(mux))
+}
+
+func (n *Node) openOperators() {
+	n.operators = operator.NewMux(n.readiness, n.registry)
+	n.addServer(n.operators)
+}
+
+func (n *Node) addServer(handler http.Handler) {
+	n.servers = append(n.servers, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	})
+}
+
+// Addresses returns where the node serves.
+func (n *Node) Addresses() Addresses {
+	return Addresses{
+		Name:      n.config.Node.Name,
+		Callers:   n.sockets.callers.Addr().String(),
+		Operators: n.sockets.operators.Addr().String(),
+		Peers:     string(n.peers.Address()),
+	}
+}
+
+// Start runs all parts; it returns at once.
+func (n *Node) Start() {
+	EventStarting.Info("node", n.config.Node.Name, "addresses", n.Addresses())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.peers.Serve()
+	n.goRun(func() { n.members.Run(ctx) })
+	n.goRun(func() { n.followSettings(ctx) })
+	n.goRun(func() { n.engines.Run(ctx) })
+	n.goRun(func() { n.keys.Follow(ctx.Done(), keyFileInterval, reportKeys) })
+	n.ledger.Start()
+	n.goRun(func() { n.batch.run(ctx) })
+	n.serve(n.servers[0], "callers")
+	n.serve(n.servers[1], "operators")
+}
+
+func (n *Node) goRun(run func()) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		run()
+	}()
+}
+
+func (n *Node) serve(server *http.Server, port string) {
+	listener := n.sockets.callers
+	if port == "operators" {
+		listener = n.sockets.operators
+	}
+	n.goRun(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			EventServeFailed.Error(err, "port", port)
+		}
+	})
+}
+
+func (n *Node) followSettings(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := tree.Follow(ctx, n.platform, n.settings)
+		if ctx.Err() != nil {
+			return
+		}
+		EventSettingsGap.Error(err, "platform", n.config.Platform.Address)
+		select {
+		case <-ctx.Done():
+		case <-time.After(settingsRetry):
+		}
+	}
+}
+
+func reportKeys(changed bool, err error) {
+	if err != nil {
+		EventKeysInvalid.Error(err)
+		return
+	}
+	EventKeysChanged.Info("changed", changed)
+}
+
+// WaitReady returns when every part is ready, or the error of ctx.
+func (n *Node) WaitReady(ctx context.Context) error {
+	for {
+		missing := n.readiness.Missing()
+		if len(missing) == 0 {
+			EventReady.Info("node", n.config.Node.Name)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "not ready: %v", missing)
+		case <-time.After(readyPollInterval):
+		}
+	}
+}
+
+// WriteReadyFile writes the addresses as JSON, whole or not at all.
+func WriteReadyFile(path string, addresses Addresses) error {
+	content, err := json.Marshal(addresses)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, append(content, '\n'), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.Rename(temporary, path))
+}
--- /dev/null
+++ b/internal/node/sockets.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/node/certificate"
+)
+
+// sockets are the node's listening TCP sockets for HTTP.
+type sockets struct {
+	callers   net.Listener
+	operators net.Listener
+}
+
+// openSockets listens on the callers' and operators' ports, with TLS if the
+// settings name a certificate.
+func openSockets(settings *config.Node) (*sockets, error) {
+	var secure *tls.Config
+	if settings.TLS.Certificate != "" {
+		reloader, err := certificate.NewReloader(settings.TLS.Certificate, settings.TLS.Key)
+		if err != nil {
+			return nil, err
+		}
+		secure = reloader.Config()
+	}
+	callers, err := listen(settings.Listen.Callers, secure)
+	if err != nil {
+		return nil, trace.Wrap(err, "opening the callers' port")
+	}
+	operators, err := listen(settings.Listen.Operators, secure)
+	if err != nil {
+		callers.Close()
+		return nil, trace.Wrap(err, "opening the operators' port")
+	}
+	return &sockets{callers: callers, operators: operators}, nil
+}
+
+func listen(address string, secure *tls.Config) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", address)
+	}
+	if secure == nil {
+		return listener, nil
+	}
+	return tls.NewListener(listener, secure), nil
+}
