--- /dev/null
+++ b/internal/ledger/replica/bootstrap.go
@@ -0,0 +1,235 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replication"
+	"chutelock.dev/chutelock/internal/ledger/storage"
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+const (
+	// bootstrapInterval is the time between two looks at the store while
+	// shards are missing; it grows up to bootstrapSlow while the store fails
+	// or nothing changes.
+	bootstrapInterval = 200 * time.Millisecond
+	bootstrapSlow     = 10 * time.Second
+	storeTimeout      = 5 * time.Second
+)
+
+// shardObject is the spec of a shards object in the platform's store.
+type shardObject struct {
+	// Initial is the first replica set; it is never changed.
+	Initial []replicaRecord `json:"initial"`
+	// Current is the replica set as a leader wrote it last, for operators.
+	Current []replicaRecord `json:"current,omitempty"`
+	Leader  string          `json:"leader,omitempty"`
+	Term    uint64          `json:"term,omitempty"`
+}
+
+type replicaRecord struct {
+	Replica replication.ReplicaID `json:"replica"`
+	Node    string                `json:"node"`
+	Zone    string                `json:"zone"`
+	Address transport.Address     `json:"address"`
+	Learner bool                  `json:"learner,omitempty"`
+}
+
+// bootstrapper watches for the number of data nodes to stand still.
+type bootstrapper struct {
+	service *Service
+	count   int
+	since   time.Time
+}
+
+// runBootstrap places the shards that don't exist yet, and starts the replicas
+// that are placed here. It ends once all shards exist.
+func (s *Service) runBootstrap() {
+	if s.options.Store == nil {
+		return
+	}
+	b := &bootstrapper{service: s, since: time.Now()}
+	wait := bootstrapInterval
+	for {
+		complete, err := b.step(time.Now())
+		if complete {
+			return
+		}
+		if err != nil {
+			eventDirectoryFailed.Error(err, "step", "bootstrap")
+			wait = min(2*wait, bootstrapSlow)
+		} else {
+			wait = bootstrapInterval
+		}
+		if !s.pause(wait/2 + rand.N(wait)) {
+			return
+		}
+	}
+}
+
+// step returns true once all shards exist in the store.
+func (b *bootstrapper) step(now time.Time) (bool, error) {
+	ctx, cancel := context.WithTimeout(b.service.running, storeTimeout)
+	defer cancel()
+	objects, _, err := b.service.options.Store.List(ctx, platform.KindShard)
+	if err != nil {
+		return false, trace.Wrap(err, "list the shard directory")
+	}
+	placed := map[string]bool{}
+	for _, object := range objects {
+		placed[object.Name] = true
+		if err := b.service.startInitial(object); err != nil {
+			return false, err
+		}
+	}
+	var missing []ledger.ShardID
+	for id := range ledger.ShardID(b.service.options.Shards) {
+		if !placed[objectName(id)] {
+			missing = append(missing, id)
+		}
+	}
+	if len(missing) == 0 {
+		return true, nil
+	}
+	if !b.mayPlace(now) {
+		return false, nil
+	}
+	return false, b.service.placeMissing(ctx, missing)
+}
+
+// mayPlace says whether enough data nodes are known, or no more are coming,
+// and whether it is this node's turn: the first by name, others much later.
+func (b *bootstrapper) mayPlace(now time.Time) bool {
+	self := b.service.self()
+	members := dataMembers(b.service.options.Members.View(), self)
+	if len(members) != b.count {
+		b.count = len(members)
+		b.since = now
+	}
+	wait := b.service.options.BootstrapWait
+	enough := len(members) >= b.service.options.Copies
+	if members[0].Name != self.Name {
+		return now.Sub(b.since) >= 2*wait
+	}
+	return enough || now.Sub(b.since) >= wait
+}
+
+func objectName(id ledger.ShardID) string { return strconv.FormatUint(uint64(id), 10) }
+
+// startInitial bootstraps this node's replica if it is one of the shard's
+// first, with the very identity that its disk gives it, and has never run.
+func (s *Service) startInitial(object platform.Object) error {
+	number, err := strconv.ParseUint(object.Name, 10, 32)
+	if err != nil || int(number) >= s.options.Shards {
+		return trace.BadParameter("shard directory: unexpected object %q", object.Name)
+	}
+	id := ledger.ShardID(number)
+	var spec shardObject
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		return trace.Wrap(err, "shard directory: object %q", object.Name)
+	}
+	store := s.disk()
+	if store == nil {
+		return nil
+	}
+	incarnation, err := store.IncarnationAt(id)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	own := replication.NewReplicaID(s.self().Name, incarnation)
+	if !slices.ContainsFunc(spec.Initial, func(r replicaRecord) bool { return r.Replica == own }) {
+		return nil
+	}
+	if _, running := s.local(id); running {
+		return nil
+	}
+	return s.bootstrapShard(id, spec.Initial)
+}
+
+func (s *Service) bootstrapShard(id ledger.ShardID, initial []replicaRecord) error {
+	var voters []replication.ReplicaID
+	var roster []storage.RosterEntry
+	for _, record := range initial {
+		voters = append(voters, record.Replica)
+		roster = append(roster, storage.RosterEntry{
+			Replica: record.Replica, Node: record.Node, Zone: record.Zone, Address: record.Address,
+		})
+	}
+	shard, err := s.hold(id, func(disk *storage.Shard) error {
+		err := disk.Bootstrap(replication.BootstrapMarker(voters...), replication.BootstrapState(), roster)
+		if errors.Is(err, storage.ErrNotEmpty) {
+			return nil
+		}
+		return err
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	eventBootstrapped.Info("shard", id, "replica", shard.replica, "replicas", len(voters))
+	return nil
+}
+
+// placeMissing creates the objects of shards that don't exist. A conflict
+// means that another node was faster; an unknown outcome shows at the next list.
+func (s *Service) placeMissing(ctx context.Context, missing []ledger.ShardID) error {
+	var sites []site
+	for _, m := range dataMembers(s.options.Members.View(), s.self()) {
+		sites = append(sites, site{node: m.Name, zone: m.Zone})
+	}
+	placement := placeShards(s.options.Shards, sites, s.options.Copies)
+	for _, id := range missing {
+		if err := s.placeOne(ctx, id, placement[id]); err != nil {
+			return trace.Wrap(err, "place shard %d", id)
+		}
+	}
+	return nil
+}
+
+func (s *Service) placeOne(ctx context.Context, id ledger.ShardID, sites []site) error {
+	var spec shardObject
+	for _, chosen := range sites {
+		record, err := s.describeSite(id, chosen)
+		if err != nil {
+			return trace.Wrap(err, "ask peer %s for its identity", chosen.node)
+		}
+		spec.Initial = append(spec.Initial, record)
+	}
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	object := platform.Object{Kind: platform.KindShard, Name: objectName(id), Spec: encoded}
+	_, err = s.options.Store.Put(ctx, object)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	if err == nil {
+		eventPlaced.Info("shard", id, "replicas", len(spec.Initial))
+	}
+	return trace.Wrap(err)
+}
+
+func (s *Service) describeSite(id ledger.ShardID, chosen site) (replicaRecord, error) {
+	m, found := findMember(s.options.Members.View(), chosen.node)
+	if self := s.self(); chosen.node == self.Name {
+		m, found = self, true
+	}
+	if !found {
+		return replicaRecord{}, trace.NotFound("%s is no member any more", chosen.node)
+	}
+	answer, err := s.callDescribe(m, id)
+	if err != nil {
+		return replicaRecord{}, err
+	}
+	return replicaRecord{Replica: answer.Replica, Node: m.Name, Zone: m.Zone, Address: m.Address}, nil
+}
--- /dev/null
+++ b/internal/ledger/replica/calls.go
@@ -0,0 +1,299 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replication"
+	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// callTimeout bounds the small calls between ledgers.
+const callTimeout = 2 * time.Second
+
+var errNotHere = errors.New("replica: this node holds no such replica")
+
+func (s *Service) registerHandlers() {
+	receiver := s.options.Receiver
+	receiver.HandleMessage(kindFrame, s.handleFrame)
+	receiver.HandleMessage(kindAnnounce, s.handleAnnounce)
+	receiver.HandleCall(kindDirectory, s.handleDirectory)
+	receiver.HandleCall(kindDescribe, s.handleDescribe)
+	receiver.HandleCall(kindJoin, s.handleJoin)
+	receiver.HandleCall(kindLeave, s.handleLeave)
+	receiver.HandleCall(kindMember, s.handleMember)
+	receiver.HandleCall(kindSnapshotOpen, s.handleSnapshotOpen)
+	receiver.HandleCall(kindSnapshotChunk, s.handleSnapshotChunk)
+}
+
+func (s *Service) handleFrame(from transport.Address, payload []byte) {
+	messages, err := decodeFrame(payload)
+	if err != nil {
+		return
+	}
+	for _, message := range messages {
+		shard, found := s.local(ledger.ShardID(message.Shard))
+		if !found {
+			shard, found = s.holdIfMeant(message)
+		}
+		if found {
+			shard.step(message, from)
+		}
+	}
+}
+
+// holdIfMeant starts a replica whose identity a leader knows already: it is
+// one of a shard's first replicas that never ran, and so has forgotten nothing.
+func (s *Service) holdIfMeant(message replication.Message) (*Shard, bool) {
+	store := s.disk()
+	if store == nil || int(message.Shard) >= s.options.Shards || !s.accepting() {
+		return nil, false
+	}
+	switch message.Type {
+	case replication.MessageAppend, replication.MessageHeartbeat, replication.MessageSnapshot:
+	default:
+		return nil, false
+	}
+	id := ledger.ShardID(message.Shard)
+	incarnation, err := store.IncarnationAt(id)
+	if err != nil || replication.NewReplicaID(s.self().Name, incarnation) != message.To {
+		return nil, false
+	}
+	shard, err := s.hold(id, nil)
+	return shard, err == nil
+}
+
+// announce tells all data nodes that this one leads a shard.
+func (s *Service) announce(shard ledger.ShardID, term uint64) {
+	self := s.self()
+	s.directory.learn(shard, term, self.Address)
+	record := encodeLeader(shard, leaderHint{term: term, leader: self.Address})
+	for _, member := range dataMembers(s.options.Members.View(), self) {
+		if member.Name != self.Name {
+			s.options.Sender.Send(member.Address, kindAnnounce, record)
+		}
+	}
+}
+
+func (s *Service) handleAnnounce(_ transport.Address, payload []byte) {
+	_ = s.directory.learnEncoded(payload)
+}
+
+func (s *Service) handleDirectory(_ context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+	var request directoryRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	if request.Digest == s.directory.digest() {
+		return nil, nil
+	}
+	return s.directory.encodeAll(), nil
+}
+
+// runDirectory asks a data node for the leaders, now and then and on a miss.
+func (s *Service) runDirectory() {
+	ticker := time.NewTicker(s.options.DirectoryInterval)
+	defer ticker.Stop()
+	for {
+		s.lookAtDirectory()
+		select {
+		case <-s.running.Done():
+			return
+		case <-ticker.C:
+		case <-s.suspect:
+			if !s.pause(directoryPause) {
+				return
+			}
+		}
+	}
+}
+
+// directoryPause is the least time between two looks at the directory.
+const directoryPause = 50 * time.Millisecond
+
+func (s *Service) pause(duration time.Duration) bool {
+	select {
+	case <-s.running.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
+func (s *Service) lookAtDirectory() {
+	peer, found := s.pickDirectoryPeer()
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.running, callTimeout)
+	defer cancel()
+	request := encode(directoryRequest{Digest: s.directory.digest()})
+	answer, err := s.options.Sender.Call(ctx, peer, kindDirectory, request)
+	if err == nil && len(answer) > 0 {
+		_ = s.directory.learnAll(answer)
+	}
+}
+
+// pickDirectoryPeer picks a data node at random, mostly of this node's region.
+func (s *Service) pickDirectoryPeer() (transport.Address, bool) {
+	self := s.self()
+	var all, near []membership.Member
+	for _, member := range dataMembers(s.options.Members.View(), self) {
+		if member.Name == self.Name {
+			continue
+		}
+		all = append(all, member)
+		if member.Region == self.Region {
+			near = append(near, member)
+		}
+	}
+	if len(near) > 0 && rand.IntN(farShare) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[rand.IntN(len(all))].Address, true
+}
+
+// farShare is how many looks at the directory there are for one at another region.
+const farShare = 4
+
+func (s *Service) handleDescribe(_ context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+	var request describeRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	return s.describe(request.Shard)
+}
+
+func (s *Service) describe(id ledger.ShardID) ([]byte, error) {
+	store := s.disk()
+	if store == nil {
+		return nil, trace.Wrap(errNotHere)
+	}
+	answer := describeAnswer{Replicas: uint32(len(s.allShards()))}
+	shard, holds := s.local(id)
+	if holds {
+		shard.mutex.Lock()
+		answer.Replica = shard.replica
+		answer.Holds = true
+		shard.mutex.Unlock()
+		return encode(answer), nil
+	}
+	incarnation, err := store.IncarnationAt(id)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	answer.Replica = replication.NewReplicaID(s.self().Name, incarnation)
+	return encode(answer), nil
+}
+
+func (s *Service) handleJoin(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	var request joinRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	if int(request.Shard) >= s.options.Shards {
+		return nil, trace.BadParameter("no shard %d", request.Shard)
+	}
+	if !s.accepting() {
+		return nil, trace.Wrap(ledger.ErrUnavailable, "the disk takes no replica now")
+	}
+	if _, found := s.local(request.Shard); !found {
+		shard, err := s.hold(request.Shard, nil)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		eventJoined.Info("shard", request.Shard, "replica", shard.replica, "peer", from)
+	}
+	return s.describe(request.Shard)
+}
+
+// handleLeave destroys a replica that a leader has removed.
+func (s *Service) handleLeave(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	var request memberRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	shard, found := s.local(request.Shard)
+	if !found {
+		return nil, nil
+	}
+	return nil, s.destroy(shard, request.Replica, from)
+}
+
+func (s *Service) destroy(shard *Shard, replica replication.ReplicaID, from transport.Address) error {
+	shard.mutex.Lock()
+	same := shard.replica == replica && !shard.stopped && shard.halted == nil
+	shard.mutex.Unlock()
+	if !same {
+		return nil
+	}
+	shard.stop()
+	if err := shard.disk.Destroy(); err != nil {
+		return trace.Wrap(err)
+	}
+	s.mutex.Lock()
+	if s.shards[shard.id] == shard {
+		delete(s.shards, shard.id)
+	}
+	s.mutex.Unlock()
+	eventDestroyed.Info("shard", shard.id, "replica", replica, "peer", from)
+	return nil
+}
+
+// handleMember answers at the leader whether a replica is a member.
+func (s *Service) handleMember(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+	var request memberRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	shard, found := s.local(request.Shard)
+	if !found {
+		return nil, trace.Wrap(errNotHere)
+	}
+	err := shard.Read(ctx, func(ledger.Reader) error { return nil })
+	if err != nil {
+		return nil, err // only a leader that is confirmed may say no
+	}
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	status := shard.core.Status()
+	if status.ConfigurationPending {
+		return nil, trace.Wrap(ledger.ErrUnavailable, "a change is pending")
+	}
+	member := status.Configuration.HasVoter(request.Replica) || status.Configuration.HasLearner(request.Replica)
+	return encode(memberAnswer{Member: member}), nil
+}
+
+func (s *Service) handleSnapshotOpen(_ context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+	var request snapshotOpenRequest
+	if _, err := decode(payload, &request, 0); err != nil {
+		return nil, err
+	}
+	shard, found := s.local(request.Shard)
+	if !found {
+		return nil, trace.Wrap(errNotHere)
+	}
+	session, marker, err := s.snapshots.open(shard, time.Now())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return encode(snapshotOpenAnswer{Session: session}, marker.Marshal()), nil
+}
+
+func (s *Service) handleSnapshotChunk(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+	var request snapshotChunkRequest
+	fields, err := decode(payload, &request, 1)
+	if err != nil {
+		return nil, err
+	}
+	return s.snapshots.chunk(ctx, request.Session, fields[0])
+}
--- /dev/null
+++ b/internal/ledger/replica/metrics.go
@@ -0,0 +1,45 @@
+package replica
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	applied       prometheus.Counter
+	snapshotBytes prometheus.Counter
+	leading       prometheus.Gauge
+	replicas      prometheus.Gauge
+	noQuorum      prometheus.Gauge
+	diskBytes     prometheus.Gauge
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		applied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chutelock_ledger_applied_entries_total",
+			Help: "Committed entries that this node's replicas have applied.",
+		}),
+		snapshotBytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chutelock_ledger_snapshot_received_bytes_total",
+			Help: "Bytes of snapshots that this node's replicas have received.",
+		}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_leading_shards",
+			Help: "Shards that this node leads.",
+		}),
+		replicas: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_replicas",
+			Help: "Replicas that this node holds.",
+		}),
+		noQuorum: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_shards_without_quorum",
+			Help: "Shards of this node's replicas that have had no leader for long.",
+		}),
+		diskBytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_disk_bytes",
+			Help: "Disk space that the ledger folder uses.",
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.diskBytes)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/ledger/replica/outbox.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+const (
+	// lazyFlush is how long heartbeats wait for those of other shards to the
+	// same node.
+	lazyFlush = 10 * time.Millisecond
+	// frameBytes bounds a frame of several messages.
+	frameBytes = 4 << 20
+)
+
+// outbox gathers the messages of all shards to each peer, and sends what has
+// gathered as one frame. Urgent messages go as soon as the sender goroutine
+// gets to them; heartbeats wait up to lazyFlush.
+type outbox struct {
+	sender transport.Sender
+
+	mutex   sync.Mutex
+	waiting map[transport.Address][][]byte
+	urgent  chan struct{}
+	stop    chan struct{}
+	stopped sync.WaitGroup
+}
+
+func newOutbox(sender transport.Sender) *outbox {
+	return &outbox{
+		sender:  sender,
+		waiting: map[transport.Address][][]byte{},
+		urgent:  make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+	}
+}
+
+func (o *outbox) start() {
+	o.stopped.Add(1)
+	go o.run()
+}
+
+func (o *outbox) close() {
+	close(o.stop)
+	o.stopped.Wait()
+}
+
+func (o *outbox) add(to transport.Address, message []byte, lazy bool) {
+	o.mutex.Lock()
+	o.waiting[to] = append(o.waiting[to], message)
+	o.mutex.Unlock()
+	if lazy {
+		return
+	}
+	select {
+	case o.urgent <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outbox) run() {
+	defer o.stopped.Done()
+	ticker := time.NewTicker(lazyFlush)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.urgent:
+		case <-ticker.C:
+		case <-o.stop:
+			o.flush()
+			return
+		}
+		o.flush()
+	}
+}
+
+func (o *outbox) flush() {
+	o.mutex.Lock()
+	waiting := o.waiting
+	if len(waiting) > 0 {
+		o.waiting = make(map[transport.Address][][]byte, len(waiting))
+	}
+	o.mutex.Unlock()
+	for to, messages := range waiting {
+		o.sendFrames(to, messages)
+	}
+}
+
+func (o *outbox) sendFrames(to transport.Address, messages [][]byte) {
+	start, size := 0, 0
+	for i, message := range messages {
+		if size+len(message) > frameBytes && i > start {
+			o.sender.Send(to, kindFrame, encode(fixedFrame{}, messages[start:i]...))
+			start, size = i, 0
+		}
+		size += len(message)
+	}
+	o.sender.Send(to, kindFrame, encode(fixedFrame{}, messages[start:]...))
+}
--- a/internal/ledger/storage/shard.go
+++ b/internal/ledger/storage/shard.go
@@ -294,3 +294,13 @@
 	defer s.mutex.RUnlock()
 	return s.logBytes
 }
+
+// IncarnationAt returns what Incarnation of the shard would be, without
+// opening it.
+func (s *Store) IncarnationAt(id ledger.ShardID) (uint64, error) {
+	shard := &Shard{store: s, id: id}
+	if err := shard.loadGeneration(); err != nil {
+		return 0, trace.Wrap(err, "read the identity at shard %d", id)
+	}
+	return shard.Incarnation(), nil
+}
--- a/internal/ledger/storage/snapshot.go
+++ b/internal/ledger/storage/snapshot.go
@@ -27,9 +27,8 @@
 func (v *View) Marker() replication.SnapshotMarker { return v.applied.marker }
 
 // Chunk encodes about maxBytes of the state that follows the key after, or
-// that starts the state when after is empty. It returns the last key in it,
-// and whether the chunk is the final one.
-func (v *View) Chunk(after []byte, maxBytes int) (chunk, last []byte, final bool, err error) {
+// that starts the state when after is empty.
+func (v *View) Chunk(after []byte, maxBytes int) ([]byte, error) {
 	from := after
 	if len(after) > 0 {
 		from = append(append([]byte(nil), after...), 0)
@@ -37,23 +36,22 @@
 	space := keySpace{reader: v.snapshot, prefix: v.state}
 	var fields [][]byte
 	size := 0
-	final = true
-	err = space.Scan(from, nil, func(key, value []byte) (bool, error) {
+	final := true
+	err := space.Scan(from, nil, func(key, value []byte) (bool, error) {
 		if size >= maxBytes {
 			final = false
 			return false, nil
 		}
-		last = append([]byte(nil), key...)
-		fields = append(fields, last, append([]byte(nil), value...))
+		fields = append(fields, append([]byte(nil), key...), append([]byte(nil), value...))
 		size += len(key) + len(value)
 		return true, nil
 	})
 	if err != nil {
-		return nil, nil, false, trace.Wrap(err, "read a snapshot chunk")
+		return nil, trace.Wrap(err, "read a snapshot chunk")
 	}
 	fixed := fixedChunk{Checksum: fieldsChecksum(fields), Final: final}
-	chunk, err = wire.Marshal(chunkVersion, fixed, fields...)
-	return chunk, last, final, trace.Wrap(err)
+	chunk, err := wire.Marshal(chunkVersion, fixed, fields...)
+	return chunk, trace.Wrap(err)
 }
 
 func fieldsChecksum(fields [][]byte) uint64 {
