--- a/internal/admission/online/controller.go
+++ b/internal/admission/online/controller.go
@@ -9,11 +9,8 @@
 	"chutelock.dev/chutelock/internal/settings"
 )
 
-// Defaults for services that don't set a value.
-const (
-	DefaultQueueLimit   = 256
-	DefaultQueueTimeout = 5 * time.Second
-)
+// DefaultQueueTimeout is the longest wait where a service sets none.
+const DefaultQueueTimeout = 5 * time.Second
 
 const (
 	// maxRetryAfter and minRetryAfter bound when refused callers come back.
@@ -142,7 +139,7 @@
 	if now.Add(service.wait(now, ahead+1)).After(state.expires) {
 		return append(verdicts, c.refuse(now, state, ReasonTooLate))
 	}
-	if service.queue.length >= queueLimit(state.ticket.Service) {
+	if service.queue.length >= state.ticket.Service.QueueLimit {
 		worst := service.queue.last()
 		if worst == nil || worst.ticket.Tenant.Priority <= priority {
 			return append(verdicts, c.refuse(now, state, ReasonQueueFull))
@@ -346,13 +343,6 @@
 	return min(max(time.Duration(float64(wait)*spread), minRetryAfter), maxRetryAfter)
 }
 
-func queueLimit(service *settings.Service) int {
-	if service.QueueLimit == 0 {
-		return DefaultQueueLimit
-	}
-	return service.QueueLimit
-}
-
 func expiry(now time.Time, ticket Ticket) time.Time {
 	timeout := ticket.Service.QueueTimeout
 	if timeout == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,9 +35,6 @@
 	HeaderTimeout = "Chutelock-Timeout"
 )
 
-// defaultRetryBudget is the share of retries where a service sets none.
-const defaultRetryBudget = 0.1
-
 // Dependencies are what a Gateway works with.
 type Dependencies struct {
 	Settings settings.Source
@@ -354,12 +351,10 @@
 	defer g.budgetsMutex.Unlock()
 	budget := g.budgets[request.service.Model]
 	if budget == nil {
-		budget = relay.NewBudget(defaultRetryBudget, relay.DefaultReserve)
+		budget = relay.NewBudget(request.service.RetryBudget, relay.DefaultReserve)
 		g.budgets[request.service.Model] = budget
 	}
-	if ratio := request.service.RetryBudget; ratio > 0 {
-		budget.SetRatio(ratio)
-	}
+	budget.SetRatio(request.service.RetryBudget)
 	return relay.NewCall(request.repeatable, request.deadline, budget)
 }
 
--- a/internal/gateway/relay/budget.go
+++ b/internal/gateway/relay/budget.go
@@ -39,11 +39,12 @@
 	b.balance = min(b.reserve, b.balance+b.ratio)
 }
 
-// Spend takes one retry out of the budget if there is one.
+// Spend takes one retry out of the budget if there is one; a ratio of 0 allows
+// none, whatever was saved up.
 func (b *Budget) Spend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.balance < 1 {
+	if b.ratio <= 0 || b.balance < 1 {
 		b.denied++
 		return false
 	}
