--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,7 +56,8 @@
 
 // Platform is where the platform's services are.
 type Platform struct {
-	Address string `koanf:"address" validate:"required,url"`
+	// Address is the platform's "ip:port".
+	Address string `koanf:"address" validate:"required,ip_port"`
 }
 
 // Data is the folder for bulk data; empty means that the node keeps nothing.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -14,7 +14,7 @@
 node: {name: n1, zone: z1, region: r1}
 listen: {callers: "127.0.0.1:0"}
 peers: {seeds: ["127.0.0.1:7000"], key_file: keys}
-platform: {address: "http://127.0.0.1:9000"}
+platform: {address: "127.0.0.1:9000"}
 drain: {timeout: 5s}
 `
 
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -11,7 +11,9 @@
 type Config struct {
 	Name string `koanf:"name" validate:"required"`
 	Zone string `koanf:"zone"`
-	Role string `koanf:"role"`
+	// Region stands in the engine's object in the platform's store.
+	Region string `koanf:"region"`
+	Role   string `koanf:"role"`
 	// Listen is the address of the protocol, Control the one of the control
 	// endpoint, which stays up while the engine is "down".
 	Listen  string `koanf:"listen" validate:"required"`
--- a/internal/standin/engine/register.go
+++ b/internal/standin/engine/register.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"time"
 
+	"chutelock.dev/chutelock/internal/fleet"
 	"chutelock.dev/chutelock/internal/platform"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
 	"chutelock.dev/chutelock/internal/standin/fault"
@@ -22,6 +25,7 @@
 		return
 	}
 	list := objecthttp.New(s.config.Platform, objecthttp.Options{Timeout: registerEvery})
+	published := false
 	ticker := time.NewTicker(registerEvery)
 	defer ticker.Stop()
 	for {
@@ -29,7 +33,12 @@
 			s.deregister(list)
 			return
 		}
-		if err := list.Register(ctx, s.machine(address)); err != nil && ctx.Err() == nil {
+		err := list.Register(ctx, s.machine(address))
+		if err == nil && !published {
+			err = s.publish(ctx, list, address)
+			published = err == nil
+		}
+		if err != nil && ctx.Err() == nil {
 			EventRegisterFailed.Error(err, "engine", s.config.Name)
 		}
 		select {
@@ -54,10 +63,40 @@
 	}
 }
 
+// publish writes the engine's object, as the platform does for its engines.
+func (s *Server) publish(ctx context.Context, store *objecthttp.Client, address string) error {
+	models := make([]string, 0, len(s.config.Models))
+	models = append(models, s.config.Models...)
+	spec, err := json.Marshal(fleet.Spec{
+		Address: address,
+		Zone:    s.config.Zone,
+		Region:  s.config.Region,
+		Models:  models,
+	})
+	if err != nil {
+		return err
+	}
+	object, err := store.Get(ctx, platform.KindEngine, s.config.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = store.Put(ctx, platform.Object{
+		Kind:     platform.KindEngine,
+		Name:     s.config.Name,
+		Revision: object.Revision,
+		Spec:     spec,
+	})
+	return err
+}
+
 func (s *Server) deregister(list *objecthttp.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), registerEvery)
 	defer cancel()
-	if err := list.Deregister(ctx, s.config.Name); err != nil {
+	err := list.Deregister(ctx, s.config.Name)
+	if err == nil {
+		err = list.Delete(ctx, platform.KindEngine, s.config.Name, 0)
+	}
+	if err != nil {
 		EventRegisterFailed.Error(err, "engine", s.config.Name)
 	}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
@@ -74,8 +76,25 @@
 
 // Error logs the event as an error.
 func (e Event) Error(err error, keysAndValues ...any) {
-	klog.ErrorSDepth(1, err, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
-	e.remember(fmt.Sprint(err), keysAndValues)
+	plain := plainError{err}
+	klog.ErrorSDepth(1, plain, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+	e.remember(plain.Error(), keysAndValues)
+}
+
+// plainError is an error without the stack that trace adds to it: its message
+// carries the step and the peer already.
+type plainError struct{ error }
+
+// Error implements error.
+func (p plainError) Error() string {
+	if p.error == nil {
+		return "no error given"
+	}
+	lines := strings.Split(trace.UserMessage(p.error), "\n")
+	for i, line := range lines {
+		lines[i] = strings.TrimSpace(line)
+	}
+	return strings.Join(lines, ": ")
 }
 
 func (e Event) remember(failure string, keysAndValues []any) {
@@ -107,6 +126,6 @@
 // keep it among the recent records.
 func (e Event) Verbose(level klog.Level, err error, keysAndValues ...any) {
 	if klog.V(level).Enabled() {
-		klog.InfoSDepth(1, e.Name, append([]any{"event", e.Number, "err", err}, keysAndValues...)...)
+		klog.InfoSDepth(1, e.Name, append([]any{"event", e.Number, "err", plainError{err}}, keysAndValues...)...)
 	}
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/gravitational/trace"
 	"github.com/onsi/gomega"
 )
 
@@ -20,3 +21,11 @@
 	g.Expect(records[recentLimit-1].Error).To(gomega.Equal("broken"))
 	g.Expect(func() { Define(9999, "again", "") }).To(gomega.Panic())
 }
+
+func TestErrorsAreToldInOneLineWithTheirSteps(t *testing.T) {
+	g := gomega.NewWithT(t)
+	wrapped := trace.Wrap(trace.Wrap(errors.New("refused"), "dialling peer %s", "p1"), "joining")
+	g.Expect(plainError{wrapped}.Error()).To(gomega.MatchRegexp("^joining.*dialling peer p1.*refused$"))
+	g.Expect(plainError{wrapped}.Error()).NotTo(gomega.ContainSubstring(".go:"))
+	g.Expect(plainError{}.Error()).NotTo(gomega.BeEmpty())
+}
