--- /dev/null
+++ b/internal/jobs/dispatch/dispatcher.go
@@ -0,0 +1,370 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chutelock.dev/chutelock/internal/admission/batch"
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/jobs/command"
+)
+
+const (
+	// tickInterval is what the policy is promised while streams run.
+	tickInterval = 10 * time.Millisecond
+	// idleTickInterval is the interval while none does.
+	idleTickInterval = 100 * time.Millisecond
+	// maxStreams bounds the streams of one node.
+	maxStreams = 4096
+	// maxControls bounds the lease requests and suspensions under way.
+	maxControls = 64
+	// leaseTimeout bounds one lease request.
+	leaseTimeout = 5 * time.Second
+	// startTimeout bounds the recording of a start.
+	startTimeout = 5 * time.Second
+	// suspendTimeout bounds a suspension; a stream that does not suspend in
+	// time is cancelled.
+	suspendTimeout = 500 * time.Millisecond
+)
+
+// Dependencies are what a dispatcher works with.
+type Dependencies struct {
+	// Name is unique to this run of this node: a restarted node is another
+	// dispatcher, whose predecessor's leases end.
+	Name    string
+	Work    jobs.Work
+	Policy  batch.Policy
+	Clients fleet.Clients
+	Metrics prometheus.Registerer
+}
+
+// Dispatcher runs batch items. Its methods may be called concurrently.
+type Dispatcher struct {
+	name    string
+	work    jobs.Work
+	clients fleet.Clients
+	reports *reporter
+	pool    pond.Pool // runs attempts
+	control pond.Pool // runs what must not wait for attempts to end
+	metrics *metrics
+	drained chan struct{}
+	once    sync.Once
+
+	// mutex guards the fields below. Nothing else is locked and no call is
+	// made while it is held, but for the metrics.
+	mutex     sync.Mutex
+	scheduler *scheduler
+	endpoints map[string]*fleet.Endpoint
+	cancels   map[string]context.CancelFunc // stream → ends its attempt
+	// context is that of Run; nil before.
+	context context.Context
+}
+
+// New returns a dispatcher that does nothing before Run.
+func New(dependencies Dependencies) *Dispatcher {
+	counted := newMetrics(dependencies.Metrics)
+	return &Dispatcher{
+		name: dependencies.Name, work: dependencies.Work, clients: dependencies.Clients,
+		reports: newReporter(dependencies.Work, counted), pool: pond.NewPool(maxStreams),
+		control: pond.NewPool(maxControls), metrics: counted,
+		drained: make(chan struct{}), scheduler: newScheduler(dependencies.Policy),
+		endpoints: map[string]*fleet.Endpoint{}, cancels: map[string]context.CancelFunc{},
+	}
+}
+
+// Run works until ctx ends; call Drain before for a planned stop.
+func (d *Dispatcher) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mutex.Lock()
+	d.context = ctx
+	d.mutex.Unlock()
+	var loops sync.WaitGroup
+	loops.Go(func() { d.reports.run(ctx) })
+	loops.Go(func() { d.renewLoop(ctx) })
+	loops.Go(func() { d.tickLoop(ctx) })
+	loops.Wait()
+	d.control.StopAndWait()
+	d.pool.StopAndWait()
+}
+
+// locked changes the scheduler and then does what it decided.
+func (d *Dispatcher) locked(change func(now time.Time, s *scheduler)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.context == nil || d.context.Err() != nil {
+		return
+	}
+	now := time.Now()
+	change(now, d.scheduler)
+	d.scheduler.fetch(now)
+	for _, next := range d.scheduler.take() {
+		d.do(next)
+	}
+	d.metrics.running.Set(float64(len(d.scheduler.streams)))
+}
+
+// do begins an action; the mutex is held, so it must not block.
+func (d *Dispatcher) do(next action) {
+	switch next.kind {
+	case actionRun:
+		d.launch(next.stream)
+	case actionSuspend:
+		d.metrics.suspended.Inc()
+		d.suspend(next.stream)
+	case actionCancel:
+		if cancel, ok := d.cancels[next.stream.id]; ok {
+			cancel()
+		}
+	case actionFetch:
+		ctx := d.context
+		d.control.Submit(func() { d.fetch(ctx, next.model, next.count) })
+	case actionReport, actionReturned:
+		d.reports.add(next.result)
+	}
+}
+
+func (d *Dispatcher) launch(running *stream) {
+	ctx, cancel := context.WithCancel(d.context)
+	d.cancels[running.id] = cancel
+	client := d.clients.Client(d.endpoints[running.engine])
+	attempt := attemptOf(running)
+	d.metrics.started.Inc()
+	d.pool.Submit(func() {
+		defer cancel()
+		d.attempt(ctx, client, running, attempt)
+	})
+}
+
+// attempt is what one attempt needs; it is read under the mutex, once.
+type attempt struct {
+	request    engine.Request
+	lease      jobs.Lease
+	index      uint32
+	repeatable bool
+}
+
+func attemptOf(running *stream) attempt {
+	item := &running.task.item
+	return attempt{
+		request: engine.Request{
+			ID: running.id, Attempt: running.attempt, Path: item.Path, Body: item.Body, Model: running.task.model,
+			Priority: engine.PriorityBatch, ResumeFrom: running.task.tokens, Tenant: running.task.lease.Tenant,
+		},
+		lease: running.task.lease, index: item.Index, repeatable: item.Repeatable,
+	}
+}
+
+var errStale = errors.New("dispatch: the attempt is over")
+
+// attempt runs one attempt; a non-repeatable item only after its start was
+// committed.
+func (d *Dispatcher) attempt(ctx context.Context, client engine.Client, running *stream, planned attempt) {
+	if !planned.repeatable && !d.startRecorded(ctx, running, planned) {
+		return
+	}
+	finish, err := client.Generate(ctx, planned.request, func(chunk engine.Chunk) error {
+		accepted := false
+		d.locked(func(now time.Time, s *scheduler) {
+			accepted = s.token(now, running, planned.request.Attempt, chunk)
+		})
+		if !accepted {
+			return errStale
+		}
+		return nil
+	})
+	d.locked(func(now time.Time, s *scheduler) {
+		s.ended(now, running, planned.request.Attempt, finish, err)
+	})
+}
+
+// startRecorded commits the start of a non-repeatable item.
+func (d *Dispatcher) startRecorded(ctx context.Context, running *stream, planned attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	granted, err := d.work.Start(ctx, planned.lease, planned.index)
+	if err == nil && granted && ctx.Err() == nil {
+		return true
+	}
+	if err != nil {
+		eventStartFailed.Error(err, "job", planned.lease.JobID, "item", planned.index)
+	}
+	d.locked(func(now time.Time, s *scheduler) { s.refusedStart(now, running) })
+	return false
+}
+
+// suspend parks a stream at its engine; if that fails, it is moved.
+func (d *Dispatcher) suspend(running *stream) {
+	client := d.clients.Client(d.endpoints[running.engine])
+	parent := d.context
+	d.control.Submit(func() {
+		ctx, cancel := context.WithTimeout(parent, suspendTimeout)
+		defer cancel()
+		if err := client.Suspend(ctx, running.id); err != nil && parent.Err() == nil {
+			eventSuspendFailed.Error(err, "engine", running.engine, "stream", running.id)
+			d.locked(func(now time.Time, s *scheduler) { s.move(now, running.id) })
+		}
+	})
+}
+
+func (d *Dispatcher) fetch(ctx context.Context, model string, count int) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	leases, err := d.work.Lease(ctx, d.name, model, count)
+	if err != nil && ctx.Err() == nil {
+		eventLeaseFailed.Error(err, "model", model)
+	}
+	d.locked(func(now time.Time, s *scheduler) { s.leased(now, model, leases) })
+}
+
+func (d *Dispatcher) renewLoop(ctx context.Context) {
+	ticker := time.NewTicker(command.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.renew(ctx)
+		}
+	}
+}
+
+// renew renews the leases of all jobs here. The right to start is counted from
+// before the request was sent.
+func (d *Dispatcher) renew(ctx context.Context) {
+	var jobIDs []string
+	d.locked(func(_ time.Time, s *scheduler) { jobIDs = s.heldJobs() })
+	if len(jobIDs) == 0 {
+		return
+	}
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, command.StartValidity)
+	defer cancel()
+	revoked, err := d.work.Renew(ctx, d.name, jobIDs)
+	if err != nil {
+		eventRenewFailed.Error(err)
+		jobIDs = renewedOf(jobIDs, err)
+	}
+	if len(revoked) > 0 {
+		eventRevoked.Info("jobs", len(revoked), "first", revoked[0])
+	}
+	d.locked(func(_ time.Time, s *scheduler) {
+		s.renewed(jobIDs, sent.Add(command.StartValidity))
+		s.revoke(revoked)
+	})
+}
+
+// renewedOf returns the jobs that were renewed although others were not.
+func renewedOf(jobIDs []string, err error) []string {
+	var partial *jobs.RenewError
+	if !errors.As(err, &partial) {
+		return nil
+	}
+	failed := make(map[string]bool, len(partial.JobIDs))
+	for _, jobID := range partial.JobIDs {
+		failed[jobID] = true
+	}
+	var renewed []string
+	for _, jobID := range jobIDs {
+		if !failed[jobID] {
+			renewed = append(renewed, jobID)
+		}
+	}
+	return renewed
+}
+
+func (d *Dispatcher) tickLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			timer.Reset(d.tick())
+		}
+	}
+}
+
+func (d *Dispatcher) tick() (next time.Duration) {
+	next = idleTickInterval
+	d.locked(func(now time.Time, s *scheduler) {
+		s.congested = d.reports.congested()
+		s.tick(now)
+		if len(s.streams) > 0 {
+			next = tickInterval
+		}
+		d.closeIfDrained(s)
+	})
+	return next
+}
+
+func (d *Dispatcher) closeIfDrained(s *scheduler) {
+	if s.draining && len(s.streams) == 0 && d.reports.empty() {
+		d.once.Do(func() { close(d.drained) })
+	}
+}
+
+// HomeEvent takes what happens at the engines that this node is home of; it
+// is a fleet.HomeListener and never blocks.
+func (d *Dispatcher) HomeEvent(_ time.Time, event fleet.HomeEvent) {
+	name := event.Endpoint.Name
+	d.locked(func(now time.Time, s *scheduler) {
+		switch event.Kind {
+		case fleet.HomeGained:
+			d.endpoints[name] = event.Endpoint
+			s.gained(name, event.Endpoint.Load.Models, event.Endpoint.Leaving)
+			s.load(now, name, event.Endpoint.Load)
+		case fleet.HomeLost:
+			s.lost(now, name)
+		case fleet.HomeEngineLeaving:
+			s.setLeaving(now, name, true)
+		case fleet.HomeEngineBack:
+			s.setLeaving(now, name, false)
+		case fleet.HomeLoad:
+			d.endpoints[name] = event.Endpoint
+			s.load(now, name, event.Load)
+		case fleet.HomeOnlineStarted, fleet.HomeOnlineFinished:
+			s.online(now, onlineEvent(event))
+		}
+	})
+}
+
+func onlineEvent(event fleet.HomeEvent) batch.Event {
+	kind := batch.EventOnlineStarted
+	if event.Kind == fleet.HomeOnlineFinished {
+		kind = batch.EventOnlineFinished
+	}
+	return batch.Event{
+		Kind: kind, Engine: event.Endpoint.Name, Stream: event.Request, PromptTokens: event.PromptTokens,
+	}
+}
+
+// Drain starts no more items, hands back what waits, and lets what runs
+// finish until ctx ends; then it hands the rest back too. It returns when all
+// is reported or, with an error, when stop ends first.
+func (d *Dispatcher) Drain(ctx, stop context.Context) error {
+	d.locked(func(now time.Time, s *scheduler) { s.drain(now) })
+	select {
+	case <-d.drained:
+		eventDrained.Info()
+		return nil
+	case <-ctx.Done():
+	}
+	d.locked(func(now time.Time, s *scheduler) { s.cancelAll(now) })
+	select {
+	case <-d.drained:
+		eventDrained.Info()
+		return nil
+	case <-stop.Done():
+		return stop.Err()
+	}
+}
