--- a/internal/node/batch.go
+++ b/internal/node/batch.go
@@ -5,9 +5,14 @@
 	"net/http"
 	"sync"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	admission "chutelock.dev/chutelock/internal/admission/batch"
+	"chutelock.dev/chutelock/internal/fleet"
 	"chutelock.dev/chutelock/internal/gateway"
 	"chutelock.dev/chutelock/internal/gateway/batchapi"
 	"chutelock.dev/chutelock/internal/jobs/command"
+	"chutelock.dev/chutelock/internal/jobs/dispatch"
 	"chutelock.dev/chutelock/internal/jobs/machine"
 	"chutelock.dev/chutelock/internal/jobs/query"
 	"chutelock.dev/chutelock/internal/jobs/remote"
@@ -46,6 +51,24 @@
 	files   *command.Files
 	jobs    *command.Jobs
 	work    *command.Work
+
+	dispatcher *dispatch.Dispatcher
+}
+
+// batchStreams is how many batch streams an engine runs until its controller
+// knows better.
+const batchStreams = 8
+
+// runsOn gives the batch part its engines; name is unique to this run of the
+// node.
+func (b *batch) runsOn(engines fleet.Clients, name string, registry prometheus.Registerer) {
+	b.dispatcher = dispatch.New(dispatch.Dependencies{
+		Name:    name,
+		Work:    b.work,
+		Policy:  admission.NewFixed(batchStreams, true),
+		Clients: engines,
+		Metrics: registry,
+	})
 }
 
 func newBatch(directory ledger.Directory, peers *transport.Node, machines *machines) *batch {
@@ -75,7 +98,12 @@
 	})
 }
 
-func (b *batch) run(ctx context.Context) { b.keeper.Run(ctx) }
+func (b *batch) run(ctx context.Context) {
+	var both sync.WaitGroup
+	both.Go(func() { b.keeper.Run(ctx) })
+	both.Go(func() { b.dispatcher.Run(ctx) })
+	both.Wait()
+}
 
 // authenticator finds tenants for the batch API as the online API does.
 type authenticator struct{ source settings.Source }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// batchFinishTime is how long items in progress may finish in a planned stop
+// before they are handed back; they lose nothing then but the engine's work.
+const batchFinishTime = 5 * time.Second
+
 // closeTimeout bounds the last part of a stop, when no request is left.
 const closeTimeout = 5 * time.Second
 
@@ -15,11 +19,19 @@
 	EventDraining.Info("node", n.config.Node.Name)
 	n.readiness.Drain()
 	n.members.Leave()
+	n.drainStep("batch", n.drainBatch(ctx))
 	n.drainStep("ledger", n.ledger.Drain(ctx))
 	n.drainStep("gateway", n.gateway.Drain(ctx))
 	n.Close()
 }
 
+// drainBatch lets running items finish for a while, then hands them back.
+func (n *Node) drainBatch(stop context.Context) error {
+	finish, cancel := context.WithTimeout(stop, batchFinishTime)
+	defer cancel()
+	return n.batch.dispatcher.Drain(finish, stop)
+}
+
 func (n *Node) drainStep(step string, err error) {
 	if err != nil {
 		EventDrainStep.Error(err, "step", step)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/engine"
 	"chutelock.dev/chutelock/internal/engine/openaihttp"
+	"chutelock.dev/chutelock/internal/fleet"
 	"chutelock.dev/chutelock/internal/fleet/registry"
 	"chutelock.dev/chutelock/internal/fleet/tracker"
 	"chutelock.dev/chutelock/internal/gateway"
@@ -88,10 +90,10 @@
 	n.platform = objecthttp.New(settings.Platform.Address, objecthttp.Options{})
 	n.settings = tree.NewLive()
 	n.openMembership()
-	n.openEngines()
 	if err := n.openLedger(); err != nil {
 		return nil, err
 	}
+	n.openEngines()
 	n.openGateway()
 	n.openOperators()
 	return n, nil
@@ -147,7 +149,9 @@
 		Dial: func(address string) engine.Client {
 			return openaihttp.New(address, address, openaihttp.Options{})
 		},
+		Listener: func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
 	})
+	n.batch.runsOn(n.engines, n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
 	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
 }
 
