--- /dev/null
+++ b/test/e2e/suite_test.go
@@ -0,0 +1,49 @@
+// Package e2e proves the promises on separate processes: a platform, engines
+// and nodes on loopback, driven through the published APIs and judged by the
+// engines' truth logs.
+package e2e
+
+import (
+	"os"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// The programs under test, built once.
+var (
+	nodeBinary    string
+	labBinary     string
+	controlBinary string
+)
+
+func TestEndToEnd(t *testing.T) {
+	if testing.Short() {
+		t.Skip("separate processes are left out of short runs")
+	}
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "End to end")
+}
+
+var _ = ginkgo.BeforeSuite(func() {
+	for program, path := range map[string]*string{
+		"chutelock": &nodeBinary, "chutelock-lab": &labBinary, "chutelockctl": &controlBinary,
+	} {
+		built, err := gexec.Build("chutelock.dev/chutelock/cmd/" + program)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		*path = built
+	}
+})
+
+var _ = ginkgo.AfterSuite(gexec.CleanupBuildArtifacts)
+
+// itemCount is how many items a job of a failure spec has; the campaign runs
+// with more.
+func itemCount(normal int) int {
+	if os.Getenv("CHUTELOCK_CAMPAIGN") != "" {
+		return 20000
+	}
+	return normal
+}
