--- /dev/null
+++ b/internal/standin/engine/register.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/platform/objecthttp"
+	"chutelock.dev/chutelock/internal/standin/fault"
+)
+
+// registerEvery is the time between registrations with the platform.
+const registerEvery = time.Second
+
+// machineRole is the engine's role in the machine list.
+const machineRole = "engine"
+
+// Register keeps the engine in the platform's machine list under its address
+// until ctx ends, and then takes it off. It returns at once without a platform.
+func (s *Server) Register(ctx context.Context, address string) {
+	if s.config.Platform == "" {
+		return
+	}
+	list := objecthttp.New(s.config.Platform, objecthttp.Options{Timeout: registerEvery})
+	published := false
+	ticker := time.NewTicker(registerEvery)
+	defer ticker.Stop()
+	for {
+		if s.injector.Wait(ctx, fault.Pause) != nil {
+			s.deregister(list)
+			return
+		}
+		err := list.Register(ctx, s.machine(address))
+		if err == nil && !published {
+			err = s.publish(ctx, list, address)
+			published = err == nil
+		}
+		if err != nil && ctx.Err() == nil {
+			EventRegisterFailed.Error(err, "engine", s.config.Name)
+		}
+		select {
+		case <-ticker.C:
+		case <-s.drainChanged:
+		case <-ctx.Done():
+			s.deregister(list)
+			return
+		}
+	}
+}
+
+func (s *Server) machine(address string) platform.Machine {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return platform.Machine{
+		Name:    s.config.Name,
+		Zone:    s.config.Zone,
+		Role:    machineRole,
+		Address: address,
+		Leaving: s.draining,
+	}
+}
+
+// publish writes the engine's object, as the platform does for its engines.
+func (s *Server) publish(ctx context.Context, store *objecthttp.Client, address string) error {
+	models := make([]string, 0, len(s.config.Models))
+	models = append(models, s.config.Models...)
+	spec, err := json.Marshal(fleet.Spec{
+		Address: address,
+		Zone:    s.config.Zone,
+		Region:  s.config.Region,
+		Models:  models,
+	})
+	if err != nil {
+		return err
+	}
+	object, err := store.Get(ctx, platform.KindEngine, s.config.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = store.Put(ctx, platform.Object{
+		Kind:     platform.KindEngine,
+		Name:     s.config.Name,
+		Revision: object.Revision,
+		Spec:     spec,
+	})
+	return err
+}
+
+func (s *Server) deregister(list *objecthttp.Client) {
+	ctx, cancel := context.WithTimeout(context.Background(), registerEvery)
+	defer cancel()
+	err := list.Deregister(ctx, s.config.Name)
+	if err == nil {
+		err = list.Delete(ctx, platform.KindEngine, s.config.Name, 0)
+	}
+	if err != nil {
+		EventRegisterFailed.Error(err, "engine", s.config.Name)
+	}
+}
