--- a/internal/membership/swim/repair.go
+++ b/internal/membership/swim/repair.go
@@ -48,15 +48,21 @@
 	return false
 }
 
-// delegatesOf elects a zone's delegates among its live members. A zone with
-// none is still asked by the other zones' digests.
+// delegatesOf elects a zone's delegates among its live members; where all that
+// is left is leaving, those speak to the end.
 func (n *Node) delegatesOf(zone string) []membership.Member {
-	var live []membership.Member
+	var live, leaving []membership.Member
 	for _, member := range n.inZone(zone) {
-		if member.Live() {
+		switch {
+		case member.Live():
 			live = append(live, member)
+		case member.State == membership.StateLeaving:
+			leaving = append(leaving, member)
 		}
 	}
+	if len(live) == 0 {
+		live = leaving
+	}
 	return membership.Elect(DelegateRole(zone), live, Delegates)
 }
 
--- a/internal/membership/swim/swim_test.go
+++ b/internal/membership/swim/swim_test.go
@@ -216,6 +216,8 @@
 			[]step{leave("node-0-01"), stop("node-0-00")}},
 		{"all known delegates of a zone died at once", 2, 3,
 			[]step{leave("node-0-02"), stop("node-1-01"), stop("node-0-01"), stop("node-0-00")}},
+		{"all nodes of two zones leave", 2, 2,
+			[]step{leave("node-0-00"), leave("node-0-01"), leave("node-1-00"), leave("node-1-01"), stop("node-1-00")}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
