--- a/internal/membership/swim/simulation_test.go
+++ b/internal/membership/swim/simulation_test.go
@@ -1,12 +1,12 @@
 package swim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
 
+	"chutelock.dev/chutelock/internal/lab/virtualtime"
 	"chutelock.dev/chutelock/internal/membership"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -14,10 +14,9 @@
 // simulation runs many nodes in virtual time over a network that loses,
 // delays and cuts. Calls are not lost, as TCP repeats, but cut links stop them.
 type simulation struct {
+	clock  *virtualtime.Clock
 	start  time.Time
-	now    time.Time
 	random *rand.Rand
-	events eventHeap
 	hosts  map[string]*host
 	byAddr map[transport.Address]*host
 	loss   float64
@@ -41,43 +40,17 @@
 	leaving            bool
 }
 
-type event struct {
-	at    time.Time
-	order uint64
-	run   func()
-}
-
-type eventHeap struct {
-	list []event
-	next uint64
-}
-
-func (h *eventHeap) Len() int { return len(h.list) }
-func (h *eventHeap) Less(i, j int) bool {
-	if !h.list[i].at.Equal(h.list[j].at) {
-		return h.list[i].at.Before(h.list[j].at)
-	}
-	return h.list[i].order < h.list[j].order
-}
-func (h *eventHeap) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
-func (h *eventHeap) Push(item any) { h.list = append(h.list, item.(event)) }
-func (h *eventHeap) Pop() any {
-	last := h.list[len(h.list)-1]
-	h.list = h.list[:len(h.list)-1]
-	return last
-}
-
 // newSimulation starts zones×perZone nodes; each region holds two zones.
 func newSimulation(seed uint64, zones, perZone int, adjust func(*Config)) *simulation {
 	s := &simulation{
-		start:  time.Unix(1_000_000, 0),
+		clock:  virtualtime.New(time.Unix(1_000_000, 0)),
 		random: rand.New(rand.NewPCG(seed, 1)),
 		hosts:  map[string]*host{},
 		byAddr: map[transport.Address]*host{},
 		adjust: adjust,
 		bytes:  map[string]uint64{},
 	}
-	s.now = s.start
+	s.start = s.clock.Now()
 	for zone := range zones {
 		for index := range perZone {
 			h := &host{
@@ -109,7 +82,7 @@
 	config := Config{
 		Self: membership.Member{
 			Name: h.name, Address: h.address, Zone: h.zone, Region: h.region,
-			Incarnation: uint64(s.now.UnixMilli()),
+			Incarnation: uint64(s.clock.Now().UnixMilli()),
 		},
 		Seeds: []transport.Address{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.1.1:7000"},
 		Seed:  s.random.Uint64(),
@@ -117,7 +90,7 @@
 	if s.adjust != nil {
 		s.adjust(&config)
 	}
-	h.node = New(config, s.now)
+	h.node = New(config, s.clock.Now())
 	h.node.SetContacts(s.machineList())
 	s.tickLater(h, h.life, s.between(0, TickInterval))
 }
@@ -136,21 +109,16 @@
 	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
 }
 
-func (s *simulation) after(delay time.Duration, run func()) {
-	s.events.next++
-	heap.Push(&s.events, event{at: s.now.Add(delay), order: s.events.next, run: run})
-}
-
 func (s *simulation) tickLater(h *host, life int, delay time.Duration) {
-	s.after(delay, func() {
+	s.clock.After(delay, func() {
 		if !h.up || h.life != life {
 			return
 		}
-		if s.now.Before(h.pausedUntil) {
-			s.tickLater(h, life, h.pausedUntil.Sub(s.now)+time.Millisecond)
+		if s.clock.Now().Before(h.pausedUntil) {
+			s.tickLater(h, life, h.pausedUntil.Sub(s.clock.Now())+time.Millisecond)
 			return
 		}
-		s.send(h, h.node.Tick(s.now))
+		s.send(h, h.node.Tick(s.clock.Now()))
 		s.tickLater(h, life, TickInterval)
 	})
 }
@@ -166,15 +134,15 @@
 
 // deliver runs at a host that is up, as soon as it is not paused.
 func (s *simulation) deliver(h *host, life int, delay time.Duration, run func()) {
-	s.after(delay, func() {
+	s.clock.After(delay, func() {
 		if !h.up || h.life != life {
 			return
 		}
-		if s.now.Before(h.pausedUntil) {
+		if s.clock.Now().Before(h.pausedUntil) {
 			if s.forgetful {
 				return
 			}
-			s.deliver(h, life, h.pausedUntil.Sub(s.now), run)
+			s.deliver(h, life, h.pausedUntil.Sub(s.clock.Now()), run)
 			return
 		}
 		run()
@@ -197,7 +165,7 @@
 			continue
 		}
 		s.deliver(to, to.life, s.delay(from, to), func() {
-			outputs, err := to.node.HandleDatagram(s.now, from.address, output.Payload)
+			outputs, err := to.node.HandleDatagram(s.clock.Now(), from.address, output.Payload)
 			if err != nil {
 				panic(err)
 			}
@@ -209,7 +177,7 @@
 func (s *simulation) call(from, to *host, payload []byte) {
 	life := from.life
 	s.deliver(to, to.life, s.delay(from, to), func() {
-		answer, outputs, err := to.node.HandleSync(s.now, payload)
+		answer, outputs, err := to.node.HandleSync(s.clock.Now(), payload)
 		if err != nil {
 			panic(err)
 		}
@@ -218,7 +186,7 @@
 			return
 		}
 		s.deliver(from, life, s.delay(to, from), func() {
-			outputs, err := from.node.HandleSyncAnswer(s.now, answer)
+			outputs, err := from.node.HandleSyncAnswer(s.clock.Now(), answer)
 			if err != nil {
 				panic(err)
 			}
@@ -228,15 +196,7 @@
 }
 
 // run lets virtual time pass.
-func (s *simulation) run(duration time.Duration) {
-	end := s.now.Add(duration)
-	for len(s.events.list) > 0 && !s.events.list[0].at.After(end) {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
-	}
-	s.now = end
-}
+func (s *simulation) run(duration time.Duration) { s.clock.Run(duration) }
 
 // believes returns what one host thinks of another.
 func (s *simulation) believes(observer, subject *host) (membership.State, bool) {
@@ -274,7 +234,7 @@
 			}
 			if state != wanted {
 				return fmt.Errorf("after %v %s believes %s %v, and it is %v",
-					s.now.Sub(s.start), observerName, subjectName, state, wanted)
+					s.clock.Now().Sub(s.start), observerName, subjectName, state, wanted)
 			}
 		}
 	}
--- a/internal/membership/swim/swim_test.go
+++ b/internal/membership/swim/swim_test.go
@@ -37,13 +37,13 @@
 			},
 			"pause": func(t *rapid.T) {
 				h := s.hosts[pick.Draw(t, "host")]
-				h.pausedUntil = s.now.Add(time.Duration(rapid.IntRange(50, 20000).Draw(t, "ms")) * time.Millisecond)
+				h.pausedUntil = s.clock.Now().Add(time.Duration(rapid.IntRange(50, 20000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"leave": func(t *rapid.T) {
 				h := s.hosts[pick.Draw(t, "host")]
-				if h.up && !s.now.Before(h.pausedUntil) {
+				if h.up && !s.clock.Now().Before(h.pausedUntil) {
 					h.leaving = true
-					s.send(h, h.node.Leave(s.now))
+					s.send(h, h.node.Leave(s.clock.Now()))
 				}
 			},
 			"loss": func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0.01, 0.05, 0.3, 0.9}).Draw(t, "loss") },
@@ -81,11 +81,11 @@
 	for range deaths {
 		victim := s.hosts[names[s.random.IntN(len(names))]]
 		victim.up = false
-		began := s.now
+		began := s.clock.Now()
 		for !s.knownDead(victim) {
 			s.run(10 * time.Millisecond)
 		}
-		times = append(times, s.now.Sub(began))
+		times = append(times, s.clock.Now().Sub(began))
 		s.boot(victim)
 		s.run(s.between(5*time.Second, 10*time.Second))
 	}
@@ -146,7 +146,7 @@
 	s.run(5 * time.Second)
 	paused := s.hosts["node-0-02"]
 	for range 400 {
-		paused.pausedUntil = s.now.Add(s.between(350*time.Millisecond, 5*time.Second))
+		paused.pausedUntil = s.clock.Now().Add(s.between(350*time.Millisecond, 5*time.Second))
 		s.run(s.between(7*time.Second, 8*time.Second))
 	}
 	s.run(settle)
@@ -190,7 +190,7 @@
 	g.Expect(s.disagreement()).To(gomega.Succeed(), "after a restart")
 	leaving := s.hosts["node-1-00"]
 	leaving.leaving = true
-	s.send(leaving, leaving.node.Leave(s.now))
+	s.send(leaving, leaving.node.Leave(s.clock.Now()))
 	s.run(5 * time.Second)
 	g.Expect(s.disagreement()).To(gomega.Succeed(), "after a planned stop")
 }
@@ -203,7 +203,7 @@
 		return func(s *simulation) {
 			h := s.hosts[name]
 			h.leaving = true
-			s.send(h, h.node.Leave(s.now))
+			s.send(h, h.node.Leave(s.clock.Now()))
 			s.run(10 * time.Millisecond)
 		}
 	}
