Fleet registry: fuzzed against the truth in virtual time, and what that found

Found by rapid and the scenario tests, each kept as a test: - one shared limit for all pulls starved the pull of a list: zones whose region's readers sit in another zone never got theirs; - a peer's pull answer carried another zone's summary from before a mark, so a node just started took a leaving engine up again; marks of other zones now override summaries for 5 s and answers are made from what is known now; - a list pulled from a reader in another zone made a node ready without marks; - an index out of range in the summary tree of a zone of one; - a home that doubted itself did not look at its other engines first, and one of which a single engine still answers has no reason to doubt. Membership: a suspicion stays in its zone; kept elsewhere it was never refuted when the suspecter died.

--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -27,7 +27,7 @@
 	// highRate and lowRate bound the datagrams a second of a node alone in its
 	// zone and of one with many peers, whose other messages cost more.
 	highRate  = 100
-	lowRate   = 20
+	lowRate   = 10
 	manyPeers = 32
 	// burst is the number of starts that are announced at once beyond the rate.
 	burst = 100
--- a/internal/fleet/registry/list.go
+++ b/internal/fleet/registry/list.go
@@ -64,7 +64,9 @@
 	}
 	r.nextList = now
 	r.adoptList(now, r.reader[r.self.Zone], r.self.Name)
-	r.becomeReady()
+	if !r.ready {
+		r.pullState(now)
+	}
 	return r.take()
 }
 
@@ -89,6 +91,9 @@
 		return
 	}
 	r.version = list.version
+	if r.listSince.IsZero() {
+		r.listSince = now
+	}
 	listed := make(map[uint64]bool, len(list.specs))
 	r.names = r.names[:0]
 	for _, spec := range list.specs {
@@ -132,14 +137,16 @@
 
 // compareList pulls the list from a peer that has a newer one.
 func (r *Registry) compareList(now time.Time, from transport.Address, theirs listVersion) {
-	if theirs.Zone != r.version.Zone || theirs.Revision <= r.version.Revision || now.Before(r.nextPull) {
+	if theirs.Zone != r.version.Zone || theirs.Revision <= r.version.Revision {
 		return
 	}
 	if theirs.Hash == r.version.Hash {
 		r.version.Revision = theirs.Revision
 		return
 	}
-	r.nextPull = now.Add(pullInterval)
+	if !due(now, &r.pulls.list) {
+		return
+	}
 	r.output.Pulls = append(r.output.Pulls, Pull{To: from, Payload: encodePull(r.version.Zone, nil)})
 }
 
--- a/internal/fleet/registry/load.go
+++ b/internal/fleet/registry/load.go
@@ -80,16 +80,20 @@
 	r.tellHome(fleet.HomeEvent{Kind: fleet.HomeLoad, Load: load}, state)
 }
 
-// pollFailed marks an engine that failed twice in a row. While most engines
-// time out at once, this node doubts itself and tells nobody.
+// pollFailed marks an engine that failed twice in a row. While all engines
+// time out at once, this node doubts itself and tells nobody, unless a gateway
+// saw the engine fail too.
 func (r *Registry) pollFailed(now time.Time, state *engineState, err error) {
 	state.failures++
 	state.nextPoll = now.Add(retryPoll)
+	refused := isRefused(err)
 	if state.failures < failuresToMark {
+		if !refused {
+			r.pollAll(now)
+		}
 		return
 	}
 	state.nextPoll = now.Add(r.pollInterval())
-	refused := isRefused(err)
 	if !refused && !state.asked && r.doubtsItself() {
 		if !state.doubted {
 			state.doubted = true
@@ -103,6 +107,17 @@
 	}
 }
 
+// pollAll looks at all of this home's engines at once, so that it can tell the
+// silence of one from its own.
+func (r *Registry) pollAll(now time.Time) {
+	for _, state := range r.engines {
+		if r.isHome(state) && state.failures == 0 {
+			state.nextPoll = now
+		}
+	}
+	r.pollDue(now)
+}
+
 // isRefused says that the engine's machine answered that nothing listens.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
@@ -117,7 +132,7 @@
 			silent++
 		}
 	}
-	return own >= selfDoubtEngines && silent*2 > own
+	return own >= selfDoubtEngines && silent == own
 }
 
 // EngineFailed notes that this node's own traffic saw an engine fail: its
@@ -271,8 +286,7 @@
 		}
 	}
 	r.compareList(now, from, listVersion{Zone: head.Zone, Revision: head.Revision, Hash: head.ListHash})
-	if len(stale) > 0 && !now.Before(r.nextPull) {
-		r.nextPull = now.Add(pullInterval)
+	if len(stale) > 0 && due(now, &r.pulls.facts) {
 		r.output.Pulls = append(r.output.Pulls, Pull{To: from, Payload: encodePull(head.Zone, stale)})
 	}
 	return nil
--- a/internal/fleet/registry/message.go
+++ b/internal/fleet/registry/message.go
@@ -354,13 +354,22 @@
 }
 
 // pullAnswer gives the list's version; entries, and the raw summaries of the
-// other zones (for a whole pull), follow.
+// other zones (with a whole view), follow.
 type pullAnswer struct {
 	Revision uint64
 	ListHash uint64
-	Whole    bool
+	Content  pullContent
 }
 
+// pullContent says what the entries of an answer are.
+type pullContent uint8
+
+const (
+	contentSome  pullContent = iota + 1 // the engines asked for
+	contentList                         // a zone's list as the store has it, without loads and marks
+	contentWhole                        // the whole view of a member of the zone
+)
+
 func encodePull(zone uint64, ids []uint64) []byte {
 	payload, err := wire.Marshal(messageVersion, pullRequest{Zone: zone}, encodeIDs(ids))
 	if err != nil {
--- a/internal/fleet/registry/pull.go
+++ b/internal/fleet/registry/pull.go
@@ -38,12 +38,23 @@
 	}
 	fields := [][]byte{entries}
 	for _, id := range r.sampleIDs() {
-		fields = append(fields, r.samples[id].raw)
+		fields = append(fields, r.summaryOf(now, r.samples[id]))
 	}
-	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash, Whole: true}
+	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash, Content: contentWhole}
 	return wire.Marshal(messageVersion, answer, fields...)
 }
 
+// summaryOf makes a summary of what is known of another zone now, with the
+// marks that came after its own.
+func (r *Registry) summaryOf(now time.Time, sample *zoneSample) []byte {
+	one := summary{zone: sample.zone, models: sample.models}
+	for _, state := range sample.engines {
+		one.sample = append(one.sample, r.entryOf(now, state))
+	}
+	sort.Slice(one.sample, func(i, j int) bool { return one.sample[i].spec.Name < one.sample[j].spec.Name })
+	return encodeSummary(&one)
+}
+
 func (r *Registry) sampleIDs() []uint64 {
 	ids := make([]uint64, 0, len(r.samples))
 	for id := range r.samples {
@@ -64,7 +75,7 @@
 			one := entry{spec: spec, record: loadRecord{Engine: EngineID(spec.Name)}}
 			entries = appendEntry(entries, &one)
 		}
-		answer := pullAnswer{Revision: list.version.Revision, ListHash: list.version.Hash, Whole: true}
+		answer := pullAnswer{Revision: list.version.Revision, ListHash: list.version.Hash, Content: contentList}
 		return wire.Marshal(messageVersion, answer, entries)
 	}
 	return nil, trace.Wrap(ErrNotWhole)
@@ -78,7 +89,7 @@
 			entries = appendEntry(entries, &one)
 		}
 	}
-	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash}
+	answer := pullAnswer{Revision: r.version.Revision, ListHash: r.version.Hash, Content: contentSome}
 	return wire.Marshal(messageVersion, answer, entries)
 }
 
@@ -89,7 +100,7 @@
 	if err != nil {
 		return Output{}, err
 	}
-	if len(fields) == 0 {
+	if len(fields) == 0 || answer.Content < contentSome || answer.Content > contentWhole {
 		return Output{}, trace.Wrap(errRecord)
 	}
 	entries, err := decodeEntries(fields[0])
@@ -97,7 +108,7 @@
 		return Output{}, err
 	}
 	peer := r.nameAt(from)
-	if answer.Whole {
+	if answer.Content != contentSome {
 		specs := make([]fleet.Spec, 0, len(entries))
 		for i := range entries {
 			specs = append(specs, entries[i].spec)
@@ -114,7 +125,7 @@
 	for _, raw := range fields[1:] {
 		r.takePulledSummary(now, raw)
 	}
-	if answer.Whole {
+	if answer.Content == contentWhole {
 		r.becomeReady()
 	}
 	return r.take(), nil
@@ -156,12 +167,5 @@
 	if _, exists := r.samples[id]; exists || id == r.version.Zone {
 		return
 	}
-	sample := &zoneSample{zone: one.zone, heard: now, raw: raw, models: one.models, engines: map[uint64]*engineState{}}
-	for i := range one.sample {
-		state := stateOf(now, &one.sample[i])
-		state.home = r.remoteHome(&state.spec)
-		sample.engines[state.id] = state
-	}
-	r.samples[id] = sample
-	r.dirty = true
+	r.newSample(now, &one)
 }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -29,9 +29,9 @@
 
 const (
 	defaultPollInterval    = time.Second
-	defaultPollsPerSecond  = 6
+	defaultPollsPerSecond  = 4
 	defaultDigestInterval  = time.Second
-	defaultDigestBudget    = 3 * 1024
+	defaultDigestBudget    = 2560
 	defaultSummaryInterval = 2 * time.Second
 
 	// datagramOverhead estimates what a datagram costs beside its records:
@@ -45,23 +45,28 @@
 	retryPoll = 100 * time.Millisecond
 	// failuresToMark is the number of polls in a row that must fail.
 	failuresToMark = 2
-	// summaryExpiry is the age at which a zone's sample is dropped.
-	summaryExpiry = 10 * time.Second
+	// summaryShare is the time that each zone adds to the interval between
+	// summaries, so that all zones' summaries together cost a constant rate.
+	summaryShare = 300 * time.Millisecond
+	// summaryExpiry is the age, in intervals, at which a zone's sample is dropped.
+	summaryExpiry = 5
+	// remoteMarkExpiry is how long a mark of another zone's engine overrides
+	// summaries, which may have been made before it.
+	remoteMarkExpiry = 5 * time.Second
 	// listMarkExpiry is how long the machine list's word holds unless repeated.
 	listMarkExpiry = 10 * time.Minute
 	// pullInterval is the least time between two pulls of one kind.
 	pullInterval = 500 * time.Millisecond
 	// maxRecordsPerDigest keeps a digest within one datagram.
 	maxRecordsPerDigest = 40
-	// selfDoubtEngines: a home with at least so many engines of which more
-	// than half stop answering by time-out doubts its own network first.
+	// selfDoubtEngines: a home with at least so many engines, all of which
+	// time out at once, doubts its own network first.
 	selfDoubtEngines = 4
 	// pauseGap is the gap between ticks after which what is known is stale.
 	pauseGap = 3 * time.Second
-	// staleLimit is how long a paused node waits for a peer's view; after it
-	// the digests that came meanwhile serve, so that a fleet that was paused
-	// as a whole goes on.
-	staleLimit = 3 * time.Second
+	// wholeLimit is how long a node that has the list, or that was paused,
+	// waits for a peer that has a whole view.
+	wholeLimit = 2 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -164,7 +169,6 @@
 	sequence uint32
 	position uint16 // in the tree, from which the summary was passed on last
 	heard    time.Time
-	raw      []byte
 	models   []ModelCapacity
 	engines  map[uint64]*engineState
 }
@@ -177,6 +181,12 @@
 	wait   time.Duration
 }
 
+// remoteMark is what a home in another zone said of an engine's leaving.
+type remoteMark struct {
+	sources Sources
+	until   time.Time
+}
+
 // Registry is a node's knowledge of engines. Its methods must not be called
 // at once with each other.
 type Registry struct {
@@ -193,6 +203,7 @@
 	reader   map[string]zoneList    // all lists of the region, at a reader of the store
 	revision uint64                 // the store's, at a reader
 	marks    []mark
+	remote   map[uint64]remoteMark
 	online   map[string]onlineRequest
 
 	ready       bool
@@ -201,7 +212,8 @@
 	nextDigest  time.Time
 	nextSummary time.Time
 	nextList    time.Time
-	nextPull    time.Time
+	pulls       pullTimes
+	listSince   time.Time // when the first list was adopted
 	sequence    uint32
 	dirty       bool
 	output      Output
@@ -218,6 +230,7 @@
 		engines:  map[uint64]*engineState{},
 		version:  listVersion{Zone: zoneID(config.Self.Zone)},
 		samples:  map[uint64]*zoneSample{},
+		remote:   map[uint64]remoteMark{},
 		online:   map[string]onlineRequest{},
 		lastTick: now,
 		dirty:    true,
@@ -225,7 +238,6 @@
 	registry.nextDigest = now.Add(registry.jitter(config.DigestInterval))
 	registry.nextSummary = now.Add(registry.jitter(config.SummaryInterval))
 	registry.nextList = now
-	registry.nextPull = now
 	return registry
 }
 
@@ -386,7 +398,7 @@
 		r.ready = false
 		r.staleSince = now
 		r.dirty = true
-		r.nextPull = now
+		r.pulls = pullTimes{}
 		r.decide(Decision{Kind: DecidedStale})
 	}
 	r.lastTick = now
@@ -398,36 +410,57 @@
 		r.sendDigests(now)
 	}
 	if !now.Before(r.nextSummary) {
-		r.nextSummary = now.Add(r.config.SummaryInterval)
+		r.nextSummary = now.Add(r.summaryInterval())
 		r.sendSummaries(now)
 	}
 	if !now.Before(r.nextList) {
 		r.nextList = now.Add(r.config.SummaryInterval)
 		r.announceLists()
 	}
-	if !r.ready && !r.staleSince.IsZero() && now.Sub(r.staleSince) > staleLimit {
-		r.becomeReady()
-	}
-	if !r.ready && !now.Before(r.nextPull) {
+	if !r.ready {
 		r.pullState(now)
 	}
 	return r.take()
 }
 
-// pullState asks a live peer of the zone for all it knows.
+// pullState asks a live peer of the zone for all it knows. Where no peer has a
+// whole view, because all started or were paused together, the list alone
+// serves after a while; the homes have polled their engines meanwhile.
 func (r *Registry) pullState(now time.Time) {
-	if len(r.peers) == 0 {
+	alone := len(r.peers) == 0
+	since := r.listSince
+	if r.staleSince.After(since) {
+		since = r.staleSince
+	}
+	if !r.listSince.IsZero() && (alone || now.Sub(since) > wholeLimit) {
+		r.becomeReady()
+		return
+	}
+	if alone || !due(now, &r.pulls.state) {
 		return
 	}
-	r.nextPull = now.Add(pullInterval)
 	peer := r.peers[r.random.IntN(len(r.peers))]
 	r.output.Pulls = append(r.output.Pulls, Pull{To: peer.Address, Payload: encodePull(r.version.Zone, nil)})
 }
 
+// pullTimes are the times from which the next pull of each kind may be made.
+type pullTimes struct {
+	state, list, facts time.Time
+}
+
+// due says whether a pull may be made, and puts the next one off.
+func due(now time.Time, next *time.Time) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(pullInterval)
+	return true
+}
+
 // expire drops what nobody repeated.
 func (r *Registry) expire(now time.Time) {
 	for id, sample := range r.samples {
-		if now.Sub(sample.heard) > summaryExpiry {
+		if now.Sub(sample.heard) > summaryExpiry*r.summaryInterval() {
 			delete(r.samples, id)
 			r.dirty = true
 			r.decide(Decision{Kind: DecidedZoneExpired, Zone: sample.zone})
@@ -438,5 +471,10 @@
 			r.setSources(state, state.sources&^SourceList, r.self.Name)
 		}
 	}
+	for id, one := range r.remote {
+		if now.After(one.until) {
+			delete(r.remote, id)
+		}
+	}
 	r.expireOnline(now)
 }
--- /dev/null
+++ b/internal/fleet/registry/registry_test.go
@@ -0,0 +1,311 @@
+package registry
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/fleet/announce"
+	"chutelock.dev/chutelock/internal/membership"
+)
+
+// leavingLimit is how soon after an engine's leaving showed no node may send
+// new work to it.
+const leavingLimit = 3 * time.Second
+
+// TestViewsFollowTheTruth brings about any order of engines that leave, fail,
+// fall silent and come back, changes of the list, dead, restarted and paused
+// nodes, loss, cuts and a store that is down.
+func TestViewsFollowTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"),
+			rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "nodes"), rapid.IntRange(1, 6).Draw(t, "engines"))
+		s.run(8 * time.Second)
+		pickHost := rapid.SampledFrom(s.names)
+		pickEngine := rapid.Custom(func(t *rapid.T) *fakeEngine {
+			names := make([]string, 0, len(s.engines))
+			for name := range s.engines {
+				names = append(names, name)
+			}
+			sort.Strings(names)
+			return s.engines[rapid.SampledFrom(names).Draw(t, "engine")]
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				s.run(time.Duration(rapid.IntRange(10, 6000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"engine stops":        func(t *rapid.T) { pickEngine.Draw(t, "which").up = false },
+			"engine falls silent": func(t *rapid.T) { pickEngine.Draw(t, "which").silent = true },
+			"engine drains":       func(t *rapid.T) { pickEngine.Draw(t, "which").draining = true },
+			"engine is listed as leaving": func(t *rapid.T) {
+				one := pickEngine.Draw(t, "which")
+				one.leaving, one.listedAt = true, s.clock.Now()
+			},
+			"engine comes back": func(t *rapid.T) {
+				one := pickEngine.Draw(t, "which")
+				one.up, one.silent, one.draining = true, false, false
+			},
+			"engine moves": func(t *rapid.T) {
+				one := pickEngine.Draw(t, "which")
+				one.spec.Address += "1"
+				s.revision++
+			},
+			"node dies": func(t *rapid.T) { s.stop(s.hosts[pickHost.Draw(t, "host")]) },
+			"node starts": func(t *rapid.T) {
+				s.run(time.Millisecond)
+				s.boot(s.hosts[pickHost.Draw(t, "host")])
+			},
+			"node pauses": func(t *rapid.T) {
+				s.hosts[pickHost.Draw(t, "host")].pausedUntil = s.clock.Now().Add(
+					time.Duration(rapid.IntRange(100, 8000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"store": func(t *rapid.T) { s.storeDown = rapid.Bool().Draw(t, "down") },
+			"loss":  func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0.01, 0.2, 0.8}).Draw(t, "loss") },
+			"cut": func(t *rapid.T) {
+				mute := s.hosts[pickHost.Draw(t, "host")]
+				s.cut = func(a, b *host) bool { return a == mute || b == mute }
+			},
+			"heal": func(*rapid.T) { s.cut = nil },
+		})
+		s.cut, s.loss, s.storeDown = nil, 0.01, false
+		s.run(10 * time.Second)
+		s.membersChanged()
+		s.run(10 * time.Second)
+		s.meetFailures()
+		s.run(20 * time.Second)
+		if err := s.disagreement(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestLeavingEngineGetsNoNewWork measures, for each source, the time until no
+// node would send new work to a leaving engine, at 5% loss, with a node that
+// starts meanwhile.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	sources := map[string]func(s *simulation, one *fakeEngine) time.Time{
+		"the engine's own report": func(s *simulation, one *fakeEngine) time.Time {
+			one.draining = true
+			return s.clock.Now()
+		},
+		"the engine's machine refuses": func(s *simulation, one *fakeEngine) time.Time {
+			one.up = false
+			return s.clock.Now()
+		},
+		"the engine accepts and never answers": func(s *simulation, one *fakeEngine) time.Time {
+			one.silent = true
+			return s.clock.Now()
+		},
+		// The list lags; the time counts from its reading.
+		"the machine list": func(s *simulation, one *fakeEngine) time.Time {
+			one.leaving, one.listedAt = true, s.clock.Now().Add(-s.listLag)
+			s.run(2 * time.Second)
+			return s.clock.Now()
+		},
+	}
+	for name, leave := range sources {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := newSimulation(11, 3, 6, 10)
+			s.loss = 0.05
+			s.run(15 * time.Second)
+			var worst time.Duration
+			for index := range 10 {
+				one := s.engines[sortedEngines(s)[index*3]]
+				began := leave(s, one)
+				starting := s.hosts[s.names[index]]
+				s.stop(starting)
+				s.run(s.between(0, time.Second))
+				s.boot(starting)
+				for s.usedAnywhere(one.spec.Name) {
+					s.run(10 * time.Millisecond)
+				}
+				worst = max(worst, s.clock.Now().Sub(began))
+				for range 300 { // and nobody takes it up again
+					s.run(50 * time.Millisecond)
+					g.Expect(s.usedAnywhere(one.spec.Name)).To(gomega.BeFalse())
+				}
+			}
+			t.Logf("worst of 10: %v", worst)
+			g.Expect(worst).To(gomega.BeNumerically("<=", leavingLimit))
+		})
+	}
+}
+
+func sortedEngines(s *simulation) []string {
+	names := make([]string, 0, len(s.engines))
+	for name := range s.engines {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (s *simulation) usedAnywhere(engine string) bool {
+	for _, h := range s.hosts {
+		if h.up && h.usable(engine) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestStartedNodeRoutesOnNoEmptyView: a node is not ready before it pulled a
+// peer's view, marks included, even with the store down.
+func TestStartedNodeRoutesOnNoEmptyView(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(2, 2, 4, 6)
+	s.run(10 * time.Second)
+	s.engines["engine-00-001"].draining = true
+	s.run(3 * time.Second)
+	s.storeDown = true
+	h := s.hosts["node-00-002"]
+	s.boot(h)
+	g.Expect(h.registry.Ready()).To(gomega.BeFalse())
+	for !h.registry.Ready() {
+		g.Expect(h.snapshot.Endpoints).To(gomega.BeEmpty())
+		s.run(5 * time.Millisecond)
+	}
+	g.Expect(h.usable("engine-00-001")).To(gomega.BeFalse())
+	g.Expect(h.snapshot.Endpoints).To(gomega.HaveLen(12))
+}
+
+// TestPausedNodeRoutesOnNoStaleView: right after a pause the snapshot is empty
+// until a peer's view came in.
+func TestPausedNodeRoutesOnNoStaleView(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(4, 1, 4, 6)
+	s.run(10 * time.Second)
+	h := s.hosts["node-00-001"]
+	h.pausedUntil = s.clock.Now().Add(20 * time.Second)
+	s.run(time.Second)
+	s.engines["engine-00-003"].draining = true
+	before := h.snapshot
+	s.run(19 * time.Second)
+	for h.snapshot == before {
+		s.run(time.Millisecond)
+	}
+	g.Expect(h.usable("engine-00-003")).To(gomega.BeFalse())
+	s.run(time.Second)
+	g.Expect(h.registry.Ready()).To(gomega.BeTrue())
+}
+
+// TestOldStoreIsRefused: a list of a lower revision changes nothing.
+func TestOldStoreIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(5, 1, 1, 2)
+	now := s.clock.Now()
+	registry := New(Config{Self: s.hosts[s.names[0]].member}, now)
+	registry.HandleStore(now, 8, s.specs())
+	output := registry.HandleStore(now, 7, nil)
+	g.Expect(output.Decisions).To(gomega.ContainElement(gomega.HaveField("Kind", DecidedListRefused)))
+	g.Expect(registry.Snapshot(now).Endpoints).To(gomega.HaveLen(2))
+}
+
+// TestHomeDoubtsItselfFirst: a home of which all engines time out at once
+// marks none; a gateway's word that one of them failed counts.
+func TestHomeDoubtsItselfFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(6, 1, 1, 8)
+	s.run(10 * time.Second)
+	for _, one := range s.engines {
+		one.silent = true
+	}
+	s.run(4 * time.Second)
+	h := s.hosts[s.names[0]]
+	g.Expect(h.usable("engine-00-002")).To(gomega.BeTrue())
+	s.carry(h, h.registry.EngineFailed(s.clock.Now(), "engine-00-002"))
+	s.run(2 * time.Second)
+	g.Expect(h.usable("engine-00-002")).To(gomega.BeFalse())
+}
+
+// TestOnlineRequestsReachTheHome: starts and ends are paired at the home, a
+// lost end is made up for, and a request of an engine that moved is forgotten.
+func TestOnlineRequestsReachTheHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(7, 1, 1, 1)
+	s.run(10 * time.Second)
+	h := s.hosts[s.names[0]]
+	tell := func(request uint64, started bool) {
+		record := announce.Record{Engine: EngineID("engine-00-000"), Request: request, Started: started}
+		s.carry(h, h.registry.HandleAnnouncements(s.clock.Now(), []announce.Record{record}))
+	}
+	tell(1, true)
+	tell(1, true)
+	tell(2, true)
+	g.Expect(h.online).To(gomega.Equal(2))
+	tell(1, false)
+	tell(1, false)
+	g.Expect(h.online).To(gomega.Equal(1))
+	s.run(onlineExpiry + time.Second)
+	g.Expect(h.online).To(gomega.BeZero())
+}
+
+// TestControlBytesStayWithinBudget measures what the fleet's own messages
+// cost a node at the target size's shape, and at a smaller one.
+func TestControlBytesStayWithinBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(8, 13, 8, 92) // as many engines a node as at the target size, in 13 zones
+	s.run(20 * time.Second)
+	clear(s.sent)
+	clear(s.received)
+	const measured = 20 * time.Second
+	s.run(measured)
+	var worst, total float64
+	for _, name := range s.names {
+		bytes := (s.sent[name] + s.received[name]) / measured.Seconds()
+		worst = max(worst, bytes)
+		total += bytes
+	}
+	t.Logf("fleet messages, sent and received: %.0f bytes/s a node on average, %.0f at most", total/float64(len(s.names)), worst)
+	g.Expect(worst).To(gomega.BeNumerically("<", 18*1024))
+	g.Expect(s.disagreement()).To(gomega.Succeed())
+}
+
+// TestHomesMoveOnlyWithTheirNode: the loss of a node moves its engines only,
+// and spreads them.
+func TestHomesMoveOnlyWithTheirNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(9, 1, 10, 200)
+	s.run(10 * time.Second)
+	before := map[string]*fleet.Endpoint{}
+	for _, endpoint := range s.hosts["node-00-000"].snapshot.Endpoints {
+		before[endpoint.Name] = endpoint
+	}
+	s.stop(s.hosts["node-00-005"])
+	s.run(3 * time.Second)
+	counts := map[string]int{}
+	for _, endpoint := range s.hosts["node-00-000"].snapshot.Endpoints {
+		counts[endpoint.Home]++
+		if before[endpoint.Name].Home != "node-00-005" {
+			g.Expect(endpoint.Home).To(gomega.Equal(before[endpoint.Name].Home))
+		}
+	}
+	g.Expect(counts).To(gomega.HaveLen(9))
+	g.Expect(s.disagreement()).To(gomega.Succeed())
+	_, ok := membership.Owner("engine/x", nil)
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+// TestSummaryTreeReachesEveryPositionOnce for zones of any size.
+func TestSummaryTreeReachesEveryPositionOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for size := range 50 {
+		reached := map[int]int{}
+		for position := 0; position <= size; position++ {
+			first, last := children(position, size)
+			for child := first; child < last; child++ {
+				reached[child]++
+				g.Expect(child).To(gomega.BeNumerically(">", position))
+			}
+		}
+		g.Expect(reached).To(gomega.HaveLen(size))
+		for position := 1; position <= size; position++ {
+			g.Expect(reached[position]).To(gomega.Equal(1), "position %d of %d", position, size)
+		}
+	}
+}
--- a/internal/fleet/registry/zones.go
+++ b/internal/fleet/registry/zones.go
@@ -21,6 +21,11 @@
 	treeFanout = 2
 )
 
+// summaryInterval is the time between two summaries of a zone.
+func (r *Registry) summaryInterval() time.Duration {
+	return max(r.config.SummaryInterval, time.Duration(len(r.view.Zones()))*summaryShare)
+}
+
 // sampleSize is the number of engines in a summary.
 func (r *Registry) sampleSize() int {
 	zones := len(r.view.Zones())
@@ -47,7 +52,7 @@
 		if len(speakers) == 0 {
 			continue
 		}
-		if (turn+int(now.UnixMilli()/r.config.SummaryInterval.Milliseconds()))%len(r.delegatesOf(r.self.Zone)) != rank {
+		if (turn+int(now.UnixMilli()/r.summaryInterval().Milliseconds()))%len(r.delegatesOf(r.self.Zone)) != rank {
 			continue
 		}
 		one := summary{zone: r.self.Zone, models: capacities, sample: r.sampleFor(now)}
@@ -139,7 +144,7 @@
 		return nil
 	}
 	known, exists := r.samples[head.Zone]
-	if exists && head.Sequence <= known.sequence && now.Sub(known.heard) < summaryExpiry/2 {
+	if exists && head.Sequence <= known.sequence && now.Sub(known.heard) < 2*r.summaryInterval() {
 		// The tree's root has a place in the tree too.
 		if head.Sequence == known.sequence && head.Position > known.position {
 			known.position = head.Position
@@ -147,19 +152,26 @@
 		}
 		return nil
 	}
-	sample := &zoneSample{
-		zone: one.zone, sequence: head.Sequence, position: head.Position, heard: now,
-		raw: append([]byte(nil), body...), models: one.models, engines: map[uint64]*engineState{},
-	}
+	sample := r.newSample(now, &one)
+	sample.sequence, sample.position = head.Sequence, head.Position
+	r.passOn(head, body)
+	return nil
+}
+
+// newSample puts another zone's summary in place of what was known of it.
+func (r *Registry) newSample(now time.Time, one *summary) *zoneSample {
+	sample := &zoneSample{zone: one.zone, heard: now, models: one.models, engines: map[uint64]*engineState{}}
 	for i := range one.sample {
 		state := stateOf(now, &one.sample[i])
 		state.home = r.remoteHome(&state.spec)
+		if marked, exists := r.remote[state.id]; exists {
+			state.sources = marked.sources
+		}
 		sample.engines[state.id] = state
 	}
-	r.samples[head.Zone] = sample
+	r.samples[zoneID(one.zone)] = sample
 	r.dirty = true
-	r.passOn(head, body)
-	return nil
+	return sample
 }
 
 // remoteHome computes another zone's home of an engine from the members known.
@@ -180,21 +192,28 @@
 // order is another one for each summary, so that all carry the same share.
 func (r *Registry) passOn(head datagramHeader, body []byte) {
 	order := r.treeOrder(head)
-	for child := range treeFanout {
-		position := int(head.Position)*treeFanout + child
-		if position >= len(order) {
-			return
-		}
+	first, last := children(int(head.Position), len(order))
+	for position := first; position < last; position++ {
 		next := head
-		next.Position = uint16(position + 1)
-		r.datagram(order[position].Address, next, body)
+		next.Position = uint16(position)
+		r.datagram(order[position-1].Address, next, body)
+	}
+}
+
+// children returns the positions, first to last-1, that the one at position
+// hands a summary to, in a tree over positions 1 to size. Position 0 is the
+// delegate that another zone sent it to: it has more to carry than others, and
+// hands it to the tree's root only.
+func children(position, size int) (first, last int) {
+	if position == 0 {
+		return 1, min(1, size) + 1
 	}
+	first = treeFanout*(position-1) + 2
+	return first, min(first+treeFanout, size+1)
 }
 
 // treeOrder is the zone's live members in an order that depends on the
-// summary. The member that the other zone sent it to is the root at position
-// 0; order[i] is at position i+1, and the children of position p are
-// order[p*treeFanout] and those behind it.
+// summary; order[i] is at position i+1.
 func (r *Registry) treeOrder(head datagramHeader) []membership.Member {
 	role := []byte("summary/")
 	for shift := 0; shift < 32; shift += 8 {
@@ -206,23 +225,13 @@
 
 // handleRemoteMark takes in a mark of another zone's engine and passes it on.
 func (r *Registry) handleRemoteMark(now time.Time, head datagramHeader, records []loadRecord, body []byte) {
-	sample, exists := r.samples[head.Zone]
-	if !exists {
-		return
-	}
-	changed := false
 	for i := range records {
-		state, known := sample.engines[records[i].Engine]
-		if !known {
-			continue
-		}
-		if r.setSources(state, records[i].Sources, sample.zone) {
-			changed = true
-		}
-		state.load = decodeLoad(now, &records[i], state.load)
-		r.touch(state)
+		r.remote[records[i].Engine] = remoteMark{sources: records[i].Sources, until: now.Add(remoteMarkExpiry)}
+	}
+	if sample, exists := r.samples[head.Zone]; exists {
+		r.markSample(now, sample, records)
 	}
-	if head.Flags&flagForward == 0 || !(changed || r.sampledAnywhere(records)) {
+	if head.Flags&flagForward == 0 {
 		return
 	}
 	head.Flags &^= flagForward
@@ -231,15 +240,16 @@
 	}
 }
 
-func (r *Registry) sampledAnywhere(records []loadRecord) bool {
-	for _, sample := range r.samples {
-		for i := range records {
-			if _, known := sample.engines[records[i].Engine]; known {
-				return true
-			}
+func (r *Registry) markSample(now time.Time, sample *zoneSample, records []loadRecord) {
+	for i := range records {
+		state, known := sample.engines[records[i].Engine]
+		if !known {
+			continue
 		}
+		state.load = decodeLoad(now, &records[i], state.load)
+		r.touch(state)
+		r.setSources(state, records[i].Sources, sample.zone)
 	}
-	return false
 }
 
 // ZoneCapacity is what is known of a zone's capacity.
--- a/internal/fleet/tracker/events.go
+++ b/internal/fleet/tracker/events.go
@@ -24,7 +24,7 @@
 	registry.DecidedListRefused:  telemetry.Define(7006, "engine list refused", "the store's list has a lower revision than the one in use: the store holds an old copy"),
 	registry.DecidedReady:        telemetry.Define(7007, "fleet view whole", "this node knows the zone's engines and may route"),
 	registry.DecidedStale:        telemetry.Define(7008, "fleet view stale", "this node was paused; it routes nothing until it pulled a peer's view"),
-	registry.DecidedSelfDoubt:    telemetry.Define(7009, "engines silent together", "most engines of this home time out at once; its own network is doubted and nothing is shared"),
+	registry.DecidedSelfDoubt:    telemetry.Define(7009, "engines silent together", "all engines of this home time out at once; its own network is doubted and nothing is shared"),
 	registry.DecidedZoneExpired:  telemetry.Define(7010, "zone silent", "nothing was heard of another zone; its engines get no work from here"),
 	registry.DecidedNotConfirmed: telemetry.Define(7011, "failure not confirmed", "a gateway saw an engine fail, and its home found it well"),
 }
--- a/internal/membership/swim/node.go
+++ b/internal/membership/swim/node.go
@@ -162,6 +162,11 @@
 	if member.Name == n.self.Name {
 		return n.applySelf(now, &member)
 	}
+	if member.Zone != n.self.Zone && member.State == membership.StateSuspect {
+		// A suspicion is its zone's own matter: no other zone could tell the
+		// suspected member of it, nor would it hear that it was refuted.
+		member.State = membership.StateAlive
+	}
 	known, exists := n.table.entries[member.Name]
 	if !exists && member.State == membership.StateDead {
 		return false
--- a/internal/membership/swim/swim_test.go
+++ b/internal/membership/swim/swim_test.go
@@ -207,6 +207,12 @@
 			s.run(10 * time.Millisecond)
 		}
 	}
+	lose := func(loss float64, duration time.Duration) step {
+		return func(s *simulation) {
+			s.loss = loss
+			s.run(duration)
+		}
+	}
 	cases := []struct {
 		name           string
 		zones, perZone int
@@ -218,10 +224,12 @@
 			[]step{leave("node-0-02"), stop("node-1-01"), stop("node-0-01"), stop("node-0-00")}},
 		{"all nodes of two zones leave", 2, 2,
 			[]step{leave("node-0-00"), leave("node-0-01"), leave("node-1-00"), leave("node-1-01"), stop("node-1-00")}},
+		{"a node dies that suspected another, and told other zones only", 3, 2,
+			[]step{lose(0.9, 928*time.Millisecond), stop("node-1-01"), lose(0.01, 0)}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := newSimulation(0, c.zones, c.perZone, nil)
+			s := newSimulation(0x14c9, c.zones, c.perZone, nil)
 			s.run(5 * time.Second)
 			for _, step := range c.steps {
 				step(s)
