--- a/internal/fleet/registry/list.go
+++ b/internal/fleet/registry/list.go
@@ -125,7 +125,8 @@
 // announceLists tells the delegates of the region's zones which lists this
 // reader of the store has.
 func (r *Registry) announceLists() {
-	for zone, list := range r.reader {
+	for _, zone := range r.readerZones() {
+		list := r.reader[zone]
 		if zone == r.self.Zone {
 			continue
 		}
@@ -135,6 +136,16 @@
 	}
 }
 
+// readerZones lists the zones of whose lists this reader of the store has, in order.
+func (r *Registry) readerZones() []string {
+	zones := make([]string, 0, len(r.reader))
+	for zone := range r.reader {
+		zones = append(zones, zone)
+	}
+	sort.Strings(zones)
+	return zones
+}
+
 // compareList pulls the list from a peer that has a newer one.
 func (r *Registry) compareList(now time.Time, from transport.Address, theirs listVersion) {
 	if theirs.Zone != r.version.Zone || theirs.Revision <= r.version.Revision {
@@ -165,9 +176,9 @@
 	for _, machine := range machines {
 		leaving[machine] = true
 	}
-	for zone, list := range r.reader {
+	for _, zone := range r.readerZones() {
 		var ids []uint64
-		for _, spec := range list.specs {
+		for _, spec := range r.reader[zone].specs {
 			if leaving[spec.Name] || leaving[spec.Address] {
 				ids = append(ids, EngineID(spec.Name))
 			}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -121,7 +121,7 @@
 				s.stop(starting)
 				s.run(s.between(0, time.Second))
 				s.boot(starting)
-				for s.usedAnywhere(one.spec.Name) {
+				for s.usedAnywhere(one.spec.Name) && s.clock.Now().Sub(began) < 10*leavingLimit {
 					s.run(10 * time.Millisecond)
 				}
 				worst = max(worst, s.clock.Now().Sub(began))
