ledger/replica: integration over real transport with power cuts, wipes, cuts, full disks

Found by TestWipedReplicaIsReplacedUnderANewIdentity: between the promotion of the new replica and the removal of the old identity the shard has four voters, one of them gone, for a repair interval; the next step now runs as soon as a change is applied.

--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -352,5 +352,21 @@
 	return voters
 }
 
+// settled waits until the shard has exactly so many replicas, all of them
+// voters that are there and none on the nodes without.
+func (c *cluster) settled(id ledger.ShardID, count int, without ...*node) {
+	for _, n := range without {
+		c.g.Eventually(func() map[string]ReplicaStatus { return c.replicas(id) }).
+			Should(gomega.And(gomega.Not(gomega.BeEmpty()), gomega.Not(gomega.HaveKey(n.name))))
+	}
+	c.g.Eventually(func() []ReplicaStatus {
+		n := c.leaderNow(id)
+		if n == nil {
+			return nil
+		}
+		return n.service.Status().Shards[id].Replicas
+	}).Should(gomega.And(gomega.HaveLen(count), gomega.HaveEach(gomega.HaveField("State", "voter"))))
+}
+
 // seededRandom gives the same choices in each run of a test.
 func seededRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -156,6 +156,7 @@
 		s.mutex.Unlock()
 	}
 	marker.Configuration = next
+	s.service.repairSoon()
 	return nil
 }
 
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -46,6 +46,7 @@
 		case <-s.running.Done():
 			return
 		case <-ticker.C:
+		case <-s.changed:
 		}
 		for _, shard := range s.allShards() {
 			if err := shard.repairStep(time.Now()); err != nil && s.running.Err() == nil {
@@ -55,6 +56,14 @@
 	}
 }
 
+// repairSoon asks for the next step without waiting for the interval.
+func (s *Service) repairSoon() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // repairStep takes at most one step towards the planned replica set.
 func (s *Shard) repairStep(now time.Time) error {
 	s.mutex.Lock()
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -1,9 +1,17 @@
 package replica
 
 import (
+	"context"
+	"errors"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 func TestEntriesSurvivePowerCutsOfAllNodes(t *testing.T) {
@@ -22,3 +30,182 @@
 	c.expectEntries(1, "other", 100)
 	c.g.Expect(c.propose(0, "next")[8]).To(gomega.BeEquivalentTo(1))
 }
+
+func TestLeaderLossLosesNothing(t *testing.T) {
+	for _, zones := range [][]string{{"a", "b", "c"}, {"a", "a", "b", "b", "c"}} {
+		t.Run(strings.Join(zones, ""), func(t *testing.T) {
+			c := newCluster(t, Options{Copies: len(zones), ReplaceAfter: time.Hour})
+			c.addAll(zones...)
+			c.proposeMany(0, "before", 200)
+			killed := c.leader(0)
+			c.kill(killed)
+			c.proposeMany(0, "after", 200)
+			c.start(killed)
+			c.expectEntries(0, "before", 200)
+			c.expectEntries(0, "after", 200)
+			c.g.Eventually(func() uint64 { return c.replicas(0)[killed.name].Lag }).Should(gomega.BeZero())
+		})
+	}
+}
+
+func TestWipedReplicaIsReplacedUnderANewIdentity(t *testing.T) {
+	c := newCluster(t, Options{ReplaceAfter: time.Hour, RetainBytes: 1 << 10})
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 300)
+	wiped := c.leader(0)
+	old := c.replicas(0)[wiped.name].Replica
+	c.wipe(wiped)
+	c.proposeMany(0, "after", 300)
+	c.start(wiped)
+	c.g.Eventually(func() string { return c.replicas(0)[wiped.name].Replica }).
+		ShouldNot(gomega.Or(gomega.Equal(old), gomega.BeEmpty()))
+	c.settled(0, 3)
+
+	// With the replacement in place, another disk may go.
+	c.wipe(c.leader(0))
+	c.expectEntries(0, "before", 300)
+	c.expectEntries(0, "after", 300)
+}
+
+func TestTwoDisksLostTogetherOfFive(t *testing.T) {
+	c := newCluster(t, Options{Copies: 5, ReplaceAfter: 300 * time.Millisecond})
+	c.addAll("a", "a", "b", "b", "c", "c", "c")
+	c.proposeMany(0, "before", 200)
+	leader := c.leader(0)
+	lost := []*node{leader}
+	for name := range c.replicas(0) {
+		if name != leader.name && len(lost) < 2 {
+			lost = append(lost, c.nodes[name])
+		}
+	}
+	for _, n := range lost {
+		c.wipe(n)
+	}
+	c.expectEntries(0, "before", 200)
+	c.proposeMany(0, "after", 200)
+	c.settled(0, 5, lost...)
+	c.expectEntries(0, "before", 200)
+	c.expectEntries(0, "after", 200)
+}
+
+func TestTooManyCopiesGoneIsSaidAndNotPaperedOver(t *testing.T) {
+	c := newCluster(t, Options{NoQuorumAfter: 300 * time.Millisecond, ReplaceAfter: 100 * time.Millisecond})
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "kept", 20)
+	c.wipe(c.nodes["n0"])
+	c.wipe(c.nodes["n1"])
+	c.start(c.nodes["n0"])
+	c.start(c.nodes["n1"])
+	survivor := c.nodes["n2"]
+	c.g.Eventually(func() bool { return survivor.service.Status().Shards[0].NoQuorum }).Should(gomega.BeTrue())
+	shard, _ := survivor.service.Local(0)
+	_, err := shard.Propose(context.Background(), []byte("refused"))
+	c.g.Expect(err).To(gomega.MatchError(ledger.ErrUnavailable))
+	c.g.Expect(c.leaderNow(0)).To(gomega.BeNil())
+}
+
+func TestDrainHandsLeadershipOver(t *testing.T) {
+	c := newCluster(t, Options{Shards: 4})
+	c.addAll("a", "b", "c")
+	for id := range ledger.ShardID(4) {
+		c.proposeMany(id, "entry", 20)
+	}
+	leaving := c.leader(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c.g.Expect(leaving.service.Drain(ctx)).To(gomega.Succeed())
+	for id := range ledger.ShardID(4) {
+		shard, _ := leaving.service.Local(id)
+		leads, _ := shard.Leading()
+		c.g.Expect(leads).To(gomega.BeFalse())
+		c.g.Expect(c.leader(id)).NotTo(gomega.BeIdenticalTo(leaving))
+	}
+}
+
+func TestAnyNodeFindsTheLeader(t *testing.T) {
+	c := newCluster(t, Options{Shards: 2})
+	c.addAll("a", "b", "c", "c")
+	c.add("plain", "")
+	for range 2 {
+		for id := range ledger.ShardID(2) {
+			leader := c.leader(id)
+			for _, n := range c.nodes {
+				c.g.Eventually(func() transport.Address {
+					address, _ := n.service.Leader(id)
+					return address
+				}).Should(gomega.Equal(leader.transport.Address()), "%s looks for shard %d", n.name, id)
+			}
+		}
+		moved := c.leader(0)
+		c.kill(moved)
+		c.g.Eventually(func() *node { return c.leaderNow(0) }).ShouldNot(gomega.Or(gomega.BeNil(), gomega.BeIdenticalTo(moved)))
+		c.start(moved)
+	}
+}
+
+func TestFollowersPointToTheLeader(t *testing.T) {
+	c := newCluster(t, Options{})
+	c.addAll("a", "b", "c")
+	leader := c.leader(0)
+	for _, n := range c.nodes {
+		shard, _ := n.service.Local(0)
+		if n == leader {
+			continue
+		}
+		c.g.Eventually(func() transport.Address {
+			_, err := shard.Propose(context.Background(), []byte("x"))
+			var notLeader *ledger.NotLeaderError
+			if !errors.As(err, &notLeader) {
+				return ""
+			}
+			return notLeader.Leader
+		}).Should(gomega.Equal(leader.transport.Address()))
+		c.g.Expect(shard.Read(context.Background(), nil)).To(gomega.MatchError(gomega.ContainSubstring("is led by")))
+	}
+}
+
+func TestCutLeaderNeitherCommitsNorReads(t *testing.T) {
+	c := newCluster(t, Options{})
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 20)
+	old := c.leader(0)
+	old.cut.Store(true)
+	shard, _ := old.service.Local(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := shard.Propose(ctx, []byte("lost"))
+	c.g.Expect(err).To(gomega.HaveOccurred())
+	c.g.Expect(shard.Read(ctx, func(ledger.Reader) error { return nil })).NotTo(gomega.Succeed())
+	c.g.Eventually(func() *node { return c.leaderNow(0) }).ShouldNot(gomega.Or(gomega.BeNil(), gomega.BeIdenticalTo(old)))
+	c.proposeMany(0, "after", 20)
+	old.cut.Store(false)
+	c.expectEntries(0, "after", 20)
+	c.g.Eventually(func() uint64 { return c.replicas(0)[old.name].Lag }).Should(gomega.BeZero())
+}
+
+func TestFullDiskStopsAcceptanceAndLeadership(t *testing.T) {
+	c := newCluster(t, Options{Reserve: 1 << 20})
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 20)
+	full := c.leader(0)
+	full.fs.TestingSetDiskUsage(vfs.DiskUsage{AvailBytes: 1, TotalBytes: 1 << 30})
+	c.g.Eventually(func() *node { return c.leaderNow(0) }).ShouldNot(gomega.Or(gomega.BeNil(), gomega.BeIdenticalTo(full)))
+	c.proposeMany(0, "while full", 20)
+	shard, _ := full.service.Local(0)
+	_, err := shard.Propose(context.Background(), []byte("refused"))
+	c.g.Expect(err).To(gomega.MatchError(ledger.ErrUnavailable))
+	full.fs.TestingSetDiskUsage(vfs.DiskUsage{AvailBytes: 1 << 29, TotalBytes: 1 << 30})
+	c.g.Eventually(func() uint64 { return c.replicas(0)[full.name].Lag }).Should(gomega.BeZero())
+}
+
+func TestPlacementSurvivesLostAnswersAndAStoreOutage(t *testing.T) {
+	c := newCluster(t, Options{Shards: 3})
+	c.store.loseAnswers.Store(2)
+	c.store.down.Store(true)
+	c.addAll("a", "b", "c")
+	time.AfterFunc(500*time.Millisecond, func() { c.store.down.Store(false) })
+	for id := range ledger.ShardID(3) {
+		c.proposeMany(id, "entry", 5)
+		c.g.Expect(c.replicas(id)).To(gomega.HaveLen(3))
+	}
+}
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -34,6 +34,7 @@
 	tasks   sync.WaitGroup
 	suspect chan struct{} // asks for an early look at the directory
 	failed  chan error    // of capacity 1: a replica was halted
+	changed chan struct{} // a replica set changed: the next step may be due
 
 	// mutex guards what is below.
 	mutex    sync.RWMutex
@@ -60,6 +61,7 @@
 		metrics:   newMetrics(options.Registry),
 		suspect:   make(chan struct{}, 1),
 		failed:    make(chan error, 1),
+		changed:   make(chan struct{}, 1),
 		shards:    map[ledger.ShardID]*Shard{},
 	}
 	s.running, s.cancel = context.WithCancel(context.Background())
