ledger/storage: damage is told from a torn tail; failed writes leave no batch behind

Found by the new fault tests: - pebble writes the first log of a new store in its older format, where damage in the middle reads as a torn tail: half of the synced entries vanished silently (100 of 200). A new folder is opened twice; now the damage fails with ErrCorrupt. - a batch was closed by its caller while a hanging write still held it, and pebble handed it out again (panic: batch already committing).

--- a/internal/ledger/replica/outbox.go
+++ b/internal/ledger/replica/outbox.go
@@ -77,17 +77,23 @@
 }
 
 func (o *outbox) flush() {
-	o.mutex.Lock()
-	waiting := o.waiting
-	if len(waiting) > 0 {
-		o.waiting = make(map[transport.Address][][]byte, len(waiting))
-	}
-	o.mutex.Unlock()
-	for to, messages := range waiting {
+	for to, messages := range o.take() {
 		o.sendFrames(to, messages)
 	}
 }
 
+// take returns what waits, and leaves nothing.
+func (o *outbox) take() map[transport.Address][][]byte {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if len(o.waiting) == 0 {
+		return nil
+	}
+	waiting := o.waiting
+	o.waiting = make(map[transport.Address][][]byte, len(waiting))
+	return waiting
+}
+
 func (o *outbox) sendFrames(to transport.Address, messages [][]byte) {
 	start, size := 0, 0
 	for i, message := range messages {
--- a/internal/ledger/storage/committer.go
+++ b/internal/ledger/storage/committer.go
@@ -60,10 +60,16 @@
 }
 
 // commit writes the batch and waits until it is durable (with sync) or
-// visible (without).
+// visible (without). The batch is the committer's from then on: after a
+// failure, a hanging write may still use it.
 func (c *committer) commit(batch *pebble.Batch, sync bool) error {
 	request := commitRequest{batch: batch, sync: sync, done: make(chan error, 1)}
 	select {
+	case <-c.failed:
+		return ErrFailed // also when there is room in the queue
+	default:
+	}
+	select {
 	case c.requests <- request:
 	case <-c.failed:
 		return ErrFailed
@@ -116,7 +122,7 @@
 	}
 	if !anySync(requests) {
 		err := c.db.Apply(batch, pebble.NoSync)
-		closeMerged(batch, requests)
+		_ = batch.Close()
 		answer(requests, trace.Wrap(classify(err), "write a batch"))
 		return
 	}
@@ -135,9 +141,9 @@
 	merged := c.db.NewBatch()
 	for _, request := range requests {
 		if err := merged.Apply(request.batch, nil); err != nil {
-			_ = merged.Close()
 			return nil, trace.Wrap(err, "merge batches")
 		}
+		_ = request.batch.Close()
 	}
 	return merged, nil
 }
@@ -150,18 +156,11 @@
 			c.fail(err)
 			err = ErrFailed
 		}
-		closeMerged(written.batch, written.requests)
+		_ = written.batch.Close()
 		answer(written.requests, err)
 	}
 }
 
-// closeMerged closes a batch that merge made; others belong to the caller.
-func closeMerged(batch *pebble.Batch, requests []commitRequest) {
-	if len(requests) > 1 {
-		_ = batch.Close()
-	}
-}
-
 func anySync(requests []commitRequest) bool {
 	for _, request := range requests {
 		if request.sync {
@@ -191,9 +190,9 @@
 // close stops the committer; batches that still wait are refused.
 func (c *committer) close() {
 	close(c.stop)
-	select {
-	case <-c.failed: // its goroutines may hang in the disk for ever
-	default:
-		c.stopped.Wait()
-	}
+	c.stopped.Wait()
 }
+
+// abandon stops the committer without waiting for its goroutines, which may
+// hang in the disk for ever.
+func (c *committer) abandon() { close(c.stop) }
--- a/internal/ledger/storage/crash_test.go
+++ b/internal/ledger/storage/crash_test.go
@@ -268,7 +268,7 @@
 	if err != nil {
 		panic(err)
 	}
-	_, _ = file.Write(content)
+	_, _ = file.Write(slices.Clone(content)) // pebble spoils it in race builds
 	_ = file.Sync()
 	_ = file.Close()
 }
--- a/internal/ledger/storage/shard.go
+++ b/internal/ledger/storage/shard.go
@@ -152,7 +152,6 @@
 // removeStagedEditions drops what a snapshot that was never installed left.
 func (s *Shard) removeStagedEditions() error {
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	err := errors.Join(
 		batch.DeleteRange(sectionKey(s.id, sectionState), statePrefix(s.id, s.applied.edition), nil),
 		batch.DeleteRange(prefixEnd(statePrefix(s.id, s.applied.edition)), sectionKey(s.id, sectionState+1), nil),
--- a/internal/ledger/storage/snapshot.go
+++ b/internal/ledger/storage/snapshot.go
@@ -19,7 +19,7 @@
 
 // fixedChunk heads a chunk; its fields are keys and values in turn.
 type fixedChunk struct {
-	Checksum uint64 // over the fields
+	Checksum uint64 // over Final and the fields
 	Final    bool   // no chunk follows
 }
 
@@ -49,13 +49,14 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "read a snapshot chunk")
 	}
-	fixed := fixedChunk{Checksum: fieldsChecksum(fields), Final: final}
+	fixed := fixedChunk{Checksum: chunkChecksum(final, fields), Final: final}
 	chunk, err := wire.Marshal(chunkVersion, fixed, fields...)
 	return chunk, trace.Wrap(err)
 }
 
-func fieldsChecksum(fields [][]byte) uint64 {
+func chunkChecksum(final bool, fields [][]byte) uint64 {
 	digest := xxhash.New()
+	_, _ = fmt.Fprint(digest, final)
 	for _, field := range fields {
 		_, _ = fmt.Fprintf(digest, "%d:", len(field))
 		_, _ = digest.Write(field)
@@ -78,7 +79,6 @@
 	staging := &Staging{shard: s, marker: marker, edition: s.edition() + 1}
 	prefix := statePrefix(s.id, staging.edition)
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	if err := batch.DeleteRange(prefix, prefixEnd(prefix), nil); err != nil {
 		return nil, trace.Wrap(err, "stage a snapshot of shard %d", s.id)
 	}
@@ -101,11 +101,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBadChunk, err)
 	}
-	if len(fields)%2 != 0 || fixed.Checksum != fieldsChecksum(fields) {
+	if len(fields)%2 != 0 || fixed.Checksum != chunkChecksum(fixed.Final, fields) {
 		return ErrBadChunk
 	}
 	batch := g.shard.store.db.NewBatch()
-	defer batch.Close()
 	prefix := statePrefix(g.shard.id, g.edition)
 	for i := 0; i < len(fields); i += 2 {
 		key := append(append([]byte(nil), prefix...), fields[i]...)
@@ -136,7 +135,6 @@
 	}
 	next := applied{marker: staging.marker, edition: staging.edition}
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	if err := s.putBase(batch, next, state); err != nil {
 		return trace.Wrap(err, "install shard %d", s.id)
 	}
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -28,6 +28,8 @@
 	// taken.
 	DefaultReserve = 256 << 20
 	folderMode     = 0o750
+	// closeTimeout bounds the closing of a corrupt folder.
+	closeTimeout = 5 * time.Second
 )
 
 // Options of a store.
@@ -69,20 +71,32 @@
 		options.Reserve = DefaultReserve
 	}
 	s := &Store{options: options, failed: make(chan struct{}), stop: make(chan struct{})}
-	if err := s.open(); err != nil {
+	if err := s.openIdentified(); err != nil {
 		return nil, trace.Wrap(classify(err), "open the ledger folder %s", options.Folder)
 	}
-	s.committer = startCommitter(s.db, s.failed, s.fail)
-	if err := s.loadIncarnation(); err != nil {
-		_ = s.Close()
-		return nil, trace.Wrap(err, "read the disk incarnation in %s", options.Folder)
-	}
 	s.lookAtSpace()
 	s.watcher.Add(1)
 	go s.watchSpace()
 	return s, nil
 }
 
+// openIdentified opens the folder, and gives a new one its identity. A new one
+// is then opened once more: pebble writes the first log of a new store in an
+// older format, in which damage can't be told from a torn tail.
+func (s *Store) openIdentified() error {
+	if err := s.open(); err != nil {
+		return err
+	}
+	created, err := s.loadIncarnation()
+	if err == nil && !created {
+		return nil
+	}
+	if closeErr := s.closeFiles(); err != nil || closeErr != nil {
+		return errors.Join(err, closeErr)
+	}
+	return s.open()
+}
+
 func (s *Store) open() error {
 	if err := s.options.FS.MkdirAll(s.options.Folder, folderMode); err != nil {
 		return err
@@ -99,8 +113,10 @@
 	s.db, err = pebble.Open(s.options.Folder, s.pebbleOptions(fs))
 	if err != nil {
 		_ = health.Close()
+		return err
 	}
-	return err
+	s.committer = startCommitter(s.db, s.failed, s.fail)
+	return nil
 }
 
 func (s *Store) pebbleOptions(fs vfs.FS) *pebble.Options {
@@ -122,17 +138,17 @@
 }
 
 // loadIncarnation reads the folder's identity or gives it one.
-func (s *Store) loadIncarnation() error {
+func (s *Store) loadIncarnation() (created bool, err error) {
 	record, found, err := s.getRecord(incarnationKey())
 	if err != nil {
-		return err
+		return false, err
 	}
 	if !found {
-		return s.createIncarnation()
+		return true, s.createIncarnation()
 	}
 	identity, err := decodePosition(record)
 	s.incarnation = identity.Index
-	return err
+	return false, err
 }
 
 func (s *Store) createIncarnation() error {
@@ -143,7 +159,6 @@
 	random[0] &= 0x7f // reads well as a signed number, too
 	random[7] |= 1    // never 0
 	batch := s.db.NewBatch()
-	defer batch.Close()
 	incarnation := binary.BigEndian.Uint64(random[:])
 	record, err := position{Index: incarnation}.encode()
 	if err != nil {
@@ -197,17 +212,39 @@
 	return metrics.MemTable.Size + uint64(metrics.BlockCache.Size)
 }
 
-// Close closes the store. What was not committed is lost.
+// Close closes the store. What was not committed is lost. After a failed
+// write, files stay open until the process ends: pebble may hang in them.
 func (s *Store) Close() error {
 	close(s.stop)
 	s.watcher.Wait()
-	s.committer.close()
-	if s.Failure() != nil {
-		return nil // its goroutines may hang in the disk; the process must end
+	failure := s.Failure()
+	if failure == nil {
+		return trace.Wrap(s.closeFiles(), "close the ledger folder %s", s.options.Folder)
 	}
+	if errors.Is(failure, ErrFailed) {
+		s.committer.abandon()
+		return nil
+	}
+	return s.closeCorrupt()
+}
+
+// closeCorrupt frees a corrupt folder, so that it can be discarded. It doesn't
+// wait for a background task that hangs over the damage.
+func (s *Store) closeCorrupt() error {
+	closed := make(chan error, 1)
+	go func() { closed <- s.closeFiles() }()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout):
+	}
+	return nil
+}
+
+func (s *Store) closeFiles() error {
+	s.committer.close()
 	err := s.db.Close()
 	_ = s.health.Close()
-	return trace.Wrap(classify(err), "close the ledger folder %s", s.options.Folder)
+	return classify(err)
 }
 
 func (s *Store) fail(cause error) {
--- a/internal/ledger/storage/write.go
+++ b/internal/ledger/storage/write.go
@@ -42,7 +42,6 @@
 		return trace.Wrap(ErrNotEmpty, "bootstrap shard %d", s.id)
 	}
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	prefix := statePrefix(s.id, s.applied.edition)
 	for _, entry := range roster {
 		if err := batch.Set(rosterKey(prefix, entry.Replica), entry.Marshal(), nil); err != nil {
@@ -92,7 +91,6 @@
 // the log from the first one's index on.
 func (s *Shard) Save(hard *replication.HardState, entries []replication.Entry, sync bool) error {
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	size, err := s.putEntries(batch, entries)
 	if err != nil {
 		return trace.Wrap(err, "save shard %d", s.id)
@@ -164,7 +162,9 @@
 	if err := put(transaction.batch, sectionKey(s.id, sectionApplied), record); err != nil {
 		return trace.Wrap(err, "apply to shard %d", s.id)
 	}
-	if err := s.store.committer.commit(transaction.batch, sync); err != nil {
+	batch := transaction.batch
+	transaction.batch = nil
+	if err := s.store.committer.commit(batch, sync); err != nil {
 		return trace.Wrap(err, "apply to shard %d", s.id)
 	}
 	s.mutex.Lock()
@@ -214,7 +214,6 @@
 		return trace.Wrap(err)
 	}
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	err = errors.Join(
 		batch.DeleteRange(logKey(s.id, 0), logKey(s.id, index+1), nil),
 		put(batch, sectionKey(s.id, sectionCompacted), record),
@@ -243,7 +242,6 @@
 		return trace.Wrap(err)
 	}
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	err = errors.Join(
 		batch.DeleteRange(shardPrefix(s.id), prefixEnd(shardPrefix(s.id)), nil),
 		put(batch, generationKey(s.id), record),
