--- a/test/e2e/callers_test.go
+++ b/test/e2e/callers_test.go
@@ -167,7 +167,7 @@
 		gomega.HaveField("Completed", gomega.BeEquivalentTo(items)),
 		gomega.HaveField("Failed", gomega.BeEquivalentTo(0))))
 	for _, n := range d.nodes {
-		if !n.running() {
+		if !n.running() || !n.ready {
 			continue
 		}
 		lines := results(n, batch.OutputFileID)
--- a/test/e2e/deployment_test.go
+++ b/test/e2e/deployment_test.go
@@ -48,6 +48,8 @@
 	peers     string
 	data      string
 	settings  string
+	// ready is set once the node said so after its last start.
+	ready bool
 }
 
 // shape is how large a deployment is, and its engines' speed.
@@ -214,6 +216,7 @@
 data: {folder: %q}
 %s`, n.name, n.zone, region, n.callers, n.operators, n.peers, strings.Join(seeds, ", "),
 		filepath.Join(d.folder, "keys"), d.platform.Address, n.data, d.shape.nodeSettings))
+	n.ready = false
 	n.process = startProcess(d.folder, n.name, nodeBinary, "-config", n.settings)
 }
 
@@ -222,6 +225,7 @@
 	var addresses struct{ Callers string }
 	n.waitReady(&addresses)
 	gomega.Expect(addresses.Callers).To(gomega.Equal(n.callers))
+	n.ready = true
 }
 
 // wipe removes a stopped node's disk.
@@ -239,13 +243,15 @@
 	gomega.Expect(response.StatusCode()).To(gomega.BeNumerically("<", http.StatusMultipleChoices), response.String())
 }
 
-// liveNode returns a running node.
+// liveNode returns a node that takes requests.
 func (d *deployment) liveNode() *node {
+	ginkgo.GinkgoHelper()
 	for _, n := range d.nodes {
-		if n.running() {
+		if n.running() && n.ready {
 			return n
 		}
 	}
+	ginkgo.Fail("no node takes requests")
 	return nil
 }
 
