--- a/internal/ledger/replication/fuzz_test.go
+++ b/internal/ledger/replication/fuzz_test.go
@@ -29,16 +29,21 @@
 // yet hear of, keeps a quorum of intact disks when the node loses its own.
 func (m *faultMachine) survives(loser *simulatedNode) bool {
 	return !slices.ContainsFunc(m.knownConfigurations(), func(known indexedConfiguration) bool {
-		intact := 0
-		for _, voter := range known.configuration.Voters {
-			if holder := m.node(voter); holder != nil && holder != loser {
-				intact++
-			}
-		}
-		return len(known.configuration.Voters) > 0 && intact < known.configuration.Quorum()
+		return len(known.configuration.Voters) > 0 && !m.hasQuorum(known.configuration, loser)
 	})
 }
 
+// hasQuorum says whether a quorum of voters has its disk, but for the loser's.
+func (m *faultMachine) hasQuorum(configuration Configuration, loser *simulatedNode) bool {
+	intact := 0
+	for _, voter := range configuration.Voters {
+		if holder := m.node(voter); holder != nil && holder != loser {
+			intact++
+		}
+	}
+	return intact >= configuration.Quorum()
+}
+
 func (m *faultMachine) knownConfigurations() configurationHistory {
 	var known configurationHistory
 	for _, node := range m.nodes {
@@ -68,7 +73,7 @@
 func (m *faultMachine) actions() map[string]func(*rapid.T) {
 	running := func(t *rapid.T) *simulatedNode { return m.pick(t, isRunning) }
 	return map[string]func(*rapid.T){
-		"pass time":  func(t *rapid.T) { m.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond) },
+		"pass time":  func(t *rapid.T) { m.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
 		"short time": func(t *rapid.T) { m.run(time.Duration(rapid.IntRange(1, 12).Draw(t, "ms")) * time.Millisecond) },
 		"propose": func(t *rapid.T) {
 			node := running(t)
@@ -101,16 +106,21 @@
 		"lose disk": func(t *rapid.T) {
 			m.loseDisk(m.pick(t, m.survives))
 		},
-		"network": func(t *rapid.T) {
+		"network and disks": func(t *rapid.T) {
 			m.noise = noise{
 				loss:      float64(rapid.IntRange(0, 30).Draw(t, "loss")) / 100,
 				duplicate: float64(rapid.IntRange(0, 30).Draw(t, "duplicate")) / 100,
 				maxDelay:  time.Duration(rapid.IntRange(1, 400).Draw(t, "delay")) * time.Millisecond,
+				maxWrite:  time.Duration(rapid.IntRange(1, 400).Draw(t, "write")) * time.Millisecond,
 			}
 		},
-		"compact":  func(t *rapid.T) { m.compact(running(t), rapid.IntRange(0, 4).Draw(t, "keep")) },
-		"repair":   func(t *rapid.T) { m.repair(m.wantedIDs()) },
-		"replace":  func(t *rapid.T) { m.replaceWanted(rapid.IntRange(0, len(m.wanted)-1).Draw(t, "place")) },
+		"compact": func(t *rapid.T) { m.compact(running(t), rapid.IntRange(0, 4).Draw(t, "keep")) },
+		"repair":  func(t *rapid.T) { m.repair(m.wantedIDs()) },
+		"replace": func(t *rapid.T) { m.replaceWanted(rapid.IntRange(0, len(m.wanted)-1).Draw(t, "place")) },
+		"change": func(t *rapid.T) {
+			change := Change{ChangeType(rapid.IntRange(1, 3).Draw(t, "change")), m.pick(t, isRunning).id}
+			m.change(running(t), change)
+		},
 		"transfer": func(t *rapid.T) { m.transfer(running(t)) },
 		"": func(t *rapid.T) {
 			if m.oracle.failure != "" {
@@ -120,6 +130,18 @@
 	}
 }
 
+// change proposes a change that nothing calls for, unless it would leave the
+// shard without a quorum of intact disks.
+func (m *faultMachine) change(at *simulatedNode, change Change) {
+	next, err := at.replica.changed(at.replica.configuration(), change)
+	if err != nil || !m.hasQuorum(next, nil) {
+		return
+	}
+	if _, _, err := at.replica.ProposeConfig(change); err == nil {
+		m.proceed(at)
+	}
+}
+
 func (s *simulation) compact(node *simulatedNode, keep int) {
 	if applied := node.disk.applied.Index; applied > uint64(keep) {
 		node.disk.Compact(applied - uint64(keep))
--- a/internal/ledger/replication/simulation_test.go
+++ b/internal/ledger/replication/simulation_test.go
@@ -25,12 +25,14 @@
 	proposed int
 }
 
-// noise says how the network treats each message.
+// noise says how the network treats each message, and the disks each write.
 type noise struct {
-	loss, duplicate float64
-	maxDelay        time.Duration
+	loss, duplicate    float64
+	maxDelay, maxWrite time.Duration
 }
 
+func calm() noise { return noise{maxDelay: calmDelay, maxWrite: calmDelay} }
+
 type simulatedNode struct {
 	position    int
 	incarnation uint64
@@ -109,7 +111,7 @@
 
 const (
 	tickInterval = 30 * time.Millisecond
-	diskDelay    = 4 * time.Millisecond
+	calmDelay    = 3 * time.Millisecond
 )
 
 func newSimulation(seed uint64, voters, spares int) *simulation {
@@ -117,7 +119,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)),
 		now:    time.Unix(1, 0),
 		cut:    map[[2]int]bool{}, transit: map[*delivery]bool{},
-		noise:  noise{maxDelay: 3 * time.Millisecond},
+		noise:  calm(),
 		oracle: oracle{entries: map[uint64]Entry{}, leaders: map[uint64]ReplicaID{}, acked: map[uint64]bool{}},
 	}
 	var first []ReplicaID
@@ -313,7 +315,7 @@
 	s.transmit(node, ready.Immediate)
 	delay := time.Duration(0)
 	if ready.MustSync {
-		delay = time.Duration(s.random.Int64N(int64(diskDelay)))
+		delay = time.Duration(s.random.Int64N(int64(s.noise.maxWrite)))
 	}
 	s.afterOn(node, delay, func() { s.finish(node) })
 }
@@ -428,7 +430,7 @@
 // heal ends every fault.
 func (s *simulation) heal() {
 	clear(s.cut)
-	s.noise = noise{maxDelay: 3 * time.Millisecond}
+	s.noise = calm()
 	for _, node := range s.nodes {
 		if node.replica == nil {
 			s.start(node)
