--- a/internal/jobs/machine/lifecycle.go
+++ b/internal/jobs/machine/lifecycle.go
@@ -115,14 +115,19 @@
 }
 
 // removeCandidate removes a file or job unless the time noted for it was
-// overtaken: a sealed file or accepted job has a later one.
+// overtaken: a sealed file or accepted job has a later one, and so has one
+// that was begun again.
 func (tx *transaction) removeCandidate(candidate expired) error {
 	if candidate.table == tableFile {
 		file, ok, err := GetFile(tx, candidate.identifier)
 		if err != nil || !ok {
 			return err
 		}
-		if file.Sealed && file.Created.Add(file.Retention).UnixMilli() > tx.now {
+		due := file.Created.Add(receiveTimeout)
+		if file.Sealed {
+			due = file.Created.Add(file.Retention)
+		}
+		if due.UnixMilli() > tx.now {
 			return nil
 		}
 		return tx.removeFile(candidate.identifier)
@@ -131,10 +136,10 @@
 	if err != nil || !ok {
 		return err
 	}
-	switch {
-	case job.State == StateReceiving, job.State.Final() && removalTime(job) <= tx.now:
-		return tx.removeJob(job)
-	default:
+	abandoned := job.State == StateReceiving && job.Created.Add(receiveTimeout).UnixMilli() <= tx.now
+	outlived := job.State.Final() && removalTime(job) <= tx.now
+	if !abandoned && !outlived {
 		return nil
 	}
+	return tx.removeJob(job)
 }
--- a/internal/jobs/machine/machine.go
+++ b/internal/jobs/machine/machine.go
@@ -245,7 +245,7 @@
 }
 
 // touch notes that a job's counters change in this entry. A job that is
-// neither open nor stored gives nil.
+// neither open nor final gives nil.
 func (tx *transaction) touch(jobID string) (*touchedJob, error) {
 	if touched, ok := tx.touched[jobID]; ok {
 		return touched, nil
@@ -255,7 +255,8 @@
 		touched.open = open
 		touched.counters = &open.counters
 	} else {
-		if _, ok, err := tx.Get(key(tableJob, jobID)); err != nil || !ok {
+		record, ok, err := GetJob(tx, jobID)
+		if err != nil || !ok || !record.State.Final() {
 			return nil, err
 		}
 		counters, err := GetCounters(tx, jobID)
