--- /dev/null
+++ b/internal/lab/verify/verify_test.go
@@ -0,0 +1,58 @@
+package verify
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/standin/truth"
+)
+
+func inputOf(items ...string) string {
+	var file strings.Builder
+	for _, item := range items {
+		fmt.Fprintf(&file, `{"custom_id":%q,"body":{"model":"m","prompt":%q,"max_tokens":3}}`+"\n", item, item)
+	}
+	return file.String()
+}
+
+func resultOf(item, text string) string {
+	return fmt.Sprintf(`{"custom_id":%q,"response":{"status_code":200,"body":{"choices":[{"text":%q}]}}}`+"\n", item, text)
+}
+
+func right(item string) string { return resultOf(item, truth.ExpectedText("m", item, 3)) }
+
+func TestJobCountsEveryDefect(t *testing.T) {
+	for name, tc := range map[string]struct {
+		output string
+		want   Summary
+		kept   bool
+	}{
+		"kept":       {right("a") + right("b"), Summary{Items: 2, Results: 2}, true},
+		"missing":    {right("a"), Summary{Items: 2, Results: 1, Missing: 1}, false},
+		"duplicated": {right("a") + right("b") + right("a"), Summary{Items: 2, Results: 2, Duplicated: 1}, false},
+		"foreign":    {right("a") + right("b") + right("c"), Summary{Items: 2, Results: 2, Foreign: 1}, false},
+		"crossed":    {right("a") + resultOf("b", truth.ExpectedText("m", "a", 3)), Summary{Items: 2, Results: 2, Wrong: 1}, false},
+		"failed": {right("a") + `{"custom_id":"b","response":null,"error":{"code":"expired"}}`,
+			Summary{Items: 2, Results: 2, Failed: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			got, err := Job(strings.NewReader(inputOf("a", "b")), strings.NewReader(tc.output))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got).To(gomega.Equal(tc.want))
+			g.Expect(got.Kept()).To(gomega.Equal(tc.kept))
+		})
+	}
+}
+
+func TestCountRepeatedCountsRequestsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var entries []truth.Entry
+	for _, request := range []string{"batch_1", "batch_1", "batch_1", "batch_2", "x", "x"} {
+		entries = append(entries, truth.Entry{Kind: truth.KindAccepted, Request: request})
+	}
+	g.Expect(CountRepeated(entries, "batch_")).To(gomega.Equal(1))
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,164 @@
+#!/usr/bin/env bash
+# Runs the first deployment (three halls, 12 engines) as separate processes on
+# loopback, with batch and online traffic, kills a node and an engine on the
+# way, and sums up. Exit code 0 only if every promise held.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/bin
+run=$PWD/.run/demo
+items=${DEMO_ITEMS:-12000}
+rate=${DEMO_RATE:-60}
+model=placement-draft
+online_key=demo-caseworkers-key
+batch_key=demo-heads-key
+settings=examples/nairamdal/settings
+
+rm -rf "$run"
+mkdir -p "$run"
+declare -A process_of
+
+finish() {
+  for pid in "${process_of[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+trap finish EXIT
+
+say() { printf '\n== %s\n' "$*"; }
+
+# start NAME COMMAND... runs a process in the background, its output in a log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  process_of[$name]=$!
+}
+
+# field FILE NAME prints a string field of a flat JSON file.
+field() { sed -n 's/.*"'"$2"'" *: *"\([^"]*\)".*/\1/p' "$1" | head -n 1; }
+
+number() { sed -n 's/.*"'"$2"'" *: *\([0-9.]*\).*/\1/p' "$1" | head -n 1; }
+
+wait_for() {
+  for _ in $(seq 600); do
+    [ -s "$1" ] && return 0
+    sleep 0.05
+  done
+  echo "demo: $1 did not appear; see $run" >&2
+  exit 1
+}
+
+next_port=$((13000 + ($$ % 6000)))
+free_port() {
+  while next_port=$((next_port + 1)); (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; do :; done
+  port=$next_port
+}
+
+say "starting the platform, 12 engines in three halls, and 6 nodes"
+echo "00112233445566778899aabbccddeeff" >"$run/keys"
+start platform "$bin/chutelock-lab" platform -ready-file "$run/platform.ready" -folder "$run/platform.state" -truth-log "$run/platform.truth"
+wait_for "$run/platform.ready"
+platform=$(field "$run/platform.ready" address)
+
+engine=0
+for zone in bayanzurkh songino khan-uul; do
+  for _ in 1 2 3 4; do
+    engine=$((engine + 1))
+    cat >"$run/engine-$engine.yaml" <<YAML
+name: engine-$engine
+zone: $zone
+region: ulaanbaatar
+models: [$model]
+platform: $platform
+YAML
+    start "engine-$engine" "$bin/chutelock-lab" engine -config "$run/engine-$engine.yaml" \
+      -ready-file "$run/engine-$engine.ready" -truth-log "$run/engine-$engine.truth"
+  done
+done
+
+seeds=""
+node=0
+for zone in bayanzurkh songino khan-uul bayanzurkh songino khan-uul; do
+  node=$((node + 1))
+  free_port; callers[$node]=127.0.0.1:$port
+  free_port; operators[$node]=127.0.0.1:$port
+  free_port; peers=127.0.0.1:$port
+  seeds="$seeds${seeds:+, }\"$peers\""
+  cat >"$run/node-$node.yaml" <<YAML
+node: {name: node-$node, zone: $zone, region: ulaanbaatar}
+listen: {callers: "${callers[$node]}", operators: "${operators[$node]}", peers: "$peers"}
+peers: {seeds: [$seeds], key_file: "$run/keys"}
+platform: {address: "$platform"}
+data: {folder: "$run/node-$node.data"}
+ledger: {copies: 5}
+YAML
+  start "node-$node" "$bin/chutelock" -config "$run/node-$node.yaml" -ready-file "$run/node-$node.ready"
+done
+
+say "writing the settings tree through a node's operator port"
+for _ in $(seq 200); do
+  "$bin/chutelockctl" apply -server "http://${operators[1]}" -f "$settings" >"$run/apply.log" 2>&1 && break
+  sleep 0.1
+done
+tail -n 3 "$run/apply.log"
+for n in 1 2 3 4 5 6; do wait_for "$run/node-$n.ready"; done
+targets=$(printf 'http://%s,' "${callers[1]}" "${callers[2]}" "${callers[3]}" "${callers[4]}" "${callers[5]}")
+targets=${targets%,}
+
+load() {
+  "$bin/chutelock-lab" load -target "$targets" -key $online_key -model $model \
+    -rate "$rate" -duration "$1" -max-tokens 24 -seed "$2" -json "$run/$3.json" >"$run/$3.log" 2>&1
+}
+
+say "online traffic alone, $rate requests a second for 6 s"
+load 6s 1 alone
+
+say "a batch job of $items items beside the same online traffic; node-6 and engine-12 are killed on the way"
+for i in $(seq "$items"); do
+  printf '{"custom_id":"child-%d","method":"POST","url":"/v1/completions","body":{"model":"%s","prompt":"assign child %d to a seat","max_tokens":16}}\n' "$i" $model "$i"
+done >"$run/items.jsonl"
+load 14s 1 with-batch &
+load_process=$!
+"$bin/chutelockctl" submit -server "http://${callers[6]}" -key $batch_key -idempotency-key demo -o json "$run/items.jsonl" >"$run/job.json"
+job=$(field "$run/job.json" id)
+echo "accepted by node-6 as $job"
+sleep 1
+kill -KILL "${process_of[node-6]}"
+echo "killed node-6, which accepted the job"
+"$bin/chutelockctl" submit -server "http://${callers[1]}" -key $batch_key -idempotency-key demo -o json "$run/items.jsonl" >"$run/again.json"
+again=$(field "$run/again.json" id)
+echo "resent to node-1: $again"
+sleep 1
+kill -KILL "${process_of[engine-12]}"
+echo "killed engine-12"
+
+online_ok=0
+wait $load_process || online_ok=$?
+say "waiting for the job and reading its results at node-2"
+results_ok=0
+"$bin/chutelockctl" results -server "http://${callers[2]}" -key $batch_key -wait "$job" >"$run/results.jsonl" 2>"$run/results.log" || results_ok=$?
+verify_ok=0
+"$bin/chutelock-lab" verify -input "$run/items.jsonl" -output "$run/results.jsonl" "$run"/engine-*.truth >"$run/verify.json" || verify_ok=$?
+
+say "a planned stop of node-5 under online traffic"
+load 4s 3 planned-stop &
+load_process=$!
+sleep 1
+kill -TERM "${process_of[node-5]}"
+wait "${process_of[node-5]}" && echo "node-5 drained and ended by itself"
+stop_ok=0
+wait $load_process || stop_ok=$?
+
+say "summary"
+row() { printf '  %-46s %s\n' "$1" "$2"; }
+row "batch items accepted" "$(number "$run/verify.json" items)"
+row "batch items completed" "$(number "$run/verify.json" results)"
+row "lost / duplicated / wrong results" "$(number "$run/verify.json" missing) / $(number "$run/verify.json" duplicated) / $(number "$run/verify.json" wrong)"
+row "items that engines ran again after the failures" "$(number "$run/verify.json" repeated)"
+row "resent job is the same job" "$([ "$job" = "$again" ] && echo yes || echo NO)"
+"$bin/chutelock-lab" compare "$run/alone.json" "$run/with-batch.json" "$run/planned-stop.json" || true
+
+verdict=0
+[ "$job" = "$again" ] || verdict=1
+for code in $online_ok $results_ok $verify_ok $stop_ok; do [ "$code" = 0 ] || verdict=1; done
+if [ $verdict = 0 ]; then say "every promise held"; else say "A PROMISE WAS BROKEN: see $run (online $online_ok, results $results_ok, verify $verify_ok, planned stop $stop_ok)"; fi
+exit $verdict
