--- a/cmd/chutelock-lab/load.go
+++ b/cmd/chutelock-lab/load.go
@@ -50,6 +50,7 @@
 	output int
 	own    int
 	check  bool
+	strict bool
 }
 
 func parseLoadFlags(arguments []string) (loadFlags, error) {
@@ -74,6 +75,8 @@
 	flags.Uint64Var(&config.Seed, "seed", 1, "seed of the traffic")
 	flags.StringVar(&config.Label, "label", "", "keeps the prompts of this run apart from other runs; default from the seed")
 	flags.BoolVar(&parsed.check, "check", true, "compare each answer with the stand-in engine's text")
+	flags.BoolVar(&parsed.strict, "strict", false, "exit with 3 unless every request was answered whole")
+	flags.BoolVar(&config.Failover, "failover", false, "go on to the next target when one can't be reached or says not_run")
 	flags.StringVar(&parsed.json, "json", "", "write the summary as JSON to this file; - is standard output")
 	if err := flags.Parse(arguments); err != nil {
 		return loadFlags{}, err
@@ -109,7 +112,10 @@
 	if summary.Outcomes[load.OutcomeWrongText]+summary.Outcomes[load.OutcomeTruncated] > 0 {
 		return exitBadAnswers
 	}
-	return 0
+	if parsed.strict && summary.Outcomes[load.OutcomeOK] != summary.Requests {
+		return exitBadAnswers
+	}
+	return exitOK
 }
 
 func writeLoadSummary(path string, summary load.Summary) error {
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -22,6 +23,9 @@
 	requestIDHeader = "Chutelock-Request-Id"
 )
 
+// notRunSuffix ends the outcome of a refusal that says that nothing ran.
+const notRunSuffix = "_not_run"
+
 // Bounds of what is read of an answer.
 const (
 	maxAnswerBytes = 64 << 20
@@ -30,7 +34,7 @@
 
 // call is one request to send.
 type call struct {
-	target    string
+	targets   []string // tried in this order while the request was not run
 	prompt    string
 	maxTokens int
 	scheduled time.Time
@@ -44,6 +48,7 @@
 	ended      time.Time
 	outcome    string
 	detail     string
+	moved      int // targets that did not run it
 	text       string
 	tokenTimes []time.Time
 }
@@ -107,7 +112,24 @@
 func (c *client) do(ctx context.Context, call call) answer {
 	ctx, cancel := context.WithDeadline(ctx, call.scheduled.Add(c.config.Timeout))
 	defer cancel()
-	result := answer{target: call.target, scheduled: call.scheduled}
+	var result answer
+	for moved, target := range call.targets {
+		var notRun bool
+		result, notRun = c.try(ctx, call, target)
+		result.moved = moved
+		if !notRun {
+			break
+		}
+	}
+	if result.outcome == OutcomeOK {
+		c.check(call, &result)
+	}
+	return result
+}
+
+// try sends a call to one target; notRun says that it certainly did not run.
+func (c *client) try(ctx context.Context, call call, target string) (result answer, notRun bool) {
+	result = answer{target: target, scheduled: call.scheduled}
 	err := c.exchange(ctx, call, &result)
 	result.ended = time.Now()
 	if result.outcome == "" {
@@ -116,10 +138,9 @@
 	if err != nil && result.detail == "" {
 		result.detail = err.Error()
 	}
-	if result.outcome == OutcomeOK {
-		c.check(call, &result)
-	}
-	return result
+	var network *net.OpError
+	unreachable := errors.As(err, &network) && network.Op == "dial"
+	return result, unreachable || strings.HasSuffix(result.outcome, notRunSuffix)
 }
 
 func outcomeOf(err error) string {
@@ -136,13 +157,13 @@
 }
 
 func (c *client) exchange(ctx context.Context, call call, result *answer) error {
-	request, err := c.request(ctx, call)
+	request, err := c.request(ctx, call, result.target)
 	if err != nil {
-		return trace.Wrap(err, "build request to %v", call.target)
+		return trace.Wrap(err, "build request to %v", result.target)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return trace.Wrap(err, "send to %v", call.target)
+		return trace.Wrap(err, "send to %v", result.target)
 	}
 	defer func() { _ = response.Body.Close() }()
 	result.requestID = response.Header.Get(requestIDHeader)
@@ -155,7 +176,7 @@
 	return readWhole(response.Body, result)
 }
 
-func (c *client) request(ctx context.Context, call call) (*http.Request, error) {
+func (c *client) request(ctx context.Context, call call, target string) (*http.Request, error) {
 	body := requestBody{Model: c.config.Model, MaxTokens: call.maxTokens, Stream: c.config.Stream}
 	path := completionsPath
 	if c.config.Chat {
@@ -168,7 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, call.target+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target+path, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/load/config.go
+++ b/internal/lab/load/config.go
@@ -30,6 +30,9 @@
 	MaxInFlight int
 	// Timeout bounds one request from its scheduled arrival.
 	Timeout time.Duration
+	// Failover sends a request to the next target when one can't be reached or
+	// says that the request was not run, as a caller with a list of nodes does.
+	Failover bool
 	// Expected checks the answers; nil means that they aren't checked.
 	Expected ExpectedText
 }
@@ -43,3 +46,12 @@
 	}
 	return nil
 }
+
+// targetsOf lists the targets that a request may be sent to, in order.
+func (c Config) targetsOf(number int) []string {
+	first := number % len(c.Targets)
+	if !c.Failover {
+		return c.Targets[first : first+1]
+	}
+	return append(append([]string{}, c.Targets[first:]...), c.Targets[:first]...)
+}
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -71,3 +71,43 @@
 		})
 	}
 }
+
+func TestFailoverMovesOnlyWhatDidNotRun(t *testing.T) {
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(503)
+		fmt.Fprint(w, `{"error":{"code":"not_run"}}`)
+	}))
+	defer refusing.Close()
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }))
+	defer failing.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body struct{ Prompt string }
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		writeEvents(w, echo("", body.Prompt, 0), "data: [DONE]\n\n")
+	}))
+	defer good.Close()
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	for name, test := range map[string]struct {
+		first   string
+		outcome string
+		moved   int
+	}{
+		"refused":     {refusing.URL, load.OutcomeOK, 1},
+		"unreachable": {closed.URL, load.OutcomeOK, 1},
+		"failed":      {failing.URL, "http_502_no_code", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			summary, err := load.Run(context.Background(), load.Config{
+				Targets: []string{test.first, good.URL}, Model: "m", Stream: true, Seed: 1, Failover: true,
+				Online: arrivals.Online{Rate: 1000, Prompts: arrivals.Prompts{
+					Families: 2, SharedTokens: 3, OwnTokens: arrivals.Span{Min: 2, Max: 2}, OutputTokens: arrivals.Span{Min: 4, Max: 4}}},
+				Duration: time.Minute, MaxRequests: 1, MaxInFlight: 1, Timeout: 10 * time.Second, Expected: echo,
+			})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(summary.Outcomes).To(gomega.Equal(map[string]int{test.outcome: 1}))
+			g.Expect(summary.Moved).To(gomega.Equal(test.moved))
+		})
+	}
+}
--- a/internal/lab/load/runner.go
+++ b/internal/lab/load/runner.go
@@ -28,7 +28,7 @@
 			break
 		}
 		call := call{
-			target:    config.Targets[request.Number%len(config.Targets)],
+			targets:   config.targetsOf(request.Number),
 			prompt:    request.Text(config.Label),
 			maxTokens: request.OutputTokens,
 			scheduled: start.Add(request.At),
--- a/internal/lab/load/summary.go
+++ b/internal/lab/load/summary.go
@@ -52,6 +52,8 @@
 	Seed             uint64         `json:"seed"`
 	Requests         int            `json:"requests"`
 	Outcomes         map[string]int `json:"outcomes"`
+	// Moved counts the times that a request went on to another target.
+	Moved            int            `json:"moved"`
 	Tokens           int64          `json:"tokens"`
 	Seconds          float64        `json:"seconds"`
 	Checked          bool           `json:"answers_checked"`
@@ -70,6 +72,7 @@
 	total    *hdrhistogram.Histogram
 	outcomes map[string]int
 	tokens   int64
+	moved    int
 	examples []Example
 }
 
@@ -86,6 +89,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.outcomes[result.outcome]++
+	r.moved += result.moved
 	if result.outcome != OutcomeOK {
 		r.keepExample(result)
 		return
@@ -129,6 +133,7 @@
 		Requests:         requests,
 		Outcomes:         r.outcomes,
 		Tokens:           r.tokens,
+		Moved:            r.moved,
 		TimeToFirstToken: quantiles(r.first),
 		BetweenTokens:    quantiles(r.between),
 		Total:            quantiles(r.total),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -106,7 +106,7 @@
 
 load() {
   "$bin/chutelock-lab" load -target "$targets" -key $online_key -model $model \
-    -rate "$rate" -duration "$1" -max-tokens 24 -seed "$2" -json "$run/$3.json" >"$run/$3.log" 2>&1
+    -rate "$rate" -duration "$1" -max-tokens 24 -seed "$2" -failover -strict -json "$run/$3.json" >"$run/$3.log" 2>&1
 }
 
 say "online traffic alone, $rate requests a second for 6 s"
