--- a/internal/lab/load/summary.go
+++ b/internal/lab/load/summary.go
@@ -49,18 +49,18 @@
 
 // Summary is the result of a run. Latencies are of requests that ended OK.
 type Summary struct {
-	Seed             uint64         `json:"seed"`
-	Requests         int            `json:"requests"`
-	Outcomes         map[string]int `json:"outcomes"`
+	Seed     uint64         `json:"seed"`
+	Requests int            `json:"requests"`
+	Outcomes map[string]int `json:"outcomes"`
 	// Moved counts the times that a request went on to another target.
-	Moved            int            `json:"moved"`
-	Tokens           int64          `json:"tokens"`
-	Seconds          float64        `json:"seconds"`
-	Checked          bool           `json:"answers_checked"`
-	TimeToFirstToken Quantiles      `json:"time_to_first_token"`
-	BetweenTokens    Quantiles      `json:"between_tokens"`
-	Total            Quantiles      `json:"total"`
-	Examples         []Example      `json:"examples,omitempty"`
+	Moved            int       `json:"moved"`
+	Tokens           int64     `json:"tokens"`
+	Seconds          float64   `json:"seconds"`
+	Checked          bool      `json:"answers_checked"`
+	TimeToFirstToken Quantiles `json:"time_to_first_token"`
+	BetweenTokens    Quantiles `json:"between_tokens"`
+	Total            Quantiles `json:"total"`
+	Examples         []Example `json:"examples,omitempty"`
 }
 
 // recorder collects results; it may be used concurrently. Its mutex is a leaf:
