--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 bench: build
 	scripts/bench.sh
+
+events:
+	UPDATE_EVENTS=1 $(GO) test -count=1 ./test/docs
