--- a/internal/ledger/storage/shard.go
+++ b/internal/ledger/storage/shard.go
@@ -152,7 +152,6 @@
 // removeStagedEditions drops what a snapshot that was never installed left.
 func (s *Shard) removeStagedEditions() error {
 	batch := s.store.db.NewBatch()
-	defer batch.Close()
 	err := errors.Join(
 		batch.DeleteRange(sectionKey(s.id, sectionState), statePrefix(s.id, s.applied.edition), nil),
 		batch.DeleteRange(prefixEnd(statePrefix(s.id, s.applied.edition)), sectionKey(s.id, sectionState+1), nil),
@@ -200,11 +199,12 @@
 		return s.termOfCompacted(index, err)
 	}
 	var term uint64
+	found := false
 	err := s.scanLog(index, index+1, func(entry replication.Entry, _ int) (bool, error) {
-		term = entry.Term
+		term, found = entry.Term, true
 		return false, nil
 	})
-	if err == nil && term == 0 {
+	if err == nil && !found {
 		err = replication.ErrUnavailable // replaced meanwhile
 	}
 	return term, err
