--- a/internal/gateway/batchapi/deployment_test.go
+++ b/internal/gateway/batchapi/deployment_test.go
@@ -19,21 +19,18 @@
 	"chutelock.dev/chutelock/internal/engine"
 	"chutelock.dev/chutelock/internal/fleet"
 	"chutelock.dev/chutelock/internal/gateway/batchapi"
-	"chutelock.dev/chutelock/internal/jobs/command"
 	"chutelock.dev/chutelock/internal/jobs/dispatch"
-	"chutelock.dev/chutelock/internal/jobs/machine"
-	"chutelock.dev/chutelock/internal/jobs/query"
-	"chutelock.dev/chutelock/internal/jobs/remote"
-	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/jobs/service"
 	"chutelock.dev/chutelock/internal/ledger/local"
 	"chutelock.dev/chutelock/internal/settings"
 )
 
 const (
-	testModel  = "placement"
-	testKey    = "key-a"
-	otherKey   = "key-b"
-	testShards = 4
+	testModel   = "placement"
+	testKey     = "key-a"
+	otherKey    = "key-b"
+	testShards  = 4
+	testAddress = "127.0.0.1:1"
 )
 
 // fakeEngine answers each prompt word by word. Words of the prompt ask for
@@ -102,32 +99,22 @@
 func deploy(t *testing.T, dispatching bool) *deployment {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	machines := map[ledger.ShardID]*machine.Machine{}
-	directory, err := local.Open(local.Options{
-		Shards: testShards, Address: "127.0.0.1:1", NewMachine: func(id ledger.ShardID) ledger.StateMachine {
-			machines[id] = machine.New()
-			return machines[id]
-		},
-	})
+	node := service.New()
+	directory, err := local.Open(local.Options{Shards: testShards, Address: testAddress, NewMachine: node.NewMachine})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	server := remote.NewServer(directory)
-	server.Handle(remote.OperationQuery, query.Handle)
-	keeper := command.NewKeeper(directory, func(id ledger.ShardID) *machine.Machine { return machines[id] })
-	keeper.Register(server)
-	caller := remote.NewCaller("127.0.0.1:1", directory, nil, server)
-	queries := query.New(caller)
+	node.Connect(testAddress, directory, nil, nil)
 
 	d := &deployment{engine: &fakeEngine{runs: map[string]int{}}}
 	d.dispatcher = dispatch.New(dispatch.Dependencies{
-		Name: "node-1", Work: command.NewWork(caller), Policy: batch.NewFixed(16, true), Clients: d.engine,
+		Name: "node-1", Work: node.Work, Policy: batch.NewFixed(16, true), Clients: d.engine,
 	})
 	d.server = httptest.NewServer(batchapi.New(batchapi.Dependencies{
-		Files: command.NewFiles(caller), Jobs: command.NewJobs(caller, queries), Queries: queries, Settings: d.engine,
+		Files: node.Files, Jobs: node.Jobs, Queries: node.Queries, Settings: d.engine,
 	}))
 	d.client = d.clientOf(testKey)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { keeper.Run(ctx) })
+	running.Go(func() { node.Run(ctx) })
 	if dispatching {
 		running.Go(func() { d.dispatcher.Run(ctx) })
 		d.gainEngine()
