--- /dev/null
+++ b/cmd/chutelockctl/cancel.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{"cancel", "cancel a batch job", runCancel})
+}
+
+func runCancel(arguments []string) int {
+	var shared connection
+	flags := flag.NewFlagSet("cancel", flag.ContinueOnError)
+	shared.register(flags)
+	if code, ok := shared.parse(flags, arguments); !ok {
+		return code
+	}
+	if flags.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: chutelockctl cancel [flags] JOB")
+		return exitUsage
+	}
+	var cancelled batchObject
+	response, err := shared.client().R().SetResult(&cancelled).SetPathParam("id", flags.Arg(0)).
+		Post(pathBatches + "/{id}/cancel")
+	if code := failed("cancel", response, err); code != exitOK {
+		return code
+	}
+	return printBatches(&shared, cancelled, cancelled)
+}
--- /dev/null
+++ b/cmd/chutelockctl/results.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{"results", "write the results of a batch job", runResults})
+}
+
+func runResults(arguments []string) int {
+	var shared connection
+	flags := flag.NewFlagSet("results", flag.ContinueOnError)
+	shared.register(flags)
+	errorsOnly := flags.Bool("errors", false, "write the error file: items that failed, expired or were cancelled")
+	target := flags.String("f", "", "file to write; default standard output")
+	if code, ok := shared.parse(flags, arguments); !ok {
+		return code
+	}
+	if flags.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: chutelockctl results [flags] JOB")
+		return exitUsage
+	}
+	found, code := getBatch(shared.client(), flags.Arg(0))
+	if code != exitOK {
+		return code
+	}
+	if !found.final() {
+		fmt.Fprintf(os.Stderr, "%s is %s: these are the results so far\n", found.ID, found.Status)
+	}
+	fileID := found.OutputFileID
+	if *errorsOnly {
+		fileID = found.ErrorFileID
+	}
+	if fileID == "" {
+		fmt.Fprintln(os.Stderr, "there are none")
+		return exitOK
+	}
+	return download(&shared, fileID, *target)
+}
+
+// download writes a file's content, to a file only once it is whole.
+func download(shared *connection, fileID, target string) int {
+	client := shared.client().SetTimeout(uploadTimeout)
+	response, err := client.R().SetDoNotParseResponse(true).SetPathParam("id", fileID).Get(pathFiles + "/{id}/content")
+	if err != nil {
+		return failed("read results", response, err)
+	}
+	content := response.RawBody()
+	defer func() { _ = content.Close() }()
+	if response.IsError() {
+		body, _ := io.ReadAll(io.LimitReader(content, maxErrorBody))
+		fmt.Fprintf(os.Stderr, "read results: %s: %s\n", response.Status(), body)
+		return exitRefused
+	}
+	if target == "" {
+		_, err = io.Copy(os.Stdout, content)
+	} else {
+		err = writeWhole(target, content)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "read results: %v\n", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// maxErrorBody bounds what is shown of an error, in bytes.
+const maxErrorBody = 4 << 10
+
+func writeWhole(target string, content io.Reader) error {
+	temporary, err := os.CreateTemp(filepath.Dir(target), ".results-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(temporary.Name()) }() // gone already after the rename
+	if _, err := io.Copy(temporary, content); err != nil {
+		_ = temporary.Close()
+		return err
+	}
+	if err := temporary.Close(); err != nil {
+		return err
+	}
+	return os.Rename(temporary.Name(), target)
+}
