--- /dev/null
+++ b/internal/settings/dissemination/config.go
@@ -0,0 +1,81 @@
+package dissemination
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/membership"
+)
+
+// TickInterval is the longest pause between two calls of Tick.
+const TickInterval = 100 * time.Millisecond
+
+// WatchersPerRegion bounds the nodes of a region that read the store.
+const WatchersPerRegion = 2
+
+// Config sets a Machine up. Zero durations take the defaults.
+type Config struct {
+	Self membership.Member
+	// Seed feeds the choice of gossip partners and the jitter of retries.
+	Seed uint64
+	// StartupWait is how long a starting node waits for its peers' answers.
+	StartupWait time.Duration
+	// WatchDelay is how long a node must have been chosen before it opens a
+	// watch; it exceeds StopDelay, so that the old watcher has closed its own.
+	WatchDelay time.Duration
+	// StopDelay is how long a watcher that is no longer chosen goes on.
+	StopDelay time.Duration
+	// WatchSilence is how long a watch may bring neither event nor bookmark.
+	WatchSilence time.Duration
+	// GossipInterval is the pause between two digests to peers of the zone.
+	GossipInterval time.Duration
+	// StaleAfter is the age of the last confirmation by the store from which
+	// a node calls itself stale.
+	StaleAfter time.Duration
+}
+
+// Defaults of Config.
+const (
+	defaultStartupWait    = 1500 * time.Millisecond
+	defaultWatchDelay     = 2 * time.Second
+	defaultStopDelay      = 500 * time.Millisecond
+	defaultWatchSilence   = 15 * time.Second
+	defaultGossipInterval = 500 * time.Millisecond
+	defaultStaleAfter     = 30 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	for _, field := range []struct {
+		value    *time.Duration
+		fallback time.Duration
+	}{
+		{&c.StartupWait, defaultStartupWait},
+		{&c.WatchDelay, defaultWatchDelay},
+		{&c.StopDelay, defaultStopDelay},
+		{&c.WatchSilence, defaultWatchSilence},
+		{&c.GossipInterval, defaultGossipInterval},
+		{&c.StaleAfter, defaultStaleAfter},
+	} {
+		if *field.value == 0 {
+			*field.value = field.fallback
+		}
+	}
+	return c
+}
+
+const (
+	relayFanOut      = 6                // children of a node in its zone's tree
+	relayRoots       = 2                // nodes of each zone that a watcher sends to
+	startupPeers     = 3                // peers that a starting node asks
+	pullTimeout      = time.Second      // until another peer is asked
+	retryFirst       = time.Second      // pause after the first failure of the store
+	retryLast        = 8 * time.Second  // longest pause between tries of the store
+	reportInterval   = time.Second      // between reports up the zone's tree
+	reportLifetime   = 4 * time.Second  // of a child's report
+	zoneInterval     = 2 * time.Second  // between reports to other zones
+	zoneLifetime     = 10 * time.Second // of another zone's report
+	logLength        = 512              // deltas kept for peers that lag a little
+	answerBytes      = 512 << 10        // soft bound of one pull answer
+	foreignEvery     = 4                // every so many digests goes outside the zone
+	maxEntriesOfLog  = 4096             // entries kept in the log in all
+	headRegionPeriod = 2                // a head's every so many digests goes to another region
+)
--- /dev/null
+++ b/internal/settings/dissemination/machine_test.go
@@ -0,0 +1,47 @@
+package dissemination
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// expectConverged heals nothing; it checks that all nodes have the store's
+// state in force, and that no promise was broken on the way.
+func expectConverged(g *gomega.WithT, s *sim) {
+	g.Expect(s.faults).To(gomega.BeEmpty())
+	for _, node := range s.nodes {
+		if node.up {
+			g.Expect(node.published).To(gomega.Equal(s.store.version()), node.member.Name)
+			g.Expect(digestOf(node.content)).To(gomega.Equal(digestOf(s.store.objects)), node.member.Name)
+		}
+	}
+	for region, count := range s.maxWatchers {
+		g.Expect(count).To(gomega.BeNumerically("<=", WatchersPerRegion), region)
+	}
+}
+
+func (s *sim) writeSome(g *gomega.WithT, names ...string) {
+	for i, name := range names {
+		g.Expect(s.store.write(s.nodes[i%len(s.nodes)], name, i, false)).To(gomega.BeTrue(), name)
+		s.run(time.Second)
+	}
+}
+
+func startedFleet(g *gomega.WithT, seed uint64) *sim {
+	s := newSim(seed, 2, 2, 4)
+	s.run(8 * time.Second)
+	s.writeSome(g, "a", "b", "c")
+	expectConverged(g, s)
+	return s
+}
+
+func TestChangesComeInForceEverywhereByFewWatchers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startedFleet(g, 1)
+	g.Expect(s.store.maxOpen).To(gomega.Equal(4))
+	g.Expect(s.store.write(s.nodes[0], "a", 9, true)).To(gomega.BeTrue())
+	s.run(time.Second)
+	expectConverged(g, s)
+}
--- /dev/null
+++ b/internal/settings/dissemination/plan.go
@@ -0,0 +1,132 @@
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// plan is who does what, as this node's view of the members has it. Nodes
+// with the same view derive the same plan.
+type plan struct {
+	watcher bool
+	// position is this node's place in its zone's tree; 0 is the head.
+	position int
+	children []transport.Address
+	parent   transport.Address
+	head     transport.Address
+	// roots are the first nodes of each zone of the region, own zone included.
+	roots []transport.Address
+	// otherHeads are the first nodes of all other zones.
+	otherHeads []transport.Address
+	// zone, region and elsewhere are gossip partners by distance.
+	zone, region, elsewhere []transport.Address
+	// zoneSizes counts the live members of each zone.
+	zoneSizes map[string]int
+}
+
+// planFor derives the plan of self.
+func planFor(self membership.Member, view *membership.View) plan {
+	zones := liveZones(self, view)
+	result := plan{zoneSizes: make(map[string]int, len(zones))}
+	for name, members := range zones {
+		result.zoneSizes[name] = len(members)
+		rank("tree", members)
+		result.addZone(self, name, members)
+	}
+	result.watcher = slices.Contains(watchers(self, zones), self.Address)
+	return result
+}
+
+// liveZones groups the live members by zone; self is always among them.
+func liveZones(self membership.Member, view *membership.View) map[string][]membership.Member {
+	zones := map[string][]membership.Member{self.Zone: {self}}
+	for _, member := range view.Members {
+		live := member.State == membership.StateAlive || member.State == membership.StateSuspect
+		if live && member.Address != self.Address {
+			zones[member.Zone] = append(zones[member.Zone], member)
+		}
+	}
+	return zones
+}
+
+// rank orders members by rendezvous hashing for a role.
+func rank(role string, members []membership.Member) {
+	slices.SortFunc(members, func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(weight(role, a), weight(role, b)), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+func weight(role string, member membership.Member) uint64 {
+	return xxhash.Sum64String(role + "/" + member.Name)
+}
+
+func (p *plan) addZone(self membership.Member, name string, members []membership.Member) {
+	addresses := make([]transport.Address, len(members))
+	for i, member := range members {
+		addresses[i] = member.Address
+	}
+	first := addresses[:min(relayRoots, len(addresses))]
+	sameRegion := members[0].Region == self.Region
+	if sameRegion {
+		p.roots = append(p.roots, first...)
+	}
+	switch {
+	case name == self.Zone:
+		p.placeSelf(self, addresses)
+		return
+	case sameRegion:
+		p.region = append(p.region, addresses...)
+	default:
+		p.elsewhere = append(p.elsewhere, first...)
+	}
+	p.otherHeads = append(p.otherHeads, first...)
+}
+
+// placeSelf finds this node's neighbours in its zone's tree.
+func (p *plan) placeSelf(self membership.Member, addresses []transport.Address) {
+	p.position = slices.Index(addresses, self.Address)
+	p.head = addresses[0]
+	if p.position > 0 {
+		p.parent = addresses[(p.position-1)/relayFanOut]
+	}
+	from := min(p.position*relayFanOut+1, len(addresses))
+	to := min(from+relayFanOut, len(addresses))
+	p.children = addresses[from:to]
+	for _, address := range addresses {
+		if address != self.Address {
+			p.zone = append(p.zone, address)
+		}
+	}
+}
+
+// watchers chooses the region's readers of the store: the first member, and
+// the first one of another zone if there is one.
+func watchers(self membership.Member, zones map[string][]membership.Member) []transport.Address {
+	var members []membership.Member
+	for _, zone := range zones {
+		if zone[0].Region == self.Region {
+			members = append(members, zone...)
+		}
+	}
+	rank("watch", members)
+	chosen := members[:1]
+	for _, candidate := range members[1:] {
+		if candidate.Zone != chosen[0].Zone {
+			chosen = append(chosen[:1:1], candidate)
+			break
+		}
+	}
+	if len(chosen) == 1 && len(members) > 1 {
+		chosen = members[:WatchersPerRegion]
+	}
+	addresses := make([]transport.Address, len(chosen))
+	for i, member := range chosen {
+		addresses[i] = member.Address
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/settings/dissemination/pull.go
@@ -0,0 +1,154 @@
+package dissemination
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// pull is the one exchange in progress that fetches what this node lacks.
+type pull struct {
+	active bool
+	peer   transport.Address
+	began  time.Time
+	// staging becomes equal to the peer's state bucket by bucket; nil while
+	// only the peer's log is asked for.
+	staging *State
+}
+
+// startPull asks a peer for its log of deltas, unless a pull is in progress.
+func (m *Machine) startPull(now time.Time, peer transport.Address) {
+	if m.pull.active {
+		return
+	}
+	if !m.state.known {
+		m.startBucketPull(now, peer)
+		return
+	}
+	m.pull = pull{active: true, peer: peer, began: now}
+	m.do(CallPull{To: peer, Pull: Pull{Have: m.state.version, Known: true}})
+}
+
+// startBucketPull compares buckets with a peer.
+func (m *Machine) startBucketPull(now time.Time, peer transport.Address) {
+	m.pull = pull{active: true, peer: peer, began: now, staging: m.state.clone()}
+	m.callForBuckets()
+}
+
+func (m *Machine) callForBuckets() {
+	digests := m.pull.staging.digests
+	m.do(CallPull{To: m.pull.peer, Pull: Pull{Have: m.state.version, Known: m.state.known, Buckets: digests[:]}})
+}
+
+// tickPull gives up on a peer that does not answer.
+func (m *Machine) tickPull(now time.Time) {
+	if m.pull.active && now.Sub(m.pull.began) >= pullTimeout {
+		m.pull = pull{}
+	}
+}
+
+// HandlePull answers a peer's pull.
+func (m *Machine) HandlePull(now time.Time, request *Pull) *PullAnswer {
+	answer := &PullAnswer{Version: m.state.version, Known: m.published, Digest: m.state.digest(), Age: m.ageOf(now)}
+	if !m.published || request.Known && request.Have >= m.state.version {
+		return answer
+	}
+	if len(request.Buckets) == BucketCount {
+		answer.Buckets = m.differingBuckets(request.Buckets)
+		return answer
+	}
+	answer.Deltas, _ = m.log.after(request.Have)
+	return answer
+}
+
+// differingBuckets gives the buckets whose digests differ, of at most
+// answerBytes but for the first.
+func (m *Machine) differingBuckets(theirs []uint64) []Bucket {
+	var buckets []Bucket
+	size := 0
+	for number, digest := range m.state.digests {
+		if digest == theirs[number] {
+			continue
+		}
+		bucket := Bucket{Number: uint8(number), Entries: m.state.bucket(uint8(number))}
+		for i := range bucket.Entries {
+			size += bucket.Entries[i].size()
+		}
+		if size > answerBytes && len(buckets) > 0 {
+			return buckets
+		}
+		buckets = append(buckets, bucket)
+	}
+	return buckets
+}
+
+// HandlePullAnswer takes the answer to a CallPull; nil stands for a failure.
+func (m *Machine) HandlePullAnswer(now time.Time, from transport.Address, answer *PullAnswer) []Action {
+	if !m.pull.active || m.pull.peer != from {
+		return m.take()
+	}
+	staging := m.pull.staging
+	if answer == nil || !answer.Known {
+		m.pull = pull{}
+		return m.take()
+	}
+	if staging == nil {
+		m.pull = pull{}
+		m.takeLog(now, from, answer)
+	} else {
+		m.takeBuckets(now, staging, answer)
+	}
+	m.hear(now, answer.Version, answer.Age)
+	return m.take()
+}
+
+func (m *Machine) takeLog(now time.Time, from transport.Address, answer *PullAnswer) {
+	for i := range answer.Deltas {
+		m.offer(now, from, &answer.Deltas[i])
+	}
+	if m.pull.active || answer.Version <= m.state.version {
+		return
+	}
+	if len(answer.Deltas) > 0 {
+		m.startPull(now, from)
+		return
+	}
+	m.startBucketPull(now, from)
+}
+
+func (m *Machine) takeBuckets(now time.Time, staging *State, answer *PullAnswer) {
+	if m.state.known && answer.Version <= m.state.version {
+		m.pull = pull{}
+		return
+	}
+	for _, bucket := range answer.Buckets {
+		staging.replaceBucket(bucket)
+	}
+	if staging.digest() != answer.Digest {
+		m.pull.began = now
+		if len(answer.Buckets) == 0 {
+			m.pull = pull{}
+			return
+		}
+		m.callForBuckets()
+		return
+	}
+	m.pull = pull{}
+	m.checkFork(staging, answer)
+	staging.version, staging.known = answer.Version, true
+	m.install(now, staging)
+}
+
+// checkFork reports that a peer's newer state holds an older version of an
+// entry than is in force here, as after writes to a store that had gone back.
+func (m *Machine) checkFork(staging *State, answer *PullAnswer) {
+	if !m.state.known || answer.Version.Epoch() != m.state.version.Epoch() {
+		return
+	}
+	m.state.Each(func(entry Entry) {
+		other, present := staging.get(entry.Name)
+		if present && other.Revision < entry.Revision {
+			m.do(Notify{Notice: NoticeDivergence, Name: entry.Name, InForce: m.state.version, Found: answer.Version})
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/dissemination/simstore_test.go
@@ -0,0 +1,276 @@
+package dissemination
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+// simStore is the platform's store, and the oracle: it remembers which
+// content each version had.
+type simStore struct {
+	sim      *sim
+	objects  map[string]Entry
+	revision uint64
+	epoch    uint16
+	down     bool
+	frozen   bool // watches bring nothing, not even their end
+	// compacted is the oldest revision that a watch may start from.
+	compacted uint64
+	events    []Entry // all changes of this copy, in order
+	watches   []*simWatch
+	copies    []simCopy
+	// accepted is the content digests that each version had. A store that was
+	// put back and written to may give a version a second content.
+	accepted map[settings.Version]map[uint64]bool
+	maxOpen  int
+	requests int
+}
+
+type simCopy struct {
+	objects  map[string]Entry
+	revision uint64
+	epoch    uint16
+	events   []Entry
+}
+
+type simWatch struct {
+	node   *simNode
+	life   int
+	ticket uint64
+	next   int // index into events
+	closed bool
+}
+
+func newSimStore(s *sim) *simStore {
+	store := &simStore{sim: s, objects: make(map[string]Entry), accepted: make(map[settings.Version]map[uint64]bool)}
+	store.record()
+	store.bookmarks()
+	return store
+}
+
+func (s *simStore) version() settings.Version {
+	var head uint64
+	for _, entry := range s.objects {
+		head = max(head, entry.Revision)
+	}
+	return settings.MakeVersion(s.epoch, head)
+}
+
+func digestOf(objects map[string]Entry) uint64 {
+	var whole uint64
+	for _, entry := range objects {
+		if !entry.Deleted {
+			whole ^= entry.hash()
+		}
+	}
+	return whole
+}
+
+func (s *simStore) record() {
+	version := s.version()
+	if s.accepted[version] == nil {
+		s.accepted[version] = make(map[uint64]bool)
+	}
+	s.accepted[version][digestOf(s.objects)] = true
+}
+
+// checkContent is the oracle: a node has in force what the store once had at
+// that version.
+func (s *simStore) checkContent(node *simNode) {
+	if !s.accepted[node.published][digestOf(node.content)] {
+		s.sim.fault("%s: content of %s was never the store's", node.member.Name, node.published)
+	}
+}
+
+// put writes and tells the watches.
+func (s *simStore) put(name string, deleted bool, spec []byte) Entry {
+	s.revision++
+	entry := Entry{Name: name, Revision: s.revision, Deleted: deleted, Spec: spec}
+	s.objects[name] = entry
+	s.events = append(s.events, entry)
+	if name == tree.EpochObject {
+		s.epoch = epochOf(&entry)
+	}
+	s.record()
+	s.pump()
+	return entry
+}
+
+// pump delivers events to the open watches.
+func (s *simStore) pump() {
+	if s.down || s.frozen {
+		return
+	}
+	for _, watch := range s.watches {
+		for ; watch.next < len(s.events); watch.next++ {
+			s.deliver(watch, false, s.events[watch.next])
+		}
+	}
+}
+
+func (s *simStore) deliver(watch *simWatch, bookmark bool, entry Entry) {
+	delay := 5*time.Millisecond + time.Duration(len(watch.node.member.Name)%3)*time.Millisecond
+	s.sim.at(delay, func() {
+		if watch.closed {
+			return
+		}
+		watch.node.deliver(watch.life, func() {
+			if !watch.closed {
+				watch.node.do(watch.node.machine.HandleWatchEvent(s.sim.now, watch.ticket, bookmark, entry))
+			}
+		})
+	})
+}
+
+func (s *simStore) bookmarks() {
+	if !s.down && !s.frozen {
+		for _, watch := range s.watches {
+			s.deliver(watch, true, Entry{Revision: s.revision})
+		}
+	}
+	s.sim.at(simBookmark, s.bookmarks)
+}
+
+// answer runs a request at the store and hands its result to the node.
+func (s *simStore) answer(node *simNode, request func(err error) func()) {
+	s.requests++
+	life := node.life
+	s.sim.at(5*time.Millisecond, func() {
+		var err error
+		if s.down {
+			err = errStoreDown
+		}
+		respond := request(err)
+		s.sim.at(5*time.Millisecond, func() { node.deliver(life, respond) })
+	})
+}
+
+func (s *simStore) probe(node *simNode, action ProbeStore) {
+	s.answer(node, func(err error) func() {
+		found, ok := s.objects[action.Name]
+		probe := Probe{Found: ok, Newest: found, Epoch: s.epoch}
+		return func() { node.do(node.machine.HandleProbed(s.sim.now, action.Ticket, probe, err)) }
+	})
+}
+
+func (s *simStore) list(node *simNode, action ListStore) {
+	s.answer(node, func(err error) func() {
+		listed, revision := slices.Collect(maps.Values(s.objects)), s.revision
+		return func() { node.do(node.machine.HandleListed(s.sim.now, action.Ticket, listed, revision, err)) }
+	})
+}
+
+func (s *simStore) watch(node *simNode, action WatchStore) {
+	s.closeWatches(node)
+	opened := &simWatch{node: node, life: node.life, ticket: action.Ticket}
+	s.watches = append(s.watches, opened)
+	s.maxOpen = max(s.maxOpen, len(s.watches))
+	s.answer(node, func(err error) func() {
+		if err == nil && action.After < s.compacted {
+			err = platform.ErrCompacted
+		}
+		opened.next = len(s.events)
+		for i, entry := range s.events {
+			if entry.Revision > action.After {
+				opened.next = i
+				break
+			}
+		}
+		if err == nil {
+			s.pump()
+			return func() {}
+		}
+		s.drop(opened)
+		return func() { node.do(node.machine.HandleWatchEnded(s.sim.now, action.Ticket, err)) }
+	})
+	opened.next = len(s.events)
+}
+
+func (s *simStore) drop(watch *simWatch) {
+	watch.closed = true
+	s.watches = slices.DeleteFunc(s.watches, func(w *simWatch) bool { return w == watch })
+}
+
+func (s *simStore) closeWatches(node *simNode) {
+	for _, watch := range slices.Clone(s.watches) {
+		if watch.node == node {
+			s.drop(watch)
+		}
+	}
+}
+
+// setDown begins or ends an outage, which breaks all watches.
+func (s *simStore) setDown(down bool) {
+	s.down = down
+	if !down {
+		return
+	}
+	for _, watch := range slices.Clone(s.watches) {
+		s.drop(watch)
+		watch.node.deliver(watch.life, func() {
+			watch.node.do(watch.node.machine.HandleWatchEnded(s.sim.now, watch.ticket, errStoreDown))
+		})
+	}
+}
+
+// keepCopy makes a backup; restoreCopy brings it back, which breaks watches.
+func (s *simStore) keepCopy() {
+	s.copies = append(s.copies, simCopy{maps.Clone(s.objects), s.revision, s.epoch, slices.Clone(s.events)})
+}
+
+func (s *simStore) restoreCopy(number int) {
+	wasDown := s.down
+	s.setDown(true)
+	backup := s.copies[number]
+	s.objects, s.revision, s.epoch, s.events = maps.Clone(backup.objects), backup.revision, backup.epoch, slices.Clone(backup.events)
+	s.compacted = 0
+	s.down = wasDown
+}
+
+// write is an operator's change through a node, with the checks of package
+// command: the store must hold the newest change that the node knows.
+func (s *simStore) write(node *simNode, name string, value int, remove bool) bool {
+	if s.down || !node.up || node.paused || !node.machine.published || s.behind(node) {
+		return false
+	}
+	s.put(name, remove, []byte(fmt.Sprint(value)))
+	return true
+}
+
+func (s *simStore) behind(node *simNode) bool {
+	machine := node.machine
+	if machine.StoreRefused() || machine.Heard() > machine.state.version || machine.state.version.Epoch() != s.epoch {
+		return true
+	}
+	newest := machine.Newest()
+	return newest.Name != "" && s.objects[newest.Name].Revision < newest.Revision || machine.state.version > s.version()
+}
+
+// recover writes what a node has in force to the store and raises the epoch.
+func (s *simStore) recover(node *simNode) bool {
+	if s.down || !node.up || node.paused || !node.hasAny || node.machine.Heard() > node.published {
+		return false
+	}
+	for _, name := range slices.Sorted(maps.Keys(node.content)) {
+		entry := node.content[name]
+		if old := s.objects[name]; name != tree.EpochObject && (old.Deleted || string(old.Spec) != string(entry.Spec)) {
+			s.put(name, false, entry.Spec)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+		_, kept := node.content[name]
+		if !kept && name != tree.EpochObject && !s.objects[name].Deleted {
+			s.put(name, true, nil)
+		}
+	}
+	spec, _ := json.Marshal(tree.Epoch{Epoch: max(s.epoch, node.published.Epoch()) + 1})
+	s.put(tree.EpochObject, false, spec)
+	return true
+}
--- /dev/null
+++ b/internal/settings/dissemination/startup.go
@@ -0,0 +1,70 @@
+package dissemination
+
+import (
+	"slices"
+	"time"
+
+	"chutelock.dev/chutelock/internal/settings"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// startup asks a few peers for their versions, so that a restarted node does
+// not put its disk's or a restored store's older state in force.
+type startup struct {
+	began    time.Time
+	askedAt  time.Time
+	finished bool
+	answers  map[transport.Address]settings.Version
+}
+
+// startupRetry is the pause between two rounds of questions.
+const startupRetry = 200 * time.Millisecond
+
+// tickStartup asks peers, and publishes the first version when enough have
+// answered or the wait is over.
+func (m *Machine) tickStartup(now time.Time) {
+	if m.published {
+		return
+	}
+	if !m.startup.finished {
+		m.askPeers(now)
+		m.startup.finished = m.startupDone(now)
+	}
+	if m.startup.finished && m.state.known {
+		m.publishAll()
+	}
+}
+
+func (m *Machine) askPeers(now time.Time) {
+	if now.Sub(m.startup.askedAt) < startupRetry {
+		return
+	}
+	m.startup.askedAt = now
+	for _, peer := range m.startupPeers() {
+		if _, answered := m.startup.answers[peer]; !answered {
+			m.sendDigest(now, peer, false)
+		}
+	}
+}
+
+// startupPeers are a few peers, near ones first.
+func (m *Machine) startupPeers() []transport.Address {
+	near := slices.Concat(m.plan.zone, m.plan.region, m.plan.elsewhere)
+	return near[:min(startupPeers, len(near))]
+}
+
+func (m *Machine) startupDone(now time.Time) bool {
+	waited := now.Sub(m.startup.began)
+	best, answers := settings.Version(0), len(m.startup.answers)
+	for _, version := range m.startup.answers {
+		best = max(best, version)
+	}
+	caughtUp := m.state.known && m.state.version >= best
+	if answers >= startupPeers && caughtUp {
+		return true
+	}
+	if waited >= m.config.StartupWait && (caughtUp || best == 0) {
+		return true
+	}
+	return waited >= 2*m.config.StartupWait
+}
--- /dev/null
+++ b/internal/settings/dissemination/state.go
@@ -0,0 +1,219 @@
+package dissemination
+
+import (
+	"encoding/binary"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chutelock.dev/chutelock/internal/settings"
+)
+
+// BucketCount is the number of buckets that two nodes compare.
+const BucketCount = 256
+
+// Entry is one stored object, or the trace of its deletion. The content of
+// Spec is opaque here.
+type Entry struct {
+	Name     string
+	Revision uint64
+	Deleted  bool
+	Spec     []byte
+}
+
+// hash identifies an entry's name, revision and content.
+func (e *Entry) hash() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(e.Name)
+	_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte{0}, e.Revision))
+	_, _ = digest.Write(e.Spec)
+	return digest.Sum64()
+}
+
+func (e *Entry) size() int { return len(e.Name) + len(e.Spec) + entryOverhead }
+
+// entryOverhead is the number of bytes of an encoded entry beside its name
+// and content.
+const entryOverhead = 8 + 1 + 2 + 4
+
+// bucketOf is the bucket of a name.
+func bucketOf(name string) uint8 { return uint8(xxhash.Sum64String(name)) }
+
+// State is the content of the tree at one version.
+type State struct {
+	version settings.Version
+	// known is false until the first version, which may be zero.
+	known   bool
+	entries [BucketCount]map[string]Entry
+	digests [BucketCount]uint64
+	// newest is the entry of the newest change; its name is empty when that is
+	// not known. A probe of the store compares it.
+	newest Entry
+}
+
+// NewState makes a state from stored parts.
+func NewState(version settings.Version, entries []Entry) *State {
+	state := &State{version: version, known: true}
+	for _, entry := range entries {
+		state.put(entry)
+	}
+	state.findNewest()
+	return state
+}
+
+// Version is the state's version; false before the first.
+func (s *State) Version() (settings.Version, bool) { return s.version, s.known }
+
+// Each visits the entries in no order.
+func (s *State) Each(visit func(Entry)) {
+	for _, bucket := range s.entries {
+		for _, entry := range bucket {
+			visit(entry)
+		}
+	}
+}
+
+// all lists the entries.
+func (s *State) all() []Entry {
+	var entries []Entry
+	s.Each(func(entry Entry) { entries = append(entries, entry) })
+	return entries
+}
+
+func (s *State) get(name string) (Entry, bool) {
+	entry, present := s.entries[bucketOf(name)][name]
+	return entry, present
+}
+
+// digest covers the whole content.
+func (s *State) digest() uint64 {
+	var whole uint64
+	for _, digest := range s.digests {
+		whole ^= digest
+	}
+	return whole
+}
+
+// put replaces or deletes one entry.
+func (s *State) put(entry Entry) {
+	number := bucketOf(entry.Name)
+	if old, present := s.entries[number][entry.Name]; present {
+		s.digests[number] ^= old.hash()
+		delete(s.entries[number], entry.Name)
+	}
+	if entry.Deleted {
+		return
+	}
+	if s.entries[number] == nil {
+		s.entries[number] = make(map[string]Entry)
+	}
+	s.entries[number][entry.Name] = entry
+	s.digests[number] ^= entry.hash()
+}
+
+// findNewest looks the newest change up; it may have been a deletion, which
+// leaves no entry.
+func (s *State) findNewest() {
+	s.newest = Entry{}
+	s.Each(func(entry Entry) {
+		if entry.Revision == s.version.Revision() {
+			s.newest = entry
+		}
+	})
+}
+
+// fits says whether a delta joins this state.
+func (s *State) fits(delta *Delta) bool {
+	if !s.known || delta.To <= s.version {
+		return false
+	}
+	if delta.Exact {
+		return delta.From == s.version
+	}
+	return delta.From <= s.version && delta.To.Epoch() == s.version.Epoch()
+}
+
+// changes lists the entries of a delta that change this state.
+func (s *State) changes(delta *Delta) []Entry {
+	var changed []Entry
+	for _, entry := range delta.Entries {
+		if old, present := s.get(entry.Name); present && !delta.Exact && old.Revision >= entry.Revision {
+			continue
+		}
+		changed = append(changed, entry)
+	}
+	return changed
+}
+
+// digestWith is the digest after changes, which name no entry twice.
+func (s *State) digestWith(changes []Entry) uint64 {
+	whole := s.digest()
+	for i := range changes {
+		if old, present := s.get(changes[i].Name); present {
+			whole ^= old.hash()
+		}
+		if !changes[i].Deleted {
+			whole ^= changes[i].hash()
+		}
+	}
+	return whole
+}
+
+// advance puts changes in and moves to version.
+func (s *State) advance(version settings.Version, changes []Entry) {
+	s.version, s.known = version, true
+	s.newest = Entry{}
+	for _, entry := range changes {
+		s.put(entry)
+		if entry.Revision == version.Revision() {
+			s.newest = entry
+		}
+	}
+}
+
+// clone copies a state for a pull, whose buckets are then replaced until it
+// equals the peer's state.
+func (s *State) clone() *State {
+	copied := *s
+	for number, bucket := range s.entries {
+		copied.entries[number] = maps.Clone(bucket)
+	}
+	return &copied
+}
+
+// bucket lists the entries of one bucket.
+func (s *State) bucket(number uint8) []Entry {
+	entries := make([]Entry, 0, len(s.entries[number]))
+	for _, entry := range s.entries[number] {
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
+// replaceBucket makes a bucket hold exactly these entries.
+func (s *State) replaceBucket(bucket Bucket) {
+	s.entries[bucket.Number] = nil
+	s.digests[bucket.Number] = 0
+	for _, entry := range bucket.Entries {
+		if !entry.Deleted && bucketOf(entry.Name) == bucket.Number {
+			s.put(entry)
+		}
+	}
+}
+
+// difference lists how to get from s to other.
+func (s *State) difference(other *State) []Entry {
+	var changed []Entry
+	other.Each(func(entry Entry) {
+		old, present := s.get(entry.Name)
+		if !present || old.Revision != entry.Revision || old.hash() != entry.hash() {
+			changed = append(changed, entry)
+		}
+	})
+	s.Each(func(entry Entry) {
+		if _, present := other.get(entry.Name); !present {
+			changed = append(changed, Entry{Name: entry.Name, Revision: other.version.Revision(), Deleted: true})
+		}
+	})
+	return changed
+}
