Settings dissemination: rules and faults one by one, and stateful fuzzing

Traces of deletions are kept in the state, so that an entry that a listing or a peer lacks is known to be lost there and not deleted; a peer that took writes to a store that had gone back is refused like the store itself.

Found by the fuzzing and mended: a restarted node opened its watch before the others had seen it come back (three watchers in a region; WatchDelay is 4 s now); after a raise of the epoch the probe asked for an entry that was gone.

--- a/internal/settings/dissemination/config.go
+++ b/internal/settings/dissemination/config.go
@@ -36,7 +36,7 @@
 // Defaults of Config.
 const (
 	defaultStartupWait    = 1500 * time.Millisecond
-	defaultWatchDelay     = 2 * time.Second
+	defaultWatchDelay     = 4 * time.Second
 	defaultStopDelay      = 500 * time.Millisecond
 	defaultWatchSilence   = 15 * time.Second
 	defaultGossipInterval = 500 * time.Millisecond
@@ -69,6 +69,7 @@
 	pullTimeout      = time.Second      // until another peer is asked
 	retryFirst       = time.Second      // pause after the first failure of the store
 	retryLast        = 8 * time.Second  // longest pause between tries of the store
+	divergencePause  = 5 * time.Second  // without pulls after a peer proved to diverge
 	reportInterval   = time.Second      // between reports up the zone's tree
 	reportLifetime   = 4 * time.Second  // of a child's report
 	zoneInterval     = 2 * time.Second  // between reports to other zones
--- a/internal/settings/dissemination/machine.go
+++ b/internal/settings/dissemination/machine.go
@@ -22,9 +22,11 @@
 	// published is set once a version is in force at this node.
 	published bool
 	pull      pull
-	watch     watch
-	gossip    gossip
-	reports   reports
+	// avoidPullsUntil spares bandwidth after a peer proved to diverge.
+	avoidPullsUntil time.Time
+	watch           watch
+	gossip          gossip
+	reports         reports
 	// confirmedAt is when the store was last known to hold nothing newer than
 	// what is in force here.
 	confirmedAt time.Time
--- a/internal/settings/dissemination/machine_test.go
+++ b/internal/settings/dissemination/machine_test.go
@@ -31,7 +31,7 @@
 
 func startedFleet(g *gomega.WithT, seed uint64) *sim {
 	s := newSim(seed, 2, 2, 4)
-	s.run(8 * time.Second)
+	s.run(10 * time.Second)
 	s.writeSome(g, "a", "b", "c")
 	expectConverged(g, s)
 	return s
--- a/internal/settings/dissemination/message.go
+++ b/internal/settings/dissemination/message.go
@@ -128,7 +128,7 @@
 	flagAnswer = 1 << 1
 )
 
-func flag(set bool) uint8 {
+func bit(set bool) uint8 {
 	if set {
 		return 1
 	}
@@ -145,7 +145,7 @@
 	for i := range entries {
 		entry := &entries[i]
 		out, _ = binary.Append(out, binary.BigEndian, entryHeader{
-			Revision: entry.Revision, Deleted: flag(entry.Deleted),
+			Revision: entry.Revision, Deleted: bit(entry.Deleted),
 			NameLength: uint16(len(entry.Name)), SpecLength: uint32(len(entry.Spec)),
 		})
 		out = append(out, entry.Name...)
@@ -179,7 +179,7 @@
 
 // Marshal encodes the message.
 func (d *Delta) Marshal() ([]byte, error) {
-	header := deltaHeader{From: uint64(d.From), To: uint64(d.To), Digest: d.Digest, AgeMS: milliseconds(d.Age), Exact: flag(d.Exact)}
+	header := deltaHeader{From: uint64(d.From), To: uint64(d.To), Digest: d.Digest, AgeMS: milliseconds(d.Age), Exact: bit(d.Exact)}
 	return wire.Marshal(messageVersion, header, appendEntries(nil, d.Entries))
 }
 
@@ -203,7 +203,7 @@
 // Marshal encodes the message.
 func (d *Digest) Marshal() ([]byte, error) {
 	body := digestBody{Version: uint64(d.Version), Digest: d.Digest, AgeMS: milliseconds(d.Age)}
-	body.Flags = flag(d.Known)*flagKnown | flag(d.Answer)*flagAnswer
+	body.Flags = bit(d.Known)*flagKnown | bit(d.Answer)*flagAnswer
 	return wire.Marshal(messageVersion, body)
 }
 
@@ -225,7 +225,7 @@
 	for _, bucket := range p.Buckets {
 		buckets = binary.BigEndian.AppendUint64(buckets, bucket)
 	}
-	return wire.Marshal(messageVersion, pullHeader{Have: uint64(p.Have), Known: flag(p.Known)}, buckets)
+	return wire.Marshal(messageVersion, pullHeader{Have: uint64(p.Have), Known: bit(p.Known)}, buckets)
 }
 
 // UnmarshalPull decodes a Pull.
@@ -249,7 +249,7 @@
 func (a *PullAnswer) Marshal() ([]byte, error) {
 	header := answerHeader{
 		Version: uint64(a.Version), Digest: a.Digest, AgeMS: milliseconds(a.Age),
-		Known: flag(a.Known), Deltas: uint16(len(a.Deltas)),
+		Known: bit(a.Known), Deltas: uint16(len(a.Deltas)),
 	}
 	fields := make([][]byte, 0, len(a.Deltas)+len(a.Buckets))
 	for i := range a.Deltas {
--- a/internal/settings/dissemination/pull.go
+++ b/internal/settings/dissemination/pull.go
@@ -18,7 +18,7 @@
 
 // startPull asks a peer for its log of deltas, unless a pull is in progress.
 func (m *Machine) startPull(now time.Time, peer transport.Address) {
-	if m.pull.active {
+	if m.pull.active || now.Before(m.avoidPullsUntil) {
 		return
 	}
 	if !m.state.known {
@@ -134,21 +134,13 @@
 		return
 	}
 	m.pull = pull{}
-	m.checkFork(staging, answer)
 	staging.version, staging.known = answer.Version, true
-	m.install(now, staging)
-}
-
-// checkFork reports that a peer's newer state holds an older version of an
-// entry than is in force here, as after writes to a store that had gone back.
-func (m *Machine) checkFork(staging *State, answer *PullAnswer) {
-	if !m.state.known || answer.Version.Epoch() != m.state.version.Epoch() {
+	if name, ok := m.state.follows(staging); !ok && answer.Version.Epoch() == m.state.version.Epoch() {
+		// The peer took writes to a store that had gone back. Only an
+		// operator can say which side holds.
+		m.do(Notify{Notice: NoticeDivergence, Name: name, InForce: m.state.version, Found: answer.Version})
+		m.avoidPullsUntil = now.Add(divergencePause)
 		return
 	}
-	m.state.Each(func(entry Entry) {
-		other, present := staging.get(entry.Name)
-		if present && other.Revision < entry.Revision {
-			m.do(Notify{Notice: NoticeDivergence, Name: entry.Name, InForce: m.state.version, Found: answer.Version})
-		}
-	})
+	m.install(now, staging)
 }
--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -65,6 +65,8 @@
 	maxWatchers map[string]int
 	onPublish   func(node *simNode, version settings.Version)
 	truths      []simTruth
+	// troubled is until when the network or a peer may fail to answer.
+	troubled time.Time
 }
 
 // simTruth is which nodes were up and running at a time.
@@ -84,10 +86,17 @@
 	hasDisk bool
 	disk    map[string]Entry
 	diskAt  settings.Version
+	// highest is the newest version that this node and its disk had in force.
+	highest settings.Version
 	// published and content are what this life has in force.
 	published settings.Version
 	hasAny    bool
-	content   map[string]Entry
+	startedAt time.Time
+	// floor is what the least of the other nodes had in force at the start.
+	floor settings.Version
+	// crashAfter, if not zero, counts down the actions to a crash.
+	crashAfter int
+	content    map[string]Entry
 	sentBytes, sentMessages,
 	receivedBytes int
 }
@@ -208,6 +217,7 @@
 // start begins a life of the node, from its disk if it has one.
 func (n *simNode) start() {
 	n.life++
+	n.startedAt, n.floor = n.sim.now, n.sim.leastInForce(n)
 	n.up, n.paused, n.backlog = true, false, nil
 	n.hasAny, n.published, n.content = false, 0, make(map[string]Entry)
 	var restored *State
@@ -224,6 +234,27 @@
 	n.later(time.Duration(n.sim.random.Int64N(int64(simViewTick))), n.refreshView)
 }
 
+// leastInForce is the lowest version in force at the other nodes.
+func (s *sim) leastInForce(except *simNode) settings.Version {
+	least, found := settings.Version(0), false
+	for _, node := range s.nodes {
+		if node == except || !node.up || !node.hasAny {
+			continue
+		}
+		if !found || node.published < least {
+			least, found = node.published, true
+		}
+	}
+	return least
+}
+
+// trouble notes that questions may stay unanswered for a while.
+func (s *sim) trouble(duration time.Duration) {
+	if until := s.now.Add(duration); until.After(s.troubled) {
+		s.troubled = until
+	}
+}
+
 // later runs in this life only, and waits while the node is paused.
 func (n *simNode) later(delay time.Duration, run func()) {
 	life := n.life
@@ -260,6 +291,7 @@
 	if !n.up || n.paused {
 		return
 	}
+	n.sim.trouble(duration)
 	n.paused = true
 	life := n.life
 	n.sim.at(duration, func() {
@@ -279,6 +311,9 @@
 // do executes actions in order.
 func (n *simNode) do(actions []Action) {
 	for _, action := range actions {
+		if n.crashes(action) {
+			return
+		}
 		switch action := action.(type) {
 		case Persist:
 			n.persist(action)
@@ -323,6 +358,24 @@
 	}
 }
 
+// crashes counts the actions that matter, and stops the node at the last.
+func (n *simNode) crashes(action Action) bool {
+	switch action.(type) {
+	case Persist, Publish, SendDelta:
+	default:
+		return !n.up
+	}
+	if n.crashAfter == 0 {
+		return !n.up
+	}
+	n.crashAfter--
+	if n.crashAfter > 0 {
+		return false
+	}
+	n.stop()
+	return true
+}
+
 func (s *sim) must(err error) {
 	if err != nil {
 		s.fault("decode: %v", err)
@@ -399,13 +452,15 @@
 	if action.Version < n.diskAt {
 		n.sim.fault("%s: disk goes back from %s to %s", n.member.Name, n.diskAt, action.Version)
 	}
-	merge(n.disk, action.Changes)
+	merge(n.disk, action.Changes, (*Entry).gone)
 	n.diskAt = action.Version
 }
 
-func merge(into map[string]Entry, changes []Entry) {
+func isDeleted(entry *Entry) bool { return entry.Deleted }
+
+func merge(into map[string]Entry, changes []Entry, drop func(*Entry) bool) {
 	for _, entry := range changes {
-		if entry.Deleted {
+		if drop(&entry) {
 			delete(into, entry.Name)
 			continue
 		}
@@ -417,13 +472,18 @@
 	if n.hasAny && action.Version <= n.published {
 		n.sim.fault("%s: in force goes from %s to %s", n.member.Name, n.published, action.Version)
 	}
-	if !n.hasAny && n.hasDisk && action.Version < n.diskAt {
-		n.sim.fault("%s: restarted with %s below its disk's %s", n.member.Name, action.Version, n.diskAt)
+	if n.hasDisk && action.Version < n.highest {
+		n.sim.fault("%s: in force goes from %s to %s over a restart", n.member.Name, n.highest, action.Version)
+	}
+	if !n.hasAny && n.sim.troubled.Before(n.startedAt) && action.Version < n.floor {
+		n.sim.fault("%s: restarted with %s, below all others' %s", n.member.Name, action.Version, n.floor)
 	}
+	n.highest = action.Version
 	if action.Replace {
 		n.content = make(map[string]Entry)
 	}
-	merge(n.content, action.Changes)
+	n.checkEntries(action)
+	merge(n.content, action.Changes, isDeleted)
 	n.hasAny, n.published = true, action.Version
 	n.sim.store.checkContent(n)
 	if n.sim.onPublish != nil {
@@ -431,4 +491,16 @@
 	}
 }
 
+// checkEntries: within an epoch, no entry in force goes back.
+func (n *simNode) checkEntries(action Publish) {
+	if !n.hasAny || action.Version.Epoch() != n.published.Epoch() {
+		return
+	}
+	for _, entry := range action.Changes {
+		if old, present := n.content[entry.Name]; present && old.Revision > entry.Revision {
+			n.sim.fault("%s: %s goes from revision %d to %d", n.member.Name, entry.Name, old.Revision, entry.Revision)
+		}
+	}
+}
+
 var errStoreDown = errors.New("store is down")
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -46,6 +46,7 @@
 	ticket uint64
 	next   int // index into events
 	closed bool
+	dead   bool // brings nothing any more, and does not end
 }
 
 func newSimStore(s *sim) *simStore {
@@ -109,7 +110,7 @@
 		return
 	}
 	for _, watch := range s.watches {
-		for ; watch.next < len(s.events); watch.next++ {
+		for ; !watch.dead && watch.next < len(s.events); watch.next++ {
 			s.deliver(watch, false, s.events[watch.next])
 		}
 	}
@@ -132,12 +133,27 @@
 func (s *simStore) bookmarks() {
 	if !s.down && !s.frozen {
 		for _, watch := range s.watches {
-			s.deliver(watch, true, Entry{Revision: s.revision})
+			if !watch.dead {
+				s.deliver(watch, true, Entry{Revision: s.revision})
+			}
 		}
 	}
 	s.sim.at(simBookmark, s.bookmarks)
 }
 
+// setFrozen begins or ends a time in which watches bring nothing.
+func (s *simStore) setFrozen(frozen bool) {
+	s.frozen = frozen
+	s.pump()
+}
+
+// killWatches makes the open watches silent for good.
+func (s *simStore) killWatches() {
+	for _, watch := range s.watches {
+		watch.dead = true
+	}
+}
+
 // answer runs a request at the store and hands its result to the node.
 func (s *simStore) answer(node *simNode, request func(err error) func()) {
 	s.requests++
@@ -240,7 +256,7 @@
 	if s.down || !node.up || node.paused || !node.machine.published || s.behind(node) {
 		return false
 	}
-	s.put(name, remove, []byte(fmt.Sprint(value)))
+	s.put(name, remove, fmt.Appendf(nil, "%d %v", value, remove))
 	return true
 }
 
@@ -267,7 +283,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.objects)) {
 		_, kept := node.content[name]
 		if !kept && name != tree.EpochObject && !s.objects[name].Deleted {
-			s.put(name, true, nil)
+			s.put(name, true, []byte("recovered"))
 		}
 	}
 	spec, _ := json.Marshal(tree.Epoch{Epoch: max(s.epoch, node.published.Epoch()) + 1})
--- a/internal/settings/dissemination/state.go
+++ b/internal/settings/dissemination/state.go
@@ -12,8 +12,10 @@
 // BucketCount is the number of buckets that two nodes compare.
 const BucketCount = 256
 
-// Entry is one stored object, or the trace of its deletion. The content of
-// Spec is opaque here.
+// Entry is one stored object, or the trace of its deletion, which is kept so
+// that an entry that is missing elsewhere is known to be lost there and not
+// deleted. A deleted entry without Spec means that the trace goes as well. The
+// content of Spec is opaque here.
 type Entry struct {
 	Name     string
 	Revision uint64
@@ -25,11 +27,14 @@
 func (e *Entry) hash() uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(e.Name)
-	_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte{0}, e.Revision))
+	_, _ = digest.Write(binary.BigEndian.AppendUint64([]byte{bit(e.Deleted)}, e.Revision))
 	_, _ = digest.Write(e.Spec)
 	return digest.Sum64()
 }
 
+// gone says that not even the trace of a deletion is left.
+func (e *Entry) gone() bool { return e.Deleted && len(e.Spec) == 0 }
+
 func (e *Entry) size() int { return len(e.Name) + len(e.Spec) + entryOverhead }
 
 // entryOverhead is the number of bytes of an encoded entry beside its name
@@ -46,8 +51,8 @@
 	known   bool
 	entries [BucketCount]map[string]Entry
 	digests [BucketCount]uint64
-	// newest is the entry of the newest change; its name is empty when that is
-	// not known. A probe of the store compares it.
+	// newest is the entry of the newest change; its name is empty when nothing
+	// of it is left. A probe of the store compares it.
 	newest Entry
 }
 
@@ -64,7 +69,7 @@
 // Version is the state's version; false before the first.
 func (s *State) Version() (settings.Version, bool) { return s.version, s.known }
 
-// Each visits the entries in no order.
+// Each visits the entries in no order, traces of deletions among them.
 func (s *State) Each(visit func(Entry)) {
 	for _, bucket := range s.entries {
 		for _, entry := range bucket {
@@ -101,7 +106,7 @@
 		s.digests[number] ^= old.hash()
 		delete(s.entries[number], entry.Name)
 	}
-	if entry.Deleted {
+	if entry.gone() {
 		return
 	}
 	if s.entries[number] == nil {
@@ -111,8 +116,7 @@
 	s.digests[number] ^= entry.hash()
 }
 
-// findNewest looks the newest change up; it may have been a deletion, which
-// leaves no entry.
+// findNewest looks the newest change up.
 func (s *State) findNewest() {
 	s.newest = Entry{}
 	s.Each(func(entry Entry) {
@@ -152,7 +156,7 @@
 		if old, present := s.get(changes[i].Name); present {
 			whole ^= old.hash()
 		}
-		if !changes[i].Deleted {
+		if !changes[i].gone() {
 			whole ^= changes[i].hash()
 		}
 	}
@@ -165,7 +169,7 @@
 	s.newest = Entry{}
 	for _, entry := range changes {
 		s.put(entry)
-		if entry.Revision == version.Revision() {
+		if entry.Revision == version.Revision() && !entry.gone() {
 			s.newest = entry
 		}
 	}
@@ -195,7 +199,7 @@
 	s.entries[bucket.Number] = nil
 	s.digests[bucket.Number] = 0
 	for _, entry := range bucket.Entries {
-		if !entry.Deleted && bucketOf(entry.Name) == bucket.Number {
+		if bucketOf(entry.Name) == bucket.Number {
 			s.put(entry)
 		}
 	}
@@ -217,3 +221,20 @@
 	})
 	return changed
 }
+
+// follows finds an entry of s that other, a later state of the same epoch,
+// lacks or holds in an older or another version; without one, other may
+// replace s. A trace of a deletion may be lacking: it is swept after a while.
+func (s *State) follows(other *State) (string, bool) {
+	name, ok := "", true
+	s.Each(func(entry Entry) {
+		theirs, present := other.get(entry.Name)
+		switch {
+		case !present && entry.Deleted:
+		case !present, theirs.Revision < entry.Revision,
+			theirs.Revision == entry.Revision && theirs.hash() != entry.hash():
+			name, ok = entry.Name, false
+		}
+	})
+	return name, ok
+}
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -51,6 +51,9 @@
 	pauseLimit = time.Second
 )
 
+// traceSpec is the trace of a deletion that was made directly in the store.
+const traceSpec = `{"kind":"folder","deleted":true}`
+
 // Probe is what the store holds of the newest change and of the epoch.
 type Probe struct {
 	Found  bool
@@ -292,7 +295,7 @@
 // takeListing takes a listing of the epoch in force, if it holds everything
 // that is in force.
 func (m *Machine) takeListing(now time.Time, found settings.Version, listed []Entry, revision uint64) {
-	if name, ok := m.checkLineage(listed); !ok {
+	if name, ok := m.checkLineage(found, listed); !ok {
 		notice := NoticeStoreForked
 		if found < m.state.version {
 			notice = NoticeStoreBehind
@@ -313,28 +316,17 @@
 	}
 }
 
-// checkLineage finds an entry in force that the listing lacks or holds in an
-// older or another version, or a listed one that should be in force and is not.
-func (m *Machine) checkLineage(listed []Entry) (string, bool) {
-	byName := make(map[string]*Entry, len(listed))
+// checkLineage finds an entry that keeps a listing from following what is in
+// force: one that the listing lacks or holds in an older or another version,
+// or one that is listed with an older revision and is not in force.
+func (m *Machine) checkLineage(found settings.Version, listed []Entry) (string, bool) {
 	for i := range listed {
-		entry := &listed[i]
-		byName[entry.Name] = entry
-		if entry.Revision > m.state.version.Revision() {
-			continue
-		}
-		own, present := m.state.get(entry.Name)
-		if present == entry.Deleted || present && own.hash() != entry.hash() {
-			return entry.Name, false
+		_, present := m.state.get(listed[i].Name)
+		if !present && !listed[i].Deleted && listed[i].Revision <= m.state.version.Revision() {
+			return listed[i].Name, false
 		}
 	}
-	name, ok := "", true
-	m.state.Each(func(entry Entry) {
-		if other := byName[entry.Name]; other == nil || other.Revision < entry.Revision {
-			name, ok = entry.Name, false
-		}
-	})
-	return name, ok
+	return m.state.follows(NewState(found, listed))
 }
 
 // announceDelta brings a delta from the store in force and starts it on its
@@ -365,6 +357,9 @@
 		m.list(now)
 		return m.take()
 	}
+	if old, present := m.state.get(entry.Name); entry.gone() && present && !old.Deleted {
+		entry.Spec = []byte(traceSpec) // somebody deleted it behind our back
+	}
 	if !bookmark && entry.Revision > current {
 		to := settings.MakeVersion(m.state.version.Epoch(), entry.Revision)
 		m.announceDelta(now, &Delta{From: m.state.version, To: to, Entries: []Entry{entry}})
