--- a/internal/settings/dissemination/scenario_test.go
+++ b/internal/settings/dissemination/scenario_test.go
@@ -61,6 +61,11 @@
 			s.store.compacted = s.store.revision
 			s.run(15 * time.Second)
 		},
+		"a long time is quiet": func(g *gomega.WithT, s *sim) {
+			before := s.store.requests
+			s.run(2 * time.Minute)
+			g.Expect(s.store.requests).To(gomega.Equal(before), "quiet watches stay open")
+		},
 		"a region is cut off": func(g *gomega.WithT, s *sim) {
 			s.cutRegion = "region-1"
 			s.writeSome(g, "a", "b")
--- a/internal/settings/dissemination/state.go
+++ b/internal/settings/dissemination/state.go
@@ -126,9 +126,9 @@
 	})
 }
 
-// fits says whether a delta joins this state.
+// fits says whether a newer delta joins this state.
 func (s *State) fits(delta *Delta) bool {
-	if !s.known || delta.To <= s.version {
+	if !s.known {
 		return false
 	}
 	if delta.Exact {
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -254,8 +254,6 @@
 	case found.Epoch() > m.state.version.Epoch():
 		m.raiseEpoch(now, found, listed)
 		m.open(now, revision)
-	case found.Epoch() < m.state.version.Epoch():
-		m.refuse(now, NoticeStoreBehind, tree.EpochObject, found)
 	default:
 		m.takeListing(now, found, listed, revision)
 	}
