--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -168,8 +167,10 @@
 	data      bool
 	fs        *vfs.MemFS
 	transport *transport.Node
-	service   *Service
 	cut       atomic.Bool
+
+	mutex   sync.Mutex // guards service where proposers run beside
+	service *Service
 }
 
 func newCluster(t testing.TB, options Options) *cluster {
@@ -231,10 +232,11 @@
 		options.Folder = "ledger"
 		options.FS = n.fs
 	}
-	n.service, err = Open(options)
+	service, err := Open(options)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	opened.Serve()
-	n.service.Start()
+	service.Start()
+	n.set(service)
 }
 
 // kill ends a node as a power cut does: what was not synced is gone.
@@ -250,9 +252,16 @@
 	if n.service == nil {
 		return
 	}
+	service := n.service
+	n.set(nil)
 	n.transport.Close()
-	_ = n.service.Close()
-	n.service = nil
+	_ = service.Close()
+}
+
+func (n *node) set(service *Service) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.service = service
 }
 
 // wipe kills a node and takes its disk.
@@ -367,6 +376,3 @@
 		return n.service.Status().Shards[id].Replicas
 	}).Should(gomega.And(gomega.HaveLen(count), gomega.HaveEach(gomega.HaveField("State", "voter"))))
 }
-
-// seededRandom gives the same choices in each run of a test.
-func seededRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
