--- a/internal/jobs/input/scan.go
+++ b/internal/jobs/input/scan.go
@@ -23,7 +23,7 @@
 }
 
 // DefaultLimits allow the largest job of the target size.
-var DefaultLimits = Limits{Items: 120_000, LineBytes: 1 << 20, FileBytes: 256 << 20, ChunkBytes: 256 << 10}
+var DefaultLimits = Limits{Items: 120_000, LineBytes: 1 << 20, FileBytes: 256 << 20, ChunkBytes: 128 << 10}
 
 // Summary is what Scan learned of a whole file.
 type Summary struct {
--- a/internal/jobs/remote/caller.go
+++ b/internal/jobs/remote/caller.go
@@ -33,6 +33,12 @@
 	server    *Server
 }
 
+// suspecter is a directory that wants to be told when the leader it named could
+// not be reached or did not lead.
+type suspecter interface {
+	Suspect(shard ledger.ShardID, leader transport.Address)
+}
+
 // NewCaller returns a caller on the node at self, whose own shards the server
 // answers for.
 func NewCaller(self transport.Address, directory ledger.Directory, sender transport.Sender, server *Server) *Caller {
@@ -110,7 +116,18 @@
 		return nil, ledger.ErrUnavailable
 	}
 	answer, err := c.caller.sender.Call(ctx, leader, c.operation.messageKind(), c.request)
-	return answer, decodeError(c.shard, err)
+	err = decodeError(c.shard, err)
+	if told, ok := c.caller.directory.(suspecter); ok && isSuspicious(err) {
+		told.Suspect(c.shard, leader)
+	}
+	return answer, err
+}
+
+// isSuspicious says that a peer was not reached or does not lead; an error of
+// its handler is no reason to look for another leader.
+func isSuspicious(err error) bool {
+	var remote *transport.RemoteError
+	return err != nil && !errors.As(err, &remote) && !errors.Is(err, ledger.ErrUnknownOutcome)
 }
 
 // classify notes whether the attempt may have taken effect, and makes the
--- /dev/null
+++ b/internal/jobs/service/service_test.go
@@ -0,0 +1,216 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/jobs"
+	"chutelock.dev/chutelock/internal/jobs/command"
+	"chutelock.dev/chutelock/internal/jobs/input"
+	"chutelock.dev/chutelock/internal/ledger/local"
+)
+
+// lines makes an input file of count lines of about size bytes, as it is read.
+type lines struct {
+	count, size int
+	made        int
+	rest        strings.Reader
+}
+
+func (l *lines) Read(into []byte) (int, error) {
+	if l.rest.Len() == 0 {
+		if l.made == l.count {
+			return 0, io.EOF
+		}
+		l.rest.Reset(fmt.Sprintf(`{"custom_id":"c%d","url":"/v1/completions","body":{"model":"m","prompt":%q}}`+"\n",
+			l.made, strings.Repeat("x", l.size)))
+		l.made++
+	}
+	return l.rest.Read(into)
+}
+
+func open(tb testing.TB, folder string) *Service {
+	tb.Helper()
+	node := New()
+	directory, err := local.Open(local.Options{Folder: folder, Address: "127.0.0.1:1", NewMachine: node.NewMachine})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = directory.Close() })
+	node.Connect("127.0.0.1:1", directory, nil, nil)
+	return node
+}
+
+// accept uploads and submits a file.
+func accept(tb testing.TB, node *Service, from io.Reader, key string) (jobID string) {
+	tb.Helper()
+	ctx := context.Background()
+	fileID, _, err := node.Files.Store(ctx, command.Upload{
+		Tenant: "t", Name: "f", Purpose: "batch", Retention: time.Hour, Limits: input.DefaultLimits,
+		CheckModel: func(string) error { return nil },
+	}, from)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	file, err := node.Queries.File(ctx, "t", fileID)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	jobID, err = node.Jobs.Submit(ctx, command.Submission{
+		Tenant: "t", Key: key, File: file, Endpoint: file.Endpoint, Window: "24h",
+		Deadline: time.Now().Add(24 * time.Hour), DefaultRepeatable: true, Retention: time.Hour,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return jobID
+}
+
+// The largest job of the target size.
+const (
+	largestItems = 120_000
+	largestBytes = 100 << 20
+	// memoryLimit is how much accepting it may raise the node's memory.
+	memoryLimit = 64 << 20
+)
+
+// TestAcceptanceIsBoundedInMemory streams the largest job in. What is counted
+// is the memory that the process holds of the system, the store's own buffers
+// as they fill included.
+func TestAcceptanceIsBoundedInMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := open(t, t.TempDir())
+	accept(t, node, &lines{count: 5_000, size: largestBytes / largestItems}, "warm up")
+	runtime.GC()
+	before := residentMemory(t)
+	peak, stop := make(chan uint64), make(chan struct{})
+	go func() {
+		highest := uint64(0)
+		for {
+			select {
+			case <-stop:
+				peak <- highest
+				return
+			case <-time.After(5 * time.Millisecond):
+				highest = max(highest, residentMemory(t))
+			}
+		}
+	}()
+	jobID := accept(t, node, &lines{count: largestItems, size: largestBytes / largestItems}, "largest")
+	close(stop)
+	raised := int64(<-peak) - int64(before)
+	t.Logf("%d items: memory raised by %d MB", largestItems, raised>>20)
+	g.Expect(raised).To(gomega.BeNumerically("<", memoryLimit))
+	job, err := node.Queries.Job(context.Background(), "t", jobID)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(job.Items).To(gomega.Equal(uint32(largestItems)))
+}
+
+func residentMemory(tb testing.TB) uint64 {
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		tb.Skip("no /proc here")
+	}
+	var size, resident uint64
+	if _, err := fmt.Sscan(string(content), &size, &resident); err != nil {
+		tb.Fatal(err)
+	}
+	return resident * uint64(os.Getpagesize())
+}
+
+// BenchmarkShard leases and reports items through one shard on a disk, a
+// dispatcher's usual number at a time.
+func BenchmarkShard(b *testing.B) {
+	for _, together := range []int{64, 256} {
+		b.Run(fmt.Sprintf("together=%d", together), func(b *testing.B) {
+			folder := b.TempDir()
+			runItems(b, open(b, folder), 1, together)
+			b.ReportMetric(float64(folderSize(b, folder))/float64(b.N), "disk-B/item")
+		})
+	}
+}
+
+// BenchmarkReplicatedShard does the same from a node without data, on three
+// copies on one machine's disk.
+func BenchmarkReplicatedShard(b *testing.B) {
+	for _, workers := range []int{1, 4} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			cluster := startCluster(b, dataNodes+1, 1)
+			runItems(b, cluster[dataNodes].Service, workers, 128)
+		})
+	}
+}
+
+const benchmarkBody = 800 // bytes of an item, and of a result
+
+// runItems accepts b.N items and counts the time to lease and report them.
+func runItems(b *testing.B, node *Service, workers, together int) {
+	accepting := time.Now()
+	for batch := 0; batch*largestItems < b.N; batch++ {
+		count := min(b.N-batch*largestItems, largestItems)
+		accept(b, node, &lines{count: count, size: benchmarkBody}, fmt.Sprint(batch))
+	}
+	accepted := float64(b.N) / time.Since(accepting).Seconds()
+	body := []byte(`{"x":"` + strings.Repeat("y", benchmarkBody) + `"}`)
+	var done atomic.Int64
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for worker := range workers {
+		group.Go(func() {
+			for done.Load() < int64(b.N) {
+				leases, err := node.Work.Lease(context.Background(), fmt.Sprint(worker), "m", together)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				results := resultsOf(leases, body)
+				if err := node.Work.Report(context.Background(), results); err != nil {
+					b.Error(err)
+					return
+				}
+				done.Add(int64(len(results)))
+			}
+		})
+	}
+	group.Wait()
+	b.StopTimer()
+	b.ReportMetric(accepted, "accepted/s")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "items/s")
+}
+
+func resultsOf(leases []jobs.Lease, body []byte) []jobs.Result {
+	var results []jobs.Result
+	for _, lease := range leases {
+		for _, item := range lease.Items {
+			results = append(results, jobs.Result{
+				JobID: lease.JobID, Index: item.Index, Epoch: lease.Epoch, Status: jobs.ItemSucceeded,
+				HTTPStatus: 200, Body: body,
+			})
+		}
+	}
+	return results
+}
+
+func folderSize(tb testing.TB, folder string) (total int64) {
+	err := filepath.Walk(folder, func(_ string, info os.FileInfo, err error) error {
+		if err == nil && info.Mode().IsRegular() {
+			total += info.Size()
+		}
+		return err
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return total
+}
