--- a/internal/jobs/machine/lease.go
+++ b/internal/jobs/machine/lease.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"math"
-	"time"
 
 	"chutelock.dev/chutelock/internal/jobs"
 )
@@ -233,23 +232,3 @@
 		Body: errorBody(codeOutcomeUnknown, "the item was sent once and its outcome is not known; it is not repeatable"),
 	})
 }
-
-// feasible says whether items more items of a model can be done by deadline,
-// and if not, by when. Without a measured rate every future deadline is taken.
-func (tx *transaction) feasible(model string, items uint32, deadline int64) (possible int64, ok bool) {
-	rate, known := tx.machine.rates[model]
-	ahead := uint64(items)
-	for _, job := range tx.machine.open {
-		if job.record.Model == model && job.record.Deadline.UnixMilli() <= deadline {
-			ahead += uint64(job.remainingItems())
-		}
-	}
-	possible = tx.now + minimumLead.Milliseconds()
-	if known {
-		possible = max(possible, tx.now+rate.timeFor(ahead))
-	}
-	return possible, possible <= deadline
-}
-
-// minimumLead is the shortest time from submission to a deadline.
-const minimumLead = time.Second
