jobs/machine: slack counts the work of all jobs that are due before

A job's own work alone showed each of five jobs due together as not urgent until it was too late, while a bulk job of another tenant took half the rate: the test saw all five expire. With the work ahead counted they complete.

--- a/internal/jobs/machine/lease.go
+++ b/internal/jobs/machine/lease.go
@@ -1,8 +1,10 @@
 package machine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"chutelock.dev/chutelock/internal/jobs"
 )
@@ -46,48 +48,65 @@
 	bytes int64
 }
 
+// candidate is an open job with the time that it has to spare.
+type candidate struct {
+	*openJob
+	// slack is what is left, in milliseconds, when this job and all that are
+	// due before it have run at the measured rate.
+	slack int64
+}
+
+// candidates lists a model's open jobs in the order of their deadlines.
+func (m *Machine) candidates(model string, now int64) []candidate {
+	var found []candidate
+	for _, job := range m.open {
+		if job.record.Model == model && job.record.Deadline.UnixMilli() > now {
+			found = append(found, candidate{openJob: job})
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(a.record.Deadline.Compare(b.record.Deadline), cmp.Compare(a.record.JobID, b.record.JobID))
+	})
+	ahead := uint64(0)
+	measured, known := m.rates[model]
+	for i := range found {
+		ahead += uint64(found[i].remainingItems())
+		found[i].slack = found[i].record.Deadline.UnixMilli() - now
+		if known {
+			found[i].slack -= measured.timeFor(ahead)
+		}
+	}
+	return found
+}
+
 // mostUrgent returns the job to lease from next: the least slack among the
 // urgent ones, else the least slack of the tenant whose share is least used.
 func (m *Machine) mostUrgent(model string, now int64) *openJob {
-	var best *openJob
-	for _, job := range m.open {
-		if job.available == 0 || job.record.Model != model || job.record.Deadline.UnixMilli() <= now {
-			continue
-		}
-		if best == nil || m.before(job, best, now) {
-			best = job
+	var best candidate
+	for _, next := range m.candidates(model, now) {
+		if next.available > 0 && (best.openJob == nil || m.before(next, best)) {
+			best = next
 		}
 	}
-	return best
+	return best.openJob
 }
 
 // before is a total order, so that the choice does not depend on the order in
 // which a map is visited.
-func (m *Machine) before(a, b *openJob, now int64) bool {
-	slackA, slackB := m.slack(a, now), m.slack(b, now)
-	urgentA, urgentB := slackA < urgentSlack, slackB < urgentSlack
+func (m *Machine) before(a, b candidate) bool {
+	urgentA, urgentB := a.slack < urgentSlack, b.slack < urgentSlack
 	if urgentA != urgentB {
 		return urgentA
 	}
 	if shareA, shareB := m.shares[a.record.Tenant], m.shares[b.record.Tenant]; !urgentA && shareA != shareB {
 		return shareA < shareB
 	}
-	if slackA != slackB {
-		return slackA < slackB
+	if a.slack != b.slack {
+		return a.slack < b.slack
 	}
 	return a.record.JobID < b.record.JobID
 }
 
-// slack is the time to spare, in milliseconds, if the job's remaining items
-// ran alone at the measured rate.
-func (m *Machine) slack(job *openJob, now int64) int64 {
-	work := int64(0)
-	if rate, ok := m.rates[job.record.Model]; ok {
-		work = rate.timeFor(uint64(job.remainingItems()))
-	}
-	return job.record.Deadline.UnixMilli() - now - work
-}
-
 func (tx *transaction) leaseFrom(job *openJob, dispatcher string, budget *leaseBudget) (jobs.Lease, error) {
 	record := &job.record
 	given := jobs.Lease{
--- a/internal/jobs/machine/order_test.go
+++ b/internal/jobs/machine/order_test.go
@@ -120,3 +120,30 @@
 		s.g.Expect(possible.Code).To(gomega.Equal(CodeOK), name+": what was named possible is accepted")
 	}
 }
+
+// A bulk job of another tenant must not take its share while jobs that are due
+// together still need all the time there is.
+func TestJobsDueTogetherAreInTime(t *testing.T) {
+	s := newShop(t)
+	s.accept("measured", "a", 1000, 1000, 24*time.Hour)
+	for range 10 {
+		_, leases := s.lease(100)
+		s.now = s.now.Add(time.Second)
+		s.finish(leases)
+	}
+	s.accept("bulk", "a", 1000, 30_000, 24*time.Hour)
+	for _, id := range []string{"v", "w", "x", "y", "z"} { // 40 s of work each
+		s.accept(id, "b", 1000, 4000, 210*time.Second)
+	}
+	for range 210 {
+		_, leases := s.lease(100)
+		s.now = s.now.Add(time.Second)
+		s.finish(leases)
+		s.do(&Tick{})
+	}
+	for _, id := range []string{"v", "w", "x", "y", "z"} {
+		job, _, err := GetJob(s.store, id)
+		s.g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.g.Expect(job.State).To(gomega.Equal(StateCompleted), id)
+	}
+}
--- a/internal/jobs/machine/read.go
+++ b/internal/jobs/machine/read.go
@@ -172,18 +172,27 @@
 	defer m.mutex.RUnlock()
 	waiting := map[string]WaitingItems{}
 	for _, job := range m.open {
-		if job.available == 0 || !job.record.Deadline.After(now) {
+		if _, seen := waiting[job.record.Model]; !seen && job.available > 0 {
+			if total := m.waitingOf(job.record.Model, now.UnixMilli()); total.Items > 0 {
+				waiting[job.record.Model] = total
+			}
+		}
+	}
+	return waiting
+}
+
+func (m *Machine) waitingOf(model string, now int64) (total WaitingItems) {
+	for _, next := range m.candidates(model, now) {
+		if next.available == 0 {
 			continue
 		}
-		slack := time.Duration(m.slack(job, now.UnixMilli())) * time.Millisecond
-		ofModel, seen := waiting[job.record.Model]
-		if !seen || slack < ofModel.Slack {
-			ofModel.Slack = slack
+		slack := time.Duration(next.slack) * time.Millisecond
+		if total.Items == 0 || slack < total.Slack {
+			total.Slack = slack
 		}
-		ofModel.Items += uint64(job.available)
-		waiting[job.record.Model] = ofModel
+		total.Items += uint64(next.available)
 	}
-	return waiting
+	return total
 }
 
 // DeadlinePassed says whether a Tick at now would expire a job.
