--- a/internal/standin/platform/object_api.go
+++ b/internal/standin/platform/object_api.go
@@ -161,6 +161,7 @@
 // begins with the present objects as ADDED.
 func (s *Server) watch(writer http.ResponseWriter, request *http.Request) {
 	if !s.openWatch() {
+		s.refused.Add(1)
 		writeStatus(writer, http.StatusTooManyRequests, "TooManyRequests", "the budget of open watches is used up")
 		return
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,6 +24,8 @@
 	injector *fault.Injector
 	requests *rate.Limiter
 	weights  *rate.Limiter
+	served   atomic.Uint64
+	refused  atomic.Uint64
 
 	mutex    sync.Mutex
 	disk     *disk
@@ -119,9 +122,13 @@
 func (s *Server) withinBudget(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if isCounted(request) && !s.requests.Allow() {
+			s.refused.Add(1)
 			writeStatus(writer, http.StatusTooManyRequests, "TooManyRequests", "the budget of requests a second is used up")
 			return
 		}
+		if isCounted(request) {
+			s.served.Add(1)
+		}
 		next.ServeHTTP(writer, request)
 	})
 }
@@ -133,13 +140,16 @@
 	return request.Method == http.MethodGet || !strings.HasPrefix(request.URL.Path, "/machines")
 }
 
-// ControlHandler serves /control/faults, /control/machines, /control/compact
-// and /control/checkpoints/{name}; the budget doesn't bind it.
+// ControlHandler serves /control/faults, /control/machines, /control/status,
+// /control/compact and /control/checkpoints/{name}; the budget doesn't bind it.
 func (s *Server) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/control/faults", s.injector.Control())
 	mux.HandleFunc("POST /control/machines", s.setMachine)
 	mux.HandleFunc("DELETE /control/machines/{name}", s.removeMachine)
+	mux.HandleFunc("GET /control/status", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, http.StatusOK, s.Status())
+	})
 	mux.HandleFunc("POST /control/compact", func(writer http.ResponseWriter, request *http.Request) {
 		s.Compact(parseRevision(request.URL.Query().Get("revision")))
 	})
@@ -161,6 +171,30 @@
 	})
 }
 
+// Status is what the control endpoint tells of the store.
+type Status struct {
+	Watches   int    `json:"watches"`
+	Revision  uint64 `json:"revision"`
+	Compacted uint64 `json:"compacted"`
+	// Requests counts the requests within the budget since the start, Refused
+	// those beyond it and the watches refused.
+	Requests uint64 `json:"requests"`
+	Refused  uint64 `json:"refused"`
+}
+
+// Status returns the present state.
+func (s *Server) Status() Status {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Status{
+		Watches:   s.watches,
+		Revision:  s.store.Revision(),
+		Compacted: s.store.Compacted(),
+		Requests:  s.served.Load(),
+		Refused:   s.refused.Load(),
+	}
+}
+
 // Compact forgets the history up to a revision, 0 meaning all of it.
 func (s *Server) Compact(revision uint64) {
 	s.mutex.Lock()
