--- a/internal/settings/dissemination/message.go
+++ b/internal/settings/dissemination/message.go
@@ -341,3 +341,63 @@
 		Report: header.Report.report(), Age: duration(header.AgeMS),
 	}, nil
 }
+
+// zoneStatusBody is the fixed part of one encoded ZoneStatus.
+type zoneStatusBody struct {
+	Report  reportBody
+	Members uint16
+	Known   uint8
+	AgeMS   uint32
+}
+
+// zoneStatusFields is the number of variable fields of one ZoneStatus.
+const zoneStatusFields = 3
+
+// MarshalZones encodes the answer of a zone's head.
+func MarshalZones(zones []ZoneStatus) ([]byte, error) {
+	fields := make([][]byte, 0, len(zones)*zoneStatusFields)
+	for i := range zones {
+		zone := &zones[i]
+		report := Report{
+			Minimum: zone.Minimum, Maximum: zone.Maximum,
+			Nodes: uint16(zone.Reported), Stale: uint16(zone.Stale), Unset: uint16(zone.Unset),
+		}
+		body, err := binary.Append(nil, binary.BigEndian, zoneStatusBody{
+			Report: report.body(), Members: uint16(zone.Members), Known: bit(zone.Known), AgeMS: milliseconds(zone.Age),
+		})
+		if err != nil {
+			return nil, err
+		}
+		fields = append(fields, body, []byte(zone.Zone), []byte(zone.Region))
+	}
+	return wire.Marshal(messageVersion, struct{ Zones uint16 }{uint16(len(zones))}, fields...)
+}
+
+// UnmarshalZones decodes the answer of a zone's head.
+func UnmarshalZones(data []byte) ([]ZoneStatus, error) {
+	var header struct{ Zones uint16 }
+	fields, err := wire.Unmarshal(data, messageVersion, &header, -1)
+	if err != nil {
+		return nil, err
+	}
+	if len(fields) != int(header.Zones)*zoneStatusFields {
+		return nil, fmt.Errorf("%w: %d zones in %d fields", wire.ErrLength, header.Zones, len(fields))
+	}
+	var zones []ZoneStatus
+	for ; len(fields) > 0; fields = fields[zoneStatusFields:] {
+		var body zoneStatusBody
+		if len(fields[0]) != binary.Size(body) {
+			return nil, fmt.Errorf("%w: zone status", wire.ErrLength)
+		}
+		if _, err := binary.Decode(fields[0], binary.BigEndian, &body); err != nil {
+			return nil, err
+		}
+		report := body.Report.report()
+		zones = append(zones, ZoneStatus{
+			Zone: string(fields[1]), Region: string(fields[2]), Minimum: report.Minimum, Maximum: report.Maximum,
+			Reported: int(report.Nodes), Members: int(body.Members), Stale: int(report.Stale), Unset: int(report.Unset),
+			Known: body.Known != 0, Age: duration(body.AgeMS),
+		})
+	}
+	return zones, nil
+}
--- a/internal/settings/dissemination/plan.go
+++ b/internal/settings/dissemination/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,7 +34,8 @@
 func planFor(self membership.Member, view *membership.View) plan {
 	zones := liveZones(self, view)
 	result := plan{zoneSizes: make(map[string]int, len(zones))}
-	for name, members := range zones {
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		members := zones[name]
 		result.zoneSizes[name] = len(members)
 		rank("tree", members)
 		result.addZone(self, name, members)
--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -191,6 +191,8 @@
 	machine, now := runningMachine(5, live("a", 3), live("c", 5))
 	machine.HandleProbed(now, machine.watch.ticket, Probe{Found: true, Newest: live("c", 5)}, nil)
 	ticket := machine.watch.ticket
+	machine.HandleWatchEvent(now, ticket, true, Entry{Revision: 5})
+	machine.HandleProbed(now, ticket, Probe{Found: true, Newest: live("c", 5)}, nil)
 	for _, step := range []struct {
 		entry    Entry
 		bookmark bool
@@ -212,6 +214,37 @@
 	g.Expect(machine.HandleWatchEvent(now, ticket, false, epoch)).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(ListStore{})))
 }
 
+func TestEventsAreHeldUntilTheStoreIsSeenToHoldWhatIsInForce(t *testing.T) {
+	for name, test := range map[string]struct {
+		event  Entry
+		probe  Probe
+		listed []Entry
+		want   []string
+	}{
+		"probe right":              {live("a", 6), Probe{Found: true, Newest: live("c", 5)}, nil, []string{"0.6"}},
+		"put back meanwhile":       {live("a", 6), Probe{Found: true, Newest: live("c", 4)}, []Entry{live("a", 6), live("c", 4)}, nil},
+		"newest changes":           {live("c", 6), Probe{}, []Entry{live("a", 3), live("c", 6)}, []string{"0.6"}},
+		"newest changes on a fork": {live("c", 6), Probe{}, []Entry{live("a", 4), live("c", 6)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			machine, now := runningMachine(5, live("a", 3), live("c", 5))
+			machine.HandleProbed(now, machine.watch.ticket, Probe{Found: true, Newest: live("c", 5)}, nil)
+			ticket := machine.watch.ticket
+			actions := machine.HandleWatchEvent(now, ticket, false, test.event)
+			g.Expect(versions(actions)).To(gomega.BeEmpty())
+			if test.event.Name != "c" {
+				actions = machine.HandleProbed(now, ticket, test.probe, nil)
+			}
+			if test.listed != nil {
+				actions = machine.HandleListed(now, ticket, test.listed, 6, nil)
+			}
+			g.Expect(versions(actions)).To(gomega.Equal(test.want))
+			g.Expect(machine.Watching()).To(gomega.Equal(test.want != nil))
+		})
+	}
+}
+
 // exchange lets one machine pull from another until it stops.
 func exchange(asker, peer *Machine, now time.Time, between func(round int)) ([]Action, int) {
 	var all []Action
--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -452,7 +452,7 @@
 	if action.Version < n.diskAt {
 		n.sim.fault("%s: disk goes back from %s to %s", n.member.Name, n.diskAt, action.Version)
 	}
-	merge(n.disk, action.Changes, (*Entry).gone)
+	merge(n.disk, action.Changes, (*Entry).Gone)
 	n.diskAt = action.Version
 }
 
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -178,7 +178,11 @@
 
 func (s *simStore) list(node *simNode, action ListStore) {
 	s.answer(node, func(err error) func() {
-		listed, revision := slices.Collect(maps.Values(s.objects)), s.revision
+		var listed []Entry
+		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+			listed = append(listed, s.objects[name])
+		}
+		revision := s.revision
 		return func() { node.do(node.machine.HandleListed(s.sim.now, action.Ticket, listed, revision, err)) }
 	})
 }
--- a/internal/settings/dissemination/state.go
+++ b/internal/settings/dissemination/state.go
@@ -32,8 +32,8 @@
 	return digest.Sum64()
 }
 
-// gone says that not even the trace of a deletion is left.
-func (e *Entry) gone() bool { return e.Deleted && len(e.Spec) == 0 }
+// Gone says that not even the trace of a deletion is left.
+func (e *Entry) Gone() bool { return e.Deleted && len(e.Spec) == 0 }
 
 func (e *Entry) size() int { return len(e.Name) + len(e.Spec) + entryOverhead }
 
@@ -106,7 +106,7 @@
 		s.digests[number] ^= old.hash()
 		delete(s.entries[number], entry.Name)
 	}
-	if entry.gone() {
+	if entry.Gone() {
 		return
 	}
 	if s.entries[number] == nil {
@@ -156,7 +156,7 @@
 		if old, present := s.get(changes[i].Name); present {
 			whole ^= old.hash()
 		}
-		if !changes[i].gone() {
+		if !changes[i].Gone() {
 			whole ^= changes[i].hash()
 		}
 	}
@@ -169,7 +169,7 @@
 	s.newest = Entry{}
 	for _, entry := range changes {
 		s.put(entry)
-		if entry.Revision == version.Revision() && !entry.gone() {
+		if entry.Revision == version.Revision() && !entry.Gone() {
 			s.newest = entry
 		}
 	}
@@ -222,17 +222,25 @@
 	return changed
 }
 
-// follows finds an entry of s that other, a later state of the same epoch,
-// lacks or holds in an older or another version; without one, other may
-// replace s. A trace of a deletion may be lacking: it is swept after a while.
+// follows says whether other, of the same epoch, is a later state of the same
+// history, and if not, names an entry that shows it: one of s that other lacks
+// or holds in an older version, or one that other dates from before s.version
+// and s holds otherwise. A trace of a deletion may be lacking, because it is
+// swept after a while.
 func (s *State) follows(other *State) (string, bool) {
 	name, ok := "", true
 	s.Each(func(entry Entry) {
 		theirs, present := other.get(entry.Name)
-		switch {
-		case !present && entry.Deleted:
-		case !present, theirs.Revision < entry.Revision,
-			theirs.Revision == entry.Revision && theirs.hash() != entry.hash():
+		if !present && !entry.Deleted || present && theirs.Revision < entry.Revision {
+			name, ok = entry.Name, false
+		}
+	})
+	other.Each(func(entry Entry) {
+		if entry.Revision > s.version.Revision() {
+			return
+		}
+		own, present := s.get(entry.Name)
+		if !present && !entry.Deleted || present && own.hash() != entry.hash() {
 			name, ok = entry.Name, false
 		}
 	})
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/platform"
@@ -34,6 +35,12 @@
 	began settings.Version
 	// ticked is the time of the tick before, to notice a pause.
 	ticked time.Time
+	// verified is set once the store was seen, by an answer that is younger
+	// than the watch, to hold what is in force: the store might have been put
+	// back between the probe and the opening. Until then events are held.
+	verified bool
+	checking bool
+	held     []Entry
 	// cursor is the newest revision that the watch has shown.
 	cursor uint64
 	// behindSince is since when peers know more than this watch has shown.
@@ -148,11 +155,17 @@
 	m.watch.phase = phase
 	m.watch.deadline = deadline
 	m.watch.behindSince = time.Time{}
-	m.watch.basis, m.watch.began = m.state.newest, m.state.version
+	m.watch.verified, m.watch.checking, m.watch.held = false, false, nil
+	m.noteBasis()
 	m.watch.ticket++
 	return m.watch.ticket
 }
 
+// noteBasis notes what the next answer of the store is compared with.
+func (m *Machine) noteBasis() {
+	m.watch.basis, m.watch.began = m.state.newest, m.state.version
+}
+
 // tryStore probes a store that it knows, and lists one that it does not.
 func (m *Machine) tryStore(now time.Time) {
 	if !m.state.known || m.state.newest.Name == "" {
@@ -207,6 +220,10 @@
 
 // HandleProbed takes the answer to a ProbeStore.
 func (m *Machine) HandleProbed(now time.Time, ticket uint64, probe Probe, err error) []Action {
+	if ticket == m.watch.ticket && m.watch.phase == phaseWatching {
+		m.verifyByProbe(now, probe, err)
+		return m.take()
+	}
 	if ticket != m.watch.ticket || m.watch.phase != phaseProbing {
 		return m.take()
 	}
@@ -235,6 +252,10 @@
 // HandleListed takes the answer to a ListStore: all objects, deleted ones with
 // Deleted set, and the revision of the listing.
 func (m *Machine) HandleListed(now time.Time, ticket uint64, listed []Entry, revision uint64, err error) []Action {
+	if ticket == m.watch.ticket && m.watch.phase == phaseWatching {
+		m.verifyByListing(now, listed, err)
+		return m.take()
+	}
 	if ticket != m.watch.ticket || m.watch.phase != phaseListing {
 		return m.take()
 	}
@@ -293,16 +314,24 @@
 // takeListing takes a listing of the epoch in force, if it holds everything
 // that is in force.
 func (m *Machine) takeListing(now time.Time, found settings.Version, listed []Entry, revision uint64) {
-	if name, ok := m.checkLineage(found, listed); !ok {
+	if !m.bringListing(now, found, listed) {
+		return
+	}
+	m.open(now, revision)
+}
+
+// bringListing brings a listing in force that follows what is in force, and
+// refuses another.
+func (m *Machine) bringListing(now time.Time, found settings.Version, listed []Entry) bool {
+	if name, ok := m.state.follows(NewState(found, listed)); !ok {
 		notice := NoticeStoreForked
 		if found < m.state.version {
 			notice = NoticeStoreBehind
 		}
 		m.refuse(now, notice, name, found)
-		return
+		return false
 	}
 	m.storeRight(now)
-	m.open(now, revision)
 	delta := &Delta{From: m.state.version, To: found}
 	for _, entry := range listed {
 		if entry.Revision > m.state.version.Revision() {
@@ -312,19 +341,7 @@
 	if found > m.state.version {
 		m.announceDelta(now, delta)
 	}
-}
-
-// checkLineage finds an entry that keeps a listing from following what is in
-// force: one that the listing lacks or holds in an older or another version,
-// or one that is listed with an older revision and is not in force.
-func (m *Machine) checkLineage(found settings.Version, listed []Entry) (string, bool) {
-	for i := range listed {
-		_, present := m.state.get(listed[i].Name)
-		if !present && !listed[i].Deleted && listed[i].Revision <= m.state.version.Revision() {
-			return listed[i].Name, false
-		}
-	}
-	return m.state.follows(NewState(found, listed))
+	return true
 }
 
 // announceDelta brings a delta from the store in force and starts it on its
@@ -349,23 +366,99 @@
 	}
 	m.watch.deadline = now.Add(m.config.WatchSilence)
 	m.watch.cursor = max(m.watch.cursor, entry.Revision)
-	current := m.state.version.Revision()
-	if !bookmark && entry.Name == tree.EpochObject && epochOf(&entry) > m.state.version.Epoch() {
+	if !m.watch.verified {
+		if !bookmark {
+			m.watch.held = append(m.watch.held, entry)
+		}
+		m.verify()
+		return m.take()
+	}
+	if !bookmark {
+		m.takeEvent(now, entry)
+	}
+	if m.watch.cursor >= m.state.version.Revision() {
+		m.confirm(now)
+	}
+	return m.take()
+}
+
+// takeEvent brings the next change of the store in force.
+func (m *Machine) takeEvent(now time.Time, entry Entry) {
+	if entry.Name == tree.EpochObject && epochOf(&entry) > m.state.version.Epoch() {
 		m.do(StopWatch{})
 		m.list(now)
-		return m.take()
+		return
 	}
-	if old, present := m.state.get(entry.Name); entry.gone() && present && !old.Deleted {
+	if old, present := m.state.get(entry.Name); entry.Gone() && present && !old.Deleted {
 		entry.Spec = []byte(traceSpec) // somebody deleted it behind our back
 	}
-	if !bookmark && entry.Revision > current {
+	if entry.Revision > m.state.version.Revision() {
 		to := settings.MakeVersion(m.state.version.Epoch(), entry.Revision)
 		m.announceDelta(now, &Delta{From: m.state.version, To: to, Entries: []Entry{entry}})
 	}
-	if m.watch.cursor >= current {
-		m.confirm(now)
+}
+
+// verify asks the store, now that the watch has brought something, whether it
+// holds what is in force. The newest entry can tell unless it is just changing.
+func (m *Machine) verify() {
+	w := &m.watch
+	if w.checking {
+		return
+	}
+	w.checking = true
+	m.noteBasis()
+	changing := func(entry Entry) bool { return entry.Name == w.basis.Name }
+	if w.basis.Name == "" || slices.ContainsFunc(w.held, changing) {
+		m.do(ListStore{Ticket: w.ticket})
+		return
+	}
+	m.do(ProbeStore{Ticket: w.ticket, Name: w.basis.Name})
+}
+
+func (m *Machine) verifyByProbe(now time.Time, probe Probe, err error) {
+	w := &m.watch
+	w.checking = false
+	switch {
+	case err != nil:
+		m.do(StopWatch{})
+		m.storeFailed(now, err)
+	case w.began != m.state.version:
+		m.verify()
+	case probe.Found && probe.Newest.hash() == w.basis.hash() && probe.Epoch == w.began.Epoch():
+		m.watchVerified(now)
+	default:
+		w.checking = true
+		m.do(ListStore{Ticket: w.ticket})
+	}
+}
+
+func (m *Machine) verifyByListing(now time.Time, listed []Entry, err error) {
+	m.watch.checking = false
+	found := versionOf(listed)
+	switch {
+	case err != nil:
+		m.do(StopWatch{})
+		m.storeFailed(now, err)
+	case m.watch.began != m.state.version:
+		m.verify()
+	case found.Epoch() > m.state.version.Epoch():
+		m.raiseEpoch(now, found, listed)
+		m.watchVerified(now)
+	case m.bringListing(now, found, listed):
+		m.watchVerified(now)
+	default:
+		m.do(StopWatch{})
+	}
+}
+
+// watchVerified takes the events that were held.
+func (m *Machine) watchVerified(now time.Time) {
+	held := m.watch.held
+	m.watch.verified, m.watch.held = true, nil
+	m.storeRight(now)
+	for _, entry := range held {
+		m.takeEvent(now, entry)
 	}
-	return m.take()
 }
 
 // HandleWatchEnded takes the end of the watch.
