--- a/internal/settings/command/apply.go
+++ b/internal/settings/command/apply.go
@@ -20,6 +20,9 @@
 	listThreshold = 64
 	// maxWriteTries bounds the writes of one node whose answers are lost.
 	maxWriteTries = 5
+	// catchUpWait is how long a change waits for its node to catch up.
+	catchUpWait = 2 * time.Second
+	catchUpPoll = 50 * time.Millisecond
 	// firstRetry is the pause after the first lost answer.
 	firstRetry = 100 * time.Millisecond
 )
@@ -40,9 +43,20 @@
 	// Nodes lists the node at path and, if recursive, all below it.
 	Nodes(path string, recursive bool) ([]*tree.Node, error)
 	// Objects lists all stored objects in force.
-	Objects() []platform.Object
-	// StoreBehind says that the store was seen to have gone back.
-	StoreBehind() bool
+	Objects(ctx context.Context) ([]platform.Object, error)
+	// Standing says how this node's version compares with the store and peers.
+	Standing(ctx context.Context) (Standing, error)
+}
+
+// Standing is what a node knows before it lets a change through.
+type Standing struct {
+	// Newest is the stored object of the newest change in force, of which only
+	// name and revision count; its name is empty if there is none.
+	Newest platform.Object
+	// Heard is the highest version that any peer told of.
+	Heard settings.Version
+	// StoreRefused says that the store was seen to have gone back or forked.
+	StoreRefused bool
 }
 
 // Writer makes changes. Its methods may be called concurrently.
@@ -160,9 +174,8 @@
 
 // read fetches the stored version of each step's node.
 func (w *Writer) read(ctx context.Context, steps []*step) error {
-	if w.inForce.StoreBehind() {
-		version, _ := w.inForce.Version()
-		return &StoreBehindError{Path: steps[0].path, InForce: version, Expected: version.Revision()}
+	if err := w.checkStanding(ctx); err != nil {
+		return err
 	}
 	var listed map[string]platform.Object
 	if len(steps) >= listThreshold {
@@ -223,6 +236,51 @@
 	return node
 }
 
+// checkStanding refuses to write through a node that lags behind its peers,
+// and to a store that lacks the newest change in force.
+func (w *Writer) checkStanding(ctx context.Context) error {
+	standing, version, err := w.caughtUp(ctx)
+	if err != nil {
+		return err
+	}
+	newest := standing.Newest
+	behind := &StoreBehindError{Path: tree.PathOf(newest.Name), Expected: newest.Revision, InForce: version}
+	if standing.StoreRefused {
+		return behind
+	}
+	if newest.Name == "" {
+		return nil
+	}
+	stored, err := w.store.Get(ctx, platform.KindSetting, newest.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return trace.Wrap(err, "read the newest change in force")
+	}
+	if behind.Stored = stored.Revision; stored.Revision < newest.Revision {
+		return behind
+	}
+	return nil
+}
+
+// caughtUp waits a little for this node to have in force what peers have.
+func (w *Writer) caughtUp(ctx context.Context) (Standing, settings.Version, error) {
+	for waited := time.Duration(0); ; waited += catchUpPoll {
+		standing, err := w.inForce.Standing(ctx)
+		version, _ := w.inForce.Version()
+		if err != nil || standing.Heard <= version {
+			return standing, version, trace.Wrap(err)
+		}
+		if waited >= catchUpWait {
+			reason := fmt.Sprintf("it has %s in force and peers have %s; go through another node", version, standing.Heard)
+			return standing, version, &NotReadyError{Reason: reason}
+		}
+		select {
+		case <-ctx.Done():
+			return standing, version, trace.Wrap(ctx.Err())
+		case <-time.After(catchUpPoll):
+		}
+	}
+}
+
 // checkNotBehind refuses to write over a version older than the one in force.
 func (w *Writer) checkNotBehind(step *step) error {
 	nodes, err := w.inForce.Nodes(step.path, false)
--- a/internal/settings/command/recover.go
+++ b/internal/settings/command/recover.go
@@ -34,19 +34,26 @@
 	if version.Epoch() == settings.MaxEpoch {
 		return nil, ErrEpochExhausted
 	}
+	if _, version, err := w.caughtUp(ctx); err != nil {
+		return nil, trace.Wrap(err, "recover from version %s", version)
+	}
+	objects, err := w.inForce.Objects(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	listed, _, err := w.store.List(ctx, platform.KindSetting)
 	if err != nil {
 		return nil, trace.Wrap(err, "list the stored settings")
 	}
-	recovery := &Recovery{Epoch: version.Epoch() + 1}
 	stored := make(map[string]platform.Object, len(listed))
 	for _, object := range listed {
 		stored[object.Name] = object
 	}
-	if err := w.restoreObjects(ctx, stored, recovery); err != nil {
+	recovery := &Recovery{Epoch: max(version.Epoch(), storedEpoch(stored)) + 1}
+	if err := w.restoreObjects(ctx, objects, stored, recovery); err != nil {
 		return recovery, err
 	}
-	if err := w.removeOthers(ctx, stored, recovery, id, by); err != nil {
+	if err := w.removeOthers(ctx, objects, stored, recovery, &Change{ID: id, By: by}); err != nil {
 		return recovery, err
 	}
 	epoch := platform.Object{Kind: platform.KindSetting, Name: tree.EpochObject, Revision: stored[tree.EpochObject].Revision}
@@ -60,9 +67,18 @@
 	return recovery, nil
 }
 
+// storedEpoch is the epoch of a store; one that can't be read is replaced.
+func storedEpoch(stored map[string]platform.Object) uint16 {
+	epoch, err := tree.EpochOf(stored[tree.EpochObject].Spec)
+	if err != nil {
+		return 0
+	}
+	return epoch
+}
+
 // restoreObjects writes what is in force where the store differs.
-func (w *Writer) restoreObjects(ctx context.Context, stored map[string]platform.Object, recovery *Recovery) error {
-	for _, object := range w.inForce.Objects() {
+func (w *Writer) restoreObjects(ctx context.Context, objects []platform.Object, stored map[string]platform.Object, recovery *Recovery) error {
+	for _, object := range objects {
 		old, present := stored[object.Name]
 		if present && bytes.Equal(old.Spec, object.Spec) {
 			continue
@@ -78,8 +94,8 @@
 }
 
 // removeOthers deletes what only the store has.
-func (w *Writer) removeOthers(ctx context.Context, stored map[string]platform.Object, recovery *Recovery, id, by string) error {
-	for _, object := range w.inForce.Objects() {
+func (w *Writer) removeOthers(ctx context.Context, objects []platform.Object, stored map[string]platform.Object, recovery *Recovery, change *Change) error {
+	for _, object := range objects {
 		delete(stored, object.Name)
 	}
 	for name, object := range stored {
@@ -88,7 +104,7 @@
 			continue
 		}
 		removal := &step{path: node.Path, stored: node}
-		spec, err := tree.Encode(removal.replacement(&Change{ID: id, By: by}, w.now()))
+		spec, err := tree.Encode(removal.replacement(change, w.now()))
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/settings/command/store_test.go
+++ b/internal/settings/command/store_test.go
@@ -65,15 +65,17 @@
 // followed is what a node in step with the store has in force.
 type followed struct {
 	*tree.Live
-	objects []platform.Object
-	behind  bool
+	objects  []platform.Object
+	standing Standing
 }
 
 func (f *followed) Version() (settings.Version, bool) {
 	return settings.Version(f.Current().Revision), true
 }
-func (f *followed) Objects() []platform.Object { return f.objects }
-func (f *followed) StoreBehind() bool          { return f.behind }
+func (f *followed) Objects(context.Context) ([]platform.Object, error) { return f.objects, nil }
+func (f *followed) Standing(context.Context) (Standing, error) {
+	return f.standing, nil
+}
 
 // follow takes the store's state in force.
 func follow(store *memoryStore) *followed {
@@ -86,9 +88,15 @@
 			objects = append(objects, object)
 		}
 	}
+	var standing Standing
+	for _, object := range store.objects {
+		if object.Revision >= standing.Newest.Revision {
+			standing.Newest = object
+		}
+	}
 	live := tree.NewLive()
 	live.Replace(settings.MakeVersion(0, store.revision), updates)
-	return &followed{Live: live, objects: objects}
+	return &followed{Live: live, objects: objects, standing: standing}
 }
 
 type platformObject = platform.Object
--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -56,6 +56,13 @@
 	return l.tree.Problems()
 }
 
+// Faulty says cheaply whether Problems lists anything.
+func (l *Live) Faulty() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.faultyAtAll()
+}
+
 // Explain gives the effective settings of a node.
 func (l *Live) Explain(path string) (Explanation, error) {
 	l.mutex.Lock()
--- a/internal/settings/tree/tree.go
+++ b/internal/settings/tree/tree.go
@@ -136,6 +136,10 @@
 // Paths lists all paths in order.
 func (t *Tree) Paths() []string { return slices.Sorted(maps.Keys(t.nodes)) }
 
+func (t *Tree) faultyAtAll() bool {
+	return len(t.problems)+len(t.orphans)+len(t.claims.names.rivals)+len(t.claims.keys.rivals)+len(t.claims.services.rivals) > 0
+}
+
 // Problems lists what is wrong with the tree, ordered by path.
 func (t *Tree) Problems() []Problem {
 	var all []Problem
