--- /dev/null
+++ b/cmd/chutelockctl/explain.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"chutelock.dev/chutelock/internal/settings/operator"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{name: "explain", summary: "show a node's effective settings and where each comes from", run: runExplain})
+}
+
+const explainUsage = `usage: chutelockctl explain [flags] PATH
+
+Shows the effective settings of a node, and the node that each value comes
+from: the node itself, an ancestor, or "default" for a built-in value.
+
+  chutelockctl explain fleet/ulaanbaatar/placement/drafting/caseworkers`
+
+func runExplain(arguments []string) int {
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	var connection connection
+	connection.register(flags)
+	usageOf(flags, explainUsage)
+	if code, ok := connection.parse(flags, arguments); !ok {
+		return code
+	}
+	if flags.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "explain: name one path; `chutelockctl explain -h` explains")
+		return exitUsage
+	}
+	var explanation tree.Explanation
+	response, err := connection.client().R().SetQueryParam("path", flags.Arg(0)).SetResult(&explanation).Get(operator.PathExplain)
+	if err != nil || !response.IsSuccess() {
+		return explainFailure(response, err, "")
+	}
+	var rows []string
+	for _, value := range explanation.Values {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s", value.Field, value.Value, value.From))
+	}
+	if err := connection.print(os.Stdout, explanation, "FIELD\tVALUE\tFROM", rows); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/chutelockctl/get.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"chutelock.dev/chutelock/internal/settings/operator"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+func init() {
+	subcommands = append(subcommands, subcommand{name: "get", summary: "show nodes of the settings tree as they are set", run: runGet})
+}
+
+const getUsage = `usage: chutelockctl get [flags] [PATH]
+
+Shows a node as it is set in the tree, without what it inherits; -r shows all
+below it as well, and no PATH the whole tree. -yaml prints documents to edit
+and give to apply; their revision guards against racing another operator.
+Keys are shown hashed. See explain for effective values.
+
+  chutelockctl get -r -yaml fleet/iceland > iceland.yaml`
+
+func runGet(arguments []string) int {
+	flags := flag.NewFlagSet("get", flag.ContinueOnError)
+	var connection connection
+	connection.register(flags)
+	recursive := flags.Bool("r", false, "show all below the path as well")
+	asYAML := flags.Bool("yaml", false, "print YAML documents for apply")
+	usageOf(flags, getUsage)
+	if code, ok := connection.parse(flags, arguments); !ok {
+		return code
+	}
+	if flags.NArg() > 1 {
+		fmt.Fprintln(os.Stderr, "get: name at most one path; `chutelockctl get -h` explains")
+		return exitUsage
+	}
+	request := connection.client().R().SetQueryParam("path", flags.Arg(0))
+	if *recursive || flags.Arg(0) == "" {
+		request.SetQueryParam("recursive", "1")
+	}
+	var list operator.NodesAnswer
+	response, err := request.SetResult(&list).Get(operator.PathNodes)
+	if err != nil || !response.IsSuccess() {
+		return explainFailure(response, err, "")
+	}
+	if err := printNodes(&connection, &list, *asYAML); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func printNodes(connection *connection, list *operator.NodesAnswer, asYAML bool) error {
+	if !asYAML {
+		return connection.print(os.Stdout, list, "PATH\tREVISION\tSETS", nodeRows(list))
+	}
+	for _, body := range list.Nodes {
+		text, err := tree.FormatYAML(body.Path, body.Revision, body.Spec)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s---\n", text)
+	}
+	return nil
+}
+
+// nodeRows shows what each node sets, without who changed it.
+func nodeRows(list *operator.NodesAnswer) []string {
+	var rows []string
+	for _, body := range list.Nodes {
+		var fields map[string]json.RawMessage
+		if err := json.Unmarshal(body.Spec, &fields); err != nil {
+			fields = map[string]json.RawMessage{"unreadable": body.Spec}
+		}
+		delete(fields, "change")
+		delete(fields, "deleted")
+		text, err := json.Marshal(fields)
+		if err != nil {
+			text = body.Spec
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%s", body.Path, body.Revision, strings.Trim(string(text), "{}")))
+	}
+	return rows
+}
--- a/internal/settings/tree/encode.go
+++ b/internal/settings/tree/encode.go
@@ -85,3 +85,36 @@
 	node.Path = path
 	return node, nil
 }
+
+// FormatYAML gives a stored node as a YAML document to edit, with the revision
+// that it is made from.
+func FormatYAML(path string, revision uint64, spec []byte) ([]byte, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(spec, &document); err != nil || len(document.Content) != 1 {
+		return nil, fmt.Errorf("format %s: %w", path, errors.Join(err, errNotAnObject))
+	}
+	body := document.Content[0]
+	content := []*yaml.Node{scalar("path"), scalar(path), scalar("revision"), scalar(fmt.Sprint(revision))}
+	for i := 0; i+1 < len(body.Content); i += 2 {
+		if name := body.Content[i].Value; name != "change" && name != "deleted" {
+			content = append(content, scalar(name), plain(body.Content[i+1]))
+		}
+	}
+	body.Content, body.Style = content, 0
+	return yaml.Marshal(&document)
+}
+
+var errNotAnObject = errors.New("not one JSON object")
+
+func scalar(value string) *yaml.Node { return &yaml.Node{Kind: yaml.ScalarNode, Value: value} }
+
+// plain drops the quotes of JSON where YAML needs none.
+func plain(node *yaml.Node) *yaml.Node {
+	if node.Kind == yaml.ScalarNode {
+		node.Style = 0
+	}
+	for i := range node.Content {
+		node.Content[i] = plain(node.Content[i])
+	}
+	return node
+}
--- a/internal/settings/tree/explain_test.go
+++ b/internal/settings/tree/explain_test.go
@@ -68,3 +68,19 @@
 	}))
 	g.Expect(Differences(nil, old)).To(gomega.HaveLen(3))
 }
+
+func TestFormattedYAMLReadsBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, node := range parse(t, sampleFile) {
+		node.Change = &Change{ID: "c"}
+		spec, err := Encode(node)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		text, err := FormatYAML(node.Path, 7, spec)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		again := parse(t, string(text)+"---\n")
+		node.Change, node.Revision = nil, 7
+		g.Expect(again).To(gomega.Equal([]*Node{node}), string(text))
+	}
+	_, err := FormatYAML("a", 1, nil)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
