--- a/internal/settings/dissemination/scenario_test.go
+++ b/internal/settings/dissemination/scenario_test.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,7 +154,7 @@
 	g.Expect(s.notices[NoticeStoreBehind]).To(gomega.BeNumerically(">=", 2))
 	g.Expect(s.store.write(s.nodes[0], "a", 99, false)).To(gomega.BeFalse(), "operators are told")
 	for range 9 { // somebody writes to the store all the same
-		s.store.put("a", false, []byte("outside"))
+		s.store.put("a", false, fmt.Appendf(nil, "outside %d", s.store.revision))
 		s.run(2 * time.Second)
 	}
 	g.Expect(s.store.version()).To(gomega.BeNumerically(">", inForce))
--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -503,4 +503,7 @@
 	}
 }
 
-var errStoreDown = errors.New("store is down")
+var (
+	errStoreDown = errors.New("store is down")
+	errFuture    = errors.New("revision is ahead of the store")
+)
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -31,6 +31,7 @@
 	accepted map[settings.Version]map[uint64]bool
 	maxOpen  int
 	requests int
+	writes   int
 }
 
 type simCopy struct {
@@ -196,6 +197,9 @@
 		if err == nil && action.After < s.compacted {
 			err = platform.ErrCompacted
 		}
+		if err == nil && action.After > s.revision {
+			err = errFuture
+		}
 		opened.next = len(s.events)
 		for i, entry := range s.events {
 			if entry.Revision > action.After {
@@ -260,7 +264,8 @@
 	if s.down || !node.up || node.paused || !node.machine.published || s.behind(node) {
 		return false
 	}
-	s.put(name, remove, fmt.Appendf(nil, "%d %v", value, remove))
+	s.writes++ // stands for the change's id, which makes each write unique
+	s.put(name, remove, fmt.Appendf(nil, "%d %v write %d", value, remove, s.writes))
 	return true
 }
 
