Node: settings by dissemination and on the operator port; reports come sooner

Settings versions are shown as epoch.revision; a change whose file names an older revision but has the stored content is no conflict.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,7 @@
 	"chutelock.dev/chutelock/internal/membership/swim"
 	"chutelock.dev/chutelock/internal/node/operator"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
-	"chutelock.dev/chutelock/internal/settings/tree"
+	settingsagent "chutelock.dev/chutelock/internal/settings/agent"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -37,7 +37,6 @@
 	headerTimeout     = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	settingsRetry     = 500 * time.Millisecond
 	readyPollInterval = 20 * time.Millisecond
 )
 
@@ -60,7 +59,7 @@
 	keys      *transport.Keyring
 	peers     *transport.Node
 	platform  *objecthttp.Client
-	settings  *tree.Live
+	settings  *settingsagent.Agent
 	members   *agent.Agent
 	engines   *tracker.Tracker
 	ledger    *replica.Service
@@ -88,8 +87,10 @@
 		return nil, err
 	}
 	n.platform = objecthttp.New(settings.Platform.Address, objecthttp.Options{})
-	n.settings = tree.NewLive()
 	n.openMembership()
+	if err := n.openSettings(); err != nil {
+		return nil, err
+	}
 	if err := n.openLedger(); err != nil {
 		return nil, err
 	}
@@ -200,6 +201,7 @@
 
 func (n *Node) openOperators() {
 	n.operators = operator.NewMux(n.readiness, n.registry)
+	n.serveSettings()
 	n.addServer(n.operators)
 }
 
@@ -229,7 +231,7 @@
 	n.cancel = cancel
 	n.peers.Serve()
 	n.goRun(func() { n.members.Run(ctx) })
-	n.goRun(func() { n.followSettings(ctx) })
+	n.goRun(func() { n.settings.Run(ctx) })
 	n.goRun(func() { n.engines.Run(ctx) })
 	n.goRun(func() { n.keys.Follow(ctx.Done(), keyFileInterval, reportKeys) })
 	n.ledger.Start()
@@ -258,20 +260,6 @@
 	})
 }
 
-func (n *Node) followSettings(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := tree.Follow(ctx, n.platform, n.settings)
-		if ctx.Err() != nil {
-			return
-		}
-		EventSettingsGap.Error(err, "platform", n.config.Platform.Address)
-		select {
-		case <-ctx.Done():
-		case <-time.After(settingsRetry):
-		}
-	}
-}
-
 func reportKeys(changed bool, err error) {
 	if err != nil {
 		EventKeysInvalid.Error(err)
--- a/internal/settings/command/change.go
+++ b/internal/settings/command/change.go
@@ -110,10 +110,10 @@
 // checkExpected refuses a node that was made from another version than the
 // stored one.
 func (s *step) checkExpected() error {
-	if s.wanted == nil || s.wanted.Revision == 0 || s.already || s.wanted.Revision == s.storedRevision() {
+	if s.action == ActionUnchanged || s.wanted == nil || s.wanted.Revision == 0 || s.wanted.Revision == s.storedRevision() {
 		return nil
 	}
-	return newConflict(s.path, nil, s.stored, s.wanted)
+	return newBlindConflict(s.path, s.stored, s.wanted)
 }
 
 // order sorts steps so that every prefix leaves a tree without orphans:
--- a/internal/settings/command/errors.go
+++ b/internal/settings/command/errors.go
@@ -20,7 +20,21 @@
 }
 
 func newConflict(path string, before, theirs, yours *tree.Node) *ConflictError {
-	conflict := &ConflictError{Path: path, Fields: tree.Conflicts(before, theirs, yours)}
+	return describeRival(&ConflictError{Path: path, Fields: tree.Conflicts(before, theirs, yours)}, theirs)
+}
+
+// newBlindConflict is of a change whose starting version is not known.
+func newBlindConflict(path string, theirs, yours *tree.Node) *ConflictError {
+	conflict := &ConflictError{Path: path}
+	for _, change := range tree.Differences(theirs, yours) {
+		conflict.Fields = append(conflict.Fields, tree.FieldConflict{
+			Field: change.Field, Before: "(not known)", Theirs: change.Old, Yours: change.New,
+		})
+	}
+	return describeRival(conflict, theirs)
+}
+
+func describeRival(conflict *ConflictError, theirs *tree.Node) *ConflictError {
 	if theirs == nil {
 		return conflict
 	}
--- a/internal/settings/dissemination/machine.go
+++ b/internal/settings/dissemination/machine.go
@@ -165,6 +165,7 @@
 // advance brings a delta in force. It is persisted before it is published.
 func (m *Machine) advance(now time.Time, delta *Delta, changes []Entry) {
 	m.state.advance(delta.To, changes)
+	m.reports.hurry(now)
 	m.log.append(*delta)
 	m.do(Persist{Version: delta.To, Changes: changes})
 	if m.published {
@@ -187,6 +188,7 @@
 	changes := m.state.difference(fresh)
 	fresh.findNewest()
 	m.state = fresh
+	m.reports.hurry(now)
 	m.log.clear()
 	m.do(Persist{Version: fresh.version, Changes: changes})
 	if m.published {
--- a/internal/settings/dissemination/report.go
+++ b/internal/settings/dissemination/report.go
@@ -26,6 +26,20 @@
 	at     time.Time // when the head gathered it, by this node's clock
 }
 
+// reportSoon is how soon a change is reported, so that several share a report.
+const reportSoon = 100 * time.Millisecond
+
+// hurry brings the next reports forward, because they tell something new.
+func (r *reports) hurry(now time.Time) {
+	soon := now.Add(reportSoon)
+	if r.next.After(soon) {
+		r.next = soon
+	}
+	if r.nextZone.After(soon) {
+		r.nextZone = soon
+	}
+}
+
 func newReports() reports {
 	return reports{children: make(map[transport.Address]childReport), zones: make(map[string]zoneRow)}
 }
@@ -99,6 +113,9 @@
 // HandleReport takes a child's report.
 func (m *Machine) HandleReport(now time.Time, from transport.Address, report *Report) []Action {
 	if slices.Contains(m.plan.children, from) {
+		if m.reports.children[from].report != *report {
+			m.reports.hurry(now)
+		}
 		m.reports.children[from] = childReport{report: *report, at: now}
 	}
 	return m.take()
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -47,6 +47,7 @@
 	ticket uint64
 	next   int // index into events
 	closed bool
+	opened bool // the store has taken the request
 	dead   bool // brings nothing any more, and does not end
 }
 
@@ -111,7 +112,7 @@
 		return
 	}
 	for _, watch := range s.watches {
-		for ; !watch.dead && watch.next < len(s.events); watch.next++ {
+		for ; watch.opened && !watch.dead && watch.next < len(s.events); watch.next++ {
 			s.deliver(watch, false, s.events[watch.next])
 		}
 	}
@@ -134,7 +135,7 @@
 func (s *simStore) bookmarks() {
 	if !s.down && !s.frozen {
 		for _, watch := range s.watches {
-			if !watch.dead {
+			if watch.opened && !watch.dead {
 				s.deliver(watch, true, Entry{Revision: s.revision})
 			}
 		}
@@ -208,13 +209,13 @@
 			}
 		}
 		if err == nil {
+			opened.opened = true
 			s.pump()
 			return func() {}
 		}
 		s.drop(opened)
 		return func() { node.do(node.machine.HandleWatchEnded(s.sim.now, action.Ticket, err)) }
 	})
-	opened.next = len(s.events)
 }
 
 func (s *simStore) drop(watch *simWatch) {
--- a/internal/settings/tree/problem.go
+++ b/internal/settings/tree/problem.go
@@ -35,5 +35,8 @@
 	for i, problem := range e.Problems {
 		lines[i] = problem.String()
 	}
+	if len(lines) == 1 {
+		return lines[0]
+	}
 	return fmt.Sprintf("%d problems:\n%s", len(lines), strings.Join(lines, "\n"))
 }
--- a/internal/settings/version.go
+++ b/internal/settings/version.go
@@ -25,5 +25,19 @@
 // String shows epoch and revision, as operators read them.
 func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch(), v.Revision()) }
 
+// MarshalText implements encoding.TextMarshaler: epoch and revision.
+func (v Version) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Version) UnmarshalText(text []byte) error {
+	var epoch uint16
+	var revision uint64
+	if _, err := fmt.Sscanf(string(text), "%d.%d", &epoch, &revision); err != nil {
+		return fmt.Errorf("settings version %q: %w", text, err)
+	}
+	*v = MakeVersion(epoch, revision)
+	return nil
+}
+
 // MaxEpoch is the last epoch.
 const MaxEpoch = 1<<16 - 1
