Settings dissemination: a watch must bring what peers brought

The fuzzing found that a watch that was opened on an old copy went on after peers had brought a newer epoch, and joined its events to it (content that the store never had). A change of epoch through peers now unverifies the watch, and within an epoch each change that peers brought first must come by the watch as well before it may go on; else the store is listed and judged whole.

--- a/internal/settings/dissemination/machine.go
+++ b/internal/settings/dissemination/machine.go
@@ -164,7 +164,9 @@
 
 // advance brings a delta in force. It is persisted before it is published.
 func (m *Machine) advance(now time.Time, delta *Delta, changes []Entry) {
+	before := m.state.version
 	m.state.advance(delta.To, changes)
+	m.noteAhead(before, changes)
 	m.reports.hurry(now)
 	m.log.append(*delta)
 	m.do(Persist{Version: delta.To, Changes: changes})
@@ -187,7 +189,9 @@
 func (m *Machine) install(now time.Time, fresh *State) {
 	changes := m.state.difference(fresh)
 	fresh.findNewest()
+	before := m.state.version
 	m.state = fresh
+	m.noteAhead(before, changes)
 	m.reports.hurry(now)
 	m.log.clear()
 	m.do(Persist{Version: fresh.version, Changes: changes})
--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -188,17 +188,14 @@
 
 func TestWatchEventsComeInForceOnlyWhenTheyRise(t *testing.T) {
 	g := gomega.NewWithT(t)
-	machine, now := runningMachine(5, live("a", 3), live("c", 5))
-	machine.HandleProbed(now, machine.watch.ticket, Probe{Found: true, Newest: live("c", 5)}, nil)
+	machine, now := verifiedMachine([]Entry{live("a", 3), live("c", 5)})
 	ticket := machine.watch.ticket
-	machine.HandleWatchEvent(now, ticket, true, Entry{Revision: 5})
-	machine.HandleProbed(now, ticket, Probe{Found: true, Newest: live("c", 5)}, nil)
 	for _, step := range []struct {
 		entry    Entry
 		bookmark bool
 		want     []string
 	}{
-		{live("a", 4), false, nil},
+		{live("a", 3), false, nil},
 		{live("c", 5), false, nil},
 		{Entry{Revision: 9}, true, nil},
 		{live("a", 6), false, []string{"0.6"}},
@@ -214,6 +211,55 @@
 	g.Expect(machine.HandleWatchEvent(now, ticket, false, epoch)).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(ListStore{})))
 }
 
+func TestWatchOfAnotherHistoryIsDoubted(t *testing.T) {
+	base := []Entry{live("a", 3), live("c", 5)}
+	fromPeers := deltaFor(5, 7, false, base, live("d", 6), live("e", 7))
+	nextEpoch := settings.MakeVersion(1, 2)
+	for name, test := range map[string]struct {
+		peers  *Delta
+		events []Entry
+		want   watchPhase
+	}{
+		"brings what peers brought":      {fromPeers, []Entry{live("d", 6), live("e", 7), live("f", 8)}, phaseWatching},
+		"brings what was replaced since": {fromPeers, []Entry{live("e", 6), live("d", 6), live("e", 7)}, phaseWatching},
+		"lacks what peers brought":       {fromPeers, []Entry{live("d", 6), live("f", 8)}, phaseListing},
+		"brings another change":          {fromPeers, []Entry{live("a", 6)}, phaseListing},
+		"passes it by a bookmark":        {fromPeers, []Entry{{Revision: 7}}, phaseListing},
+		"brings an unknown old change":   {nil, []Entry{live("a", 4)}, phaseListing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			machine, now := verifiedMachine(base)
+			if test.peers != nil {
+				g.Expect(versions(machine.HandleDelta(now, peerAddress, test.peers))).To(gomega.Equal([]string{"0.7"}))
+			}
+			ticket := machine.watch.ticket
+			for _, event := range test.events {
+				machine.HandleWatchEvent(now, ticket, event.Name == "", event)
+			}
+			g.Expect(machine.watch.phase).To(gomega.Equal(test.want))
+		})
+	}
+	t.Run("epoch raised by peers", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		machine, now := verifiedMachine(base)
+		machine.HandleDelta(now, peerAddress, deltaFor(5, nextEpoch, true, base, live("c", 2)))
+		actions := machine.HandleWatchEvent(now, machine.watch.ticket, false, live("a", 6))
+		g.Expect(versions(actions)).To(gomega.BeEmpty(), "the store may be of the epoch before")
+		g.Expect(machine.watch.verified).To(gomega.BeFalse())
+	})
+}
+
+// verifiedMachine watches the store, which was seen to hold entries.
+func verifiedMachine(entries []Entry) (*Machine, time.Time) {
+	machine, now := runningMachine(5, entries...)
+	probe := Probe{Found: true, Newest: machine.state.newest}
+	machine.HandleProbed(now, machine.watch.ticket, probe, nil)
+	machine.HandleWatchEvent(now, machine.watch.ticket, true, Entry{Revision: 5})
+	machine.HandleProbed(now, machine.watch.ticket, probe, nil)
+	return machine, now
+}
+
 func TestEventsAreHeldUntilTheStoreIsSeenToHoldWhatIsInForce(t *testing.T) {
 	for name, test := range map[string]struct {
 		event  Entry
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -88,7 +88,7 @@
 // that version.
 func (s *simStore) checkContent(node *simNode) {
 	if !s.accepted[node.published][digestOf(node.content)] {
-		s.sim.fault("%s: content of %s was never the store's", node.member.Name, node.published)
+		s.sim.fault("%s: content of %s was never the store's: %v, it has %v", node.member.Name, node.published, node.content, s.objects)
 	}
 }
 
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -41,6 +41,9 @@
 	verified bool
 	checking bool
 	held     []Entry
+	// ahead are the revisions above the cursor that came in force through
+	// peers. The watch must bring them too, or it is of another history.
+	ahead map[uint64]struct{}
 	// cursor is the newest revision that the watch has shown.
 	cursor uint64
 	// behindSince is since when peers know more than this watch has shown.
@@ -156,6 +159,7 @@
 	m.watch.deadline = deadline
 	m.watch.behindSince = time.Time{}
 	m.watch.verified, m.watch.checking, m.watch.held = false, false, nil
+	m.watch.ahead = nil
 	m.noteBasis()
 	m.watch.ticket++
 	return m.watch.ticket
@@ -365,7 +369,6 @@
 		return m.take()
 	}
 	m.watch.deadline = now.Add(m.config.WatchSilence)
-	m.watch.cursor = max(m.watch.cursor, entry.Revision)
 	if !m.watch.verified {
 		if !bookmark {
 			m.watch.held = append(m.watch.held, entry)
@@ -373,29 +376,96 @@
 		m.verify()
 		return m.take()
 	}
-	if !bookmark {
+	if bookmark {
+		m.watch.cursor = max(m.watch.cursor, entry.Revision)
+	} else {
 		m.takeEvent(now, entry)
 	}
-	if m.watch.cursor >= m.state.version.Revision() {
+	m.checkAhead(now)
+	return m.take()
+}
+
+// noteAhead notes changes that came in force through peers before the watch
+// brought them. Another epoch is another history: the watch must be verified.
+func (m *Machine) noteAhead(from settings.Version, changes []Entry) {
+	w := &m.watch
+	if w.phase != phaseWatching {
+		return
+	}
+	if from.Epoch() != m.state.version.Epoch() {
+		w.verified, w.ahead = false, nil
+		return
+	}
+	for i := range changes {
+		if changes[i].Revision > w.cursor {
+			if w.ahead == nil {
+				w.ahead = make(map[uint64]struct{})
+			}
+			w.ahead[changes[i].Revision] = struct{}{}
+		}
+	}
+}
+
+// checkAhead looks whether the watch passed a change in force without
+// bringing it, and else takes the state as confirmed.
+func (m *Machine) checkAhead(now time.Time) {
+	w := &m.watch
+	if w.phase != phaseWatching || !w.verified {
+		return
+	}
+	for revision := range w.ahead {
+		if revision <= w.cursor {
+			m.doubt(now)
+			return
+		}
+	}
+	if w.cursor >= m.state.version.Revision() {
 		m.confirm(now)
 	}
-	return m.take()
+}
+
+// doubt lists a store whose watch does not fit what is in force.
+func (m *Machine) doubt(now time.Time) {
+	m.do(StopWatch{})
+	m.list(now)
+}
+
+// known says whether an event of a revision that is in force already is what
+// is in force, or was replaced since.
+func (m *Machine) known(entry Entry) bool {
+	own, present := m.state.get(entry.Name)
+	if !present {
+		return entry.Deleted
+	}
+	return own.Revision > entry.Revision || own.Revision == entry.Revision && own.Deleted == entry.Deleted &&
+		(entry.Gone() || own.hash() == entry.hash())
 }
 
 // takeEvent brings the next change of the store in force.
 func (m *Machine) takeEvent(now time.Time, entry Entry) {
 	if entry.Name == tree.EpochObject && epochOf(&entry) > m.state.version.Epoch() {
-		m.do(StopWatch{})
-		m.list(now)
+		m.doubt(now)
+		return
+	}
+	if entry.Revision <= m.state.version.Revision() {
+		if !m.known(entry) {
+			m.doubt(now)
+			return
+		}
+		delete(m.watch.ahead, entry.Revision)
+		m.watch.cursor = max(m.watch.cursor, entry.Revision)
+		return
+	}
+	if len(m.watch.ahead) > 0 {
+		m.doubt(now)
 		return
 	}
 	if old, present := m.state.get(entry.Name); entry.Gone() && present && !old.Deleted {
 		entry.Spec = []byte(traceSpec) // somebody deleted it behind our back
 	}
-	if entry.Revision > m.state.version.Revision() {
-		to := settings.MakeVersion(m.state.version.Epoch(), entry.Revision)
-		m.announceDelta(now, &Delta{From: m.state.version, To: to, Entries: []Entry{entry}})
-	}
+	m.watch.cursor = entry.Revision
+	to := settings.MakeVersion(m.state.version.Epoch(), entry.Revision)
+	m.announceDelta(now, &Delta{From: m.state.version, To: to, Entries: []Entry{entry}})
 }
 
 // verify asks the store, now that the watch has brought something, whether it
@@ -453,11 +523,13 @@
 
 // watchVerified takes the events that were held.
 func (m *Machine) watchVerified(now time.Time) {
-	held := m.watch.held
-	m.watch.verified, m.watch.held = true, nil
+	held, ticket := m.watch.held, m.watch.ticket
+	m.watch.verified, m.watch.held, m.watch.ahead = true, nil, nil
 	m.storeRight(now)
 	for _, entry := range held {
-		m.takeEvent(now, entry)
+		if m.watch.ticket == ticket {
+			m.takeEvent(now, entry)
+		}
 	}
 }
 
