--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -31,6 +31,7 @@
 	accepted map[settings.Version]map[uint64]bool
 	maxOpen  int
 	requests int
+	writes   int
 }
 
 type simCopy struct {
@@ -46,6 +47,7 @@
 	ticket uint64
 	next   int // index into events
 	closed bool
+	opened bool // the store has taken the request
 	dead   bool // brings nothing any more, and does not end
 }
 
@@ -86,7 +88,7 @@
 // that version.
 func (s *simStore) checkContent(node *simNode) {
 	if !s.accepted[node.published][digestOf(node.content)] {
-		s.sim.fault("%s: content of %s was never the store's", node.member.Name, node.published)
+		s.sim.fault("%s: content of %s was never the store's: %v, it has %v", node.member.Name, node.published, node.content, s.objects)
 	}
 }
 
@@ -110,7 +112,7 @@
 		return
 	}
 	for _, watch := range s.watches {
-		for ; !watch.dead && watch.next < len(s.events); watch.next++ {
+		for ; watch.opened && !watch.dead && watch.next < len(s.events); watch.next++ {
 			s.deliver(watch, false, s.events[watch.next])
 		}
 	}
@@ -133,7 +135,7 @@
 func (s *simStore) bookmarks() {
 	if !s.down && !s.frozen {
 		for _, watch := range s.watches {
-			if !watch.dead {
+			if watch.opened && !watch.dead {
 				s.deliver(watch, true, Entry{Revision: s.revision})
 			}
 		}
@@ -178,7 +180,11 @@
 
 func (s *simStore) list(node *simNode, action ListStore) {
 	s.answer(node, func(err error) func() {
-		listed, revision := slices.Collect(maps.Values(s.objects)), s.revision
+		var listed []Entry
+		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+			listed = append(listed, s.objects[name])
+		}
+		revision := s.revision
 		return func() { node.do(node.machine.HandleListed(s.sim.now, action.Ticket, listed, revision, err)) }
 	})
 }
@@ -192,6 +198,9 @@
 		if err == nil && action.After < s.compacted {
 			err = platform.ErrCompacted
 		}
+		if err == nil && action.After > s.revision {
+			err = errFuture
+		}
 		opened.next = len(s.events)
 		for i, entry := range s.events {
 			if entry.Revision > action.After {
@@ -200,13 +209,13 @@
 			}
 		}
 		if err == nil {
+			opened.opened = true
 			s.pump()
 			return func() {}
 		}
 		s.drop(opened)
 		return func() { node.do(node.machine.HandleWatchEnded(s.sim.now, action.Ticket, err)) }
 	})
-	opened.next = len(s.events)
 }
 
 func (s *simStore) drop(watch *simWatch) {
@@ -256,7 +265,8 @@
 	if s.down || !node.up || node.paused || !node.machine.published || s.behind(node) {
 		return false
 	}
-	s.put(name, remove, fmt.Appendf(nil, "%d %v", value, remove))
+	s.writes++ // stands for the change's id, which makes each write unique
+	s.put(name, remove, fmt.Appendf(nil, "%d %v write %d", value, remove, s.writes))
 	return true
 }
 
