--- a/internal/gateway/apierror/apierror.go
+++ b/internal/gateway/apierror/apierror.go
@@ -43,6 +43,7 @@
 	CodeInvalidValue     Code = "invalid_value"
 	CodeInvalidJSON      Code = "invalid_json"
 	CodeBodyTooLarge     Code = "body_too_large"
+	CodeHeaderTimeout    Code = "header_timeout"
 	CodeBodyTimeout      Code = "body_timeout"
 	CodeConflict         Code = "conflict"
 	CodeUnsupportedMedia Code = "unsupported_media_type"
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -7,6 +7,8 @@
 type Config struct {
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// HeaderTimeout bounds the time in which a request's header must arrive.
+	HeaderTimeout time.Duration
 	// BodyTimeout bounds the time in which the body must arrive.
 	BodyTimeout time.Duration
 	// WriteTimeout bounds how long a caller may take to read one piece of the
@@ -35,6 +37,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxBodyBytes:      4 << 20,
+		HeaderTimeout:     5 * time.Second,
 		BodyTimeout:       10 * time.Second,
 		WriteTimeout:      30 * time.Second,
 		RequestTimeout:    10 * time.Minute,
@@ -50,6 +53,7 @@
 func (c Config) withDefaults() Config {
 	defaults := DefaultConfig()
 	setDefault(&c.MaxBodyBytes, defaults.MaxBodyBytes)
+	setDefault(&c.HeaderTimeout, defaults.HeaderTimeout)
 	setDefault(&c.BodyTimeout, defaults.BodyTimeout)
 	setDefault(&c.WriteTimeout, defaults.WriteTimeout)
 	setDefault(&c.RequestTimeout, defaults.RequestTimeout)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,12 +101,14 @@
 func setRequestID(w http.ResponseWriter) string {
 	id := w.Header().Get(apierror.HeaderRequestID)
 	if id == "" {
-		id = uuid.NewString()
+		id = newRequestID()
 		w.Header().Set(apierror.HeaderRequestID, id)
 	}
 	return id
 }
 
+func newRequestID() string { return uuid.NewString() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := setRequestID(w)
