--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -63,8 +63,8 @@
 type fakeFleet struct {
 	snapshot *fleet.Snapshot
 	plan     func(prompt string, attempt uint32) behaviour
-	// hold, if set, is called before each token but the first.
-	hold func(ctx context.Context)
+	// hold, if set, is called before each token of a prompt but the first.
+	hold func(ctx context.Context, prompt string)
 	// endless streams never finish by themselves.
 	endless bool
 
@@ -130,7 +130,7 @@
 	send := func(from, to int) error {
 		for i := from; i < to; i++ {
 			if i > from && e.fleet.hold != nil {
-				e.fleet.hold(ctx)
+				e.fleet.hold(ctx, body.Prompt)
 			}
 			if err := sink(engine.Chunk{Index: i, Text: tokens[i]}); err != nil {
 				return err
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -122,11 +122,18 @@
 	}
 }
 
-// heldStreams makes each stream stop after its first token until released.
+// promptInTime is not held by heldStreams.
+const promptInTime = "in time"
+
+// heldStreams makes each other stream stop after its first token until
+// released.
 func heldStreams(engines int) (f *fakeFleet, release func()) {
 	f = newFakeFleet(engines)
 	gate := make(chan struct{})
-	f.hold = func(ctx context.Context) {
+	f.hold = func(ctx context.Context, prompt string) {
+		if prompt == promptInTime {
+			return
+		}
 		select {
 		case <-gate:
 		case <-ctx.Done():
@@ -213,7 +220,7 @@
 	}()
 	g.Eventually(server.gateway.Ready).WithTimeout(generous).Should(gomega.BeFalse())
 	g.Eventually(func() apierror.Code {
-		got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, "late", false), nil)
+		got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, promptInTime, false), nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(got.closed).To(gomega.BeTrue())
 		return got.code
