--- a/internal/admission/batch/config.go
+++ b/internal/admission/batch/config.go
@@ -1,6 +1,9 @@
 package batch
 
-// Config is the controller's settings for the engines of one service.
+import "time"
+
+// Config is the controller's settings for the engines of one service. Zero
+// fields take the defaults below.
 type Config struct {
 	// Share is Service.BatchShare: the weight between harm to online (0) and
 	// batch throughput (1).
@@ -10,4 +13,57 @@
 	// Redo makes the controller cancel streams instead of suspending them, for
 	// engines that can't suspend.
 	Redo bool
+	// ChunkTokens is the most prompt tokens that the engine prefills in a step.
+	ChunkTokens int
+	// Starting bounds the batch streams that are before their first token, so
+	// that batch prefill does not stretch the steps.
+	Starting int
+	// Ahead is how many streams wait at the engine beyond its slots, so that a
+	// slot that falls free is taken in the next step.
+	Ahead int
+	// Reserve is the least number of slots that batch leaves free, for online
+	// requests whose announcement comes late or never.
+	Reserve int
+	// HoldLimit is how long a stream stays suspended before its item is handed
+	// back, so that another engine can run it.
+	HoldLimit time.Duration
+}
+
+// Defaults of Config.
+const (
+	defaultSlots     = 32
+	defaultChunk     = 512
+	defaultStarting  = 4
+	defaultReserve   = 0
+	defaultAhead     = 0
+	defaultHoldLimit = 20 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = defaultSlots
+	}
+	if c.ChunkTokens <= 0 {
+		c.ChunkTokens = defaultChunk
+	}
+	if c.Starting <= 0 {
+		c.Starting = defaultStarting
+	}
+	if c.Reserve <= 0 {
+		c.Reserve = defaultReserve
+	}
+	if c.Ahead <= 0 {
+		c.Ahead = defaultAhead
+	}
+	if c.HoldLimit <= 0 {
+		c.HoldLimit = defaultHoldLimit
+	}
+	return c
 }
+
+// harmRange is the harm that Share 1 allows, beyond that of Share 0.
+const harmRange = 0.1
+
+// harmGoal is how much the 99th percentile of the time between tokens may grow
+// with batch: 1.05 for a Share of one half.
+func (c Config) harmGoal() float64 { return 1 + harmRange*c.Share }
--- a/internal/admission/batch/controller.go
+++ b/internal/admission/batch/controller.go
@@ -20,8 +20,11 @@
 	EventBatchStarted                        // a batch stream was sent
 	EventBatchToken                          // a batch stream produced a token
 	EventBatchEnded                          // a batch stream ended, or was suspended or cancelled
-	EventEngineGone                          // the engine is leaving, or its home moved
-	EventTick                                // time passes; at least every 10 ms while streams run
+	// EventEngineGone: the engine is leaving, or its home moved. The policy
+	// forgets the engine's streams; to end or move them is the caller's task.
+	EventEngineGone
+	EventTick        // time passes; at least every 10 ms while streams run
+	EventEngineOwned // this node became the home again after EventEngineGone
 )
 
 // Event is one input of the controller.
@@ -30,7 +33,8 @@
 	Engine string
 	// Stream is the request id of the stream that the event is about.
 	Stream string
-	// PromptTokens is an estimate, for started streams.
+	// PromptTokens is an estimate of the tokens that the engine must prefill,
+	// without those expected in its prefix cache; for started streams.
 	PromptTokens int
 	// Deadline of a started batch stream; zero means none.
 	Deadline time.Time
--- a/internal/lab/sim/clairvoyant.go
+++ b/internal/lab/sim/clairvoyant.go
@@ -4,14 +4,11 @@
 	"time"
 )
 
-// clairvoyantMargin is how close to an arrival a shortened step may end.
-const clairvoyantMargin = 50 * time.Microsecond
-
-// limitBatch sets aside batch streams for the step that starts now: a step
-// with a prefill of an online request runs alone, a step never runs into the
-// next online arrival, and its length stays below the recorded run's bound on
-// the time between tokens. It acts at once and for free, which no real home
-// can.
+// limitBatch sets aside batch streams for the step that starts now. It acts at
+// once and for free, which no real home can, and knows exactly what the step
+// holds, which no real home does: no step that online sees is longer than the
+// recorded run's bound, and no step with more online streams than the policy's
+// price allows runs batch at all.
 func (e *emulatedEngine) limitBatch() {
 	now := e.simulation.now()
 	for _, id := range e.parked {
@@ -63,37 +60,36 @@
 // spareStep is the time and the slots that the coming step has for batch.
 func (e *emulatedEngine) spareStep() (time.Duration, int) {
 	shape := e.simulation.config.Deployment.Engine
-	online := 0
+	online, prefill := e.onlineLoad()
+	slots := shape.MaxRunning - online
+	if online == 0 {
+		return maxIdleStep, slots
+	}
+	weight := e.simulation.policy.Price * float64(online) / float64(max(1, slots))
+	if prefill > 0 && weight > 1 {
+		return 0, 0
+	}
+	if prefill == 0 {
+		slots = int(float64(slots) * min(1, max(0, 2-weight)))
+	}
+	work := time.Duration(online)*shape.StepPerSequence + time.Duration(min(prefill, shape.TokenBudget))*shape.StepPerPrefillToken
+	return e.simulation.plan.stepBound - shape.StepBase - work, slots
+}
+
+// onlineLoad counts online streams, and the tokens that they have to prefill.
+func (e *emulatedEngine) onlineLoad() (streams, prefill int) {
 	for id, to := range e.streams {
-		if to.batch() {
+		request, isOnline := to.(*onlineRequest)
+		if !isOnline {
 			continue
 		}
-		online++
+		streams++
 		if emitted, known := e.scheduler.Emitted(id); known && emitted == 0 {
-			return 0, 0
+			prefill += request.request.OwnTokens
 		}
 	}
-	bound := e.simulation.plan.stepBound
-	if online == 0 {
-		bound = maxIdleStep
-	}
-	if next, ok := e.nextArrival(); ok {
-		bound = min(bound, next-e.simulation.clock.now-clairvoyantMargin)
-	}
-	return bound - shape.StepBase - time.Duration(online)*shape.StepPerSequence, shape.MaxRunning - online
+	return streams, prefill
 }
 
 // maxIdleStep bounds a step that no online request sees.
 const maxIdleStep = time.Second
-
-// nextArrival is the next recorded online arrival at this engine.
-func (e *emulatedEngine) nextArrival() (time.Duration, bool) {
-	recorded := e.simulation.plan.arrivals[e.index]
-	for e.nextRecorded < len(recorded) && recorded[e.nextRecorded] <= e.simulation.clock.now {
-		e.nextRecorded++
-	}
-	if e.nextRecorded >= len(recorded) {
-		return 0, false
-	}
-	return recorded[e.nextRecorded], true
-}
--- a/internal/lab/sim/engine.go
+++ b/internal/lab/sim/engine.go
@@ -36,9 +36,8 @@
 	reportless  bool
 	slowdown    float64
 	// parked are batch streams that the clairvoyant set aside for one step.
-	parked       []string
-	batchOrder   []string
-	nextRecorded int
+	parked     []string
+	batchOrder []string
 }
 
 func newEngine(s *simulation, index, zone int) *emulatedEngine {
--- a/internal/lab/sim/gateway.go
+++ b/internal/lab/sim/gateway.go
@@ -26,6 +26,7 @@
 	node     *node
 	inFlight []int
 	reports  []engine.Load
+	cached   cachedEstimate
 	// unusable engines are known to be leaving or dead.
 	unusable []bool
 }
@@ -67,12 +68,13 @@
 	g.inFlight[chosen.index]++
 	home := s.believedHome(g.node, chosen.index)
 	if home != nil {
-		s.after(s.latency(g.node.zone, home.node.zone), func() { home.onlineStarted(r.id(), r.request.PromptTokens()) })
+		prefill := g.cached.prefill(r.request)
+		s.after(s.latency(g.node.zone, home.node.zone), func() { home.onlineStarted(r.id(), prefill) })
 	}
 	sequence := sequenceOf(r.id(), int(engine.PriorityOnline), r.request, s.config.Deployment.Engine.BlockTokens)
 	sequence.ResumeFrom = r.received
 	s.after(s.latency(g.node.zone, chosen.zone), func() {
-		s.record.arrival(chosen.index, s.clock.now, r.request.Number)
+		s.record.arrival(chosen.index, r.request.Number)
 		chosen.submit(sequence, r)
 	})
 }
@@ -142,6 +144,7 @@
 func (r *onlineRequest) finished(cached, prompt int) {
 	s := r.gateway.node.simulation
 	r.release()
+	r.gateway.cached.observe(cached)
 	s.result.onlineDone(r.request, s.clock.now+s.config.Deployment.Network.Client, cached, prompt)
 }
 
--- a/internal/lab/sim/home.go
+++ b/internal/lab/sim/home.go
@@ -15,7 +15,9 @@
 	engine  *emulatedEngine
 	policy  batch.Policy
 	streams map[string]*batchStream
-	dead    bool
+	// cached estimates the prefill of batch items.
+	cached cachedEstimate
+	dead   bool
 }
 
 // batchStream is an item at an engine.
@@ -107,7 +109,7 @@
 	h.streams[stream.id] = stream
 	sequence := sequenceOf(stream.id, int(s.policy.priority()), item.request, s.config.Deployment.Engine.BlockTokens)
 	s.after(h.latency(), func() { h.engine.submit(sequence, stream) })
-	started := batch.Event{Kind: batch.EventBatchStarted, Stream: stream.id, PromptTokens: item.request.PromptTokens()}
+	started := batch.Event{Kind: batch.EventBatchStarted, Stream: stream.id, PromptTokens: h.cached.prefill(item.request)}
 	if item.deadline > 0 {
 		started.Deadline = epoch.Add(item.deadline)
 	}
@@ -200,11 +202,12 @@
 	b.home.step(batch.Event{Kind: batch.EventBatchToken, Stream: b.id})
 }
 
-func (b *batchStream) finished(int, int) {
+func (b *batchStream) finished(cached, prompt int) {
 	if b.ended {
 		return
 	}
 	s := b.home.node.simulation
+	b.home.cached.observe(cached)
 	s.pool.finish(b.item, s.clock.now, s.result)
 	b.home.end(b)
 }
--- a/internal/lab/sim/policy.go
+++ b/internal/lab/sim/policy.go
@@ -27,8 +27,9 @@
 	PolicyFixed PolicyKind = "fixed"
 	// PolicyController is batch.Controller.
 	PolicyController PolicyKind = "controller"
-	// PolicyClairvoyant sees engines without lag and knows each engine's next
-	// online arrival: the reference for harvest.
+	// PolicyClairvoyant sees the engines without lag, limits each step at once
+	// and for free, and has the bound on steps from the recorded run without
+	// batch: the reference for harvest.
 	PolicyClairvoyant PolicyKind = "clairvoyant"
 )
 
@@ -40,6 +41,8 @@
 	OnlineShare float64    `koanf:"online_share" validate:"gte=0,lte=1"`
 	// Share is Service.BatchShare, for the controller.
 	Share float64 `koanf:"share" validate:"gte=0,lte=1"`
+	// Price is the clairvoyant's weight of an online stream in batch streams.
+	Price float64 `koanf:"price" validate:"gte=0"`
 	// Redo makes the controller cancel streams instead of suspending them.
 	Redo bool `koanf:"redo"`
 }
@@ -55,7 +58,7 @@
 	case PolicyFixed:
 		return batch.NewFixed(p.Streams, true), nil
 	case PolicyController:
-		return batch.NewController(batch.Config{Share: p.Share, Slots: shape.MaxRunning, Redo: p.Redo}), nil
+		return batch.NewController(batch.Config{Share: p.Share, Slots: shape.MaxRunning, ChunkTokens: shape.TokenBudget, Redo: p.Redo}), nil
 	case PolicyNone:
 		return idle{}, nil
 	}
--- a/internal/lab/sim/prefix.go
+++ b/internal/lab/sim/prefix.go
@@ -24,3 +24,20 @@
 	}
 	return hashes
 }
+
+// cachedEstimate estimates how many tokens of a prompt are in a prefix cache,
+// from the engines' answers, as a node can. Prompts of a service share
+// templates, so it is a number of tokens and not a share of the prompt.
+type cachedEstimate struct{ tokens float64 }
+
+// cachedWeight is the weight of a new observation.
+const cachedWeight = 0.05
+
+func (c *cachedEstimate) observe(cached int) {
+	c.tokens += cachedWeight * (float64(cached) - c.tokens)
+}
+
+// prefill estimates the tokens of a request that the engine must compute.
+func (c *cachedEstimate) prefill(request arrivals.Request) int {
+	return max(1, request.PromptTokens()-int(c.tokens))
+}
--- a/internal/lab/sim/recording.go
+++ b/internal/lab/sim/recording.go
@@ -15,7 +15,6 @@
 // is left, and tells the clairvoyant what will come.
 type Recording struct {
 	engineOf map[int]int // first engine of each request
-	arrivals [][]time.Duration
 	bins     [][]onlineWork
 	// stepBound is the longest step that the clairvoyant lets an online stream
 	// see.
@@ -25,7 +24,6 @@
 func newRecording(config Config) *Recording {
 	recording := &Recording{
 		engineOf: map[int]int{},
-		arrivals: make([][]time.Duration, config.engines()),
 		bins:     make([][]onlineWork, config.engines()),
 	}
 	for i := range recording.bins {
@@ -34,11 +32,10 @@
 	return recording
 }
 
-func (r *Recording) arrival(engine int, at time.Duration, number int) {
+func (r *Recording) arrival(engine, number int) {
 	if _, known := r.engineOf[number]; !known {
 		r.engineOf[number] = engine
 	}
-	r.arrivals[engine] = append(r.arrivals[engine], at)
 }
 
 func (r *Recording) work(engine int, at time.Duration, tokens, prefilled int) {
--- a/internal/lab/sim/result.go
+++ b/internal/lab/sim/result.go
@@ -54,8 +54,6 @@
 	measuring bool
 	retained  int
 	baseline  int
-	// firstAfter drops requests that arrived during the warm-up.
-	firstAfter time.Duration
 }
 
 func newResult(policy string, seed uint64) *Result {
