--- a/internal/node/batch.go
+++ b/internal/node/batch.go
@@ -55,17 +55,13 @@
 	dispatcher *dispatch.Dispatcher
 }
 
-// batchStreams is how many batch streams an engine runs until its controller
-// knows better.
-const batchStreams = 8
-
 // runsOn gives the batch part its engines; name is unique to this run of the
 // node.
-func (b *batch) runsOn(engines fleet.Clients, name string, registry prometheus.Registerer) {
+func (b *batch) runsOn(engines fleet.Clients, policy admission.Policy, name string, registry prometheus.Registerer) {
 	b.dispatcher = dispatch.New(dispatch.Dependencies{
 		Name:    name,
 		Work:    b.work,
-		Policy:  admission.NewFixed(batchStreams, true),
+		Policy:  policy,
 		Clients: engines,
 		Metrics: registry,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,8 @@
 		},
 		Listener: func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
 	})
-	n.batch.runsOn(n.engines, n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
+	clients := observedClients{n.engines, n.engines}
+	n.batch.runsOn(clients, newServicePolicy(n.settings, n.engines), n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
 	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
 }
 
@@ -184,7 +185,7 @@
 	n.gateway = gateway.New(gateway.Dependencies{
 		Settings: n.settings,
 		Fleet:    n.engines,
-		Clients:  n.engines,
+		Clients:  observedClients{n.engines, n.engines},
 		Observer: n.engines,
 		Registry: n.registry,
 	})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,7 +19,6 @@
 
 finish() {
   for pid in "${process_of[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
 }
 trap finish EXIT
 
@@ -31,6 +30,7 @@
   shift
   "$@" >"$run/$name.log" 2>&1 &
   process_of[$name]=$!
+  disown $! # so that the shell does not report the kills
 }
 
 # field FILE NAME prints a string field of a flat JSON file.
@@ -99,7 +99,7 @@
   "$bin/chutelockctl" apply -server "http://${operators[1]}" -f "$settings" >"$run/apply.log" 2>&1 && break
   sleep 0.1
 done
-tail -n 3 "$run/apply.log"
+echo "$(wc -l <"$run/apply.log") lines of changes, in $run/apply.log"
 for n in 1 2 3 4 5 6; do wait_for "$run/node-$n.ready"; done
 targets=$(printf 'http://%s,' "${callers[1]}" "${callers[2]}" "${callers[3]}" "${callers[4]}" "${callers[5]}")
 targets=${targets%,}
@@ -135,7 +135,8 @@
 wait $load_process || online_ok=$?
 say "waiting for the job and reading its results at node-2"
 results_ok=0
-"$bin/chutelockctl" results -server "http://${callers[2]}" -key $batch_key -wait "$job" >"$run/results.jsonl" 2>"$run/results.log" || results_ok=$?
+"$bin/chutelockctl" submit -server "http://${callers[2]}" -key $batch_key -idempotency-key demo -wait -wait-timeout 60s "$run/items.jsonl" >"$run/wait.log" 2>&1 || results_ok=$?
+"$bin/chutelockctl" results -server "http://${callers[2]}" -key $batch_key -f "$run/results.jsonl" "$job" >"$run/results.log" 2>&1 || results_ok=$?
 verify_ok=0
 "$bin/chutelock-lab" verify -input "$run/items.jsonl" -output "$run/results.jsonl" "$run"/engine-*.truth >"$run/verify.json" || verify_ok=$?
 
@@ -144,7 +145,8 @@
 load_process=$!
 sleep 1
 kill -TERM "${process_of[node-5]}"
-wait "${process_of[node-5]}" && echo "node-5 drained and ended by itself"
+while kill -0 "${process_of[node-5]}" 2>/dev/null; do sleep 0.1; done
+grep -q 'node stopped' "$run/node-5.log" && echo "node-5 drained and ended by itself"
 stop_ok=0
 wait $load_process || stop_ok=$?
 
