--- a/internal/jobs/command/files.go
+++ b/internal/jobs/command/files.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -36,12 +37,8 @@
 // Store checks and stores a file as it is read. A fault of the input is an
 // *input.Error; nothing is left behind then.
 func (f *Files) Store(ctx context.Context, upload Upload, from io.Reader) (fileID string, summary input.Summary, err error) {
-	shard := ledger.ShardID(rand.IntN(f.caller.Shards()))
-	fileID = jobs.NewFileID(shard)
-	begin := &machine.FileBegin{
-		FileID: fileID, Tenant: upload.Tenant, Name: upload.Name, Purpose: upload.Purpose, Retention: upload.Retention,
-	}
-	if err := f.step(ctx, "begin file", shard, begin); err != nil {
+	shard, fileID, err := f.begin(ctx, upload)
+	if err != nil {
 		return "", input.Summary{}, err
 	}
 	summary, err = f.storeChunks(ctx, shard, fileID, upload, from)
@@ -52,6 +49,23 @@
 	return fileID, summary, nil
 }
 
+// beginTries is how many shards are tried for a file: any will do.
+const beginTries = 2
+
+func (f *Files) begin(ctx context.Context, upload Upload) (shard ledger.ShardID, fileID string, err error) {
+	for range beginTries {
+		shard = ledger.ShardID(rand.IntN(f.caller.Shards()))
+		fileID = jobs.NewFileID(shard)
+		err = f.step(ctx, "begin file", shard, &machine.FileBegin{
+			FileID: fileID, Tenant: upload.Tenant, Name: upload.Name, Purpose: upload.Purpose, Retention: upload.Retention,
+		})
+		if !errors.Is(err, ledger.ErrUnavailable) {
+			return shard, fileID, err
+		}
+	}
+	return 0, "", err
+}
+
 func (f *Files) step(ctx context.Context, step string, shard ledger.ShardID, command machine.Command) error {
 	answer, err := propose(ctx, f.caller, shard, command)
 	if err != nil {
--- a/internal/jobs/command/leader.go
+++ b/internal/jobs/command/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -64,7 +65,11 @@
 	}
 }
 
+// tickAll works on all shards at once, so that one without a quorum does not
+// hold up the others.
 func (k *Keeper) tickAll(ctx context.Context, now time.Time, retention bool) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	for id := range ledger.ShardID(k.directory.Shards()) {
 		shard, ok := k.directory.Local(id)
 		if !ok {
@@ -74,12 +79,20 @@
 		if !leading {
 			continue
 		}
-		if err := k.tick(ctx, id, shard, term, now, retention); err != nil && ctx.Err() == nil {
-			eventKeeperFailed.Error(err, "shard", id)
-		}
+		group.Go(func() {
+			err := k.tick(ctx, id, shard, term, now, retention)
+			if err != nil && ctx.Err() == nil && !isNotLeader(err) {
+				eventKeeperFailed.Error(err, "shard", id)
+			}
+		})
 	}
 }
 
+func isNotLeader(err error) bool {
+	var notLeader *ledger.NotLeaderError
+	return errors.As(err, &notLeader)
+}
+
 func (k *Keeper) tick(ctx context.Context, id ledger.ShardID, shard ledger.Shard, term uint64, now time.Time,
 	retention bool) error {
 	ctx, cancel := context.WithTimeout(ctx, keeperInterval*4)
--- a/internal/jobs/command/work.go
+++ b/internal/jobs/command/work.go
@@ -71,7 +71,7 @@
 	w.refreshOffers(ctx)
 	var failures []error
 	for _, shard := range w.shardsWith(model) {
-		leases, err := w.leaseAt(ctx, shard, dispatcher, model, count)
+		leases, err := w.LeaseAt(ctx, shard, dispatcher, model, count)
 		if err != nil {
 			failures = append(failures, err)
 			w.setOffer(shard, model, offerNumbers{})
@@ -84,7 +84,8 @@
 	return nil, trace.NewAggregate(failures...)
 }
 
-func (w *Work) leaseAt(ctx context.Context, shard ledger.ShardID, dispatcher, model string, count int) ([]jobs.Lease, error) {
+// LeaseAt leases items of one shard.
+func (w *Work) LeaseAt(ctx context.Context, shard ledger.ShardID, dispatcher, model string, count int) ([]jobs.Lease, error) {
 	sent := time.Now()
 	answer, err := perform(ctx, w.caller, remote.OperationLease, shard, &machine.LeaseItems{
 		Dispatcher: dispatcher, Model: model, Count: uint32(count), MaxBytes: leaseBytes,
--- a/internal/jobs/dispatch/dispatcher.go
+++ b/internal/jobs/dispatch/dispatcher.go
@@ -63,14 +63,17 @@
 	scheduler *scheduler
 	endpoints map[string]*fleet.Endpoint
 	cancels   map[string]context.CancelFunc // stream → ends its attempt
-	// context is that of Run; nil before.
+	// context ends when Run ends.
 	context context.Context
+	stop    context.CancelFunc
 }
 
-// New returns a dispatcher that does nothing before Run.
+// New returns a dispatcher. It takes events at once; Run must be called too.
 func New(dependencies Dependencies) *Dispatcher {
 	counted := newMetrics(dependencies.Metrics)
+	ctx, stop := context.WithCancel(context.Background())
 	return &Dispatcher{
+		context: ctx, stop: stop,
 		name: dependencies.Name, work: dependencies.Work, clients: dependencies.Clients,
 		reports: newReporter(dependencies.Work, counted), pool: pond.NewPool(maxStreams),
 		control: pond.NewPool(maxControls), metrics: counted,
@@ -81,11 +84,8 @@
 
 // Run works until ctx ends; call Drain before for a planned stop.
 func (d *Dispatcher) Run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.mutex.Lock()
-	d.context = ctx
-	d.mutex.Unlock()
+	defer d.stop()
+	defer context.AfterFunc(ctx, d.stop)()
 	var loops sync.WaitGroup
 	loops.Go(func() { d.reports.run(ctx) })
 	loops.Go(func() { d.renewLoop(ctx) })
@@ -99,12 +99,11 @@
 func (d *Dispatcher) locked(change func(now time.Time, s *scheduler)) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.context == nil || d.context.Err() != nil {
+	if d.context.Err() != nil {
 		return
 	}
 	now := time.Now()
 	change(now, d.scheduler)
-	d.scheduler.fetch(now)
 	for _, next := range d.scheduler.take() {
 		d.do(next)
 	}
@@ -182,6 +181,7 @@
 	})
 	d.locked(func(now time.Time, s *scheduler) {
 		s.ended(now, running, planned.request.Attempt, finish, err)
+		s.fetch(now)
 	})
 }
 
@@ -221,7 +221,10 @@
 	if err != nil && ctx.Err() == nil {
 		eventLeaseFailed.Error(err, "model", model)
 	}
-	d.locked(func(now time.Time, s *scheduler) { s.leased(now, model, leases) })
+	d.locked(func(now time.Time, s *scheduler) {
+		s.leased(now, model, leases)
+		s.fetch(now)
+	})
 }
 
 func (d *Dispatcher) renewLoop(ctx context.Context) {
@@ -299,6 +302,7 @@
 	d.locked(func(now time.Time, s *scheduler) {
 		s.congested = d.reports.congested()
 		s.tick(now)
+		s.fetch(now)
 		if len(s.streams) > 0 {
 			next = tickInterval
 		}
--- a/internal/jobs/dispatch/outcome.go
+++ b/internal/jobs/dispatch/outcome.go
@@ -18,8 +18,13 @@
 	codeEngineFailed   = "engine_failed"
 	codeEngineLost     = "engine_lost"
 	codeOutcomeUnknown = "outcome_unknown"
+	codeAnswerTooLarge = "answer_too_large"
 )
 
+// maxAnswer is the largest answer that is kept, in bytes: one that the ledger
+// can't take would keep all others from being reported.
+const maxAnswer = 8 << 20
+
 // token takes a chunk of the running attempt; false means that the attempt is
 // over and must end.
 func (s *scheduler) token(now time.Time, running *stream, attempt uint32, chunk engine.Chunk) bool {
@@ -93,6 +98,10 @@
 	result.HTTPStatus = http.StatusOK
 	result.CompletionTokens = uint32(max(finish.CompletionTokens, finished.task.tokens))
 	result.Body = wholeAnswer(now, finished, finish)
+	if len(result.Body) > maxAnswer {
+		result.Status, result.HTTPStatus = jobs.ItemFailed, http.StatusInsufficientStorage
+		result.Body = errorAnswer(codeAnswerTooLarge, "the answer is too large to be kept")
+	}
 	s.emit(action{kind: actionReport, result: result})
 }
 
--- a/internal/jobs/dispatch/scheduler.go
+++ b/internal/jobs/dispatch/scheduler.go
@@ -253,7 +253,7 @@
 func promptTokens(body []byte) int { return len(body) / bytesPerToken }
 
 // fetch leases more of each model whose queue runs low. The shell calls it
-// after each change.
+// after each change but a token.
 func (s *scheduler) fetch(now time.Time) {
 	if s.draining || s.congested {
 		return
--- a/internal/jobs/remote/caller.go
+++ b/internal/jobs/remote/caller.go
@@ -17,8 +17,9 @@
 	// attemptTimeout bounds one attempt, so that a peer that went silent does
 	// not use up the caller's whole time.
 	attemptTimeout = 2 * time.Second
-	// callTimeout bounds all attempts of a call whose context has no deadline.
-	callTimeout = 15 * time.Second
+	// callTimeout bounds all attempts of a call: long enough for a change of
+	// leader, and no longer, for the caller is told when to come back.
+	callTimeout = 4 * time.Second
 	// The wait between attempts grows between these.
 	firstRetryWait   = 10 * time.Millisecond
 	longestRetryWait = 500 * time.Millisecond
