--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -452,7 +452,7 @@
 	if action.Version < n.diskAt {
 		n.sim.fault("%s: disk goes back from %s to %s", n.member.Name, n.diskAt, action.Version)
 	}
-	merge(n.disk, action.Changes, (*Entry).gone)
+	merge(n.disk, action.Changes, (*Entry).Gone)
 	n.diskAt = action.Version
 }
 
@@ -503,4 +503,7 @@
 	}
 }
 
-var errStoreDown = errors.New("store is down")
+var (
+	errStoreDown = errors.New("store is down")
+	errFuture    = errors.New("revision is ahead of the store")
+)
