--- a/internal/jobs/dispatch/dispatcher.go
+++ b/internal/jobs/dispatch/dispatcher.go
@@ -259,9 +259,9 @@
 	if len(revoked) > 0 {
 		eventRevoked.Info("jobs", len(revoked), "first", revoked[0])
 	}
-	d.locked(func(_ time.Time, s *scheduler) {
+	d.locked(func(now time.Time, s *scheduler) {
 		s.renewed(jobIDs, sent.Add(command.StartValidity))
-		s.revoke(revoked)
+		s.revoke(now, revoked)
 	})
 }
 
@@ -325,7 +325,7 @@
 		switch event.Kind {
 		case fleet.HomeGained:
 			d.endpoints[name] = event.Endpoint
-			s.gained(name, event.Endpoint.Load.Models, event.Endpoint.Leaving)
+			s.gained(now, name, event.Endpoint.Load.Models, event.Endpoint.Leaving)
 			s.load(now, name, event.Endpoint.Load)
 		case fleet.HomeLost:
 			s.lost(now, name)
--- a/internal/jobs/dispatch/outcome.go
+++ b/internal/jobs/dispatch/outcome.go
@@ -67,28 +67,36 @@
 	if !s.current(running, attempt) {
 		return
 	}
+	suspended := err == nil && finish.Reason == finishSuspended
+	if suspended && s.park(now, running) {
+		return
+	}
 	s.left(now, running)
 	switch {
 	case running.revoked:
 		s.remove(running)
-	case err == nil && finish.Reason == finishSuspended:
-		s.parked(now, running)
+	case suspended || err != nil && running.moving:
+		s.requeue(now, running)
 	case err == nil:
 		s.succeeded(now, running, finish)
-	case running.moving:
-		s.requeue(now, running)
 	default:
 		s.failed(now, running, err)
 	}
 }
 
-func (s *scheduler) parked(now time.Time, parked *stream) {
+// park keeps a stream that was suspended as the policy wanted, if it can go on
+// at its engine.
+func (s *scheduler) park(now time.Time, parked *stream) bool {
 	at, ok := s.engines[parked.engine]
-	if !ok || at.leaving || parked.moving || s.draining {
-		s.requeue(now, parked)
-		return
+	if !ok || at.leaving || s.draining || !parked.suspending || parked.moving || parked.revoked {
+		return false
 	}
+	s.supply(parked.task.model).running--
 	parked.state = streamSuspended
+	s.step(now, batch.Event{
+		Kind: batch.EventBatchEnded, Engine: parked.engine, Stream: parked.id, Suspended: true,
+	})
+	return true
 }
 
 func (s *scheduler) succeeded(now time.Time, finished *stream, finish engine.Finish) {
--- a/internal/jobs/dispatch/scheduler.go
+++ b/internal/jobs/dispatch/scheduler.go
@@ -79,6 +79,8 @@
 	// late and ignored.
 	attempt   uint32
 	lastToken time.Time
+	// suspending says that the policy asked for the suspension.
+	suspending bool
 	// moving says that the stream was cancelled to run elsewhere; stalled,
 	// that it was cancelled because it brought nothing; revoked, that its job
 	// is final.
@@ -239,11 +241,12 @@
 	running.attempt = running.task.attempts
 	running.state = streamRunning
 	running.lastToken = now
+	running.suspending = false
 	s.supply(running.task.model).running++
 	s.emit(action{kind: actionRun, stream: running})
 	s.step(now, batch.Event{
 		Kind: batch.EventBatchStarted, Engine: running.engine, Stream: running.id,
-		PromptTokens: promptTokens(running.task.item.Body),
+		PromptTokens: promptTokens(running.task.item.Body), Deadline: running.task.lease.Deadline,
 	})
 }
 
@@ -291,6 +294,7 @@
 	if !ok || running.state != streamRunning || !running.task.item.Repeatable {
 		return
 	}
+	running.suspending = true
 	s.emit(action{kind: actionSuspend, stream: running})
 }
 
@@ -313,6 +317,7 @@
 		return
 	}
 	if moved.state == streamSuspended {
+		s.unpark(now, moved)
 		s.requeue(now, moved)
 		return
 	}
@@ -320,6 +325,12 @@
 	s.emit(action{kind: actionCancel, stream: moved})
 }
 
+// unpark tells the policy that a suspended stream waits no more.
+func (s *scheduler) unpark(now time.Time, parked *stream) {
+	parked.state = 0
+	s.step(now, batch.Event{Kind: batch.EventBatchEnded, Engine: parked.engine, Stream: parked.id})
+}
+
 // requeue puts a stream's task in front of the queue.
 func (s *scheduler) requeue(now time.Time, ended *stream) {
 	s.remove(ended)
@@ -349,11 +360,12 @@
 }
 
 // gained notes an engine that this node is home of from now on.
-func (s *scheduler) gained(name string, models []string, leaving bool) {
+func (s *scheduler) gained(now time.Time, name string, models []string, leaving bool) {
 	at, ok := s.engines[name]
 	if !ok {
 		at = &home{name: name, streams: map[string]*stream{}}
 		s.engines[name] = at
+		s.step(now, batch.Event{Kind: batch.EventEngineOwned, Engine: name})
 	}
 	at.models = models
 	at.leaving = leaving
@@ -369,7 +381,7 @@
 		at.models = load.Models
 	}
 	if load.Draining {
-		at.leaving = true
+		s.setLeaving(now, name, true)
 	}
 	s.step(now, batch.Event{Kind: batch.EventLoad, Engine: name, Load: load})
 }
@@ -377,14 +389,16 @@
 // setLeaving stops new work for an engine, or allows it again.
 func (s *scheduler) setLeaving(now time.Time, name string, leaving bool) {
 	at, ok := s.engines[name]
-	if !ok {
+	if !ok || at.leaving == leaving {
 		return
 	}
 	at.leaving = leaving
-	if leaving {
-		s.step(now, batch.Event{Kind: batch.EventEngineGone, Engine: name})
-		s.moveSuspended(now, at)
+	if !leaving {
+		s.step(now, batch.Event{Kind: batch.EventEngineOwned, Engine: name})
+		return
 	}
+	s.step(now, batch.Event{Kind: batch.EventEngineGone, Engine: name})
+	s.moveSuspended(now, at)
 }
 
 func (s *scheduler) moveSuspended(now time.Time, at *home) {
@@ -462,7 +476,7 @@
 }
 
 // revoke stops all items of jobs that are final.
-func (s *scheduler) revoke(jobIDs []string) {
+func (s *scheduler) revoke(now time.Time, jobIDs []string) {
 	for _, jobID := range jobIDs {
 		delete(s.rights, jobID)
 		for _, source := range s.supplies {
@@ -470,7 +484,7 @@
 		}
 		for _, running := range s.streams {
 			if running.task.lease.JobID == jobID {
-				s.revokeStream(running)
+				s.revokeStream(now, running)
 			}
 		}
 	}
@@ -487,8 +501,9 @@
 	return kept
 }
 
-func (s *scheduler) revokeStream(revoked *stream) {
+func (s *scheduler) revokeStream(now time.Time, revoked *stream) {
 	if revoked.state == streamSuspended {
+		s.unpark(now, revoked)
 		s.remove(revoked)
 		return
 	}
--- a/internal/jobs/dispatch/scheduler_test.go
+++ b/internal/jobs/dispatch/scheduler_test.go
@@ -17,9 +17,20 @@
 type script struct {
 	admit map[string]int
 	next  []batch.Action
+	told  []string // what it was told of streams and engines
 }
 
 func (s *script) Step(_ time.Time, event batch.Event) []batch.Action {
+	switch event.Kind {
+	case batch.EventBatchStarted:
+		s.told = append(s.told, "started "+event.Stream)
+	case batch.EventBatchEnded:
+		s.told = append(s.told, fmt.Sprintf("ended %s suspended %v", event.Stream, event.Suspended))
+	case batch.EventEngineGone:
+		s.told = append(s.told, "gone "+event.Engine)
+	case batch.EventEngineOwned:
+		s.told = append(s.told, "owned "+event.Engine)
+	}
 	if event.Kind != batch.EventTick {
 		return nil
 	}
@@ -43,7 +54,7 @@
 	policy := &script{admit: map[string]int{}}
 	b := &bench{newScheduler(policy), policy, time.Unix(1_700_000_000, 0)}
 	for _, name := range []string{"e1", "e2"} {
-		b.gained(name, []string{"m"}, false)
+		b.gained(b.now, name, []string{"m"}, false)
 	}
 	return b
 }
@@ -114,7 +125,7 @@
 	b.lease("j", 4)
 	b.admit("e1", 2)
 	running := b.streams["j-0-7"]
-	b.revoke([]string{"j"})
+	b.revoke(b.now, []string{"j"})
 	g.Expect(b.words()).To(gomega.ConsistOf("cancel j-0-7", "cancel j-1-7"))
 	b.ended(b.now, running, 1, engine.Finish{Reason: "stop"}, nil)
 	g.Expect(b.words()).To(gomega.BeEmpty(), "nothing of a revoked job is reported")
@@ -133,6 +144,7 @@
 	g.Expect(b.act(batch.ActionCancel, "j-1-7")).To(gomega.BeEmpty())
 	g.Expect(b.act(batch.ActionSuspend, "j-0-7")).To(gomega.Equal([]string{"suspend j-0-7"}))
 	b.ended(b.now, repeatable, 1, engine.Finish{Reason: finishSuspended}, nil)
+	g.Expect(b.policy.told).To(gomega.ContainElement("ended j-0-7 suspended true"))
 	g.Expect(b.act(batch.ActionResume, "j-0-7")).To(gomega.Equal([]string{"run j-0-7 at e1 from 1"}))
 	g.Expect(b.token(b.now, repeatable, 1, engine.Chunk{Index: 1})).To(gomega.BeFalse(), "a late token of the first attempt")
 	b.ended(b.now, repeatable, 1, engine.Finish{Reason: "stop"}, nil)
@@ -151,8 +163,10 @@
 	b.admit("e1", 3)
 	moving := b.streams["j-0-7"]
 	b.token(b.now, moving, 1, engine.Chunk{Index: 0, Text: "x"})
+	b.act(batch.ActionSuspend, "j-2-7")
 	b.ended(b.now, b.streams["j-2-7"], 1, engine.Finish{Reason: finishSuspended}, nil)
 	b.lost(b.now, "e1")
+	g.Expect(b.policy.told).To(gomega.ContainElements("gone e1", "ended j-2-7 suspended false"))
 	g.Expect(b.words()).To(gomega.Equal([]string{"cancel j-0-7"}), "the parked one needs no cancellation, the third runs on")
 	b.ended(b.now, moving, 1, engine.Finish{}, errors.New("cancelled"))
 	g.Expect(b.admit("e2", 2)).To(gomega.ContainElements("run j-0-7 at e2 from 1", "run j-2-7 at e2 from 0"))
@@ -214,3 +228,25 @@
 	g.Expect(b.words()).To(gomega.Equal([]string{"report j-1 status 0 http 0"}))
 	g.Expect(b.streams).To(gomega.HaveLen(1))
 }
+
+func TestEngineSuspendsOfItsOwnAccord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench()
+	b.lease("j", 1)
+	b.admit("e1", 1)
+	b.ended(b.now, b.streams["j-0-7"], 1, engine.Finish{Reason: finishSuspended}, nil)
+	g.Expect(b.policy.told).To(gomega.ContainElement("ended j-0-7 suspended false"), "the policy did not ask: it would not resume it")
+	g.Expect(b.admit("e2", 1)).To(gomega.ContainElement("run j-0-7 at e2 from 0"))
+}
+
+func TestEngineThatComesBackIsOwnedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench()
+	b.setLeaving(b.now, "e1", true)
+	b.setLeaving(b.now, "e1", true)
+	b.lease("j", 1)
+	g.Expect(b.admit("e1", 1)).To(gomega.BeEmpty())
+	b.setLeaving(b.now, "e1", false)
+	g.Expect(b.policy.told).To(gomega.Equal([]string{"owned e1", "owned e2", "gone e1", "owned e1"}))
+	g.Expect(b.admit("e1", 1)).To(gomega.ContainElement("run j-0-7 at e1 from 0"))
+}
