batch: a home that sees many batch streams of another home halves its own

Cause: two nodes that both believe they are an engine's home each hear half of the announcements and together fill all slots, so that online waits for a slot.

--- a/internal/admission/batch/control.go
+++ b/internal/admission/batch/control.go
@@ -66,7 +66,7 @@
 
 // decide compares the active streams with the limit.
 func (c *Controller) decide(now time.Time, state *engineState) []Action {
-	limit := c.limit(state)
+	limit := c.limit(now, state)
 	if excess := state.active - limit; excess > 0 {
 		return c.yield(now, state, excess)
 	}
@@ -90,9 +90,12 @@
 }
 
 // limit is the number of batch streams that the engine's next step should run.
-func (c *Controller) limit(state *engineState) int {
+func (c *Controller) limit(now time.Time, state *engineState) int {
 	online := state.onlineCount()
 	free := c.config.Slots - c.config.Reserve - online
+	if state.shared(now) {
+		free = free/2 - sharedReserve
+	}
 	if free <= 0 {
 		return 0
 	}
@@ -110,6 +113,10 @@
 	return int(float64(free) * max(0, yieldAllWeight-weight))
 }
 
+// sharedReserve is how many more slots a home leaves free while another one
+// seems to admit to the same engine and to get a part of the announcements.
+const sharedReserve = 2
+
 // yieldAllWeight is the weight from which no batch stream runs beside online;
 // from one less on they are fewer and fewer.
 const yieldAllWeight = 2
--- a/internal/admission/batch/report.go
+++ b/internal/admission/batch/report.go
@@ -33,15 +33,43 @@
 			before++
 		}
 	}
+	s.observeForeign(now, load)
 	s.unannounced = 0
-	if len(s.online) == 0 && before == 0 {
-		s.unannounced = s.surplus(reported)
+	// As reports lag, a difference between two busy counts says nothing, unless
+	// another home gets a part of the announcements.
+	switch {
+	case len(s.online) == 0 && before == 0:
+		s.unannounced = reported
+	case s.shared(now):
+		s.unannounced = max(0, reported-before)
 	}
 }
 
-// surplus counts reported online requests only while none is announced: as
-// reports lag, a difference between two busy counts says nothing.
-func (s *engineState) surplus(reported int) int { return reported }
+const (
+	// foreignLeast is how many batch streams beyond its own a home must see to
+	// believe that another home admits to the engine too.
+	foreignLeast = 8
+	// foreignMemory is how long it believes so after the last sight.
+	foreignMemory = 3 * time.Second
+	// peakMemory is how far back a report may look.
+	peakMemory = 10 * time.Second
+)
+
+// observeForeign looks for batch streams that this home didn't send.
+func (s *engineState) observeForeign(now time.Time, load engine.Load) {
+	if now.Sub(s.peakAt) > peakMemory {
+		s.peak, s.peakAt = 0, now
+	}
+	s.peak = max(s.peak, len(s.streams))
+	if load.RunningBatch+load.WaitingBatch >= s.peak+foreignLeast {
+		s.foreignAt = now
+	}
+}
+
+// shared says whether another home seems to admit to the engine.
+func (s *engineState) shared(now time.Time) bool {
+	return !s.foreignAt.IsZero() && now.Sub(s.foreignAt) < foreignMemory
+}
 
 func onlineIn(load engine.Load) int {
 	return max(0, load.Running-load.RunningBatch) + max(0, load.Waiting-load.WaitingBatch)
