--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -247,6 +247,14 @@
 	return c.checkControl("suspend", response, err)
 }
 
+// Cancel ends a request at the engine and drops its suspended state, if there
+// is any. A running Generate is cancelled by its context; this is for requests
+// that were suspended and will not go on here.
+func (c *Client) Cancel(ctx context.Context, requestID string) error {
+	response, err := c.control.R().SetContext(ctx).Post("/v1/requests/" + url.PathEscape(requestID) + "/cancel")
+	return c.checkControl("cancel", response, err)
+}
+
 // Order implements engine.Client; a fenced order fails with ErrFenced.
 func (c *Client) Order(ctx context.Context, order engine.Order) error {
 	response, err := c.control.R().SetContext(ctx).SetBody(order).Post("/v1/orders")
--- a/internal/engine/openaihttp/client_test.go
+++ b/internal/engine/openaihttp/client_test.go
@@ -195,6 +195,8 @@
 			g.Expect(finish.CompletionTokens).To(gomega.Equal(tokens))
 			g.Expect(tokens).To(gomega.BeNumerically("<", maxTokens))
 
+			g.Expect(suspendedAt(first)).To(gomega.Equal("1"), "the state is kept")
+
 			request.Attempt++
 			request.ResumeFrom = tokens
 			sink = func(chunk engine.Chunk) error {
@@ -206,10 +208,29 @@
 			g.Expect(finish.Reason).To(gomega.Equal("length"))
 			g.Expect(text.String()).To(gomega.Equal(expected("prompt", maxTokens)))
 			g.Expect(client.Suspend(t.Context(), request.ID)).NotTo(gomega.Succeed(), "nothing runs any more")
+			attempts := truth.Attempts(resumeAt.Truth())
+			resumed := attempts[len(attempts)-1]
+			g.Expect(resumed.From).To(gomega.Equal(request.ResumeFrom))
+			g.Expect(resumed.Tokens).To(gomega.Equal(maxTokens-request.ResumeFrom), "no token is made again")
+			if resumeAt != first {
+				g.Expect(client.Cancel(t.Context(), request.ID)).To(gomega.Succeed(), "drops the kept state")
+			}
+			g.Expect(suspendedAt(first)).To(gomega.Equal("0"))
 		})
 	}
 }
 
+// suspendedAt reads the number of suspended requests from a fresh report.
+func suspendedAt(running *standintest.Standin) string {
+	time.Sleep(20 * time.Millisecond) // reports are made each millisecond
+	for line := range strings.Lines(string(running.Call("GET", "/metrics"))) {
+		if value, found := strings.CutPrefix(line, "engine_requests_suspended "); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return "none"
+}
+
 func TestLeavingCancelsAtTheEngine(t *testing.T) {
 	errLeft := errors.New("left")
 	for name, leave := range map[string]func(cancel func()) error{
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -79,10 +79,13 @@
 	l.changed = make(chan struct{})
 }
 
+// FormatHash writes a block's hash as the protocol does.
+func FormatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
 func formatHashes(hashes []uint64) []string {
 	texts := make([]string, len(hashes))
 	for i, hash := range hashes {
-		texts[i] = strconv.FormatUint(hash, 16)
+		texts[i] = FormatHash(hash)
 	}
 	return texts
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"time"
 
@@ -156,28 +157,35 @@
 
 // suspend parks all running attempts of a request.
 func (s *Server) suspend(writer http.ResponseWriter, request *http.Request) {
-	s.endRequest(writer, request, func(running *stream) bool { return s.park(running) })
+	id := requestOf(request.PathValue("id"))
+	s.mutex.Lock()
+	changed := false
+	for _, running := range slices.Clone(s.requests[id]) {
+		changed = s.park(running) || changed
+	}
+	s.mutex.Unlock()
+	answerChanged(writer, changed)
 }
 
-// cancelRequest ends all attempts of a request, suspended ones included.
+// cancelRequest ends all attempts of a request and drops its suspended state.
 func (s *Server) cancelRequest(writer http.ResponseWriter, request *http.Request) {
-	s.endRequest(writer, request, func(running *stream) bool {
-		_ = s.scheduler.Cancel(running.id)
-		s.remove(running, finish{reason: reasonCancelled, cause: truth.CauseCancelled, promptTokens: running.promptTokens})
-		return true
-	})
-}
-
-// endRequest applies an operation to the running attempts of a request under
-// the mutex; 404 if that changed nothing.
-func (s *Server) endRequest(writer http.ResponseWriter, request *http.Request, apply func(*stream) bool) {
 	id := requestOf(request.PathValue("id"))
 	s.mutex.Lock()
-	changed := false
-	for _, running := range append([]*stream(nil), s.requests[id]...) {
-		changed = apply(running) || changed
+	running, parked := slices.Clone(s.requests[id]), s.parked[id]
+	for _, cancelled := range running {
+		_ = s.scheduler.Cancel(cancelled.id)
+		s.remove(cancelled, finish{reason: reasonCancelled, cause: truth.CauseCancelled, promptTokens: cancelled.promptTokens})
+	}
+	if parked != nil {
+		_ = s.scheduler.Cancel(parked.id)
+		s.unpark(id)
 	}
 	s.mutex.Unlock()
+	answerChanged(writer, len(running) > 0 || parked != nil)
+}
+
+// answerChanged answers 404 if there was nothing to change.
+func answerChanged(writer http.ResponseWriter, changed bool) {
 	if !changed {
 		writeError(writer, http.StatusNotFound, errorDetail{"no such request is running", "not_found", "not_running"})
 		return
--- a/internal/standin/standintest/standintest.go
+++ b/internal/standin/standintest/standintest.go
@@ -99,24 +99,35 @@
 	s.call(http.MethodDelete, path, nil)
 }
 
+// Call calls the protocol's own address without a body.
+func (s *Standin) Call(method, path string) []byte {
+	s.t.Helper()
+	return s.send(method, "http://"+s.Address+path, nil)
+}
+
 func (s *Standin) call(method, path string, body any) []byte {
+	s.t.Helper()
+	return s.send(method, "http://"+s.Control+path, body)
+}
+
+func (s *Standin) send(method, address string, body any) []byte {
 	s.t.Helper()
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		s.t.Fatalf("encode: %v", err)
 	}
-	request, err := http.NewRequest(method, "http://"+s.Control+path, bytes.NewReader(encoded))
+	request, err := http.NewRequest(method, address, bytes.NewReader(encoded))
 	if err != nil {
-		s.t.Fatalf("%s: %v", path, err)
+		s.t.Fatalf("%s: %v", address, err)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		s.t.Fatalf("%s: %v", path, err)
+		s.t.Fatalf("%s: %v", address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil || response.StatusCode >= http.StatusMultipleChoices {
-		s.t.Fatalf("%s: %s: %s", path, response.Status, text)
+		s.t.Fatalf("%s: %s: %s", address, response.Status, text)
 	}
 	return text
 }
