Engine stand-in: counters of tokens; tests that a resume makes no token again

TestRefusals was flaky: both long requests could be sent before the first had a slot, and the second was then rightly refused; it now waits for the first token of the first.

--- a/internal/engine/openaihttp/client_test.go
+++ b/internal/engine/openaihttp/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -195,7 +196,8 @@
 			g.Expect(finish.CompletionTokens).To(gomega.Equal(tokens))
 			g.Expect(tokens).To(gomega.BeNumerically("<", maxTokens))
 
-			g.Expect(suspendedAt(first)).To(gomega.Equal("1"), "the state is kept")
+			g.Expect(metric(first, "engine_requests_suspended")).To(gomega.Equal(1), "the state is kept")
+			made := metric(resumeAt, "engine_output_tokens_total")
 
 			request.Attempt++
 			request.ResumeFrom = tokens
@@ -208,27 +210,26 @@
 			g.Expect(finish.Reason).To(gomega.Equal("length"))
 			g.Expect(text.String()).To(gomega.Equal(expected("prompt", maxTokens)))
 			g.Expect(client.Suspend(t.Context(), request.ID)).NotTo(gomega.Succeed(), "nothing runs any more")
-			attempts := truth.Attempts(resumeAt.Truth())
-			resumed := attempts[len(attempts)-1]
-			g.Expect(resumed.From).To(gomega.Equal(request.ResumeFrom))
-			g.Expect(resumed.Tokens).To(gomega.Equal(maxTokens-request.ResumeFrom), "no token is made again")
+			made = metric(resumeAt, "engine_output_tokens_total") - made
+			g.Expect(made).To(gomega.Equal(maxTokens-request.ResumeFrom), "no token is made again")
 			if resumeAt != first {
 				g.Expect(client.Cancel(t.Context(), request.ID)).To(gomega.Succeed(), "drops the kept state")
 			}
-			g.Expect(suspendedAt(first)).To(gomega.Equal("0"))
+			g.Expect(metric(first, "engine_requests_suspended")).To(gomega.Equal(0))
 		})
 	}
 }
 
-// suspendedAt reads the number of suspended requests from a fresh report.
-func suspendedAt(running *standintest.Standin) string {
+// metric reads a metric without labels from a fresh report.
+func metric(running *standintest.Standin, name string) int {
 	time.Sleep(20 * time.Millisecond) // reports are made each millisecond
 	for line := range strings.Lines(string(running.Call("GET", "/metrics"))) {
-		if value, found := strings.CutPrefix(line, "engine_requests_suspended "); found {
-			return strings.TrimSpace(value)
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			number, _ := strconv.Atoi(strings.TrimSpace(value))
+			return number
 		}
 	}
-	return "none"
+	return -1
 }
 
 func TestLeavingCancelsAtTheEngine(t *testing.T) {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -190,7 +190,7 @@
 		config.QueueLimit = 1
 		config.MaxBody = 1000
 		config.RefuseWhenDraining = true
-		config.Scheduler = scheduler.Config{MaxRunning: 1, StepBase: time.Millisecond}
+		config.Scheduler = scheduler.Config{MaxRunning: 1, Blocks: 8192, StepBase: time.Millisecond}
 	})
 	post := func(ctx context.Context, body string) (int, string) {
 		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+running.Address+"/v1/completions", strings.NewReader(body))
@@ -204,10 +204,15 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	for range 2 {
-		go post(ctx, `{"model":"draft","prompt":"x","max_tokens":3000}`)
-	}
 	accepted := func() int { return len(truth.Attempts(running.Truth())) }
+	started := func() bool {
+		attempts := truth.Attempts(running.Truth())
+		return len(attempts) > 0 && !attempts[0].First.IsZero()
+	}
+	const long = `{"model":"draft","prompt":"x","max_tokens":60000}`
+	go post(ctx, long)
+	g.Eventually(started, patience).Should(gomega.BeTrue())
+	go post(ctx, long)
 	g.Eventually(accepted, patience).Should(gomega.Equal(2))
 	const valid = `{"model":"draft","prompt":"x","max_tokens":2}`
 	for _, refused := range []struct {
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -26,6 +26,9 @@
 	MetricAdapter      = "engine_adapter_loaded"
 	MetricFencingToken = "engine_fencing_token"
 	MetricRole         = "engine_role"
+	MetricTokens       = "engine_output_tokens_total"
+	MetricPrefilled    = "engine_prefill_tokens_total"
+	MetricPreempted    = "engine_preemptions_total"
 	// LabelClass splits running and waiting into ClassOnline and ClassBatch.
 	LabelClass  = "class"
 	ClassOnline = "online"
@@ -147,6 +150,13 @@
 		description := prometheus.NewDesc(name, help, names, nil)
 		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, values...)
 	}
+	count := func(name, help string, value uint64) {
+		description := prometheus.NewDesc(name, help, nil, nil)
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value))
+	}
+	count(MetricTokens, "Output tokens since the start.", load.Tokens)
+	count(MetricPrefilled, "Prefilled tokens since the start.", load.Prefilled)
+	count(MetricPreempted, "Requests that lost their KV blocks to others.", load.Preempted)
 	const runningHelp, waitingHelp = "Requests that hold a slot.", "Requests that wait for a slot."
 	gauge(MetricRunning, runningHelp, float64(load.Running-load.RunningBatch), LabelClass, ClassOnline)
 	gauge(MetricRunning, runningHelp, float64(load.RunningBatch), LabelClass, ClassBatch)
--- a/internal/standin/engine/scheduler/config.go
+++ b/internal/standin/engine/scheduler/config.go
@@ -124,6 +124,9 @@
 	StepTokens int
 	Steps      uint64
 	Preempted  uint64
+	// Tokens counts the output tokens of all steps, Prefilled the prefilled ones.
+	Tokens    uint64
+	Prefilled uint64
 }
 
 // KVUse is the share of blocks in use by running sequences, 0 to 1.
--- a/internal/standin/engine/scheduler/step.go
+++ b/internal/standin/engine/scheduler/step.go
@@ -181,6 +181,8 @@
 	s.load.Steps++
 	s.load.StepTime = duration
 	s.load.StepTokens = len(s.result.Tokens)
+	s.load.Tokens += uint64(len(s.result.Tokens))
+	s.load.Prefilled += uint64(s.result.Prefilled)
 }
 
 func (s *Scheduler) advance(advanced *sequence, tokens int) {
