--- a/internal/settings/dissemination/plan.go
+++ b/internal/settings/dissemination/plan.go
@@ -58,15 +58,15 @@
 
 // rank orders members by rendezvous hashing for a role.
 func rank(role string, members []membership.Member) {
+	weights := make(map[string]uint64, len(members))
+	for i := range members {
+		weights[members[i].Name] = xxhash.Sum64String(role + "/" + members[i].Name)
+	}
 	slices.SortFunc(members, func(a, b membership.Member) int {
-		return cmp.Or(cmp.Compare(weight(role, a), weight(role, b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(weights[a.Name], weights[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 }
 
-func weight(role string, member membership.Member) uint64 {
-	return xxhash.Sum64String(role + "/" + member.Name)
-}
-
 func (p *plan) addZone(self membership.Member, name string, members []membership.Member) {
 	addresses := make([]transport.Address, len(members))
 	for i, member := range members {
--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/membership"
@@ -83,6 +84,7 @@
 	up      bool
 	paused  bool
 	backlog []func()
+	view    []membership.Member
 	hasDisk bool
 	disk    map[string]Entry
 	diskAt  settings.Version
@@ -101,12 +103,9 @@
 	receivedBytes int
 }
 
+// newSim makes a fleet of equal zones and starts it.
 func newSim(seed uint64, regions, zonesPerRegion, nodesPerZone int) *sim {
-	s := &sim{
-		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		byAddr: make(map[transport.Address]*simNode), notices: make(map[Notice]int), maxWatchers: make(map[string]int),
-	}
-	s.store = newSimStore(s)
+	s := emptySim(seed)
 	for region := range regions {
 		for zone := range zonesPerRegion {
 			for number := range nodesPerZone {
@@ -114,11 +113,25 @@
 			}
 		}
 	}
+	s.begin()
+	return s
+}
+
+func emptySim(seed uint64) *sim {
+	s := &sim{
+		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		byAddr: make(map[transport.Address]*simNode), notices: make(map[Notice]int), maxWatchers: make(map[string]int),
+	}
+	s.store = newSimStore(s)
+	return s
+}
+
+// begin starts all nodes.
+func (s *sim) begin() {
 	for _, node := range s.nodes {
 		node.start()
 	}
 	s.trackTruth()
-	return s
 }
 
 func (s *sim) addNode(region, zone, number int) {
@@ -218,7 +231,7 @@
 func (n *simNode) start() {
 	n.life++
 	n.startedAt, n.floor = n.sim.now, n.sim.leastInForce(n)
-	n.up, n.paused, n.backlog = true, false, nil
+	n.up, n.paused, n.backlog, n.view = true, false, nil, nil
 	n.hasAny, n.published, n.content = false, 0, make(map[string]Entry)
 	var restored *State
 	if n.hasDisk && n.diskAt > 0 {
@@ -278,7 +291,11 @@
 }
 
 func (n *simNode) refreshView() {
-	n.do(n.machine.SetView(n.sim.now, n.sim.viewOf(n)))
+	view := n.sim.viewOf(n)
+	if !slices.Equal(view.Members, n.view) {
+		n.view = view.Members
+		n.do(n.machine.SetView(n.sim.now, view))
+	}
 	n.later(simViewTick, n.refreshView)
 }
 
--- a/internal/settings/dissemination/simstore_test.go
+++ b/internal/settings/dissemination/simstore_test.go
@@ -20,7 +20,9 @@
 	revision uint64
 	epoch    uint16
 	down     bool
-	frozen   bool // watches bring nothing, not even their end
+	// unreachable, if not empty, is a region that can't reach the store.
+	unreachable string
+	frozen      bool // watches bring nothing, not even their end
 	// compacted is the oldest revision that a watch may start from.
 	compacted uint64
 	events    []Entry // all changes of this copy, in order
@@ -162,7 +164,7 @@
 	life := node.life
 	s.sim.at(5*time.Millisecond, func() {
 		var err error
-		if s.down {
+		if s.down || s.unreachable != "" && node.member.Region == s.unreachable {
 			err = errStoreDown
 		}
 		respond := request(err)
@@ -300,3 +302,16 @@
 	s.put(tree.EpochObject, false, spec)
 	return true
 }
+
+// closeRegion breaks the watches of a region.
+func (s *simStore) closeRegion(region string) {
+	for _, watch := range slices.Clone(s.watches) {
+		if watch.node.member.Region != region {
+			continue
+		}
+		s.drop(watch)
+		watch.node.deliver(watch.life, func() {
+			watch.node.do(watch.node.machine.HandleWatchEnded(s.sim.now, watch.ticket, errStoreDown))
+		})
+	}
+}
