--- a/internal/settings/agent/status.go
+++ b/internal/settings/agent/status.go
@@ -67,13 +67,21 @@
 
 // Objects lists the stored objects in force, without the epoch.
 func (a *Agent) Objects(ctx context.Context) ([]platform.Object, error) {
+	return a.collect(ctx, func(entry dissemination.Entry) bool { return !entry.Deleted && entry.Name != tree.EpochObject })
+}
+
+// Traces lists the traces of deletions.
+func (a *Agent) Traces(ctx context.Context) ([]platform.Object, error) {
+	return a.collect(ctx, func(entry dissemination.Entry) bool { return entry.Deleted })
+}
+
+func (a *Agent) collect(ctx context.Context, wanted func(dissemination.Entry) bool) ([]platform.Object, error) {
 	var objects []platform.Object
 	err := a.ask(ctx, func(time.Time) {
 		a.machine.State().Each(func(entry dissemination.Entry) {
-			if entry.Name == tree.EpochObject || entry.Deleted {
-				return
+			if wanted(entry) {
+				objects = append(objects, platform.Object{Kind: platform.KindSetting, Name: entry.Name, Revision: entry.Revision, Spec: entry.Spec})
 			}
-			objects = append(objects, platform.Object{Kind: platform.KindSetting, Name: entry.Name, Revision: entry.Revision, Spec: entry.Spec})
 		})
 	})
 	return objects, err
--- a/internal/settings/command/apply.go
+++ b/internal/settings/command/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -32,6 +33,7 @@
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 	Put(ctx context.Context, object platform.Object) (platform.Object, error)
+	Delete(ctx context.Context, kind, name string, revision uint64) error
 }
 
 // InForce is the state of the tree that this node has in force.
@@ -44,6 +46,8 @@
 	Nodes(path string, recursive bool) ([]*tree.Node, error)
 	// Objects lists all stored objects in force.
 	Objects(ctx context.Context) ([]platform.Object, error)
+	// Traces lists the traces of deletions.
+	Traces(ctx context.Context) ([]platform.Object, error)
 	// Standing says how this node's version compares with the store and peers.
 	Standing(ctx context.Context) (Standing, error)
 }
@@ -64,6 +68,8 @@
 	store   Store
 	inForce InForce
 	now     func() time.Time
+	// swept is when traces of deletions were last swept, in Unix nanoseconds.
+	swept atomic.Int64
 }
 
 // NewWriter makes a Writer.
@@ -91,7 +97,11 @@
 	if change.DryRun {
 		return result, nil
 	}
-	return result, w.writeAll(ctx, &change, steps, result)
+	if err := w.writeAll(ctx, &change, steps, result); err != nil {
+		return result, err
+	}
+	w.sweepNowAndThen(ctx)
+	return result, nil
 }
 
 // plan reads what the change touches, and checks the whole.
--- a/internal/settings/command/apply_test.go
+++ b/internal/settings/command/apply_test.go
@@ -162,6 +162,24 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+func TestOldTracesOfDeletionsAreSwept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := seeded(t)
+	_, err := apply(store, Change{ID: "d", Delete: []string{"fleet/a"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, step := range []struct {
+		later time.Duration
+		kept  bool
+	}{{traceRetention - time.Hour, true}, {traceRetention + time.Hour, false}} {
+		now := func() time.Time { return fixedNow().Add(step.later) }
+		change := Change{ID: fmt.Sprint(step.later), Nodes: nodes(t, folder("fleet", fmt.Sprintf("burst: %d", step.later.Milliseconds())))}
+		_, err := NewWriter(store, follow(store), now).Apply(context.Background(), change)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, present := store.objects["fleet.a"]
+		g.Expect(present).To(gomega.Equal(step.kept))
+	}
+}
+
 func TestStoreThatWentBackIsNotWrittenButRecovered(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := seeded(t)
--- a/internal/settings/dissemination/machine_test.go
+++ b/internal/settings/dissemination/machine_test.go
@@ -13,6 +13,8 @@
 	g.Expect(s.faults).To(gomega.BeEmpty())
 	for _, node := range s.nodes {
 		if node.up {
+			// A listing does not show the revision of a sweep, so that the
+			// version may be the one before; the last change makes it equal.
 			g.Expect(node.published).To(gomega.Equal(s.store.version()), node.member.Name)
 			g.Expect(digestOf(node.content)).To(gomega.Equal(digestOf(s.store.objects)), node.member.Name)
 		}
--- a/internal/settings/tree/claims.go
+++ b/internal/settings/tree/claims.go
@@ -26,12 +26,20 @@
 	keys    []settings.KeyHash
 }
 
-func newClaims() claims {
+// newClaims makes the claims that a tree's newest snapshot holds.
+func newClaims(snapshot func() *settings.Snapshot) claims {
+	pathOfTenant := func(tenant *settings.Tenant) string { return tenant.Path }
 	return claims{
-		keys:     newClaimTable[settings.KeyHash, *settings.Tenant](),
-		names:    newClaimTable[string, *settings.Tenant](),
-		services: newClaimTable[string, *settings.Service](),
-		byPath:   make(map[string]claimant),
+		keys: newClaimTable(func(key settings.KeyHash) (*settings.Tenant, bool) {
+			return snapshot().TenantByKey(key)
+		}, pathOfTenant),
+		names: newClaimTable(func(name string) (*settings.Tenant, bool) {
+			return snapshot().TenantByName(name)
+		}, pathOfTenant),
+		services: newClaimTable(func(model string) (*settings.Service, bool) {
+			return snapshot().ServiceByModel(model)
+		}, func(service *settings.Service) string { return service.Path }),
+		byPath: make(map[string]claimant),
 	}
 }
 
@@ -104,32 +112,39 @@
 }
 
 // claimTable maps each key to the value of the claiming path that sorts first.
-type claimTable[K comparable, V any] struct {
-	owners map[K]claimOf[V]
+// The owners are what the snapshot holds, changed by edit.
+type claimTable[K comparable, V comparable] struct {
+	inForce func(K) (V, bool)
+	pathOf  func(V) string
 	// rivals holds further claims; it is empty unless writers raced.
 	rivals map[K]map[string]V
-	edit   map[K]V
+	// edit is what changes in the snapshot; a zero value removes.
+	edit map[K]V
 }
 
-type claimOf[V any] struct {
-	path  string
-	value V
+func newClaimTable[K comparable, V comparable](inForce func(K) (V, bool), pathOf func(V) string) *claimTable[K, V] {
+	return &claimTable[K, V]{inForce: inForce, pathOf: pathOf, rivals: make(map[K]map[string]V), edit: make(map[K]V)}
 }
 
-func newClaimTable[K comparable, V any]() *claimTable[K, V] {
-	return &claimTable[K, V]{owners: make(map[K]claimOf[V]), rivals: make(map[K]map[string]V), edit: make(map[K]V)}
+// owner is who holds a key now.
+func (t *claimTable[K, V]) owner(key K) (V, bool) {
+	var none V
+	if value, edited := t.edit[key]; edited {
+		return value, value != none
+	}
+	return t.inForce(key)
 }
 
 func (t *claimTable[K, V]) add(key K, path string, value V) {
-	owner, taken := t.owners[key]
-	if taken && owner.path < path {
+	owner, taken := t.owner(key)
+	if taken && t.pathOf(owner) < path {
 		t.addRival(key, path, value)
 		return
 	}
 	if taken {
-		t.addRival(key, owner.path, owner.value)
+		t.addRival(key, t.pathOf(owner), owner)
 	}
-	t.own(key, path, value)
+	t.edit[key] = value
 }
 
 func (t *claimTable[K, V]) addRival(key K, path string, value V) {
@@ -139,27 +154,22 @@
 	t.rivals[key][path] = value
 }
 
-func (t *claimTable[K, V]) own(key K, path string, value V) {
-	t.owners[key] = claimOf[V]{path: path, value: value}
-	t.edit[key] = value
-}
-
 func (t *claimTable[K, V]) remove(key K, path string) {
-	if rivals := t.rivals[key]; rivals != nil {
-		heir := slices.Min(slices.Collect(maps.Keys(rivals)))
-		if t.owners[key].path == path {
-			t.own(key, heir, rivals[heir])
-			path = heir
-		}
-		delete(rivals, path)
-		if len(rivals) == 0 {
-			delete(t.rivals, key)
-		}
+	rivals := t.rivals[key]
+	if rivals == nil {
+		var none V
+		t.edit[key] = none
 		return
 	}
-	delete(t.owners, key)
-	var none V
-	t.edit[key] = none
+	owner, _ := t.owner(key)
+	if t.pathOf(owner) == path {
+		path = slices.Min(slices.Collect(maps.Keys(rivals)))
+		t.edit[key] = rivals[path]
+	}
+	delete(rivals, path)
+	if len(rivals) == 0 {
+		delete(t.rivals, key)
+	}
 }
 
 func (t *claimTable[K, V]) take() map[K]V {
@@ -172,8 +182,9 @@
 func (t *claimTable[K, V]) contested() map[K][]string {
 	result := make(map[K][]string, len(t.rivals))
 	for key, rivals := range t.rivals {
+		owner, _ := t.owner(key)
 		paths := slices.Sorted(maps.Keys(rivals))
-		result[key] = append([]string{t.owners[key].path}, paths...)
+		result[key] = append([]string{t.pathOf(owner)}, paths...)
 	}
 	return result
 }
--- a/internal/settings/tree/explain.go
+++ b/internal/settings/tree/explain.go
@@ -26,7 +26,7 @@
 // Explain gives the effective settings of the node at path, and the ancestor
 // that each comes from.
 func (t *Tree) Explain(path string) (Explanation, error) {
-	node, ok := t.nodes[path]
+	node, ok := t.Node(path)
 	if !ok {
 		return Explanation{}, &NotFoundError{Path: path, Nearest: t.nearest(path)}
 	}
@@ -41,7 +41,7 @@
 // origin finds the nearest node from path upwards that sets a field.
 func (t *Tree) origin(path string, field int) (json.RawMessage, string) {
 	for ; path != ""; path = Parent(path) {
-		node, ok := t.nodes[path]
+		node, ok := t.Node(path)
 		if !ok {
 			continue
 		}
@@ -57,7 +57,7 @@
 // nearest is the nearest ancestor that exists.
 func (t *Tree) nearest(path string) string {
 	for path = Parent(path); path != ""; path = Parent(path) {
-		if t.nodes[path] != nil {
+		if t.has(path) {
 			return path
 		}
 	}
--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -78,7 +78,8 @@
 	var nodes []*Node
 	for _, candidate := range l.tree.Paths() {
 		if candidate == path || recursive && below(candidate, path) {
-			nodes = append(nodes, l.tree.nodes[candidate])
+			node, _ := l.tree.Node(candidate)
+			nodes = append(nodes, node)
 		}
 	}
 	if len(nodes) == 0 && path != "" {
--- a/internal/settings/tree/tree.go
+++ b/internal/settings/tree/tree.go
@@ -12,7 +12,7 @@
 // Tree is the set of nodes and the snapshot resolved from it. Only one
 // goroutine may use a Tree; the snapshots that it gives out are immutable.
 type Tree struct {
-	nodes    map[string]*Node
+	nodes    map[string]record
 	children map[string]map[string]struct{}
 	// effective holds the resolved fields of nodes that have children.
 	effective map[string]*Fields
@@ -27,16 +27,38 @@
 
 // New makes an empty tree.
 func New() *Tree {
-	return &Tree{
-		nodes:     make(map[string]*Node),
+	tree := &Tree{
+		nodes:     make(map[string]record),
 		children:  make(map[string]map[string]struct{}),
 		effective: make(map[string]*Fields),
 		problems:  make(map[string][]Problem),
 		faulty:    make(map[string]Update),
 		orphans:   make(map[string]struct{}),
 		snapshot:  settings.NewSnapshot(0, nil, nil),
-		claims:    newClaims(),
 	}
+	tree.claims = newClaims(tree.Snapshot)
+	return tree
+}
+
+// record is a node as it is kept. A sound stored tenant is kept in its stored
+// form only, which the dissemination keeps anyway, and decoded when needed:
+// tenants are many, and rarely looked at.
+type record struct {
+	node     *Node
+	spec     []byte
+	revision uint64
+}
+
+func (r *record) decode(path string) *Node {
+	if r.node != nil {
+		return r.node
+	}
+	node, err := Decode(path, r.spec)
+	if err != nil { // it was decoded before
+		node = &Node{Path: path, Kind: KindFolder}
+	}
+	node.Revision = r.revision
+	return node
 }
 
 // Update is the new content of one path; a nil Node deletes it. A Problem
@@ -45,6 +67,8 @@
 	Path    string
 	Node    *Node
 	Problem *Problem
+	// spec is the stored form of Node, if it came from the store.
+	spec []byte
 }
 
 // UpdateOf reads a stored node. One that can't be read passes its parent's
@@ -59,7 +83,7 @@
 	if node.Deleted {
 		return Update{Path: path}
 	}
-	return Update{Path: path, Node: node}
+	return Update{Path: path, Node: node, spec: spec}
 }
 
 // Resolve derives the snapshot of all stored nodes.
@@ -117,7 +141,9 @@
 	for _, update := range updates {
 		before, faulty := t.faulty[update.Path]
 		if !faulty {
-			before = Update{Path: update.Path, Node: t.nodes[update.Path]}
+			before = Update{Path: update.Path}
+			before.Node, _ = t.Node(update.Path)
+			before.spec = t.nodes[update.Path].spec
 		}
 		undo = append(undo, before)
 	}
@@ -129,8 +155,17 @@
 
 // Node gives the node at a path.
 func (t *Tree) Node(path string) (*Node, bool) {
-	node, ok := t.nodes[path]
-	return node, ok
+	kept, ok := t.nodes[path]
+	if !ok {
+		return nil, false
+	}
+	return kept.decode(path), true
+}
+
+// has says whether there is a node at a path.
+func (t *Tree) has(path string) bool {
+	_, ok := t.nodes[path]
+	return ok
 }
 
 // Paths lists all paths in order.
@@ -169,10 +204,17 @@
 		t.problems[update.Path] = problems
 		t.faulty[update.Path] = update
 	}
-	t.nodes[update.Path] = withoutFaults(update.Node, problems)
+	t.nodes[update.Path] = recordOf(update, problems)
 	t.link(update.Path)
 }
 
+func recordOf(update Update, problems []Problem) record {
+	if update.spec != nil && update.Node.Kind == KindTenant && len(problems) == 0 {
+		return record{spec: update.spec, revision: update.Node.Revision}
+	}
+	return record{node: withoutFaults(update.Node, problems)}
+}
+
 // withoutFaults takes the offending fields out, so that the inherited values
 // hold instead.
 func withoutFaults(node *Node, problems []Problem) *Node {
@@ -198,7 +240,7 @@
 
 // unlink forgets paths that have neither a node nor anything below them.
 func (t *Tree) unlink(path string) {
-	for path != "" && t.nodes[path] == nil && len(t.children[path]) == 0 {
+	for path != "" && !t.has(path) && len(t.children[path]) == 0 {
 		parent := Parent(path)
 		delete(t.children[parent], path)
 		if len(t.children[parent]) == 0 {
@@ -222,7 +264,7 @@
 // resolve derives one node; its parent has been resolved before.
 func (t *Tree) resolve(path string) {
 	t.claims.release(path)
-	node, present := t.nodes[path]
+	node, present := t.Node(path)
 	if !present {
 		delete(t.effective, path)
 		delete(t.orphans, path)
@@ -241,7 +283,7 @@
 // checkParent records whether the parent exists.
 func (t *Tree) checkParent(path string) {
 	parent := Parent(path)
-	if parent == "" || t.nodes[parent] != nil {
+	if parent == "" || t.has(parent) {
 		delete(t.orphans, path)
 		return
 	}
@@ -255,7 +297,7 @@
 		if effective, ok := t.effective[ancestor]; ok {
 			return effective
 		}
-		if node, ok := t.nodes[ancestor]; ok {
+		if node, ok := t.Node(ancestor); ok {
 			effective := inherit(&node.Fields, t.inherited(ancestor))
 			t.effective[ancestor] = effective
 			return effective
