--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -179,6 +179,7 @@
 func TestPausedNodeRoutesOnNoStaleView(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newSimulation(4, 1, 4, 6)
+	s.forgetful = true
 	s.run(10 * time.Second)
 	h := s.hosts["node-00-001"]
 	h.pausedUntil = s.clock.Now().Add(20 * time.Second)
@@ -246,24 +247,55 @@
 }
 
 // TestControlBytesStayWithinBudget measures what the fleet's own messages
-// cost a node at the target size's shape, and at a smaller one.
+// cost a node: in a zone of the target size, and with as many zones.
 func TestControlBytesStayWithinBudget(t *testing.T) {
+	const (
+		measured = 20 * time.Second
+		budget   = 18 * 1024
+	)
+	for _, c := range []struct{ zones, nodes, engines int }{{2, 38, 442}, {13, 8, 92}} {
+		g := gomega.NewWithT(t)
+		s := newSimulation(8, c.zones, c.nodes, c.engines)
+		s.run(20 * time.Second)
+		g.Expect(s.disagreement()).To(gomega.Succeed())
+		clear(s.sent)
+		clear(s.received)
+		s.run(measured)
+		var worst, total float64
+		for _, name := range s.names {
+			bytes := (s.sent[name] + s.received[name]) / measured.Seconds()
+			worst = max(worst, bytes)
+			total += bytes
+		}
+		t.Logf("%d zones of %d nodes and %d engines: fleet messages, sent and received, %.0f bytes/s a node on average, %.0f at most",
+			c.zones, c.nodes, c.engines, total/float64(len(s.names)), worst)
+		g.Expect(worst).To(gomega.BeNumerically("<", budget))
+	}
+}
+
+// TestMarkOverridesOlderSummary: a summary that was made before another zone's
+// engine was marked must not bring the engine back.
+func TestMarkOverridesOlderSummary(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := newSimulation(8, 13, 8, 92) // as many engines a node as at the target size, in 13 zones
-	s.run(20 * time.Second)
-	clear(s.sent)
-	clear(s.received)
-	const measured = 20 * time.Second
-	s.run(measured)
-	var worst, total float64
-	for _, name := range s.names {
-		bytes := (s.sent[name] + s.received[name]) / measured.Seconds()
-		worst = max(worst, bytes)
-		total += bytes
+	s := newSimulation(3, 2, 2, 3)
+	s.run(15 * time.Second)
+	now := s.clock.Now()
+	there, here := s.hosts["node-01-000"].registry, s.hosts["node-00-000"]
+	state := there.engines[EngineID("engine-01-001")]
+	older := encodeSummary(&summary{zone: "zone-01", sample: []entry{there.entryOf(now, state)}})
+	record := there.recordOf(now, state)
+	record.Sources = SourceReport
+	zone := zoneID("zone-01")
+	for _, payload := range [][]byte{
+		encodeDatagram(datagramHeader{Type: typeMark, Zone: zone}, appendLoad(nil, &record)),
+		encodeDatagram(datagramHeader{Type: typeSummary, Zone: zone, Sequence: 1 << 31}, older),
+	} {
+		output, err := here.registry.HandleDatagram(now, "10.1.0.1:7000", payload)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		s.carry(here, output)
 	}
-	t.Logf("fleet messages, sent and received: %.0f bytes/s a node on average, %.0f at most", total/float64(len(s.names)), worst)
-	g.Expect(worst).To(gomega.BeNumerically("<", 18*1024))
-	g.Expect(s.disagreement()).To(gomega.Succeed())
+	g.Expect(here.registry.samples[zone].engines).To(gomega.HaveLen(1))
+	g.Expect(here.usable("engine-01-001")).To(gomega.BeFalse())
 }
 
 // TestHomesMoveOnlyWithTheirNode: the loss of a node moves its engines only,
--- a/internal/fleet/registry/simulation_test.go
+++ b/internal/fleet/registry/simulation_test.go
@@ -29,6 +29,8 @@
 	storeDown bool
 	loss      float64
 	cut       func(a, b *host) bool
+	// forgetful: a paused host loses what is sent to it.
+	forgetful bool
 	viewLag   time.Duration
 	// listLag is the age of the machine list that readers get.
 	listLag time.Duration
@@ -218,6 +220,9 @@
 			return
 		}
 		if now := s.clock.Now(); now.Before(h.pausedUntil) {
+			if s.forgetful {
+				return
+			}
 			s.deliver(h, life, h.pausedUntil.Sub(now), run)
 			return
 		}
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -24,6 +25,10 @@
 	callOverhead     = 2 * (2*52 + 24 + 16)
 )
 
+// hollowIdle closes the connections of the start before the measurement, as
+// the default of 30 s would a little later.
+const hollowIdle = 2 * time.Second
+
 // meter counts what a node sends and receives, by concern.
 type meter struct {
 	transport *transport.Node
@@ -95,7 +100,9 @@
 }
 
 func (f *fleetRun) startNode(ctx context.Context, index int, seeds []transport.Address) (*node, error) {
-	link, err := transport.Listen(transport.Options{Listen: "127.0.0.1:0", Keys: f.keys, Workers: 4})
+	link, err := transport.Listen(transport.Options{
+		Listen: "127.0.0.1:0", Keys: f.keys, Workers: 4, IdleTimeout: hollowIdle,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err, "hollow node %d", index)
 	}
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -19,11 +19,17 @@
 	// writeTimeout closes a connection whose peer takes nothing any more.
 	writeTimeout = 5 * time.Second
 	// keepAlive finds a peer machine that vanished without closing.
-	keepAlive     = 5 * time.Second
-	bufferSize    = 64 << 10
-	queueLength   = 4096
-	reconnectWait = 20 * time.Millisecond
-	reconnectMost = 500 * time.Millisecond
+	keepAlive   = 5 * time.Second
+	bufferSize  = 16 << 10
+	queueLength = 4096
+	// answerQueue is the number of answers that wait for one connection; a
+	// handler whose answer finds no place waits.
+	answerQueue = 256
+	// defaultIdleTimeout closes a connection on which nothing is sent or awaited,
+	// so that a node's memory doesn't grow with all peers it ever called.
+	defaultIdleTimeout = 30 * time.Second
+	reconnectWait      = 20 * time.Millisecond
+	reconnectMost      = 500 * time.Millisecond
 )
 
 // connection is an established, authenticated TCP connection.
@@ -78,7 +84,7 @@
 
 // writeLoop writes queued frames, flushing when the queue is empty, until
 // done closes or the connection breaks.
-func (c *connection) writeLoop(queue <-chan frame, done <-chan struct{}) error {
+func (c *connection) writeLoop(queue <-chan *frame, done <-chan struct{}) error {
 	for {
 		select {
 		case <-done:
@@ -91,12 +97,37 @@
 	}
 }
 
-func (c *connection) writeAll(f frame, queue <-chan frame) error {
+// writeUntilIdle is writeLoop that also ends, with true, when nothing was
+// queued for the idle time-out and idle agrees. A frame queued meanwhile stays
+// queued, and its call pending.
+func (c *connection) writeUntilIdle(
+	queue <-chan *frame, done <-chan struct{}, timeout time.Duration, idle func() bool,
+) bool {
+	ticker := time.NewTicker(timeout)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return false
+		case <-ticker.C:
+			if idle() {
+				return true
+			}
+		case f := <-queue:
+			ticker.Reset(timeout)
+			if err := c.writeAll(f, queue); err != nil {
+				return false
+			}
+		}
+	}
+}
+
+func (c *connection) writeAll(f *frame, queue <-chan *frame) error {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	for {
-		if err := c.output.write(c.writer, f); err != nil {
+		if err := c.output.write(c.writer, *f); err != nil {
 			return err
 		}
 		select {
@@ -126,7 +157,7 @@
 type outgoing struct {
 	key   peerKey
 	node  *Node
-	queue chan frame
+	queue chan *frame
 
 	// mutex guards pending; it is taken after Node.mutex, never before.
 	mutex   sync.Mutex
@@ -144,7 +175,7 @@
 	wait.InitialInterval = reconnectWait
 	wait.MaxInterval = reconnectMost
 	for {
-		var first frame
+		var first *frame
 		select {
 		case <-stop:
 			o.failPending()
@@ -193,7 +224,7 @@
 }
 
 // failUnsent fails a call that never left this process.
-func (o *outgoing) failUnsent(f frame) {
+func (o *outgoing) failUnsent(f *frame) {
 	if f.header.Type != frameCall {
 		return
 	}
@@ -217,7 +248,7 @@
 	}
 }
 
-func (o *outgoing) serve(conn *connection, first frame, stop <-chan struct{}) {
+func (o *outgoing) serve(conn *connection, first *frame, stop <-chan struct{}) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -230,12 +261,21 @@
 		}
 		conn.Close()
 	}()
+	idle := false
 	if err := conn.writeAll(first, o.queue); err == nil {
-		_ = conn.writeLoop(o.queue, done)
+		idle = conn.writeUntilIdle(o.queue, done, o.node.options.IdleTimeout, o.nothingPending)
 	}
 	conn.Close()
 	<-done
-	o.failPending()
+	if !idle {
+		o.failPending()
+	}
+}
+
+func (o *outgoing) nothingPending() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return len(o.pending) == 0
 }
 
 func (o *outgoing) readLoop(conn *connection) {
@@ -265,7 +305,7 @@
 		o.mutex.Unlock()
 	}()
 	select {
-	case o.queue <- f:
+	case o.queue <- &f:
 	case <-ctx.Done():
 		return frame{}, trace.Wrap(ErrNotSent, "queue to peer %s is full: %v", o.key.address, ctx.Err())
 	}
--- /dev/null
+++ b/internal/transport/idle_test.go
@@ -0,0 +1,41 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestIdleConnectionsAreClosed and the next call opens a new one; a call that
+// waits for its answer keeps its connection.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const idle = 20 * time.Millisecond
+	keys := testKeys(t, oldKey)
+	server := newNode(t, keys, func(n *Node) {
+		n.HandleCall(testKind, echo)
+		n.HandleCall(testKind+1, func(context.Context, Address, []byte) ([]byte, error) {
+			time.Sleep(10 * idle)
+			return []byte("late"), nil
+		})
+	})
+	client, err := Listen(Options{Listen: "127.0.0.1:0", Keys: keys, IdleTimeout: idle})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	client.Serve()
+	t.Cleanup(client.Close)
+	inbound := func() int {
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		return len(server.inbound)
+	}
+	for range 3 {
+		_, err := client.Call(context.Background(), server.Address(), testKind, []byte("x"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Eventually(inbound, patience).Should(gomega.BeZero())
+	}
+	answer, err := client.Call(context.Background(), server.Address(), testKind+1, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(answer)).To(gomega.Equal("late"))
+}
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -37,6 +37,9 @@
 	Keys *Keyring
 	// Workers bounds the calls that are answered at a time; 0 means 512.
 	Workers int
+	// IdleTimeout closes a connection on which nothing is sent or awaited; 0
+	// means 30 s.
+	IdleTimeout time.Duration
 	// Registry takes the metrics; nil means none.
 	Registry prometheus.Registerer
 	// Allow, when set, is asked before anything is sent to a peer; tests cut
@@ -76,6 +79,9 @@
 	if options.Workers == 0 {
 		options.Workers = defaultWorkers
 	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = defaultIdleTimeout
+	}
 	listener, packets, err := listenBoth(options.Listen)
 	if err != nil {
 		return nil, err
@@ -197,7 +203,7 @@
 		return
 	}
 	select {
-	case peer.queue <- frame{header: frameHeader{Type: frameMessage, Kind: kind}, payload: payload}:
+	case peer.queue <- &frame{header: frameHeader{Type: frameMessage, Kind: kind}, payload: payload}:
 		n.metrics.count("message", kind, len(payload))
 	default:
 		n.metrics.dropped.Inc()
@@ -237,7 +243,7 @@
 	peer := &outgoing{
 		key:     key,
 		node:    n,
-		queue:   make(chan frame, queueLength),
+		queue:   make(chan *frame, queueLength),
 		pending: map[uint64]pendingCall{},
 	}
 	n.peers[key] = peer
@@ -285,7 +291,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	answers := make(chan frame, queueLength)
+	answers := make(chan *frame, answerQueue)
 	go func() {
 		_ = established.writeLoop(answers, ctx.Done())
 		conn.Close()
@@ -299,7 +305,7 @@
 	}
 }
 
-func (n *Node) dispatch(ctx context.Context, from Address, f frame, answers chan<- frame) {
+func (n *Node) dispatch(ctx context.Context, from Address, f frame, answers chan<- *frame) {
 	switch f.header.Type {
 	case frameMessage:
 		if handler, ok := n.messages[f.header.Kind]; ok {
@@ -310,7 +316,7 @@
 	}
 }
 
-func (n *Node) answer(ctx context.Context, from Address, f frame, answers chan<- frame) {
+func (n *Node) answer(ctx context.Context, from Address, f frame, answers chan<- *frame) {
 	callCtx, cancel := context.WithTimeout(ctx, time.Duration(f.header.TimeoutMS)*time.Millisecond)
 	defer cancel()
 	answer := frame{header: frameHeader{Type: frameAnswer, Kind: f.header.Kind, ID: f.header.ID}}
@@ -327,7 +333,7 @@
 		answer.payload = payload
 	}
 	select {
-	case answers <- answer:
+	case answers <- &answer:
 	case <-ctx.Done():
 	}
 }
