Fleet: an engine is polled every 2 s at the latest, however many its home has

Cause: at 11.6 engines a home the pace of 4 polls/s stretched the interval to 2.9 s, and chutelock-lab scale measured an engine's leaving known after 3.65 s (38 nodes, 442 engines); the limit is 3 s.

--- a/internal/fleet/registry/load.go
+++ b/internal/fleet/registry/load.go
@@ -33,7 +33,7 @@
 		}
 	}
 	paced := time.Duration(float64(own) / r.config.PollsPerSecond * float64(time.Second))
-	return max(r.config.PollInterval, paced)
+	return max(r.config.PollInterval, min(paced, MostPollInterval))
 }
 
 // HandleLoad takes the result of a poll.
@@ -56,7 +56,7 @@
 
 func (r *Registry) pollAnswered(now time.Time, state *engineState, load engine.Load) {
 	interval := r.pollInterval()
-	state.nextPoll = now.Add(interval*3/4 + r.jitter(interval/2))
+	state.nextPoll = now.Add(interval*9/10 + r.jitter(interval/5))
 	state.failures = 0
 	state.doubted = false
 	if state.asked {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -15,7 +15,9 @@
 type Config struct {
 	Self membership.Member
 	// PollInterval is the least time between two polls of an engine by its
-	// home, and PollsPerSecond bounds all polls of a home.
+	// home. PollsPerSecond stretches it where a home has many engines, but not
+	// beyond MostPollInterval, on which it depends how soon an engine's own
+	// word that it leaves is heard.
 	PollInterval   time.Duration
 	PollsPerSecond float64
 	// DigestInterval is the least time between two digests, and DigestBudget
@@ -34,6 +36,9 @@
 	defaultDigestBudget    = 2560
 	defaultSummaryInterval = 2 * time.Second
 
+	// MostPollInterval is the longest time between two polls of an engine.
+	MostPollInterval = 2 * time.Second
+
 	// datagramOverhead estimates what a datagram costs beside its records:
 	// IP, UDP, the transport's frame and MAC, and this package's header.
 	datagramOverhead = 28 + 48 + 36
