--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -37,7 +37,8 @@
 // eventCapacity is the number of KV events kept for readers that come late.
 const eventCapacity = 16384
 
-// eventLog keeps the newest KV events. Its lock is a leaf.
+// eventLog keeps the newest KV events. Under its lock only the injector's is
+// taken.
 type eventLog struct {
 	lag time.Duration
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -16,8 +16,9 @@
 	"chutelock.dev/chutelock/internal/standin/truth"
 )
 
-// Server is one engine. Lock order: mutex, then the event log's, the reporter's
-// or the truth log's; none of those takes another.
+// Server is one engine. Lock order: mutex, then the event log's or the truth
+// log's; the event log's, then the injector's. The reporter's is a leaf that is
+// taken without the mutex.
 type Server struct {
 	config   Config
 	log      *truth.Log
