--- a/internal/settings/dissemination/fuzz_test.go
+++ b/internal/settings/dissemination/fuzz_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,6 +144,12 @@
 	return best
 }
 
+// storeRefused says that a node tells its operator that the store went back,
+// as also when only traces of deletions differ.
+func (f *fuzz) storeRefused() bool {
+	return slices.ContainsFunc(f.nodes, func(node *simNode) bool { return node.machine.StoreRefused() })
+}
+
 func (f *fuzz) converged() bool {
 	want := f.nodes[0].published
 	for _, node := range f.nodes {
@@ -166,7 +173,7 @@
 		})
 		rt.Logf("%d changes written, store restored: %v", f.written, f.restored)
 		f.heal()
-		if f.restored && !f.converged() {
+		if f.restored && (!f.converged() || f.storeRefused()) {
 			g.Expect(f.store.recover(f.newestNode())).To(gomega.BeTrue())
 			f.run(20 * time.Second)
 		}
--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -100,6 +100,11 @@
 				}
 			}
 			g.Expect(pulls).To(gomega.Equal(test.pulls))
+			for _, action := range actions {
+				if publish, ok := action.(Publish); ok {
+					g.Expect(publish.Changes).To(gomega.HaveLen(1), "what is in force already is not published again")
+				}
+			}
 		})
 	}
 }
@@ -211,6 +216,22 @@
 	g.Expect(machine.HandleWatchEvent(now, ticket, false, epoch)).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(ListStore{})))
 }
 
+func TestReportsOfChildrenExpire(t *testing.T) {
+	g := gomega.NewWithT(t)
+	machine, now := runningMachine(5, live("a", 5))
+	peer := membership.Member{Name: "peer", Address: peerAddress, Zone: "z", Region: "r"}
+	for machine.plan.position != 0 || len(machine.plan.children) == 0 {
+		peer.Name += "x"
+		machine.SetView(now, &membership.View{Members: []membership.Member{peer}})
+	}
+	machine.HandleReport(now, peerAddress, &Report{Minimum: 4, Maximum: 5, Nodes: 1})
+	zone := machine.Zones(now)[0]
+	g.Expect([]any{zone.Reported, zone.Members, zone.Minimum}).To(gomega.Equal([]any{2, 2, settings.Version(4)}))
+	zone = machine.Zones(now.Add(reportLifetime + time.Second))[0]
+	g.Expect([]any{zone.Reported, zone.Minimum}).To(gomega.Equal([]any{1, settings.Version(5)}))
+	g.Expect(zone.InForceAt(5)).To(gomega.BeFalse(), "a node does not report")
+}
+
 func TestWatchOfAnotherHistoryIsDoubted(t *testing.T) {
 	base := []Entry{live("a", 3), live("c", 5)}
 	fromPeers := deltaFor(5, 7, false, base, live("d", 6), live("e", 7))
@@ -234,10 +255,14 @@
 				g.Expect(versions(machine.HandleDelta(now, peerAddress, test.peers))).To(gomega.Equal([]string{"0.7"}))
 			}
 			ticket := machine.watch.ticket
+			var published []string
 			for _, event := range test.events {
-				machine.HandleWatchEvent(now, ticket, event.Name == "", event)
+				published = append(published, versions(machine.HandleWatchEvent(now, ticket, event.Name == "", event))...)
 			}
 			g.Expect(machine.watch.phase).To(gomega.Equal(test.want))
+			if test.want == phaseListing {
+				g.Expect(published).To(gomega.BeEmpty())
+			}
 		})
 	}
 	t.Run("epoch raised by peers", func(t *testing.T) {
