ledger/storage: a watermark of synced writes beside pebble's files

Cause: pebble cuts a write-ahead log at the first damage behind which it finds no proof of a later sync; in the first log of a new store and in the last block of any log it never finds one, so that synced entries vanish silently under the same identity (seen: a replica damaged at byte 2000 of its log rejoined with its old identity). Ruled out: opening new folders twice (helps only the first log; reverted), parsing pebble's log format here. Change: each synced write carries a number, which is noted beside the store after the sync, without a sync of its own. Seen failing with the comparison off. The watermark may be a second old after a power cut; damage that comes together with a power cut in that second may go unseen.

--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -159,6 +159,7 @@
 	options Options
 	keys    *transport.Keyring
 	nodes   map[string]*node
+	wrap    func(*node) vfs.FS // what a node sees of its file system; may be nil
 }
 
 type node struct {
@@ -231,6 +232,9 @@
 	if n.data {
 		options.Folder = "ledger"
 		options.FS = n.fs
+		if c.wrap != nil {
+			options.FS = c.wrap(n)
+		}
 	}
 	service, err := Open(options)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/onsi/gomega"
 
 	"chutelock.dev/chutelock/internal/ledger"
@@ -206,6 +209,121 @@
 	time.AfterFunc(500*time.Millisecond, func() { c.store.down.Store(false) })
 	for id := range ledger.ShardID(3) {
 		c.proposeMany(id, "entry", 5)
-		c.g.Expect(c.replicas(id)).To(gomega.HaveLen(3))
+		c.settled(id, 3)
 	}
 }
+
+// Answers of the followers are lost: the entry is in their logs and will be
+// committed, but its proposer can't know.
+func TestUnknownFateIsSaidSo(t *testing.T) {
+	for name, patience := range map[string]time.Duration{
+		"the proposer's deadline passes": 50 * time.Millisecond,
+		"the leader steps down":          20 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, Options{})
+			c.addAll("a", "b", "c")
+			c.proposeMany(0, "before", 10)
+			leader := c.leader(0)
+			shard, _ := leader.service.Local(0)
+			for _, n := range c.nodes {
+				n.cut.Store(n != leader)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := shard.Propose(ctx, []byte("00000"))
+			c.g.Expect(err).To(gomega.MatchError(ledger.ErrUnknownOutcome))
+			c.g.Expect(ctx.Err() != nil).To(gomega.Equal(patience < time.Second), "a leader that stepped down answers at once")
+			for _, n := range c.nodes {
+				n.cut.Store(false)
+			}
+			c.expectEntries(0, "", 1)
+		})
+	}
+}
+
+func TestReplacedEntryIsNotTakenForTheProposers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for applied, succeeds := range map[uint64]bool{2: true, 3: false} {
+		waiter := proposal{term: 2, done: make(chan outcome, 1)}
+		s := &Shard{waiters: map[uint64]proposal{5: waiter}}
+		s.answerProposal(appliedEntry{index: 5, term: applied, answer: []byte("answer")})
+		result := <-waiter.done
+		g.Expect(result.err == nil).To(gomega.Equal(succeeds))
+		g.Expect(result.answer != nil).To(gomega.Equal(succeeds))
+		g.Expect(s.waiters).To(gomega.BeEmpty())
+	}
+}
+
+func TestGrowsToMoreCopiesAndSpreadsThem(t *testing.T) {
+	c := newCluster(t, Options{Copies: 5, BootstrapWait: 100 * time.Millisecond})
+	c.addAll("a", "a", "a")
+	c.proposeMany(0, "entry", 50)
+	c.settled(0, 3)
+	c.add("n3", "b")
+	c.add("n4", "c")
+	c.settled(0, 5)
+	c.add("n5", "b")
+	c.g.Eventually(func() int {
+		inA := 0
+		for _, r := range c.replicas(0) {
+			if r.Zone == "a" {
+				inA++
+			}
+		}
+		return inA
+	}).Should(gomega.Equal(2), "one of the three in zone a must move to zone b")
+	c.settled(0, 5)
+	c.expectEntries(0, "entry", 50)
+}
+
+func TestCorruptReplicaIsDiscardedAndFetchedFromItsPeers(t *testing.T) {
+	c := newCluster(t, Options{ReplaceAfter: time.Hour})
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 100)
+	damaged := c.leader(0)
+	old := c.replicas(0)[damaged.name].Replica
+	c.stop(damaged)
+	name := ""
+	files, err := damaged.fs.List("ledger")
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, file := range files {
+		if strings.HasSuffix(file, ".log") {
+			name = max(name, file)
+		}
+	}
+	file, err := damaged.fs.OpenReadWrite("ledger/"+name, vfs.WriteCategoryUnspecified)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = file.WriteAt([]byte("damage"), 2000)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c.g.Expect(file.Close()).To(gomega.Succeed())
+	c.start(damaged)
+	c.g.Eventually(func() string { return c.replicas(0)[damaged.name].Replica }).
+		ShouldNot(gomega.Or(gomega.Equal(old), gomega.BeEmpty()))
+	c.settled(0, 3)
+	c.expectEntries(0, "before", 100)
+}
+
+func TestFailedDiskHaltsTheReplicaAndMovesLeadership(t *testing.T) {
+	c := newCluster(t, Options{})
+	var failing atomic.Pointer[node]
+	c.wrap = func(n *node) vfs.FS {
+		return errorfs.Wrap(n.fs, errorfs.InjectorFunc(func(op errorfs.Op) error {
+			if failing.Load() == n && op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+				return syscall.EIO
+			}
+			return nil
+		}))
+	}
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 50)
+	broken := c.leader(0)
+	failing.Store(broken)
+	c.proposeMany(0, "after", 50)
+	c.g.Eventually(func() string { return broken.service.Status().DiskFailure }).ShouldNot(gomega.BeEmpty())
+	shard, _ := broken.service.Local(0)
+	_, err := shard.Propose(context.Background(), []byte("refused"))
+	c.g.Expect(err).To(gomega.MatchError(ledger.ErrUnavailable))
+	c.expectEntries(0, "before", 50)
+	c.expectEntries(0, "after", 50)
+}
--- a/internal/ledger/storage/committer.go
+++ b/internal/ledger/storage/committer.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"encoding/binary"
 	"sync"
 
 	"github.com/cockroachdb/pebble/v2"
@@ -34,6 +35,8 @@
 	written  chan writtenBatch
 	failed   <-chan struct{}
 	fail     func(error)
+	synced   func(sequence uint64)
+	sequence uint64 // of the last write to be synced; of runWrites only
 	stop     chan struct{}
 	stopped  sync.WaitGroup
 }
@@ -41,16 +44,21 @@
 // writtenBatch waits for its sync.
 type writtenBatch struct {
 	batch    *pebble.Batch
+	sequence uint64
 	requests []commitRequest
 }
 
-func startCommitter(db *pebble.DB, failed <-chan struct{}, fail func(error)) *committer {
+// startCommitter starts with the sequence of the last write in the store; it
+// calls synced, with rising sequences, after each sync.
+func startCommitter(db *pebble.DB, sequence uint64, failed <-chan struct{}, fail func(error), synced func(uint64)) *committer {
 	c := &committer{
 		db:       db,
 		requests: make(chan commitRequest, commitQueue),
 		written:  make(chan writtenBatch, syncQueue),
 		failed:   failed,
 		fail:     fail,
+		synced:   synced,
+		sequence: sequence,
 		stop:     make(chan struct{}),
 	}
 	c.stopped.Add(2)
@@ -126,11 +134,16 @@
 		answer(requests, trace.Wrap(classify(err), "write a batch"))
 		return
 	}
+	c.sequence++
+	if err := batch.Set(sequenceKey(), binary.BigEndian.AppendUint64(nil, c.sequence), nil); err != nil {
+		answer(requests, trace.Wrap(err, "number a batch"))
+		return
+	}
 	if err := c.db.ApplyNoSyncWait(batch, pebble.Sync); err != nil {
 		answer(requests, trace.Wrap(classify(err), "write a batch"))
 		return
 	}
-	c.written <- writtenBatch{batch: batch, requests: requests}
+	c.written <- writtenBatch{batch: batch, sequence: c.sequence, requests: requests}
 }
 
 // merge returns the only batch, or all in one.
@@ -155,6 +168,8 @@
 		if err != nil {
 			c.fail(err)
 			err = ErrFailed
+		} else {
+			c.synced(written.sequence)
 		}
 		_ = written.batch.Close()
 		answer(written.requests, err)
--- a/internal/ledger/storage/crash_test.go
+++ b/internal/ledger/storage/crash_test.go
@@ -248,7 +248,9 @@
 }
 
 // tearLogs cuts each write-ahead log anywhere behind what synced holds of it.
+// The watermark is as old as that, too.
 func tearLogs(t *rapid.T, synced, crashed *vfs.MemFS) {
+	setFileContent(crashed, watermarkFile, fileContent(synced, watermarkFile))
 	names, err := crashed.List("ledger")
 	if err != nil {
 		t.Fatal(err)
@@ -363,6 +365,7 @@
 	for cut := len(fileContent(floor, name)); cut <= len(content); cut++ {
 		torn := full.CrashClone(vfs.CrashCloneCfg{})
 		setFileContent(torn, name, content[:cut])
+		setFileContent(torn, watermarkFile, fileContent(floor, watermarkFile))
 		state := reopen(t, g, torn, store.Incarnation())
 		g.Expect(allowed).To(gomega.ContainElement(state), "cut at byte %d", cut)
 		seen[state] = true
--- a/internal/ledger/storage/doc.go
+++ b/internal/ledger/storage/doc.go
@@ -11,6 +11,7 @@
 //   - A torn tail of the write-ahead log is cut off, since nothing in it was
 //     acknowledged. Damage anywhere else fails with ErrCorrupt; the folder is
 //     then discarded as a whole and its replicas are fetched from their peers.
+//     A watermark beside pebble's files tells a torn tail from lost syncs.
 //
 // When the disk runs full, Full turns true while there is still room for the
 // small writes that handing over leadership takes; a disk that fails makes
--- a/internal/ledger/storage/fault_test.go
+++ b/internal/ledger/storage/fault_test.go
@@ -34,13 +34,14 @@
 }
 
 func TestCorruptBodyIsRefusedAndTheFolderDiscarded(t *testing.T) {
-	for _, suffix := range []string{".log", ".sst"} {
-		t.Run(suffix, func(t *testing.T) {
+	for name, batches := range map[string]uint64{".log": 20, ".log of one block": 3, ".sst": 20} {
+		t.Run(name, func(t *testing.T) {
+			suffix := name[:4]
 			g := gomega.NewWithT(t)
 			options := Options{Folder: "ledger", FS: vfs.NewMem(), Reserve: 1}
 			store, shard := mustOpen(g, options)
 			incarnation := store.Incarnation()
-			for i := range uint64(20) {
+			for i := range batches {
 				g.Expect(shard.Save(nil, entriesFrom(1+i*10, 10), true)).To(gomega.Succeed())
 			}
 			if suffix == ".sst" { // opening again moves the log's content to tables
--- a/internal/ledger/storage/keys.go
+++ b/internal/ledger/storage/keys.go
@@ -13,6 +13,7 @@
 	spaceShard = 's'
 
 	sectionIncarnation = 'i' // identity of the folder
+	sectionSequence    = 'q' // of the last write that was to be synced
 	sectionGeneration  = 'g' // by shard: how often its replica here was destroyed
 
 	sectionHardState = 'h' // term, vote and commit index
@@ -36,6 +37,8 @@
 
 func incarnationKey() []byte { return []byte{spaceNode, sectionIncarnation} }
 
+func sequenceKey() []byte { return []byte{spaceNode, sectionSequence} }
+
 func generationKey(shard ledger.ShardID) []byte {
 	return binary.BigEndian.AppendUint32([]byte{spaceNode, sectionGeneration}, uint32(shard))
 }
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -51,6 +51,7 @@
 	health      io.Closer
 	incarnation uint64
 	committer   *committer
+	watermark   *watermark
 	full        atomic.Bool
 	slow        atomic.Int64 // UnixNano of the last slow operation
 
@@ -80,21 +81,59 @@
 	return s, nil
 }
 
-// openIdentified opens the folder, and gives a new one its identity. A new one
-// is then opened once more: pebble writes the first log of a new store in an
-// older format, in which damage can't be told from a torn tail.
+// openIdentified opens the folder, and gives a new one its identity.
 func (s *Store) openIdentified() error {
 	if err := s.open(); err != nil {
 		return err
 	}
-	created, err := s.loadIncarnation()
-	if err == nil && !created {
-		return nil
+	err := s.loadIncarnation()
+	if err == nil {
+		err = s.checkWatermark()
 	}
-	if closeErr := s.closeFiles(); err != nil || closeErr != nil {
-		return errors.Join(err, closeErr)
+	if err != nil {
+		return errors.Join(err, s.closeFiles())
+	}
+	return nil
+}
+
+// checkWatermark compares the store with what was synced to it.
+func (s *Store) checkWatermark() error {
+	watermark, err := openWatermark(s.options, s.incarnation)
+	if err != nil {
+		return err
+	}
+	sequence, err := s.loadSequence()
+	if err == nil && sequence < watermark.highest {
+		err = fmt.Errorf("%w: it holds write %d, but write %d was synced", ErrCorrupt, sequence, watermark.highest)
+	}
+	if err != nil {
+		watermark.close()
+		return err
+	}
+	s.watermark = watermark
+	return nil
+}
+
+func (s *Store) loadSequence() (uint64, error) {
+	value, closer, err := s.db.Get(sequenceKey())
+	if errors.Is(err, pebble.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, classify(err)
+	}
+	defer closer.Close()
+	if len(value) != 8 {
+		return 0, fmt.Errorf("%w: sequence of %d bytes", ErrCorrupt, len(value))
+	}
+	return binary.BigEndian.Uint64(value), nil
+}
+
+// noteSynced is told of each sync.
+func (s *Store) noteSynced(sequence uint64) {
+	if s.watermark != nil {
+		s.watermark.note(sequence, s.incarnation)
 	}
-	return s.open()
 }
 
 func (s *Store) open() error {
@@ -115,8 +154,9 @@
 		_ = health.Close()
 		return err
 	}
-	s.committer = startCommitter(s.db, s.failed, s.fail)
-	return nil
+	sequence, err := s.loadSequence()
+	s.committer = startCommitter(s.db, sequence, s.failed, s.fail, s.noteSynced)
+	return err
 }
 
 func (s *Store) pebbleOptions(fs vfs.FS) *pebble.Options {
@@ -138,17 +178,17 @@
 }
 
 // loadIncarnation reads the folder's identity or gives it one.
-func (s *Store) loadIncarnation() (created bool, err error) {
+func (s *Store) loadIncarnation() error {
 	record, found, err := s.getRecord(incarnationKey())
 	if err != nil {
-		return false, err
+		return err
 	}
 	if !found {
-		return true, s.createIncarnation()
+		return s.createIncarnation()
 	}
 	identity, err := decodePosition(record)
 	s.incarnation = identity.Index
-	return false, err
+	return err
 }
 
 func (s *Store) createIncarnation() error {
@@ -242,6 +282,9 @@
 
 func (s *Store) closeFiles() error {
 	s.committer.close()
+	if s.watermark != nil {
+		s.watermark.close()
+	}
 	err := s.db.Close()
 	_ = s.health.Close()
 	return classify(err)
@@ -287,6 +330,7 @@
 		select {
 		case <-ticker.C:
 			s.lookAtSpace()
+			s.watermark.sync()
 		case <-s.stop:
 			return
 		}
