--- a/internal/ledger/storage/committer.go
+++ b/internal/ledger/storage/committer.go
@@ -8,198 +8,144 @@
 	"github.com/gravitational/trace"
 )
 
-const (
-	// commitQueue bounds the batches that wait for the committer.
-	commitQueue = 1024
-	// syncQueue bounds the writes that wait for their sync.
-	syncQueue = 64
-	// mergeBytes bounds what is merged into one write.
-	mergeBytes = 8 << 20
-)
-
-// commitRequest asks the committer to write a batch.
-type commitRequest struct {
-	batch *pebble.Batch
-	sync  bool
-	done  chan error // of capacity 1
-}
-
-// committer writes the batches of all shards in their order. One goroutine
-// merges what waits into one write and hands it to the write-ahead log, which
-// lets all writes that wait for a sync share the next one; a second goroutine
-// waits for the syncs and answers. Callers are thereby kept apart from the
-// disk: when it hangs or fails for good, failed releases them.
+// committer writes the batches of all shards. What has to be synced gathers
+// while a sync runs, and goes out with the next one; what has not is written
+// beside, so that it never waits for a sync. A shard waits for each of its own
+// batches before the next, so that their order is kept.
+//
+// Callers are thereby kept apart from the disk: when it hangs or fails for
+// good, failed releases them.
 type committer struct {
 	db       *pebble.DB
-	requests chan commitRequest
-	written  chan writtenBatch
+	synced   commitQueue
+	unsynced commitQueue
 	failed   <-chan struct{}
 	fail     func(error)
-	synced   func(sequence uint64)
-	sequence uint64 // of the last write to be synced; of runWrites only
+	noted    func(sequence uint64)
+	sequence uint64 // of the last synced write
 	stop     chan struct{}
 	stopped  sync.WaitGroup
 }
 
-// writtenBatch waits for its sync.
-type writtenBatch struct {
-	batch    *pebble.Batch
-	sequence uint64
-	requests []commitRequest
+// commitQueue gathers batches. Its mutex is a leaf.
+type commitQueue struct {
+	mutex   sync.Mutex
+	waiting *commitGroup  // nil when nothing waits
+	arrived chan struct{} // of capacity 1
+}
+
+// commitGroup is written at once. Its error is set before done is closed.
+type commitGroup struct {
+	batch *pebble.Batch
+	done  chan struct{}
+	err   error
 }
 
 // startCommitter starts with the sequence of the last write in the store; it
-// calls synced, with rising sequences, after each sync.
-func startCommitter(db *pebble.DB, sequence uint64, failed <-chan struct{}, fail func(error), synced func(uint64)) *committer {
+// calls noted, with rising sequences, after each sync.
+func startCommitter(db *pebble.DB, sequence uint64, failed <-chan struct{}, fail func(error), noted func(uint64)) *committer {
 	c := &committer{
 		db:       db,
-		requests: make(chan commitRequest, commitQueue),
-		written:  make(chan writtenBatch, syncQueue),
+		synced:   commitQueue{arrived: make(chan struct{}, 1)},
+		unsynced: commitQueue{arrived: make(chan struct{}, 1)},
 		failed:   failed,
 		fail:     fail,
-		synced:   synced,
+		noted:    noted,
 		sequence: sequence,
 		stop:     make(chan struct{}),
 	}
 	c.stopped.Add(2)
-	go c.runWrites()
-	go c.runSyncs()
+	go c.run(&c.synced, c.writeSynced)
+	go c.run(&c.unsynced, c.writeUnsynced)
 	return c
 }
 
 // commit writes the batch and waits until it is durable (with sync) or
-// visible (without). The batch is the committer's from then on: after a
-// failure, a hanging write may still use it.
+// visible (without). The batch is closed.
 func (c *committer) commit(batch *pebble.Batch, sync bool) error {
-	request := commitRequest{batch: batch, sync: sync, done: make(chan error, 1)}
 	select {
 	case <-c.failed:
-		return ErrFailed // also when there is room in the queue
+		return ErrFailed
+	case <-c.stop:
+		return ErrClosed
 	default:
 	}
+	queue := &c.unsynced
+	if sync {
+		queue = &c.synced
+	}
+	group, err := queue.add(c.db, batch)
+	if err != nil {
+		return trace.Wrap(err, "merge a batch")
+	}
 	select {
-	case c.requests <- request:
+	case <-group.done:
+		return group.err
 	case <-c.failed:
 		return ErrFailed
 	case <-c.stop:
 		return ErrClosed
 	}
-	select {
-	case err := <-request.done:
-		return err
-	case <-c.failed:
-		return ErrFailed
+}
+
+// add copies the batch into the group that waits.
+func (q *commitQueue) add(db *pebble.DB, batch *pebble.Batch) (*commitGroup, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.waiting == nil {
+		q.waiting = &commitGroup{batch: db.NewBatch(), done: make(chan struct{})}
+		q.arrived <- struct{}{}
+	}
+	if err := q.waiting.batch.Apply(batch, nil); err != nil {
+		return nil, err
 	}
+	return q.waiting, batch.Close()
 }
 
-func (c *committer) runWrites() {
+func (q *commitQueue) take() *commitGroup {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	group := q.waiting
+	q.waiting = nil
+	return group
+}
+
+// run writes the groups of a queue, one at a time.
+func (c *committer) run(queue *commitQueue, write func(*pebble.Batch) error) {
 	defer c.stopped.Done()
-	defer close(c.written)
 	for {
 		select {
-		case first := <-c.requests:
-			c.write(c.gather(first))
+		case <-queue.arrived:
 		case <-c.stop:
-			c.refuseRest()
 			return
 		}
+		group := queue.take()
+		if err := write(group.batch); err != nil {
+			group.err = trace.Wrap(classify(err), "write a batch")
+		}
+		_ = group.batch.Close()
+		close(group.done)
 	}
 }
 
-// gather takes what else waits, up to mergeBytes.
-func (c *committer) gather(first commitRequest) []commitRequest {
-	requests := []commitRequest{first}
-	size := first.batch.Len()
-	for size < mergeBytes {
-		select {
-		case next := <-c.requests:
-			requests = append(requests, next)
-			size += next.batch.Len()
-		default:
-			return requests
-		}
-	}
-	return requests
+func (c *committer) writeUnsynced(batch *pebble.Batch) error {
+	return c.db.Apply(batch, pebble.NoSync)
 }
 
-func (c *committer) write(requests []commitRequest) {
-	batch, err := c.merge(requests)
-	if err != nil {
-		answer(requests, err)
-		return
-	}
-	if !anySync(requests) {
-		err := c.db.Apply(batch, pebble.NoSync)
-		_ = batch.Close()
-		answer(requests, trace.Wrap(classify(err), "write a batch"))
-		return
-	}
+func (c *committer) writeSynced(batch *pebble.Batch) error {
 	c.sequence++
 	if err := batch.Set(sequenceKey(), binary.BigEndian.AppendUint64(nil, c.sequence), nil); err != nil {
-		answer(requests, trace.Wrap(err, "number a batch"))
-		return
+		return err
 	}
 	if err := c.db.ApplyNoSyncWait(batch, pebble.Sync); err != nil {
-		answer(requests, trace.Wrap(classify(err), "write a batch"))
-		return
-	}
-	c.written <- writtenBatch{batch: batch, sequence: c.sequence, requests: requests}
-}
-
-// merge returns the only batch, or all in one.
-func (c *committer) merge(requests []commitRequest) (*pebble.Batch, error) {
-	if len(requests) == 1 {
-		return requests[0].batch, nil
-	}
-	merged := c.db.NewBatch()
-	for _, request := range requests {
-		if err := merged.Apply(request.batch, nil); err != nil {
-			return nil, trace.Wrap(err, "merge batches")
-		}
-		_ = request.batch.Close()
-	}
-	return merged, nil
-}
-
-func (c *committer) runSyncs() {
-	defer c.stopped.Done()
-	for written := range c.written {
-		err := written.batch.SyncWait()
-		if err != nil {
-			c.fail(err)
-			err = ErrFailed
-		} else {
-			c.synced(written.sequence)
-		}
-		_ = written.batch.Close()
-		answer(written.requests, err)
-	}
-}
-
-func anySync(requests []commitRequest) bool {
-	for _, request := range requests {
-		if request.sync {
-			return true
-		}
-	}
-	return false
-}
-
-func answer(requests []commitRequest, err error) {
-	for _, request := range requests {
-		request.done <- err
+		return err
 	}
-}
-
-func (c *committer) refuseRest() {
-	for {
-		select {
-		case request := <-c.requests:
-			request.done <- ErrClosed
-		default:
-			return
-		}
+	if err := batch.SyncWait(); err != nil {
+		c.fail(err)
+		return ErrFailed
 	}
+	c.noted(c.sequence)
+	return nil
 }
 
 // close stops the committer; batches that still wait are refused.
