--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -56,6 +56,13 @@
 	return l.tree.Problems()
 }
 
+// Faulty says cheaply whether Problems lists anything.
+func (l *Live) Faulty() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.faultyAtAll()
+}
+
 // Explain gives the effective settings of a node.
 func (l *Live) Explain(path string) (Explanation, error) {
 	l.mutex.Lock()
@@ -71,7 +78,8 @@
 	var nodes []*Node
 	for _, candidate := range l.tree.Paths() {
 		if candidate == path || recursive && below(candidate, path) {
-			nodes = append(nodes, l.tree.nodes[candidate])
+			node, _ := l.tree.Node(candidate)
+			nodes = append(nodes, node)
 		}
 	}
 	if len(nodes) == 0 && path != "" {
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -37,7 +37,8 @@
 // eventCapacity is the number of KV events kept for readers that come late.
 const eventCapacity = 16384
 
-// eventLog keeps the newest KV events. Its lock is a leaf.
+// eventLog keeps the newest KV events. Under its lock only the injector's is
+// taken.
 type eventLog struct {
 	lag time.Duration
 
@@ -79,10 +80,13 @@
 	l.changed = make(chan struct{})
 }
 
+// FormatHash writes a block's hash as the protocol does.
+func FormatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
 func formatHashes(hashes []uint64) []string {
 	texts := make([]string, len(hashes))
 	for i, hash := range hashes {
-		texts[i] = strconv.FormatUint(hash, 16)
+		texts[i] = FormatHash(hash)
 	}
 	return texts
 }
