--- /dev/null
+++ b/spec/run.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# Checks the models exhaustively with spin, and that each of their variants,
+# which lack one safety rule, yields a counterexample. Prints a line a model
+# and fails if any verdict is another than expected.
+set -euo pipefail
+
+spec=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+parallel=${MODEL_PARALLEL:-4}
+memory_megabytes=2000
+depth=100000
+
+# name, model, "holds" or "breaks", and the macros that select it.
+cases=(
+  "ledger three-terms-disk-loss holds MAX_TERM=3 MAX_INDEX=2"
+  "ledger four-terms holds MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0"
+  "ledger reads holds MAX_TERM=3 MAX_INDEX=2 TWO_CONTENDERS READS"
+  "replacement four-voters holds"
+  "replacement three-voters-disk-loss holds FIRST_VOTERS=7 ANY_CHANGE MAX_DISK_LOSSES=1"
+  "jobs repeatable holds"
+  "jobs non-repeatable holds NON_REPEATABLE"
+  "ledger empty-disk-votes breaks MAX_TERM=2 MAX_INDEX=2 EMPTY_DISK_VOTES"
+  "ledger commit-old-term breaks MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0 COMMIT_OLD_TERM"
+  "ledger vote-any-log breaks MAX_TERM=3 MAX_INDEX=2 VOTE_ANY_LOG"
+  "ledger vote-twice breaks MAX_TERM=2 MAX_INDEX=2 VOTE_TWICE"
+  "ledger unsynced-vote breaks MAX_TERM=2 MAX_INDEX=2 UNSYNCED_VOTE"
+  "ledger append-without-match breaks MAX_TERM=3 MAX_INDEX=3 TWO_CONTENDERS MAX_DISK_LOSSES=0 APPEND_WITHOUT_MATCH"
+  "ledger accept-old-term breaks MAX_TERM=2 MAX_INDEX=2 ACCEPT_OLD_TERM"
+  "ledger read-without-quorum breaks MAX_TERM=2 MAX_INDEX=2 READS READ_WITHOUT_QUORUM"
+  "ledger read-before-commit breaks MAX_TERM=2 MAX_INDEX=2 READS READ_BEFORE_COMMIT"
+  "replacement two-pending breaks FIRST_VOTERS=7 ANY_CHANGE TWO_PENDING"
+  "replacement before-own-commit breaks BEFORE_OWN_COMMIT"
+  "replacement small-quorum breaks SMALL_QUORUM"
+  "jobs no-key breaks NO_KEY"
+  "jobs last-result-wins breaks LAST_RESULT_WINS"
+  "jobs result-after-cancel breaks RESULT_AFTER_CANCEL"
+  "jobs lease-after-cancel breaks LEASE_AFTER_CANCEL"
+  "jobs start-not-recorded breaks NON_REPEATABLE START_NOT_RECORDED"
+  "jobs start-again breaks NON_REPEATABLE START_AGAIN"
+  "jobs lapse-reopens breaks NON_REPEATABLE LAPSE_REOPENS"
+  "jobs cancel-not-run breaks NON_REPEATABLE CANCEL_NOT_RUN"
+)
+
+# check MODEL NAME EXPECTED MACRO... prints the line of one case.
+check() {
+  local model=$1 name=$2 expected=$3
+  shift 3
+  local folder="$work/$model-$name" verdict=failed
+  mkdir "$folder"
+  cd "$folder"
+  spin -a "${@/#/-D}" "$spec/$model.pml" >spin.log 2>&1 || true
+  gcc -w -O2 -DSAFETY -DCOLLAPSE -DNOREDUCE "-DMEMLIM=$memory_megabytes" -o pan pan.c >gcc.log 2>&1 || true
+  ./pan "-m$depth" >pan.log 2>&1 || true
+  if grep -Eq 'Search not completed|depth too small|out of memory|memory limit' pan.log && [ "$expected" = holds ]; then
+    verdict=incomplete
+  elif grep -q 'errors: 0$' pan.log; then
+    verdict=holds
+  elif grep -q 'assertion violated' pan.log; then
+    verdict=breaks
+  fi
+  local result=ok
+  [ "$verdict" = "$expected" ] || result=FAILED
+  local states
+  states=$(awk '/states, stored/ {print $1}' pan.log 2>/dev/null || true)
+  printf '%-12s %-24s %12s states  %-10s %s\n' "$model" "$name" "${states:-0}" "$verdict" "$result"
+  if [ "$result" = FAILED ]; then
+    tail -n 20 spin.log gcc.log pan.log 2>/dev/null | sed 's/^/    /' >&2 || true
+  fi
+}
+export -f check
+export spec work memory_megabytes depth
+
+printf '%s\n' "${cases[@]}" | xargs -P "$parallel" -I{} bash -c 'check {}' | tee "$work/report"
+failed=$(grep -c 'FAILED$' "$work/report" || true)
+passed=$(grep -c 'ok$' "$work/report" || true)
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ] && [ "$passed" -eq "${#cases[@]}" ]
