--- a/internal/ledger/replication/liveness_test.go
+++ b/internal/ledger/replication/liveness_test.go
@@ -54,3 +54,102 @@
 		}
 	}
 }
+
+// repairUntilWhole replaces every lost replica, step by step.
+func (s *simulation) repairUntilWhole(limit time.Duration) bool {
+	m := &faultMachine{simulation: s}
+	for position := range s.nodes {
+		m.wanted = append(m.wanted, position)
+	}
+	return s.runUntil(limit, func() bool {
+		s.repair(m.wantedIDs())
+		return m.repaired()
+	})
+}
+
+func TestAnyTwoDiskLossesAreRepaired(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const voters = 5
+	for first := range voters {
+		for second := first + 1; second < voters; second++ {
+			s, _ := elect(g, uint64(first*voters+second), voters, 0)
+			for range 20 {
+				g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+			}
+			for _, lost := range []int{first, second} { // at the very moment of the last acknowledgement
+				s.loseDisk(s.nodes[lost])
+				s.start(s.nodes[lost])
+			}
+			g.Expect(s.repairUntilWhole(10*time.Second)).To(gomega.BeTrue(), "%d and %d lost: %s", first, second, s.oracle.failure)
+			g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+			g.Expect(s.run(time.Second)).To(gomega.BeEmpty())
+			for _, node := range s.nodes {
+				g.Expect(node.disk.applied.Index).To(gomega.BeNumerically(">=", s.oracle.observed))
+			}
+		}
+	}
+}
+
+func TestCutNodeRejoinsWithoutAnElection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(seedsPerCase) {
+		s, leader := elect(g, seed, 5, 0)
+		term := leader.replica.Status().Term
+		cut := s.nodes[(leader.position+1)%5]
+		s.isolate(cut)
+		s.run(10 * time.Second)
+		g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+		s.heal()
+		g.Expect(s.run(2 * time.Second)).To(gomega.BeEmpty())
+		g.Expect(leader.replica.Status().Term).To(gomega.Equal(term), "seed %d", seed)
+		g.Expect(cut.disk.applied.Index).To(gomega.Equal(leader.disk.applied.Index), "seed %d", seed)
+	}
+}
+
+func TestPausedLeaderServesNothingWhenItResumes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(seedsPerCase) {
+		s, old := elect(g, seed, 5, 0)
+		old.paused = true
+		g.Expect(s.commits(3*time.Second)).To(gomega.BeTrue(), "seed %d: %s", seed, s.oracle.failure)
+		old.paused = false // and no message has reached it yet
+		s.read(old)
+		index, _, err := old.replica.Propose([]byte("too late"))
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "it still believes that it leads")
+		old.acks[index] = old.replica.term
+		g.Expect(s.run(3*time.Second)).To(gomega.BeEmpty(), "seed %d", seed)
+		for _, entry := range s.oracle.entries {
+			g.Expect(string(entry.Data)).NotTo(gomega.Equal("too late"))
+		}
+		g.Expect(old.replica.leading.reads).To(gomega.BeEmpty())
+		g.Expect(old.confirmed).To(gomega.BeEmpty(), "the read was aborted")
+	}
+}
+
+func TestLeadershipIsTransferred(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(seedsPerCase) {
+		s, leader := elect(g, seed, 5, 0)
+		heir := s.nodes[(leader.position+1)%5]
+		s.transfer(heir)
+		moved := s.runUntil(200*time.Millisecond, func() bool { return s.leader() == heir })
+		g.Expect(moved).To(gomega.BeTrue(), "seed %d: %s", seed, s.oracle.failure)
+		g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+	}
+}
+
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, leader := elect(g, 7, 3, 1)
+	g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+	s.compact(leader, 0)
+	newcomer := s.nodes[3]
+	s.cut[[2]int{leader.position, newcomer.position}] = true
+	_, _, err := leader.replica.ProposeConfig(Change{AddLearner, newcomer.id})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.proceed(leader)
+	s.run(time.Second)
+	clear(s.cut)
+	caughtUp := s.runUntil(5*time.Second, func() bool { return leader.replica.CaughtUp(newcomer.id) })
+	g.Expect(caughtUp).To(gomega.BeTrue(), s.oracle.failure)
+}
--- /dev/null
+++ b/internal/ledger/replication/replica_test.go
@@ -0,0 +1,187 @@
+package replication
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// replicaOf starts replica 1 of three voters on a disk that holds entries of
+// the given terms after the bootstrap position.
+func replicaOf(g *gomega.WithT, terms ...uint64) (*Replica, *MemoryStorage) {
+	disk := NewMemoryStorage(BootstrapMarker(1, 2, 3))
+	ready := Ready{}
+	for i, term := range terms {
+		ready.Entries = append(ready.Entries, Entry{Index: uint64(i) + 2, Term: term})
+		ready.HardState = &HardState{Term: term, Commit: bootstrapIndex}
+	}
+	disk.Persist(ready)
+	replica, err := New(Config{ID: 1, Storage: disk, MaxMessageBytes: 100, MaxInflightBytes: 200, MaxUncommittedBytes: 400})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	replica.Tick(time.Unix(1, 0))
+	return replica, disk
+}
+
+// settle does everything that the replica asks for, and returns the messages.
+func settle(g *gomega.WithT, replica *Replica, disk *MemoryStorage) []Message {
+	var sent []Message
+	for replica.HasReady() {
+		ready := replica.Ready()
+		disk.Persist(ready)
+		sent = append(append(sent, ready.Immediate...), ready.Messages...)
+		for _, entry := range ready.CommittedEntries {
+			g.Expect(disk.Applied(entry)).To(gomega.Succeed())
+		}
+		replica.Advance()
+	}
+	return sent
+}
+
+// electAlone makes the replica leader by the vote of replica 2.
+func electAlone(g *gomega.WithT, replica *Replica, disk *MemoryStorage) {
+	replica.Tick(replica.now.Add(2 * DefaultElectionTimeout))
+	settle(g, replica, disk)
+	next := replica.term + 1
+	for _, response := range []MessageType{MessagePreVoteResponse, MessageVoteResponse} {
+		g.Expect(replica.Step(Message{Type: response, From: 2, To: 1, Term: next})).To(gomega.Succeed())
+		settle(g, replica, disk)
+	}
+	g.Expect(replica.Status().Role).To(gomega.Equal(RoleLeader))
+}
+
+func acknowledge(g *gomega.WithT, replica *Replica, from ReplicaID, index uint64) {
+	g.Expect(replica.Step(Message{Type: MessageAppendResponse, From: from, To: 1, Term: replica.term, Index: index})).To(gomega.Succeed())
+}
+
+func TestLeaderCommitsOlderTermsOnlyWithItsOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g, 2, 2)
+	electAlone(g, replica, disk)
+	acknowledge(g, replica, 2, 3)
+	g.Expect(replica.Status().Commit).To(gomega.BeEquivalentTo(bootstrapIndex))
+	acknowledge(g, replica, 2, 4)
+	g.Expect(replica.Status().Commit).To(gomega.BeEquivalentTo(4))
+}
+
+func TestLeaderCountsItselfOnlyOncePersisted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g)
+	electAlone(g, replica, disk)
+	acknowledge(g, replica, 2, 2)
+	settle(g, replica, disk)
+	index, _, err := replica.Propose([]byte("value"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ready := replica.Ready()
+	g.Expect(ready.Immediate).NotTo(gomega.BeEmpty(), "followers are sent the entry while the leader writes it")
+	acknowledge(g, replica, 2, index)
+	g.Expect(replica.Status().Commit).To(gomega.BeNumerically("<", index))
+	disk.Persist(ready)
+	replica.Advance()
+	g.Expect(replica.Status().Commit).To(gomega.Equal(index))
+}
+
+func TestEntriesReplacedDuringTheirWriteAreWrittenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g)
+	append2 := func(from ReplicaID, term uint64) Message {
+		return Message{Type: MessageAppend, From: from, To: 1, Term: term, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: term}}}
+	}
+	g.Expect(replica.Step(append2(2, 2))).To(gomega.Succeed())
+	ready := replica.Ready()
+	g.Expect(replica.Step(append2(3, 3))).To(gomega.Succeed())
+	disk.Persist(ready)
+	replica.Advance()
+	again := replica.Ready()
+	g.Expect(again.Entries).To(gomega.Equal([]Entry{{Index: 2, Term: 3}}))
+	g.Expect(again.Messages).To(gomega.HaveLen(1), "the acknowledgement waits for the write")
+}
+
+func TestConfigurationChangesWaitForEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g)
+	electAlone(g, replica, disk)
+	propose := func(change Change) error {
+		_, _, err := replica.ProposeConfig(change)
+		settle(g, replica, disk)
+		return err
+	}
+	g.Expect(propose(Change{AddLearner, 4})).To(gomega.MatchError(ErrChangePending), "nothing of the term is committed")
+	acknowledge(g, replica, 2, 2)
+	g.Expect(propose(Change{AddLearner, 4})).To(gomega.Succeed())
+	g.Expect(propose(Change{RemoveReplica, 3})).To(gomega.MatchError(ErrChangePending))
+	acknowledge(g, replica, 2, 3)
+	g.Expect(propose(Change{PromoteLearner, 4})).To(gomega.MatchError(ErrChangeRefused), "it has not caught up")
+	g.Expect(propose(Change{RemoveReplica, 1})).To(gomega.MatchError(ErrChangeRefused), "it leads")
+	acknowledge(g, replica, 4, 3)
+	g.Expect(replica.Status().Commit).To(gomega.BeEquivalentTo(3))
+	_, _, err := replica.Propose(nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	acknowledge(g, replica, 4, 4)
+	settle(g, replica, disk)
+	g.Expect(replica.Status().Commit).To(gomega.BeEquivalentTo(3), "a learner does not count")
+	g.Expect(propose(Change{PromoteLearner, 4})).To(gomega.Succeed())
+}
+
+func TestAppendsStayWithinTheWindow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g)
+	electAlone(g, replica, disk)
+	acknowledge(g, replica, 2, 2)
+	acknowledge(g, replica, 3, 2)
+	settle(g, replica, disk)
+	var refused error
+	sent := 0
+	for range 20 {
+		if _, _, err := replica.Propose(make([]byte, 40)); err != nil {
+			refused = err
+		}
+		for _, message := range settle(g, replica, disk) {
+			if message.Type == MessageAppend && message.To == 2 {
+				sent += sizeOf(message.Entries)
+			}
+		}
+	}
+	g.Expect(refused).To(gomega.MatchError(ErrTooManyPending))
+	g.Expect(sent).To(gomega.And(gomega.BeNumerically(">=", 200), gomega.BeNumerically("<=", 300)))
+	acknowledge(g, replica, 2, 4)
+	g.Expect(settle(g, replica, disk)).To(gomega.ContainElement(gomega.HaveField("Type", MessageAppend)))
+}
+
+func TestRefusals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g)
+	_, _, err := replica.Propose(nil)
+	g.Expect(err).To(gomega.MatchError(ErrNotLeader))
+	g.Expect(replica.ReadIndex(1)).To(gomega.MatchError(ErrNotLeader))
+	g.Expect(replica.TransferLeadership(2)).To(gomega.MatchError(ErrNotLeader))
+	g.Expect(replica.Step(Message{Type: MessageHeartbeat, To: 9})).To(gomega.MatchError(ErrWrongAddressee))
+	g.Expect(replica.Step(Message{Type: MessageHeartbeat, To: 1, Shard: 5})).To(gomega.MatchError(ErrWrongAddressee))
+	electAlone(g, replica, disk)
+	g.Expect(replica.TransferLeadership(7)).To(gomega.MatchError(ErrChangeRefused))
+	_, _, err = replica.Propose(make([]byte, MaxEntryBytes+1))
+	g.Expect(err).To(gomega.MatchError(ErrEntryTooLarge))
+	g.Expect(replica.TransferLeadership(2)).To(gomega.Succeed())
+	_, _, err = replica.Propose(nil)
+	g.Expect(err).To(gomega.MatchError(ErrTransferring))
+}
+
+// failingStorage fails to read entries and terms.
+type failingStorage struct{ *MemoryStorage }
+
+var errDisk = errors.New("input/output error")
+
+func (failingStorage) Term(uint64) (uint64, error)                 { return 0, errDisk }
+func (failingStorage) Entries(_, _ uint64, _ int) ([]Entry, error) { return nil, errDisk }
+
+func TestFailingDiskStopsTheReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, err := New(Config{ID: 1, Storage: failingStorage{NewMemoryStorage(BootstrapMarker(1, 2, 3))}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	replica.Tick(time.Unix(1, 0))
+	request := Message{Type: MessageVote, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1}
+	g.Expect(replica.Step(request)).To(gomega.MatchError(errDisk))
+	g.Expect(replica.HasReady()).To(gomega.BeFalse(), "it promises nothing any more")
+	g.Expect(replica.Err()).To(gomega.MatchError(errDisk))
+}
