--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -31,7 +31,7 @@
 
 // Weights of the scorers.
 type Weights struct {
-	Load, KV, Prefix, Adapter, Zone float64
+	Load, KV, Prefix, Adapter, Zone, Health float64
 }
 
 // OutlierConfig tunes how failing and slow endpoints are set aside.
@@ -54,6 +54,9 @@
 	SlowMargin time.Duration
 	// SlowSamples is the least number of samples for a judgement.
 	SlowSamples int
+	// FailureHalfLife is the age at which failures count half in the score of
+	// an endpoint that isn't set aside.
+	FailureHalfLife time.Duration
 	// Interval between comparisons with peers.
 	Interval time.Duration
 }
@@ -61,7 +64,7 @@
 // DefaultConfig returns the values in use when nothing is set.
 func DefaultConfig() Config {
 	return Config{
-		Weights:         Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3},
+		Weights:         Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
 		NearBest:        0.05,
 		LoadHalfLife:    2 * time.Second,
 		BatchLoadWeight: 0.1,
@@ -78,6 +81,7 @@
 			SlowFactor:          3,
 			SlowMargin:          50 * time.Millisecond,
 			SlowSamples:         8,
+			FailureHalfLife:     5 * time.Second,
 			Interval:            500 * time.Millisecond,
 		},
 	}
@@ -104,6 +108,7 @@
 	setDefault(&outliers.SlowFactor, base.SlowFactor)
 	setDefault(&outliers.SlowMargin, base.SlowMargin)
 	setDefault(&outliers.SlowSamples, base.SlowSamples)
+	setDefault(&outliers.FailureHalfLife, base.FailureHalfLife)
 	setDefault(&outliers.Interval, base.Interval)
 	return c
 }
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -102,6 +102,7 @@
 		return
 	}
 	state.failures++
+	state.lastFailure = now
 	switch {
 	case outcome.TimedOut && wasWaiting && state.lastFirstToken.Before(outcome.Attempt.started):
 		r.eject(now, state, CauseNoAnswer)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -79,6 +79,7 @@
 		{router.prefix, config.Weights.Prefix},
 		{adapterScorer{}, config.Weights.Adapter},
 		{zoneScorer{}, config.Weights.Zone},
+		{healthScorer{}, config.Weights.Health},
 	}
 	return router
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // loadScorer prefers endpoints with few online streams. It reads
 // Candidate.Load: this node's own streams now and, discounted by age, the
@@ -53,6 +56,27 @@
 	}
 }
 
+// healthScorer avoids endpoints that failed lately but aren't set aside, be it
+// that too many are already: one that refuses at once has no load and would
+// otherwise draw all requests. It reads this node's own consecutive failures,
+// which fade with age. Score: 1 without failures, 0.5 after one, towards 0.
+type healthScorer struct{}
+
+func (healthScorer) Name() string { return "health" }
+
+func (healthScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	halfLife := float64(view.config.Outliers.FailureHalfLife)
+	for i := range candidates {
+		state := candidates[i].state
+		if state.failures == 0 {
+			scores[i] += weight
+			continue
+		}
+		faded := float64(state.failures) * math.Exp2(-float64(view.Now.Sub(state.lastFailure))/halfLife)
+		scores[i] += weight / (1 + faded)
+	}
+}
+
 // Scores of the zoneScorer.
 const (
 	scoreSameZone   = 1.0
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -24,6 +24,7 @@
 	lastFirstToken               time.Time
 
 	failures     int // consecutive
+	lastFailure  time.Time
 	ejections    int // consecutive, sets the time aside
 	ejected      bool
 	ejectedUntil time.Time
