--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // loadScorer prefers endpoints with few online streams. It reads
 // Candidate.Load: this node's own streams now and, discounted by age, the
@@ -53,6 +56,27 @@
 	}
 }
 
+// healthScorer avoids endpoints that failed lately but aren't set aside, be it
+// that too many are already: one that refuses at once has no load and would
+// otherwise draw all requests. It reads this node's own consecutive failures,
+// which fade with age. Score: 1 without failures, 0.5 after one, towards 0.
+type healthScorer struct{}
+
+func (healthScorer) Name() string { return "health" }
+
+func (healthScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
+	halfLife := float64(view.config.Outliers.FailureHalfLife)
+	for i := range candidates {
+		state := candidates[i].state
+		if state.failures == 0 {
+			scores[i] += weight
+			continue
+		}
+		faded := float64(state.failures) * math.Exp2(-float64(view.Now.Sub(state.lastFailure))/halfLife)
+		scores[i] += weight / (1 + faded)
+	}
+}
+
 // Scores of the zoneScorer.
 const (
 	scoreSameZone   = 1.0
@@ -102,7 +126,7 @@
 	s.expected = slices.Grow(s.expected, len(candidates))[:len(candidates)]
 	bound := view.config.LoadBoundFactor*view.MeanLoad + view.config.LoadBoundSlack
 	s.scoreHolders(keys, candidates, bound)
-	s.scoreRanked(keys, candidates, bound)
+	s.scoreRanked(candidates, bound)
 	for i := range candidates {
 		scores[i] += weight * s.expected[i]
 	}
@@ -110,27 +134,45 @@
 
 // scoreHolders rates endpoints that this node itself sent the prefix to.
 func (s *prefixScorer) scoreHolders(keys []uint64, candidates []Candidate, bound float64) {
+	holders, depths, count := s.deepestHolders()
 	for i := range candidates {
 		s.expected[i] = 0
 		if candidates[i].Load > bound {
 			continue
 		}
-		for depth := s.plan.known; depth > 0; depth-- {
-			if slices.Contains(s.plan.entries[depth-1].holders[:], candidates[i].hash) {
-				s.expected[i] = float64(depth) / float64(len(keys))
+		for k, holder := range holders[:count] {
+			if holder == candidates[i].hash {
+				s.expected[i] = holderDiscount * float64(depths[k]) / float64(len(keys))
 				break
 			}
 		}
 	}
 }
 
+// maxHolders bounds the endpoints that are rated as holders of one prompt.
+const maxHolders = 4
+
+// deepestHolders lists the endpoints that hold most of the prompt and how many
+// of its keys each holds.
+func (s *prefixScorer) deepestHolders() (holders [maxHolders]uint64, depths [maxHolders]int, count int) {
+	for depth := s.plan.known; depth > 0; depth-- {
+		for _, holder := range s.plan.entries[depth-1].holders {
+			if holder == 0 || slices.Contains(holders[:count], holder) {
+				continue
+			}
+			holders[count], depths[count] = holder, depth
+			if count++; count == maxHolders {
+				return holders, depths, count
+			}
+		}
+	}
+	return holders, depths, count
+}
+
 // scoreRanked rates the endpoints that rank first for the plan's anchor among
 // those under the load bound.
-func (s *prefixScorer) scoreRanked(keys []uint64, candidates []Candidate, bound float64) {
+func (s *prefixScorer) scoreRanked(candidates []Candidate, bound float64) {
 	replicas := s.plan.replicas
-	if replicas > maxReplicas || replicas >= len(candidates) {
-		return // the prefix is everywhere; load alone decides
-	}
 	var best [maxReplicas]int
 	var weights [maxReplicas]uint64
 	count := 0
@@ -153,8 +195,7 @@
 		copy(best[position+1:count], best[position:count-1])
 		weights[position], best[position] = weight, i
 	}
-	share := max(coldAffinity, float64(s.plan.known)/float64(len(keys)))
 	for _, i := range best[:count] {
-		s.expected[i] = max(s.expected[i], share)
+		s.expected[i] = max(s.expected[i], s.plan.share)
 	}
 }
