Settings: a swept trace of a deletion is no sign of a store that went back

Found by the fuzzing: when the newest change in force was a deletion whose trace had been swept, the probe missed it and the store was refused for good. It is listed now, and the lineage check judges. A writer takes a missing trace for swept only when it is older than the retention. Proof: without the age TestMissingTraceOfADeletionIsASweptOneOnlyIfOld fails.

--- a/internal/settings/agent/status.go
+++ b/internal/settings/agent/status.go
@@ -101,7 +101,7 @@
 	err := a.ask(ctx, func(time.Time) {
 		newest := a.machine.Newest()
 		standing = command.Standing{
-			Newest: platform.Object{Name: newest.Name, Revision: newest.Revision},
+			Newest: platform.Object{Name: newest.Name, Revision: newest.Revision, Spec: newest.Spec},
 			Heard:  a.machine.Heard(), StoreRefused: a.machine.StoreRefused(),
 		}
 	})
--- a/internal/settings/command/apply.go
+++ b/internal/settings/command/apply.go
@@ -54,8 +54,8 @@
 
 // Standing is what a node knows before it lets a change through.
 type Standing struct {
-	// Newest is the stored object of the newest change in force, of which only
-	// name and revision count; its name is empty if there is none.
+	// Newest is the stored object of the newest change in force; its name is
+	// empty if there is none.
 	Newest platform.Object
 	// Heard is the highest version that any peer told of.
 	Heard settings.Version
@@ -265,10 +265,11 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return trace.Wrap(err, "read the newest change in force")
 	}
-	if behind.Stored = stored.Revision; stored.Revision < newest.Revision {
-		return behind
+	behind.Stored = stored.Revision
+	if stored.Revision >= newest.Revision || stored.Revision == 0 && isOldTrace(newest, w.now()) {
+		return nil
 	}
-	return nil
+	return behind
 }
 
 // caughtUp waits a little for this node to have in force what peers have.
--- a/internal/settings/command/apply_test.go
+++ b/internal/settings/command/apply_test.go
@@ -180,6 +180,22 @@
 	}
 }
 
+func TestMissingTraceOfADeletionIsASweptOneOnlyIfOld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := seeded(t)
+	_, err := apply(store, Change{ID: "d", Delete: []string{"fleet/a"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	inForce := follow(store)
+	delete(store.objects, "fleet.a")
+	change := Change{ID: "c", Nodes: nodes(t, folder("fleet", "burst: 5"))}
+	_, err = NewWriter(store, inForce, fixedNow).Apply(context.Background(), change)
+	var behind *StoreBehindError
+	g.Expect(errorsAs(err, &behind)).To(gomega.BeTrue())
+	later := func() time.Time { return fixedNow().Add(traceRetention + time.Hour) }
+	_, err = NewWriter(store, inForce, later).Apply(context.Background(), change)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 func TestStoreThatWentBackIsNotWrittenButRecovered(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := seeded(t)
--- a/internal/settings/command/sweep.go
+++ b/internal/settings/command/sweep.go
@@ -39,12 +39,10 @@
 	}
 	swept := 0
 	for _, trace := range traces {
-		node, err := tree.Decode(tree.PathOf(trace.Name), trace.Spec)
-		old := err == nil && node.Deleted && (node.Change == nil || now.Sub(node.Change.At) > traceRetention)
-		if !old || swept >= sweepLimit {
+		if !isOldTrace(trace, now) || swept >= sweepLimit {
 			continue
 		}
-		err = w.store.Delete(ctx, platform.KindSetting, trace.Name, trace.Revision)
+		err := w.store.Delete(ctx, platform.KindSetting, trace.Name, trace.Revision)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
 			return swept, err
 		}
@@ -52,3 +50,10 @@
 	}
 	return swept, nil
 }
+
+// isOldTrace says whether an object is the trace of a deletion that may have
+// been swept.
+func isOldTrace(object platform.Object, now time.Time) bool {
+	node, err := tree.Decode(tree.PathOf(object.Name), object.Spec)
+	return err == nil && node.Deleted && (node.Change == nil || now.Sub(node.Change.At) > traceRetention)
+}
--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -144,6 +144,14 @@
 			g.Expect(machine.Watching()).To(gomega.Equal(!machine.StoreRefused()))
 		})
 	}
+	t.Run("newest trace swept", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		machine, now := runningMachine(5, live("a", 3), deleted("c", 5))
+		machine.HandleProbed(now, machine.watch.ticket, Probe{}, nil)
+		g.Expect(machine.watch.phase).To(gomega.Equal(phaseListing))
+		machine.HandleListed(now, machine.watch.ticket, []Entry{live("a", 3)}, 8, nil)
+		g.Expect(machine.Watching()).To(gomega.BeTrue())
+	})
 	t.Run("epoch lower", func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		machine, now := runningMachine(settings.MakeVersion(1, 5), live("c", 5), epoch(1, 2))
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -245,8 +245,8 @@
 	case same && !m.watch.refused:
 		m.storeRight(now)
 		m.open(now, m.state.version.Revision())
-	case same, probe.Found && probe.Newest.Revision > basis.Revision:
-		m.list(now)
+	case same, probe.Found && probe.Newest.Revision > basis.Revision, !probe.Found && basis.Deleted:
+		m.list(now) // the trace of a deletion may have been swept
 	default:
 		m.refuse(now, NoticeStoreBehind, basis.Name, settings.MakeVersion(probe.Epoch, probe.Newest.Revision))
 	}
