Settings: a listing of a lower revision than what is in force is refused

Found by the fuzzing: a restored copy that lacked only the trace of a deletion was taken, and then no change could be written, because its revisions were below what was in force, yet nobody was told.

--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -152,6 +152,13 @@
 		machine.HandleListed(now, machine.watch.ticket, []Entry{live("a", 3)}, 8, nil)
 		g.Expect(machine.Watching()).To(gomega.BeTrue())
 	})
+	t.Run("newest trace lost", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		machine, now := runningMachine(5, live("a", 3), deleted("c", 5))
+		machine.list(now)
+		machine.HandleListed(now, machine.watch.ticket, []Entry{live("a", 3)}, 4, nil)
+		g.Expect(machine.StoreRefused()).To(gomega.BeTrue(), "the store's revision is lower")
+	})
 	t.Run("epoch lower", func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		machine, now := runningMachine(settings.MakeVersion(1, 5), live("c", 5), epoch(1, 2))
--- a/internal/settings/dissemination/watch.go
+++ b/internal/settings/dissemination/watch.go
@@ -257,7 +257,7 @@
 // Deleted set, and the revision of the listing.
 func (m *Machine) HandleListed(now time.Time, ticket uint64, listed []Entry, revision uint64, err error) []Action {
 	if ticket == m.watch.ticket && m.watch.phase == phaseWatching {
-		m.verifyByListing(now, listed, err)
+		m.verifyByListing(now, listed, revision, err)
 		return m.take()
 	}
 	if ticket != m.watch.ticket || m.watch.phase != phaseListing {
@@ -318,7 +318,7 @@
 // takeListing takes a listing of the epoch in force, if it holds everything
 // that is in force.
 func (m *Machine) takeListing(now time.Time, found settings.Version, listed []Entry, revision uint64) {
-	if !m.bringListing(now, found, listed) {
+	if !m.bringListing(now, found, listed, revision) {
 		return
 	}
 	m.open(now, revision)
@@ -326,7 +326,11 @@
 
 // bringListing brings a listing in force that follows what is in force, and
 // refuses another.
-func (m *Machine) bringListing(now time.Time, found settings.Version, listed []Entry) bool {
+func (m *Machine) bringListing(now time.Time, found settings.Version, listed []Entry, revision uint64) bool {
+	if revision < m.state.version.Revision() {
+		m.refuse(now, NoticeStoreBehind, "", settings.MakeVersion(found.Epoch(), revision))
+		return false
+	}
 	if name, ok := m.state.follows(NewState(found, listed)); !ok {
 		notice := NoticeStoreForked
 		if found < m.state.version {
@@ -502,7 +506,7 @@
 	}
 }
 
-func (m *Machine) verifyByListing(now time.Time, listed []Entry, err error) {
+func (m *Machine) verifyByListing(now time.Time, listed []Entry, revision uint64, err error) {
 	m.watch.checking = false
 	found := versionOf(listed)
 	switch {
@@ -514,7 +518,7 @@
 	case found.Epoch() > m.state.version.Epoch():
 		m.raiseEpoch(now, found, listed)
 		m.watchVerified(now)
-	case m.bringListing(now, found, listed):
+	case m.bringListing(now, found, listed, revision):
 		m.watchVerified(now)
 	default:
 		m.do(StopWatch{})
