--- a/internal/settings/tree/explain_test.go
+++ b/internal/settings/tree/explain_test.go
@@ -84,3 +84,22 @@
 	_, err := FormatYAML("a", 1, nil)
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+func TestNodesAreListedInOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := sampleLive(t)
+	for _, test := range []struct {
+		path      string
+		recursive bool
+		want      int
+	}{{"", false, 4}, {"", true, 4}, {"fleet/hall", false, 1}, {"fleet/hall", true, 3}, {"fleet/hall/drafting/clerks", true, 1}} {
+		nodes, err := live.Nodes(test.path, test.recursive)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(nodes).To(gomega.HaveLen(test.want), test.path)
+		for i := 1; i < len(nodes); i++ {
+			g.Expect(nodes[i-1].Path < nodes[i].Path).To(gomega.BeTrue())
+		}
+	}
+	_, err := live.Nodes("fleet/ha", true)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -1,7 +1,8 @@
 package tree
 
 import (
-	"strings"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -70,15 +71,22 @@
 	return l.tree.Explain(path)
 }
 
-// Nodes lists the node at path and, if recursive, all below it. An empty path
-// stands for the whole tree.
+// Nodes lists the node at path and, if recursive, all below it, in order. An
+// empty path stands for the whole tree.
 func (l *Live) Nodes(path string, recursive bool) ([]*Node, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	paths := map[string]struct{}{path: {}}
+	switch {
+	case path == "":
+		paths = l.tree.all()
+	case recursive:
+		paths = make(map[string]struct{})
+		l.tree.collect(path, paths)
+	}
 	var nodes []*Node
-	for _, candidate := range l.tree.Paths() {
-		if candidate == path || recursive && below(candidate, path) {
-			node, _ := l.tree.Node(candidate)
+	for _, candidate := range slices.Sorted(maps.Keys(paths)) {
+		if node, present := l.tree.Node(candidate); present {
 			nodes = append(nodes, node)
 		}
 	}
@@ -87,7 +95,3 @@
 	}
 	return nodes, nil
 }
-
-func below(path, ancestor string) bool {
-	return ancestor == "" || strings.HasPrefix(path, ancestor+"/")
-}
--- a/internal/settings/tree/tree.go
+++ b/internal/settings/tree/tree.go
@@ -168,8 +168,14 @@
 	return ok
 }
 
-// Paths lists all paths in order.
-func (t *Tree) Paths() []string { return slices.Sorted(maps.Keys(t.nodes)) }
+// all is the set of all paths.
+func (t *Tree) all() map[string]struct{} {
+	paths := make(map[string]struct{}, len(t.nodes))
+	for path := range t.nodes {
+		paths[path] = struct{}{}
+	}
+	return paths
+}
 
 func (t *Tree) faultyAtAll() bool {
 	return len(t.problems)+len(t.orphans)+len(t.claims.names.rivals)+len(t.claims.keys.rivals)+len(t.claims.services.rivals) > 0
