--- a/internal/admission/batch/config.go
+++ b/internal/admission/batch/config.go
@@ -6,10 +6,14 @@
 // fields take the defaults below.
 type Config struct {
 	// Share is Service.BatchShare: the weight between harm to online (0) and
-	// batch throughput (1).
+	// batch throughput (1). Below one half the wait for a first token is
+	// guarded too, at a high cost in throughput.
 	Share float64
 	// Slots is how many streams an engine runs at once (Service.SlotsPerEngine).
 	Slots int
+	// PathLatency is the part of a caller's time to first token that is spent
+	// on the way and not at the engine.
+	PathLatency time.Duration
 	// Redo makes the controller cancel streams instead of suspending them, for
 	// engines that can't suspend.
 	Redo bool
@@ -67,3 +71,9 @@
 // harmGoal is how much the 99th percentile of the time between tokens may grow
 // with batch: 1.05 for a Share of one half.
 func (c Config) harmGoal() float64 { return 1 + harmRange*c.Share }
+
+// waitGoal is how long a wait for the first token may be, if alone it is so
+// long at the protected quantile.
+func (c Config) waitGoal(alone time.Duration) time.Duration {
+	return time.Duration(float64(alone+c.PathLatency)*c.harmGoal()) - c.PathLatency
+}
--- a/internal/admission/batch/control.go
+++ b/internal/admission/batch/control.go
@@ -47,7 +47,11 @@
 	if !state.observe(now, event, &c.config) {
 		return nil
 	}
-	return c.decide(now, state)
+	actions := c.decide(now, state)
+	if event.Kind == EventOnlineStarted {
+		state.noteWaits(now, &c.config)
+	}
+	return actions
 }
 
 func (c *Controller) engine(name string) *engineState {
@@ -107,6 +111,9 @@
 		}
 		return min(free, c.fitting(state))
 	}
+	if online > 0 {
+		free = int(float64(free) * state.width.value)
+	}
 	if weight <= yieldAllWeight-1 {
 		return free + c.config.Ahead
 	}
--- a/internal/admission/batch/histogram.go
+++ b/internal/admission/batch/histogram.go
@@ -9,6 +9,7 @@
 // fall by 1/e in histogramMemory. Instead of lowering all old weights it
 // raises those of new entries, so that adding costs O(1).
 type stepHistogram struct {
+	memory  time.Duration // histogramMemory if zero
 	weights [histogramBins]float64
 	total   float64
 	scale   float64
@@ -44,7 +45,11 @@
 	if elapsed < rescaleEvery {
 		return
 	}
-	h.scale *= math.Exp(elapsed.Seconds() / histogramMemory.Seconds())
+	memory := h.memory
+	if memory == 0 {
+		memory = histogramMemory
+	}
+	h.scale *= math.Exp(elapsed.Seconds() / memory.Seconds())
 	h.scaled = now
 	if h.scale > largestScale {
 		for i := range h.weights {
--- a/internal/admission/batch/state.go
+++ b/internal/admission/batch/state.go
@@ -68,11 +68,16 @@
 	// those announced.
 	unannounced int
 
-	model  stepModel
-	real   timeline
-	alone  shadow
-	price  price
-	prompt average // prefill tokens of a batch stream
+	model stepModel
+	real  timeline
+	alone shadow
+	price price
+	width width
+	// waits are the expected times to the first token of arriving requests,
+	// as they are and as they would be alone.
+	realWaits  stepHistogram
+	aloneWaits stepHistogram
+	prompt     average // prefill tokens of a batch stream
 	// peak is the most streams that this home had lately; foreignAt is when a
 	// report last showed many more.
 	peak      int
@@ -90,6 +95,10 @@
 		online:  map[string]time.Time{},
 		model:   newStepModel(),
 		price:   newPrice(config.Share),
+		width:   width{value: widest},
+		// What is steered must show soon what steering did.
+		realWaits:  stepHistogram{memory: steeredMemory},
+		aloneWaits: stepHistogram{memory: steeredMemory},
 	}
 }
 
@@ -115,6 +124,9 @@
 // boundEvery is how often the bound and the price are worked out anew.
 const boundEvery = 100 * time.Millisecond
 
+// steeredMemory is the memory of the histograms that price and width follow.
+const steeredMemory = 60 * time.Second
+
 // harmQuantile is the quantile of the time between tokens that is protected.
 const harmQuantile = 0.99
 
@@ -134,6 +146,10 @@
 	s.bound = s.alone.steps.quantile(harmQuantile)
 	goal := time.Duration(float64(s.bound) * config.harmGoal())
 	s.price.update(now, s.real.steps.above(goal), 1-harmQuantile)
+	if config.Share < tailFirst {
+		goal := config.waitGoal(s.aloneWaits.quantile(harmQuantile))
+		s.width.update(now, s.realWaits.above(goal), 1-harmQuantile)
+	}
 }
 
 // settleOverdue ends waits for answers that don't come: a resume that was not
@@ -150,6 +166,20 @@
 	}
 }
 
+// noteWaits estimates an arrival's time to its first token, with batch as it
+// is after the decision that the arrival led to, and without any batch in the
+// same two steps.
+func (s *engineState) noteWaits(now time.Time, config *Config) {
+	load := s.load(config)
+	rest := max(0, s.real.end.Sub(now))
+	s.realWaits.add(now, rest+s.model.step(load.streams(), min(s.real.pending, load.chunk)), 1)
+	online := s.aloneCount(load)
+	running := s.model.step(online, s.real.online)
+	whole := s.model.step(s.real.streams, s.real.prefill)
+	rest = time.Duration(float64(rest) * min(1, float64(running)/float64(whole)))
+	s.aloneWaits.add(now, rest+s.model.step(online, min(s.real.arriving, load.chunk)), 1)
+}
+
 func (s *engineState) load(config *Config) stepLoad {
 	return stepLoad{online: float64(s.onlineCount()), batch: float64(s.active), chunk: float64(config.ChunkTokens)}
 }
--- a/internal/admission/batch/timeline.go
+++ b/internal/admission/batch/timeline.go
@@ -10,6 +10,7 @@
 	seen     bool      // start was seen, not predicted
 	streams  float64   // in the step that runs now
 	prefill  float64   // tokens prefilled in the step that runs now
+	online   float64   // the part of prefill that is online's
 	pending  float64   // tokens that wait for the next step
 	arriving float64   // the part of pending that is online's
 	steps    stepHistogram
@@ -102,6 +103,7 @@
 	t.seen = seen
 	t.streams = load.streams()
 	t.prefill = min(t.pending, load.chunk)
+	t.online = min(t.arriving, load.chunk)
 	t.pending -= t.prefill
 	t.arriving = max(0, t.arriving-t.prefill)
 	t.end = at.Add(model.step(t.streams, t.prefill))
--- a/internal/lab/sim/policy.go
+++ b/internal/lab/sim/policy.go
@@ -47,6 +47,9 @@
 	Redo bool `koanf:"redo"`
 }
 
+// pathLatency is what the controller is told of the way to the callers.
+const pathLatency = 6 * time.Millisecond
+
 // fillDepth is how many streams beyond an engine's slots a filling policy
 // keeps waiting there.
 const fillDepth = 4
@@ -58,7 +61,7 @@
 	case PolicyFixed:
 		return batch.NewFixed(p.Streams, true), nil
 	case PolicyController:
-		return batch.NewController(batch.Config{Share: p.Share, Slots: shape.MaxRunning, ChunkTokens: shape.TokenBudget, Redo: p.Redo}), nil
+		return batch.NewController(batch.Config{Share: p.Share, Slots: shape.MaxRunning, ChunkTokens: shape.TokenBudget, PathLatency: pathLatency, Redo: p.Redo}), nil
 	case PolicyNone:
 		return idle{}, nil
 	}
