--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -63,6 +63,8 @@
 type fakeFleet struct {
 	snapshot *fleet.Snapshot
 	plan     func(prompt string, attempt uint32) behaviour
+	// sick engines treat all attempts alike.
+	sick map[string]behaviour
 	// hold, if set, is called before each token of a prompt but the first.
 	hold func(ctx context.Context, prompt string)
 	// endless streams never finish by themselves.
@@ -119,7 +121,10 @@
 	e.fleet.active.Add(1)
 	defer e.fleet.active.Add(-1)
 	tokens := expectedTokens(body.Prompt)
-	how := e.fleet.plan(body.Prompt, request.Attempt)
+	how, sick := e.fleet.sick[e.name]
+	if !sick {
+		how = e.fleet.plan(body.Prompt, request.Attempt)
+	}
 	e.fleet.mutex.Lock()
 	e.fleet.attempts++
 	if how != refuseConnection && how != loseRequest {
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -279,3 +280,38 @@
 		})
 	}
 }
+
+// TestThirdOfEnginesFailing: callers get whole answers, and the retries stay
+// within a tenth of the requests.
+func TestThirdOfEnginesFailing(t *testing.T) {
+	for name, how := range map[string]behaviour{
+		"refuse": refuseConnection, "lose the answer": loseAnswer, "cut streams": cutStream, "stay dumb": stayDumb, "fail": failHonestly,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			engines := newFakeFleet(12)
+			engines.sick = map[string]behaviour{"engine-01": how, "engine-04": how, "engine-05": how, "engine-10": how}
+			server := newTestServer(engines, settings.Tenant{}, Config{MinTokenTimeout: 500 * time.Millisecond})
+			defer server.Close()
+			const requests, callers = 2000, 8
+			var broken atomic.Int32
+			var group sync.WaitGroup
+			for c := range callers {
+				group.Go(func() {
+					for i := range requests / callers {
+						prompt := fmt.Sprintf("caller %d request %d", c, i)
+						got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, prompt, i%2 == 0), nil)
+						if err != nil || !got.whole || got.text != strings.Join(expectedTokens(prompt), "") {
+							broken.Add(1)
+						}
+					}
+				})
+			}
+			group.Wait()
+			amplification := float64(engines.attempts) / requests
+			t.Logf("amplification %.4f, %d of %d requests not answered", amplification, broken.Load(), requests)
+			g.Expect(amplification).To(gomega.BeNumerically("<=", 1.1))
+			g.Expect(broken.Load()).To(gomega.BeZero())
+		})
+	}
+}
