--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"chutelock.dev/chutelock/internal/fleet/registry"
 	"chutelock.dev/chutelock/internal/fleet/tracker"
 	"chutelock.dev/chutelock/internal/gateway"
+	"chutelock.dev/chutelock/internal/jobs/service"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/membership"
 	"chutelock.dev/chutelock/internal/membership/agent"
@@ -158,7 +159,7 @@
 }
 
 func (n *Node) openLedger() error {
-	machines := &machines{}
+	n.batch = &batch{Service: service.New()}
 	options := replica.Options{
 		Sender:       n.peers,
 		Receiver:     n.peers,
@@ -166,7 +167,7 @@
 		Store:        n.platform,
 		Shards:       n.config.Ledger.Shards,
 		Copies:       n.config.Ledger.Copies,
-		NewMachine:   machines.make,
+		NewMachine:   n.batch.NewMachine,
 		Registry:     n.registry,
 		ReplaceAfter: n.config.Ledger.ReplaceAfter,
 	}
@@ -177,7 +178,7 @@
 	if n.ledger, err = replica.Open(options); err != nil {
 		return trace.Wrap(err, "opening the ledger")
 	}
-	n.batch = newBatch(n.ledger, n.peers, machines)
+	n.batch.Connect(n.peers.Address(), n.ledger, n.peers, n.peers)
 	return nil
 }
 
