--- a/internal/fleet/registry/list.go
+++ b/internal/fleet/registry/list.go
@@ -163,7 +163,12 @@
 
 // delegatesOf lists the members that speak for a zone.
 func (r *Registry) delegatesOf(zone string) []membership.Member {
-	return membership.Elect("fleet/"+zone, r.view.LiveInZone(zone), delegates)
+	return Delegates(zone, r.view.LiveInZone(zone))
+}
+
+// Delegates elects, among a zone's live members, those that send its summaries.
+func Delegates(zone string, live []membership.Member) []membership.Member {
+	return membership.Elect("fleet/"+zone, live, delegates)
 }
 
 // delegates is the number of members that speak for a zone.
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -253,6 +253,9 @@
 // Ready says whether the view is whole; a node routes on no other.
 func (r *Registry) Ready() bool { return r.ready }
 
+// ListRevision is the store's revision of the list of engines in use.
+func (r *Registry) ListRevision() uint64 { return r.version.Revision }
+
 // take returns and clears what the caller must do.
 func (r *Registry) take() Output {
 	output := r.output
