--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -199,7 +200,8 @@
 	random *rand.Rand
 	self   membership.Member
 	view   *membership.View
-	peers  []membership.Member // live members of the own zone but this node
+	zone   []membership.Member // live members of the own zone
+	peers  []membership.Member // the same but this node
 
 	engines  map[uint64]*engineState // of the own zone
 	names    []string                // of the own zone's engines, in order
@@ -277,8 +279,13 @@
 	if self, ok := view.Member(r.self.Name); ok {
 		r.self = self
 	}
+	live := view.LiveInZone(r.self.Zone)
+	if slices.EqualFunc(live, r.zone, func(a, b membership.Member) bool { return a.Name == b.Name && a.Address == b.Address }) {
+		return r.take()
+	}
+	r.zone = live
 	r.peers = r.peers[:0]
-	for _, member := range view.LiveInZone(r.self.Zone) {
+	for _, member := range live {
 		if member.Name != r.self.Name {
 			r.peers = append(r.peers, member)
 		}
@@ -289,11 +296,10 @@
 
 // assignHomes gives each engine of the zone its home.
 func (r *Registry) assignHomes(now time.Time) {
-	candidates := r.view.LiveInZone(r.self.Zone)
 	for _, name := range r.names {
 		state := r.engines[EngineID(name)]
 		home := ""
-		if owner, ok := membership.Owner("engine/"+name, candidates); ok {
+		if owner, ok := membership.Owner("engine/"+name, r.zone); ok {
 			home = owner.Name
 		}
 		if home == state.home {
--- a/internal/membership/agent/agent.go
+++ b/internal/membership/agent/agent.go
@@ -85,7 +85,11 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			a.send(ctx, a.step(func(now time.Time) []swim.Output { return a.node.Tick(now) }))
+			a.send(ctx, a.step(func(now time.Time) []swim.Output {
+				outputs := a.node.Tick(now)
+				a.publish()
+				return outputs
+			}))
 		}
 	}
 }
@@ -119,17 +123,17 @@
 	a.node.SetContacts(addresses)
 }
 
-// step runs the protocol once and publishes the view if it changed.
+// step runs the protocol once.
 func (a *Agent) step(run func(now time.Time) []swim.Output) []swim.Output {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	outputs := run(time.Now())
-	a.publish()
 	a.tellOwn()
 	return outputs
 }
 
-// publish stores a new view after a change. The mutex is held, but by New.
+// publish stores a new view after changes, with every tick, so that many
+// changes that come together cost one view. The mutex is held, but by New.
 func (a *Agent) publish() {
 	if a.node.Version() == a.version {
 		return
