--- a/internal/fleet/tracker/reader.go
+++ b/internal/fleet/tracker/reader.go
@@ -24,6 +24,9 @@
 	// aloneGrace is the wait while it knows no other.
 	electionGrace = 1500 * time.Millisecond
 	aloneGrace    = 3 * time.Second
+	// electionInterval is the longest time between two elections; a changed
+	// view brings one at once.
+	electionInterval = 500 * time.Millisecond
 	// applyDelay collects the events of a watch into one change of the list.
 	applyDelay = 200 * time.Millisecond
 	// machinesInterval is the least time between two reads of the machine
@@ -40,6 +43,8 @@
 type reader struct {
 	tracker *Tracker
 	started time.Time
+	next    time.Time        // of the next election
+	elected *membership.View // the view of the last one
 	running atomic.Bool
 	first   atomic.Bool
 
@@ -59,6 +64,10 @@
 	if r.started.IsZero() {
 		r.started = now
 	}
+	if view == r.elected && now.Before(r.next) {
+		return
+	}
+	r.elected, r.next = view, now.Add(electionInterval)
 	self := r.tracker.config.Registry.Self
 	candidates := view.LiveInRegion(self.Region)
 	grace := electionGrace
--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -95,13 +95,23 @@
 // Elect returns up to count candidates for a role, best first. All nodes with
 // the same view elect the same members without exchanging a message.
 func Elect(role string, candidates []Member, count int) []Member {
-	elected := append([]Member(nil), candidates...)
-	sort.Slice(elected, func(i, j int) bool {
-		left, right := RendezvousScore(role, elected[i].Name), RendezvousScore(role, elected[j].Name)
-		if left != right {
-			return left > right
+	type scored struct {
+		score uint64
+		index int
+	}
+	order := make([]scored, len(candidates))
+	for index := range candidates {
+		order[index] = scored{RendezvousScore(role, candidates[index].Name), index}
+	}
+	sort.Slice(order, func(i, j int) bool {
+		if order[i].score != order[j].score {
+			return order[i].score > order[j].score
 		}
-		return elected[i].Name < elected[j].Name
+		return candidates[order[i].index].Name < candidates[order[j].index].Name
 	})
-	return elected[:min(count, len(elected))]
+	elected := make([]Member, 0, min(count, len(candidates)))
+	for _, one := range order[:min(count, len(order))] {
+		elected = append(elected, candidates[one.index])
+	}
+	return elected
 }
