--- a/internal/settings/dissemination/startup.go
+++ b/internal/settings/dissemination/startup.go
@@ -20,6 +20,10 @@
 // startupRetry is the pause between two rounds of questions.
 const startupRetry = 200 * time.Millisecond
 
+// startupQuorum is the number of peers whose word spares the rest of the wait.
+// One alone may be the node that lags most.
+const startupQuorum = 2
+
 // tickStartup asks peers, and publishes the first version when enough have
 // answered or the wait is over.
 func (m *Machine) tickStartup(now time.Time) {
@@ -60,7 +64,7 @@
 		best = max(best, version)
 	}
 	caughtUp := m.state.known && m.state.version >= best
-	if answers >= startupPeers && caughtUp {
+	if answers >= startupQuorum && answers >= len(m.startupPeers()) && caughtUp {
 		return true
 	}
 	if waited >= m.config.StartupWait && (caughtUp || best == 0) {
