Settings commands: stateful fuzzing of racing operators with lost answers

Oracle: the store's history. Accepted means written exactly once, a lost race means not written, an unknown outcome at most once and known after a repeat.

--- a/internal/settings/command/apply.go
+++ b/internal/settings/command/apply.go
@@ -68,13 +68,15 @@
 	store   Store
 	inForce InForce
 	now     func() time.Time
+	// retry is the pause after the first lost answer.
+	retry time.Duration
 	// swept is when traces of deletions were last swept, in Unix nanoseconds.
 	swept atomic.Int64
 }
 
 // NewWriter makes a Writer.
 func NewWriter(store Store, inForce InForce, now func() time.Time) *Writer {
-	return &Writer{store: store, inForce: inForce, now: now}
+	return &Writer{store: store, inForce: inForce, now: now, retry: firstRetry}
 }
 
 // Apply makes a change. With an error, the result says what was written
@@ -337,7 +339,7 @@
 	}
 	object := platform.Object{Kind: platform.KindSetting, Name: tree.ObjectName(step.path), Revision: step.storedRevision(), Spec: spec}
 	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval = firstRetry
+	policy.InitialInterval = w.retry
 	revision, err := backoff.Retry(ctx, func() (uint64, error) { return w.tryWrite(ctx, change, step, object) },
 		backoff.WithBackOff(policy), backoff.WithMaxTries(maxWriteTries))
 	var conflict *ConflictError
--- a/internal/settings/command/store_test.go
+++ b/internal/settings/command/store_test.go
@@ -22,12 +22,21 @@
 	// loseAnswers and loseRequests count writes that fail after or before
 	// they took effect.
 	loseAnswers, loseRequests int
-	puts                      int
+	// loseReads counts reads that fail behind a write that failed.
+	loseReads   int
+	writeFailed bool
+	puts        int
+	// history lists the ids of the changes of each object, in order.
+	history map[string][]string
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
 
 func (s *memoryStore) Get(_ context.Context, _, name string) (platform.Object, error) {
+	if s.writeFailed && s.loseReads > 0 {
+		s.loseReads--
+		return platform.Object{}, errLost
+	}
 	object, ok := s.objects[name]
 	if !ok {
 		return object, platform.ErrNotFound
@@ -44,6 +53,7 @@
 		s.beforePut = nil
 		race()
 	}
+	s.writeFailed = s.loseRequests > 0 || s.loseAnswers > 0
 	if s.loseRequests > 0 {
 		s.loseRequests--
 		return platform.Object{}, errLost
@@ -52,6 +62,7 @@
 		return platform.Object{}, platform.ErrConflict
 	}
 	s.puts++
+	s.note(object)
 	s.revision++
 	object.Revision = s.revision
 	s.objects[object.Name] = object
@@ -71,6 +82,15 @@
 	return nil
 }
 
+func (s *memoryStore) note(object platform.Object) {
+	if s.history == nil {
+		s.history = make(map[string][]string)
+	}
+	if node, err := tree.Decode("", object.Spec); err == nil && node.Change != nil {
+		s.history[object.Name] = append(s.history[object.Name], node.Change.ID)
+	}
+}
+
 // followed is what a node in step with the store has in force.
 type followed struct {
 	*tree.Live
