--- a/internal/engine/openaihttp/client_test.go
+++ b/internal/engine/openaihttp/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -195,6 +196,9 @@
 			g.Expect(finish.CompletionTokens).To(gomega.Equal(tokens))
 			g.Expect(tokens).To(gomega.BeNumerically("<", maxTokens))
 
+			g.Expect(metric(first, "engine_requests_suspended")).To(gomega.Equal(1), "the state is kept")
+			made := metric(resumeAt, "engine_output_tokens_total")
+
 			request.Attempt++
 			request.ResumeFrom = tokens
 			sink = func(chunk engine.Chunk) error {
@@ -206,10 +210,28 @@
 			g.Expect(finish.Reason).To(gomega.Equal("length"))
 			g.Expect(text.String()).To(gomega.Equal(expected("prompt", maxTokens)))
 			g.Expect(client.Suspend(t.Context(), request.ID)).NotTo(gomega.Succeed(), "nothing runs any more")
+			made = metric(resumeAt, "engine_output_tokens_total") - made
+			g.Expect(made).To(gomega.Equal(maxTokens-request.ResumeFrom), "no token is made again")
+			if resumeAt != first {
+				g.Expect(client.Cancel(t.Context(), request.ID)).To(gomega.Succeed(), "drops the kept state")
+			}
+			g.Expect(metric(first, "engine_requests_suspended")).To(gomega.Equal(0))
 		})
 	}
 }
 
+// metric reads a metric without labels from a fresh report.
+func metric(running *standintest.Standin, name string) int {
+	time.Sleep(20 * time.Millisecond) // reports are made each millisecond
+	for line := range strings.Lines(string(running.Call("GET", "/metrics"))) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			number, _ := strconv.Atoi(strings.TrimSpace(value))
+			return number
+		}
+	}
+	return -1
+}
+
 func TestLeavingCancelsAtTheEngine(t *testing.T) {
 	errLeft := errors.New("left")
 	for name, leave := range map[string]func(cancel func()) error{
--- a/internal/jobs/dispatch/outcome.go
+++ b/internal/jobs/dispatch/outcome.go
@@ -18,8 +18,13 @@
 	codeEngineFailed   = "engine_failed"
 	codeEngineLost     = "engine_lost"
 	codeOutcomeUnknown = "outcome_unknown"
+	codeAnswerTooLarge = "answer_too_large"
 )
 
+// maxAnswer is the largest answer that is kept, in bytes: one that the ledger
+// can't take would keep all others from being reported.
+const maxAnswer = 8 << 20
+
 // token takes a chunk of the running attempt; false means that the attempt is
 // over and must end.
 func (s *scheduler) token(now time.Time, running *stream, attempt uint32, chunk engine.Chunk) bool {
@@ -62,28 +67,36 @@
 	if !s.current(running, attempt) {
 		return
 	}
+	suspended := err == nil && finish.Reason == finishSuspended
+	if suspended && s.park(now, running) {
+		return
+	}
 	s.left(now, running)
 	switch {
 	case running.revoked:
 		s.remove(running)
-	case err == nil && finish.Reason == finishSuspended:
-		s.parked(now, running)
+	case suspended || err != nil && running.moving:
+		s.requeue(now, running)
 	case err == nil:
 		s.succeeded(now, running, finish)
-	case running.moving:
-		s.requeue(now, running)
 	default:
 		s.failed(now, running, err)
 	}
 }
 
-func (s *scheduler) parked(now time.Time, parked *stream) {
+// park keeps a stream that was suspended as the policy wanted, if it can go on
+// at its engine.
+func (s *scheduler) park(now time.Time, parked *stream) bool {
 	at, ok := s.engines[parked.engine]
-	if !ok || at.leaving || parked.moving || s.draining {
-		s.requeue(now, parked)
-		return
+	if !ok || at.leaving || s.draining || !parked.suspending || parked.moving || parked.revoked {
+		return false
 	}
+	s.supply(parked.task.model).running--
 	parked.state = streamSuspended
+	s.step(now, batch.Event{
+		Kind: batch.EventBatchEnded, Engine: parked.engine, Stream: parked.id, Suspended: true,
+	})
+	return true
 }
 
 func (s *scheduler) succeeded(now time.Time, finished *stream, finish engine.Finish) {
@@ -93,6 +106,10 @@
 	result.HTTPStatus = http.StatusOK
 	result.CompletionTokens = uint32(max(finish.CompletionTokens, finished.task.tokens))
 	result.Body = wholeAnswer(now, finished, finish)
+	if len(result.Body) > maxAnswer {
+		result.Status, result.HTTPStatus = jobs.ItemFailed, http.StatusInsufficientStorage
+		result.Body = errorAnswer(codeAnswerTooLarge, "the answer is too large to be kept")
+	}
 	s.emit(action{kind: actionReport, result: result})
 }
 
--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -159,6 +159,8 @@
 	options Options
 	keys    *transport.Keyring
 	nodes   map[string]*node
+	onDisk  bool               // keep the ledgers in real folders
+	wrap    func(*node) vfs.FS // what a node sees of its file system; may be nil
 }
 
 type node struct {
@@ -231,6 +233,12 @@
 	if n.data {
 		options.Folder = "ledger"
 		options.FS = n.fs
+		if c.onDisk {
+			options.Folder, options.FS = c.t.TempDir(), nil
+		}
+		if c.wrap != nil {
+			options.FS = c.wrap(n)
+		}
 	}
 	service, err := Open(options)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"chutelock.dev/chutelock/internal/fleet/registry"
 	"chutelock.dev/chutelock/internal/fleet/tracker"
 	"chutelock.dev/chutelock/internal/gateway"
+	"chutelock.dev/chutelock/internal/jobs/service"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/membership"
 	"chutelock.dev/chutelock/internal/membership/agent"
@@ -152,12 +153,13 @@
 		},
 		Listener: func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
 	})
-	n.batch.runsOn(n.engines, n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
+	clients := observedClients{n.engines, n.engines}
+	n.batch.runsOn(clients, newServicePolicy(n.settings, n.engines), n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
 	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
 }
 
 func (n *Node) openLedger() error {
-	machines := &machines{}
+	n.batch = &batch{Service: service.New()}
 	options := replica.Options{
 		Sender:       n.peers,
 		Receiver:     n.peers,
@@ -165,7 +167,7 @@
 		Store:        n.platform,
 		Shards:       n.config.Ledger.Shards,
 		Copies:       n.config.Ledger.Copies,
-		NewMachine:   machines.make,
+		NewMachine:   n.batch.NewMachine,
 		Registry:     n.registry,
 		ReplaceAfter: n.config.Ledger.ReplaceAfter,
 	}
@@ -176,7 +178,7 @@
 	if n.ledger, err = replica.Open(options); err != nil {
 		return trace.Wrap(err, "opening the ledger")
 	}
-	n.batch = newBatch(n.ledger, n.peers, machines)
+	n.batch.Connect(n.peers.Address(), n.ledger, n.peers, n.peers)
 	return nil
 }
 
@@ -184,7 +186,7 @@
 	n.gateway = gateway.New(gateway.Dependencies{
 		Settings: n.settings,
 		Fleet:    n.engines,
-		Clients:  n.engines,
+		Clients:  observedClients{n.engines, n.engines},
 		Observer: n.engines,
 		Registry: n.registry,
 	})
