--- a/internal/ledger/replica/bench_test.go
+++ b/internal/ledger/replica/bench_test.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"os"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 )
@@ -130,6 +135,64 @@
 	b.ReportMetric(float64(heapBytes()-before)/(1<<20)/3, "heap-MiB/node")
 }
 
+// BenchmarkIdle measures what idle shards cost a node: three nodes, each shard
+// with three replicas, default timeouts. Only one run of a few seconds is meant
+// (-benchtime 1x).
+func BenchmarkIdle(b *testing.B) {
+	for _, shards := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("shards %d", shards), func(b *testing.B) { measureIdle(b, shards) })
+	}
+}
+
+func measureIdle(b *testing.B, shards int) {
+	const period = 4 * time.Second
+	c := newCluster(b, Options{
+		Shards:            shards,
+		ElectionTimeout:   replication.DefaultElectionTimeout,
+		HeartbeatInterval: replication.DefaultHeartbeatInterval,
+		TickInterval:      defaultTickInterval,
+		DirectoryInterval: defaultDirectoryInterval,
+		RepairInterval:    defaultRepairInterval,
+	})
+	c.registry = prometheus.NewRegistry()
+	before := heapBytes()
+	c.addAll("a", "b", "c")
+	for id := range ledger.ShardID(shards) {
+		c.settled(id, 3)
+	}
+	time.Sleep(time.Second)
+	bytesBefore, cpuBefore := c.sentBytes(), processTime(b)
+	time.Sleep(period)
+	bytes, cpu := c.sentBytes()-bytesBefore, processTime(b)-cpuBefore
+	nodes := float64(len(c.nodes))
+	b.ReportMetric(bytes/period.Seconds()/nodes, "B/s/node")
+	b.ReportMetric(cpu.Seconds()/period.Seconds()/nodes*100, "%core/node")
+	b.ReportMetric(float64(heapBytes()-before)/(1<<20)/nodes, "heap-MiB/node")
+}
+
+// sentBytes sums the payload bytes that the nodes' transports have sent.
+func (c *cluster) sentBytes() float64 {
+	families, err := c.registry.Gather()
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	total := 0.0
+	for _, family := range families {
+		if strings.HasSuffix(family.GetName(), "bytes_total") {
+			for _, metric := range family.GetMetric() {
+				total += metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return total
+}
+
+func processTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/membership"
@@ -152,15 +153,16 @@
 // cluster is a ledger on several nodes in this process, over real transport,
 // each node on a file system in memory that forgets what was not synced.
 type cluster struct {
-	g       *gomega.WithT
-	t       testing.TB
-	list    *memberList
-	store   *objectStore
-	options Options
-	keys    *transport.Keyring
-	nodes   map[string]*node
-	onDisk  bool               // keep the ledgers in real folders
-	wrap    func(*node) vfs.FS // what a node sees of its file system; may be nil
+	g        *gomega.WithT
+	t        testing.TB
+	list     *memberList
+	store    *objectStore
+	options  Options
+	keys     *transport.Keyring
+	nodes    map[string]*node
+	registry *prometheus.Registry // of all transports; may be nil
+	onDisk   bool                 // keep the ledgers in real folders
+	wrap     func(*node) vfs.FS   // what a node sees of its file system; may be nil
 }
 
 type node struct {
@@ -218,11 +220,15 @@
 }
 
 func (c *cluster) start(n *node) {
-	opened, err := transport.Listen(transport.Options{
+	listen := transport.Options{
 		Listen: "127.0.0.1:0",
 		Keys:   c.keys,
 		Allow:  func(transport.Address) bool { return !n.cut.Load() },
-	})
+	}
+	if c.registry != nil {
+		listen.Registry = prometheus.WrapRegistererWith(prometheus.Labels{"node": n.name}, c.registry)
+	}
+	opened, err := transport.Listen(listen)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.transport = opened
 	c.list.set(membership.Member{Name: n.name, Address: opened.Address(), Zone: n.zone, HasData: n.data})
--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -256,6 +256,7 @@
 	s.soft = soft
 	s.lastRound = 0
 	status := s.core.Status()
+	s.term = status.Term
 	leads, led := soft.Role == replication.RoleLeader, before.Role == replication.RoleLeader
 	switch {
 	case leads && !led:
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -257,6 +258,45 @@
 	}
 }
 
+func TestHangingDiskLosesLeadershipAndReleasesItsProposers(t *testing.T) {
+	c := newCluster(t, Options{})
+	var hanging atomic.Pointer[node]
+	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(releaseOnce)
+	c.wrap = func(n *node) vfs.FS {
+		return errorfs.Wrap(n.fs, errorfs.InjectorFunc(func(op errorfs.Op) error {
+			if hanging.Load() == n && op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+				<-release
+			}
+			return nil
+		}))
+	}
+	c.addAll("a", "b", "c")
+	c.proposeMany(0, "before", 20)
+	stuck := c.leader(0)
+	shard, _ := stuck.service.Local(0)
+	hanging.Store(stuck)
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	_, err := shard.Propose(ctx, []byte("caught"))
+	c.g.Expect(err).To(gomega.MatchError(ledger.ErrUnknownOutcome))
+	c.g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), "it must be told before its deadline")
+	c.g.Eventually(func() error {
+		for _, n := range c.nodes {
+			other, _ := n.service.Local(0)
+			if leads, _ := other.Leading(); n != stuck && leads {
+				_, err := other.Propose(ctx, []byte("after"))
+				return err
+			}
+		}
+		return ledger.ErrUnavailable
+	}).Should(gomega.Succeed())
+	hanging.Store(nil)
+	releaseOnce()
+	c.settled(0, 3)
+}
+
 func TestReplicaSetIsPublishedForOperators(t *testing.T) {
 	c := newCluster(t, Options{})
 	c.addAll("a", "b", "c")
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -33,6 +33,7 @@
 	halted    error // why the replica can't go on
 
 	soft       replication.SoftState
+	term       uint64              // at which soft was reported
 	waiters    map[uint64]proposal // by index
 	reads      map[uint64]*read    // by token
 	waiting    []*read             // confirmed, until their index is applied
@@ -264,8 +265,7 @@
 	if s.stopped || s.halted != nil {
 		return false, 0
 	}
-	status := s.core.Status()
-	return status.Role == replication.RoleLeader, status.Term
+	return s.soft.Role == replication.RoleLeader, s.term
 }
 
 // step takes a message from another replica.
@@ -324,6 +324,9 @@
 // releaseOrphans answers proposals that were made as a leader and are not
 // resolved soon after leadership was lost.
 func (s *Shard) releaseOrphans(now time.Time) {
+	if s.orphanedAt.IsZero() && len(s.waiters) > 0 && s.core.Status().Role != replication.RoleLeader {
+		s.orphanedAt = now // not reported yet: a worker may hang in the disk
+	}
 	if s.orphanedAt.IsZero() || now.Sub(s.orphanedAt) < s.service.options.ElectionTimeout {
 		return
 	}
