--- a/internal/routing/prefix_test.go
+++ b/internal/routing/prefix_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -252,3 +253,36 @@
 		PrefixKeys("m", prompt)
 	}
 }
+
+// BenchmarkMemory reports what a router keeps for a zone of engines that all
+// have traffic, and for a full table of prefixes.
+func BenchmarkMemory(b *testing.B) {
+	for name, prefixes := range map[string]int{"endpoints": 0, "prefixes": 200_000} {
+		b.Run(name, func(b *testing.B) {
+			heap := func() float64 {
+				runtime.GC()
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				return float64(stats.HeapAlloc)
+			}
+			snapshot := benchmarkSnapshot(440)
+			before := heap()
+			router := NewRouter(Config{Zone: "z", Region: "r"})
+			for i := range max(prefixes, 440*20) {
+				request := Request{Model: "m"}
+				if prefixes > 0 {
+					request.Prefix = []uint64{uint64(i)}
+				}
+				decision, err := router.Pick(epoch.Add(time.Duration(i)*time.Millisecond), request, snapshot)
+				if err != nil {
+					b.Fatal(err)
+				}
+				router.Observe(epoch.Add(time.Duration(i)*time.Millisecond), Outcome{Attempt: decision.Attempt, Kind: OutcomeFinished})
+			}
+			for b.Loop() {
+			}
+			b.ReportMetric(heap()-before, "heap-bytes")
+			runtime.KeepAlive(router)
+		})
+	}
+}
