routing: batch takes no slot from online requests

A home that parks thousands of batch items at an engine (WaitingBatch 5,000) brought Capacity to 0, so online requests would have waited behind batch. Found by reading the code against the promise; TestBatchTakesNoSlotFromOnline failed first (0, want 18). Batch that runs now lowers the load score a little, batch that waits counts nowhere.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -55,8 +55,10 @@
 	endpoint *fleet.Endpoint
 	state    *endpointState
 	hash     uint64
-	// others is the streams of other nodes in the endpoint's report.
+	// others is the online streams of other nodes in the endpoint's report.
 	others float64
+	// batch is the weighted batch streams that run there by the report.
+	batch float64
 }
 
 // NewRouter returns a router without knowledge.
@@ -187,7 +189,7 @@
 		freshness := r.freshness(view.Now, m.endpoint.Load.At)
 		sum += m.others * freshness
 		weights += freshness
-		r.candidates = append(r.candidates, Candidate{Endpoint: m.endpoint, InFlight: m.state.inFlight, Load: m.others, Freshness: freshness, hash: m.hash, state: m.state})
+		r.candidates = append(r.candidates, Candidate{Endpoint: m.endpoint, InFlight: m.state.inFlight, Load: m.others, Batch: m.batch * freshness, Freshness: freshness, hash: m.hash, state: m.state})
 	}
 	usual := 0.0
 	if weights > 0 {
@@ -260,8 +262,7 @@
 		r.states[endpoint.Name] = state
 	}
 	load := &endpoint.Load
-	batch := float64(load.RunningBatch + load.WaitingBatch)
-	online := max(0, float64(load.Running+load.Waiting)-batch)
+	online := max(0, float64(load.Running-load.RunningBatch+load.Waiting-load.WaitingBatch))
 	own := 0
 	if !load.At.IsZero() {
 		own = state.inFlightAt(load.At)
@@ -270,7 +271,8 @@
 		endpoint: endpoint,
 		state:    state,
 		hash:     xxhash.Sum64String(endpoint.Name),
-		others:   max(0, online-float64(own)) + batch*r.config.BatchLoadWeight,
+		others:   max(0, online-float64(own)),
+		batch:    float64(load.RunningBatch) * r.config.BatchLoadWeight,
 	}
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -358,6 +358,16 @@
 	g.Expect(router.Capacity(epoch, Request{Model: "none", Slots: 8}, snapshot)).To(gomega.BeZero())
 }
 
+// TestBatchTakesNoSlotFromOnline, however much of it runs or waits at the engines.
+func TestBatchTakesNoSlotFromOnline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := endpoints(3, epoch, func(_ int, e *fleet.Endpoint) {
+		e.Load.Running, e.Load.RunningBatch = 100, 98
+		e.Load.Waiting, e.Load.WaitingBatch = 5000, 5000
+	})
+	g.Expect(NewRouter(Config{}).Capacity(epoch, Request{Model: "m", Slots: 8}, snapshot)).To(gomega.Equal(3 * 6))
+}
+
 // TestReportsDoNotCountOwnStreamsTwice: a report that includes this node's own
 // streams, which it knows better, must not add them again.
 func TestReportsDoNotCountOwnStreamsTwice(t *testing.T) {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -8,7 +8,8 @@
 // loadScorer prefers endpoints with few online streams. It reads
 // Candidate.Load: this node's own streams now and, discounted by age, the
 // streams of others in the endpoint's lagging report; a stale or missing
-// report counts as the peers' mean, so that nobody rushes at the unknown.
+// report counts as the peers' mean, so that nobody rushes at the unknown. Batch
+// streams that run there count a little, because they make steps longer.
 // Score: 1 for an idle endpoint, 0.5 at the mean load, towards 0 above.
 type loadScorer struct{}
 
@@ -17,7 +18,7 @@
 func (loadScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
 	scale := 1 / (1 + view.MeanLoad)
 	for i := range candidates {
-		scores[i] += weight / (1 + candidates[i].Load*scale)
+		scores[i] += weight / (1 + (candidates[i].Load+candidates[i].Batch)*scale)
 	}
 }
 
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -107,6 +107,9 @@
 	InFlight int
 	// Load estimates the online streams on the endpoint, of all nodes.
 	Load float64
+	// Batch is the weighted batch streams that run there, discounted by age.
+	// Batch yields, so it never takes a slot from online requests.
+	Batch float64
 	// Freshness of the endpoint's report: 1 new, towards 0 with age, 0 missing.
 	Freshness float64
 
