--- a/internal/ledger/replica/transfer.go
+++ b/internal/ledger/replica/transfer.go
@@ -153,11 +153,17 @@
 // prepareSnapshot lets a snapshot message through once its data is staged,
 // with the staged marker; else it starts to fetch. The caller holds the mutex.
 func (s *Shard) prepareSnapshot(message *replication.Message, from transport.Address) bool {
+	status := s.core.Status()
+	if status.Installing {
+		return false // its data lies where another snapshot would be staged
+	}
+	if s.staged != nil && s.staged.Marker().Index <= status.Commit {
+		s.staged = nil // the log has overtaken it
+	}
 	if s.staged != nil {
 		message.Snapshot = s.staged.Marker()
 		return true
 	}
-	status := s.core.Status()
 	if message.Snapshot.Index <= status.Commit {
 		return true // nothing to fetch; the protocol will say so
 	}
--- a/internal/ledger/replication/status.go
+++ b/internal/ledger/replication/status.go
@@ -13,6 +13,9 @@
 	// ConfigurationPending says that the newest change is uncommitted.
 	ConfigurationPending bool
 	TransferringTo       ReplicaID
+	// Installing says that a snapshot was taken, but Advance has not yet
+	// confirmed its installation. Commit includes it already.
+	Installing bool
 	// Followers is set at the leader only.
 	Followers map[ReplicaID]FollowerStatus
 }
@@ -38,6 +41,7 @@
 		Configuration:        newest.configuration.clone(),
 		ConfigurationPending: newest.index > r.log.committed,
 		TransferringTo:       r.leading.transferTo,
+		Installing:           r.log.snapshot != nil,
 	}
 	if r.role != RoleLeader {
 		return status
