replication: any two faults at once are outlived by five voters

All 16 pairs of crash, lost disk, pause and isolation, on the leader and another or on two others, 50 seeds each: commits go on within 3 s and nothing is lost.

--- a/internal/ledger/replication/liveness_test.go
+++ b/internal/ledger/replication/liveness_test.go
@@ -27,14 +27,15 @@
 
 const seedsPerCase = 50
 
+var nodeFaults = map[string]func(*simulation, *simulatedNode){
+	"crash":     (*simulation).crash,
+	"disk loss": (*simulation).loseDisk,
+	"pause":     func(_ *simulation, node *simulatedNode) { node.paused = true },
+	"isolation": (*simulation).isolate,
+}
+
 func TestLeaderLossIsRepairedWithinTwoSeconds(t *testing.T) {
-	faults := map[string]func(*simulation, *simulatedNode){
-		"crash":     (*simulation).crash,
-		"disk loss": (*simulation).loseDisk,
-		"pause":     func(_ *simulation, node *simulatedNode) { node.paused = true },
-		"isolation": (*simulation).isolate,
-	}
-	for name, fault := range faults {
+	for name, fault := range nodeFaults {
 		for _, voters := range []int{3, 5} {
 			t.Run(name, func(t *testing.T) {
 				g := gomega.NewWithT(t)
@@ -90,6 +91,31 @@
 	}
 }
 
+func TestAnyTwoFaultsAtOnceAreOutlived(t *testing.T) {
+	for first, firstFault := range nodeFaults {
+		for second, secondFault := range nodeFaults {
+			t.Run(first+" and "+second, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				for seed := range uint64(seedsPerCase) {
+					s, leader := elect(g, seed, 5, 0)
+					g.Expect(s.commits(time.Second)).To(gomega.BeTrue())
+					victim := int(seed) % 2 // the leader and another, or two others
+					firstFault(s, s.nodes[(leader.position+victim)%5])
+					s.run(time.Duration(seed) * 10 * time.Millisecond)
+					secondFault(s, s.nodes[(leader.position+victim+1)%5])
+					g.Expect(s.commits(3*time.Second)).To(gomega.BeTrue(), "seed %d: %s", seed, s.oracle.failure)
+					s.heal()
+					g.Expect(s.repairUntilWhole(10*time.Second)).To(gomega.BeTrue(), "seed %d: %s", seed, s.oracle.failure)
+					g.Expect(s.run(time.Second)).To(gomega.BeEmpty())
+					for _, node := range s.nodes {
+						g.Expect(node.disk.applied.Index).To(gomega.BeNumerically(">=", s.oracle.observed))
+					}
+				}
+			})
+		}
+	}
+}
+
 func TestCutNodeCausesNoElection(t *testing.T) {
 	cuts := map[string]func(s *simulation, leader, node *simulatedNode){
 		"from all": func(s *simulation, _, node *simulatedNode) { s.isolate(node) },
