replication: Immediate, what may be sent while a Ready is at work

Cause: heartbeats, read rounds and appends waited for the shell to finish its Ready, so that a slow sync delayed reads and, beyond the election timeout, cost the leadership. They promise nothing about the write and may go at once. A replica whose Ready takes longer than WriteTimeout (1 s) falls silent, so that a hanging disk still loses the leadership. Seen to fail: without the bound (not replaced), and with Immediate empty during a Ready (an election at slow disks). The shell does not call it yet.

--- a/internal/ledger/replication/config.go
+++ b/internal/ledger/replication/config.go
@@ -9,6 +9,7 @@
 const (
 	DefaultElectionTimeout     = 600 * time.Millisecond
 	DefaultHeartbeatInterval   = 150 * time.Millisecond
+	DefaultWriteTimeout        = 1 * time.Second
 	DefaultSnapshotRetry       = 10 * time.Second
 	DefaultMaxMessageBytes     = 1 << 20
 	DefaultMaxInflightBytes    = 8 << 20
@@ -33,6 +34,9 @@
 	// quorum for this long steps down.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
+	// WriteTimeout is how long a Ready may be worked on before the replica
+	// falls silent, so that a leader with a hanging disk is replaced.
+	WriteTimeout time.Duration
 	// SnapshotRetry is how long a follower may take over a snapshot before
 	// the leader offers it again.
 	SnapshotRetry time.Duration
@@ -54,6 +58,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
 	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&c.SnapshotRetry, DefaultSnapshotRetry)
 	setDefault(&c.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&c.MaxInflightBytes, DefaultMaxInflightBytes)
--- a/internal/ledger/replication/doc.go
+++ b/internal/ledger/replication/doc.go
@@ -29,7 +29,8 @@
 //  5. call Advance.
 //
 // Tick, Step, Propose and the others may run between Ready and Advance (group
-// commit lives from that); a second Ready may not. After a crash anywhere in
+// commit lives from that); a second Ready may not. What Immediate returns
+// after them may be sent at once meanwhile. After a crash anywhere in
 // between, New on what the disk holds continues correctly.
 //
 // # Identity
--- a/internal/ledger/replication/liveness_test.go
+++ b/internal/ledger/replication/liveness_test.go
@@ -169,6 +169,30 @@
 	}
 }
 
+func TestLeaderWithHangingDiskIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for seed := range uint64(seedsPerCase) {
+		s, leader := elect(g, seed, 5, 0)
+		term := leader.replica.Status().Term
+		s.noise.maxWrite = DefaultWriteTimeout
+		for range 100 {
+			s.propose(leader)
+			s.run(100 * time.Millisecond)
+		}
+		g.Expect(leader.replica.Status().Term).To(gomega.Equal(term), "slow disks cause no election (seed %d)", seed)
+		s.noise.maxWrite = calmDelay
+		s.run(time.Second)
+		s.propose(leader)
+		g.Expect(leader.writing).NotTo(gomega.BeNil())
+		leader.generation++ // the write never ends, but everything else goes on
+		s.tick(leader)
+		replaced := s.runUntil(DefaultWriteTimeout+2*time.Second, func() bool {
+			return s.leader() != nil && s.leader() != leader
+		})
+		g.Expect(replaced).To(gomega.BeTrue(), "seed %d: %s", seed, s.oracle.failure)
+	}
+}
+
 func TestLeadershipIsTransferred(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for seed := range uint64(seedsPerCase) {
--- a/internal/ledger/replication/ready.go
+++ b/internal/ledger/replication/ready.go
@@ -1,5 +1,7 @@
 package replication
 
+import "time"
+
 // Role of a replica.
 type Role uint8
 
@@ -60,6 +62,7 @@
 	lastTerm  uint64
 	snapshot  *SnapshotMarker
 	applied   uint64
+	since     time.Time
 }
 
 // HasReady says whether Ready would return anything to do.
@@ -88,7 +91,9 @@
 		ReadStates:       r.readStates,
 	}
 	r.reportStates(&ready)
-	r.handOverMessages(&ready)
+	ready.Immediate = r.takeImmediate()
+	ready.Messages = r.messages
+	r.messages = nil
 	r.readStates = nil
 	r.remember(ready)
 	return ready
@@ -116,18 +121,33 @@
 	}
 }
 
-// handOverMessages sorts out those that promise nothing about this Ready's
-// writes: what a leader sends at a term that is persisted already, and a
-// follower's sign of life at one.
-func (r *Replica) handOverMessages(ready *Ready) {
+// Immediate returns the messages that may be sent at once, also while the
+// shell works on a Ready: heartbeats, read rounds and appends need not wait
+// for the disk. Once a Ready takes longer than Config.WriteTimeout there are
+// none, so that others notice.
+func (r *Replica) Immediate() []Message {
+	if r.Err() != nil || (r.handed != nil && r.now.Sub(r.handed.since) > r.config.WriteTimeout) {
+		return nil
+	}
+	r.flush()
+	return r.takeImmediate()
+}
+
+// takeImmediate takes the messages that promise nothing about any write: what
+// a leader sends at a term that is persisted already, and a follower's sign of
+// life at one.
+func (r *Replica) takeImmediate() []Message {
+	var immediate []Message
+	kept := r.messages[:0]
 	for _, message := range r.messages {
 		if r.promisesNothing(message) {
-			ready.Immediate = append(ready.Immediate, message)
-			continue
+			immediate = append(immediate, message)
+		} else {
+			kept = append(kept, message)
 		}
-		ready.Messages = append(ready.Messages, message)
 	}
-	r.messages = nil
+	r.messages = kept
+	return immediate
 }
 
 func (r *Replica) promisesNothing(message Message) bool {
@@ -142,7 +162,7 @@
 }
 
 func (r *Replica) remember(ready Ready) {
-	r.handed = &handedReady{hardState: r.hardState(), snapshot: ready.Snapshot, applied: r.log.applied}
+	r.handed = &handedReady{hardState: r.hardState(), snapshot: ready.Snapshot, applied: r.log.applied, since: r.now}
 	if count := len(ready.Entries); count > 0 {
 		r.handed.lastIndex = ready.Entries[count-1].Index
 		r.handed.lastTerm = ready.Entries[count-1].Term
--- a/internal/ledger/replication/replica_test.go
+++ b/internal/ledger/replication/replica_test.go
@@ -79,6 +79,7 @@
 	g.Expect(replica.Status().Commit).To(gomega.BeNumerically("<", index))
 	later, _, err := replica.Propose([]byte("during the write"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(replica.Immediate()).To(gomega.ContainElement(gomega.HaveField("Type", MessageAppend)))
 	disk.Persist(ready)
 	replica.Advance()
 	acknowledge(g, replica, 2, later)
--- a/internal/ledger/replication/simulation_test.go
+++ b/internal/ledger/replication/simulation_test.go
@@ -306,7 +306,11 @@
 
 // proceed is the shell: it takes a Ready and starts to write it.
 func (s *simulation) proceed(node *simulatedNode) {
-	if node.writing != nil || !node.replica.HasReady() {
+	if node.writing != nil {
+		s.transmit(node, node.replica.Immediate())
+		return
+	}
+	if !node.replica.HasReady() {
 		return
 	}
 	ready := node.replica.Ready()
