jobs: a shard that answers nothing holds up no other

Reports were sent together and renewals counted only when all shards had answered: one shard without a quorum stopped the start of all items at all nodes. The test (a Work whose second shard never answers) timed out with nothing reported; now each shard has its lane of reports, its renewal, and its offer. A lease request waits 1 s for a shard at most.

Also: unreported results keep their leases alive, and the table of running attempts forgets those that ended.

--- a/internal/jobs/command/work.go
+++ b/internal/jobs/command/work.go
@@ -20,6 +20,8 @@
 const (
 	// leaseBytes bounds the items of one lease.
 	leaseBytes = 4 << 20
+	// leaseTimeout bounds the wait for one shard's lease: another may have work.
+	leaseTimeout = time.Second
 	// offerTimeout bounds the wait for the offers of all shards.
 	offerTimeout = time.Second
 	// The time between looks at all shards' offers grows with their number, so
@@ -87,6 +89,8 @@
 // LeaseAt leases items of one shard.
 func (w *Work) LeaseAt(ctx context.Context, shard ledger.ShardID, dispatcher, model string, count int) ([]jobs.Lease, error) {
 	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	answer, err := perform(ctx, w.caller, remote.OperationLease, shard, &machine.LeaseItems{
 		Dispatcher: dispatcher, Model: model, Count: uint32(count), MaxBytes: leaseBytes,
 	})
@@ -142,29 +146,30 @@
 	return shards
 }
 
-// refreshOffers asks all shards for their offers, unless that was done lately
-// or is being done.
+// refreshOffers asks all shards for their offers in the background, unless that
+// was done lately or is being done. Each answer counts as it comes, so that a
+// shard without a leader holds up no other.
 func (w *Work) refreshOffers(ctx context.Context) {
 	if !w.beginLook(time.Now()) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
-	defer cancel()
-	fresh := make([]map[string]offerNumbers, w.caller.Shards())
-	var group errgroup.Group
-	for shard := range fresh {
-		group.Go(func() error {
-			fresh[shard] = w.offersOf(ctx, ledger.ShardID(shard))
-			return nil
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), offerTimeout)
+	var group sync.WaitGroup
+	for shard := range ledger.ShardID(w.caller.Shards()) {
+		group.Go(func() {
+			offers := w.offersOf(ctx, shard)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			w.offers[shard] = offers
 		})
 	}
-	_ = group.Wait() // a shard that can't be reached offers nothing
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.looking = false
-	for shard, offers := range fresh {
-		w.offers[ledger.ShardID(shard)] = offers
-	}
+	go func() {
+		group.Wait()
+		cancel()
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.looking = false
+	}()
 }
 
 func (w *Work) beginLook(now time.Time) bool {
@@ -212,9 +217,10 @@
 	return answer.Code == machine.CodeOK, nil
 }
 
-// Report implements jobs.Work.
+// Report implements jobs.Work. When it fails, results for other shards may
+// have been committed; to report those again does no harm.
 func (w *Work) Report(ctx context.Context, results []jobs.Result) error {
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group
 	for shard, ofShard := range w.byShard(results) {
 		group.Go(func() error { return w.reportTo(ctx, shard, ofShard) })
 	}
--- a/internal/jobs/dispatch/dispatcher.go
+++ b/internal/jobs/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"chutelock.dev/chutelock/internal/fleet"
 	"chutelock.dev/chutelock/internal/jobs"
 	"chutelock.dev/chutelock/internal/jobs/command"
+	"chutelock.dev/chutelock/internal/ledger"
 )
 
 const (
@@ -63,6 +65,7 @@
 	scheduler *scheduler
 	endpoints map[string]*fleet.Endpoint
 	cancels   map[string]context.CancelFunc // stream → ends its attempt
+	renewing  map[ledger.ShardID]bool       // a renewal is under way
 	// context ends when Run ends.
 	context context.Context
 	stop    context.CancelFunc
@@ -75,10 +78,11 @@
 	return &Dispatcher{
 		context: ctx, stop: stop,
 		name: dependencies.Name, work: dependencies.Work, clients: dependencies.Clients,
-		reports: newReporter(dependencies.Work, counted), pool: pond.NewPool(maxStreams),
+		reports: newReporter(ctx, dependencies.Work, counted), pool: pond.NewPool(maxStreams),
 		control: pond.NewPool(maxControls), metrics: counted,
 		drained: make(chan struct{}), scheduler: newScheduler(dependencies.Policy),
 		endpoints: map[string]*fleet.Endpoint{}, cancels: map[string]context.CancelFunc{},
+		renewing: map[ledger.ShardID]bool{},
 	}
 }
 
@@ -87,12 +91,12 @@
 	defer d.stop()
 	defer context.AfterFunc(ctx, d.stop)()
 	var loops sync.WaitGroup
-	loops.Go(func() { d.reports.run(ctx) })
 	loops.Go(func() { d.renewLoop(ctx) })
 	loops.Go(func() { d.tickLoop(ctx) })
 	loops.Wait()
 	d.control.StopAndWait()
 	d.pool.StopAndWait()
+	d.reports.wait()
 }
 
 // locked changes the scheduler and then does what it decided.
@@ -180,6 +184,7 @@
 		return nil
 	})
 	d.locked(func(now time.Time, s *scheduler) {
+		delete(d.cancels, running.id)
 		s.ended(now, running, planned.request.Attempt, finish, err)
 		s.fetch(now)
 	})
@@ -196,7 +201,10 @@
 	if err != nil {
 		eventStartFailed.Error(err, "job", planned.lease.JobID, "item", planned.index)
 	}
-	d.locked(func(now time.Time, s *scheduler) { s.refusedStart(now, running) })
+	d.locked(func(now time.Time, s *scheduler) {
+		delete(d.cancels, running.id)
+		s.refusedStart(now, running)
+	})
 	return false
 }
 
@@ -240,14 +248,42 @@
 	}
 }
 
-// renew renews the leases of all jobs here. The right to start is counted from
-// before the request was sent.
+// renew renews the leases of all jobs here, shard by shard, so that one
+// without a leader holds up no other.
 func (d *Dispatcher) renew(ctx context.Context) {
-	var jobIDs []string
-	d.locked(func(_ time.Time, s *scheduler) { jobIDs = s.heldJobs() })
-	if len(jobIDs) == 0 {
-		return
+	for shard, jobIDs := range d.renewals() {
+		d.control.Submit(func() {
+			d.renewShard(ctx, jobIDs)
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			delete(d.renewing, shard)
+		})
 	}
+}
+
+// renewals lists the jobs to renew, those with unreported results included,
+// less those whose shard has not answered the last time.
+func (d *Dispatcher) renewals() map[ledger.ShardID][]string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	byShard := map[ledger.ShardID][]string{}
+	wanted := append(d.scheduler.heldJobs(), d.reports.jobIDs()...)
+	slices.Sort(wanted)
+	for _, jobID := range slices.Compact(wanted) {
+		shard := shardOf(jobID)
+		if !d.renewing[shard] {
+			byShard[shard] = append(byShard[shard], jobID)
+		}
+	}
+	for shard := range byShard {
+		d.renewing[shard] = true
+	}
+	return byShard
+}
+
+// renewShard renews jobs of one shard. The right to start is counted from
+// before the request was sent.
+func (d *Dispatcher) renewShard(ctx context.Context, jobIDs []string) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, command.StartValidity)
 	defer cancel()
@@ -312,7 +348,7 @@
 }
 
 func (d *Dispatcher) closeIfDrained(s *scheduler) {
-	if s.draining && len(s.streams) == 0 && d.reports.empty() {
+	if s.draining && len(s.streams) == 0 && d.reports.done() {
 		d.once.Do(func() { close(d.drained) })
 	}
 }
--- a/internal/jobs/dispatch/dispatcher_test.go
+++ b/internal/jobs/dispatch/dispatcher_test.go
@@ -60,8 +60,85 @@
 	return statuses
 }
 
+// halfDeadWork has two shards, of which shard 1 answers nothing any more.
+type halfDeadWork struct {
+	mutex    sync.Mutex
+	jobIDs   [2]string
+	next     uint32
+	leased   bool
+	reported int
+}
+
+func (h *halfDeadWork) Lease(_ context.Context, _, _ string, count int) ([]jobs.Lease, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	jobID := h.jobIDs[0]
+	if !h.leased {
+		h.leased = true
+		jobID = h.jobIDs[1]
+	}
+	lease := jobs.Lease{JobID: jobID, Epoch: uint64(h.next), Deadline: time.Now().Add(time.Hour), Expires: time.Now().Add(leaseValidity)}
+	for range min(count, 4) {
+		lease.Items = append(lease.Items, jobs.Item{Index: h.next, Repeatable: true})
+		h.next++
+	}
+	return []jobs.Lease{lease}, nil
+}
+
+func (h *halfDeadWork) Start(context.Context, jobs.Lease, uint32) (bool, error) { return true, nil }
+
+func (h *halfDeadWork) Report(ctx context.Context, results []jobs.Result) error {
+	for _, result := range results {
+		if result.JobID == h.jobIDs[1] {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.reported += len(results)
+	return nil
+}
+
+func (h *halfDeadWork) Renew(ctx context.Context, _ string, jobIDs []string) ([]string, error) {
+	for _, jobID := range jobIDs {
+		if jobID == h.jobIDs[1] {
+			<-ctx.Done()
+			return nil, &jobs.RenewError{JobIDs: []string{jobID}, Cause: ctx.Err()}
+		}
+	}
+	return nil, nil
+}
+
+func (h *halfDeadWork) count() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.reported
+}
+
+// A shard that answers nothing must hold up neither the reports nor the
+// renewals of the others.
+func TestDeadShardHoldsUpNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	work := &halfDeadWork{jobIDs: [2]string{jobs.NewJobID(0), jobs.NewJobID(1)}}
+	d := New(Dependencies{Name: "d", Work: work, Policy: batch.NewFixed(4, false), Clients: &recorder{pace: 50 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { d.Run(ctx) })
+	d.HomeEvent(time.Now(), fleet.HomeEvent{
+		Kind: fleet.HomeGained, Endpoint: &fleet.Endpoint{Name: "e", Load: engine.Load{Models: []string{"m"}}},
+	})
+	g.Eventually(work.count, "20s").Should(gomega.BeNumerically(">", 20))
+	time.Sleep(2 * leaseValidity) // the rights from before the shard died are over
+	later := work.count()
+	g.Eventually(work.count, "20s").Should(gomega.BeNumerically(">", later+50))
+	cancel()
+	running.Wait()
+}
+
 // recorder is an engine that notes what it was sent.
 type recorder struct {
+	pace  time.Duration
 	mutex sync.Mutex
 	sent  []string
 }
@@ -69,6 +146,7 @@
 func (r *recorder) Client(*fleet.Endpoint) engine.Client { return r }
 
 func (r *recorder) Generate(_ context.Context, request engine.Request, _ func(engine.Chunk) error) (engine.Finish, error) {
+	time.Sleep(r.pace)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sent = append(r.sent, request.ID)
--- a/internal/jobs/identifier.go
+++ b/internal/jobs/identifier.go
@@ -21,6 +21,9 @@
 	prefixErrors = "file-err-"
 )
 
+// MaxShards is how many shards an identifier can tell apart.
+const MaxShards = 1 << 16
+
 const (
 	shardDigits  = 4
 	randomBytes  = 10
