--- a/internal/gateway/batchapi/batchapi_test.go
+++ b/internal/gateway/batchapi/batchapi_test.go
@@ -237,3 +237,22 @@
 		g.Expect(code).To(gomega.Equal(test.code), name)
 	}
 }
+
+func TestDeadlineThatPassesExpiresTheBatch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := deploy(t, true)
+	d.engine.pace = time.Hour
+	file, err := d.upload(line("a", "one") + line("b", "two"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	batch, err := d.client.Batches.New(context.Background(), openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1Completions, CompletionWindow: "1500ms",
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func(g gomega.Gomega) {
+		found := d.get(g, batch.ID)
+		g.Expect(string(found.Status)).To(gomega.Equal("expired"))
+		lines := d.lines(g, found.ErrorFileID)
+		g.Expect(lines).To(gomega.HaveLen(2))
+		g.Expect(lines[0].Error.Code).To(gomega.Equal("batch_expired"))
+	}, patience).Should(gomega.Succeed())
+}
