--- a/internal/admission/batch/model.go
+++ b/internal/admission/batch/model.go
@@ -21,8 +21,8 @@
 const (
 	regressorUnit    = 100.0
 	forgetting       = 0.9999 // weight kept by old observations, a step
-	initialVariance  = 1e-2
-	largestVariance  = 1.0
+	initialVariance  = 1.0
+	largestVariance  = 10.0
 	initialBase      = 0.006 // seconds
 	initialPerStream = 0.00005
 	initialPerToken  = 0.00002
--- /dev/null
+++ b/internal/admission/batch/model_test.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/engine"
+)
+
+func TestStepModelLearnsTheEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	model := newStepModel()
+	actual := func(streams, prefill float64) time.Duration {
+		return 9*time.Millisecond + time.Duration(streams*float64(70*time.Microsecond)+prefill*float64(25*time.Microsecond))
+	}
+	for range 2000 {
+		streams, prefill := float64(random.IntN(64)), float64(random.IntN(3)*100)
+		model.learn(actual(streams, prefill), streams, prefill)
+	}
+	for _, load := range [][2]float64{{1, 0}, {40, 0}, {64, 512}} {
+		g.Expect(model.step(load[0], load[1])).To(gomega.BeNumerically("~", actual(load[0], load[1]), 100*time.Microsecond))
+	}
+	g.Expect(model.perStream()).To(gomega.BeNumerically("~", 70*time.Microsecond, 2*time.Microsecond))
+}
+
+func TestStepHistogramGivesQuantilesAndForgets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var histogram stepHistogram
+	now := time.Unix(0, 0)
+	g.Expect(histogram.quantile(0.99)).To(gomega.BeZero())
+	for i := 1; i <= 1000; i++ {
+		histogram.add(now, time.Duration(i)*100*time.Microsecond, 1)
+	}
+	g.Expect(histogram.quantile(0.99)).To(gomega.BeNumerically("~", 99*time.Millisecond, time.Millisecond))
+	g.Expect(histogram.above(50 * time.Millisecond)).To(gomega.BeNumerically("~", 0.5, 0.01))
+	for range 3000 {
+		now = now.Add(time.Second)
+		histogram.add(now, time.Millisecond, 1)
+	}
+	g.Expect(histogram.quantile(0.99)).To(gomega.BeNumerically("~", time.Millisecond, 20*time.Microsecond))
+}
+
+func TestShadowMakesTheStepsOfOnlineAlone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	model := newStepModel()
+	var alone shadow
+	now := time.Unix(0, 0)
+	alone.advance(now, 0, &model, 512)
+	alone.arrive(700)
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		alone.advance(now, 10, &model, 512)
+	}
+	g.Expect(alone.steps.quantile(1)).To(gomega.BeNumerically("~", model.step(10, 512), 100*time.Microsecond))
+	g.Expect(alone.steps.quantile(0.3)).To(gomega.BeNumerically("~", model.step(10, 0), 100*time.Microsecond))
+}
+
+// fill starts count streams on the engine, and lets each have a token.
+func fill(controller *Controller, now time.Time, count int) {
+	for i := range count {
+		id := fmt.Sprintf("b%d", i)
+		controller.Step(now, Event{Kind: EventBatchStarted, Engine: "e", Stream: id, PromptTokens: 50})
+		controller.Step(now, Event{Kind: EventBatchToken, Engine: "e", Stream: id})
+	}
+}
+
+func TestStreamsThatRefuseToBeSuspendedAreLeftAlone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	controller := NewController(Config{Share: 0.5, Slots: 4})
+	now := time.Unix(0, 0)
+	fill(controller, now, 1)
+	suspended := 0
+	for round := range 5 {
+		now = now.Add(time.Second)
+		online := fmt.Sprintf("o%d", round)
+		for _, event := range []Event{
+			{Kind: EventOnlineStarted, Engine: "e", Stream: online, PromptTokens: 100},
+			{Kind: EventOnlineFinished, Engine: "e", Stream: online},
+		} {
+			for _, action := range controller.Step(now, event) {
+				if action.Kind == ActionSuspend {
+					suspended++
+				}
+			}
+		}
+		now = now.Add(2 * suspendLimit)
+		controller.Step(now, Event{Kind: EventBatchToken, Engine: "e", Stream: "b0"})
+	}
+	g.Expect(suspended).To(gomega.Equal(mostRefusals))
+}
+
+func TestAnotherHomesStreamsHalveTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	controller := NewController(Config{Share: 0.5, Slots: 40})
+	now := time.Unix(0, 0)
+	fill(controller, now, 40)
+	actions := controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: engine.Load{At: now, Running: 40, RunningBatch: 40}})
+	g.Expect(actions).To(gomega.BeEmpty())
+	report := engine.Load{At: now, Running: 40, RunningBatch: 40, Waiting: 20, WaitingBatch: 20}
+	actions = controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: report})
+	g.Expect(actions).To(gomega.HaveLen(20 + sharedReserve))
+}
+
+func TestFixedFillsUpToItsStreams(t *testing.T) {
+	for name, test := range map[string]struct {
+		heed  bool
+		load  engine.Load
+		admit int
+	}{
+		"idle":                     {true, engine.Load{}, 3},
+		"online waits":             {true, engine.Load{Waiting: 2, WaitingBatch: 1}, 0},
+		"online waits, not heeded": {false, engine.Load{Waiting: 2, WaitingBatch: 1}, 3},
+		"only batch waits":         {true, engine.Load{Waiting: 1, WaitingBatch: 1}, 3},
+		"draining":                 {false, engine.Load{Draining: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			policy := NewFixed(3, test.heed)
+			admitted := 0
+			for _, action := range policy.Step(time.Unix(0, 0), Event{Kind: EventLoad, Engine: "e", Load: test.load}) {
+				admitted += action.Count
+			}
+			g.Expect(admitted).To(gomega.Equal(test.admit))
+		})
+	}
+}
+
+func BenchmarkBatchToken(b *testing.B) {
+	controller := NewController(Config{Share: 0.5, Slots: 256})
+	now := time.Unix(0, 0)
+	fill(controller, now, 256)
+	controller.Step(now, Event{Kind: EventOnlineStarted, Engine: "e", Stream: "o", PromptTokens: 100})
+	ids := make([]string, 0, 256)
+	for i := range 256 {
+		ids = append(ids, fmt.Sprintf("b%d", i))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if i%256 == 0 {
+			now = now.Add(10 * time.Millisecond)
+		}
+		controller.Step(now, Event{Kind: EventBatchToken, Engine: "e", Stream: ids[i%256]})
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,77 @@
+package experiment_test
+
+import (
+	"bytes"
+	"encoding/csv"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/lab/experiment"
+)
+
+const experimentsFolder = "../../../experiments"
+
+func TestRecordedExperimentsLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paths, err := filepath.Glob(filepath.Join(experimentsFolder, "*.yaml"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(paths).NotTo(gomega.BeEmpty())
+	for _, path := range paths {
+		_, err := experiment.Load(path)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
+func TestLoadRefuses(t *testing.T) {
+	good, err := os.ReadFile(filepath.Join(experimentsFolder, "nairamdal.yaml"))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for name, change := range map[string][2]string{
+		"an unknown field":    {"seeds:", "surprise: 1\nseeds:"},
+		"an unknown policy":   {"kind: fifo", "kind: lifo"},
+		"a lost reference":    {"reference: controller", "reference: nobody"},
+		"no engine slots":     {"max_running: 64", "max_running: 0"},
+		"a negative duration": {"step_base: 5ms", "step_base: -5ms"},
+		"no seed":             {"count: 10", "count: 0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			changed := strings.Replace(string(good), change[0], change[1], 1)
+			g.Expect(changed).NotTo(gomega.Equal(string(good)))
+			path := filepath.Join(t.TempDir(), "experiment.yaml")
+			g.Expect(os.WriteFile(path, []byte(changed), 0o600)).To(gomega.Succeed())
+			_, err := experiment.Load(path)
+			g.Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
+
+func TestRunComparesPoliciesOnTheSameTraffic(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file, err := experiment.Load(filepath.Join(experimentsFolder, "nairamdal.yaml"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	file.Seeds.Count = 2
+	file.Run.Warmup, file.Run.Duration = time.Second, 4*time.Second
+	outcome, err := experiment.Run(file, 2)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	alone, ok := outcome.Estimate("without-batch", "harm_ttft_p99")
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(alone).To(gomega.Equal(experiment.Estimate{Mean: 1, HalfWidth: 0}))
+	wrong, ok := outcome.Estimate("fifo", "online_wrong")
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(wrong.Mean).To(gomega.BeZero())
+	var table, page bytes.Buffer
+	g.Expect(outcome.WriteCSV(&table)).To(gomega.Succeed())
+	lines, err := csv.NewReader(&table).ReadAll()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lines).To(gomega.HaveLen(1 + 2*(1+len(file.Policies))))
+	g.Expect(outcome.WriteHTML(&page)).To(gomega.Succeed())
+	g.Expect(page.String()).To(gomega.ContainSubstring("<svg"))
+	g.Expect(page.String()).NotTo(gomega.ContainSubstring("src="), "the page needs no other file")
+	g.Expect(math.IsInf(alone.HalfWidth, 0)).To(gomega.BeFalse())
+}
