--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,13 +22,14 @@
 	"chutelock.dev/chutelock/internal/fleet/registry"
 	"chutelock.dev/chutelock/internal/fleet/tracker"
 	"chutelock.dev/chutelock/internal/gateway"
+	"chutelock.dev/chutelock/internal/jobs/service"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/membership"
 	"chutelock.dev/chutelock/internal/membership/agent"
 	"chutelock.dev/chutelock/internal/membership/swim"
 	"chutelock.dev/chutelock/internal/node/operator"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
-	"chutelock.dev/chutelock/internal/settings/tree"
+	settingsagent "chutelock.dev/chutelock/internal/settings/agent"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -37,7 +38,6 @@
 	headerTimeout     = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	settingsRetry     = 500 * time.Millisecond
 	readyPollInterval = 20 * time.Millisecond
 )
 
@@ -60,7 +60,7 @@
 	keys      *transport.Keyring
 	peers     *transport.Node
 	platform  *objecthttp.Client
-	settings  *tree.Live
+	settings  *settingsagent.Agent
 	members   *agent.Agent
 	engines   *tracker.Tracker
 	ledger    *replica.Service
@@ -88,8 +88,10 @@
 		return nil, err
 	}
 	n.platform = objecthttp.New(settings.Platform.Address, objecthttp.Options{})
-	n.settings = tree.NewLive()
 	n.openMembership()
+	if err := n.openSettings(); err != nil {
+		return nil, err
+	}
 	if err := n.openLedger(); err != nil {
 		return nil, err
 	}
@@ -151,12 +153,13 @@
 		},
 		Listener: func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
 	})
-	n.batch.runsOn(n.engines, n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
+	clients := observedClients{n.engines, n.engines}
+	n.batch.runsOn(clients, newServicePolicy(n.settings, n.engines), n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
 	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
 }
 
 func (n *Node) openLedger() error {
-	machines := &machines{}
+	n.batch = &batch{Service: service.New()}
 	options := replica.Options{
 		Sender:       n.peers,
 		Receiver:     n.peers,
@@ -164,7 +167,7 @@
 		Store:        n.platform,
 		Shards:       n.config.Ledger.Shards,
 		Copies:       n.config.Ledger.Copies,
-		NewMachine:   machines.make,
+		NewMachine:   n.batch.NewMachine,
 		Registry:     n.registry,
 		ReplaceAfter: n.config.Ledger.ReplaceAfter,
 	}
@@ -175,7 +178,7 @@
 	if n.ledger, err = replica.Open(options); err != nil {
 		return trace.Wrap(err, "opening the ledger")
 	}
-	n.batch = newBatch(n.ledger, n.peers, machines)
+	n.batch.Connect(n.peers.Address(), n.ledger, n.peers, n.peers)
 	return nil
 }
 
@@ -183,7 +186,7 @@
 	n.gateway = gateway.New(gateway.Dependencies{
 		Settings: n.settings,
 		Fleet:    n.engines,
-		Clients:  n.engines,
+		Clients:  observedClients{n.engines, n.engines},
 		Observer: n.engines,
 		Registry: n.registry,
 	})
@@ -200,6 +203,7 @@
 
 func (n *Node) openOperators() {
 	n.operators = operator.NewMux(n.readiness, n.registry)
+	n.serveSettings()
 	n.addServer(n.operators)
 }
 
@@ -229,7 +233,7 @@
 	n.cancel = cancel
 	n.peers.Serve()
 	n.goRun(func() { n.members.Run(ctx) })
-	n.goRun(func() { n.followSettings(ctx) })
+	n.goRun(func() { n.settings.Run(ctx) })
 	n.goRun(func() { n.engines.Run(ctx) })
 	n.goRun(func() { n.keys.Follow(ctx.Done(), keyFileInterval, reportKeys) })
 	n.ledger.Start()
@@ -258,20 +262,6 @@
 	})
 }
 
-func (n *Node) followSettings(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := tree.Follow(ctx, n.platform, n.settings)
-		if ctx.Err() != nil {
-			return
-		}
-		EventSettingsGap.Error(err, "platform", n.config.Platform.Address)
-		select {
-		case <-ctx.Done():
-		case <-time.After(settingsRetry):
-		}
-	}
-}
-
 func reportKeys(changed bool, err error) {
 	if err != nil {
 		EventKeysInvalid.Error(err)
--- a/internal/settings/command/apply_test.go
+++ b/internal/settings/command/apply_test.go
@@ -162,6 +162,40 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+func TestOldTracesOfDeletionsAreSwept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := seeded(t)
+	_, err := apply(store, Change{ID: "d", Delete: []string{"fleet/a"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, step := range []struct {
+		later time.Duration
+		kept  bool
+	}{{traceRetention - time.Hour, true}, {traceRetention + time.Hour, false}} {
+		now := func() time.Time { return fixedNow().Add(step.later) }
+		change := Change{ID: fmt.Sprint(step.later), Nodes: nodes(t, folder("fleet", fmt.Sprintf("burst: %d", step.later.Milliseconds())))}
+		_, err := NewWriter(store, follow(store), now).Apply(context.Background(), change)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, present := store.objects["fleet.a"]
+		g.Expect(present).To(gomega.Equal(step.kept))
+	}
+}
+
+func TestMissingTraceOfADeletionIsASweptOneOnlyIfOld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := seeded(t)
+	_, err := apply(store, Change{ID: "d", Delete: []string{"fleet/a"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	inForce := follow(store)
+	delete(store.objects, "fleet.a")
+	change := Change{ID: "c", Nodes: nodes(t, folder("fleet", "burst: 5"))}
+	_, err = NewWriter(store, inForce, fixedNow).Apply(context.Background(), change)
+	var behind *StoreBehindError
+	g.Expect(errorsAs(err, &behind)).To(gomega.BeTrue())
+	later := func() time.Time { return fixedNow().Add(traceRetention + time.Hour) }
+	_, err = NewWriter(store, inForce, later).Apply(context.Background(), change)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 func TestStoreThatWentBackIsNotWrittenButRecovered(t *testing.T) {
 	g := gomega.NewWithT(t)
 	store := seeded(t)
--- a/internal/settings/tree/explain_test.go
+++ b/internal/settings/tree/explain_test.go
@@ -68,3 +68,38 @@
 	}))
 	g.Expect(Differences(nil, old)).To(gomega.HaveLen(3))
 }
+
+func TestFormattedYAMLReadsBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, node := range parse(t, sampleFile) {
+		node.Change = &Change{ID: "c"}
+		spec, err := Encode(node)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		text, err := FormatYAML(node.Path, 7, spec)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		again := parse(t, string(text)+"---\n")
+		node.Change, node.Revision = nil, 7
+		g.Expect(again).To(gomega.Equal([]*Node{node}), string(text))
+	}
+	_, err := FormatYAML("a", 1, nil)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
+
+func TestNodesAreListedInOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := sampleLive(t)
+	for _, test := range []struct {
+		path      string
+		recursive bool
+		want      int
+	}{{"", false, 4}, {"", true, 4}, {"fleet/hall", false, 1}, {"fleet/hall", true, 3}, {"fleet/hall/drafting/clerks", true, 1}} {
+		nodes, err := live.Nodes(test.path, test.recursive)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(nodes).To(gomega.HaveLen(test.want), test.path)
+		for i := 1; i < len(nodes); i++ {
+			g.Expect(nodes[i-1].Path < nodes[i].Path).To(gomega.BeTrue())
+		}
+	}
+	_, err := live.Nodes("fleet/ha", true)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/internal/settings/tree/live.go
+++ b/internal/settings/tree/live.go
@@ -1,7 +1,8 @@
 package tree
 
 import (
-	"strings"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -56,6 +57,13 @@
 	return l.tree.Problems()
 }
 
+// Faulty says cheaply whether Problems lists anything.
+func (l *Live) Faulty() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tree.faultyAtAll()
+}
+
 // Explain gives the effective settings of a node.
 func (l *Live) Explain(path string) (Explanation, error) {
 	l.mutex.Lock()
@@ -63,15 +71,23 @@
 	return l.tree.Explain(path)
 }
 
-// Nodes lists the node at path and, if recursive, all below it. An empty path
-// stands for the whole tree.
+// Nodes lists the node at path and, if recursive, all below it, in order. An
+// empty path stands for the whole tree.
 func (l *Live) Nodes(path string, recursive bool) ([]*Node, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	paths := map[string]struct{}{path: {}}
+	switch {
+	case path == "":
+		paths = l.tree.all()
+	case recursive:
+		paths = make(map[string]struct{})
+		l.tree.collect(path, paths)
+	}
 	var nodes []*Node
-	for _, candidate := range l.tree.Paths() {
-		if candidate == path || recursive && below(candidate, path) {
-			nodes = append(nodes, l.tree.nodes[candidate])
+	for _, candidate := range slices.Sorted(maps.Keys(paths)) {
+		if node, present := l.tree.Node(candidate); present {
+			nodes = append(nodes, node)
 		}
 	}
 	if len(nodes) == 0 && path != "" {
@@ -79,7 +95,3 @@
 	}
 	return nodes, nil
 }
-
-func below(path, ancestor string) bool {
-	return ancestor == "" || strings.HasPrefix(path, ancestor+"/")
-}
