--- a/internal/lab/experiment/row.go
+++ b/internal/lab/experiment/row.go
@@ -56,22 +56,22 @@
 	Result *sim.Result
 }
 
-func newRow(result, alone *sim.Result, bound float64, feasible int) Row {
+func newRow(result *sim.Result, alone *reference) Row {
 	row := Row{
 		Policy:        result.Policy,
 		Seed:          result.Seed,
 		FirstToken:    latencyOf(result.FirstToken),
 		BetweenTokens: latencyOf(result.BetweenTokens),
 		Total:         latencyOf(result.Total),
-		Bound:         bound,
-		Harvest:       ratio(float64(result.BatchTokens), bound),
+		Bound:         alone.bound,
+		Harvest:       ratio(float64(result.BatchTokens), alone.bound),
 		Result:        result,
 
-		FeasibleDeadlines: feasible,
+		FeasibleDeadlines: alone.feasible,
 	}
-	row.HarmFirstToken = row.FirstToken.over(latencyOf(alone.FirstToken))
-	row.HarmBetweenTokens = row.BetweenTokens.over(latencyOf(alone.BetweenTokens))
-	row.HarmTotal = row.Total.over(latencyOf(alone.Total))
+	row.HarmFirstToken = row.FirstToken.over(latencyOf(alone.result.FirstToken))
+	row.HarmBetweenTokens = row.BetweenTokens.over(latencyOf(alone.result.BetweenTokens))
+	row.HarmTotal = row.Total.over(latencyOf(alone.result.Total))
 	return row
 }
 
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -9,8 +9,11 @@
 	"chutelock.dev/chutelock/internal/lab/sim"
 )
 
-// withoutBatch is the policy that every experiment runs first.
-var withoutBatch = sim.Policy{Name: "without-batch", Kind: sim.PolicyNone}
+// withoutBatch is the reference that every experiment runs first, with the
+// run's routing; policies with another routing have a reference of their own.
+func withoutBatch(routing sim.RoutingKind) sim.Policy {
+	return sim.Policy{Name: "without-batch", Kind: sim.PolicyNone, Routing: routing}
+}
 
 // Run runs all policies on all seeds, parallel seeds at once.
 func Run(file File, parallel int) (*Outcome, error) {
@@ -35,22 +38,47 @@
 	return outcome, trace.Wrap(err, "experiment %v", file.Name)
 }
 
+// reference is a run without batch work and what follows from it.
+type reference struct {
+	result   *sim.Result
+	bound    float64
+	feasible int
+}
+
+func newReference(file File, seed uint64, routing sim.RoutingKind) (*reference, error) {
+	result, err := sim.Run(file.Run, withoutBatch(routing), seed, nil)
+	if err != nil {
+		return nil, trace.Wrap(err, "seed %v without batch", seed)
+	}
+	return &reference{
+		result:   result,
+		bound:    sim.FluidBound(file.Run, seed, result.Recording),
+		feasible: sim.FeasibleDeadlines(file.Run, seed, result.Recording),
+	}, nil
+}
+
 // runSeed runs the reference without batch work and then each policy.
 func runSeed(file File, seed uint64) ([]Row, error) {
-	alone, err := sim.Run(file.Run, withoutBatch, seed, nil)
+	routing := sim.Policy{}.RoutingIn(file.Run)
+	alone, err := newReference(file, seed, routing)
 	if err != nil {
-		return nil, trace.Wrap(err, "seed %v without batch", seed)
+		return nil, err
 	}
-	bound := sim.FluidBound(file.Run, seed, alone.Recording)
-	feasible := sim.FeasibleDeadlines(file.Run, seed, alone.Recording)
-	rows := []Row{newRow(alone, alone, bound, feasible)}
+	references := map[sim.RoutingKind]*reference{routing: alone}
+	rows := []Row{newRow(alone.result, alone)}
 	for _, policy := range file.Policies {
-		result, err := sim.Run(file.Run, policy, seed, alone.Recording)
+		routing := policy.RoutingIn(file.Run)
+		if references[routing] == nil {
+			if references[routing], err = newReference(file, seed, routing); err != nil {
+				return nil, err
+			}
+		}
+		result, err := sim.Run(file.Run, policy, seed, references[routing].result.Recording)
 		if err != nil {
 			return nil, trace.Wrap(err, "seed %v policy %v", seed, policy.Name)
 		}
-		result.Recording = nil // large, and only the first run's is used
-		rows = append(rows, newRow(result, alone, bound, feasible))
+		result.Recording = nil // large, and only the references' are used
+		rows = append(rows, newRow(result, references[routing]))
 	}
 	return rows, nil
 }
--- a/internal/lab/sim/config.go
+++ b/internal/lab/sim/config.go
@@ -95,6 +95,8 @@
 	Online     arrivals.Online `koanf:"online"`
 	Batch      arrivals.Batch  `koanf:"batch"`
 	Faults     []Fault         `koanf:"faults" validate:"dive"`
+	// Routing of online requests for policies that don't set their own.
+	Routing RoutingKind `koanf:"routing" validate:"omitempty,oneof=least_in_flight node"`
 	// Warmup is left out of all measures; Duration includes it.
 	Warmup   time.Duration `koanf:"warmup" validate:"gte=0"`
 	Duration time.Duration `koanf:"duration" validate:"gtfield=Warmup"`
--- a/internal/lab/sim/doc.go
+++ b/internal/lab/sim/doc.go
@@ -1,8 +1,8 @@
 // Package sim emulates a whole deployment in virtual time: clients, nodes
 // with their gateway and home roles, the network, lagging load reports and
 // engines (internal/standin/engine/scheduler). The decisions come from the
-// node's own code, internal/admission/batch; the rest is a model of the node's
-// shells.
+// node's own code, internal/admission/batch and (where a policy asks for it)
+// internal/routing; the rest is a model of the node's shells.
 //
 // A run is a pure function of its Config and seed. Simplifications, all in
 // favour of the comparison being about batch admission: a node's own work
--- a/internal/lab/sim/engine.go
+++ b/internal/lab/sim/engine.go
@@ -154,7 +154,7 @@
 	load := e.load()
 	s.after(s.config.Deployment.Reports.Lag, func() {
 		for _, node := range s.nodes {
-			node.gateway.reports[e.index] = load
+			node.gateway.reported(e.index, load)
 		}
 		for _, home := range s.homesOf(e.index) {
 			home.reported(load)
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -40,7 +40,7 @@
 		home.gone()
 	}
 	for _, node := range s.nodes {
-		node.gateway.unusable[engine.index] = true
+		node.gateway.setUnusable(engine.index, true)
 	}
 }
 
@@ -48,7 +48,7 @@
 func (s *simulation) reviveEngine(engine *emulatedEngine) {
 	engine.revive()
 	for _, node := range s.nodes {
-		node.gateway.unusable[engine.index] = false
+		node.gateway.setUnusable(engine.index, false)
 	}
 	s.homes[engine.index].die()
 	s.takeOver(engine)
--- a/internal/lab/sim/gateway.go
+++ b/internal/lab/sim/gateway.go
@@ -6,6 +6,7 @@
 
 	"chutelock.dev/chutelock/internal/engine"
 	"chutelock.dev/chutelock/internal/lab/arrivals"
+	"chutelock.dev/chutelock/internal/routing"
 )
 
 // node is a chutelock node: a gateway, and the home of some engines.
@@ -29,15 +30,30 @@
 	cached   cachedEstimate
 	// unusable engines are known to be leaving or dead.
 	unusable []bool
+	// version counts changes of reports and unusable.
+	version   int
+	placement placement
 }
 
 func newGateway(node *node, engines int) *gateway {
-	return &gateway{
+	created := &gateway{
 		node:     node,
 		inFlight: make([]int, engines),
 		reports:  make([]engine.Load, engines),
 		unusable: make([]bool, engines),
 	}
+	created.placement = newPlacement(created)
+	return created
+}
+
+func (g *gateway) reported(index int, load engine.Load) {
+	g.reports[index] = load
+	g.version++
+}
+
+func (g *gateway) setUnusable(index int, unusable bool) {
+	g.unusable[index] = unusable
+	g.version++
 }
 
 // onlineRequest is an online request on its way through a gateway.
@@ -48,6 +64,8 @@
 	attempt  int
 	received int // tokens handed to the client
 	lastAt   time.Duration
+	tried    []string
+	routed   *routing.Attempt // nil but under RoutingNode
 }
 
 var _ receiver = (*onlineRequest)(nil)
@@ -58,7 +76,7 @@
 
 func (g *gateway) send(r *onlineRequest) {
 	s := g.node.simulation
-	chosen := g.route(r.request)
+	chosen := g.route(r)
 	if chosen == nil {
 		s.result.OnlineFailed++
 		return
@@ -79,34 +97,14 @@
 	})
 }
 
-// route is the stand-in for internal/routing: least in flight by the gateway's
-// own count plus the lagging report's waiting online requests, at random among
-// equals.
-func (g *gateway) route(request arrivals.Request) *emulatedEngine {
+func (g *gateway) route(r *onlineRequest) *emulatedEngine {
 	s := g.node.simulation
 	if s.plan != nil && s.policy.Kind == PolicyClairvoyant {
-		if planned, ok := s.plan.engineOf[request.Number]; ok {
+		if planned, ok := s.plan.engineOf[r.request.Number]; ok {
 			return s.engines[planned]
 		}
 	}
-	var best []*emulatedEngine
-	lowest := 0
-	for _, candidate := range s.engines[:s.policy.onlineEngines(len(s.engines))] {
-		if g.unusable[candidate.index] {
-			continue
-		}
-		score := g.inFlight[candidate.index] + g.reports[candidate.index].Waiting - g.reports[candidate.index].WaitingBatch
-		if len(best) == 0 || score < lowest {
-			best, lowest = best[:0], score
-		}
-		if score == lowest {
-			best = append(best, candidate)
-		}
-	}
-	if len(best) == 0 {
-		return nil
-	}
-	return best[s.random.IntN(len(best))]
+	return g.placement.place(r)
 }
 
 // believedHome is the home to which the node announces online requests.
@@ -134,6 +132,7 @@
 	r.received++
 	at := s.clock.now + s.config.Deployment.Network.Client
 	if index == 0 {
+		r.gateway.placement.observe(r, routing.OutcomeFirstToken)
 		s.result.firstToken(r.request.At, at)
 	} else {
 		s.result.nextToken(r.request.At, r.lastAt, at)
@@ -143,6 +142,7 @@
 
 func (r *onlineRequest) finished(cached, prompt int) {
 	s := r.gateway.node.simulation
+	r.gateway.placement.observe(r, routing.OutcomeFinished)
 	r.release()
 	r.gateway.cached.observe(cached)
 	s.result.onlineDone(r.request, s.clock.now+s.config.Deployment.Network.Client, cached, prompt)
@@ -150,8 +150,10 @@
 
 // broken sends the request to another engine, from where the client is.
 func (r *onlineRequest) broken() {
+	r.gateway.placement.observe(r, routing.OutcomeFailed)
 	r.release()
-	r.gateway.unusable[r.engine.index] = true
+	r.tried = append(r.tried, r.engine.name)
+	r.gateway.setUnusable(r.engine.index, true)
 	r.gateway.node.simulation.result.OnlineRetried++
 	r.gateway.send(r)
 }
--- /dev/null
+++ b/internal/lab/sim/placement.go
@@ -0,0 +1,130 @@
+package sim
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/routing"
+)
+
+// RoutingKind names how gateways place online requests.
+type RoutingKind string
+
+const (
+	// RoutingLeastInFlight is a stand-in: the gateway's own requests in flight
+	// plus the lagging report's waiting online requests, at random among equals.
+	RoutingLeastInFlight RoutingKind = "least_in_flight"
+	// RoutingNode is the node's own internal/routing.
+	RoutingNode RoutingKind = "node"
+)
+
+// placement places a gateway's requests and learns from what came of them.
+type placement interface {
+	// place returns nil when no engine can take the request.
+	place(r *onlineRequest) *emulatedEngine
+	observe(r *onlineRequest, kind routing.OutcomeKind)
+}
+
+func newPlacement(g *gateway) placement {
+	s := g.node.simulation
+	if s.policy.RoutingIn(s.config) != RoutingNode {
+		return leastInFlight{g}
+	}
+	return &nodeRouting{gateway: g, router: routing.NewRouter(routing.Config{
+		Zone: s.zoneName(g.node.zone),
+		Seed: s.random.Uint64(),
+	})}
+}
+
+func (s *simulation) zoneName(zone int) string { return s.config.Deployment.Zones[zone].Name }
+
+// leastInFlight is RoutingLeastInFlight.
+type leastInFlight struct{ gateway *gateway }
+
+func (l leastInFlight) observe(*onlineRequest, routing.OutcomeKind) {}
+
+func (l leastInFlight) place(*onlineRequest) *emulatedEngine {
+	g := l.gateway
+	s := g.node.simulation
+	var best []*emulatedEngine
+	lowest := 0
+	for _, candidate := range s.engines[:s.policy.onlineEngines(len(s.engines))] {
+		if g.unusable[candidate.index] {
+			continue
+		}
+		score := g.inFlight[candidate.index] + g.reports[candidate.index].Waiting - g.reports[candidate.index].WaitingBatch
+		if len(best) == 0 || score < lowest {
+			best, lowest = best[:0], score
+		}
+		if score == lowest {
+			best = append(best, candidate)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[s.random.IntN(len(best))]
+}
+
+// nodeRouting is RoutingNode.
+type nodeRouting struct {
+	gateway  *gateway
+	router   *routing.Router
+	snapshot *fleet.Snapshot
+	version  int
+}
+
+// emulatedModel is the only model of a simulation.
+const emulatedModel = "model"
+
+func (n *nodeRouting) place(r *onlineRequest) *emulatedEngine {
+	s := n.gateway.node.simulation
+	n.refresh()
+	decision, err := n.router.Pick(s.now(), routing.Request{
+		Model:      emulatedModel,
+		Prefix:     prefixHashes(r.request, s.config.Deployment.Engine.BlockTokens),
+		Tried:      r.tried,
+		Repeatable: true,
+	}, n.snapshot)
+	if err != nil {
+		return nil
+	}
+	r.routed = decision.Attempt
+	for _, candidate := range s.engines {
+		if candidate.name == decision.Endpoint.Name {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// refresh makes a new snapshot if the gateway has learnt something since.
+func (n *nodeRouting) refresh() {
+	g := n.gateway
+	if n.snapshot != nil && n.version == g.version {
+		return
+	}
+	s := g.node.simulation
+	n.version = g.version
+	n.snapshot = &fleet.Snapshot{Taken: s.now()}
+	for _, listed := range s.engines[:s.policy.onlineEngines(len(s.engines))] {
+		load := g.reports[listed.index]
+		load.Models = []string{emulatedModel}
+		if load.At.IsZero() {
+			load.At = s.now().Add(-time.Minute)
+		}
+		n.snapshot.Endpoints = append(n.snapshot.Endpoints, &fleet.Endpoint{
+			Name: listed.name, Zone: s.zoneName(listed.zone), Leaving: g.unusable[listed.index], Load: load,
+		})
+	}
+}
+
+func (n *nodeRouting) observe(r *onlineRequest, kind routing.OutcomeKind) {
+	if r.routed == nil {
+		return
+	}
+	n.router.Observe(n.gateway.node.simulation.now(), routing.Outcome{
+		Attempt: r.routed, Kind: kind, Fate: engine.FateUnknown, Tokens: r.received,
+	})
+}
--- a/internal/lab/sim/policy.go
+++ b/internal/lab/sim/policy.go
@@ -35,10 +35,12 @@
 
 // Policy is one way of running batch work that an experiment compares.
 type Policy struct {
-	Name        string     `koanf:"name" validate:"required"`
-	Kind        PolicyKind `koanf:"kind" validate:"oneof=none fifo engine_priority static_split fixed controller clairvoyant"`
-	Streams     int        `koanf:"streams" validate:"gte=0"`
-	OnlineShare float64    `koanf:"online_share" validate:"gte=0,lte=1"`
+	Name string     `koanf:"name" validate:"required"`
+	Kind PolicyKind `koanf:"kind" validate:"oneof=none fifo engine_priority static_split fixed controller clairvoyant"`
+	// Routing of online requests; empty means the run's.
+	Routing     RoutingKind `koanf:"routing" validate:"omitempty,oneof=least_in_flight node"`
+	Streams     int         `koanf:"streams" validate:"gte=0"`
+	OnlineShare float64     `koanf:"online_share" validate:"gte=0,lte=1"`
 	// Share is Service.BatchShare, for the controller.
 	Share float64 `koanf:"share" validate:"gte=0,lte=1"`
 	// Price is the clairvoyant's weight of an online stream in batch streams.
@@ -75,6 +77,17 @@
 	return engine.PriorityBatch
 }
 
+// RoutingIn is the routing that the policy uses in a run.
+func (p Policy) RoutingIn(config Config) RoutingKind {
+	switch {
+	case p.Routing != "":
+		return p.Routing
+	case config.Routing != "":
+		return config.Routing
+	}
+	return RoutingLeastInFlight
+}
+
 // deadlineOrder says whether items with less slack go first.
 func (p Policy) deadlineOrder() bool { return p.Kind != PolicyFIFO }
 
