--- a/internal/lab/experiment/html.go
+++ b/internal/lab/experiment/html.go
@@ -57,31 +57,31 @@
 func (o *Outcome) WriteHTML(out io.Writer) error {
 	plots, err := o.plots()
 	if err != nil {
-		return trace.Wrap(err, "plots of %v", o.File.Name)
+		return trace.Wrap(err, "plots of %v", o.Name)
 	}
 	return trace.Wrap(page.Execute(out, map[string]any{
-		"Name":        o.File.Name,
-		"Description": o.File.Description,
-		"Seeds":       len(o.Rows),
-		"Reference":   o.File.Reference,
+		"Name":        o.Name,
+		"Description": o.Description,
+		"Seeds":       len(o.Samples),
+		"Reference":   o.Reference,
 		"Plots":       plots,
 		"Tables": []tableView{
-			o.table("Measures", func(policy int, of func(Row) float64) Estimate { return estimate(o.column(policy, of)) }),
-			o.table("Paired differences to "+o.File.Reference, o.difference),
+			o.table("Measures", o.estimate),
+			o.table("Paired differences to "+o.Reference, o.difference),
 		},
 	}))
 }
 
 // table has a line for each measure and a column for each policy.
-func (o *Outcome) table(title string, cell func(int, func(Row) float64) Estimate) tableView {
+func (o *Outcome) table(title string, cell func(policy, measure int) Estimate) tableView {
 	view := tableView{Title: title, Header: []string{"measure"}}
 	for policy := range o.policies() {
 		view.Header = append(view.Header, o.policyName(policy))
 	}
-	for _, measure := range measures {
+	for index, measure := range measures {
 		line := []string{measure.title}
 		for policy := range o.policies() {
-			line = append(line, formatEstimate(cell(policy, measure.of)))
+			line = append(line, formatEstimate(cell(policy, index)))
 		}
 		view.Rows = append(view.Rows, line)
 	}
@@ -89,16 +89,12 @@
 }
 
 func (o *Outcome) plots() ([]plotView, error) {
-	harvest := func(r Row) float64 { return r.Harvest }
 	var views []plotView
-	for _, axis := range []struct {
-		title string
-		of    func(Row) float64
-	}{
-		{"Harvest against harm to the time to first token, p99", func(r Row) float64 { return r.HarmFirstToken.P99 }},
-		{"Harvest against harm to the time between tokens, p99", func(r Row) float64 { return r.HarmBetweenTokens.P99 }},
+	for _, axis := range []struct{ title, measure string }{
+		{"Harvest against harm to the time to first token, p99", "harm_ttft_p99"},
+		{"Harvest against harm to the time between tokens, p99", "harm_tbt_p99"},
 	} {
-		image, err := o.scatter(axis.of, harvest)
+		image, err := o.scatter(axis.measure, "harvest")
 		if err != nil {
 			return nil, err
 		}
@@ -117,7 +113,12 @@
 const harmShown = 2.0
 
 // scatter plots a point for each seed and policy, and the goals as lines.
-func (o *Outcome) scatter(x, y func(Row) float64) (template.HTML, error) {
+func (o *Outcome) scatter(across, up string) (template.HTML, error) {
+	x, knownX := measureIndex(across)
+	y, knownY := measureIndex(up)
+	if !knownX || !knownY {
+		return "", trace.BadParameter("no measure %q or %q", across, up)
+	}
 	drawing := plot.New()
 	drawing.X.Label.Text = fmt.Sprintf("harm (drawn at %.0f where higher)", harmShown)
 	drawing.Y.Label.Text = "harvest"
@@ -125,9 +126,9 @@
 	drawing.Y.Min, drawing.Y.Max = 0, 1.05
 	drawing.Legend.Left = false
 	for policy := range o.policies() {
-		points := make(plotter.XYs, len(o.Rows))
-		for i, rows := range o.Rows {
-			points[i] = plotter.XY{X: min(x(rows[policy]), harmShown), Y: y(rows[policy])}
+		points := make(plotter.XYs, len(o.Samples))
+		for i, samples := range o.Samples {
+			points[i] = plotter.XY{X: min(samples[policy].Values[x], harmShown), Y: samples[policy].Values[y]}
 		}
 		series, err := plotter.NewScatter(points)
 		if err != nil {
--- a/internal/lab/experiment/row.go
+++ b/internal/lab/experiment/row.go
@@ -75,6 +75,23 @@
 	return row
 }
 
+// sample takes the row's measures.
+func (r Row) sample() Sample {
+	values := make([]float64, len(measures))
+	for i, measure := range measures {
+		values[i] = measure.of(r)
+	}
+	return Sample{Policy: r.Policy, Seed: r.Seed, Bound: r.Bound, Values: values}
+}
+
+// Sample is the measures of one run, in the order of the table of measures.
+type Sample struct {
+	Policy string
+	Seed   uint64
+	Bound  float64
+	Values []float64
+}
+
 // prefixHits is the share of prompt tokens found in a prefix cache.
 func (r Row) prefixHits() float64 {
 	return ratio(float64(r.Result.CachedTokens), float64(r.Result.PromptTokens))
@@ -94,6 +111,7 @@
 	of    func(Row) float64
 }
 
+// measures are all columns.
 var measures = []measure{
 	{"ttft_p50_ms", "TTFT p50, ms", func(r Row) float64 { return r.FirstToken.P50 }},
 	{"ttft_p99_ms", "TTFT p99, ms", func(r Row) float64 { return r.FirstToken.P99 }},
@@ -125,3 +143,13 @@
 	{"cancellations", "cancellations", func(r Row) float64 { return float64(r.Result.Cancellations) }},
 	{"preemptions", "engine preemptions", func(r Row) float64 { return float64(r.Result.EnginePreemptions) }},
 }
+
+// measureIndex finds a measure by its name.
+func measureIndex(name string) (int, bool) {
+	for index, candidate := range measures {
+		if candidate.name == name {
+			return index, true
+		}
+	}
+	return 0, false
+}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -17,7 +17,12 @@
 
 // Run runs all policies on all seeds, parallel seeds at once.
 func Run(file File, parallel int) (*Outcome, error) {
-	outcome := &Outcome{File: file, Rows: make([][]Row, file.Seeds.Count)}
+	outcome := &Outcome{
+		Name:        file.Name,
+		Description: file.Description,
+		Reference:   file.Reference,
+		Samples:     make([][]Sample, file.Seeds.Count),
+	}
 	pool := pond.NewPool(parallel)
 	group := pool.NewGroup()
 	var progress sync.Mutex
@@ -29,7 +34,7 @@
 			}
 			progress.Lock()
 			defer progress.Unlock()
-			outcome.Rows[index] = rows
+			outcome.Samples[index] = rows
 			return nil
 		})
 	}
@@ -58,14 +63,14 @@
 }
 
 // runSeed runs the reference without batch work and then each policy.
-func runSeed(file File, seed uint64) ([]Row, error) {
+func runSeed(file File, seed uint64) ([]Sample, error) {
 	routing := sim.Policy{}.RoutingIn(file.Run)
 	alone, err := newReference(file, seed, routing)
 	if err != nil {
 		return nil, err
 	}
 	references := map[sim.RoutingKind]*reference{routing: alone}
-	rows := []Row{newRow(alone.result, alone)}
+	rows := []Sample{newRow(alone.result, alone).sample()}
 	for _, policy := range file.Policies {
 		routing := policy.RoutingIn(file.Run)
 		if references[routing] == nil {
@@ -78,7 +83,7 @@
 			return nil, trace.Wrap(err, "seed %v policy %v", seed, policy.Name)
 		}
 		result.Recording = nil // large, and only the references' are used
-		rows = append(rows, newRow(result, references[routing]))
+		rows = append(rows, newRow(result, references[routing]).sample())
 	}
 	return rows, nil
 }
--- a/internal/lab/experiment/text.go
+++ b/internal/lab/experiment/text.go
@@ -15,8 +15,8 @@
 
 // WriteText writes the summary for a terminal.
 func (o *Outcome) WriteText(out io.Writer) {
-	fmt.Fprintf(out, "%s: %d seeds from %d, mean ± half width of the 95%% interval\n",
-		o.File.Name, o.File.Seeds.Count, o.File.Seeds.First)
+	fmt.Fprintf(out, "%s: %d seeds, mean ± half width of the 95%% interval\n",
+		o.Name, len(o.Samples))
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprint(table, "policy")
 	for _, name := range textMeasures {
