--- a/cmd/chutelock-lab/engine.go
+++ b/cmd/chutelock-lab/engine.go
@@ -45,6 +45,8 @@
 // serveEngine runs the engine until a signal. It then says that it is leaving,
 // goes on with what it has, and ends when that is done.
 func serveEngine(config engine.Config, log *truth.Log, readyFile string) error {
+	stopped, stop := stopSignals()
+	defer stop()
 	server, err := engine.New(config, log)
 	if err != nil {
 		return err
@@ -76,7 +78,7 @@
 		return err
 	}
 	engine.EventReady.Info("engine", config.Name, "address", ready.Address, "control", ready.Control)
-	err = untilStopped(host)
+	err = untilStopped(stopped, host)
 	server.Drain(true)
 	draining, stopDraining := context.WithTimeout(ctx, config.DrainTime)
 	defer stopDraining()
--- a/cmd/chutelock-lab/platform.go
+++ b/cmd/chutelock-lab/platform.go
@@ -47,6 +47,8 @@
 }
 
 func servePlatform(config platform.Config, log *truth.Log, readyFile string) error {
+	stopped, stop := stopSignals()
+	defer stop()
 	server, err := platform.New(config, log)
 	if err != nil {
 		return err
@@ -69,7 +71,7 @@
 		return err
 	}
 	platform.EventReady.Info("platform", config.Name, "address", ready.Address, "control", ready.Control)
-	err = untilStopped(host)
+	err = untilStopped(stopped, host)
 	stopping, cancel := context.WithTimeout(context.Background(), platformShutdown)
 	defer cancel()
 	host.Shutdown(stopping)
--- a/cmd/chutelock-lab/standin.go
+++ b/cmd/chutelock-lab/standin.go
@@ -60,12 +60,16 @@
 	return exitFailure
 }
 
-// untilStopped waits for SIGTERM or SIGINT, or for serving to fail.
-func untilStopped(host *process.Host) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+// stopSignals ends its context at SIGTERM or SIGINT. It must be called before
+// the ready file is written, because a stop may follow that at once.
+func stopSignals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// untilStopped waits for the end of stopped, or for serving to fail.
+func untilStopped(stopped context.Context, host *process.Host) error {
 	select {
-	case <-ctx.Done():
+	case <-stopped.Done():
 		return nil
 	case err := <-host.Failed():
 		return err
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -260,6 +260,23 @@
 	g.Expect(machines()).To(gomega.BeEmpty())
 }
 
+// TestObjectComesBack: the engine's object is written again after the platform
+// lost it.
+func TestObjectComesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := standintest.Platform(t, nil)
+	client := objecthttp.New(store.Address, objecthttp.Options{})
+	standintest.Engine(t, func(config *engine.Config) { config.Name, config.Platform = "e1", store.Address })
+	read := func() error {
+		_, err := client.Get(t.Context(), platform.KindEngine, "e1")
+		return err
+	}
+	g.Eventually(read, patience).Should(gomega.Succeed())
+	store.Inject(fault.Fault{Kind: fault.DiskLoss})
+	g.Expect(read()).To(gomega.MatchError(platform.ErrNotFound))
+	g.Eventually(read, 2*patience).Should(gomega.Succeed())
+}
+
 // TestLoadReadsWeights: a model is usable only after its weights have come.
 func TestLoadReadsWeights(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/standin/engine/register.go
+++ b/internal/standin/engine/register.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +16,10 @@
 // registerEvery is the time between registrations with the platform.
 const registerEvery = time.Second
 
+// publishEvery is the number of registrations between looks at the engine's
+// object, which may be gone after the platform lost its disk.
+const publishEvery = 5
+
 // machineRole is the engine's role in the machine list.
 const machineRole = "engine"
 
@@ -25,7 +30,7 @@
 		return
 	}
 	list := objecthttp.New(s.config.Platform, objecthttp.Options{Timeout: registerEvery})
-	published := false
+	registrations := 0
 	ticker := time.NewTicker(registerEvery)
 	defer ticker.Stop()
 	for {
@@ -34,9 +39,11 @@
 			return
 		}
 		err := list.Register(ctx, s.machine(address))
-		if err == nil && !published {
+		if err == nil && registrations%publishEvery == 0 {
 			err = s.publish(ctx, list, address)
-			published = err == nil
+		}
+		if err == nil {
+			registrations++
 		}
 		if err != nil && ctx.Err() == nil {
 			EventRegisterFailed.Error(err, "engine", s.config.Name)
@@ -63,7 +70,8 @@
 	}
 }
 
-// publish writes the engine's object, as the platform does for its engines.
+// publish writes the engine's object unless it stands as it should; in the
+// real platform that is the platform's own work.
 func (s *Server) publish(ctx context.Context, store *objecthttp.Client, address string) error {
 	models := make([]string, 0, len(s.config.Models))
 	models = append(models, s.config.Models...)
@@ -80,6 +88,9 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
+	if err == nil && bytes.Equal(object.Spec, spec) {
+		return nil
+	}
 	_, err = store.Put(ctx, platform.Object{
 		Kind:     platform.KindEngine,
 		Name:     s.config.Name,
