--- a/cmd/chutelock-lab/standin_test.go
+++ b/cmd/chutelock-lab/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -45,7 +46,7 @@
 func run(t *testing.T, arguments ...string) *program {
 	t.Helper()
 	readyFile := filepath.Join(t.TempDir(), "ready")
-	started := prepare(append(arguments, "-ready-file", readyFile)...)
+	started := prepare(t, append(arguments, "-ready-file", readyFile)...)
 	if err := started.command.Start(); err != nil {
 		t.Fatalf("start: %v", err)
 	}
@@ -64,8 +65,11 @@
 	return nil
 }
 
-func prepare(arguments ...string) *program {
-	prepared := &program{command: exec.Command(os.Args[0]), output: &bytes.Buffer{}}
+func prepare(t *testing.T, arguments ...string) *program {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	prepared := &program{command: exec.CommandContext(ctx, os.Args[0]), output: &bytes.Buffer{}}
 	prepared.command.Env = append(os.Environ(), argumentsVariable+"="+strings.Join(arguments, "\n"))
 	prepared.command.Stdout = prepared.output
 	prepared.command.Stderr = prepared.output
@@ -121,7 +125,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			started := prepare(tested.arguments...)
+			started := prepare(t, tested.arguments...)
 			g.Expect(started.command.Start()).To(gomega.Succeed())
 			g.Expect(started.exitCode(t)).To(gomega.Equal(tested.code), started.output.String())
 			g.Expect(started.output.String()).To(gomega.ContainSubstring(tested.output))
