Bench: the gateway side by side with engines called directly

make bench sends the same traffic both ways in turns and fits the node's processor time to a share for requests and one for tokens. A test that connections to engines are used again.

--- a/internal/engine/openaihttp/client_test.go
+++ b/internal/engine/openaihttp/client_test.go
@@ -168,6 +168,26 @@
 	g.Expect(finish.CompletionTokens).To(gomega.Equal(12))
 }
 
+// TestConnectionsAreUsedAgain: an answer that was read to its end gives its
+// connection back.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	running := standintest.Engine(t, nil)
+	transport := openaihttp.NewTransport(0)
+	dial := transport.DialContext
+	dials := 0
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return dial(ctx, network, address)
+	}
+	client := openaihttp.New("e", running.Address, openaihttp.Options{Transport: transport})
+	for i := range 20 {
+		_, _, err := collect(t.Context(), client, completion(fmt.Sprint(i), "prompt", 3))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	g.Expect(dials).To(gomega.Equal(1))
+}
+
 // TestSuspendAndResume parks a stream and goes on with it, here or elsewhere.
 func TestSuspendAndResume(t *testing.T) {
 	const maxTokens = 200
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,145 @@
+#!/usr/bin/env bash
+# Measures what the gateway adds: the same online traffic is sent to stand-in
+# engines directly and through one node, in turns, and the node's processor time
+# is put against the tokens that it relayed. BENCH_RATE (requests a second),
+# BENCH_SECONDS (of each turn), BENCH_ROUNDS, BENCH_TOKENS (of each answer) and
+# BENCH_ENGINES change the run. Needs a machine that does nothing else.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/bin
+run=$PWD/.run/bench
+rate=${BENCH_RATE:-1000}
+seconds=${BENCH_SECONDS:-5}
+rounds=${BENCH_ROUNDS:-3}
+tokens=${BENCH_TOKENS:-16}
+engines=${BENCH_ENGINES:-8}
+model=bench-model
+key=bench-key
+
+rm -rf "$run"
+mkdir -p "$run/settings"
+declare -A process_of
+
+finish() {
+  for pid in "${process_of[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+trap finish EXIT
+
+# start NAME COMMAND... runs a process in the background, its output in a log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  process_of[$name]=$!
+}
+
+# field FILE NAME prints a string field of a flat JSON file.
+field() { sed -n 's/.*"'"$2"'" *: *"\([^"]*\)".*/\1/p' "$1" | head -n 1; }
+
+wait_for() {
+  for _ in $(seq 600); do
+    [ -s "$1" ] && return 0
+    sleep 0.05
+  done
+  echo "bench: $1 did not appear; see $run" >&2
+  exit 1
+}
+
+# cpu_ticks prints the user and system time of the node so far, in clock ticks.
+cpu_ticks() { awk '{ print $14, $15 }' "/proc/${process_of[node]}/stat"; }
+
+echo "00112233445566778899aabbccddeeff" >"$run/keys"
+start platform "$bin/chutelock-lab" platform -ready-file "$run/platform.ready"
+wait_for "$run/platform.ready"
+platform=$(field "$run/platform.ready" address)
+
+# Steps are short and cost the same whatever they hold, so that the engines'
+# own time is the same in both ways.
+cat >"$run/engine.yaml" <<YAML
+zone: bench
+region: bench
+models: [$model]
+platform: $platform
+report_lag: 100ms
+scheduler: {max_running: 256, step_base: 2ms, step_per_sequence: 0s, step_per_prefill_token: 0s}
+YAML
+direct=""
+for n in $(seq "$engines"); do
+  start "engine-$n" "$bin/chutelock-lab" engine -name "engine-$n" -config "$run/engine.yaml" -ready-file "$run/engine-$n.ready"
+done
+for n in $(seq "$engines"); do
+  wait_for "$run/engine-$n.ready"
+  direct=$direct${direct:+,}http://$(field "$run/engine-$n.ready" address)
+done
+
+# The node is ready only once settings are in force, which come through it.
+port=$((20000 + ($$ % 8000)))
+while port=$((port + 1)); (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do :; done
+operators=127.0.0.1:$port
+cat >"$run/node.yaml" <<YAML
+node: {name: node-1, zone: bench, region: bench}
+listen: {callers: "127.0.0.1:0", operators: "$operators", peers: "127.0.0.1:0"}
+peers: {key_file: "$run/keys"}
+platform: {address: "$platform"}
+data: {folder: "$run/node.data"}
+ledger: {copies: 1}
+YAML
+cat >"$run/settings/bench.yaml" <<YAML
+path: fleet
+kind: folder
+---
+path: fleet/bench
+kind: service
+model: $model
+models: [$model]
+queueLimit: 10000
+queueTimeout: 10s
+slotsPerEngine: 256
+---
+path: fleet/bench/caller
+kind: tenant
+keys: [$key]
+priority: 0
+YAML
+start node "$bin/chutelock" -config "$run/node.yaml" -ready-file "$run/node.ready"
+applied=1
+for _ in $(seq 200); do
+  "$bin/chutelockctl" apply -server "http://$operators" -f "$run/settings" >"$run/apply.log" 2>&1 && applied=0 && break
+  sleep 0.1
+done
+[ $applied = 0 ] || { cat "$run/apply.log" >&2; exit 1; }
+wait_for "$run/node.ready"
+gateway=http://$(field "$run/node.ready" callers)
+
+# load NAME TARGETS SEED RATE TOKENS
+load() {
+  "$bin/chutelock-lab" load -target "$2" -key $key -model $model -rate "$4" -duration "${seconds}s" \
+    -max-tokens "$5" -max-in-flight 20000 -seed "$3" -json "$run/$1.json" >"$run/$1.log" 2>&1 || true
+}
+
+# gateway_load NAME SEED RATE TOKENS notes the node's processor time too.
+gateway_load() {
+  local before after
+  before=($(cpu_ticks))
+  load "$1" "$gateway" "$2" "$3" "$4"
+  after=($(cpu_ticks))
+  echo "$run/$1.json $((after[0] - before[0] - idle[0])) $((after[1] - before[1] - idle[1]))" >>"$run/cpu"
+}
+
+echo "warming up"
+load warm-direct "$direct" 99 "$rate" "$tokens"
+load warm-gateway "$gateway" 99 "$rate" "$tokens"
+before=($(cpu_ticks))
+sleep "$seconds"
+after=($(cpu_ticks))
+idle=($((after[0] - before[0])) $((after[1] - before[1])))
+for round in $(seq "$rounds"); do
+  echo "round $round of $rounds: $rate requests a second for ${seconds}s, directly and through the node"
+  load "direct-$round" "$direct" "$round" "$rate" "$tokens"
+  gateway_load "gateway-$round" "$round" "$rate" "$tokens"
+  # Fewer and longer answers tell the tokens' share from the requests'.
+  gateway_load "long-$round" "$round" $((rate / 4)) $((tokens * 8))
+done
+"$bin/chutelock-lab" overhead -cpu "$run/cpu" -ticks-per-second "$(getconf CLK_TCK)" \
+  -direct "$(echo "$run"/direct-*.json | tr ' ' ,)" -gateway "$(echo "$run"/gateway-*.json | tr ' ' ,)"
