Engine adapter: events are lent to the sink, not copied

Chunk.Data is valid only until the sink returns (nobody kept it; said in the seam). The rest of an answer is read without a copy buffer.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,7 +41,8 @@
 type Chunk struct {
 	// Index is the position of the token in the whole output, from 0.
 	Index int
-	// Data is the JSON of the event as the engine sent it.
+	// Data is the JSON of the event as the engine sent it. It is valid only
+	// until the sink returns; Text may be kept.
 	Data []byte
 	// Text is the token's text.
 	Text string
--- a/internal/engine/openaihttp/relay.go
+++ b/internal/engine/openaihttp/relay.go
@@ -13,18 +13,14 @@
 )
 
 // readBuffer is the size of the buffer between the connection and the scan.
-const readBuffer = 8 << 10
+const readBuffer = 4 << 10
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
 
-// slabSize is the size of the pieces from which the copies of events are cut.
-const slabSize = 4 << 10
-
 // relay reads one answer and hands its token events on.
 type relay struct {
 	sink   func(engine.Chunk) error
 	reader *bufio.Reader
-	slab   []byte
 	long   []byte // a line longer than the read buffer
 
 	id string
@@ -80,8 +76,7 @@
 			if !r.finished {
 				return engine.Finish{}, ErrTruncated
 			}
-			// Reading on to the end lets the connection be used again.
-			_, _ = io.Copy(io.Discard, r.reader)
+			r.drain()
 			return r.finish, nil
 		}
 		if err := r.event(data); err != nil {
@@ -90,6 +85,15 @@
 	}
 }
 
+// drain reads on to the end, so that the connection can be used again.
+func (r *relay) drain() {
+	for {
+		if _, err := r.reader.ReadSlice('\n'); err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return
+		}
+	}
+}
+
 // line returns the next line without its end; it is valid until the next call.
 func (r *relay) line() ([]byte, error) {
 	line, err := r.reader.ReadSlice('\n')
@@ -154,21 +158,7 @@
 		return fmt.Errorf("%w: got token %d, want %d", ErrGap, index, r.next)
 	}
 	r.next++
-	return r.sink(engine.Chunk{Index: index, Data: r.keep(data), Text: string(text)})
-}
-
-// keep copies the data out of the read buffer.
-func (r *relay) keep(data []byte) []byte {
-	if len(data) > slabSize/4 {
-		return bytes.Clone(data)
-	}
-	if len(r.slab) < len(data) {
-		r.slab = make([]byte, slabSize)
-	}
-	copied := r.slab[:len(data):len(data)]
-	r.slab = r.slab[len(data):]
-	copy(copied, data)
-	return copied
+	return r.sink(engine.Chunk{Index: index, Data: data, Text: string(text)})
 }
 
 // streamEvent is an event in full.
