--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,17 +1,16 @@
 #!/usr/bin/env bash
-# Runs the first deployment (three halls, 12 engines) as separate processes on
-# loopback, with batch and online traffic, kills a node and an engine on the
-# way, and sums up. Exit code 0 only if every promise held.
+# Runs a deployment of examples/ (the first one, or the one named as argument)
+# as separate processes on loopback, with batch and online traffic, kills a node
+# and an engine on the way, and sums up. Exit code 0 only if every promise held.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/bin
 run=$PWD/.run/demo
-items=${DEMO_ITEMS:-12000}
-rate=${DEMO_RATE:-60}
-model=placement-draft
-online_key=demo-caseworkers-key
-batch_key=demo-heads-key
-settings=examples/nairamdal/settings
+deployment=examples/${1:-nairamdal}
+. "$deployment/deployment.env"
+items=${DEMO_ITEMS:-$batch_items}
+rate=${DEMO_RATE:-$online_rate}
+settings=$deployment/settings
 
 rm -rf "$run"
 mkdir -p "$run"
@@ -53,45 +52,37 @@
   port=$next_port
 }
 
-say "starting the platform, 12 engines in three halls, and 6 nodes"
+say "starting the platform, the engines and the nodes of $deployment"
 echo "00112233445566778899aabbccddeeff" >"$run/keys"
-start platform "$bin/chutelock-lab" platform -ready-file "$run/platform.ready" -folder "$run/platform.state" -truth-log "$run/platform.truth"
+start platform "$bin/chutelock-lab" platform -config "$deployment/platform.yaml" -listen 127.0.0.1:0 \
+  -ready-file "$run/platform.ready" -folder "$run/platform.state" -truth-log "$run/platform.truth"
 wait_for "$run/platform.ready"
 platform=$(field "$run/platform.ready" address)
 
 engine=0
-for zone in bayanzurkh songino khan-uul; do
-  for _ in 1 2 3 4; do
+read -ra counts <<<"$engines_per_zone"
+for zone in $zones; do
+  for _ in $(seq "${counts[0]}"); do
     engine=$((engine + 1))
-    cat >"$run/engine-$engine.yaml" <<YAML
-name: engine-$engine
-zone: $zone
-region: ulaanbaatar
-models: [$model]
-platform: $platform
-YAML
-    start "engine-$engine" "$bin/chutelock-lab" engine -config "$run/engine-$engine.yaml" \
-      -ready-file "$run/engine-$engine.ready" -truth-log "$run/engine-$engine.truth"
+    start "engine-$engine" "$bin/chutelock-lab" engine -config "$deployment/engines/$zone.yaml" -name "engine-$engine" \
+      -platform "$platform" -ready-file "$run/engine-$engine.ready" -truth-log "$run/engine-$engine.truth"
   done
+  counts=("${counts[@]:1}")
 done
 
-seeds=""
-node=0
-for zone in bayanzurkh songino khan-uul bayanzurkh songino khan-uul; do
-  node=$((node + 1))
+# Each node has its example's settings file, but free ports; the first two
+# nodes serve as seeds.
+nodes=$(ls "$deployment/nodes" | wc -l)
+for node in $(seq "$nodes"); do
   free_port; callers[$node]=127.0.0.1:$port
   free_port; operators[$node]=127.0.0.1:$port
-  free_port; peers=127.0.0.1:$port
-  seeds="$seeds${seeds:+, }\"$peers\""
-  cat >"$run/node-$node.yaml" <<YAML
-node: {name: node-$node, zone: $zone, region: ulaanbaatar}
-listen: {callers: "${callers[$node]}", operators: "${operators[$node]}", peers: "$peers"}
-peers: {seeds: [$seeds], key_file: "$run/keys"}
-platform: {address: "$platform"}
-data: {folder: "$run/node-$node.data"}
-ledger: {copies: 5}
-YAML
-  start "node-$node" "$bin/chutelock" -config "$run/node-$node.yaml" -ready-file "$run/node-$node.ready"
+  free_port; peers[$node]=127.0.0.1:$port
+done
+for node in $(seq "$nodes"); do
+  sed "s|seeds: .*|seeds: [\"${peers[1]}\", \"${peers[2]}\"]|" "$deployment/nodes/node-$node.yaml" >"$run/node-$node.yaml"
+  start "node-$node" "$bin/chutelock" -config "$run/node-$node.yaml" -ready-file "$run/node-$node.ready" \
+    -listen.callers "${callers[$node]}" -listen.operators "${operators[$node]}" -listen.peers "${peers[$node]}" \
+    -peers.key_file "$run/keys" -platform.address "$platform" -data.folder "$run/node-$node.data"
 done
 
 say "writing the settings tree through a node's operator port"
@@ -100,8 +91,12 @@
   sleep 0.1
 done
 echo "$(wc -l <"$run/apply.log") lines of changes, in $run/apply.log"
-for n in 1 2 3 4 5 6; do wait_for "$run/node-$n.ready"; done
-targets=$(printf 'http://%s,' "${callers[1]}" "${callers[2]}" "${callers[3]}" "${callers[4]}" "${callers[5]}")
+for n in $(seq "$nodes"); do wait_for "$run/node-$n.ready"; done
+# The last node is killed on the way and the one before drains: callers use
+# all but the last.
+victim=$nodes
+draining=$((nodes - 1))
+targets=$(printf 'http://%s,' "${callers[@]:1:$((nodes - 1))}")
 targets=${targets%,}
 
 load() {
@@ -112,24 +107,24 @@
 say "online traffic alone, $rate requests a second for 6 s"
 load 6s 1 alone
 
-say "a batch job of $items items beside the same online traffic; node-6 and engine-12 are killed on the way"
+say "a batch job of $items items beside the same online traffic; node-$victim and engine-$engine are killed on the way"
 for i in $(seq "$items"); do
   printf '{"custom_id":"child-%d","method":"POST","url":"/v1/completions","body":{"model":"%s","prompt":"assign child %d to a seat","max_tokens":16}}\n' "$i" $model "$i"
 done >"$run/items.jsonl"
 load 14s 1 with-batch &
 load_process=$!
-"$bin/chutelockctl" submit -server "http://${callers[6]}" -key $batch_key -idempotency-key demo -o json "$run/items.jsonl" >"$run/job.json"
+"$bin/chutelockctl" submit -server "http://${callers[$victim]}" -key $batch_key -idempotency-key demo -o json "$run/items.jsonl" >"$run/job.json"
 job=$(field "$run/job.json" id)
-echo "accepted by node-6 as $job"
+echo "accepted by node-$victim as $job"
 sleep 1
-kill -KILL "${process_of[node-6]}"
-echo "killed node-6, which accepted the job"
+kill -KILL "${process_of[node-$victim]}"
+echo "killed node-$victim, which accepted the job"
 "$bin/chutelockctl" submit -server "http://${callers[1]}" -key $batch_key -idempotency-key demo -o json "$run/items.jsonl" >"$run/again.json"
 again=$(field "$run/again.json" id)
 echo "resent to node-1: $again"
 sleep 1
-kill -KILL "${process_of[engine-12]}"
-echo "killed engine-12"
+kill -KILL "${process_of[engine-$engine]}"
+echo "killed engine-$engine"
 
 online_ok=0
 wait $load_process || online_ok=$?
@@ -140,13 +135,13 @@
 verify_ok=0
 "$bin/chutelock-lab" verify -input "$run/items.jsonl" -output "$run/results.jsonl" "$run"/engine-*.truth >"$run/verify.json" || verify_ok=$?
 
-say "a planned stop of node-5 under online traffic"
+say "a planned stop of node-$draining under online traffic"
 load 4s 3 planned-stop &
 load_process=$!
 sleep 1
-kill -TERM "${process_of[node-5]}"
-while kill -0 "${process_of[node-5]}" 2>/dev/null; do sleep 0.1; done
-grep -q 'node stopped' "$run/node-5.log" && echo "node-5 drained and ended by itself"
+kill -TERM "${process_of[node-$draining]}"
+while kill -0 "${process_of[node-$draining]}" 2>/dev/null; do sleep 0.1; done
+grep -q 'node stopped' "$run/node-$draining.log" && echo "node-$draining drained and ended by itself"
 stop_ok=0
 wait $load_process || stop_ok=$?
 
