--- a/internal/membership/swim/config.go
+++ b/internal/membership/swim/config.go
@@ -22,6 +22,8 @@
 	ProbeInterval time.Duration
 	// ProbeTimeout is the wait for an answer before others are asked.
 	ProbeTimeout time.Duration
+	// FailTimeout is the wait for any answer before the target is suspected.
+	FailTimeout time.Duration
 	// SuspicionTimeout is the time that a suspected member has to refute.
 	SuspicionTimeout time.Duration
 	// IndirectProbes is the number of members asked to probe a silent one;
@@ -50,6 +52,7 @@
 const (
 	defaultProbeInterval    = 300 * time.Millisecond
 	defaultProbeTimeout     = 100 * time.Millisecond
+	defaultFailTimeout      = 600 * time.Millisecond
 	defaultSuspicionTimeout = time.Second
 	defaultIndirectProbes   = 3
 	defaultFanout           = 4
@@ -96,6 +99,7 @@
 func (c Config) withDefaults() Config {
 	c.ProbeInterval = orDuration(c.ProbeInterval, defaultProbeInterval)
 	c.ProbeTimeout = orDuration(c.ProbeTimeout, defaultProbeTimeout)
+	c.FailTimeout = orDuration(c.FailTimeout, defaultFailTimeout)
 	c.SuspicionTimeout = orDuration(c.SuspicionTimeout, defaultSuspicionTimeout)
 	c.IndirectProbes = orCount(c.IndirectProbes, defaultIndirectProbes)
 	c.Fanout = orCount(c.Fanout, defaultFanout)
--- a/internal/membership/swim/probe.go
+++ b/internal/membership/swim/probe.go
@@ -76,7 +76,7 @@
 		pending := n.outstanding[sequence]
 		age := now.Sub(pending.asked)
 		switch {
-		case age >= n.scaled(n.config.ProbeInterval):
+		case age >= n.scaled(n.config.FailTimeout):
 			delete(n.outstanding, sequence)
 			n.probeFailed(now, pending)
 		case age >= n.scaled(n.config.ProbeTimeout) && !pending.indirect:
@@ -233,7 +233,7 @@
 		return
 	}
 	n.sequence++
-	n.relayed[n.sequence] = relay{asker: from, sequence: message.Sequence, expires: now.Add(n.config.ProbeInterval)}
+	n.relayed[n.sequence] = relay{asker: from, sequence: message.Sequence, expires: now.Add(n.config.FailTimeout)}
 	n.emit(from, header{Type: typeRelaying, Sequence: message.Sequence}, nil)
 	n.emit(transport.Address(target.String()),
 		header{Type: typeProbe, Sequence: n.sequence, Target: message.Target}, nil)
--- a/internal/membership/swim/swim_test.go
+++ b/internal/membership/swim/swim_test.go
@@ -239,3 +239,24 @@
 		})
 	}
 }
+
+// TestStarvedNodesSuspectFew: on an overloaded machine all nodes run late, by
+// less than what counts as a pause, and must not take that for deaths.
+func TestStarvedNodesSuspectFew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(13, 1, 12, nil)
+	s.run(10 * time.Second)
+	before := s.total(func(c Statistics) uint64 { return c.Suspicions })
+	const duration = 10 * time.Minute
+	for end := s.clock.Now().Add(duration); s.clock.Now().Before(end); s.run(100 * time.Millisecond) {
+		for _, name := range s.names() {
+			if s.random.IntN(3) == 0 {
+				s.hosts[name].pausedUntil = s.clock.Now().Add(s.between(100*time.Millisecond, 240*time.Millisecond))
+			}
+		}
+	}
+	suspicions := s.total(func(c Statistics) uint64 { return c.Suspicions }) - before
+	t.Logf("%d suspicions in %v of 12 starved nodes", suspicions, duration)
+	g.Expect(s.total(func(c Statistics) uint64 { return c.Deaths })).To(gomega.BeZero())
+	g.Expect(suspicions).To(gomega.BeNumerically("<", 60))
+}
