--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -97,6 +97,8 @@
 	engines *tracker.Tracker
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
+	// wasReady belongs to the goroutine that runs the fleet.
+	wasReady bool
 }
 
 func (f *fleetRun) startNode(ctx context.Context, index int, seeds []transport.Address) (*node, error) {
