--- a/internal/settings/dissemination/config.go
+++ b/internal/settings/dissemination/config.go
@@ -65,7 +65,7 @@
 const (
 	relayFanOut      = 6                // children of a node in its zone's tree
 	relayRoots       = 2                // nodes of each zone that a watcher sends to
-	startupPeers     = 3                // peers that a starting node asks
+	startupPeers     = 3                // peers that a starting node asks in a round
 	pullTimeout      = time.Second      // until another peer is asked
 	retryFirst       = time.Second      // pause after the first failure of the store
 	retryLast        = 8 * time.Second  // longest pause between tries of the store
--- a/internal/settings/dissemination/gossip.go
+++ b/internal/settings/dissemination/gossip.go
@@ -52,7 +52,7 @@
 
 // HandleDigest compares with a peer: whoever is behind pulls.
 func (m *Machine) HandleDigest(now time.Time, from transport.Address, digest *Digest) []Action {
-	if !m.published && digest.Answer {
+	if !m.published && digest.Answer && digest.Known {
 		m.startup.answers[from] = digest.Version
 	}
 	if digest.Known {
--- a/internal/settings/dissemination/startup.go
+++ b/internal/settings/dissemination/startup.go
@@ -14,7 +14,10 @@
 	began    time.Time
 	askedAt  time.Time
 	finished bool
-	answers  map[transport.Address]settings.Version
+	// answers are the versions of peers that have settings in force.
+	answers map[transport.Address]settings.Version
+	// asked counts the peers asked so far, so that each round asks others.
+	asked int
 }
 
 // startupRetry is the pause between two rounds of questions.
@@ -39,24 +42,22 @@
 	}
 }
 
+// askPeers asks a few peers, near ones first, and others in the next round.
 func (m *Machine) askPeers(now time.Time) {
 	if now.Sub(m.startup.askedAt) < startupRetry {
 		return
 	}
 	m.startup.askedAt = now
-	for _, peer := range m.startupPeers() {
+	near := slices.Concat(m.plan.zone, m.plan.region, m.plan.elsewhere)
+	for range min(startupPeers, len(near)) {
+		peer := near[m.startup.asked%len(near)]
+		m.startup.asked++
 		if _, answered := m.startup.answers[peer]; !answered {
 			m.sendDigest(now, peer, false)
 		}
 	}
 }
 
-// startupPeers are a few peers, near ones first.
-func (m *Machine) startupPeers() []transport.Address {
-	near := slices.Concat(m.plan.zone, m.plan.region, m.plan.elsewhere)
-	return near[:min(startupPeers, len(near))]
-}
-
 func (m *Machine) startupDone(now time.Time) bool {
 	waited := now.Sub(m.startup.began)
 	best, answers := settings.Version(0), len(m.startup.answers)
@@ -64,7 +65,7 @@
 		best = max(best, version)
 	}
 	caughtUp := m.state.known && m.state.version >= best
-	if answers >= startupQuorum && answers >= len(m.startupPeers()) && caughtUp {
+	if answers >= startupQuorum && caughtUp {
 		return true
 	}
 	if waited >= m.config.StartupWait && (caughtUp || best == 0) {
