--- /dev/null
+++ b/internal/settings/command/standing.go
@@ -0,0 +1,137 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+// This file reads the store before a change, and refuses to go on where this
+// node or the store is behind.
+
+// read fetches the stored version of each step's node.
+func (w *Writer) read(ctx context.Context, steps []*step) error {
+	if err := w.checkStanding(ctx); err != nil {
+		return err
+	}
+	var listed map[string]platform.Object
+	if len(steps) >= listThreshold {
+		objects, _, err := w.store.List(ctx, platform.KindSetting)
+		if err != nil {
+			return trace.Wrap(err, "list the stored settings")
+		}
+		listed = make(map[string]platform.Object, len(objects))
+		for _, object := range objects {
+			listed[object.Name] = object
+		}
+	}
+	for _, step := range steps {
+		if err := w.readOne(ctx, step, listed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *Writer) readOne(ctx context.Context, step *step, listed map[string]platform.Object) error {
+	if listed != nil {
+		object, present := listed[tree.ObjectName(step.path)]
+		step.stored = decode(step.path, object, present)
+		return w.checkNotBehind(step)
+	}
+	stored, err := w.get(ctx, step.path)
+	if err != nil {
+		return trace.Wrap(err, "read the stored version of %s", step.path)
+	}
+	step.stored = stored
+	return w.checkNotBehind(step)
+}
+
+// get reads a stored node; nil means that the store has none.
+func (w *Writer) get(ctx context.Context, path string) (*tree.Node, error) {
+	object, err := w.store.Get(ctx, platform.KindSetting, tree.ObjectName(path))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decode(path, object, true), nil
+}
+
+// decode reads a stored node. One that can't be read counts as an empty
+// folder, so that a change can put it right.
+func decode(path string, object platform.Object, present bool) *tree.Node {
+	if !present {
+		return nil
+	}
+	node, err := tree.Decode(path, object.Spec)
+	if err != nil {
+		node = &tree.Node{Path: path, Kind: tree.KindFolder}
+	}
+	node.Revision = object.Revision
+	return node
+}
+
+// checkStanding refuses to write through a node that lags behind its peers,
+// and to a store that lacks the newest change in force.
+func (w *Writer) checkStanding(ctx context.Context) error {
+	standing, version, err := w.caughtUp(ctx)
+	if err != nil {
+		return err
+	}
+	newest := standing.Newest
+	behind := &StoreBehindError{Path: tree.PathOf(newest.Name), Expected: newest.Revision, InForce: version}
+	if standing.StoreRefused {
+		return behind
+	}
+	if newest.Name == "" {
+		return nil
+	}
+	stored, err := w.store.Get(ctx, platform.KindSetting, newest.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return trace.Wrap(err, "read the newest change in force")
+	}
+	behind.Stored = stored.Revision
+	if stored.Revision >= newest.Revision || stored.Revision == 0 && isOldTrace(newest, w.now()) {
+		return nil
+	}
+	return behind
+}
+
+// caughtUp waits a little for this node to have in force what peers have.
+func (w *Writer) caughtUp(ctx context.Context) (Standing, settings.Version, error) {
+	for waited := time.Duration(0); ; waited += catchUpPoll {
+		standing, err := w.inForce.Standing(ctx)
+		version, _ := w.inForce.Version()
+		if err != nil || standing.Heard <= version {
+			return standing, version, trace.Wrap(err)
+		}
+		if waited >= catchUpWait {
+			reason := fmt.Sprintf("it has %s in force and peers have %s; go through another node", version, standing.Heard)
+			return standing, version, &NotReadyError{Reason: reason}
+		}
+		select {
+		case <-ctx.Done():
+			return standing, version, trace.Wrap(ctx.Err())
+		case <-time.After(catchUpPoll):
+		}
+	}
+}
+
+// checkNotBehind refuses to write over a version older than the one in force.
+func (w *Writer) checkNotBehind(step *step) error {
+	nodes, err := w.inForce.Nodes(step.path, false)
+	if err != nil || len(nodes) == 0 || nodes[0].Revision <= step.storedRevision() {
+		return nil
+	}
+	version, _ := w.inForce.Version()
+	return &StoreBehindError{Path: step.path, Stored: step.storedRevision(), Expected: nodes[0].Revision, InForce: version}
+}
--- /dev/null
+++ b/internal/settings/command/write.go
@@ -0,0 +1,85 @@
+package command
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/settings/tree"
+)
+
+// This file writes a change, node by node.
+
+func (w *Writer) writeAll(ctx context.Context, change *Change, steps []*step, result *Result) error {
+	for i, step := range steps {
+		if step.already {
+			result.note(i, step.storedRevision())
+			continue
+		}
+		if step.action == ActionUnchanged {
+			continue
+		}
+		revision, err := w.write(ctx, change, step)
+		if err != nil {
+			return err
+		}
+		result.note(i, revision)
+	}
+	eventApplied.Info("change", change.ID, "by", change.By, "nodes", len(steps), "revision", result.Revision)
+	return nil
+}
+
+func (r *Result) note(i int, revision uint64) {
+	r.Nodes[i].Written = true
+	r.Nodes[i].Revision = revision
+	r.Revision = max(r.Revision, revision)
+}
+
+// write writes one node. An answer may be lost: then the stored version tells
+// whether the write took effect, and if it did not, the compare-and-swap makes
+// it safe to try again.
+func (w *Writer) write(ctx context.Context, change *Change, step *step) (uint64, error) {
+	spec, err := tree.Encode(step.replacement(change, w.now()))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	object := platform.Object{Kind: platform.KindSetting, Name: tree.ObjectName(step.path), Revision: step.storedRevision(), Spec: spec}
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = w.retry
+	revision, err := backoff.Retry(ctx, func() (uint64, error) { return w.tryWrite(ctx, change, step, object) },
+		backoff.WithBackOff(policy), backoff.WithMaxTries(maxWriteTries))
+	var conflict *ConflictError
+	var unknown *UnknownOutcomeError
+	if err == nil || errors.As(err, &conflict) || errors.As(err, &unknown) {
+		return revision, err
+	}
+	return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: err}
+}
+
+func (w *Writer) tryWrite(ctx context.Context, change *Change, step *step, object platform.Object) (uint64, error) {
+	written, putErr := w.store.Put(ctx, object)
+	if putErr == nil {
+		return written.Revision, nil
+	}
+	current, err := w.get(ctx, step.path)
+	if err != nil {
+		return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: putErr}
+	}
+	if current != nil && current.Change.Includes(change.ID) {
+		return current.Revision, nil
+	}
+	if revisionOf(current) != object.Revision {
+		return 0, backoff.Permanent(newConflict(step.path, step.stored, current, step.wanted))
+	}
+	return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: putErr}
+}
+
+func revisionOf(node *tree.Node) uint64 {
+	if node == nil {
+		return 0
+	}
+	return node.Revision
+}
