Settings: a swept trace goes with a listing, and an unknown old one is a fork

Found by the fuzzing: two histories that differed only in traces of deletions were taken for one, and changes were refused without a node saying why.

--- a/internal/settings/dissemination/listing.go
+++ b/internal/settings/dissemination/listing.go
@@ -96,14 +96,27 @@
 		return false
 	}
 	m.storeRight(now)
+	if found > m.state.version {
+		m.announceDelta(now, m.deltaTo(found, listed))
+	}
+	return true
+}
+
+// deltaTo is what leads to a listing. A trace of a deletion that the listing
+// lacks was swept.
+func (m *Machine) deltaTo(found settings.Version, listed []Entry) *Delta {
 	delta := &Delta{From: m.state.version, To: found}
+	names := make(map[string]struct{}, len(listed))
 	for _, entry := range listed {
+		names[entry.Name] = struct{}{}
 		if entry.Revision > m.state.version.Revision() {
 			delta.Entries = append(delta.Entries, entry)
 		}
 	}
-	if found > m.state.version {
-		m.announceDelta(now, delta)
-	}
-	return true
+	m.state.Each(func(entry Entry) {
+		if _, present := names[entry.Name]; !present {
+			delta.Entries = append(delta.Entries, Entry{Name: entry.Name, Revision: found.Revision(), Deleted: true})
+		}
+	})
+	return delta
 }
--- a/internal/settings/dissemination/rules_test.go
+++ b/internal/settings/dissemination/rules_test.go
@@ -131,6 +131,7 @@
 		"forked, entry other":       {[]Entry{live("a", 9), other}, nil, []Notice{NoticeStoreForked}},
 		"forked, deletion undone":   {[]Entry{live("a", 9), live("b", 2), live("c", 5)}, nil, []Notice{NoticeStoreForked}},
 		"forked, unknown entry old": {[]Entry{live("a", 3), live("c", 9), live("x", 2)}, nil, []Notice{NoticeStoreForked}},
+		"forked, unknown trace old": {[]Entry{live("a", 3), live("c", 9), deleted("x", 2)}, nil, []Notice{NoticeStoreForked}},
 		"epoch raised":              {[]Entry{live("a", 1), epoch(1, 2)}, []string{"1.2"}, []Notice{NoticeEpochRaised}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -141,6 +142,10 @@
 			actions := machine.HandleListed(now, machine.watch.ticket, test.listed, 9, nil)
 			g.Expect(versions(actions)).To(gomega.Equal(test.want))
 			g.Expect(notices(actions)).To(gomega.Equal(test.notice))
+			if test.want != nil {
+				want := NewState(machine.state.version, test.listed)
+				g.Expect(machine.state.digest()).To(gomega.Equal(want.digest()), "also without swept traces")
+			}
 			g.Expect(machine.Watching()).To(gomega.Equal(!machine.StoreRefused()))
 		})
 	}
--- a/internal/settings/dissemination/state.go
+++ b/internal/settings/dissemination/state.go
@@ -225,8 +225,8 @@
 // follows says whether other, of the same epoch, is a later state of the same
 // history, and if not, names an entry that shows it: one of s that other lacks
 // or holds in an older version, or one that other dates from before s.version
-// and s holds otherwise. A trace of a deletion may be lacking, because it is
-// swept after a while.
+// and s holds otherwise. Other may lack a trace of a deletion, because it is
+// swept after a while; it may not hold one that was swept before s.version.
 func (s *State) follows(other *State) (string, bool) {
 	name, ok := "", true
 	s.Each(func(entry Entry) {
@@ -240,7 +240,7 @@
 			return
 		}
 		own, present := s.get(entry.Name)
-		if !present && !entry.Deleted || present && own.hash() != entry.hash() {
+		if !present || own.hash() != entry.hash() {
 			name, ok = entry.Name, false
 		}
 	})
