--- a/internal/settings/dissemination/plan.go
+++ b/internal/settings/dissemination/plan.go
@@ -40,10 +40,18 @@
 		rank("tree", members)
 		result.addZone(self, name, members)
 	}
-	result.watcher = slices.Contains(watchers(self, zones), self.Address)
+	result.watcher = slices.Contains(watchers(self, zones), self.Address) && !leaving(self, view)
 	return result
 }
 
+// leaving says whether this node has announced its planned stop; the others
+// choose another reader then.
+func leaving(self membership.Member, view *membership.View) bool {
+	return slices.ContainsFunc(view.Members, func(member membership.Member) bool {
+		return member.Address == self.Address && member.State == membership.StateLeaving
+	})
+}
+
 // liveZones groups the live members by zone; self is always among them.
 func liveZones(self membership.Member, view *membership.View) map[string][]membership.Member {
 	zones := map[string][]membership.Member{self.Zone: {self}}
