ledger/replica: entries are applied beside the protocol

Cause: on the overloaded machine (load 57 to 72) a leader lost its leadership under 256 proposers: applying 256 entries took 150 to 480 ms, and heartbeats waited for it.

--- a/internal/ledger/replica/doc.go
+++ b/internal/ledger/replica/doc.go
@@ -8,9 +8,11 @@
 // All shards share one pool of workers. A shard that has something to do is
 // worked on by one worker at a time, which takes a Ready from the protocol and
 // does, in this order: send what promises nothing, write and sync, send what
-// promised that, apply, answer proposers and readers, Advance. Proposals that
-// arrive meanwhile gather for the next Ready, so that one sync and one message
-// serve many of them; the syncs of several shards are shared by the store.
+// promised that, Advance. Committed entries are applied by a worker of a second
+// pool, which answers proposers and readers, so that a slow state machine holds
+// up no heartbeat. Proposals that arrive meanwhile gather for the next Ready,
+// so that one sync and one message serve many of them; the syncs of several
+// shards are shared by the store.
 //
 // # How replicas find each other
 //
--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -7,7 +7,6 @@
 
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
-	"chutelock.dev/chutelock/internal/ledger/storage"
 )
 
 // schedule gives the shard to a worker, unless one has it; the caller holds
@@ -28,10 +27,7 @@
 		if !more {
 			return
 		}
-		answers, err := s.perform(ready)
-		if compactTo := s.finish(ready, answers, err); compactTo > 0 {
-			s.compact(compactTo)
-		}
+		s.finish(ready, s.perform(ready))
 	}
 }
 
@@ -47,23 +43,26 @@
 	return ready, true
 }
 
-// perform does the disk's part of a Ready. It runs without the mutex.
-func (s *Shard) perform(ready replication.Ready) (answers []appliedEntry, err error) {
+// perform does the disk's part of a Ready, but for applying, and sends what
+// promised it. It runs without the mutex.
+func (s *Shard) perform(ready replication.Ready) error {
 	if ready.Snapshot != nil {
+		if !s.awaitIdle() {
+			return nil
+		}
 		if err := s.install(ready); err != nil {
-			return nil, trace.Wrap(err, "install a snapshot")
+			return trace.Wrap(err, "install a snapshot")
 		}
 	} else if ready.MustSync {
 		if err := s.disk.Save(ready.HardState, ready.Entries, true); err != nil {
-			return nil, trace.Wrap(err, "write the log")
+			return trace.Wrap(err, "write the log")
 		}
 	}
-	if len(ready.Messages) > 0 {
-		s.mutex.Lock()
-		s.sendAll(ready.Messages)
-		s.mutex.Unlock()
-	}
-	return s.apply(ready.CommittedEntries)
+	s.awaitApplied()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sendAll(ready.Messages)
+	return nil
 }
 
 // install replaces the state by the staged snapshot; entries that follow it
@@ -90,109 +89,24 @@
 	return s.reload()
 }
 
-// appliedEntry is what came of applying an entry.
-type appliedEntry struct {
-	index  uint64
-	term   uint64
-	answer []byte
-}
-
-// apply applies committed entries in one transaction.
-func (s *Shard) apply(entries []replication.Entry) ([]appliedEntry, error) {
-	if len(entries) == 0 {
-		return nil, nil
-	}
-	marker, err := s.disk.Snapshot()
-	if err != nil {
-		return nil, err
-	}
-	transaction := s.disk.NewTransaction()
-	defer transaction.Close()
-	answers := make([]appliedEntry, 0, len(entries))
-	for _, entry := range entries {
-		marker.Index, marker.Term = entry.Index, entry.Term
-		answer, err := s.applyOne(transaction, &marker, entry)
-		if err != nil {
-			return nil, trace.Wrap(err, "apply entry %d", entry.Index)
-		}
-		answers = append(answers, appliedEntry{index: entry.Index, term: entry.Term, answer: answer})
-	}
-	if err := s.disk.CommitApplied(transaction, marker, false); err != nil {
-		return nil, err
-	}
-	s.service.metrics.applied.Add(float64(len(entries)))
-	return answers, nil
-}
-
-func (s *Shard) applyOne(transaction *storage.Transaction, marker *replication.SnapshotMarker, entry replication.Entry) ([]byte, error) {
-	switch {
-	case entry.Type == replication.EntryConfiguration:
-		configuration, err := replication.UnmarshalConfiguration(entry.Data)
-		if err != nil {
-			return nil, err
-		}
-		return nil, s.applyConfiguration(transaction, marker, configuration)
-	case len(entry.Data) == 0:
-		return nil, nil // opens a leader's term
-	case entry.Data[0] == entryRoster:
-		return nil, s.applyRoster(transaction, entry.Data[1:])
-	default:
-		answer, err := s.machine.Apply(transaction, entry.Index, entry.Data[1:])
-		return append([]byte(nil), answer...), err
-	}
-}
-
-// applyConfiguration also drops the roster entries of replicas that left.
-func (s *Shard) applyConfiguration(transaction *storage.Transaction, marker *replication.SnapshotMarker, next replication.Configuration) error {
-	for _, id := range marker.Configuration.Members() {
-		if next.HasVoter(id) || next.HasLearner(id) {
-			continue
-		}
-		if err := transaction.DeleteRoster(id); err != nil {
-			return err
-		}
-		s.mutex.Lock()
-		delete(s.roster, id)
-		s.mutex.Unlock()
-	}
-	marker.Configuration = next
-	s.service.repairSoon()
-	return nil
-}
-
-func (s *Shard) applyRoster(transaction *storage.Transaction, encoded []byte) error {
-	entry, err := storage.UnmarshalRosterEntry(encoded)
-	if err != nil {
-		return err
-	}
-	s.mutex.Lock()
-	s.roster[entry.Replica] = entry
-	s.mutex.Unlock()
-	return transaction.SetRoster(entry)
-}
-
-// finish answers those who waited, and advances the protocol. It returns up
-// to where the log may be dropped, or 0.
-func (s *Shard) finish(ready replication.Ready, answers []appliedEntry, err error) uint64 {
+// finish advances the protocol, and hands committed entries on to be applied.
+func (s *Shard) finish(ready replication.Ready, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err != nil {
 		s.halt(err)
-		return 0
+		return
 	}
 	if ready.Snapshot != nil {
 		s.answerSkipped(ready.Snapshot.Index)
 	}
-	for _, applied := range answers {
-		s.answerProposal(applied)
-	}
 	s.core.Advance()
+	s.queueApply(ready.CommittedEntries)
 	s.takeReadStates(ready.ReadStates)
 	s.answerReads()
 	if ready.SoftState != nil {
 		s.takeSoftState(*ready.SoftState)
 	}
-	return s.droppable()
 }
 
 func (s *Shard) answerProposal(applied appliedEntry) {
@@ -298,48 +212,3 @@
 	}
 	return false
 }
-
-// droppable returns up to where neither slow followers nor transfers need the
-// log, or 0; the caller holds the mutex. A log that is far too long is dropped
-// whoever needs it.
-func (s *Shard) droppable() uint64 {
-	retain := s.service.options.RetainBytes
-	size := s.disk.LogBytes()
-	if size < 2*retain {
-		return 0
-	}
-	marker, _ := s.disk.Snapshot()
-	first, _ := s.disk.FirstIndex()
-	last, _ := s.disk.LastIndex()
-	surplus := uint64(float64(last-first+1) * float64(size-retain) / float64(size))
-	index := min(first+surplus, marker.Index)
-	if size < retainLimit*retain {
-		index = s.neededFrom(index)
-	}
-	if index <= first {
-		return 0
-	}
-	return index
-}
-
-func (s *Shard) compact(index uint64) {
-	if err := s.disk.Compact(index); err != nil {
-		s.mutex.Lock()
-		s.halt(err)
-		s.mutex.Unlock()
-	}
-}
-
-// neededFrom returns the lowest index that a follower or transfer needs.
-func (s *Shard) neededFrom(index uint64) uint64 {
-	for _, follower := range s.core.Status().Followers {
-		if !follower.Silent && !follower.Snapshotting {
-			index = min(index, follower.Match)
-		}
-	}
-	return min(index, s.service.snapshots.neededFrom(s.id))
-}
-
-// retainLimit is how many times RetainBytes a log may grow for those who
-// still need it.
-const retainLimit = 16
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -26,7 +26,8 @@
 	directory *directory
 	outbox    *outbox
 	snapshots *snapshots
-	workers   pond.Pool
+	workers   pond.Pool // of the protocol
+	appliers  pond.Pool // of the state machines
 	metrics   *metrics
 
 	running context.Context // ends with Close
@@ -58,6 +59,7 @@
 		outbox:    newOutbox(options.Sender),
 		snapshots: newSnapshots(options.SnapshotBytesPerSecond),
 		workers:   pond.NewPool(workerCount),
+		appliers:  pond.NewPool(workerCount),
 		metrics:   newMetrics(options.Registry),
 		suspect:   make(chan struct{}, 1),
 		failed:    make(chan error, 1),
@@ -166,6 +168,7 @@
 	s.tasks.Wait()
 	err := s.closeDisk()
 	s.workers.StopAndWait()
+	s.appliers.StopAndWait()
 	s.outbox.close()
 	return err
 }
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -33,7 +33,9 @@
 	halted    error // why the replica can't go on
 
 	soft       replication.SoftState
-	term       uint64              // at which soft was reported
+	term       uint64 // at which soft was reported
+	queue      applyQueue
+	progressed *sync.Cond          // with mutex: the queue was worked on, or the shard ended
 	waiters    map[uint64]proposal // by index
 	reads      map[uint64]*read    // by token
 	waiting    []*read             // confirmed, until their index is applied
@@ -53,6 +55,10 @@
 
 var _ ledger.Shard = (*Shard)(nil)
 
+// applyBytes bounds the entries applied at a time, since heartbeats wait
+// meanwhile.
+const applyBytes = 512 << 10
+
 // heardLimit bounds the peers remembered beside the roster.
 const heardLimit = 64
 
@@ -94,6 +100,7 @@
 		reads:   map[uint64]*read{},
 		heard:   map[replication.ReplicaID]transport.Address{},
 	}
+	s.progressed = sync.NewCond(&s.mutex)
 	return s, s.startCore()
 }
 
@@ -110,6 +117,7 @@
 		Seed:              uint64(s.replica) ^ uint64(s.id),
 		ElectionTimeout:   s.service.options.ElectionTimeout,
 		HeartbeatInterval: s.service.options.HeartbeatInterval,
+		MaxApplyBytes:     applyBytes,
 	})
 	if err != nil {
 		return trace.Wrap(err, "start replica %s of shard %d", s.replica, s.id)
@@ -367,6 +375,7 @@
 		return
 	}
 	s.halted = cause
+	s.progressed.Broadcast()
 	eventHalted.Error(cause, "shard", s.id, "replica", s.replica)
 	s.failAll()
 	s.service.replicaHalted(cause)
@@ -392,6 +401,7 @@
 func (s *Shard) stop() {
 	s.mutex.Lock()
 	s.stopped = true
+	s.progressed.Broadcast()
 	s.failAll()
 	s.mutex.Unlock()
 	s.service.snapshots.closeAll(s)
--- a/internal/ledger/storage/shard.go
+++ b/internal/ledger/storage/shard.go
@@ -14,9 +14,9 @@
 )
 
 // Shard is the disk of one replica: its log, hard state and applied state. It
-// implements replication.Storage. The writing methods (Bootstrap, Save,
-// CommitApplied, Compact, InstallSnapshot, Destroy) must be called by one
-// goroutine at a time; reading may run beside them.
+// implements replication.Storage. Save may run beside CommitApplied and
+// Compact; all other writing methods, and each with itself, must be called by
+// one goroutine at a time. Reading may run beside all of them.
 type Shard struct {
 	store *Store
 	id    ledger.ShardID
