routing: weigh others' lagging streams little, batch not at all, prefixes by length

A soft filter for room under the slots of all nodes together (TestCapacity failed first: 13, want 12). The case 'others are there' fails with their weight off.

--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -17,8 +17,13 @@
 	NearBest float64
 	// LoadHalfLife is the age at which a load report counts half.
 	LoadHalfLife time.Duration
-	// BatchLoadWeight is the weight of a batch stream against an online one.
-	BatchLoadWeight float64
+	// OthersWeight is the weight of other nodes' running streams against this
+	// node's own in the load score. Reports lag by about as long as a stream
+	// runs, and nodes that all follow them swing together.
+	OthersWeight float64
+	// PrefixHalfTokens is the number of cached prompt tokens that is worth half
+	// of the prefix score: a short prefix is not worth an uneven load.
+	PrefixHalfTokens int
 	// LoadBoundFactor and LoadBoundSlack bound prefix affinity: it ends at
 	// factor × mean load + slack streams.
 	LoadBoundFactor float64
@@ -64,13 +69,14 @@
 // DefaultConfig returns the values in use when nothing is set.
 func DefaultConfig() Config {
 	return Config{
-		Weights:         Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
-		NearBest:        0.05,
-		LoadHalfLife:    2 * time.Second,
-		BatchLoadWeight: 0.1,
-		LoadBoundFactor: 1.25,
-		LoadBoundSlack:  4,
-		PrefixEntries:   32768,
+		Weights:          Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
+		NearBest:         0.02,
+		LoadHalfLife:     2 * time.Second,
+		OthersWeight:     0.1,
+		PrefixHalfTokens: 2048,
+		LoadBoundFactor:  1.25,
+		LoadBoundSlack:   4,
+		PrefixEntries:    32768,
 		Outliers: OutlierConfig{
 			ConsecutiveFailures: 3,
 			EjectionBase:        time.Second,
@@ -94,7 +100,8 @@
 	}
 	setDefault(&c.NearBest, defaults.NearBest)
 	setDefault(&c.LoadHalfLife, defaults.LoadHalfLife)
-	setDefault(&c.BatchLoadWeight, defaults.BatchLoadWeight)
+	setDefault(&c.OthersWeight, defaults.OthersWeight)
+	setDefault(&c.PrefixHalfTokens, defaults.PrefixHalfTokens)
 	setDefault(&c.LoadBoundFactor, defaults.LoadBoundFactor)
 	setDefault(&c.LoadBoundSlack, defaults.LoadBoundSlack)
 	setDefault(&c.PrefixEntries, defaults.PrefixEntries)
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -54,3 +54,14 @@
 func (f stalledFilter) Keep(view *View, candidate *Candidate) bool {
 	return !candidate.state.stalled(view.Now, f.router.stallLimit())
 }
+
+// roomFilter drops endpoints whose slots seem taken by all nodes together. It
+// reads Candidate.Load, so that a stale or missing report counts as the peers'
+// mean.
+type roomFilter struct{}
+
+func (roomFilter) Name() string { return "room" }
+
+func (roomFilter) Keep(view *View, candidate *Candidate) bool {
+	return view.Request.Slots <= 0 || candidate.Load < float64(view.Request.Slots)
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -1,7 +1,7 @@
 package routing
 
 // nearBestPicker takes two candidates at random among those whose score is
-// close to the best and chooses the one with the lower load estimate. Nodes
+// close to the best and chooses the one with the lower pressure. Nodes
 // that see the same lagging reports thus don't all choose the same endpoint.
 type nearBestPicker struct{ near []int }
 
@@ -18,7 +18,7 @@
 	}
 	first := p.near[view.random.IntN(len(p.near))]
 	second := p.near[view.random.IntN(len(p.near))]
-	if candidates[second].Load < candidates[first].Load {
+	if candidates[second].Pressure < candidates[first].Pressure {
 		return second
 	}
 	return first
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -57,8 +57,8 @@
 	hash     uint64
 	// others is the online streams of other nodes in the endpoint's report.
 	others float64
-	// batch is the weighted batch streams that run there by the report.
-	batch float64
+	// waiting is the online requests that wait there by the report.
+	waiting float64
 }
 
 // NewRouter returns a router without knowledge.
@@ -74,7 +74,7 @@
 		picker:   &nearBestPicker{},
 	}
 	router.hard = []Filter{triedFilter{}, slotsFilter{}}
-	router.soft = []Filter{ejectedFilter{}, busyFilter{}, stalledFilter{router}}
+	router.soft = []Filter{ejectedFilter{}, busyFilter{}, stalledFilter{router}, roomFilter{}}
 	router.scorers = []weightedScorer{
 		{loadScorer{}, config.Weights.Load},
 		{kvScorer{}, config.Weights.KV},
@@ -98,7 +98,7 @@
 	if reason := r.filter(&view, pool); reason != "" {
 		return Decision{}, &NoEndpointError{Model: request.Model, Reason: reason}
 	}
-	view.MeanLoad = meanLoad(r.candidates)
+	view.MeanLoad, view.MeanPressure = means(r.candidates)
 	r.scores = slices.Grow(r.scores[:0], len(r.candidates))[:len(r.candidates)]
 	clear(r.scores)
 	for _, stage := range r.scorers {
@@ -189,7 +189,7 @@
 		freshness := r.freshness(view.Now, m.endpoint.Load.At)
 		sum += m.others * freshness
 		weights += freshness
-		r.candidates = append(r.candidates, Candidate{Endpoint: m.endpoint, InFlight: m.state.inFlight, Load: m.others, Batch: m.batch * freshness, Freshness: freshness, hash: m.hash, state: m.state})
+		r.candidates = append(r.candidates, Candidate{Endpoint: m.endpoint, InFlight: m.state.inFlight, Load: m.others, Pressure: m.waiting * freshness, Freshness: freshness, hash: m.hash, state: m.state})
 	}
 	usual := 0.0
 	if weights > 0 {
@@ -197,7 +197,9 @@
 	}
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		c.Load = float64(c.InFlight) + c.Load*c.Freshness + usual*(1-c.Freshness)
+		others := c.Load*c.Freshness + usual*(1-c.Freshness)
+		c.Load = float64(c.InFlight) + others
+		c.Pressure += float64(c.InFlight) + others*r.config.OthersWeight
 	}
 }
 
@@ -212,12 +214,13 @@
 	return 1 / (1 + float64(age)/float64(r.config.LoadHalfLife))
 }
 
-func meanLoad(candidates []Candidate) float64 {
-	sum := 0.0
+func means(candidates []Candidate) (load, pressure float64) {
 	for i := range candidates {
-		sum += candidates[i].Load
+		load += candidates[i].Load
+		pressure += candidates[i].Pressure
 	}
-	return sum / float64(len(candidates))
+	count := float64(len(candidates))
+	return load / count, pressure / count
 }
 
 // pool returns the endpoints that may serve the request by the snapshot. What
@@ -272,7 +275,7 @@
 		state:    state,
 		hash:     xxhash.Sum64String(endpoint.Name),
 		others:   max(0, online-float64(own)),
-		batch:    float64(load.RunningBatch) * r.config.BatchLoadWeight,
+		waiting:  max(0, float64(load.Waiting-load.WaitingBatch)),
 	}
 }
 
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -6,19 +6,19 @@
 )
 
 // loadScorer prefers endpoints with few online streams. It reads
-// Candidate.Load: this node's own streams now and, discounted by age, the
-// streams of others in the endpoint's lagging report; a stale or missing
+// Candidate.Pressure: this node's own streams now and, discounted by age and a
+// weight, the streams of others in the endpoint's lagging report; a stale or missing
 // report counts as the peers' mean, so that nobody rushes at the unknown. Batch
-// streams that run there count a little, because they make steps longer.
+// doesn't count: it yields, and steering by its lagging numbers costs the tail.
 // Score: 1 for an idle endpoint, 0.5 at the mean load, towards 0 above.
 type loadScorer struct{}
 
 func (loadScorer) Name() string { return "load" }
 
 func (loadScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
-	scale := 1 / (1 + view.MeanLoad)
+	scale := 1 / (1 + view.MeanPressure)
 	for i := range candidates {
-		scores[i] += weight / (1 + (candidates[i].Load+candidates[i].Batch)*scale)
+		scores[i] += weight / (1 + candidates[i].Pressure*scale)
 	}
 }
 
@@ -81,11 +81,11 @@
 // Scores of the zoneScorer.
 const (
 	scoreSameZone   = 1.0
-	scoreSameRegion = 0.6
+	scoreSameRegion = 0.9
 )
 
 // zoneScorer prefers near endpoints. It reads the endpoint's zone and region,
-// which don't change. Score: 1 in this node's zone, 0.6 in its region, else 0.
+// which don't change. Score: 1 in this node's zone, 0.9 in its region, else 0.
 type zoneScorer struct{}
 
 func (zoneScorer) Name() string { return "zone" }
@@ -128,11 +128,21 @@
 	bound := view.config.LoadBoundFactor*view.MeanLoad + view.config.LoadBoundSlack
 	s.scoreHolders(keys, candidates, bound)
 	s.scoreRanked(candidates, bound)
+	worth := weight * view.prefixWorth()
 	for i := range candidates {
-		scores[i] += weight * s.expected[i]
+		scores[i] += worth * s.expected[i]
 	}
 }
 
+// prefixWorth is what a prompt that is cached whole is worth, up to 1.
+func (v *View) prefixWorth() float64 {
+	tokens := float64(v.Request.PromptTokens)
+	if tokens <= 0 {
+		return 1
+	}
+	return tokens / (tokens + float64(v.config.PrefixHalfTokens))
+}
+
 // scoreHolders rates endpoints that this node itself sent the prefix to.
 func (s *prefixScorer) scoreHolders(keys []uint64, candidates []Candidate, bound float64) {
 	holders, depths, count := s.deepestHolders()
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -17,6 +17,9 @@
 	Regions []string
 	// Prefix holds the keys of the prompt's leading blocks, see PrefixKeys.
 	Prefix []uint64
+	// PromptTokens estimates the prompt's length, to tell what a cached prefix
+	// is worth; 0 counts as very long.
+	PromptTokens int
 	// Tried names the endpoints that earlier attempts were sent to.
 	Tried []string
 	// Repeatable requests may serve as probes of a suspected endpoint.
@@ -107,9 +110,9 @@
 	InFlight int
 	// Load estimates the online streams on the endpoint, of all nodes.
 	Load float64
-	// Batch is the weighted batch streams that run there, discounted by age.
-	// Batch yields, so it never takes a slot from online requests.
-	Batch float64
+	// Pressure is what the load score compares: own streams, the weighted
+	// streams of others, and online requests that wait.
+	Pressure float64
 	// Freshness of the endpoint's report: 1 new, towards 0 with age, 0 missing.
 	Freshness float64
 
@@ -126,6 +129,8 @@
 	// MeanLoad is the mean of Candidate.Load over all candidates that passed
 	// the filters.
 	MeanLoad float64
+	// MeanPressure is the same of Candidate.Pressure.
+	MeanPressure float64
 
 	config   *Config
 	prefixes *prefixTable
