--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,13 +1,7 @@
 package gateway
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
-	"io"
-	"mime"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -253,47 +247,6 @@
 	return duration, err == nil && duration > 0
 }
 
-// readBody reads a JSON body within the limits of size and time.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apierror.Error) {
-	if kind := r.Header.Get("Content-Type"); kind != "" {
-		media, _, err := mime.ParseMediaType(kind)
-		if err != nil || media != "application/json" {
-			return nil, unsupportedMedia("Content-Type")
-		}
-	}
-	if encoding := r.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
-		return nil, unsupportedMedia("Content-Encoding")
-	}
-	if r.ContentLength > g.config.MaxBodyBytes {
-		w.Header().Set("Connection", "close")
-		return nil, apierror.BodyTooLarge(g.config.MaxBodyBytes)
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
-	if err != nil {
-		return nil, g.bodyFailure(w, err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func unsupportedMedia(header string) *apierror.Error {
-	return &apierror.Error{Status: http.StatusUnsupportedMediaType, Code: apierror.CodeUnsupportedMedia, Type: apierror.TypeInvalidRequest, Param: header, Message: "send the body as application/json without a content encoding"}
-}
-
-func (g *Gateway) bodyFailure(w http.ResponseWriter, err error) *apierror.Error {
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return apierror.BodyTooLarge(tooLarge.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return apierror.BodyTimeout(g.config.BodyTimeout)
-	}
-	return apierror.InvalidJSON("", "the body broke off")
-}
-
 // refused turns admission's refusal into the final answer.
 func (g *Gateway) refused(refusal *online.Refusal) *apierror.Error {
 	g.metrics.refusals.WithLabelValues(string(refusal.Reason)).Inc()
@@ -360,68 +313,3 @@
 	budget.SetRatio(request.service.RetryBudget)
 	return relay.NewCall(request.repeatable, request.deadline, budget)
 }
-
-type modelObject struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
-type modelList struct {
-	Object string        `json:"object"`
-	Data   []modelObject `json:"data"`
-}
-
-func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
-	snapshot := g.settings.Current()
-	tenant, failure := Authenticate(snapshot, r)
-	if failure != nil {
-		apierror.Write(w, failure)
-		return
-	}
-	list := modelList{Object: "list", Data: []modelObject{}}
-	models := snapshot.Models()
-	slices.Sort(models)
-	for _, model := range models {
-		if MayUse(tenant, model) {
-			list.Data = append(list.Data, modelObject{ID: model, Object: "model", OwnedBy: "chutelock"})
-		}
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
-}
-
-// Ready says whether callers should send requests here.
-func (g *Gateway) Ready() bool { return !g.draining.Load() && g.settings.Current() != nil }
-
-// drainPoll is how often Drain looks whether requests are in progress.
-const drainPoll = 5 * time.Millisecond
-
-// Drain stops the gateway: from now on it isn't ready; after the settle time
-// it refuses new requests as not run; and it returns when none is in progress
-// any more, or with an error when ctx ends first. The caller then shuts the
-// HTTP server down.
-func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	eventDrainStarted.Info("in_progress", g.inFlight.Load())
-	settle := time.NewTimer(g.config.DrainSettle)
-	defer settle.Stop()
-	select {
-	case <-settle.C:
-	case <-ctx.Done():
-	}
-	g.gate.Drain()
-	poll := time.NewTicker(drainPoll)
-	defer poll.Stop()
-	for g.inFlight.Load() > 0 {
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-			eventDrainEnded.Info("in_progress", g.inFlight.Load())
-			return ctx.Err()
-		}
-	}
-	eventDrainEnded.Info("in_progress", 0)
-	return nil
-}
