End-to-end: six jobs meet the lost disks

Cause: with one copy a shard (mechanism off) the spec passed, because its one job's shard had no replica on the two lost disks. Six jobs now.

--- a/test/e2e/batch_failures_test.go
+++ b/test/e2e/batch_failures_test.go
@@ -23,7 +23,7 @@
 
 var _ = ginkgo.Describe("Accepted batch items", func() {
 	var d *deployment
-	items := itemCount(3000)
+	var items int
 
 	// inFlight submits a job and waits until a part of it is done.
 	inFlight := func(n *node, key string) string {
@@ -39,7 +39,10 @@
 		gomega.Expect(again.ID).To(gomega.Equal(id), "a resent job is the same job")
 	}
 
-	ginkgo.BeforeEach(func() { d = newDeployment(fiveCopies) })
+	ginkgo.BeforeEach(func() {
+		d = newDeployment(fiveCopies)
+		items = itemCount(3000)
+	})
 
 	ginkgo.It("complete once when any node is killed", func() {
 		for i, n := range d.nodes {
@@ -54,26 +57,32 @@
 	})
 
 	ginkgo.It("complete once when two disks are lost within a second of the answer", func() {
-		id := submit(d.nodes[0], items, "disks").ID
-		for _, n := range d.nodes[:2] {
-			n.kill()
-			n.wipe()
-			d.startNode(n)
+		// Several jobs, so that shards with replicas on the lost disks are met.
+		const jobs = 6
+		loseDisks := func(round string, lost []*node) {
+			ginkgo.GinkgoHelper()
+			ids := map[string]string{}
+			for i := range jobs {
+				key := fmt.Sprint(round, "-", i)
+				ids[key] = submit(d.nodes[0], items, key).ID
+			}
+			for _, n := range lost {
+				n.kill()
+				n.wipe()
+				d.startNode(n)
+			}
+			for key, id := range ids {
+				expectSameJob(id, key)
+				expectWholeJob(d, id, items)
+			}
 		}
-		expectSameJob(id, "disks")
-		expectWholeJob(d, id, items)
+		items = itemCount(1000)
+		loseDisks("first", d.nodes[:2])
 		for _, n := range d.nodes[:2] {
 			d.waitNode(n)
 		}
 		ginkgo.By("and once more, after the two were replaced")
-		id = submit(d.nodes[0], items, "disks again").ID
-		for _, n := range d.nodes[3:] {
-			n.kill()
-			n.wipe()
-			d.startNode(n)
-		}
-		expectSameJob(id, "disks again")
-		expectWholeJob(d, id, items)
+		loseDisks("second", d.nodes[3:])
 	})
 
 	ginkgo.It("are accepted and completed while the platform is down", func() {
