--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -254,7 +254,7 @@
 	}
 	waiting := &read{done: make(chan error, 1)}
 	s.reads[s.nextToken] = waiting
-	s.schedule()
+	s.proceed()
 	return waiting.done, nil
 }
 
@@ -297,6 +297,16 @@
 		s.halt(err)
 		return
 	}
+	s.proceed()
+}
+
+// proceed sends what need not wait for the disk, or gives the shard to a
+// worker; the caller holds the mutex.
+func (s *Shard) proceed() {
+	if s.scheduled {
+		s.sendAll(s.core.Immediate())
+		return
+	}
 	if s.core.HasReady() {
 		s.schedule()
 	}
@@ -316,9 +326,7 @@
 	}
 	s.watchLeader(now)
 	s.releaseOrphans(now)
-	if s.core.HasReady() {
-		s.schedule()
-	}
+	s.proceed()
 }
 
 // releaseOrphans answers proposals that were made as a leader and are not
