--- a/internal/jobs/command/keeper_test.go
+++ b/internal/jobs/command/keeper_test.go
@@ -1,12 +1,14 @@
 package command
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"chutelock.dev/chutelock/internal/jobs/machine"
+	"chutelock.dev/chutelock/internal/ledger"
 )
 
 func TestKeeperEndsOnlySilentLeases(t *testing.T) {
@@ -33,3 +35,22 @@
 	f.Add(good)
 	f.Fuzz(func(t *testing.T, message []byte) { _, _ = decodeRenewRequest(message) })
 }
+
+func TestShardsAreAskedByUrgencyThenByWeight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hour := time.Hour.Milliseconds()
+	offers := func() []shardOffer {
+		return []shardOffer{
+			{0, offerNumbers{Items: 1, Slack: hour, Weight: 1000}}, {1, offerNumbers{Items: 1, Slack: 20 * hour, Weight: 3000}},
+			{2, offerNumbers{Items: 1, Slack: 5000}}, {3, offerNumbers{Items: 1, Slack: -1000}},
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	first := map[ledger.ShardID]int{}
+	for range 4000 {
+		order := askingOrder(offers(), random.Float64)
+		g.Expect(order[:2]).To(gomega.Equal([]ledger.ShardID{3, 2}))
+		first[order[2]]++
+	}
+	g.Expect(first[1]).To(gomega.BeNumerically("~", 3000, 150), "the heavier shard goes first three times of four")
+}
--- a/internal/jobs/command/leader.go
+++ b/internal/jobs/command/leader.go
@@ -163,7 +163,7 @@
 	if _, waits := k.machines(id).Waiting(time.Now())[wanted.Model]; !waits {
 		return machine.Answer{Code: machine.CodeOK}.Encode()
 	}
-	return shard.Propose(ctx, entry)
+	return remote.Propose(ctx, id, shard, entry)
 }
 
 const messageVersion = 1
@@ -172,13 +172,15 @@
 type offerNumbers struct {
 	Items uint64
 	Slack int64 // milliseconds; the least of the waiting jobs
+	// Weight is the sum of the weights of the tenants whose items wait.
+	Weight uint64
 }
 
 // offer lists what waits: fields of model and offerNumbers in turn.
 func (k *Keeper) offer(_ context.Context, id ledger.ShardID, _ ledger.Shard, _ []byte) ([]byte, error) {
 	var fields [][]byte
 	for model, waiting := range k.machines(id).Waiting(time.Now()) {
-		encoded, err := wire.Marshal(messageVersion, offerNumbers{waiting.Items, waiting.Slack.Milliseconds()})
+		encoded, err := wire.Marshal(messageVersion, offerNumbers{waiting.Items, waiting.Slack.Milliseconds(), waiting.Weight})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/jobs/command/work.go
+++ b/internal/jobs/command/work.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -129,20 +131,43 @@
 	w.offers[shard][model] = offer
 }
 
-// shardsWith lists the shards where items of the model wait, the least slack
-// first.
+// shardsWith lists the shards where items of the model wait, in the order in
+// which to ask them.
 func (w *Work) shardsWith(model string) []ledger.ShardID {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	var shards []ledger.ShardID
-	for shard, offers := range w.offers {
-		if offers[model].Items > 0 {
-			shards = append(shards, shard)
+	var offers []shardOffer
+	for shard, ofShard := range w.offers {
+		if offer := ofShard[model]; offer.Items > 0 {
+			offers = append(offers, shardOffer{shard, offer})
 		}
 	}
-	slices.SortFunc(shards, func(a, b ledger.ShardID) int {
-		return cmp.Or(cmp.Compare(w.offers[a][model].Slack, w.offers[b][model].Slack), cmp.Compare(a, b))
-	})
+	return askingOrder(offers, rand.Float64)
+}
+
+type shardOffer struct {
+	shard ledger.ShardID
+	offerNumbers
+}
+
+// askingOrder puts shards with urgent jobs first, by their slack. The others
+// come in an order drawn by the weights of the tenants that wait there, so that
+// over many leases each tenant gets its share wherever its job lies.
+func askingOrder(offers []shardOffer, random func() float64) []ledger.ShardID {
+	slices.SortFunc(offers, func(a, b shardOffer) int { return cmp.Compare(a.shard, b.shard) })
+	rank := make(map[ledger.ShardID]float64, len(offers))
+	for _, offer := range offers {
+		if slack := time.Duration(offer.Slack) * time.Millisecond; slack < machine.UrgentSlack {
+			rank[offer.shard] = slack.Seconds() - machine.UrgentSlack.Seconds()
+			continue
+		}
+		rank[offer.shard] = -math.Log(1-random()) / float64(max(offer.Weight, 1))
+	}
+	slices.SortStableFunc(offers, func(a, b shardOffer) int { return cmp.Compare(rank[a.shard], rank[b.shard]) })
+	shards := make([]ledger.ShardID, 0, len(offers))
+	for _, offer := range offers {
+		shards = append(shards, offer.shard)
+	}
 	return shards
 }
 
--- a/internal/jobs/machine/codec_test.go
+++ b/internal/jobs/machine/codec_test.go
@@ -36,6 +36,10 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(at.UnixMilli()).To(gomega.Equal(int64(9)))
 		g.Expect(decoded).To(gomega.Equal(command))
+		at, decoded, err = Decode(Stamp(entry, time.UnixMilli(10)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(at.UnixMilli()).To(gomega.Equal(int64(10)))
+		g.Expect(decoded).To(gomega.Equal(command))
 	}
 }
 
--- a/internal/jobs/machine/command.go
+++ b/internal/jobs/machine/command.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -48,7 +49,8 @@
 	At   int64 // Unix milliseconds at the proposer
 }
 
-// Encode makes an entry of a command; at is the proposer's time.
+// Encode makes an entry of a command; at is the proposer's time, which the
+// shard's leader replaces by its own.
 func Encode(at time.Time, command Command) ([]byte, error) {
 	body, err := command.marshal()
 	if err != nil {
@@ -74,6 +76,20 @@
 	return time.UnixMilli(header.At), command, nil
 }
 
+// headerSize is the size of an entry's version and header.
+const headerSize = 1 + 1 + 8
+
+// Stamp returns a copy of an entry with another time. What is no entry comes
+// back as it is.
+func Stamp(entry []byte, at time.Time) []byte {
+	if len(entry) < headerSize || entry[0] != entryVersion {
+		return entry
+	}
+	stamped := append([]byte(nil), entry...)
+	binary.BigEndian.PutUint64(stamped[headerSize-8:], uint64(at.UnixMilli()))
+	return stamped
+}
+
 func newCommand(kind Kind) Command {
 	switch kind {
 	case KindFileBegin:
--- a/internal/jobs/machine/doc.go
+++ b/internal/jobs/machine/doc.go
@@ -3,8 +3,8 @@
 //
 // Commands are encoded with Encode, proposed to the shard, and applied by
 // Machine.Apply in the same order at every replica. Apply reads no clock and
-// no randomness: time travels in each entry, and the machine's clock is the
-// largest time seen, so that it never goes back.
+// no randomness: time travels in each entry, stamped by the shard's leader, and
+// the machine's clock is the largest time seen, so that it never goes back.
 //
 // Rules that the machine keeps, whatever order or repetition commands come in:
 //
--- a/internal/jobs/machine/lease.go
+++ b/internal/jobs/machine/lease.go
@@ -5,16 +5,19 @@
 	"encoding/binary"
 	"math"
 	"slices"
+	"time"
 
 	"chutelock.dev/chutelock/internal/jobs"
 )
 
+// UrgentSlack is the slack below which a job goes before the tenants' shares
+// are looked at.
+const UrgentSlack = time.Minute
+
 const (
+	urgentMilliseconds = int64(UrgentSlack / time.Millisecond)
 	// maxLeaseItems bounds one LeaseItems command.
 	maxLeaseItems = 1024
-	// urgentSlack is the slack below which a job goes before the tenants'
-	// shares are looked at, in milliseconds.
-	urgentSlack = 60_000
 	// shareUnit is the virtual time of one item at weight 1 (1000 thousandths).
 	shareUnit = 1_000_000
 )
@@ -94,7 +97,7 @@
 // before is a total order, so that the choice does not depend on the order in
 // which a map is visited.
 func (m *Machine) before(a, b candidate) bool {
-	urgentA, urgentB := a.slack < urgentSlack, b.slack < urgentSlack
+	urgentA, urgentB := a.slack < urgentMilliseconds, b.slack < urgentMilliseconds
 	if urgentA != urgentB {
 		return urgentA
 	}
--- a/internal/jobs/machine/read.go
+++ b/internal/jobs/machine/read.go
@@ -164,6 +164,8 @@
 	Items uint64
 	// Slack is the least slack of their jobs.
 	Slack time.Duration
+	// Weight is the sum of the weights of their tenants, in thousandths.
+	Weight uint64
 }
 
 // Waiting tells what waits for each model, from the summary in memory.
@@ -182,10 +184,15 @@
 }
 
 func (m *Machine) waitingOf(model string, now int64) (total WaitingItems) {
+	counted := map[string]bool{}
 	for _, next := range m.candidates(model, now) {
 		if next.available == 0 {
 			continue
 		}
+		if tenant := next.record.Tenant; !counted[tenant] {
+			counted[tenant] = true
+			total.Weight += uint64(next.record.Weight)
+		}
 		slack := time.Duration(next.slack) * time.Millisecond
 		if total.Items == 0 || slack < total.Slack {
 			total.Slack = slack
--- a/internal/jobs/remote/caller.go
+++ b/internal/jobs/remote/caller.go
@@ -54,11 +54,7 @@
 func (c *Caller) Call(ctx context.Context, operation Operation, shard ledger.ShardID, payload []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := wire.Marshal(requestVersion, requestHeader{uint32(shard)}, payload)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	call := &call{caller: c, operation: operation, shard: shard, payload: payload, request: request}
+	call := &call{caller: c, operation: operation, shard: shard, payload: payload}
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = firstRetryWait
 	waits.MaxInterval = longestRetryWait
@@ -76,7 +72,7 @@
 	operation Operation
 	shard     ledger.ShardID
 	payload   []byte
-	request   []byte
+	request   []byte // what is sent to a peer; nil until one is called
 	// hint is the leader that a peer pointed to.
 	hint transport.Address
 	// uncertain says that an attempt may have taken effect.
@@ -116,6 +112,9 @@
 	if leader == "" || leader == c.caller.self {
 		return nil, ledger.ErrUnavailable
 	}
+	if err := c.encode(); err != nil {
+		return nil, backoff.Permanent(err)
+	}
 	answer, err := c.caller.sender.Call(ctx, leader, c.operation.messageKind(), c.request)
 	err = decodeError(c.shard, err)
 	if told, ok := c.caller.directory.(suspecter); ok && isSuspicious(err) {
@@ -124,6 +123,14 @@
 	return answer, err
 }
 
+// encode makes the request, once and only if a peer is called.
+func (c *call) encode() (err error) {
+	if c.request == nil {
+		c.request, err = wire.Marshal(requestVersion, requestHeader{uint32(c.shard)}, c.payload)
+	}
+	return err
+}
+
 // isSuspicious says that a peer was not reached or does not lead; an error of
 // its handler is no reason to look for another leader.
 func isSuspicious(err error) bool {
--- a/internal/jobs/remote/server.go
+++ b/internal/jobs/remote/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"chutelock.dev/chutelock/internal/jobs/machine"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/transport"
 	"chutelock.dev/chutelock/internal/wire"
@@ -97,12 +99,16 @@
 // NewServer returns a server; OperationPropose has its handler already.
 func NewServer(directory ledger.Directory) *Server {
 	s := &Server{directory: directory, handlers: map[Operation]Handler{}}
-	s.Handle(OperationPropose, func(ctx context.Context, _ ledger.ShardID, shard ledger.Shard, entry []byte) ([]byte, error) {
-		return shard.Propose(ctx, entry)
-	})
+	s.Handle(OperationPropose, Propose)
 	return s
 }
 
+// Propose proposes an entry with the leader's time, so that the clocks of
+// other nodes can't move deadlines.
+func Propose(ctx context.Context, _ ledger.ShardID, shard ledger.Shard, entry []byte) ([]byte, error) {
+	return shard.Propose(ctx, machine.Stamp(entry, time.Now()))
+}
+
 // Handle sets the handler of an operation. Call it before Register.
 func (s *Server) Handle(operation Operation, handler Handler) { s.handlers[operation] = handler }
 
