--- a/internal/jobs/machine/machine.go
+++ b/internal/jobs/machine/machine.go
@@ -21,6 +21,8 @@
 	open   map[string]*openJob
 	shares map[string]uint64 // virtual time of each tenant with an open job
 	rates  map[string]*rate
+	// dropped counts dropped results for metrics; it is not replicated.
+	dropped uint64
 }
 
 var _ ledger.StateMachine = (*Machine)(nil)
--- a/internal/jobs/machine/read.go
+++ b/internal/jobs/machine/read.go
@@ -223,3 +223,23 @@
 	})
 	return due, err
 }
+
+// Summary is what a machine holds at one moment.
+type Summary struct {
+	OpenJobs    int
+	LeasedItems int
+	// DroppedResults counts results that came second or too late, since this
+	// replica started.
+	DroppedResults uint64
+}
+
+// Summary counts what is in memory.
+func (m *Machine) Summary() Summary {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	summary := Summary{OpenJobs: len(m.open), DroppedResults: m.dropped}
+	for _, job := range m.open {
+		summary.LeasedItems += len(job.leased)
+	}
+	return summary
+}
--- a/internal/jobs/machine/result.go
+++ b/internal/jobs/machine/result.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	touched.counters.Dropped++
+	tx.machine.dropped++
 	return nil
 }
 
--- a/internal/jobs/service/service.go
+++ b/internal/jobs/service/service.go
@@ -23,7 +23,8 @@
 	Queries *query.Queries
 	Work    *command.Work
 
-	keeper *command.Keeper
+	// Keeper works for the shards led here; it is a prometheus.Collector too.
+	Keeper *command.Keeper
 
 	// mutex guards machines; nothing is locked while it is held.
 	mutex    sync.Mutex
@@ -58,8 +59,8 @@
 	receiver transport.Receiver) {
 	server := remote.NewServer(directory)
 	server.Handle(remote.OperationQuery, query.Handle)
-	s.keeper = command.NewKeeper(directory, s.machine)
-	s.keeper.Register(server)
+	s.Keeper = command.NewKeeper(directory, s.machine)
+	s.Keeper.Register(server)
 	if receiver != nil {
 		server.Register(receiver)
 	}
@@ -71,4 +72,4 @@
 }
 
 // Run does the work of the shards that this node leads until ctx ends.
-func (s *Service) Run(ctx context.Context) { s.keeper.Run(ctx) }
+func (s *Service) Run(ctx context.Context) { s.Keeper.Run(ctx) }
--- a/internal/jobs/service/service_test.go
+++ b/internal/jobs/service/service_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chutelock.dev/chutelock/internal/jobs"
 	"chutelock.dev/chutelock/internal/jobs/command"
@@ -123,6 +124,31 @@
 	return stats.HeapAlloc
 }
 
+func TestMetricsTellWhatWaitsAndWhatWasDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := open(t, t.TempDir())
+	accept(t, node, &lines{count: 10, size: 10}, "k")
+	leases, err := node.Work.LeaseAt(context.Background(), 0, "d", "m", 4)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	results := resultsOf(leases, []byte("{}"))[:2]
+	g.Expect(node.Work.Report(context.Background(), results)).To(gomega.Succeed())
+	results[0].Epoch++ // another lease's result of the same item
+	g.Expect(node.Work.Report(context.Background(), results[:1])).To(gomega.Succeed())
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(node.Keeper)
+	families, err := registry.Gather()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	values := map[string]float64{}
+	for _, family := range families {
+		metric := family.GetMetric()[0]
+		values[family.GetName()] = metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
+	}
+	g.Expect(values).To(gomega.HaveKeyWithValue("chutelock_jobs_open", 1.0))
+	g.Expect(values).To(gomega.HaveKeyWithValue("chutelock_jobs_leased_items", 2.0))
+	g.Expect(values).To(gomega.HaveKeyWithValue("chutelock_jobs_waiting_items", 6.0))
+	g.Expect(values).To(gomega.HaveKeyWithValue("chutelock_jobs_results_dropped_total", 1.0))
+}
+
 // BenchmarkShard leases and reports items through one shard on a disk, a
 // dispatcher's usual number at a time.
 func BenchmarkShard(b *testing.B) {
