--- a/internal/admission/batch/config.go
+++ b/internal/admission/batch/config.go
@@ -22,9 +22,6 @@
 	// Starting bounds the batch streams that are before their first token, so
 	// that batch prefill does not stretch the steps.
 	Starting int
-	// Ahead is how many streams wait at the engine beyond its slots, so that a
-	// slot that falls free is taken in the next step.
-	Ahead int
 	// Reserve is the least number of slots that batch leaves free, for online
 	// requests whose announcement comes late or never.
 	Reserve int
@@ -39,7 +36,6 @@
 	defaultChunk     = 512
 	defaultStarting  = 4
 	defaultReserve   = 0
-	defaultAhead     = 0
 	defaultHoldLimit = 20 * time.Second
 )
 
@@ -56,9 +52,6 @@
 	if c.Reserve <= 0 {
 		c.Reserve = defaultReserve
 	}
-	if c.Ahead <= 0 {
-		c.Ahead = defaultAhead
-	}
 	if c.HoldLimit <= 0 {
 		c.HoldLimit = defaultHoldLimit
 	}
--- a/internal/admission/batch/control.go
+++ b/internal/admission/batch/control.go
@@ -17,7 +17,7 @@
 // online's steps beyond the bound.
 //
 // Each event costs O(1), but for those that suspend or resume streams, which
-// cost O(streams of the engine). A Controller is not safe for concurrent use.
+// sort the engine's streams. A Controller is not safe for concurrent use.
 type Controller struct {
 	config  Config
 	engines map[string]*engineState
@@ -115,7 +115,7 @@
 		free = int(float64(free) * state.width.value)
 	}
 	if weight <= yieldAllWeight-1 {
-		return free + c.config.Ahead
+		return free
 	}
 	return int(float64(free) * max(0, yieldAllWeight-weight))
 }
