--- a/internal/admission/batch/model_test.go
+++ b/internal/admission/batch/model_test.go
@@ -106,6 +106,21 @@
 	g.Expect(actions).To(gomega.HaveLen(20 + sharedReserve))
 }
 
+func TestALateReportOfOnesOwnStreamsIsNotAnotherHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	controller := NewController(Config{Share: 0.5, Slots: 40})
+	now := time.Unix(0, 0)
+	fill(controller, now, 40)
+	report := engine.Load{At: now, Running: 40, RunningBatch: 40}
+	controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: report})
+	for i := range 40 {
+		controller.Step(now, Event{Kind: EventBatchEnded, Engine: "e", Stream: fmt.Sprintf("b%d", i)})
+	}
+	now = now.Add(peakMemory + time.Second)
+	controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: report})
+	g.Expect(controller.engines["e"].shared(now)).To(gomega.BeFalse())
+}
+
 func TestFixedFillsUpToItsStreams(t *testing.T) {
 	for name, test := range map[string]struct {
 		heed  bool
--- a/internal/admission/batch/report.go
+++ b/internal/admission/batch/report.go
@@ -51,17 +51,18 @@
 	foreignLeast = 8
 	// foreignMemory is how long it believes so after the last sight.
 	foreignMemory = 3 * time.Second
-	// peakMemory is how far back a report may look.
+	// peakMemory is how far back, at least, the own peak is remembered: longer
+	// than reports lag.
 	peakMemory = 10 * time.Second
 )
 
 // observeForeign looks for batch streams that this home didn't send.
 func (s *engineState) observeForeign(now time.Time, load engine.Load) {
 	if now.Sub(s.peakAt) > peakMemory {
-		s.peak, s.peakAt = 0, now
+		s.formerPeak, s.peak, s.peakAt = s.peak, 0, now
 	}
 	s.peak = max(s.peak, len(s.streams))
-	if load.RunningBatch+load.WaitingBatch >= s.peak+foreignLeast {
+	if load.RunningBatch+load.WaitingBatch >= max(s.peak, s.formerPeak)+foreignLeast {
 		s.foreignAt = now
 	}
 }
--- a/internal/admission/batch/state.go
+++ b/internal/admission/batch/state.go
@@ -80,9 +80,10 @@
 	prompt     average // prefill tokens of a batch stream
 	// peak is the most streams that this home had lately; foreignAt is when a
 	// report last showed many more.
-	peak      int
-	peakAt    time.Time
-	foreignAt time.Time
+	peak       int
+	formerPeak int
+	peakAt     time.Time
+	foreignAt  time.Time
 	// bound is the longest step that online should see; zero while unknown.
 	bound   time.Duration
 	boundAt time.Time
