--- a/internal/admission/batch/model_test.go
+++ b/internal/admission/batch/model_test.go
@@ -121,6 +121,26 @@
 	g.Expect(controller.engines["e"].shared(now)).To(gomega.BeFalse())
 }
 
+func TestTheModelLearnsStepsFarFromItsStart(t *testing.T) {
+	for _, step := range []time.Duration{time.Millisecond, 100 * time.Millisecond} {
+		t.Run(step.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			controller := NewController(Config{Share: 0.5, Slots: 4})
+			now := time.Unix(0, 0)
+			fill(controller, now, 4)
+			for range 200 {
+				for end := now.Add(step); now.Before(end); now = now.Add(step / 4) {
+					controller.Step(now, Event{Kind: EventTick, Engine: "e"})
+				}
+				for i := range 4 {
+					controller.Step(now, Event{Kind: EventBatchToken, Engine: "e", Stream: fmt.Sprintf("b%d", i)})
+				}
+			}
+			g.Expect(controller.engines["e"].model.step(4, 0)).To(gomega.BeNumerically("~", step, step/10))
+		})
+	}
+}
+
 func TestFixedFillsUpToItsStreams(t *testing.T) {
 	for name, test := range map[string]struct {
 		heed  bool
--- a/internal/admission/batch/state.go
+++ b/internal/admission/batch/state.go
@@ -58,6 +58,7 @@
 	admitted  uint64
 	active    int // streams in an active phase
 	starting  int
+	producing int // in phaseRunning
 	suspended int
 	leaving   int // suspensions not confirmed
 	// oldestHold is not later than the time since which any stream is held.
@@ -182,7 +183,12 @@
 }
 
 func (s *engineState) load(config *Config) stepLoad {
-	return stepLoad{online: float64(s.onlineCount()), batch: float64(s.active), chunk: float64(config.ChunkTokens)}
+	return stepLoad{
+		online:    float64(s.onlineCount()),
+		batch:     float64(s.active),
+		chunk:     float64(config.ChunkTokens),
+		producing: s.producing > 0,
+	}
 }
 
 // aloneCount is how many online streams there would be without batch: fewer,
@@ -285,6 +291,8 @@
 	switch of {
 	case phaseStarting:
 		s.starting += by
+	case phaseRunning:
+		s.producing += by
 	case phaseSuspending:
 		s.leaving += by
 	case phaseSuspended:
--- a/internal/admission/batch/timeline.go
+++ b/internal/admission/batch/timeline.go
@@ -71,7 +71,9 @@
 	return true
 }
 
-// advance ends the steps whose predicted end has passed unseen.
+// advance ends the steps whose predicted end has passed unseen. While batch
+// streams produce tokens, these tell, and a prediction that is far off must not
+// come before them: the model would never learn better.
 func (t *timeline) advance(now time.Time, load stepLoad, model *stepModel) {
 	if load.online <= 0 {
 		t.arriving = 0 // what had arrived has ended
@@ -79,6 +81,9 @@
 	if load.streams() <= 0 {
 		t.pending = 0
 	}
+	if load.producing && now.Sub(t.start) < longestStep {
+		return
+	}
 	if now.Sub(t.end) > idleAfter || load.streams() <= 0 {
 		t.start = now
 		t.end = now
@@ -114,6 +119,8 @@
 	online float64 // online streams
 	batch  float64 // active batch streams
 	chunk  float64 // prefill tokens that fit into a step
+	// producing says that batch streams have tokens in each step.
+	producing bool
 }
 
 func (l stepLoad) streams() float64 { return l.online + l.batch }
