Faults: tests; wrong fault requests are refused as a whole

An unknown field or kind in a request to /control/faults is refused and nothing of the request taken. Engine adapter: down means not run, judged by the truth log; a pause inside an answer.

--- a/internal/engine/openaihttp/client_test.go
+++ b/internal/engine/openaihttp/client_test.go
@@ -157,6 +157,43 @@
 	g.Expect(err).To(gomega.MatchError(context.Canceled))
 }
 
+func TestDownMeansNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	running := standintest.Engine(t, nil)
+	client := openaihttp.New("e", running.Address, openaihttp.Options{})
+	running.Inject(fault.Fault{Kind: fault.Down, Duration: fault.Duration(200 * time.Millisecond)})
+	_, _, err := collect(t.Context(), client, completion("a", "prompt", 3))
+	g.Expect(fateOf(err)).To(gomega.Equal(engine.FateNotRun))
+	g.Eventually(func() error {
+		_, _, err := collect(t.Context(), client, completion("b", "prompt", 3))
+		return err
+	}, patience).Should(gomega.Succeed())
+	g.Expect(truth.Runs(running.Truth(), "a")).To(gomega.BeZero())
+}
+
+// TestPauseInsideAnAnswer: a stream that stands still for a while goes on.
+func TestPauseInsideAnAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	running := standintest.Engine(t, nil)
+	client := openaihttp.New("e", running.Address, openaihttp.Options{})
+	const pause = 200 * time.Millisecond
+	var text strings.Builder
+	var longest time.Duration
+	last := time.Now()
+	_, err := client.Generate(t.Context(), completion("a", "prompt", 100), func(chunk engine.Chunk) error {
+		if chunk.Index == 3 {
+			running.Inject(fault.Fault{Kind: fault.Pause, Duration: fault.Duration(pause)})
+		}
+		longest = max(longest, time.Since(last))
+		last = time.Now()
+		text.WriteString(chunk.Text)
+		return nil
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(text.String()).To(gomega.Equal(expected("prompt", 100)))
+	g.Expect(longest).To(gomega.BeNumerically(">", pause/2))
+}
+
 func TestLateAndDuplicateAnswersAreRight(t *testing.T) {
 	g := gomega.NewWithT(t)
 	running := standintest.Engine(t, nil)
--- a/internal/standin/fault/middleware.go
+++ b/internal/standin/fault/middleware.go
@@ -1,10 +1,13 @@
 package fault
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -200,19 +203,11 @@
 		i.Clear(Kind(request.URL.Query().Get("kind")))
 	})
 	mux.HandleFunc("POST /control/faults", func(writer http.ResponseWriter, request *http.Request) {
-		var raw json.RawMessage
-		if err := json.NewDecoder(request.Body).Decode(&raw); err != nil {
+		added, err := decodeFaults(request.Body)
+		if err != nil {
 			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var added []Fault
-		if json.Unmarshal(raw, &added) != nil {
-			added = make([]Fault, 1)
-			if err := json.Unmarshal(raw, &added[0]); err != nil {
-				http.Error(writer, err.Error(), http.StatusBadRequest)
-				return
-			}
-		}
 		for _, one := range added {
 			if err := i.Add(time.Now(), one); err != nil {
 				http.Error(writer, err.Error(), http.StatusBadRequest)
@@ -222,3 +217,28 @@
 	})
 	return mux
 }
+
+// decodeFaults reads one fault or an array of them; none is taken unless all
+// make sense.
+func decodeFaults(body io.Reader) ([]Fault, error) {
+	content, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	content = bytes.TrimSpace(content)
+	if !bytes.HasPrefix(content, []byte("[")) {
+		content = slices.Concat([]byte("["), content, []byte("]"))
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	var added []Fault
+	if err := decoder.Decode(&added); err != nil {
+		return nil, err
+	}
+	for _, one := range added {
+		if err := one.Validate(); err != nil {
+			return nil, err
+		}
+	}
+	return added, nil
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -73,16 +73,31 @@
   direct=$direct${direct:+,}http://$(field "$run/engine-$n.ready" address)
 done
 
-# The node is ready only once settings are in force, which come through it.
-port=$((20000 + ($$ % 8000)))
-while port=$((port + 1)); (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; do :; done
-operators=127.0.0.1:$port
-cat >"$run/node.yaml" <<YAML
-node: {name: node-1, zone: bench, region: bench}
-listen: {callers: "127.0.0.1:0", operators: "$operators", peers: "127.0.0.1:0"}
+next_port=$((20000 + ($$ % 8000)))
+free_port() {
+  while next_port=$((next_port + 1)); (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; do :; done
+  port=$next_port
+}
+
+# One node keeps the ledger and stands aside; the other, which keeps nothing,
+# is measured. Nodes are ready only once settings are in force, so that their
+# ports must be known before.
+free_port; operators=127.0.0.1:$port
+free_port; seed=127.0.0.1:$port
+cat >"$run/keeper.yaml" <<YAML
+node: {name: keeper, zone: bench, region: bench}
+listen: {callers: "127.0.0.1:0", operators: "$operators", peers: "$seed"}
 peers: {key_file: "$run/keys"}
 platform: {address: "$platform"}
-data: {folder: "$run/node.data"}
+data: {folder: "$run/keeper.data"}
+ledger: {copies: 1}
+YAML
+free_port
+cat >"$run/node.yaml" <<YAML
+node: {name: node, zone: bench, region: bench}
+listen: {callers: "127.0.0.1:0", operators: "127.0.0.1:0", peers: "127.0.0.1:$port"}
+peers: {seeds: ["$seed"], key_file: "$run/keys"}
+platform: {address: "$platform"}
 ledger: {copies: 1}
 YAML
 cat >"$run/settings/bench.yaml" <<YAML
@@ -102,6 +117,7 @@
 keys: [$key]
 priority: 0
 YAML
+start keeper "$bin/chutelock" -config "$run/keeper.yaml" -ready-file "$run/keeper.ready"
 start node "$bin/chutelock" -config "$run/node.yaml" -ready-file "$run/node.ready"
 applied=1
 for _ in $(seq 200); do
@@ -109,6 +125,7 @@
   sleep 0.1
 done
 [ $applied = 0 ] || { cat "$run/apply.log" >&2; exit 1; }
+wait_for "$run/keeper.ready"
 wait_for "$run/node.ready"
 gateway=http://$(field "$run/node.ready" callers)
 
