--- a/internal/admission/batch/model_test.go
+++ b/internal/admission/batch/model_test.go
@@ -106,6 +106,41 @@
 	g.Expect(actions).To(gomega.HaveLen(20 + sharedReserve))
 }
 
+func TestALateReportOfOnesOwnStreamsIsNotAnotherHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	controller := NewController(Config{Share: 0.5, Slots: 40})
+	now := time.Unix(0, 0)
+	fill(controller, now, 40)
+	report := engine.Load{At: now, Running: 40, RunningBatch: 40}
+	controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: report})
+	for i := range 40 {
+		controller.Step(now, Event{Kind: EventBatchEnded, Engine: "e", Stream: fmt.Sprintf("b%d", i)})
+	}
+	now = now.Add(peakMemory + time.Second)
+	controller.Step(now, Event{Kind: EventLoad, Engine: "e", Load: report})
+	g.Expect(controller.engines["e"].shared(now)).To(gomega.BeFalse())
+}
+
+func TestTheModelLearnsStepsFarFromItsStart(t *testing.T) {
+	for _, step := range []time.Duration{time.Millisecond, 100 * time.Millisecond} {
+		t.Run(step.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			controller := NewController(Config{Share: 0.5, Slots: 4})
+			now := time.Unix(0, 0)
+			fill(controller, now, 4)
+			for range 200 {
+				for end := now.Add(step); now.Before(end); now = now.Add(step / 4) {
+					controller.Step(now, Event{Kind: EventTick, Engine: "e"})
+				}
+				for i := range 4 {
+					controller.Step(now, Event{Kind: EventBatchToken, Engine: "e", Stream: fmt.Sprintf("b%d", i)})
+				}
+			}
+			g.Expect(controller.engines["e"].model.step(4, 0)).To(gomega.BeNumerically("~", step, step/10))
+		})
+	}
+}
+
 func TestFixedFillsUpToItsStreams(t *testing.T) {
 	for name, test := range map[string]struct {
 		heed  bool
