--- a/cmd/chutelockctl/fleet.go
+++ b/cmd/chutelockctl/fleet.go
@@ -7,21 +7,27 @@
 	"strings"
 	"time"
 
+	"github.com/go-resty/resty/v2"
+
 	"chutelock.dev/chutelock/internal/fleet/query"
+	"chutelock.dev/chutelock/internal/ledger/replica"
+	settings "chutelock.dev/chutelock/internal/settings/operator"
 )
 
 func init() {
 	subcommands = append(subcommands, subcommand{name: "fleet", summary: "show nodes, engines, their homes and what leaves, as one node sees them", run: runFleet})
 }
 
-const fleetUsage = `usage: chutelockctl fleet [flags] [nodes|engines|zones]
+const fleetUsage = `usage: chutelockctl fleet [flags] [nodes|engines|zones|shards|settings]
 
 Shows the fleet as the node behind -server, an operator port, sees it:
   nodes    state, elected roles, and the number of engines each is home of
   engines  home, load, and for a leaving engine the sources that say so
   zones    each zone's capacity for each model, and how old that news is
+  shards   the ledger's shards: leader, term, and each replica with its state
+  settings the version in force in each zone
 
-Without a word it shows nodes and engines; -o json shows all.
+Without a word it shows nodes, engines and shards; -o json shows all.
 
   chutelockctl fleet -server http://127.0.0.1:9080 engines`
 
@@ -30,8 +36,33 @@
 	partNodes   = "nodes"
 	partEngines = "engines"
 	partZones   = "zones"
+	partShards  = "shards"
+	partVersion = "settings"
 )
 
+// fleetView is all that a node tells of the fleet.
+type fleetView struct {
+	query.Fleet
+	Ledger   replica.Status        `json:"ledger"`
+	Settings settings.StatusAnswer `json:"settings"`
+}
+
+// readFleet asks the node for all parts.
+func readFleet(client *resty.Client) (*fleetView, int) {
+	var view fleetView
+	for path, into := range map[string]any{
+		query.PathFleet:     &view.Fleet,
+		replica.PathLedger:  &view.Ledger,
+		settings.PathStatus: &view.Settings,
+	} {
+		response, err := client.R().SetResult(into).Get(path)
+		if code := failed("fleet", response, err); code != exitOK {
+			return nil, code
+		}
+	}
+	return &view, exitOK
+}
+
 func runFleet(arguments []string) int {
 	flags := flag.NewFlagSet("fleet", flag.ContinueOnError)
 	var connection connection
@@ -45,20 +76,19 @@
 	}
 	parts := flags.Args()
 	if len(parts) == 0 {
-		parts = []string{partNodes, partEngines}
+		parts = []string{partNodes, partEngines, partShards}
 	}
-	var fleet query.Fleet
-	response, err := connection.client().R().SetResult(&fleet).Get(query.PathFleet)
-	if code := failed("fleet", response, err); code != exitOK {
+	fleet, code := readFleet(connection.client())
+	if code != exitOK {
 		return code
 	}
 	if connection.output == outputJSON {
 		parts = parts[:1]
 	}
 	for _, part := range parts {
-		header, rows := fleetTable(&fleet, part, time.Now())
+		header, rows := fleetTable(fleet, part, time.Now())
 		if header == "" {
-			fmt.Fprintf(os.Stderr, "fleet: no part %q; want nodes, engines or zones\n", part)
+			fmt.Fprintf(os.Stderr, "fleet: no part %q; want nodes, engines, zones, shards or settings\n", part)
 			return exitUsage
 		}
 		if err := connection.print(os.Stdout, fleet, header, rows); err != nil {
@@ -71,7 +101,7 @@
 
 // fleetTable returns the header and the rows of a part, or no header for an
 // unknown one.
-func fleetTable(fleet *query.Fleet, part string, now time.Time) (header string, rows []string) {
+func fleetTable(fleet *fleetView, part string, now time.Time) (header string, rows []string) {
 	switch part {
 	case partNodes:
 		return "NODE\tZONE\tREGION\tSTATE\tDATA\tENGINES\tROLES", memberRows(fleet)
@@ -79,11 +109,15 @@
 		return "ENGINE\tZONE\tHOME\tLEAVING\tRUNNING\tWAITING\tBATCH\tKV\tAGE\tMODELS", engineRows(fleet, now)
 	case partZones:
 		return "ZONE\tMODEL\tENGINES\tRUNNING\tWAITING\tAGE", zoneRows(fleet, now)
+	case partShards:
+		return "SHARD\tLEADER\tTERM\tHERE\tCOMMIT\tQUORUM\tREPLICAS", shardRows(fleet)
+	case partVersion:
+		return "ZONE\tIN FORCE\tNODES", versionRows(fleet)
 	}
 	return "", nil
 }
 
-func memberRows(fleet *query.Fleet) []string {
+func memberRows(fleet *fleetView) []string {
 	var rows []string
 	for _, node := range fleet.Nodes {
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%t\t%d\t%s", node.Name, node.Zone, node.Region,
@@ -92,7 +126,7 @@
 	return rows
 }
 
-func engineRows(fleet *query.Fleet, now time.Time) []string {
+func engineRows(fleet *fleetView, now time.Time) []string {
 	var rows []string
 	for _, engine := range fleet.Engines {
 		leaving := "no"
@@ -106,7 +140,7 @@
 	return rows
 }
 
-func zoneRows(fleet *query.Fleet, now time.Time) []string {
+func zoneRows(fleet *fleetView, now time.Time) []string {
 	var rows []string
 	for _, zone := range fleet.Zones {
 		for _, model := range zone.Models {
@@ -117,6 +151,39 @@
 	return rows
 }
 
+func shardRows(fleet *fleetView) []string {
+	var rows []string
+	for _, shard := range fleet.Ledger.Shards {
+		quorum := "yes"
+		if shard.NoQuorum {
+			quorum = "NO"
+		}
+		var replicas []string
+		for _, each := range shard.Replicas {
+			replicas = append(replicas, fmt.Sprintf("%s (%s, %s)", each.Node, each.Zone, each.State))
+		}
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%d\t%s\t%d\t%s\t%s", shard.Shard, shard.Leader, shard.Term,
+			shard.Local, shard.Commit, quorum, strings.Join(replicas, ", ")))
+	}
+	return rows
+}
+
+func versionRows(fleet *fleetView) []string {
+	var rows []string
+	for _, zone := range fleet.Settings.Zones {
+		if !zone.Known {
+			rows = append(rows, zone.Zone+"\tnot known\t")
+			continue
+		}
+		inForce := zone.Minimum.String()
+		if zone.Minimum != zone.Maximum {
+			inForce += " to " + zone.Maximum.String()
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d of %d", zone.Zone, inForce, zone.Reported, zone.Members))
+	}
+	return rows
+}
+
 // age says how old a report is; a report that never came is "never".
 func age(now, at time.Time) string {
 	if at.IsZero() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"chutelock.dev/chutelock/internal/engine"
 	"chutelock.dev/chutelock/internal/engine/openaihttp"
 	"chutelock.dev/chutelock/internal/fleet"
+	"chutelock.dev/chutelock/internal/fleet/query"
 	"chutelock.dev/chutelock/internal/fleet/registry"
 	"chutelock.dev/chutelock/internal/fleet/tracker"
 	"chutelock.dev/chutelock/internal/gateway"
@@ -203,6 +204,8 @@
 
 func (n *Node) openOperators() {
 	n.operators = operator.NewMux(n.readiness, n.registry)
+	query.Register(n.operators, n.members, n.engines)
+	n.operators.HandleFunc("GET "+replica.PathLedger, n.ledger.ServeStatus)
 	n.serveSettings()
 	n.addServer(n.operators)
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -104,6 +104,8 @@
     -rate "$rate" -duration "$1" -max-tokens 24 -seed "$2" -failover -strict -json "$run/$3.json" >"$run/$3.log" 2>&1
 }
 
+"$bin/chutelockctl" fleet -server "http://${operators[1]}" nodes shards
+
 say "online traffic alone, $rate requests a second for 6 s"
 load 6s 1 alone
 
