--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -312,7 +312,10 @@
 		"a full KV cache":      {Request{}, func(i int, e *fleet.Endpoint) { e.Load.KVUse = map[bool]float64{true: 0.5, false: 0.99}[i == 1] }, "engine-0001"},
 		"the adapter is there": {Request{Adapter: "a"}, func(i int, e *fleet.Endpoint) { e.Load.Adapters = map[int][]string{1: {"a"}}[i] }, "engine-0001"},
 		"the queue is short":   {Request{}, func(i int, e *fleet.Endpoint) { e.Load.Waiting = map[bool]int{true: 0, false: 20}[i == 1] }, "engine-0001"},
-		"batch hardly counts":  {Request{}, func(i int, e *fleet.Endpoint) { e.Load.Running, e.Load.RunningBatch = 20, map[int]int{1: 20}[i] }, "engine-0001"},
+		"others are there":     {Request{}, func(i int, e *fleet.Endpoint) { e.Load.Running = map[bool]int{true: 0, false: 20}[i == 1] }, "engine-0001"},
+		"batch doesn't count": {Request{}, func(i int, e *fleet.Endpoint) {
+			e.Load.Running, e.Load.RunningBatch, e.Load.WaitingBatch = 20*i, 20*i, 100*i
+		}, ""},
 		"no report is no idle": {Request{}, func(i int, e *fleet.Endpoint) {
 			e.Load.Running = 20
 			if i != 1 {
@@ -358,6 +361,16 @@
 	g.Expect(router.Capacity(epoch, Request{Model: "none", Slots: 8}, snapshot)).To(gomega.BeZero())
 }
 
+// TestBatchTakesNoSlotFromOnline, however much of it runs or waits at the engines.
+func TestBatchTakesNoSlotFromOnline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := endpoints(3, epoch, func(_ int, e *fleet.Endpoint) {
+		e.Load.Running, e.Load.RunningBatch = 100, 98
+		e.Load.Waiting, e.Load.WaitingBatch = 5000, 5000
+	})
+	g.Expect(NewRouter(Config{}).Capacity(epoch, Request{Model: "m", Slots: 8}, snapshot)).To(gomega.Equal(3 * 6))
+}
+
 // TestReportsDoNotCountOwnStreamsTwice: a report that includes this node's own
 // streams, which it knows better, must not add them again.
 func TestReportsDoNotCountOwnStreamsTwice(t *testing.T) {
--- a/internal/settings/command/apply.go
+++ b/internal/settings/command/apply.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/platform"
@@ -68,13 +66,15 @@
 	store   Store
 	inForce InForce
 	now     func() time.Time
+	// retry is the pause after the first lost answer.
+	retry time.Duration
 	// swept is when traces of deletions were last swept, in Unix nanoseconds.
 	swept atomic.Int64
 }
 
 // NewWriter makes a Writer.
 func NewWriter(store Store, inForce InForce, now func() time.Time) *Writer {
-	return &Writer{store: store, inForce: inForce, now: now}
+	return &Writer{store: store, inForce: inForce, now: now, retry: firstRetry}
 }
 
 // Apply makes a change. With an error, the result says what was written
@@ -181,194 +181,3 @@
 	}
 	return paths, nil
 }
-
-// read fetches the stored version of each step's node.
-func (w *Writer) read(ctx context.Context, steps []*step) error {
-	if err := w.checkStanding(ctx); err != nil {
-		return err
-	}
-	var listed map[string]platform.Object
-	if len(steps) >= listThreshold {
-		objects, _, err := w.store.List(ctx, platform.KindSetting)
-		if err != nil {
-			return trace.Wrap(err, "list the stored settings")
-		}
-		listed = make(map[string]platform.Object, len(objects))
-		for _, object := range objects {
-			listed[object.Name] = object
-		}
-	}
-	for _, step := range steps {
-		if err := w.readOne(ctx, step, listed); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (w *Writer) readOne(ctx context.Context, step *step, listed map[string]platform.Object) error {
-	if listed != nil {
-		object, present := listed[tree.ObjectName(step.path)]
-		step.stored = decode(step.path, object, present)
-		return w.checkNotBehind(step)
-	}
-	stored, err := w.get(ctx, step.path)
-	if err != nil {
-		return trace.Wrap(err, "read the stored version of %s", step.path)
-	}
-	step.stored = stored
-	return w.checkNotBehind(step)
-}
-
-// get reads a stored node; nil means that the store has none.
-func (w *Writer) get(ctx context.Context, path string) (*tree.Node, error) {
-	object, err := w.store.Get(ctx, platform.KindSetting, tree.ObjectName(path))
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return decode(path, object, true), nil
-}
-
-// decode reads a stored node. One that can't be read counts as an empty
-// folder, so that a change can put it right.
-func decode(path string, object platform.Object, present bool) *tree.Node {
-	if !present {
-		return nil
-	}
-	node, err := tree.Decode(path, object.Spec)
-	if err != nil {
-		node = &tree.Node{Path: path, Kind: tree.KindFolder}
-	}
-	node.Revision = object.Revision
-	return node
-}
-
-// checkStanding refuses to write through a node that lags behind its peers,
-// and to a store that lacks the newest change in force.
-func (w *Writer) checkStanding(ctx context.Context) error {
-	standing, version, err := w.caughtUp(ctx)
-	if err != nil {
-		return err
-	}
-	newest := standing.Newest
-	behind := &StoreBehindError{Path: tree.PathOf(newest.Name), Expected: newest.Revision, InForce: version}
-	if standing.StoreRefused {
-		return behind
-	}
-	if newest.Name == "" {
-		return nil
-	}
-	stored, err := w.store.Get(ctx, platform.KindSetting, newest.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return trace.Wrap(err, "read the newest change in force")
-	}
-	behind.Stored = stored.Revision
-	if stored.Revision >= newest.Revision || stored.Revision == 0 && isOldTrace(newest, w.now()) {
-		return nil
-	}
-	return behind
-}
-
-// caughtUp waits a little for this node to have in force what peers have.
-func (w *Writer) caughtUp(ctx context.Context) (Standing, settings.Version, error) {
-	for waited := time.Duration(0); ; waited += catchUpPoll {
-		standing, err := w.inForce.Standing(ctx)
-		version, _ := w.inForce.Version()
-		if err != nil || standing.Heard <= version {
-			return standing, version, trace.Wrap(err)
-		}
-		if waited >= catchUpWait {
-			reason := fmt.Sprintf("it has %s in force and peers have %s; go through another node", version, standing.Heard)
-			return standing, version, &NotReadyError{Reason: reason}
-		}
-		select {
-		case <-ctx.Done():
-			return standing, version, trace.Wrap(ctx.Err())
-		case <-time.After(catchUpPoll):
-		}
-	}
-}
-
-// checkNotBehind refuses to write over a version older than the one in force.
-func (w *Writer) checkNotBehind(step *step) error {
-	nodes, err := w.inForce.Nodes(step.path, false)
-	if err != nil || len(nodes) == 0 || nodes[0].Revision <= step.storedRevision() {
-		return nil
-	}
-	version, _ := w.inForce.Version()
-	return &StoreBehindError{Path: step.path, Stored: step.storedRevision(), Expected: nodes[0].Revision, InForce: version}
-}
-
-func (w *Writer) writeAll(ctx context.Context, change *Change, steps []*step, result *Result) error {
-	for i, step := range steps {
-		if step.already {
-			result.note(i, step.storedRevision())
-			continue
-		}
-		if step.action == ActionUnchanged {
-			continue
-		}
-		revision, err := w.write(ctx, change, step)
-		if err != nil {
-			return err
-		}
-		result.note(i, revision)
-	}
-	eventApplied.Info("change", change.ID, "by", change.By, "nodes", len(steps), "revision", result.Revision)
-	return nil
-}
-
-func (r *Result) note(i int, revision uint64) {
-	r.Nodes[i].Written = true
-	r.Nodes[i].Revision = revision
-	r.Revision = max(r.Revision, revision)
-}
-
-// write writes one node. An answer may be lost: then the stored version tells
-// whether the write took effect, and if it did not, the compare-and-swap makes
-// it safe to try again.
-func (w *Writer) write(ctx context.Context, change *Change, step *step) (uint64, error) {
-	spec, err := tree.Encode(step.replacement(change, w.now()))
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	object := platform.Object{Kind: platform.KindSetting, Name: tree.ObjectName(step.path), Revision: step.storedRevision(), Spec: spec}
-	policy := backoff.NewExponentialBackOff()
-	policy.InitialInterval = firstRetry
-	revision, err := backoff.Retry(ctx, func() (uint64, error) { return w.tryWrite(ctx, change, step, object) },
-		backoff.WithBackOff(policy), backoff.WithMaxTries(maxWriteTries))
-	var conflict *ConflictError
-	var unknown *UnknownOutcomeError
-	if err == nil || errors.As(err, &conflict) || errors.As(err, &unknown) {
-		return revision, err
-	}
-	return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: err}
-}
-
-func (w *Writer) tryWrite(ctx context.Context, change *Change, step *step, object platform.Object) (uint64, error) {
-	written, putErr := w.store.Put(ctx, object)
-	if putErr == nil {
-		return written.Revision, nil
-	}
-	current, err := w.get(ctx, step.path)
-	if err != nil {
-		return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: putErr}
-	}
-	if current != nil && current.Change.Includes(change.ID) {
-		return current.Revision, nil
-	}
-	if revisionOf(current) != object.Revision {
-		return 0, backoff.Permanent(newConflict(step.path, step.stored, current, step.wanted))
-	}
-	return 0, &UnknownOutcomeError{ID: change.ID, Path: step.path, Err: putErr}
-}
-
-func revisionOf(node *tree.Node) uint64 {
-	if node == nil {
-		return 0
-	}
-	return node.Revision
-}
