--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -17,12 +17,14 @@
 	NearBest float64
 	// LoadHalfLife is the age at which a load report counts half.
 	LoadHalfLife time.Duration
-	// OthersWeight is the weight of other nodes' running streams against this
-	// node's own in the load score. Reports lag by about as long as a stream
-	// runs, and nodes that all follow them swing together.
-	OthersWeight float64
+	// OthersWeight is the weight of other nodes' streams against this node's
+	// own in the load score, where they are over OthersMargin × the peers' mean
+	// and OthersSlack. Reports lag by about as long as a stream runs, and nodes
+	// that all follow them swing together; so only an endpoint that stands out
+	// is avoided, and none is preferred.
+	OthersWeight, OthersMargin, OthersSlack float64
 	// PrefixHalfTokens is the number of cached prompt tokens that is worth half
-	// of the prefix score: a short prefix is not worth an uneven load.
+	// of the prefix score, by its square: a short prefix is not worth an uneven load.
 	PrefixHalfTokens int
 	// LoadBoundFactor and LoadBoundSlack bound prefix affinity: it ends at
 	// factor × mean load + slack streams.
@@ -70,10 +72,12 @@
 func DefaultConfig() Config {
 	return Config{
 		Weights:          Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
-		NearBest:         0.02,
+		NearBest:         0.01,
 		LoadHalfLife:     2 * time.Second,
 		OthersWeight:     0.1,
-		PrefixHalfTokens: 2048,
+		OthersMargin:     1.5,
+		OthersSlack:      4,
+		PrefixHalfTokens: 1500,
 		LoadBoundFactor:  1.25,
 		LoadBoundSlack:   4,
 		PrefixEntries:    32768,
@@ -101,6 +105,8 @@
 	setDefault(&c.NearBest, defaults.NearBest)
 	setDefault(&c.LoadHalfLife, defaults.LoadHalfLife)
 	setDefault(&c.OthersWeight, defaults.OthersWeight)
+	setDefault(&c.OthersMargin, defaults.OthersMargin)
+	setDefault(&c.OthersSlack, defaults.OthersSlack)
 	setDefault(&c.PrefixHalfTokens, defaults.PrefixHalfTokens)
 	setDefault(&c.LoadBoundFactor, defaults.LoadBoundFactor)
 	setDefault(&c.LoadBoundSlack, defaults.LoadBoundSlack)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -98,7 +98,7 @@
 	if reason := r.filter(&view, pool); reason != "" {
 		return Decision{}, &NoEndpointError{Model: request.Model, Reason: reason}
 	}
-	view.MeanLoad, view.MeanPressure = means(r.candidates)
+	view.MeanLoad = meanLoad(r.candidates)
 	r.scores = slices.Grow(r.scores[:0], len(r.candidates))[:len(r.candidates)]
 	clear(r.scores)
 	for _, stage := range r.scorers {
@@ -195,11 +195,12 @@
 	if weights > 0 {
 		usual = sum / weights
 	}
+	calm := usual*r.config.OthersMargin + r.config.OthersSlack
 	for i := range r.candidates {
 		c := &r.candidates[i]
 		others := c.Load*c.Freshness + usual*(1-c.Freshness)
 		c.Load = float64(c.InFlight) + others
-		c.Pressure += float64(c.InFlight) + others*r.config.OthersWeight
+		c.Pressure += float64(c.InFlight) + max(0, others-calm)*r.config.OthersWeight
 	}
 }
 
@@ -214,13 +215,12 @@
 	return 1 / (1 + float64(age)/float64(r.config.LoadHalfLife))
 }
 
-func means(candidates []Candidate) (load, pressure float64) {
+func meanLoad(candidates []Candidate) float64 {
+	sum := 0.0
 	for i := range candidates {
-		load += candidates[i].Load
-		pressure += candidates[i].Pressure
+		sum += candidates[i].Load
 	}
-	count := float64(len(candidates))
-	return load / count, pressure / count
+	return sum / float64(len(candidates))
 }
 
 // pool returns the endpoints that may serve the request by the snapshot. What
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -6,17 +6,18 @@
 )
 
 // loadScorer prefers endpoints with few online streams. It reads
-// Candidate.Pressure: this node's own streams now and, discounted by age and a
-// weight, the streams of others in the endpoint's lagging report; a stale or missing
+// Candidate.Pressure: this node's own streams now and, discounted by age, the
+// requests that wait by the endpoint's lagging report and the streams of others
+// where they stand out from the peers'; a stale or missing
 // report counts as the peers' mean, so that nobody rushes at the unknown. Batch
 // doesn't count: it yields, and steering by its lagging numbers costs the tail.
-// Score: 1 for an idle endpoint, 0.5 at the mean load, towards 0 above.
+// Score: 1 without pressure, 0.5 where it equals the peers' mean load.
 type loadScorer struct{}
 
 func (loadScorer) Name() string { return "load" }
 
 func (loadScorer) Score(view *View, candidates []Candidate, weight float64, scores []float64) {
-	scale := 1 / (1 + view.MeanPressure)
+	scale := 1 / (1 + view.MeanLoad)
 	for i := range candidates {
 		scores[i] += weight / (1 + candidates[i].Pressure*scale)
 	}
@@ -140,7 +141,8 @@
 	if tokens <= 0 {
 		return 1
 	}
-	return tokens / (tokens + float64(v.config.PrefixHalfTokens))
+	half := float64(v.config.PrefixHalfTokens)
+	return tokens * tokens / (tokens*tokens + half*half)
 }
 
 // scoreHolders rates endpoints that this node itself sent the prefix to.
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -110,8 +110,8 @@
 	InFlight int
 	// Load estimates the online streams on the endpoint, of all nodes.
 	Load float64
-	// Pressure is what the load score compares: own streams, the weighted
-	// streams of others, and online requests that wait.
+	// Pressure is what the load score compares: own streams, online requests
+	// that wait, and the streams of others where they stand out, weighted.
 	Pressure float64
 	// Freshness of the endpoint's report: 1 new, towards 0 with age, 0 missing.
 	Freshness float64
@@ -129,8 +129,6 @@
 	// MeanLoad is the mean of Candidate.Load over all candidates that passed
 	// the filters.
 	MeanLoad float64
-	// MeanPressure is the same of Candidate.Pressure.
-	MeanPressure float64
 
 	config   *Config
 	prefixes *prefixTable
