--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -365,6 +365,12 @@
 	}
 	g.Expect(router.Capacity(epoch, request, snapshot)).To(gomega.Equal(12))
 	g.Expect(router.Capacity(epoch, Request{Model: "none", Slots: 8}, snapshot)).To(gomega.BeZero())
+	unknown := endpoints(3, epoch, func(i int, e *fleet.Endpoint) {
+		if e.Load.Running = 4; i == 2 {
+			e.Load.At, e.Load.Running = time.Time{}, 0 // counts as its peers
+		}
+	})
+	g.Expect(NewRouter(Config{}).Capacity(epoch, request, unknown)).To(gomega.Equal(4 + 4 + 4))
 }
 
 // TestBatchTakesNoSlotFromOnline, however much of it runs or waits at the engines.
