--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -15,7 +16,9 @@
 type Config struct {
 	Self membership.Member
 	// PollInterval is the least time between two polls of an engine by its
-	// home, and PollsPerSecond bounds all polls of a home.
+	// home. PollsPerSecond stretches it where a home has many engines, but not
+	// beyond MostPollInterval, on which it depends how soon an engine's own
+	// word that it leaves is heard.
 	PollInterval   time.Duration
 	PollsPerSecond float64
 	// DigestInterval is the least time between two digests, and DigestBudget
@@ -34,6 +37,9 @@
 	defaultDigestBudget    = 2560
 	defaultSummaryInterval = 2 * time.Second
 
+	// MostPollInterval is the longest time between two polls of an engine.
+	MostPollInterval = 2 * time.Second
+
 	// datagramOverhead estimates what a datagram costs beside its records:
 	// IP, UDP, the transport's frame and MAC, and this package's header.
 	datagramOverhead = 28 + 48 + 36
@@ -194,7 +200,8 @@
 	random *rand.Rand
 	self   membership.Member
 	view   *membership.View
-	peers  []membership.Member // live members of the own zone but this node
+	zone   []membership.Member // live members of the own zone
+	peers  []membership.Member // the same but this node
 
 	engines  map[uint64]*engineState // of the own zone
 	names    []string                // of the own zone's engines, in order
@@ -248,6 +255,9 @@
 // Ready says whether the view is whole; a node routes on no other.
 func (r *Registry) Ready() bool { return r.ready }
 
+// ListRevision is the store's revision of the list of engines in use.
+func (r *Registry) ListRevision() uint64 { return r.version.Revision }
+
 // take returns and clears what the caller must do.
 func (r *Registry) take() Output {
 	output := r.output
@@ -269,8 +279,13 @@
 	if self, ok := view.Member(r.self.Name); ok {
 		r.self = self
 	}
+	live := view.LiveInZone(r.self.Zone)
+	if slices.EqualFunc(live, r.zone, func(a, b membership.Member) bool { return a.Name == b.Name && a.Address == b.Address }) {
+		return r.take()
+	}
+	r.zone = live
 	r.peers = r.peers[:0]
-	for _, member := range view.LiveInZone(r.self.Zone) {
+	for _, member := range live {
 		if member.Name != r.self.Name {
 			r.peers = append(r.peers, member)
 		}
@@ -281,11 +296,10 @@
 
 // assignHomes gives each engine of the zone its home.
 func (r *Registry) assignHomes(now time.Time) {
-	candidates := r.view.LiveInZone(r.self.Zone)
 	for _, name := range r.names {
 		state := r.engines[EngineID(name)]
 		home := ""
-		if owner, ok := membership.Owner("engine/"+name, candidates); ok {
+		if owner, ok := membership.Owner("engine/"+name, r.zone); ok {
 			home = owner.Name
 		}
 		if home == state.home {
--- a/internal/jobs/command/work.go
+++ b/internal/jobs/command/work.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +22,8 @@
 const (
 	// leaseBytes bounds the items of one lease.
 	leaseBytes = 4 << 20
+	// leaseTimeout bounds the wait for one shard's lease: another may have work.
+	leaseTimeout = time.Second
 	// offerTimeout bounds the wait for the offers of all shards.
 	offerTimeout = time.Second
 	// The time between looks at all shards' offers grows with their number, so
@@ -87,6 +91,8 @@
 // LeaseAt leases items of one shard.
 func (w *Work) LeaseAt(ctx context.Context, shard ledger.ShardID, dispatcher, model string, count int) ([]jobs.Lease, error) {
 	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	answer, err := perform(ctx, w.caller, remote.OperationLease, shard, &machine.LeaseItems{
 		Dispatcher: dispatcher, Model: model, Count: uint32(count), MaxBytes: leaseBytes,
 	})
@@ -125,46 +131,70 @@
 	w.offers[shard][model] = offer
 }
 
-// shardsWith lists the shards where items of the model wait, the least slack
-// first.
+// shardsWith lists the shards where items of the model wait, in the order in
+// which to ask them.
 func (w *Work) shardsWith(model string) []ledger.ShardID {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	var shards []ledger.ShardID
-	for shard, offers := range w.offers {
-		if offers[model].Items > 0 {
-			shards = append(shards, shard)
+	var offers []shardOffer
+	for shard, ofShard := range w.offers {
+		if offer := ofShard[model]; offer.Items > 0 {
+			offers = append(offers, shardOffer{shard, offer})
 		}
 	}
-	slices.SortFunc(shards, func(a, b ledger.ShardID) int {
-		return cmp.Or(cmp.Compare(w.offers[a][model].Slack, w.offers[b][model].Slack), cmp.Compare(a, b))
-	})
+	return askingOrder(offers, rand.Float64)
+}
+
+type shardOffer struct {
+	shard ledger.ShardID
+	offerNumbers
+}
+
+// askingOrder puts shards with urgent jobs first, by their slack. The others
+// come in an order drawn by the weights of the tenants that wait there, so that
+// over many leases each tenant gets its share wherever its job lies.
+func askingOrder(offers []shardOffer, random func() float64) []ledger.ShardID {
+	slices.SortFunc(offers, func(a, b shardOffer) int { return cmp.Compare(a.shard, b.shard) })
+	rank := make(map[ledger.ShardID]float64, len(offers))
+	for _, offer := range offers {
+		if slack := time.Duration(offer.Slack) * time.Millisecond; slack < machine.UrgentSlack {
+			rank[offer.shard] = slack.Seconds() - machine.UrgentSlack.Seconds()
+			continue
+		}
+		rank[offer.shard] = -math.Log(1-random()) / float64(max(offer.Weight, 1))
+	}
+	slices.SortStableFunc(offers, func(a, b shardOffer) int { return cmp.Compare(rank[a.shard], rank[b.shard]) })
+	shards := make([]ledger.ShardID, 0, len(offers))
+	for _, offer := range offers {
+		shards = append(shards, offer.shard)
+	}
 	return shards
 }
 
-// refreshOffers asks all shards for their offers, unless that was done lately
-// or is being done.
+// refreshOffers asks all shards for their offers in the background, unless that
+// was done lately or is being done. Each answer counts as it comes, so that a
+// shard without a leader holds up no other.
 func (w *Work) refreshOffers(ctx context.Context) {
 	if !w.beginLook(time.Now()) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
-	defer cancel()
-	fresh := make([]map[string]offerNumbers, w.caller.Shards())
-	var group errgroup.Group
-	for shard := range fresh {
-		group.Go(func() error {
-			fresh[shard] = w.offersOf(ctx, ledger.ShardID(shard))
-			return nil
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), offerTimeout)
+	var group sync.WaitGroup
+	for shard := range ledger.ShardID(w.caller.Shards()) {
+		group.Go(func() {
+			offers := w.offersOf(ctx, shard)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			w.offers[shard] = offers
 		})
 	}
-	_ = group.Wait() // a shard that can't be reached offers nothing
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.looking = false
-	for shard, offers := range fresh {
-		w.offers[ledger.ShardID(shard)] = offers
-	}
+	go func() {
+		group.Wait()
+		cancel()
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.looking = false
+	}()
 }
 
 func (w *Work) beginLook(now time.Time) bool {
@@ -212,9 +242,10 @@
 	return answer.Code == machine.CodeOK, nil
 }
 
-// Report implements jobs.Work.
+// Report implements jobs.Work. When it fails, results for other shards may
+// have been committed; to report those again does no harm.
 func (w *Work) Report(ctx context.Context, results []jobs.Result) error {
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group
 	for shard, ofShard := range w.byShard(results) {
 		group.Go(func() error { return w.reportTo(ctx, shard, ofShard) })
 	}
