--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -17,8 +17,15 @@
 	NearBest float64
 	// LoadHalfLife is the age at which a load report counts half.
 	LoadHalfLife time.Duration
-	// BatchLoadWeight is the weight of a batch stream against an online one.
-	BatchLoadWeight float64
+	// OthersWeight is the weight of other nodes' streams against this node's
+	// own in the load score, where they are over OthersMargin × the peers' mean
+	// and OthersSlack. Reports lag by about as long as a stream runs, and nodes
+	// that all follow them swing together; so only an endpoint that stands out
+	// is avoided, and none is preferred.
+	OthersWeight, OthersMargin, OthersSlack float64
+	// PrefixHalfTokens is the number of cached prompt tokens that is worth half
+	// of the prefix score, by its square: a short prefix is not worth an uneven load.
+	PrefixHalfTokens int
 	// LoadBoundFactor and LoadBoundSlack bound prefix affinity: it ends at
 	// factor × mean load + slack streams.
 	LoadBoundFactor float64
@@ -64,13 +71,16 @@
 // DefaultConfig returns the values in use when nothing is set.
 func DefaultConfig() Config {
 	return Config{
-		Weights:         Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
-		NearBest:        0.05,
-		LoadHalfLife:    2 * time.Second,
-		BatchLoadWeight: 0.1,
-		LoadBoundFactor: 1.25,
-		LoadBoundSlack:  4,
-		PrefixEntries:   32768,
+		Weights:          Weights{Load: 1, KV: 0.3, Prefix: 1, Adapter: 0.5, Zone: 0.3, Health: 1.5},
+		NearBest:         0.01,
+		LoadHalfLife:     2 * time.Second,
+		OthersWeight:     0.1,
+		OthersMargin:     1.5,
+		OthersSlack:      4,
+		PrefixHalfTokens: 1500,
+		LoadBoundFactor:  1.25,
+		LoadBoundSlack:   4,
+		PrefixEntries:    32768,
 		Outliers: OutlierConfig{
 			ConsecutiveFailures: 3,
 			EjectionBase:        time.Second,
@@ -94,7 +104,10 @@
 	}
 	setDefault(&c.NearBest, defaults.NearBest)
 	setDefault(&c.LoadHalfLife, defaults.LoadHalfLife)
-	setDefault(&c.BatchLoadWeight, defaults.BatchLoadWeight)
+	setDefault(&c.OthersWeight, defaults.OthersWeight)
+	setDefault(&c.OthersMargin, defaults.OthersMargin)
+	setDefault(&c.OthersSlack, defaults.OthersSlack)
+	setDefault(&c.PrefixHalfTokens, defaults.PrefixHalfTokens)
 	setDefault(&c.LoadBoundFactor, defaults.LoadBoundFactor)
 	setDefault(&c.LoadBoundSlack, defaults.LoadBoundSlack)
 	setDefault(&c.PrefixEntries, defaults.PrefixEntries)
