--- a/internal/ledger/replication/leader.go
+++ b/internal/ledger/replication/leader.go
@@ -243,11 +243,11 @@
 		r.handleRejection(response, p)
 		return
 	}
+	before := p.match
 	p.confirm(min(response.Index, r.log.lastIndex()), r.now)
-	switch {
-	case p.state == progressProbe:
-		p.replicate()
-	case p.state == progressSnapshot && p.match >= p.snapshotIndex:
+	// A follower may install an older snapshot than the last one it was
+	// offered; what it lacks after that may still be in the log.
+	if p.state == progressProbe || (p.state == progressSnapshot && p.match > before) {
 		p.replicate()
 	}
 	r.advanceCommit()
--- a/internal/ledger/replication/replica_test.go
+++ b/internal/ledger/replication/replica_test.go
@@ -203,6 +203,23 @@
 	g.Expect(settle(g, replica, disk)).To(gomega.ContainElement(gomega.HaveField("Type", MessageAppend)))
 }
 
+func TestFollowerContinuesFromAnOlderSnapshotThanOffered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica, disk := replicaOf(g, 2, 2, 2)
+	electAlone(g, replica, disk)
+	acknowledge(g, replica, 2, 5)
+	settle(g, replica, disk)
+	disk.Compact(2)
+	replica.log.shrink(1)
+	reject := Message{Type: MessageAppendResponse, From: 3, To: 1, Term: replica.term, Reject: true, Index: 4}
+	g.Expect(replica.Step(reject)).To(gomega.Succeed())
+	g.Expect(settle(g, replica, disk)).To(gomega.ConsistOf(gomega.And(
+		gomega.HaveField("Type", MessageSnapshot), gomega.HaveField("Snapshot.Index", uint64(5)))))
+	acknowledge(g, replica, 3, 3)
+	g.Expect(settle(g, replica, disk)).To(gomega.ConsistOf(gomega.And(
+		gomega.HaveField("Type", MessageAppend), gomega.HaveField("Index", uint64(3)))))
+}
+
 func TestRefusals(t *testing.T) {
 	g := gomega.NewWithT(t)
 	replica, disk := replicaOf(g)
