--- a/internal/ledger/replica/bench_test.go
+++ b/internal/ledger/replica/bench_test.go
@@ -124,7 +124,11 @@
 		b.Skip("set CHUTELOCK_CAMPAIGN")
 	}
 	const million = 1_000_000
-	c := newCluster(b, Options{ElectionTimeout: 10 * time.Second}) // a busy machine must not end it
+	c := newCluster(b, Options{
+		ElectionTimeout:   replication.DefaultElectionTimeout,
+		HeartbeatInterval: replication.DefaultHeartbeatInterval,
+		TickInterval:      defaultTickInterval,
+	})
 	c.onDisk = true
 	c.addAll("a", "b", "c")
 	before := heapBytes()
