--- a/internal/gateway/badinput_test.go
+++ b/internal/gateway/badinput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -151,3 +152,19 @@
 	g := gomega.NewWithT(t)
 	g.Expect(engines.attempts).To(gomega.BeZero())
 }
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add(PathCompletions, `{"model":"m","prompt":"x","stop":["a"],"stream":true,"stream_options":{"include_usage":true}}`)
+	f.Add(PathChatCompletions, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`)
+	f.Fuzz(func(t *testing.T, path, body string) {
+		g := gomega.NewWithT(t)
+		completion, failure := ParseCompletion(path, []byte(body))
+		if failure != nil {
+			g.Expect(failure.Status).To(gomega.BeNumerically("~", 450, 50))
+			g.Expect(failure.Message).NotTo(gomega.BeEmpty())
+			return
+		}
+		g.Expect(completion.Model).NotTo(gomega.BeEmpty())
+		g.Expect(json.Valid(completion.Body)).To(gomega.BeTrue())
+	})
+}
