--- a/internal/settings/dissemination/fuzz_test.go
+++ b/internal/settings/dissemination/fuzz_test.go
@@ -112,12 +112,14 @@
 func (f *fuzz) network(*rapid.T) {
 	f.loss = float64(rapid.IntRange(0, 30).Draw(f.t, "loss")) / 100
 	f.duplicate = rapid.Bool().Draw(f.t, "duplicate")
-	f.trouble(time.Hour)
+	f.badNetworkUntil = f.now.Add(time.Hour)
 	f.cutRegion = rapid.SampledFrom([]string{"", "region-0", "region-1"}).Draw(f.t, "cut")
 	f.at(f.duration("trouble", 15*time.Second), f.calmNetwork)
 }
 
-func (f *fuzz) calmNetwork() { f.loss, f.duplicate, f.cutRegion, f.troubled = 0, false, "", f.now }
+func (f *fuzz) calmNetwork() {
+	f.loss, f.duplicate, f.cutRegion, f.badNetworkUntil = 0, false, "", f.now
+}
 
 // heal ends all faults and lets time pass.
 func (f *fuzz) heal() {
--- a/internal/settings/dissemination/sim_test.go
+++ b/internal/settings/dissemination/sim_test.go
@@ -66,8 +66,8 @@
 	maxWatchers map[string]int
 	onPublish   func(node *simNode, version settings.Version)
 	truths      []simTruth
-	// troubled is until when the network or a peer may fail to answer.
-	troubled time.Time
+	// pausedUntil and badNetworkUntil are until when peers may not answer.
+	pausedUntil, badNetworkUntil time.Time
 }
 
 // simTruth is which nodes were up and running at a time.
@@ -279,10 +279,15 @@
 	return slices.Min(versions)
 }
 
+// wellSince says that peers could answer all the time since.
+func (s *sim) wellSince(since time.Time) bool {
+	return s.pausedUntil.Before(since) && s.badNetworkUntil.Before(since)
+}
+
 // trouble notes that questions may stay unanswered for a while.
 func (s *sim) trouble(duration time.Duration) {
-	if until := s.now.Add(duration); until.After(s.troubled) {
-		s.troubled = until
+	if until := s.now.Add(duration); until.After(s.pausedUntil) {
+		s.pausedUntil = until
 	}
 }
 
@@ -510,7 +515,7 @@
 	if n.hasDisk && action.Version < n.highest {
 		n.sim.fault("%s: in force goes from %s to %s over a restart", n.member.Name, n.highest, action.Version)
 	}
-	if floor := n.leastWitnessed(); !n.hasAny && n.sim.troubled.Before(n.startedAt) && action.Version < floor {
+	if floor := n.leastWitnessed(); !n.hasAny && n.sim.wellSince(n.startedAt) && action.Version < floor {
 		n.sim.fault("%s: restarted with %s, below all others' %s", n.member.Name, action.Version, floor)
 	}
 	n.highest = action.Version
