batch: the step model is trusted after 200 steps and distrusted after 50 misses

Now predictions stand in again once the model is trusted. Failed first (mutations): misses not counted; predictions before trust.

--- a/internal/admission/batch/model.go
+++ b/internal/admission/batch/model.go
@@ -11,6 +11,10 @@
 type stepModel struct {
 	coefficients [modelTerms]float64 // seconds
 	covariance   [modelTerms][modelTerms]float64
+	// learnt counts observed steps, up to trustedAfter; misses counts steps in
+	// a row that ended before or after their prediction.
+	learnt int
+	misses int
 }
 
 // modelTerms is the number of coefficients: base, streams, prefill. The last
@@ -27,6 +31,11 @@
 	initialPerStream = 0.00005
 	initialPerToken  = 0.00002
 	longestStep      = time.Second
+	// trustedAfter is the number of observed steps after which predictions
+	// stand in for tokens that are late; distrustedAfter missed predictions in
+	// a row, as of an engine that has become slow, it has to learn anew.
+	trustedAfter    = 200
+	distrustedAfter = 50
 )
 
 func newStepModel() stepModel {
@@ -47,6 +56,8 @@
 	if observed <= 0 || observed > longestStep {
 		return
 	}
+	m.learnt = min(m.learnt+1, trustedAfter)
+	m.misses = 0
 	input := regressors(streams, prefill)
 	var gain [modelTerms]float64
 	divisor := forgetting
@@ -68,6 +79,17 @@
 	}
 }
 
+// trusted says whether the model has seen enough of the engine.
+func (m *stepModel) trusted() bool { return m.learnt >= trustedAfter }
+
+// missed notes a step whose prediction came before the token that ended it.
+func (m *stepModel) missed() {
+	m.misses++
+	if m.misses >= distrustedAfter {
+		m.learnt, m.misses = 0, 0
+	}
+}
+
 func dot(a, b [modelTerms]float64) float64 {
 	sum := 0.0
 	for i := range a {
--- a/internal/admission/batch/timeline.go
+++ b/internal/admission/batch/timeline.go
@@ -60,7 +60,10 @@
 	if elapsed < time.Duration(sameStep*float64(model.step(t.streams, t.prefill))) {
 		return false
 	}
-	if t.seen && t.unsure == 0 {
+	switch {
+	case !t.seen:
+		model.missed()
+	case t.unsure == 0:
 		model.learn(elapsed, t.streams, t.prefill)
 	}
 	t.unsure = max(0, t.unsure-1)
@@ -72,8 +75,8 @@
 }
 
 // advance ends the steps whose predicted end has passed unseen. While batch
-// streams produce tokens, these tell, and a prediction that is far off must not
-// come before them: the model would never learn better.
+// streams produce tokens, these tell, and predictions of a model that isn't
+// trusted must not come before them: it would never learn better.
 func (t *timeline) advance(now time.Time, load stepLoad, model *stepModel) {
 	if load.online <= 0 {
 		t.arriving = 0 // what had arrived has ended
@@ -81,7 +84,7 @@
 	if load.streams() <= 0 {
 		t.pending = 0
 	}
-	if load.producing && now.Sub(t.start) < longestStep {
+	if load.producing && !model.trusted() && now.Sub(t.start) < longestStep {
 		return
 	}
 	if now.Sub(t.end) > idleAfter || load.streams() <= 0 {
