--- a/internal/admission/batch/price.go
+++ b/internal/admission/batch/price.go
@@ -16,7 +16,7 @@
 // How the price moves. The share of slow steps is only known after minutes, so
 // the price moves slowly, and no further than priceRange from where it starts.
 const (
-	halfSharePrice = 4.0 // start at a Share of one half
+	halfSharePrice = 5.0 // start at a Share of one half
 	lowestShare    = 0.05
 	priceRange     = 2.0
 	priceEvery     = 500 * time.Millisecond
