--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"chutelock.dev/chutelock/internal/membership/swim"
 	"chutelock.dev/chutelock/internal/node/operator"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
+	"chutelock.dev/chutelock/internal/routing"
 	settingsagent "chutelock.dev/chutelock/internal/settings/agent"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -190,6 +191,11 @@
 		Clients:  observedClients{n.engines, n.engines},
 		Observer: n.engines,
 		Registry: n.registry,
+		Routing: routing.Config{
+			Zone:   n.config.Node.Zone,
+			Region: n.config.Node.Region,
+			Seed:   uint64(time.Now().UnixNano()),
+		},
 	})
 	n.readiness.Add("settings", func() (bool, string) { return n.settings.Current() != nil, "no settings are in force yet" })
 	batchHandler := n.batch.handler(n.settings)
@@ -199,7 +205,7 @@
 	mux.Handle("/v1/batches", batchHandler)
 	mux.Handle("/v1/batches/", batchHandler)
 	mux.Handle("/", n.gateway)
-	n.addServer(gateway.WithRequestID(mux))
+	n.servers = append(n.servers, gateway.NewServer(gateway.WithRequestID(mux), gateway.Config{}))
 }
 
 func (n *Node) openOperators() {
@@ -207,12 +213,8 @@
 	query.Register(n.operators, n.members, n.engines)
 	n.operators.HandleFunc("GET "+replica.PathLedger, n.ledger.ServeStatus)
 	n.serveSettings()
-	n.addServer(n.operators)
-}
-
-func (n *Node) addServer(handler http.Handler) {
 	n.servers = append(n.servers, &http.Server{
-		Handler:           handler,
+		Handler:           n.operators,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/gateway"
 	"chutelock.dev/chutelock/internal/node/certificate"
 )
 
@@ -31,6 +32,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "opening the callers' port")
 	}
+	if secure == nil {
+		callers = gateway.NewListener(callers)
+	}
 	operators, err := listen(settings.Listen.Operators, secure)
 	if err != nil {
 		callers.Close()
