--- a/test/e2e/settings_test.go
+++ b/test/e2e/settings_test.go
@@ -91,7 +91,7 @@
 		d := newDeployment(fiveCopies)
 		output, err := control(d.nodes[0], "get", "-yaml", "fleet/ulaanbaatar/placement/drafting")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred(), output)
-			read := strings.TrimSuffix(strings.TrimSpace(output), "---")
+		read := strings.TrimSuffix(strings.TrimSpace(output), "---")
 		one, err := control(d.nodes[1], "apply", "-wait", "-by", "first", "-f", d.write("first.yaml", read+"\nqueueTimeout: 7s\n"))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred(), one)
 		two, err := control(d.nodes[2], "apply", "-wait", "-by", "second", "-f", d.write("second.yaml", read+"\nqueueTimeout: 9s\n"))
