--- a/internal/engine/openaihttp/load.go
+++ b/internal/engine/openaihttp/load.go
@@ -31,7 +31,9 @@
 // Load implements engine.Client. At is the time of receipt: the report itself
 // doesn't tell how much it lags.
 func (c *Client) Load(ctx context.Context) (engine.Load, error) {
-	response, err := c.control.R().SetContext(ctx).Get("/metrics")
+	// A compressed report is less than half as long, and a home reads one a
+	// second from each of its engines.
+	response, err := c.control.R().SetContext(ctx).SetHeader("Accept-Encoding", "gzip").Get("/metrics")
 	if err := c.checkControl("load", response, err); err != nil {
 		return engine.Load{}, err
 	}
--- a/internal/gateway/batchapi/auth.go
+++ b/internal/gateway/batchapi/auth.go
@@ -13,11 +13,11 @@
 	source settings.Source
 }
 
-// Authenticate implements Authenticator.
+// Authenticate implements Authenticator, by the rules of the online API.
 func (a keyAuthenticator) Authenticate(r *http.Request) (*settings.Tenant, error) {
-	tenant, refusal := gateway.Authenticate(a.source.Current(), r)
-	if refusal != nil {
-		return nil, refusal
+	tenant, failure := gateway.Authenticate(a.source.Current(), r)
+	if failure != nil {
+		return nil, failure
 	}
 	return tenant, nil
 }
--- a/internal/node/batch.go
+++ b/internal/node/batch.go
@@ -9,7 +9,6 @@
 
 	admission "chutelock.dev/chutelock/internal/admission/batch"
 	"chutelock.dev/chutelock/internal/fleet"
-	"chutelock.dev/chutelock/internal/gateway"
 	"chutelock.dev/chutelock/internal/gateway/batchapi"
 	"chutelock.dev/chutelock/internal/jobs/dispatch"
 	"chutelock.dev/chutelock/internal/jobs/service"
@@ -36,11 +35,10 @@
 
 func (b *batch) handler(source settings.Source) http.Handler {
 	return batchapi.New(batchapi.Dependencies{
-		Files:         b.Files,
-		Jobs:          b.Jobs,
-		Queries:       b.Queries,
-		Settings:      source,
-		Authenticator: authenticator{source},
+		Files:    b.Files,
+		Jobs:     b.Jobs,
+		Queries:  b.Queries,
+		Settings: source,
 	})
 }
 
@@ -50,15 +48,3 @@
 	both.Go(func() { b.dispatcher.Run(ctx) })
 	both.Wait()
 }
-
-// authenticator finds tenants for the batch API as the online API does.
-type authenticator struct{ source settings.Source }
-
-// Authenticate implements batchapi.Authenticator.
-func (a authenticator) Authenticate(request *http.Request) (*settings.Tenant, error) {
-	tenant, failure := gateway.Authenticate(a.source.Current(), request)
-	if failure != nil {
-		return nil, failure
-	}
-	return tenant, nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"chutelock.dev/chutelock/internal/membership/agent"
 	"chutelock.dev/chutelock/internal/membership/swim"
 	"chutelock.dev/chutelock/internal/node/operator"
+	"chutelock.dev/chutelock/internal/platform"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
 	"chutelock.dev/chutelock/internal/routing"
 	settingsagent "chutelock.dev/chutelock/internal/settings/agent"
@@ -43,6 +44,9 @@
 	readyPollInterval = 20 * time.Millisecond
 )
 
+// machineRoleNode is the role of chutelock's nodes in the platform's list.
+const machineRoleNode = "node"
+
 // Addresses are where a node serves; the ready file holds them as JSON.
 type Addresses struct {
 	Name      string `json:"name"`
@@ -153,13 +157,26 @@
 		Dial: func(address string) engine.Client {
 			return openaihttp.New(address, address, openaihttp.Options{})
 		},
-		Listener: func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
+		OnMachines: n.meetMachines,
+		Listener:   func(now time.Time, event fleet.HomeEvent) { n.batch.dispatcher.HomeEvent(now, event) },
 	})
 	clients := observedClients{n.engines, n.engines}
 	n.batch.runsOn(clients, newServicePolicy(n.settings, n.engines), n.config.Node.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), n.registry)
 	n.readiness.Add("engines", func() (bool, string) { return n.engines.Ready(), "the list of engines is not known yet" })
 }
 
+// meetMachines passes the nodes of the platform's machine list on, so that a
+// node whose seeds are all gone still finds the fleet.
+func (n *Node) meetMachines(machines []platform.Machine) {
+	var addresses []transport.Address
+	for _, machine := range machines {
+		if machine.Role == machineRoleNode && !machine.Leaving {
+			addresses = append(addresses, transport.Address(machine.Address))
+		}
+	}
+	n.members.SetContacts(addresses)
+}
+
 func (n *Node) openLedger() error {
 	n.batch = &batch{Service: service.New()}
 	options := replica.Options{
@@ -181,6 +198,7 @@
 		return trace.Wrap(err, "opening the ledger")
 	}
 	n.batch.Connect(n.peers.Address(), n.ledger, n.peers, n.peers)
+	n.registry.MustRegister(n.batch.Keeper)
 	return nil
 }
 
