One dispatcher of verbs for both command lines

Cause: the two programs' main.go held the same table, search and usage text. Ruled out: merging the two stand-in runners of chutelock-lab, too; their ends differ (an engine drains and takes itself off the list, a platform cuts its watches), so one body would need a switch.

--- a/cmd/chutelock-lab/compare.go
+++ b/cmd/chutelock-lab/compare.go
@@ -10,14 +10,15 @@
 	"strings"
 	"text/tabwriter"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/load"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "compare",
-		summary: "show summaries of load runs side by side",
-		run:     runCompare,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "compare",
+		Summary: "show summaries of load runs side by side",
+		Run:     runCompare,
 	})
 }
 
--- a/cmd/chutelock-lab/engine.go
+++ b/cmd/chutelock-lab/engine.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/standin/engine"
 	"chutelock.dev/chutelock/internal/standin/process"
 	"chutelock.dev/chutelock/internal/standin/truth"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "engine",
-		summary: "run one stand-in of a model engine",
-		run:     runEngine,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "engine",
+		Summary: "run one stand-in of a model engine",
+		Run:     runEngine,
 	})
 }
 
--- a/cmd/chutelock-lab/load.go
+++ b/cmd/chutelock-lab/load.go
@@ -13,15 +13,16 @@
 	"syscall"
 	"time"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/arrivals"
 	"chutelock.dev/chutelock/internal/lab/load"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "load",
-		summary: "send open-loop online traffic to nodes or engines and check every answer",
-		run:     runLoad,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "load",
+		Summary: "send open-loop online traffic to nodes or engines and check every answer",
+		Run:     runLoad,
 	})
 }
 
--- a/cmd/chutelock-lab/overhead.go
+++ b/cmd/chutelock-lab/overhead.go
@@ -11,14 +11,15 @@
 	"strings"
 	"text/tabwriter"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/load"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "overhead",
-		summary: "show what the gateway adds to engines called directly",
-		run:     runOverhead,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "overhead",
+		Summary: "show what the gateway adds to engines called directly",
+		Run:     runOverhead,
 	})
 }
 
--- a/cmd/chutelock-lab/platform.go
+++ b/cmd/chutelock-lab/platform.go
@@ -4,16 +4,17 @@
 	"context"
 	"time"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/standin/platform"
 	"chutelock.dev/chutelock/internal/standin/process"
 	"chutelock.dev/chutelock/internal/standin/truth"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "platform",
-		summary: "run the stand-in of the platform's services",
-		run:     runPlatform,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "platform",
+		Summary: "run the stand-in of the platform's services",
+		Run:     runPlatform,
 	})
 }
 
--- a/cmd/chutelock-lab/report.go
+++ b/cmd/chutelock-lab/report.go
@@ -5,14 +5,15 @@
 	"fmt"
 	"os"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/experiment"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "report",
-		summary: "summarise the recorded results of an experiment",
-		run:     runReport,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "report",
+		Summary: "summarise the recorded results of an experiment",
+		Run:     runReport,
 	})
 }
 
--- a/cmd/chutelock-lab/run.go
+++ b/cmd/chutelock-lab/run.go
@@ -7,14 +7,15 @@
 	"os"
 	"path/filepath"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/experiment"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "run",
-		summary: "run an experiment file in virtual time and write its results",
-		run:     runExperiment,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "run",
+		Summary: "run an experiment file in virtual time and write its results",
+		Run:     runExperiment,
 	})
 }
 
--- a/cmd/chutelock-lab/scale.go
+++ b/cmd/chutelock-lab/scale.go
@@ -13,12 +13,13 @@
 
 	"k8s.io/klog/v2"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/hollow"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name: "scale", summary: "measure control bytes, processor time and memory of hollow nodes", run: runScale,
+	subcommands = append(subcommands, commandline.Verb{
+		Name: "scale", Summary: "measure control bytes, processor time and memory of hollow nodes", Run: runScale,
 	})
 }
 
--- a/cmd/chutelock-lab/verify.go
+++ b/cmd/chutelock-lab/verify.go
@@ -8,15 +8,16 @@
 	"io"
 	"os"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/lab/verify"
 	"chutelock.dev/chutelock/internal/standin/truth"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{
-		name:    "verify",
-		summary: "compare a job's input with its results and the engines' truth logs",
-		run:     runVerify,
+	subcommands = append(subcommands, commandline.Verb{
+		Name:    "verify",
+		Summary: "compare a job's input with its results and the engines' truth logs",
+		Run:     runVerify,
 	})
 }
 
--- a/cmd/chutelockctl/apply.go
+++ b/cmd/chutelockctl/apply.go
@@ -9,13 +9,14 @@
 
 	"github.com/google/uuid"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/settings/command"
 	"chutelock.dev/chutelock/internal/settings/operator"
 	"chutelock.dev/chutelock/internal/settings/tree"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "apply", summary: "write settings from YAML files", run: runApply})
+	subcommands = append(subcommands, commandline.Verb{Name: "apply", Summary: "write settings from YAML files", Run: runApply})
 }
 
 const applyUsage = `usage: chutelockctl apply -f FILE-OR-FOLDER [-f ...] [-dry-run] [-wait]
--- a/cmd/chutelockctl/cancel.go
+++ b/cmd/chutelockctl/cancel.go
@@ -4,10 +4,12 @@
 	"flag"
 	"fmt"
 	"os"
+
+	"chutelock.dev/chutelock/internal/commandline"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{"cancel", "cancel a batch job", runCancel})
+	subcommands = append(subcommands, commandline.Verb{Name: "cancel", Summary: "cancel a batch job", Run: runCancel})
 }
 
 func runCancel(arguments []string) int {
--- a/cmd/chutelockctl/delete.go
+++ b/cmd/chutelockctl/delete.go
@@ -5,12 +5,13 @@
 	"fmt"
 	"os"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/settings/command"
 	"chutelock.dev/chutelock/internal/settings/operator"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "delete", summary: "delete nodes of the settings tree", run: runDelete})
+	subcommands = append(subcommands, commandline.Verb{Name: "delete", Summary: "delete nodes of the settings tree", Run: runDelete})
 }
 
 const deleteUsage = `usage: chutelockctl delete [flags] PATH [PATH ...]
--- a/cmd/chutelockctl/events.go
+++ b/cmd/chutelockctl/events.go
@@ -9,12 +9,13 @@
 	"strings"
 	"time"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/fleet/query"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "events", summary: "show what a node decided lately, and why", run: runEvents})
+	subcommands = append(subcommands, commandline.Verb{Name: "events", Summary: "show what a node decided lately, and why", Run: runEvents})
 }
 
 const eventsUsage = `usage: chutelockctl events [flags]
--- a/cmd/chutelockctl/explain.go
+++ b/cmd/chutelockctl/explain.go
@@ -5,12 +5,13 @@
 	"fmt"
 	"os"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/settings/operator"
 	"chutelock.dev/chutelock/internal/settings/tree"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "explain", summary: "show a node's effective settings and where each comes from", run: runExplain})
+	subcommands = append(subcommands, commandline.Verb{Name: "explain", Summary: "show a node's effective settings and where each comes from", Run: runExplain})
 }
 
 const explainUsage = `usage: chutelockctl explain [flags] PATH
--- a/cmd/chutelockctl/fleet.go
+++ b/cmd/chutelockctl/fleet.go
@@ -9,13 +9,14 @@
 
 	"github.com/go-resty/resty/v2"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/fleet/query"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	settings "chutelock.dev/chutelock/internal/settings/operator"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "fleet", summary: "show nodes, engines, their homes and what leaves, as one node sees them", run: runFleet})
+	subcommands = append(subcommands, commandline.Verb{Name: "fleet", Summary: "show nodes, engines, their homes and what leaves, as one node sees them", Run: runFleet})
 }
 
 const fleetUsage = `usage: chutelockctl fleet [flags] [nodes|engines|zones|shards|settings]
--- a/cmd/chutelockctl/get.go
+++ b/cmd/chutelockctl/get.go
@@ -7,12 +7,13 @@
 	"os"
 	"strings"
 
+	"chutelock.dev/chutelock/internal/commandline"
 	"chutelock.dev/chutelock/internal/settings/operator"
 	"chutelock.dev/chutelock/internal/settings/tree"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{name: "get", summary: "show nodes of the settings tree as they are set", run: runGet})
+	subcommands = append(subcommands, commandline.Verb{Name: "get", Summary: "show nodes of the settings tree as they are set", Run: runGet})
 }
 
 const getUsage = `usage: chutelockctl get [flags] [PATH]
--- a/cmd/chutelockctl/jobs.go
+++ b/cmd/chutelockctl/jobs.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"os"
 	"strconv"
+
+	"chutelock.dev/chutelock/internal/commandline"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{"jobs", "list batch jobs, or show or watch one", runJobs})
+	subcommands = append(subcommands, commandline.Verb{Name: "jobs", Summary: "list batch jobs, or show or watch one", Run: runJobs})
 }
 
 const defaultListed = 20
--- a/cmd/chutelockctl/main.go
+++ b/cmd/chutelockctl/main.go
@@ -2,40 +2,17 @@
 package main
 
 import (
-	"fmt"
 	"os"
-)
 
-// subcommand is one verb of the program; run returns the exit code.
-type subcommand struct {
-	name    string
-	summary string
-	run     func(arguments []string) int
-}
+	"chutelock.dev/chutelock/internal/commandline"
+)
 
 // exitUsage is the exit code for a wrong command line.
-const exitUsage = 2
+const exitUsage = commandline.ExitUsage
 
 // subcommands is filled by the init functions of this package's other files.
-var subcommands []subcommand
+var subcommands []commandline.Verb
 
 func main() {
-	if len(os.Args) < 2 {
-		usage()
-		os.Exit(exitUsage)
-	}
-	for _, candidate := range subcommands {
-		if candidate.name == os.Args[1] {
-			os.Exit(candidate.run(os.Args[2:]))
-		}
-	}
-	usage()
-	os.Exit(exitUsage)
-}
-
-func usage() {
-	fmt.Fprintln(os.Stderr, "usage: chutelockctl VERB [flags]; -h after a verb explains it")
-	for _, candidate := range subcommands {
-		fmt.Fprintf(os.Stderr, "  %-10s %s\n", candidate.name, candidate.summary)
-	}
+	os.Exit(commandline.Dispatch("chutelockctl", subcommands, os.Args[1:], os.Stderr))
 }
--- a/cmd/chutelockctl/results.go
+++ b/cmd/chutelockctl/results.go
@@ -6,10 +6,12 @@
 	"io"
 	"os"
 	"path/filepath"
+
+	"chutelock.dev/chutelock/internal/commandline"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{"results", "write the results of a batch job", runResults})
+	subcommands = append(subcommands, commandline.Verb{Name: "results", Summary: "write the results of a batch job", Run: runResults})
 }
 
 func runResults(arguments []string) int {
--- a/cmd/chutelockctl/submit.go
+++ b/cmd/chutelockctl/submit.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"chutelock.dev/chutelock/internal/commandline"
 )
 
 func init() {
-	subcommands = append(subcommands, subcommand{"submit", "submit a JSONL file as a batch job", runSubmit})
+	subcommands = append(subcommands, commandline.Verb{Name: "submit", Summary: "submit a JSONL file as a batch job", Run: runSubmit})
 }
 
 // submitOptions are the flags of submit.
--- /dev/null
+++ b/internal/commandline/commandline_test.go
@@ -0,0 +1,26 @@
+package commandline
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestDispatchRunsTheNamedVerbOrListsAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var given []string
+	verbs := []Verb{
+		{"other", "not asked for", func([]string) int { return 9 }},
+		{"run", "runs", func(arguments []string) int { given = arguments; return 7 }},
+	}
+	var help bytes.Buffer
+	g.Expect(Dispatch("p", verbs, []string{"run", "-x", "y"}, &help)).To(gomega.Equal(7))
+	g.Expect(given).To(gomega.Equal([]string{"-x", "y"}))
+	g.Expect(help.String()).To(gomega.BeEmpty())
+	for _, arguments := range [][]string{nil, {"unknown"}} {
+		help.Reset()
+		g.Expect(Dispatch("p", verbs, arguments, &help)).To(gomega.Equal(ExitUsage))
+		g.Expect(help.String()).To(gomega.And(gomega.ContainSubstring("usage: p VERB"), gomega.ContainSubstring("other"), gomega.ContainSubstring("runs")))
+	}
+}
