--- a/cmd/chutelock/main.go
+++ b/cmd/chutelock/main.go
@@ -66,6 +66,9 @@
 	if settings.Data.Folder != "" {
 		debug.SetGCPercent(dataNodeGCPercent)
 	}
+	if settings.Platform.Dialect == config.DialectObjects {
+		return serveObjects(signals, settings)
+	}
 	running, err := node.Open(settings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,225 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+var eventEngineAside = telemetry.Define(2101, "engine-aside", "An engine failed a request and gets no others for a while.")
+
+// recheckInterval is how often waiting requests look again, as engines free up
+// by other nodes' requests too.
+const recheckInterval = 10 * time.Millisecond
+
+// ErrNoRoom says that no engine had room within the allowed wait.
+var ErrNoRoom = errors.New("balance: no engine has room")
+
+// ErrNoEngine says that the service has no engine that may be used.
+var ErrNoEngine = errors.New("balance: the service has no engine")
+
+// Balancer may be used concurrently.
+type Balancer struct {
+	snapshot func() *catalog.Snapshot
+
+	mutex   sync.Mutex // guards what is below; a leaf
+	table   *Table
+	turns   map[string]map[string]float64 // route, service: credit of the smooth round robin
+	waiting []*waiter                     // by priority, then arrival
+}
+
+type waiter struct {
+	priority int
+	wake     chan struct{} // buffered by one
+}
+
+// New returns a balancer that reads the newest snapshot from the function.
+func New(snapshot func() *catalog.Snapshot) *Balancer {
+	return &Balancer{snapshot: snapshot, table: NewTable(), turns: map[string]map[string]float64{}}
+}
+
+// Service picks the backend of a route whose turn it is, so that each gets its
+// share of the requests.
+func (b *Balancer) Service(route *catalog.Route) string {
+	if len(route.Backends) == 1 {
+		return route.Backends[0].Service
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	turns := b.turns[route.Name]
+	if turns == nil {
+		turns = map[string]float64{}
+		b.turns[route.Name] = turns
+	}
+	total := 0.0
+	best := ""
+	for _, backend := range route.Backends {
+		total += backend.Weight
+		turns[backend.Service] += backend.Weight
+	}
+	for _, backend := range route.Backends {
+		if best == "" || turns[backend.Service] > turns[best] {
+			best = backend.Service
+		}
+	}
+	turns[best] -= total
+	return best
+}
+
+// Acquire returns an engine for the wish, and counts the request there until
+// release. It waits for room up to wait, the lowest priority number first.
+func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration) (engine catalog.Engine, release func(), err error) {
+	engine, found := b.try(wish, nil, priority)
+	if !found && wait > 0 {
+		engine, found = b.await(ctx, wish, priority, wait)
+	}
+	if !found {
+		if len(b.snapshot().Serving(wish.Service)) == 0 {
+			return engine, nil, ErrNoEngine
+		}
+		return engine, nil, ErrNoRoom
+	}
+	var once sync.Once
+	return engine, func() { once.Do(func() { b.end(engine.ID, wish.Class) }) }, nil
+}
+
+// try takes an engine unless somebody more urgent is waiting.
+func (b *Balancer) try(wish Wish, self *waiter, priority int) (catalog.Engine, bool) {
+	snapshot := b.snapshot()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, other := range b.waiting {
+		if other == self {
+			break
+		}
+		if other.priority < priority {
+			return catalog.Engine{}, false
+		}
+	}
+	now := time.Now()
+	engine, found := b.table.Choose(snapshot, wish, now, rand.Float64)
+	if found {
+		b.table.Begin(engine.ID, wish.Class, now)
+	}
+	return engine, found
+}
+
+func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration) (catalog.Engine, bool) {
+	self := b.enqueue(priority)
+	defer b.dequeue(self)
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return catalog.Engine{}, false
+		case <-limit.C:
+			return catalog.Engine{}, false
+		case <-recheck.C:
+		case <-self.wake:
+		}
+		if engine, found := b.try(wish, self, priority); found {
+			return engine, true
+		}
+	}
+}
+
+func (b *Balancer) enqueue(priority int) *waiter {
+	self := &waiter{priority: priority, wake: make(chan struct{}, 1)}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > priority })
+	b.waiting = append(b.waiting, nil)
+	copy(b.waiting[at+1:], b.waiting[at:])
+	b.waiting[at] = self
+	return self
+}
+
+func (b *Balancer) dequeue(self *waiter) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for i, other := range b.waiting {
+		if other == self {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (b *Balancer) end(id string, class Class) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.End(id, class, time.Now())
+	if len(b.waiting) > 0 {
+		select {
+		case b.waiting[0].wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Waiting is the number of requests that wait for an engine.
+func (b *Balancer) Waiting() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.waiting)
+}
+
+// Reported takes an engine's own figures.
+func (b *Balancer) Reported(id string, load upstream.Load) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.Reported(id, load, time.Now())
+}
+
+// Succeeded notes that an engine answered.
+func (b *Balancer) Succeeded(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.Succeeded(id, time.Now())
+}
+
+// Failed sets an engine aside for a while.
+func (b *Balancer) Failed(id string, cause error) {
+	b.mutex.Lock()
+	pause := b.table.Failed(id, time.Now())
+	b.mutex.Unlock()
+	eventEngineAside.Info("engine", id, "pause", pause, "cause", cause)
+}
+
+// Refused notes that an engine said it is full.
+func (b *Balancer) Refused(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.Refused(id, time.Now())
+}
+
+// Own returns what this node has under way.
+func (b *Balancer) Own() map[string][classes]int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.Own()
+}
+
+// PeerLoad takes what another node has under way.
+func (b *Balancer) PeerLoad(peer string, running map[string][classes]int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.PeerLoad(peer, running, time.Now())
+}
+
+// Forget drops what is out of date.
+func (b *Balancer) Forget() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.Forget(time.Now())
+}
--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/membership"
+)
+
+const (
+	// zonePenalty is what another zone costs, in shares of an engine's slots.
+	zonePenalty = 0.6
+	// prefixBonus is what the engine that keeps a long shared prompt gains,
+	// for prefixBonusTokens shared tokens or more.
+	prefixBonus       = 0.5
+	prefixBonusTokens = 4000
+	// noisePenalty spreads requests over equal engines.
+	noisePenalty = 0.06
+	// coldPenalty is what an engine that is still slow costs.
+	coldPenalty = 0.5
+	// batchShare is the share of an engine's slots that batch work may take.
+	batchShare = 0.55
+	// queueDepth is how many requests beyond its slots an engine may get from
+	// online work; they wait there for less than an average request runs.
+	queueDepth = 4
+)
+
+// Wish is what a request wants of an engine.
+type Wish struct {
+	Service string
+	Zone    string
+	Class   Class
+	// Prefix identifies the shared part of the prompt, and PrefixTokens is its
+	// length; an engine that has read it before is quicker.
+	Prefix       string
+	PrefixTokens int
+	// Avoid lists engines that the request has been to.
+	Avoid []string
+}
+
+// Choose returns the best engine that has room, or false. When every engine
+// of the service is set aside or avoided, these rules give way in turn, so
+// that a request is not refused while some engine may be able to run it.
+func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, noise func() float64) (catalog.Engine, bool) {
+	engines := snapshot.Serving(wish.Service)
+	for _, rule := range []func(catalog.Engine) bool{
+		func(e catalog.Engine) bool { return t.sound(e.ID, now) && !contains(wish.Avoid, e.ID) },
+		func(e catalog.Engine) bool { return !contains(wish.Avoid, e.ID) },
+	} {
+		candidates := filter(engines, rule)
+		if len(candidates) == 0 {
+			continue
+		}
+		return t.best(candidates, wish, now, noise)
+	}
+	return catalog.Engine{}, false
+}
+
+// best scores the candidates that have room; lower is better.
+func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, noise func() float64) (catalog.Engine, bool) {
+	home := prefixHome(candidates, wish)
+	var best catalog.Engine
+	found := false
+	lowest := 0.0
+	for _, engine := range candidates {
+		if !t.hasRoom(engine, wish.Class, now) {
+			continue
+		}
+		score := t.score(engine, wish, home, now) + noisePenalty*noise()
+		if !found || score < lowest {
+			best, lowest, found = engine, score, true
+		}
+	}
+	return best, found
+}
+
+func (t *Table) hasRoom(engine catalog.Engine, class Class, now time.Time) bool {
+	if t.fullNow(engine.ID, now) {
+		return false
+	}
+	load := t.load(engine.ID, now)
+	if class == ClassOnline {
+		return load < engine.Slots+queueDepth
+	}
+	batch := t.running(engine.ID, ClassBatch, now)
+	return load < engine.Slots && float64(batch) < batchShare*float64(engine.Slots)
+}
+
+// score is the share of an engine's slots in use, from 0, with penalties and
+// bonuses in the same unit.
+func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
+	score := float64(t.load(engine.ID, now)) / float64(max(engine.Slots, 1))
+	if engine.Zone != wish.Zone {
+		score += zonePenalty
+	}
+	if engine.Cold > 0 {
+		score += coldPenalty
+	}
+	if engine.ID == home {
+		score -= prefixBonus * min(1, float64(wish.PrefixTokens)/prefixBonusTokens)
+	}
+	return score
+}
+
+// prefixHome is the engine that requests with the same prefix go to first: by
+// rendezvous hashing over the engines of the zone, or all if there are none.
+func prefixHome(candidates []catalog.Engine, wish Wish) string {
+	if wish.Prefix == "" {
+		return ""
+	}
+	near := filter(candidates, func(e catalog.Engine) bool { return e.Zone == wish.Zone })
+	if len(near) == 0 {
+		near = candidates
+	}
+	home := ""
+	var highest uint64
+	for _, engine := range near {
+		if score := membership.RendezvousScore(wish.Prefix, engine.ID); home == "" || score > highest {
+			home, highest = engine.ID, score
+		}
+	}
+	return home
+}
+
+func filter(engines []catalog.Engine, keep func(catalog.Engine) bool) []catalog.Engine {
+	kept := make([]catalog.Engine, 0, len(engines))
+	for _, engine := range engines {
+		if keep(engine) {
+			kept = append(kept, engine)
+		}
+	}
+	return kept
+}
+
+func contains(list []string, wanted string) bool {
+	for _, one := range list {
+		if one == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/balance/table.go
@@ -0,0 +1,173 @@
+package balance
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+const (
+	// reportLife is how long an engine's own figures count.
+	reportLife = 250 * time.Millisecond
+	// peerLife is how long another node's figures count.
+	peerLife = time.Second
+	// Engines that fail are set aside for a time that doubles with each
+	// failure in a row, between these.
+	asideFirst = 250 * time.Millisecond
+	asideMost  = 4 * time.Second
+	// fullPause is how long an engine counts as full after it refused.
+	fullPause = 40 * time.Millisecond
+	// forgetAfter is how long an engine without news is remembered.
+	forgetAfter = time.Minute
+)
+
+// Class of work.
+type Class uint8
+
+// Classes.
+const (
+	ClassOnline Class = iota
+	ClassBatch
+	classes
+)
+
+// engineState is what is known of one engine beyond the catalog.
+type engineState struct {
+	own      [classes]int // under way from this node
+	report   upstream.Load
+	reportAt time.Time
+	ownAt    int // own requests when the report came
+	failures int
+	aside    time.Time
+	full     time.Time
+	touched  time.Time
+}
+
+// peerLoad is what another node has under way.
+type peerLoad struct {
+	at      time.Time
+	running map[string][classes]int
+}
+
+// Table is not safe for concurrent use.
+type Table struct {
+	engines map[string]*engineState
+	peers   map[string]peerLoad
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{engines: map[string]*engineState{}, peers: map[string]peerLoad{}}
+}
+
+func (t *Table) state(id string, now time.Time) *engineState {
+	state := t.engines[id]
+	if state == nil {
+		state = &engineState{}
+		t.engines[id] = state
+	}
+	state.touched = now
+	return state
+}
+
+// Begin counts a request that is sent to an engine.
+func (t *Table) Begin(id string, class Class, now time.Time) { t.state(id, now).own[class]++ }
+
+// End counts its end.
+func (t *Table) End(id string, class Class, now time.Time) { t.state(id, now).own[class]-- }
+
+// Reported takes an engine's own figures.
+func (t *Table) Reported(id string, load upstream.Load, now time.Time) {
+	state := t.state(id, now)
+	state.report = load
+	state.reportAt = now
+	state.ownAt = state.total()
+}
+
+// Succeeded notes an answer: the engine is sound.
+func (t *Table) Succeeded(id string, now time.Time) {
+	state := t.state(id, now)
+	state.failures = 0
+	state.aside = time.Time{}
+}
+
+// Failed sets an engine aside for a while and says for how long.
+func (t *Table) Failed(id string, now time.Time) time.Duration {
+	state := t.state(id, now)
+	pause := min(asideFirst<<min(state.failures, 5), asideMost)
+	state.failures++
+	state.aside = now.Add(pause)
+	return pause
+}
+
+// Refused notes that an engine said it is full.
+func (t *Table) Refused(id string, now time.Time) { t.state(id, now).full = now.Add(fullPause) }
+
+// PeerLoad takes what another node has under way, by engine.
+func (t *Table) PeerLoad(peer string, running map[string][classes]int, now time.Time) {
+	t.peers[peer] = peerLoad{at: now, running: running}
+}
+
+// Own returns what this node has under way, by engine, without idle engines.
+func (t *Table) Own() map[string][classes]int {
+	own := map[string][classes]int{}
+	for id, state := range t.engines {
+		if state.total() > 0 {
+			own[id] = state.own
+		}
+	}
+	return own
+}
+
+// Forget drops engines without work or news, and silent peers.
+func (t *Table) Forget(now time.Time) {
+	for id, state := range t.engines {
+		if state.total() == 0 && now.Sub(state.touched) > forgetAfter {
+			delete(t.engines, id)
+		}
+	}
+	for peer, load := range t.peers {
+		if now.Sub(load.at) > peerLife {
+			delete(t.peers, peer)
+		}
+	}
+}
+
+func (s *engineState) total() int { return s.own[ClassOnline] + s.own[ClassBatch] }
+
+// running estimates the requests of a class that an engine has from all nodes.
+func (t *Table) running(id string, class Class, now time.Time) int {
+	count := 0
+	if state := t.engines[id]; state != nil {
+		count = state.own[class]
+	}
+	for _, peer := range t.peers {
+		if now.Sub(peer.at) <= peerLife {
+			count += peer.running[id][class]
+		}
+	}
+	return count
+}
+
+// load estimates all requests that an engine has. A fresh report counts with
+// what this node has sent since.
+func (t *Table) load(id string, now time.Time) int {
+	counted := t.running(id, ClassOnline, now) + t.running(id, ClassBatch, now)
+	state := t.engines[id]
+	if state == nil || now.Sub(state.reportAt) > reportLife {
+		return counted
+	}
+	reported := state.report.Running + state.report.Waiting + max(0, state.total()-state.ownAt)
+	return max(counted, reported)
+}
+
+// sound says that the engine isn't set aside.
+func (t *Table) sound(id string, now time.Time) bool {
+	state := t.engines[id]
+	return state == nil || !now.Before(state.aside)
+}
+
+func (t *Table) fullNow(id string, now time.Time) bool {
+	state := t.engines[id]
+	return state != nil && now.Before(state.full)
+}
--- /dev/null
+++ b/internal/batchwork/calls.go
@@ -0,0 +1,185 @@
+package batchwork
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// Message kinds of the calls to the leader.
+const (
+	kindSubmit transport.Kind = transport.KindBatch + iota
+	kindRead
+	kindBody
+	kindEnd
+)
+
+type status uint8
+
+const (
+	statusDone status = iota
+	statusNoJob
+	statusQueueFull
+	statusNotLeader
+	statusNotTaken
+	statusUnknown
+)
+
+type fixedReply struct{ Status status }
+
+type fixedRead struct {
+	Since            uint32
+	WaitMilliseconds uint32
+}
+
+type fixedPage struct{ Total, Next uint32 }
+
+type fixedResult struct{ State State }
+
+func encodePage(page Page) []byte {
+	fields := make([][]byte, 0, len(page.Results))
+	for _, result := range page.Results {
+		fields = append(fields, marshal(fixedResult{result.State}, []byte(result.ItemID), result.Text))
+	}
+	return marshal(fixedPage{uint32(page.Total), uint32(page.Next)}, fields...)
+}
+
+func decodePage(encoded []byte) (Page, error) {
+	var fixed fixedPage
+	fields, err := unmarshal(encoded, &fixed, -1)
+	if err != nil {
+		return Page{}, err
+	}
+	page := Page{Total: int(fixed.Total), Next: int(fixed.Next)}
+	for _, field := range fields {
+		var result fixedResult
+		parts, err := unmarshal(field, &result, 2)
+		if err != nil {
+			return Page{}, err
+		}
+		page.Results = append(page.Results, Result{ItemID: string(parts[0]), State: result.State, Text: parts[1]})
+	}
+	return page, nil
+}
+
+// Server answers the calls of all nodes at the shard's leader.
+type Server struct {
+	shard   ledger.Shard
+	machine *Machine
+}
+
+// NewServer registers the handlers of a data node.
+func NewServer(shard func() (ledger.Shard, bool), machine *Machine, receiver transport.Receiver) {
+	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
+		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
+	} {
+		receiver.HandleCall(kind, func(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+			held, found := shard()
+			if !found {
+				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
+			}
+			content, err := serve(&Server{held, machine}, ctx, payload)
+			return reply(content, err), nil
+		})
+	}
+}
+
+// reply encodes the content, or what an error tells.
+func reply(content []byte, err error) []byte {
+	var notLeader *ledger.NotLeaderError
+	switch {
+	case err == nil:
+		return marshal(fixedReply{statusDone}, content, nil)
+	case errors.Is(err, ErrNoJob):
+		return marshal(fixedReply{statusNoJob}, nil, nil)
+	case errors.Is(err, ErrQueueFull):
+		return marshal(fixedReply{statusQueueFull}, nil, nil)
+	case errors.As(err, &notLeader):
+		return marshal(fixedReply{statusNotLeader}, nil, []byte(notLeader.Leader))
+	case errors.Is(err, ledger.ErrUnavailable):
+		return marshal(fixedReply{statusNotTaken}, nil, nil)
+	}
+	return marshal(fixedReply{statusUnknown}, nil, nil)
+}
+
+func (s *Server) submit(ctx context.Context, payload []byte) ([]byte, error) {
+	job, err := decodeJob(payload)
+	if err != nil {
+		return nil, err
+	}
+	job.Submitted = time.Now()
+	return nil, s.propose(ctx, encodeSubmit(job))
+}
+
+func (s *Server) end(ctx context.Context, payload []byte) ([]byte, error) {
+	return nil, s.propose(ctx, encodeEnd(string(payload), time.Now()))
+}
+
+func (s *Server) propose(ctx context.Context, entry []byte) error {
+	answer, err := s.shard.Propose(ctx, entry)
+	switch {
+	case err != nil:
+		return err
+	case len(answer) == 0:
+		return ErrUnknown
+	case answer[0] == answerQueueFull:
+		return ErrQueueFull
+	case answer[0] == answerNoJob:
+		return ErrNoJob
+	}
+	return nil
+}
+
+// read waits for results beyond a position, and reads them from a state that
+// includes all that was committed before.
+func (s *Server) read(ctx context.Context, payload []byte) ([]byte, error) {
+	var fixed fixedRead
+	fields, err := unmarshal(payload, &fixed, 1)
+	if err != nil {
+		return nil, err
+	}
+	job := string(fields[0])
+	s.await(ctx, job, int(fixed.Since), time.Duration(fixed.WaitMilliseconds)*time.Millisecond)
+	var page Page
+	err = s.shard.Read(ctx, func(reader ledger.Reader) (err error) {
+		page, err = readPage(reader, job, int(fixed.Since))
+		return err
+	})
+	return encodePage(page), err
+}
+
+// await returns once the job has results beyond since, can get none, is not
+// known here, or the wait is over.
+func (s *Server) await(ctx context.Context, job string, since int, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		positions, closed, changed, found := s.machine.results(job)
+		if !found || closed || positions > since {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) body(ctx context.Context, payload []byte) ([]byte, error) {
+	fields, err := unmarshal(payload, &fixedItem{}, 2)
+	if err != nil {
+		return nil, err
+	}
+	var body []byte
+	err = s.shard.Read(ctx, func(reader ledger.Reader) (err error) {
+		body, err = readBody(reader, string(fields[0]), string(fields[1]))
+		return err
+	})
+	return body, err
+}
--- /dev/null
+++ b/internal/batchwork/doc.go
@@ -0,0 +1,13 @@
+// Package batchwork keeps accepted batch jobs and runs their items.
+//
+// Machine is the replicated state machine: jobs, items, the text that each
+// item has so far, and the results in a fixed order of positions. It reads no
+// clock; time travels in commands. Runner (at the leader of the ledger's shard)
+// sends open items to engines and commits what they yield. Server answers the
+// calls of other nodes at the leader, Caller makes these calls.
+//
+// Invariants: a job is accepted whole or not at all, once for each identifier;
+// an item has one position at most and its result never changes; text of an
+// item only grows by what follows its last committed event; nothing of an
+// ended job is committed or sent any more.
+package batchwork
--- /dev/null
+++ b/internal/batchwork/itemrun.go
@@ -0,0 +1,197 @@
+package batchwork
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// itemRun is one run of an item at one engine.
+type itemRun struct {
+	*Runner
+	item   openItem
+	route  *catalog.Route
+	engine catalog.Engine
+
+	id        string
+	committed uint64 // last event that is committed
+	last      uint64 // last event that came
+	text      []byte // of the events after committed
+	commitAt  time.Time
+}
+
+// run returns how long the item rests before it is run again, if it is open.
+func (r *itemRun) run(ctx context.Context) time.Duration {
+	var read Item
+	err := r.options.Shard.Read(ctx, func(reader ledger.Reader) (err error) {
+		read, err = readItem(reader, r.item.job, r.item.index)
+		return err
+	})
+	if err != nil || !r.options.Usable(r.engine.ID, r.engine.Service) {
+		return refusalPause
+	}
+	r.id = read.ID
+	r.committed, r.last = r.item.lastEvent, r.item.lastEvent
+	silence := make(chan struct{})
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(itemPatience, func() { close(silence); cancel() })
+	defer timer.Stop()
+	answer, err := r.options.Pool.Exchange(watch, r.engine.Address, r.call(&read))
+	if err != nil {
+		return r.broken(ctx, err, isClosed(silence))
+	}
+	defer answer.Close()
+	return r.take(ctx, answer, timer, silence)
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *itemRun) call(item *Item) *upstream.Call {
+	header := http.Header{}
+	for i := 0; i+1 < len(item.Header); i += 2 {
+		header.Add(item.Header[i], item.Header[i+1])
+	}
+	return &upstream.Call{
+		ID: item.ID, Method: http.MethodPost, URI: item.Path, Host: r.item.host, Header: header, Body: item.Body,
+		Instance: r.engine.ID, Deadline: r.item.giveUp, Resume: r.last > 0, ResumeAfter: r.last,
+	}
+}
+
+// take reads the answer of the engine.
+func (r *itemRun) take(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
+	if answer.Load != nil {
+		r.options.Balancer.Reported(r.engine.ID, *answer.Load)
+	}
+	switch {
+	case answer.NotRun:
+		if answer.Elsewhere {
+			r.options.Balancer.Failed(r.engine.ID, errElsewhere)
+		} else {
+			r.options.Balancer.Refused(r.engine.ID)
+		}
+		return refusalPause
+	case answer.Status == http.StatusUnprocessableEntity:
+		return r.dead(ctx, "the engine can never run it")
+	case answer.Status >= http.StatusMultipleChoices:
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, pageBytes))
+		return r.failed(ctx, answer.Status)
+	case !answer.Signed:
+		return r.broken(ctx, errUnsigned, false)
+	}
+	return r.stream(ctx, answer, timer, silence)
+}
+
+var (
+	errElsewhere = errors.New("another engine has the address")
+	errUnsigned  = errors.New("a success without the engine's signature")
+)
+
+func (r *itemRun) stream(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
+	r.commitAt = time.Now().Add(commitInterval)
+	events := forward.NewEventReader(answer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			r.options.Balancer.Succeeded(r.engine.ID)
+			return r.succeeded(ctx)
+		}
+		if err != nil {
+			return r.broken(ctx, err, isClosed(silence))
+		}
+		timer.Reset(itemPatience)
+		if !event.HasID || event.ID <= r.last {
+			continue
+		}
+		r.add(event)
+		if time.Now().After(r.commitAt) {
+			if err := r.commitText(ctx, StateOpen, 0); err != nil {
+				return failurePause
+			}
+		}
+	}
+}
+
+// add appends an event's data; the store joins the committed parts the same way.
+func (r *itemRun) add(event forward.Event) {
+	if r.last > r.committed {
+		r.text = append(r.text, '\n')
+	}
+	r.text = append(r.text, event.Data...)
+	r.last = event.ID
+}
+
+// commitText commits what came since the last commit, with a state.
+func (r *itemRun) commitText(ctx context.Context, state State, failures uint8) error {
+	r.commitAt = time.Now().Add(commitInterval)
+	if r.last == r.committed && state == StateOpen && failures == 0 {
+		return nil
+	}
+	err := r.commit(ctx, step{
+		job: r.item.job, index: r.item.index, from: r.committed, to: r.last,
+		failures: failures, state: state, text: r.text,
+	})
+	if err != nil {
+		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
+		return err
+	}
+	r.committed, r.text = r.last, nil
+	return nil
+}
+
+func (r *itemRun) succeeded(ctx context.Context) time.Duration {
+	if r.last == 0 {
+		return r.broken(ctx, errNoText, false)
+	}
+	if r.commitText(ctx, StateSucceeded, 0) != nil {
+		return failurePause
+	}
+	return 0
+}
+
+func (r *itemRun) dead(ctx context.Context, cause string) time.Duration {
+	eventItemDead.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause)
+	if r.commitText(ctx, StateDead, 0) != nil {
+		return failurePause
+	}
+	return 0
+}
+
+// failed counts an engine's own failure.
+func (r *itemRun) failed(ctx context.Context, status int) time.Duration {
+	if status != http.StatusInternalServerError {
+		return r.broken(ctx, errors.New(http.StatusText(status)), false)
+	}
+	if int(r.item.failures)+1 >= r.route.Attempts {
+		return r.dead(ctx, "it failed at each run")
+	}
+	_ = r.commitText(ctx, StateOpen, 1)
+	return failurePause
+}
+
+// broken keeps what came and lets the item go on elsewhere.
+func (r *itemRun) broken(ctx context.Context, cause error, silent bool) time.Duration {
+	if ctx.Err() == nil || silent {
+		r.options.Balancer.Failed(r.engine.ID, cause)
+		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause,
+			"silent", silent, "last_event", r.last)
+	}
+	if r.options.Machine.isOpen(r.item.job, r.item.index) {
+		_ = r.commitText(ctx, StateOpen, 0)
+	}
+	return refusalPause
+}
--- /dev/null
+++ b/internal/batchwork/machine.go
@@ -0,0 +1,390 @@
+package batchwork
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/ledger"
+)
+
+// Answers of the machine to proposers.
+const (
+	answerDone = iota
+	answerQueueFull
+	answerNoJob
+)
+
+// Machine implements ledger.StateMachine. Its own memory is a summary of what
+// the store holds; bodies and texts are in the store only.
+type Machine struct {
+	// mutex guards what is below, for readers beside Apply; a leaf.
+	mutex  sync.RWMutex
+	jobs   map[string]*jobState
+	queued map[string]int64 // tokens of open items, by route
+	// changed is closed, and made anew, whenever a result or job is added.
+	changed chan struct{}
+}
+
+type jobState struct {
+	Job       // without items
+	items     []itemState
+	positions int
+	ended     bool
+}
+
+type itemState struct {
+	id        string
+	tokens    int64
+	state     State
+	lastEvent uint64
+	failures  uint8
+}
+
+var _ ledger.StateMachine = (*Machine)(nil)
+
+// NewMachine returns a machine of an empty store.
+func NewMachine() *Machine {
+	return &Machine{jobs: map[string]*jobState{}, queued: map[string]int64{}, changed: make(chan struct{})}
+}
+
+// Apply implements ledger.StateMachine.
+func (m *Machine) Apply(writer ledger.Writer, _ uint64, entry []byte) ([]byte, error) {
+	var fixed fixedCommand
+	fields, err := unmarshal(entry, &fixed, -1)
+	if err != nil {
+		return nil, trace.Wrap(err, "decode an entry")
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	answer := byte(answerDone)
+	switch fixed.Kind {
+	case commandSubmit:
+		answer, err = m.submit(writer, fields)
+	case commandAdvance:
+		err = m.advance(writer, fields)
+	case commandEnd:
+		answer, err = m.end(writer, fields)
+	case commandPurge:
+		err = m.purge(writer, fields)
+	}
+	return []byte{answer}, err
+}
+
+func (m *Machine) announce() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Machine) submit(writer ledger.Writer, fields [][]byte) (byte, error) {
+	job, err := decodeJob(fields[0])
+	if err != nil {
+		return 0, err
+	}
+	if m.jobs[job.ID] != nil {
+		return answerDone, nil
+	}
+	var tokens int64
+	for i := range job.Items {
+		tokens += job.Items[i].Tokens
+	}
+	if job.QueuedTokens > 0 && m.queued[job.Route]+tokens > job.QueuedTokens {
+		return answerQueueFull, nil
+	}
+	if err := writer.Set(key(keyJob, job.ID), encodeJob(job, false)); err != nil {
+		return 0, err
+	}
+	state := &jobState{Job: *job}
+	state.Items = nil
+	for i := range job.Items {
+		item := &job.Items[i]
+		if err := writer.Set(key(keyItem, job.ID, uint64(i)), encodeItem(item, false)); err != nil {
+			return 0, err
+		}
+		if err := writer.Set(key(keyBody, job.ID, uint64(i)), item.Body); err != nil {
+			return 0, err
+		}
+		state.items = append(state.items, itemState{id: item.ID, tokens: item.Tokens})
+	}
+	m.jobs[job.ID] = state
+	m.queued[job.Route] += tokens
+	m.announce()
+	return answerDone, nil
+}
+
+func (m *Machine) advance(writer ledger.Writer, fields [][]byte) error {
+	listed := false
+	for _, field := range fields {
+		s, err := decodeStep(field)
+		if err != nil {
+			return err
+		}
+		final, err := m.advanceItem(writer, s)
+		if err != nil {
+			return err
+		}
+		listed = listed || final
+	}
+	if listed {
+		m.announce()
+	}
+	return nil
+}
+
+// advanceItem applies one step and says whether the item got its position.
+func (m *Machine) advanceItem(writer ledger.Writer, s step) (bool, error) {
+	job := m.jobs[s.job]
+	if job == nil || job.ended || int(s.index) >= len(job.items) {
+		return false, nil
+	}
+	item := &job.items[s.index]
+	if item.state != StateOpen || item.lastEvent != s.from {
+		return false, nil
+	}
+	if s.to > s.from {
+		if err := writer.Set(key(keyText, s.job, uint64(s.index), s.to), s.text); err != nil {
+			return false, err
+		}
+		item.lastEvent = s.to
+	}
+	item.failures += s.failures
+	item.state = s.state
+	if err := writer.Set(key(keyState, s.job, uint64(s.index)), encodeState(item)); err != nil {
+		return false, err
+	}
+	if s.state == StateOpen {
+		return false, nil
+	}
+	m.queued[job.Route] -= item.tokens
+	position := uint64(job.positions)
+	job.positions++
+	return true, writer.Set(key(keyResult, s.job, position), marshal(fixedIndex{s.index}))
+}
+
+type fixedIndex struct{ Index uint32 }
+
+type fixedState struct {
+	State     State
+	LastEvent uint64
+	Failures  uint8
+}
+
+func encodeState(item *itemState) []byte {
+	return marshal(fixedState{item.state, item.lastEvent, item.failures})
+}
+
+const endedIndex = ^uint64(0) // in place of an item: the job is ended
+
+func (m *Machine) end(writer ledger.Writer, fields [][]byte) (byte, error) {
+	job := m.jobs[string(fields[0])]
+	if job == nil {
+		return answerNoJob, nil
+	}
+	if job.ended {
+		return answerDone, nil
+	}
+	job.ended = true
+	for i := range job.items {
+		if job.items[i].state == StateOpen {
+			m.queued[job.Route] -= job.items[i].tokens
+		}
+	}
+	m.announce()
+	return answerDone, writer.Set(key(keyState, job.ID, endedIndex), marshal(fixedState{}))
+}
+
+func (m *Machine) purge(writer ledger.Writer, fields [][]byte) error {
+	for _, field := range fields {
+		job := m.jobs[string(field)]
+		if job == nil || !job.closed() {
+			continue
+		}
+		for _, letter := range []byte{keyJob, keyItem, keyBody, keyState, keyText, keyResult} {
+			from, to := keyRange(letter, job.ID)
+			if err := writer.DeleteRange(from, to); err != nil {
+				return err
+			}
+		}
+		delete(m.jobs, job.ID)
+	}
+	return nil
+}
+
+// closed says that nothing of the job is open.
+func (j *jobState) closed() bool { return j.ended || j.positions == len(j.items) }
+
+// Reload implements ledger.StateMachine.
+func (m *Machine) Reload(reader ledger.Reader) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.jobs = map[string]*jobState{}
+	m.queued = map[string]int64{}
+	for _, load := range []struct {
+		letter  byte
+		numbers int
+		take    func(job string, numbers []uint64, value []byte) error
+	}{
+		{keyJob, 0, m.loadJob},
+		{keyItem, 1, m.loadItem},
+		{keyState, 1, m.loadState},
+		{keyResult, 1, m.loadResult},
+	} {
+		from, to := keyRange(load.letter, "")
+		err := reader.Scan(from, to, func(k, value []byte) (bool, error) {
+			job, numbers, err := splitKey(k, load.numbers)
+			if err != nil {
+				return false, err
+			}
+			return true, load.take(job, numbers, value)
+		})
+		if err != nil {
+			return trace.Wrap(err, "reload %q", load.letter)
+		}
+	}
+	m.countQueued()
+	m.announce()
+	return nil
+}
+
+func (m *Machine) loadJob(id string, _ []uint64, value []byte) error {
+	job, err := decodeJob(value)
+	if err != nil {
+		return err
+	}
+	m.jobs[id] = &jobState{Job: *job}
+	return nil
+}
+
+func (m *Machine) loadItem(id string, _ []uint64, value []byte) error {
+	item, err := decodeItem(value)
+	if err != nil {
+		return err
+	}
+	if job := m.jobs[id]; job != nil {
+		job.items = append(job.items, itemState{id: item.ID, tokens: item.Tokens})
+	}
+	return nil
+}
+
+func (m *Machine) loadState(id string, numbers []uint64, value []byte) error {
+	job := m.jobs[id]
+	if job == nil {
+		return nil
+	}
+	if numbers[0] == endedIndex {
+		job.ended = true
+		return nil
+	}
+	var fixed fixedState
+	if _, err := unmarshal(value, &fixed, 0); err != nil {
+		return err
+	}
+	if numbers[0] < uint64(len(job.items)) {
+		item := &job.items[numbers[0]]
+		item.state, item.lastEvent, item.failures = fixed.State, fixed.LastEvent, fixed.Failures
+	}
+	return nil
+}
+
+func (m *Machine) loadResult(id string, _ []uint64, _ []byte) error {
+	if job := m.jobs[id]; job != nil {
+		job.positions++
+	}
+	return nil
+}
+
+func (m *Machine) countQueued() {
+	for _, job := range m.jobs {
+		for i := range job.items {
+			if !job.ended && job.items[i].state == StateOpen {
+				m.queued[job.Route] += job.items[i].tokens
+			}
+		}
+	}
+}
+
+// openItem is an item that is to be run.
+type openItem struct {
+	job       string
+	index     uint32
+	host      string
+	path      string // of the job
+	due       time.Time
+	giveUp    time.Time
+	lastEvent uint64
+	failures  uint8
+}
+
+// openItems lists the items that are not final, the first due first.
+func (m *Machine) openItems() []openItem {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	var open []openItem
+	for _, job := range m.jobs {
+		if job.closed() {
+			continue
+		}
+		for i := range job.items {
+			item := &job.items[i]
+			if item.state != StateOpen {
+				continue
+			}
+			open = append(open, openItem{
+				job: job.ID, index: uint32(i), host: job.Host, path: job.Path, due: job.Submitted.Add(job.Completion),
+				giveUp: job.Submitted.Add(job.Retention), lastEvent: item.lastEvent, failures: item.failures,
+			})
+		}
+	}
+	sort.Slice(open, func(i, j int) bool {
+		if !open[i].due.Equal(open[j].due) {
+			return open[i].due.Before(open[j].due)
+		}
+		if open[i].job != open[j].job {
+			return open[i].job < open[j].job
+		}
+		return open[i].index < open[j].index
+	})
+	return open
+}
+
+// purgeable lists closed jobs that were submitted before the time.
+func (m *Machine) purgeable(before time.Time) []string {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	var jobs []string
+	for id, job := range m.jobs {
+		if job.closed() && job.Submitted.Before(before) {
+			jobs = append(jobs, id)
+		}
+	}
+	sort.Strings(jobs)
+	return jobs
+}
+
+// isOpen says whether the item still wants to be run.
+func (m *Machine) isOpen(job string, index uint32) bool {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	state := m.jobs[job]
+	return state != nil && !state.ended && int(index) < len(state.items) && state.items[index].state == StateOpen
+}
+
+// results says how many positions the job has; false if there is no such job.
+func (m *Machine) results(job string) (positions int, closed bool, changed <-chan struct{}, found bool) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	state := m.jobs[job]
+	if state == nil {
+		return 0, false, m.changed, false
+	}
+	return state.positions, state.closed(), m.changed, true
+}
+
+// changes returns a channel that closes at the next change.
+func (m *Machine) changes() <-chan struct{} {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.changed
+}
--- /dev/null
+++ b/internal/batchwork/runner.go
@@ -0,0 +1,294 @@
+package batchwork
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// Events of batch work.
+var (
+	eventLeading     = telemetry.Define(3201, "batch-leading", "This node runs the items of batch jobs from now on.")
+	eventNotLeading  = telemetry.Define(3202, "batch-not-leading", "This node stopped running items, as another one leads or may lead.")
+	eventItemRetried = telemetry.Define(3203, "item-retried", "An item's run ended early; it goes on elsewhere from its last event.")
+	eventItemDead    = telemetry.Define(3204, "item-dead", "An item was given up.")
+	eventCommitLost  = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; it is run again from what was.")
+)
+
+const (
+	// planInterval is how often open items are looked at without a change.
+	planInterval = 50 * time.Millisecond
+	// commitInterval is how often a running item's text is committed.
+	commitInterval = 1200 * time.Millisecond
+	// commitTimeout bounds one commit.
+	commitTimeout = 4 * time.Second
+	// barrierTimeout bounds the confirmation of a new leader.
+	barrierTimeout = time.Second
+	// itemPatience is how long an engine may stay silent while it runs an item.
+	itemPatience = 2500 * time.Millisecond
+	// failurePause is the pause after an engine's own failure.
+	failurePause = 150 * time.Millisecond
+	// refusalPause is the pause after an engine refused or could not be reached.
+	refusalPause = 20 * time.Millisecond
+	// giveUpMargin is added to an item's retention before it is given up.
+	giveUpMargin = time.Second
+	// purgeInterval and purgeBatch pace the removal of old jobs.
+	purgeInterval = 10 * time.Second
+	purgeBatch    = 64
+)
+
+// RunnerOptions configure a Runner.
+type RunnerOptions struct {
+	Shard    ledger.Shard
+	Machine  *Machine
+	Pool     *upstream.Pool
+	Balancer *balance.Balancer
+	// Route finds the present route of a job; nil if there is none.
+	Route func(host, path string) *catalog.Route
+	// Usable says whether an engine may still get requests of a service.
+	Usable func(id, service string) bool
+	Zone   string
+	// Keep is how long a closed job stays readable after its submission.
+	Keep time.Duration
+}
+
+// Runner runs open items while this node leads the shard.
+type Runner struct {
+	options RunnerOptions
+
+	tasks sync.WaitGroup
+
+	mutex   sync.Mutex // guards what is below; a leaf
+	runs    map[itemKey]*run
+	pauses  map[itemKey]time.Time
+	stopped bool
+	wake    chan struct{}
+	// term is the term in which leadership was confirmed, or 0.
+	term uint64
+}
+
+type itemKey struct {
+	job   string
+	index uint32
+}
+
+type run struct{ cancel context.CancelFunc }
+
+// NewRunner returns a runner; Run makes it work.
+func NewRunner(options RunnerOptions) *Runner {
+	return &Runner{
+		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Run works until ctx ends, and returns once no item is running.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	purge := time.NewTicker(purgeInterval)
+	defer purge.Stop()
+	defer r.tasks.Wait()
+	defer r.stopAll()
+	for {
+		changed := r.options.Machine.changes()
+		r.plan(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-changed:
+		case <-r.wake:
+		case <-purge.C:
+			r.purge(ctx)
+		}
+	}
+}
+
+// Stop ends all runs after committing what they have, and starts no others.
+func (r *Runner) Stop() {
+	r.mutex.Lock()
+	r.stopped = true
+	r.mutex.Unlock()
+	r.stopAll()
+	r.tasks.Wait()
+}
+
+func (r *Runner) stopAll() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, run := range r.runs {
+		run.cancel()
+	}
+}
+
+// Leading says whether this node runs items.
+func (r *Runner) Leading() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.term != 0
+}
+
+// plan starts and stops runs as leadership and open items demand.
+func (r *Runner) plan(ctx context.Context) {
+	if !r.confirmLeading(ctx) {
+		r.stopAll()
+		return
+	}
+	now := time.Now()
+	open := r.options.Machine.openItems()
+	r.stopEnded()
+	full := map[string]bool{}
+	for _, item := range open {
+		if now.After(item.giveUp.Add(giveUpMargin)) {
+			r.giveUp(ctx, item)
+			continue
+		}
+		route := r.options.Route(item.host, item.path)
+		if route == nil || !r.idle(item, now) {
+			continue
+		}
+		service := r.options.Balancer.Service(route)
+		if full[service] {
+			continue
+		}
+		if !r.start(ctx, item, route, service) {
+			full[service] = true
+		}
+	}
+}
+
+// confirmLeading makes sure, once a term, that everything committed before is
+// applied here.
+func (r *Runner) confirmLeading(ctx context.Context) bool {
+	leading, term := r.options.Shard.Leading()
+	r.mutex.Lock()
+	confirmed, stopped := r.term, r.stopped
+	r.mutex.Unlock()
+	if !leading || stopped {
+		if confirmed != 0 {
+			r.setTerm(0)
+			eventNotLeading.Info("term", confirmed)
+		}
+		return false
+	}
+	if confirmed == term {
+		return true
+	}
+	bounded, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if r.options.Shard.Read(bounded, func(ledger.Reader) error { return nil }) != nil {
+		return false
+	}
+	r.setTerm(term)
+	eventLeading.Info("term", term, "open", len(r.options.Machine.openItems()))
+	return true
+}
+
+func (r *Runner) setTerm(term uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.term = term
+}
+
+func (r *Runner) idle(item openItem, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	k := itemKey{item.job, item.index}
+	if r.runs[k] != nil || r.stopped {
+		return false
+	}
+	if until, paused := r.pauses[k]; paused {
+		if now.Before(until) {
+			return false
+		}
+		delete(r.pauses, k)
+	}
+	return true
+}
+
+func (r *Runner) stopEnded() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for k, run := range r.runs {
+		if !r.options.Machine.isOpen(k.job, k.index) {
+			run.cancel()
+		}
+	}
+}
+
+// start runs an item if an engine of the service has room for batch work.
+func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) bool {
+	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch}
+	engine, release, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
+	if err != nil {
+		return false
+	}
+	k := itemKey{item.job, item.index}
+	ctx, cancel := context.WithCancel(ctx)
+	r.mutex.Lock()
+	r.runs[k] = &run{cancel: cancel}
+	r.mutex.Unlock()
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		pause := (&itemRun{Runner: r, item: item, route: route, engine: engine}).run(ctx)
+		cancel()
+		release()
+		r.finished(k, pause)
+	}()
+	return true
+}
+
+func (r *Runner) finished(k itemKey, pause time.Duration) {
+	r.mutex.Lock()
+	delete(r.runs, k)
+	if pause > 0 {
+		r.pauses[k] = time.Now().Add(pause)
+	}
+	r.mutex.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) giveUp(ctx context.Context, item openItem) {
+	if !r.idle(item, time.Now()) {
+		return
+	}
+	eventItemDead.Info("job", item.job, "item", item.index, "cause", "retention is over")
+	_ = r.commit(ctx, step{job: item.job, index: item.index, from: item.lastEvent, to: item.lastEvent, state: StateDead})
+}
+
+func (r *Runner) purge(ctx context.Context) {
+	if r.options.Keep <= 0 || !r.Leading() {
+		return
+	}
+	old := r.options.Machine.purgeable(time.Now().Add(-r.options.Keep))
+	if len(old) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, _ = r.options.Shard.Propose(ctx, encodePurge(old[:min(len(old), purgeBatch)], time.Now()))
+}
+
+// commit proposes a step, and returns once it is applied here.
+func (r *Runner) commit(ctx context.Context, s step) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
+	defer cancel()
+	_, err := r.options.Shard.Propose(ctx, encodeAdvance([]step{s}, time.Now()))
+	return trace.Wrap(err, "commit item %d of job %s", s.index, s.job)
+}
+
+// errNoText says that an item's run ended before anything came.
+var errNoText = errors.New("no event came")
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,191 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says how a route's requests are answered.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// KindWhole answers with one body.
+	KindWhole Kind = iota
+	// KindStream answers with numbered events.
+	KindStream
+	// KindBatch takes jobs of many items that run later.
+	KindBatch
+)
+
+// String names the kind as in logs.
+func (k Kind) String() string { return [...]string{"whole", "stream", "batch"}[k] }
+
+// Backend is a service that takes a share of a route's requests.
+type Backend struct {
+	Service string
+	// Weight is the share relative to the route's other backends.
+	Weight float64
+}
+
+// Route says how the requests of a host and path prefix are treated.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Resumable streams may be continued at another engine.
+	Resumable bool
+	// Timeout is the longest time that a request is held; 0 means no bound.
+	Timeout time.Duration
+	// Target is the time within which an answer (a stream's first event, a
+	// job's acceptance) earns full credit.
+	Target time.Duration
+	// GapTarget is the longest pause between two events of a stream in time.
+	GapTarget time.Duration
+	// Attempts is the number of engines that one request may be run on.
+	Attempts int
+	// Priority is the rank of the requests; 0 goes first.
+	Priority int
+	Backends []Backend
+	// Completion is when a job's results are due, after it was submitted.
+	Completion time.Duration
+	// Retention is when an item may be given up, after its job was submitted.
+	Retention time.Duration
+	// QueuedTokens bounds the tokens of accepted unfinished items; 0 is no bound.
+	QueuedTokens int64
+}
+
+// MayRunAgain says whether a request whose fate is unknown may be sent again.
+func (r *Route) MayRunAgain() bool {
+	return r.Repeatable || (r.Kind == KindStream && r.Resumable)
+}
+
+// Service is a group of equal engines.
+type Service struct {
+	Name string
+	// Connections is what one engine takes from all callers together.
+	Connections int
+	// Slots is the number of requests an engine works on at a time.
+	Slots int
+	// CacheTokens is the memory of one engine, in tokens.
+	CacheTokens int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of everything that operators set.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	if c == nil {
+		return nil
+	}
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	var best *Route
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if !strings.EqualFold(route.Host, host) || !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best == nil || len(route.Prefix) > len(best.Prefix) {
+			best = route
+		}
+	}
+	return best
+}
+
+// Route returns the route of the name, or nil.
+func (c *Configuration) Route(name string) *Route {
+	if c == nil {
+		return nil
+	}
+	for i := range c.Routes {
+		if c.Routes[i].Name == name {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
+// Engine is one incarnation of a model engine.
+type Engine struct {
+	// ID is new with each start of an engine.
+	ID      string
+	Service string
+	Address string // "ip:port"
+	Zone    string
+	Slots   int
+	// Leaving engines get no new requests.
+	Leaving bool
+	// Cold is how much longer after its start the engine stays slow.
+	Cold time.Duration
+}
+
+// Snapshot is what a node knows at one moment.
+type Snapshot struct {
+	Configuration *Configuration // nil while none is known
+	engines       map[string][]Engine
+	byID          map[string]Engine
+}
+
+// NewSnapshot joins a configuration and engines.
+func NewSnapshot(configuration *Configuration, engines []Engine) *Snapshot {
+	snapshot := &Snapshot{
+		Configuration: configuration,
+		engines:       map[string][]Engine{},
+		byID:          make(map[string]Engine, len(engines)),
+	}
+	sort.Slice(engines, func(i, j int) bool { return engines[i].ID < engines[j].ID })
+	for _, engine := range engines {
+		snapshot.byID[engine.ID] = engine
+		if !engine.Leaving {
+			snapshot.engines[engine.Service] = append(snapshot.engines[engine.Service], engine)
+		}
+	}
+	return snapshot
+}
+
+// Serving lists the engines of a service that may get new requests, by ID.
+func (s *Snapshot) Serving(service string) []Engine { return s.engines[service] }
+
+// Engine finds an engine by its ID, leaving ones included.
+func (s *Snapshot) Engine(id string) (Engine, bool) {
+	engine, found := s.byID[id]
+	return engine, found
+}
+
+// Usable says whether an engine may get a new request for the service.
+func (s *Snapshot) Usable(id, service string) bool {
+	engine, found := s.byID[id]
+	return found && !engine.Leaving && engine.Service == service
+}
+
+// Services lists the services of a route, by falling weight.
+func (r *Route) Services() []string {
+	backends := append([]Backend(nil), r.Backends...)
+	sort.SliceStable(backends, func(i, j int) bool { return backends[i].Weight > backends[j].Weight })
+	var names []string
+	for _, backend := range backends {
+		names = append(names, backend.Service)
+	}
+	return names
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,13 @@
 	Drain    Drain    `koanf:"drain"`
 	Ledger   Ledger   `koanf:"ledger"`
 	Memory   Memory   `koanf:"memory"`
+	Batch    Batch    `koanf:"batch"`
+}
+
+// Batch bounds what is kept of batch jobs on a platform of objects.
+type Batch struct {
+	// Keep is how long a closed job stays readable after its submission.
+	Keep time.Duration `koanf:"keep" validate:"min=1s"`
 }
 
 // Memory bounds what the node uses.
@@ -52,22 +59,38 @@
 	Callers   string `koanf:"callers" validate:"required,ip_port"`
 	Operators string `koanf:"operators" validate:"required,ip_port"`
 	Peers     string `koanf:"peers" validate:"required,ip_port"`
+	// Readiness is where a platform of objects asks whether the node takes
+	// callers; empty on a node that serves none.
+	Readiness string `koanf:"readiness" validate:"omitempty,ip_port"`
 }
 
 // Peers says how the node finds and trusts its peers.
 type Peers struct {
 	// Seeds are peers' addresses to join by; at least one that lives suffices.
 	Seeds []string `koanf:"seeds" validate:"dive,ip_port"`
-	// KeyFile holds the shared keys, one hexadecimal key a line.
-	KeyFile string `koanf:"key_file" validate:"required"`
+	// KeyFile holds the shared keys, one hexadecimal key a line. It may be
+	// empty on a platform of objects, which hands out no secrets: peers then
+	// authenticate with a key that everybody knows, which guards against
+	// foreign bytes and not against intruders.
+	KeyFile string `koanf:"key_file"`
 }
 
 // Platform is where the platform's services are.
 type Platform struct {
 	// Address is the platform's "ip:port".
 	Address string `koanf:"address" validate:"required,ip_port"`
+	// Dialect is what the platform and the callers speak: "openai" for the
+	// OpenAI API with a store in the Kubernetes API conventions, "objects" for
+	// a platform whose store holds the whole configuration as objects.
+	Dialect string `koanf:"dialect" validate:"oneof=openai objects"`
 }
 
+// Dialects of a platform.
+const (
+	DialectOpenAI  = "openai"
+	DialectObjects = "objects"
+)
+
 // Data is the folder for bulk data; empty means that the node keeps nothing.
 type Data struct {
 	Folder string `koanf:"folder"`
@@ -103,6 +126,8 @@
 	"ledger.copies":        5,
 	"ledger.replace_after": "60s",
 	"memory.soft_limit":    48,
+	"platform.dialect":     DialectOpenAI,
+	"batch.keep":           "24h",
 }
 
 // Overrides are the settings that flags may set, by their path in the file.
@@ -181,6 +206,9 @@
 		return trace.Wrap(err)
 	}
 	err := validate.Struct(node)
+	if err == nil && node.Platform.Dialect == DialectOpenAI && node.Peers.KeyFile == "" {
+		return errors.New(`peers.key_file: "" does not satisfy "required"`)
+	}
 	var failures validator.ValidationErrors
 	if !errors.As(err, &failures) {
 		return err
--- /dev/null
+++ b/internal/edge/batch.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventJobCall = telemetry.Define(2302, "job-call-failed", "A call about a batch job could not be answered.")
+
+// bounded returns a context that ends in time to answer the caller.
+func bounded(parent context.Context, deadline time.Time, wait time.Duration) (context.Context, context.CancelFunc) {
+	limit := time.Now().Add(callTimeout + wait)
+	if !deadline.IsZero() && deadline.Add(-callMargin).Before(limit) {
+		limit = deadline.Add(-callMargin)
+	}
+	return context.WithDeadline(parent, limit)
+}
+
+func (e *Edge) submit(w http.ResponseWriter, r *http.Request, route *catalog.Route, body []byte, request *forward.Request) {
+	if r.Method != http.MethodPost {
+		e.reject(w, r, http.StatusNotFound, "a batch job is submitted by POST")
+		return
+	}
+	job, err := e.Dialect.Job(r, body)
+	if err != nil {
+		e.reject(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	job.Host, job.Path, job.Route = r.Host, r.URL.EscapedPath(), route.Name
+	job.QueuedTokens, job.Retention, job.Completion = route.QueuedTokens, route.Retention, route.Completion
+	ctx, cancel := bounded(r.Context(), request.Deadline, 0)
+	defer cancel()
+	err = e.Jobs.Submit(ctx, job)
+	if err != nil {
+		e.jobCallFailed(w, "submit", job.ID, err, request.Arrived)
+		return
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Edge) jobCallFailed(w http.ResponseWriter, call, job string, err error, arrived time.Time) {
+	eventJobCall.Info("call", call, "job", job, "cause", err, "held", time.Since(arrived))
+	switch {
+	case errors.Is(err, batchwork.ErrNoJob):
+		answer(w, http.StatusNotFound, "no such batch job or item")
+	case errors.Is(err, batchwork.ErrQueueFull):
+		answer(w, http.StatusTooManyRequests, "the queue is full")
+	case errors.Is(err, batchwork.ErrNotTaken):
+		answer(w, http.StatusServiceUnavailable, "batch jobs can't be reached")
+	case call == "submit":
+		answer(w, http.StatusGatewayTimeout, "it is not known whether the job was taken")
+	default:
+		answer(w, http.StatusServiceUnavailable, "batch jobs did not answer")
+	}
+}
+
+func (e *Edge) serveCall(w http.ResponseWriter, r *http.Request, call Call, arrived time.Time) {
+	request, err := e.Dialect.Facts(r, arrived)
+	deadline := request.Deadline
+	if err != nil {
+		deadline = time.Time{}
+	}
+	ctx, cancel := bounded(r.Context(), deadline, call.Wait)
+	defer cancel()
+	switch call.Kind {
+	case CallRead:
+		page, err := e.Jobs.Read(ctx, call.Job, call.Since, call.Wait)
+		if err != nil {
+			e.jobCallFailed(w, "read", call.Job, err, arrived)
+			return
+		}
+		_ = e.Dialect.WritePage(w, page)
+	case CallBody:
+		body, err := e.Jobs.Body(ctx, call.Job, call.Item)
+		if err != nil {
+			e.jobCallFailed(w, "body", call.Job, err, arrived)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+	case CallEnd:
+		if err := e.Jobs.End(ctx, call.Job); err != nil {
+			e.jobCallFailed(w, "end", call.Job, err, arrived)
+			return
+		}
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusOK)
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,213 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventRejected = telemetry.Define(2301, "request-rejected", "A request was turned away before it reached an engine.")
+
+const (
+	// comeBack is told to callers whom the node can't serve yet.
+	comeBack = 200 * time.Millisecond
+	// writeSlack is how long after its deadline an answer may still be written.
+	writeSlack = time.Second
+	// callTimeout bounds batch calls whose caller names no deadline.
+	callTimeout = 3 * time.Second
+	// callMargin is kept of a caller's deadline to answer in time.
+	callMargin = 150 * time.Millisecond
+	// bodyMost bounds bodies while no configuration says less.
+	bodyMost = 8 << 20
+)
+
+// CallKind is a call about a batch job.
+type CallKind uint8
+
+// Calls about batch jobs.
+const (
+	CallRead CallKind = iota + 1
+	CallBody
+	CallEnd
+)
+
+// Call is a call about a batch job that was submitted before.
+type Call struct {
+	Kind  CallKind
+	Job   string
+	Item  string
+	Since int
+	Wait  time.Duration
+}
+
+// Dialect spells requests, calls and answers as the callers do.
+type Dialect interface {
+	// Facts reads the typed facts of a request; its body is added later.
+	Facts(r *http.Request, arrived time.Time) (forward.Request, error)
+	// Call reads a call about a batch job; false if the request is none.
+	Call(r *http.Request) (Call, bool)
+	// Job reads a submitted batch job.
+	Job(r *http.Request, body []byte) (*batchwork.Job, error)
+	// WritePage answers a read.
+	WritePage(w http.ResponseWriter, page batchwork.Page) error
+}
+
+// Jobs are the batch jobs of the fleet.
+type Jobs interface {
+	Submit(ctx context.Context, job *batchwork.Job) error
+	End(ctx context.Context, job string) error
+	Read(ctx context.Context, job string, since int, wait time.Duration) (batchwork.Page, error)
+	Body(ctx context.Context, job, item string) ([]byte, error)
+}
+
+// Edge is the callers' handler.
+type Edge struct {
+	Dialect   Dialect
+	Snapshot  func() *catalog.Snapshot
+	Forwarder *forward.Forwarder
+	Jobs      Jobs
+	inFlight  atomic.Int64
+}
+
+// InFlight is the number of requests that are being answered.
+func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
+
+// ServeHTTP implements http.Handler.
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	arrived := time.Now()
+	configuration := e.Snapshot().Configuration
+	if configuration == nil {
+		e.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
+		return
+	}
+	if limit := configuration.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		e.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "the head is longer than "+strconv.Itoa(limit)+" bytes")
+		return
+	}
+	if call, isCall := e.Dialect.Call(r); isCall {
+		e.serveCall(w, r, call, arrived)
+		return
+	}
+	route := configuration.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		e.reject(w, r, http.StatusNotFound, "no route for this host and path")
+		return
+	}
+	request, err := e.Dialect.Facts(r, arrived)
+	if err != nil {
+		e.reject(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	body, ok := e.readBody(w, r, configuration.Limits.BodyBytes)
+	if !ok {
+		return
+	}
+	if route.Kind == catalog.KindBatch {
+		e.submit(w, r, route, body, &request)
+		return
+	}
+	request.Body = body
+	e.forward(w, r, route, &request)
+}
+
+// headerBytes is the size of a head as it came, nearly.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return size
+}
+
+func (e *Edge) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	eventRejected.Info("status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
+	answer(w, status, reason)
+}
+
+// answer writes a short answer of the system's own.
+func answer(w http.ResponseWriter, status int, reason string) {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		setRetryAfter(w, comeBack)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
+func setRetryAfter(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+}
+
+// readBody reads the whole body within the limit.
+func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	if limit <= 0 {
+		limit = bodyMost
+	}
+	if r.ContentLength > limit {
+		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		e.reject(w, r, http.StatusRequestTimeout, "the body did not come in time")
+	default:
+		e.reject(w, r, http.StatusBadRequest, "the body can't be read: "+err.Error())
+	}
+	return nil, false
+}
+
+func (e *Edge) forward(w http.ResponseWriter, r *http.Request, route *catalog.Route, request *forward.Request) {
+	request.Header = endToEnd(r.Header)
+	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
+	if !request.Deadline.IsZero() {
+		_ = sink.controller.SetWriteDeadline(request.Deadline.Add(writeSlack))
+	}
+	e.Forwarder.Serve(r.Context(), request, route, sink)
+	if sink.aborted {
+		panic(http.ErrAbortHandler)
+	}
+	_ = sink.controller.SetWriteDeadline(time.Time{})
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// endToEnd copies a header without what concerns one connection only.
+func endToEnd(header http.Header) http.Header {
+	result := header.Clone()
+	for _, listed := range header.Values("Connection") {
+		for _, name := range strings.Split(listed, ",") {
+			result.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		result.Del(name)
+	}
+	return result
+}
--- /dev/null
+++ b/internal/edge/sink.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"chutelock.dev/chutelock/internal/forward"
+)
+
+// responseSink implements forward.Sink on an HTTP answer.
+type responseSink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	aborted    bool
+}
+
+var _ forward.Sink = (*responseSink)(nil)
+
+func (s *responseSink) setHeader(header http.Header) {
+	target := s.writer.Header()
+	for name, values := range endToEnd(header) {
+		target[name] = values
+	}
+}
+
+// Whole implements forward.Sink.
+func (s *responseSink) Whole(status int, header http.Header, body []byte) error {
+	s.setHeader(header)
+	s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.writer.WriteHeader(status)
+	_, err := s.writer.Write(body)
+	return err
+}
+
+// Begin implements forward.Sink.
+func (s *responseSink) Begin(status int, header http.Header) error {
+	s.setHeader(header)
+	s.writer.WriteHeader(status)
+	return nil
+}
+
+// Event implements forward.Sink.
+func (s *responseSink) Event(raw []byte) error {
+	if _, err := s.writer.Write(raw); err != nil {
+		return err
+	}
+	return s.controller.Flush()
+}
+
+// End implements forward.Sink.
+func (s *responseSink) End() error { return nil }
+
+// Abort implements forward.Sink.
+func (s *responseSink) Abort() { s.aborted = true }
+
+// Refuse implements forward.Sink.
+func (s *responseSink) Refuse(verdict forward.Verdict, after time.Duration) error {
+	status := http.StatusBadGateway
+	reason := "the request may have run"
+	switch verdict {
+	case forward.VerdictNotRun:
+		status, reason = http.StatusServiceUnavailable, "the request has not run"
+	case forward.VerdictTimeout:
+		status, reason = http.StatusGatewayTimeout, "the time is over"
+	}
+	if after > 0 {
+		setRetryAfter(s.writer, after)
+	}
+	s.writer.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	s.writer.WriteHeader(status)
+	_, err := s.writer.Write([]byte(reason + "\n"))
+	return err
+}
--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is a caller's request. Its method, target, header and body go to the
+// engine as they came.
+type Request struct {
+	ID     string
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Arrived is when the head was read.
+	Arrived time.Time
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+	// Prefix identifies the shared parts of the prompt; PrefixTokens is their
+	// length.
+	Prefix       string
+	PrefixTokens int
+	// LastEvent is the number of the last event that the caller has already.
+	LastEvent uint64
+}
+
+// Verdict is an answer of the system's own.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictNotRun promises that the request has not run and will not.
+	VerdictNotRun Verdict = iota
+	// VerdictUnknown promises nothing.
+	VerdictUnknown
+	// VerdictTimeout: the time is over; promises nothing.
+	VerdictTimeout
+)
+
+// String names the verdict as in logs.
+func (v Verdict) String() string { return [...]string{"not-run", "unknown", "timeout"}[v] }
+
+// Sink takes the one answer to a request: Whole, or Refuse, or Begin, events
+// and End, or any of these cut short by Abort.
+type Sink interface {
+	// Whole answers with a complete body.
+	Whole(status int, header http.Header, body []byte) error
+	// Begin sends the head of a stream.
+	Begin(status int, header http.Header) error
+	// Event sends one event at once.
+	Event(raw []byte) error
+	// End completes a stream.
+	End() error
+	// Abort breaks the connection, so that the answer doesn't look complete.
+	Abort()
+	// Refuse gives an answer of the system's own. after is when the caller
+	// may come back; 0 leaves it open.
+	Refuse(verdict Verdict, after time.Duration) error
+}
--- a/internal/ledger/replica/options.go
+++ b/internal/ledger/replica/options.go
@@ -66,6 +66,9 @@
 	TickInterval      time.Duration
 	DirectoryInterval time.Duration
 	RepairInterval    time.Duration
+	// ReplaceLeaving also moves replicas off the nodes that membership says are
+	// leaving, for good: their disks go with them.
+	ReplaceLeaving bool
 	// NoQuorumAfter is how long a shard has no leader before that is an event.
 	NoQuorumAfter time.Duration
 }
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -113,7 +113,8 @@
 			voter:      status.Configuration.HasVoter(id),
 			leader:     id == s.replica,
 			superseded: superseded,
-			lost:       superseded || (silent && now.Sub(since) >= s.service.options.ReplaceAfter),
+			lost: superseded || (silent && now.Sub(since) >= s.service.options.ReplaceAfter) ||
+				(s.service.options.ReplaceLeaving && s.leaving(id)),
 		})
 	}
 	return members, status.Configuration, status.ConfigurationPending || status.TransferringTo != 0
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -325,7 +325,7 @@
 			s.restartEmpty(store.Failure())
 		case <-ticker.C:
 			s.metrics.diskBytes.Set(float64(store.DiskBytes()))
-			if store.Full() || s.isDraining() {
+			if store.Full() || s.isDraining() || s.evacuating() {
 				s.resignAll() // also if it was elected again
 			}
 		}
@@ -360,6 +360,11 @@
 	return s.draining
 }
 
+// evacuating says that this node's replicas are being moved off it.
+func (s *Service) evacuating() bool {
+	return s.options.ReplaceLeaving && s.self().State >= membership.StateLeaving
+}
+
 // resignAll hands the leadership of all shards over where that is possible.
 func (s *Service) resignAll() int {
 	leading := 0
--- /dev/null
+++ b/internal/system/adapter.go
@@ -0,0 +1,43 @@
+package system
+
+import (
+	"context"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/edge"
+	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// Adapter translates between a node and its platform.
+type Adapter struct {
+	Store    mirror.Reader
+	Registry mirror.Registry
+	// Ledger is where the ledger's shard directory lies.
+	Ledger platform.Store
+	// Evacuations tells operators how far the emptying of a data node is.
+	Evacuations Evacuations
+
+	Engines upstream.Dialect
+	Callers edge.Dialect
+	// ReadyPath is what the platform asks on the readiness address.
+	ReadyPath string
+
+	// Kinds of objects, and how their contents are read.
+	ConfigurationKind string
+	ConfigurationName string
+	EnginesKind       string
+	EvacuationsKind   string
+	Configuration     func(content []byte) (*catalog.Configuration, error)
+	EngineList        func(objects []mirror.Object) []catalog.Engine
+}
+
+// Evacuations reports on data nodes that are to be emptied.
+type Evacuations interface {
+	// Report writes the state of an evacuation: done once nothing that counts
+	// lies on the node any more.
+	Report(ctx context.Context, node string, done bool) error
+	// Reported reads the state from an evacuation's object.
+	Reported(content []byte) (reported, done bool)
+}
--- /dev/null
+++ b/internal/system/core.go
@@ -0,0 +1,207 @@
+package system
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replica"
+	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+var (
+	eventStarted = telemetry.Define(1011, "started", "A node on a platform of objects started.")
+	eventStopped = telemetry.Define(1012, "stopped", "A node on a platform of objects ended its planned stop.")
+	eventStops   = telemetry.Define(1013, "stopping", "A planned stop began; the node is not ready from now on.")
+)
+
+const (
+	// watchWait is how long a watch of the platform's store is held.
+	watchWait = 2 * time.Second
+	// The ledger's times; a lost replica is replaced as soon as another node
+	// can take its place.
+	replaceAfter   = 1500 * time.Millisecond
+	repairInterval = 150 * time.Millisecond
+	bootstrapWait  = 3 * time.Second
+	directoryTime  = 700 * time.Millisecond
+	// diskReserve is the free space below which nothing is accepted.
+	diskReserve = 24 << 20
+	// retainBytes is how much of the log is kept for slow followers.
+	retainBytes = 8 << 20
+	// shards is the number of the ledger's shards.
+	shards = 1
+	// pruneInterval is the time between two looks at resting connections.
+	pruneInterval = time.Second
+)
+
+// publicKey authenticates peers where no key is configured; see config.Peers.
+var publicKey = []byte("chutelock peers without a secret")
+
+// core is what all nodes have.
+type core struct {
+	settings *config.Node
+	adapter  *Adapter
+	registry *prometheus.Registry
+	peers    *transport.Node
+	agent    *mirror.Agent
+	facts    *facts
+	pool     *upstream.Pool
+	balancer *balance.Balancer
+	ledger   *replica.Service
+
+	stop  chan struct{}
+	tasks sync.WaitGroup
+}
+
+func openCore(settings *config.Node, adapter *Adapter, dataNode bool) (*core, error) {
+	c := &core{settings: settings, adapter: adapter, registry: prometheus.NewRegistry(), stop: make(chan struct{})}
+	keys, err := keyring(settings.Peers.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	c.peers, err = transport.Listen(transport.Options{Listen: settings.Listen.Peers, Keys: keys, Registry: c.registry})
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for peers")
+	}
+	c.facts = newFacts(adapter)
+	c.agent = mirror.New(c.mirrorOptions(dataNode))
+	c.facts.agent = c.agent
+	c.pool = upstream.NewPool(adapter.Engines)
+	c.balancer = balance.New(c.facts.Snapshot)
+	return c, nil
+}
+
+func keyring(path string) (*transport.Keyring, error) {
+	if path == "" {
+		return transport.NewKeyring(publicKey)
+	}
+	return transport.OpenKeyring(path)
+}
+
+func (c *core) self() mirror.Node {
+	return mirror.Node{
+		Name: c.settings.Node.Name, Address: transport.Address(c.settings.Listen.Peers),
+		Zone: c.settings.Node.Zone, Region: c.settings.Node.Region, Started: time.Now().UnixMilli(),
+	}
+}
+
+func (c *core) mirrorOptions(dataNode bool) mirror.Options {
+	options := mirror.Options{
+		Self: c.self(), DataNode: dataNode, WatchWait: watchWait,
+		Kinds: []string{c.adapter.ConfigurationKind, c.adapter.EnginesKind},
+		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
+		Changed: c.facts.changed,
+	}
+	if dataNode {
+		options.Kinds = append(options.Kinds, c.adapter.EvacuationsKind)
+	}
+	for _, seed := range c.settings.Peers.Seeds {
+		options.Seeds = append(options.Seeds, transport.Address(seed))
+	}
+	return options
+}
+
+func (c *core) ledgerOptions(view *members) replica.Options {
+	return replica.Options{
+		Sender: c.peers, Receiver: c.peers, Members: view, Store: c.adapter.Ledger, Registry: c.registry,
+		Shards: shards, Copies: c.settings.Ledger.Copies, ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
+		RepairInterval: repairInterval, DirectoryInterval: directoryTime, RetainBytes: retainBytes, Reserve: diskReserve,
+		ReplaceLeaving: true,
+	}
+}
+
+func (c *core) start() {
+	c.peers.Serve()
+	c.run(func() { c.facts.follow(c.stop) })
+	c.run(c.prune)
+	c.agent.Start()
+	c.ledger.Start()
+	eventStarted.Info("node", c.settings.Node.Name, "zone", c.settings.Node.Zone, "peers", c.settings.Listen.Peers,
+		"data", c.settings.Data.Folder != "")
+}
+
+func (c *core) run(task func()) {
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		task()
+	}()
+}
+
+// prune closes connections to engines that rested too long or are gone.
+func (c *core) prune() {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case now := <-ticker.C:
+			snapshot := c.facts.Snapshot()
+			c.pool.Prune(now, func(_, instance string) bool {
+				engine, found := snapshot.Engine(instance)
+				return found && !engine.Leaving
+			})
+			c.balancer.Forget()
+		}
+	}
+}
+
+func (c *core) close() {
+	close(c.stop)
+	c.agent.Close()
+	_ = c.ledger.Close()
+	c.tasks.Wait()
+	c.peers.Close()
+	eventStopped.Info("node", c.settings.Node.Name)
+}
+
+// route finds the present route of a batch job.
+func (c *core) route(host, path string) *catalog.Route {
+	route := c.facts.Snapshot().Configuration.Match(host, path)
+	if route == nil || route.Kind != catalog.KindBatch {
+		return nil
+	}
+	return route
+}
+
+// localShard returns this node's replica.
+func (c *core) localShard() (ledger.Shard, bool) { return c.ledger.Local(0) }
+
+// serve answers on an address until the server is shut down.
+func serve(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Node is an assembled node.
+type Node interface {
+	// Start opens the node's ports and lets it work.
+	Start() error
+	// Drain is the planned stop; it ends with ctx at the latest.
+	Drain(ctx context.Context)
+}
+
+// Open assembles the node that the settings describe.
+func Open(settings *config.Node, adapter *Adapter) (Node, error) {
+	if settings.Data.Folder != "" {
+		return openData(settings, adapter)
+	}
+	return openFront(settings, adapter)
+}
--- /dev/null
+++ b/internal/system/data.go
@@ -0,0 +1,85 @@
+package system
+
+import (
+	"context"
+	"path/filepath"
+
+	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/ledger/replica"
+)
+
+// data is a data node.
+type data struct {
+	*core
+	machine *batchwork.Machine
+	runner  *batchwork.Runner
+	cancel  context.CancelFunc
+	running context.Context
+}
+
+func openData(settings *config.Node, adapter *Adapter) (*data, error) {
+	common, err := openCore(settings, adapter, true)
+	if err != nil {
+		return nil, err
+	}
+	d := &data{core: common, machine: batchwork.NewMachine()}
+	d.running, d.cancel = context.WithCancel(context.Background())
+	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: d.evacuating})
+	options.Folder = filepath.Join(settings.Data.Folder, "ledger")
+	options.NewMachine = func(ledger.ShardID) ledger.StateMachine { return d.machine }
+	if d.ledger, err = replica.Open(options); err != nil {
+		return nil, err
+	}
+	d.runner = batchwork.NewRunner(batchwork.RunnerOptions{
+		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
+		Route: d.route, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
+	})
+	batchwork.NewServer(d.localShard, d.machine, d.peers)
+	return d, nil
+}
+
+// localShard is this node's replica as a ledger.Shard, also while there is none.
+type localShard struct{ *core }
+
+// Propose implements ledger.Shard.
+func (s localShard) Propose(ctx context.Context, entry []byte) ([]byte, error) {
+	if shard, found := s.localShard(); found {
+		return shard.Propose(ctx, entry)
+	}
+	return nil, ledger.ErrUnavailable
+}
+
+// Read implements ledger.Shard.
+func (s localShard) Read(ctx context.Context, query func(ledger.Reader) error) error {
+	if shard, found := s.localShard(); found {
+		return shard.Read(ctx, query)
+	}
+	return ledger.ErrUnavailable
+}
+
+// Leading implements ledger.Shard.
+func (s localShard) Leading() (bool, uint64) {
+	if shard, found := s.localShard(); found {
+		return shard.Leading()
+	}
+	return false, 0
+}
+
+// Start implements Node.
+func (d *data) Start() error {
+	d.start()
+	d.run(func() { d.runner.Run(d.running) })
+	d.run(func() { d.reportEvacuations(d.running) })
+	return nil
+}
+
+// Drain implements Node: what runs is committed, then leadership moves.
+func (d *data) Drain(ctx context.Context) {
+	eventStops.Info("node", d.settings.Node.Name)
+	d.runner.Stop()
+	_ = d.ledger.Drain(ctx)
+	d.cancel()
+	d.close()
+}
--- /dev/null
+++ b/internal/system/evacuation.go
@@ -0,0 +1,79 @@
+package system
+
+import (
+	"context"
+	"time"
+
+	"chutelock.dev/chutelock/internal/ledger/replica"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventEvacuation = telemetry.Define(4201, "evacuation-reported", "The state of a data node that is to be emptied was written to the platform's store.")
+
+const (
+	evacuationInterval = 200 * time.Millisecond
+	evacuationTimeout  = time.Second
+	// evacuationVoters is how many sound voters must remain without the node.
+	evacuationVoters = 3
+)
+
+// evacuating lists the data nodes that are to be emptied.
+func (d *data) evacuating() map[string]bool {
+	nodes := map[string]bool{}
+	objects, _ := d.agent.Objects(d.adapter.EvacuationsKind)
+	for _, object := range objects {
+		if _, done := d.adapter.Evacuations.Reported(object.Content); !done {
+			nodes[object.Name] = true
+		}
+	}
+	return nodes
+}
+
+// reportEvacuations writes how far evacuations are, where this node leads.
+func (d *data) reportEvacuations(ctx context.Context) {
+	ticker := time.NewTicker(evacuationInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		objects, _ := d.agent.Objects(d.adapter.EvacuationsKind)
+		if len(objects) == 0 || !d.runner.Leading() {
+			continue
+		}
+		status := d.ledger.Status()
+		for _, object := range objects {
+			reported, done := d.adapter.Evacuations.Reported(object.Content)
+			emptied := evacuated(status, object.Name)
+			if done || (reported && !emptied) {
+				continue
+			}
+			bounded, cancel := context.WithTimeout(ctx, evacuationTimeout)
+			err := d.adapter.Evacuations.Report(bounded, object.Name, emptied)
+			cancel()
+			eventEvacuation.Info("node", object.Name, "done", emptied, "failure", err)
+		}
+	}
+}
+
+// evacuated says that no replica lies on the node, and that enough sound ones
+// lie elsewhere.
+func evacuated(status replica.Status, node string) bool {
+	for _, shard := range status.Shards {
+		sound := 0
+		for _, one := range shard.Replicas {
+			if one.Node == node {
+				return false
+			}
+			if one.State == "voter" {
+				sound++
+			}
+		}
+		if sound < evacuationVoters {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/system/facts.go
@@ -0,0 +1,99 @@
+package system
+
+import (
+	"sync/atomic"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var (
+	eventConfiguration = telemetry.Define(5201, "configuration-in-force", "A newer version of the configuration is in force on this node.")
+	eventBadConfig     = telemetry.Define(5202, "configuration-unreadable", "The stored configuration can't be read; the one before stays in force.")
+	eventEngines       = telemetry.Define(7201, "engines-changed", "The engines behind the services changed: how many there are, and how many of them are leaving.")
+)
+
+// facts publishes the catalog that follows from the mirrored objects.
+type facts struct {
+	adapter  *Adapter
+	agent    *mirror.Agent
+	snapshot atomic.Pointer[catalog.Snapshot]
+	changes  chan struct{} // of capacity 1
+	onChange func()
+}
+
+func newFacts(adapter *Adapter) *facts {
+	f := &facts{adapter: adapter, changes: make(chan struct{}, 1)}
+	f.snapshot.Store(catalog.NewSnapshot(nil, nil))
+	return f
+}
+
+// Snapshot returns the newest catalog; never nil.
+func (f *facts) Snapshot() *catalog.Snapshot { return f.snapshot.Load() }
+
+// usable says whether an engine may get a new request of a service.
+func (f *facts) usable(id, service string) bool { return f.Snapshot().Usable(id, service) }
+
+// changed asks for a refresh; it doesn't block.
+func (f *facts) changed(string) {
+	select {
+	case f.changes <- struct{}{}:
+	default:
+	}
+}
+
+// follow refreshes the catalog until stop closes.
+func (f *facts) follow(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-f.changes:
+			f.refresh()
+		}
+	}
+}
+
+// refresh reads the mirrored objects. A configuration of a lower version than
+// the one in force is ignored.
+func (f *facts) refresh() {
+	before := f.Snapshot()
+	configuration := f.newest(before.Configuration)
+	objects, at := f.agent.Objects(f.adapter.EnginesKind)
+	engines := f.adapter.EngineList(objects)
+	if at == 0 {
+		configuration = before.Configuration
+	}
+	f.snapshot.Store(catalog.NewSnapshot(configuration, engines))
+	leaving := 0
+	for _, engine := range engines {
+		if engine.Leaving {
+			leaving++
+		}
+	}
+	eventEngines.Info("engines", len(engines), "leaving", leaving, "revision", at)
+	if f.onChange != nil {
+		f.onChange()
+	}
+}
+
+func (f *facts) newest(inForce *catalog.Configuration) *catalog.Configuration {
+	objects, at := f.agent.Objects(f.adapter.ConfigurationKind)
+	for _, object := range objects {
+		if object.Name != f.adapter.ConfigurationName {
+			continue
+		}
+		read, err := f.adapter.Configuration(object.Content)
+		if err != nil {
+			eventBadConfig.Error(err, "revision", object.Revision)
+			return inForce
+		}
+		if inForce != nil && read.Version <= inForce.Version {
+			return inForce
+		}
+		eventConfiguration.Info("version", read.Version, "revision", object.Revision, "at", at, "routes", len(read.Routes))
+		return read
+	}
+	return inForce
+}
--- /dev/null
+++ b/internal/system/front.go
@@ -0,0 +1,115 @@
+package system
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/edge"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/ledger/replica"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that rest.
+	idleTimeout = time.Minute
+	// headerBytesMost bounds a head before the configuration's own bound.
+	headerBytesMost = 64 << 10
+	// leaveTime is how long a stopping node goes on taking connections: the
+	// platform notices within two of its questions that it is not ready.
+	leaveTime = 2500 * time.Millisecond
+	// drainMargin is kept of the time for a planned stop.
+	drainMargin = 700 * time.Millisecond
+	// drainPoll is how often a stopping node looks for open requests.
+	drainPoll = 20 * time.Millisecond
+)
+
+// front is a front node.
+type front struct {
+	*core
+	edge      *edge.Edge
+	callers   *http.Server
+	readiness *http.Server
+	draining  atomic.Bool
+}
+
+func openFront(settings *config.Node, adapter *Adapter) (*front, error) {
+	common, err := openCore(settings, adapter, false)
+	if err != nil {
+		return nil, err
+	}
+	f := &front{core: common}
+	nobody := func() map[string]bool { return nil }
+	if f.ledger, err = replica.Open(common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: nobody})); err != nil {
+		return nil, err
+	}
+	f.edge = &edge.Edge{
+		Dialect:  adapter.Callers,
+		Snapshot: f.facts.Snapshot,
+		Forwarder: &forward.Forwarder{
+			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
+		},
+		Jobs: batchwork.NewCaller(f.ledger, f.peers),
+	}
+	f.callers = &http.Server{
+		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
+	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return f, nil
+}
+
+// ready says whether the node wants callers.
+func (f *front) ready() bool {
+	return !f.draining.Load() && f.facts.Snapshot().Configuration != nil
+}
+
+func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Start implements Node.
+func (f *front) Start() error {
+	f.start()
+	if f.settings.Listen.Readiness != "" {
+		if err := serve(f.settings.Listen.Readiness, f.readiness); err != nil {
+			return err
+		}
+	}
+	return serve(f.settings.Listen.Callers, f.callers)
+}
+
+// Drain implements Node: the node is not ready at once, takes requests until
+// that is known, finishes them and ends.
+func (f *front) Drain(ctx context.Context) {
+	eventStops.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
+	f.draining.Store(true)
+	f.callers.SetKeepAlivesEnabled(false)
+	started := time.Now()
+	deadline, bounded := ctx.Deadline()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		<-ticker.C
+		if f.edge.InFlight() == 0 && time.Since(started) >= leaveTime {
+			break
+		}
+		if bounded && time.Until(deadline) < drainMargin {
+			break
+		}
+	}
+	closing, cancel := context.WithTimeout(context.Background(), drainMargin/2)
+	defer cancel()
+	_ = f.callers.Shutdown(closing)
+	f.close()
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -26,6 +26,9 @@
 	KindMembership Kind = 0x0400
 	KindFleet      Kind = 0x0500
 	KindNode       Kind = 0x0600
+	KindMirror     Kind = 0x0700
+	KindBatch      Kind = 0x0800
+	KindLoad       Kind = 0x0900
 )
 
 // CallHandler answers a call. It runs on the transport's worker pool and may
--- /dev/null
+++ b/internal/upstream/types.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Call is one request to one engine.
+type Call struct {
+	// ID identifies the request; the engine's answer carries it back.
+	ID     string
+	Method string
+	// URI is the request target exactly as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Instance is the engine that is meant; any other refuses.
+	Instance string
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+	// ResumeAfter is the number of the last event that the caller has; it is
+	// sent only if Resume is set.
+	Resume      bool
+	ResumeAfter uint64
+}
+
+// Load is what an engine told of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Facts are what an answer's head says, whatever its spelling.
+type Facts struct {
+	// ID is the request that the answer belongs to; empty when not told.
+	ID string
+	// NotRun says that the engine certainly did not run the request.
+	NotRun bool
+	// Signed says that the answer carries an engine's signature.
+	Signed bool
+	// Elsewhere says that another engine has this address now.
+	Elsewhere bool
+	Load      *Load
+}
+
+// Dialect spells requests and reads answers as the engines do.
+type Dialect interface {
+	// Header returns the header to send for a call.
+	Header(call *Call, now time.Time) http.Header
+	// Facts reads the head of an answer.
+	Facts(status int, header http.Header) Facts
+}
+
+// Fate is what is known of a request whose exchange failed.
+type Fate uint8
+
+// Fates.
+const (
+	// FateNotSent: not one byte went out.
+	FateNotSent Fate = iota
+	// FateUnknown: the engine may have run the request.
+	FateUnknown
+)
+
+// String names the fate as in logs.
+func (f Fate) String() string { return [...]string{"not sent", "unknown"}[f] }
+
+// Error is a failed exchange.
+type Error struct {
+	Fate Fate
+	// Step is what failed: dial, send, head, body.
+	Step string
+	// Peer is the engine's address.
+	Peer  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("engine %s: %s: %v (%s)", e.Peer, e.Step, e.Cause, e.Fate)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
