Batch yields to online work; SIGHUP reloads

Ruled out: a smaller fixed share of slots (it would be idle in lulls). Change: front nodes report their requests under way by datagram to the leader of batch work, which answers with the sum of the others; the runner cuts its youngest runs where batch and online exceed an engine's slots less a headroom of 4. SIGHUP and a changed settings file apply new seeds.

--- a/cmd/chutelock/main.go
+++ b/cmd/chutelock/main.go
@@ -50,7 +50,7 @@
 		return exitOK
 	}
 	defer klog.Flush()
-	if err := serve(settings, *readyFile); err != nil {
+	if err := serve(settings, *readyFile, func() (*config.Node, error) { return config.Load(*path, overrides) }); err != nil {
 		fmt.Fprintln(os.Stderr, "chutelock:", err)
 		return exitFailure
 	}
@@ -59,7 +59,7 @@
 
 // serve runs the node until SIGTERM or SIGINT, then drains it. A second
 // signal ends the process at once.
-func serve(settings *config.Node, readyFile string) error {
+func serve(settings *config.Node, readyFile string, load func() (*config.Node, error)) error {
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	debug.SetMemoryLimit(int64(settings.Memory.SoftLimit) << 20)
@@ -67,7 +67,7 @@
 		debug.SetGCPercent(dataNodeGCPercent)
 	}
 	if settings.Platform.Dialect == config.DialectObjects {
-		return serveObjects(signals, settings)
+		return serveObjects(signals, settings, load)
 	}
 	running, err := node.Open(settings)
 	if err != nil {
--- a/cmd/chutelock/objects.go
+++ b/cmd/chutelock/objects.go
@@ -13,7 +13,7 @@
 
 // serveObjects runs a node on a platform of objects until the signals' end,
 // then drains it.
-func serveObjects(signals context.Context, settings *config.Node) error {
+func serveObjects(signals context.Context, settings *config.Node, load func() (*config.Node, error)) error {
 	running, err := system.Open(settings, objectsAdapter(settings.Platform.Address))
 	if err != nil {
 		return err
@@ -21,7 +21,7 @@
 	if err := running.Start(); err != nil {
 		return err
 	}
-	<-signals.Done()
+	followSettings(signals, settings, load, running.Reload)
 	bounded, cancel := context.WithTimeout(context.Background(), settings.Drain.Timeout)
 	defer cancel()
 	running.Drain(bounded)
--- /dev/null
+++ b/cmd/chutelock/reload.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventBadReload = telemetry.Define(1015, "settings-refused", "The settings file was read again and is wrong; what was in force stays.")
+
+// reloadInterval is how often the settings file is looked at without a signal.
+const reloadInterval = 3 * time.Second
+
+// followSettings reads the settings again at each SIGHUP and now and then, and
+// hands them on if they changed, until ctx ends.
+func followSettings(ctx context.Context, inForce *config.Node, load func() (*config.Node, error), apply func(*config.Node)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			asked = true
+		case <-ticker.C:
+		}
+		read, err := load()
+		switch {
+		case err != nil && asked:
+			eventBadReload.Error(err)
+		case err == nil && (asked || !reflect.DeepEqual(read, inForce)):
+			inForce = read
+			apply(read)
+		}
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -204,19 +204,33 @@
 }
 
 // Own returns what this node has under way.
-func (b *Balancer) Own() map[string][classes]int {
+func (b *Balancer) Own() Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return b.table.Own()
 }
 
-// PeerLoad takes what another node has under way.
-func (b *Balancer) PeerLoad(peer string, running map[string][classes]int) {
+// Others returns what all nodes but one have under way, as far as known here.
+func (b *Balancer) Others(except string) Report {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.Others(except, time.Now())
+}
+
+// PeerLoad takes what another node, or all others together, have under way.
+func (b *Balancer) PeerLoad(peer string, running Report) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.table.PeerLoad(peer, running, time.Now())
 }
 
+// Excess is by how many requests batch work exceeds its room at an engine.
+func (b *Balancer) Excess(engine catalog.Engine) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.Excess(engine, time.Now())
+}
+
 // Forget drops what is out of date.
 func (b *Balancer) Forget() {
 	b.mutex.Lock()
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -18,8 +18,9 @@
 	noisePenalty = 0.06
 	// coldPenalty is what an engine that is still slow costs.
 	coldPenalty = 0.5
-	// batchShare is the share of an engine's slots that batch work may take.
-	batchShare = 0.55
+	// batchHeadroom is how many slots of an engine batch work leaves free for
+	// online requests that come before the next load report.
+	batchHeadroom = 4
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
 	queueDepth = 4
@@ -82,8 +83,17 @@
 	if class == ClassOnline {
 		return load < engine.Slots+queueDepth
 	}
-	batch := t.running(engine.ID, ClassBatch, now)
-	return load < engine.Slots && float64(batch) < batchShare*float64(engine.Slots)
+	return load < engine.Slots && overcommitted(engine, t.counts(engine.ID, now)) < 0
+}
+
+// counts estimates the requests of an engine by class.
+func (t *Table) counts(id string, now time.Time) Counts {
+	return Counts{t.running(id, ClassOnline, now), t.running(id, ClassBatch, now)}
+}
+
+// Excess is by how many requests batch work exceeds its room at an engine.
+func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
+	return overcommitted(engine, t.counts(engine.ID, now))
 }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
--- /dev/null
+++ b/internal/balance/share.go
@@ -0,0 +1,86 @@
+package balance
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+// EngineKey stands for an engine's ID in load reports, to keep them small.
+type EngineKey uint64
+
+// KeyOf returns the key of an engine's ID.
+func KeyOf(id string) EngineKey { return EngineKey(xxhash.Sum64String(id)) }
+
+// Counts is how many requests an engine has, by class.
+type Counts [classes]int
+
+// Total adds the classes up.
+func (c Counts) Total() int { return c[ClassOnline] + c[ClassBatch] }
+
+// Report is what a node tells others of the requests it has under way.
+type Report map[EngineKey]Counts
+
+const (
+	reportVersion = 1
+	// reportMost bounds the engines in a report, so that it fits a datagram.
+	reportMost = 120
+	reportSize = 8 + 2 + 2
+)
+
+type fixedReport struct{}
+
+// Marshal encodes the report; if it is too long, the busiest engines stay.
+func (r Report) Marshal() []byte {
+	keys := make([]EngineKey, 0, len(r))
+	for key := range r {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if a, b := r[keys[i]].Total(), r[keys[j]].Total(); a != b {
+			return a > b
+		}
+		return keys[i] < keys[j]
+	})
+	body := make([]byte, 0, reportSize*min(len(keys), reportMost))
+	for _, key := range keys[:min(len(keys), reportMost)] {
+		body = binary.BigEndian.AppendUint64(body, uint64(key))
+		body = binary.BigEndian.AppendUint16(body, uint16(r[key][ClassOnline]))
+		body = binary.BigEndian.AppendUint16(body, uint16(r[key][ClassBatch]))
+	}
+	encoded, err := wire.Marshal(reportVersion, fixedReport{}, body)
+	if err != nil {
+		panic(err) // fixedReport is not of fixed size
+	}
+	return encoded
+}
+
+// UnmarshalReport decodes what Marshal encoded.
+func UnmarshalReport(encoded []byte) (Report, error) {
+	fields, err := wire.Unmarshal(encoded, reportVersion, &fixedReport{}, 1)
+	if err != nil {
+		return nil, err
+	}
+	body := fields[0]
+	if len(body)%reportSize != 0 {
+		return nil, wire.ErrLength
+	}
+	report := Report{}
+	for ; len(body) > 0; body = body[reportSize:] {
+		report[EngineKey(binary.BigEndian.Uint64(body))] = Counts{
+			int(binary.BigEndian.Uint16(body[8:])), int(binary.BigEndian.Uint16(body[10:])),
+		}
+	}
+	return report, nil
+}
+
+// Overcommitted says by how many requests batch work exceeds what online work
+// leaves of an engine's slots; 0 or less if it doesn't.
+func overcommitted(engine catalog.Engine, counts Counts) int {
+	room := engine.Slots - counts[ClassOnline] - batchHeadroom
+	return counts[ClassBatch] - max(0, room)
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -33,7 +33,7 @@
 
 // engineState is what is known of one engine beyond the catalog.
 type engineState struct {
-	own      [classes]int // under way from this node
+	own      Counts // under way from this node
 	report   upstream.Load
 	reportAt time.Time
 	ownAt    int // own requests when the report came
@@ -46,18 +46,28 @@
 // peerLoad is what another node has under way.
 type peerLoad struct {
 	at      time.Time
-	running map[string][classes]int
+	running Report
 }
 
 // Table is not safe for concurrent use.
 type Table struct {
 	engines map[string]*engineState
 	peers   map[string]peerLoad
+	keys    map[string]EngineKey // of engines seen, to hash each once
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{engines: map[string]*engineState{}, peers: map[string]peerLoad{}}
+	return &Table{engines: map[string]*engineState{}, peers: map[string]peerLoad{}, keys: map[string]EngineKey{}}
+}
+
+func (t *Table) key(id string) EngineKey {
+	key, known := t.keys[id]
+	if !known {
+		key = KeyOf(id)
+		t.keys[id] = key
+	}
+	return key
 }
 
 func (t *Table) state(id string, now time.Time) *engineState {
@@ -104,26 +114,45 @@
 func (t *Table) Refused(id string, now time.Time) { t.state(id, now).full = now.Add(fullPause) }
 
 // PeerLoad takes what another node has under way, by engine.
-func (t *Table) PeerLoad(peer string, running map[string][classes]int, now time.Time) {
+func (t *Table) PeerLoad(peer string, running Report, now time.Time) {
 	t.peers[peer] = peerLoad{at: now, running: running}
 }
 
-// Own returns what this node has under way, by engine, without idle engines.
-func (t *Table) Own() map[string][classes]int {
-	own := map[string][classes]int{}
+// Own returns what this node has under way, without idle engines.
+func (t *Table) Own() Report {
+	own := Report{}
 	for id, state := range t.engines {
 		if state.total() > 0 {
-			own[id] = state.own
+			own[t.key(id)] = state.own
 		}
 	}
 	return own
 }
 
+// Others adds up what all nodes but one have under way, this one included.
+func (t *Table) Others(except string, now time.Time) Report {
+	sum := t.Own()
+	for peer, load := range t.peers {
+		if peer == except || now.Sub(load.at) > peerLife {
+			continue
+		}
+		for key, counts := range load.running {
+			total := sum[key]
+			for class := range counts {
+				total[class] += counts[class]
+			}
+			sum[key] = total
+		}
+	}
+	return sum
+}
+
 // Forget drops engines without work or news, and silent peers.
 func (t *Table) Forget(now time.Time) {
 	for id, state := range t.engines {
 		if state.total() == 0 && now.Sub(state.touched) > forgetAfter {
 			delete(t.engines, id)
+			delete(t.keys, id)
 		}
 	}
 	for peer, load := range t.peers {
@@ -133,7 +162,7 @@
 	}
 }
 
-func (s *engineState) total() int { return s.own[ClassOnline] + s.own[ClassBatch] }
+func (s *engineState) total() int { return s.own.Total() }
 
 // running estimates the requests of a class that an engine has from all nodes.
 func (t *Table) running(id string, class Class, now time.Time) int {
@@ -143,7 +172,7 @@
 	}
 	for _, peer := range t.peers {
 		if now.Sub(peer.at) <= peerLife {
-			count += peer.running[id][class]
+			count += peer.running[t.key(id)][class]
 		}
 	}
 	return count
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -71,8 +71,8 @@
 	machine *Machine
 }
 
-// NewServer registers the handlers of a data node.
-func NewServer(shard func() (ledger.Shard, bool), machine *Machine, receiver transport.Receiver) {
+// RegisterServer registers the handlers of a data node.
+func RegisterServer(shard func() (ledger.Shard, bool), machine *Machine, receiver transport.Receiver) {
 	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
 		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
 	} {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sort"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	eventNotLeading  = telemetry.Define(3202, "batch-not-leading", "This node stopped running items, as another one leads or may lead.")
 	eventItemRetried = telemetry.Define(3203, "item-retried", "An item's run ended early; it goes on elsewhere from its last event.")
 	eventItemDead    = telemetry.Define(3204, "item-dead", "An item was given up.")
+	eventYielded     = telemetry.Define(3206, "batch-yielded", "Batch work gave slots of an engine up to online work.")
 	eventCommitLost  = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; it is run again from what was.")
 )
 
@@ -81,7 +83,13 @@
 	index uint32
 }
 
-type run struct{ cancel context.CancelFunc }
+type run struct {
+	cancel  context.CancelFunc
+	engine  catalog.Engine
+	started time.Time
+	// yielding: the run was told to give its slot up.
+	yielding bool
+}
 
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
@@ -235,7 +243,7 @@
 	k := itemKey{item.job, item.index}
 	ctx, cancel := context.WithCancel(ctx)
 	r.mutex.Lock()
-	r.runs[k] = &run{cancel: cancel}
+	r.runs[k] = &run{cancel: cancel, engine: engine, started: time.Now()}
 	r.mutex.Unlock()
 	r.tasks.Add(1)
 	go func() {
@@ -261,6 +269,46 @@
 	}
 }
 
+// Yield takes slots back from batch work where online work needs them. The
+// youngest runs go first: they have the least text to be read again when they
+// go on.
+func (r *Runner) Yield() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for engine, runs := range r.runsByEngine() {
+		excess := r.options.Balancer.Excess(runs[0].engine)
+		for _, run := range runs {
+			if run.yielding {
+				excess--
+			}
+		}
+		if excess <= 0 {
+			continue
+		}
+		cut := 0
+		for i := len(runs) - 1; i >= 0 && cut < excess; i-- {
+			if !runs[i].yielding {
+				runs[i].yielding = true
+				runs[i].cancel()
+				cut++
+			}
+		}
+		eventYielded.Info("engine", engine, "runs", len(runs), "cut", cut)
+	}
+}
+
+// runsByEngine groups the runs, the oldest first; the caller holds the mutex.
+func (r *Runner) runsByEngine() map[string][]*run {
+	grouped := map[string][]*run{}
+	for _, run := range r.runs {
+		grouped[run.engine.ID] = append(grouped[run.engine.ID], run)
+	}
+	for _, runs := range grouped {
+		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
+	}
+	return grouped
+}
+
 func (r *Runner) giveUp(ctx context.Context, item openItem) {
 	if !r.idle(item, time.Now()) {
 		return
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -106,6 +106,7 @@
 	mutex   sync.Mutex
 	table   *Table
 	nodes   map[string]Node
+	seeds   []transport.Address
 	peers   map[transport.Address]time.Time // who asked this node, and when
 	changed chan struct{}                   // closed at each change
 }
@@ -119,6 +120,7 @@
 		options: options,
 		table:   NewTable(options.Kinds),
 		nodes:   map[string]Node{},
+		seeds:   options.Seeds,
 		peers:   map[transport.Address]time.Time{},
 		changed: make(chan struct{}),
 	}
@@ -158,6 +160,13 @@
 	}()
 }
 
+// SetSeeds replaces the addresses of peers that may be stale or down.
+func (a *Agent) SetSeeds(seeds []transport.Address) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.seeds = seeds
+}
+
 // Objects lists the objects of a kind and the revision they are complete to;
 // a revision of 0 means that nothing is known yet.
 func (a *Agent) Objects(kind string) ([]Object, uint64) {
@@ -358,7 +367,7 @@
 	for _, node := range a.nodes {
 		candidates = append(candidates, node.Address)
 	}
-	candidates = append(candidates, a.options.Seeds...)
+	candidates = append(candidates, a.seeds...)
 	for peer := range a.peers {
 		candidates = append(candidates, peer)
 	}
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
 	"time"
 
@@ -22,9 +23,10 @@
 )
 
 var (
-	eventStarted = telemetry.Define(1011, "started", "A node on a platform of objects started.")
-	eventStopped = telemetry.Define(1012, "stopped", "A node on a platform of objects ended its planned stop.")
-	eventStops   = telemetry.Define(1013, "stopping", "A planned stop began; the node is not ready from now on.")
+	eventStarted  = telemetry.Define(1011, "started", "A node on a platform of objects started.")
+	eventStopped  = telemetry.Define(1012, "stopped", "A node on a platform of objects ended its planned stop.")
+	eventReloaded = telemetry.Define(1014, "settings-reloaded", "The settings file was read again; says what was applied and whether the rest needs a restart.")
+	eventStops    = telemetry.Define(1013, "stopping", "A planned stop began; the node is not ready from now on.")
 )
 
 const (
@@ -107,12 +109,27 @@
 	if dataNode {
 		options.Kinds = append(options.Kinds, c.adapter.EvacuationsKind)
 	}
-	for _, seed := range c.settings.Peers.Seeds {
-		options.Seeds = append(options.Seeds, transport.Address(seed))
-	}
+	options.Seeds = addresses(c.settings.Peers.Seeds)
 	return options
 }
 
+func addresses(listed []string) []transport.Address {
+	result := make([]transport.Address, 0, len(listed))
+	for _, address := range listed {
+		result = append(result, transport.Address(address))
+	}
+	return result
+}
+
+// Reload implements Node: seeds are applied, everything else needs a restart.
+func (c *core) Reload(settings *config.Node) {
+	c.agent.SetSeeds(addresses(settings.Peers.Seeds))
+	rest := *settings
+	rest.Peers.Seeds = c.settings.Peers.Seeds
+	eventReloaded.Info("node", c.settings.Node.Name, "seeds", settings.Peers.Seeds,
+		"restart_needed", !reflect.DeepEqual(&rest, c.settings))
+}
+
 func (c *core) ledgerOptions(view *members) replica.Options {
 	return replica.Options{
 		Sender: c.peers, Receiver: c.peers, Members: view, Store: c.adapter.Ledger, Registry: c.registry,
@@ -194,6 +211,8 @@
 type Node interface {
 	// Start opens the node's ports and lets it work.
 	Start() error
+	// Reload applies a settings file that was read again.
+	Reload(settings *config.Node)
 	// Drain is the planned stop; it ends with ctx at the latest.
 	Drain(ctx context.Context)
 }
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -36,7 +36,8 @@
 		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
 		Route: d.route, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
 	})
-	batchwork.NewServer(d.localShard, d.machine, d.peers)
+	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
+	batchwork.RegisterServer(d.localShard, d.machine, d.peers)
 	return d, nil
 }
 
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -62,6 +62,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	f.peers.HandleDatagram(kindLoadSum, f.takeLoadSum)
 	return f, nil
 }
 
@@ -81,6 +82,7 @@
 // Start implements Node.
 func (f *front) Start() error {
 	f.start()
+	f.run(f.reportLoad)
 	if f.settings.Listen.Readiness != "" {
 		if err := serve(f.settings.Listen.Readiness, f.readiness); err != nil {
 			return err
--- /dev/null
+++ b/internal/system/loadshare.go
@@ -0,0 +1,69 @@
+package system
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// Load reports between nodes: front nodes tell the leader of batch work what
+// they have under way, and it answers each with what all others have. So the
+// leader sees all online work, and front nodes see each other's and the batch
+// work, for two datagrams a front node and interval.
+const (
+	kindLoadReport transport.Kind = transport.KindLoad + iota
+	kindLoadSum
+)
+
+const (
+	// loadInterval is the time between two reports of a front node.
+	loadInterval = 80 * time.Millisecond
+	// idleReports is how many reports without work are sent before a front
+	// node falls silent.
+	idleReports = 3
+)
+
+// reportLoad sends this front node's load to the leader of batch work.
+func (f *front) reportLoad() {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	idle := 0
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+		}
+		own := f.balancer.Own()
+		if len(own) == 0 {
+			idle++
+		} else {
+			idle = 0
+		}
+		if idle > idleReports {
+			continue
+		}
+		if leader, known := f.ledger.Leader(0); known {
+			_ = f.peers.Datagram(leader, kindLoadReport, own.Marshal())
+		}
+	}
+}
+
+// takeLoadSum takes what all other nodes have under way.
+func (f *front) takeLoadSum(_ transport.Address, payload []byte) {
+	if sum, err := balance.UnmarshalReport(payload); err == nil {
+		f.balancer.PeerLoad("others", sum)
+	}
+}
+
+// takeLoadReport answers a front node's report, at the leader.
+func (d *data) takeLoadReport(from transport.Address, payload []byte) {
+	report, err := balance.UnmarshalReport(payload)
+	if err != nil || !d.runner.Leading() {
+		return
+	}
+	d.balancer.PeerLoad(string(from), report)
+	d.runner.Yield()
+	_ = d.peers.Datagram(from, kindLoadSum, d.balancer.Others(string(from)).Marshal())
+}
