Hysteresis between starting and cutting batch runs

Change: runs start only beside the most online requests of the last 1.2 s and a headroom of 3; they are cut only where an engine has one slot left.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -228,6 +228,7 @@
 func (b *Balancer) Excess(engine catalog.Engine) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.table.NotePeak(engine.ID, time.Now())
 	return b.table.Excess(engine, time.Now())
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -18,9 +18,13 @@
 	noisePenalty = 0.06
 	// coldPenalty is what an engine that is still slow costs.
 	coldPenalty = 0.5
-	// batchHeadroom is how many slots of an engine batch work leaves free for
+	// startHeadroom is how many slots of an engine batch work leaves free for
 	// online requests that come before the next load report.
-	batchHeadroom = 4
+	startHeadroom = 3
+	// cutHeadroom is how many slots are free at least before batch work gives
+	// some up. It is less than startHeadroom, so that batch work doesn't come
+	// and go with each request.
+	cutHeadroom = 1
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
 	queueDepth = 4
@@ -83,7 +87,8 @@
 	if class == ClassOnline {
 		return load < engine.Slots+queueDepth
 	}
-	return load < engine.Slots && overcommitted(engine, t.counts(engine.ID, now)) < 0
+	batch := t.running(engine.ID, ClassBatch, now)
+	return load < engine.Slots && batch+t.peak(engine.ID, now)+startHeadroom < engine.Slots
 }
 
 // counts estimates the requests of an engine by class.
@@ -91,9 +96,11 @@
 	return Counts{t.running(id, ClassOnline, now), t.running(id, ClassBatch, now)}
 }
 
-// Excess is by how many requests batch work exceeds its room at an engine.
+// Excess is by how many requests batch work exceeds what online work leaves of
+// an engine's slots; 0 if it doesn't.
 func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
-	return overcommitted(engine, t.counts(engine.ID, now))
+	counts := t.counts(engine.ID, now)
+	return min(counts[ClassBatch], max(0, counts.Total()+cutHeadroom-engine.Slots))
 }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/wire"
 )
 
@@ -77,10 +76,3 @@
 	}
 	return report, nil
 }
-
-// Overcommitted says by how many requests batch work exceeds what online work
-// leaves of an engine's slots; 0 or less if it doesn't.
-func overcommitted(engine catalog.Engine, counts Counts) int {
-	room := engine.Slots - counts[ClassOnline] - batchHeadroom
-	return counts[ClassBatch] - max(0, room)
-}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -17,6 +17,8 @@
 	asideMost  = 4 * time.Second
 	// fullPause is how long an engine counts as full after it refused.
 	fullPause = 40 * time.Millisecond
+	// peakLife is how long a peak of online requests is kept free for the next.
+	peakLife = 1200 * time.Millisecond
 	// forgetAfter is how long an engine without news is remembered.
 	forgetAfter = time.Minute
 )
@@ -37,6 +39,9 @@
 	report   upstream.Load
 	reportAt time.Time
 	ownAt    int // own requests when the report came
+	// peak is the most online requests that the engine had lately.
+	peak     int
+	peakAt   time.Time
 	failures int
 	aside    time.Time
 	full     time.Time
@@ -178,6 +183,25 @@
 	return count
 }
 
+// NotePeak remembers the most online requests that an engine had lately, so
+// that batch work doesn't fill slots that it must give up again at once.
+func (t *Table) NotePeak(id string, now time.Time) {
+	online := t.running(id, ClassOnline, now)
+	state := t.state(id, now)
+	if online >= state.peak || now.Sub(state.peakAt) > peakLife {
+		state.peak, state.peakAt = online, now
+	}
+}
+
+// peak is the most online requests that the engine has or had lately.
+func (t *Table) peak(id string, now time.Time) int {
+	online := t.running(id, ClassOnline, now)
+	if state := t.engines[id]; state != nil && now.Sub(state.peakAt) <= peakLife {
+		online = max(online, state.peak)
+	}
+	return online
+}
+
 // load estimates all requests that an engine has. A fresh report counts with
 // what this node has sent since.
 func (t *Table) load(id string, now time.Time) int {
