One home a prefix over all zones; items return to their engine

Change: the prefix's home is drawn over all zones, the penalty of another zone falls from 0.6 to 0.25 of an engine's slots, and an item that was cut prefers its former engine. A line a second tells open and running items.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -9,11 +9,13 @@
 
 const (
 	// zonePenalty is what another zone costs, in shares of an engine's slots.
-	zonePenalty = 0.6
+	zonePenalty = 0.25
 	// prefixBonus is what the engine that keeps a long shared prompt gains,
 	// for prefixBonusTokens shared tokens or more.
 	prefixBonus       = 0.5
 	prefixBonusTokens = 4000
+	// formerBonus is what the engine gains that ran a part of the request.
+	formerBonus = 0.3
 	// noisePenalty spreads requests over equal engines.
 	noisePenalty = 0.06
 	// coldPenalty is what an engine that is still slow costs.
@@ -39,6 +41,9 @@
 	// length; an engine that has read it before is quicker.
 	Prefix       string
 	PrefixTokens int
+	// Former is the engine that ran a part of the request; it may still keep the
+	// prompt.
+	Former string
 	// Avoid lists engines that the request has been to.
 	Avoid []string
 }
@@ -116,22 +121,22 @@
 	if engine.ID == home {
 		score -= prefixBonus * min(1, float64(wish.PrefixTokens)/prefixBonusTokens)
 	}
+	if engine.ID == wish.Former {
+		score -= formerBonus
+	}
 	return score
 }
 
-// prefixHome is the engine that requests with the same prefix go to first: by
-// rendezvous hashing over the engines of the zone, or all if there are none.
+// prefixHome is the engine that requests with the same prefix go to first, by
+// rendezvous hashing. It is the same for all zones, so that a prefix is read
+// and kept at one engine.
 func prefixHome(candidates []catalog.Engine, wish Wish) string {
 	if wish.Prefix == "" {
 		return ""
 	}
-	near := filter(candidates, func(e catalog.Engine) bool { return e.Zone == wish.Zone })
-	if len(near) == 0 {
-		near = candidates
-	}
 	home := ""
 	var highest uint64
-	for _, engine := range near {
+	for _, engine := range candidates {
 		if score := membership.RendezvousScore(wish.Prefix, engine.ID); home == "" || score > highest {
 			home, highest = engine.ID, score
 		}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -22,6 +22,7 @@
 	eventNotLeading  = telemetry.Define(3202, "batch-not-leading", "This node stopped running items, as another one leads or may lead.")
 	eventItemRetried = telemetry.Define(3203, "item-retried", "An item's run ended early; it goes on elsewhere from its last event.")
 	eventItemDead    = telemetry.Define(3204, "item-dead", "An item was given up.")
+	eventState       = telemetry.Define(3207, "batch-state", "How many items are open and running at this leader; once a second while any are open.")
 	eventYielded     = telemetry.Define(3206, "batch-yielded", "Batch work gave slots of an engine up to online work.")
 	eventCommitLost  = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; it is run again from what was.")
 )
@@ -43,6 +44,8 @@
 	refusalPause = 20 * time.Millisecond
 	// giveUpMargin is added to an item's retention before it is given up.
 	giveUpMargin = time.Second
+	// stateInterval is the time between two lines on the state of batch work.
+	stateInterval = time.Second
 	// purgeInterval and purgeBatch pace the removal of old jobs.
 	purgeInterval = 10 * time.Second
 	purgeBatch    = 64
@@ -69,11 +72,13 @@
 
 	tasks sync.WaitGroup
 
-	mutex   sync.Mutex // guards what is below; a leaf
-	runs    map[itemKey]*run
-	pauses  map[itemKey]time.Time
-	stopped bool
-	wake    chan struct{}
+	mutex    sync.Mutex // guards what is below; a leaf
+	runs     map[itemKey]*run
+	pauses   map[itemKey]time.Time
+	formers  map[itemKey]string // the engine that ran a part of an open item
+	stopped  bool
+	wake     chan struct{}
+	statedAt time.Time
 	// term is the term in which leadership was confirmed, or 0.
 	term uint64
 }
@@ -94,7 +99,8 @@
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
 	return &Runner{
-		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, wake: make(chan struct{}, 1),
+		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{},
+		wake: make(chan struct{}, 1),
 	}
 }
 
@@ -154,6 +160,7 @@
 	now := time.Now()
 	open := r.options.Machine.openItems()
 	r.stopEnded()
+	r.logState(len(open), now)
 	full := map[string]bool{}
 	for _, item := range open {
 		if now.After(item.giveUp.Add(giveUpMargin)) {
@@ -207,6 +214,18 @@
 	r.term = term
 }
 
+func (r *Runner) logState(open int, now time.Time) {
+	r.mutex.Lock()
+	running, paused, due := len(r.runs), len(r.pauses), now.Sub(r.statedAt) >= stateInterval
+	if due {
+		r.statedAt = now
+	}
+	r.mutex.Unlock()
+	if due && open > 0 {
+		eventState.Info("open", open, "running", running, "paused", paused)
+	}
+}
+
 func (r *Runner) idle(item openItem, now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -235,7 +254,7 @@
 
 // start runs an item if an engine of the service has room for batch work.
 func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) bool {
-	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch}
+	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item)}
 	engine, release, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
 	if err != nil {
 		return false
@@ -243,6 +262,7 @@
 	k := itemKey{item.job, item.index}
 	ctx, cancel := context.WithCancel(ctx)
 	r.mutex.Lock()
+	r.formers[k] = engine.ID
 	r.runs[k] = &run{cancel: cancel, engine: engine, started: time.Now()}
 	r.mutex.Unlock()
 	r.tasks.Add(1)
@@ -256,9 +276,19 @@
 	return true
 }
 
+// former is the engine that ran a part of the item, if one did.
+func (r *Runner) former(item openItem) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.formers[itemKey{item.job, item.index}]
+}
+
 func (r *Runner) finished(k itemKey, pause time.Duration) {
 	r.mutex.Lock()
 	delete(r.runs, k)
+	if !r.options.Machine.isOpen(k.job, k.index) {
+		delete(r.formers, k)
+	}
 	if pause > 0 {
 		r.pauses[k] = time.Now().Add(pause)
 	}
