Mirror: removals that a table never saw are told to peers

Cause: a table that learnt by listing, or by a watch that folded put and removal into one event, did not know that an object had been removed; a peer that pulled from it kept the object (an engine that is gone). Found by: TestTablesAgreeWithTheStoreAtTheirRevision, an oracle over random orders of puts, removals, listings, watches and late pulls; it failed first. Change: a listing moves the horizon to its revision, so that peers behind it get the whole; removals of unseen objects are remembered.

--- a/internal/mirror/table.go
+++ b/internal/mirror/table.go
@@ -117,6 +117,9 @@
 
 func (c *collection) replace(delta Delta) bool {
 	changed := false
+	// What came and went before this listing was never seen here.
+	clear(c.removed)
+	c.horizon = delta.At
 	listed := make(map[string]bool, len(delta.Objects))
 	for _, object := range delta.Objects {
 		listed[object.Name] = true
@@ -124,7 +127,7 @@
 	}
 	for name := range c.objects {
 		if !listed[name] {
-			c.remove(name, delta.At)
+			delete(c.objects, name)
 			changed = true
 		}
 	}
@@ -138,10 +141,13 @@
 			changed = c.put(object) || changed
 			continue
 		}
-		if present, found := c.objects[object.Name]; found && present.Revision <= object.Revision {
-			c.remove(object.Name, object.Revision)
-			changed = true
+		present, found := c.objects[object.Name]
+		if found && present.Revision > object.Revision {
+			continue
 		}
+		// Also what was never seen here is remembered as removed, for peers.
+		c.remove(object.Name, max(object.Revision, c.removed[object.Name]))
+		changed = changed || found
 	}
 	return changed
 }
--- /dev/null
+++ b/internal/mirror/table_test.go
@@ -0,0 +1,172 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const kind = "things"
+
+func names(objects []Object) map[string]string {
+	result := map[string]string{}
+	for _, object := range objects {
+		result[object.Name] = string(object.Content)
+	}
+	return result
+}
+
+func TestADeltaThatStartsTooLateIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable([]string{kind})
+	g.Expect(table.Merge(Delta{Kind: kind, Since: 5, At: 9, Objects: []Object{{Name: "a", Revision: 7}}})).To(gomega.BeFalse())
+	g.Expect(table.At(kind)).To(gomega.BeZero())
+	g.Expect(table.Merge(Delta{Kind: kind, Whole: true, At: 9, Objects: []Object{{Name: "a", Revision: 7}}})).To(gomega.BeTrue())
+	g.Expect(table.Merge(Delta{Kind: kind, Whole: true, At: 8})).To(gomega.BeFalse(), "an older listing takes nothing back")
+	g.Expect(table.Objects(kind)).To(gomega.HaveLen(1))
+}
+
+func TestARemovedObjectDoesNotComeBackWithAnOldDelta(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable([]string{kind})
+	table.Merge(Delta{Kind: kind, Whole: true, At: 5, Objects: []Object{{Name: "a", Revision: 4}}})
+	table.Merge(Delta{Kind: kind, Since: 5, At: 6, Objects: []Object{{Name: "a", Revision: 6, Gone: true}}})
+	g.Expect(table.Objects(kind)).To(gomega.BeEmpty())
+	table.Merge(Delta{Kind: kind, Since: 3, At: 6, Objects: []Object{{Name: "a", Revision: 4}}})
+	g.Expect(table.Objects(kind)).To(gomega.BeEmpty())
+	table.Merge(Delta{Kind: kind, Since: 6, At: 8, Objects: []Object{{Name: "a", Revision: 8}}})
+	g.Expect(table.Objects(kind)).To(gomega.HaveLen(1))
+}
+
+// storeModel is the oracle: the store with its whole history.
+type storeModel struct {
+	revision uint64
+	objects  map[string]Object
+	history  []Object
+}
+
+func (s *storeModel) put(name string) {
+	s.revision++
+	object := Object{Name: name, Revision: s.revision, Content: fmt.Appendf(nil, "%s at %d", name, s.revision)}
+	s.objects[name] = object
+	s.history = append(s.history, object)
+}
+
+func (s *storeModel) remove(name string) {
+	if _, found := s.objects[name]; !found {
+		return
+	}
+	s.revision++
+	delete(s.objects, name)
+	s.history = append(s.history, Object{Name: name, Revision: s.revision, Gone: true})
+}
+
+func (s *storeModel) list() Delta {
+	delta := Delta{Kind: kind, Whole: true, At: s.revision}
+	for _, object := range s.objects {
+		delta.Objects = append(delta.Objects, object)
+	}
+	return delta
+}
+
+func (s *storeModel) since(revision uint64) Delta {
+	delta := Delta{Kind: kind, Since: revision, At: s.revision}
+	latest := map[string]Object{}
+	for _, object := range s.history {
+		if object.Revision > revision {
+			latest[object.Name] = object
+		}
+	}
+	for _, object := range latest {
+		delta.Objects = append(delta.Objects, object)
+	}
+	return delta
+}
+
+// stateAt is what the store held at a revision.
+func (s *storeModel) stateAt(revision uint64) map[string]string {
+	state := map[string]string{}
+	for _, object := range s.history {
+		if object.Revision > revision {
+			break
+		}
+		if object.Gone {
+			delete(state, object.Name)
+		} else {
+			state[object.Name] = string(object.Content)
+		}
+	}
+	return state
+}
+
+// TestTablesAgreeWithTheStoreAtTheirRevision lets tables read the store and
+// each other in any order, with deltas that arrive late and again.
+func TestTablesAgreeWithTheStoreAtTheirRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &storeModel{objects: map[string]Object{}}
+		store.put("first")
+		tables := []*Table{NewTable([]string{kind}), NewTable([]string{kind}), NewTable([]string{kind})}
+		var late []Delta
+		pick := func() *Table { return tables[rapid.IntRange(0, 2).Draw(t, "table")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"put":    func(t *rapid.T) { store.put(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")) },
+			"remove": func(t *rapid.T) { store.remove(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")) },
+			"list":   func(t *rapid.T) { pick().Merge(store.list()) },
+			"watch": func(t *rapid.T) {
+				table := pick()
+				if table.At(kind) > 0 {
+					table.Merge(store.since(table.At(kind)))
+				}
+			},
+			"pull": func(t *rapid.T) {
+				from, to := pick(), pick()
+				if delta, newer := from.Since(kind, to.At(kind)); newer {
+					late = append(late, delta)
+					to.Merge(delta)
+				}
+			},
+			"repeat": func(t *rapid.T) {
+				if len(late) > 0 {
+					pick().Merge(late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, table := range tables {
+					if table.At(kind) == 0 {
+						continue
+					}
+					wanted := store.stateAt(table.At(kind))
+					if got := names(table.Objects(kind)); fmt.Sprint(got) != fmt.Sprint(wanted) {
+						t.Fatalf("table %d at %d holds %v, the store held %v", i, table.At(kind), got, wanted)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestMessagesKeepTheirContent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := answer{
+		nodes: []Node{{Name: "n", Address: "1.2.3.4:5", Zone: "z", Region: "r", Started: 7}},
+		deltas: []Delta{{Kind: kind, At: 9, Since: 3, Whole: true, Objects: []Object{
+			{Name: "a", Revision: 4, Content: []byte("x")}, {Name: "b", Revision: 5, Gone: true, Content: []byte{}},
+		}}},
+	}
+	got, err := unmarshalAnswer(sent.marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.nodes).To(gomega.Equal(sent.nodes))
+	g.Expect(got.deltas[0].Objects[0]).To(gomega.Equal(sent.deltas[0].Objects[0]))
+	g.Expect(got.deltas[0].Objects[1].Gone).To(gomega.BeTrue())
+	request := pull{waitMilliseconds: 5, positions: map[string]uint64{kind: 3}, nodes: sent.nodes}
+	asked, err := unmarshalPull(request.marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(asked).To(gomega.Equal(request))
+	// The fixed part, the first field's length, and a byte short of the end.
+	for _, cut := range []int{0, 3, 7, len(request.marshal()) - 1} {
+		_, err := unmarshalPull(request.marshal()[:cut])
+		g.Expect(err).To(gomega.HaveOccurred(), "cut at %d", cut)
+	}
+}
