--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,201 @@
+package balance
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func quiet() float64 { return 0 }
+
+func engines(count, slots int) *catalog.Snapshot {
+	var list []catalog.Engine
+	for i := range count {
+		zone := "near"
+		if i%2 == 1 {
+			zone = "far"
+		}
+		list = append(list, catalog.Engine{ID: string(rune('a' + i)), Service: "s", Zone: zone, Slots: slots})
+	}
+	return catalog.NewSnapshot(nil, list)
+}
+
+func TestTheNearAndLeastLoadedEngineIsChosen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(3, 10) // a near, b far, c near
+	wish := Wish{Service: "s", Zone: "near"}
+	table.Begin("a", ClassOnline, start)
+	chosen, found := table.Choose(snapshot, wish, start, quiet)
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(chosen.ID).To(gomega.Equal("c"))
+	for range 4 {
+		table.Begin("a", ClassOnline, start)
+		table.Begin("c", ClassOnline, start)
+	}
+	chosen, _ = table.Choose(snapshot, wish, start, quiet)
+	g.Expect(chosen.ID).To(gomega.Equal("b"), "another zone once it has much more room")
+}
+
+func TestAvoidedAndSetAsideEnginesComeLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(2, 4)
+	table.Failed("a", start)
+	chosen, _ := table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start, quiet)
+	g.Expect(chosen.ID).To(gomega.Equal("b"))
+	chosen, found := table.Choose(snapshot, Wish{Service: "s", Zone: "near", Avoid: []string{"b"}}, start, quiet)
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(chosen.ID).To(gomega.Equal("a"), "an engine that failed lately rather than none")
+	_, found = table.Choose(snapshot, Wish{Service: "s", Avoid: []string{"a", "b"}}, start, quiet)
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+func TestEnginesAreSetAsideLongerEachTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	g.Expect(table.Failed("a", start)).To(gomega.Equal(asideFirst))
+	g.Expect(table.Failed("a", start)).To(gomega.Equal(2 * asideFirst))
+	for range 70 {
+		g.Expect(table.Failed("a", start)).To(gomega.BeNumerically("<=", asideMost))
+	}
+	table.Succeeded("a", start)
+	g.Expect(table.sound("a", start)).To(gomega.BeTrue())
+	g.Expect(table.Failed("a", start)).To(gomega.Equal(asideFirst))
+}
+
+func TestOtherNodesRequestsCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(1, 6)
+	table.PeerLoad("peer", Report{KeyOf("a"): {6 + queueDepth, 0}}, start)
+	_, found := table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start, quiet)
+	g.Expect(found).To(gomega.BeFalse())
+	_, found = table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start.Add(2*peerLife), quiet)
+	g.Expect(found).To(gomega.BeTrue(), "a silent peer's figures lapse")
+}
+
+func TestAnEnginesOwnFiguresCountWhileFresh(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(1, 6)
+	table.Reported("a", upstream.Load{Running: 6, Waiting: queueDepth}, start)
+	_, found := table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start, quiet)
+	g.Expect(found).To(gomega.BeFalse())
+	_, found = table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start.Add(2*reportLife), quiet)
+	g.Expect(found).To(gomega.BeTrue())
+}
+
+// Batch work takes what online work leaves, and gives it back.
+func TestBatchWorkLeavesRoomAndYields(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(1, 10)
+	engine, _ := snapshot.Engine("a")
+	wish := Wish{Service: "s", Zone: "near", Class: ClassBatch}
+	batch := 0
+	for {
+		if _, found := table.Choose(snapshot, wish, start, quiet); !found {
+			break
+		}
+		table.Begin("a", ClassBatch, start)
+		batch++
+	}
+	g.Expect(batch).To(gomega.Equal(10 - startHeadroom))
+	g.Expect(table.Excess(engine, start)).To(gomega.BeZero())
+	table.PeerLoad("front", Report{KeyOf("a"): {5, 0}}, start)
+	table.NotePeak("a", start)
+	g.Expect(table.Excess(engine, start)).To(gomega.Equal(batch + 5 + cutHeadroom - 10))
+	for range 3 {
+		table.End("a", ClassBatch, start)
+	}
+	table.PeerLoad("front", Report{}, start)
+	_, found := table.Choose(snapshot, wish, start, quiet)
+	g.Expect(found).To(gomega.BeFalse(), "the peak of online work is kept free for a while")
+	_, found = table.Choose(snapshot, wish, start.Add(2*peakLife), quiet)
+	g.Expect(found).To(gomega.BeTrue())
+}
+
+func TestAPrefixHasOneHome(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(6, 10)
+	homes := map[string]bool{}
+	for _, zone := range []string{"near", "far"} {
+		chosen, _ := table.Choose(snapshot, Wish{Service: "s", Zone: zone, Prefix: "p", PrefixTokens: prefixBonusTokens}, start, quiet)
+		homes[chosen.ID] = true
+	}
+	g.Expect(homes).To(gomega.HaveLen(1))
+}
+
+func TestBackendsGetTheirShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	balancer := New(func() *catalog.Snapshot { return engines(1, 1) })
+	route := &catalog.Route{Name: "r", Backends: []catalog.Backend{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
+	count := map[string]int{}
+	for range 200 {
+		count[balancer.Service(route)]++
+	}
+	g.Expect(count).To(gomega.Equal(map[string]int{"x": 180, "y": 20}))
+}
+
+func TestTheMoreUrgentRequestGetsTheFreeSlot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := engines(1, 1)
+	balancer := New(func() *catalog.Snapshot { return snapshot })
+	wish := Wish{Service: "s", Zone: "near"}
+	var releases []func()
+	for range 1 + queueDepth {
+		_, release, err := balancer.Acquire(context.Background(), wish, 0, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		releases = append(releases, release)
+	}
+	_, _, err := balancer.Acquire(context.Background(), wish, 0, 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
+	order := make(chan int, 2)
+	wait := func(priority int) {
+		if _, _, err := balancer.Acquire(context.Background(), wish, priority, 10*time.Second); err == nil {
+			order <- priority
+		}
+	}
+	go wait(2)
+	g.Eventually(balancer.Waiting).Should(gomega.Equal(1))
+	go wait(0)
+	g.Eventually(balancer.Waiting).Should(gomega.Equal(2))
+	releases[0]()
+	g.Eventually(order, 5*time.Second).Should(gomega.Receive(gomega.Equal(0)))
+	releases[1]()
+	g.Eventually(order, 5*time.Second).Should(gomega.Receive(gomega.Equal(2)))
+}
+
+func TestAServiceWithoutEnginesIsSaidSo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	balancer := New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
+	_, _, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+}
+
+func TestReportsKeepTheirContent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	report := Report{KeyOf("a"): {3, 4}, KeyOf("b"): {0, 65535}}
+	got, err := UnmarshalReport(report.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.Equal(report))
+	long := Report{}
+	for i := range 3 * reportMost {
+		long[EngineKey(i)] = Counts{i, 0}
+	}
+	got, err = UnmarshalReport(long.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.HaveLen(reportMost))
+	g.Expect(got).To(gomega.HaveKey(EngineKey(3*reportMost - 1)))
+	_, err = UnmarshalReport([]byte{1, 0, 0, 0, 1, 0})
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- /dev/null
+++ b/internal/upstream/exchange_test.go
@@ -0,0 +1,222 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// plainDialect spells identifiers as the tests do.
+type plainDialect struct{}
+
+func (plainDialect) Header(call *Call, _ time.Time) http.Header {
+	return http.Header{"Id": {call.ID}}
+}
+
+func (plainDialect) Facts(_ int, header http.Header) Facts {
+	return Facts{ID: header.Get("Id"), Signed: true, NotRun: header.Get("Not-Run") != ""}
+}
+
+// engine answers each connection by a script.
+func engine(t *testing.T, script func(conn net.Conn, reader *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// request reads one request and returns its identifier.
+func request(reader *bufio.Reader) (string, error) {
+	read, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", err
+	}
+	_, _ = io.Copy(io.Discard, read.Body)
+	return read.Header.Get("Id"), nil
+}
+
+func respond(conn io.Writer, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func exchange(pool *Pool, address, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, err := pool.Exchange(ctx, address, &Call{ID: id, Method: http.MethodPost, URI: "/x", Host: "h", Body: []byte("b")})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func fateOf(err error) Fate {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		return 255
+	}
+	return failure.Fate
+}
+
+func TestAConnectionServesManyRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := request(reader)
+			if err != nil {
+				return
+			}
+			respond(conn, id, "for "+id)
+		}
+	})
+	pool := NewPool(plainDialect{})
+	for i := range 5 {
+		id := fmt.Sprint("r", i)
+		g.Expect(exchange(pool, address, id)).To(gomega.Equal("for " + id))
+	}
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(int64(1)))
+}
+
+func TestALateSurplusAnswerIsSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, _ := request(reader)
+		respond(conn, id, "first")
+		id, _ = request(reader)
+		respond(conn, "somebody-else", "late")
+		respond(conn, id, "second")
+		_, _ = request(reader)
+	})
+	pool := NewPool(plainDialect{})
+	g.Expect(exchange(pool, address, "a")).To(gomega.Equal("first"))
+	g.Expect(exchange(pool, address, "b")).To(gomega.Equal("second"))
+}
+
+func TestAConnectionWithUnreadBytesIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sent := make(chan struct{}, 8)
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, err := request(reader)
+		if err != nil {
+			return
+		}
+		respond(conn, id, "one")
+		time.Sleep(20 * time.Millisecond)
+		respond(conn, "surplus", "two")
+		sent <- struct{}{}
+		_, _ = request(reader)
+	})
+	pool := NewPool(plainDialect{})
+	g.Expect(exchange(pool, address, "a")).To(gomega.Equal("one"))
+	<-sent
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(exchange(pool, address, "b")).To(gomega.Equal("one"))
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(int64(2)))
+}
+
+func TestBytesThatAreNoAnswerLeaveTheFateUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, bytes := range []string{
+		"gibberish\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		strings.Repeat("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", surplusAnswers), "",
+	} {
+		address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = request(reader)
+			_, _ = io.WriteString(conn, bytes)
+		})
+		_, err := exchange(NewPool(plainDialect{}), address, "a")
+		g.Expect(fateOf(err)).To(gomega.Equal(FateUnknown), bytes)
+	}
+}
+
+func TestABrokenBodyIsNoWholeAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, head := range []string{"Content-Length: 100\r\n\r\nshort", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"} {
+		address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+			id, _ := request(reader)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"+head)
+		})
+		_, err := exchange(NewPool(plainDialect{}), address, "a")
+		g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF), head)
+	}
+}
+
+func TestAnEngineThatCannotBeReachedGotNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = exchange(NewPool(plainDialect{}), address, "a")
+	g.Expect(fateOf(err)).To(gomega.Equal(FateNotSent))
+}
+
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	closed := make(chan struct{})
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		id, _ := request(reader)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\n12345", id)
+		_, _ = io.Copy(io.Discard, reader)
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	answer, err := NewPool(plainDialect{}).Exchange(ctx, address, &Call{ID: "a", Method: http.MethodGet, URI: "/", Host: "h"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	cancel()
+	g.Eventually(closed, 5*time.Second).Should(gomega.BeClosed())
+	answer.Close()
+}
+
+func TestALongRequestIsNotReusedUntilItIsOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		read, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		respond(conn, read.Header.Get("Id"), "early") // the body is still coming
+		time.Sleep(300 * time.Millisecond)
+	})
+	pool := NewPool(plainDialect{})
+	body := make([]byte, 8<<20)
+	answer, err := pool.Exchange(context.Background(), address, &Call{ID: "a", Method: http.MethodPost, URI: "/", Host: "h", Body: body})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.ReadAll(answer)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	answer.Close()
+	g.Expect(pool.idle).To(gomega.BeEmpty())
+}
+
+func TestRestingTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(restingTime(http.Header{})).To(gomega.Equal(idleDefault))
+	g.Expect(restingTime(http.Header{"Keep-Alive": {"max=5, timeout=3"}})).To(gomega.Equal(3*time.Second - idleMargin))
+	g.Expect(restingTime(http.Header{"Connection": {"Close"}})).To(gomega.BeZero())
+	g.Expect(restingTime(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
+}
