--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -55,6 +55,8 @@
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(chosen.ID).To(gomega.Equal("a"), "an engine that failed lately rather than none")
 	_, found = table.Choose(snapshot, Wish{Service: "s", Avoid: []string{"a", "b"}}, start, quiet)
+	g.Expect(found).To(gomega.BeTrue(), "back to an engine that it has been to rather than to none")
+	_, found = table.Choose(snapshot, Wish{Service: "other"}, start, quiet)
 	g.Expect(found).To(gomega.BeFalse())
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -56,6 +56,7 @@
 	for _, rule := range []func(catalog.Engine) bool{
 		func(e catalog.Engine) bool { return t.sound(e.ID, now) && !contains(wish.Avoid, e.ID) },
 		func(e catalog.Engine) bool { return !contains(wish.Avoid, e.ID) },
+		func(catalog.Engine) bool { return true },
 	} {
 		candidates := filter(engines, rule)
 		if len(candidates) == 0 {
--- /dev/null
+++ b/internal/batchwork/machine_test.go
@@ -0,0 +1,264 @@
+package batchwork
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"chutelock.dev/chutelock/internal/ledger"
+)
+
+// memoryStore is a key space in memory.
+type memoryStore map[string][]byte
+
+var _ ledger.Writer = memoryStore{}
+
+func (m memoryStore) Get(k []byte) ([]byte, bool, error) {
+	value, found := m[string(k)]
+	return value, found, nil
+}
+
+func (m memoryStore) Scan(from, to []byte, visit func(k, value []byte) (bool, error)) error {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		if k >= string(from) && k < string(to) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		more, err := visit([]byte(k), m[k])
+		if err != nil || !more {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m memoryStore) Set(k, value []byte) error {
+	m[string(k)] = bytes.Clone(value)
+	return nil
+}
+
+func (m memoryStore) Delete(k []byte) error {
+	delete(m, string(k))
+	return nil
+}
+
+func (m memoryStore) DeleteRange(from, to []byte) error {
+	for k := range m {
+		if k >= string(from) && k < string(to) {
+			delete(m, k)
+		}
+	}
+	return nil
+}
+
+var submitted = time.UnixMilli(1_700_000_000_000)
+
+func testJob(id string, items int, bound int64) *Job {
+	job := &Job{
+		ID: id, Host: "h", Path: "/p/" + id, Route: "r", QueuedTokens: bound, Retention: time.Minute,
+		Completion: 20 * time.Second, Submitted: submitted,
+	}
+	for i := range items {
+		job.Items = append(job.Items, Item{
+			ID: fmt.Sprintf("%s-%d", id, i), Path: "/x", Header: []string{"Name", "value"}, Body: []byte(fmt.Sprint("body ", i)), Tokens: 10,
+		})
+	}
+	return job
+}
+
+func apply(g *gomega.WithT, m *Machine, store memoryStore, entry []byte) byte {
+	answer, err := m.Apply(store, 1, entry)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return answer[0]
+}
+
+func TestAJobIsTakenOnceAndWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("a", 3, 0)))).To(gomega.BeEquivalentTo(answerDone))
+	before := len(store)
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("a", 3, 0)))).To(gomega.BeEquivalentTo(answerDone))
+	g.Expect(store).To(gomega.HaveLen(before))
+	body, err := readBody(store, "a", "a-2")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body)).To(gomega.Equal("body 2"))
+	_, err = readBody(store, "a", "a-3")
+	g.Expect(err).To(gomega.MatchError(ErrNoJob))
+	_, err = readPage(store, "b", 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoJob))
+}
+
+func TestTheQueueHasABound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("a", 3, 50)))).To(gomega.BeEquivalentTo(answerDone))
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("b", 3, 50)))).To(gomega.BeEquivalentTo(answerQueueFull))
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("c", 2, 50)))).To(gomega.BeEquivalentTo(answerDone))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", index: 0, state: StateDead}}, submitted))
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("d", 1, 50)))).To(gomega.BeEquivalentTo(answerDone))
+	apply(g, m, store, encodeEnd("c", submitted))
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("e", 2, 50)))).To(gomega.BeEquivalentTo(answerDone))
+	g.Expect(apply(g, m, store, encodeSubmit(testJob("f", 1, 50)))).To(gomega.BeEquivalentTo(answerQueueFull))
+}
+
+func TestTextGrowsFromItsLastEventOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	apply(g, m, store, encodeSubmit(testJob("a", 1, 0)))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", to: 3, text: []byte("1\n2\n3")}}, submitted))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", to: 2, text: []byte("1\n2")}}, submitted))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 4, to: 5, text: []byte("5"), state: StateSucceeded}}, submitted))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 3, to: 4, text: []byte("4"), state: StateSucceeded}}, submitted))
+	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 4, to: 5, text: []byte("5"), state: StateDead}}, submitted))
+	page, err := readPage(store, "a", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(page).To(gomega.Equal(Page{Total: 1, Next: 1, Results: []Result{{ItemID: "a-0", State: StateSucceeded, Text: []byte("1\n2\n3\n4")}}}))
+}
+
+func TestPagesHoldAtLeastOneResultAndAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	apply(g, m, store, encodeSubmit(testJob("a", 3, 0)))
+	long := []byte(strings.Repeat("x", pageBytes))
+	for i := range 3 {
+		apply(g, m, store, encodeAdvance([]step{{job: "a", index: uint32(i), to: 1, text: long, state: StateSucceeded}}, submitted))
+	}
+	for since := range 3 {
+		page, err := readPage(store, "a", since)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(page.Results).To(gomega.HaveLen(1))
+		g.Expect(page.Next).To(gomega.Equal(since + 1))
+	}
+	page, err := readPage(store, "a", 3)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(page.Results).To(gomega.BeEmpty())
+	g.Expect(page.Next).To(gomega.Equal(3))
+}
+
+func TestOnlyClosedJobsArePurged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	apply(g, m, store, encodeSubmit(testJob("open", 1, 0)))
+	apply(g, m, store, encodeSubmit(testJob("ended", 1, 0)))
+	apply(g, m, store, encodeEnd("ended", submitted))
+	g.Expect(m.purgeable(submitted.Add(time.Second))).To(gomega.Equal([]string{"ended"}))
+	apply(g, m, store, encodePurge([]string{"open", "ended", "unknown"}, submitted))
+	_, err := readPage(store, "ended", 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoJob))
+	_, err = readPage(store, "open", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for k := range store {
+		g.Expect(k).NotTo(gomega.ContainSubstring("ended"))
+	}
+}
+
+func TestKeysOfAJobDoNotSpillIntoAnothers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, pair := range [][2]string{{"a", "ab"}, {"a", "b"}, {"\xff", "\xff\xff"}, {"a\xff", "b"}} {
+		from, to := keyRange(keyText, pair[0])
+		other := key(keyText, pair[1], 0, 1)
+		g.Expect(bytes.Compare(other, from) >= 0 && bytes.Compare(other, to) < 0).To(gomega.BeFalse(), "%q", pair)
+		own := key(keyText, pair[0], ^uint64(0), ^uint64(0))
+		g.Expect(bytes.Compare(own, from) >= 0 && bytes.Compare(own, to) < 0).To(gomega.BeTrue(), "%q", pair)
+	}
+}
+
+// oracle is what callers may believe of a job.
+type oracle struct {
+	results []Result
+	ended   bool
+	text    map[uint32]string
+	last    map[uint32]uint64
+	final   map[uint32]bool
+}
+
+// TestTheMachineKeepsItsPromises runs commands in any order, repeated and out
+// of date, with restarts between them, against a simple oracle.
+func TestTheMachineKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := memoryStore{}
+		machine := NewMachine()
+		jobs := map[string]*oracle{}
+		run := func(entry []byte) byte {
+			answer, err := machine.Apply(store, 1, entry)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return answer[0]
+		}
+		names := rapid.SampledFrom([]string{"a", "ab", "b"})
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				id := names.Draw(t, "job")
+				if run(encodeSubmit(testJob(id, 3, 60))) == answerDone && jobs[id] == nil {
+					jobs[id] = &oracle{text: map[uint32]string{}, last: map[uint32]uint64{}, final: map[uint32]bool{}}
+				}
+			},
+			"end": func(t *rapid.T) {
+				id := names.Draw(t, "job")
+				if run(encodeEnd(id, submitted)) == answerDone {
+					jobs[id].ended = true
+				}
+			},
+			"advance": func(t *rapid.T) {
+				s := step{
+					job: names.Draw(t, "job"), index: uint32(rapid.IntRange(0, 3).Draw(t, "index")),
+					from:  uint64(rapid.IntRange(0, 3).Draw(t, "from")),
+					state: rapid.SampledFrom([]State{StateOpen, StateOpen, StateSucceeded, StateDead}).Draw(t, "state"),
+				}
+				s.to = s.from + uint64(rapid.IntRange(0, 2).Draw(t, "events"))
+				if s.to > s.from {
+					s.text = fmt.Appendf(nil, "%d-%d", s.from, s.to)
+				}
+				run(encodeAdvance([]step{s}, submitted))
+				job := jobs[s.job]
+				if job == nil || job.ended || s.index > 2 || job.final[s.index] || job.last[s.index] != s.from {
+					return
+				}
+				if s.to > s.from {
+					if job.last[s.index] > 0 {
+						job.text[s.index] += "\n"
+					}
+					job.text[s.index] += string(s.text)
+					job.last[s.index] = s.to
+				}
+				if s.state != StateOpen {
+					job.final[s.index] = true
+					job.results = append(job.results, Result{
+						ItemID: fmt.Sprintf("%s-%d", s.job, s.index), State: s.state, Text: []byte(job.text[s.index]),
+					})
+				}
+			},
+			"restart": func(t *rapid.T) {
+				machine = NewMachine()
+				if err := machine.Reload(store); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				var queued int64
+				for id, job := range jobs {
+					page, err := readPage(store, id, 0)
+					if err != nil || page.Total != 3 || fmt.Sprintf("%q", page.Results) != fmt.Sprintf("%q", job.results) {
+						t.Fatalf("job %s: %v, page %q, want %q", id, err, page.Results, job.results)
+					}
+					if !job.ended {
+						queued += 10 * int64(3-len(job.results))
+					}
+				}
+				if machine.queued["r"] != queued {
+					t.Fatalf("%d tokens queued, want %d", machine.queued["r"], queued)
+				}
+			},
+		})
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -160,6 +160,7 @@
 		limit = bodyMost
 	}
 	if r.ContentLength > limit {
+		skipBody(w, r)
 		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 		return nil, false
 	}
@@ -179,6 +180,20 @@
 	return nil, false
 }
 
+// Bounds on what is read of a body that is refused, so that its sender sees
+// the answer and not a broken connection.
+const (
+	skipMost = 1 << 20
+	skipTime = 200 * time.Millisecond
+)
+
+func skipBody(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(skipTime))
+	_, _ = io.CopyN(io.Discard, r.Body, skipMost)
+	_ = controller.SetReadDeadline(time.Time{})
+}
+
 func (e *Edge) forward(w http.ResponseWriter, r *http.Request, route *catalog.Route, request *forward.Request) {
 	request.Header = endToEnd(r.Header)
 	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -113,5 +113,6 @@
 	closing, cancel := context.WithTimeout(context.Background(), drainMargin/2)
 	defer cancel()
 	_ = f.callers.Shutdown(closing)
+	_ = f.readiness.Close()
 	f.close()
 }
