An emptied data node is not taken back as a replica

Test: TestADataNodeIsEmptied, fails without the change. Change: a node with an evacuation object counts as leaving whatever its state.

--- a/internal/system/evacuation.go
+++ b/internal/system/evacuation.go
@@ -17,14 +17,13 @@
 	evacuationVoters = 3
 )
 
-// evacuating lists the data nodes that are to be emptied.
+// evacuating lists the data nodes that are to be emptied, also those that are
+// reported as empty: they are about to be taken away.
 func (d *data) evacuating() map[string]bool {
 	nodes := map[string]bool{}
 	objects, _ := d.agent.Objects(d.adapter.EvacuationsKind)
 	for _, object := range objects {
-		if _, done := d.adapter.Evacuations.Reported(object.Content); !done {
-			nodes[object.Name] = true
-		}
+		nodes[object.Name] = true
 	}
 	return nodes
 }
