Repair waits for nobody; engines' figures shared; JSON logs, metrics

Changes: asking and telling silent nodes runs beside the repair; engines' own figures go into the load reports; the first text is committed after 150 ms; items that can't be in time any more wait behind those that can. Logs are JSON lines on standard output, 40 a second and kind at most, through a queue that drops and counts; requests' counters and histograms on a metrics address.

--- a/cmd/chutelock/main.go
+++ b/cmd/chutelock/main.go
@@ -15,6 +15,7 @@
 
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/node"
+	"chutelock.dev/chutelock/internal/telemetry"
 )
 
 // Exit codes.
@@ -49,7 +50,9 @@
 		config.Describe(os.Stdout, settings)
 		return exitOK
 	}
-	defer klog.Flush()
+	output := telemetry.NewOutput(os.Stdout)
+	telemetry.LogJSON(output)
+	defer output.Close()
 	if err := serve(settings, *readyFile, func() (*config.Node, error) { return config.Load(*path, overrides) }); err != nil {
 		fmt.Fprintln(os.Stderr, "chutelock:", err)
 		return exitFailure
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -77,7 +77,7 @@
 	g := gomega.NewWithT(t)
 	table := NewTable()
 	snapshot := engines(1, 6)
-	table.PeerLoad("peer", Report{KeyOf("a"): {6 + queueDepth, 0}}, start)
+	table.PeerLoad("peer", Report{KeyOf("a"): {Counts: Counts{6 + queueDepth, 0}}}, start)
 	_, found := table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start, quiet)
 	g.Expect(found).To(gomega.BeFalse())
 	_, found = table.Choose(snapshot, Wish{Service: "s", Zone: "near"}, start.Add(2*peerLife), quiet)
@@ -112,7 +112,7 @@
 	}
 	g.Expect(batch).To(gomega.Equal(10 - startHeadroom))
 	g.Expect(table.Excess(engine, start)).To(gomega.BeZero())
-	table.PeerLoad("front", Report{KeyOf("a"): {5, 0}}, start)
+	table.PeerLoad("front", Report{KeyOf("a"): {Counts: Counts{5, 0}}}, start)
 	table.NotePeak("a", start)
 	g.Expect(table.Excess(engine, start)).To(gomega.Equal(batch + 5 + cutHeadroom - 10))
 	for range 3 {
@@ -125,6 +125,23 @@
 	g.Expect(found).To(gomega.BeTrue())
 }
 
+// Requests of a node that is lost may still run at an engine: nobody counts
+// them, but the engine says so, and all nodes hear of it.
+func TestWhatAnEngineSaysIsHeardByAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := engines(1, 10)
+	engine, _ := snapshot.Engine("a")
+	witness, leader := NewTable(), NewTable()
+	witness.Reported("a", upstream.Load{Running: 9, Waiting: 3}, start)
+	leader.Begin("a", ClassBatch, start)
+	leader.PeerLoad("witness", witness.Own(start), start)
+	_, found := leader.Choose(snapshot, Wish{Service: "s", Zone: "near", Class: ClassBatch}, start, quiet)
+	g.Expect(found).To(gomega.BeFalse())
+	g.Expect(leader.Excess(engine, start)).To(gomega.Equal(1), "all that batch work has there")
+	g.Expect(leader.Others("witness", start)[KeyOf("a")].Seen).To(gomega.BeZero())
+	g.Expect(leader.Others("else", start)[KeyOf("a")].Seen).To(gomega.Equal(12))
+}
+
 func TestAPrefixHasOneHome(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := NewTable()
@@ -186,13 +203,13 @@
 
 func TestReportsKeepTheirContent(t *testing.T) {
 	g := gomega.NewWithT(t)
-	report := Report{KeyOf("a"): {3, 4}, KeyOf("b"): {0, 65535}}
+	report := Report{KeyOf("a"): {Counts{3, 4}, 9}, KeyOf("b"): {Counts{0, 65535}, 0}}
 	got, err := UnmarshalReport(report.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got).To(gomega.Equal(report))
 	long := Report{}
 	for i := range 3 * reportMost {
-		long[EngineKey(i)] = Counts{i, 0}
+		long[EngineKey(i)] = Load{Counts: Counts{i, 0}}
 	}
 	got, err = UnmarshalReport(long.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -207,7 +207,7 @@
 func (b *Balancer) Own() Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.Own()
+	return b.table.Own(time.Now())
 }
 
 // Others returns what all nodes but one have under way, as far as known here.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -93,20 +93,15 @@
 	if class == ClassOnline {
 		return load < engine.Slots+queueDepth
 	}
-	batch := t.running(engine.ID, ClassBatch, now)
-	return load < engine.Slots && batch+t.peak(engine.ID, now)+startHeadroom < engine.Slots
-}
-
-// counts estimates the requests of an engine by class.
-func (t *Table) counts(id string, now time.Time) Counts {
-	return Counts{t.running(id, ClassOnline, now), t.running(id, ClassBatch, now)}
+	reserve := t.peak(engine.ID, now) - t.running(engine.ID, ClassOnline, now)
+	return load+reserve+startHeadroom < engine.Slots
 }
 
-// Excess is by how many requests batch work exceeds what online work leaves of
+// Excess is by how many requests batch work exceeds what other work leaves of
 // an engine's slots; 0 if it doesn't.
 func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
-	counts := t.counts(engine.ID, now)
-	return min(counts[ClassBatch], max(0, counts.Total()+cutHeadroom-engine.Slots))
+	batch := t.running(engine.ID, ClassBatch, now)
+	return min(batch, max(0, t.load(engine.ID, now)+cutHeadroom-engine.Slots))
 }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -21,14 +21,26 @@
 // Total adds the classes up.
 func (c Counts) Total() int { return c[ClassOnline] + c[ClassBatch] }
 
-// Report is what a node tells others of the requests it has under way.
-type Report map[EngineKey]Counts
+// Report is what a node tells others of engines' load.
+type Report map[EngineKey]Load
+
+// Load is what is known of an engine's load.
+type Load struct {
+	// Counts are the requests under way from the reporting nodes.
+	Counts
+	// Seen is what the engine said lately that it has in all, from whomever; 0
+	// if it said nothing lately.
+	Seen int
+}
+
+// atLeast is the least load that the engine has.
+func (l Load) atLeast() int { return max(l.Total(), l.Seen) }
 
 const (
-	reportVersion = 1
+	reportVersion = 2
 	// reportMost bounds the engines in a report, so that it fits a datagram.
 	reportMost = 120
-	reportSize = 8 + 2 + 2
+	reportSize = 8 + 2 + 2 + 2
 )
 
 type fixedReport struct{}
@@ -40,7 +52,7 @@
 		keys = append(keys, key)
 	}
 	sort.Slice(keys, func(i, j int) bool {
-		if a, b := r[keys[i]].Total(), r[keys[j]].Total(); a != b {
+		if a, b := r[keys[i]].atLeast(), r[keys[j]].atLeast(); a != b {
 			return a > b
 		}
 		return keys[i] < keys[j]
@@ -48,8 +60,9 @@
 	body := make([]byte, 0, reportSize*min(len(keys), reportMost))
 	for _, key := range keys[:min(len(keys), reportMost)] {
 		body = binary.BigEndian.AppendUint64(body, uint64(key))
-		body = binary.BigEndian.AppendUint16(body, uint16(r[key][ClassOnline]))
-		body = binary.BigEndian.AppendUint16(body, uint16(r[key][ClassBatch]))
+		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Counts[ClassOnline]))
+		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Counts[ClassBatch]))
+		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Seen))
 	}
 	encoded, err := wire.Marshal(reportVersion, fixedReport{}, body)
 	if err != nil {
@@ -70,8 +83,9 @@
 	}
 	report := Report{}
 	for ; len(body) > 0; body = body[reportSize:] {
-		report[EngineKey(binary.BigEndian.Uint64(body))] = Counts{
-			int(binary.BigEndian.Uint16(body[8:])), int(binary.BigEndian.Uint16(body[10:])),
+		report[EngineKey(binary.BigEndian.Uint64(body))] = Load{
+			Counts: Counts{int(binary.BigEndian.Uint16(body[8:])), int(binary.BigEndian.Uint16(body[10:]))},
+			Seen:   int(binary.BigEndian.Uint16(body[12:])),
 		}
 	}
 	return report, nil
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -123,12 +123,12 @@
 	t.peers[peer] = peerLoad{at: now, running: running}
 }
 
-// Own returns what this node has under way, without idle engines.
-func (t *Table) Own() Report {
+// Own returns what this node knows of engines by itself, without idle ones.
+func (t *Table) Own(now time.Time) Report {
 	own := Report{}
 	for id, state := range t.engines {
-		if state.total() > 0 {
-			own[t.key(id)] = state.own
+		if load := (Load{Counts: state.own, Seen: state.seen(now)}); load.atLeast() > 0 {
+			own[t.key(id)] = load
 		}
 	}
 	return own
@@ -136,16 +136,17 @@
 
 // Others adds up what all nodes but one have under way, this one included.
 func (t *Table) Others(except string, now time.Time) Report {
-	sum := t.Own()
+	sum := t.Own(now)
 	for peer, load := range t.peers {
 		if peer == except || now.Sub(load.at) > peerLife {
 			continue
 		}
-		for key, counts := range load.running {
+		for key, one := range load.running {
 			total := sum[key]
-			for class := range counts {
-				total[class] += counts[class]
+			for class := range one.Counts {
+				total.Counts[class] += one.Counts[class]
 			}
+			total.Seen = max(total.Seen, one.Seen)
 			sum[key] = total
 		}
 	}
@@ -177,7 +178,7 @@
 	}
 	for _, peer := range t.peers {
 		if now.Sub(peer.at) <= peerLife {
-			count += peer.running[t.key(id)][class]
+			count += peer.running[t.key(id)].Counts[class]
 		}
 	}
 	return count
@@ -202,16 +203,29 @@
 	return online
 }
 
-// load estimates all requests that an engine has. A fresh report counts with
-// what this node has sent since.
+// seen is what the engine said lately that it has, with what this node has
+// sent since; 0 if it said nothing lately.
+func (s *engineState) seen(now time.Time) int {
+	if now.Sub(s.reportAt) > reportLife {
+		return 0
+	}
+	return s.report.Running + s.report.Waiting + max(0, s.total()-s.ownAt)
+}
+
+// load estimates all requests that an engine has: those that nodes count, or
+// what it said itself if that is more, as after the loss of a node whose
+// requests still run there.
 func (t *Table) load(id string, now time.Time) int {
-	counted := t.running(id, ClassOnline, now) + t.running(id, ClassBatch, now)
-	state := t.engines[id]
-	if state == nil || now.Sub(state.reportAt) > reportLife {
-		return counted
+	load := t.running(id, ClassOnline, now) + t.running(id, ClassBatch, now)
+	if state := t.engines[id]; state != nil {
+		load = max(load, state.seen(now))
+	}
+	for _, peer := range t.peers {
+		if now.Sub(peer.at) <= peerLife {
+			load = max(load, peer.running[t.key(id)].Seen)
+		}
 	}
-	reported := state.report.Running + state.report.Waiting + max(0, state.total()-state.ownAt)
-	return max(counted, reported)
+	return load
 }
 
 // sound says that the engine isn't set aside.
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -102,12 +102,16 @@
 )
 
 func (r *itemRun) stream(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
-	r.commitAt = time.Now().Add(commitInterval)
+	started, first := time.Now(), r.last
+	r.commitAt = started.Add(firstCommit)
+	done := false
+	defer func() { r.observe(time.Since(started), r.last-first, r.last, done) }()
 	events := forward.NewEventReader(answer)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			r.options.Balancer.Succeeded(r.engine.ID)
+			done = true
 			return r.succeeded(ctx)
 		}
 		if err != nil {
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -349,6 +349,19 @@
 	return open
 }
 
+// Open is the number of items that are not final.
+func (m *Machine) Open() int {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	open := 0
+	for _, job := range m.jobs {
+		if !job.ended {
+			open += len(job.items) - job.positions
+		}
+	}
+	return open
+}
+
 // purgeable lists closed jobs that were submitted before the time.
 func (m *Machine) purgeable(before time.Time) []string {
 	m.mutex.RLock()
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -30,6 +30,9 @@
 const (
 	// planInterval is how often open items are looked at without a change.
 	planInterval = 50 * time.Millisecond
+	// firstCommit is when the first text of a run is committed: an item with
+	// committed text goes on elsewhere and is not run from its start again.
+	firstCommit = 150 * time.Millisecond
 	// commitInterval is how often a running item's text is committed.
 	commitInterval = 1200 * time.Millisecond
 	// commitTimeout bounds one commit.
@@ -79,6 +82,7 @@
 	stopped  bool
 	wake     chan struct{}
 	statedAt time.Time
+	pace     *pace
 	// term is the term in which leadership was confirmed, or 0.
 	term uint64
 }
@@ -99,7 +103,7 @@
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
 	return &Runner{
-		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{},
+		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -151,6 +155,13 @@
 	return r.term != 0
 }
 
+// Running is the number of items that run here.
+func (r *Runner) Running() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.runs)
+}
+
 // plan starts and stops runs as leadership and open items demand.
 func (r *Runner) plan(ctx context.Context) {
 	if !r.confirmLeading(ctx) {
@@ -159,6 +170,7 @@
 	}
 	now := time.Now()
 	open := r.options.Machine.openItems()
+	r.order(open, now)
 	r.stopEnded()
 	r.logState(len(open), now)
 	full := map[string]bool{}
@@ -214,6 +226,19 @@
 	r.term = term
 }
 
+func (r *Runner) order(open []openItem, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pace.order(open, now)
+}
+
+// observe takes the figures of a run that ended.
+func (r *Runner) observe(took time.Duration, events, last uint64, done bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pace.observe(took, events, last, done)
+}
+
 func (r *Runner) logState(open int, now time.Time) {
 	r.mutex.Lock()
 	running, paused, due := len(r.runs), len(r.pauses), now.Sub(r.statedAt) >= stateInterval
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -62,6 +62,9 @@
 	// Readiness is where a platform of objects asks whether the node takes
 	// callers; empty on a node that serves none.
 	Readiness string `koanf:"readiness" validate:"omitempty,ip_port"`
+	// Metrics is where a node on a platform of objects serves counters and
+	// histograms, at /metrics; empty means nowhere.
+	Metrics string `koanf:"metrics" validate:"omitempty,ip_port"`
 }
 
 // Peers says how the node finds and trusts its peers.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -18,6 +18,7 @@
 	eventAttemptFailed = telemetry.Define(2201, "attempt-failed", "An engine did not answer a request well; says what happens next.")
 	eventRefused       = telemetry.Define(2202, "request-refused", "A request got an answer of the system's own.")
 	eventAborted       = telemetry.Define(2203, "stream-aborted", "A stream was broken off at the caller.")
+	eventServed        = telemetry.Define(2205, "request-served", "A request was answered by an engine; says where its time went.")
 	eventCallerLeft    = telemetry.Define(2204, "caller-left", "A caller closed its connection before the answer was complete.")
 )
 
@@ -54,10 +55,20 @@
 	Route    *catalog.Route
 	Verdict  string
 	Attempts int
+	// Waited is the time spent waiting for engines with room.
+	Waited time.Duration
 	// First is the time to the answer's head or first event, Total to its end.
 	First, Total time.Duration
 }
 
+// How requests end, beside the names of verdicts.
+const (
+	verdictServed  = "served"
+	verdictLeft    = "caller-left"
+	verdictFailed  = "engine-failed"
+	verdictAborted = "aborted"
+)
+
 // flight is one request on its way.
 type flight struct {
 	*Forwarder
@@ -72,6 +83,8 @@
 
 	begun     bool // the head of a stream is out
 	lastEvent uint64
+	engine    string        // of the last exchange
+	waited    time.Duration // for engines with room
 	first     time.Time
 	verdict   string
 }
@@ -100,12 +113,15 @@
 
 func (fl *flight) run(ctx context.Context) {
 	for {
+		asked := time.Now()
 		engine, release, err := fl.acquire(ctx)
+		fl.waited += time.Since(asked)
 		if err != nil {
 			fl.withoutEngine(ctx, err)
 			return
 		}
 		fl.tries++
+		fl.engine = engine.ID
 		outcome, done := fl.try(ctx, engine)
 		release()
 		if done {
@@ -179,8 +195,9 @@
 	case ctx.Err() == nil:
 		return false
 	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		fl.verdict = "caller-left"
-		eventCallerLeft.Verbose(1, ctx.Err(), "request", fl.request.ID, "route", fl.route.Name)
+		fl.verdict = verdictLeft
+		eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
+			"held", time.Since(fl.request.Arrived), "last_event", fl.lastEvent)
 		fl.sink.Abort()
 	case fl.begun:
 		fl.abort(ctx.Err())
@@ -199,7 +216,7 @@
 	case StepUnknown:
 		fl.refuse(VerdictUnknown, outcome.cause)
 	case StepPass:
-		fl.verdict = "failed"
+		fl.verdict = verdictFailed
 		_ = fl.sink.Whole(outcome.answer.Status, outcome.answer.Header, outcome.body)
 	default:
 		fl.abort(outcome.cause)
@@ -218,7 +235,7 @@
 }
 
 func (fl *flight) abort(cause error) {
-	fl.verdict = "aborted"
+	fl.verdict = verdictAborted
 	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
 		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
 	fl.sink.Abort()
@@ -236,14 +253,19 @@
 }
 
 func (fl *flight) observe() {
-	if fl.Observe == nil {
-		return
+	result := Result{
+		Route: fl.route, Verdict: fl.verdict, Attempts: fl.tries, Waited: fl.waited, Total: time.Since(fl.request.Arrived),
 	}
-	result := Result{Route: fl.route, Verdict: fl.verdict, Attempts: fl.tries, Total: time.Since(fl.request.Arrived)}
 	if !fl.first.IsZero() {
 		result.First = fl.first.Sub(fl.request.Arrived)
 	}
-	fl.Observe(result)
+	if fl.verdict == verdictServed {
+		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
+			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.First > fl.route.Target)
+	}
+	if fl.Observe != nil {
+		fl.Observe(result)
+	}
 }
 
 // outcome is an Outcome with what it came from.
@@ -373,7 +395,7 @@
 	}
 	fl.Balancer.Succeeded(engine.ID)
 	fl.first = time.Now()
-	fl.verdict = "served"
+	fl.verdict = verdictServed
 	_ = fl.sink.Whole(answer.Status, answer.Header, body)
 	return outcome{}, true
 }
@@ -398,7 +420,7 @@
 			continue
 		}
 		if err := fl.pass(answer, event); err != nil {
-			fl.verdict = "caller-left"
+			fl.verdict = verdictLeft
 			fl.sink.Abort()
 			return outcome{}, true
 		}
@@ -420,7 +442,7 @@
 }
 
 func (fl *flight) endStream(answer *upstream.Answer) outcome {
-	fl.verdict = "served"
+	fl.verdict = verdictServed
 	if !fl.begun {
 		_ = fl.sink.Whole(answer.Status, answer.Header, nil)
 		return outcome{}
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -17,6 +17,10 @@
 // callTimeout bounds the small calls between ledgers.
 const callTimeout = 2 * time.Second
 
+// directoryTimeout bounds a look at a peer's directory; another peer is asked
+// next.
+const directoryTimeout = 400 * time.Millisecond
+
 var errNotHere = errors.New("replica: this node holds no such replica")
 
 func (s *Service) registerHandlers() {
@@ -131,7 +135,7 @@
 	if !found {
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.running, callTimeout)
+	ctx, cancel := context.WithTimeout(s.running, directoryTimeout)
 	defer cancel()
 	request := encode(directoryRequest{Digest: s.directory.digest()})
 	answer, err := s.options.Sender.Call(ctx, peer, kindDirectory, request)
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -28,6 +28,7 @@
 type repairState struct {
 	silentSince map[replication.ReplicaID]time.Time
 	superseded  map[replication.ReplicaID]bool
+	asked       map[replication.ReplicaID]bool // being asked; see lookForSuperseded
 	removed     []removedReplica
 }
 
@@ -124,6 +125,7 @@
 	if s.repair.silentSince == nil {
 		s.repair.silentSince = map[replication.ReplicaID]time.Time{}
 		s.repair.superseded = map[replication.ReplicaID]bool{}
+		s.repair.asked = map[replication.ReplicaID]bool{}
 	}
 	for id, follower := range status.Followers {
 		_, silent := s.repair.silentSince[id]
@@ -147,20 +149,37 @@
 }
 
 // lookForSuperseded asks the nodes of silent replicas whether they came back
-// with another identity.
+// with another identity. It doesn't wait for them: a node that is gone for good
+// never answers, and must not hold its replacement up.
 func (s *Shard) lookForSuperseded(now time.Time) {
 	for id, entry := range s.silentMembers(now) {
 		m, found := findMember(s.service.options.Members.View(), entry.Node)
-		if !found || m.State > membership.StateSuspect {
+		if !found || m.State > membership.StateSuspect || !s.beginAsking(id) {
 			continue
 		}
-		answer, err := s.service.callDescribe(m, s.id)
-		if err != nil || answer.Replica == id {
-			continue
-		}
-		s.mutex.Lock()
+		s.service.run(func() { s.askWhetherSuperseded(id, m) })
+	}
+}
+
+// beginAsking says that nobody else is asking about the replica.
+func (s *Shard) beginAsking(id replication.ReplicaID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.repair.asked[id] {
+		return false
+	}
+	s.repair.asked[id] = true
+	return true
+}
+
+func (s *Shard) askWhetherSuperseded(id replication.ReplicaID, m membership.Member) {
+	answer, err := s.service.callDescribe(m, s.id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.repair.asked, id)
+	if err == nil && answer.Replica != id && s.repair.superseded != nil {
 		s.repair.superseded[id] = true
-		s.mutex.Unlock()
+		s.service.repairSoon()
 	}
 }
 
@@ -200,30 +219,70 @@
 	return s.proposeChange(replication.Change{Type: replication.AddLearner, Replica: answer.Replica})
 }
 
+// choiceGrace is how long other candidates may answer after the first did.
+const choiceGrace = 200 * time.Millisecond
+
+// chooseSite asks a few nodes at a time for their load; those that don't answer
+// hold nobody up.
 func (s *Shard) chooseSite(sites []site) (membership.Member, error) {
 	rand.Shuffle(len(sites), func(i, j int) { sites[i], sites[j] = sites[j], sites[i] })
-	var best membership.Member
-	var bestLoad uint32
-	failure := trace.NotFound("no node can hold a replica")
-	found := false
+	candidates := s.knownMembers(sites)
+	if len(candidates) == 0 {
+		return membership.Member{}, trace.NotFound("no node can hold a replica")
+	}
+	offers := make(chan offer, len(candidates))
+	for _, m := range candidates {
+		s.service.run(func() {
+			answer, err := s.service.callDescribe(m, s.id)
+			offers <- offer{m, answer.Replicas, err}
+		})
+	}
+	return bestOffer(offers, len(candidates))
+}
+
+// offer is what a node answered.
+type offer struct {
+	member   membership.Member
+	replicas uint32
+	err      error
+}
+
+func (s *Shard) knownMembers(sites []site) []membership.Member {
+	var known []membership.Member
 	for _, candidate := range sites[:min(len(sites), joinChoices)] {
-		m, known := findMember(s.service.options.Members.View(), candidate.node)
-		if !known {
-			continue
+		if m, found := findMember(s.service.options.Members.View(), candidate.node); found {
+			known = append(known, m)
 		}
-		answer, err := s.service.callDescribe(m, s.id)
-		if err != nil {
-			failure = trace.Wrap(err, "ask peer %s for its load", m.Name)
-			continue
-		}
-		if !found || answer.Replicas < bestLoad {
-			best, bestLoad, found = m, answer.Replicas, true
+	}
+	return known
+}
+
+// bestOffer waits for all offers, or for choiceGrace after the first good one.
+func bestOffer(offers <-chan offer, count int) (membership.Member, error) {
+	var best offer
+	found := false
+	failure := error(trace.NotFound("no node can hold a replica"))
+	var grace <-chan time.Time
+	for range count {
+		select {
+		case one := <-offers:
+			switch {
+			case one.err != nil:
+				failure = trace.Wrap(one.err, "ask peer %s for its load", one.member.Name)
+			case !found || one.replicas < best.replicas:
+				best, found = one, true
+			}
+			if found && grace == nil {
+				grace = time.After(choiceGrace)
+			}
+		case <-grace:
+			return best.member, nil
 		}
 	}
 	if !found {
-		return best, failure
+		return membership.Member{}, failure
 	}
-	return best, nil
+	return best.member, nil
 }
 
 func (s *Service) callDescribe(m membership.Member, id ledger.ShardID) (describeAnswer, error) {
@@ -294,16 +353,21 @@
 	removed := s.repair.removed
 	s.repair.removed = nil
 	s.mutex.Unlock()
-	var again []removedReplica
 	for _, r := range removed {
-		if err := s.tellOne(r.entry); err != nil && r.tries < leaveTries {
-			r.tries++
-			again = append(again, r)
-		}
+		s.service.run(func() { s.tellAgainLater(r) })
+	}
+}
+
+// tellAgainLater tells one removed replica; if it can't be told, the next step
+// of repair tries again. Nothing waits for it.
+func (s *Shard) tellAgainLater(r removedReplica) {
+	if s.tellOne(r.entry) == nil || r.tries >= leaveTries {
+		return
 	}
+	r.tries++
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.repair.removed = append(s.repair.removed, again...)
+	s.repair.removed = append(s.repair.removed, r)
 }
 
 func (s *Shard) tellOne(entry storage.RosterEntry) error {
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -109,6 +109,7 @@
 	seeds   []transport.Address
 	peers   map[transport.Address]time.Time // who asked this node, and when
 	changed chan struct{}                   // closed at each change
+	heard   time.Time                       // the store's last answer
 }
 
 // peerMemory is how long a node remembers a peer that asked it.
@@ -198,6 +199,7 @@
 		err := a.readStore(kind, mustList)
 		switch {
 		case err == nil:
+			a.noteHeard()
 			if lost {
 				eventStoreBack.Info("kind", kind, "revision", a.position(kind))
 			}
@@ -216,6 +218,19 @@
 	}
 }
 
+func (a *Agent) noteHeard() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.heard = time.Now()
+}
+
+// Heard is when the store last answered this node.
+func (a *Agent) Heard() time.Time {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.heard
+}
+
 // readStore does one call: a listing, or a watch from where the table is.
 func (a *Agent) readStore(kind string, list bool) error {
 	if list {
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -63,8 +63,9 @@
 	balancer *balance.Balancer
 	ledger   *replica.Service
 
-	stop  chan struct{}
-	tasks sync.WaitGroup
+	metrics *http.Server // nil without an address
+	stop    chan struct{}
+	tasks   sync.WaitGroup
 }
 
 func openCore(settings *config.Node, adapter *Adapter, dataNode bool) (*core, error) {
@@ -82,6 +83,7 @@
 	c.facts.agent = c.agent
 	c.pool = upstream.NewPool(adapter.Engines)
 	c.balancer = balance.New(c.facts.Snapshot)
+	c.registerGauges(c.commonGauges())
 	return c, nil
 }
 
@@ -139,7 +141,7 @@
 	}
 }
 
-func (c *core) start() {
+func (c *core) start() error {
 	c.peers.Serve()
 	c.run(func() { c.facts.follow(c.stop) })
 	c.run(c.prune)
@@ -147,6 +149,7 @@
 	c.ledger.Start()
 	eventStarted.Info("node", c.settings.Node.Name, "zone", c.settings.Node.Zone, "peers", c.settings.Listen.Peers,
 		"data", c.settings.Data.Folder != "")
+	return c.serveMetrics()
 }
 
 func (c *core) run(task func()) {
@@ -182,6 +185,9 @@
 	_ = c.ledger.Close()
 	c.tasks.Wait()
 	c.peers.Close()
+	if c.metrics != nil {
+		_ = c.metrics.Close()
+	}
 	eventStopped.Info("node", c.settings.Node.Name)
 }
 
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -36,6 +36,10 @@
 		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
 		Route: d.route, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
 	})
+	d.registerGauges(map[string]gauge{
+		"chutelock_batch_items_open":    {"Items that are not final, at a replica.", func() float64 { return float64(d.machine.Open()) }},
+		"chutelock_batch_items_running": {"Items that this node runs.", func() float64 { return float64(d.runner.Running()) }},
+	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
 	batchwork.RegisterServer(d.localShard, d.machine, d.peers)
 	return d, nil
@@ -70,7 +74,9 @@
 
 // Start implements Node.
 func (d *data) Start() error {
-	d.start()
+	if err := d.start(); err != nil {
+		return err
+	}
 	d.run(func() { d.runner.Run(d.running) })
 	d.run(func() { d.reportEvacuations(d.running) })
 	return nil
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -53,6 +53,7 @@
 		Snapshot: f.facts.Snapshot,
 		Forwarder: &forward.Forwarder{
 			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
+			Observe: newRequestMetrics(common.registry).observe,
 		},
 		Jobs: batchwork.NewCaller(f.ledger, f.peers),
 	}
@@ -81,7 +82,9 @@
 
 // Start implements Node.
 func (f *front) Start() error {
-	f.start()
+	if err := f.start(); err != nil {
+		return err
+	}
 	f.run(f.reportLoad)
 	if f.settings.Listen.Readiness != "" {
 		if err := serve(f.settings.Listen.Readiness, f.readiness); err != nil {
--- /dev/null
+++ b/internal/system/metrics.go
@@ -0,0 +1,101 @@
+package system
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"chutelock.dev/chutelock/internal/forward"
+)
+
+// PathMetrics is where counters and histograms are served.
+const PathMetrics = "/metrics"
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2}
+
+// requestMetrics counts callers' requests.
+type requestMetrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.HistogramVec
+	waited   *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+}
+
+func newRequestMetrics(registry prometheus.Registerer) *requestMetrics {
+	histogram := func(name, help string, buckets []float64) *prometheus.HistogramVec {
+		vector := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, []string{"kind"})
+		registry.MustRegister(vector)
+		return vector
+	}
+	m := &requestMetrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chutelock_requests_total", Help: "Requests by route kind, outcome, and whether their first byte came within the target.",
+		}, []string{"kind", "outcome", "in_time"}),
+		attempts: histogram("chutelock_request_attempts", "Exchanges with engines a request.", []float64{0, 1, 2, 3, 5, 8}),
+		waited:   histogram("chutelock_request_wait_seconds", "Time that a request waited for an engine with room.", latencyBuckets),
+		first:    histogram("chutelock_request_first_seconds", "Time to an answer's head or first event.", latencyBuckets),
+		total:    histogram("chutelock_request_seconds", "Time to an answer's end.", latencyBuckets),
+	}
+	registry.MustRegister(m.requests)
+	return m
+}
+
+func (m *requestMetrics) observe(result forward.Result) {
+	kind := result.Route.Kind.String()
+	inTime := result.First > 0 && result.First <= result.Route.Target
+	m.requests.WithLabelValues(kind, result.Verdict, strconv.FormatBool(inTime)).Inc()
+	m.attempts.WithLabelValues(kind).Observe(float64(result.Attempts))
+	m.waited.WithLabelValues(kind).Observe(result.Waited.Seconds())
+	m.total.WithLabelValues(kind).Observe(result.Total.Seconds())
+	if result.First > 0 {
+		m.first.WithLabelValues(kind).Observe(result.First.Seconds())
+	}
+}
+
+// registerGauges registers figures that are read when they are asked for.
+func (c *core) registerGauges(gauges map[string]gauge) {
+	for name, one := range gauges {
+		c.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: one.help}, one.read))
+	}
+}
+
+type gauge struct {
+	help string
+	read func() float64
+}
+
+func (c *core) commonGauges() map[string]gauge {
+	return map[string]gauge{
+		"chutelock_configuration_version": {"Version of the configuration in force; 0 while none is known.", func() float64 {
+			if configuration := c.facts.Snapshot().Configuration; configuration != nil {
+				return float64(configuration.Version)
+			}
+			return 0
+		}},
+		"chutelock_mirror_age_seconds": {"Time since the platform's store last answered this node.", func() float64 {
+			return time.Since(c.agent.Heard()).Seconds()
+		}},
+		"chutelock_engine_connections_opened_total": {"Connections opened to engines.", func() float64 {
+			return float64(c.pool.Opened.Load())
+		}},
+		"chutelock_requests_waiting": {"Requests that wait for an engine with room.", func() float64 {
+			return float64(c.balancer.Waiting())
+		}},
+	}
+}
+
+// serveMetrics serves the registry if an address is set.
+func (c *core) serveMetrics() error {
+	if c.settings.Listen.Metrics == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle(PathMetrics, promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{}))
+	c.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return serve(c.settings.Listen.Metrics, c.metrics)
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -20,6 +20,8 @@
 	Number  int
 	Name    string
 	Meaning string
+
+	rate *limiter
 }
 
 // Record is one emitted event, kept for the operators' event listing.
@@ -51,7 +53,7 @@
 	if other, taken := catalogue[number]; taken {
 		panic(fmt.Sprintf("telemetry: event %d is %q already", number, other.Name))
 	}
-	event := Event{Number: number, Name: name, Meaning: meaning}
+	event := Event{Number: number, Name: name, Meaning: meaning, rate: &limiter{}}
 	catalogue[number] = event
 	return event
 }
@@ -70,17 +72,37 @@
 
 // Info logs the event with pairs of keys and values.
 func (e Event) Info(keysAndValues ...any) {
+	keysAndValues, allowed := e.limit(keysAndValues)
+	if !allowed {
+		return
+	}
 	klog.InfoSDepth(1, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
 	e.remember("", keysAndValues)
 }
 
 // Error logs the event as an error.
 func (e Event) Error(err error, keysAndValues ...any) {
+	keysAndValues, allowed := e.limit(keysAndValues)
+	if !allowed {
+		return
+	}
 	plain := plainError{err}
 	klog.ErrorSDepth(1, plain, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
 	e.remember(plain.Error(), keysAndValues)
 }
 
+// limit holds lines back that come too fast, and adds how many it held back.
+func (e Event) limit(keysAndValues []any) ([]any, bool) {
+	if e.rate == nil {
+		return keysAndValues, true
+	}
+	omitted, allowed := e.rate.allow(time.Now())
+	if omitted > 0 {
+		keysAndValues = append(keysAndValues, "omitted", omitted)
+	}
+	return keysAndValues, allowed
+}
+
 // plainError is an error without the stack that trace adds to it: its message
 // carries the step and the peer already.
 type plainError struct{ error }
