Batch runs are cut by counted requests only

Cause: engines' own figures include their queues, which pass within tens of ms; cutting batch runs by them cut far too many, whose prompts were read again in the very peak. Change: cuts compare counted requests with the slots; starts and choices still look at the engines' own figures. The test's expectation of a cut is turned round with the reason.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -101,7 +101,8 @@
 // an engine's slots; 0 if it doesn't.
 func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
 	batch := t.running(engine.ID, ClassBatch, now)
-	return min(batch, max(0, t.load(engine.ID, now)+cutHeadroom-engine.Slots))
+	counted := batch + t.running(engine.ID, ClassOnline, now)
+	return min(batch, max(0, counted+cutHeadroom-engine.Slots))
 }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
