Entries that lapse together stay in use for 1.1 s

Change: catalog.Lapses: if more of a service's engines are missing than listed, the missing ones stay in use, for less than the time that an engine serves on after its entry is gone (2 s).

--- /dev/null
+++ b/internal/catalog/lapse.go
@@ -0,0 +1,77 @@
+package catalog
+
+import "time"
+
+// LapseHold is how long engines whose entries lapsed together stay in use. It
+// is well below the time for which an engine serves on after its entry is gone
+// (bound drain), so that none is used that has really left.
+const LapseHold = 1100 * time.Millisecond
+
+// Lapses tells engines that left from entries that lapsed: when the store
+// could not take heartbeats, many entries of a service disappear at once and
+// come back with the engines' next heartbeats. It is pure.
+type Lapses struct {
+	present map[string]Engine
+	missing map[string]missing
+}
+
+type missing struct {
+	engine Engine
+	since  time.Time
+}
+
+// NewLapses returns a value that has seen no engines.
+func NewLapses() *Lapses {
+	return &Lapses{present: map[string]Engine{}, missing: map[string]missing{}}
+}
+
+// Update takes the listed engines and returns those to use: the listed ones,
+// and with them the missing ones of each service of which more are missing
+// than listed. again says when to call next, if nothing changes before; zero
+// means not at all.
+func (l *Lapses) Update(listed []Engine, now time.Time) (engines []Engine, again time.Time) {
+	l.note(listed, now)
+	here, gone := map[string]int{}, map[string]int{}
+	for _, engine := range listed {
+		if !engine.Leaving {
+			here[engine.Service]++
+		}
+	}
+	for _, one := range l.missing {
+		gone[one.engine.Service]++
+	}
+	engines = append(engines, listed...)
+	for _, one := range l.missing {
+		if gone[one.engine.Service] <= here[one.engine.Service] {
+			continue
+		}
+		engines = append(engines, one.engine)
+		if end := one.since.Add(LapseHold); again.IsZero() || end.Before(again) {
+			again = end
+		}
+	}
+	return engines, again
+}
+
+// note compares the list with the one before. Engines that said they leave,
+// and those whose address another has now, are not missing.
+func (l *Lapses) note(listed []Engine, now time.Time) {
+	current := make(map[string]Engine, len(listed))
+	addresses := map[string]bool{}
+	for _, engine := range listed {
+		current[engine.ID] = engine
+		addresses[engine.Address] = true
+	}
+	for id, engine := range l.present {
+		if _, still := current[id]; !still && !engine.Leaving {
+			l.missing[id] = missing{engine, now}
+		}
+	}
+	for id, one := range l.missing {
+		_, back := current[id]
+		if back || addresses[one.engine.Address] || now.Sub(one.since) >= LapseHold {
+			delete(l.missing, id)
+		}
+	}
+	l.present = current
+}
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/mirror"
@@ -20,11 +21,13 @@
 	agent    *mirror.Agent
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changes  chan struct{} // of capacity 1
-	onChange func()
+	// lapses and again belong to the goroutine that follows.
+	lapses *catalog.Lapses
+	again  time.Time
 }
 
 func newFacts(adapter *Adapter) *facts {
-	f := &facts{adapter: adapter, changes: make(chan struct{}, 1)}
+	f := &facts{adapter: adapter, changes: make(chan struct{}, 1), lapses: catalog.NewLapses()}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil))
 	return f
 }
@@ -45,12 +48,19 @@
 
 // follow refreshes the catalog until stop closes.
 func (f *facts) follow(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		select {
 		case <-stop:
 			return
 		case <-f.changes:
-			f.refresh()
+		case <-timer.C:
+		}
+		f.refresh()
+		timer.Stop()
+		if !f.again.IsZero() {
+			timer.Reset(max(0, time.Until(f.again)))
 		}
 	}
 }
@@ -61,7 +71,9 @@
 	before := f.Snapshot()
 	configuration := f.newest(before.Configuration)
 	objects, at := f.agent.Objects(f.adapter.EnginesKind)
-	engines := f.adapter.EngineList(objects)
+	listed := f.adapter.EngineList(objects)
+	var engines []catalog.Engine
+	engines, f.again = f.lapses.Update(listed, time.Now())
 	if at == 0 {
 		configuration = before.Configuration
 	}
@@ -72,10 +84,7 @@
 			leaving++
 		}
 	}
-	eventEngines.Info("engines", len(engines), "leaving", leaving, "revision", at)
-	if f.onChange != nil {
-		f.onChange()
-	}
+	eventEngines.Info("engines", len(engines), "lapsed", len(engines)-len(listed), "leaving", leaving, "revision", at)
 }
 
 func (f *facts) newest(inForce *catalog.Configuration) *catalog.Configuration {
