--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -29,7 +29,7 @@
 	cutHeadroom = 1
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
-	queueDepth = 4
+	queueDepth = 1
 )
 
 // Wish is what a request wants of an engine.
