Prompts that wait to be read count in the choice of an engine

Cause: in busy seconds a few engines answered after 300 to 600 ms and the others after 25 to 50: one long prompt (up to 39,600 tokens, 0.65 s) holds up what came after it, and choices counted requests only. Change: a place at an engine carries its unread prompt tokens until the first event; they go into load reports and scores (20,000 tokens cost as much as all slots), and batch work starts nothing where 5,000 wait.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -32,13 +32,13 @@
 	table := NewTable()
 	snapshot := engines(3, 10) // a near, b far, c near
 	wish := Wish{Service: "s", Zone: "near"}
-	table.Begin("a", ClassOnline, start)
+	table.Begin("a", ClassOnline, 0, start)
 	chosen, found := table.Choose(snapshot, wish, start, quiet)
 	g.Expect(found).To(gomega.BeTrue())
 	g.Expect(chosen.ID).To(gomega.Equal("c"))
 	for range 4 {
-		table.Begin("a", ClassOnline, start)
-		table.Begin("c", ClassOnline, start)
+		table.Begin("a", ClassOnline, 0, start)
+		table.Begin("c", ClassOnline, 0, start)
 	}
 	chosen, _ = table.Choose(snapshot, wish, start, quiet)
 	g.Expect(chosen.ID).To(gomega.Equal("b"), "another zone once it has much more room")
@@ -107,7 +107,7 @@
 		if _, found := table.Choose(snapshot, wish, start, quiet); !found {
 			break
 		}
-		table.Begin("a", ClassBatch, start)
+		table.Begin("a", ClassBatch, 0, start)
 		batch++
 	}
 	g.Expect(batch).To(gomega.Equal(10 - startHeadroom))
@@ -133,7 +133,7 @@
 	engine, _ := snapshot.Engine("a")
 	witness, leader := NewTable(), NewTable()
 	witness.Reported("a", upstream.Load{Running: 9, Waiting: 3}, start)
-	leader.Begin("a", ClassBatch, start)
+	leader.Begin("a", ClassBatch, 0, start)
 	leader.PeerLoad("witness", witness.Own(start), start)
 	_, found := leader.Choose(snapshot, Wish{Service: "s", Zone: "near", Class: ClassBatch}, start, quiet)
 	g.Expect(found).To(gomega.BeFalse())
@@ -142,6 +142,32 @@
 	g.Expect(leader.Others("else", start)[KeyOf("a")].Seen).To(gomega.Equal(12))
 }
 
+// A long prompt holds up everybody behind it at its engine.
+func TestPromptsThatWaitToBeReadCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := engines(3, 10)
+	balancer := New(func() *catalog.Snapshot { return snapshot })
+	wish := Wish{Service: "s", Zone: "near", PromptTokens: 5000}
+	long, err := balancer.Acquire(context.Background(), wish, 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	wish.PromptTokens = 0
+	for range 3 {
+		next, _ := balancer.Acquire(context.Background(), wish, 0, 0)
+		g.Expect(next.Engine.ID).NotTo(gomega.Equal(long.Engine.ID))
+		next.Release()
+	}
+	g.Expect(balancer.Own()[KeyOf(long.Engine.ID)].Pending).To(gomega.Equal(5000))
+	wish.Class = ClassBatch
+	batch, _ := balancer.Acquire(context.Background(), wish, 0, 0)
+	g.Expect(batch.Engine.ID).NotTo(gomega.Equal(long.Engine.ID))
+	long.Read()
+	long.Read()
+	g.Expect(balancer.Own()[KeyOf(long.Engine.ID)].Pending).To(gomega.BeZero())
+	long.Release()
+	long.Release()
+	g.Expect(balancer.Own()).To(gomega.HaveLen(1))
+}
+
 func TestAPrefixHasOneHome(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := NewTable()
@@ -172,15 +198,15 @@
 	wish := Wish{Service: "s", Zone: "near"}
 	var releases []func()
 	for range 1 + queueDepth {
-		_, release, err := balancer.Acquire(context.Background(), wish, 0, 0)
+		lease, err := balancer.Acquire(context.Background(), wish, 0, 0)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		releases = append(releases, release)
+		releases = append(releases, lease.Release)
 	}
-	_, _, err := balancer.Acquire(context.Background(), wish, 0, 0)
+	_, err := balancer.Acquire(context.Background(), wish, 0, 0)
 	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
 	order := make(chan int, 2)
 	wait := func(priority int) {
-		if _, _, err := balancer.Acquire(context.Background(), wish, priority, 10*time.Second); err == nil {
+		if _, err := balancer.Acquire(context.Background(), wish, priority, 10*time.Second); err == nil {
 			order <- priority
 		}
 	}
@@ -197,13 +223,13 @@
 func TestAServiceWithoutEnginesIsSaidSo(t *testing.T) {
 	g := gomega.NewWithT(t)
 	balancer := New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
-	_, _, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0)
+	_, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0)
 	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
 }
 
 func TestReportsKeepTheirContent(t *testing.T) {
 	g := gomega.NewWithT(t)
-	report := Report{KeyOf("a"): {Counts{3, 4}, 9}, KeyOf("b"): {Counts{0, 65535}, 0}}
+	report := Report{KeyOf("a"): {Counts{3, 4}, 9, 123456}, KeyOf("b"): {Counts{0, 65535}, 0, 0}}
 	got, err := UnmarshalReport(report.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got).To(gomega.Equal(report))
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -73,25 +73,69 @@
 	return best
 }
 
-// Acquire returns an engine for the wish, and counts the request there until
-// release. It waits for room up to wait, the lowest priority number first.
-func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration) (engine catalog.Engine, release func(), err error) {
-	engine, found := b.try(wish, nil, priority)
+// Lease is a request's place at an engine. Its methods may be called again
+// without harm.
+type Lease struct {
+	Engine catalog.Engine
+
+	balancer *Balancer
+	class    Class
+	tokens   int // not read yet; guarded by the balancer's mutex
+	released bool
+}
+
+// Acquire returns a place at an engine for the wish; it counts there until it
+// is released. It waits for room up to wait, the lowest priority number first.
+func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration) (*Lease, error) {
+	lease, found := b.try(wish, nil, priority)
 	if !found && wait > 0 {
-		engine, found = b.await(ctx, wish, priority, wait)
+		lease, found = b.await(ctx, wish, priority, wait)
 	}
 	if !found {
 		if len(b.snapshot().Serving(wish.Service)) == 0 {
-			return engine, nil, ErrNoEngine
+			return nil, ErrNoEngine
+		}
+		return nil, ErrNoRoom
+	}
+	return lease, nil
+}
+
+// Read notes that the engine has read the request's prompt: its first event
+// came.
+func (l *Lease) Read() {
+	l.balancer.mutex.Lock()
+	defer l.balancer.mutex.Unlock()
+	l.read()
+}
+
+func (l *Lease) read() {
+	if l.tokens > 0 {
+		l.balancer.table.Read(l.Engine.ID, l.tokens, time.Now())
+		l.tokens = 0
+	}
+}
+
+// Release gives the place up.
+func (l *Lease) Release() {
+	b := l.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if l.released {
+		return
+	}
+	l.released = true
+	l.read()
+	b.table.End(l.Engine.ID, l.class, time.Now())
+	if len(b.waiting) > 0 {
+		select {
+		case b.waiting[0].wake <- struct{}{}:
+		default:
 		}
-		return engine, nil, ErrNoRoom
 	}
-	var once sync.Once
-	return engine, func() { once.Do(func() { b.end(engine.ID, wish.Class) }) }, nil
 }
 
 // try takes an engine unless somebody more urgent is waiting.
-func (b *Balancer) try(wish Wish, self *waiter, priority int) (catalog.Engine, bool) {
+func (b *Balancer) try(wish Wish, self *waiter, priority int) (*Lease, bool) {
 	snapshot := b.snapshot()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -100,18 +144,20 @@
 			break
 		}
 		if other.priority < priority {
-			return catalog.Engine{}, false
+			return nil, false
 		}
 	}
 	now := time.Now()
 	engine, found := b.table.Choose(snapshot, wish, now, rand.Float64)
-	if found {
-		b.table.Begin(engine.ID, wish.Class, now)
+	if !found {
+		return nil, false
 	}
-	return engine, found
+	lease := &Lease{Engine: engine, balancer: b, class: wish.Class, tokens: b.table.unread(snapshot, wish, engine)}
+	b.table.Begin(engine.ID, wish.Class, lease.tokens, now)
+	return lease, true
 }
 
-func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration) (catalog.Engine, bool) {
+func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration) (*Lease, bool) {
 	self := b.enqueue(priority)
 	defer b.dequeue(self)
 	limit := time.NewTimer(wait)
@@ -121,14 +167,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return catalog.Engine{}, false
+			return nil, false
 		case <-limit.C:
-			return catalog.Engine{}, false
+			return nil, false
 		case <-recheck.C:
 		case <-self.wake:
 		}
-		if engine, found := b.try(wish, self, priority); found {
-			return engine, true
+		if lease, found := b.try(wish, self, priority); found {
+			return lease, true
 		}
 	}
 }
@@ -155,18 +201,6 @@
 	}
 }
 
-func (b *Balancer) end(id string, class Class) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.table.End(id, class, time.Now())
-	if len(b.waiting) > 0 {
-		select {
-		case b.waiting[0].wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // Waiting is the number of requests that wait for an engine.
 func (b *Balancer) Waiting() int {
 	b.mutex.Lock()
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -14,6 +14,12 @@
 	// for prefixBonusTokens shared tokens or more.
 	prefixBonus       = 0.5
 	prefixBonusTokens = 4000
+	// pendingUnit is the prompt tokens waiting to be read at an engine that cost
+	// as much as all of its slots taken; engines read some 60 tokens a ms.
+	pendingUnit = 20000
+	// batchPending is the prompt tokens waiting at an engine from which on batch
+	// work starts nothing there.
+	batchPending = 5000
 	// formerBonus is what the engine gains that ran a part of the request.
 	formerBonus = 0.3
 	// noisePenalty spreads requests over equal engines.
@@ -41,6 +47,8 @@
 	// length; an engine that has read it before is quicker.
 	Prefix       string
 	PrefixTokens int
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
 	// Former is the engine that ran a part of the request; it may still keep the
 	// prompt.
 	Former string
@@ -93,6 +101,9 @@
 	if class == ClassOnline {
 		return load < engine.Slots+queueDepth
 	}
+	if t.pending(engine.ID, now) >= batchPending {
+		return false
+	}
 	reserve := t.peak(engine.ID, now) - t.running(engine.ID, ClassOnline, now)
 	return load+reserve+startHeadroom < engine.Slots
 }
@@ -109,6 +120,7 @@
 // bonuses in the same unit.
 func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
 	score := float64(t.load(engine.ID, now)) / float64(max(engine.Slots, 1))
+	score += float64(t.pending(engine.ID, now)) / pendingUnit
 	if engine.Zone != wish.Zone {
 		score += zonePenalty
 	}
@@ -124,6 +136,15 @@
 	return score
 }
 
+// unread is the prompt tokens that an engine will have to read for a wish. The
+// home of its prefix has read the shared part before.
+func (t *Table) unread(snapshot *catalog.Snapshot, wish Wish, engine catalog.Engine) int {
+	if engine.ID == prefixHome(snapshot.Serving(wish.Service), wish) {
+		return max(0, wish.PromptTokens-wish.PrefixTokens)
+	}
+	return wish.PromptTokens
+}
+
 // prefixHome is the engine that requests with the same prefix go to first, by
 // rendezvous hashing. It is the same for all zones, so that a prefix is read
 // and kept at one engine.
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -31,16 +31,19 @@
 	// Seen is what the engine said lately that it has in all, from whomever; 0
 	// if it said nothing lately.
 	Seen int
+	// Pending is the prompt tokens that the engine has still to read for the
+	// reporting nodes.
+	Pending int
 }
 
 // atLeast is the least load that the engine has.
 func (l Load) atLeast() int { return max(l.Total(), l.Seen) }
 
 const (
-	reportVersion = 2
+	reportVersion = 3
 	// reportMost bounds the engines in a report, so that it fits a datagram.
-	reportMost = 120
-	reportSize = 8 + 2 + 2 + 2
+	reportMost = 90
+	reportSize = 8 + 2 + 2 + 2 + 4
 )
 
 type fixedReport struct{}
@@ -63,6 +66,7 @@
 		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Counts[ClassOnline]))
 		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Counts[ClassBatch]))
 		body = binary.BigEndian.AppendUint16(body, uint16(r[key].Seen))
+		body = binary.BigEndian.AppendUint32(body, uint32(max(0, r[key].Pending)))
 	}
 	encoded, err := wire.Marshal(reportVersion, fixedReport{}, body)
 	if err != nil {
@@ -85,7 +89,7 @@
 	for ; len(body) > 0; body = body[reportSize:] {
 		report[EngineKey(binary.BigEndian.Uint64(body))] = Load{
 			Counts: Counts{int(binary.BigEndian.Uint16(body[8:])), int(binary.BigEndian.Uint16(body[10:]))},
-			Seen:   int(binary.BigEndian.Uint16(body[12:])),
+			Seen:   int(binary.BigEndian.Uint16(body[12:])), Pending: int(binary.BigEndian.Uint32(body[14:])),
 		}
 	}
 	return report, nil
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -36,6 +36,7 @@
 // engineState is what is known of one engine beyond the catalog.
 type engineState struct {
 	own      Counts // under way from this node
+	pending  int    // prompt tokens of own requests without a first event
 	report   upstream.Load
 	reportAt time.Time
 	ownAt    int // own requests when the report came
@@ -85,8 +86,16 @@
 	return state
 }
 
-// Begin counts a request that is sent to an engine.
-func (t *Table) Begin(id string, class Class, now time.Time) { t.state(id, now).own[class]++ }
+// Begin counts a request that is sent to an engine, with the prompt tokens that
+// the engine has to read for it.
+func (t *Table) Begin(id string, class Class, tokens int, now time.Time) {
+	state := t.state(id, now)
+	state.own[class]++
+	state.pending += tokens
+}
+
+// Read notes that the engine has read a request's prompt.
+func (t *Table) Read(id string, tokens int, now time.Time) { t.state(id, now).pending -= tokens }
 
 // End counts its end.
 func (t *Table) End(id string, class Class, now time.Time) { t.state(id, now).own[class]-- }
@@ -127,7 +136,7 @@
 func (t *Table) Own(now time.Time) Report {
 	own := Report{}
 	for id, state := range t.engines {
-		if load := (Load{Counts: state.own, Seen: state.seen(now)}); load.atLeast() > 0 {
+		if load := (Load{Counts: state.own, Seen: state.seen(now), Pending: state.pending}); load.atLeast() > 0 {
 			own[t.key(id)] = load
 		}
 	}
@@ -147,6 +156,7 @@
 				total.Counts[class] += one.Counts[class]
 			}
 			total.Seen = max(total.Seen, one.Seen)
+			total.Pending += one.Pending
 			sum[key] = total
 		}
 	}
@@ -228,6 +238,21 @@
 	return load
 }
 
+// pending estimates the prompt tokens that an engine still has to read for all
+// nodes.
+func (t *Table) pending(id string, now time.Time) int {
+	tokens := 0
+	if state := t.engines[id]; state != nil {
+		tokens = state.pending
+	}
+	for _, peer := range t.peers {
+		if now.Sub(peer.at) <= peerLife {
+			tokens += peer.running[t.key(id)].Pending
+		}
+	}
+	return tokens
+}
+
 // sound says that the engine isn't set aside.
 func (t *Table) sound(id string, now time.Time) bool {
 	state := t.engines[id]
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/ledger"
@@ -19,6 +20,7 @@
 	item   openItem
 	route  *catalog.Route
 	engine catalog.Engine
+	lease  *balance.Lease
 
 	id        string
 	committed uint64 // last event that is committed
@@ -118,6 +120,7 @@
 			return r.broken(ctx, err, isClosed(silence))
 		}
 		timer.Reset(itemPatience)
+		r.lease.Read()
 		if !event.HasID || event.ID <= r.last {
 			continue
 		}
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -315,6 +315,8 @@
 	giveUp    time.Time
 	lastEvent uint64
 	failures  uint8
+	// promptTokens is about how long the prompt is that an engine has to read.
+	promptTokens int
 }
 
 // openItems lists the items that are not final, the first due first.
@@ -334,6 +336,7 @@
 			open = append(open, openItem{
 				job: job.ID, index: uint32(i), host: job.Host, path: job.Path, due: job.Submitted.Add(job.Completion),
 				giveUp: job.Submitted.Add(job.Retention), lastEvent: item.lastEvent, failures: item.failures,
+				promptTokens: int(item.tokens / 2),
 			})
 		}
 	}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -279,23 +279,23 @@
 
 // start runs an item if an engine of the service has room for batch work.
 func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) bool {
-	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item)}
-	engine, release, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
+	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item), PromptTokens: item.promptTokens}
+	lease, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
 	if err != nil {
 		return false
 	}
 	k := itemKey{item.job, item.index}
 	ctx, cancel := context.WithCancel(ctx)
 	r.mutex.Lock()
-	r.formers[k] = engine.ID
-	r.runs[k] = &run{cancel: cancel, engine: engine, started: time.Now()}
+	r.formers[k] = lease.Engine.ID
+	r.runs[k] = &run{cancel: cancel, engine: lease.Engine, started: time.Now()}
 	r.mutex.Unlock()
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
-		pause := (&itemRun{Runner: r, item: item, route: route, engine: engine}).run(ctx)
+		pause := (&itemRun{Runner: r, item: item, route: route, engine: lease.Engine, lease: lease}).run(ctx)
 		cancel()
-		release()
+		lease.Release()
 		r.finished(k, pause)
 	}()
 	return true
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -114,16 +114,17 @@
 func (fl *flight) run(ctx context.Context) {
 	for {
 		asked := time.Now()
-		engine, release, err := fl.acquire(ctx)
+		lease, err := fl.acquire(ctx)
 		fl.waited += time.Since(asked)
 		if err != nil {
 			fl.withoutEngine(ctx, err)
 			return
 		}
 		fl.tries++
+		engine := lease.Engine
 		fl.engine = engine.ID
-		outcome, done := fl.try(ctx, engine)
-		release()
+		outcome, done := fl.try(ctx, lease)
+		lease.Release()
 		if done {
 			return
 		}
@@ -147,22 +148,23 @@
 
 // acquire waits for an engine: of the route's chosen service, or of another
 // one of the route if that has none.
-func (fl *flight) acquire(ctx context.Context) (catalog.Engine, func(), error) {
+func (fl *flight) acquire(ctx context.Context) (*balance.Lease, error) {
 	wish := balance.Wish{
 		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
-		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, Avoid: fl.avoid,
+		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
+		Avoid: fl.avoid,
 	}
-	engine, release, err := fl.Balancer.Acquire(ctx, wish, fl.route.Priority, fl.patienceForRoom())
+	lease, err := fl.Balancer.Acquire(ctx, wish, fl.route.Priority, fl.patienceForRoom())
 	if !errors.Is(err, balance.ErrNoEngine) {
-		return engine, release, err
+		return lease, err
 	}
 	for _, service := range fl.route.Services() {
 		wish.Service = service
-		if engine, release, err := fl.Balancer.Acquire(ctx, wish, fl.route.Priority, 0); err == nil {
-			return engine, release, nil
+		if lease, err := fl.Balancer.Acquire(ctx, wish, fl.route.Priority, 0); err == nil {
+			return lease, nil
 		}
 	}
-	return catalog.Engine{}, nil, err
+	return nil, err
 }
 
 func (fl *flight) patienceForRoom() time.Duration {
@@ -278,7 +280,8 @@
 }
 
 // try runs one exchange. done says that the sink has its answer.
-func (fl *flight) try(ctx context.Context, engine catalog.Engine) (outcome, bool) {
+func (fl *flight) try(ctx context.Context, lease *balance.Lease) (outcome, bool) {
+	engine := lease.Engine
 	if !fl.Usable(engine.ID, engine.Service) {
 		return outcome{kind: OutcomeNotSent, cause: errors.New("the engine is leaving")}, false
 	}
@@ -303,7 +306,7 @@
 	case !answer.Signed:
 		return outcome{kind: OutcomeUnknown, cause: errUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
-		return fl.stream(watch, engine, answer, silence)
+		return fl.stream(watch, lease, answer, silence)
 	}
 	return fl.whole(engine, answer)
 }
@@ -401,12 +404,12 @@
 }
 
 // stream passes whole events on as they come.
-func (fl *flight) stream(ctx context.Context, engine catalog.Engine, answer *upstream.Answer, silence silenceTimer) (outcome, bool) {
+func (fl *flight) stream(ctx context.Context, lease *balance.Lease, answer *upstream.Answer, silence silenceTimer) (outcome, bool) {
 	events := NewEventReader(answer)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			fl.Balancer.Succeeded(engine.ID)
+			fl.Balancer.Succeeded(lease.Engine.ID)
 			return fl.endStream(answer), true
 		}
 		if err != nil {
@@ -416,6 +419,7 @@
 			return outcome{kind: fl.unknown(), cause: err}, false
 		}
 		silence.Heard()
+		lease.Read()
 		if event.HasID && fl.begun && event.ID <= fl.lastEvent {
 			continue
 		}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -18,6 +18,8 @@
 	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero means never.
 	Deadline time.Time
+	// PromptTokens is the length of the prompt; 0 if the caller doesn't say.
+	PromptTokens int
 	// Prefix identifies the shared parts of the prompt; PrefixTokens is their
 	// length.
 	Prefix       string
