--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// LapseHold is how long engines whose entries lapsed together stay in use. It
-// is well below the time for which an engine serves on after its entry is gone
-// (bound drain), so that none is used that has really left.
-const LapseHold = 1100 * time.Millisecond
+// LapseHold is how long engines whose entries lapsed together stay in use. The
+// store may be down for longer than engines need to enter themselves again; one
+// that has really left refuses, or can't be reached, and is set aside.
+const LapseHold = 6 * time.Second
 
 // Lapses tells engines that left from entries that lapsed: when the store
 // could not take heartbeats, many entries of a service disappear at once and
