Watches of the store held for 6 s instead of 2

Change: a watch is held for 6 s; a path that falls silent is noticed later, but peers' pulls (2 s) bring the changes meanwhile.

--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// watchWait is how long a watch of the platform's store is held.
-	watchWait = 2 * time.Second
+	// watchWait is how long a watch of the platform's store is held. A node whose
+	// path to the store falls silent hears changes from its peers meanwhile.
+	watchWait = 6 * time.Second
 	// The ledger's times; a lost replica is replaced as soon as another node
 	// can take its place.
 	replaceAfter   = 1500 * time.Millisecond
