Load sums cost the same whatever the number of front nodes

Change: the sum of the peers' reports is kept as they come and silent peers expire four times a second; what peers heard from engines counts for 120 ms; slots are given up every 15 ms at most.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -60,6 +60,7 @@
 // of the service is set aside or avoided, these rules give way in turn, so
 // that a request is not refused while some engine may be able to run it.
 func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, noise func() float64) (catalog.Engine, bool) {
+	t.expire(now)
 	engines := snapshot.Serving(wish.Service)
 	for _, rule := range []func(catalog.Engine) bool{
 		func(e catalog.Engine) bool { return t.sound(e.ID, now) && !contains(wish.Avoid, e.ID) },
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -9,6 +9,9 @@
 const (
 	// reportLife is how long an engine's own figures count.
 	reportLife = 250 * time.Millisecond
+	// peersSawLife is how long what peers heard from an engine counts: a little
+	// longer than the time between two of their reports.
+	peersSawLife = 120 * time.Millisecond
 	// peerLife is how long another node's figures count.
 	peerLife = time.Second
 	// Engines that fail are set aside for a time that doubles with each
@@ -55,16 +58,31 @@
 	running Report
 }
 
-// Table is not safe for concurrent use.
+// seenLoad is the most that an engine was seen to have lately.
+type seenLoad struct {
+	at    time.Time
+	count int
+}
+
+// Table is not safe for concurrent use. Its cost a look-up doesn't grow with
+// the number of peers: their reports are added up as they come.
 type Table struct {
 	engines map[string]*engineState
 	peers   map[string]peerLoad
-	keys    map[string]EngineKey // of engines seen, to hash each once
+	// sum adds up the peers' reports, but for Seen; seen holds that.
+	sum  Report
+	seen map[EngineKey]seenLoad
+	// expireAt is when silent peers are looked for next.
+	expireAt time.Time
+	keys     map[string]EngineKey // of engines seen, to hash each once
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{engines: map[string]*engineState{}, peers: map[string]peerLoad{}, keys: map[string]EngineKey{}}
+	return &Table{
+		engines: map[string]*engineState{}, peers: map[string]peerLoad{}, sum: Report{}, seen: map[EngineKey]seenLoad{},
+		keys: map[string]EngineKey{},
+	}
 }
 
 func (t *Table) key(id string) EngineKey {
@@ -127,9 +145,52 @@
 // Refused notes that an engine said it is full.
 func (t *Table) Refused(id string, now time.Time) { t.state(id, now).full = now.Add(fullPause) }
 
-// PeerLoad takes what another node has under way, by engine.
+// PeerLoad takes what another node has under way, in place of what it said
+// before.
 func (t *Table) PeerLoad(peer string, running Report, now time.Time) {
+	t.addUp(t.peers[peer].running, -1)
+	t.addUp(running, 1)
 	t.peers[peer] = peerLoad{at: now, running: running}
+	for key, one := range running {
+		if known := t.seen[key]; one.Seen >= known.count || now.Sub(known.at) > peersSawLife {
+			t.seen[key] = seenLoad{at: now, count: one.Seen}
+		}
+	}
+}
+
+// addUp adds a report to the sum, or takes it out.
+func (t *Table) addUp(report Report, sign int) {
+	for key, one := range report {
+		total := t.sum[key]
+		for class := range one.Counts {
+			total.Counts[class] += sign * one.Counts[class]
+		}
+		total.Pending += sign * one.Pending
+		if total.Total() == 0 && total.Pending == 0 {
+			delete(t.sum, key)
+			continue
+		}
+		t.sum[key] = total
+	}
+}
+
+// expire forgets peers that fell silent.
+func (t *Table) expire(now time.Time) {
+	if now.Before(t.expireAt) {
+		return
+	}
+	t.expireAt = now.Add(peerLife / 4)
+	for peer, load := range t.peers {
+		if now.Sub(load.at) > peerLife {
+			t.addUp(load.running, -1)
+			delete(t.peers, peer)
+		}
+	}
+	for key, one := range t.seen {
+		if now.Sub(one.at) > peerLife {
+			delete(t.seen, key)
+		}
+	}
 }
 
 // Own returns what this node knows of engines by itself, without idle ones.
@@ -145,22 +206,37 @@
 
 // Others adds up what all nodes but one have under way, this one included.
 func (t *Table) Others(except string, now time.Time) Report {
-	sum := t.Own(now)
-	for peer, load := range t.peers {
-		if peer == except || now.Sub(load.at) > peerLife {
-			continue
+	t.expire(now)
+	others := t.Own(now)
+	for key, one := range t.sum {
+		total := others[key]
+		for class := range one.Counts {
+			total.Counts[class] += one.Counts[class]
 		}
-		for key, one := range load.running {
-			total := sum[key]
-			for class := range one.Counts {
-				total.Counts[class] += one.Counts[class]
-			}
-			total.Seen = max(total.Seen, one.Seen)
-			total.Pending += one.Pending
-			sum[key] = total
+		total.Pending += one.Pending
+		others[key] = total
+	}
+	for key, one := range t.peers[except].running {
+		total := others[key]
+		for class := range one.Counts {
+			total.Counts[class] -= one.Counts[class]
 		}
+		total.Pending -= one.Pending
+		others[key] = total
+	}
+	for key, total := range others {
+		total.Seen = max(total.Seen, t.peersSaw(key, now))
+		others[key] = total
 	}
-	return sum
+	return others
+}
+
+// peersSaw is the most that peers lately heard an engine say it has.
+func (t *Table) peersSaw(key EngineKey, now time.Time) int {
+	if one := t.seen[key]; now.Sub(one.at) <= peersSawLife {
+		return one.count
+	}
+	return 0
 }
 
 // Forget drops engines without work or news, and silent peers.
@@ -171,25 +247,16 @@
 			delete(t.keys, id)
 		}
 	}
-	for peer, load := range t.peers {
-		if now.Sub(load.at) > peerLife {
-			delete(t.peers, peer)
-		}
-	}
+	t.expire(now)
 }
 
 func (s *engineState) total() int { return s.own.Total() }
 
 // running estimates the requests of a class that an engine has from all nodes.
 func (t *Table) running(id string, class Class, now time.Time) int {
-	count := 0
+	count := t.sum[t.key(id)].Counts[class]
 	if state := t.engines[id]; state != nil {
-		count = state.own[class]
-	}
-	for _, peer := range t.peers {
-		if now.Sub(peer.at) <= peerLife {
-			count += peer.running[t.key(id)].Counts[class]
-		}
+		count += state.own[class]
 	}
 	return count
 }
@@ -230,25 +297,15 @@
 	if state := t.engines[id]; state != nil {
 		load = max(load, state.seen(now))
 	}
-	for _, peer := range t.peers {
-		if now.Sub(peer.at) <= peerLife {
-			load = max(load, peer.running[t.key(id)].Seen)
-		}
-	}
-	return load
+	return max(load, t.peersSaw(t.key(id), now))
 }
 
 // pending estimates the prompt tokens that an engine still has to read for all
 // nodes.
 func (t *Table) pending(id string, now time.Time) int {
-	tokens := 0
+	tokens := t.sum[t.key(id)].Pending
 	if state := t.engines[id]; state != nil {
-		tokens = state.pending
-	}
-	for _, peer := range t.peers {
-		if now.Sub(peer.at) <= peerLife {
-			tokens += peer.running[t.key(id)].Pending
-		}
+		tokens += state.pending
 	}
 	return tokens
 }
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -47,6 +47,9 @@
 	refusalPause = 20 * time.Millisecond
 	// giveUpMargin is added to an item's retention before it is given up.
 	giveUpMargin = time.Second
+	// yieldInterval is the least time between two looks for slots to give up;
+	// load reports come more often the more front nodes there are.
+	yieldInterval = 15 * time.Millisecond
 	// stateInterval is the time between two lines on the state of batch work.
 	stateInterval = time.Second
 	// purgeInterval and purgeBatch pace the removal of old jobs.
@@ -82,6 +85,7 @@
 	stopped  bool
 	wake     chan struct{}
 	statedAt time.Time
+	yieldAt  time.Time
 	pace     *pace
 	// term is the term in which leadership was confirmed, or 0.
 	term uint64
@@ -328,8 +332,13 @@
 // youngest runs go first: they have the least text to be read again when they
 // go on.
 func (r *Runner) Yield() {
+	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if now.Before(r.yieldAt) {
+		return
+	}
+	r.yieldAt = now.Add(yieldInterval)
 	for engine, runs := range r.runsByEngine() {
 		excess := r.options.Balancer.Excess(runs[0].engine)
 		for _, run := range runs {
