Watches are given up within the platform's contact time

The store left all watches silent while a configuration was written; held for 6 s, no node knew of it in time, so peers could not help. Ruled out: a node that was cut off (all had it late). Change: the wait follows from the platform's contact time (3 s: 2.0 s).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,6 +86,9 @@
 	// OpenAI API with a store in the Kubernetes API conventions, "objects" for
 	// a platform whose store holds the whole configuration as objects.
 	Dialect string `koanf:"dialect" validate:"oneof=openai objects"`
+	// Contact is how long after a disturbance a node on a platform of objects
+	// must know again what the store holds.
+	Contact time.Duration `koanf:"contact" validate:"min=0"`
 }
 
 // Dialects of a platform.
@@ -130,6 +133,7 @@
 	"ledger.replace_after": "60s",
 	"memory.soft_limit":    48,
 	"platform.dialect":     DialectOpenAI,
+	"platform.contact":     "3s",
 	"batch.keep":           "24h",
 }
 
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	// watchSlack is how much longer than its waiting time a watch may take
+	// WatchSlack is how much longer than its waiting time a watch may take
 	// before the path to the store counts as broken.
-	watchSlack = 700 * time.Millisecond
+	WatchSlack = 700 * time.Millisecond
 	// listTimeout bounds a listing.
 	listTimeout = 1500 * time.Millisecond
 	// The pause after a failed call of the store grows between these.
@@ -244,7 +244,7 @@
 		return nil
 	}
 	since := a.position(kind)
-	ctx, cancel := context.WithTimeout(a.running, a.options.WatchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(a.running, a.options.WatchWait+WatchSlack)
 	defer cancel()
 	objects, at, err := a.options.Store.Changes(ctx, kind, since, a.options.WatchWait)
 	if err != nil {
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -30,9 +30,11 @@
 )
 
 const (
-	// watchWait is how long a watch of the platform's store is held. A node whose
-	// path to the store falls silent hears changes from its peers meanwhile.
-	watchWait = 6 * time.Second
+	// watchMargin is kept of the platform's contact time for reading the store
+	// anew after a watch that fell silent.
+	watchMargin = 300 * time.Millisecond
+	// watchLeast is the shortest time that a watch of the store is held.
+	watchLeast = 500 * time.Millisecond
 	// The ledger's times; a lost replica is replaced as soon as another node
 	// can take its place.
 	replaceAfter   = 1500 * time.Millisecond
@@ -104,7 +106,7 @@
 
 func (c *core) mirrorOptions(dataNode bool) mirror.Options {
 	options := mirror.Options{
-		Self: c.self(), DataNode: dataNode, WatchWait: watchWait,
+		Self: c.self(), DataNode: dataNode, WatchWait: watchWait(c.settings.Platform.Contact),
 		Kinds: []string{c.adapter.ConfigurationKind, c.adapter.EnginesKind},
 		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
 		Changed: c.facts.changed,
@@ -116,6 +118,13 @@
 	return options
 }
 
+// watchWait is how long a watch of the platform's store is held. The store may
+// let a watch fall silent while it changes; nobody hears of these changes before
+// the watch is given up, which must be within the contact time.
+func watchWait(contact time.Duration) time.Duration {
+	return max(watchLeast, contact-mirror.WatchSlack-watchMargin)
+}
+
 func addresses(listed []string) []transport.Address {
 	result := make([]transport.Address, 0, len(listed))
 	for _, address := range listed {
