Disk shared out by its size; texts compressed; ends of items outlive a failed commit

Ruled out: fewer copies (two disks may be lost); several shards (quota and load are counted at one leader; not needed yet).

--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -44,12 +44,16 @@
 	for _, result := range page.Results {
 		fields = append(fields, marshal(fixedResult{result.State}, []byte(result.ItemID), result.Text))
 	}
-	return marshal(fixedPage{uint32(page.Total), uint32(page.Next)}, fields...)
+	return compress(marshal(fixedPage{uint32(page.Total), uint32(page.Next)}, fields...))
 }
 
 func decodePage(encoded []byte) (Page, error) {
+	plain, err := decompress(encoded)
+	if err != nil {
+		return Page{}, err
+	}
 	var fixed fixedPage
-	fields, err := unmarshal(encoded, &fixed, -1)
+	fields, err := unmarshal(plain, &fixed, -1)
 	if err != nil {
 		return Page{}, err
 	}
@@ -69,10 +73,12 @@
 type Server struct {
 	shard   ledger.Shard
 	machine *Machine
+	scarce  func() bool
 }
 
-// RegisterServer registers the handlers of a data node.
-func RegisterServer(shard func() (ledger.Shard, bool), machine *Machine, receiver transport.Receiver) {
+// RegisterServer registers the handlers of a data node. scarce says that its
+// disk has no room for new jobs.
+func RegisterServer(shard func() (ledger.Shard, bool), machine *Machine, scarce func() bool, receiver transport.Receiver) {
 	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
 		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
 	} {
@@ -81,7 +87,7 @@
 			if !found {
 				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
 			}
-			content, err := serve(&Server{held, machine}, ctx, payload)
+			content, err := serve(&Server{held, machine, scarce}, ctx, payload)
 			return reply(content, err), nil
 		})
 	}
@@ -110,6 +116,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.scarce() && !s.machine.knows(job.ID) {
+		return nil, ledger.ErrUnavailable
+	}
 	job.Submitted = time.Now()
 	return nil, s.propose(ctx, encodeSubmit(job))
 }
@@ -145,7 +154,7 @@
 	s.await(ctx, job, int(fixed.Since), time.Duration(fixed.WaitMilliseconds)*time.Millisecond)
 	var page Page
 	err = s.shard.Read(ctx, func(reader ledger.Reader) (err error) {
-		page, err = readPage(reader, job, int(fixed.Since))
+		page, err = s.machine.readPage(reader, job, int(fixed.Since))
 		return err
 	})
 	return encodePage(page), err
--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -45,7 +45,8 @@
 	to       uint64
 	failures uint8 // to add
 	state    State
-	text     []byte
+	// text is compressed in entries and in the store.
+	text []byte
 }
 
 type fixedStep struct {
@@ -88,7 +89,7 @@
 	fields := make([][]byte, 0, len(steps))
 	for _, s := range steps {
 		fixed := fixedStep{s.index, s.from, s.to, s.failures, s.state, s.to > s.from}
-		fields = append(fields, marshal(fixed, []byte(s.job), s.text))
+		fields = append(fields, marshal(fixed, []byte(s.job), compress(s.text)))
 	}
 	return marshal(fixedCommand{commandAdvance, now.UnixMilli()}, fields...)
 }
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -148,11 +148,15 @@
 	if r.last == r.committed && state == StateOpen && failures == 0 {
 		return nil
 	}
-	err := r.commit(ctx, step{
+	next := step{
 		job: r.item.job, index: r.item.index, from: r.committed, to: r.last,
 		failures: failures, state: state, text: r.text,
-	})
+	}
+	err := r.commit(ctx, next)
 	if err != nil {
+		if state != StateOpen {
+			r.keepVerdict(next)
+		}
 		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
 		return err
 	}
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -158,6 +158,12 @@
 		return false, nil
 	}
 	m.queued[job.Route] -= item.tokens
+	if s.state == StateSucceeded {
+		// Bodies are asked for until the item is listed; it isn't run again.
+		if err := writer.Delete(key(keyBody, s.job, uint64(s.index))); err != nil {
+			return false, err
+		}
+	}
 	position := uint64(job.positions)
 	job.positions++
 	return true, writer.Set(key(keyResult, s.job, position), marshal(fixedIndex{s.index}))
@@ -192,6 +198,10 @@
 		}
 	}
 	m.announce()
+	from, to := keyRange(keyBody, job.ID)
+	if err := writer.DeleteRange(from, to); err != nil {
+		return answerDone, err
+	}
 	return answerDone, writer.Set(key(keyState, job.ID, endedIndex), marshal(fixedState{}))
 }
 
@@ -305,6 +315,23 @@
 	}
 }
 
+// knows says whether a job is there.
+func (m *Machine) knows(job string) bool {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.jobs[job] != nil
+}
+
+// size is the number of a job's items; 0 if there is no such job.
+func (m *Machine) size(job string) int {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if state := m.jobs[job]; state != nil {
+		return len(state.items)
+	}
+	return 0
+}
+
 // openItem is an item that is to be run.
 type openItem struct {
 	job       string
--- a/internal/batchwork/read.go
+++ b/internal/batchwork/read.go
@@ -57,22 +57,15 @@
 	return read.Body, err
 }
 
-// readPage reads results from a position on.
-func readPage(reader ledger.Reader, job string, since int) (Page, error) {
-	value, found, err := reader.Get(key(keyJob, job))
-	if err != nil || !found {
+// readPage reads results from a position on; the machine's memory has the total.
+func (m *Machine) readPage(reader ledger.Reader, job string, since int) (Page, error) {
+	if _, found, err := reader.Get(key(keyJob, job)); err != nil || !found {
 		return Page{}, orNoJob(err)
 	}
-	if _, err := decodeJob(value); err != nil {
-		return Page{}, err
-	}
-	page := Page{Next: since}
-	if page.Total, err = count(reader, keyItem, job); err != nil {
-		return Page{}, err
-	}
+	page := Page{Total: m.size(job), Next: since}
 	size := 0
 	_, to := keyRange(keyResult, job)
-	err = reader.Scan(key(keyResult, job, uint64(since)), to, func(_, value []byte) (bool, error) {
+	err := reader.Scan(key(keyResult, job, uint64(since)), to, func(_, value []byte) (bool, error) {
 		var fixed fixedIndex
 		if _, err := unmarshal(value, &fixed, 0); err != nil {
 			return false, err
@@ -92,16 +85,6 @@
 	return page, trace.Wrap(err)
 }
 
-func count(reader ledger.Reader, letter byte, job string) (int, error) {
-	total := 0
-	from, to := keyRange(letter, job)
-	err := reader.Scan(from, to, func(_, _ []byte) (bool, error) {
-		total++
-		return true, nil
-	})
-	return total, trace.Wrap(err)
-}
-
 func readResult(reader ledger.Reader, job string, index uint32) (Result, error) {
 	value, found, err := reader.Get(key(keyItem, job, uint64(index)))
 	if err != nil || !found {
@@ -128,13 +111,13 @@
 	var text []byte
 	from, to := key(keyText, job, uint64(index)), key(keyText, job, uint64(index)+1)
 	first := true
-	err := reader.Scan(from, to, func(_, value []byte) (bool, error) {
+	err := reader.Scan(from, to, func(_, value []byte) (_ bool, err error) {
 		if !first {
 			text = append(text, '\n')
 		}
 		first = false
-		text = append(text, value...)
-		return true, nil
+		text, err = appendDecompressed(text, value)
+		return err == nil, err
 	})
 	return text, trace.Wrap(err)
 }
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -82,6 +82,7 @@
 	runs     map[itemKey]*run
 	pauses   map[itemKey]time.Time
 	formers  map[itemKey]string // the engine that ran a part of an open item
+	verdicts map[itemKey]step   // ends of items that could not be committed yet
 	stopped  bool
 	wake     chan struct{}
 	statedAt time.Time
@@ -108,7 +109,8 @@
 func NewRunner(options RunnerOptions) *Runner {
 	return &Runner{
 		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
-		wake: make(chan struct{}, 1),
+		verdicts: map[itemKey]step{},
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -177,12 +179,9 @@
 	r.order(open, now)
 	r.stopEnded()
 	r.logState(len(open), now)
+	r.commitVerdicts(open, now)
 	full := map[string]bool{}
 	for _, item := range open {
-		if now.After(item.giveUp.Add(giveUpMargin)) {
-			r.giveUp(ctx, item)
-			continue
-		}
 		route := r.options.Route(item.host, item.path)
 		if route == nil || !r.idle(item, now) {
 			continue
@@ -373,14 +372,6 @@
 	return grouped
 }
 
-func (r *Runner) giveUp(ctx context.Context, item openItem) {
-	if !r.idle(item, time.Now()) {
-		return
-	}
-	eventItemDead.Info("job", item.job, "item", item.index, "cause", "retention is over")
-	_ = r.commit(ctx, step{job: item.job, index: item.index, from: item.lastEvent, to: item.lastEvent, state: StateDead})
-}
-
 func (r *Runner) purge(ctx context.Context) {
 	if r.options.Keep <= 0 || !r.Leading() {
 		return
@@ -396,10 +387,14 @@
 
 // commit proposes a step, and returns once it is applied here.
 func (r *Runner) commit(ctx context.Context, s step) error {
+	return trace.Wrap(r.commitAll(ctx, []step{s}), "commit item %d of job %s", s.index, s.job)
+}
+
+func (r *Runner) commitAll(ctx context.Context, steps []step) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
 	defer cancel()
-	_, err := r.options.Shard.Propose(ctx, encodeAdvance([]step{s}, time.Now()))
-	return trace.Wrap(err, "commit item %d of job %s", s.index, s.job)
+	_, err := r.options.Shard.Propose(ctx, encodeAdvance(steps, time.Now()))
+	return err
 }
 
 // errNoText says that an item's run ended before anything came.
--- /dev/null
+++ b/internal/batchwork/verdicts_test.go
@@ -0,0 +1,108 @@
+package batchwork
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/ledger"
+)
+
+// failingShard applies to a machine, but for the first proposals.
+type failingShard struct {
+	mutex   sync.Mutex
+	machine *Machine
+	store   memoryStore
+	failing int
+	entries int
+}
+
+func (s *failingShard) Propose(_ context.Context, entry []byte) ([]byte, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.entries++
+	if s.entries <= s.failing {
+		return nil, ledger.ErrUnavailable
+	}
+	return s.machine.Apply(s.store, uint64(s.entries), entry)
+}
+
+func (s *failingShard) Read(_ context.Context, query func(ledger.Reader) error) error {
+	return query(s.store)
+}
+
+func (s *failingShard) Leading() (bool, uint64) { return true, 1 }
+
+// The end of an item that an engine can never run is committed later when the
+// disk refuses it; the item is not offered to an engine again meanwhile.
+func TestAnEndThatWasNotCommittedIsNotForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shard := &failingShard{machine: NewMachine(), store: memoryStore{}, failing: 2}
+	job := testJob("a", 2, 0)
+	job.Retention = time.Hour
+	job.Submitted = time.Now()
+	apply(g, shard.machine, shard.store, encodeSubmit(job))
+	runner := NewRunner(RunnerOptions{Shard: shard, Machine: shard.machine})
+	open := shard.machine.openItems()
+	run := &itemRun{Runner: runner, item: open[0], id: "a-0"}
+	run.dead(context.Background(), "the engine can never run it")
+	g.Expect(shard.machine.openItems()).To(gomega.HaveLen(2), "the commit failed")
+	now := time.Now()
+	for range 2 {
+		runner.commitVerdicts(shard.machine.openItems(), now)
+		runner.tasks.Wait()
+		now = now.Add(time.Minute) // past the pause after a failure
+	}
+	left := shard.machine.openItems()
+	g.Expect(left).To(gomega.HaveLen(1))
+	g.Expect(left[0].index).To(gomega.BeEquivalentTo(1))
+	g.Expect(runner.idle(open[0], time.Now())).To(gomega.BeTrue())
+	g.Expect(runner.verdicts).To(gomega.BeEmpty())
+}
+
+func TestItemsWhoseRetentionIsOverAreGivenUpTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shard := &failingShard{machine: NewMachine(), store: memoryStore{}}
+	job := testJob("a", 5, 0)
+	job.Retention = time.Second
+	job.Submitted = time.Now().Add(-time.Minute)
+	apply(g, shard.machine, shard.store, encodeSubmit(job))
+	runner := NewRunner(RunnerOptions{Shard: shard, Machine: shard.machine})
+	runner.commitVerdicts(shard.machine.openItems(), time.Now())
+	runner.tasks.Wait()
+	g.Expect(shard.machine.openItems()).To(gomega.BeEmpty())
+	g.Expect(shard.entries).To(gomega.Equal(1))
+}
+
+func TestABodyGoesWithItsUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	apply(g, m, store, encodeSubmit(testJob("a", 3, 0)))
+	apply(g, m, store, encodeAdvance([]step{
+		{job: "a", index: 0, to: 1, text: []byte("x"), state: StateSucceeded},
+		{job: "a", index: 1, state: StateDead},
+	}, submitted))
+	_, err := readBody(store, "a", "a-0")
+	g.Expect(err).To(gomega.MatchError(ErrNoJob), "done")
+	for _, kept := range []string{"a-1", "a-2"} {
+		_, err = readBody(store, "a", kept)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), kept)
+	}
+	apply(g, m, store, encodeEnd("a", submitted))
+	_, err = readBody(store, "a", "a-2")
+	g.Expect(err).To(gomega.MatchError(ErrNoJob), "ended")
+}
+
+func TestTextsComeBackAsTheyWere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, text := range []string{"", "x", string(make([]byte, 1<<20))} {
+		plain, err := appendDecompressed([]byte("before"), compress([]byte(text)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(plain)).To(gomega.Equal("before" + text))
+	}
+	_, err := decompress([]byte("no frame"))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -103,6 +103,8 @@
 // Data is the folder for bulk data; empty means that the node keeps nothing.
 type Data struct {
 	Folder string `koanf:"folder"`
+	// Size is the disk's size in MiB; 0 means that it is large.
+	Size int `koanf:"size" validate:"min=0"`
 }
 
 // TLS holds certificates for callers' and operators' ports; both files or none.
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -98,7 +98,9 @@
 }
 
 func (s *Service) diskOptions() storage.Options {
-	return storage.Options{Folder: s.options.Folder, FS: s.options.FS, Reserve: s.options.Reserve}
+	return storage.Options{
+		Folder: s.options.Folder, FS: s.options.FS, Reserve: s.options.Reserve, Scarce: s.options.Scarce, DiskBytes: s.options.DiskBytes,
+	}
 }
 
 func (s *Service) tryOpenDisk() error {
@@ -259,6 +261,12 @@
 	return store != nil && !store.Full() && store.Failure() == nil
 }
 
+// Scarce says that this node's disk is so full that nothing new should be begun.
+func (s *Service) Scarce() bool {
+	store := s.disk()
+	return store != nil && store.Scarce()
+}
+
 func (s *Service) runTicks() {
 	ticker := time.NewTicker(s.options.TickInterval)
 	defer ticker.Stop()
--- a/internal/ledger/storage/events.go
+++ b/internal/ledger/storage/events.go
@@ -16,6 +16,8 @@
 		"Damage was found that is no torn tail; the folder must be discarded and fetched from peers.")
 	eventDiscarded = telemetry.Define(4105, "ledger folder discarded",
 		"The ledger folder was removed; its replicas rejoin under a new disk incarnation.")
+	eventScarce = telemetry.Define(4107, "ledger disk scarce",
+		"Free space passed the bound below which nothing new is begun here, or rose above it again.")
 	eventSlow = telemetry.Define(4106, "ledger disk slow",
 		"A disk operation has been running for longer than the bound.")
 )
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -19,6 +19,7 @@
 // Sizes and bounds of the store.
 const (
 	memTableBytes   = 4 << 20
+	memTableLeast   = 1 << 20
 	blockCacheBytes = 4 << 20
 	// slowDisk is when a disk operation is reported as slow.
 	slowDisk = 2 * time.Second
@@ -41,6 +42,21 @@
 	// Reserve is the free space in bytes below which the store counts as
 	// full; 0 means DefaultReserve.
 	Reserve uint64
+	// Scarce is the free space in bytes below which the store asks for nothing
+	// new to be begun; 0 means Reserve.
+	Scarce uint64
+	// DiskBytes is the size of the disk, which bounds the write-ahead logs; 0
+	// means large.
+	DiskBytes uint64
+}
+
+// memTable is the size of a table in memory, and so of a write-ahead log; up to
+// five of these logs lie on the disk.
+func (o Options) memTable() uint64 {
+	if o.DiskBytes == 0 {
+		return memTableBytes
+	}
+	return min(max(o.DiskBytes/64, memTableLeast), memTableBytes)
 }
 
 // Store is the ledger's disk of one node. All methods may be called
@@ -53,6 +69,7 @@
 	committer   *committer
 	watermark   *watermark
 	full        atomic.Bool
+	scarce      atomic.Bool
 	slow        atomic.Int64 // UnixNano of the last slow operation
 
 	mutex   sync.Mutex
@@ -71,6 +88,7 @@
 	if options.Reserve == 0 {
 		options.Reserve = DefaultReserve
 	}
+	options.Scarce = max(options.Scarce, options.Reserve)
 	s := &Store{options: options, failed: make(chan struct{}), stop: make(chan struct{})}
 	if err := s.openIdentified(); err != nil {
 		return nil, trace.Wrap(classify(err), "open the ledger folder %s", options.Folder)
@@ -163,7 +181,7 @@
 	options := &pebble.Options{
 		FS:                          fs,
 		CacheSize:                   blockCacheBytes,
-		MemTableSize:                memTableBytes,
+		MemTableSize:                s.options.memTable(),
 		MemTableStopWritesThreshold: 4,
 		L0CompactionThreshold:       8,
 		L0StopWritesThreshold:       1000,
@@ -222,6 +240,10 @@
 // Full says that no new entry may be taken for want of space.
 func (s *Store) Full() bool { return s.full.Load() }
 
+// Scarce says that nothing new should be begun, so that what was begun can be
+// completed.
+func (s *Store) Scarce() bool { return s.scarce.Load() }
+
 // Failed is closed when the store can't write any more; Failure says why.
 func (s *Store) Failed() <-chan struct{} { return s.failed }
 
@@ -342,6 +364,7 @@
 	if errors.Is(err, vfs.ErrUnsupported) {
 		return
 	}
+	s.noteScarce(err != nil || usage.AvailBytes < s.options.Scarce, usage.AvailBytes)
 	full := err != nil || usage.AvailBytes < s.options.Reserve
 	if s.full.Swap(full) == full {
 		return
@@ -352,3 +375,9 @@
 	}
 	event.Info("folder", s.options.Folder, "available", usage.AvailBytes, "reserve", s.options.Reserve)
 }
+
+func (s *Store) noteScarce(scarce bool, available uint64) {
+	if s.scarce.Swap(scarce) != scarce {
+		eventScarce.Info("folder", s.options.Folder, "scarce", scarce, "available", available, "bound", s.options.Scarce)
+	}
+}
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -39,10 +39,6 @@
 	repairInterval = 150 * time.Millisecond
 	bootstrapWait  = 3 * time.Second
 	directoryTime  = 700 * time.Millisecond
-	// diskReserve is the free space below which nothing is accepted.
-	diskReserve = 24 << 20
-	// retainBytes is how much of the log is kept for slow followers.
-	retainBytes = 8 << 20
 	// shards is the number of the ledger's shards.
 	shards = 1
 	// pruneInterval is the time between two looks at resting connections.
@@ -137,11 +133,12 @@
 }
 
 func (c *core) ledgerOptions(view *members) replica.Options {
+	disk := newDiskBudget(uint64(c.settings.Data.Size) << 20)
 	return replica.Options{
 		Sender: c.peers, Receiver: c.peers, Members: view, Store: c.adapter.Ledger, Registry: c.registry,
 		Shards: shards, Copies: c.settings.Ledger.Replicas(), ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
-		RepairInterval: repairInterval, DirectoryInterval: directoryTime, RetainBytes: retainBytes, Reserve: diskReserve,
-		ReplaceLeaving: true,
+		RepairInterval: repairInterval, DirectoryInterval: directoryTime, ReplaceLeaving: true,
+		DiskBytes: disk.size, RetainBytes: disk.retain, Reserve: disk.reserve, Scarce: disk.scarce,
 	}
 }
 
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -41,7 +41,7 @@
 		"chutelock_batch_items_running": {"Items that this node runs.", func() float64 { return float64(d.runner.Running()) }},
 	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
-	batchwork.RegisterServer(d.localShard, d.machine, d.peers)
+	batchwork.RegisterServer(d.localShard, d.machine, d.ledger.Scarce, d.peers)
 	return d, nil
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -86,13 +86,24 @@
 	if !allowed {
 		return
 	}
-	plain := plainError{err}
-	klog.ErrorSDepth(1, plain, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
-	e.remember(plain.Error(), keysAndValues)
+	message := plainError{err}
+	klog.ErrorSDepth(1, message, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+	e.remember(message.Error(), keysAndValues)
+}
+
+// plain replaces errors among the values by their plain messages.
+func plain(keysAndValues []any) []any {
+	for i := 1; i < len(keysAndValues); i += 2 {
+		if err, isError := keysAndValues[i].(error); isError {
+			keysAndValues[i] = plainError{err}.Error()
+		}
+	}
+	return keysAndValues
 }
 
 // limit holds lines back that come too fast, and adds how many it held back.
 func (e Event) limit(keysAndValues []any) ([]any, bool) {
+	keysAndValues = plain(keysAndValues)
 	if e.rate == nil {
 		return keysAndValues, true
 	}
