Fronts let peers tell them first; fewer looks at the shard directory

Change: a front lists the store itself only after 0.4 of the bound; a peer that knows nothing yet is not failing; only the node that places shards looks often. Left: each change of an engine ends three watches; that is the price of three.

--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -24,7 +24,10 @@
 	// or nothing changes.
 	bootstrapInterval = 200 * time.Millisecond
 	bootstrapSlow     = 10 * time.Second
-	storeTimeout      = 5 * time.Second
+	// bootstrapWatch is the interval of the nodes that leave the placing to
+	// another.
+	bootstrapWatch = time.Second
+	storeTimeout   = 5 * time.Second
 )
 
 // shardObject is the spec of a shards object in the platform's store.
@@ -69,7 +72,7 @@
 			eventDirectoryFailed.Error(err, "step", "bootstrap")
 			wait = min(2*wait, bootstrapSlow)
 		} else {
-			wait = bootstrapInterval
+			wait = b.interval()
 		}
 		if !s.pause(wait/2 + rand.N(wait)) {
 			return
@@ -77,6 +80,15 @@
 	}
 }
 
+// interval is the time to the next look: short at the node that places.
+func (b *bootstrapper) interval() time.Duration {
+	self := b.service.self()
+	if dataMembers(b.service.options.Members.View(), self)[0].Name == self.Name {
+		return bootstrapInterval
+	}
+	return bootstrapWatch
+}
+
 // step returns true once all shards exist in the store.
 func (b *bootstrapper) step(now time.Time) (bool, error) {
 	ctx, cancel := context.WithTimeout(b.service.running, storeTimeout)
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -73,6 +73,7 @@
 type Agent struct {
 	options Options
 
+	started time.Time // set by Start
 	running context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
@@ -116,6 +117,7 @@
 // Start begins to read the store and to ask peers. One peer that is asked is of
 // the node's own zone where there is one, the other is of any.
 func (a *Agent) Start() {
+	a.started = time.Now()
 	for _, kind := range a.options.Kinds {
 		a.run(func() { a.follow(kind) })
 	}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -68,7 +68,13 @@
 	rank, watches := a.rank()
 	age := a.fresh.age(kind.Name, now)
 	switch {
-	case a.table.At(kind.Name) == 0 || (mustList && (watches || stale(kind, age, draw))):
+	case a.table.At(kind.Name) == 0:
+		first := a.started.Add(kind.share(firstShare + jitterShare*draw))
+		if !a.options.DataNode && now.Before(first) {
+			return task{rest: min(pullRetry, first.Sub(now))}
+		}
+		return task{list: true}
+	case mustList && (watches || stale(kind, age, draw)):
 		return task{list: true}
 	case watches:
 		return task{hold: watchTime(kind, rank, now)}
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -15,6 +15,9 @@
 	// whoever should have told it; jitterShare spreads the nodes after that.
 	staleShare  = 0.6
 	jitterShare = 0.15
+	// firstShare is how long a node that is no data node lets its peers tell it
+	// what there is, before it lists that itself.
+	firstShare = 0.4
 	// tellShare is the least gain in age that is worth an answer to a peer.
 	tellShare = 0.1
 )
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -175,12 +176,15 @@
 	}
 }
 
+// errKnowsNothing says that a peer answered but knows nothing yet.
+var errKnowsNothing = errors.New("the peer knows nothing yet")
+
 // notePull remembers whether a peer answers.
 func (a *Agent) notePull(peer transport.Address, err error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	was := a.failing[peer]
-	if err == nil {
+	if err == nil || errors.Is(err, errKnowsNothing) {
 		delete(a.failing, peer)
 		return
 	}
@@ -278,7 +282,7 @@
 		a.merge("peer", delta.Delta, received.Add(-delta.age))
 	}
 	if !known && len(reply.deltas) == 0 {
-		return trace.NotFound("peer %s knows nothing yet", peer)
+		return trace.Wrap(errKnowsNothing, "pull from peer %s", peer)
 	}
 	return nil
 }
