--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,9 @@
 	Callers   string `koanf:"callers" validate:"required,ip_port"`
 	Operators string `koanf:"operators" validate:"required,ip_port"`
 	Peers     string `koanf:"peers" validate:"required,ip_port"`
+	// Advertise is where peers reach the node, if that is not Peers: on machines
+	// behind a relay.
+	Advertise string `koanf:"advertise" validate:"omitempty,ip_port"`
 	// Readiness is where a platform of objects asks whether the node takes
 	// callers; empty on a node that serves none.
 	Readiness string `koanf:"readiness" validate:"omitempty,ip_port"`
@@ -67,6 +70,14 @@
 	Metrics string `koanf:"metrics" validate:"omitempty,ip_port"`
 }
 
+// PeerAddress is where peers reach the node.
+func (l Listen) PeerAddress() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
+}
+
 // Peers says how the node finds and trusts its peers.
 type Peers struct {
 	// Seeds are peers' addresses to join by; at least one that lives suffices.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,7 +114,7 @@
 	}
 	n.keys = keys
 	n.peers, err = transport.Listen(transport.Options{
-		Listen:   n.config.Listen.Peers,
+		Listen: n.config.Listen.Peers, Advertise: n.config.Listen.Advertise,
 		Keys:     keys,
 		Registry: n.registry,
 	})
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -71,7 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.peers, err = transport.Listen(transport.Options{Listen: settings.Listen.Peers, Keys: keys, Registry: c.registry})
+	c.peers, err = transport.Listen(transport.Options{
+		Listen: settings.Listen.Peers, Advertise: settings.Listen.Advertise, Keys: keys, Registry: c.registry,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for peers")
 	}
@@ -93,7 +95,7 @@
 
 func (c *core) self() mirror.Node {
 	return mirror.Node{
-		Name: c.settings.Node.Name, Address: transport.Address(c.settings.Listen.Peers),
+		Name: c.settings.Node.Name, Address: transport.Address(c.settings.Listen.PeerAddress()),
 		Zone: c.settings.Node.Zone, Region: c.settings.Node.Region, Started: time.Now().UnixMilli(),
 	}
 }
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -33,6 +33,9 @@
 type Options struct {
 	// Listen is "ip:port" for TCP and UDP; port 0 takes a free one.
 	Listen string
+	// Advertise is the "ip:port" at which peers reach this node; empty means
+	// where it listens.
+	Advertise string
 	// Keys authenticates peers; required.
 	Keys *Keyring
 	// Workers bounds the calls that are answered at a time; 0 means 512.
@@ -86,11 +89,15 @@
 	if err != nil {
 		return nil, err
 	}
+	address := options.Advertise
+	if address == "" {
+		address = listener.Addr().String()
+	}
 	return &Node{
 		options:   options,
 		listener:  listener,
 		packets:   packets,
-		address:   Address(listener.Addr().String()),
+		address:   Address(address),
 		pool:      pond.NewPool(options.Workers),
 		metrics:   newMetrics(options.Registry),
 		calls:     map[Kind]CallHandler{},
--- a/test/e2e/settings_test.go
+++ b/test/e2e/settings_test.go
@@ -13,7 +13,7 @@
 )
 
 // inForceBound is how long an accepted change may take to be in force at every
-// node, by the target size (docs/DEVELOPING.md).
+// node, by the target size (docs/DEVELOPERS.md).
 const inForceBound = 13 * time.Second
 
 // control runs chutelockctl against a node's operator port.
