--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -111,11 +111,11 @@
 		table.Begin("a", ClassBatch, 0, start)
 		batch++
 	}
-	g.Expect(batch).To(gomega.Equal(10 - startHeadroom))
+	g.Expect(batch).To(gomega.Equal(10 - startHeadroom(10)))
 	g.Expect(table.Excess(engine, start)).To(gomega.BeZero())
 	table.PeerLoad("front", Report{KeyOf("a"): {Counts: Counts{5, 0}}}, start)
 	table.NotePeak("a", start)
-	g.Expect(table.Excess(engine, start)).To(gomega.Equal(batch + 5 + cutHeadroom - 10))
+	g.Expect(table.Excess(engine, start)).To(gomega.Equal(batch + 5 + cutHeadroom(10) - 10))
 	for range 3 {
 		table.End("a", ClassBatch, start)
 	}
@@ -286,3 +286,15 @@
 	_, err = UnmarshalReport([]byte{1, 0, 0, 0, 1, 0})
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// Batch work leaves a part of each engine free, small engines too, and never so
+// much that it could not run there.
+func TestHeadroomFollowsTheSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for slots := 2; slots <= 64; slots++ {
+		start, cut := startHeadroom(slots), cutHeadroom(slots)
+		g.Expect(start).To(gomega.BeNumerically(">=", 1))
+		g.Expect(start).To(gomega.BeNumerically("<=", max(1, slots/4)), "%d slots", slots)
+		g.Expect(cut).To(gomega.BeNumerically("<", start), "%d slots", slots)
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -26,13 +27,13 @@
 	noisePenalty = 0.06
 	// coldPenalty is what an engine that is still slow costs.
 	coldPenalty = 0.5
-	// startHeadroom is how many slots of an engine batch work leaves free for
-	// online requests that come before the next load report.
-	startHeadroom = 3
-	// cutHeadroom is how many slots are free at least before batch work gives
-	// some up. It is less than startHeadroom, so that batch work doesn't come
-	// and go with each request.
-	cutHeadroom = 1
+	// startShare is the share of an engine's slots that batch work leaves free
+	// for online requests that come before the next load report; one at least.
+	startShare = 0.17
+	// cutShare is the share that is free at least before batch work gives slots
+	// up. It is less than startShare, so that batch work doesn't come and go with
+	// each request.
+	cutShare = 0.06
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
 	queueDepth = 1
@@ -106,7 +107,7 @@
 		return false
 	}
 	reserve := t.peak(engine.ID, now) - t.running(engine.ID, ClassOnline, now)
-	return load+reserve+startHeadroom < engine.Slots
+	return load+reserve+startHeadroom(engine.Slots) < engine.Slots
 }
 
 // Excess is by how many requests batch work exceeds what other work leaves of
@@ -114,9 +115,13 @@
 func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
 	batch := t.running(engine.ID, ClassBatch, now)
 	counted := batch + t.running(engine.ID, ClassOnline, now)
-	return min(batch, max(0, counted+cutHeadroom-engine.Slots))
+	return min(batch, max(0, counted+cutHeadroom(engine.Slots)-engine.Slots))
 }
 
+func startHeadroom(slots int) int { return max(1, int(math.Round(startShare*float64(slots)))) }
+
+func cutHeadroom(slots int) int { return int(math.Round(cutShare * float64(slots))) }
+
 // score is the share of an engine's slots in use, from 0, with penalties and
 // bonuses in the same unit.
 func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -278,6 +278,13 @@
 			run.cancel()
 		}
 	}
+	for k := range r.pauses {
+		if !r.options.Machine.isOpen(k.job, k.index) {
+			delete(r.pauses, k)
+			delete(r.formers, k)
+			delete(r.verdicts, k)
+		}
+	}
 }
 
 // start runs an item if an engine of the service has room for batch work.
@@ -314,10 +321,10 @@
 func (r *Runner) finished(k itemKey, pause time.Duration) {
 	r.mutex.Lock()
 	delete(r.runs, k)
-	if !r.options.Machine.isOpen(k.job, k.index) {
+	switch {
+	case !r.options.Machine.isOpen(k.job, k.index):
 		delete(r.formers, k)
-	}
-	if pause > 0 {
+	case pause > 0:
 		r.pauses[k] = time.Now().Add(pause)
 	}
 	r.mutex.Unlock()
