Pages stay packed from the store to the front; 256 KB a page

Change: parts are stored with what joins them, so that a page is their concatenation and only the front decompresses; item ids and states come from memory; a page holds 256 KB of text.

--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -42,18 +42,14 @@
 func encodePage(page Page) []byte {
 	fields := make([][]byte, 0, len(page.Results))
 	for _, result := range page.Results {
-		fields = append(fields, marshal(fixedResult{result.State}, []byte(result.ItemID), result.Text))
+		fields = append(fields, marshal(fixedResult{result.State}, []byte(result.ItemID), result.Packed))
 	}
-	return compress(marshal(fixedPage{uint32(page.Total), uint32(page.Next)}, fields...))
+	return marshal(fixedPage{uint32(page.Total), uint32(page.Next)}, fields...)
 }
 
 func decodePage(encoded []byte) (Page, error) {
-	plain, err := decompress(encoded)
-	if err != nil {
-		return Page{}, err
-	}
 	var fixed fixedPage
-	fields, err := unmarshal(plain, &fixed, -1)
+	fields, err := unmarshal(encoded, &fixed, -1)
 	if err != nil {
 		return Page{}, err
 	}
@@ -64,9 +60,9 @@
 		if err != nil {
 			return Page{}, err
 		}
-		page.Results = append(page.Results, Result{ItemID: string(parts[0]), State: result.State, Text: parts[1]})
+		page.Results = append(page.Results, Result{ItemID: string(parts[0]), State: result.State, Packed: parts[1]})
 	}
-	return page, nil
+	return page, page.unpack()
 }
 
 // Server answers the calls of all nodes at the shard's leader.
--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -49,6 +49,14 @@
 	text []byte
 }
 
+// joined is the step's text with what parts it from the text before.
+func (s step) joined() []byte {
+	if s.from == 0 || len(s.text) == 0 {
+		return s.text
+	}
+	return append([]byte{'\n'}, s.text...)
+}
+
 type fixedStep struct {
 	Index    uint32
 	From, To uint64
@@ -89,7 +97,7 @@
 	fields := make([][]byte, 0, len(steps))
 	for _, s := range steps {
 		fixed := fixedStep{s.index, s.from, s.to, s.failures, s.state, s.to > s.from}
-		fields = append(fields, marshal(fixed, []byte(s.job), compress(s.text)))
+		fields = append(fields, marshal(fixed, []byte(s.job), compress(s.joined())))
 	}
 	return marshal(fixedCommand{commandAdvance, now.UnixMilli()}, fields...)
 }
--- a/internal/batchwork/compress.go
+++ b/internal/batchwork/compress.go
@@ -37,12 +37,21 @@
 	return encoder().EncodeAll(plain, nil)
 }
 
-func decompress(compressed []byte) ([]byte, error) { return appendDecompressed(nil, compressed) }
-
-func appendDecompressed(to, compressed []byte) ([]byte, error) {
+// decompress undoes compress, also where several are joined.
+func decompress(compressed []byte) ([]byte, error) {
 	if len(compressed) == 0 {
-		return to, nil
+		return nil, nil
 	}
-	plain, err := decoder().DecodeAll(compressed, to)
+	plain, err := decoder().DecodeAll(compressed, nil)
 	return plain, trace.Wrap(err, "decompress")
 }
+
+// plainSize is what compressed will be long once it is decompressed; if it
+// doesn't say so, as short texts don't, its own length.
+func plainSize(compressed []byte) int {
+	var header zstd.Header
+	if header.Decode(compressed) != nil || !header.HasFCS {
+		return len(compressed)
+	}
+	return int(header.FrameContentSize)
+}
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -124,6 +124,9 @@
 		if !event.HasID || event.ID <= r.last {
 			continue
 		}
+		if r.last == first {
+			r.begun(itemKey{r.item.job, r.item.index})
+		}
 		r.add(event)
 		if time.Now().After(r.commitAt) {
 			if err := r.commitText(ctx, StateOpen, 0); err != nil {
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -332,6 +332,17 @@
 	return 0
 }
 
+// item returns what is remembered of an item.
+func (m *Machine) item(job string, index uint32) (itemState, bool) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	state := m.jobs[job]
+	if state == nil || int(index) >= len(state.items) {
+		return itemState{}, false
+	}
+	return state.items[index], true
+}
+
 // openItem is an item that is to be run.
 type openItem struct {
 	job       string
--- a/internal/batchwork/machine_test.go
+++ b/internal/batchwork/machine_test.go
@@ -93,7 +93,7 @@
 	g.Expect(string(body)).To(gomega.Equal("body 2"))
 	_, err = readBody(store, "a", "a-3")
 	g.Expect(err).To(gomega.MatchError(ErrNoJob))
-	_, err = m.readPage(store, "b", 0)
+	_, err = unpacked(m, store, "b", 0)
 	g.Expect(err).To(gomega.MatchError(ErrNoJob))
 }
 
@@ -119,7 +119,7 @@
 	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 4, to: 5, text: []byte("5"), state: StateSucceeded}}, submitted))
 	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 3, to: 4, text: []byte("4"), state: StateSucceeded}}, submitted))
 	apply(g, m, store, encodeAdvance([]step{{job: "a", from: 4, to: 5, text: []byte("5"), state: StateDead}}, submitted))
-	page, err := m.readPage(store, "a", 0)
+	page, err := unpacked(m, store, "a", 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(page).To(gomega.Equal(Page{Total: 1, Next: 1, Results: []Result{{ItemID: "a-0", State: StateSucceeded, Text: []byte("1\n2\n3\n4")}}}))
 }
@@ -133,12 +133,12 @@
 		apply(g, m, store, encodeAdvance([]step{{job: "a", index: uint32(i), to: 1, text: long, state: StateSucceeded}}, submitted))
 	}
 	for since := range 3 {
-		page, err := m.readPage(store, "a", since)
+		page, err := unpacked(m, store, "a", since)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(page.Results).To(gomega.HaveLen(1))
 		g.Expect(page.Next).To(gomega.Equal(since + 1))
 	}
-	page, err := m.readPage(store, "a", 3)
+	page, err := unpacked(m, store, "a", 3)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(page.Results).To(gomega.BeEmpty())
 	g.Expect(page.Next).To(gomega.Equal(3))
@@ -152,9 +152,9 @@
 	apply(g, m, store, encodeEnd("ended", submitted))
 	g.Expect(m.purgeable(submitted.Add(time.Second))).To(gomega.Equal([]string{"ended"}))
 	apply(g, m, store, encodePurge([]string{"open", "ended", "unknown"}, submitted))
-	_, err := m.readPage(store, "ended", 0)
+	_, err := unpacked(m, store, "ended", 0)
 	g.Expect(err).To(gomega.MatchError(ErrNoJob))
-	_, err = m.readPage(store, "open", 0)
+	_, err = unpacked(m, store, "open", 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	for k := range store {
 		g.Expect(k).NotTo(gomega.ContainSubstring("ended"))
@@ -247,7 +247,7 @@
 			"": func(t *rapid.T) {
 				var queued int64
 				for id, job := range jobs {
-					page, err := machine.readPage(store, id, 0)
+					page, err := unpacked(machine, store, id, 0)
 					if err != nil || page.Total != 3 || fmt.Sprintf("%q", page.Results) != fmt.Sprintf("%q", job.results) {
 						t.Fatalf("job %s: %v, page %q, want %q", id, err, page.Results, job.results)
 					}
@@ -262,3 +262,12 @@
 		})
 	})
 }
+
+// unpacked reads a page as its caller sees it.
+func unpacked(m *Machine, store memoryStore, job string, since int) (Page, error) {
+	page, err := m.readPage(store, job, since)
+	if err != nil {
+		return page, err
+	}
+	return decodePage(encodePage(page))
+}
--- a/internal/batchwork/read.go
+++ b/internal/batchwork/read.go
@@ -6,8 +6,9 @@
 	"chutelock.dev/chutelock/internal/ledger"
 )
 
-// pageBytes bounds the texts of a page; one result always fits.
-const pageBytes = 900 << 10
+// pageBytes bounds the texts of a page; one result always fits. A page takes a
+// slow front some tens of milliseconds.
+const pageBytes = 256 << 10
 
 // readItem reads an item as it was submitted.
 func readItem(reader ledger.Reader, job string, index uint32) (Item, error) {
@@ -57,12 +58,14 @@
 	return read.Body, err
 }
 
-// readPage reads results from a position on; the machine's memory has the total.
+// readPage reads results from a position on. What is not text comes from the
+// machine's memory; texts stay packed.
 func (m *Machine) readPage(reader ledger.Reader, job string, since int) (Page, error) {
-	if _, found, err := reader.Get(key(keyJob, job)); err != nil || !found {
-		return Page{}, orNoJob(err)
+	total := m.size(job)
+	if total == 0 {
+		return Page{}, ErrNoJob
 	}
-	page := Page{Total: m.size(job), Next: since}
+	page := Page{Total: total, Next: since}
 	size := 0
 	_, to := keyRange(keyResult, job)
 	err := reader.Scan(key(keyResult, job, uint64(since)), to, func(_, value []byte) (bool, error) {
@@ -70,11 +73,11 @@
 		if _, err := unmarshal(value, &fixed, 0); err != nil {
 			return false, err
 		}
-		result, err := readResult(reader, job, fixed.Index)
+		result, plain, err := m.readResult(reader, job, fixed.Index)
 		if err != nil {
 			return false, err
 		}
-		size += len(result.Text)
+		size += plain
 		if len(page.Results) > 0 && size > pageBytes {
 			return false, nil
 		}
@@ -85,39 +88,31 @@
 	return page, trace.Wrap(err)
 }
 
-func readResult(reader ledger.Reader, job string, index uint32) (Result, error) {
-	value, found, err := reader.Get(key(keyItem, job, uint64(index)))
-	if err != nil || !found {
-		return Result{}, orNoJob(err)
-	}
-	item, err := decodeItem(value)
-	if err != nil {
-		return Result{}, err
-	}
-	value, found, err = reader.Get(key(keyState, job, uint64(index)))
-	if err != nil || !found {
-		return Result{}, orNoJob(err)
-	}
-	var fixed fixedState
-	if _, err := unmarshal(value, &fixed, 0); err != nil {
-		return Result{}, err
+// readResult also returns the length of the text.
+func (m *Machine) readResult(reader ledger.Reader, job string, index uint32) (Result, int, error) {
+	item, found := m.item(job, index)
+	if !found {
+		return Result{}, 0, ErrNoJob
 	}
-	text, err := readText(reader, job, index)
-	return Result{ItemID: item.ID, State: fixed.State, Text: text}, err
+	result := Result{ItemID: item.id, State: item.state}
+	plain := 0
+	from, to := key(keyText, job, uint64(index)), key(keyText, job, uint64(index)+1)
+	err := reader.Scan(from, to, func(_, value []byte) (bool, error) {
+		result.Packed = append(result.Packed, value...)
+		plain += plainSize(value)
+		return true, nil
+	})
+	return result, plain, trace.Wrap(err)
 }
 
-// readText joins the committed parts of an item's text.
-func readText(reader ledger.Reader, job string, index uint32) ([]byte, error) {
-	var text []byte
-	from, to := key(keyText, job, uint64(index)), key(keyText, job, uint64(index)+1)
-	first := true
-	err := reader.Scan(from, to, func(_, value []byte) (_ bool, err error) {
-		if !first {
-			text = append(text, '\n')
+// unpack fills in the texts.
+func (p *Page) unpack() error {
+	for i := range p.Results {
+		text, err := decompress(p.Results[i].Packed)
+		if err != nil {
+			return err
 		}
-		first = false
-		text, err = appendDecompressed(text, value)
-		return err == nil, err
-	})
-	return text, trace.Wrap(err)
+		p.Results[i].Text, p.Results[i].Packed = text, nil
+	}
+	return nil
 }
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -101,6 +101,8 @@
 	cancel  context.CancelFunc
 	engine  catalog.Engine
 	started time.Time
+	// begun: an event came, so that the item can go on elsewhere from there.
+	begun bool
 	// yielding: the run was told to give its slot up.
 	yielding bool
 }
@@ -334,9 +336,16 @@
 	}
 }
 
-// Yield takes slots back from batch work where online work needs them. The
-// youngest runs go first: they have the least text to be read again when they
-// go on.
+// begun notes that the first event of an item's run came.
+func (r *Runner) begun(k itemKey) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if run := r.runs[k]; run != nil {
+		run.begun = true
+	}
+}
+
+// Yield takes slots back from batch work where online work needs them.
 func (r *Runner) Yield() {
 	now := time.Now()
 	r.mutex.Lock()
@@ -355,16 +364,28 @@
 		if excess <= 0 {
 			continue
 		}
-		cut := 0
-		for i := len(runs) - 1; i >= 0 && cut < excess; i-- {
-			if !runs[i].yielding {
-				runs[i].yielding = true
-				runs[i].cancel()
-				cut++
-			}
+		victims := yieldOrder(runs)
+		victims = victims[:min(excess, len(victims))]
+		for _, run := range victims {
+			run.yielding = true
+			run.cancel()
+		}
+		eventYielded.Info("engine", engine, "runs", len(runs), "cut", len(victims))
+	}
+}
+
+// yieldOrder lists the runs that may be cut, those to be cut first before the
+// others: begun ones, as the others would have to be run from their start
+// again; among these the youngest, which have the least text to be read again.
+func yieldOrder(runs []*run) []*run {
+	var order []*run
+	for i := len(runs) - 1; i >= 0; i-- {
+		if !runs[i].yielding {
+			order = append(order, runs[i])
 		}
-		eventYielded.Info("engine", engine, "runs", len(runs), "cut", cut)
 	}
+	sort.SliceStable(order, func(i, j int) bool { return order[i].begun && !order[j].begun })
+	return order
 }
 
 // runsByEngine groups the runs, the oldest first; the caller holds the mutex.
--- a/internal/batchwork/types.go
+++ b/internal/batchwork/types.go
@@ -49,7 +49,10 @@
 type Result struct {
 	ItemID string
 	State  State
-	Text   []byte
+	// Text is filled in at the caller; on the way it is Packed.
+	Text []byte
+	// Packed is the text as it is stored: compressed parts, one after the other.
+	Packed []byte
 }
 
 // Page is a part of a job's results.
--- a/internal/batchwork/verdicts_test.go
+++ b/internal/batchwork/verdicts_test.go
@@ -99,10 +99,23 @@
 func TestTextsComeBackAsTheyWere(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, text := range []string{"", "x", string(make([]byte, 1<<20))} {
-		plain, err := appendDecompressed([]byte("before"), compress([]byte(text)))
+		packed := append(compress([]byte("before")), compress([]byte(text))...)
+		plain, err := decompress(packed)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(string(plain)).To(gomega.Equal("before" + text))
+		// Texts too short to say their length count as what they take.
+		g.Expect(plainSize(compress([]byte(text)))).To(gomega.BeNumerically("~", len(text), 64))
 	}
 	_, err := decompress([]byte("no frame"))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+func TestBegunRunsYieldBeforeOthersTheYoungestFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	oldest, cut, younger, unbegun := &run{begun: true}, &run{begun: true, yielding: true}, &run{begun: true}, &run{}
+	order := yieldOrder([]*run{oldest, cut, younger, unbegun})
+	g.Expect(order).To(gomega.HaveLen(3))
+	for i, wanted := range []*run{younger, oldest, unbegun} {
+		g.Expect(order[i]).To(gomega.BeIdenticalTo(wanted), "%d", i)
+	}
+}
