--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -41,6 +41,7 @@
 	}
 	r.id = read.ID
 	r.committed, r.last = r.item.lastEvent, r.item.lastEvent
+	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "after", r.last, "failures", r.item.failures)
 	silence := make(chan struct{})
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -23,6 +23,7 @@
 	eventItemRetried = telemetry.Define(3203, "item-retried", "An item's run ended early; it goes on elsewhere from its last event.")
 	eventItemDead    = telemetry.Define(3204, "item-dead", "An item was given up.")
 	eventState       = telemetry.Define(3207, "batch-state", "How many items are open and running at this leader; once a second while any are open.")
+	eventItemSent    = telemetry.Define(3208, "item-sent", "An item is sent to an engine; it goes on after the given event.")
 	eventYielded     = telemetry.Define(3206, "batch-yielded", "Batch work gave slots of an engine up to online work.")
 	eventCommitLost  = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; it is run again from what was.")
 )
