--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -35,7 +35,7 @@
 	// committed text goes on elsewhere and is not run from its start again.
 	firstCommit = 150 * time.Millisecond
 	// commitInterval is how often a running item's text is committed.
-	commitInterval = 1200 * time.Millisecond
+	commitInterval = 500 * time.Millisecond
 	// commitTimeout bounds one commit.
 	commitTimeout = 4 * time.Second
 	// barrierTimeout bounds the confirmation of a new leader.
