--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,7 +168,7 @@
 // Flags that were given end up in the returned Overrides after parsing.
 func RegisterFlags(flags *flag.FlagSet) Overrides {
 	overrides := Overrides{}
-	for _, path := range settingPaths(reflect.TypeOf(Node{}), "") {
+	for _, path := range Paths() {
 		flags.Func(path, "override "+path+" of the settings file", func(value string) error {
 			overrides[path] = value
 			return nil
@@ -177,6 +177,9 @@
 	return overrides
 }
 
+// Paths lists the single-valued settings by their paths in the file.
+func Paths() []string { return settingPaths(reflect.TypeOf(Node{}), "") }
+
 func settingPaths(structure reflect.Type, prefix string) []string {
 	var paths []string
 	for i := range structure.NumField() {
