--- a/cmd/chutelock/reload.go
+++ b/cmd/chutelock/reload.go
@@ -9,11 +9,9 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/config"
-	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/system"
 )
 
-var eventBadReload = telemetry.Define(1015, "settings-refused", "The settings file was read again and is wrong; what was in force stays.")
-
 // reloadInterval is how often the settings file is looked at without a signal.
 const reloadInterval = 3 * time.Second
 
@@ -37,7 +35,7 @@
 		read, err := load()
 		switch {
 		case err != nil && asked:
-			eventBadReload.Error(err)
+			system.EventSettingsRefused.Error(err)
 		case err == nil && (asked || !reflect.DeepEqual(read, inForce)):
 			inForce = read
 			apply(read)
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -216,6 +216,9 @@
 	return nil
 }
 
+// EventSettingsRefused is logged by the program that reads the settings file.
+var EventSettingsRefused = telemetry.Define(1015, "settings-refused", "The settings file was read again and is wrong; what was in force stays.")
+
 // Node is an assembled node.
 type Node interface {
 	// Start opens the node's ports and lets it work.
--- a/test/docs/events_test.go
+++ b/test/docs/events_test.go
@@ -13,6 +13,7 @@
 	_ "chutelock.dev/chutelock/internal/node"
 	_ "chutelock.dev/chutelock/internal/standin/engine"
 	_ "chutelock.dev/chutelock/internal/standin/platform"
+	_ "chutelock.dev/chutelock/internal/system"
 
 	"chutelock.dev/chutelock/internal/telemetry"
 )
