--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -94,14 +94,13 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, pageBytes))
 		return r.failed(ctx, answer.Status)
 	case !answer.Signed:
-		return r.broken(ctx, errUnsigned, false)
+		return r.broken(ctx, upstream.ErrUnsigned, false)
 	}
 	return r.stream(ctx, answer, timer, silence)
 }
 
 var (
 	errElsewhere = errors.New("another engine has the address")
-	errUnsigned  = errors.New("a success without the engine's signature")
 )
 
 func (r *itemRun) stream(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -337,70 +336,6 @@
 	}
 }
 
-// begun notes that the first event of an item's run came.
-func (r *Runner) begun(k itemKey) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if run := r.runs[k]; run != nil {
-		run.begun = true
-	}
-}
-
-// Yield takes slots back from batch work where online work needs them.
-func (r *Runner) Yield() {
-	now := time.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if now.Before(r.yieldAt) {
-		return
-	}
-	r.yieldAt = now.Add(yieldInterval)
-	for engine, runs := range r.runsByEngine() {
-		excess := r.options.Balancer.Excess(runs[0].engine)
-		for _, run := range runs {
-			if run.yielding {
-				excess--
-			}
-		}
-		if excess <= 0 {
-			continue
-		}
-		victims := yieldOrder(runs)
-		victims = victims[:min(excess, len(victims))]
-		for _, run := range victims {
-			run.yielding = true
-			run.cancel()
-		}
-		eventYielded.Info("engine", engine, "runs", len(runs), "cut", len(victims))
-	}
-}
-
-// yieldOrder lists the runs that may be cut, those to be cut first before the
-// others: begun ones, as the others would have to be run from their start
-// again; among these the youngest, which have the least text to be read again.
-func yieldOrder(runs []*run) []*run {
-	var order []*run
-	for i := len(runs) - 1; i >= 0; i-- {
-		if !runs[i].yielding {
-			order = append(order, runs[i])
-		}
-	}
-	sort.SliceStable(order, func(i, j int) bool { return order[i].begun && !order[j].begun })
-	return order
-}
-
-// runsByEngine groups the runs, the oldest first; the caller holds the mutex.
-func (r *Runner) runsByEngine() map[string][]*run {
-	grouped := map[string][]*run{}
-	for _, run := range r.runs {
-		grouped[run.engine.ID] = append(grouped[run.engine.ID], run)
-	}
-	for _, runs := range grouped {
-		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
-	}
-	return grouped
-}
-
 func (r *Runner) purge(ctx context.Context) {
 	if r.options.Keep <= 0 || !r.Leading() {
 		return
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -54,6 +55,10 @@
 	Facts(status int, header http.Header) Facts
 }
 
+// ErrUnsigned says that an answer that looks like a success is none of the
+// engine's: it lacks the signature.
+var ErrUnsigned = errors.New("upstream: a success without the engine's signature")
+
 // Fate is what is known of a request whose exchange failed.
 type Fate uint8
 
