--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -76,7 +76,8 @@
 type Runner struct {
 	options RunnerOptions
 
-	tasks sync.WaitGroup
+	tasks    sync.WaitGroup
+	gatherer *gatherer
 
 	mutex    sync.Mutex // guards what is below; a leaf
 	runs     map[itemKey]*run
@@ -109,11 +110,13 @@
 
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{
+	r := &Runner{
 		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
 		verdicts: map[itemKey]step{},
 		wake:     make(chan struct{}, 1),
 	}
+	r.gatherer = newGatherer(r.propose)
+	return r
 }
 
 // Run works until ctx ends, and returns once no item is running.
@@ -122,6 +125,13 @@
 	defer ticker.Stop()
 	purge := time.NewTicker(purgeInterval)
 	defer purge.Stop()
+	gathering, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var gatherer sync.WaitGroup
+	gatherer.Go(func() { r.gatherer.run(gathering) })
+	// Runs commit what they have when they are stopped, so that the gatherer
+	// ends after them.
+	defer gatherer.Wait()
+	defer stop()
 	defer r.tasks.Wait()
 	defer r.stopAll()
 	for {
@@ -351,12 +361,13 @@
 
 // commit proposes a step, and returns once it is applied here.
 func (r *Runner) commit(ctx context.Context, s step) error {
-	return trace.Wrap(r.commitAll(ctx, []step{s}), "commit item %d of job %s", s.index, s.job)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout+gatherTime)
+	defer cancel()
+	return trace.Wrap(r.gatherer.commit(ctx, s), "commit item %d of job %s", s.index, s.job)
 }
 
-func (r *Runner) commitAll(ctx context.Context, steps []step) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
-	defer cancel()
+// propose commits steps in one entry.
+func (r *Runner) propose(ctx context.Context, steps []step) error {
 	_, err := r.options.Shard.Propose(ctx, encodeAdvance(steps, time.Now()))
 	return err
 }
--- a/internal/batchwork/verdicts.go
+++ b/internal/batchwork/verdicts.go
@@ -39,8 +39,9 @@
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
-		err := r.commitAll(context.Background(), due)
-		r.noteVerdicts(due, err)
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		defer cancel()
+		r.noteVerdicts(due, r.propose(ctx, due))
 	}()
 }
 
--- a/internal/batchwork/verdicts_test.go
+++ b/internal/batchwork/verdicts_test.go
@@ -46,6 +46,9 @@
 	job.Submitted = time.Now()
 	apply(g, shard.machine, shard.store, encodeSubmit(job))
 	runner := NewRunner(RunnerOptions{Shard: shard, Machine: shard.machine})
+	gathering, stop := context.WithCancel(context.Background())
+	defer stop()
+	go runner.gatherer.run(gathering)
 	open := shard.machine.openItems()
 	run := &itemRun{Runner: runner, item: open[0], id: "a-0"}
 	run.dead(context.Background(), "the engine can never run it")
