Compactions on a small disk work in small steps

One data node ended by itself: pebble panics when it can't rotate its write-ahead log. Change: tables of 256 KB, a base level of 1/32 of the disk, early compactions. Unlike pebble's panic, which ends the process so that it is started again, a failed write halts the replica until a restart: open.

--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -21,6 +21,10 @@
 	memTableBytes   = 4 << 20
 	memTableLeast   = 1 << 20
 	blockCacheBytes = 4 << 20
+	// smallDiskBytes is the size from which on compactions may take their time
+	// and room; smallTableBytes is the size of tables on smaller disks.
+	smallDiskBytes  = 1 << 30
+	smallTableBytes = 256 << 10
 	// slowDisk is when a disk operation is reported as slow.
 	slowDisk = 2 * time.Second
 	// spaceInterval is the time between two looks at the free space.
@@ -50,6 +54,8 @@
 	DiskBytes uint64
 }
 
+func (o Options) smallDisk() bool { return o.DiskBytes > 0 && o.DiskBytes < smallDiskBytes }
+
 // memTable is the size of a table in memory, and so of a write-ahead log; up to
 // five of these logs lie on the disk.
 func (o Options) memTable() uint64 {
@@ -192,9 +198,22 @@
 	for level := range options.Levels {
 		options.Levels[level].FilterPolicy = bloom.FilterPolicy(10)
 	}
+	if s.options.smallDisk() {
+		s.compactInSmallSteps(options)
+	}
 	return options
 }
 
+// compactInSmallSteps makes compactions small: one needs room for all that it
+// writes before it can drop what it read.
+func (s *Store) compactInSmallSteps(options *pebble.Options) {
+	options.L0CompactionThreshold = 2
+	options.LBaseMaxBytes = int64(s.options.DiskBytes / 32)
+	for level := range options.TargetFileSizes {
+		options.TargetFileSizes[level] = smallTableBytes
+	}
+}
+
 // loadIncarnation reads the folder's identity or gives it one.
 func (s *Store) loadIncarnation() error {
 	record, found, err := s.getRecord(incarnationKey())
