Three free slots again, half of a small engine's; noise of a slot

Change: three free slots as before, half of an engine's at most; noise is one slot instead of 0.06 of the slots (the same on engines of 17). Open: choosing among few random engines, measured on the grown sites.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -23,17 +22,19 @@
 	batchPending = 5000
 	// formerBonus is what the engine gains that ran a part of the request.
 	formerBonus = 0.3
-	// noisePenalty spreads requests over equal engines.
-	noisePenalty = 0.06
+	// noiseSlots spreads requests over engines whose load differs by so many
+	// slots: many nodes choose by the same sums within a report's interval, and
+	// would all take the same engine.
+	noiseSlots = 1.0
 	// coldPenalty is what an engine that is still slow costs.
 	coldPenalty = 0.5
-	// startShare is the share of an engine's slots that batch work leaves free
-	// for online requests that come before the next load report; one at least.
-	startShare = 0.17
-	// cutShare is the share that is free at least before batch work gives slots
-	// up. It is less than startShare, so that batch work doesn't come and go with
+	// startFree is how many slots of an engine batch work leaves free for online
+	// requests that come before the next load report; half of a small engine's.
+	startFree = 3
+	// cutFree is how many slots are free at least before batch work gives some
+	// up. It is less than startFree, so that batch work doesn't come and go with
 	// each request.
-	cutShare = 0.06
+	cutFree = 1
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
 	queueDepth = 1
@@ -87,7 +88,7 @@
 		if !t.hasRoom(engine, wish.Class, now) {
 			continue
 		}
-		score := t.score(engine, wish, home, now) + noisePenalty*noise()
+		score := t.score(engine, wish, home, now) + noiseSlots*noise()/float64(max(engine.Slots, 1))
 		if !found || score < lowest {
 			best, lowest, found = engine, score, true
 		}
@@ -118,9 +119,9 @@
 	return min(batch, max(0, counted+cutHeadroom(engine.Slots)-engine.Slots))
 }
 
-func startHeadroom(slots int) int { return max(1, int(math.Round(startShare*float64(slots)))) }
+func startHeadroom(slots int) int { return max(1, min(startFree, slots/2)) }
 
-func cutHeadroom(slots int) int { return int(math.Round(cutShare * float64(slots))) }
+func cutHeadroom(slots int) int { return min(cutFree, startHeadroom(slots)-1) }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
 // bonuses in the same unit.
