--- a/internal/batchwork/machine_test.go
+++ b/internal/batchwork/machine_test.go
@@ -271,3 +271,22 @@
 	}
 	return decodePage(encodePage(page))
 }
+
+func TestABodyGoesWithItsUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m, store := NewMachine(), memoryStore{}
+	apply(g, m, store, encodeSubmit(testJob("a", 3, 0)))
+	apply(g, m, store, encodeAdvance([]step{
+		{job: "a", index: 0, to: 1, text: []byte("x"), state: StateSucceeded},
+		{job: "a", index: 1, state: StateDead},
+	}, submitted))
+	_, err := readBody(store, "a", "a-0")
+	g.Expect(err).To(gomega.MatchError(ErrNoJob), "done")
+	for _, kept := range []string{"a-1", "a-2"} {
+		_, err = readBody(store, "a", kept)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), kept)
+	}
+	apply(g, m, store, encodeEnd("a", submitted))
+	_, err = readBody(store, "a", "a-2")
+	g.Expect(err).To(gomega.MatchError(ErrNoJob), "ended")
+}
