Batch work leaves a share of the service free instead of slots of each engine

Ruled out: the order of items (queue never empty), commits (40 ms of some 5 s an item). Change: 8 in 100 of the service's slots stay free, wherever they are; no peak is kept. Online work goes to engines full of batch work as long as the leader's reports are fresh, its front node reports at once (no more than each 10 ms), and the leader cuts. A cut run's slot counts as free at once, not once its text is committed. A new leader starts nothing for four report intervals, as it knows no load yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -28,6 +28,9 @@
 // Balancer may be used concurrently.
 type Balancer struct {
 	snapshot func() *catalog.Snapshot
+	// pressed holds a token once an online request went to an engine where batch
+	// work has to make way.
+	pressed chan struct{}
 
 	mutex   sync.Mutex // guards what is below; a leaf
 	table   *Table
@@ -42,7 +45,7 @@
 
 // New returns a balancer that reads the newest snapshot from the function.
 func New(snapshot func() *catalog.Snapshot) *Balancer {
-	return &Balancer{snapshot: snapshot, table: NewTable(), turns: map[string]map[string]float64{}}
+	return &Balancer{snapshot: snapshot, pressed: make(chan struct{}, 1), table: NewTable(), turns: map[string]map[string]float64{}}
 }
 
 // Service picks the backend of a route whose turn it is, so that each gets its
@@ -154,9 +157,23 @@
 	}
 	lease := &Lease{Engine: engine, balancer: b, class: wish.Class, tokens: b.table.unread(snapshot, wish, engine)}
 	b.table.Begin(engine.ID, wish.Class, lease.tokens, now)
+	if wish.Class == ClassOnline && b.table.pressed(engine, now) {
+		b.press()
+	}
 	return lease, true
 }
 
+// Pressed is ready once an online request went to an engine where batch work has
+// to make way: who runs that has to hear of it at once.
+func (b *Balancer) Pressed() <-chan struct{} { return b.pressed }
+
+func (b *Balancer) press() {
+	select {
+	case b.pressed <- struct{}{}:
+	default:
+	}
+}
+
 func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration) (*Lease, bool) {
 	self := b.enqueue(priority)
 	defer b.dequeue(self)
@@ -262,7 +279,6 @@
 func (b *Balancer) Excess(engine catalog.Engine) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.NotePeak(engine.ID, time.Now())
 	return b.table.Excess(engine, time.Now())
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -28,13 +28,9 @@
 	noiseSlots = 1.0
 	// coldPenalty is what an engine that is still slow costs.
 	coldPenalty = 0.5
-	// startFree is how many slots of an engine batch work leaves free for online
-	// requests that come before the next load report; half of a small engine's.
-	startFree = 3
-	// cutFree is how many slots are free at least before batch work gives some
-	// up. It is less than startFree, so that batch work doesn't come and go with
-	// each request.
-	cutFree = 1
+	// freeShare is the share of a service's slots that batch work leaves free for
+	// the online requests that come before it can make way.
+	freeShare = 0.08
 	// queueDepth is how many requests beyond its slots an engine may get from
 	// online work; they wait there for less than an average request runs.
 	queueDepth = 1
@@ -73,6 +69,9 @@
 		if len(candidates) == 0 {
 			continue
 		}
+		if wish.Class == ClassBatch && !t.spare(candidates, now) {
+			return catalog.Engine{}, false
+		}
 		return t.best(candidates, wish, now, noise)
 	}
 	return catalog.Engine{}, false
@@ -102,13 +101,20 @@
 	}
 	load := t.load(engine.ID, now)
 	if class == ClassOnline {
-		return load < engine.Slots+queueDepth
+		return load-t.yielding(engine.ID, now) < engine.Slots+queueDepth
 	}
-	if t.pending(engine.ID, now) >= batchPending {
-		return false
+	return load < engine.Slots && t.pending(engine.ID, now) < batchPending
+}
+
+// spare says whether engines have more free slots together than batch work has
+// to leave to online work.
+func (t *Table) spare(engines []catalog.Engine, now time.Time) bool {
+	slots, free := 0, 0
+	for _, engine := range engines {
+		slots += engine.Slots
+		free += max(0, engine.Slots-t.load(engine.ID, now))
 	}
-	reserve := t.peak(engine.ID, now) - t.running(engine.ID, ClassOnline, now)
-	return load+reserve+startHeadroom(engine.Slots) < engine.Slots
+	return float64(free) > freeShare*float64(slots)
 }
 
 // Excess is by how many requests batch work exceeds what other work leaves of
@@ -116,12 +122,14 @@
 func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
 	batch := t.running(engine.ID, ClassBatch, now)
 	counted := batch + t.running(engine.ID, ClassOnline, now)
-	return min(batch, max(0, counted+cutHeadroom(engine.Slots)-engine.Slots))
+	return min(batch, max(0, counted-engine.Slots))
 }
 
-func startHeadroom(slots int) int { return max(1, min(startFree, slots/2)) }
-
-func cutHeadroom(slots int) int { return min(cutFree, startHeadroom(slots)-1) }
+// pressed says that no slot of an engine is free, and batch work has some that
+// would make way.
+func (t *Table) pressed(engine catalog.Engine, now time.Time) bool {
+	return t.load(engine.ID, now) >= engine.Slots && t.yielding(engine.ID, now) > 0
+}
 
 // score is the share of an engine's slots in use, from 0, with penalties and
 // bonuses in the same unit.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -20,8 +20,9 @@
 	asideMost  = 4 * time.Second
 	// fullPause is how long an engine counts as full after it refused.
 	fullPause = 40 * time.Millisecond
-	// peakLife is how long a peak of online requests is kept free for the next.
-	peakLife = 1200 * time.Millisecond
+	// yieldLife is how long after the last report of peers batch work counts as
+	// certain to make way: a leader that is gone cuts nothing.
+	yieldLife = 250 * time.Millisecond
 	// forgetAfter is how long an engine without news is remembered.
 	forgetAfter = time.Minute
 )
@@ -43,9 +44,6 @@
 	report   upstream.Load
 	reportAt time.Time
 	ownAt    int // own requests when the report came
-	// peak is the most online requests that the engine had lately.
-	peak     int
-	peakAt   time.Time
 	failures int
 	aside    time.Time
 	full     time.Time
@@ -72,6 +70,8 @@
 	// sum adds up the peers' reports, but for Seen; seen holds that.
 	sum  Report
 	seen map[EngineKey]seenLoad
+	// heardAt is when a peer reported last.
+	heardAt time.Time
 	// expireAt is when silent peers are looked for next.
 	expireAt time.Time
 	keys     map[string]EngineKey // of engines seen, to hash each once
@@ -151,6 +151,7 @@
 	t.addUp(t.peers[peer].running, -1)
 	t.addUp(running, 1)
 	t.peers[peer] = peerLoad{at: now, running: running}
+	t.heardAt = now
 	for key, one := range running {
 		if known := t.seen[key]; one.Seen >= known.count || now.Sub(known.at) > peersSawLife {
 			t.seen[key] = seenLoad{at: now, count: one.Seen}
@@ -261,23 +262,13 @@
 	return count
 }
 
-// NotePeak remembers the most online requests that an engine had lately, so
-// that batch work doesn't fill slots that it must give up again at once.
-func (t *Table) NotePeak(id string, now time.Time) {
-	online := t.running(id, ClassOnline, now)
-	state := t.state(id, now)
-	if online >= state.peak || now.Sub(state.peakAt) > peakLife {
-		state.peak, state.peakAt = online, now
-	}
-}
-
-// peak is the most online requests that the engine has or had lately.
-func (t *Table) peak(id string, now time.Time) int {
-	online := t.running(id, ClassOnline, now)
-	if state := t.engines[id]; state != nil && now.Sub(state.peakAt) <= peakLife {
-		online = max(online, state.peak)
+// yielding is how many requests of batch work at an engine would make way for
+// online work: all, as long as the peers' reports are fresh.
+func (t *Table) yielding(id string, now time.Time) int {
+	if now.Sub(t.heardAt) > yieldLife {
+		return 0
 	}
-	return online
+	return t.running(id, ClassBatch, now)
 }
 
 // seen is what the engine said lately that it has, with what this node has
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -30,6 +30,8 @@
 }
 
 // run returns how long the item rests before it is run again, if it is open.
+// The engine's slot counts as free from the end of the exchange on, not only
+// once what came is committed.
 func (r *itemRun) run(ctx context.Context) time.Duration {
 	var read Item
 	err := r.options.Shard.Read(ctx, func(reader ledger.Reader) (err error) {
@@ -113,10 +115,13 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			r.options.Balancer.Succeeded(r.engine.ID)
+			r.lease.Release()
 			done = true
 			return r.succeeded(ctx)
 		}
 		if err != nil {
+			answer.Close()
+			r.lease.Release()
 			return r.broken(ctx, err, isClosed(silence))
 		}
 		timer.Reset(itemPatience)
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -49,7 +49,7 @@
 	giveUpMargin = time.Second
 	// yieldInterval is the least time between two looks for slots to give up;
 	// load reports come more often the more front nodes there are.
-	yieldInterval = 15 * time.Millisecond
+	yieldInterval = 5 * time.Millisecond
 	// stateInterval is the time between two lines on the state of batch work.
 	stateInterval = time.Second
 	// purgeInterval and purgeBatch pace the removal of old jobs.
@@ -68,6 +68,9 @@
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
 	Zone   string
+	// Settle is how long a new leader starts nothing: it doesn't know yet what
+	// online work the engines have.
+	Settle time.Duration
 	// Keep is how long a closed job stays readable after its submission.
 	Keep time.Duration
 }
@@ -89,8 +92,9 @@
 	statedAt time.Time
 	yieldAt  time.Time
 	pace     *pace
-	// term is the term in which leadership was confirmed, or 0.
-	term uint64
+	// term is the term in which leadership was confirmed, or 0; since is when.
+	term  uint64
+	since time.Time
 }
 
 type itemKey struct {
@@ -101,6 +105,7 @@
 type run struct {
 	cancel  context.CancelFunc
 	engine  catalog.Engine
+	lease   *balance.Lease
 	started time.Time
 	// begun: an event came, so that the item can go on elsewhere from there.
 	begun bool
@@ -192,6 +197,9 @@
 	r.stopEnded()
 	r.logState(len(open), now)
 	r.commitVerdicts(open, now)
+	if !r.settled(now) {
+		return
+	}
 	full := map[string]bool{}
 	for _, item := range open {
 		route := r.options.Route(item.host, item.path)
@@ -239,6 +247,14 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.term = term
+	r.since = time.Now()
+}
+
+// settled says that this node has led for long enough to know engines' load.
+func (r *Runner) settled(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return now.Sub(r.since) >= r.options.Settle
 }
 
 func (r *Runner) order(open []openItem, now time.Time) {
@@ -310,7 +326,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.mutex.Lock()
 	r.formers[k] = lease.Engine.ID
-	r.runs[k] = &run{cancel: cancel, engine: lease.Engine, started: time.Now()}
+	r.runs[k] = &run{cancel: cancel, engine: lease.Engine, lease: lease, started: time.Now()}
 	r.mutex.Unlock()
 	r.tasks.Add(1)
 	go func() {
--- a/internal/batchwork/yield.go
+++ b/internal/batchwork/yield.go
@@ -25,11 +25,6 @@
 	r.yieldAt = now.Add(yieldInterval)
 	for engine, runs := range r.runsByEngine() {
 		excess := r.options.Balancer.Excess(runs[0].engine)
-		for _, run := range runs {
-			if run.yielding {
-				excess--
-			}
-		}
 		if excess <= 0 {
 			continue
 		}
@@ -38,6 +33,7 @@
 		for _, run := range victims {
 			run.yielding = true
 			run.cancel()
+			run.lease.Release()
 		}
 		eventYielded.Info("engine", engine, "runs", len(runs), "cut", len(victims))
 	}
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -35,6 +35,7 @@
 	d.runner = batchwork.NewRunner(batchwork.RunnerOptions{
 		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
 		Route: d.route, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
+		Settle: settleTime,
 	})
 	d.registerGauges(map[string]gauge{
 		"chutelock_batch_items_open":    {"Items that are not final, at a replica.", func() float64 { return float64(d.machine.Open()) }},
--- a/internal/system/loadshare.go
+++ b/internal/system/loadshare.go
@@ -19,12 +19,18 @@
 const (
 	// loadInterval is the time between two reports of a front node.
 	loadInterval = 80 * time.Millisecond
+	// pressInterval is the least time between two reports.
+	pressInterval = 10 * time.Millisecond
+	// settleTime is how long a new leader waits for load reports: front nodes
+	// hear of it from their peers, and then within an interval.
+	settleTime = 4 * loadInterval
 	// idleReports is how many reports without work are sent before a front
 	// node falls silent.
 	idleReports = 3
 )
 
-// reportLoad sends this front node's load to the leader of batch work.
+// reportLoad sends this front node's load to the leader of batch work: at each
+// interval, and at once when batch work has to make way for a request.
 func (f *front) reportLoad() {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
@@ -34,6 +40,7 @@
 		case <-f.stop:
 			return
 		case <-ticker.C:
+		case <-f.balancer.Pressed():
 		}
 		own := f.balancer.Own()
 		if len(own) == 0 {
@@ -47,6 +54,21 @@
 		if leader, known := f.ledger.Leader(0); known {
 			_ = f.peers.Datagram(leader, kindLoadReport, own.Marshal())
 		}
+		if !f.rest(pressInterval) {
+			return
+		}
+	}
+}
+
+// rest waits; false if the node stops meanwhile.
+func (f *front) rest(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-f.stop:
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
