--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -275,11 +275,12 @@
 	b.table.PeerLoad(peer, running, time.Now())
 }
 
-// Excess is by how many requests batch work exceeds its room at an engine.
-func (b *Balancer) Excess(engine catalog.Engine) int {
+// Overfull lists the engines where batch work of this node has to make way.
+func (b *Balancer) Overfull() []Overfull {
+	snapshot := b.snapshot()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.Excess(engine, time.Now())
+	return b.table.Overfull(snapshot, time.Now())
 }
 
 // Forget drops what is out of date.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -117,18 +117,38 @@
 	return float64(free) > freeShare*float64(slots)
 }
 
-// Excess is by how many requests batch work exceeds what other work leaves of
-// an engine's slots; 0 if it doesn't.
-func (t *Table) Excess(engine catalog.Engine, now time.Time) int {
-	batch := t.running(engine.ID, ClassBatch, now)
-	counted := batch + t.running(engine.ID, ClassOnline, now)
-	return min(batch, max(0, counted-engine.Slots))
+// Overfull is an engine that has more requests than slots, and how many of its
+// requests of batch work have to make way.
+type Overfull struct {
+	Engine string
+	Excess int
 }
 
-// pressed says that no slot of an engine is free, and batch work has some that
+// Overfull lists the engines where batch work of this node exceeds what other
+// work leaves of the slots.
+func (t *Table) Overfull(snapshot *catalog.Snapshot, now time.Time) []Overfull {
+	var list []Overfull
+	for id, state := range t.engines {
+		batch := state.own[ClassBatch]
+		if batch == 0 {
+			continue
+		}
+		engine, found := snapshot.Engine(id)
+		if !found {
+			continue
+		}
+		counted := t.running(id, ClassBatch, now) + t.running(id, ClassOnline, now)
+		if excess := min(batch, counted-engine.Slots); excess > 0 {
+			list = append(list, Overfull{Engine: id, Excess: excess})
+		}
+	}
+	return list
+}
+
+// pressed says that an engine has more requests than slots, and batch work there
 // would make way.
 func (t *Table) pressed(engine catalog.Engine, now time.Time) bool {
-	return t.load(engine.ID, now) >= engine.Slots && t.yielding(engine.ID, now) > 0
+	return t.load(engine.ID, now) > engine.Slots && t.yielding(engine.ID, now) > 0
 }
 
 // score is the share of an engine's slots in use, from 0, with penalties and
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -10,7 +10,6 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
-	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -21,6 +20,8 @@
 	route  *catalog.Route
 	engine catalog.Engine
 	lease  *balance.Lease
+	ctx    context.Context // of the run; ends when it is cut
+	cancel context.CancelFunc
 
 	id        string
 	committed uint64 // last event that is committed
@@ -32,13 +33,8 @@
 // run returns how long the item rests before it is run again, if it is open.
 // The engine's slot counts as free from the end of the exchange on, not only
 // once what came is committed.
-func (r *itemRun) run(ctx context.Context) time.Duration {
-	var read Item
-	err := r.options.Shard.Read(ctx, func(reader ledger.Reader) (err error) {
-		read, err = readItem(reader, r.item.job, r.item.index)
-		return err
-	})
-	if err != nil || !r.options.Usable(r.engine.ID, r.engine.Service) {
+func (r *itemRun) run(ctx context.Context, read *Item) time.Duration {
+	if !r.options.Usable(r.engine.ID, r.engine.Service) {
 		return refusalPause
 	}
 	r.id = read.ID
@@ -49,7 +45,7 @@
 	defer cancel()
 	timer := time.AfterFunc(itemPatience, func() { close(silence); cancel() })
 	defer timer.Stop()
-	answer, err := r.options.Pool.Exchange(watch, r.engine.Address, r.call(&read))
+	answer, err := r.options.Pool.Exchange(watch, r.engine.Address, r.call(read))
 	if err != nil {
 		return r.broken(ctx, err, isClosed(silence))
 	}
@@ -110,7 +106,7 @@
 	r.commitAt = started.Add(firstCommit)
 	done := false
 	defer func() { r.observe(time.Since(started), r.last-first, r.last, done) }()
-	events := forward.NewEventReader(answer)
+	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: answer, start: r.opened, interval: r.readInterval})
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -24,8 +24,8 @@
 	mutex  sync.RWMutex
 	jobs   map[string]*jobState
 	queued map[string]int64 // tokens of open items, by route
-	// changed is closed, and made anew, whenever a result or job is added.
-	changed chan struct{}
+	// added fires whenever a result or job is added.
+	added signal
 }
 
 type jobState struct {
@@ -33,6 +33,8 @@
 	items     []itemState
 	positions int
 	ended     bool
+	// listed fires whenever a result is added or the job is ended.
+	listed signal
 }
 
 type itemState struct {
@@ -47,7 +49,7 @@
 
 // NewMachine returns a machine of an empty store.
 func NewMachine() *Machine {
-	return &Machine{jobs: map[string]*jobState{}, queued: map[string]int64{}, changed: make(chan struct{})}
+	return &Machine{jobs: map[string]*jobState{}, queued: map[string]int64{}}
 }
 
 // Apply implements ledger.StateMachine.
@@ -73,11 +75,6 @@
 	return []byte{answer}, err
 }
 
-func (m *Machine) announce() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
 func (m *Machine) submit(writer ledger.Writer, fields [][]byte) (byte, error) {
 	job, err := decodeJob(fields[0])
 	if err != nil {
@@ -110,7 +107,7 @@
 	}
 	m.jobs[job.ID] = state
 	m.queued[job.Route] += tokens
-	m.announce()
+	m.added.fire()
 	return answerDone, nil
 }
 
@@ -128,7 +125,7 @@
 		listed = listed || final
 	}
 	if listed {
-		m.announce()
+		m.added.fire()
 	}
 	return nil
 }
@@ -166,6 +163,7 @@
 	}
 	position := uint64(job.positions)
 	job.positions++
+	job.listed.fire()
 	return true, writer.Set(key(keyResult, s.job, position), marshal(fixedIndex{s.index}))
 }
 
@@ -197,7 +195,8 @@
 			m.queued[job.Route] -= job.items[i].tokens
 		}
 	}
-	m.announce()
+	job.listed.fire()
+	m.added.fire()
 	from, to := keyRange(keyBody, job.ID)
 	if err := writer.DeleteRange(from, to); err != nil {
 		return answerDone, err
@@ -336,19 +335,20 @@
 }
 
 // results says how many positions the job has; false if there is no such job.
+// changed closes once there are more.
 func (m *Machine) results(job string) (positions int, closed bool, changed <-chan struct{}, found bool) {
-	m.mutex.RLock()
-	defer m.mutex.RUnlock()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	state := m.jobs[job]
 	if state == nil {
-		return 0, false, m.changed, false
+		return 0, false, nil, false
 	}
-	return state.positions, state.closed(), m.changed, true
+	return state.positions, state.closed(), state.listed.wait(), true
 }
 
 // changes returns a channel that closes at the next change.
 func (m *Machine) changes() <-chan struct{} {
-	m.mutex.RLock()
-	defer m.mutex.RUnlock()
-	return m.changed
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.added.wait()
 }
--- a/internal/batchwork/reload.go
+++ b/internal/batchwork/reload.go
@@ -10,6 +10,9 @@
 func (m *Machine) Reload(reader ledger.Reader) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	for _, job := range m.jobs {
+		job.listed.fire()
+	}
 	m.jobs = map[string]*jobState{}
 	m.queued = map[string]int64{}
 	for _, load := range []struct {
@@ -35,7 +38,7 @@
 		}
 	}
 	m.countQueued()
-	m.announce()
+	m.added.fire()
 	return nil
 }
 
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -28,8 +28,10 @@
 )
 
 const (
-	// planInterval is how often open items are looked at without a change.
+	// planInterval is how often open items are looked at without a change, and
+	// planPause the least time between two looks: each goes through all of them.
 	planInterval = 50 * time.Millisecond
+	planPause    = 20 * time.Millisecond
 	// firstCommit is when the first text of a run is committed: an item with
 	// committed text goes on elsewhere and is not run from its start again.
 	firstCommit = 150 * time.Millisecond
@@ -49,7 +51,7 @@
 	giveUpMargin = time.Second
 	// yieldInterval is the least time between two looks for slots to give up;
 	// load reports come more often the more front nodes there are.
-	yieldInterval = 5 * time.Millisecond
+	yieldInterval = 10 * time.Millisecond
 	// stateInterval is the time between two lines on the state of batch work.
 	stateInterval = time.Second
 	// purgeInterval and purgeBatch pace the removal of old jobs.
@@ -79,6 +81,7 @@
 type Runner struct {
 	options RunnerOptions
 
+	opened   time.Time
 	tasks    sync.WaitGroup
 	gatherer *gatherer
 
@@ -116,7 +119,7 @@
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
 	r := &Runner{
-		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
+		options: options, opened: time.Now(), runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
 		verdicts: map[itemKey]step{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -151,6 +154,7 @@
 		case <-purge.C:
 			r.purge(ctx)
 		}
+		pause(ctx, planPause)
 	}
 }
 
@@ -185,6 +189,9 @@
 	return len(r.runs)
 }
 
+// readInterval is the time between two reads of a run's stream.
+func (r *Runner) readInterval() time.Duration { return readInterval(r.Running()) }
+
 // plan starts and stops runs as leadership and open items demand.
 func (r *Runner) plan(ctx context.Context) {
 	if !r.confirmLeading(ctx) {
@@ -201,6 +208,7 @@
 		return
 	}
 	full := map[string]bool{}
+	var started []*itemRun
 	for _, item := range open {
 		route := r.options.Route(item.host, item.path)
 		if route == nil || !r.idle(item, now) {
@@ -210,10 +218,41 @@
 		if full[service] {
 			continue
 		}
-		if !r.start(ctx, item, route, service) {
+		if next := r.start(ctx, item, route, service); next != nil {
+			started = append(started, next)
+		} else {
 			full[service] = true
 		}
 	}
+	if len(started) > 0 {
+		r.tasks.Go(func() { r.launch(ctx, started) })
+	}
+}
+
+// launch reads the items of new runs from a state that is surely the newest,
+// all in one read, and lets the runs work.
+func (r *Runner) launch(ctx context.Context, started []*itemRun) {
+	items := make([]Item, len(started))
+	failures := make([]error, len(started))
+	bounded, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	err := r.options.Shard.Read(bounded, func(reader ledger.Reader) error {
+		for i, next := range started {
+			items[i], failures[i] = readItem(reader, next.item.job, next.item.index)
+		}
+		return nil
+	})
+	for i, next := range started {
+		r.tasks.Go(func() {
+			pause := refusalPause
+			if err == nil && failures[i] == nil && next.ctx.Err() == nil {
+				pause = next.run(next.ctx, &items[i])
+			}
+			next.cancel()
+			next.lease.Release()
+			r.finished(itemKey{next.item.job, next.item.index}, pause)
+		})
+	}
 }
 
 // confirmLeading makes sure, once a term, that everything committed before is
@@ -315,28 +354,22 @@
 	}
 }
 
-// start runs an item if an engine of the service has room for batch work.
-func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) bool {
+// start takes an engine with room for batch work for an item; nil if there is
+// none.
+func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) *itemRun {
 	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item), PromptTokens: item.promptTokens}
 	lease, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
 	if err != nil {
-		return false
+		return nil
 	}
+	next := &itemRun{Runner: r, item: item, route: route, engine: lease.Engine, lease: lease}
+	next.ctx, next.cancel = context.WithCancel(ctx)
 	k := itemKey{item.job, item.index}
-	ctx, cancel := context.WithCancel(ctx)
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	r.formers[k] = lease.Engine.ID
-	r.runs[k] = &run{cancel: cancel, engine: lease.Engine, lease: lease, started: time.Now()}
-	r.mutex.Unlock()
-	r.tasks.Add(1)
-	go func() {
-		defer r.tasks.Done()
-		pause := (&itemRun{Runner: r, item: item, route: route, engine: lease.Engine, lease: lease}).run(ctx)
-		cancel()
-		lease.Release()
-		r.finished(k, pause)
-	}()
-	return true
+	r.runs[k] = &run{cancel: next.cancel, engine: lease.Engine, lease: lease, started: time.Now()}
+	return next
 }
 
 // former is the engine that ran a part of the item, if one did.
--- /dev/null
+++ b/internal/batchwork/signal.go
@@ -0,0 +1,19 @@
+package batchwork
+
+// signal wakes those who wait for a change. The zero value is ready.
+type signal struct{ changed chan struct{} }
+
+// wait returns a channel that closes at the next change.
+func (s *signal) wait() <-chan struct{} {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+func (s *signal) fire() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
--- a/internal/batchwork/yield.go
+++ b/internal/batchwork/yield.go
@@ -23,19 +23,19 @@
 		return
 	}
 	r.yieldAt = now.Add(yieldInterval)
-	for engine, runs := range r.runsByEngine() {
-		excess := r.options.Balancer.Excess(runs[0].engine)
-		if excess <= 0 {
+	for _, overfull := range r.options.Balancer.Overfull() {
+		runs := r.runsAt(overfull.Engine)
+		victims := yieldOrder(runs)
+		victims = victims[:min(overfull.Excess, len(victims))]
+		if len(victims) == 0 {
 			continue
 		}
-		victims := yieldOrder(runs)
-		victims = victims[:min(excess, len(victims))]
 		for _, run := range victims {
 			run.yielding = true
 			run.cancel()
 			run.lease.Release()
 		}
-		eventYielded.Info("engine", engine, "runs", len(runs), "cut", len(victims))
+		eventYielded.Info("engine", overfull.Engine, "runs", len(runs), "cut", len(victims))
 	}
 }
 
@@ -53,14 +53,15 @@
 	return order
 }
 
-// runsByEngine groups the runs, the oldest first; the caller holds the mutex.
-func (r *Runner) runsByEngine() map[string][]*run {
-	grouped := map[string][]*run{}
+// runsAt lists the runs at an engine, the oldest first; the caller holds the
+// mutex.
+func (r *Runner) runsAt(engine string) []*run {
+	var runs []*run
 	for _, run := range r.runs {
-		grouped[run.engine.ID] = append(grouped[run.engine.ID], run)
-	}
-	for _, runs := range grouped {
-		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
+		if run.engine.ID == engine {
+			runs = append(runs, run)
+		}
 	}
-	return grouped
+	sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
+	return runs
 }
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -15,6 +15,7 @@
 	*core
 	machine *batchwork.Machine
 	runner  *batchwork.Runner
+	answers paces // of load reports
 	cancel  context.CancelFunc
 	running context.Context
 }
--- a/internal/system/loadshare.go
+++ b/internal/system/loadshare.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"sync"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -20,10 +21,14 @@
 	// loadInterval is the time between two reports of a front node.
 	loadInterval = 80 * time.Millisecond
 	// pressInterval is the least time between two reports.
-	pressInterval = 10 * time.Millisecond
+	pressInterval = 20 * time.Millisecond
+	// answerInterval is the least time between two answers to a front node.
+	answerInterval = loadInterval / 2
 	// settleTime is how long a new leader waits for load reports: front nodes
 	// hear of it from their peers, and then within an interval.
 	settleTime = 4 * loadInterval
+	// pacesMost bounds the peers whose last answers are remembered.
+	pacesMost = 4096
 	// idleReports is how many reports without work are sent before a front
 	// node falls silent.
 	idleReports = 3
@@ -87,5 +92,29 @@
 	}
 	d.balancer.PeerLoad(string(from), report)
 	d.runner.Yield()
+	if !d.answers.due(from, time.Now()) {
+		return
+	}
 	_ = d.peers.Datagram(from, kindLoadSum, d.balancer.Others(string(from)).Marshal())
 }
+
+// paces says when something is due again for a peer. The zero value is ready.
+type paces struct {
+	mutex sync.Mutex // guards last; a leaf
+	last  map[transport.Address]time.Time
+}
+
+// due says whether answerInterval passed since it was due last, which is then
+// now. Peers of long ago are forgotten.
+func (p *paces) due(peer transport.Address, now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if now.Sub(p.last[peer]) < answerInterval {
+		return false
+	}
+	if p.last == nil || len(p.last) > pacesMost {
+		p.last = map[transport.Address]time.Time{}
+	}
+	p.last[peer] = now
+	return true
+}
