A node that knows nothing gives silent seeds up sooner

Change: the first pulls may take 150 ms, twice that after each failure up to 600 ms; the pause after them is 40 ms. Test: TestSilentSeedsHoldAStartUpForAMomentOnly fails with 600 ms.

--- a/internal/mirror/agent_test.go
+++ b/internal/mirror/agent_test.go
@@ -115,7 +115,10 @@
 
 func (s seenFrom) Register(context.Context, Node) error { return nil }
 
-func (s seenFrom) Registered(context.Context) ([]Node, error) { return s.fleet.dataNodes, nil }
+func (s seenFrom) Registered(context.Context) ([]Node, error) {
+	time.Sleep(2 * hop)
+	return s.fleet.dataNodes, nil
+}
 
 // testFleet is a set of agents that call each other.
 type testFleet struct {
@@ -331,6 +334,32 @@
 	})
 }
 
+// Seeds that are down, as after a loss of power everywhere, hold a node that
+// knows nothing up for a moment only.
+func TestSilentSeedsHoldAStartUpForAMomentOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fleet := newTestFleet(3, 3)
+		defer fleet.close()
+		time.Sleep(settle)
+		fleet.affect(fleet.store.ignores, "late")
+		fleet.add(Node{Name: "late", Address: "late", Zone: "zone-0"}, false)
+		fleet.agents["late"].SetSeeds([]transport.Address{"nobody", "nobody else"})
+		fleet.agents["late"].Start()
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(fleet.ignorant("first")).To(gomega.BeEmpty())
+	})
+}
+
+// A slow peer is still heard: each try of a node that knows nothing waits longer.
+func TestTheWaitOfAFirstPullGrows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(pullTime(pull{wait: pullWait}, true, 3)).To(gomega.Equal(pullWait + pullSlack))
+	g.Expect(pullTime(pull{}, false, 0)).To(gomega.Equal(firstPullSlack))
+	g.Expect(pullTime(pull{}, false, 1)).To(gomega.Equal(2 * firstPullSlack))
+	g.Expect(pullTime(pull{}, false, 60)).To(gomega.Equal(pullSlack))
+}
+
 func TestWatchersEndTheirWatchesAtEvenDistances(t *testing.T) {
 	g := gomega.NewWithT(t)
 	watched := Kind{Name: kind, Fresh: testFresh}
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -20,6 +20,11 @@
 	pullSlack = 600 * time.Millisecond
 	// pullRetry is the pause after a failed pull.
 	pullRetry = 150 * time.Millisecond
+	// firstPullSlack is how long the first pull of a node that knows nothing may
+	// take, and firstPullRetry the pause after it: such a node serves nobody, and
+	// its seeds may be down.
+	firstPullSlack = 150 * time.Millisecond
+	firstPullRetry = 40 * time.Millisecond
 	// gatherTime is how long a peer waits for the confirmations of other kinds
 	// before it tells of one.
 	gatherTime = 20 * time.Millisecond
@@ -162,20 +167,36 @@
 
 // pullLoop waits on one peer after the other, in a zone if there are any.
 func (a *Agent) pullLoop(zone string) {
+	failures := 0
 	for a.running.Err() == nil {
 		peer, found := a.pickPeer(zone)
 		if !found {
-			a.pause(pullRetry)
+			a.pause(firstPullRetry)
 			continue
 		}
-		err := a.pullFrom(peer)
+		known, err := a.pullFrom(peer, failures)
 		a.notePull(peer, err)
-		if err != nil {
+		switch {
+		case err == nil:
+			failures = 0
+		case known:
 			a.pause(pullRetry)
+		default:
+			failures++
+			a.pause(firstPullRetry)
 		}
 	}
 }
 
+// pullTime bounds a pull: a node that knows nothing waits shortly at first, and
+// longer with each failure in a row.
+func pullTime(request pull, known bool, failures int) time.Duration {
+	if known {
+		return request.wait + pullSlack
+	}
+	return min(firstPullSlack<<min(failures, 8), pullSlack)
+}
+
 // errKnowsNothing says that a peer answered but knows nothing yet.
 var errKnowsNothing = errors.New("the peer knows nothing yet")
 
@@ -264,17 +285,19 @@
 	return others
 }
 
-func (a *Agent) pullFrom(peer transport.Address) error {
+// pullFrom asks a peer. known says whether this node knew something before;
+// failures is how many pulls failed in a row.
+func (a *Agent) pullFrom(peer transport.Address, failures int) (known bool, err error) {
 	request, known := a.pullRequest()
-	ctx, cancel := context.WithTimeout(a.running, request.wait+pullSlack)
+	ctx, cancel := context.WithTimeout(a.running, pullTime(request, known, failures))
 	defer cancel()
 	encoded, err := a.options.Sender.Call(ctx, peer, kindPull, request.marshal())
 	if err != nil {
-		return trace.Wrap(err, "pull from peer %s", peer)
+		return known, trace.Wrap(err, "pull from peer %s", peer)
 	}
 	reply, err := unmarshalAnswer(encoded)
 	if err != nil {
-		return trace.Wrap(err, "pull from peer %s", peer)
+		return known, trace.Wrap(err, "pull from peer %s", peer)
 	}
 	received := time.Now()
 	a.learnNodes(reply.nodes)
@@ -282,9 +305,9 @@
 		a.merge("peer", delta.Delta, received.Add(-delta.age))
 	}
 	if !known && len(reply.deltas) == 0 {
-		return trace.Wrap(errKnowsNothing, "pull from peer %s", peer)
+		return known, trace.Wrap(errKnowsNothing, "pull from peer %s", peer)
 	}
-	return nil
+	return known, nil
 }
 
 // pullRequest says what this node has. known is false while it has nothing,
