--- /dev/null
+++ b/cmd/chutelockctl/explainspan.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"chutelock.dev/chutelock/internal/commandline"
+	"chutelock.dev/chutelock/internal/logstory"
+)
+
+func init() {
+	subcommands = append(subcommands, commandline.Verb{
+		Name: "explain-span", Summary: "what happened in each second, from log files or standard input", Run: explainSpan,
+	})
+}
+
+const explainSpanUsage = `usage: chutelockctl explain-span [flags] [FILE ...]
+
+Sums up, for each second, the requests by outcome, the refusals by cause, and
+what batch work ran and gave up.
+
+  chutelockctl explain-span -since 2026-07-31T07:51:10Z front-*.log data-*.log`
+
+func explainSpan(arguments []string) int {
+	flags := flag.NewFlagSet("explain-span", flag.ContinueOnError)
+	format := flags.String("o", "table", "`format`: table or json")
+	each := flags.Duration("each", time.Second, "length of a row")
+	var since, until time.Time
+	flags.Func("since", "first `time` (RFC 3339)", parseTime(&since))
+	flags.Func("until", "`time` (RFC 3339) from which on nothing is told", parseTime(&until))
+	usageOf(flags, explainSpanUsage)
+	if flags.Parse(arguments) != nil {
+		return exitUsage
+	}
+	if *each <= 0 || (*format != "table" && *format != "json") {
+		flags.Usage()
+		return exitUsage
+	}
+	entries, err := readLogs(flags.Args())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chutelockctl:", err)
+		return exitUnread
+	}
+	spans := logstory.Spans(entries, since, until, *each)
+	if len(spans) == 0 {
+		fmt.Fprintln(os.Stderr, "chutelockctl: no line tells of requests or items")
+		return exitNotFound
+	}
+	if err := writeSpans(os.Stdout, *format, spans); err != nil {
+		fmt.Fprintln(os.Stderr, "chutelockctl:", err)
+		return exitUnread
+	}
+	return 0
+}
+
+func parseTime(into *time.Time) func(string) error {
+	return func(text string) (err error) {
+		*into, err = time.Parse(time.RFC3339Nano, text)
+		return err
+	}
+}
+
+func writeSpans(out io.Writer, format string, spans []logstory.Span) error {
+	if format == "json" {
+		return json.NewEncoder(out).Encode(spans)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tREFUSALS BY CAUSE")
+	for i := range spans {
+		s := &spans[i]
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
+			s.RefusedTotal(), s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsCut, byCause(s.Refused))
+	}
+	return table.Flush()
+}
+
+// byCause lists counts by cause, the greatest first.
+func byCause(counts map[string]int) string {
+	causes := make([]string, 0, len(counts))
+	for cause := range counts {
+		causes = append(causes, cause)
+	}
+	slices.SortFunc(causes, func(a, b string) int {
+		if counts[a] != counts[b] {
+			return counts[b] - counts[a]
+		}
+		return strings.Compare(a, b)
+	})
+	told := make([]string, 0, len(causes))
+	for _, cause := range causes {
+		told = append(told, fmt.Sprintf("%d %s", counts[cause], cause))
+	}
+	return strings.Join(told, "; ")
+}
