--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -200,9 +200,9 @@
 	_, found := leader.Choose(snapshot, Wish{Service: "s", Zone: "near", Class: ClassBatch}, start, quiet)
 	g.Expect(found).To(gomega.BeFalse())
 	g.Expect(leader.Overfull(snapshot, start)).To(gomega.BeEmpty(), "a queue that passes cuts nothing")
-	g.Expect(leader.Others("else", start)[KeyOf("a")].Seen).To(gomega.Equal(12))
-	g.Expect(leader.Others("else", start.Add(2*peersSawLife))[KeyOf("a")].Seen).To(gomega.BeZero())
-	g.Expect(leader.Others("witness", start)[KeyOf("a")].Counts).To(gomega.Equal(Counts{0, 1}), "not what it counts itself")
+	g.Expect(leader.All(start)[KeyOf("a")].Seen).To(gomega.Equal(12))
+	g.Expect(leader.All(start.Add(2 * peersSawLife))[KeyOf("a")].Seen).To(gomega.BeZero())
+	g.Expect(leader.All(start).Without(witness.Own(start))[KeyOf("a")].Counts).To(gomega.Equal(Counts{0, 1}), "not what it counts itself")
 }
 
 // TestTheSumOfPeersIsWhatTheyLastSaid compares the running sum with adding up
@@ -225,11 +225,12 @@
 			table.PeerLoad(peer, report, now)
 			said[peer] = peerLoad{at: now, running: report}
 			table.expireAt = time.Time{}
-			others := table.Others("p", now)
+			all := table.All(now)
+			others := all.Without(said["p"].running)
 			for _, id := range []string{"a", "b"} {
 				var wanted Load
-				for name, load := range said {
-					if name == "p" || now.Sub(load.at) > peerLife {
+				for _, load := range said {
+					if now.Sub(load.at) > peerLife {
 						continue
 					}
 					one := load.running[KeyOf(id)]
@@ -237,8 +238,18 @@
 					wanted.Counts[ClassBatch] += one.Counts[ClassBatch]
 					wanted.Pending += one.Pending
 				}
+				if all[KeyOf(id)] != wanted {
+					t.Fatalf("engine %s: %+v, want %+v", id, all[KeyOf(id)], wanted)
+				}
+				if p := said["p"]; now.Sub(p.at) <= peerLife {
+					wanted.Counts[ClassOnline] -= p.running[KeyOf(id)].Counts[ClassOnline]
+					wanted.Counts[ClassBatch] -= p.running[KeyOf(id)].Counts[ClassBatch]
+					wanted.Pending -= p.running[KeyOf(id)].Pending
+				} else {
+					continue
+				}
 				if others[KeyOf(id)] != wanted {
-					t.Fatalf("engine %s: %+v, want %+v", id, others[KeyOf(id)], wanted)
+					t.Fatalf("others at engine %s: %+v, want %+v", id, others[KeyOf(id)], wanted)
 				}
 			}
 		}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -266,11 +266,11 @@
 	return b.table.Own(time.Now())
 }
 
-// Others returns what all nodes but one have under way, as far as known here.
-func (b *Balancer) Others(except string) Report {
+// All returns what all nodes have under way, as far as known here.
+func (b *Balancer) All() Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.Others(except, time.Now())
+	return b.table.All(time.Now())
 }
 
 // PeerLoad takes what another node, or all others together, have under way.
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -42,8 +42,23 @@
 // atLeast is the least load that the engine has.
 func (l Load) atLeast() int { return max(l.Total(), l.Seen) }
 
+// Without returns the report less what another one counts; nothing gets negative,
+// as one of them may be a little older than the other.
+func (r Report) Without(other Report) Report {
+	rest := make(Report, len(r))
+	for key, load := range r {
+		known := other[key]
+		for class := range load.Counts {
+			load.Counts[class] = max(0, load.Counts[class]-known.Counts[class])
+		}
+		load.Pending = max(0, load.Pending-known.Pending)
+		rest[key] = load
+	}
+	return rest
+}
+
 const (
-	reportVersion = 4
+	reportVersion = 5
 	// reportMost bounds the engines in a report, so that it fits a datagram.
 	reportMost = 150
 	// reportSize is an engine's key, three counts and its pending tokens.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -232,31 +232,23 @@
 	return own
 }
 
-// Others adds up what all nodes but one have under way, this one included.
-func (t *Table) Others(except string, now time.Time) Report {
+// All adds up what all nodes have under way, this one included.
+func (t *Table) All(now time.Time) Report {
 	t.expire(now)
-	others := t.Own(now)
+	all := t.Own(now)
 	for key, one := range t.sum {
-		total := others[key]
+		total := all[key]
 		for class := range one.Counts {
 			total.Counts[class] += one.Counts[class]
 		}
 		total.Pending += one.Pending
-		others[key] = total
+		all[key] = total
 	}
-	for key, one := range t.peers[except].running {
-		total := others[key]
-		for class := range one.Counts {
-			total.Counts[class] -= one.Counts[class]
-		}
-		total.Pending -= one.Pending
-		others[key] = total
-	}
-	for key, total := range others {
+	for key, total := range all {
 		total.Seen = max(total.Seen, t.peersSaw(key, now))
-		others[key] = total
+		all[key] = total
 	}
-	return others
+	return all
 }
 
 // peersSaw is the most that peers lately heard an engine say it has.
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -266,36 +266,47 @@
 	promptTokens int
 }
 
-// openItems lists the items that are not final, the first due first.
+// openItems lists the items that are not final, the first due first. Jobs are
+// sorted, not items: there are far fewer.
 func (m *Machine) openItems() []openItem {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
-	var open []openItem
+	var jobs []*jobState
+	count := 0
 	for _, job := range m.jobs {
-		if job.closed() {
-			continue
-		}
-		for i := range job.items {
-			item := &job.items[i]
-			if item.state != StateOpen {
-				continue
-			}
-			open = append(open, openItem{
-				job: job.ID, index: uint32(i), host: job.Host, path: job.Path, due: job.Submitted.Add(job.Completion),
-				giveUp: job.Submitted.Add(job.Retention), lastEvent: item.lastEvent, failures: item.failures,
-				promptTokens: int(item.tokens / 2),
-			})
+		if !job.closed() {
+			jobs = append(jobs, job)
+			count += len(job.items) - job.positions
 		}
 	}
-	sort.Slice(open, func(i, j int) bool {
-		if !open[i].due.Equal(open[j].due) {
-			return open[i].due.Before(open[j].due)
+	sort.Slice(jobs, func(i, j int) bool {
+		if a, b := jobs[i].due(), jobs[j].due(); !a.Equal(b) {
+			return a.Before(b)
 		}
-		if open[i].job != open[j].job {
-			return open[i].job < open[j].job
-		}
-		return open[i].index < open[j].index
+		return jobs[i].ID < jobs[j].ID
 	})
+	open := make([]openItem, 0, count)
+	for _, job := range jobs {
+		open = job.appendOpen(open)
+	}
+	return open
+}
+
+// due is when the job's results are due.
+func (j *jobState) due() time.Time { return j.Submitted.Add(j.Completion) }
+
+func (j *jobState) appendOpen(open []openItem) []openItem {
+	due, giveUp := j.due(), j.Submitted.Add(j.Retention)
+	for i := range j.items {
+		item := &j.items[i]
+		if item.state != StateOpen {
+			continue
+		}
+		open = append(open, openItem{
+			job: j.ID, index: uint32(i), host: j.Host, path: j.Path, due: due, giveUp: giveUp,
+			lastEvent: item.lastEvent, failures: item.failures, promptTokens: int(item.tokens / 2),
+		})
+	}
 	return open
 }
 
--- a/internal/batchwork/order.go
+++ b/internal/batchwork/order.go
@@ -1,9 +1,6 @@
 package batchwork
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// paceStart is the assumed time of an event, and lengthStart the assumed
@@ -47,17 +44,19 @@
 	return now.Add(p.remaining(item) + readSlack).Before(item.due)
 }
 
-// order sorts open items: those that can still be done in time go first, the
-// first due before the others; the rest follow in the same order. In overload
-// the first due of all would be late for good and make all others late.
-func (p *pace) order(items []openItem, now time.Time) {
-	late := make(map[itemKey]bool)
+// order returns open items in the order in which they are to be run: those that
+// can still be done in time go first, the first due before the others; the rest
+// follow in the same order. In overload the first due of all would be late for
+// good and make all others late.
+func (p *pace) order(items []openItem, now time.Time) []openItem {
+	ordered := make([]openItem, 0, len(items))
+	var late []openItem
 	for _, item := range items {
-		if !p.feasible(item, now) {
-			late[itemKey{item.job, item.index}] = true
+		if p.feasible(item, now) {
+			ordered = append(ordered, item)
+		} else {
+			late = append(late, item)
 		}
 	}
-	sort.SliceStable(items, func(i, j int) bool {
-		return !late[itemKey{items[i].job, items[i].index}] && late[itemKey{items[j].job, items[j].index}]
-	})
+	return append(ordered, late...)
 }
--- a/internal/batchwork/order_test.go
+++ b/internal/batchwork/order_test.go
@@ -18,7 +18,7 @@
 		{job: "next", due: now.Add(2 * whole)},
 		{job: "later", due: now.Add(3 * whole)},
 	}
-	p.order(items, now)
+	items = p.order(items, now)
 	var names []string
 	for _, item := range items {
 		names = append(names, item.job)
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -95,6 +95,7 @@
 	statedAt time.Time
 	yieldAt  time.Time
 	pace     *pace
+	limit    *runLimit
 	// term is the term in which leadership was confirmed, or 0; since is when.
 	term  uint64
 	since time.Time
@@ -119,7 +120,7 @@
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
 	r := &Runner{
-		options: options, opened: time.Now(), runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(),
+		options: options, opened: time.Now(), runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(), limit: newRunLimit(),
 		verdicts: map[itemKey]step{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -199,8 +200,7 @@
 		return
 	}
 	now := time.Now()
-	open := r.options.Machine.openItems()
-	r.order(open, now)
+	open := r.order(r.options.Machine.openItems(), now)
 	r.stopEnded()
 	r.logState(len(open), now)
 	r.commitVerdicts(open, now)
@@ -218,6 +218,9 @@
 		if full[service] {
 			continue
 		}
+		if !r.mayStart() {
+			break
+		}
 		if next := r.start(ctx, item, route, service); next != nil {
 			started = append(started, next)
 		} else {
@@ -229,6 +232,13 @@
 	}
 }
 
+// mayStart says whether the leader bears one more run.
+func (r *Runner) mayStart() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.runs) < r.limit.most
+}
+
 // launch reads the items of new runs from a state that is surely the newest,
 // all in one read, and lets the runs work.
 func (r *Runner) launch(ctx context.Context, started []*itemRun) {
@@ -296,10 +306,10 @@
 	return now.Sub(r.since) >= r.options.Settle
 }
 
-func (r *Runner) order(open []openItem, now time.Time) {
+func (r *Runner) order(open []openItem, now time.Time) []openItem {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.pace.order(open, now)
+	return r.pace.order(open, now)
 }
 
 // observe takes the figures of a run that ended.
@@ -311,13 +321,13 @@
 
 func (r *Runner) logState(open int, now time.Time) {
 	r.mutex.Lock()
-	running, paused, due := len(r.runs), len(r.pauses), now.Sub(r.statedAt) >= stateInterval
+	running, paused, most, due := len(r.runs), len(r.pauses), r.limit.most, now.Sub(r.statedAt) >= stateInterval
 	if due {
 		r.statedAt = now
 	}
 	r.mutex.Unlock()
 	if due && open > 0 {
-		eventState.Info("open", open, "running", running, "paused", paused)
+		eventState.Info("open", open, "running", running, "paused", paused, "most", most)
 	}
 }
 
@@ -417,7 +427,12 @@
 
 // propose commits steps in one entry.
 func (r *Runner) propose(ctx context.Context, steps []step) error {
-	_, err := r.options.Shard.Propose(ctx, encodeAdvance(steps, time.Now()))
+	started := time.Now()
+	_, err := r.options.Shard.Propose(ctx, encodeAdvance(steps, started))
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	r.limit.observe(now.Sub(started), len(r.runs), now)
 	return err
 }
 
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -15,7 +15,8 @@
 	*core
 	machine *batchwork.Machine
 	runner  *batchwork.Runner
-	answers paces // of load reports
+	answers paces  // of load reports
+	sum     cached // of them
 	cancel  context.CancelFunc
 	running context.Context
 }
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
@@ -36,6 +37,7 @@
 	callers   *http.Server
 	readiness *http.Server
 	draining  atomic.Bool
+	reported  atomic.Pointer[balance.Report] // the last load report
 }
 
 func openFront(settings *config.Node, adapter *Adapter) (*front, error) {
--- a/internal/system/loadshare.go
+++ b/internal/system/loadshare.go
@@ -9,9 +9,11 @@
 )
 
 // Load reports between nodes: front nodes tell the leader of batch work what
-// they have under way, and it answers each with what all others have. So the
-// leader sees all online work, and front nodes see each other's and the batch
-// work, for two datagrams a front node and interval.
+// they have under way, and it answers each with what all have. So the leader
+// sees all online work, and front nodes see each other's and the batch work, for
+// two datagrams a front node and interval. The answer is the same for all front
+// nodes, so that the leader adds up and encodes it once for many; each takes out
+// what it reported itself.
 const (
 	kindLoadReport transport.Kind = transport.KindLoad + iota
 	kindLoadSum
@@ -22,8 +24,10 @@
 	loadInterval = 80 * time.Millisecond
 	// pressInterval is the least time between two reports.
 	pressInterval = 20 * time.Millisecond
-	// answerInterval is the least time between two answers to a front node.
+	// answerInterval is the least time between two answers to a front node, and
+	// sumInterval between two sums.
 	answerInterval = loadInterval / 2
+	sumInterval    = loadInterval / 4
 	// settleTime is how long a new leader waits for load reports: front nodes
 	// hear of it from their peers, and then within an interval.
 	settleTime = 4 * loadInterval
@@ -56,6 +60,7 @@
 		if idle > idleReports {
 			continue
 		}
+		f.reported.Store(&own)
 		if leader, known := f.ledger.Leader(0); known {
 			_ = f.peers.Datagram(leader, kindLoadReport, own.Marshal())
 		}
@@ -77,11 +82,16 @@
 	}
 }
 
-// takeLoadSum takes what all other nodes have under way.
+// takeLoadSum takes what all nodes have under way.
 func (f *front) takeLoadSum(_ transport.Address, payload []byte) {
-	if sum, err := balance.UnmarshalReport(payload); err == nil {
-		f.balancer.PeerLoad("others", sum)
+	sum, err := balance.UnmarshalReport(payload)
+	if err != nil {
+		return
+	}
+	if own := f.reported.Load(); own != nil {
+		sum = sum.Without(*own)
 	}
+	f.balancer.PeerLoad("others", sum)
 }
 
 // takeLoadReport answers a front node's report, at the leader.
@@ -92,10 +102,27 @@
 	}
 	d.balancer.PeerLoad(string(from), report)
 	d.runner.Yield()
-	if !d.answers.due(from, time.Now()) {
-		return
+	now := time.Now()
+	if d.answers.due(from, now) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(now, func() []byte { return d.balancer.All().Marshal() }))
+	}
+}
+
+// cached is something encoded that is made anew each sumInterval. The zero value
+// is ready.
+type cached struct {
+	mutex   sync.Mutex // guards what is below; held while it is made
+	at      time.Time
+	encoded []byte
+}
+
+func (c *cached) get(now time.Time, encode func() []byte) []byte {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.encoded == nil || now.Sub(c.at) >= sumInterval {
+		c.encoded, c.at = encode(), now
 	}
-	_ = d.peers.Datagram(from, kindLoadSum, d.balancer.Others(string(from)).Marshal())
+	return c.encoded
 }
 
 // paces says when something is due again for a peer. The zero value is ready.
