--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -37,6 +37,9 @@
 	firstCommit = 150 * time.Millisecond
 	// commitInterval is how often a running item's text is committed.
 	commitInterval = 500 * time.Millisecond
+	// startsMost bounds the runs that one look starts: a start costs the leader
+	// far more than what follows, and hundreds at once hold its heartbeats up.
+	startsMost = 16
 	// commitTimeout bounds one commit.
 	commitTimeout = 4 * time.Second
 	// barrierTimeout bounds the confirmation of a new leader.
@@ -207,7 +210,19 @@
 	if !r.settled(now) {
 		return
 	}
-	full := map[string]bool{}
+	started := r.startOpen(ctx, open, now)
+	if len(started) > 0 {
+		r.tasks.Go(func() { r.launch(ctx, started) })
+	}
+	if len(started) == startsMost {
+		r.lookAgain()
+	}
+}
+
+// startOpen starts open items in their order, while engines have room for batch
+// work and the leader bears more runs.
+func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*itemRun {
+	full := map[string]bool{} // by service
 	var started []*itemRun
 	for _, item := range open {
 		route := r.options.Route(item.host, item.path)
@@ -218,7 +233,7 @@
 		if full[service] {
 			continue
 		}
-		if !r.mayStart() {
+		if len(started) == startsMost || !r.mayStart() {
 			break
 		}
 		if next := r.start(ctx, item, route, service); next != nil {
@@ -227,8 +242,14 @@
 			full[service] = true
 		}
 	}
-	if len(started) > 0 {
-		r.tasks.Go(func() { r.launch(ctx, started) })
+	return started
+}
+
+// lookAgain makes the next look at open items come without waiting for a change.
+func (r *Runner) lookAgain() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -399,10 +420,7 @@
 		r.pauses[k] = time.Now().Add(pause)
 	}
 	r.mutex.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	r.lookAgain()
 }
 
 func (r *Runner) purge(ctx context.Context) {
