--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -65,3 +66,20 @@
 		}
 	})
 }
+
+// 40 requests of others that take 0.8 s each are 50 new ones a second, 4 of them
+// within the age of the sums.
+func TestUnheardRequestsFollowFromThoseUnderWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	for range 200 {
+		table.Took(800 * time.Millisecond)
+	}
+	table.PeerLoad("p", Report{1: {Counts: Counts{30, 9}}, 2: {Counts: Counts{5, 0}}}, start)
+	table.PeerLoad("p", Report{1: {Counts: Counts{10, 9}}, 2: {Counts: Counts{10, 0}}}, start)
+	table.PeerLoad("q", Report{1: {Counts: Counts{20, 0}}}, start)
+	g.Expect(table.unheard(ClassOnline)).To(gomega.BeNumerically("~", 4, 0.01))
+	g.Expect(table.unheard(ClassBatch)).To(gomega.BeZero(), "one node runs it all")
+	table.expire(start.Add(2 * peerLife))
+	g.Expect(table.unheard(ClassOnline)).To(gomega.BeZero(), "silent peers don't count")
+}
--- a/internal/batchwork/runner_test.go
+++ b/internal/batchwork/runner_test.go
@@ -57,3 +57,31 @@
 	g.Expect(runner.formers).To(gomega.HaveLen(startsMost))
 	g.Expect(runner.Running()).To(gomega.BeZero())
 }
+
+// A run that has to make way counts no more from that moment on, not only once
+// its text is committed.
+func TestACutRunGivesItsSlotUpAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	runner := crowdedRunner(g, 0)
+	started := runner.startOpen(context.Background(), runner.options.Machine.openItems(), time.Now())
+	batch := func() int { return runner.options.Balancer.All()[balance.KeyOf("e")].Counts[balance.ClassBatch] }
+	g.Expect(batch()).To(gomega.Equal(startsMost))
+	online := func(count int) {
+		load := balance.Load{Counts: balance.Counts{balance.ClassOnline: count}}
+		runner.options.Balancer.PeerLoad("front", balance.Report{balance.KeyOf("e"): load})
+	}
+	online(1000 - startsMost)
+	runner.Yield()
+	g.Expect(batch()).To(gomega.Equal(startsMost), "the slots suffice")
+	online(1000 - startsMost + 4)
+	runner.yieldAt = time.Time{}
+	runner.Yield()
+	g.Expect(batch()).To(gomega.Equal(startsMost - 4))
+	cut := 0
+	for _, next := range started {
+		if next.ctx.Err() != nil {
+			cut++
+		}
+	}
+	g.Expect(cut).To(gomega.Equal(4))
+}
