Test of lost quorum waits until the copy has heard of the first leader

Its log: two copies said 'without quorum' before the first election (23.24, 23.36 s), 'led here' at 23.755, disks wiped at 23.761. The flag of the surviving copy was still that of the start, as it is cleared at the next tick, so the test did not wait for the loss, and a proposal was pointed to the leader just gone. Change: the test first waits until the flag is down; what it asserts is the same. Ruled out: a leader without a majority (none led after the wipe in that log).

--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -97,11 +97,14 @@
 	c := newCluster(t, Options{NoQuorumAfter: 300 * time.Millisecond, ReplaceAfter: 100 * time.Millisecond})
 	c.addAll("a", "b", "c")
 	c.proposeMany(0, "kept", 20)
+	survivor := c.nodes["n2"]
+	// On a busy machine the first election takes longer than NoQuorumAfter, and
+	// the last copy to hear of the leader says so until then.
+	c.g.Eventually(func() bool { return survivor.service.Status().Shards[0].NoQuorum }).Should(gomega.BeFalse())
 	c.wipe(c.nodes["n0"])
 	c.wipe(c.nodes["n1"])
 	c.start(c.nodes["n0"])
 	c.start(c.nodes["n1"])
-	survivor := c.nodes["n2"]
 	c.g.Eventually(func() bool { return survivor.service.Status().Shards[0].NoQuorum }).Should(gomega.BeTrue())
 	shard, _ := survivor.service.Local(0)
 	_, err := shard.Propose(context.Background(), []byte("refused"))
