Tests of late starts share their set-up; Choose names its draw

No behaviour changes, no assertion touched. go vet, staticcheck and the tests of both packages pass.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -52,8 +52,9 @@
 
 // Choose returns the best engine that has room, or false. When every engine
 // of the service is set aside or avoided, these rules give way in turn, so
-// that a request is not refused while some engine may be able to run it.
-func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, noise func() float64) (catalog.Engine, bool) {
+// that a request is not refused while some engine may be able to run it. draw is
+// uniform in [0, 1).
+func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	t.expire(now)
 	engines := snapshot.Serving(wish.Service)
 	for _, rule := range []func(catalog.Engine) bool{
@@ -68,13 +69,13 @@
 		if wish.Class == ClassBatch && !t.spare(candidates, now) {
 			return catalog.Engine{}, false
 		}
-		return t.best(candidates, wish, now, noise)
+		return t.best(candidates, wish, now, draw)
 	}
 	return catalog.Engine{}, false
 }
 
 // best picks one of the candidates that have room.
-func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, noise func() float64) (catalog.Engine, bool) {
+func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	home := prefixHome(candidates, wish)
 	scored := make([]scoredEngine, 0, len(candidates))
 	for _, engine := range candidates {
@@ -85,7 +86,7 @@
 	if len(scored) == 0 {
 		return catalog.Engine{}, false
 	}
-	return pick(scored, 1+t.unheard(wish.Class), noise()), true
+	return pick(scored, 1+t.unheard(wish.Class), draw()), true
 }
 
 func (t *Table) hasRoom(engine catalog.Engine, class Class, now time.Time) bool {
--- a/internal/mirror/agent_test.go
+++ b/internal/mirror/agent_test.go
@@ -190,6 +190,14 @@
 	})
 }
 
+// startLate adds a front node that the store ignores, named late.
+func (f *testFleet) startLate(seeds ...transport.Address) {
+	f.affect(f.store.ignores, "late")
+	f.add(Node{Name: "late", Address: "late", Zone: "zone-0"}, false)
+	f.agents["late"].SetSeeds(seeds)
+	f.agents["late"].Start()
+}
+
 func (f *testFleet) close() {
 	for _, agent := range f.agents {
 		agent.Close()
@@ -324,10 +332,7 @@
 		fleet := newTestFleet(3, 3)
 		defer fleet.close()
 		time.Sleep(settle)
-		fleet.affect(fleet.store.ignores, "late")
-		fleet.add(Node{Name: "late", Address: "late", Zone: "zone-0"}, false)
-		fleet.agents["late"].SetSeeds([]transport.Address{"nobody", "front-00"})
-		fleet.agents["late"].Start()
+		fleet.startLate("nobody", "front-00")
 		time.Sleep(settle)
 		g.Expect(fleet.ignorant("first")).To(gomega.BeEmpty())
 		g.Expect(fleet.agents["late"].Age(kind)).To(gomega.BeNumerically("<", testFresh))
@@ -342,10 +347,7 @@
 		fleet := newTestFleet(3, 3)
 		defer fleet.close()
 		time.Sleep(settle)
-		fleet.affect(fleet.store.ignores, "late")
-		fleet.add(Node{Name: "late", Address: "late", Zone: "zone-0"}, false)
-		fleet.agents["late"].SetSeeds([]transport.Address{"nobody", "nobody else"})
-		fleet.agents["late"].Start()
+		fleet.startLate("nobody", "nobody else")
 		time.Sleep(300 * time.Millisecond)
 		g.Expect(fleet.ignorant("first")).To(gomega.BeEmpty())
 	})
