Load reports go through a relay of each zone

Cause: 250 front nodes sent each report to the one leader of batch work and got the sums of 130 engines back, four of five across zones; without a leader nobody knew of anybody's requests.

Change: package loadshare. A front node reports to a data node of its zone (to the leader in a fleet of up to 32 front nodes, as before); those exchange sums among each other and with the leader, who sends what it runs. A relay that is lost, cut off or just begun is left after three reports; front nodes know of each other also while no leader is there. Decisions are pure; tests in virtual time lose and cut nodes at random.

Ruled out: sums through the leader only (blind when it is lost); relays without a check of what they hear (a relay that is cut off would show an idle fleet).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -280,6 +280,21 @@
 	b.table.PeerLoad(peer, running, time.Now())
 }
 
+// PeerGone forgets what another node said.
+func (b *Balancer) PeerGone(peer string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.PeerGone(peer)
+}
+
+// AnyPressed says that batch work of any node has to make way at some engine.
+func (b *Balancer) AnyPressed() bool {
+	snapshot := b.snapshot()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.AnyPressed(snapshot, time.Now())
+}
+
 // Overfull lists the engines where batch work of this node has to make way.
 func (b *Balancer) Overfull() []Overfull {
 	snapshot := b.snapshot()
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -139,6 +140,12 @@
 	return list
 }
 
+// AnyPressed says that some engine has more requests than slots, and batch work
+// there would make way.
+func (t *Table) AnyPressed(snapshot *catalog.Snapshot, now time.Time) bool {
+	return slices.ContainsFunc(snapshot.Engines(), func(engine catalog.Engine) bool { return t.pressed(engine, now) })
+}
+
 // pressed says that an engine has more requests than slots, and batch work there
 // would make way.
 func (t *Table) pressed(engine catalog.Engine, now time.Time) bool {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -57,6 +57,19 @@
 	return rest
 }
 
+// Add adds another report to the report.
+func (r Report) Add(other Report) {
+	for key, load := range other {
+		total := r[key]
+		for class := range load.Counts {
+			total.Counts[class] += load.Counts[class]
+		}
+		total.Pending += load.Pending
+		total.Seen = max(total.Seen, load.Seen)
+		r[key] = total
+	}
+}
+
 const (
 	reportVersion = 5
 	// reportMost bounds the engines in a report, so that it fits a datagram.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -185,6 +185,12 @@
 	}
 }
 
+// PeerGone forgets what another node said.
+func (t *Table) PeerGone(peer string) {
+	t.addUp(t.peers[peer].running, -1)
+	delete(t.peers, peer)
+}
+
 // addUp adds a report to the sum, or takes it out.
 func (t *Table) addUp(report Report, sign int) {
 	for key, one := range report {
@@ -210,8 +216,7 @@
 	t.expireAt = now.Add(peerLife / 4)
 	for peer, load := range t.peers {
 		if now.Sub(load.at) > peerLife {
-			t.addUp(load.running, -1)
-			delete(t.peers, peer)
+			t.PeerGone(peer)
 		}
 	}
 	for key, one := range t.seen {
@@ -236,14 +241,7 @@
 func (t *Table) All(now time.Time) Report {
 	t.expire(now)
 	all := t.Own(now)
-	for key, one := range t.sum {
-		total := all[key]
-		for class := range one.Counts {
-			total.Counts[class] += one.Counts[class]
-		}
-		total.Pending += one.Pending
-		all[key] = total
-	}
+	all.Add(t.sum)
 	for key, total := range all {
 		total.Seen = max(total.Seen, t.peersSaw(key, now))
 		all[key] = total
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -143,6 +143,7 @@
 // Snapshot is what a node knows at one moment.
 type Snapshot struct {
 	Configuration *Configuration // nil while none is known
+	all           []Engine
 	engines       map[string][]Engine
 	byID          map[string]Engine
 }
@@ -151,6 +152,7 @@
 func NewSnapshot(configuration *Configuration, engines []Engine) *Snapshot {
 	snapshot := &Snapshot{
 		Configuration: configuration,
+		all:           engines,
 		engines:       map[string][]Engine{},
 		byID:          make(map[string]Engine, len(engines)),
 	}
@@ -164,6 +166,9 @@
 	return snapshot
 }
 
+// Engines lists all engines, leaving ones included, by ID.
+func (s *Snapshot) Engines() []Engine { return s.all }
+
 // Serving lists the engines of a service that may get new requests, by ID.
 func (s *Snapshot) Serving(service string) []Engine { return s.engines[service] }
 
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -163,6 +163,18 @@
 	}()
 }
 
+// rest waits; false if the node stops meanwhile.
+func (c *core) rest(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-c.stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // prune closes connections to engines that rested too long or are gone.
 func (c *core) prune() {
 	ticker := time.NewTicker(pruneInterval)
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"path/filepath"
+	"sync"
 
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replica"
+	"chutelock.dev/chutelock/internal/loadshare"
 )
 
 // data is a data node.
@@ -17,6 +19,11 @@
 	runner  *batchwork.Runner
 	answers paces  // of load reports
 	sum     cached // of them
+
+	exchangeMutex sync.Mutex // guards exchange; a leaf
+	exchange      *loadshare.Exchange
+	shareDue      chan struct{} // of capacity 1: there is news of load
+
 	cancel  context.CancelFunc
 	running context.Context
 }
@@ -26,7 +33,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &data{core: common, machine: batchwork.NewMachine()}
+	d := &data{
+		core: common, machine: batchwork.NewMachine(),
+		exchange: loadshare.NewExchange(common.self()), shareDue: make(chan struct{}, 1),
+	}
 	d.running, d.cancel = context.WithCancel(context.Background())
 	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: d.evacuating})
 	options.Folder = filepath.Join(settings.Data.Folder, "ledger")
@@ -44,6 +54,7 @@
 		"chutelock_batch_items_running": {"Items that this node runs.", func() float64 { return float64(d.runner.Running()) }},
 	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
+	d.peers.HandleDatagram(kindLoadShare, d.takeLoadShare)
 	batchwork.RegisterServer(d.localShard, d.machine, d.ledger.Scarce, d.peers)
 	return d, nil
 }
@@ -82,6 +93,7 @@
 	}
 	d.run(func() { d.runner.Run(d.running) })
 	d.run(func() { d.reportEvacuations(d.running) })
+	d.run(d.shareLoad)
 	return nil
 }
 
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,8 @@
 	"chutelock.dev/chutelock/internal/edge"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/ledger/replica"
+	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 const (
@@ -38,6 +41,10 @@
 	readiness *http.Server
 	draining  atomic.Bool
 	reported  atomic.Pointer[balance.Report] // the last load report
+	reportsTo transport.Address              // of the goroutine that reports
+
+	choiceMutex sync.Mutex // guards choice; a leaf
+	choice      *loadshare.Choice
 }
 
 func openFront(settings *config.Node, adapter *Adapter) (*front, error) {
@@ -45,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{core: common}
+	f := &front{core: common, choice: loadshare.NewChoice(settings.Node.Zone)}
 	nobody := func() map[string]bool { return nil }
 	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: nobody})
 	options.Store = nil // a front places no shards; peers tell it who leads
--- a/internal/system/loadshare.go
+++ b/internal/system/loadshare.go
@@ -4,32 +4,29 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
-// Load reports between nodes: front nodes tell the leader of batch work what
-// they have under way, and it answers each with what all have. So the leader
-// sees all online work, and front nodes see each other's and the batch work, for
-// two datagrams a front node and interval. The answer is the same for all front
-// nodes, so that the leader adds up and encodes it once for many; each takes out
-// what it reported itself.
+// Datagrams between nodes about load; see package loadshare.
 const (
-	kindLoadReport transport.Kind = transport.KindLoad + iota
-	kindLoadSum
+	kindLoadReport transport.Kind = transport.KindLoad + iota // a front node's balance.Report
+	kindLoadSum                                               // loadshare.Sum
+	kindLoadShare                                             // loadshare.Share
 )
 
 const (
-	// loadInterval is the time between two reports of a front node.
-	loadInterval = 80 * time.Millisecond
-	// pressInterval is the least time between two reports.
-	pressInterval = 20 * time.Millisecond
+	// pressInterval is the least time between two reports of a front node: one
+	// that has to take slots back from batch work doesn't wait for the next.
+	pressInterval = loadshare.PressInterval
 	// answerInterval is the least time between two answers to a front node, and
 	// sumInterval between two sums.
-	answerInterval = loadInterval / 2
-	sumInterval    = loadInterval / 4
-	// settleTime is how long a new leader waits for load reports: front nodes
-	// hear of it from their peers, and then within an interval.
-	settleTime = 4 * loadInterval
+	answerInterval = loadshare.ReportInterval / 2
+	sumInterval    = loadshare.ReportInterval / 4
+	// settleTime is how long a new leader waits for load reports: data nodes and
+	// front nodes hear of it from their peers, and then within an interval.
+	settleTime = 4 * loadshare.ReportInterval
 	// pacesMost bounds the peers whose last answers are remembered.
 	pacesMost = 4096
 	// idleReports is how many reports without work are sent before a front
@@ -37,10 +34,16 @@
 	idleReports = 3
 )
 
-// reportLoad sends this front node's load to the leader of batch work: at each
-// interval, and at once when batch work has to make way for a request.
+var (
+	eventReportsTo  = telemetry.Define(2110, "load-reported-to", "This front node reports its load to another data node from now on.")
+	eventShareGone  = telemetry.Define(2111, "load-share-lapsed", "Another data node sent no share of the load for too long; what it said counts no more.")
+	eventBadMessage = telemetry.Define(2112, "load-message-unreadable", "A peer's datagram about load could not be decoded and is passed over.")
+)
+
+// reportLoad sends this front node's load to a data node: at each interval, and
+// at once when batch work has to make way for a request.
 func (f *front) reportLoad() {
-	ticker := time.NewTicker(loadInterval)
+	ticker := time.NewTicker(loadshare.ReportInterval)
 	defer ticker.Stop()
 	idle := 0
 	for {
@@ -60,49 +63,138 @@
 			continue
 		}
 		f.reported.Store(&own)
-		if leader, known := f.ledger.Leader(0); known {
-			_ = f.peers.Datagram(leader, kindLoadReport, own.Marshal())
-		}
+		f.sendReport(own)
 		if !f.rest(pressInterval) {
 			return
 		}
 	}
 }
 
-// rest waits; false if the node stops meanwhile.
-func (f *front) rest(pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-f.stop:
-		return false
-	case <-timer.C:
-		return true
+func (f *front) sendReport(own balance.Report) {
+	leader, _ := f.ledger.Leader(0)
+	f.choiceMutex.Lock()
+	to, known := f.choice.Pick(f.agent.Nodes(), leader, time.Now())
+	f.choiceMutex.Unlock()
+	if !known {
+		return
 	}
+	if to != f.reportsTo {
+		f.reportsTo = to
+		eventReportsTo.Info("peer", to, "leads", to == leader)
+	}
+	// A report that can't be sent is like a lost one: the choice notes that no
+	// sum comes back.
+	_ = f.peers.Datagram(to, kindLoadReport, own.Marshal())
 }
 
 // takeLoadSum takes what all nodes have under way.
-func (f *front) takeLoadSum(_ transport.Address, payload []byte) {
-	sum, err := balance.UnmarshalReport(payload)
+func (f *front) takeLoadSum(from transport.Address, payload []byte) {
+	sum, err := loadshare.UnmarshalSum(payload)
 	if err != nil {
+		eventBadMessage.Error(err, "peer", from)
+		return
+	}
+	f.choiceMutex.Lock()
+	better := f.choice.Heard(from, sum, time.Now())
+	f.choiceMutex.Unlock()
+	if !better {
 		return
 	}
+	others := sum.Load
 	if own := f.reported.Load(); own != nil {
-		sum = sum.Without(*own)
+		others = others.Without(*own)
 	}
-	f.balancer.PeerLoad("others", sum)
+	f.balancer.PeerLoad("others", others)
 }
 
-// takeLoadReport answers a front node's report, at the leader.
+// takeLoadReport takes a front node's report and answers it.
 func (d *data) takeLoadReport(from transport.Address, payload []byte) {
 	report, err := balance.UnmarshalReport(payload)
-	if err != nil || !d.runner.Leading() {
+	if err != nil {
+		eventBadMessage.Error(err, "peer", from)
 		return
 	}
-	d.balancer.PeerLoad(string(from), report)
-	d.runner.Yield()
 	now := time.Now()
+	d.exchangeMutex.Lock()
+	d.exchange.Report(from, report, now)
+	d.exchangeMutex.Unlock()
+	d.takeLoad(from, report)
 	if d.answers.due(from, now) {
-		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(now, func() []byte { return d.balancer.All().Marshal() }))
+		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(now, d.loadSum))
+	}
+}
+
+// takeLoadShare takes what another data node knows of front nodes, or runs.
+func (d *data) takeLoadShare(from transport.Address, payload []byte) {
+	share, err := loadshare.UnmarshalShare(payload)
+	if err != nil {
+		eventBadMessage.Error(err, "peer", from)
+		return
+	}
+	d.exchangeMutex.Lock()
+	d.exchange.Share(from, share, time.Now())
+	d.exchangeMutex.Unlock()
+	d.takeLoad(from, share.Load)
+}
+
+// takeLoad counts a peer's load, and lets batch work make way for it.
+func (d *data) takeLoad(from transport.Address, load balance.Report) {
+	d.balancer.PeerLoad(string(from), load)
+	if d.runner.Leading() {
+		d.runner.Yield()
+	}
+	select {
+	case d.shareDue <- struct{}{}:
+	default:
+	}
+}
+
+// loadSum encodes the answer to front nodes' reports.
+func (d *data) loadSum() []byte {
+	now := time.Now()
+	d.exchangeMutex.Lock()
+	sum := loadshare.Sum{Fronts: d.exchange.Fronts(now), Complete: d.exchange.Complete(now)}
+	d.exchangeMutex.Unlock()
+	sum.Load = d.balancer.All()
+	return sum.Marshal()
+}
+
+// shareLoad sends this data node's share to those who need it, whenever there is
+// news of load.
+func (d *data) shareLoad() {
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-d.shareDue:
+		}
+		d.sendShares()
+		if !d.rest(loadshare.PressInterval) {
+			return
+		}
+	}
+}
+
+func (d *data) sendShares() {
+	now := time.Now()
+	nodes := d.agent.Nodes()
+	leader, _ := d.ledger.Leader(0)
+	pressed := d.balancer.AnyPressed()
+	d.exchangeMutex.Lock()
+	share := d.exchange.Own(d.balancer.Own(), now)
+	receivers := d.exchange.Due(nodes, leader, pressed, now)
+	lapsed := d.exchange.Lapsed(now)
+	d.exchangeMutex.Unlock()
+	for _, peer := range lapsed {
+		d.balancer.PeerGone(string(peer))
+		eventShareGone.Info("peer", peer)
+	}
+	if len(receivers) == 0 {
+		return
+	}
+	encoded := share.Marshal()
+	for _, receiver := range receivers {
+		// A share that can't be sent is like a lost one; the next is due soon.
+		_ = d.peers.Datagram(receiver, kindLoadShare, encoded)
 	}
 }
