Results are read at a replica in the caller's zone

Each result is read several times.

Change: Shard.FollowerRead: a follower asks the leader for an index that covers all that is committed (questions are shared), waits until it has applied that, and answers from its own state, so that answers are as new as the leader's. Front nodes learn the replicas from the leader's answers and read from the one in their zone, from the leader if that fails.

Ruled out: caches at front nodes (each reads a job a few times only); answering from what a follower has (old: positions that were read could be missing again).

--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -15,6 +17,17 @@
 	attemptTimeout = 1200 * time.Millisecond
 	// retryPause is the pause before the next try.
 	retryPause = 25 * time.Millisecond
+	// nearTimeout bounds a read at a replica nearby, beside the time that it may
+	// be held there; the leader is asked after it, within the caller's patience.
+	nearTimeout = 500 * time.Millisecond
+	// nearAside is how long a replica that failed a read is asked for no other. An
+	// estimate: a lost replica is replaced after 1.5 s.
+	nearAside = 3 * time.Second
+)
+
+var (
+	eventReplicaAside = telemetry.Define(3210, "replica-aside", "A read at a replica nearby failed; the leader is asked, and that replica not for a while.")
+	eventBadReplicas  = telemetry.Define(3211, "replicas-unreadable", "The leader's list of replicas could not be decoded; reads go on as before.")
 )
 
 // Suspecter is a directory that wants to be told of a leader that could not be
@@ -24,15 +37,23 @@
 	Suspect(shard ledger.ShardID, leader transport.Address)
 }
 
-// Caller makes calls to the leader from any node. It may be used concurrently.
+// Caller makes calls to the leader from any node, and reads from a replica
+// nearby if there is one. It may be used concurrently.
 type Caller struct {
 	directory Suspecter
 	sender    transport.Sender
+	// near picks the replica to read from, if one is near enough.
+	near func(replicas []transport.Address) (transport.Address, bool)
+
+	mutex    sync.Mutex // guards what is below; near is called under it
+	replicas []transport.Address
+	aside    map[transport.Address]time.Time // until when
 }
 
-// NewCaller returns a caller that finds the leader in the directory.
-func NewCaller(directory Suspecter, sender transport.Sender) *Caller {
-	return &Caller{directory: directory, sender: sender}
+// NewCaller returns a caller that finds the leader in the directory. near picks
+// the replica to read from; false means the leader.
+func NewCaller(directory Suspecter, sender transport.Sender, near func([]transport.Address) (transport.Address, bool)) *Caller {
+	return &Caller{directory: directory, sender: sender, near: near, aside: map[transport.Address]time.Time{}}
 }
 
 // Submit hands a job in. It returns nil once the job is kept, ErrQueueFull or
@@ -51,7 +72,7 @@
 // Read returns results from a position on, and waits for one up to wait.
 func (c *Caller) Read(ctx context.Context, job string, since int, wait time.Duration) (Page, error) {
 	fixed := fixedRead{uint32(since), uint32(wait / time.Millisecond)}
-	encoded, err := c.call(ctx, kindRead, marshal(fixed, []byte(job)), wait)
+	encoded, err := c.read(ctx, kindRead, marshal(fixed, []byte(job)), wait)
 	if err != nil {
 		return Page{}, err
 	}
@@ -60,7 +81,57 @@
 
 // Body returns an item's body.
 func (c *Caller) Body(ctx context.Context, job, item string) ([]byte, error) {
-	return c.call(ctx, kindBody, marshal(fixedItem{}, []byte(job), []byte(item)), 0)
+	return c.read(ctx, kindBody, marshal(fixedItem{}, []byte(job), []byte(item)), 0)
+}
+
+// read calls a replica nearby, and the leader if that fails.
+func (c *Caller) read(ctx context.Context, kind transport.Kind, payload []byte, held time.Duration) ([]byte, error) {
+	replica, found := c.nearby(time.Now())
+	if !found {
+		return c.call(ctx, kind, payload, held)
+	}
+	bounded, cancel := context.WithTimeout(ctx, nearTimeout+held)
+	content, _, err := c.try(bounded, replica, kind, payload, held)
+	cancel()
+	if err == nil || errors.Is(err, ErrNoJob) {
+		return content, err
+	}
+	c.setAside(replica, time.Now())
+	eventReplicaAside.Info("peer", replica, "cause", err, "pause", nearAside)
+	return c.call(ctx, kind, payload, held)
+}
+
+func (c *Caller) nearby(now time.Time) (transport.Address, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	replica, found := c.near(c.replicas)
+	return replica, found && !now.Before(c.aside[replica])
+}
+
+func (c *Caller) setAside(replica transport.Address, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for other, until := range c.aside {
+		if now.After(until) {
+			delete(c.aside, other)
+		}
+	}
+	c.aside[replica] = now.Add(nearAside)
+}
+
+// learn takes the replicas that a leader told of.
+func (c *Caller) learn(encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
+	replicas, err := decodeReplicas(encoded)
+	if err != nil {
+		eventBadReplicas.Error(err)
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.replicas = replicas
 }
 
 // call tries leaders until one answers or ctx ends.
@@ -114,6 +185,7 @@
 	}
 	switch fixed.Status {
 	case statusDone:
+		c.learn(fields[1])
 		return fields[0], "", nil
 	case statusNoJob:
 		return nil, "", ErrNoJob
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -28,8 +28,34 @@
 	statusUnknown
 )
 
+// fixedReply heads an answer. Its fields are the content, and what helps to find
+// the next node to call: the leader's address where another node leads, or the
+// replicas' addresses in the leader's answers to reads.
 type fixedReply struct{ Status status }
 
+// fixedReplicas heads a list of addresses.
+type fixedReplicas struct{}
+
+func encodeReplicas(addresses []transport.Address) []byte {
+	fields := make([][]byte, 0, len(addresses))
+	for _, address := range addresses {
+		fields = append(fields, []byte(address))
+	}
+	return marshal(fixedReplicas{}, fields...)
+}
+
+func decodeReplicas(encoded []byte) ([]transport.Address, error) {
+	fields, err := unmarshal(encoded, &fixedReplicas{}, -1)
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]transport.Address, 0, len(fields))
+	for _, field := range fields {
+		addresses = append(addresses, transport.Address(field))
+	}
+	return addresses, nil
+}
+
 type fixedRead struct {
 	Since            uint32
 	WaitMilliseconds uint32
@@ -65,36 +91,52 @@
 	return page, page.unpack()
 }
 
-// Server answers the calls of all nodes at the shard's leader.
+// ServerOptions configure the handlers of a data node.
+type ServerOptions struct {
+	// Shard returns this node's replica, if it holds one.
+	Shard   func() (ledger.Shard, bool)
+	Machine *Machine
+	// Scarce says that the disk has no room for new jobs.
+	Scarce func() bool
+	// Replicas lists the addresses of the nodes that can answer reads.
+	Replicas func() []transport.Address
+	Receiver transport.Receiver
+}
+
+// Server answers the calls of all nodes: reads at any replica, all others at the
+// shard's leader.
 type Server struct {
 	shard   ledger.Shard
 	machine *Machine
 	scarce  func() bool
 }
 
-// RegisterServer registers the handlers of a data node. scarce says that its
-// disk has no room for new jobs.
-func RegisterServer(shard func() (ledger.Shard, bool), machine *Machine, scarce func() bool, receiver transport.Receiver) {
+// RegisterServer registers the handlers of a data node.
+func RegisterServer(options ServerOptions) {
 	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
 		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
 	} {
-		receiver.HandleCall(kind, func(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
-			held, found := shard()
+		options.Receiver.HandleCall(kind, func(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
+			held, found := options.Shard()
 			if !found {
 				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
 			}
-			content, err := serve(&Server{held, machine, scarce}, ctx, payload)
-			return reply(content, err), nil
+			content, err := serve(&Server{held, options.Machine, options.Scarce}, ctx, payload)
+			var replicas []byte
+			if leads, _ := held.Leading(); leads && (kind == kindRead || kind == kindBody) {
+				replicas = encodeReplicas(options.Replicas())
+			}
+			return reply(content, replicas, err), nil
 		})
 	}
 }
 
 // reply encodes the content, or what an error tells.
-func reply(content []byte, err error) []byte {
+func reply(content, replicas []byte, err error) []byte {
 	var notLeader *ledger.NotLeaderError
 	switch {
 	case err == nil:
-		return marshal(fixedReply{statusDone}, content, nil)
+		return marshal(fixedReply{statusDone}, content, replicas)
 	case errors.Is(err, ErrNoJob):
 		return marshal(fixedReply{statusNoJob}, nil, nil)
 	case errors.Is(err, ErrQueueFull):
@@ -149,7 +191,7 @@
 	job := string(fields[0])
 	s.await(ctx, job, int(fixed.Since), time.Duration(fixed.WaitMilliseconds)*time.Millisecond)
 	var page Page
-	err = s.shard.Read(ctx, func(reader ledger.Reader) (err error) {
+	err = s.shard.FollowerRead(ctx, func(reader ledger.Reader) (err error) {
 		page, err = s.machine.readPage(reader, job, int(fixed.Since))
 		return err
 	})
@@ -182,7 +224,7 @@
 		return nil, err
 	}
 	var body []byte
-	err = s.shard.Read(ctx, func(reader ledger.Reader) (err error) {
+	err = s.shard.FollowerRead(ctx, func(reader ledger.Reader) (err error) {
 		body, err = readBody(reader, string(fields[0]), string(fields[1]))
 		return err
 	})
--- a/internal/batchwork/verdicts_test.go
+++ b/internal/batchwork/verdicts_test.go
@@ -34,6 +34,11 @@
 	return query(s.store)
 }
 
+// FollowerRead implements ledger.Shard.
+func (s *failingShard) FollowerRead(ctx context.Context, query func(ledger.Reader) error) error {
+	return s.Read(ctx, query)
+}
+
 func (s *failingShard) Leading() (bool, uint64) { return true, 1 }
 
 // The end of an item that an engine can never run is committed later when the
--- a/internal/jobs/remote/remote_test.go
+++ b/internal/jobs/remote/remote_test.go
@@ -54,6 +54,11 @@
 // Local gives a replica to all nodes but the last, "c".
 func (n *node) Local(ledger.ShardID) (ledger.Shard, bool) { return n, n.address != "c" }
 
+// FollowerRead implements ledger.Shard.
+func (n *node) FollowerRead(ctx context.Context, query func(ledger.Reader) error) error {
+	return n.Read(ctx, query)
+}
+
 func (n *node) Leading() (bool, uint64) { return n.cluster.leader == n.address, 1 }
 
 func (n *node) Read(context.Context, func(ledger.Reader) error) error { return nil }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,6 +57,9 @@
 	// Read runs a query on a state that includes every entry committed before
 	// the call (at the leader, after it confirmed that it still leads).
 	Read(ctx context.Context, query func(Reader) error) error
+	// FollowerRead is Read at any replica: one that doesn't lead asks the leader
+	// up to where it has to have applied the log, so that the answer is as new.
+	FollowerRead(ctx context.Context, query func(Reader) error) error
 	// Leading says whether this replica leads, and its term.
 	Leading() (bool, uint64)
 }
--- a/internal/ledger/local/local.go
+++ b/internal/ledger/local/local.go
@@ -158,5 +158,10 @@
 	return query(view)
 }
 
+// FollowerRead implements ledger.Shard.
+func (s *Shard) FollowerRead(ctx context.Context, query func(ledger.Reader) error) error {
+	return s.Read(ctx, query)
+}
+
 // Leading implements ledger.Shard.
 func (s *Shard) Leading() (bool, uint64) { return true, localTerm }
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -32,6 +32,7 @@
 	receiver.HandleCall(kindJoin, s.handleJoin)
 	receiver.HandleCall(kindLeave, s.handleLeave)
 	receiver.HandleCall(kindMember, s.handleMember)
+	receiver.HandleCall(kindCommitted, s.handleCommitted)
 	receiver.HandleCall(kindSnapshotOpen, s.handleSnapshotOpen)
 	receiver.HandleCall(kindSnapshotChunk, s.handleSnapshotChunk)
 }
--- a/internal/ledger/replica/messages.go
+++ b/internal/ledger/replica/messages.go
@@ -22,6 +22,7 @@
 	kindSnapshotChunk
 	kindDirectory // call: all leaders known
 	kindMember    // call: is a replica still a member?
+	kindCommitted // call: an index that covers all that is committed
 )
 
 // messageVersion is the version of all messages below.
@@ -59,6 +60,15 @@
 	Member bool
 }
 
+// committedRequest asks a leader for an index that covers all that is committed.
+type committedRequest struct {
+	Shard ledger.ShardID
+}
+
+type committedAnswer struct {
+	Index uint64
+}
+
 type snapshotOpenRequest struct {
 	Shard   ledger.ShardID
 	Replica replication.ReplicaID // of the receiver
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -22,6 +22,8 @@
 
 	// users counts proposers, readers, workers and transfers that use the disk.
 	users sync.WaitGroup
+	// rounds are the questions of a follower to its leader.
+	rounds rounds
 
 	// mutex guards what is below.
 	mutex     sync.Mutex
@@ -231,6 +233,11 @@
 	if err != nil {
 		return err
 	}
+	return s.readOnce(ctx, confirmed, query)
+}
+
+// readOnce runs a query once the read is confirmed, and ends its use.
+func (s *Shard) readOnce(ctx context.Context, confirmed <-chan error, query func(ledger.Reader) error) error {
 	defer s.users.Done()
 	select {
 	case err := <-confirmed:
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -10,6 +10,7 @@
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 // data is a data node.
@@ -55,7 +56,10 @@
 	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
 	d.peers.HandleDatagram(kindLoadShare, d.takeLoadShare)
-	batchwork.RegisterServer(d.localShard, d.machine, d.ledger.Scarce, d.peers)
+	batchwork.RegisterServer(batchwork.ServerOptions{
+		Shard: d.localShard, Machine: d.machine, Scarce: d.ledger.Scarce, Receiver: d.peers,
+		Replicas: func() []transport.Address { return d.ledger.Replicas(0) },
+	})
 	return d, nil
 }
 
@@ -78,6 +82,14 @@
 	return ledger.ErrUnavailable
 }
 
+// FollowerRead implements ledger.Shard.
+func (s localShard) FollowerRead(ctx context.Context, query func(ledger.Reader) error) error {
+	if shard, found := s.localShard(); found {
+		return shard.FollowerRead(ctx, query)
+	}
+	return ledger.ErrUnavailable
+}
+
 // Leading implements ledger.Shard.
 func (s localShard) Leading() (bool, uint64) {
 	if shard, found := s.localShard(); found {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,7 @@
 			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
 			Observe: newRequestMetrics(common.registry).observe,
 		},
-		Jobs: batchwork.NewCaller(f.ledger, f.peers),
+		Jobs: batchwork.NewCaller(f.ledger, f.peers, f.nearReplica),
 	}
 	f.callers = &http.Server{
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
@@ -78,6 +79,20 @@
 	return f, nil
 }
 
+// nearReplica picks the replica of the ledger in this node's zone: bytes between
+// zones are dear, and results are read more often than they are written.
+func (f *front) nearReplica(replicas []transport.Address) (transport.Address, bool) {
+	if len(replicas) == 0 {
+		return "", false
+	}
+	for _, node := range f.agent.Nodes() {
+		if node.Zone == f.settings.Node.Zone && slices.Contains(replicas, node.Address) {
+			return node.Address, true
+		}
+	}
+	return "", false
+}
+
 // ready says whether the node wants callers.
 func (f *front) ready() bool {
 	return !f.draining.Load() && f.facts.Snapshot().Configuration != nil
