The newest sum of the load is asked for before an engine is chosen

From the logs of all processes: all late requests had been sent to an engine that got three to nine others within 100 ms, while half of the engines had at most half of their slots in use. Sums were up to a report's interval and a share's old; an engine that looked idle was taken by front nodes of all zones at once.

Change: a front node reports and waits for the answer (15 ms at most, a millisecond or two in its zone) before it chooses, and reports again right after. Sums are made anew for it.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -88,12 +88,14 @@
 	for key := range r {
 		keys = append(keys, key)
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		if a, b := r[keys[i]].atLeast(), r[keys[j]].atLeast(); a != b {
-			return a > b
-		}
-		return keys[i] < keys[j]
-	})
+	if len(keys) > reportMost {
+		sort.Slice(keys, func(i, j int) bool {
+			if a, b := r[keys[i]].atLeast(), r[keys[j]].atLeast(); a != b {
+				return a > b
+			}
+			return keys[i] < keys[j]
+		})
+	}
 	body := make([]byte, 0, reportSize*min(len(keys), reportMost))
 	for _, key := range keys[:min(len(keys), reportMost)] {
 		body = r[key].append(binary.BigEndian.AppendUint32(body, uint32(key)))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -46,6 +46,10 @@
 	Zone   string
 	// Observe is told of each finished request; may be nil.
 	Observe func(Result)
+	// Refresh brings what the balancer knows of other nodes up to date before an
+	// engine is chosen, and Chosen tells them of the choice; may be nil.
+	Refresh func(ctx context.Context)
+	Chosen  func()
 }
 
 // Result sums a request up, for metrics.
@@ -152,7 +156,13 @@
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
 		Avoid: fl.avoid,
 	}
+	if fl.Refresh != nil {
+		fl.Refresh(ctx)
+	}
 	lease, err := fl.Balancer.Acquire(ctx, wish, fl.route.Priority, fl.patienceForRoom())
+	if err == nil && fl.Chosen != nil {
+		fl.Chosen()
+	}
 	if !errors.Is(err, balance.ErrNoEngine) {
 		return lease, err
 	}
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -55,6 +55,7 @@
 		"chutelock_batch_items_running": {"Items that this node runs.", func() float64 { return float64(d.runner.Running()) }},
 	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
+	d.peers.HandleDatagram(kindLoadAsk, d.takeLoadAsk)
 	d.peers.HandleDatagram(kindLoadShare, d.takeLoadShare)
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: d.localShard, Machine: d.machine, Scarce: d.ledger.Scarce, Receiver: d.peers,
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -41,11 +41,12 @@
 	callers   *http.Server
 	readiness *http.Server
 	draining  atomic.Bool
-	reported  atomic.Pointer[balance.Report] // the last load report
-	reportsTo transport.Address              // of the goroutine that reports
 
-	choiceMutex sync.Mutex // guards choice; a leaf
+	choiceMutex sync.Mutex // guards what is below; the balancer's is taken under it
 	choice      *loadshare.Choice
+	reported    balance.Report    // the last load report
+	reportsTo   transport.Address // where it went
+	nextSum     chan struct{}     // closes when a sum comes
 }
 
 func openFront(settings *config.Node, adapter *Adapter) (*front, error) {
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{core: common, choice: loadshare.NewChoice(settings.Node.Zone)}
+	f := &front{core: common, choice: loadshare.NewChoice(settings.Node.Zone), nextSum: make(chan struct{})}
 	nobody := func() map[string]bool { return nil }
 	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: nobody})
 	options.Store = nil // a front places no shards; peers tell it who leads
@@ -66,6 +67,7 @@
 		Forwarder: &forward.Forwarder{
 			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
 			Observe: newRequestMetrics(common.registry).observe,
+			Refresh: f.refreshLoad, Chosen: f.reportChoice,
 		},
 		Jobs: batchwork.NewCaller(f.ledger, f.peers, f.nearReplica),
 	}
--- a/internal/system/loadshare.go
+++ b/internal/system/loadshare.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"context"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -14,6 +15,7 @@
 	kindLoadReport transport.Kind = transport.KindLoad + iota // a front node's balance.Report
 	kindLoadSum                                               // loadshare.Sum
 	kindLoadShare                                             // loadshare.Share
+	kindLoadAsk                                               // a balance.Report that is answered at once
 )
 
 const (
@@ -24,6 +26,9 @@
 	// sumInterval between two sums.
 	answerInterval = loadshare.ReportInterval / 2
 	sumInterval    = loadshare.ReportInterval / 4
+	// askTimeout is how long a request waits for the newest sum. Within a zone an
+	// answer takes a millisecond or two; it is little of a request's target.
+	askTimeout = 15 * time.Millisecond
 	// settleTime is how long a new leader waits for load reports: data nodes and
 	// front nodes hear of it from their peers, and then within an interval.
 	settleTime = 4 * loadshare.ReportInterval
@@ -62,31 +67,55 @@
 		if idle > idleReports {
 			continue
 		}
-		f.reported.Store(&own)
-		f.sendReport(own)
+		f.sendReport(kindLoadReport, own)
 		if !f.rest(pressInterval) {
 			return
 		}
 	}
 }
 
-func (f *front) sendReport(own balance.Report) {
+// sendReport sends a report to the data node that takes them, and returns what
+// closes with the next sum; nil if no data node is known.
+func (f *front) sendReport(kind transport.Kind, own balance.Report) <-chan struct{} {
 	leader, _ := f.ledger.Leader(0)
+	nodes := f.agent.Nodes()
 	f.choiceMutex.Lock()
-	to, known := f.choice.Pick(f.agent.Nodes(), leader, time.Now())
-	f.choiceMutex.Unlock()
+	defer f.choiceMutex.Unlock()
+	to, known := f.choice.Pick(nodes, leader, time.Now())
 	if !known {
-		return
+		return nil
 	}
 	if to != f.reportsTo {
 		f.reportsTo = to
 		eventReportsTo.Info("peer", to, "leads", to == leader)
 	}
+	f.reported = own
 	// A report that can't be sent is like a lost one: the choice notes that no
 	// sum comes back.
-	_ = f.peers.Datagram(to, kindLoadReport, own.Marshal())
+	_ = f.peers.Datagram(to, kind, own.Marshal())
+	return f.nextSum
+}
+
+// refreshLoad gets the newest sum before an engine is chosen. By sums that are a
+// report's interval old, many front nodes take the same engine for the idlest.
+func (f *front) refreshLoad(ctx context.Context) {
+	summed := f.sendReport(kindLoadAsk, f.balancer.Own())
+	if summed == nil {
+		return
+	}
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case <-summed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
+// reportChoice tells of a request right after its engine was chosen, so that the
+// next one that asks sees it there.
+func (f *front) reportChoice() { f.sendReport(kindLoadReport, f.balancer.Own()) }
+
 // takeLoadSum takes what all nodes have under way.
 func (f *front) takeLoadSum(from transport.Address, payload []byte) {
 	sum, err := loadshare.UnmarshalSum(payload)
@@ -95,33 +124,39 @@
 		return
 	}
 	f.choiceMutex.Lock()
-	better := f.choice.Heard(from, sum, time.Now())
-	f.choiceMutex.Unlock()
-	if !better {
-		return
-	}
-	others := sum.Load
-	if own := f.reported.Load(); own != nil {
-		others = others.Without(*own)
+	defer f.choiceMutex.Unlock()
+	if f.choice.Heard(from, sum, time.Now()) {
+		f.balancer.PeerLoad("others", sum.Load.Without(f.reported))
 	}
-	f.balancer.PeerLoad("others", others)
+	close(f.nextSum)
+	f.nextSum = make(chan struct{})
 }
 
-// takeLoadReport takes a front node's report and answers it.
+// takeLoadReport takes a front node's report and answers it now and then.
 func (d *data) takeLoadReport(from transport.Address, payload []byte) {
+	if d.takeReport(from, payload) && d.answers.due(from, time.Now()) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(time.Now(), d.loadSum))
+	}
+}
+
+// takeLoadAsk takes a front node's report and answers it with the newest sum.
+func (d *data) takeLoadAsk(from transport.Address, payload []byte) {
+	if d.takeReport(from, payload) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.loadSum())
+	}
+}
+
+func (d *data) takeReport(from transport.Address, payload []byte) bool {
 	report, err := balance.UnmarshalReport(payload)
 	if err != nil {
 		eventBadMessage.Error(err, "peer", from)
-		return
+		return false
 	}
-	now := time.Now()
 	d.exchangeMutex.Lock()
-	d.exchange.Report(from, report, now)
+	d.exchange.Report(from, report, time.Now())
 	d.exchangeMutex.Unlock()
 	d.takeLoad(from, report)
-	if d.answers.due(from, now) {
-		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(now, d.loadSum))
-	}
+	return true
 }
 
 // takeLoadShare takes what another data node knows of front nodes, or runs.
