--- /dev/null
+++ b/internal/mirror/calls_test.go
@@ -0,0 +1,31 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestManyChangesAreReadTogether: changes that follow each other closely cost a
+// watcher a call now and then, not one each.
+func TestManyChangesAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fleet := newTestFleet(10, 20)
+		defer fleet.close()
+		time.Sleep(settle)
+		before := fleet.store.callCount()
+		const changes, apart = 100, 10 * time.Millisecond
+		for i := range changes {
+			fleet.store.put(fmt.Sprint("change-", i))
+			time.Sleep(apart)
+		}
+		calls := fleet.store.callCount() - before
+		g.Expect(calls).To(gomega.BeNumerically("<=", watcherCount*12), "one each would be %d", watcherCount*changes)
+		time.Sleep(testFresh / 4)
+		g.Expect(fleet.ignorant(fmt.Sprint("change-", changes-1))).To(gomega.BeEmpty())
+	})
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -30,7 +30,7 @@
 			a.pause(task.rest)
 			continue
 		}
-		err := a.readStore(kind, task)
+		news, err := a.readStore(kind, task)
 		switch {
 		case err == nil:
 			a.noteHeard()
@@ -38,6 +38,9 @@
 				eventStoreBack.Info("kind", kind.Name, "revision", a.position(kind.Name))
 			}
 			mustList, lost, wait = false, false, storeRetryFirst
+			if news {
+				a.pause(kind.share(newsShare))
+			}
 			continue
 		case errors.Is(err, ErrHistoryLost):
 			mustList = true
@@ -94,30 +97,30 @@
 	return rank, 0 <= rank && rank < watcherCount
 }
 
-// readStore does one call of the store.
-func (a *Agent) readStore(kind Kind, next task) error {
+// readStore does one call of the store, and says whether it told of changes.
+func (a *Agent) readStore(kind Kind, next task) (news bool, err error) {
 	started := time.Now()
 	if next.list {
 		ctx, cancel := context.WithTimeout(a.running, listTimeout)
 		defer cancel()
 		objects, at, err := a.options.Store.List(ctx, kind.Name)
 		if err != nil {
-			return err
+			return false, err
 		}
 		a.merge("list", Delta{Kind: kind.Name, Whole: true, At: at, Objects: objects}, started)
-		return nil
+		return false, nil
 	}
 	since := a.position(kind.Name)
 	ctx, cancel := context.WithTimeout(a.running, next.hold+kind.share(watchSlackShare))
 	defer cancel()
 	objects, at, err := a.options.Store.Changes(ctx, kind.Name, since, next.hold)
 	if err != nil {
-		return err
+		return false, err
 	}
 	// An answer that was held tells of its end, not of its start.
 	confirmed := started.Add(min(time.Since(started), next.hold))
 	a.merge("watch", Delta{Kind: kind.Name, Since: since, At: max(at, since), Objects: objects}, confirmed)
-	return nil
+	return len(objects) > 0, nil
 }
 
 func (a *Agent) noteHeard() {
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -18,6 +18,9 @@
 	// firstShare is how long a node that is no data node lets its peers tell it
 	// what there is, before it lists that itself.
 	firstShare = 0.4
+	// newsShare is how long a watcher rests after news before it asks for more, so
+	// that changes that follow each other closely cost one call together.
+	newsShare = 0.05
 	// tellShare is the least gain in age that is worth an answer to a peer.
 	tellShare = 0.1
 )
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +17,9 @@
 const (
 	// pullWait is how long a peer holds a pull that has nothing to answer.
 	pullWait = 2 * time.Second
+	// staleWait is the same for a node whose facts are old: the peer may have no
+	// way to the store either, while others do.
+	staleWait = pullWait / 4
 	// pullSlack is how much longer a pull may take.
 	pullSlack = 600 * time.Millisecond
 	// pullRetry is the pause after a failed pull.
@@ -232,7 +236,8 @@
 
 // candidates are the data nodes that answer: of the zone, or of any if the
 // zone is empty or has none. Data nodes ask the watchers only, so that a change
-// is two steps from every node. The caller holds the mutex.
+// is two steps from every node; but any data node if what they know is old, as
+// then no watcher may have a way to the store. The caller holds the mutex.
 func (a *Agent) candidates(zone string) []transport.Address {
 	var near, all []transport.Address
 	for _, name := range a.soundNodes() {
@@ -246,6 +251,8 @@
 		}
 	}
 	switch {
+	case a.options.DataNode && a.isStale(time.Now()):
+		return all
 	case a.options.DataNode:
 		return all[:min(len(all), watcherCount)]
 	case len(near) > 0:
@@ -254,6 +261,14 @@
 	return all
 }
 
+// isStale says that what this node knows of some kind is so old that it reads the
+// store by itself. The caller holds the mutex.
+func (a *Agent) isStale(now time.Time) bool {
+	return slices.ContainsFunc(a.options.Kinds, func(kind Kind) bool {
+		return stale(kind, a.fresh.age(kind.Name, now), 0)
+	})
+}
+
 // soundNodes are the names of the data nodes that answer, in order; the caller
 // holds the mutex.
 func (a *Agent) soundNodes() []string {
@@ -323,7 +338,10 @@
 		request.kinds[kind.Name] = position{at: a.table.At(kind.Name), age: a.fresh.age(kind.Name, now)}
 		known = known && a.table.At(kind.Name) > 0
 	}
-	if known {
+	switch {
+	case known && a.isStale(now):
+		request.wait = staleWait
+	case known:
 		request.wait = pullWait
 	}
 	if a.options.DataNode {
