--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -17,8 +17,8 @@
 const (
 	// pullWait is how long a peer holds a pull that has nothing to answer.
 	pullWait = 2 * time.Second
-	// staleWait is the same for a node whose facts are old: the peer may have no
-	// way to the store either, while others do.
+	// staleWait is the same for a node whose facts are old, or soon will be: the
+	// peer may have no way to the store either, while others do.
 	staleWait = pullWait / 4
 	// pullSlack is how much longer a pull may take.
 	pullSlack = 600 * time.Millisecond
@@ -261,6 +261,17 @@
 	return all
 }
 
+// holdTime is how long a peer may hold a pull: not beyond the moment at which
+// this node's facts are so old that others should be asked. The caller holds the
+// mutex.
+func (a *Agent) holdTime(now time.Time) time.Duration {
+	hold := pullWait
+	for _, kind := range a.options.Kinds {
+		hold = min(hold, kind.share(staleShare)-a.fresh.age(kind.Name, now))
+	}
+	return max(hold, staleWait)
+}
+
 // isStale says that what this node knows of some kind is so old that it reads the
 // store by itself. The caller holds the mutex.
 func (a *Agent) isStale(now time.Time) bool {
@@ -338,11 +349,8 @@
 		request.kinds[kind.Name] = position{at: a.table.At(kind.Name), age: a.fresh.age(kind.Name, now)}
 		known = known && a.table.At(kind.Name) > 0
 	}
-	switch {
-	case known && a.isStale(now):
-		request.wait = staleWait
-	case known:
-		request.wait = pullWait
+	if known {
+		request.wait = a.holdTime(now)
 	}
 	if a.options.DataNode {
 		request.nodes = append(request.nodes, a.options.Self)
