Data nodes of the engines' zones hold the streams of batch items

Cause: one leader held all streams.

Change: past batch.local_runs (100) the leader lets one data node of the engine's zone hold the stream: batchwork.Executor. The leader still decides item, engine, cut and commit; the executor hands text over packed, each 100 ms for all its runs. A lost executor's runs go on from their last committed event; a lost leader's are ended. Runs at a node are one type for leader and executor (runNode, itemRun); what a run learns of its engine goes to the balancer by one way.

Ruled out: shards (each leader would need a share of the room); streams at front nodes (they have 0.19 of a core and no disk; ends would need a lease of their own). Tests: executor_test.go plays a leader and an executor over real connections before an engine that streams: whole texts, cuts that keep their text, lost leaders and executors.

--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -57,6 +57,14 @@
 	return append([]byte{'\n'}, s.text...)
 }
 
+// unjoined is the text of a decoded step, whose text is plain, without that.
+func (s step) unjoined() []byte {
+	if s.from == 0 || len(s.text) == 0 {
+		return s.text
+	}
+	return s.text[1:]
+}
+
 type fixedStep struct {
 	Index    uint32
 	From, To uint64
@@ -94,12 +102,25 @@
 }
 
 func encodeAdvance(steps []step, now time.Time) []byte {
+	return encodeAdvanced(encodeSteps(steps), now)
+}
+
+// encodeAdvanced makes a command of encoded steps.
+func encodeAdvanced(steps [][]byte, now time.Time) []byte {
+	return marshal(fixedCommand{commandAdvance, now.UnixMilli()}, steps...)
+}
+
+func encodeSteps(steps []step) [][]byte {
 	fields := make([][]byte, 0, len(steps))
 	for _, s := range steps {
-		fixed := fixedStep{s.index, s.from, s.to, s.failures, s.state, s.to > s.from}
-		fields = append(fields, marshal(fixed, []byte(s.job), compress(s.joined())))
+		fields = append(fields, encodeStep(s))
 	}
-	return marshal(fixedCommand{commandAdvance, now.UnixMilli()}, fields...)
+	return fields
+}
+
+func encodeStep(s step) []byte {
+	fixed := fixedStep{s.index, s.from, s.to, s.failures, s.state, s.to > s.from}
+	return marshal(fixed, []byte(s.job), compress(s.joined()))
 }
 
 func decodeStep(field []byte) (step, error) {
--- /dev/null
+++ b/internal/batchwork/executor.go
@@ -0,0 +1,255 @@
+package batchwork
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+var (
+	eventRunsDropped = telemetry.Define(3212, "runs-dropped", "The leader for which this node runs items takes no text of them; they are ended.")
+	eventBadRun      = telemetry.Define(3213, "run-request-unreadable", "A leader's request to run an item could not be decoded; it is refused.")
+)
+
+const (
+	// executorMost bounds the runs that a node takes on for leaders: each holds one
+	// of the 512 workers that answer calls.
+	executorMost = 200
+	// executorGather is how long a step waits at an executor for others to be sent
+	// to the leader with it. Results are read twice a second.
+	executorGather = 100 * time.Millisecond
+	// stepsTimeout bounds one call that commits steps.
+	stepsTimeout = 1500 * time.Millisecond
+	// aliveInterval is how often a leader hears that its runs go on.
+	aliveInterval = 300 * time.Millisecond
+	// stopMemory is how long the end of a run is remembered that hasn't arrived yet.
+	stopMemory = 2 * time.Second
+)
+
+// errBusy says that a node runs as many items as it may.
+var errBusy = errors.New("this node runs enough items")
+
+// ExecutorOptions configure an Executor.
+type ExecutorOptions struct {
+	Pool *upstream.Pool
+	// Usable says whether an engine may still get requests of a service.
+	Usable   func(id, service string) bool
+	Sender   transport.Sender
+	Receiver transport.Receiver
+}
+
+// Executor runs items for leaders on other nodes: it holds the streams, and hands
+// their text to the leader in few messages. It decides nothing: a run ends with
+// its stream, when the leader says so, or when the leader takes no text any more.
+type Executor struct {
+	options ExecutorOptions
+	running context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+
+	mutex   sync.Mutex // guards what is below; a leaf
+	closed  bool
+	count   int
+	clients map[transport.Address]*client
+}
+
+// client is a leader that this node runs items for.
+type client struct {
+	leader   transport.Address
+	node     *runNode
+	gatherer *gatherer
+	runs     map[uint64]context.CancelFunc // guarded by the executor's mutex
+	stopped  map[uint64]time.Time          // ends that came before their runs
+}
+
+// NewExecutor registers the handlers; runs come once the receiver serves.
+func NewExecutor(options ExecutorOptions) *Executor {
+	e := &Executor{options: options, clients: map[transport.Address]*client{}}
+	e.running, e.cancel = context.WithCancel(context.Background())
+	options.Receiver.HandleCall(kindRun, e.handleRun)
+	options.Receiver.HandleCall(kindStop, e.handleStop)
+	e.tasks.Go(e.tellAlive)
+	return e
+}
+
+// Close ends all runs, after committing what they have, and waits for them.
+func (e *Executor) Close() {
+	e.mutex.Lock()
+	e.closed = true
+	var ends []context.CancelFunc
+	for _, c := range e.clients {
+		for _, end := range c.runs {
+			ends = append(ends, end)
+		}
+	}
+	e.mutex.Unlock()
+	for _, end := range ends {
+		end()
+	}
+	for e.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+	e.cancel()
+	e.tasks.Wait()
+}
+
+// drainPoll is how often Close looks whether runs have ended.
+const drainPoll = 5 * time.Millisecond
+
+// Running is the number of items that run here for leaders.
+func (e *Executor) Running() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.count
+}
+
+// handleRun runs an item and answers how that ended. ctx ends with the leader's
+// connection.
+func (e *Executor) handleRun(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	request, err := unmarshalRun(payload, time.Now())
+	if err != nil {
+		eventBadRun.Error(err, "peer", from)
+		return nil, trace.Wrap(err, "run of peer %s", from)
+	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	c, err := e.begin(from, request.run, end)
+	if err != nil {
+		return nil, err
+	}
+	defer e.end(c, request.run)
+	next := &itemRun{node: c.node, item: request.item, engine: request.engine, attempts: request.attempts}
+	result := next.run(ctx, &request.read)
+	return result.marshal(), nil
+}
+
+func (e *Executor) begin(leader transport.Address, run uint64, end context.CancelFunc) (*client, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.closed || e.count >= executorMost {
+		return nil, trace.Wrap(errBusy)
+	}
+	c := e.client(leader)
+	if _, stopped := c.stopped[run]; stopped {
+		end()
+	}
+	c.runs[run] = end
+	e.count++
+	return c, nil
+}
+
+// client returns the leader's; the caller holds the mutex.
+func (e *Executor) client(leader transport.Address) *client {
+	c := e.clients[leader]
+	if c != nil {
+		return c
+	}
+	c = &client{leader: leader, runs: map[uint64]context.CancelFunc{}, stopped: map[uint64]time.Time{}}
+	c.gatherer = newGatherer(executorGather, func(ctx context.Context, steps []step) error { return e.hand(ctx, c, steps) })
+	c.node = &runNode{
+		pool: e.options.Pool, usable: e.options.Usable, commit: c.commit, opened: time.Now(),
+		open: func(string, uint32) bool { return true }, // the ledger drops what it doesn't want
+	}
+	e.clients[leader] = c
+	e.tasks.Go(func() { c.gatherer.run(e.running) })
+	return c
+}
+
+func (e *Executor) end(c *client, run uint64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(c.runs, run)
+	e.count--
+}
+
+// handleStop ends a run, also one that comes only later.
+func (e *Executor) handleStop(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	var name runName
+	if _, err := unmarshal(payload, &name, 0); err != nil {
+		return nil, trace.Wrap(err, "end of a run of peer %s", from)
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	c := e.client(from)
+	now := time.Now()
+	for run, at := range c.stopped {
+		if now.Sub(at) > stopMemory {
+			delete(c.stopped, run)
+		}
+	}
+	if end := c.runs[name.Run]; end != nil {
+		end()
+	} else {
+		c.stopped[name.Run] = now
+	}
+	return nil, nil
+}
+
+// commit hands a step to the leader, and returns once it is committed.
+func (c *client) commit(ctx context.Context, s step) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stepsTimeout+executorGather)
+	defer cancel()
+	return trace.Wrap(c.gatherer.commit(ctx, s), "commit item %d of job %s at leader %s", s.index, s.job, c.leader)
+}
+
+// fixedSteps heads steps on their way to the leader.
+type fixedSteps struct{}
+
+// hand sends steps to the leader. One that doesn't take them doesn't lead any
+// more, or can't be reached: its runs are of no use.
+func (e *Executor) hand(ctx context.Context, c *client, steps []step) error {
+	ctx, cancel := context.WithTimeout(ctx, stepsTimeout)
+	defer cancel()
+	_, err := e.options.Sender.Call(ctx, c.leader, kindSteps, marshal(fixedSteps{}, encodeSteps(steps)...))
+	if err != nil {
+		e.dropRuns(c, err)
+	}
+	return err
+}
+
+func (e *Executor) dropRuns(c *client, cause error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if len(c.runs) > 0 {
+		eventRunsDropped.Info("peer", c.leader, "runs", len(c.runs), "cause", cause)
+	}
+	for _, end := range c.runs {
+		end()
+	}
+}
+
+// tellAlive tells leaders that their runs go on, until the executor closes.
+func (e *Executor) tellAlive() {
+	ticker := time.NewTicker(aliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.running.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, leader := range e.leaders() {
+			e.options.Sender.Send(leader, kindAlive, nil)
+		}
+	}
+}
+
+// leaders are those for whom items run here.
+func (e *Executor) leaders() []transport.Address {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var leaders []transport.Address
+	for leader, c := range e.clients {
+		if len(c.runs) > 0 {
+			leaders = append(leaders, leader)
+		}
+	}
+	return leaders
+}
--- /dev/null
+++ b/internal/batchwork/executor_test.go
@@ -0,0 +1,289 @@
+package batchwork
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// testDialect spells what fakeEngine understands.
+type testDialect struct{}
+
+func (testDialect) Header(call *upstream.Call, _ time.Time) http.Header {
+	header := http.Header{"X-Id": {call.ID}}
+	if call.Resume {
+		header.Set("X-After", strconv.FormatUint(call.ResumeAfter, 10))
+	}
+	return header
+}
+
+func (testDialect) Facts(_ int, header http.Header) upstream.Facts {
+	return upstream.Facts{ID: header.Get("X-Id"), Signed: true}
+}
+
+// fakeEngine streams events; it counts the streams that are under way, and
+// remembers from where each run went on.
+type fakeEngine struct {
+	*httptest.Server
+	events int
+	pause  time.Duration
+
+	mutex  sync.Mutex
+	active int
+	after  []uint64
+}
+
+func newFakeEngine(t *testing.T, events int, pause time.Duration) *fakeEngine {
+	e := &fakeEngine{events: events, pause: pause}
+	e.Server = httptest.NewServer(e)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.Header.Get("X-After"), 10, 64)
+	e.note(1, after)
+	defer e.note(-1, after)
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	for n := after + 1; n <= uint64(e.events); n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: text %d\n\n", n, n); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(e.pause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *fakeEngine) note(change int, after uint64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.active += change
+	if change > 0 {
+		e.after = append(e.after, after)
+	}
+}
+
+func (e *fakeEngine) running() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.active
+}
+
+// wholeText is the text of an item that ran to its end.
+func (e *fakeEngine) wholeText() string {
+	var lines []string
+	for n := 1; n <= e.events; n++ {
+		lines = append(lines, fmt.Sprint("text ", n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// pair is a leader that runs nothing itself, and an executor.
+type pair struct {
+	g        *gomega.WithT
+	engine   *fakeEngine
+	shard    *failingShard
+	runner   *Runner
+	executor *Executor
+	leading  *transport.Node
+	helping  *transport.Node
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func newPair(t *testing.T, events int, pause time.Duration) *pair {
+	p := &pair{
+		g: gomega.NewWithT(t), engine: newFakeEngine(t, events, pause),
+		shard: &failingShard{machine: NewMachine(), store: memoryStore{}}, done: make(chan struct{}),
+	}
+	p.g.SetDefaultEventuallyTimeout(30 * time.Second)
+	p.leading, p.helping = p.listen(), p.listen()
+	address := strings.TrimPrefix(p.engine.URL, "http://")
+	snapshot := catalog.NewSnapshot(nil, []catalog.Engine{{ID: "e", Service: "s", Address: address, Zone: "z", Slots: 100}})
+	route := &catalog.Route{Name: "r", Kind: catalog.KindBatch, Attempts: 3, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	usable := func(string, string) bool { return true }
+	p.executor = NewExecutor(ExecutorOptions{Pool: upstream.NewPool(testDialect{}), Usable: usable, Sender: p.helping, Receiver: p.helping})
+	p.runner = NewRunner(RunnerOptions{
+		Shard: p.shard, Machine: p.shard.machine, Pool: upstream.NewPool(testDialect{}), Usable: usable,
+		Balancer: balance.New(func() *catalog.Snapshot { return snapshot }),
+		Route:    func(_, _ string) *catalog.Route { return route },
+		Executors: func(zone string) []transport.Address {
+			p.g.Expect(zone).To(gomega.Equal("z"))
+			return []transport.Address{p.helping.Address()}
+		},
+		Sender: p.leading, Receiver: p.leading,
+	})
+	p.leading.Serve()
+	p.helping.Serve()
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	go func() { defer close(p.done); p.runner.Run(ctx) }()
+	t.Cleanup(func() {
+		p.engine.CloseClientConnections()
+		stop()
+		<-p.done
+		p.executor.Close()
+		p.leading.Close()
+		p.helping.Close()
+	})
+	return p
+}
+
+func (p *pair) listen() *transport.Node {
+	keys, err := transport.NewKeyring([]byte("0123456789abcdef0123456789abcdef"))
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	node, err := transport.Listen(transport.Options{Listen: "127.0.0.1:0", Keys: keys})
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return node
+}
+
+func (p *pair) submit(items int) {
+	job := testJob("a", items, 0)
+	job.Submitted, job.Completion, job.Retention = time.Now(), time.Hour, time.Hour
+	_, err := p.shard.Propose(context.Background(), encodeSubmit(job))
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// page reads the results so far.
+func (p *pair) page() (page Page) {
+	err := p.shard.Read(context.Background(), func(reader ledger.Reader) (err error) {
+		page, err = p.shard.machine.readPage(reader, "a", 0)
+		return err
+	})
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	p.g.Expect(page.unpack()).To(gomega.Succeed())
+	return page
+}
+
+func (p *pair) expectWhole(items int) {
+	p.g.Eventually(func() int { return len(p.page().Results) }).Should(gomega.Equal(items))
+	for _, result := range p.page().Results {
+		p.g.Expect(result.State).To(gomega.Equal(StateSucceeded))
+		p.g.Expect(string(result.Text)).To(gomega.Equal(p.engine.wholeText()))
+	}
+}
+
+func TestItemsAreRunByAnotherDataNode(t *testing.T) {
+	p := newPair(t, 20, 10*time.Millisecond)
+	p.submit(7)
+	p.g.Eventually(p.executor.Running).Should(gomega.Equal(7))
+	p.expectWhole(7)
+	p.g.Eventually(p.executor.Running).Should(gomega.BeZero())
+	p.g.Eventually(p.runner.Running).Should(gomega.BeZero())
+	p.g.Expect(p.engine.after).To(gomega.HaveLen(7), "each ran once")
+}
+
+// TestACutRunElsewhereKeepsItsText cuts a run; its engine is free at once, and the
+// item goes on after what came.
+func TestACutRunElsewhereKeepsItsText(t *testing.T) {
+	p := newPair(t, 60, 20*time.Millisecond)
+	p.submit(1)
+	p.g.Eventually(func() bool {
+		p.runner.mutex.Lock()
+		defer p.runner.mutex.Unlock()
+		for _, run := range p.runner.runs {
+			if run.begun {
+				run.yielding = true
+				run.cancel()
+				run.lease.Release()
+				return true
+			}
+		}
+		return false
+	}).Should(gomega.BeTrue())
+	p.expectWhole(1)
+	p.g.Expect(len(p.engine.after)).To(gomega.BeNumerically(">=", 2))
+	for _, after := range p.engine.after[1:] {
+		p.g.Expect(after).To(gomega.BeNumerically(">", 0), "from its last event, not from its start")
+	}
+}
+
+func TestALeaderThatStopsEndsItsRunsElsewhere(t *testing.T) {
+	p := newPair(t, 1000, 20*time.Millisecond)
+	p.submit(3)
+	p.g.Eventually(p.engine.running).Should(gomega.Equal(3))
+	p.stop()
+	<-p.done
+	p.g.Eventually(p.engine.running).Should(gomega.BeZero())
+}
+
+// TestALostLeaderEndsItsRunsElsewhere breaks the leader's connections, as the end
+// of its process does.
+func TestALostLeaderEndsItsRunsElsewhere(t *testing.T) {
+	p := newPair(t, 1000, 20*time.Millisecond)
+	p.submit(3)
+	p.g.Eventually(p.engine.running).Should(gomega.Equal(3))
+	p.leading.Close()
+	p.g.Eventually(p.engine.running).Should(gomega.BeZero())
+	p.g.Eventually(p.executor.Running).Should(gomega.BeZero())
+}
+
+// TestItemsOfALostExecutorGoOnAtTheLeader takes the executor away.
+func TestItemsOfALostExecutorGoOnAtTheLeader(t *testing.T) {
+	p := newPair(t, 40, 20*time.Millisecond)
+	p.submit(3)
+	p.g.Eventually(p.executor.Running).Should(gomega.Equal(3))
+	p.helping.Close()
+	p.expectWhole(3)
+	p.g.Eventually(p.runner.Running).Should(gomega.BeZero())
+}
+
+func TestAnExecutorThatClosesCommitsWhatItHas(t *testing.T) {
+	p := newPair(t, 40, 20*time.Millisecond)
+	p.submit(3)
+	p.g.Eventually(func() bool {
+		p.runner.mutex.Lock()
+		defer p.runner.mutex.Unlock()
+		begun := 0
+		for _, run := range p.runner.runs {
+			if run.begun {
+				begun++
+			}
+		}
+		return begun == 3
+	}).Should(gomega.BeTrue())
+	p.executor.Close()
+	p.expectWhole(3)
+	for _, after := range p.engine.after[3:] {
+		p.g.Expect(after).To(gomega.BeNumerically(">", 0))
+	}
+}
+
+func TestSilentExecutorsAreLostOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := newExecutors(2)
+	now := time.Unix(1_000_000, 0)
+	candidates := []transport.Address{"a", "b"}
+	_, found := x.pick(candidates, 1, now)
+	g.Expect(found).To(gomega.BeFalse(), "the leader holds a few streams itself")
+	picked, _ := x.pick(candidates, 2, now)
+	g.Expect(picked).To(gomega.Equal(transport.Address("a")))
+	x.begin("a", now)
+	g.Expect(x.silent(now.Add(executorSilence))).To(gomega.BeEmpty())
+	x.hear("a", now.Add(executorSilence))
+	now = now.Add(2*executorSilence + time.Millisecond)
+	g.Expect(x.silent(now)).To(gomega.Equal([]transport.Address{"a"}))
+	g.Expect(x.silent(now)).To(gomega.BeEmpty())
+	picked, _ = x.pick(candidates, 2, now)
+	g.Expect(picked).To(gomega.Equal(transport.Address("b")))
+	picked, _ = x.pick(candidates, 2, now.Add(executorAside))
+	g.Expect(picked).To(gomega.Equal(transport.Address("a")))
+}
--- a/internal/batchwork/gather.go
+++ b/internal/batchwork/gather.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// gatherTime is how long a step waits for others to be committed with it.
+	// gatherTime is how long a step of the leader's own runs waits for others to be
+	// committed with it.
 	gatherTime = 40 * time.Millisecond
 	// gatherSteps and gatherBytes bound the steps of one entry.
 	gatherSteps = 256
@@ -17,6 +18,7 @@
 // gatherer commits the steps of many runs in one entry. An entry costs a leader
 // the same few messages and syncs, whatever it holds.
 type gatherer struct {
+	time    time.Duration // that a step waits for others
 	propose func(ctx context.Context, steps []step) error
 	arrived chan *gathered
 	sending sync.WaitGroup
@@ -28,8 +30,8 @@
 	done chan error // buffered by one
 }
 
-func newGatherer(propose func(context.Context, []step) error) *gatherer {
-	return &gatherer{propose: propose, arrived: make(chan *gathered)}
+func newGatherer(time time.Duration, propose func(context.Context, []step) error) *gatherer {
+	return &gatherer{time: time, propose: propose, arrived: make(chan *gathered)}
 }
 
 // commit hands a step over and returns once it is committed, or ctx ends.
@@ -63,11 +65,11 @@
 	}
 }
 
-// gather collects what arrives within gatherTime after the first.
+// gather collects what arrives within the gatherer's time after the first.
 func (g *gatherer) gather(first *gathered) []*gathered {
 	group := []*gathered{first}
 	bytes := len(first.step.text)
-	timer := time.NewTimer(gatherTime)
+	timer := time.NewTimer(g.time)
 	defer timer.Stop()
 	for len(group) < gatherSteps && bytes < gatherBytes {
 		select {
--- a/internal/batchwork/gather_test.go
+++ b/internal/batchwork/gather_test.go
@@ -18,7 +18,7 @@
 		var mu sync.Mutex
 		var entries []int
 		refused := errors.New("refused")
-		gatherer := newGatherer(func(_ context.Context, steps []step) error {
+		gatherer := newGatherer(gatherTime, func(_ context.Context, steps []step) error {
 			mu.Lock()
 			defer mu.Unlock()
 			entries = append(entries, len(steps))
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/upstream"
@@ -15,37 +14,43 @@
 
 // itemRun is one run of an item at one engine.
 type itemRun struct {
-	*Runner
+	node   *runNode
+	hooks  runHooks
 	item   openItem
-	route  *catalog.Route
 	engine catalog.Engine
-	lease  *balance.Lease
-	ctx    context.Context // of the run; ends when it is cut
-	cancel context.CancelFunc
+	// attempts is how many of an engine's own failures give the item up.
+	attempts int
 
 	id        string
 	committed uint64 // last event that is committed
 	last      uint64 // last event that came
 	text      []byte // of the events after committed
 	commitAt  time.Time
+	result    runResult
 }
 
-// run returns how long the item rests before it is run again, if it is open.
-// The engine's slot counts as free from the end of the exchange on, not only
-// once what came is committed.
-func (r *itemRun) run(ctx context.Context, read *Item) time.Duration {
-	if !r.options.Usable(r.engine.ID, r.engine.Service) {
-		return refusalPause
-	}
+// run sends the item to its engine and commits what comes, until the stream ends
+// or ctx does.
+func (r *itemRun) run(ctx context.Context, read *Item) runResult {
 	r.id = read.ID
 	r.committed, r.last = r.item.lastEvent, r.item.lastEvent
+	r.result.pause = r.exchange(ctx, read)
+	r.result.last = r.last
+	return r.result
+}
+
+// exchange returns how long the item rests before it is run again, if it is open.
+func (r *itemRun) exchange(ctx context.Context, read *Item) time.Duration {
+	if !r.node.usable(r.engine.ID, r.engine.Service) {
+		return refusalPause
+	}
 	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "after", r.last, "failures", r.item.failures)
 	silence := make(chan struct{})
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := time.AfterFunc(itemPatience, func() { close(silence); cancel() })
 	defer timer.Stop()
-	answer, err := r.options.Pool.Exchange(watch, r.engine.Address, r.call(read))
+	answer, err := r.node.pool.Exchange(watch, r.engine.Address, r.call(read))
 	if err != nil {
 		return r.broken(ctx, err, isClosed(silence))
 	}
@@ -75,16 +80,13 @@
 
 // take reads the answer of the engine.
 func (r *itemRun) take(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
-	if answer.Load != nil {
-		r.options.Balancer.Reported(r.engine.ID, *answer.Load)
-	}
+	r.hooks.noteReported(answer.Load)
 	switch {
+	case answer.NotRun && answer.Elsewhere:
+		r.judge(engineFailed, errElsewhere)
+		return refusalPause
 	case answer.NotRun:
-		if answer.Elsewhere {
-			r.options.Balancer.Failed(r.engine.ID, errElsewhere)
-		} else {
-			r.options.Balancer.Refused(r.engine.ID)
-		}
+		r.judge(engineFull, nil)
 		return refusalPause
 	case answer.Status == http.StatusUnprocessableEntity:
 		return r.dead(ctx, "the engine can never run it")
@@ -101,32 +103,41 @@
 	errElsewhere = errors.New("another engine has the address")
 )
 
+// judge notes what the run tells of its engine.
+func (r *itemRun) judge(verdict engineVerdict, cause error) {
+	r.result.engine = verdict
+	if cause != nil {
+		r.result.cause = cause.Error()
+	}
+	r.hooks.noteJudged(r.result)
+}
+
 func (r *itemRun) stream(ctx context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
+	r.node.streams.Add(1)
+	defer r.node.streams.Add(-1)
 	started, first := time.Now(), r.last
 	r.commitAt = started.Add(firstCommit)
-	done := false
-	defer func() { r.observe(time.Since(started), r.last-first, r.last, done) }()
-	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: answer, start: r.opened, interval: r.readInterval})
+	defer func() { r.result.took, r.result.events = time.Since(started), r.last-first }()
+	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: answer, start: r.node.opened, interval: r.node.readInterval})
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			r.options.Balancer.Succeeded(r.engine.ID)
-			r.lease.Release()
-			done = true
+			r.result.done = true
+			r.judge(engineSound, nil)
+			r.hooks.noteEnded()
 			return r.succeeded(ctx)
 		}
 		if err != nil {
 			answer.Close()
-			r.lease.Release()
+			r.hooks.noteEnded()
 			return r.broken(ctx, err, isClosed(silence))
 		}
 		timer.Reset(itemPatience)
-		r.lease.Read()
 		if !event.HasID || event.ID <= r.last {
 			continue
 		}
 		if r.last == first {
-			r.begun(itemKey{r.item.job, r.item.index})
+			r.hooks.noteBegun()
 		}
 		r.add(event)
 		if time.Now().After(r.commitAt) {
@@ -156,10 +167,10 @@
 		job: r.item.job, index: r.item.index, from: r.committed, to: r.last,
 		failures: failures, state: state, text: r.text,
 	}
-	err := r.commit(ctx, next)
+	err := r.node.commit(ctx, next)
 	if err != nil {
 		if state != StateOpen {
-			r.keepVerdict(next)
+			r.result.end = &next
 		}
 		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
 		return err
@@ -191,7 +202,7 @@
 	if status != http.StatusInternalServerError {
 		return r.broken(ctx, errors.New(http.StatusText(status)), false)
 	}
-	if int(r.item.failures)+1 >= r.route.Attempts {
+	if int(r.item.failures)+1 >= r.attempts {
 		return r.dead(ctx, "it failed at each run")
 	}
 	_ = r.commitText(ctx, StateOpen, 1)
@@ -201,11 +212,11 @@
 // broken keeps what came and lets the item go on elsewhere.
 func (r *itemRun) broken(ctx context.Context, cause error, silent bool) time.Duration {
 	if ctx.Err() == nil || silent {
-		r.options.Balancer.Failed(r.engine.ID, cause)
+		r.judge(engineFailed, cause)
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause,
 			"silent", silent, "last_event", r.last)
 	}
-	if r.options.Machine.isOpen(r.item.job, r.item.index) {
+	if r.node.open(r.item.job, r.item.index) {
 		_ = r.commitText(ctx, StateOpen, 0)
 	}
 	return refusalPause
--- /dev/null
+++ b/internal/batchwork/runmessage.go
@@ -0,0 +1,108 @@
+package batchwork
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// Message kinds between the leader and the data nodes that run items for it.
+const (
+	kindRun   transport.Kind = transport.KindBatch + 0x10 + iota // call, held until the run ends
+	kindStop                                                     // one way: end a run
+	kindSteps                                                    // call back to the leader: commit steps
+	kindAlive                                                    // one way, back to the leader: runs go on
+)
+
+// runRequest asks a data node to run an item.
+type runRequest struct {
+	// run identifies the run among those of its leader.
+	run    uint64
+	item   openItem
+	read   Item
+	engine catalog.Engine
+	// attempts is how many of an engine's own failures give the item up.
+	attempts int
+}
+
+type fixedRun struct {
+	Run       uint64
+	Index     uint32
+	LastEvent uint64
+	Failures  uint8
+	Attempts  uint16
+	// GiveUp is the time left until the item may be given up, in nanoseconds:
+	// the clocks of two machines differ.
+	GiveUp int64
+}
+
+func (q *runRequest) marshal(now time.Time) []byte {
+	fixed := fixedRun{q.run, q.item.index, q.item.lastEvent, q.item.failures, uint16(q.attempts), int64(q.item.giveUp.Sub(now))}
+	return marshal(fixed, []byte(q.item.job), []byte(q.item.host), encodeItem(&q.read, true),
+		[]byte(q.engine.ID), []byte(q.engine.Service), []byte(q.engine.Address))
+}
+
+func unmarshalRun(encoded []byte, now time.Time) (*runRequest, error) {
+	var fixed fixedRun
+	fields, err := unmarshal(encoded, &fixed, 6)
+	if err != nil {
+		return nil, err
+	}
+	read, err := decodeItem(fields[2])
+	if err != nil {
+		return nil, err
+	}
+	return &runRequest{
+		run: fixed.Run, read: read, attempts: int(fixed.Attempts),
+		item: openItem{
+			job: string(fields[0]), host: string(fields[1]), index: fixed.Index, lastEvent: fixed.LastEvent,
+			failures: fixed.Failures, giveUp: now.Add(time.Duration(fixed.GiveUp)),
+		},
+		engine: catalog.Engine{ID: string(fields[3]), Service: string(fields[4]), Address: string(fields[5])},
+	}, nil
+}
+
+type fixedRunResult struct {
+	Pause, Took  int64
+	Events, Last uint64
+	Engine       engineVerdict
+	Done, HasEnd bool
+}
+
+func (r *runResult) marshal() []byte {
+	fixed := fixedRunResult{int64(r.pause), int64(r.took), r.events, r.last, r.engine, r.done, r.end != nil}
+	var end []byte
+	if r.end != nil {
+		end = encodeStep(*r.end)
+	}
+	return marshal(fixed, []byte(r.cause), end)
+}
+
+func unmarshalResult(encoded []byte) (runResult, error) {
+	var fixed fixedRunResult
+	fields, err := unmarshal(encoded, &fixed, 2)
+	if err != nil {
+		return runResult{}, err
+	}
+	result := runResult{
+		pause: time.Duration(fixed.Pause), took: time.Duration(fixed.Took), events: fixed.Events, last: fixed.Last,
+		engine: fixed.Engine, done: fixed.Done, cause: string(fields[0]),
+	}
+	if !fixed.HasEnd {
+		return result, nil
+	}
+	end, err := decodeStep(fields[1])
+	if err != nil {
+		return runResult{}, err
+	}
+	if end.text, err = decompress(end.text); err != nil {
+		return runResult{}, err
+	}
+	end.text = end.unjoined()
+	result.end = &end
+	return result, nil
+}
+
+// runName names a run in the messages that end it.
+type runName struct{ Run uint64 }
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/telemetry"
+	"chutelock.dev/chutelock/internal/transport"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -78,13 +80,20 @@
 	Settle time.Duration
 	// Keep is how long a closed job stays readable after its submission.
 	Keep time.Duration
+	// Executors lists the data nodes that may run items at engines of a zone for
+	// this one, the best first; nil if there are none. Sender reaches them.
+	Executors func(zone string) []transport.Address
+	Sender    transport.Sender
+	Receiver  transport.Receiver
+	// LocalRuns is the number of runs whose streams the leader holds itself.
+	LocalRuns int
 }
 
 // Runner runs open items while this node leads the shard.
 type Runner struct {
 	options RunnerOptions
 
-	opened   time.Time
+	node     *runNode // for the runs whose streams are held here
 	tasks    sync.WaitGroup
 	gatherer *gatherer
 
@@ -99,6 +108,9 @@
 	yieldAt  time.Time
 	pace     *pace
 	limit    *runLimit
+	// executors run items for this leader; number is of the last run.
+	executors *executors
+	number    uint64
 	// term is the term in which leadership was confirmed, or 0; since is when.
 	term  uint64
 	since time.Time
@@ -110,7 +122,12 @@
 }
 
 type run struct {
-	cancel  context.CancelFunc
+	cancel context.CancelFunc
+	// executor holds the stream; empty if this node does. abandon forgets a run
+	// there without waiting for its last text.
+	executor transport.Address
+	abandon  context.CancelFunc
+
 	engine  catalog.Engine
 	lease   *balance.Lease
 	started time.Time
@@ -123,11 +140,19 @@
 // NewRunner returns a runner; Run makes it work.
 func NewRunner(options RunnerOptions) *Runner {
 	r := &Runner{
-		options: options, opened: time.Now(), runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(), limit: newRunLimit(),
-		verdicts: map[itemKey]step{},
-		wake:     make(chan struct{}, 1),
+		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, formers: map[itemKey]string{}, pace: newPace(), limit: newRunLimit(),
+		verdicts:  map[itemKey]step{},
+		wake:      make(chan struct{}, 1),
+		executors: newExecutors(options.LocalRuns), number: rand.Uint64(),
+	}
+	r.gatherer = newGatherer(gatherTime, r.propose)
+	r.node = &runNode{
+		pool: options.Pool, usable: options.Usable, commit: r.commit, opened: time.Now(), open: options.Machine.isOpen,
+	}
+	if options.Receiver != nil {
+		options.Receiver.HandleCall(kindSteps, r.takeSteps)
+		options.Receiver.HandleMessage(kindAlive, r.takeAlive)
 	}
-	r.gatherer = newGatherer(r.propose)
 	return r
 }
 
@@ -193,9 +218,6 @@
 	return len(r.runs)
 }
 
-// readInterval is the time between two reads of a run's stream.
-func (r *Runner) readInterval() time.Duration { return readInterval(r.Running()) }
-
 // plan starts and stops runs as leadership and open items demand.
 func (r *Runner) plan(ctx context.Context) {
 	if !r.confirmLeading(ctx) {
@@ -205,6 +227,7 @@
 	now := time.Now()
 	open := r.order(r.options.Machine.openItems(), now)
 	r.stopEnded()
+	r.dropSilent(now)
 	r.logState(len(open), now)
 	r.commitVerdicts(open, now)
 	if !r.settled(now) {
@@ -275,21 +298,24 @@
 }
 
 // observe takes the figures of a run that ended.
-func (r *Runner) observe(took time.Duration, events, last uint64, done bool) {
+func (r *Runner) observe(result runResult) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.pace.observe(took, events, last, done)
+	if result.events > 0 || result.done {
+		r.pace.observe(result.took, result.events, result.last, result.done)
+	}
 }
 
 func (r *Runner) logState(open int, now time.Time) {
 	r.mutex.Lock()
-	running, paused, most, due := len(r.runs), len(r.pauses), r.limit.most, now.Sub(r.statedAt) >= stateInterval
+	running, local, paused, most := len(r.runs), r.local(), len(r.pauses), r.limit.most
+	due := now.Sub(r.statedAt) >= stateInterval
 	if due {
 		r.statedAt = now
 	}
 	r.mutex.Unlock()
 	if due && open > 0 {
-		eventState.Info("open", open, "running", running, "paused", paused, "most", most)
+		eventState.Info("open", open, "running", running, "local", local, "paused", paused, "most", most)
 	}
 }
 
@@ -326,9 +352,23 @@
 	}
 }
 
-func (r *Runner) finished(k itemKey, pause time.Duration) {
+// local is the number of runs whose streams are held here; the caller holds the
+// mutex.
+func (r *Runner) local() int {
+	local := len(r.runs)
+	for _, count := range r.executors.runs {
+		local -= count
+	}
+	return local
+}
+
+func (r *Runner) finished(next *startedRun, pause time.Duration) {
 	r.mutex.Lock()
+	k := itemKey{next.item.job, next.item.index}
 	delete(r.runs, k)
+	if next.executor != "" {
+		r.executors.end(next.executor)
+	}
 	switch {
 	case !r.options.Machine.isOpen(k.job, k.index):
 		delete(r.formers, k)
@@ -361,8 +401,12 @@
 
 // propose commits steps in one entry.
 func (r *Runner) propose(ctx context.Context, steps []step) error {
+	return r.proposeEncoded(ctx, encodeSteps(steps))
+}
+
+func (r *Runner) proposeEncoded(ctx context.Context, steps [][]byte) error {
 	started := time.Now()
-	_, err := r.options.Shard.Propose(ctx, encodeAdvance(steps, started))
+	_, err := r.options.Shard.Propose(ctx, encodeAdvanced(steps, started))
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/ledger"
+	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/upstream"
 )
 
 // startOpen starts open items in their order, while engines have room for batch
 // work and the leader bears more runs.
-func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*itemRun {
+func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*startedRun {
 	full := map[string]bool{} // by service
-	var started []*itemRun
+	var started []*startedRun
 	for _, item := range open {
 		route := r.options.Route(item.host, item.path)
 		if route == nil || !r.idle(item, now) {
@@ -44,7 +47,7 @@
 
 // launch reads the items of new runs from a state that is surely the newest,
 // all in one read, and lets the runs work.
-func (r *Runner) launch(ctx context.Context, started []*itemRun) {
+func (r *Runner) launch(ctx context.Context, started []*startedRun) {
 	items := make([]Item, len(started))
 	failures := make([]error, len(started))
 	bounded, cancel := context.WithTimeout(ctx, barrierTimeout)
@@ -59,33 +62,116 @@
 		r.tasks.Go(func() {
 			pause := refusalPause
 			if err == nil && failures[i] == nil && next.ctx.Err() == nil {
-				pause = next.run(next.ctx, &items[i])
+				pause = r.carryOut(next, &items[i])
 			}
 			next.cancel()
+			next.abandon()
 			next.lease.Release()
-			r.finished(itemKey{next.item.job, next.item.index}, pause)
+			r.finished(next, pause)
 		})
 	}
 }
 
+// carryOut runs an item, here or at another data node, and returns how long it
+// rests before it is run again, if it is open.
+func (r *Runner) carryOut(next *startedRun, read *Item) time.Duration {
+	var result runResult
+	if next.executor == "" {
+		local := &itemRun{node: r.node, hooks: r.hooks(next), item: next.item, engine: next.engine, attempts: next.route.Attempts}
+		result = local.run(next.ctx, read)
+	} else {
+		result = r.runAt(next, read)
+		r.judge(next.engine, result)
+	}
+	r.observe(result)
+	if result.end != nil {
+		r.keepVerdict(*result.end)
+	}
+	return result.pause
+}
+
+func (r *Runner) hooks(next *startedRun) runHooks {
+	return runHooks{
+		reported: func(load upstream.Load) { r.options.Balancer.Reported(next.engine.ID, load) },
+		begun: func() {
+			next.lease.Read()
+			r.begun(itemKey{next.item.job, next.item.index})
+		},
+		ended:  next.lease.Release,
+		judged: func(result runResult) { r.judge(next.engine, result) },
+	}
+}
+
+// judge tells the balancer what a run told of its engine.
+func (r *Runner) judge(engine catalog.Engine, result runResult) {
+	switch result.engine {
+	case engineSound:
+		r.options.Balancer.Succeeded(engine.ID)
+	case engineFull:
+		r.options.Balancer.Refused(engine.ID)
+	case engineFailed:
+		r.options.Balancer.Failed(engine.ID, errors.New(result.cause))
+	}
+}
+
+// startedRun is a run that has its engine and is about to begin.
+type startedRun struct {
+	item   openItem
+	route  *catalog.Route
+	engine catalog.Engine
+	lease  *balance.Lease
+	ctx    context.Context // ends when the run is cut
+	cancel context.CancelFunc
+
+	// executor is the data node that runs the item; empty if this one does. number
+	// names the run there; calling ends when nothing more is expected of it.
+	executor transport.Address
+	number   uint64
+	calling  context.Context
+	abandon  context.CancelFunc
+}
+
 // start takes an engine with room for batch work for an item; nil if there is
 // none.
-func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) *itemRun {
+func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) *startedRun {
 	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item), PromptTokens: item.promptTokens}
 	lease, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
 	if err != nil {
 		return nil
 	}
-	next := &itemRun{Runner: r, item: item, route: route, engine: lease.Engine, lease: lease}
+	next := &startedRun{item: item, route: route, engine: lease.Engine, lease: lease}
 	next.ctx, next.cancel = context.WithCancel(ctx)
+	next.calling, next.abandon = context.WithCancel(context.WithoutCancel(ctx))
+	candidates := r.executorsNear(lease.Engine)
 	k := itemKey{item.job, item.index}
+	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.formers[k] = lease.Engine.ID
-	r.runs[k] = &run{cancel: next.cancel, engine: lease.Engine, lease: lease, started: time.Now()}
+	r.number++
+	next.number = r.number
+	if executor, found := r.executors.pick(candidates, r.local(), now); found {
+		next.executor = executor
+		r.executors.begin(executor, now)
+	}
+	r.runs[k] = &run{
+		cancel: next.cancel, executor: next.executor, abandon: next.abandon, engine: lease.Engine, lease: lease, started: now,
+	}
 	return next
 }
 
+// executorsNear lists the data nodes that may run an item at an engine, if this
+// one holds enough streams itself.
+func (r *Runner) executorsNear(engine catalog.Engine) []transport.Address {
+	r.mutex.Lock()
+	wanted := r.options.Executors != nil && r.executors.wanted(r.local())
+	r.mutex.Unlock()
+	if !wanted {
+		return nil
+	}
+	return r.options.Executors(engine.Zone)
+}
+
 // former is the engine that ran a part of the item, if one did.
 func (r *Runner) former(item openItem) string {
 	r.mutex.Lock()
--- a/internal/batchwork/verdicts_test.go
+++ b/internal/batchwork/verdicts_test.go
@@ -31,6 +31,8 @@
 }
 
 func (s *failingShard) Read(_ context.Context, query func(ledger.Reader) error) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	return query(s.store)
 }
 
@@ -55,8 +57,10 @@
 	defer stop()
 	go runner.gatherer.run(gathering)
 	open := shard.machine.openItems()
-	run := &itemRun{Runner: runner, item: open[0], id: "a-0"}
+	run := &itemRun{node: runner.node, item: open[0], id: "a-0"}
 	run.dead(context.Background(), "the engine can never run it")
+	g.Expect(run.result.end).NotTo(gomega.BeNil())
+	runner.keepVerdict(*run.result.end)
 	g.Expect(shard.machine.openItems()).To(gomega.HaveLen(2), "the commit failed")
 	now := time.Now()
 	for range 2 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,10 +34,14 @@
 	Batch    Batch    `koanf:"batch"`
 }
 
-// Batch bounds what is kept of batch jobs on a platform of objects.
+// Batch bounds what is kept of batch jobs on a platform of objects, and what their
+// leader does itself.
 type Batch struct {
 	// Keep is how long a closed job stays readable after its submission.
 	Keep time.Duration `koanf:"keep" validate:"min=1s"`
+	// LocalRuns is the number of items whose streams the leader holds itself before
+	// it lets other data nodes run items.
+	LocalRuns int `koanf:"local_runs" validate:"min=0"`
 }
 
 // Memory bounds what the node uses.
@@ -159,6 +163,9 @@
 	"platform.apply":       "2s",
 	"platform.leave":       "2s",
 	"batch.keep":           "24h",
+	// A stream costs a leader several messages a second: 0.48 of a core gives out
+	// at some 300 besides the rest (docs/CAPACITY.md).
+	"batch.local_runs": 100,
 }
 
 // Overrides are the settings that flags may set, by their path in the file.
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -1,8 +1,10 @@
 package system
 
 import (
+	"cmp"
 	"context"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"chutelock.dev/chutelock/internal/batchwork"
@@ -10,6 +12,8 @@
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -18,8 +22,10 @@
 	*core
 	machine *batchwork.Machine
 	runner  *batchwork.Runner
-	answers paces  // of load reports
-	sum     cached // of them
+	// executor runs items for a leader on another node.
+	executor *batchwork.Executor
+	answers  paces  // of load reports
+	sum      cached // of them
 
 	exchangeMutex sync.Mutex // guards exchange; a leaf
 	exchange      *loadshare.Exchange
@@ -45,14 +51,19 @@
 	if d.ledger, err = replica.Open(options); err != nil {
 		return nil, err
 	}
+	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
+		Pool: d.pool, Usable: d.facts.usable, Sender: d.peers, Receiver: d.peers,
+	})
 	d.runner = batchwork.NewRunner(batchwork.RunnerOptions{
 		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
 		Route: d.route, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
-		Settle: settleTime,
+		Settle: settleTime, Executors: d.executors, Sender: d.peers, Receiver: d.peers,
+		LocalRuns: settings.Batch.LocalRuns,
 	})
 	d.registerGauges(map[string]gauge{
-		"chutelock_batch_items_open":    {"Items that are not final, at a replica.", func() float64 { return float64(d.machine.Open()) }},
-		"chutelock_batch_items_running": {"Items that this node runs.", func() float64 { return float64(d.runner.Running()) }},
+		"chutelock_batch_items_open":     {"Items that are not final, at a replica.", func() float64 { return float64(d.machine.Open()) }},
+		"chutelock_batch_items_running":  {"Items that run for this node as the leader.", func() float64 { return float64(d.runner.Running()) }},
+		"chutelock_batch_items_executed": {"Items that this node runs for another one that leads.", func() float64 { return float64(d.executor.Running()) }},
 	})
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
 	d.peers.HandleDatagram(kindLoadAsk, d.takeLoadAsk)
@@ -64,6 +75,29 @@
 	return d, nil
 }
 
+// executors lists the data nodes that may run items at engines of a zone for this
+// one: those of the zone, in an order that all leaders share, so that their
+// connections to engines stay.
+func (d *data) executors(zone string) []transport.Address {
+	evacuating := d.evacuating()
+	nodes := slices.DeleteFunc(d.agent.Nodes(), func(n mirror.Node) bool {
+		return n.Zone != zone || n.Name == d.settings.Node.Name || evacuating[n.Name]
+	})
+	slices.SortFunc(nodes, func(a, b mirror.Node) int {
+		return cmp.Compare(executorRank(zone, b), executorRank(zone, a))
+	})
+	addresses := make([]transport.Address, 0, len(nodes))
+	for _, node := range nodes {
+		addresses = append(addresses, node.Address)
+	}
+	return addresses
+}
+
+// executorRank is not that of the zone's load relay: each has its own work.
+func executorRank(zone string, node mirror.Node) uint64 {
+	return membership.RendezvousScore("executor of "+zone, node.Name)
+}
+
 // localShard is this node's replica as a ledger.Shard, also while there is none.
 type localShard struct{ *core }
 
@@ -113,6 +147,7 @@
 // Drain implements Node: what runs is committed, then leadership moves.
 func (d *data) Drain(ctx context.Context) {
 	eventStops.Info("node", d.settings.Node.Name)
+	d.executor.Close()
 	d.runner.Stop()
 	_ = d.ledger.Drain(ctx)
 	d.cancel()
