--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -139,11 +139,19 @@
 	}
 	fl.Balancer.Succeeded(engine.ID)
 	fl.first = time.Now()
-	fl.verdict = verdictServed
-	_ = fl.sink.Whole(answer.Status, answer.Header, body)
+	fl.passed(fl.sink.Whole(answer.Status, answer.Header, body))
 	return outcome{}, true
 }
 
+// passed ends a request whose answer was passed on whole, if the caller was there
+// to take it.
+func (fl *flight) passed(err error) {
+	fl.verdict = verdictServed
+	if err != nil {
+		fl.left(err)
+	}
+}
+
 // stream passes whole events on as they come.
 func (fl *flight) stream(ctx context.Context, lease *balance.Lease, answer *upstream.Answer, silence silenceTimer) (outcome, bool) {
 	events := NewEventReader(answer)
@@ -165,7 +173,7 @@
 			continue
 		}
 		if err := fl.pass(answer, event); err != nil {
-			fl.verdict = verdictLeft
+			fl.left(err)
 			fl.sink.Abort()
 			return outcome{}, true
 		}
@@ -187,11 +195,10 @@
 }
 
 func (fl *flight) endStream(answer *upstream.Answer) outcome {
-	fl.verdict = verdictServed
 	if !fl.begun {
-		_ = fl.sink.Whole(answer.Status, answer.Header, nil)
+		fl.passed(fl.sink.Whole(answer.Status, answer.Header, nil))
 		return outcome{}
 	}
-	_ = fl.sink.End()
+	fl.passed(fl.sink.End())
 	return outcome{}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -205,9 +205,7 @@
 	case ctx.Err() == nil:
 		return false
 	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		fl.verdict = verdictLeft
-		eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
-			"held", time.Since(fl.request.Arrived), "last_event", fl.lastEvent)
+		fl.left(context.Cause(ctx))
 		fl.sink.Abort()
 	case fl.begun:
 		fl.abort(ctx.Err())
@@ -219,6 +217,13 @@
 	return true
 }
 
+// left notes that the caller closed its connection before it had its answer.
+func (fl *flight) left(cause error) {
+	fl.verdict = verdictLeft
+	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
+		"held", time.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
+}
+
 func (fl *flight) finish(step Step, outcome outcome) {
 	switch step {
 	case StepNotRun:
@@ -227,7 +232,9 @@
 		fl.refuse(VerdictUnknown, outcome.cause)
 	case StepPass:
 		fl.verdict = verdictFailed
-		_ = fl.sink.Whole(outcome.answer.Status, outcome.answer.Header, outcome.body)
+		if err := fl.sink.Whole(outcome.answer.Status, outcome.answer.Header, outcome.body); err != nil {
+			fl.left(err)
+		}
 	default:
 		fl.abort(outcome.cause)
 	}
@@ -241,7 +248,9 @@
 	if verdict == VerdictNotRun {
 		after = comeBack
 	}
-	_ = fl.sink.Refuse(verdict, after)
+	if err := fl.sink.Refuse(verdict, after); err != nil {
+		fl.left(err)
+	}
 }
 
 func (fl *flight) abort(cause error) {
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"reflect"
@@ -23,10 +24,11 @@
 )
 
 var (
-	eventStarted  = telemetry.Define(1011, "started", "A node on a platform of objects started.")
-	eventStopped  = telemetry.Define(1012, "stopped", "A node on a platform of objects ended its planned stop.")
-	eventReloaded = telemetry.Define(1014, "settings-reloaded", "The settings file was read again; says what was applied and whether the rest needs a restart.")
-	eventStops    = telemetry.Define(1013, "stopping", "A planned stop began; the node is not ready from now on.")
+	eventStarted       = telemetry.Define(1011, "started", "A node on a platform of objects started.")
+	eventListenerEnded = telemetry.Define(1016, "listener-ended", "A server stopped taking connections though the node goes on; it has to be restarted.")
+	eventStopped       = telemetry.Define(1012, "stopped", "A node on a platform of objects ended its planned stop.")
+	eventReloaded      = telemetry.Define(1014, "settings-reloaded", "The settings file was read again; says what was applied and whether the rest needs a restart.")
+	eventStops         = telemetry.Define(1013, "stopping", "A planned stop began; the node is not ready from now on.")
 )
 
 const (
@@ -224,7 +226,11 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			eventListenerEnded.Error(err, "address", address)
+		}
+	}()
 	return nil
 }
 
