--- a/internal/batchwork/doc.go
+++ b/internal/batchwork/doc.go
@@ -3,8 +3,10 @@
 // Machine is the replicated state machine: jobs, items, the text that each
 // item has so far, and the results in a fixed order of positions. It reads no
 // clock; time travels in commands. Runner (at the leader of the ledger's shard)
-// sends open items to engines and commits what they yield. Server answers the
-// calls of other nodes at the leader, Caller makes these calls.
+// decides which items run at which engines, and commits what they yield. It holds
+// some of the streams itself; Executors on other data nodes hold the rest and
+// hand their text over. Server answers the calls of other nodes, reads at any
+// replica and all others at the leader; Caller makes these calls.
 //
 // Invariants: a job is accepted whole or not at all, once for each identifier;
 // an item has one position at most and its result never changes; text of an
