Looks at open items cost less; the collector gets the machine's memory

A look went through 650 to 2,000 open items up to 50 times a second, finding each item's route anew (20 ms for 2,000 items and 1,400 routes, BenchmarkPlanWithoutRoom), and looks for slots to give up went through all runs for each crowded engine. And the soft memory limit was 48 MiB on a machine of 284 MB while the leader's process peaked at 76 to 83: the collector ran without end. Change: routes are found once a job, the lock is taken once, looks take a tenth of the time at most, runs are sorted by engine once. memory.limit tells the platform's limit, and the soft limit rises to 60 % of it.

--- a/cmd/chutelock/main.go
+++ b/cmd/chutelock/main.go
@@ -65,7 +65,7 @@
 func serve(settings *config.Node, readyFile string, load func() (*config.Node, error)) error {
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	debug.SetMemoryLimit(int64(settings.Memory.SoftLimit) << 20)
+	debug.SetMemoryLimit(settings.Memory.SoftBytes())
 	if settings.Data.Folder != "" {
 		debug.SetGCPercent(dataNodeGCPercent)
 	}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -32,8 +32,10 @@
 const (
 	// planInterval is how often open items are looked at without a change, and
 	// planPause the least time between two looks: each goes through all of them.
+	// planShare bounds the part of the time that looks take, however many are open.
 	planInterval = 50 * time.Millisecond
 	planPause    = 20 * time.Millisecond
+	planShare    = 0.1
 	// firstCommit is when the first text of a run is committed: an item with
 	// committed text goes on elsewhere and is not run from its start again.
 	firstCommit = 150 * time.Millisecond
@@ -173,7 +175,9 @@
 	defer r.stopAll()
 	for {
 		changed := r.options.Machine.changes()
+		began := time.Now()
 		r.plan(ctx)
+		rest := restAfter(time.Since(began))
 		select {
 		case <-ctx.Done():
 			return
@@ -183,10 +187,15 @@
 		case <-purge.C:
 			r.purge(ctx)
 		}
-		pause(ctx, planPause)
+		pause(ctx, rest)
 	}
 }
 
+// restAfter is the pause after a look at open items that took so long.
+func restAfter(took time.Duration) time.Duration {
+	return max(planPause, time.Duration(float64(took)*(1/planShare-1)))
+}
+
 // Stop ends all runs after committing what they have, and starts no others.
 func (r *Runner) Stop() {
 	r.mutex.Lock()
@@ -319,9 +328,8 @@
 	}
 }
 
-func (r *Runner) idle(item openItem, now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+// idle says that an item neither runs nor rests; the caller holds the mutex.
+func (r *Runner) idle(item *openItem, now time.Time) bool {
 	k := itemKey{item.job, item.index}
 	if r.runs[k] != nil || r.stopped {
 		return false
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -17,9 +17,13 @@
 func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*startedRun {
 	full := map[string]bool{} // by service
 	var started []*startedRun
-	for _, item := range open {
-		route := r.options.Route(item.host, item.path)
-		if route == nil || !r.idle(item, now) {
+	var route *catalog.Route
+	for i := range open {
+		item := &open[i]
+		if i == 0 || item.host != open[i-1].host || item.path != open[i-1].path {
+			route = r.options.Route(item.host, item.path)
+		}
+		if route == nil || allFull(route, full) || !r.isIdle(item, now) {
 			continue
 		}
 		service := r.options.Balancer.Service(route)
@@ -29,7 +33,7 @@
 		if len(started) == startsMost || !r.mayStart() {
 			break
 		}
-		if next := r.start(ctx, item, route, service); next != nil {
+		if next := r.start(ctx, *item, route, service); next != nil {
 			started = append(started, next)
 		} else {
 			full[service] = true
@@ -38,6 +42,25 @@
 	return started
 }
 
+// allFull says that no service of a route has room.
+func allFull(route *catalog.Route, full map[string]bool) bool {
+	if len(full) == 0 {
+		return false
+	}
+	for _, backend := range route.Backends {
+		if !full[backend.Service] {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Runner) isIdle(item *openItem, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.idle(item, now)
+}
+
 // mayStart says whether the leader bears one more run.
 func (r *Runner) mayStart() bool {
 	r.mutex.Lock()
--- a/internal/batchwork/verdicts.go
+++ b/internal/batchwork/verdicts.go
@@ -20,18 +20,7 @@
 // not be committed before, and those of items whose retention is over. The
 // items rest meanwhile.
 func (r *Runner) commitVerdicts(open []openItem, now time.Time) {
-	var due []step
-	for _, item := range open {
-		if len(due) == verdictsMost {
-			break
-		}
-		if !r.idle(item, now) {
-			continue
-		}
-		if s, found := r.verdict(item, now); found {
-			due = append(due, s)
-		}
-	}
+	due := r.dueVerdicts(open, now)
 	if len(due) == 0 {
 		return
 	}
@@ -45,11 +34,31 @@
 	}()
 }
 
-// verdict is the end that is due for an item, if one is. One that doesn't
-// follow what is committed is forgotten.
-func (r *Runner) verdict(item openItem, now time.Time) (step, bool) {
+func (r *Runner) dueVerdicts(open []openItem, now time.Time) []step {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	var due []step
+	for i := range open {
+		if len(due) == verdictsMost {
+			break
+		}
+		item := &open[i]
+		if len(r.verdicts) == 0 && !now.After(item.giveUp.Add(giveUpMargin)) {
+			continue
+		}
+		if !r.idle(item, now) {
+			continue
+		}
+		if s, found := r.verdict(item, now); found {
+			due = append(due, s)
+		}
+	}
+	return due
+}
+
+// verdict is the end that is due for an item, if one is. One that doesn't
+// follow what is committed is forgotten. The caller holds the mutex.
+func (r *Runner) verdict(item *openItem, now time.Time) (step, bool) {
 	k := itemKey{item.job, item.index}
 	if kept, found := r.verdicts[k]; found {
 		if kept.from == item.lastEvent {
--- a/internal/batchwork/yield.go
+++ b/internal/batchwork/yield.go
@@ -23,8 +23,14 @@
 		return
 	}
 	r.yieldAt = now.Add(yieldInterval)
-	for _, overfull := range r.options.Balancer.Overfull() {
-		runs := r.runsAt(overfull.Engine)
+	crowded := r.options.Balancer.Overfull()
+	if len(crowded) == 0 {
+		return
+	}
+	byEngine := r.runsByEngine()
+	for _, overfull := range crowded {
+		runs := byEngine[overfull.Engine]
+		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
 		victims := yieldOrder(runs)
 		victims = victims[:min(overfull.Excess, len(victims))]
 		if len(victims) == 0 {
@@ -53,15 +59,11 @@
 	return order
 }
 
-// runsAt lists the runs at an engine, the oldest first; the caller holds the
-// mutex.
-func (r *Runner) runsAt(engine string) []*run {
-	var runs []*run
+// runsByEngine lists the runs at each engine; the caller holds the mutex.
+func (r *Runner) runsByEngine() map[string][]*run {
+	byEngine := map[string][]*run{}
 	for _, run := range r.runs {
-		if run.engine.ID == engine {
-			runs = append(runs, run)
-		}
+		byEngine[run.engine.ID] = append(byEngine[run.engine.ID], run)
 	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
-	return runs
+	return byEngine
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,6 +49,19 @@
 	// SoftLimit is the size in MiB of the Go heap and runtime above which the
 	// collector works harder; the store's caches come on top.
 	SoftLimit int `koanf:"soft_limit" validate:"min=16"`
+	// Limit is the size in MiB at which the platform ends the process; 0 if there
+	// is none. The soft limit rises to a share of it.
+	Limit int `koanf:"limit" validate:"min=0"`
+}
+
+// softShare is the part of the platform's limit that the heap and the runtime may
+// take before the collector works harder; caches of the store, buffers of the
+// kernel and what comes within one collection need the rest: an estimate.
+const softShare = 0.6
+
+// SoftBytes is the soft limit that is in force, in bytes.
+func (m Memory) SoftBytes() int64 {
+	return max(int64(m.SoftLimit)<<20, int64(softShare*float64(int64(m.Limit)<<20)))
 }
 
 // Identity is who and where the node is.
@@ -159,6 +172,7 @@
 	"ledger.copies":        5,
 	"ledger.replace_after": "60s",
 	"memory.soft_limit":    48,
+	"memory.limit":         0,
 	"platform.dialect":     DialectOpenAI,
 	"platform.apply":       "2s",
 	"platform.leave":       "2s",
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,3 +71,10 @@
 	_, err := Load(write(t, valid+"ledger: {losses: 4}\n"), nil)
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("ledger.losses")))
 }
+
+func TestTheSoftLimitRisesWithThePlatformsLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(Memory{SoftLimit: 48}.SoftBytes()).To(gomega.BeEquivalentTo(48 << 20))
+	g.Expect(Memory{SoftLimit: 48, Limit: 64}.SoftBytes()).To(gomega.BeEquivalentTo(48 << 20))
+	g.Expect(Memory{SoftLimit: 48, Limit: 300}.SoftBytes()).To(gomega.BeEquivalentTo(180 << 20))
+}
