Places for many runs are found in one look at the engines

Change: Balancer.AcquireMany scores each engine once and fills by steps; a look starts 48 runs; its pause follows the time of going through items only. Runs at executors prefer no zone. The choice of a single batch run is the same code.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -36,8 +36,9 @@
 // Wish is what a request wants of an engine.
 type Wish struct {
 	Service string
-	Zone    string
-	Class   Class
+	// Zone is the one whose engines are preferred; empty means none.
+	Zone  string
+	Class Class
 	// Prefix identifies the shared part of the prompt, and PrefixTokens is its
 	// length; an engine that has read it before is quicker.
 	Prefix       string
@@ -57,22 +58,29 @@
 // uniform in [0, 1).
 func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	t.expire(now)
+	if wish.Class == ClassBatch {
+		chosen := t.chooseMany(snapshot, []Wish{wish}, now)
+		if len(chosen) == 0 {
+			return catalog.Engine{}, false
+		}
+		return chosen[0], true
+	}
+	return t.best(t.candidates(snapshot, wish, now), wish, now, draw)
+}
+
+// candidates filters the engines of a wish's service by the first of the rules
+// that leaves any.
+func (t *Table) candidates(snapshot *catalog.Snapshot, wish Wish, now time.Time) []catalog.Engine {
 	engines := snapshot.Serving(wish.Service)
 	for _, rule := range []func(catalog.Engine) bool{
 		func(e catalog.Engine) bool { return t.sound(e.ID, now) && !contains(wish.Avoid, e.ID) },
 		func(e catalog.Engine) bool { return !contains(wish.Avoid, e.ID) },
-		func(catalog.Engine) bool { return true },
 	} {
-		candidates := filter(engines, rule)
-		if len(candidates) == 0 {
-			continue
-		}
-		if wish.Class == ClassBatch && !t.spare(candidates, now) {
-			return catalog.Engine{}, false
+		if candidates := filter(engines, rule); len(candidates) > 0 {
+			return candidates
 		}
-		return t.best(candidates, wish, now, draw)
 	}
-	return catalog.Engine{}, false
+	return engines
 }
 
 // best picks one of the candidates that have room.
@@ -80,7 +88,7 @@
 	home := prefixHome(candidates, wish)
 	scored := make([]scoredEngine, 0, len(candidates))
 	for _, engine := range candidates {
-		if t.hasRoom(engine, wish.Class, now) {
+		if t.hasRoom(engine, now) {
 			scored = append(scored, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
 		}
 	}
@@ -90,26 +98,22 @@
 	return pick(scored, 1+t.unheard(wish.Class), draw()), true
 }
 
-func (t *Table) hasRoom(engine catalog.Engine, class Class, now time.Time) bool {
+// hasRoom says whether an engine has room for an online request: batch work makes
+// way for it.
+func (t *Table) hasRoom(engine catalog.Engine, now time.Time) bool {
 	if t.fullNow(engine.ID, now) {
 		return false
 	}
-	load := t.load(engine.ID, now)
-	if class == ClassOnline {
-		return load-t.yielding(engine.ID, now) < engine.Slots+queueDepth
-	}
-	return load < engine.Slots && t.pending(engine.ID, now) < batchPending
+	return t.load(engine.ID, now)-t.yielding(engine.ID, now) < engine.Slots+queueDepth
 }
 
-// spare says whether engines have more free slots together than batch work has
-// to leave to online work.
-func (t *Table) spare(engines []catalog.Engine, now time.Time) bool {
-	slots, free := 0, 0
+// slots counts the slots of engines, and those that are free.
+func (t *Table) slots(engines []catalog.Engine, now time.Time) (all, free int) {
 	for _, engine := range engines {
-		slots += engine.Slots
+		all += engine.Slots
 		free += max(0, engine.Slots-t.load(engine.ID, now))
 	}
-	return float64(free) > freeShare*float64(slots)
+	return all, free
 }
 
 // Overfull is an engine that has more requests than slots, and how many of its
@@ -157,7 +161,7 @@
 func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
 	score := float64(t.load(engine.ID, now)) / float64(max(engine.Slots, 1))
 	score += float64(t.pending(engine.ID, now)) / pendingUnit
-	if engine.Zone != wish.Zone {
+	if wish.Zone != "" && engine.Zone != wish.Zone {
 		score += zonePenalty
 	}
 	if engine.Cold > 0 {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -41,9 +41,10 @@
 	firstCommit = 150 * time.Millisecond
 	// commitInterval is how often a running item's text is committed.
 	commitInterval = 500 * time.Millisecond
-	// startsMost bounds the runs that one look starts: a start costs the leader
-	// far more than what follows, and hundreds at once hold its heartbeats up.
-	startsMost = 16
+	// startsMost bounds the runs that one look starts: hundreds at once hold the
+	// leader's heartbeats up. With the least pause between two looks they fill a
+	// thousand slots within half a second.
+	startsMost = 48
 	// commitTimeout bounds one commit.
 	commitTimeout = 4 * time.Second
 	// barrierTimeout bounds the confirmation of a new leader.
@@ -175,9 +176,7 @@
 	defer r.stopAll()
 	for {
 		changed := r.options.Machine.changes()
-		began := time.Now()
-		r.plan(ctx)
-		rest := restAfter(time.Since(began))
+		rest := restAfter(r.plan(ctx))
 		select {
 		case <-ctx.Done():
 			return
@@ -227,11 +226,12 @@
 	return len(r.runs)
 }
 
-// plan starts and stops runs as leadership and open items demand.
-func (r *Runner) plan(ctx context.Context) {
+// plan starts and stops runs as leadership and open items demand. It returns how
+// long it took to go through them.
+func (r *Runner) plan(ctx context.Context) time.Duration {
 	if !r.confirmLeading(ctx) {
 		r.stopAll()
-		return
+		return 0
 	}
 	now := time.Now()
 	open := r.order(r.options.Machine.openItems(), now)
@@ -239,8 +239,9 @@
 	r.dropSilent(now)
 	r.logState(len(open), now)
 	r.commitVerdicts(open, now)
+	took := time.Since(now)
 	if !r.settled(now) {
-		return
+		return took
 	}
 	started := r.startOpen(ctx, open, now)
 	if len(started) > 0 {
@@ -249,6 +250,7 @@
 	if len(started) == startsMost {
 		r.lookAgain()
 	}
+	return took
 }
 
 // lookAgain makes the next look at open items come without waiting for a change.
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -15,57 +15,71 @@
 // startOpen starts open items in their order, while engines have room for batch
 // work and the leader bears more runs.
 func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*startedRun {
-	full := map[string]bool{} // by service
+	groups, most := r.startable(open, now)
 	var started []*startedRun
+	for _, group := range groups {
+		wishes := group.wishes[:min(len(group.wishes), most-len(started))]
+		leases := r.options.Balancer.AcquireMany(wishes, group.priority)
+		for i, lease := range leases {
+			started = append(started, r.start(ctx, group.items[i], group.routes[i], lease))
+		}
+	}
+	return started
+}
+
+// startGroup is the items of one service that may be started next, in their order.
+type startGroup struct {
+	priority int
+	items    []openItem
+	routes   []*catalog.Route
+	wishes   []balance.Wish
+}
+
+// startable picks the first open items of each service that neither run nor rest,
+// and says how many runs may be started in all.
+func (r *Runner) startable(open []openItem, now time.Time) (groups []*startGroup, most int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	most = max(0, min(startsMost, r.limit.most-len(r.runs)))
+	zone := r.preferredZone()
+	byService := map[string]*startGroup{}
 	var route *catalog.Route
 	for i := range open {
 		item := &open[i]
 		if i == 0 || item.host != open[i-1].host || item.path != open[i-1].path {
 			route = r.options.Route(item.host, item.path)
 		}
-		if route == nil || allFull(route, full) || !r.isIdle(item, now) {
+		if route == nil {
 			continue
 		}
 		service := r.options.Balancer.Service(route)
-		if full[service] {
+		group := byService[service]
+		if (group != nil && len(group.items) >= most) || !r.idle(item, now) {
 			continue
 		}
-		if len(started) == startsMost || !r.mayStart() {
-			break
-		}
-		if next := r.start(ctx, *item, route, service); next != nil {
-			started = append(started, next)
-		} else {
-			full[service] = true
+		if group == nil {
+			group = &startGroup{priority: route.Priority}
+			byService[service] = group
+			groups = append(groups, group)
 		}
+		group.items = append(group.items, *item)
+		group.routes = append(group.routes, route)
+		group.wishes = append(group.wishes, balance.Wish{
+			Service: service, Zone: zone, Class: balance.ClassBatch,
+			Former: r.formers[itemKey{item.job, item.index}], PromptTokens: item.promptTokens,
+		})
 	}
-	return started
+	return groups, most
 }
 
-// allFull says that no service of a route has room.
-func allFull(route *catalog.Route, full map[string]bool) bool {
-	if len(full) == 0 {
-		return false
-	}
-	for _, backend := range route.Backends {
-		if !full[backend.Service] {
-			return false
-		}
+// preferredZone is this node's as long as it holds the streams itself: bytes
+// between zones are dear. An executor is in its engine's zone. The caller holds
+// the mutex.
+func (r *Runner) preferredZone() string {
+	if r.options.Executors != nil && r.executors.wanted(r.local()) {
+		return ""
 	}
-	return true
-}
-
-func (r *Runner) isIdle(item *openItem, now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.idle(item, now)
-}
-
-// mayStart says whether the leader bears one more run.
-func (r *Runner) mayStart() bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(r.runs) < r.limit.most
+	return r.options.Zone
 }
 
 // launch reads the items of new runs from a state that is surely the newest,
@@ -154,14 +168,8 @@
 	abandon  context.CancelFunc
 }
 
-// start takes an engine with room for batch work for an item; nil if there is
-// none.
-func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, service string) *startedRun {
-	wish := balance.Wish{Service: service, Zone: r.options.Zone, Class: balance.ClassBatch, Former: r.former(item), PromptTokens: item.promptTokens}
-	lease, err := r.options.Balancer.Acquire(ctx, wish, route.Priority, 0)
-	if err != nil {
-		return nil
-	}
+// start prepares the run of an item at the engine of a lease.
+func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, lease *balance.Lease) *startedRun {
 	next := &startedRun{item: item, route: route, engine: lease.Engine, lease: lease}
 	next.ctx, next.cancel = context.WithCancel(ctx)
 	next.calling, next.abandon = context.WithCancel(context.WithoutCancel(ctx))
@@ -194,10 +202,3 @@
 	}
 	return r.options.Executors(engine.Zone)
 }
-
-// former is the engine that ran a part of the item, if one did.
-func (r *Runner) former(item openItem) string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.formers[itemKey{item.job, item.index}]
-}
--- a/internal/batchwork/verdicts_test.go
+++ b/internal/batchwork/verdicts_test.go
@@ -71,7 +71,7 @@
 	left := shard.machine.openItems()
 	g.Expect(left).To(gomega.HaveLen(1))
 	g.Expect(left[0].index).To(gomega.BeEquivalentTo(1))
-	g.Expect(runner.isIdle(&open[0], time.Now())).To(gomega.BeTrue())
+	g.Expect(runner.idle(&open[0], time.Now())).To(gomega.BeTrue())
 	g.Expect(runner.verdicts).To(gomega.BeEmpty())
 }
 
