--- a/internal/ledger/replication/memory.go
+++ b/internal/ledger/replication/memory.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// MemoryStorage is a Storage in memory, for tests and hollow nodes. It keeps
+// MemoryStorage is a Storage in memory, for tests. It keeps
 // what a shell has to keep, and is not safe for concurrent use.
 type MemoryStorage struct {
 	hard    HardState
