--- /dev/null
+++ b/internal/system/loadexchange.go
@@ -0,0 +1,111 @@
+package system
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+// takeLoadReport takes a front node's report and answers it now and then.
+func (d *data) takeLoadReport(from transport.Address, payload []byte) {
+	if d.takeReport(from, payload) && d.answers.due(from, time.Now()) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(time.Now(), d.loadSum))
+	}
+}
+
+// takeLoadAsk takes a front node's report and answers it with the newest sum.
+func (d *data) takeLoadAsk(from transport.Address, payload []byte) {
+	if d.takeReport(from, payload) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.loadSum())
+	}
+}
+
+func (d *data) takeReport(from transport.Address, payload []byte) bool {
+	report, err := balance.UnmarshalReport(payload)
+	if err != nil {
+		eventBadMessage.Error(err, "peer", from)
+		return false
+	}
+	d.exchangeMutex.Lock()
+	d.exchange.Report(from, report, time.Now())
+	d.exchangeMutex.Unlock()
+	d.takeLoad(from, report)
+	return true
+}
+
+// takeLoadShare takes what another data node knows of front nodes, or runs.
+func (d *data) takeLoadShare(from transport.Address, payload []byte) {
+	share, err := loadshare.UnmarshalShare(payload)
+	if err != nil {
+		eventBadMessage.Error(err, "peer", from)
+		return
+	}
+	d.exchangeMutex.Lock()
+	d.exchange.Share(from, share, time.Now())
+	d.exchangeMutex.Unlock()
+	d.takeLoad(from, share.Load)
+}
+
+// takeLoad counts a peer's load, and lets batch work make way for it.
+func (d *data) takeLoad(from transport.Address, load balance.Report) {
+	d.balancer.PeerLoad(string(from), load)
+	if d.runner.Leading() {
+		d.runner.Yield()
+	}
+	select {
+	case d.shareDue <- struct{}{}:
+	default:
+	}
+}
+
+// loadSum encodes the answer to front nodes' reports.
+func (d *data) loadSum() []byte {
+	now := time.Now()
+	d.exchangeMutex.Lock()
+	sum := loadshare.Sum{Fronts: d.exchange.Fronts(now), Complete: d.exchange.Complete(now)}
+	d.exchangeMutex.Unlock()
+	sum.Load = d.balancer.All()
+	return sum.Marshal()
+}
+
+// shareLoad sends this data node's share to those who need it, whenever there is
+// news of load.
+func (d *data) shareLoad() {
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-d.shareDue:
+		}
+		d.sendShares()
+		if !d.rest(loadshare.PressInterval) {
+			return
+		}
+	}
+}
+
+func (d *data) sendShares() {
+	now := time.Now()
+	nodes := d.agent.Nodes()
+	leader, _ := d.ledger.Leader(0)
+	pressed := d.balancer.AnyPressed()
+	d.exchangeMutex.Lock()
+	share := d.exchange.Own(d.balancer.Own(), now)
+	receivers := d.exchange.Due(nodes, leader, pressed, now)
+	lapsed := d.exchange.Lapsed(now)
+	d.exchangeMutex.Unlock()
+	for _, peer := range lapsed {
+		d.balancer.PeerGone(string(peer))
+		eventShareGone.Info("peer", peer)
+	}
+	if len(receivers) == 0 {
+		return
+	}
+	encoded := share.Marshal()
+	for _, receiver := range receivers {
+		// A share that can't be sent is like a lost one; the next is due soon.
+		_ = d.peers.Datagram(receiver, kindLoadShare, encoded)
+	}
+}
