--- a/internal/batchwork/delegate.go
+++ b/internal/batchwork/delegate.go
@@ -48,7 +48,7 @@
 	defer cancel()
 	// If the end doesn't get there, the run ends with its stream; its text is
 	// dropped by the ledger once the item went on elsewhere.
-	_, _ = r.options.Sender.Call(ctx, next.executor, kindStop, marshal(runName{next.number}))
+	_, _ = r.options.Sender.Call(ctx, next.executor, kindStop, marshal(fixedRunName{next.number}))
 	timer := time.NewTimer(stopTime)
 	defer timer.Stop()
 	select {
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -53,6 +53,7 @@
 	running context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
+	ending  sync.WaitGroup // the runs; nothing is added once closed is set
 
 	mutex   sync.Mutex // guards what is below; a leaf
 	closed  bool
@@ -93,16 +94,11 @@
 	for _, end := range ends {
 		end()
 	}
-	for e.Running() > 0 {
-		time.Sleep(drainPoll)
-	}
+	e.ending.Wait()
 	e.cancel()
 	e.tasks.Wait()
 }
 
-// drainPoll is how often Close looks whether runs have ended.
-const drainPoll = 5 * time.Millisecond
-
 // Running is the number of items that run here for leaders.
 func (e *Executor) Running() int {
 	e.mutex.Lock()
@@ -142,6 +138,7 @@
 	}
 	c.runs[run] = end
 	e.count++
+	e.ending.Add(1)
 	return c, nil
 }
 
@@ -167,11 +164,12 @@
 	defer e.mutex.Unlock()
 	delete(c.runs, run)
 	e.count--
+	e.ending.Done()
 }
 
 // handleStop ends a run, also one that comes only later.
 func (e *Executor) handleStop(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
-	var name runName
+	var name fixedRunName
 	if _, err := unmarshal(payload, &name, 0); err != nil {
 		return nil, trace.Wrap(err, "end of a run of peer %s", from)
 	}
--- a/internal/batchwork/runmessage.go
+++ b/internal/batchwork/runmessage.go
@@ -10,7 +10,7 @@
 // Message kinds between the leader and the data nodes that run items for it.
 const (
 	kindRun   transport.Kind = transport.KindBatch + 0x10 + iota // call, held until the run ends
-	kindStop                                                     // one way: end a run
+	kindStop                                                     // call: end a run
 	kindSteps                                                    // call back to the leader: commit steps
 	kindAlive                                                    // one way, back to the leader: runs go on
 )
@@ -104,5 +104,5 @@
 	return result, nil
 }
 
-// runName names a run in the messages that end it.
-type runName struct{ Run uint64 }
+// fixedRunName names a run in the call that ends it.
+type fixedRunName struct{ Run uint64 }
