A run at another data node begins only if its leader still wants it

The leader reads an item from a confirmed state before each run, and the run that it knew of was cut 14 ms after the end; so the late one was an earlier request to another executor, given up by the leader but still on its way (a frame waits in a peer's queue, or in a connection that stood still). Ruled out: a stale leader (bodies go with the end, so that nothing can be read and sent after it); a lost message that ends a run (the run began after the end). Change: an executor asks the leader whether a run is still wanted right before it sends the item: by the run's number, the item's state and the leader's term. One more question a run. A run's number is taken once. Test: TestARequestThatComesLateIsNotRun, seen failing without the question.

--- a/internal/batchwork/delegate.go
+++ b/internal/batchwork/delegate.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// errNotWanted says that a run is not one of this leader's any more.
+var errNotWanted = errors.New("the run is not wanted any more")
+
+// confirmRun answers an executor that is about to begin a run.
+func (r *Runner) confirmRun(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	var asked fixedConfirm
+	fields, err := unmarshal(payload, &asked, 1)
+	if err != nil {
+		return nil, trace.Wrap(err, "question of peer %s", from)
+	}
+	k := itemKey{string(fields[0]), asked.Index}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	run := r.runs[k]
+	wanted := r.term != 0 && run != nil && run.executor == from && run.number == asked.Run && run.ctx.Err() == nil
+	if !wanted || !r.options.Machine.isOpen(k.job, k.index) {
+		return nil, trace.Wrap(errNotWanted)
+	}
+	return nil, nil
+}
+
 // takeSteps commits what runs at another data node yield.
 func (r *Runner) takeSteps(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
 	encoded, err := unmarshal(payload, &fixedSteps{}, -1)
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -25,6 +25,9 @@
 	// executorGather is how long a step waits at an executor for others to be sent
 	// to the leader with it. Results are read twice a second.
 	executorGather = 100 * time.Millisecond
+	// confirmTimeout bounds the question whether a run is still wanted; a leader
+	// that doesn't answer has its item run elsewhere by itself.
+	confirmTimeout = 500 * time.Millisecond
 	// stepsTimeout bounds one call that commits steps.
 	stepsTimeout = 1500 * time.Millisecond
 	// aliveInterval is how often a leader hears that its runs go on.
@@ -33,8 +36,11 @@
 	stopMemory = 2 * time.Second
 )
 
-// errBusy says that a node runs as many items as it may.
-var errBusy = errors.New("this node runs enough items")
+// Refusals of a run.
+var (
+	errBusy = errors.New("this node runs enough items")
+	errRuns = errors.New("this run has begun before")
+)
 
 // ExecutorOptions configure an Executor.
 type ExecutorOptions struct {
@@ -121,11 +127,25 @@
 		return nil, err
 	}
 	defer e.end(c, request.run)
+	if err := e.confirm(ctx, from, request); err != nil {
+		return nil, err
+	}
 	next := &itemRun{node: c.node, item: request.item, engine: request.engine, attempts: request.attempts}
 	result := next.run(ctx, &request.read)
 	return result.marshal(), nil
 }
 
+// confirm asks the leader whether it still wants a run. The request may have been
+// on its way for long, as after a cut: the item may run elsewhere by now, or its
+// job may have ended.
+func (e *Executor) confirm(ctx context.Context, leader transport.Address, request *runRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	question := marshal(fixedConfirm{request.run, request.item.index}, []byte(request.item.job))
+	_, err := e.options.Sender.Call(ctx, leader, kindConfirm, question)
+	return trace.Wrap(err, "confirm the run of item %d of job %s at leader %s", request.item.index, request.item.job, leader)
+}
+
 func (e *Executor) begin(leader transport.Address, run uint64, end context.CancelFunc) (*client, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -133,6 +153,9 @@
 		return nil, trace.Wrap(errBusy)
 	}
 	c := e.client(leader)
+	if c.runs[run] != nil {
+		return nil, trace.Wrap(errRuns)
+	}
 	if _, stopped := c.stopped[run]; stopped {
 		end()
 	}
--- a/internal/batchwork/executor_test.go
+++ b/internal/batchwork/executor_test.go
@@ -312,3 +312,38 @@
 	g.Expect(wanted).To(gomega.HaveLen(1))
 	g.Expect(current.begun).To(gomega.BeTrue())
 }
+
+// TestARequestThatComesLateIsNotRun: a request that was on its way while its run
+// was given up, or its job ended, reaches no engine.
+func TestARequestThatComesLateIsNotRun(t *testing.T) {
+	p := newPair(t, 1000, 20*time.Millisecond)
+	p.submit(1)
+	p.g.Eventually(p.engine.running).Should(gomega.Equal(1))
+	p.runner.mutex.Lock()
+	var current *run
+	for _, one := range p.runner.runs {
+		current = one
+	}
+	stale := runRequest{run: current.number - 1, engine: current.engine, read: Item{ID: "a-0", Path: "/x"}, attempts: 3}
+	p.runner.mutex.Unlock()
+	stale.item = openItem{job: "a", host: "h", giveUp: time.Now().Add(time.Hour)}
+	send := func(request runRequest) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		_, err := p.leading.Call(ctx, p.helping.Address(), kindRun, request.marshal(time.Now()))
+		return err
+	}
+	p.g.Expect(send(stale)).To(gomega.MatchError(gomega.ContainSubstring("not wanted")))
+	doubled := stale
+	doubled.run = current.number
+	p.g.Expect(send(doubled)).To(gomega.MatchError(gomega.ContainSubstring("begun before")))
+	question := marshal(fixedConfirm{current.number, 0}, []byte("a"))
+	_, err := p.runner.confirmRun(context.Background(), p.helping.Address(), question)
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = p.shard.Propose(context.Background(), encodeEnd("a", time.Now()))
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = p.runner.confirmRun(context.Background(), p.helping.Address(), question)
+	p.g.Expect(err).To(gomega.MatchError(errNotWanted), "its job has ended")
+	p.g.Eventually(p.engine.running).Should(gomega.BeZero())
+	p.g.Expect(p.engine.after).To(gomega.HaveLen(1), "only the run that was wanted")
+}
--- a/internal/batchwork/runmessage.go
+++ b/internal/batchwork/runmessage.go
@@ -9,10 +9,11 @@
 
 // Message kinds between the leader and the data nodes that run items for it.
 const (
-	kindRun   transport.Kind = transport.KindBatch + 0x10 + iota // call, held until the run ends
-	kindStop                                                     // call: end a run
-	kindSteps                                                    // call back to the leader: commit steps
-	kindAlive                                                    // one way, back to the leader: runs go on
+	kindRun     transport.Kind = transport.KindBatch + 0x10 + iota // call, held until the run ends
+	kindStop                                                       // call: end a run
+	kindSteps                                                      // call back to the leader: commit steps
+	kindAlive                                                      // one way, back to the leader: runs go on
+	kindConfirm                                                    // call back to the leader: is a run still wanted?
 )
 
 // runRequest asks a data node to run an item.
@@ -106,3 +107,9 @@
 
 // fixedRunName names a run in the call that ends it.
 type fixedRunName struct{ Run uint64 }
+
+// fixedConfirm asks for a run of an item; its field is the job.
+type fixedConfirm struct {
+	Run   uint64
+	Index uint32
+}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -125,10 +125,12 @@
 }
 
 type run struct {
+	ctx    context.Context // ends when the run is cut
 	cancel context.CancelFunc
-	// executor holds the stream; empty if this node does. abandon forgets a run
-	// there without waiting for its last text.
+	// executor holds the stream; empty if this node does. number names the run
+	// there, and abandon forgets it without waiting for its last text.
 	executor transport.Address
+	number   uint64
 	abandon  context.CancelFunc
 
 	engine  catalog.Engine
@@ -153,6 +155,7 @@
 		pool: options.Pool, usable: options.Usable, commit: r.commit, opened: time.Now(), open: options.Machine.isOpen,
 	}
 	if options.Receiver != nil {
+		options.Receiver.HandleCall(kindConfirm, r.confirmRun)
 		options.Receiver.HandleCall(kindSteps, r.takeSteps)
 		options.Receiver.HandleMessage(kindAlive, r.takeAlive)
 	}
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -186,7 +186,7 @@
 		r.executors.begin(executor, now)
 	}
 	r.runs[k] = &run{
-		cancel: next.cancel, executor: next.executor, abandon: next.abandon, engine: lease.Engine, lease: lease, started: now,
+		ctx: next.ctx, cancel: next.cancel, executor: next.executor, number: next.number, abandon: next.abandon, engine: lease.Engine, lease: lease, started: now,
 	}
 	return next
 }
