An executor keeps no list of runs that ended before they came

Cause: the list was made for an end that overtakes its run's request. Since executors ask the leader before each run, such a run isn't confirmed: the leader has cut it before it sends the end. So the list was state for a case that the general mechanism covers. Ruled out: a gap between both. A run is entered before the leader is asked, so that an end that comes after that finds it, and one that came before is known at the leader. Change: the list, its bound and its pruning go; no behaviour changes, no test was touched.

--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -32,8 +32,6 @@
 	stepsTimeout = 1500 * time.Millisecond
 	// aliveInterval is how often a leader hears that its runs go on.
 	aliveInterval = 300 * time.Millisecond
-	// stopMemory is how long the end of a run is remembered that hasn't arrived yet.
-	stopMemory = 2 * time.Second
 )
 
 // Refusals of a run.
@@ -73,7 +71,6 @@
 	node     *runNode
 	gatherer *gatherer
 	runs     map[uint64]context.CancelFunc // guarded by the executor's mutex
-	stopped  map[uint64]time.Time          // ends that came before their runs
 }
 
 // NewExecutor registers the handlers; runs come once the receiver serves.
@@ -156,9 +153,6 @@
 	if c.runs[run] != nil {
 		return nil, trace.Wrap(errRuns)
 	}
-	if _, stopped := c.stopped[run]; stopped {
-		end()
-	}
 	c.runs[run] = end
 	e.count++
 	e.ending.Add(1)
@@ -171,7 +165,7 @@
 	if c != nil {
 		return c
 	}
-	c = &client{leader: leader, runs: map[uint64]context.CancelFunc{}, stopped: map[uint64]time.Time{}}
+	c = &client{leader: leader, runs: map[uint64]context.CancelFunc{}}
 	c.gatherer = newGatherer(executorGather, func(ctx context.Context, steps []step) error { return e.hand(ctx, c, steps) })
 	c.node = &runNode{
 		pool: e.options.Pool, usable: e.options.Usable, commit: c.commit, opened: time.Now(),
@@ -190,7 +184,8 @@
 	e.ending.Done()
 }
 
-// handleStop ends a run, also one that comes only later.
+// handleStop ends a run. One whose request comes only later isn't begun, as the
+// leader doesn't confirm it.
 func (e *Executor) handleStop(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
 	var name fixedRunName
 	if _, err := unmarshal(payload, &name, 0); err != nil {
@@ -198,17 +193,8 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	c := e.client(from)
-	now := time.Now()
-	for run, at := range c.stopped {
-		if now.Sub(at) > stopMemory {
-			delete(c.stopped, run)
-		}
-	}
-	if end := c.runs[name.Run]; end != nil {
+	if end := e.client(from).runs[name.Run]; end != nil {
 		end()
-	} else {
-		c.stopped[name.Run] = now
 	}
 	return nil, nil
 }
