Limits of tenants hold over all nodes together

Cause: nothing on the platform path knew a tenant's rate and burst (QUOTA). Change: package quota (pure: Limiter at front nodes, Collector at data nodes), its shell in system, 429 with a Retry-After that lets refused callers return one after the other at the rate at which the allowance comes back, event 2304. A request that reached no engine doesn't count. Settings quota.*.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -97,7 +97,6 @@
 
 	tenants []Tenant
 	keys    map[apikey.Hash]*Tenant // nil if callers need no key
-	names   map[string]*Tenant
 }
 
 // Match returns the route of the host with the longest prefix that begins the
--- a/internal/catalog/tenants.go
+++ b/internal/catalog/tenants.go
@@ -1,7 +1,7 @@
 package catalog
 
 import (
-	"time"
+	"iter"
 
 	"chutelock.dev/chutelock/internal/apikey"
 )
@@ -24,19 +24,14 @@
 // Limited says whether there is a bound on the tenant's requests.
 func (t *Tenant) Limited() bool { return t != nil && t.Rate > 0 }
 
-// Within is the number of requests that the tenant may make within a span of time.
-func (t *Tenant) Within(span time.Duration) float64 { return t.Rate*span.Seconds() + t.Burst }
-
 // SetTenants makes the configuration ask for a key of one of the tenants on each
 // route that is not public. A key that stands with several tenants is the last
 // one's.
 func (c *Configuration) SetTenants(tenants []Tenant) {
 	c.tenants = tenants
 	c.keys = make(map[apikey.Hash]*Tenant, len(tenants))
-	c.names = make(map[string]*Tenant, len(tenants))
 	for i := range tenants {
 		tenant := &tenants[i]
-		c.names[tenant.Name] = tenant
 		for _, key := range tenant.Keys {
 			c.keys[key] = tenant
 		}
@@ -46,20 +41,23 @@
 // Keyed says whether callers need a key.
 func (c *Configuration) Keyed() bool { return c.keys != nil }
 
-// Tenants is the number of tenants.
-func (c *Configuration) Tenants() int { return len(c.tenants) }
+// EachTenant goes through the tenants in their order.
+func (c *Configuration) EachTenant() iter.Seq[*Tenant] {
+	return func(yield func(*Tenant) bool) {
+		if c == nil {
+			return
+		}
+		for i := range c.tenants {
+			if !yield(&c.tenants[i]) {
+				return
+			}
+		}
+	}
+}
 
 // TenantOf returns the tenant that holds a key, or nil.
 func (c *Configuration) TenantOf(key apikey.Hash) *Tenant { return c.keys[key] }
 
-// Tenant returns the tenant of the name, or nil.
-func (c *Configuration) Tenant(name string) *Tenant {
-	if c == nil {
-		return nil
-	}
-	return c.names[name]
-}
-
 // PriorityOf is the rank of a tenant's requests on a route; tenant may be nil.
 func (r *Route) PriorityOf(tenant *Tenant) int {
 	if tenant != nil && tenant.Ranked {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Ledger   Ledger   `koanf:"ledger"`
 	Memory   Memory   `koanf:"memory"`
 	Batch    Batch    `koanf:"batch"`
+	Quota    Quota    `koanf:"quota"`
 }
 
 // Batch bounds what is kept of batch jobs on a platform of objects, and what their
@@ -131,6 +132,17 @@
 	DialectObjects = "objects"
 )
 
+// Quota says how limits on tenants' requests are measured, over all nodes together.
+type Quota struct {
+	// Window is the span within which a limit holds: its rate times the window, and
+	// its burst beyond.
+	Window time.Duration `koanf:"window" validate:"min=1s,max=10m"`
+	// Overage and Slack are how much more may be let through while nodes hear late of
+	// each other: a share of the limit, and requests.
+	Overage float64 `koanf:"overage" validate:"min=0,max=1"`
+	Slack   float64 `koanf:"slack" validate:"min=0"`
+}
+
 // Data is the folder for bulk data; empty means that the node keeps nothing.
 type Data struct {
 	Folder string `koanf:"folder"`
@@ -180,6 +192,9 @@
 	"platform.apply":       "2s",
 	"platform.leave":       "2s",
 	"platform.revoke":      "0s",
+	"quota.window":         "5s",
+	"quota.overage":        0.1,
+	"quota.slack":          20,
 	"batch.keep":           "24h",
 	// A stream costs a leader several messages a second: 0.48 of a core gives out
 	// at some 300 besides the rest (docs/CAPACITY.md).
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -5,8 +5,13 @@
 
 	"chutelock.dev/chutelock/internal/apikey"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/quota"
+	"chutelock.dev/chutelock/internal/telemetry"
 )
 
+var eventLimited = telemetry.Define(2304, "request-limited", "A tenant's request was turned away, as the tenant is at its limit over all nodes; says what was counted and how old that was.")
+
 // caller is whose request it is: a tenant, or nobody in particular where no key is
 // needed.
 type caller struct{ tenant *catalog.Tenant }
@@ -51,6 +56,18 @@
 	return caller{}, false
 }
 
+// fits answers a request that is beyond its tenant's limit, and returns false then.
+func (e *Edge) fits(w http.ResponseWriter, r *http.Request, tenant *catalog.Tenant, request *forward.Request) bool {
+	decision := e.Admit(r.Context(), tenant)
+	if decision.Verdict == quota.Admitted {
+		return true
+	}
+	eventLimited.Info("request", request.ID, "tenant", tenant.Name, "rate", tenant.Rate, "burst", tenant.Burst,
+		"own", decision.Own, "others", decision.Others, "bound", decision.Bound, "age", decision.Age, "come_back", decision.ComeBack)
+	answerLater(w, http.StatusTooManyRequests, "the tenant is at its limit; the request has not run", decision.ComeBack)
+	return false
+}
+
 // openCall says whether a call about batch jobs may come without a key: some batch
 // route of the host is public.
 func openCall(configuration *catalog.Configuration, host string) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -82,8 +83,12 @@
 	// that was taken away since must not work any more.
 	Lapsed    func() bool
 	Forwarder *forward.Forwarder
-	Jobs      Jobs
-	inFlight  atomic.Int64
+	// Admit decides whether a request fits its tenant's limit, and Withdraw takes one
+	// back that was admitted at a time and reached no engine.
+	Admit    func(ctx context.Context, tenant *catalog.Tenant) quota.Decision
+	Withdraw func(tenant *catalog.Tenant, admitted time.Time)
+	Jobs     Jobs
+	inFlight atomic.Int64
 }
 
 // InFlight is the number of requests that are being answered.
@@ -133,7 +138,14 @@
 		return
 	}
 	request.Body = body
-	e.forward(w, r, route, &request)
+	admitted := time.Now()
+	if from.tenant.Limited() && !e.fits(w, r, from.tenant, &request) {
+		return
+	}
+	sent := e.forward(w, r, route, &request)
+	if from.tenant.Limited() && !sent {
+		e.Withdraw(from.tenant, admitted)
+	}
 }
 
 // headerBytes is the size of a head as it came, nearly.
@@ -155,8 +167,19 @@
 // answer writes a short answer of the system's own.
 func answer(w http.ResponseWriter, status int, reason string) {
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		setRetryAfter(w, comeBack)
+		answerLater(w, status, reason, comeBack)
+		return
 	}
+	write(w, status, reason)
+}
+
+// answerLater is answer with the time after which the caller may come back.
+func answerLater(w http.ResponseWriter, status int, reason string, after time.Duration) {
+	setRetryAfter(w, after)
+	write(w, status, reason)
+}
+
+func write(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
 	w.WriteHeader(status)
@@ -207,17 +230,18 @@
 	_ = controller.SetReadDeadline(time.Time{})
 }
 
-func (e *Edge) forward(w http.ResponseWriter, r *http.Request, route *catalog.Route, request *forward.Request) {
+func (e *Edge) forward(w http.ResponseWriter, r *http.Request, route *catalog.Route, request *forward.Request) (sent bool) {
 	request.Header = endToEnd(r.Header)
 	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
 	if !request.Deadline.IsZero() {
 		_ = sink.controller.SetWriteDeadline(request.Deadline.Add(writeSlack))
 	}
-	e.Forwarder.Serve(r.Context(), request, route, sink)
+	sent = e.Forwarder.Serve(r.Context(), request, route, sink)
 	if sink.aborted {
 		panic(http.ErrAbortHandler)
 	}
 	_ = sink.controller.SetWriteDeadline(time.Time{})
+	return sent
 }
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -92,8 +92,8 @@
 }
 
 // Serve takes a request to engines until its sink has an answer. ctx ends when
-// the caller leaves.
-func (f *Forwarder) Serve(ctx context.Context, request *Request, route *catalog.Route, sink Sink) {
+// the caller leaves. It returns whether any engine may have seen the request.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, route *catalog.Route, sink Sink) (sent bool) {
 	fl := &flight{
 		Forwarder: f, request: request, route: route, sink: sink, attempts: NewAttempts(route),
 		deadline: request.Deadline, service: f.Balancer.Service(route), lastEvent: request.LastEvent,
@@ -111,6 +111,7 @@
 	}
 	fl.run(ctx)
 	fl.observe()
+	return fl.tries > 0
 }
 
 func (fl *flight) run(ctx context.Context) {
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,410 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	bounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+)
+
+// broken is the number of requests in any window beyond which a limit is broken.
+func (b Bounds) broken(limit Limit) float64 {
+	return (limit.Rate*b.Window.Seconds()+limit.Burst)*(1+b.Overage) + b.Slack
+}
+
+func TestAWindowSlides(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := window{span: 5 * time.Second}
+		var events []time.Time
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			w.add(now)
+			events = append(events, now)
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "rest")) * time.Millisecond)
+		inside, almost := 0, 0
+		for _, at := range events {
+			age := now.Sub(at)
+			if age < 5*time.Second {
+				inside++
+			}
+			if age > 5*time.Second-250*time.Millisecond && age < 5*time.Second+250*time.Millisecond {
+				almost++
+			}
+		}
+		if got := w.count(now); got < float64(inside-almost)-1e-9 || got > float64(inside+almost)+1e-9 {
+			t.Fatalf("count %v, %d inside, %d at the edge", got, inside, almost)
+		}
+	})
+}
+
+func TestAClockThatGoesBackFreesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := window{span: 5 * time.Second}
+	for range 10 {
+		w.add(start)
+	}
+	g.Expect(w.count(start.Add(-time.Minute))).To(gomega.BeNumerically(">=", 9))
+	w.add(start.Add(-time.Minute))
+	g.Expect(w.count(start)).To(gomega.BeNumerically("~", 11, 1e-9))
+}
+
+func TestMessagesKeepTheirContent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	counts := Counts{1: {Admitted: 2.25, Asked: 7}, 2: {Admitted: 16000, Asked: 65000}}
+	report, err := UnmarshalReport(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}}.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(report).To(gomega.Equal(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}}))
+	share, err := UnmarshalShare(Share{Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(share).To(gomega.Equal(Share{Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}))
+	many := Counts{}
+	for i := range 1000 {
+		many[Key(i)] = Count{Admitted: float64(i)}
+	}
+	encoded := Share{Zone: "a-zone-of-some-length", Counts: many, Yours: many}.Marshal()
+	g.Expect(len(encoded)).To(gomega.BeNumerically("<=", transport.MaxDatagram))
+	sum, err := UnmarshalSum(Sum{Life: 4, Counts: many}.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(sum.Life).To(gomega.BeEquivalentTo(4))
+	g.Expect(sum.Counts).To(gomega.HaveLen(countsMost))
+	g.Expect(sum.Counts).To(gomega.HaveKey(Key(999)))
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(Report{Life: 9, Counts: Counts{1: {2, 3}}}.Marshal())
+	f.Add(Share{Zone: "z", Counts: Counts{1: {2, 3}}}.Marshal())
+	f.Add(Sum{Counts: Counts{1: {2, 3}}}.Marshal())
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		if report, err := UnmarshalReport(encoded); err == nil && len(report.Counts) <= countsMost {
+			if _, err := UnmarshalReport(report.Marshal()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, _ = UnmarshalShare(encoded)
+		_, _ = UnmarshalSum(encoded)
+	})
+}
+
+// fleet plays front nodes and a data node a zone in virtual time.
+type fleet struct {
+	random     *rand.Rand
+	now        time.Time
+	fronts     []*frontNode
+	relays     []*Collector
+	relayNames []transport.Address
+	limit      Limit
+	lost       float64 // share of the datagrams that are lost
+	split      bool    // the first zone and the others don't hear each other
+	// admitted are the times of the requests let through, by tenant.
+	admitted map[Key][]time.Time
+	refused  map[Key]int
+	bytes    map[string]int
+	delayed  []delayed
+}
+
+type frontNode struct {
+	limiter *Limiter
+	zone    int
+	life    uint32
+	name    transport.Address
+	cut     bool
+	asleep  bool
+}
+
+type delayed struct {
+	at time.Time
+	do func()
+}
+
+const (
+	reportEach = 80 * time.Millisecond
+	inZone     = time.Millisecond
+	betweenAll = 3 * time.Millisecond
+)
+
+func newFleet(seed uint64, fronts, zones int, limit Limit) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 7)), now: start, limit: limit, admitted: map[Key][]time.Time{},
+		refused: map[Key]int{}, bytes: map[string]int{},
+	}
+	for zone := range zones {
+		f.relays = append(f.relays, NewCollector(fmt.Sprint("z", zone), bounds.Window, f.random.Uint32()))
+		f.relayNames = append(f.relayNames, transport.Address(fmt.Sprint("relay", zone)))
+	}
+	for i := range fronts {
+		f.fronts = append(f.fronts, &frontNode{
+			limiter: NewLimiter(bounds), zone: i % zones, life: f.random.Uint32(), name: transport.Address(fmt.Sprint("front", i)),
+		})
+	}
+	return f
+}
+
+func (f *fleet) send(kind string, size int, after time.Duration, do func()) {
+	f.bytes[kind] += size
+	if f.random.Float64() < f.lost {
+		return
+	}
+	f.delayed = append(f.delayed, delayed{f.now.Add(after), do})
+}
+
+// report sends a front node's counts and takes the sum that comes back.
+func (f *fleet) report(front *frontNode) {
+	if front.cut {
+		return
+	}
+	report := front.limiter.Report(front.life, f.relayNames[front.zone], f.now)
+	relay := f.relays[front.zone]
+	f.send("report", len(report.Marshal()), inZone, func() {
+		if f.relays[front.zone] != relay {
+			return
+		}
+		relay.Report(front.name, report, f.now)
+		sum := relay.Sum(front.name, func(Key) float64 { return bounds.Of(f.limit) }, f.now)
+		f.send("sum", len(sum.Marshal()), inZone, func() {
+			if !front.cut {
+				front.limiter.Heard(sum, f.now)
+			}
+		})
+	})
+}
+
+func (f *fleet) share() {
+	for from, relay := range f.relays {
+		for to := range f.relays {
+			if from == to || (f.split && (from == 0) != (to == 0)) {
+				continue
+			}
+			if share, some := relay.ShareFor(fmt.Sprint("z", to), f.now); some {
+				receiver := f.relays[to]
+				f.send("share", len(share.Marshal()), betweenAll, func() { receiver.Share(f.relayNames[from], share, f.now) })
+			}
+		}
+	}
+}
+
+// ask is one request of a tenant at a front node.
+func (f *fleet) ask(front *frontNode, key Key) {
+	if front.asleep {
+		return
+	}
+	decision := front.limiter.Check(key, f.limit, false, f.now, f.random.Float64)
+	if decision.Verdict != Unsure {
+		f.note(key, decision)
+		return
+	}
+	f.report(front)
+	f.delayed = append(f.delayed, delayed{f.now.Add(5 * time.Millisecond), func() {
+		f.note(key, front.limiter.Check(key, f.limit, true, f.now, f.random.Float64))
+	}})
+}
+
+func (f *fleet) note(key Key, decision Decision) {
+	if decision.Verdict == Admitted {
+		f.admitted[key] = append(f.admitted[key], f.now)
+	} else {
+		f.refused[key]++
+	}
+}
+
+// play runs for some time, each tenant asking so many times a second.
+func (f *fleet) play(length time.Duration, rates map[Key]float64) {
+	const tick = time.Millisecond
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(tick) {
+		waiting := f.delayed
+		f.delayed = nil
+		for _, one := range waiting {
+			if one.at.After(f.now) {
+				f.delayed = append(f.delayed, one)
+			} else {
+				one.do()
+			}
+		}
+		if f.now.Sub(start)%reportEach == 0 {
+			for _, front := range f.fronts {
+				if front.limiter.Due(f.now) {
+					f.report(front)
+				}
+			}
+			f.share()
+		}
+		for key, perSecond := range rates {
+			for expected := perSecond * tick.Seconds(); expected > 0; expected-- {
+				if f.random.Float64() < expected {
+					f.ask(f.fronts[f.random.IntN(len(f.fronts))], key)
+				}
+			}
+		}
+	}
+}
+
+// worst is the most requests of a tenant within any window.
+func (f *fleet) worst(key Key) int {
+	worst, first := 0, 0
+	times := f.admitted[key]
+	for last := range times {
+		for times[last].Sub(times[first]) >= bounds.Window {
+			first++
+		}
+		worst = max(worst, last-first+1)
+	}
+	return worst
+}
+
+// crash restarts a front node, which comes back without its counts.
+func (f *fleet) crash(front *frontNode) {
+	front.limiter, front.life = NewLimiter(bounds), f.random.Uint32()
+}
+
+// crashRelay lets another data node take a relay's place.
+func (f *fleet) crashRelay(zone int) {
+	f.relays[zone] = NewCollector(fmt.Sprint("z", zone), bounds.Window, f.random.Uint32())
+	f.relayNames[zone] += "x"
+}
+
+// What is asked at ten times a limit stays below its bound, and near the limit.
+func TestALimitHoldsOverManyNodes(t *testing.T) {
+	for _, one := range []struct {
+		fronts, zones int
+		limit         Limit
+		times         float64
+	}{
+		{9, 3, Limit{Rate: 20, Burst: 10}, 10}, {51, 3, Limit{Rate: 125, Burst: 125}, 10}, {51, 3, Limit{Rate: 8, Burst: 8}, 10},
+		{51, 3, Limit{Rate: 1, Burst: 0}, 50}, {295, 5, Limit{Rate: 125, Burst: 125}, 10}, {490, 13, Limit{Rate: 60, Burst: 30}, 10},
+	} {
+		f := newFleet(1, one.fronts, one.zones, one.limit)
+		f.lost = 0.01
+		f.play(15*time.Second, map[Key]float64{1: one.times * one.limit.Rate})
+		worst, exact := float64(f.worst(1)), one.limit.Rate*5+one.limit.Burst
+		t.Logf("%d fronts, %d zones, %+v at %v times: worst window %v of %v, bound %v, let through %d in 15 s; bytes %v",
+			one.fronts, one.zones, one.limit, one.times, worst, exact, bounds.broken(one.limit), len(f.admitted[1]), f.bytes)
+		if worst > bounds.broken(one.limit) {
+			t.Errorf("broken: %v", worst)
+		}
+		if float64(len(f.admitted[1])) < 0.9*one.limit.Rate*15 {
+			t.Errorf("%d let through", len(f.admitted[1]))
+		}
+	}
+}
+
+// What fits is never refused, also while a tenant beside it asks for ten times its
+// limit, and while data nodes are replaced.
+func TestWhatFitsIsNotRefused(t *testing.T) {
+	f := newFleet(2, 51, 3, Limit{Rate: 8, Burst: 8})
+	f.lost = 0.01
+	f.play(6*time.Second, map[Key]float64{1: 80, 2: 5, 3: 1})
+	f.crashRelay(0)
+	f.play(6*time.Second, map[Key]float64{1: 80, 2: 5, 3: 1})
+	if f.refused[2]+f.refused[3] > 0 {
+		t.Fatalf("refused %v", f.refused)
+	}
+}
+
+// Nodes that are killed together, data nodes among them, bring no new allowance.
+func TestALimitHoldsThroughHerdKills(t *testing.T) {
+	for seed := range uint64(24) {
+		limit := Limit{Rate: 125, Burst: 125}
+		f := newFleet(seed, 51, 3, limit)
+		f.play(6*time.Second, map[Key]float64{1: 600})
+		for _, front := range f.fronts {
+			if f.random.Float64() < 0.55 {
+				f.crash(front)
+			}
+		}
+		for zone := range f.relays {
+			if f.random.Float64() < 0.55 {
+				f.crashRelay(zone)
+			}
+		}
+		f.play(8*time.Second, map[Key]float64{1: 600})
+		if float64(f.worst(1)) > bounds.broken(limit) {
+			t.Errorf("seed %d: worst window %d, bound %v", seed, f.worst(1), bounds.broken(limit))
+		}
+	}
+}
+
+// Nodes that are cut off keep to their part.
+func TestALimitHoldsAtNodesThatHearNobody(t *testing.T) {
+	for _, share := range []float64{0.17, 0.35, 1} {
+		limit := Limit{Rate: 125, Burst: 125}
+		f := newFleet(3, 51, 3, limit)
+		f.play(4*time.Second, map[Key]float64{1: 90})
+		for i, front := range f.fronts {
+			front.cut = float64(i) < share*float64(len(f.fronts))
+		}
+		f.play(8*time.Second, map[Key]float64{1: 600})
+		for _, front := range f.fronts {
+			front.cut = false
+		}
+		f.play(6*time.Second, map[Key]float64{1: 600})
+		t.Logf("%v cut off: worst window %d, bound %v", share, f.worst(1), bounds.broken(limit))
+		if float64(f.worst(1)) > bounds.broken(limit) {
+			t.Errorf("%v cut off: worst window %d, bound %v", share, f.worst(1), bounds.broken(limit))
+		}
+	}
+}
+
+// Zones that can't hear each other share what is free of a limit out.
+func TestALimitHoldsInSplitZones(t *testing.T) {
+	for _, before := range []float64{20, 90, 600} {
+		limit := Limit{Rate: 125, Burst: 125}
+		f := newFleet(5, 51, 3, limit)
+		f.play(6*time.Second, map[Key]float64{1: before})
+		f.split = true
+		f.play(6*time.Second, map[Key]float64{1: 600})
+		f.split = false
+		f.play(6*time.Second, map[Key]float64{1: 600})
+		t.Logf("%v a second before: worst window %d, bound %v", before, f.worst(1), bounds.broken(limit))
+		if float64(f.worst(1)) > bounds.broken(limit) {
+			t.Errorf("%v a second before: worst window %d, bound %v", before, f.worst(1), bounds.broken(limit))
+		}
+	}
+}
+
+// A limit that falls far below what is sent binds within a window.
+func TestALimitThatFallsBinds(t *testing.T) {
+	f := newFleet(4, 51, 3, Limit{Rate: 125, Burst: 125})
+	f.play(6*time.Second, map[Key]float64{1: 100})
+	f.limit = Limit{Rate: 10, Burst: 10}
+	f.play(5*time.Second, map[Key]float64{1: 100})
+	f.admitted = map[Key][]time.Time{}
+	f.play(10*time.Second, map[Key]float64{1: 100})
+	if float64(f.worst(1)) > bounds.broken(f.limit) {
+		t.Fatalf("worst window %d, bound %v", f.worst(1), bounds.broken(f.limit))
+	}
+	if f.worst(1) < 50 {
+		t.Fatalf("worst window %d", f.worst(1))
+	}
+}
+
+// Refused callers are told to come back one after the other.
+func TestRefusedCallersReturnInTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := NewLimiter(bounds)
+	limit := Limit{Rate: 2, Burst: 0}
+	l.Heard(Sum{Counts: Counts{}}, start)
+	var returns []time.Duration
+	for range 25 {
+		d := l.Check(1, limit, false, start, rand.Float64)
+		if d.Verdict == Refused {
+			returns = append(returns, d.ComeBack)
+		}
+	}
+	g.Expect(returns).NotTo(gomega.BeEmpty())
+	g.Expect(returns[0]).To(gomega.BeNumerically("~", 500*time.Millisecond, time.Millisecond))
+	g.Expect(returns[1]).To(gomega.BeNumerically("~", time.Second, time.Millisecond))
+	for _, after := range returns {
+		g.Expect(after).To(gomega.BeNumerically("<=", returnMost))
+	}
+}
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -27,6 +27,8 @@
 	answers  paces  // of load reports
 	sum      cached // of them
 
+	quotas *quotaExchange
+
 	exchangeMutex sync.Mutex // guards exchange; a leaf
 	exchange      *loadshare.Exchange
 	shareDue      chan struct{} // of capacity 1: there is news of load
@@ -68,6 +70,9 @@
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
 	d.peers.HandleDatagram(kindLoadAsk, d.takeLoadAsk)
 	d.peers.HandleDatagram(kindLoadShare, d.takeLoadShare)
+	d.quotas = newQuotaExchange(settings, d.peers, d.facts.Snapshot)
+	d.peers.HandleDatagram(kindQuotaReport, d.quotas.takeReport)
+	d.peers.HandleDatagram(kindQuotaShare, d.quotas.takeShare)
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: d.localShard, Machine: d.machine, Scarce: d.ledger.Scarce, Receiver: d.peers,
 		Replicas: func() []transport.Address { return d.ledger.Replicas(0) },
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -41,6 +41,7 @@
 	callers   *http.Server
 	readiness *http.Server
 	draining  atomic.Bool
+	limits    *limits
 
 	choiceMutex sync.Mutex // guards what is below; the balancer's is taken under it
 	choice      *loadshare.Choice
@@ -61,7 +62,9 @@
 	if f.ledger, err = replica.Open(options); err != nil {
 		return nil, err
 	}
+	f.limits = newLimits(settings.Quota, f.peers, f.reportReceiver)
 	f.edge = &edge.Edge{
+		Admit: f.limits.admit, Withdraw: f.limits.withdraw,
 		Dialect:  adapter.Callers,
 		Snapshot: f.facts.Snapshot,
 		Current:  func() bool { return f.configurationAge() <= settings.Platform.Apply },
@@ -82,6 +85,7 @@
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	f.peers.HandleDatagram(kindLoadSum, f.takeLoadSum)
+	f.peers.HandleDatagram(kindQuotaSum, f.limits.takeSum)
 	return f, nil
 }
 
--- a/internal/system/loadexchange.go
+++ b/internal/system/loadexchange.go
@@ -5,6 +5,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -104,8 +105,18 @@
 		return
 	}
 	encoded := share.Marshal()
+	zones := zonesOf(nodes)
 	for _, receiver := range receivers {
 		// A share that can't be sent is like a lost one; the next is due soon.
 		_ = d.peers.Datagram(receiver, kindLoadShare, encoded)
+		d.quotas.share(receiver, zones[receiver])
 	}
 }
+
+func zonesOf(nodes []mirror.Node) map[transport.Address]string {
+	zones := make(map[transport.Address]string, len(nodes))
+	for _, node := range nodes {
+		zones[node.Address] = node.Zone
+	}
+	return zones
+}
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -6,16 +6,20 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
 // Datagrams between nodes about load; see package loadshare.
 const (
-	kindLoadReport transport.Kind = transport.KindLoad + iota // a front node's balance.Report
-	kindLoadSum                                               // loadshare.Sum
-	kindLoadShare                                             // loadshare.Share
-	kindLoadAsk                                               // a balance.Report that is answered at once
+	kindLoadReport  transport.Kind = transport.KindLoad + iota // a front node's balance.Report
+	kindLoadSum                                                // loadshare.Sum
+	kindLoadShare                                              // loadshare.Share
+	kindLoadAsk                                                // a balance.Report that is answered at once
+	kindQuotaReport                                            // a front node's quota.Report; answered at once
+	kindQuotaSum                                               // quota.Sum
+	kindQuotaShare                                             // quota.Share
 )
 
 const (
@@ -58,6 +62,7 @@
 		case <-ticker.C:
 		case <-f.balancer.Pressed():
 		}
+		f.limits.reportDue()
 		own := f.balancer.Own()
 		if len(own) == 0 {
 			idle++
@@ -81,14 +86,10 @@
 	nodes := f.agent.Nodes()
 	f.choiceMutex.Lock()
 	defer f.choiceMutex.Unlock()
-	to, known := f.choice.Pick(nodes, leader, time.Now())
+	to, known := f.pick(nodes, leader)
 	if !known {
 		return nil
 	}
-	if to != f.reportsTo {
-		f.reportsTo = to
-		eventReportsTo.Info("peer", to, "leads", to == leader)
-	}
 	f.reported = own
 	// A report that can't be sent is like a lost one: the choice notes that no
 	// sum comes back.
@@ -96,6 +97,28 @@
 	return f.nextSum
 }
 
+// pick chooses the data node that takes reports; the caller holds choiceMutex.
+func (f *front) pick(nodes []mirror.Node, leader transport.Address) (transport.Address, bool) {
+	to, known := f.choice.Pick(nodes, leader, time.Now())
+	if known && to != f.reportsTo {
+		f.reportsTo = to
+		eventReportsTo.Info("peer", to, "leads", to == leader)
+	}
+	return to, known
+}
+
+// reportReceiver is the data node that takes reports, chosen if none is yet.
+func (f *front) reportReceiver() (transport.Address, bool) {
+	leader, _ := f.ledger.Leader(0)
+	nodes := f.agent.Nodes()
+	f.choiceMutex.Lock()
+	defer f.choiceMutex.Unlock()
+	if f.reportsTo != "" {
+		return f.reportsTo, true
+	}
+	return f.pick(nodes, leader)
+}
+
 // refreshLoad gets the newest sum before an engine is chosen. By sums that are a
 // report's interval old, many front nodes take the same engine for the idlest.
 func (f *front) refreshLoad(ctx context.Context) {
