A front node that goes over to another data node counts once

Front nodes of a zone went from one data node to another and back each two seconds, as one was dead and one cut off; each that had taken their reports kept room for them for ten seconds, and what front nodes remember of others counted on top each time. Ruled out: rolling restarts (a restarted node's former life is counted rightly). Change: the data node that is left is told; what is remembered counts only where it is more than what is known. Test: TestFrontNodesThatMoveCountOnce; the other tests in virtual time hold.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -27,7 +27,7 @@
 	// echo is what data nodes of other zones remember of this one, and remembered what
 	// front nodes do of all from the node that took their reports before.
 	echo, remembered heard
-	// first are the counts of nodes as they were first heard meanwhile.
+	// first is what was known here when front nodes told that last.
 	first heard
 }
 
@@ -62,18 +62,39 @@
 
 // Report takes a front node's report.
 func (c *Collector) Report(from transport.Address, report Report, now time.Time) {
-	life := source{from, report.Life}
-	_, known := c.reports[life]
-	c.reports[life] = heard{now, report.Counts}
-	if len(report.Others) == 0 {
+	name := source{from, report.Life}
+	if report.Gone {
+		delete(c.reports, name)
 		return
 	}
-	others := c.remembered.left(c.window, now)
-	others.raise(report.Others)
-	c.remembered = heard{now, others}
-	if !known {
+	_, known := c.reports[name]
+	c.reports[name] = heard{now, report.Counts}
+	if len(report.Others) > 0 {
+		c.learn(report, !known, now)
+	}
+}
+
+// learn takes what a front node remembers of others, if it is more than is known here.
+// What a node had when it was first heard is part of that, and not new.
+func (c *Collector) learn(report Report, first bool, now time.Time) {
+	if first {
 		c.addFirst(report.Counts, now)
 	}
+	present := c.known("", nil, now)
+	present.raise(c.former(present, now))
+	for key, count := range report.Others {
+		if count.Admitted > present[key].Admitted {
+			present.raise(report.Others)
+			c.remembered, c.first = heard{now, present}, heard{now, c.known("", nil, now)}
+			return
+		}
+	}
+}
+
+func (c *Collector) addFirst(counts Counts, now time.Time) {
+	first := c.first.left(c.window, now)
+	first.add(counts, 1, 0)
+	c.first = heard{now, first}
 }
 
 // Share takes another data node's share.
@@ -87,12 +108,6 @@
 	}
 }
 
-func (c *Collector) addFirst(counts Counts, now time.Time) {
-	first := c.first.left(c.window, now)
-	first.add(counts, 1, 0)
-	c.first = heard{now, first}
-}
-
 // Sum returns what all front nodes but one let through. Where a data node took
 // another one's place, front nodes that reported to both count twice until the older
 // report runs out: a tenant near its limit gets a little less for that long, where it
@@ -101,6 +116,14 @@
 // bound is the most that a tenant may be let through. A zone of which nobody is heard
 // may be cut off and not down, and takes its part of it meanwhile.
 func (c *Collector) Sum(but transport.Address, bound func(Key) float64, now time.Time) Sum {
+	sum := c.known(but, bound, now)
+	sum.raise(c.former(sum, now))
+	return Sum{Life: c.life, Counts: sum}
+}
+
+// known adds up what was reported and shared. Without bound, zones that aren't heard
+// count by what they told last.
+func (c *Collector) known(but transport.Address, bound func(Key) float64, now time.Time) Counts {
 	sum, inZone := c.own(but, now), Counts{}
 	zones, silent := c.zones(now)
 	others := map[string]Counts{}
@@ -117,20 +140,21 @@
 	inZone.raise(c.echoed(now))
 	sum.add(inZone, 1, 0)
 	for zone, counts := range others {
-		if !silent[zone] {
+		if !silent[zone] || bound == nil {
 			sum.add(counts, 1, 0)
 		}
 	}
+	if bound == nil {
+		return sum
+	}
 	for zone := range silent {
 		sum.addSilent(others[zone], bound, 1/float64(zones))
 	}
-	sum.raise(c.former(sum, now))
-	return Sum{Life: c.life, Counts: sum}
+	return sum
 }
 
 // former returns what front nodes remember of the time before this node took their
-// reports, with what was let through since: the present sum without what nodes had
-// when they were first heard.
+// reports, with what was let through since they told.
 func (c *Collector) former(sum Counts, now time.Time) Counts {
 	remembered, first := c.remembered.left(c.window, now), c.first.left(c.window, now)
 	for key, count := range remembered {
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -114,6 +114,8 @@
 	// own until they run out.
 	Life   uint32
 	Counts Counts
+	// Gone says that the node reports to another data node from now on.
+	Gone bool
 	// Others is what the node remembers that others let through, if the receiver is
 	// new to it: it may be new altogether, and know nothing of that.
 	Others Counts
@@ -136,7 +138,10 @@
 	Yours Counts
 }
 
-type fixedReport struct{ Life uint32 }
+type fixedReport struct {
+	Life uint32
+	Gone bool
+}
 
 type fixedShare struct{}
 
@@ -146,7 +151,7 @@
 func (r Report) Marshal() []byte {
 	counts := r.Counts.marshal(countsMost)
 	others := r.Others.marshal(countsMost - len(counts)/countSize)
-	return marshal(fixedReport{r.Life}, counts, others)
+	return marshal(fixedReport{r.Life, r.Gone}, counts, others)
 }
 
 // UnmarshalReport decodes what Report.Marshal encoded.
@@ -161,7 +166,7 @@
 		return Report{}, err
 	}
 	others, err := unmarshalCounts(fields[1])
-	return Report{Life: fixed.Life, Counts: counts, Others: others}, err
+	return Report{Life: fixed.Life, Gone: fixed.Gone, Counts: counts, Others: others}, err
 }
 
 // Marshal encodes the share. The counts that the receiver's zone lacks fit what is
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -250,18 +250,19 @@
 	return counts
 }
 
-// Report returns what this node let through in its life, for a data node.
-func (l *Limiter) Report(life uint32, to transport.Address, now time.Time) Report {
+// Report returns what this node let through in its life, for a data node. former is
+// the one before, if that was another: it is to be told that this node is gone from it.
+func (l *Limiter) Report(life uint32, to transport.Address, now time.Time) (report Report, former transport.Address) {
 	if to != l.receiver {
-		l.receiver = to
+		former, l.receiver = l.receiver, to
 		l.remember()
 	}
-	report := Report{Life: life, Counts: l.own(now)}
+	report = Report{Life: life, Counts: l.own(now)}
 	if l.untold > 0 {
 		l.untold--
 		report.Others = l.remembered(now)
 	}
-	return report
+	return report, former
 }
 
 func (l *Limiter) own(now time.Time) Counts {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -99,14 +99,13 @@
 
 // fleet plays front nodes and a data node a zone in virtual time.
 type fleet struct {
-	random     *rand.Rand
-	now        time.Time
-	fronts     []*frontNode
-	relays     []*Collector
-	relayNames []transport.Address
-	limit      Limit
-	lost       float64 // share of the datagrams that are lost
-	split      bool    // the first zone and the others don't hear each other
+	random *rand.Rand
+	now    time.Time
+	fronts []*frontNode
+	relays []*relayNode
+	limit  Limit
+	lost   float64 // share of the datagrams that are lost
+	split  bool    // the first zone and the others don't hear each other
 	// admitted are the times of the requests let through, by tenant.
 	admitted map[Key][]time.Time
 	refused  map[Key]int
@@ -114,9 +113,15 @@
 	delayed  []delayed
 }
 
+type relayNode struct {
+	*Collector
+	name transport.Address
+	zone int
+}
+
 type frontNode struct {
 	limiter *Limiter
-	zone    int
+	relay   int // index of the data node that it reports to
 	life    uint32
 	name    transport.Address
 	cut     bool
@@ -140,17 +145,25 @@
 		refused: map[Key]int{}, bytes: map[string]int{},
 	}
 	for zone := range zones {
-		f.relays = append(f.relays, NewCollector(fmt.Sprint("z", zone), bounds.Window, f.random.Uint32()))
-		f.relayNames = append(f.relayNames, transport.Address(fmt.Sprint("relay", zone)))
+		f.addRelay(zone)
 	}
 	for i := range fronts {
 		f.fronts = append(f.fronts, &frontNode{
-			limiter: NewLimiter(bounds), zone: i % zones, life: f.random.Uint32(), name: transport.Address(fmt.Sprint("front", i)),
+			limiter: NewLimiter(bounds), relay: i % zones, life: f.random.Uint32(), name: transport.Address(fmt.Sprint("front", i)),
 		})
 	}
 	return f
 }
 
+func (f *fleet) addRelay(zone int) {
+	f.relays = append(f.relays, f.newRelay(zone))
+}
+
+func (f *fleet) newRelay(zone int) *relayNode {
+	life := f.random.Uint32()
+	return &relayNode{NewCollector(fmt.Sprint("z", zone), bounds.Window, life), transport.Address(fmt.Sprint("relay", life)), zone}
+}
+
 func (f *fleet) send(kind string, size int, after time.Duration, do func()) {
 	f.bytes[kind] += size
 	if f.random.Float64() < f.lost {
@@ -164,10 +177,16 @@
 	if front.cut {
 		return
 	}
-	report := front.limiter.Report(front.life, f.relayNames[front.zone], f.now)
-	relay := f.relays[front.zone]
+	relay := f.relays[front.relay]
+	report, former := front.limiter.Report(front.life, relay.name, f.now)
+	for _, one := range f.relays {
+		if one.name == former {
+			gone := Report{Life: front.life, Gone: true}
+			f.send("report", len(gone.Marshal()), inZone, func() { one.Report(front.name, gone, f.now) })
+		}
+	}
 	f.send("report", len(report.Marshal()), inZone, func() {
-		if f.relays[front.zone] != relay {
+		if f.relays[front.relay] != relay {
 			return
 		}
 		relay.Report(front.name, report, f.now)
@@ -186,9 +205,9 @@
 			if from == to || (f.split && (from == 0) != (to == 0)) {
 				continue
 			}
-			if share, some := relay.ShareFor(fmt.Sprint("z", to), f.now); some {
-				receiver := f.relays[to]
-				f.send("share", len(share.Marshal()), betweenAll, func() { receiver.Share(f.relayNames[from], share, f.now) })
+			receiver := f.relays[to]
+			if share, some := relay.ShareFor(fmt.Sprint("z", receiver.zone), f.now); some {
+				f.send("share", len(share.Marshal()), betweenAll, func() { receiver.Share(relay.name, share, f.now) })
 			}
 		}
 	}
@@ -268,10 +287,7 @@
 }
 
 // crashRelay lets another data node take a relay's place.
-func (f *fleet) crashRelay(zone int) {
-	f.relays[zone] = NewCollector(fmt.Sprint("z", zone), bounds.Window, f.random.Uint32())
-	f.relayNames[zone] += "x"
-}
+func (f *fleet) crashRelay(at int) { f.relays[at] = f.newRelay(f.relays[at].zone) }
 
 // What is asked at ten times a limit stays below its bound, and near the limit.
 func TestALimitHoldsOverManyNodes(t *testing.T) {
@@ -311,6 +327,29 @@
 	}
 }
 
+// A front node that goes over to another data node, and back, counts once.
+func TestFrontNodesThatMoveCountOnce(t *testing.T) {
+	f := newFleet(6, 51, 3, Limit{Rate: 125, Burst: 125})
+	f.addRelay(0)
+	f.addRelay(1)
+	rates := map[Key]float64{1: 100, 2: 3}
+	f.play(6*time.Second, rates)
+	for round := range 12 {
+		for i, front := range f.fronts {
+			if front.relay%3 != 2 && f.random.Float64() < 0.7 {
+				front.relay = (front.relay + 3) % 6
+			}
+			if i%12 == round {
+				f.crash(front)
+			}
+		}
+		f.play(900*time.Millisecond, rates)
+	}
+	if f.refused[1]+f.refused[2] > 0 {
+		t.Fatalf("refused %v of %d and %d", f.refused, len(f.admitted[1]), len(f.admitted[2]))
+	}
+}
+
 // Nodes that are killed together, data nodes among them, bring no new allowance.
 func TestALimitHoldsThroughHerdKills(t *testing.T) {
 	for seed := range uint64(24) {
--- a/internal/system/limits.go
+++ b/internal/system/limits.go
@@ -91,9 +91,13 @@
 		return nil
 	}
 	l.mutex.Lock()
-	report := l.limiter.Report(l.life, to, time.Now())
+	report, former := l.limiter.Report(l.life, to, time.Now())
 	heard := l.heard
 	l.mutex.Unlock()
+	if former != "" {
+		// If that is lost, what it was told runs out by itself, and counts twice until then.
+		_ = l.peers.Datagram(former, kindQuotaReport, quota.Report{Life: l.life, Gone: true}.Marshal())
+	}
 	// A report that can't be sent is like a lost one: no sum comes back.
 	_ = l.peers.Datagram(to, kindQuotaReport, report.Marshal())
 	return heard
