Engines of a node's own zone are chosen by figures of milliseconds

Ruled out: the asks before the choice (9 in 10 answered within 3 ms). Change: engines fall into two groups, the own zone's (3 ms old) and the others' (80 ms); each has its own unheard requests, and the group filled less is taken.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -86,16 +86,24 @@
 // best picks one of the candidates that have room.
 func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	home := prefixHome(candidates, wish)
-	scored := make([]scoredEngine, 0, len(candidates))
+	near, far := group{engines: make([]scoredEngine, 0, len(candidates))}, group{}
 	for _, engine := range candidates {
-		if t.hasRoom(engine, now) {
-			scored = append(scored, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
+		if !t.hasRoom(engine, now) {
+			continue
+		}
+		of := &near
+		if wish.Zone != "" && engine.Zone != wish.Zone {
+			of = &far
 		}
+		of.engines = append(of.engines, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
+		of.online += t.peersOnline(engine.ID)
 	}
-	if len(scored) == 0 {
+	if len(near.engines)+len(far.engines) == 0 {
 		return catalog.Engine{}, false
 	}
-	return pick(scored, 1+t.unheard(wish.Class), draw()), true
+	near.unheard = t.unheard(near.online, now.Sub(t.heardAt)+nearAge)
+	far.unheard = t.unheard(far.online, now.Sub(t.heardAt)+sumAge)
+	return pickGroup(near, far).pick(draw()), true
 }
 
 // hasRoom says whether an engine has room for an online request: batch work makes
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sort"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -13,6 +14,44 @@
 	score  float64
 }
 
+// group is engines of which this node's figures are equally old.
+type group struct {
+	engines []scoredEngine
+	// online is their online requests, and unheard how many more they have got since
+	// from nodes that were not heard.
+	online  int
+	unheard float64
+}
+
+// level is the score up to which the unheard requests and this one fill a group.
+func (g group) level() float64 {
+	if len(g.engines) == 0 {
+		return math.Inf(1)
+	}
+	sortByScore(g.engines)
+	level, _ := fill(g.engines, 1+g.unheard)
+	return level
+}
+
+func (g group) pick(draw float64) catalog.Engine { return pick(g.engines, 1+g.unheard, draw) }
+
+// pickGroup returns the group whose engines are filled less: those of the node's own
+// zone, of which its figures are milliseconds old, or those of all others.
+//
+// Taking all figures for as old as those of other zones, 51 front nodes drew among all
+// engines of their zone by chance: in bursts late requests had met 4 others within
+// 50 ms at their engine while 56 slots were free, and 40 in 100 left their zone.
+func pickGroup(near, far group) group {
+	if near.level() <= far.level() {
+		return near
+	}
+	return far
+}
+
+func sortByScore(engines []scoredEngine) {
+	sort.SliceStable(engines, func(i, j int) bool { return engines[i].score < engines[j].score })
+}
+
 // pick chooses an engine for one of so many requests that nodes send by the
 // same figures before they hear of each other's. If all of these went to the
 // engine of the least score, it would be full and the others idle. So the
@@ -22,7 +61,7 @@
 //
 // draw is uniform in [0, 1); engines must not be empty and is sorted by score.
 func pick(engines []scoredEngine, requests, draw float64) catalog.Engine {
-	sort.SliceStable(engines, func(i, j int) bool { return engines[i].score < engines[j].score })
+	sortByScore(engines)
 	level, filled := fill(engines, requests)
 	rest := draw * requests
 	for _, one := range engines[:filled] {
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -75,11 +75,31 @@
 	for range 200 {
 		table.Took(800 * time.Millisecond)
 	}
-	table.PeerLoad("p", Report{1: {Counts: Counts{30, 9}}, 2: {Counts: Counts{5, 0}}}, start)
-	table.PeerLoad("p", Report{1: {Counts: Counts{10, 9}}, 2: {Counts: Counts{10, 0}}}, start)
-	table.PeerLoad("q", Report{1: {Counts: Counts{20, 0}}}, start)
-	g.Expect(table.unheard(ClassOnline)).To(gomega.BeNumerically("~", 4, 0.01))
-	g.Expect(table.unheard(ClassBatch)).To(gomega.BeZero(), "one node runs it all")
+	a, b := KeyOf("a"), KeyOf("b")
+	table.PeerLoad("p", Report{a: {Counts: Counts{30, 9}}, b: {Counts: Counts{5, 0}}}, start)
+	table.PeerLoad("p", Report{a: {Counts: Counts{10, 9}}, b: {Counts: Counts{10, 0}}}, start)
+	table.PeerLoad("q", Report{a: {Counts: Counts{20, 0}}}, start)
+	online := func() int { return table.peersOnline("a") + table.peersOnline("b") }
+	g.Expect(table.unheard(online(), 80*time.Millisecond)).To(gomega.BeNumerically("~", 4, 0.01), "not those of batch work")
+	g.Expect(table.unheard(online(), time.Hour)).To(gomega.BeNumerically("~", 8, 0.01), "no older than two reports")
 	table.expire(start.Add(2 * peerLife))
-	g.Expect(table.unheard(ClassOnline)).To(gomega.BeZero(), "silent peers don't count")
+	g.Expect(table.unheard(online(), 80*time.Millisecond)).To(gomega.BeZero(), "silent peers don't count")
+}
+
+// Engines of the own zone are known to the millisecond; those of other zones are
+// shared with requests that weren't heard of yet.
+func TestTheOwnZoneIsLeftOnlyWhereItIsFuller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near := group{engines: scoredEngines(8, 0.25, 0.75), unheard: 0.1}
+	far := group{engines: scoredEngines(8, 0.2, 0.2), unheard: 4}
+	g.Expect(pickGroup(near, far).unheard).To(gomega.Equal(0.1))
+	near.engines = scoredEngines(8, 1, 1)
+	g.Expect(pickGroup(near, far).unheard).To(gomega.Equal(4.0))
+	g.Expect(pickGroup(group{}, far).unheard).To(gomega.Equal(4.0))
+	g.Expect(pickGroup(near, group{}).unheard).To(gomega.Equal(0.1))
+	chosen := map[string]int{}
+	for i := range 100 {
+		chosen[pickGroup(group{engines: scoredEngines(8, 0.25, 0.75), unheard: 0.1}, group{}).pick(float64(i)/100).ID]++
+	}
+	g.Expect(chosen).To(gomega.Equal(map[string]int{"a": 100}), "the idlest, not one of many by chance")
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -23,9 +23,12 @@
 	// yieldLife is how long after the last report of peers batch work counts as
 	// certain to make way: a leader that is gone cuts nothing.
 	yieldLife = 250 * time.Millisecond
-	// sumAge is how old the sums of other nodes' requests are on average: half an
-	// interval passes until a node reports, and half until its sum goes out.
-	sumAge = 80 * time.Millisecond
+	// sumAge is how old what is known of requests at engines of other zones is when a
+	// sum comes, on average: half an interval passes until a node reports, and half
+	// until its zone's share goes out. nearAge is the same for engines of the node's own
+	// zone: their requests are told at once, and the sum is a millisecond on its way.
+	sumAge  = 80 * time.Millisecond
+	nearAge = 3 * time.Millisecond
 	// tookStart is the assumed time that an engine takes for an online request
 	// until some have ended; tookWeight is the weight of the newest in the average.
 	tookStart  = 500 * time.Millisecond
@@ -77,8 +80,6 @@
 	// sum adds up the peers' reports, but for Seen; seen holds that.
 	sum  Report
 	seen map[EngineKey]seenLoad
-	// online is the peers' online requests in all.
-	online int
 	// took is how long online requests of this node are at an engine, on average.
 	took time.Duration
 	// heardAt is when a peer reported last.
@@ -134,16 +135,19 @@
 	t.took += time.Duration(tookWeight * float64(length-t.took))
 }
 
-// unheard estimates the requests of a class that other nodes have sent to
-// engines since what is known of them here: their rate follows from how many
-// there are and how long one takes (Little's law).
-func (t *Table) unheard(class Class) float64 {
-	if class != ClassOnline || t.took <= 0 {
+// unheard estimates the online requests that other nodes have sent to engines since
+// what is known of them here, which is so old: their rate follows from how many there
+// are and how long one takes (Little's law).
+func (t *Table) unheard(online int, age time.Duration) float64 {
+	if t.took <= 0 {
 		return 0
 	}
-	return float64(t.online) * sumAge.Seconds() / t.took.Seconds()
+	return float64(online) * min(age, 2*sumAge).Seconds() / t.took.Seconds()
 }
 
+// peersOnline is the online requests that other nodes have under way at an engine.
+func (t *Table) peersOnline(id string) int { return t.sum[t.key(id)].Counts[ClassOnline] }
+
 // Reported takes an engine's own figures.
 func (t *Table) Reported(id string, load upstream.Load, now time.Time) {
 	state := t.state(id, now)
@@ -194,7 +198,6 @@
 // addUp adds a report to the sum, or takes it out.
 func (t *Table) addUp(report Report, sign int) {
 	for key, one := range report {
-		t.online += sign * one.Counts[ClassOnline]
 		total := t.sum[key]
 		for class := range one.Counts {
 			total.Counts[class] += sign * one.Counts[class]
