--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -181,7 +181,7 @@
 		balancer := New(func() *catalog.Snapshot { return snapshot })
 		one.load[ClassOnline]-- // and the request itself
 		balancer.PeerLoad("others", Report{KeyOf("a"): {Counts: one.load}})
-		lease, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0)
+		lease, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0, nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(balancer.Pressed()).To(gomega.HaveLen(map[bool]int{true: 1}[one.wanted]), "%v", one.load)
 		lease.Release()
@@ -262,17 +262,17 @@
 	snapshot := engines(3, 10)
 	balancer := New(func() *catalog.Snapshot { return snapshot })
 	wish := Wish{Service: "s", Zone: "near", PromptTokens: 5000}
-	long, err := balancer.Acquire(context.Background(), wish, 0, 0)
+	long, err := balancer.Acquire(context.Background(), wish, 0, 0, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	wish.PromptTokens = 0
 	for range 3 {
-		next, _ := balancer.Acquire(context.Background(), wish, 0, 0)
+		next, _ := balancer.Acquire(context.Background(), wish, 0, 0, nil)
 		g.Expect(next.Engine.ID).NotTo(gomega.Equal(long.Engine.ID))
 		next.Release()
 	}
 	g.Expect(balancer.Own()[KeyOf(long.Engine.ID)].Pending).To(gomega.Equal(5000))
 	wish.Class = ClassBatch
-	batch, _ := balancer.Acquire(context.Background(), wish, 0, 0)
+	batch, _ := balancer.Acquire(context.Background(), wish, 0, 0, nil)
 	g.Expect(batch.Engine.ID).NotTo(gomega.Equal(long.Engine.ID))
 	long.Read()
 	long.Read()
@@ -312,15 +312,15 @@
 	wish := Wish{Service: "s", Zone: "near"}
 	var releases []func()
 	for range 1 + queueDepth {
-		lease, err := balancer.Acquire(context.Background(), wish, 0, 0)
+		lease, err := balancer.Acquire(context.Background(), wish, 0, 0, nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		releases = append(releases, lease.Release)
 	}
-	_, err := balancer.Acquire(context.Background(), wish, 0, 0)
+	_, err := balancer.Acquire(context.Background(), wish, 0, 0, nil)
 	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
 	order := make(chan int, 2)
 	wait := func(priority int) {
-		if _, err := balancer.Acquire(context.Background(), wish, priority, 10*time.Second); err == nil {
+		if _, err := balancer.Acquire(context.Background(), wish, priority, 10*time.Second, nil); err == nil {
 			order <- priority
 		}
 	}
@@ -337,7 +337,7 @@
 func TestAServiceWithoutEnginesIsSaidSo(t *testing.T) {
 	g := gomega.NewWithT(t)
 	balancer := New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
-	_, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0)
+	_, err := balancer.Acquire(context.Background(), Wish{Service: "s"}, 0, 0, nil)
 	g.Expect(err).To(gomega.MatchError(ErrNoEngine))
 }
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -84,16 +84,19 @@
 	balancer *Balancer
 	class    Class
 	begun    time.Time
-	tokens   int // not read yet; guarded by the balancer's mutex
+	readAt   time.Time // guarded by the balancer's mutex
+	tokens   int       // not read yet; guarded by the balancer's mutex
 	released bool
 }
 
 // Acquire returns a place at an engine for the wish; it counts there until it
-// is released. It waits for room up to wait, the lowest priority number first.
-func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration) (*Lease, error) {
+// is released. It waits for room up to wait, the lowest priority number first. While
+// it does, refresh, which may be nil, brings what other nodes have up to date before
+// each look: by old figures all that wait take the same slot that got free.
+func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
 	lease, found := b.try(wish, nil, priority)
 	if !found && wait > 0 {
-		lease, found = b.await(ctx, wish, priority, wait)
+		lease, found = b.await(ctx, wish, priority, wait, refresh)
 	}
 	if !found {
 		if len(b.snapshot().Serving(wish.Service)) == 0 {
@@ -109,6 +112,9 @@
 func (l *Lease) Read() {
 	l.balancer.mutex.Lock()
 	defer l.balancer.mutex.Unlock()
+	if l.readAt.IsZero() {
+		l.readAt = time.Now()
+	}
 	l.read()
 }
 
@@ -133,6 +139,9 @@
 	b.table.End(l.Engine.ID, l.class, now)
 	if l.class == ClassOnline {
 		b.table.Took(now.Sub(l.begun))
+		if !l.readAt.IsZero() {
+			b.table.Ran(now.Sub(l.readAt))
+		}
 	}
 	if len(b.waiting) > 0 {
 		select {
@@ -179,9 +188,10 @@
 	}
 }
 
-func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration) (*Lease, bool) {
+func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, bool) {
 	self := b.enqueue(priority)
 	defer b.dequeue(self)
+	started, budget := time.Now(), wish.Wait
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	recheck := time.NewTicker(recheckInterval)
@@ -195,6 +205,12 @@
 		case <-recheck.C:
 		case <-self.wake:
 		}
+		if refresh != nil {
+			refresh(ctx)
+		}
+		if budget > 0 {
+			wish.Wait = max(1, budget-time.Since(started))
+		}
 		if lease, found := b.try(wish, self, priority); found {
 			return lease, true
 		}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -28,9 +28,13 @@
 	// freeShare is the share of a service's slots that batch work leaves free for
 	// the online requests that come before it can make way.
 	freeShare = 0.08
-	// queueDepth is how many requests beyond its slots an engine may get from
-	// online work; they wait there for less than an average request runs.
+	// queueDepth is how many requests beyond its slots an engine may get from online
+	// work whose time to the first token isn't bounded; they wait there for less than an
+	// average request runs.
 	queueDepth = 1
+	// queueShare bounds the requests that wait at an engine by its slots, whatever time
+	// they have: the load of engines is not known to the request.
+	queueShare = 0.5
 )
 
 // Wish is what a request wants of an engine.
@@ -50,6 +54,9 @@
 	Former string
 	// Avoid lists engines that the request has been to.
 	Avoid []string
+	// Wait is how long the request may wait at an engine and still have its first
+	// token in time; 0 means that it has no such bound.
+	Wait time.Duration
 }
 
 // Choose returns the best engine that has room, or false. When every engine
@@ -88,7 +95,7 @@
 	home := prefixHome(candidates, wish)
 	near, far := group{engines: make([]scoredEngine, 0, len(candidates))}, group{}
 	for _, engine := range candidates {
-		if !t.hasRoom(engine, now) {
+		if !t.hasRoom(engine, wish.Wait, now) {
 			continue
 		}
 		of := &near
@@ -108,11 +115,21 @@
 
 // hasRoom says whether an engine has room for an online request: batch work makes
 // way for it.
-func (t *Table) hasRoom(engine catalog.Engine, now time.Time) bool {
+func (t *Table) hasRoom(engine catalog.Engine, wait time.Duration, now time.Time) bool {
 	if t.fullNow(engine.ID, now) {
 		return false
 	}
-	return t.load(engine.ID, now)-t.yielding(engine.ID, now) < engine.Slots+queueDepth
+	beyond := t.load(engine.ID, now) - t.yielding(engine.ID, now) - engine.Slots
+	if beyond < 0 || wait <= 0 {
+		return beyond < queueDepth
+	}
+	return float64(beyond) < queueShare*float64(engine.Slots) && t.firstAfter(beyond, engine.Slots) <= wait
+}
+
+// firstAfter predicts how long a request waits at an engine with so many requests
+// beyond its slots: they and it begin one after the other, as running ones end.
+func (t *Table) firstAfter(beyond, slots int) time.Duration {
+	return t.ran * time.Duration(beyond+1) / time.Duration(max(slots, 1))
 }
 
 // slots counts the slots of engines, and those that are free.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -80,8 +80,9 @@
 	// sum adds up the peers' reports, but for Seen; seen holds that.
 	sum  Report
 	seen map[EngineKey]seenLoad
-	// took is how long online requests of this node are at an engine, on average.
-	took time.Duration
+	// took is how long online requests of this node are at an engine, on average, and
+	// ran how long of that from their first event on.
+	took, ran time.Duration
 	// heardAt is when a peer reported last.
 	heardAt time.Time
 	// expireAt is when silent peers are looked for next.
@@ -93,7 +94,7 @@
 func NewTable() *Table {
 	return &Table{
 		engines: map[string]*engineState{}, peers: map[string]peerLoad{}, sum: Report{}, seen: map[EngineKey]seenLoad{},
-		keys: map[string]EngineKey{}, took: tookStart,
+		keys: map[string]EngineKey{}, took: tookStart, ran: tookStart,
 	}
 }
 
@@ -135,6 +136,11 @@
 	t.took += time.Duration(tookWeight * float64(length-t.took))
 }
 
+// Ran notes how long an online request of this node held a slot.
+func (t *Table) Ran(length time.Duration) {
+	t.ran += time.Duration(tookWeight * float64(length-t.ran))
+}
+
 // unheard estimates the online requests that other nodes have sent to engines since
 // what is known of them here, which is so old: their rate follows from how many there
 // are and how long one takes (Little's law).
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -24,6 +24,9 @@
 	// waitShare is the share of the latency target that a request waits for
 	// an engine with room before it is refused.
 	waitShare = 0.24
+	// firstTime is kept of a target for what passes beside the wait at an engine: the
+	// prompt is read in some 10 ms, connections and nodes take a few.
+	firstTime = 30 * time.Millisecond
 	// waitDefault holds for routes without a target.
 	waitDefault = 100 * time.Millisecond
 	// patience is how long an engine may stay silent before a request that
@@ -155,12 +158,12 @@
 	wish := balance.Wish{
 		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Avoid: fl.avoid,
+		Avoid: fl.avoid, Wait: fl.waitAtEngine(),
 	}
 	if fl.Refresh != nil {
 		fl.Refresh(ctx)
 	}
-	lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.patienceForRoom())
+	lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.patienceForRoom(), fl.Refresh)
 	if err == nil && fl.Chosen != nil {
 		fl.Chosen()
 	}
@@ -169,7 +172,7 @@
 	}
 	for _, service := range fl.route.Services() {
 		wish.Service = service
-		if lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0); err == nil {
+		if lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0, nil); err == nil {
 			return lease, nil
 		}
 	}
@@ -184,6 +187,12 @@
 	return max(0, wait-time.Since(fl.request.Arrived))
 }
 
+// waitAtEngine is how long the request may wait at an engine and still be in time; 0
+// if it has no target or is late already: then no engine is better than another.
+func (fl *flight) waitAtEngine() time.Duration {
+	return max(0, fl.route.Target-time.Since(fl.request.Arrived)-firstTime)
+}
+
 func (fl *flight) timeLeft() bool {
 	return fl.deadline.IsZero() || time.Until(fl.deadline) > leastTime
 }
