--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -160,7 +160,8 @@
 }
 
 func (e *Edge) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	eventRejected.Info("status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
+	facts, _ := e.Dialect.Facts(r, time.Now()) // what can't be read stays empty
+	eventRejected.Info("request", facts.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
 	answer(w, status, reason)
 }
 
