Waits for room and the return of refused callers follow predictions

Cause: a request waited 0.24 of its target for room and was told to return 150 ms later: a window that only an accounting explains, and a return into the same burst. Change: it waits as long as it can be in time; refused callers come back after one to two times as long as engines hold a request, when what fills them now has ended.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -296,6 +296,13 @@
 	b.table.PeerLoad(peer, running, time.Now())
 }
 
+// Ran is how long online requests hold a slot, on average.
+func (b *Balancer) Ran() time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.ran
+}
+
 // PeerGone forgets what another node said.
 func (b *Balancer) PeerGone(peer string) {
 	b.mutex.Lock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -21,19 +22,18 @@
 )
 
 const (
-	// waitShare is the share of the latency target that a request waits for
-	// an engine with room before it is refused.
-	waitShare = 0.24
 	// firstTime is kept of a target for what passes beside the wait at an engine: the
 	// prompt is read in some 10 ms, connections and nodes take a few.
 	firstTime = 30 * time.Millisecond
-	// waitDefault holds for routes without a target.
+	// waitDefault is how long a request of a route without a target waits for an engine
+	// with room before it is refused.
 	waitDefault = 100 * time.Millisecond
 	// patience is how long an engine may stay silent before a request that
 	// may run again goes to another one. Callers give a stream up after 2 s.
 	patience = 1100 * time.Millisecond
-	// comeBack is told to callers whose request has not run.
-	comeBack = 150 * time.Millisecond
+	// comeBackSpread spreads callers that were refused together, as a share of the time
+	// after which they are told to come back.
+	comeBackSpread = 1.0
 	// leastTime is the time that must be left to send a request once more.
 	leastTime = 30 * time.Millisecond
 	// wholeMost bounds the body of an answer that is no stream.
@@ -180,11 +180,10 @@
 }
 
 func (fl *flight) patienceForRoom() time.Duration {
-	wait := waitDefault
 	if fl.route.Target > 0 {
-		wait = time.Duration(waitShare * float64(fl.route.Target))
+		return fl.waitAtEngine()
 	}
-	return max(0, wait-time.Since(fl.request.Arrived))
+	return max(0, waitDefault-time.Since(fl.request.Arrived))
 }
 
 // waitAtEngine is how long the request may wait at an engine and still be in time; 0
@@ -256,13 +255,20 @@
 		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
 	after := time.Duration(0)
 	if verdict == VerdictNotRun {
-		after = comeBack
+		after = fl.comeBack()
 	}
 	if err := fl.sink.Refuse(verdict, after); err != nil {
 		fl.left(err)
 	}
 }
 
+// comeBack is when a caller whose request has not run should ask again: after as long
+// as engines take for what they have, as all of them are as full as they may be.
+func (fl *flight) comeBack() time.Duration {
+	ran := fl.Balancer.Ran()
+	return ran + time.Duration(comeBackSpread*rand.Float64()*float64(ran))
+}
+
 func (fl *flight) abort(cause error) {
 	fl.verdict = verdictAborted
 	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
