--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -16,8 +16,8 @@
 	hotShare = 0.5
 	// refreshTime is how often a node without news reports.
 	refreshTime = 400 * time.Millisecond
-	// deafAge is the age from which on a node counts as one that hears nobody: five
-	// reports, as datagrams may be lost.
+	// deafAge is the age from which on a node counts as one that hears nobody. It asks
+	// before that wherever a tenant is near its limit.
 	deafAge = 600 * time.Millisecond
 	// tellFormer is in how many reports a new data node is told what the one before
 	// told: datagrams may be lost.
