Connections to peers that fall silent are replaced

Cause: open connections may go silent for good without a reset. Between nodes only the kernel noticed: unacknowledged bytes are sent again for some 15 minutes, and keep-alive waits meanwhile; one-way messages, the ledger's heartbeats among them, would have been lost for as long, calls have failed one after the other. Ruled out: TCP_USER_TIMEOUT alone (a relay between acknowledges what it swallows); closing at calls that time out (says nothing of one-way messages, and a slow handler is no silent connection). Change: a connection in use is pinged each 0.8 s, the answer comes without a worker, and any frame counts; after 2 s without one it is closed. Older nodes answer the ping as a kind without a handler, which counts.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -40,6 +41,9 @@
 	input  *session
 	output *session
 	peer   Address
+	// written counts the frames written, and readAt is when the last one came.
+	written atomic.Uint64
+	readAt  atomic.Pointer[time.Time]
 }
 
 // handshake exchanges nonces in the clear, then proves the key and tells the
@@ -130,6 +134,7 @@
 		if err := c.output.write(c.writer, *f); err != nil {
 			return err
 		}
+		c.written.Add(1)
 		select {
 		case f = <-queue:
 		default:
@@ -261,6 +266,9 @@
 		}
 		conn.Close()
 	}()
+	var watch sync.WaitGroup
+	watch.Go(func() { o.watch(conn, done) })
+	defer watch.Wait()
 	idle := false
 	if err := conn.writeAll(first, o.queue); err == nil {
 		idle = conn.writeUntilIdle(o.queue, done, o.node.options.IdleTimeout, o.nothingPending)
@@ -284,6 +292,8 @@
 		if err != nil {
 			return
 		}
+		now := time.Now()
+		conn.readAt.Store(&now)
 		o.mutex.Lock()
 		call, ok := o.pending[f.header.ID]
 		delete(o.pending, f.header.ID)
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -319,6 +319,10 @@
 			handler(from, f.payload)
 		}
 	case frameCall:
+		if f.header.Kind == kindPing {
+			pong(f, answers)
+			return
+		}
 		n.pool.Submit(func() { n.answer(ctx, from, f, answers) })
 	}
 }
