Interfaces of places: regions, drained zones, cold engines

Cause: the configuration's regions and cold rates, the operators' request to drain a zone, and the regions of zones were not read anywhere; the core knew zones only. Change: catalog holds them (Regions, Engine.Region, Drained, ColdUntil, Service.ColdRate), the adapter decodes them, drained zones are mirrored where platform.drain is set, and the choice of an engine filters by both. A request that no engine may serve is refused at once and not after its wait. ColdUntil is set by nobody yet (its part follows); the constant penalty that an engine kept for ever after its entry once said cold is gone with it. Ruled out: a list of regions in each engine's entry; entries tell zones only.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -22,7 +22,8 @@
 // ErrNoRoom says that no engine had room within the allowed wait.
 var ErrNoRoom = errors.New("balance: no engine has room")
 
-// ErrNoEngine says that the service has no engine that may be used.
+// ErrNoEngine says that the service has no engine that may be used. Nobody waits for
+// one: what is to serve it has to start, or to come back from a drained zone.
 var ErrNoEngine = errors.New("balance: the service has no engine")
 
 // Balancer may be used concurrently.
@@ -95,13 +96,13 @@
 // each look: by old figures all that wait take the same slot that got free.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
 	lease, found := b.try(wish, nil, priority)
+	if !found && len(allowed(b.snapshot(), wish)) == 0 {
+		return nil, ErrNoEngine
+	}
 	if !found && wait > 0 {
 		lease, found = b.await(ctx, wish, priority, wait, refresh)
 	}
 	if !found {
-		if len(b.snapshot().Serving(wish.Service)) == 0 {
-			return nil, ErrNoEngine
-		}
 		return nil, ErrNoRoom
 	}
 	return lease, nil
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -55,6 +55,8 @@
 	// Former is the engine that ran a part of the request; it may still keep the
 	// prompt.
 	Former string
+	// Regions are where the request may be served.
+	Regions catalog.Regions
 	// Avoid lists engines that the request has been to.
 	Avoid []string
 	// Wait is how long the request may wait at an engine and still have its first
@@ -81,7 +83,7 @@
 // candidates filters the engines of a wish's service by the first of the rules
 // that leaves any.
 func (t *Table) candidates(snapshot *catalog.Snapshot, wish Wish, now time.Time) []catalog.Engine {
-	engines := snapshot.Serving(wish.Service)
+	engines := allowed(snapshot, wish)
 	for _, rule := range []func(catalog.Engine) bool{
 		func(e catalog.Engine) bool { return t.sound(e.ID, now) && !contains(wish.Avoid, e.ID) },
 		func(e catalog.Engine) bool { return !contains(wish.Avoid, e.ID) },
@@ -93,6 +95,15 @@
 	return engines
 }
 
+// allowed lists the engines that a wish may go to, whatever is known of their load.
+func allowed(snapshot *catalog.Snapshot, wish Wish) []catalog.Engine {
+	engines := snapshot.Serving(wish.Service)
+	if wish.Regions == nil {
+		return engines
+	}
+	return filter(engines, func(e catalog.Engine) bool { return wish.Regions.Allow(e.Region) })
+}
+
 // best picks one of the candidates that have room.
 func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	home := prefixHome(candidates, wish)
@@ -192,7 +203,7 @@
 	if wish.Zone != "" && engine.Zone != wish.Zone {
 		score += zonePenalty
 	}
-	if engine.Cold > 0 {
+	if now.Before(engine.ColdUntil) {
 		score += coldPenalty
 	}
 	if engine.ID == home {
@@ -207,7 +218,7 @@
 // unread is the prompt tokens that an engine will have to read for a wish. The
 // home of its prefix has read the shared part before.
 func (t *Table) unread(snapshot *catalog.Snapshot, wish Wish, engine catalog.Engine) int {
-	if engine.ID == prefixHome(snapshot.Serving(wish.Service), wish) {
+	if engine.ID == prefixHome(allowed(snapshot, wish), wish) {
 		return max(0, wish.PromptTokens-wish.PrefixTokens)
 	}
 	return wish.PromptTokens
--- a/internal/balance/many.go
+++ b/internal/balance/many.go
@@ -7,7 +7,7 @@
 )
 
 // AcquireMany returns places for batch work, for as many of the wishes as engines
-// have room for, from the first on. All wishes are of one service. Each engine is
+// have room for, from the first on. All wishes are of one service and the same regions. Each engine is
 // looked at once, so that many places cost little more than one.
 func (b *Balancer) AcquireMany(wishes []Wish, priority int) []*Lease {
 	snapshot := b.snapshot()
--- /dev/null
+++ b/internal/balance/regions_test.go
@@ -0,0 +1,48 @@
+package balance
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/catalog"
+)
+
+func twoRegions() *catalog.Snapshot {
+	return catalog.NewSnapshot(nil, []catalog.Engine{
+		{ID: "n", Service: "s", Zone: "a", Region: "north", Slots: 1},
+		{ID: "s", Service: "s", Zone: "b", Region: "south", Slots: 8},
+		{ID: "u", Service: "s", Zone: "c", Slots: 8},
+	})
+}
+
+// Neither load nor failures nor engines that were tried lift the restriction.
+func TestARequestStaysInItsRegions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := New(twoRegions)
+	wish := Wish{Service: "s", Zone: "b", Class: ClassOnline, Regions: catalog.Regions{"north"}, Avoid: []string{"n"}}
+	b.Failed("n", context.Canceled)
+	lease, err := b.Acquire(context.Background(), wish, 0, 0, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lease.Engine.ID).To(gomega.Equal("n"))
+	for range 5 {
+		if lease, err := b.Acquire(context.Background(), wish, 0, 0, nil); err == nil {
+			g.Expect(lease.Engine.ID).To(gomega.Equal("n"))
+		}
+	}
+	for _, lease := range b.AcquireMany([]Wish{{Service: "s", Class: ClassBatch, Regions: catalog.Regions{"south"}}}, 0) {
+		g.Expect(lease.Engine.ID).To(gomega.Equal("s"))
+	}
+}
+
+// A request that no engine may serve is told at once, however long it could wait.
+func TestARequestWithoutAnyAllowedEngineDoesNotWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := New(twoRegions)
+	for _, regions := range []catalog.Regions{{}, {"west"}} {
+		_, err := b.Acquire(context.Background(), Wish{Service: "s", Regions: regions}, 0, time.Hour, nil)
+		g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+	}
+}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -75,6 +75,8 @@
 	Balancer *balance.Balancer
 	// Route finds the present route of a job; nil if there is none.
 	Route func(host, path string) *catalog.Route
+	// Regions are where a tenant's items of a route may be run; nil if anywhere.
+	Regions func(route *catalog.Route, tenant string) catalog.Regions
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
 	Zone   string
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -27,7 +28,22 @@
 	return started
 }
 
-// startGroup is the items of one service that may be started next, in their order.
+// groupKey is what the items of a startGroup share.
+type groupKey struct {
+	service, regions string
+	restricted       bool
+}
+
+// regions are where a tenant's items of a route may be run.
+func (r *Runner) regions(route *catalog.Route, tenant string) catalog.Regions {
+	if r.options.Regions == nil {
+		return nil
+	}
+	return r.options.Regions(route, tenant)
+}
+
+// startGroup is the items of one service that may be started next, in their order;
+// the same regions hold for all of them.
 type startGroup struct {
 	priority int
 	items    []openItem
@@ -35,14 +51,14 @@
 	wishes   []balance.Wish
 }
 
-// startable picks the first open items of each service that neither run nor rest,
+// startable picks the first open items of each service and set of regions that neither run nor rest,
 // and says how many runs may be started in all.
 func (r *Runner) startable(open []openItem, now time.Time) (groups []*startGroup, most int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	most = max(0, min(startsMost, r.limit.most-len(r.runs)))
 	zone := r.preferredZone()
-	byService := map[string]*startGroup{}
+	byKey := map[groupKey]*startGroup{}
 	var route *catalog.Route
 	for i := range open {
 		item := &open[i]
@@ -53,20 +69,22 @@
 			continue
 		}
 		service := r.options.Balancer.Service(route)
-		group := byService[service]
+		regions := r.regions(route, item.tenant)
+		like := groupKey{service, strings.Join(regions, " "), regions != nil}
+		group := byKey[like]
 		if (group != nil && len(group.items) >= most) || !r.idle(item, now) {
 			continue
 		}
 		if group == nil {
 			group = &startGroup{priority: route.Priority}
-			byService[service] = group
+			byKey[like] = group
 			groups = append(groups, group)
 		}
 		group.items = append(group.items, *item)
 		group.routes = append(group.routes, route)
 		group.wishes = append(group.wishes, balance.Wish{
 			Service: service, Zone: zone, Class: balance.ClassBatch,
-			Former: r.formers[itemKey{item.job, item.index}], PromptTokens: item.promptTokens,
+			Regions: regions, Former: r.formers[itemKey{item.job, item.index}], PromptTokens: item.promptTokens,
 		})
 	}
 	return groups, most
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,6 +62,8 @@
 	QueuedTokens int64
 	// Public routes need no key.
 	Public bool
+	// Regions are where the route's requests may be served and kept.
+	Regions Regions
 }
 
 // MayRunAgain says whether a request whose fate is unknown may be sent again.
@@ -78,6 +80,10 @@
 	Slots int
 	// CacheTokens is the memory of one engine, in tokens.
 	CacheTokens int
+	// ColdTime is how long an engine stays cold after a start during traffic, and
+	// ColdRate how many requests a second a cold one bears; a ColdRate of 0 is no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits bound what callers may send.
@@ -151,13 +157,24 @@
 	Service string
 	Address string // "ip:port"
 	Zone    string
-	Slots   int
+	// Region is the zone's; empty if the settings don't tell.
+	Region string
+	Slots  int
 	// Leaving engines get no new requests.
 	Leaving bool
-	// Cold is how much longer after its start the engine stays slow.
-	Cold time.Duration
+	// Drained engines get no new requests either, as their zone is to be empty of
+	// them; unlike leaving ones they come back.
+	Drained bool
+	// ToldCold is how much longer the engine stayed cold when its entry was written.
+	ToldCold time.Duration
+	// ColdUntil is when the engine bears its full rate, as far as known here; zero if
+	// it is not known to be cold.
+	ColdUntil time.Time
 }
 
+// mayServe says whether the engine may get new requests.
+func (e *Engine) mayServe() bool { return !e.Leaving && !e.Drained }
+
 // Snapshot is what a node knows at one moment.
 type Snapshot struct {
 	Configuration *Configuration // nil while none is known
@@ -177,7 +194,7 @@
 	sort.Slice(engines, func(i, j int) bool { return engines[i].ID < engines[j].ID })
 	for _, engine := range engines {
 		snapshot.byID[engine.ID] = engine
-		if !engine.Leaving {
+		if engine.mayServe() {
 			snapshot.engines[engine.Service] = append(snapshot.engines[engine.Service], engine)
 		}
 	}
@@ -199,7 +216,7 @@
 // Usable says whether an engine may get a new request for the service.
 func (s *Snapshot) Usable(id, service string) bool {
 	engine, found := s.byID[id]
-	return found && !engine.Leaving && engine.Service == service
+	return found && engine.mayServe() && engine.Service == service
 }
 
 // Services lists the services of a route, by falling weight.
--- a/internal/catalog/tenants.go
+++ b/internal/catalog/tenants.go
@@ -19,6 +19,8 @@
 	Rate  float64
 	Burst float64
 	Keys  []apikey.Hash
+	// Regions are where the tenant's requests may be served and kept.
+	Regions Regions
 }
 
 // Limited says whether there is a bound on the tenant's requests.
@@ -55,6 +57,19 @@
 	}
 }
 
+// Tenant returns the tenant of a name, or nil.
+func (c *Configuration) Tenant(name string) *Tenant {
+	if c == nil || name == "" {
+		return nil
+	}
+	for i := range c.tenants {
+		if c.tenants[i].Name == name {
+			return &c.tenants[i]
+		}
+	}
+	return nil
+}
+
 // TenantOf returns the tenant that holds a key, or nil.
 func (c *Configuration) TenantOf(key apikey.Hash) *Tenant { return c.keys[key] }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,16 @@
 	Memory   Memory   `koanf:"memory"`
 	Batch    Batch    `koanf:"batch"`
 	Quota    Quota    `koanf:"quota"`
+	// Zones names the region of each zone; a zone that isn't listed is in none.
+	Zones     map[string]string `koanf:"zones"`
+	SlowStart SlowStart         `koanf:"slow_start"`
+}
+
+// SlowStart says how much more than it bears a cold engine may get within any second,
+// over all nodes together: a share of its rate, and requests.
+type SlowStart struct {
+	Overage float64 `koanf:"overage" validate:"min=1"`
+	Slack   float64 `koanf:"slack" validate:"min=0"`
 }
 
 // Batch bounds what is kept of batch jobs on a platform of objects, and what their
@@ -124,6 +134,9 @@
 	// Leave is how soon a node gives an engine nothing new after the platform's
 	// store knows that it is leaving.
 	Leave time.Duration `koanf:"leave" validate:"min=500ms,max=1h"`
+	// Drain is how soon the engines of a zone get nothing new after the platform's
+	// store knows that the zone is drained; 0 if zones are never drained.
+	Drain time.Duration `koanf:"drain" validate:"min=0,max=1h"`
 }
 
 // Dialects of a platform.
@@ -169,6 +182,8 @@
 	// Losses is how many disks may be lost at once; a shard gets as many
 	// replicas as that takes, and Copies at least.
 	Losses int `koanf:"losses" validate:"min=0,max=3"`
+	// ZoneLosses is how many zones may be lost at once.
+	ZoneLosses int `koanf:"zone_losses" validate:"min=0,max=1"`
 	// ReplaceAfter is how long a data node is gone before it is replaced.
 	ReplaceAfter time.Duration `koanf:"replace_after" validate:"min=1s"`
 }
@@ -192,6 +207,9 @@
 	"platform.apply":       "2s",
 	"platform.leave":       "2s",
 	"platform.revoke":      "0s",
+	"platform.drain":       "0s",
+	"slow_start.overage":   1.5,
+	"slow_start.slack":     5,
 	"quota.window":         "5s",
 	"quota.overage":        0.1,
 	"quota.slack":          20,
@@ -228,7 +246,7 @@
 		switch {
 		case field.Type.Kind() == reflect.Struct:
 			paths = append(paths, settingPaths(field.Type, path+".")...)
-		case field.Type.Kind() != reflect.Slice:
+		case field.Type.Kind() != reflect.Slice && field.Type.Kind() != reflect.Map:
 			paths = append(paths, path)
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -133,7 +133,7 @@
 		e.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
-	request.Tenant, request.Priority = from.name(), route.PriorityOf(from.tenant)
+	request.Tenant, request.Priority, request.Regions = from.name(), route.PriorityOf(from.tenant), route.RegionsOf(from.tenant)
 	body, ok := e.readBody(w, r, configuration.Limits.BodyBytes)
 	if !ok {
 		return
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -166,7 +166,7 @@
 	wish := balance.Wish{
 		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Avoid: fl.avoid, Wait: fl.waitAtEngine(),
+		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: fl.waitAtEngine(),
 	}
 	if fl.Refresh != nil {
 		fl.Refresh(ctx)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
 )
 
 // Request is a caller's request. Its method, target, header and body go to the
@@ -17,6 +19,8 @@
 	// Tenant is whose request it is, and Priority its rank; 0 goes first.
 	Tenant   string
 	Priority int
+	// Regions are where the request may be served.
+	Regions catalog.Regions
 	// Arrived is when the head was read.
 	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero means never.
--- a/internal/system/adapter.go
+++ b/internal/system/adapter.go
@@ -29,8 +29,11 @@
 	ConfigurationName string
 	EnginesKind       string
 	EvacuationsKind   string
+	ZoneDrainsKind    string
 	Configuration     func(content []byte) (*catalog.Configuration, error)
 	EngineList        func(objects []mirror.Object) []catalog.Engine
+	// ZoneDrains lists the zones whose engines are to get nothing new.
+	ZoneDrains func(objects []mirror.Object) []string
 }
 
 // Evacuations reports on data nodes that are to be emptied.
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for peers")
 	}
-	c.facts = newFacts(adapter)
+	c.facts = newFacts(adapter, settings)
 	c.agent = mirror.New(c.mirrorOptions(dataNode))
 	c.facts.agent = c.agent
 	c.pool = upstream.NewPool(adapter.Engines)
@@ -112,6 +112,9 @@
 		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
 		Changed: c.facts.changed,
 	}
+	if c.settings.Platform.Drain > 0 {
+		options.Kinds = append(options.Kinds, mirror.Kind{Name: c.adapter.ZoneDrainsKind, Fresh: c.settings.Platform.Drain})
+	}
 	if dataNode {
 		options.Kinds = append(options.Kinds, mirror.Kind{Name: c.adapter.EvacuationsKind, Fresh: evacuationFresh})
 	}
@@ -217,6 +220,11 @@
 	return route
 }
 
+// regions are where a tenant's items of a route may be run.
+func (c *core) regions(route *catalog.Route, tenant string) catalog.Regions {
+	return route.RegionsOf(c.facts.Snapshot().Configuration.Tenant(tenant))
+}
+
 // localShard returns this node's replica.
 func (c *core) localShard() (ledger.Shard, bool) { return c.ledger.Local(0) }
 
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -1,10 +1,12 @@
 package system
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
@@ -12,22 +14,25 @@
 var (
 	eventConfiguration = telemetry.Define(5201, "configuration-in-force", "A newer version of the configuration is in force on this node.")
 	eventBadConfig     = telemetry.Define(5202, "configuration-unreadable", "The stored configuration can't be read; the one before stays in force.")
+	eventZoneDrains    = telemetry.Define(7203, "zone-drains-changed", "Other zones than before are drained: their engines get nothing new, and those of zones that are drained no more do again.")
 	eventEngines       = telemetry.Define(7201, "engines-changed", "The engines behind the services changed: how many there are, and how many of them are leaving.")
 )
 
 // facts publishes the catalog that follows from the mirrored objects.
 type facts struct {
 	adapter  *Adapter
+	settings *config.Node
 	agent    *mirror.Agent
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changes  chan struct{} // of capacity 1
 	// lapses and again belong to the goroutine that follows.
-	lapses *catalog.Lapses
-	again  time.Time
+	lapses  *catalog.Lapses
+	again   time.Time
+	drained []string // zones, as of the last refresh
 }
 
-func newFacts(adapter *Adapter) *facts {
-	f := &facts{adapter: adapter, changes: make(chan struct{}, 1), lapses: catalog.NewLapses()}
+func newFacts(adapter *Adapter, settings *config.Node) *facts {
+	f := &facts{adapter: adapter, settings: settings, changes: make(chan struct{}, 1), lapses: catalog.NewLapses()}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil))
 	return f
 }
@@ -74,6 +79,7 @@
 	listed := f.adapter.EngineList(objects)
 	var engines []catalog.Engine
 	engines, f.again = f.lapses.Update(listed, time.Now())
+	f.place(engines)
 	if at == 0 {
 		configuration = before.Configuration
 	}
@@ -87,6 +93,40 @@
 	eventEngines.Info("engines", len(engines), "lapsed", len(engines)-len(listed), "leaving", leaving, "revision", at)
 }
 
+// place tells each engine its region, and whether its zone is drained.
+func (f *facts) place(engines []catalog.Engine) {
+	drained := f.drainedZones()
+	for i := range engines {
+		engine := &engines[i]
+		engine.Region = f.settings.Zones[engine.Zone]
+		engine.Drained = slices.Contains(drained, engine.Zone)
+	}
+}
+
+// drainedZones lists the zones whose engines are to get nothing new.
+func (f *facts) drainedZones() []string {
+	if f.settings.Platform.Drain <= 0 {
+		return nil
+	}
+	objects, at := f.agent.Objects(f.adapter.ZoneDrainsKind)
+	drained := f.adapter.ZoneDrains(objects)
+	if !slices.Equal(drained, f.drained) {
+		eventZoneDrains.Info("zones", drained, "before", f.drained, "revision", at)
+		f.drained = drained
+	}
+	return drained
+}
+
+// drainsKnown says whether it is known which zones are drained: a node that just
+// started may not have heard yet.
+func (f *facts) drainsKnown() bool {
+	if f.settings.Platform.Drain <= 0 {
+		return true
+	}
+	_, at := f.agent.Objects(f.adapter.ZoneDrainsKind)
+	return at > 0
+}
+
 func (f *facts) newest(inForce *catalog.Configuration) *catalog.Configuration {
 	objects, at := f.agent.Objects(f.adapter.ConfigurationKind)
 	for _, object := range objects {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -109,7 +109,7 @@
 
 // ready says whether the node wants callers.
 func (f *front) ready() bool {
-	return !f.draining.Load() && f.facts.Snapshot().Configuration != nil
+	return !f.draining.Load() && f.facts.Snapshot().Configuration != nil && f.facts.drainsKnown()
 }
 
 func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,6 +29,7 @@
 	KindMirror     Kind = 0x0700
 	KindBatch      Kind = 0x0800
 	KindLoad       Kind = 0x0900
+	KindSlowStart  Kind = 0x0a00
 )
 
 // CallHandler answers a call. It runs on the transport's worker pool and may
