--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PARALLEL ?= 4
 
-.PHONY: build demo test lint bench model setup race events
+.PHONY: build demo test lint bench model setup race events bench-table
 .DEFAULT_GOAL := build
 
 setup:
@@ -33,5 +33,8 @@
 bench: build
 	scripts/bench.sh
 
+bench-table:
+	UPDATE_BENCH=1 $(GO) test -count=1 -run TheTableOfDeployments ./test/docs
+
 events:
 	UPDATE_EVENTS=1 $(GO) test -count=1 ./test/docs
