Several regions: the border is crossed only where waiting takes longer than the way

Cause: another zone counted 0.25 of an engine's slots, be it 0.5 or 8 ms away; a shared prefix had one home for all regions; fronts read results at the leader, and waited for facts at any data node, whatever region these were in. Change: candidates of other regions are a group of their own, taken only if a request is predicted to wait longer for a slot of its region than the measured round trip (shortest time of opening a connection in the last one to two minutes) and the wait there. One home of a prefix a region; results at a replica of the region; facts from data nodes of the region while fresh. Ruled out: a penalty in shares of slots (sends over the border for two free slots of eight); all replicas of the ledger in one region (jobs of a region that is lost would not be readable).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -280,6 +280,17 @@
 	b.table.Reported(id, load, time.Now())
 }
 
+// Connected notes how long it took to open a connection to an engine.
+func (b *Balancer) Connected(id string, took time.Duration) {
+	engine, found := b.snapshot().Engine(id)
+	if !found {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.distances.note(engine.Zone, took, time.Now())
+}
+
 // Succeeded notes that an engine answered.
 func (b *Balancer) Succeeded(id string) {
 	b.mutex.Lock()
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -43,9 +43,11 @@
 // Wish is what a request wants of an engine.
 type Wish struct {
 	Service string
-	// Zone is the one whose engines are preferred; empty means none.
-	Zone  string
-	Class Class
+	// Zone is the one whose engines are preferred, and then those of its Region; empty
+	// means none.
+	Zone   string
+	Region string
+	Class  Class
 	// Prefix identifies the shared part of the prompt, and PrefixTokens is its
 	// length; an engine that has read it before is quicker.
 	Prefix       string
@@ -95,6 +97,11 @@
 	return engines
 }
 
+// leavesRegion says whether the engine is in another region than the wish prefers.
+func (w Wish) leavesRegion(engine catalog.Engine) bool {
+	return w.Region != "" && engine.Region != "" && engine.Region != w.Region
+}
+
 // allowed lists the engines that a wish may go to, whatever is known of their load.
 func allowed(snapshot *catalog.Snapshot, wish Wish) []catalog.Engine {
 	engines := snapshot.Serving(wish.Service)
@@ -107,24 +114,34 @@
 // best picks one of the candidates that have room.
 func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	home := prefixHome(candidates, wish)
-	near, far := group{engines: make([]scoredEngine, 0, len(candidates))}, group{}
+	near := group{engines: make([]scoredEngine, 0, len(candidates))}
+	far, remote := group{penalty: zonePenalty}, group{penalty: zonePenalty}
 	for _, engine := range candidates {
-		if !t.hasRoom(engine, wish.Wait, now) {
-			continue
-		}
-		of := &near
-		if wish.Zone != "" && engine.Zone != wish.Zone {
+		of, wait := &near, wish.Wait
+		switch {
+		case wish.leavesRegion(engine):
+			of = &remote
+			way := t.distances.roundTrip(engine.Zone)
+			remote.addWay(way)
+			if wait > 0 {
+				wait = max(1, wait-way)
+			}
+		case wish.Zone != "" && engine.Zone != wish.Zone:
 			of = &far
 		}
+		if !t.hasRoom(engine, wait, now) {
+			continue
+		}
 		of.engines = append(of.engines, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
 		of.online += t.peersOnline(engine.ID)
 	}
-	if len(near.engines)+len(far.engines) == 0 {
+	if len(near.engines)+len(far.engines)+len(remote.engines) == 0 {
 		return catalog.Engine{}, false
 	}
 	near.unheard = t.unheard(near.online, now.Sub(t.heardAt)+nearAge)
 	far.unheard = t.unheard(far.online, now.Sub(t.heardAt)+sumAge)
-	return pickGroup(near, far).pick(draw()), true
+	remote.unheard = t.unheard(remote.online, now.Sub(t.heardAt)+sumAge)
+	return leaveRegion(near, far, remote, t.ran).pick(draw()), true
 }
 
 // hasRoom says whether an engine has room for an online request: batch work makes
@@ -225,15 +242,21 @@
 }
 
 // prefixHome is the engine that requests with the same prefix go to first, by
-// rendezvous hashing. It is the same for all zones, so that a prefix is read
-// and kept at one engine.
+// rendezvous hashing. It is the same for all zones of a region, so that a prefix is
+// read and kept at one engine there.
 func prefixHome(candidates []catalog.Engine, wish Wish) string {
 	if wish.Prefix == "" {
 		return ""
 	}
-	home := ""
+	home, inRegion := "", false
 	var highest uint64
 	for _, engine := range candidates {
+		if wish.leavesRegion(engine) && inRegion {
+			continue
+		}
+		if !wish.leavesRegion(engine) && !inRegion {
+			home, inRegion = "", true
+		}
 		if score := membership.RendezvousScore(wish.Prefix, engine.ID); home == "" || score > highest {
 			home, highest = engine.ID, score
 		}
--- /dev/null
+++ b/internal/balance/distance.go
@@ -0,0 +1,47 @@
+package balance
+
+import "time"
+
+const (
+	// distanceSpan is how long the shortest connection counts as a zone's distance:
+	// long enough to see an idle link, short enough to follow another way.
+	distanceSpan = time.Minute
+	// distanceUnknown is assumed of a zone until a connection to it was opened: the
+	// round trip of a few hundred kilometres with some slack.
+	distanceUnknown = 20 * time.Millisecond
+)
+
+// distances holds the round trips to zones, as the shortest that opening a connection
+// to an engine there took lately: longer ones had to wait for the engine or this node.
+// It is not safe for concurrent use.
+type distances map[string]*distance
+
+// distance is the least of the present and of the former span.
+type distance struct {
+	since           time.Time
+	present, former time.Duration // 0 is none
+}
+
+func (d distances) note(zone string, took time.Duration, now time.Time) {
+	known := d[zone]
+	switch {
+	case known == nil:
+		d[zone] = &distance{since: now, present: took}
+	case now.Sub(known.since) > distanceSpan:
+		*known = distance{since: now, present: took, former: known.present}
+	default:
+		known.present = min(known.present, took)
+	}
+}
+
+// roundTrip is the distance of a zone.
+func (d distances) roundTrip(zone string) time.Duration {
+	known := d[zone]
+	switch {
+	case known == nil:
+		return distanceUnknown
+	case known.former > 0:
+		return min(known.present, known.former)
+	}
+	return known.present
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
 )
@@ -21,6 +22,26 @@
 	// from nodes that were not heard.
 	online  int
 	unheard float64
+	// penalty is what their scores hold for the distance, and way the shortest round
+	// trip to one of them; 0 where it doesn't matter.
+	penalty float64
+	way     time.Duration
+}
+
+func (g *group) addWay(way time.Duration) {
+	if g.way == 0 || way < g.way {
+		g.way = way
+	}
+}
+
+// wait predicts how long the next request waits for a slot of the group's engines,
+// and the way there, where a request holds a slot for ran; without engines it is endless.
+func (g group) wait(ran time.Duration) time.Duration {
+	if len(g.engines) == 0 {
+		return math.MaxInt64
+	}
+	beyond := max(0, g.level()-g.penalty-1)
+	return g.way + time.Duration(beyond*float64(ran))
 }
 
 // level is the score up to which the unheard requests and this one fill a group.
@@ -48,6 +69,18 @@
 	return far
 }
 
+// leaveRegion returns the engines of other regions if a request waits longer for those of
+// its own than the way to others takes, else those of its own.
+//
+// With all engines as one group, 4 of 10 requests left their zone, and in three regions
+// two thirds of these their region, for a free slot that their own had, too.
+func leaveRegion(near, far, remote group, ran time.Duration) group {
+	if len(remote.engines) == 0 || min(near.wait(ran), far.wait(ran)) <= remote.wait(ran) {
+		return pickGroup(near, far)
+	}
+	return remote
+}
+
 func sortByScore(engines []scoredEngine) {
 	sort.SliceStable(engines, func(i, j int) bool { return engines[i].score < engines[j].score })
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -88,13 +88,15 @@
 	// expireAt is when silent peers are looked for next.
 	expireAt time.Time
 	keys     map[string]EngineKey // of engines seen, to hash each once
+	// distances are those of zones from this node.
+	distances distances
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		engines: map[string]*engineState{}, peers: map[string]peerLoad{}, sum: Report{}, seen: map[EngineKey]seenLoad{},
-		keys: map[string]EngineKey{}, took: tookStart, ran: tookStart,
+		keys: map[string]EngineKey{}, distances: distances{}, took: tookStart, ran: tookStart,
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -46,7 +46,8 @@
 	Balancer *balance.Balancer
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
-	Zone   string
+	// Zone and Region are where the node is.
+	Zone, Region string
 	// Observe is told of each finished request; may be nil.
 	Observe func(Result)
 	// Refresh brings what the balancer knows of other nodes up to date before an
@@ -164,7 +165,7 @@
 // one of the route if that has none.
 func (fl *flight) acquire(ctx context.Context) (*balance.Lease, error) {
 	wish := balance.Wish{
-		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
+		Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
 		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: fl.waitAtEngine(),
 	}
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// pickPeer draws a peer to ask: a data node in the zone if one answers, else
-// any data node, seed or node that asked this one.
+// pickPeer draws a peer to ask: a data node in the zone, or of this node's region, if
+// one answers, else any data node, seed or node that asked this one.
 func (a *Agent) pickPeer(zone string) (transport.Address, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -234,12 +234,14 @@
 	return candidates[rand.IntN(len(candidates))], true
 }
 
-// candidates are the data nodes that answer: of the zone, or of any if the
-// zone is empty or has none. Data nodes ask the watchers only, so that a change
+// candidates are the data nodes that answer: of the zone, or of this node's region if
+// the zone is empty or has none, so that a change crosses the border of a region to its
+// data nodes and not to each front node. With old facts a node asks any: its region may
+// be cut off from those that have newer ones. Data nodes ask the watchers only, so that a change
 // is two steps from every node; but any data node if what they know is old, as
 // then no watcher may have a way to the store. The caller holds the mutex.
 func (a *Agent) candidates(zone string) []transport.Address {
-	var near, all []transport.Address
+	var near, inRegion, all []transport.Address
 	for _, name := range a.soundNodes() {
 		node := a.nodes[name]
 		if node.Name == a.options.Self.Name {
@@ -249,14 +251,19 @@
 		if node.Zone == zone {
 			near = append(near, node.Address)
 		}
+		if node.Region == a.options.Self.Region {
+			inRegion = append(inRegion, node.Address)
+		}
 	}
 	switch {
-	case a.options.DataNode && a.isStale(time.Now()):
+	case zone == "" && a.isStale(time.Now()), a.options.DataNode && a.isStale(time.Now()):
 		return all
 	case a.options.DataNode:
 		return all[:min(len(all), watcherCount)]
 	case len(near) > 0:
 		return near
+	case len(inRegion) > 0:
+		return inRegion
 	}
 	return all
 }
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -84,6 +84,7 @@
 	c.facts.agent = c.agent
 	c.pool = upstream.NewPool(adapter.Engines)
 	c.balancer = balance.New(c.facts.Snapshot)
+	c.pool.Connected = c.balancer.Connected
 	c.registerGauges(c.commonGauges())
 	return c, nil
 }
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -15,6 +15,7 @@
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/loadshare"
+	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -72,7 +73,7 @@
 			return settings.Platform.Revoke > 0 && f.configurationAge() > settings.Platform.Revoke
 		},
 		Forwarder: &forward.Forwarder{
-			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
+			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone, Region: settings.Node.Region,
 			Observe: newRequestMetrics(common.registry).observe,
 			Refresh: f.refreshLoad, Chosen: f.reportChoice,
 		},
@@ -89,18 +90,39 @@
 	return f, nil
 }
 
-// nearReplica picks the replica of the ledger in this node's zone: bytes between
-// zones are dear, and results are read more often than they are written.
+// nearReplica picks the replica of the ledger in this node's zone, or else in its
+// region: bytes between them are dear, and results are read more often than they are
+// written.
 func (f *front) nearReplica(replicas []transport.Address) (transport.Address, bool) {
 	if len(replicas) == 0 {
 		return "", false
 	}
-	for _, node := range f.agent.Nodes() {
-		if node.Zone == f.settings.Node.Zone && slices.Contains(replicas, node.Address) {
+	return nearest(f.agent.Nodes(), replicas, f.self())
+}
+
+// nearest returns the replica in a node's own zone, or the first by name in its region;
+// false if there is none. Where all nodes are of one region, only the zone is near: a
+// replica of another zone has nothing before the leader.
+func nearest(nodes []mirror.Node, replicas []transport.Address, self mirror.Node) (transport.Address, bool) {
+	var inRegion *mirror.Node
+	regions := map[string]bool{}
+	for i := range nodes {
+		node := &nodes[i]
+		regions[node.Region] = true
+		if !slices.Contains(replicas, node.Address) {
+			continue
+		}
+		if node.Zone == self.Zone {
 			return node.Address, true
 		}
+		if node.Region == self.Region && (inRegion == nil || node.Name < inRegion.Name) {
+			inRegion = node
+		}
+	}
+	if inRegion == nil || len(regions) < 2 {
+		return "", false
 	}
-	return "", false
+	return inRegion.Address, true
 }
 
 // configurationAge is how long ago the configuration in force was known to be the
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,6 +40,8 @@
 	dialect Dialect
 	// Opened counts the connections that were opened.
 	Opened atomic.Int64
+	// Connected is told how long each opening took, by the engine's ID; may be nil.
+	Connected func(instance string, took time.Duration)
 
 	mutex sync.Mutex // guards idle; a leaf
 	idle  map[string][]*connection
@@ -101,11 +103,16 @@
 			})
 		},
 	}
+	started := time.Now()
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
 	p.Opened.Add(1)
+	if p.Connected != nil {
+		_, instance, _ := strings.Cut(key, "|")
+		p.Connected(instance, time.Since(started))
+	}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), key: key}, nil
 }
 
