--- a/internal/balance/distance_test.go
+++ b/internal/balance/distance_test.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// A farther region without a wait is nearer than one with a wait.
+func TestRoundTripAndWaitCountTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := busy(map[string]int{"own": 12, "near": 12, "remote": 9}, nil)
+	table.distances.note("d", 130*time.Millisecond, start) // the wait at the other is 125 ms longer
+	wish := Wish{Service: "s", Zone: "a", Region: "north", Wait: time.Second}
+	chosen, _ := table.Choose(threePlaces(), wish, start, func() float64 { return 0.5 })
+	g.Expect(chosen.ID).To(gomega.Equal("remotest"))
+}
+
 // A region without engines for the request uses others, however far they are.
 func TestARegionWithoutEnginesUsesTheNearestOther(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -123,8 +133,11 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			wish := Wish{Service: "s", Zone: "a", Region: one.region, Wait: time.Second}
-			chosen, _ := busy(map[string]int{"own": 4}, nil).Choose(catalog.NewSnapshot(nil, one.engines), wish, start, func() float64 { return 0.5 })
+			snapshot, draw := catalog.NewSnapshot(nil, one.engines), func() float64 { return 0.5 }
+			chosen, _ := busy(map[string]int{"own": 4}, nil).Choose(snapshot, wish, start, draw)
 			g.Expect(chosen.ID).To(gomega.Equal("other"), "its own zone is fuller by half")
+			chosen, _ = busy(nil, nil).Choose(snapshot, wish, start, draw)
+			g.Expect(chosen.ID).To(gomega.Equal("own"))
 		})
 	}
 }
