--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -43,9 +43,11 @@
 // Wish is what a request wants of an engine.
 type Wish struct {
 	Service string
-	// Zone is the one whose engines are preferred; empty means none.
-	Zone  string
-	Class Class
+	// Zone is the one whose engines are preferred, and then those of its Region; empty
+	// means none.
+	Zone   string
+	Region string
+	Class  Class
 	// Prefix identifies the shared part of the prompt, and PrefixTokens is its
 	// length; an engine that has read it before is quicker.
 	Prefix       string
@@ -104,53 +106,64 @@
 	return filter(engines, func(e catalog.Engine) bool { return wish.Regions.Allow(e.Region) })
 }
 
-// best picks one of the candidates that have room.
+// best picks one of the candidates that have room: of the wish's region, unless a request
+// waits longer there than the round trip to another region takes, and the wait there.
 func (t *Table) best(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
-	home := prefixHome(candidates, wish)
-	near, far := group{engines: make([]scoredEngine, 0, len(candidates))}, group{}
-	for _, engine := range candidates {
-		if !t.hasRoom(engine, wish.Wait, now) {
-			continue
+	inRegion, remote := wish.byRegion(candidates)
+	near, far, sawRoom := t.groups(inRegion, wish, now, draw)
+	chosen := pickGroup(near, far)
+	if len(remote) > 0 {
+		chosen = withoutWait(chosen, near, far)
+		other, saw := t.nearestRegion(remote, wish, len(inRegion) > 0, chosen.wait, now, draw)
+		sawRoom = sawRoom || saw
+		if len(other.engines) > 0 {
+			chosen = other
 		}
-		of := &near
-		if wish.Zone != "" && engine.Zone != wish.Zone {
-			of = &far
-		}
-		of.engines = append(of.engines, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
-		of.online += t.peersOnline(engine.ID)
 	}
-	if len(near.engines)+len(far.engines) == 0 {
+	t.noteRoom(sawRoom)
+	if len(chosen.engines) == 0 {
 		return catalog.Engine{}, false
 	}
-	near.unheard = t.unheard(near.online, now.Sub(t.heardAt)+nearAge)
-	far.unheard = t.unheard(far.online, now.Sub(t.heardAt)+sumAge)
-	return pickGroup(near, far).pick(draw()), true
+	return chosen.pick(draw()), true
 }
 
-// hasRoom says whether an engine has room for an online request: batch work makes
-// way for it.
-func (t *Table) hasRoom(engine catalog.Engine, wait time.Duration, now time.Time) bool {
-	if t.fullNow(engine.ID, now) {
-		return false
-	}
-	beyond := t.load(engine.ID, now) - t.yielding(engine.ID, now) - engine.Slots
-	if beyond < 0 || wait <= 0 {
-		return beyond < queueDepth
+// groups parts the engines of one region that have room into those of the wish's zone
+// and the others, and leaves out those that are for other requests. sawRoom says that
+// some engine has room for anybody.
+func (t *Table) groups(engines []catalog.Engine, wish Wish, now time.Time, draw func() float64) (near, far group, sawRoom bool) {
+	home := prefixHome(engines, wish)
+	prediction := t.predict(engines, wish, now)
+	near = group{engines: make([]scoredEngine, 0, len(engines)), age: now.Sub(t.heardAt) + nearAge}
+	far = group{age: now.Sub(t.heardAt) + sumAge}
+	for _, engine := range engines {
+		of := &near
+		if wish.Zone != "" && engine.Zone != wish.Zone {
+			of = &far
+		}
+		online := t.peersOnline(engine.ID)
+		of.all += online
+		if !prediction.hasRoom(engine) {
+			continue
+		}
+		of.engines = append(of.engines, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
+		of.online += online
 	}
-	return float64(beyond) < queueShare*float64(engine.Slots) && t.firstAfter(beyond, engine.Slots) <= wait
-}
-
-// firstAfter predicts how long a request waits at an engine with so many requests
-// beyond its slots: they and it begin one after the other, as running ones end.
-func (t *Table) firstAfter(beyond, slots int) time.Duration {
-	return t.ran * time.Duration(beyond+1) / time.Duration(max(slots, 1))
+	sawRoom = len(near.engines)+len(far.engines) > 0
+	near, far = prediction.share(near, 1, draw), prediction.share(far, (1+prediction.farWeight)/2, draw)
+	near.unheard = t.unheard(near.online, near.age)
+	far.unheard = t.unheard(far.online, far.age)
+	near.wait, far.wait = prediction.waitIn(near), prediction.waitIn(far)
+	return near, far, sawRoom
 }
 
-// slots counts the slots of engines, and those that are free.
+// slots counts the slots of engines, and those that are free less the requests that wait
+// for one at other engines: in overload some engine always has a free slot for the
+// moment, and a run started there is cut as soon as an online request comes. With such
+// slots counted as free 60 runs a second were started and cut in bursts.
 func (t *Table) slots(engines []catalog.Engine, now time.Time) (all, free int) {
 	for _, engine := range engines {
 		all += engine.Slots
-		free += max(0, engine.Slots-t.load(engine.ID, now))
+		free += engine.Slots - t.load(engine.ID, now)
 	}
 	return all, free
 }
@@ -218,15 +231,15 @@
 // unread is the prompt tokens that an engine will have to read for a wish. The
 // home of its prefix has read the shared part before.
 func (t *Table) unread(snapshot *catalog.Snapshot, wish Wish, engine catalog.Engine) int {
-	if engine.ID == prefixHome(allowed(snapshot, wish), wish) {
+	if engine.ID == prefixHome(wish.sameRegion(allowed(snapshot, wish), engine), wish) {
 		return max(0, wish.PromptTokens-wish.PrefixTokens)
 	}
 	return wish.PromptTokens
 }
 
 // prefixHome is the engine that requests with the same prefix go to first, by
-// rendezvous hashing. It is the same for all zones, so that a prefix is read
-// and kept at one engine.
+// rendezvous hashing. Each region has its own, the same for all of its zones, so that
+// a prefix is read and kept at one engine there.
 func prefixHome(candidates []catalog.Engine, wish Wish) string {
 	if wish.Prefix == "" {
 		return ""
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
 )
@@ -21,6 +22,13 @@
 	// from nodes that were not heard.
 	online  int
 	unheard float64
+	// all is the online requests of others at all of the group's engines, full ones too.
+	all int
+	// age is how old what is known of them is.
+	age time.Duration
+	// wait is the least that a request is predicted to wait for a slot of one of the
+	// engines, with the round trip to another region; endless without engines.
+	wait time.Duration
 }
 
 // level is the score up to which the unheard requests and this one fill a group.
@@ -36,7 +44,7 @@
 func (g group) pick(draw float64) catalog.Engine { return pick(g.engines, 1+g.unheard, draw) }
 
 // pickGroup returns the group whose engines are filled less: those of the node's own
-// zone, of which its figures are milliseconds old, or those of all others.
+// zone, of which its figures are milliseconds old, or those of the region's other zones.
 //
 // Taking all figures for as old as those of other zones, 51 front nodes drew among all
 // engines of their zone by chance: in bursts late requests had met 4 others within
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -220,3 +220,31 @@
 	g.Expect(restingTime(http.Header{"Connection": {"Close"}})).To(gomega.BeZero())
 	g.Expect(restingTime(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
 }
+
+// Each opening is told once, with the engine that was meant.
+func TestOpeningsAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := request(reader)
+			if err != nil {
+				return
+			}
+			respond(conn, id, "x")
+		}
+	})
+	pool := NewPool(plainDialect{})
+	var opened []string
+	pool.Connected = func(instance string, took time.Duration) {
+		opened = append(opened, instance)
+		g.Expect(took).To(gomega.BeNumerically(">", 0))
+	}
+	for _, id := range []string{"a", "b"} {
+		answer, err := pool.Exchange(context.Background(), address, &Call{ID: id, Method: http.MethodGet, URI: "/", Host: "h", Instance: "i-1"})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.ReadAll(answer)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		answer.Close()
+	}
+	g.Expect(opened).To(gomega.Equal([]string{"i-1"}))
+}
