--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -29,6 +29,9 @@
 // Balancer may be used concurrently.
 type Balancer struct {
 	snapshot func() *catalog.Snapshot
+	// Permit is asked before a request goes to an engine that is paced; nil if none is.
+	// It is set before the balancer is used.
+	Permit func(ctx context.Context, engine catalog.Engine, request string) Permission
 	// pressed holds a token once an online request went to an engine where batch
 	// work has to make way.
 	pressed chan struct{}
@@ -85,6 +88,7 @@
 	balancer *Balancer
 	class    Class
 	begun    time.Time
+	permit   time.Time // until when the request may be sent to a paced engine
 	readAt   time.Time // guarded by the balancer's mutex
 	tokens   int       // not read yet; guarded by the balancer's mutex
 	released bool
@@ -95,7 +99,7 @@
 // it does, refresh, which may be nil, brings what other nodes have up to date before
 // each look: by old figures all that wait take the same slot that got free.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
-	lease, found := b.try(wish, nil, priority)
+	lease, found := b.take(ctx, wish, nil, priority)
 	if !found && len(allowed(b.snapshot(), wish)) == 0 {
 		return nil, ErrNoEngine
 	}
@@ -103,7 +107,7 @@
 		lease, found = b.await(ctx, wish, priority, wait, refresh)
 	}
 	if !found {
-		return nil, ErrNoRoom
+		return nil, b.noRoom(wish)
 	}
 	return lease, nil
 }
@@ -238,7 +242,7 @@
 		if budget > 0 {
 			wish.Wait = max(1, budget-time.Since(started))
 		}
-		if lease, found := b.try(wish, self, priority); found {
+		if lease, found := b.take(ctx, wish, self, priority); found {
 			return lease, true
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -23,7 +23,8 @@
 	batchPending = 5000
 	// formerBonus is what the engine gains that ran a part of the request.
 	formerBonus = 0.3
-	// coldPenalty is what an engine that is still slow costs.
+	// coldPenalty is what an engine that is still slow costs: idle, it ranks with a warm
+	// one that has half of its slots taken.
 	coldPenalty = 0.5
 	// freeShare is the share of a service's slots that batch work leaves free for the
 	// online requests that come before it can make way. It makes way within some 20 ms,
@@ -42,6 +43,8 @@
 
 // Wish is what a request wants of an engine.
 type Wish struct {
+	// Request names the request in the log.
+	Request string
 	Service string
 	// Zone is the one whose engines are preferred; empty means none.
 	Zone  string
--- /dev/null
+++ b/internal/balance/coldstart.go
@@ -0,0 +1,137 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+)
+
+// permitTries is how many engines a request asks permits for before it waits: each ask
+// takes a millisecond or two, and 15 ms where it isn't answered.
+const permitTries = 3
+
+// ErrPermitVoid says that a request may not be sent to its engine, which is paced: it has
+// no permit, or an old one.
+var ErrPermitVoid = errors.New("balance: the engine is cold, and there is no valid permit")
+
+// PaceError says that all engines that a request may go to are paced, and when the first
+// of them may get more. It is an ErrNoRoom.
+type PaceError struct{ After time.Duration }
+
+// Error implements error.
+func (e *PaceError) Error() string {
+	return fmt.Sprintf("balance: all engines are cold and get no more requests for %v", e.After)
+}
+
+// Is says that it is an ErrNoRoom.
+func (e *PaceError) Is(target error) bool { return target == ErrNoRoom }
+
+// Permission is whether a paced engine may get a request.
+type Permission struct {
+	// Until is when a permit ends; zero if none was given.
+	Until time.Time
+	// After is how long the engine counts as full then.
+	After time.Duration
+}
+
+// take takes an engine, and a permit where it is paced; an engine that may get nothing
+// more counts as full, and another one is tried.
+func (b *Balancer) take(ctx context.Context, wish Wish, self *waiter, priority int) (*Lease, bool) {
+	for range permitTries {
+		lease, found := b.try(wish, self, priority)
+		if !found {
+			return nil, false
+		}
+		if b.permitted(ctx, lease, wish.Request) {
+			return lease, true
+		}
+	}
+	return nil, false
+}
+
+func (b *Balancer) permitted(ctx context.Context, lease *Lease, request string) bool {
+	if b.Permit == nil || !lease.Engine.Paced(time.Now()) {
+		return true
+	}
+	permission := b.Permit(ctx, lease.Engine, request)
+	if !permission.Until.IsZero() {
+		lease.permit = permission.Until
+		return true
+	}
+	lease.withdraw(permission.After)
+	return false
+}
+
+// withdraw gives a place up that was never used, and lets its engine count as full for a
+// while.
+func (l *Lease) withdraw(full time.Duration) {
+	b := l.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	l.released = true
+	l.read()
+	now := time.Now()
+	b.table.End(l.Engine.ID, l.class, now)
+	b.table.fullFor(l.Engine.ID, full, now)
+}
+
+// MaySend says whether the request may be sent to its engine at this moment; its error is
+// ErrPermitVoid.
+func (l *Lease) MaySend() error {
+	if l.balancer.Permit == nil {
+		return nil
+	}
+	now := time.Now()
+	engine, known := l.balancer.snapshot().Engine(l.Engine.ID)
+	if known && engine.Paced(now) && !now.Before(l.permit) {
+		return ErrPermitVoid
+	}
+	return nil
+}
+
+// noRoom is the error of a wish that found no engine with room.
+func (b *Balancer) noRoom(wish Wish) error {
+	engines := allowed(b.snapshot(), wish)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if after, paced := b.table.pacedFor(engines, time.Now()); paced {
+		return &PaceError{After: after}
+	}
+	return ErrNoRoom
+}
+
+// pacedFor is how long no engine may get more; false if that is not only for their pace.
+func (t *Table) pacedFor(engines []catalog.Engine, now time.Time) (time.Duration, bool) {
+	first := time.Duration(-1)
+	for _, engine := range engines {
+		state := t.engines[engine.ID]
+		if !engine.Paced(now) || state == nil || !now.Before(state.full) {
+			return 0, false
+		}
+		if left := state.full.Sub(now); first < 0 || left < first {
+			first = left
+		}
+	}
+	return first, first >= 0
+}
+
+// fullFor lets an engine count as full for a while.
+func (t *Table) fullFor(id string, pause time.Duration, now time.Time) {
+	state := t.state(id, now)
+	if until := now.Add(pause); until.After(state.full) {
+		state.full = until
+	}
+}
+
+// unpaced leaves out engines that are paced: what they bear goes to online requests.
+func unpaced(engines []catalog.Engine, now time.Time) []catalog.Engine {
+	for i := range engines {
+		if engines[i].Paced(now) {
+			return filter(engines, func(e catalog.Engine) bool { return !e.Paced(now) })
+		}
+	}
+	return engines
+}
--- a/internal/balance/many.go
+++ b/internal/balance/many.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	t.expire(now)
-	candidates := t.candidates(snapshot, wishes[0], now)
+	candidates := unpaced(t.candidates(snapshot, wishes[0], now), now)
 	slots, free := t.slots(candidates, now)
 	places := t.places(candidates, wishes[0], now)
 	var chosen []catalog.Engine
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -51,6 +51,9 @@
 	timer := time.AfterFunc(itemPatience, func() { close(silence); cancel() })
 	defer timer.Stop()
 	answer, err := r.node.pool.Exchange(watch, r.engine.Address, r.call(read))
+	if errors.Is(err, errNotUsable) {
+		return refusalPause
+	}
 	if err != nil {
 		return r.broken(ctx, err, isClosed(silence))
 	}
@@ -75,7 +78,20 @@
 	return &upstream.Call{
 		ID: item.ID, Method: http.MethodPost, URI: item.Path, Host: r.item.host, Header: header, Body: item.Body,
 		Tenant: r.item.tenant, Instance: r.engine.ID, Deadline: r.item.giveUp, Resume: r.last > 0, ResumeAfter: r.last,
+		Proceed: r.proceed,
+	}
+}
+
+// errNotUsable says that an engine may get no item any more.
+var errNotUsable = errors.New("the engine may get no item now")
+
+// proceed looks once more before the item is sent: the engine may have become one that
+// gets none while a connection to it was opened.
+func (r *itemRun) proceed() error {
+	if !r.node.usable(r.engine.ID, r.engine.Service) {
+		return errNotUsable
 	}
+	return nil
 }
 
 // take reads the answer of the engine.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -165,11 +165,19 @@
 	// Drained engines get no new requests either, as their zone is to be empty of
 	// them; unlike leaving ones they come back.
 	Drained bool
+	// Revision is the store's, of the last change of the engine's entry.
+	Revision uint64
 	// ToldCold is how much longer the engine stayed cold when its entry was written.
 	ToldCold time.Duration
 	// ColdUntil is when the engine bears its full rate, as far as known here; zero if
 	// it is not known to be cold.
 	ColdUntil time.Time
+	// PacedUntil is until when requests need a permit: a while longer than ColdUntil;
+	// zero if the service has no ColdRate.
+	PacedUntil time.Time
+	// ColdMaybePast says that the entry that tells of the cold may be older than what this
+	// node has seen.
+	ColdMaybePast bool
 }
 
 // mayServe says whether the engine may get new requests.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -28,6 +28,7 @@
 		return outcome{kind: OutcomeNotSent, cause: errors.New("the engine is leaving")}, false
 	}
 	call := fl.call(engine)
+	call.Proceed = lease.MaySend
 	watch, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := fl.watchSilence(cancel)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -164,7 +164,7 @@
 // one of the route if that has none.
 func (fl *flight) acquire(ctx context.Context) (*balance.Lease, error) {
 	wish := balance.Wish{
-		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
+		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
 		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: fl.waitAtEngine(),
 	}
@@ -263,7 +263,7 @@
 		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
 	after := time.Duration(0)
 	if verdict == VerdictNotRun {
-		after = fl.comeBack()
+		after = fl.comeBackFrom(cause)
 	}
 	if err := fl.sink.Refuse(verdict, after); err != nil {
 		fl.left(err)
@@ -287,6 +287,7 @@
 // note tells the balancer how the engine did.
 func (fl *flight) note(engine catalog.Engine, outcome outcome) {
 	switch {
+	case errors.Is(outcome.cause, balance.ErrPermitVoid):
 	case outcome.kind == OutcomeRefused && !outcome.elsewhere:
 		fl.Balancer.Refused(engine.ID)
 	default:
--- a/internal/logstory/story.go
+++ b/internal/logstory/story.go
@@ -40,6 +40,12 @@
 	"batch-leading": true, "batch-not-leading": true, "stopping": true,
 }
 
+// engineEvents tell what a process knows of an engine; those shortly before an entry
+// that names the engine belong to its story.
+var engineEvents = map[string]bool{
+	"engine-aside": true, "engine-cold": true, "engine-warm": true, "engine-paced": true,
+}
+
 // Read reads the lines of one input. A process is named by a prefix before the
 // line's object, by the node of its "started" line, or else by name.
 func Read(input io.Reader, name string) ([]Entry, error) {
@@ -138,7 +144,7 @@
 			context = append(context, i)
 		}
 		recent := entries[at].At.Sub(one.At) <= contextTime
-		if hasEngine && recent && one.Name == "engine-aside" && one.Fields["engine"] == engine {
+		if hasEngine && recent && engineEvents[one.Name] && one.Fields["engine"] == engine {
 			context = append(context, i)
 		}
 	}
--- /dev/null
+++ b/internal/slowstart/asker.go
@@ -0,0 +1,132 @@
+package slowstart
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+const (
+	// asksAtOnce bounds the asks of a node for one engine that are under way: their answers
+	// come within a millisecond or two.
+	asksAtOnce = 4
+	// busyPause is how long an engine counts as full with so many under way.
+	busyPause = 2 * time.Millisecond
+	// silentMost is how many unanswered asks in a row set a granting node aside, as
+	// datagrams may be lost, and asideTime how long: an estimate, a restart takes one to
+	// three seconds.
+	silentMost = 3
+	asideTime  = 2 * time.Second
+	// silentPause is how long an engine counts as full after an unanswered ask.
+	silentPause = 40 * time.Millisecond
+)
+
+// Asker keeps a front node's asks. It is not safe for concurrent use.
+type Asker struct {
+	number  uint64
+	pending map[uint64]ask
+	engines map[string]int // asks under way
+	silent  map[transport.Address]int
+	aside   map[transport.Address]time.Time // until when
+}
+
+type ask struct {
+	engine string
+	to     transport.Address
+	at     time.Time
+}
+
+// Permission is what came of an ask.
+type Permission struct {
+	// Until is when a given permit ends; zero if none was given.
+	Until time.Time
+	// After is how long the engine is not to be asked for.
+	After time.Duration
+	// Warm says that the engine needs no permits.
+	Warm bool
+}
+
+// NewAsker returns an asker; its numbers go on from one drawn at random, so that answers
+// to the node's former life are none to this one.
+func NewAsker(number uint64) *Asker {
+	return &Asker{
+		number: number, pending: map[uint64]ask{}, engines: map[string]int{},
+		silent: map[transport.Address]int{}, aside: map[transport.Address]time.Time{},
+	}
+}
+
+// Ask begins an ask for an engine at one of its granting nodes. It is ended by Take or
+// GiveUp. If nobody is to be asked now, to is empty and after tells for how long.
+func (a *Asker) Ask(engine string, granters []transport.Address, now time.Time) (number uint64, to transport.Address, after time.Duration) {
+	if a.engines[engine] >= asksAtOnce {
+		return 0, "", busyPause
+	}
+	after = asideTime
+	for _, granter := range granters {
+		if until := a.aside[granter]; now.Before(until) {
+			after = min(after, until.Sub(now))
+			continue
+		}
+		a.number++
+		a.pending[a.number] = ask{engine, granter, now}
+		a.engines[engine]++
+		return a.number, granter, 0
+	}
+	return 0, "", after
+}
+
+// Take takes an answer; false if its ask was ended before.
+func (a *Asker) Take(answer Answer, now time.Time) (Permission, bool) {
+	asked, known := a.end(answer.Number)
+	if !known {
+		return Permission{}, false
+	}
+	delete(a.silent, asked.to)
+	switch answer.Verdict {
+	case Granted:
+		return Permission{Until: asked.at.Add(Life)}, true
+	case Warm:
+		return Permission{Until: asked.at.Add(Life), Warm: true}, true
+	case Closed:
+		a.setAside(asked.to, min(answer.After, asideTime), now)
+		return Permission{After: busyPause}, true
+	}
+	return Permission{After: min(answer.After, asideTime)}, true
+}
+
+// GiveUp ends an ask without an answer. aside says that its granting node is set aside
+// from now on.
+func (a *Asker) GiveUp(number uint64, now time.Time) (permission Permission, aside bool) {
+	asked, known := a.end(number)
+	if !known {
+		return Permission{After: silentPause}, false
+	}
+	a.silent[asked.to]++
+	if a.silent[asked.to] < silentMost {
+		return Permission{After: silentPause}, false
+	}
+	delete(a.silent, asked.to)
+	a.setAside(asked.to, asideTime, now)
+	return Permission{After: busyPause}, true
+}
+
+func (a *Asker) end(number uint64) (ask, bool) {
+	asked, known := a.pending[number]
+	if !known {
+		return ask{}, false
+	}
+	delete(a.pending, number)
+	if a.engines[asked.engine]--; a.engines[asked.engine] == 0 {
+		delete(a.engines, asked.engine)
+	}
+	return asked, true
+}
+
+func (a *Asker) setAside(granter transport.Address, pause time.Duration, now time.Time) {
+	a.aside[granter] = now.Add(pause)
+	for other, until := range a.aside {
+		if now.After(until) {
+			delete(a.aside, other)
+		}
+	}
+}
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -54,11 +54,11 @@
 		return nil, err
 	}
 	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
-		Pool: d.pool, Usable: d.facts.usable, Sender: d.peers, Receiver: d.peers,
+		Pool: d.pool, Usable: d.facts.usableForBatch, Sender: d.peers, Receiver: d.peers,
 	})
 	d.runner = batchwork.NewRunner(batchwork.RunnerOptions{
 		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
-		Route: d.route, Regions: d.regions, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
+		Route: d.route, Regions: d.regions, Usable: d.facts.usableForBatch, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
 		Settle: settleTime, Executors: d.executors, Sender: d.peers, Receiver: d.peers,
 		LocalRuns: settings.Batch.LocalRuns,
 	})
@@ -73,6 +73,9 @@
 	d.quotas = newQuotaExchange(settings, d.peers, d.facts.Snapshot)
 	d.peers.HandleDatagram(kindQuotaReport, d.quotas.takeReport)
 	d.peers.HandleDatagram(kindQuotaShare, d.quotas.takeShare)
+	granting := newGranting(settings, d.peers, d.agent.Nodes, d.facts.Snapshot)
+	d.peers.HandleDatagram(kindPermitAsk, granting.takeAsk)
+	d.registerGauges(granting.gauges())
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: d.localShard, Machine: d.machine, Scarce: d.ledger.Scarce, Receiver: d.peers,
 		Replicas: func() []transport.Address { return d.ledger.Replicas(0) },
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -29,10 +29,13 @@
 	lapses  *catalog.Lapses
 	again   time.Time
 	drained []string // zones, as of the last refresh
+	warmth  *catalog.Warmth
+
+	warmNews warmNews
 }
 
 func newFacts(adapter *Adapter, settings *config.Node) *facts {
-	f := &facts{adapter: adapter, settings: settings, changes: make(chan struct{}, 1), lapses: catalog.NewLapses()}
+	f := &facts{adapter: adapter, settings: settings, changes: make(chan struct{}, 1), lapses: catalog.NewLapses(), warmth: catalog.NewWarmth()}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil))
 	return f
 }
@@ -83,6 +86,7 @@
 	if at == 0 {
 		configuration = before.Configuration
 	}
+	f.markCold(engines, configuration, time.Now())
 	f.snapshot.Store(catalog.NewSnapshot(configuration, engines))
 	leaving := 0
 	for _, engine := range engines {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -86,6 +86,10 @@
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	f.peers.HandleDatagram(kindLoadSum, f.takeLoadSum)
 	f.peers.HandleDatagram(kindQuotaSum, f.limits.takeSum)
+	permits := newPermits(f.peers, f.agent.Nodes, f.facts.warm)
+	f.balancer.Permit = permits.permit
+	f.peers.HandleDatagram(kindPermitAnswer, permits.takeAnswer)
+	f.registerGauges(permits.gauges())
 	return f, nil
 }
 
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -89,6 +89,7 @@
 		"chutelock_engine_connections_opened_total": {"Connections opened to engines.", func() float64 {
 			return float64(c.pool.Opened.Load())
 		}},
+		"chutelock_cold_engines": {"Engines that are cold, as far as known here.", c.facts.coldEngines},
 		"chutelock_requests_waiting": {"Requests that wait for an engine with room.", func() float64 {
 			return float64(c.balancer.Waiting())
 		}},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -119,6 +119,19 @@
 	c.until = time.Now().Add(rest)
 	c.used = true
 	_ = c.SetDeadline(time.Time{})
+	p.rest(c)
+}
+
+// putBack lets a connection rest on which nothing was sent since it was taken.
+func (p *Pool) putBack(c *connection) {
+	if !c.used {
+		p.put(c, nil)
+		return
+	}
+	p.rest(c)
+}
+
+func (p *Pool) rest(c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[c.key]) >= idlePerEngine {
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -27,6 +27,16 @@
 	// sent only if Resume is set.
 	Resume      bool
 	ResumeAfter uint64
+	// Proceed, if set, is asked right before the request is written, once a connection
+	// stands; its error keeps the request from being sent.
+	Proceed func() error
+}
+
+func (c *Call) mayProceed() error {
+	if c.Proceed == nil {
+		return nil
+	}
+	return c.Proceed()
 }
 
 // Load is what an engine told of itself.
