--- /dev/null
+++ b/internal/balance/coldstart_test.go
@@ -0,0 +1,144 @@
+package balance
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/catalog"
+)
+
+// coldService has engines of one slot: the named ones are paced for an hour.
+func coldService(warm, cold []string) *catalog.Snapshot {
+	var list []catalog.Engine
+	for _, id := range warm {
+		list = append(list, catalog.Engine{ID: id, Service: "s", Slots: 1})
+	}
+	for _, id := range cold {
+		until := time.Now().Add(time.Hour)
+		list = append(list, catalog.Engine{ID: id, Service: "s", Slots: 1, ColdUntil: until, PacedUntil: until})
+	}
+	return catalog.NewSnapshot(nil, list)
+}
+
+// permitter answers each ask with the next of its permissions, and the last from then on.
+type permitter struct {
+	answers []Permission
+	asked   []string
+}
+
+func (p *permitter) permit(_ context.Context, engine catalog.Engine, _ string) Permission {
+	p.asked = append(p.asked, engine.ID)
+	next := p.answers[0]
+	if len(p.answers) > 1 {
+		p.answers = p.answers[1:]
+	}
+	return next
+}
+
+func without(list, left []string) []string {
+	return slices.DeleteFunc(list, func(id string) bool { return slices.Contains(left, id) })
+}
+
+func acquire(b *Balancer, wait time.Duration) (*Lease, error) {
+	return b.Acquire(context.Background(), Wish{Service: "s"}, 0, wait, nil)
+}
+
+func TestAColdEngineTakesWhatWarmOnesHaveNoRoomFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService([]string{"w"}, []string{"c"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	permits := &permitter{answers: []Permission{{Until: time.Now().Add(time.Hour)}}}
+	b.Permit = permits.permit
+	first, err := acquire(b, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Engine.ID).To(gomega.Equal("w"))
+	g.Expect(permits.asked).To(gomega.BeEmpty(), "a warm engine needs none")
+	second, err := acquire(b, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(second.Engine.ID).To(gomega.Equal("c"))
+	g.Expect(permits.asked).To(gomega.Equal([]string{"c"}))
+	g.Expect(second.MaySend()).To(gomega.Succeed())
+}
+
+// Denied at one engine, a request tries others, and few of them.
+func TestARequestWithoutAPermitPicksAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService(nil, []string{"a", "b", "c", "d", "e"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	permits := &permitter{answers: []Permission{{After: time.Hour}, {After: time.Hour}, {Until: time.Now().Add(time.Hour)}, {After: time.Hour}}}
+	b.Permit = permits.permit
+	lease, err := acquire(b, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(permits.asked).To(gomega.HaveLen(permitTries))
+	g.Expect(lease.Engine.ID).To(gomega.Equal(permits.asked[2]))
+	g.Expect(b.Own()).To(gomega.HaveLen(1), "the places that weren't used are given up")
+	_, err = acquire(b, 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
+	g.Expect(permits.asked[3:]).To(gomega.ConsistOf(without([]string{"a", "b", "c", "d", "e"}, permits.asked[:2])), "those denied before are left out")
+}
+
+// With all engines cold and nothing left of their pace, the refusal tells when there is.
+func TestARefusalTellsWhenThePaceAllowsMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService(nil, []string{"a", "b"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	b.Permit = (&permitter{answers: []Permission{{After: 40 * time.Minute}, {After: 30 * time.Minute}}}).permit
+	_, err := acquire(b, 0)
+	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
+	var paced *PaceError
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(paced))
+	g.Expect(err.(*PaceError).After).To(gomega.BeNumerically("~", 30*time.Minute, time.Minute))
+
+	snapshot = coldService([]string{"w"}, []string{"a", "b"})
+	for range 1 + queueDepth {
+		_, err := acquire(b, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	_, err = acquire(b, 0)
+	g.Expect(err).To(gomega.Equal(ErrNoRoom), "a warm engine is full, and the pace not the only reason")
+}
+
+// What is known at the send decides: permits grow old, and engines turn cold.
+func TestNothingIsSentToAPacedEngineWithoutAValidPermit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService(nil, []string{"c"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	b.Permit = (&permitter{answers: []Permission{{Until: time.Now().Add(-time.Nanosecond)}}}).permit
+	lease, err := acquire(b, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lease.MaySend()).To(gomega.MatchError(ErrPermitVoid))
+	lease.Release()
+
+	snapshot = coldService([]string{"c"}, nil)
+	lease, err = acquire(b, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lease.MaySend()).To(gomega.Succeed())
+	snapshot = coldService(nil, []string{"c"})
+	g.Expect(lease.MaySend()).To(gomega.MatchError(ErrPermitVoid))
+}
+
+func TestBatchWorkStartsNothingAtPacedEngines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService([]string{"w"}, []string{"a", "b"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	wish := Wish{Service: "s", Class: ClassBatch}
+	leases := b.AcquireMany([]Wish{wish, wish, wish}, 0)
+	g.Expect(leases).To(gomega.HaveLen(1))
+	g.Expect(leases[0].Engine.ID).To(gomega.Equal("w"))
+}
+
+// A waiting request gets its permit as soon as its engine may be asked again.
+func TestAWaitingRequestAsksAgainWhenItMay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService(nil, []string{"c"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	permits := &permitter{answers: []Permission{{After: 30 * time.Millisecond}, {Until: time.Now().Add(time.Hour)}}}
+	b.Permit = permits.permit
+	_, err := acquire(b, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(permits.asked).To(gomega.HaveLen(2))
+}
--- a/internal/slowstart/asker.go
+++ b/internal/slowstart/asker.go
@@ -13,10 +13,10 @@
 	// busyPause is how long an engine counts as full with so many under way.
 	busyPause = 2 * time.Millisecond
 	// silentMost is how many unanswered asks in a row set a granting node aside, as
-	// datagrams may be lost, and asideTime how long: an estimate, a restart takes one to
-	// three seconds.
+	// datagrams may be lost, and asideTime how long. Then one more is enough: a node that
+	// is lost costs an ask of 15 ms each time, and one that is back is found soon.
 	silentMost = 3
-	asideTime  = 2 * time.Second
+	asideTime  = 500 * time.Millisecond
 	// silentPause is how long an engine counts as full after an unanswered ask.
 	silentPause = 40 * time.Millisecond
 )
@@ -88,10 +88,10 @@
 	case Warm:
 		return Permission{Until: asked.at.Add(Life), Warm: true}, true
 	case Closed:
-		a.setAside(asked.to, min(answer.After, asideTime), now)
+		a.setAside(asked.to, min(answer.After, window), now)
 		return Permission{After: busyPause}, true
 	}
-	return Permission{After: min(answer.After, asideTime)}, true
+	return Permission{After: min(answer.After, afterMost)}, true
 }
 
 // GiveUp ends an ask without an answer. aside says that its granting node is set aside
@@ -105,7 +105,7 @@
 	if a.silent[asked.to] < silentMost {
 		return Permission{After: silentPause}, false
 	}
-	delete(a.silent, asked.to)
+	a.silent[asked.to] = silentMost - 1
 	a.setAside(asked.to, asideTime, now)
 	return Permission{After: busyPause}, true
 }
--- a/internal/slowstart/granter.go
+++ b/internal/slowstart/granter.go
@@ -13,10 +13,14 @@
 	Life = 100 * time.Millisecond
 	// window is the time within which a granting node keeps to its allowance.
 	window = Span + Life
+	// parts is how many parts of a window get an equal part of its allowance. Given as
+	// asked for, all engines that turned cold together got their 8 requests at once, and
+	// those that came within the next second had to wait.
+	parts = 4
 	// afterLeast and afterMost bound the time after which a denied node asks again: the
-	// first bounds its asks, and later than a window a promise tells nothing.
+	// first bounds its asks, and what is promised for later is often not asked for.
 	afterLeast = 10 * time.Millisecond
-	afterMost  = Span
+	afterMost  = Span / 2
 )
 
 // Bound says how much more than its rate an engine may get within Span, from all nodes.
@@ -60,13 +64,16 @@
 	return &Granter{quietUntil: now.Add(window), engines: map[string]*book{}}
 }
 
-// See takes the names of the data nodes, sorted. Where they changed, others may have
-// granted until now.
+// See takes the names of the data nodes. Where one is gone, it may have granted until now
+// what this node grants next. One that came leaves this node less to grant, not more.
 func (g *Granter) See(view []string, now time.Time) {
-	if slices.Equal(view, g.view) {
-		return
+	gone := func(name string) bool { return !slices.Contains(view, name) }
+	if slices.ContainsFunc(g.view, gone) {
+		g.quietUntil = now.Add(window)
+	}
+	if len(view) != len(g.view) || slices.ContainsFunc(g.view, gone) {
+		g.view = slices.Clone(view)
 	}
-	g.view, g.quietUntil = slices.Clone(view), now.Add(window)
 }
 
 // Grant answers an ask for an engine of which so many permits may be given in a window.
@@ -81,7 +88,7 @@
 		g.engines[engine] = b
 	}
 	b.expire(now)
-	if len(b.granted) < allowance {
+	if !free(b.granted, allowance, now).After(now) {
 		b.granted = append(b.granted, now)
 		return Granted, 0
 	}
@@ -110,13 +117,33 @@
 
 // promise is how long until a permit comes free for which nobody was told to ask yet.
 func (b *book) promise(allowance int, now time.Time) time.Duration {
-	// With a lower allowance than before, the first grants to run out free nothing.
-	next := max(0, len(b.granted)-max(allowance, 1)) + len(b.promised)
-	if next >= len(b.granted) {
+	taken := append(slices.Clone(b.granted), b.promised...)
+	slices.SortFunc(taken, time.Time.Compare)
+	after := max(free(taken, allowance, now).Sub(now), afterLeast)
+	if after > afterMost {
 		return afterMost
 	}
-	free := b.granted[next].Add(window + time.Millisecond)
-	after := min(max(free.Sub(now), afterLeast), afterMost)
 	b.promised = append(b.promised, now.Add(after))
 	return after
 }
+
+// free is when one more permit may be granted after those of the given times, which are in
+// order: no more than the allowance in a window, and evenly in its parts.
+func free(taken []time.Time, allowance int, now time.Time) time.Time {
+	at := now
+	for _, bound := range []struct {
+		most int
+		span time.Duration
+	}{{allowance, window}, {(allowance + parts - 1) / parts, window / parts}} {
+		if bound.most <= 0 {
+			return now.Add(2 * afterMost)
+		}
+		if len(taken) < bound.most {
+			continue
+		}
+		if next := taken[len(taken)-bound.most].Add(bound.span + time.Millisecond); next.After(at) {
+			at = next
+		}
+	}
+	return at
+}
--- a/internal/slowstart/granters.go
+++ b/internal/slowstart/granters.go
@@ -16,15 +16,28 @@
 // Granters lists the data nodes that grant permits for an engine, the first to ask
 // first: those of its zone and then of its region come before others.
 func Granters(nodes []mirror.Node, engine catalog.Engine) []mirror.Node {
-	ordered := slices.Clone(nodes)
-	slices.SortFunc(ordered, func(a, b mirror.Node) int {
-		if byPlace := cmp.Compare(distance(a, engine), distance(b, engine)); byPlace != 0 {
-			return byPlace
-		}
-		byRank := cmp.Compare(membership.RendezvousScore(engine.ID, b.Name), membership.RendezvousScore(engine.ID, a.Name))
-		return cmp.Or(byRank, cmp.Compare(a.Name, b.Name))
-	})
-	return ordered[:min(len(ordered), grantersMost)]
+	all := make([]ranked, 0, len(nodes))
+	for _, node := range nodes {
+		all = append(all, ranked{node, distance(node, engine), membership.RendezvousScore(engine.ID, node.Name)})
+	}
+	slices.SortFunc(all, ranked.compare)
+	granters := make([]mirror.Node, 0, grantersMost)
+	for _, one := range all[:min(len(all), grantersMost)] {
+		granters = append(granters, one.node)
+	}
+	return granters
+}
+
+type ranked struct {
+	node     mirror.Node
+	distance int
+	score    uint64
+}
+
+func (r ranked) compare(other ranked) int {
+	return cmp.Or(
+		cmp.Compare(r.distance, other.distance), cmp.Compare(other.score, r.score), cmp.Compare(r.node.Name, other.node.Name),
+	)
 }
 
 func distance(node mirror.Node, engine catalog.Engine) int {
--- a/internal/system/slowstart.go
+++ b/internal/system/slowstart.go
@@ -290,7 +290,6 @@
 	for _, node := range nodes {
 		list = append(list, node.Name)
 	}
-	slices.Sort(list)
 	return list
 }
 
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -20,6 +20,7 @@
   "replacement three-voters-disk-loss holds FIRST_VOTERS=7 ANY_CHANGE MAX_DISK_LOSSES=1"
   "jobs repeatable holds"
   "jobs non-repeatable holds NON_REPEATABLE"
+  "permits two-granters holds"
   "ledger empty-disk-votes breaks MAX_TERM=2 MAX_INDEX=2 EMPTY_DISK_VOTES"
   "ledger commit-old-term breaks MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0 COMMIT_OLD_TERM"
   "ledger vote-any-log breaks MAX_TERM=3 MAX_INDEX=2 VOTE_ANY_LOG"
@@ -41,6 +42,13 @@
   "jobs hand-back-any breaks NON_REPEATABLE HAND_BACK_ANY"
   "jobs lapse-reopens breaks NON_REPEATABLE LAPSE_REOPENS"
   "jobs cancel-not-run breaks NON_REPEATABLE CANCEL_NOT_RUN"
+  "permits short-window breaks SHORT_WINDOW"
+  "permits no-quiet breaks NO_QUIET"
+  "permits life-from-answer breaks LIFE_FROM_ANSWER"
+  "permits check-early breaks CHECK_EARLY"
+  "permits answer-twice breaks ANSWER_TWICE"
+  "permits whole-bound breaks WHOLE_BOUND"
+  "permits three-grant breaks THREE_GRANT"
 )
 
 # check MODEL NAME EXPECTED MACRO... prints the line of one case.
