--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,7 +31,7 @@
 	snapshot func() *catalog.Snapshot
 	// Permit is asked before a request goes to an engine that is paced; nil if none is.
 	// It is set before the balancer is used.
-	Permit func(ctx context.Context, engine catalog.Engine, request string) Permission
+	Permit func(ctx context.Context, wanted Wanted) Permission
 	// pressed holds a token once an online request went to an engine where batch
 	// work has to make way.
 	pressed chan struct{}
--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -29,6 +29,15 @@
 // Is says that it is an ErrNoRoom.
 func (e *PaceError) Is(target error) bool { return target == ErrNoRoom }
 
+// Wanted is what a permit is asked for.
+type Wanted struct {
+	Engine catalog.Engine
+	// Request names the request in the log.
+	Request string
+	// Failing says that the engine failed the last request of this node that ended there.
+	Failing bool
+}
+
 // Permission is whether a paced engine may get a request.
 type Permission struct {
 	// Until is when a permit ends; zero if none was given.
@@ -56,7 +65,8 @@
 	if b.Permit == nil || !lease.Engine.Paced(time.Now()) {
 		return true
 	}
-	permission := b.Permit(ctx, lease.Engine, request)
+	wanted := Wanted{Engine: lease.Engine, Request: request, Failing: b.failing(lease.Engine.ID)}
+	permission := b.Permit(ctx, wanted)
 	if !permission.Until.IsZero() {
 		lease.permit = permission.Until
 		return true
@@ -65,6 +75,13 @@
 	return false
 }
 
+func (b *Balancer) failing(id string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	state := b.table.engines[id]
+	return state != nil && state.failures > 0
+}
+
 // withdraw gives a place up that was never used, and lets its engine count as full for a
 // while.
 func (l *Lease) withdraw(full time.Duration) {
--- a/internal/balance/coldstart_test.go
+++ b/internal/balance/coldstart_test.go
@@ -28,10 +28,12 @@
 type permitter struct {
 	answers []Permission
 	asked   []string
+	failing bool // as of the last ask
 }
 
-func (p *permitter) permit(_ context.Context, engine catalog.Engine, _ string) Permission {
-	p.asked = append(p.asked, engine.ID)
+func (p *permitter) permit(_ context.Context, wanted Wanted) Permission {
+	p.asked = append(p.asked, wanted.Engine.ID)
+	p.failing = wanted.Failing
 	next := p.answers[0]
 	if len(p.answers) > 1 {
 		p.answers = p.answers[1:]
@@ -142,3 +144,24 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(permits.asked).To(gomega.HaveLen(2))
 }
+
+// Whether the rising pace of an engine holds is told with each ask.
+func TestAnAskTellsOfFailures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := coldService(nil, []string{"c"})
+	b := New(func() *catalog.Snapshot { return snapshot })
+	permits := &permitter{answers: []Permission{{Until: time.Now().Add(time.Hour)}}}
+	b.Permit = permits.permit
+	for _, step := range []struct {
+		note    func()
+		failing bool
+	}{
+		{func() {}, false}, {func() { b.Failed("c", context.Canceled) }, true}, {func() { b.Succeeded("c") }, false},
+	} {
+		step.note()
+		lease, err := acquire(b, 0)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(permits.failing).To(gomega.Equal(step.failing))
+		lease.Release()
+	}
+}
--- a/internal/logstory/story_test.go
+++ b/internal/logstory/story_test.go
@@ -41,3 +41,20 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(entries[0].Process).To(gomega.Equal("data-1"))
 }
+
+// A story tells which engines a request could not have, as they were cold.
+func TestAStoryTellsOfEnginesThatWerePaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries, err := Read(strings.NewReader(`
+ front-1 {"ts":"2026-01-01T00:00:01Z","msg":"engine-cold","event":2130,"engine":"e1","left":"3s"}
+ front-1 {"ts":"2026-01-01T00:00:02Z","msg":"engine-paced","event":2132,"request":"r1","engine":"e1","pause":"137ms"}
+ front-1 {"ts":"2026-01-01T00:00:02.1Z","msg":"engine-paced","event":2132,"request":"r2","engine":"e2","pause":"137ms"}
+ front-1 {"ts":"2026-01-01T00:00:02.2Z","msg":"request-served","event":2205,"request":"r1","engine":"e3"}
+`), "file")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var names []string
+	for _, entry := range Tell(entries, "r1") {
+		names = append(names, entry.Name)
+	}
+	g.Expect(names).To(gomega.Equal([]string{"engine-cold", "engine-paced", "request-served"}))
+}
--- a/internal/system/slowstart.go
+++ b/internal/system/slowstart.go
@@ -124,22 +124,23 @@
 }
 
 // permit asks whether a paced engine may get a request.
-func (p *permits) permit(ctx context.Context, engine catalog.Engine, request string) balance.Permission {
-	granters := slowstart.Granters(p.nodes(), engine)
-	to, permission := p.ask(ctx, engine, granters)
+func (p *permits) permit(ctx context.Context, wanted balance.Wanted) balance.Permission {
+	engine := wanted.Engine
+	to, permission := p.ask(ctx, wanted, slowstart.Granters(p.nodes(), engine))
 	if permission.Warm {
 		p.warm(engine)
 	}
 	if permission.Until.IsZero() {
 		p.denied.Add(1)
-		eventEnginePaced.Info("request", request, "engine", engine.ID, "pause", permission.After, "peer", to)
+		eventEnginePaced.Info("request", wanted.Request, "engine", engine.ID, "pause", permission.After, "peer", to)
 	} else {
 		p.granted.Add(1)
 	}
 	return balance.Permission{Until: permission.Until, After: permission.After}
 }
 
-func (p *permits) ask(ctx context.Context, engine catalog.Engine, granters []mirror.Node) (transport.Address, slowstart.Permission) {
+func (p *permits) ask(ctx context.Context, wanted balance.Wanted, granters []mirror.Node) (transport.Address, slowstart.Permission) {
+	engine := wanted.Engine
 	addresses := make([]transport.Address, 0, len(granters))
 	for _, granter := range granters {
 		addresses = append(addresses, granter.Address)
@@ -157,7 +158,7 @@
 	}
 	p.asked.Add(1)
 	ask := slowstart.Ask{
-		Number: number, Engine: engine.ID, Revision: engine.Revision, Factor: uint8(engine.PaceFactor(now)),
+		Number: number, Engine: engine.ID, Revision: engine.Revision, Factor: factorOf(wanted, now),
 		MaybePast: engine.ColdMaybePast,
 	}
 	// An ask that can't be sent is like a lost one.
@@ -175,6 +176,15 @@
 	}
 }
 
+// factorOf is how many times its cold pace an engine may get: a step of the rise holds as
+// long as nothing failed there.
+func factorOf(wanted balance.Wanted, now time.Time) uint8 {
+	if wanted.Failing {
+		return 1
+	}
+	return uint8(wanted.Engine.PaceFactor(now))
+}
+
 // giveUp ends an ask that got no answer in time.
 func (p *permits) giveUp(number uint64, to transport.Address) slowstart.Permission {
 	p.unanswered.Add(1)
--- /dev/null
+++ b/internal/system/slowstart_test.go
@@ -0,0 +1,119 @@
+package system
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/slowstart"
+)
+
+// granter is the data node "a" of an engine that is known as given; it started long ago.
+func granter(engine catalog.Engine, nodes ...string) *granting {
+	engine.ID, engine.Service, engine.Zone = "e", "s", "z"
+	configuration := &catalog.Configuration{Services: map[string]catalog.Service{"s": {ColdRate: 4}}}
+	snapshot := catalog.NewSnapshot(configuration, []catalog.Engine{engine})
+	var list []mirror.Node
+	for _, name := range nodes {
+		list = append(list, mirror.Node{Name: name, Zone: "z"})
+	}
+	settings := &config.Node{Node: config.Identity{Name: "a"}, SlowStart: config.SlowStart{Overage: 1.5, Slack: 5}}
+	g := newGranting(settings, nil, func() []mirror.Node { return list }, func() *catalog.Snapshot { return snapshot })
+	g.granter = slowstart.NewGranter(time.Now().Add(-time.Hour))
+	return g
+}
+
+// grants counts the permits given at once.
+func (g *granting) grants(ask slowstart.Ask, now time.Time) int {
+	for count := 0; ; count++ {
+		if g.answer(ask, now).Verdict != slowstart.Granted {
+			return count
+		}
+	}
+}
+
+func TestWhatIsGrantedFollowsWhoeverKnowsOfTheColderEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	cold := catalog.Engine{Revision: 7, ColdUntil: now.Add(time.Hour), PacedUntil: now.Add(2 * time.Hour)}
+	rising := catalog.Engine{Revision: 7, ColdUntil: now.Add(-1500 * time.Millisecond), PacedUntil: now.Add(time.Second)}
+	// A quarter of the window gets a quarter of 4, of 8 and of 16.
+	for _, one := range []struct {
+		engine catalog.Engine
+		ask    slowstart.Ask
+		wanted int
+	}{
+		{cold, slowstart.Ask{Revision: 7, Factor: 1}, 1},
+		{cold, slowstart.Ask{Revision: 7, Factor: 4}, 1},
+		{rising, slowstart.Ask{Revision: 7, Factor: 4}, 4},
+		{rising, slowstart.Ask{Revision: 7, Factor: 2}, 2},
+		{rising, slowstart.Ask{Revision: 8, Factor: 4}, 1},
+		{catalog.Engine{Revision: 7, Drained: true}, slowstart.Ask{Revision: 7, Factor: 4}, 1},
+		{catalog.Engine{Revision: 7}, slowstart.Ask{Revision: 7, Factor: 1}, 1},
+	} {
+		one.ask.Engine = "e"
+		g.Expect(granter(one.engine, "a").grants(one.ask, now)).To(gomega.Equal(one.wanted), "%+v", one)
+	}
+}
+
+// An engine is told as warm only to who can't know, by who knows as much of it.
+func TestAnEngineIsToldAsWarmOnlyToWhoCannotKnow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	warm := catalog.Engine{Revision: 7, ColdUntil: now.Add(-time.Hour), PacedUntil: now.Add(-time.Hour)}
+	verdict := func(engine catalog.Engine, ask slowstart.Ask) slowstart.Verdict {
+		ask.Engine = "e"
+		return granter(engine, "a").answer(ask, now).Verdict
+	}
+	g.Expect(verdict(warm, slowstart.Ask{Revision: 7, Factor: 1, MaybePast: true})).To(gomega.Equal(slowstart.Warm))
+	g.Expect(verdict(warm, slowstart.Ask{Revision: 7, Factor: 1})).To(gomega.Equal(slowstart.Granted))
+	g.Expect(verdict(warm, slowstart.Ask{Revision: 8, Factor: 1, MaybePast: true})).To(gomega.Equal(slowstart.Granted))
+	cold := catalog.Engine{Revision: 7, ColdUntil: now.Add(time.Hour), PacedUntil: now.Add(time.Hour)}
+	g.Expect(verdict(cold, slowstart.Ask{Revision: 7, Factor: 1, MaybePast: true})).To(gomega.Equal(slowstart.Granted))
+	drained := warm
+	drained.Drained = true
+	g.Expect(verdict(drained, slowstart.Ask{Revision: 7, Factor: 1, MaybePast: true})).To(gomega.Equal(slowstart.Granted))
+}
+
+// Of many data nodes two grant for an engine, by anybody's list.
+func TestOnlyTwoDataNodesGrantForAnEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	names := []string{"a", "b", "c", "d", "e"}
+	granted := 0
+	for _, self := range names {
+		node := granter(catalog.Engine{}, names...)
+		node.self = self
+		if node.answer(slowstart.Ask{Engine: "e"}, time.Now()).Verdict == slowstart.Granted {
+			granted++
+		}
+	}
+	g.Expect(granted).To(gomega.Equal(2))
+}
+
+// A data node that is one of several starts no item at an engine that is paced.
+func TestAnEngineThatIsPacedIsNotUsableForBatchWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFacts(nil, &config.Node{})
+	until := time.Now().Add(time.Hour)
+	f.snapshot.Store(catalog.NewSnapshot(nil, []catalog.Engine{
+		{ID: "warm", Service: "s"}, {ID: "cold", Service: "s", PacedUntil: until}, {ID: "drained", Service: "s", Drained: true},
+	}))
+	g.Expect(f.usableForBatch("warm", "s")).To(gomega.BeTrue())
+	for _, id := range []string{"cold", "drained", "unknown"} {
+		g.Expect(f.usableForBatch(id, "s")).To(gomega.BeFalse())
+	}
+	g.Expect(f.usable("cold", "s")).To(gomega.BeTrue())
+}
+
+func TestAFailingEngineStaysAtItsColdPace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	rising := catalog.Engine{ColdUntil: now.Add(-1500 * time.Millisecond), PacedUntil: now.Add(time.Second)}
+	g.Expect(factorOf(balance.Wanted{Engine: rising}, now)).To(gomega.BeEquivalentTo(4))
+	g.Expect(factorOf(balance.Wanted{Engine: rising, Failing: true}, now)).To(gomega.BeEquivalentTo(1))
+}
