--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -17,13 +17,21 @@
 // no permit, or an old one.
 var ErrPermitVoid = errors.New("balance: the engine is cold, and there is no valid permit")
 
-// PaceError says that all engines that a request may go to are paced, and when the first
-// of them may get more. It is an ErrNoRoom.
-type PaceError struct{ After time.Duration }
+// PaceError says that a request found no room, and that some engines that it may go to
+// have none for their pace. It is an ErrNoRoom.
+type PaceError struct {
+	// Paced is how many of the engines are cold and get nothing more now.
+	Paced, Of int
+	// After is when the first of them may get more, if that is all of them; else 0.
+	After time.Duration
+}
 
 // Error implements error.
 func (e *PaceError) Error() string {
-	return fmt.Sprintf("balance: all engines are cold and get no more requests for %v", e.After)
+	if e.After > 0 {
+		return fmt.Sprintf("balance: all engines are cold and get no more requests for %v", e.After)
+	}
+	return fmt.Sprintf("balance: no engine has room; %d of %d are cold and get no more requests now", e.Paced, e.Of)
 }
 
 // Is says that it is an ErrNoRoom.
@@ -114,25 +122,29 @@
 	engines := allowed(b.snapshot(), wish)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if after, paced := b.table.pacedFor(engines, time.Now()); paced {
-		return &PaceError{After: after}
+	if paced := b.table.pacedOf(engines, time.Now()); paced.Paced > 0 {
+		return &paced
 	}
 	return ErrNoRoom
 }
 
-// pacedFor is how long no engine may get more; false if that is not only for their pace.
-func (t *Table) pacedFor(engines []catalog.Engine, now time.Time) (time.Duration, bool) {
-	first := time.Duration(-1)
+// pacedOf counts the engines that get nothing more now for their pace.
+func (t *Table) pacedOf(engines []catalog.Engine, now time.Time) PaceError {
+	result := PaceError{Of: len(engines)}
+	first := time.Duration(0)
 	for _, engine := range engines {
-		state := t.engines[engine.ID]
-		if !engine.Paced(now) || state == nil || !now.Before(state.full) {
-			return 0, false
+		if !engine.Paced(now) || !t.fullNow(engine.ID, now) {
+			continue
 		}
-		if left := state.full.Sub(now); first < 0 || left < first {
+		if left := t.engines[engine.ID].full.Sub(now); result.Paced == 0 || left < first {
 			first = left
 		}
+		result.Paced++
+	}
+	if result.Paced == result.Of {
+		result.After = first
 	}
-	return first, first >= 0
+	return result
 }
 
 // fullFor lets an engine count as full for a while.
