Slow start: a pace for cold engines that all nodes keep together

Cause: nothing set Engine.ColdUntil and no node counted what others sent to a cold engine. Ruled out: a share a node (0.33 requests a second at 54 nodes, none at 490); counts spread as those of limits are (54 requests before anybody hears of another's); a lease in the platform's store (writing calls, nothing while it is down). Cold-Ms: told in health answers only, which nobody asks for. Permits given as asked for: all engines got their 8 at once and nothing for a second. Quiet after every change of the list of data nodes: a node's first ask made it quiet, as its list was new to itself; only a data node that is gone counts now. Here: an entry that says sooner than told that its engine is warm is followed by the rise, too (its test expected no pace at all before; that was the fault).

--- a/internal/catalog/warmth.go
+++ b/internal/catalog/warmth.go
@@ -39,6 +39,8 @@
 	told      time.Duration
 	since     time.Time
 	maybePast bool
+	// warmed is when the entry said that the engine is warm sooner than it had told.
+	warmed time.Time
 	// drained is of the last update, and returned when the drain was seen to end.
 	drained  bool
 	returned time.Time
@@ -86,6 +88,10 @@
 func (w *Warmth) next(engine *Engine, now time.Time) warmth {
 	state, seen := w.known[engine.ID]
 	if !seen || state.revision != engine.Revision || state.told != engine.ToldCold {
+		state.warmed = time.Time{}
+		if engine.ToldCold == 0 && now.Before(state.toldUntil()) {
+			state.warmed = now
+		}
 		state.revision, state.told, state.since = engine.Revision, engine.ToldCold, now
 		state.maybePast = !w.begun
 	}
@@ -96,12 +102,18 @@
 	return state
 }
 
-// until is when the engine bears its full rate; zero if it was not cold.
-func (s warmth) until(service Service) time.Time {
-	var until time.Time
+// toldUntil is when the engine is warm by its own words; zero if it never said that it
+// was cold.
+func (s warmth) toldUntil() time.Time {
 	if s.told > 0 {
-		until = s.since.Add(s.told)
+		return s.since.Add(s.told)
 	}
+	return s.warmed
+}
+
+// until is when the engine bears its full rate; zero if it was not cold.
+func (s warmth) until(service Service) time.Time {
+	until := s.toldUntil()
 	if s.returned.IsZero() || service.ColdTime <= 0 {
 		return until
 	}
--- a/internal/catalog/warmth_test.go
+++ b/internal/catalog/warmth_test.go
@@ -36,7 +36,11 @@
 	again = follow(w, Engine{ID: "e", Revision: 6, ToldCold: 2 * time.Second}, at(9))
 	g.Expect(again.ColdUntil).To(gomega.Equal(at(11)), "it turned cold again")
 	again = follow(w, Engine{ID: "e", Revision: 7}, at(10))
-	g.Expect(again.ColdUntil.IsZero()).To(gomega.BeTrue(), "it says that it is warm")
+	g.Expect(again.ColdUntil).To(gomega.Equal(at(10)), "it says that it is warm")
+	g.Expect(paced(again, 10)).To(gomega.BeTrue(), "its pace rises before it is lifted")
+	again = follow(w, Engine{ID: "e", Revision: 8}, at(20))
+	g.Expect(again.ColdUntil.IsZero()).To(gomega.BeTrue())
+	g.Expect(follow(w, Engine{ID: "new", Revision: 9}, at(21)).ColdUntil.IsZero()).To(gomega.BeTrue())
 }
 
 func TestEnginesOfAZoneThatIsDrainedNoMoreCountAsCold(t *testing.T) {
