--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -179,7 +178,7 @@
 // wish is what the request wants of an engine if it may wait there so long.
 func (fl *flight) wish(wait time.Duration) balance.Wish {
 	return balance.Wish{
-		Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
+		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
 		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: wait,
 	}
@@ -255,7 +254,7 @@
 		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
 	after := time.Duration(0)
 	if verdict == VerdictNotRun {
-		after = fl.admission().comeBack(fl.Balancer.Ran(), time.Now(), rand.Float64())
+		after = fl.comeBackFrom(cause)
 	}
 	if err := fl.sink.Refuse(verdict, after); err != nil {
 		fl.left(err)
@@ -272,6 +271,7 @@
 // note tells the balancer how the engine did.
 func (fl *flight) note(engine catalog.Engine, outcome outcome) {
 	switch {
+	case errors.Is(outcome.cause, balance.ErrPermitVoid):
 	case outcome.kind == OutcomeRefused && !outcome.elsewhere:
 		fl.Balancer.Refused(engine.ID)
 	default:
