--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -51,7 +51,7 @@
 	timer := time.AfterFunc(itemPatience, func() { close(silence); cancel() })
 	defer timer.Stop()
 	answer, err := r.node.pool.Exchange(watch, r.engine.Address, r.call(read))
-	if errors.Is(err, errNotUsable) {
+	if errors.Is(err, upstream.ErrUnwanted) {
 		return refusalPause
 	}
 	if err != nil {
@@ -82,14 +82,11 @@
 	}
 }
 
-// errNotUsable says that an engine may get no item any more.
-var errNotUsable = errors.New("the engine may get no item now")
-
 // proceed looks once more before the item is sent: the engine may have become one that
 // gets none while a connection to it was opened.
 func (r *itemRun) proceed() error {
 	if !r.node.usable(r.engine.ID, r.engine.Service) {
-		return errNotUsable
+		return upstream.ErrUnwanted
 	}
 	return nil
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -17,18 +17,21 @@
 	kind      Outcome
 	cause     error
 	elsewhere bool
-	answer    *upstream.Answer
-	body      []byte
+	// unwanted: the engine may get nothing new since it was chosen, or not this soon; it
+	// is sound.
+	unwanted bool
+	answer   *upstream.Answer
+	body     []byte
 }
 
 // try runs one exchange. done says that the sink has its answer.
 func (fl *flight) try(ctx context.Context, lease *balance.Lease) (outcome, bool) {
 	engine := lease.Engine
 	if !fl.Usable(engine.ID, engine.Service) {
-		return outcome{kind: OutcomeNotSent, cause: errors.New("the engine is leaving")}, false
+		return outcome{kind: OutcomeNotSent, cause: upstream.ErrUnwanted, unwanted: true}, false
 	}
 	call := fl.call(engine)
-	call.Proceed = lease.MaySend
+	call.Proceed = func() error { return fl.mayProceed(lease) }
 	watch, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := fl.watchSilence(cancel)
@@ -54,6 +57,15 @@
 	return fl.whole(engine, answer)
 }
 
+// mayProceed looks once more right before the request is sent: opening a connection may
+// have taken long.
+func (fl *flight) mayProceed(lease *balance.Lease) error {
+	if !fl.Usable(lease.Engine.ID, lease.Engine.Service) {
+		return upstream.ErrUnwanted
+	}
+	return lease.MaySend()
+}
+
 func (fl *flight) call(engine catalog.Engine) *upstream.Call {
 	return &upstream.Call{
 		ID: fl.request.ID, Method: fl.request.Method, URI: fl.request.URI, Host: fl.request.Host,
@@ -102,7 +114,7 @@
 	}
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Fate == upstream.FateNotSent {
-		return outcome{kind: OutcomeNotSent, cause: err}
+		return outcome{kind: OutcomeNotSent, cause: err, unwanted: errors.Is(err, upstream.ErrUnwanted) || errors.Is(err, balance.ErrPermitVoid)}
 	}
 	return outcome{kind: fl.unknown(), cause: err}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -168,9 +168,13 @@
 	}
 	for _, service := range fl.route.Services() {
 		wish.Service = service
-		if lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0, nil); err == nil {
+		lease, other := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, door.patience(time.Now()), fl.Refresh)
+		if other == nil {
 			return lease, nil
 		}
+		if !errors.Is(other, balance.ErrNoEngine) {
+			err = other
+		}
 	}
 	return nil, err
 }
@@ -271,7 +275,7 @@
 // note tells the balancer how the engine did.
 func (fl *flight) note(engine catalog.Engine, outcome outcome) {
 	switch {
-	case errors.Is(outcome.cause, balance.ErrPermitVoid):
+	case outcome.unwanted:
 	case outcome.kind == OutcomeRefused && !outcome.elsewhere:
 		fl.Balancer.Refused(engine.ID)
 	default:
--- a/internal/forward/paced_test.go
+++ b/internal/forward/paced_test.go
@@ -15,7 +15,8 @@
 func TestCallersRefusedForThePaceReturnWhenItAllowsMore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	balancer := balance.New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
-	fl := &flight{Forwarder: &Forwarder{Balancer: balancer}}
+	route := &catalog.Route{}
+	fl := &flight{Forwarder: &Forwarder{Balancer: balancer}, route: route, request: &Request{}, attempts: NewAttempts(route)}
 	for range 100 {
 		after := fl.comeBackFrom(&balance.PaceError{After: time.Hour})
 		g.Expect(after).To(gomega.BeNumerically(">=", time.Hour))
@@ -32,7 +33,9 @@
 	balancer := balance.New(func() *catalog.Snapshot { return snapshot })
 	fl := &flight{Forwarder: &Forwarder{Balancer: balancer}}
 	void := &upstream.Error{Fate: upstream.FateNotSent, Step: "proceed", Cause: balance.ErrPermitVoid}
-	fl.note(catalog.Engine{ID: "b"}, outcome{kind: OutcomeNotSent, cause: void})
+	route := &catalog.Route{}
+	fl.attempts = NewAttempts(route)
+	fl.note(catalog.Engine{ID: "b"}, fl.exchangeFailed(t.Context(), void))
 	wish := balance.Wish{Service: "s", Zone: "z"}
 	lease, err := fl.Balancer.Acquire(t.Context(), wish, 0, 0, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/system/slowstart_test.go
+++ b/internal/system/slowstart_test.go
@@ -98,7 +98,7 @@
 // A data node that is one of several starts no item at an engine that is paced.
 func TestAnEngineThatIsPacedIsNotUsableForBatchWork(t *testing.T) {
 	g := gomega.NewWithT(t)
-	f := newFacts(nil, &config.Node{})
+	f := newFacts(&Adapter{}, &config.Node{})
 	until := time.Now().Add(time.Hour)
 	f.snapshot.Store(catalog.NewSnapshot(nil, []catalog.Engine{
 		{ID: "warm", Service: "s"}, {ID: "cold", Service: "s", PacedUntil: until}, {ID: "drained", Service: "s", Drained: true},
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -28,7 +28,7 @@
 	Resume      bool
 	ResumeAfter uint64
 	// Proceed, if set, is asked right before the request is written, once a connection
-	// stands; its error keeps the request from being sent.
+	// stands, which may take dialTimeout; its error keeps the request from being sent.
 	Proceed func() error
 }
 
@@ -71,6 +71,10 @@
 // engine's: it lacks the signature.
 var ErrUnsigned = errors.New("upstream: a success without the engine's signature")
 
+// ErrUnwanted is an answer of a call's Proceed: the engine may get nothing new, and
+// nothing was sent.
+var ErrUnwanted = errors.New("upstream: the engine gets nothing new any more")
+
 // Fate is what is known of a request whose exchange failed.
 type Fate uint8
 
