--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -152,6 +152,21 @@
 	})
 }
 
+// Slots that are free for the moment while requests wait at other engines are not batch
+// work's: it would be cut at once.
+func TestBatchWorkStartsNothingWhileRequestsWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	snapshot := engines(4, 10)
+	report := func(a, b int) Report {
+		return Report{KeyOf("a"): {Counts: Counts{a, 0}}, KeyOf("b"): {Counts: Counts{b, 0}}, KeyOf("c"): {Counts: Counts{8, 0}}, KeyOf("d"): {Counts: Counts{8, 0}}}
+	}
+	table.PeerLoad("fronts", report(12, 12), start)
+	g.Expect(fillWithBatch(table, snapshot, start)).To(gomega.BeZero())
+	table.PeerLoad("fronts", report(10, 12), start)
+	g.Expect(fillWithBatch(table, snapshot, start)).To(gomega.Equal(2))
+}
+
 // Online work goes to engines full of batch work, as that makes way; but not
 // once the node that runs it has fallen silent.
 func TestOnlineWorkPassesBatchWork(t *testing.T) {
@@ -334,6 +349,23 @@
 	g.Eventually(order, 5*time.Second).Should(gomega.Receive(gomega.Equal(2)))
 }
 
+// Who waits for an engine of one service holds nobody of another one up.
+func TestAnUrgentRequestHoldsUpItsServiceOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := catalog.NewSnapshot(nil, []catalog.Engine{{ID: "a", Service: "full", Slots: 1}, {ID: "b", Service: "idle", Slots: 1}})
+	balancer := New(func() *catalog.Snapshot { return snapshot })
+	balancer.PeerLoad("others", Report{KeyOf("a"): {Counts: Counts{1 + queueDepth, 0}}})
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() { _, _ = balancer.Acquire(ctx, Wish{Service: "full"}, 0, time.Minute, nil) }()
+	g.Eventually(balancer.Waiting).Should(gomega.Equal(1))
+	_, err := balancer.Acquire(context.Background(), Wish{Service: "full"}, 1, 0, nil)
+	g.Expect(err).To(gomega.MatchError(ErrNoRoom))
+	lease, err := balancer.Acquire(context.Background(), Wish{Service: "idle"}, 1, 0, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	lease.Release()
+}
+
 func TestAServiceWithoutEnginesIsSaidSo(t *testing.T) {
 	g := gomega.NewWithT(t)
 	balancer := New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -40,6 +40,7 @@
 }
 
 type waiter struct {
+	service  string
 	priority int
 	wake     chan struct{} // buffered by one
 }
@@ -178,7 +179,7 @@
 	}
 }
 
-// try takes an engine unless somebody more urgent is waiting.
+// try takes an engine unless somebody more urgent is waiting for one of the service.
 func (b *Balancer) try(wish Wish, self *waiter, priority int) (*Lease, bool) {
 	snapshot := b.snapshot()
 	b.mutex.Lock()
@@ -187,7 +188,7 @@
 		if other == self {
 			break
 		}
-		if other.priority < priority {
+		if other.service == wish.Service && other.priority < priority {
 			return nil, false
 		}
 	}
@@ -216,7 +217,7 @@
 }
 
 func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, bool) {
-	self := b.enqueue(priority)
+	self := b.enqueue(wish.Service, priority)
 	defer b.dequeue(self)
 	started, budget := time.Now(), wish.Wait
 	limit := time.NewTimer(wait)
@@ -244,8 +245,8 @@
 	}
 }
 
-func (b *Balancer) enqueue(priority int) *waiter {
-	self := &waiter{priority: priority, wake: make(chan struct{}, 1)}
+func (b *Balancer) enqueue(service string, priority int) *waiter {
+	self := &waiter{service: service, priority: priority, wake: make(chan struct{}, 1)}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > priority })
@@ -327,7 +328,7 @@
 func (b *Balancer) Ran() time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.ran
+	return b.table.MeanRun()
 }
 
 // PeerGone forgets what another node said.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -132,14 +132,15 @@
 	return pickGroup(near, far).pick(draw()), true
 }
 
-// slots counts the slots of engines, and those that are free less the requests that wait
-// for one at other engines: in overload some engine always has a free slot for the
-// moment, and a run started there is cut as soon as an online request comes. With such
+// slots counts the slots of engines, and those that are free less the online requests
+// that wait for one at other engines: in overload some engine always has a free slot for
+// the moment, and a run started there is cut as soon as an online request comes. With such
 // slots counted as free 60 runs a second were started and cut in bursts.
 func (t *Table) slots(engines []catalog.Engine, now time.Time) (all, free int) {
 	for _, engine := range engines {
 		all += engine.Slots
-		free += engine.Slots - t.load(engine.ID, now)
+		free += max(0, engine.Slots-t.load(engine.ID, now))
+		free -= max(0, t.running(engine.ID, ClassOnline, now)-engine.Slots)
 	}
 	return all, free
 }
--- a/internal/balance/many.go
+++ b/internal/balance/many.go
@@ -10,11 +10,14 @@
 // have room for, from the first on. All wishes are of one service and the same regions. Each engine is
 // looked at once, so that many places cost little more than one.
 func (b *Balancer) AcquireMany(wishes []Wish, priority int) []*Lease {
+	if len(wishes) == 0 {
+		return nil
+	}
 	snapshot := b.snapshot()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, other := range b.waiting {
-		if other.priority < priority {
+		if other.service == wishes[0].Service && other.priority < priority {
 			return nil
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -102,6 +102,7 @@
 	Limits   Limits
 
 	tenants []Tenant
+	byName  map[string]*Tenant
 	keys    map[apikey.Hash]*Tenant // nil if callers need no key
 }
 
--- a/internal/catalog/tenants.go
+++ b/internal/catalog/tenants.go
@@ -32,8 +32,12 @@
 func (c *Configuration) SetTenants(tenants []Tenant) {
 	c.tenants = tenants
 	c.keys = make(map[apikey.Hash]*Tenant, len(tenants))
+	c.byName = make(map[string]*Tenant, len(tenants))
 	for i := range tenants {
 		tenant := &tenants[i]
+		if c.byName[tenant.Name] == nil {
+			c.byName[tenant.Name] = tenant
+		}
 		for _, key := range tenant.Keys {
 			c.keys[key] = tenant
 		}
@@ -62,12 +66,7 @@
 	if c == nil || name == "" {
 		return nil
 	}
-	for i := range c.tenants {
-		if c.tenants[i].Name == name {
-			return &c.tenants[i]
-		}
-	}
-	return nil
+	return c.byName[name]
 }
 
 // TenantOf returns the tenant that holds a key, or nil.
