explain-span tells how long refused requests were held

A refusal that is waited for was seen only by reading single lines. The longest time in each row is told; span_test.go holds it (fails without: the field is new).

--- a/cmd/chutelockctl/explainspan.go
+++ b/cmd/chutelockctl/explainspan.go
@@ -72,11 +72,11 @@
 		return json.NewEncoder(out).Encode(spans)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tREFUSALS BY CAUSE")
+	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tHELD MOST\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tREFUSALS BY CAUSE")
 	for i := range spans {
 		s := &spans[i]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
-			s.RefusedTotal(), s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsCut, byCause(s.Refused))
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
+			s.RefusedTotal(), s.HeldMost, s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsCut, byCause(s.Refused))
 	}
 	return table.Flush()
 }
--- a/internal/logstory/span.go
+++ b/internal/logstory/span.go
@@ -15,6 +15,8 @@
 	Late   int `json:"late"`
 	// Refused counts the system's own answers by cause.
 	Refused map[string]int `json:"refused,omitempty"`
+	// HeldMost is the longest time that a request was held before it was refused.
+	HeldMost time.Duration `json:"held_most"`
 	// Aborted is the streams that were broken off, Left the callers that went
 	// before their answer was complete.
 	Aborted int `json:"aborted"`
@@ -61,6 +63,7 @@
 
 func (s *Span) refuse(e Entry, key string) {
 	cause, _ := e.Fields[key].(string)
+	s.HeldMost = max(s.HeldMost, e.duration("held"))
 	if s.Refused == nil {
 		s.Refused = map[string]int{}
 	}
@@ -73,6 +76,16 @@
 	return int(number)
 }
 
+// duration reads a field that is a duration as logs write it; 0 if it is none.
+func (e Entry) duration(key string) time.Duration {
+	written, _ := e.Fields[key].(string)
+	length, err := time.ParseDuration(written)
+	if err != nil {
+		return 0
+	}
+	return length
+}
+
 // Spans sums up the lines from since on and before until, each span of them
 // apart; spans without a line of interest are left out. A zero time is no bound.
 func Spans(entries []Entry, since, until time.Time, each time.Duration) []Span {
--- a/internal/logstory/span_test.go
+++ b/internal/logstory/span_test.go
@@ -11,7 +11,8 @@
 const spanLines = `
  front-1 {"ts":"2026-01-01T00:00:01.1Z","msg":"request-served","request":"r1","late":false}
  front-2 {"ts":"2026-01-01T00:00:01.9Z","msg":"request-served","request":"r2","late":true}
- front-1 {"ts":"2026-01-01T00:00:03.2Z","msg":"request-refused","request":"r3","cause":"balance: no engine has room"}
+ front-1 {"ts":"2026-01-01T00:00:03.2Z","msg":"request-refused","request":"r3","cause":"balance: no engine has room","held":"2.5ms"}
+ front-2 {"ts":"2026-01-01T00:00:03.2Z","msg":"request-refused","request":"r5","cause":"balance: no engine has room","held":"21ms"}
  front-1 {"ts":"2026-01-01T00:00:03.3Z","msg":"request-rejected","reason":"no configuration is known yet"}
  data-1 {"ts":"2026-01-01T00:00:03.4Z","msg":"batch-yielded","engine":"e1","runs":4,"cut":3}
  data-1 {"ts":"2026-01-01T00:00:03.5Z","msg":"batch-state","open":20,"running":7}
@@ -27,7 +28,8 @@
 	g.Expect(Spans(entries, time.Time{}, time.Time{}, time.Second)).To(gomega.Equal([]Span{
 		{From: at(1), Served: 2, Late: 1},
 		{
-			From: at(3), Refused: map[string]int{"balance: no engine has room": 1, "no configuration is known yet": 1},
+			From: at(3), Refused: map[string]int{"balance: no engine has room": 2, "no configuration is known yet": 1},
+			HeldMost: 21 * time.Millisecond,
 			ItemsCut: 3, ItemsOpen: 20, ItemsRunning: 7, ItemsSent: 1,
 		},
 		{From: at(5), Left: 1},
