--- a/cmd/chutelockctl/explainspan.go
+++ b/cmd/chutelockctl/explainspan.go
@@ -73,11 +73,11 @@
 		return json.NewEncoder(out).Encode(spans)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tDRAINED ZONES\tREFUSALS BY CAUSE")
+	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tHELD MOST\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tDRAINED ZONES\tREFUSALS BY CAUSE")
 	for i := range spans {
 		s := &spans[i]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
-			s.RefusedTotal(), s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsCut, cmp.Or(strings.Join(s.Drained, " "), "-"), byCause(s.Refused))
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
+			s.RefusedTotal(), s.HeldMost, s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsCut, cmp.Or(strings.Join(s.Drained, " "), "-"), byCause(s.Refused))
 	}
 	return table.Flush()
 }
