--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/transport"
@@ -12,26 +13,41 @@
 	freshTime = 3 * refreshTime
 	// shareFresh is the same for a zone whose data nodes send shares: five intervals.
 	shareFresh = 400 * time.Millisecond
+	// takeTime is how long front nodes take to go over from a data node that fell
+	// silent: three reports without an answer, and one that is due without news.
+	takeTime = 800 * time.Millisecond
 	// sharerMemory is how long a zone whose data nodes are silent counts as a part of
 	// the fleet that may let requests through.
 	sharerMemory = 30 * time.Second
 )
 
 // Collector adds counts up at a data node. It is not safe for concurrent use.
+//
+// Each request that was let through is to count once, though the front node that did
+// so may go over to another data node and either may be lost. So counts stand under
+// their origin, a life of a front node or of a data node; and where one origin's counts
+// rise because front nodes came to it, those of the origins that fell silent or are
+// about to tell less are taken to fall by as much.
 type Collector struct {
 	zone    string
 	window  time.Duration
 	life    uint32
 	reports map[source]heard
-	shares  map[transport.Address]zoneShare
+	shares  map[source]*zoneShare
+	// others are the other zones that this node tells of requests or hears of.
+	others map[string]*zoneContact
 	// echo is what data nodes of other zones remember of this one, and remembered what
 	// front nodes do of all from the node that took their reports before.
 	echo, remembered heard
-	// first is what was known here when front nodes told that last.
+	// first is what was known here when front nodes told that last, and what came to
+	// be known since and is older than that.
 	first heard
+	// unheard is what front nodes told of zones, at unheardAt.
+	unheard   Unheard
+	unheardAt time.Time
 }
 
-// source is one life of a front node.
+// source is one life of a node.
 type source struct {
 	address transport.Address
 	life    uint32
@@ -43,21 +59,29 @@
 }
 
 // left is what the window still holds of the counts.
-func (h heard) left(window time.Duration, now time.Time) Counts {
+func (h heard) left(hold, window time.Duration, now time.Time) Counts {
 	counts := Counts{}
-	counts.add(h.counts, held(now.Sub(h.at), 0, window), now.Sub(h.at))
+	counts.add(h.counts, held(now.Sub(h.at), hold, window), now.Sub(h.at))
 	return counts
 }
 
+// zoneShare is what a data node told last, less what others have taken over since.
 type zoneShare struct {
 	heard
 	zone string
 }
 
+// zoneContact is when another zone was heard of, and since when it leaves shares that
+// tell of requests unanswered.
+type zoneContact struct{ heardAt, askedAt, toldAt time.Time }
+
 // NewCollector returns the collector of a data node in a zone. life is drawn anew for
 // each.
 func NewCollector(zone string, window time.Duration, life uint32) *Collector {
-	return &Collector{zone: zone, window: window, life: life, reports: map[source]heard{}, shares: map[transport.Address]zoneShare{}}
+	return &Collector{
+		zone: zone, window: window, life: life, reports: map[source]heard{}, shares: map[source]*zoneShare{},
+		others: map[string]*zoneContact{},
+	}
 }
 
 // Report takes a front node's report.
@@ -67,96 +91,191 @@
 		delete(c.reports, name)
 		return
 	}
-	_, known := c.reports[name]
+	before, known := c.reports[name]
+	if !known || now.Sub(before.at) > freshTime {
+		counted := before.left(aloneHold-c.window, c.window, now)
+		c.arrive(report.Counts.above(counted), c.zone, name, 0, now)
+	}
 	c.reports[name] = heard{now, report.Counts}
 	if len(report.Others) > 0 {
-		c.learn(report, !known, now)
+		c.learn(report, now)
 	}
 }
 
 // learn takes what a front node remembers of others, if it is more than is known here.
-// What a node had when it was first heard is part of that, and not new.
-func (c *Collector) learn(report Report, first bool, now time.Time) {
-	if first {
-		c.addFirst(report.Counts, now)
-	}
-	present := c.known("", nil, now)
-	present.raise(c.former(present, now))
+func (c *Collector) learn(report Report, now time.Time) {
+	c.unheard, c.unheardAt = report.Unheard, now
+	known := c.known("", now)
+	present := Counts{}
+	present.raise(known)
+	present.raise(c.former(known, now))
 	for key, count := range report.Others {
 		if count.Admitted > present[key].Admitted {
 			present.raise(report.Others)
-			c.remembered, c.first = heard{now, present}, heard{now, c.known("", nil, now)}
+			c.remembered, c.first = heard{now, present}, heard{now, known}
 			return
 		}
 	}
 }
 
-func (c *Collector) addFirst(counts Counts, now time.Time) {
-	first := c.first.left(c.window, now)
-	first.add(counts, 1, 0)
+// arrive notes that a source told of requests which it didn't let through just now:
+// front nodes came to it, or it is heard again. Other sources of the zone that told of
+// them have them no more, those first that are silent for longest, but for those heard
+// within recent. What none of them had was part of what front nodes remembered.
+func (c *Collector) arrive(counts Counts, zone string, name source, recent time.Duration, now time.Time) {
+	if len(counts) == 0 {
+		return
+	}
+	var givers []*zoneShare
+	for other, share := range c.shares {
+		if share.zone == zone && other != name && (recent == 0 || now.Sub(share.at) <= recent) {
+			givers = append(givers, share)
+		}
+	}
+	slices.SortFunc(givers, func(a, b *zoneShare) int { return a.at.Compare(b.at) })
+	rest := Counts{}
+	rest.add(counts, 1, 0)
+	for _, share := range givers {
+		share.give(rest, c.leftOf(share, now))
+	}
+	if recent > 0 {
+		return
+	}
+	first := c.first.left(0, c.window, now)
+	first.add(rest, 1, 0)
 	c.first = heard{now, first}
 }
 
+// give takes counts away, of which so much is left within the window, and from those
+// that are to be taken.
+func (s *zoneShare) give(counts Counts, left float64) {
+	if left <= 0 {
+		return
+	}
+	remaining := Counts{}
+	remaining.add(s.counts, 1, 0)
+	for key, count := range counts {
+		taken := min(count.Admitted, remaining[key].Admitted*left)
+		remaining[key] = Count{remaining[key].Admitted - taken/left, remaining[key].Asked}
+		counts[key] = Count{Admitted: count.Admitted - taken}
+	}
+	s.counts = remaining
+}
+
 // Share takes another data node's share.
 func (c *Collector) Share(from transport.Address, share Share, now time.Time) {
-	if _, known := c.shares[from]; !known {
-		c.addFirst(share.Counts, now)
+	name := source{from, share.Life}
+	if share.Zone != c.zone {
+		contact := c.contact(share.Zone)
+		contact.heardAt, contact.askedAt = now, time.Time{}
 	}
-	c.shares[from] = zoneShare{heard{now, share.Counts}, share.Zone}
+	c.noteGrowth(name, share, now)
+	c.shares[name] = &zoneShare{heard{now, share.Counts}, share.Zone}
 	if len(share.Yours) > 0 {
 		c.echo = heard{now, share.Yours}
 	}
 }
 
-// Sum returns what all front nodes but one let through. Where a data node took
-// another one's place, front nodes that reported to both count twice until the older
-// report runs out: a tenant near its limit gets a little less for that long, where it
-// could get far more if what a lost node knew were forgotten.
-//
-// bound is the most that a tenant may be let through. A zone of which nobody is heard
-// may be cut off and not down, and takes its part of it meanwhile.
+// noteGrowth tells counts that came over to a data node from new ones: all, if it
+// wasn't heard before, and otherwise what may have come from one that was heard within
+// takeTime.
+func (c *Collector) noteGrowth(name source, share Share, now time.Time) {
+	before, known := c.shares[name]
+	switch {
+	case !known:
+		c.arrive(share.Counts, share.Zone, name, 0, now)
+	case now.Sub(before.at) > shareFresh:
+		counted := before.left(c.holdOf(before, now), c.window, now)
+		c.arrive(share.Counts.above(counted), share.Zone, name, 0, now)
+	default:
+		c.arrive(share.Counts.above(before.counts), share.Zone, name, takeTime, now)
+	}
+}
+
+func (c *Collector) contact(zone string) *zoneContact {
+	known := c.others[zone]
+	if known == nil {
+		known = &zoneContact{}
+		c.others[zone] = known
+	}
+	return known
+}
+
+// Sum returns what all front nodes but one let through. bound is the most that a tenant
+// may be let through: a zone of which nobody is heard may be cut off and not down, and
+// room is kept for its part of that.
 func (c *Collector) Sum(but transport.Address, bound func(Key) float64, now time.Time) Sum {
-	sum := c.known(but, bound, now)
+	sum := c.known(but, now)
+	known := Counts{}
+	known.raise(sum)
 	sum.raise(c.former(sum, now))
-	return Sum{Life: c.life, Counts: sum}
+	unheard := c.unheardNow(now)
+	return Sum{Life: c.life, Counts: sum, Unheard: unheard, Within: c.within(known, sum, unheard, bound, now)}
 }
 
-// known adds up what was reported and shared. Without bound, zones that aren't heard
-// count by what they told last.
-func (c *Collector) known(but transport.Address, bound func(Key) float64, now time.Time) Counts {
-	sum, inZone := c.own(but, now), Counts{}
-	zones, silent := c.zones(now)
-	others := map[string]Counts{}
-	for from, share := range c.shares {
-		counts := inZone
-		if share.zone != c.zone {
-			if others[share.zone] == nil {
-				others[share.zone] = Counts{}
-			}
-			counts = others[share.zone]
-		}
-		counts.add(share.counts, c.leftOf(from, silent, now), now.Sub(share.at))
+// within returns what of a sum lies in the room that is kept for unheard zones: what
+// they told last, each up to its part, and what only front nodes remember.
+func (c *Collector) within(known, sum Counts, unheard Unheard, bound func(Key) float64, now time.Time) Counts {
+	within := Counts{}
+	if unheard.Zones == 0 {
+		return within
 	}
-	inZone.raise(c.echoed(now))
-	sum.add(inZone, 1, 0)
-	for zone, counts := range others {
-		if !silent[zone] || bound == nil {
-			sum.add(counts, 1, 0)
+	each := Unheard{1, unheard.Of}.part()
+	for zone := range c.silent(now) {
+		for key, count := range c.ofZone(zone, now) {
+			within[key] = Count{Admitted: within[key].Admitted + min(count.Admitted, each*bound(key))}
 		}
 	}
-	if bound == nil {
-		return sum
+	for key, count := range sum {
+		if more := count.Admitted - known[key].Admitted; more > 0 {
+			within[key] = Count{Admitted: min(within[key].Admitted+more, unheard.part()*bound(key))}
+		}
 	}
-	for zone := range silent {
-		sum.addSilent(others[zone], bound, 1/float64(zones))
+	return within
+}
+
+// known adds up what was reported and shared.
+func (c *Collector) known(but transport.Address, now time.Time) Counts {
+	sum := c.own(but, now)
+	sum.add(c.inZone(now), 1, 0)
+	for zone := range c.others {
+		sum.add(c.ofZone(zone, now), 1, 0)
 	}
 	return sum
 }
 
+// inZone is what other data nodes of this zone told, and of those that fell silent
+// what is remembered elsewhere if that is more.
+func (c *Collector) inZone(now time.Time) Counts {
+	silent, heard := Counts{}, Counts{}
+	for _, share := range c.shares {
+		switch age := now.Sub(share.at); {
+		case share.zone != c.zone:
+		case age > shareFresh:
+			silent.add(share.counts, c.leftOf(share, now), age)
+		default:
+			heard.add(share.counts, 1, age)
+		}
+	}
+	silent.raise(c.echo.left(freshTime, c.window, now))
+	heard.add(silent, 1, 0)
+	return heard
+}
+
+func (c *Collector) ofZone(zone string, now time.Time) Counts {
+	counts := Counts{}
+	for _, share := range c.shares {
+		if share.zone == zone {
+			counts.add(share.counts, c.leftOf(share, now), now.Sub(share.at))
+		}
+	}
+	return counts
+}
+
 // former returns what front nodes remember of the time before this node took their
 // reports, with what was let through since they told.
 func (c *Collector) former(sum Counts, now time.Time) Counts {
-	remembered, first := c.remembered.left(c.window, now), c.first.left(c.window, now)
+	remembered, first := c.remembered.left(0, c.window, now), c.first.left(0, c.window, now)
 	for key, count := range remembered {
 		count.Admitted += max(0, sum[key].Admitted-first[key].Admitted)
 		remembered[key] = count
@@ -164,53 +283,59 @@
 	return remembered
 }
 
-// addSilent adds the counts of a zone that isn't heard: for each tenant its part of
-// the bound, or what it had if that is more.
-func (c Counts) addSilent(counts Counts, bound func(Key) float64, part float64) {
-	for key, total := range c {
-		total.Admitted += max(counts[key].Admitted, part*bound(key))
-		c[key] = total
-	}
-	for key, count := range counts {
-		if _, added := c[key]; !added {
-			c[key] = Count{Admitted: max(count.Admitted, part*bound(key))}
-		}
-	}
+// leftOf is the part of a share that still counts. Room is kept for a zone of which
+// nobody is heard.
+func (c *Collector) leftOf(share *zoneShare, now time.Time) float64 {
+	return held(now.Sub(share.at), c.holdOf(share, now), c.window)
 }
 
-func (c *Collector) echoed(now time.Time) Counts {
-	echo := Counts{}
-	echo.add(c.echo.counts, held(now.Sub(c.echo.at), freshTime, c.window), now.Sub(c.echo.at))
-	return echo
+func (c *Collector) holdOf(share *zoneShare, now time.Time) time.Duration {
+	if contact := c.others[share.zone]; contact != nil && contact.silent(now) {
+		return aloneHold - c.window
+	}
+	return freshTime
 }
 
-// leftOf is the part of a share that still counts. Room is kept for a zone of which
-// nobody is heard.
-func (c *Collector) leftOf(from transport.Address, silent map[string]bool, now time.Time) float64 {
-	share := c.shares[from]
-	hold := freshTime
-	if silent[share.zone] {
-		hold = aloneHold - c.window
+// silent says that a zone leaves unanswered what it is told, and did not for so long
+// that it can't be at work any more.
+func (z *zoneContact) silent(now time.Time) bool {
+	if z.askedAt.IsZero() || now.Sub(z.toldAt) > freshTime {
+		return false
 	}
-	return held(now.Sub(share.at), hold, c.window)
+	unanswered := now.Sub(z.askedAt)
+	return unanswered > shareFresh && unanswered < sharerMemory
 }
 
-// zones counts the zones that something was heard of, this one included, and returns
-// those of which nothing was lately.
-func (c *Collector) zones(now time.Time) (count int, silent map[string]bool) {
-	silent = map[string]bool{}
-	for _, share := range c.shares {
-		if share.zone != c.zone && now.Sub(share.at) < sharerMemory {
-			silent[share.zone] = true
+// silent are the zones of which nobody is heard.
+func (c *Collector) silent(now time.Time) map[string]bool {
+	silent := map[string]bool{}
+	for zone, contact := range c.others {
+		if contact.silent(now) {
+			silent[zone] = true
 		}
 	}
-	count = 1 + len(silent)
-	for _, share := range c.shares {
-		if now.Sub(share.at) <= shareFresh {
-			delete(silent, share.zone)
+	return silent
+}
+
+// unheardNow counts the zones of which nobody is heard. What front nodes heard of them
+// elsewhere counts until this node can tell by itself.
+func (c *Collector) unheardNow(now time.Time) Unheard {
+	zones, answering := 1, 0
+	for _, contact := range c.others {
+		if now.Sub(contact.heardAt) < sharerMemory || contact.silent(now) {
+			zones++
+		}
+		if now.Sub(contact.heardAt) <= shareFresh {
+			answering++
 		}
 	}
-	return count, silent
+	unheard := Unheard{uint8(len(c.silent(now))), uint8(zones)}
+	if now.Sub(c.unheardAt) <= shareFresh {
+		unheard.Of = max(unheard.Of, c.unheard.Of)
+		told := min(int(c.unheard.Zones), int(unheard.Of)-1-answering)
+		unheard.Zones = max(unheard.Zones, uint8(max(0, told)))
+	}
+	return unheard
 }
 
 // own returns what front nodes reported here, but for the present life of one. Room
@@ -252,11 +377,24 @@
 // ShareFor returns the share for a data node of a zone; false if there is nothing to
 // tell, and none that tells something.
 func (c *Collector) ShareFor(zone string, now time.Time) (Share, bool) {
-	share := Share{Zone: c.zone, Counts: c.own("", now)}
+	c.forget(now)
+	share := Share{Life: c.life, Zone: c.zone, Counts: c.own("", now)}
 	if zone != c.zone {
 		share.Yours = c.lost(zone, now)
 	}
-	return share, len(share.Counts) > 0 || len(share.Yours) > 0 || c.told(now)
+	tells := len(share.Counts) > 0 || len(share.Yours) > 0
+	if tells && zone != c.zone {
+		c.noteTold(c.contact(zone), now)
+	}
+	return share, tells || c.told(now)
+}
+
+// noteTold notes that a zone has something to answer.
+func (c *Collector) noteTold(contact *zoneContact, now time.Time) {
+	if contact.askedAt.IsZero() || now.Sub(contact.toldAt) > freshTime {
+		contact.askedAt = now
+	}
+	contact.toldAt = now
 }
 
 // told says that some share told of requests lately.
@@ -269,18 +407,27 @@
 	return false
 }
 
-// lost returns what data nodes of a zone told that are silent now.
-func (c *Collector) lost(zone string, now time.Time) Counts {
-	_, silent := c.zones(now)
-	counts := Counts{}
+// forget drops shares that have run out.
+func (c *Collector) forget(now time.Time) {
 	for from, share := range c.shares {
-		age := now.Sub(share.at)
-		if age >= sharerMemory {
+		if now.Sub(share.at) >= aloneHold {
 			delete(c.shares, from)
-			continue
 		}
-		if share.zone == zone && age > shareFresh {
-			counts.add(share.counts, c.leftOf(from, silent, now), age)
+	}
+}
+
+// lost returns what data nodes of a zone told that are silent now, and nobody took
+// over.
+func (c *Collector) lost(zone string, now time.Time) Counts {
+	counts := Counts{}
+	for _, share := range c.shares {
+		if age := now.Sub(share.at); share.zone == zone && age > shareFresh {
+			counts.add(share.counts, c.leftOf(share, now), age)
+		}
+	}
+	for key, count := range counts {
+		if count.Admitted < admittedUnit {
+			delete(counts, key)
 		}
 	}
 	return counts
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -56,8 +56,19 @@
 	}
 }
 
+// above is by how much the counts exceed those of another view.
+func (c Counts) above(other Counts) Counts {
+	rest := Counts{}
+	for key, count := range c {
+		if more := count.Admitted - other[key].Admitted; more > 0 {
+			rest[key] = Count{Admitted: more}
+		}
+	}
+	return rest
+}
+
 const (
-	messageVersion = 1
+	messageVersion = 2
 	// countSize is a tenant's key, its requests in quarters, and its rate.
 	countSize = 4 + 2 + 2
 	// countsMost bounds the tenants in a message, so that it fits a datagram with
@@ -119,17 +130,35 @@
 	// Others is what the node remembers that others let through, if the receiver is
 	// new to it: it may be new altogether, and know nothing of that.
 	Others Counts
+	// Unheard is told with Others: what the receiver may have no time to find out.
+	Unheard Unheard
 }
 
+// Unheard says of how many zones nobody is heard, of so many zones in all: they may be
+// cut off and go on.
+type Unheard struct{ Zones, Of uint8 }
+
+// part is the share of each limit that these zones may use.
+func (u Unheard) part() float64 { return float64(u.Zones) / float64(max(1, u.Of)) }
+
 // Sum is what a front node hears of all others.
 type Sum struct {
 	// Life is drawn when the sender starts.
-	Life   uint32
+	Life uint32
+	// Counts are requests that somebody counted, nothing else: they are remembered and
+	// told again when data nodes are lost, and room that is kept must not pile up so.
 	Counts Counts
+	// Unheard is for what room is to be kept beside them, and Within which requests
+	// among Counts use such room.
+	Unheard Unheard
+	Within  Counts
 }
 
 // Share is what a data node tells another one.
 type Share struct {
+	// Life is drawn when the sender starts: what it told in a life before stays beside
+	// its share until it runs out.
+	Life uint32
 	// Zone is the sender's, and Counts those of its front nodes.
 	Zone   string
 	Counts Counts
@@ -139,19 +168,23 @@
 }
 
 type fixedReport struct {
-	Life uint32
-	Gone bool
+	Life    uint32
+	Gone    bool
+	Unheard Unheard
 }
 
-type fixedShare struct{}
+type fixedShare struct{ Life uint32 }
 
-type fixedSum struct{ Life uint32 }
+type fixedSum struct {
+	Life    uint32
+	Unheard Unheard
+}
 
 // Marshal encodes the report.
 func (r Report) Marshal() []byte {
 	counts := r.Counts.marshal(countsMost)
 	others := r.Others.marshal(countsMost - len(counts)/countSize)
-	return marshal(fixedReport{r.Life, r.Gone}, counts, others)
+	return marshal(fixedReport{r.Life, r.Gone, r.Unheard}, counts, others)
 }
 
 // UnmarshalReport decodes what Report.Marshal encoded.
@@ -166,7 +199,7 @@
 		return Report{}, err
 	}
 	others, err := unmarshalCounts(fields[1])
-	return Report{Life: fixed.Life, Gone: fixed.Gone, Counts: counts, Others: others}, err
+	return Report{Life: fixed.Life, Gone: fixed.Gone, Counts: counts, Others: others, Unheard: fixed.Unheard}, err
 }
 
 // Marshal encodes the share. The counts that the receiver's zone lacks fit what is
@@ -174,12 +207,13 @@
 func (s Share) Marshal() []byte {
 	counts := s.Counts.marshal(countsMost)
 	yours := s.Yours.marshal(countsMost - len(counts)/countSize)
-	return marshal(fixedShare{}, []byte(s.Zone), counts, yours)
+	return marshal(fixedShare{s.Life}, []byte(s.Zone), counts, yours)
 }
 
 // UnmarshalShare decodes what Share.Marshal encoded.
 func UnmarshalShare(encoded []byte) (Share, error) {
-	fields, err := wire.Unmarshal(encoded, messageVersion, &fixedShare{}, 3)
+	var fixed fixedShare
+	fields, err := wire.Unmarshal(encoded, messageVersion, &fixed, 3)
 	if err != nil {
 		return Share{}, err
 	}
@@ -188,21 +222,30 @@
 		return Share{}, err
 	}
 	yours, err := unmarshalCounts(fields[2])
-	return Share{Zone: string(fields[0]), Counts: counts, Yours: yours}, err
+	return Share{Life: fixed.Life, Zone: string(fields[0]), Counts: counts, Yours: yours}, err
 }
 
-// Marshal encodes the sum.
-func (s Sum) Marshal() []byte { return marshal(fixedSum{s.Life}, s.Counts.marshal(countsMost)) }
+// Marshal encodes the sum. Of Within fits what Counts leave of a message: room is kept
+// in full for tenants beyond that.
+func (s Sum) Marshal() []byte {
+	counts := s.Counts.marshal(countsMost)
+	within := s.Within.marshal(countsMost - len(counts)/countSize)
+	return marshal(fixedSum{s.Life, s.Unheard}, counts, within)
+}
 
 // UnmarshalSum decodes what Sum.Marshal encoded.
 func UnmarshalSum(encoded []byte) (Sum, error) {
 	var fixed fixedSum
-	fields, err := wire.Unmarshal(encoded, messageVersion, &fixed, 1)
+	fields, err := wire.Unmarshal(encoded, messageVersion, &fixed, 2)
 	if err != nil {
 		return Sum{}, err
 	}
 	counts, err := unmarshalCounts(fields[0])
-	return Sum{Life: fixed.Life, Counts: counts}, err
+	if err != nil {
+		return Sum{}, err
+	}
+	within, err := unmarshalCounts(fields[1])
+	return Sum{Life: fixed.Life, Counts: counts, Unheard: fixed.Unheard, Within: within}, err
 }
 
 func marshal(fixed any, fields ...[]byte) []byte {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -20,7 +20,7 @@
 	// before that wherever a tenant is near its limit.
 	deafAge = 600 * time.Millisecond
 	// tellFormer is in how many reports a new data node is told what the one before
-	// told: datagrams may be lost.
+	// told, and the one before that the node is gone: datagrams may be lost.
 	tellFormer = 3
 	// aloneHold is how long others keep room for a node that they don't hear; it is
 	// longer than most cuts and restarts.
@@ -90,15 +90,21 @@
 type Limiter struct {
 	bounds  Bounds
 	tenants map[Key]*tenant
-	others  Counts // as of heardAt
-	heardAt time.Time
-	// sender made the last sum. former is what others let through by the last sum of
-	// the sender before, as of formerAt; untold is how many reports still tell of it.
+	// others are requests that others let through, as of heardAt. unheard says for what
+	// room is kept beside, and within which of others use such room.
+	others, within Counts
+	unheard        Unheard
+	heardAt        time.Time
+	// sender made the last sum. former is what others let through by the last sums of
+	// the senders before, as of formerAt; untold is how many reports still tell of it.
 	sender   uint32
-	receiver transport.Address // of the last report
 	former   Counts
 	formerAt time.Time
 	untold   int
+	// receiver is where the last report went. left is where the ones before went, and
+	// unleft how many reports still tell it that this node is gone.
+	receiver, left transport.Address
+	unleft         int
 	// changed: requests were let through since the last report, at toldAt.
 	changed bool
 	toldAt  time.Time
@@ -139,9 +145,8 @@
 	}
 	others := l.others[key]
 	age := now.Sub(l.heardAt)
-	d := Decision{
-		Own: known.admitted.count(now), Others: l.left(others.Admitted, age), Bound: l.bounds.Of(limit), Age: age,
-	}
+	d := Decision{Own: known.admitted.count(now), Bound: l.bounds.Of(limit), Age: age}
+	d.Others = l.othersOf(key, d.Bound, now)
 	if !last && l.tooOld(d) {
 		d.Verdict = Unsure
 		return d
@@ -160,9 +165,12 @@
 	return d
 }
 
-// left is what of others' requests is still within the window.
-func (l *Limiter) left(admitted float64, age time.Duration) float64 {
-	return admitted * held(age, deafAge, l.bounds.Window)
+// othersOf is what others let through and may be letting through unheard, as far as it
+// is still within the window.
+func (l *Limiter) othersOf(key Key, bound float64, now time.Time) float64 {
+	room := max(0, l.unheard.part()*bound-l.within[key].Admitted)
+	told := (l.others[key].Admitted + room) * held(now.Sub(l.heardAt), deafAge, l.bounds.Window)
+	return max(told, l.former[key].Admitted*held(now.Sub(l.formerAt), 0, l.bounds.Window))
 }
 
 func (l *Limiter) tooOld(d Decision) bool {
@@ -217,27 +225,34 @@
 
 // Heard takes what all others let through, in answer to a report. A sender that is new
 // may not know of all: what the one before told counts, too, until the window has
-// slid past it.
-func (l *Limiter) Heard(sum Sum, now time.Time) {
+// slid past it. Late answers of a data node that this one has left say nothing.
+func (l *Limiter) Heard(from transport.Address, sum Sum, now time.Time) {
+	if from != l.receiver {
+		return
+	}
 	if sum.Life != l.sender {
 		l.sender = sum.Life
-		l.remember()
+		l.remember(now)
 	}
-	l.others, l.heardAt = sum.Counts, now
-	l.others.raise(l.remembered(now))
+	l.others, l.within, l.unheard, l.heardAt = sum.Counts, sum.Within, sum.Unheard, now
 	for _, one := range l.tenants {
 		one.known = one.told
 	}
 }
 
 // remember keeps what others let through, for a data node that may not know.
-func (l *Limiter) remember() {
-	if len(l.others) > 0 {
-		l.former, l.formerAt, l.untold = l.others, l.heardAt, tellFormer
+func (l *Limiter) remember(now time.Time) {
+	if len(l.others) == 0 && len(l.former) == 0 {
+		return
 	}
+	former := l.remembered(now)
+	told := Counts{}
+	told.add(l.others, held(now.Sub(l.heardAt), 0, l.bounds.Window), now.Sub(l.heardAt))
+	former.raise(told)
+	l.former, l.formerAt, l.untold = former, now, tellFormer
 }
 
-// remembered is what the sender of sums before the present one told, as far as the
+// remembered is what senders of sums before the present one told, as far as the
 // window still holds it.
 func (l *Limiter) remembered(now time.Time) Counts {
 	age := now.Sub(l.formerAt)
@@ -250,19 +265,23 @@
 	return counts
 }
 
-// Report returns what this node let through in its life, for a data node. former is
-// the one before, if that was another: it is to be told that this node is gone from it.
-func (l *Limiter) Report(life uint32, to transport.Address, now time.Time) (report Report, former transport.Address) {
+// Report returns what this node let through in its life, for a data node. left is one
+// that is to be told that this node is gone from it, or empty.
+func (l *Limiter) Report(life uint32, to transport.Address, now time.Time) (report Report, left transport.Address) {
 	if to != l.receiver {
-		former, l.receiver = l.receiver, to
-		l.remember()
+		l.left, l.receiver, l.unleft = l.receiver, to, tellFormer
+		l.remember(now)
 	}
 	report = Report{Life: life, Counts: l.own(now)}
 	if l.untold > 0 {
 		l.untold--
-		report.Others = l.remembered(now)
+		report.Others, report.Unheard = l.remembered(now), l.unheard
+	}
+	if l.unleft > 0 {
+		l.unleft--
+		left = l.left
 	}
-	return report, former
+	return report, left
 }
 
 func (l *Limiter) own(now time.Time) Counts {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,18 +65,23 @@
 func TestMessagesKeepTheirContent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	counts := Counts{1: {Admitted: 2.25, Asked: 7}, 2: {Admitted: 16000, Asked: 65000}}
-	report, err := UnmarshalReport(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}}.Marshal())
+	report, err := UnmarshalReport(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}, Unheard: Unheard{1, 3}}.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(report).To(gomega.Equal(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}}))
-	share, err := UnmarshalShare(Share{Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}.Marshal())
+	g.Expect(report).To(gomega.Equal(Report{Life: 9, Counts: counts, Others: Counts{4: {Admitted: 5}}, Unheard: Unheard{1, 3}}))
+	share, err := UnmarshalShare(Share{Life: 8, Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(share).To(gomega.Equal(Share{Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}))
+	g.Expect(share).To(gomega.Equal(Share{Life: 8, Zone: "z", Counts: counts, Yours: Counts{3: {Admitted: 1}}}))
+	some, err := UnmarshalSum(Sum{Life: 4, Counts: counts, Unheard: Unheard{2, 3}, Within: Counts{2: {Admitted: 5}}}.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(some).To(gomega.Equal(Sum{Life: 4, Counts: counts, Unheard: Unheard{2, 3}, Within: Counts{2: {Admitted: 5}}}))
 	many := Counts{}
 	for i := range 1000 {
 		many[Key(i)] = Count{Admitted: float64(i)}
 	}
 	encoded := Share{Zone: "a-zone-of-some-length", Counts: many, Yours: many}.Marshal()
 	g.Expect(len(encoded)).To(gomega.BeNumerically("<=", transport.MaxDatagram))
+	g.Expect(len(Sum{Counts: many, Within: many}.Marshal())).To(gomega.BeNumerically("<=", transport.MaxDatagram))
+	g.Expect(len(Report{Counts: many, Others: many}.Marshal())).To(gomega.BeNumerically("<=", transport.MaxDatagram))
 	sum, err := UnmarshalSum(Sum{Life: 4, Counts: many}.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(sum.Life).To(gomega.BeEquivalentTo(4))
@@ -106,6 +113,9 @@
 	limit  Limit
 	lost   float64 // share of the datagrams that are lost
 	split  bool    // the first zone and the others don't hear each other
+	zones  int
+	// hops: front nodes of the first zone try the data nodes of it in turn.
+	hops bool
 	// admitted are the times of the requests let through, by tenant.
 	admitted map[Key][]time.Time
 	refused  map[Key]int
@@ -117,11 +127,13 @@
 	*Collector
 	name transport.Address
 	zone int
+	down bool
 }
 
 type frontNode struct {
 	limiter *Limiter
 	relay   int // index of the data node that it reports to
+	zone    int
 	life    uint32
 	name    transport.Address
 	cut     bool
@@ -142,14 +154,14 @@
 func newFleet(seed uint64, fronts, zones int, limit Limit) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 7)), now: start, limit: limit, admitted: map[Key][]time.Time{},
-		refused: map[Key]int{}, bytes: map[string]int{},
+		refused: map[Key]int{}, bytes: map[string]int{}, zones: zones,
 	}
 	for zone := range zones {
 		f.addRelay(zone)
 	}
 	for i := range fronts {
 		f.fronts = append(f.fronts, &frontNode{
-			limiter: NewLimiter(bounds), relay: i % zones, life: f.random.Uint32(), name: transport.Address(fmt.Sprint("front", i)),
+			limiter: NewLimiter(bounds), relay: i % zones, zone: i % zones, life: f.random.Uint32(), name: transport.Address(fmt.Sprint("front", i)),
 		})
 	}
 	return f
@@ -161,9 +173,12 @@
 
 func (f *fleet) newRelay(zone int) *relayNode {
 	life := f.random.Uint32()
-	return &relayNode{NewCollector(fmt.Sprint("z", zone), bounds.Window, life), transport.Address(fmt.Sprint("relay", life)), zone}
+	return &relayNode{NewCollector(fmt.Sprint("z", zone), bounds.Window, life), transport.Address(fmt.Sprint("relay", life)), zone, false}
 }
 
+// parted says that nothing passes between two zones.
+func (f *fleet) parted(a, b int) bool { return f.split && (a == 0) != (b == 0) }
+
 func (f *fleet) send(kind string, size int, after time.Duration, do func()) {
 	f.bytes[kind] += size
 	if f.random.Float64() < f.lost {
@@ -174,26 +189,26 @@
 
 // report sends a front node's counts and takes the sum that comes back.
 func (f *fleet) report(front *frontNode) {
-	if front.cut {
+	if front.cut || front.asleep {
 		return
 	}
 	relay := f.relays[front.relay]
 	report, former := front.limiter.Report(front.life, relay.name, f.now)
 	for _, one := range f.relays {
-		if one.name == former {
+		if one.name == former && !f.parted(front.zone, one.zone) {
 			gone := Report{Life: front.life, Gone: true}
 			f.send("report", len(gone.Marshal()), inZone, func() { one.Report(front.name, gone, f.now) })
 		}
 	}
 	f.send("report", len(report.Marshal()), inZone, func() {
-		if f.relays[front.relay] != relay {
+		if f.relays[front.relay] != relay || relay.down || f.parted(front.zone, relay.zone) {
 			return
 		}
 		relay.Report(front.name, report, f.now)
 		sum := relay.Sum(front.name, func(Key) float64 { return bounds.Of(f.limit) }, f.now)
 		f.send("sum", len(sum.Marshal()), inZone, func() {
 			if !front.cut {
-				front.limiter.Heard(sum, f.now)
+				front.limiter.Heard(relay.name, sum, f.now)
 			}
 		})
 	})
@@ -202,11 +217,12 @@
 func (f *fleet) share() {
 	for from, relay := range f.relays {
 		for to := range f.relays {
-			if from == to || (f.split && (from == 0) != (to == 0)) {
+			receiver := f.relays[to]
+			if from == to || relay.down {
 				continue
 			}
-			receiver := f.relays[to]
-			if share, some := relay.ShareFor(fmt.Sprint("z", receiver.zone), f.now); some {
+			share, some := relay.ShareFor(fmt.Sprint("z", receiver.zone), f.now)
+			if some && !receiver.down && !f.parted(relay.zone, receiver.zone) {
 				f.send("share", len(share.Marshal()), betweenAll, func() { receiver.Share(relay.name, share, f.now) })
 			}
 		}
@@ -215,9 +231,6 @@
 
 // ask is one request of a tenant at a front node.
 func (f *fleet) ask(front *frontNode, key Key) {
-	if front.asleep {
-		return
-	}
 	decision := front.limiter.Check(key, f.limit, false, f.now, f.random.Float64)
 	if decision.Verdict != Unsure {
 		f.note(key, decision)
@@ -251,23 +264,71 @@
 			}
 		}
 		if f.now.Sub(start)%reportEach == 0 {
-			for _, front := range f.fronts {
+			for i, front := range f.fronts {
+				if f.hops && front.zone == 0 && int(f.now.Sub(start)/reportEach)%3 == i%3 {
+					front.relay = (front.relay + f.zones) % len(f.relays)
+				}
 				if front.limiter.Due(f.now) {
 					f.report(front)
 				}
 			}
 			f.share()
 		}
-		for key, perSecond := range rates {
+		for _, key := range slices.Sorted(maps.Keys(rates)) {
+			perSecond := rates[key]
 			for expected := perSecond * tick.Seconds(); expected > 0; expected-- {
 				if f.random.Float64() < expected {
-					f.ask(f.fronts[f.random.IntN(len(f.fronts))], key)
+					f.ask(f.anyAwake(), key)
 				}
 			}
 		}
 	}
 }
 
+// anyAwake is a front node that callers reach.
+func (f *fleet) anyAwake() *frontNode {
+	for {
+		if front := f.fronts[f.random.IntN(len(f.fronts))]; !front.asleep {
+			return front
+		}
+	}
+}
+
+// loseZone takes the power of all nodes of the first zone; with back they start
+// again, at their addresses and without what they knew.
+func (f *fleet) loseZone(back bool) {
+	for i, relay := range f.relays {
+		if relay.zone != 0 {
+			continue
+		}
+		relay.down = !back
+		if back {
+			f.relays[i] = f.newRelay(0)
+			f.relays[i].name = relay.name
+		}
+	}
+	for _, front := range f.fronts {
+		if front.zone != 0 {
+			continue
+		}
+		front.asleep = !back
+		if back {
+			f.crash(front)
+			front.relay = 0
+		}
+	}
+}
+
+// moveRelay lets the front nodes of a zone report to its next data node, as they do
+// when the leader of batch work moves there.
+func (f *fleet) moveRelay(zone int) {
+	for _, front := range f.fronts {
+		if front.zone == zone {
+			front.relay = (front.relay + f.zones) % len(f.relays)
+		}
+	}
+}
+
 // worst is the most requests of a tenant within any window.
 func (f *fleet) worst(key Key) int {
 	worst, first := 0, 0
@@ -350,9 +411,10 @@
 	}
 }
 
-// Nodes that are killed together, data nodes among them, bring no new allowance.
+// Nodes that are killed together, data nodes among them, bring no new allowance, also
+// where data nodes are back at their addresses at once.
 func TestALimitHoldsThroughHerdKills(t *testing.T) {
-	for seed := range uint64(24) {
+	for seed := range uint64(48) {
 		limit := Limit{Rate: 125, Burst: 125}
 		f := newFleet(seed, 51, 3, limit)
 		f.play(6*time.Second, map[Key]float64{1: 600})
@@ -363,7 +425,11 @@
 		}
 		for zone := range f.relays {
 			if f.random.Float64() < 0.55 {
+				name := f.relays[zone].name
 				f.crashRelay(zone)
+				if seed >= 24 {
+					f.relays[zone].name = name
+				}
 			}
 		}
 		f.play(8*time.Second, map[Key]float64{1: 600})
@@ -411,6 +477,104 @@
 	}
 }
 
+// trouble is what happens to the first of three zones, with some time before and
+// after.
+var troubles = map[string]func(f *fleet, rates map[Key]float64){
+	"lost and back": func(f *fleet, rates map[Key]float64) {
+		f.loseZone(false)
+		f.play(200*time.Millisecond, rates)
+		f.moveRelay(1)
+		f.play(6800*time.Millisecond, rates)
+		f.loseZone(true)
+	},
+	"cut off": func(f *fleet, rates map[Key]float64) {
+		f.split, f.hops = true, true
+		f.play(5*time.Second, rates)
+		f.split, f.hops = false, false
+	},
+	"its data nodes lost": func(f *fleet, rates map[Key]float64) {
+		for _, relay := range f.relays {
+			relay.down = relay.zone == 0
+		}
+		f.play(300*time.Millisecond, rates)
+		for i, front := range f.fronts {
+			if front.zone == 0 {
+				front.relay = 1 + i%2
+			}
+		}
+		f.play(5*time.Second, rates)
+		f.loseZone(true)
+	},
+	"lost, then cut off": func(f *fleet, rates map[Key]float64) {
+		f.loseZone(false)
+		f.play(7*time.Second, rates)
+		f.loseZone(true)
+		f.moveRelay(1)
+		f.play(6*time.Second, rates)
+		f.split, f.hops = true, true
+		f.play(5*time.Second, rates)
+		f.split, f.hops = false, false
+	},
+}
+
+// What a tenant asks for at half of its limit is not refused while a zone is lost or
+// cut off, nor after that, and what one asks for at ten times its limit is bound.
+func TestALostZoneRefusesNothingThatFits(t *testing.T) {
+	for name, trouble := range troubles {
+		for _, limit := range []Limit{{Rate: 8, Burst: 8}, {Rate: 125, Burst: 125}} {
+			for seed := range uint64(4) {
+				f := newFleet(20+seed, 51, 3, limit)
+				for range 2 {
+					f.addRelay(0)
+					f.addRelay(1)
+					f.addRelay(2)
+				}
+				rates := map[Key]float64{1: 10 * limit.Rate, 2: limit.Rate / 2, 3: limit.Rate / 8}
+				f.play(6*time.Second, rates)
+				trouble(f, rates)
+				f.play(11*time.Second, rates)
+				t.Logf("%s, %+v: refused at half %d, at an eighth %d; worst window at ten times %d, of %v",
+					name, limit, f.refused[2], f.refused[3], f.worst(1), bounds.broken(limit))
+				if f.refused[2]+f.refused[3] > 0 {
+					t.Errorf("%s: refused %d of %d, %d of %d", name, f.refused[2], f.refused[2]+len(f.admitted[2]), f.refused[3], f.refused[3]+len(f.admitted[3]))
+				}
+				if float64(f.worst(1)) > bounds.broken(limit) {
+					t.Errorf("%s: worst window %d, bound %v", name, f.worst(1), bounds.broken(limit))
+				}
+			}
+		}
+	}
+}
+
+// A tenant that was quiet and asks for ten times its limit as a zone is lost or cut off,
+// with some datagrams lost, is bound, too; one at half of its limit is let through.
+func TestALimitHoldsFromTheMomentAZoneIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: 125, Burst: 125}
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 30, 3, limit)
+		for range rapid.IntRange(0, 2).Draw(t, "more data nodes") {
+			f.addRelay(0)
+			f.addRelay(1)
+			f.addRelay(2)
+		}
+		f.lost = rapid.SampledFrom([]float64{0, 0.01, 0.03}).Draw(t, "lost")
+		before := rapid.SampledFrom([]float64{0, 20, 90, 600}).Draw(t, "before")
+		f.play(4*time.Second, map[Key]float64{1: before, 2: 62})
+		if rapid.Bool().Draw(t, "another relay") {
+			f.moveRelay(1)
+		}
+		name := rapid.SampledFrom(slices.Sorted(maps.Keys(troubles))).Draw(t, "trouble")
+		troubles[name](f, map[Key]float64{1: 600, 2: 62})
+		f.play(4*time.Second, map[Key]float64{1: 600, 2: 62})
+		if float64(f.worst(1)) > bounds.broken(limit) {
+			t.Fatalf("%s: worst window %d, bound %v", name, f.worst(1), bounds.broken(limit))
+		}
+		if f.refused[2] > 0 {
+			t.Fatalf("%s: refused %d of %d", name, f.refused[2], f.refused[2]+len(f.admitted[2]))
+		}
+	})
+}
+
 // A limit that falls far below what is sent binds within a window.
 func TestALimitThatFallsBinds(t *testing.T) {
 	f := newFleet(4, 51, 3, Limit{Rate: 125, Burst: 125})
@@ -432,7 +596,7 @@
 	g := gomega.NewWithT(t)
 	l := NewLimiter(bounds)
 	limit := Limit{Rate: 2, Burst: 0}
-	l.Heard(Sum{Counts: Counts{}}, start)
+	l.Heard("", Sum{Counts: Counts{}}, start)
 	var returns []time.Duration
 	for range 25 {
 		d := l.Check(1, limit, false, start, rand.Float64)
--- a/internal/system/limits.go
+++ b/internal/system/limits.go
@@ -91,12 +91,12 @@
 		return nil
 	}
 	l.mutex.Lock()
-	report, former := l.limiter.Report(l.life, to, time.Now())
+	report, left := l.limiter.Report(l.life, to, time.Now())
 	heard := l.heard
 	l.mutex.Unlock()
-	if former != "" {
-		// If that is lost, what it was told runs out by itself, and counts twice until then.
-		_ = l.peers.Datagram(former, kindQuotaReport, quota.Report{Life: l.life, Gone: true}.Marshal())
+	if left != "" {
+		// Told again with the next reports; if all are lost, its count runs out by itself.
+		_ = l.peers.Datagram(left, kindQuotaReport, quota.Report{Life: l.life, Gone: true}.Marshal())
 	}
 	// A report that can't be sent is like a lost one: no sum comes back.
 	_ = l.peers.Datagram(to, kindQuotaReport, report.Marshal())
@@ -112,7 +112,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.limiter.Heard(sum, time.Now())
+	l.limiter.Heard(from, sum, time.Now())
 	close(l.heard)
 	l.heard = make(chan struct{})
 }
