Limits count each request under its origin; watchers are spread over zones

Cause: a relay that keeps room for zones it doesn't hear added that room to its sums; front nodes remembered it as requests, told it to the next relay, and that added room once more. In a zone that is cut off front nodes change relays each 240 ms, so counts rose to 6.4 times a bound. Besides, a zone whose relay was left or lost counted twice for up to 6 s, and a data node that restarted at its address overwrote what others remembered of its former life. Ruled out: lost hand-over messages alone (the test loses none and shows it).

The first three data nodes by name may lie in one zone: the order goes round the zones now.

--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -1,8 +1,10 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -280,17 +282,29 @@
 	})
 }
 
-// soundNodes are the names of the data nodes that answer, in order; the caller
-// holds the mutex.
+// soundNodes are the names of the data nodes that answer, in an order that nodes with
+// the same view share: the first of each zone by name, then the second of each, so
+// that the loss of a zone leaves watchers in others. Zones in which some don't answer
+// come last each time: others of a lost zone would have to be found out one by one. The
+// caller holds the mutex.
 func (a *Agent) soundNodes() []string {
-	names := make([]string, 0, len(a.nodes))
-	for name, node := range a.nodes {
-		if !a.failing[node.Address] {
-			names = append(names, name)
+	all := slices.Sorted(maps.Keys(a.nodes))
+	turn, inZone, failing := map[string]int{}, map[string]int{}, map[string]int{}
+	sound := make([]string, 0, len(all))
+	for _, name := range all {
+		node := a.nodes[name]
+		turn[name] = inZone[node.Zone]
+		inZone[node.Zone]++
+		if a.failing[node.Address] {
+			failing[node.Zone]++
+		} else {
+			sound = append(sound, name)
 		}
 	}
-	sort.Strings(names)
-	return names
+	slices.SortStableFunc(sound, func(x, y string) int {
+		return cmp.Or(cmp.Compare(turn[x], turn[y]), cmp.Compare(failing[a.nodes[x].Zone], failing[a.nodes[y].Zone]))
+	})
+	return sound
 }
 
 func (a *Agent) allPeers() []transport.Address {
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -16,6 +16,9 @@
 	// takeTime is how long front nodes take to go over from a data node that fell
 	// silent: three reports without an answer, and one that is due without news.
 	takeTime = 800 * time.Millisecond
+	// giveTime is how long the share of a data node may tell of front nodes that have
+	// left it: an interval between shares, and their way.
+	giveTime = 100 * time.Millisecond
 	// sharerMemory is how long a zone whose data nodes are silent counts as a part of
 	// the fleet that may let requests through.
 	sharerMemory = 30 * time.Second
@@ -65,10 +68,36 @@
 	return counts
 }
 
-// zoneShare is what a data node told last, less what others have taken over since.
+// zoneShare is what a data node told last.
 type zoneShare struct {
 	heard
 	zone string
+	// given is what others have taken over since, last at givenAt.
+	given   Counts
+	givenAt time.Time
+}
+
+// rest is what nobody has taken over.
+func (s *zoneShare) rest() heard {
+	if len(s.given) == 0 {
+		return s.heard
+	}
+	rest := Counts{}
+	for key, count := range s.counts {
+		rest[key] = Count{max(0, count.Admitted-s.given[key].Admitted), count.Asked}
+	}
+	return heard{s.at, rest}
+}
+
+// follow returns the share that the data node tells next. It may have been sent before
+// front nodes told that they are gone: what was given and isn't missing yet stays given
+// for a while.
+func (s *zoneShare) follow(counts Counts, now time.Time) *zoneShare {
+	next := &zoneShare{heard: heard{now, counts}, zone: s.zone}
+	if now.Sub(s.givenAt) <= giveTime {
+		next.given, next.givenAt = s.given.above(s.counts.above(counts)), s.givenAt
+	}
+	return next
 }
 
 // zoneContact is when another zone was heard of, and since when it leaves shares that
@@ -136,7 +165,7 @@
 	rest := Counts{}
 	rest.add(counts, 1, 0)
 	for _, share := range givers {
-		share.give(rest, c.leftOf(share, now))
+		share.give(rest, c.leftOf(share, now), now)
 	}
 	if recent > 0 {
 		return
@@ -148,18 +177,20 @@
 
 // give takes counts away, of which so much is left within the window, and from those
 // that are to be taken.
-func (s *zoneShare) give(counts Counts, left float64) {
+func (s *zoneShare) give(counts Counts, left float64, now time.Time) {
 	if left <= 0 {
 		return
 	}
-	remaining := Counts{}
-	remaining.add(s.counts, 1, 0)
+	rest := s.rest().counts
+	given := Counts{}
+	given.add(s.given, 1, 0)
 	for key, count := range counts {
-		taken := min(count.Admitted, remaining[key].Admitted*left)
-		remaining[key] = Count{remaining[key].Admitted - taken/left, remaining[key].Asked}
-		counts[key] = Count{Admitted: count.Admitted - taken}
+		if taken := min(count.Admitted, rest[key].Admitted*left); taken > 0 {
+			given[key] = Count{Admitted: given[key].Admitted + taken/left}
+			counts[key] = Count{Admitted: count.Admitted - taken}
+		}
 	}
-	s.counts = remaining
+	s.given, s.givenAt = given, now
 }
 
 // Share takes another data node's share.
@@ -170,7 +201,11 @@
 		contact.heardAt, contact.askedAt = now, time.Time{}
 	}
 	c.noteGrowth(name, share, now)
-	c.shares[name] = &zoneShare{heard{now, share.Counts}, share.Zone}
+	before := c.shares[name]
+	if before == nil {
+		before = &zoneShare{zone: share.Zone}
+	}
+	c.shares[name] = before.follow(share.Counts, now)
 	if len(share.Yours) > 0 {
 		c.echo = heard{now, share.Yours}
 	}
@@ -185,7 +220,7 @@
 	case !known:
 		c.arrive(share.Counts, share.Zone, name, 0, now)
 	case now.Sub(before.at) > shareFresh:
-		counted := before.left(c.holdOf(before, now), c.window, now)
+		counted := before.rest().left(c.holdOf(before, now), c.window, now)
 		c.arrive(share.Counts.above(counted), share.Zone, name, 0, now)
 	default:
 		c.arrive(share.Counts.above(before.counts), share.Zone, name, takeTime, now)
@@ -206,30 +241,28 @@
 // room is kept for its part of that.
 func (c *Collector) Sum(but transport.Address, bound func(Key) float64, now time.Time) Sum {
 	sum := c.known(but, now)
-	known := Counts{}
-	known.raise(sum)
-	sum.raise(c.former(sum, now))
-	unheard := c.unheardNow(now)
-	return Sum{Life: c.life, Counts: sum, Unheard: unheard, Within: c.within(known, sum, unheard, bound, now)}
+	former := c.former(sum, now)
+	more := former.above(sum)
+	sum.raise(former)
+	told := Sum{Life: c.life, Counts: sum, Unheard: c.unheardNow(now)}
+	if told.Unheard.Zones > 0 {
+		told.Within = c.within(more, told.Unheard, bound, now)
+	}
+	return told
 }
 
-// within returns what of a sum lies in the room that is kept for unheard zones: what
-// they told last, each up to its part, and what only front nodes remember.
-func (c *Collector) within(known, sum Counts, unheard Unheard, bound func(Key) float64, now time.Time) Counts {
+// within returns which requests lie in the room that is kept for unheard zones: what
+// these told last, each up to its part, and what only front nodes remember.
+func (c *Collector) within(remembered Counts, unheard Unheard, bound func(Key) float64, now time.Time) Counts {
 	within := Counts{}
-	if unheard.Zones == 0 {
-		return within
-	}
 	each := Unheard{1, unheard.Of}.part()
 	for zone := range c.silent(now) {
 		for key, count := range c.ofZone(zone, now) {
 			within[key] = Count{Admitted: within[key].Admitted + min(count.Admitted, each*bound(key))}
 		}
 	}
-	for key, count := range sum {
-		if more := count.Admitted - known[key].Admitted; more > 0 {
-			within[key] = Count{Admitted: min(within[key].Admitted+more, unheard.part()*bound(key))}
-		}
+	for key, count := range remembered {
+		within[key] = Count{Admitted: min(within[key].Admitted+count.Admitted, unheard.part()*bound(key))}
 	}
 	return within
 }
@@ -252,9 +285,9 @@
 		switch age := now.Sub(share.at); {
 		case share.zone != c.zone:
 		case age > shareFresh:
-			silent.add(share.counts, c.leftOf(share, now), age)
+			silent.add(share.rest().counts, c.leftOf(share, now), age)
 		default:
-			heard.add(share.counts, 1, age)
+			heard.add(share.rest().counts, 1, age)
 		}
 	}
 	silent.raise(c.echo.left(freshTime, c.window, now))
@@ -266,7 +299,7 @@
 	counts := Counts{}
 	for _, share := range c.shares {
 		if share.zone == zone {
-			counts.add(share.counts, c.leftOf(share, now), now.Sub(share.at))
+			counts.add(share.rest().counts, c.leftOf(share, now), now.Sub(share.at))
 		}
 	}
 	return counts
@@ -422,7 +455,7 @@
 	counts := Counts{}
 	for _, share := range c.shares {
 		if age := now.Sub(share.at); share.zone == zone && age > shareFresh {
-			counts.add(share.counts, c.leftOf(share, now), age)
+			counts.add(share.rest().counts, c.leftOf(share, now), age)
 		}
 	}
 	for key, count := range counts {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -16,9 +16,10 @@
 	hotShare = 0.5
 	// refreshTime is how often a node without news reports.
 	refreshTime = 400 * time.Millisecond
-	// deafAge is the age from which on a node counts as one that hears nobody. It asks
-	// before that wherever a tenant is near its limit.
-	deafAge = 600 * time.Millisecond
+	// deafAge is the age from which on a node counts as one that hears nobody: a node
+	// without news that finds its data node silent hears another one after refreshTime
+	// and three reports. It asks before that wherever a tenant is near its limit.
+	deafAge = 700 * time.Millisecond
 	// tellFormer is in how many reports a new data node is told what the one before
 	// told, and the one before that the node is gone: datagrams may be lost.
 	tellFormer = 3
