Replicas of the ledger bear the loss of a zone

ledger.zone_losses was read by nobody: replicas were spread evenly while all zones were there, and 1.5 s into the loss of one of three zones repair made 3+2 (or 2+1) of the others, so that one more zone took the quorum, also just after the first was back. Now no zone gets more than a minority, at first placement and at repair; while a zone is away with its voters the others fill up to that (2+2 and one voter that is waited for), and only after ten times the bound, or if its nodes leave, a place in another zone is taken. Fewer copies are placed where one zone has most nodes. Events 4166, 4167 and a gauge say when one more zone is too much.

--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -198,7 +198,7 @@
 	for _, m := range dataMembers(s.options.Members.View(), s.self()) {
 		sites = append(sites, site{node: m.Name, zone: m.Zone})
 	}
-	placement := placeShards(s.options.Shards, sites, s.options.Copies)
+	placement := placeShards(s.options.Shards, sites, s.options.aim())
 	for _, id := range missing {
 		if err := s.placeOne(ctx, id, placement[id]); err != nil {
 			return trace.Wrap(err, "place shard %d", id)
--- a/internal/ledger/replica/events.go
+++ b/internal/ledger/replica/events.go
@@ -37,4 +37,9 @@
 		"A draining node leads no shard any more.")
 	eventRepairFailed = telemetry.Define(4165, "replica change failed",
 		"A step of a replacement failed; it is tried again.")
+	eventZoneExposed = telemetry.Define(4166, "zone loss not borne",
+		"The loss of one more zone would leave the shard without a majority: a zone is away, or the "+
+			"data nodes lie in fewer than three zones.")
+	eventZoneBorne = telemetry.Define(4167, "zone loss borne again",
+		"The shard outlives the loss of any zone again.")
 )
--- a/internal/ledger/replica/metrics.go
+++ b/internal/ledger/replica/metrics.go
@@ -8,6 +8,7 @@
 	leading       prometheus.Gauge
 	replicas      prometheus.Gauge
 	noQuorum      prometheus.Gauge
+	zoneExposed   prometheus.Gauge
 	diskBytes     prometheus.Gauge
 }
 
@@ -33,13 +34,17 @@
 			Name: "chutelock_ledger_shards_without_quorum",
 			Help: "Shards of this node's replicas that have had no leader for long.",
 		}),
+		zoneExposed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_shards_exposed_to_zone",
+			Help: "Shards led here that would have no majority after the loss of one more zone; 0 unless zone_losses is set.",
+		}),
 		diskBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chutelock_ledger_disk_bytes",
 			Help: "Disk space that the ledger folder uses.",
 		}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.diskBytes)
+		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.zoneExposed, m.diskBytes)
 	}
 	return m
 }
--- a/internal/ledger/replica/options.go
+++ b/internal/ledger/replica/options.go
@@ -51,6 +51,9 @@
 	// once the ledger exists.
 	Shards int
 	Copies int
+	// ZoneLosses is how many zones may be lost at once, 0 or 1: no zone holds so many
+	// of a shard's replicas that the rest is no majority, where there are three zones.
+	ZoneLosses int
 	// NewMachine makes the state machine of a shard.
 	NewMachine func(ledger.ShardID) ledger.StateMachine
 	// Registry takes the metrics; nil means none.
@@ -93,6 +96,8 @@
 	return o
 }
 
+func (o Options) aim() aim { return aim{copies: o.Copies, zoneLosses: o.ZoneLosses} }
+
 func setDefault[T comparable](value *T, byDefault T) {
 	var zero T
 	if *value == zero {
@@ -106,6 +111,8 @@
 		return trace.BadParameter("the ledger needs a transport and a membership")
 	case o.Folder != "" && o.NewMachine == nil:
 		return trace.BadParameter("a node with a ledger folder needs a state machine")
+	case o.ZoneLosses < 0 || o.ZoneLosses > 1:
+		return trace.BadParameter("the ledger bears the loss of one zone at most, not of %d", o.ZoneLosses)
 	case o.Copies%2 == 0:
 		return trace.BadParameter("the number of copies must be odd, not %d", o.Copies)
 	}
--- a/internal/ledger/replica/placement.go
+++ b/internal/ledger/replica/placement.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -21,10 +22,44 @@
 	return n - 1 + n%2
 }
 
+// aim is what replica sets are to bear.
+type aim struct {
+	copies int
+	// zoneLosses is how many zones may be lost at once, 0 or 1: no zone holds so many
+	// voters that the rest is no majority.
+	zoneLosses int
+}
+
+// mostInZone is how many of so many replicas a zone may hold.
+func (a aim) mostInZone(replicas int) int {
+	if a.zoneLosses == 0 {
+		return replicas
+	}
+	return (replicas - 1) / 2
+}
+
+// replicas is the largest odd number of replicas, copies at most, that the sites can
+// hold so that they bear what they are to. Fewer than three zones can't bear the loss
+// of one, whatever is placed where: then only disks count.
+func (a aim) replicas(sites []site) int {
+	most := min(a.copies, oddAtMost(len(sites)))
+	zones := zoneCounts(sites)
+	for n := most; n >= 3; n -= 2 {
+		places := 0
+		for _, count := range zones {
+			places += min(count, a.mostInZone(n))
+		}
+		if places >= n {
+			return n
+		}
+	}
+	return most
+}
+
 // placeShards chooses the sites of each shard's first replicas: spread over
 // zones first, then over the nodes with the fewest replicas.
-func placeShards(shards int, sites []site, copies int) [][]site {
-	copies = min(copies, oddAtMost(len(sites)))
+func placeShards(shards int, sites []site, aim aim) [][]site {
+	copies := aim.replicas(sites)
 	load := map[string]int{}
 	placed := make([][]site, shards)
 	for shard := range placed {
@@ -71,6 +106,8 @@
 	superseded bool
 	// lost: silent for longer than the bound, or superseded.
 	lost bool
+	// gone: lost, and not waited for; its zone may not come back.
+	gone bool
 }
 
 // repairPlan is what a leader aims at.
@@ -82,17 +119,37 @@
 	join []site
 }
 
+// outlivesAZone says whether a majority of the voters is there after the loss of any
+// zone.
+func outlivesAZone(voters []member) bool {
+	sound := slices.DeleteFunc(slices.Clone(voters), func(m member) bool { return m.lost })
+	for _, inZone := range zoneCounts(sitesOf(sound)) {
+		if len(sound)-inZone < len(voters)/2+1 {
+			return false
+		}
+	}
+	return len(sound) > 0
+}
+
 // planRepair decides which members stay and where a new one is needed. It
 // never gives up a lost voter before another can take its place, so that the
 // number of voters doesn't fall.
-func planRepair(members []member, sites []site, copies int) repairPlan {
+//
+// While a zone is away the others get no more replicas than they may hold: a lost
+// voter stays, which has its disk still if only the power is lost, and the set bears
+// the loss of a zone as soon as that is back. One that is gone for long is replaced
+// wherever there is room, as disks fail more often than second zones.
+func planRepair(members []member, sites []site, aim aim) repairPlan {
 	kept := slices.DeleteFunc(slices.Clone(members), func(m member) bool { return m.lost })
 	free := freeSites(members, sites)
-	target := max(oddAtMost(min(copies, len(kept)+len(free))), min(copies, countVoters(members)))
+	target := max(aim.replicas(append(sitesOf(kept), free...)), min(aim.copies, countVoters(members)))
 	var join []site
 	switch {
 	case len(kept) < target:
 		join = leastCrowded(free, sitesOf(kept))
+		if len(join) > 0 && zoneCounts(sitesOf(kept))[join[0].zone] >= aim.mostInZone(target) && mayWait(members, sites) {
+			join = nil
+		}
 	case len(kept) == target:
 		join = betterSpread(free, sitesOf(kept))
 	}
@@ -100,14 +157,40 @@
 		at := mostDispensable(kept)
 		kept = slices.Delete(kept, at, at+1)
 	}
-	wanted := replicasOf(kept)
+	wanted := append(replicasOf(kept), stillWanted(members, target-len(kept))...)
+	slices.Sort(wanted)
+	return repairPlan{wanted: wanted, join: join}
+}
+
+// mayWait says that a voter is lost with its whole zone, and none is gone.
+func mayWait(members []member, sites []site) bool {
+	zones, wait := zoneCounts(sites), false
 	for _, m := range members {
-		if m.lost && m.voter && len(wanted) < target {
-			wanted = append(wanted, m.replica)
+		if m.voter && m.gone {
+			return false
 		}
+		wait = wait || (m.voter && m.lost && zones[m.site.zone] == 0)
 	}
-	slices.Sort(wanted)
-	return repairPlan{wanted: wanted, join: join}
+	return wait
+}
+
+// stillWanted are so many lost voters that nobody replaces yet: first those that may
+// come back with their disks.
+func stillWanted(members []member, count int) []replication.ReplicaID {
+	lost := slices.DeleteFunc(slices.Clone(members), func(m member) bool { return !m.lost || !m.voter })
+	slices.SortStableFunc(lost, func(a, b member) int { return cmp.Compare(a.hopeless(), b.hopeless()) })
+	return replicasOf(lost[:max(0, min(count, len(lost)))])
+}
+
+// hopeless orders lost members by how little they may be expected to come back.
+func (m member) hopeless() int {
+	switch {
+	case m.superseded:
+		return 2
+	case m.gone:
+		return 1
+	}
+	return 0
 }
 
 // freeSites are those without a member, or with one whose disk is gone.
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,6 +21,9 @@
 	joinChoices = 3
 	// changeTimeout bounds one step of a replacement.
 	changeTimeout = 5 * time.Second
+	// goneAfter is how many times ReplaceAfter a voter is waited for whose place no
+	// other zone may take: most losses of power and cuts are over by then.
+	goneAfter = 10
 	// leaveTries bounds the tries to tell a removed replica.
 	leaveTries = 30
 )
@@ -30,6 +34,8 @@
 	superseded  map[replication.ReplicaID]bool
 	asked       map[replication.ReplicaID]bool // being asked; see lookForSuperseded
 	removed     []removedReplica
+	// exposed: the loss of one zone would leave no majority.
+	exposed bool
 }
 
 // removedReplica is to be told that it left.
@@ -80,16 +86,37 @@
 	s.tellRemoved()
 	s.lookForSuperseded(now)
 	members, configuration, pending := s.members(now)
+	s.noteZones(members)
 	if pending {
 		return nil
 	}
-	plan := planRepair(members, s.sites(), s.service.options.Copies)
+	plan := planRepair(members, s.sites(), s.service.options.aim())
 	if len(plan.join) > 0 && !hasLearner(members) {
 		return trace.Wrap(s.addReplica(plan.join), "add a replica")
 	}
 	return trace.Wrap(s.changeTowards(configuration, plan.wanted), "change the replica set")
 }
 
+// noteZones tells when the loss of one zone begins or ceases to be more than the
+// shard can bear, counting who is there.
+func (s *Shard) noteZones(members []member) {
+	if s.service.options.ZoneLosses == 0 {
+		return
+	}
+	voters := slices.DeleteFunc(slices.Clone(members), func(m member) bool { return !m.voter })
+	exposed := !outlivesAZone(voters)
+	s.mutex.Lock()
+	changed := exposed != s.repair.exposed
+	s.repair.exposed = exposed
+	s.mutex.Unlock()
+	switch {
+	case changed && exposed:
+		eventZoneExposed.Info("shard", s.id, "voters_by_zone", zoneCounts(sitesOf(voters)))
+	case changed:
+		eventZoneBorne.Info("shard", s.id, "voters_by_zone", zoneCounts(sitesOf(voters)))
+	}
+}
+
 func hasLearner(members []member) bool {
 	for _, m := range members {
 		if !m.voter && !m.lost {
@@ -106,16 +133,20 @@
 	status := s.core.Status()
 	s.noteSilent(status, now)
 	for _, id := range status.Configuration.Members() {
-		since, silent := s.repair.silentSince[id]
-		superseded := s.repair.superseded[id]
+		silence := time.Duration(0)
+		if since, silent := s.repair.silentSince[id]; silent {
+			silence = now.Sub(since)
+		}
+		superseded, wait := s.repair.superseded[id], s.service.options.ReplaceAfter
+		leaves := s.service.options.ReplaceLeaving && s.leaving(id)
 		members = append(members, member{
 			replica:    id,
 			site:       site{node: s.roster[id].Node, zone: s.roster[id].Zone},
 			voter:      status.Configuration.HasVoter(id),
 			leader:     id == s.replica,
 			superseded: superseded,
-			lost: superseded || (silent && now.Sub(since) >= s.service.options.ReplaceAfter) ||
-				(s.service.options.ReplaceLeaving && s.leaving(id)),
+			lost:       superseded || silence >= wait || leaves,
+			gone:       silence >= goneAfter*wait || leaves,
 		})
 	}
 	return members, status.Configuration, status.ConfigurationPending || status.TransferringTo != 0
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -281,13 +281,16 @@
 }
 
 func (s *Service) tickAll(time.Time) {
-	leading, noQuorum := 0, 0
+	leading, noQuorum, exposed := 0, 0, 0
 	shards := s.allShards()
 	for _, shard := range shards {
 		shard.tick(time.Now())
 		shard.mutex.Lock()
 		if shard.soft.Leader == shard.replica {
 			leading++
+			if shard.repair.exposed {
+				exposed++
+			}
 		}
 		if shard.quorumLost {
 			noQuorum++
@@ -297,6 +300,7 @@
 	s.snapshots.expire(time.Now(), sessionIdle, nil)
 	s.metrics.leading.Set(float64(leading))
 	s.metrics.noQuorum.Set(float64(noQuorum))
+	s.metrics.zoneExposed.Set(float64(exposed))
 	s.metrics.replicas.Set(float64(len(shards)))
 }
 
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -143,7 +143,7 @@
 	disk := newDiskBudget(uint64(c.settings.Data.Size) << 20)
 	return replica.Options{
 		Sender: c.peers, Receiver: c.peers, Members: view, Store: c.adapter.Ledger, Registry: c.registry,
-		Shards: shards, Copies: c.settings.Ledger.Replicas(), ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
+		Shards: shards, Copies: c.settings.Ledger.Replicas(), ZoneLosses: c.settings.Ledger.ZoneLosses, ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
 		RepairInterval: repairInterval, DirectoryInterval: directoryTime, ReplaceLeaving: true,
 		DiskBytes: disk.size, RetainBytes: disk.retain, Reserve: disk.reserve, Scarce: disk.scarce,
 	}
