--- a/internal/quota/collector_test.go
+++ b/internal/quota/collector_test.go
@@ -123,3 +123,13 @@
 	g.Expect(unheard(2*time.Second+sharerMemory+time.Second, false)).To(gomega.BeZero())
 	g.Expect(unheard(3*time.Second+sharerMemory, true)).To(gomega.BeZero())
 }
+
+// What only front nodes remember uses the room of unheard zones, and isn't added to it.
+func TestRememberedRequestsUseTheRoomOfUnheardZones(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := NewCollector("a", bounds.Window, 1)
+	c.Report("front0", Report{Life: 3, Counts: admitted(10), Others: admitted(60), Unheard: Unheard{2, 3}}, start)
+	sum := sumOf(c, start)
+	g.Expect(sum.Counts[1].Admitted).To(gomega.BeNumerically("~", 60, 1e-9))
+	g.Expect(sum.Within[1].Admitted).To(gomega.BeNumerically("~", 50, 1e-9), "of 60, 10 are reported")
+}
