Regions of online requests: the newest configuration binds each send; refusals name their rule

Cause: a request keeps the regions that it came with while it waits, so that a version that came meanwhile was not held to; a route with several services refused a bound request at once when the service whose turn it was has no engine in its regions; the refusal's log line did not say which rule left no engine. Bound batch jobs were taken into the ledger, whose replicas lie anywhere.

Change: regions are read from the newest configuration at each choice and right before each send; a request goes to, and waits for, the route's other services; balance.NoEngineError tells regions, drained zones and none apart; batch jobs of bound routes or tenants are refused with 503 until they can be held within their regions.

Seen failing first: the send without the check (reached the pool), the note that set the engine aside, the fallback taken out.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -96,8 +96,10 @@
 // each look: by old figures all that wait take the same slot that got free.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
 	lease, found := b.try(wish, nil, priority)
-	if !found && len(allowed(b.snapshot(), wish)) == 0 {
-		return nil, ErrNoEngine
+	if !found {
+		if snapshot := b.snapshot(); len(allowed(snapshot, wish)) == 0 {
+			return nil, &NoEngineError{Rule: emptiedBy(snapshot, wish)}
+		}
 	}
 	if !found && wait > 0 {
 		lease, found = b.await(ctx, wish, priority, wait, refresh)
--- a/internal/balance/regions_test.go
+++ b/internal/balance/regions_test.go
@@ -46,3 +46,29 @@
 		g.Expect(err).To(gomega.MatchError(ErrNoEngine))
 	}
 }
+
+// The refusal tells which rule left no engine.
+func TestARefusalNamesTheRuleThatLeftNoEngine(t *testing.T) {
+	for name, one := range map[string]struct {
+		engines []catalog.Engine
+		regions catalog.Regions
+		rule    Rule
+	}{
+		"no engine at all":           {nil, nil, RuleNone},
+		"all are leaving":            {[]catalog.Engine{{ID: "a", Service: "s", Region: "n", Leaving: true}}, catalog.Regions{"n"}, RuleNone},
+		"all are drained":            {[]catalog.Engine{{ID: "a", Service: "s", Drained: true}}, nil, RuleDrained},
+		"others' regions":            {[]catalog.Engine{{ID: "a", Service: "s", Region: "n"}}, catalog.Regions{"w"}, RuleRegions},
+		"a drained one in the right": {[]catalog.Engine{{ID: "a", Service: "s", Region: "n"}, {ID: "b", Service: "s", Region: "w", Drained: true}}, catalog.Regions{"w"}, RuleDrained},
+		"a drained one in the wrong": {[]catalog.Engine{{ID: "a", Service: "s", Region: "n", Drained: true}}, catalog.Regions{"w"}, RuleRegions},
+		"nothing in common":          {[]catalog.Engine{{ID: "a", Service: "s", Region: "n"}}, catalog.Regions{}, RuleRegions},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			snapshot := catalog.NewSnapshot(nil, one.engines)
+			_, err := New(func() *catalog.Snapshot { return snapshot }).
+				Acquire(context.Background(), Wish{Service: "s", Regions: one.regions}, 0, time.Hour, nil)
+			g.Expect(err).To(gomega.MatchError(ErrNoEngine))
+			g.Expect(err.(*NoEngineError).Rule).To(gomega.Equal(one.rule))
+		})
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -103,6 +103,7 @@
 
 	tenants []Tenant
 	keys    map[apikey.Hash]*Tenant // nil if callers need no key
+	bound   map[string]Regions      // of the tenants that have any
 }
 
 // Match returns the route of the host with the longest prefix that begins the
--- a/internal/catalog/regions.go
+++ b/internal/catalog/regions.go
@@ -33,3 +33,20 @@
 	}
 	return r.Regions.And(tenant.Regions)
 }
+
+// RegionsNow are the regions of a tenant's request on a route by this version of the
+// configuration. before are those that held when the request came: a tenant that is
+// gone since binds as it did.
+func (c *Configuration) RegionsNow(route *Route, tenant string, before Regions) Regions {
+	regions := route.Regions
+	if newest := c.Route(route.Name); newest != nil {
+		regions = newest.Regions
+	}
+	if ofTenant, bound := c.bound[tenant]; bound {
+		return regions.And(ofTenant)
+	}
+	if before != nil && tenant != "" && c.Tenant(tenant) == nil {
+		return regions.And(before)
+	}
+	return regions
+}
--- a/internal/catalog/regions_test.go
+++ b/internal/catalog/regions_test.go
@@ -41,3 +41,23 @@
 	_, known := snapshot.Engine("a")
 	g.Expect(known).To(gomega.BeTrue())
 }
+
+// The newest version binds, and what is gone since binds as it did.
+func TestTheNewestVersionsRegionsBind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	came := &Route{Name: "r", Regions: Regions{"a", "b"}}
+	version := func(route Regions, tenant Regions) *Configuration {
+		c := &Configuration{Routes: []Route{{Name: "r", Regions: route}}}
+		c.SetTenants([]Tenant{{Name: "t", Regions: tenant}, {Name: "free"}})
+		return c
+	}
+	g.Expect(version(nil, nil).RegionsNow(came, "t", Regions{"a"})).To(gomega.BeNil())
+	g.Expect(version(Regions{"c"}, nil).RegionsNow(came, "t", Regions{"a"})).To(gomega.Equal(Regions{"c"}))
+	g.Expect(version(Regions{"c", "d"}, Regions{"d"}).RegionsNow(came, "t", nil)).To(gomega.Equal(Regions{"d"}))
+	g.Expect(version(Regions{"c"}, Regions{"d"}).RegionsNow(came, "t", nil)).To(gomega.Equal(Regions{}))
+	g.Expect(version(nil, Regions{"d"}).RegionsNow(came, "free", Regions{"a"})).To(gomega.BeNil())
+	g.Expect(version(nil, Regions{"d"}).RegionsNow(came, "", nil)).To(gomega.BeNil(), "a public route without a tenant")
+	g.Expect(version(nil, nil).RegionsNow(came, "gone", Regions{"a"})).To(gomega.Equal(Regions{"a"}))
+	without := &Configuration{}
+	g.Expect(without.RegionsNow(came, "", nil)).To(gomega.Equal(Regions{"a", "b"}), "a route that is gone")
+}
--- a/internal/catalog/tenants.go
+++ b/internal/catalog/tenants.go
@@ -37,6 +37,12 @@
 		for _, key := range tenant.Keys {
 			c.keys[key] = tenant
 		}
+		if tenant.Regions != nil {
+			if c.bound == nil {
+				c.bound = map[string]Regions{}
+			}
+			c.bound[tenant.Name] = tenant.Regions
+		}
 	}
 }
 
--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -36,6 +36,10 @@
 	}
 	job.Host, job.Path, job.Route, job.Tenant = r.Host, r.URL.EscapedPath(), route.Name, request.Tenant
 	job.QueuedTokens, job.Retention, job.Completion = route.QueuedTokens, route.Retention, route.Completion
+	if request.Regions != nil {
+		e.reject(w, r, http.StatusServiceUnavailable, "batch jobs can't be kept within the regions of the route and the tenant")
+		return
+	}
 	ctx, cancel := bounded(r.Context(), request.Deadline, 0)
 	defer cancel()
 	err = e.Jobs.Submit(ctx, job)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,6 +27,10 @@
 	if !fl.Usable(engine.ID, engine.Service) {
 		return outcome{kind: OutcomeNotSent, cause: errors.New("the engine is leaving")}, false
 	}
+	// A newer configuration may have come while the request waited.
+	if !fl.regions().Allow(engine.Region) {
+		return outcome{kind: OutcomeNotSent, cause: errRegions}, false
+	}
 	call := fl.call(engine)
 	watch, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -62,7 +66,8 @@
 }
 
 var (
-	errSilent = errors.New("the engine is silent")
+	errSilent  = errors.New("the engine is silent")
+	errRegions = errors.New("the engine is in none of the request's regions any more")
 )
 
 type errStatus int
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -46,7 +46,10 @@
 	Balancer *balance.Balancer
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
-	Zone   string
+	// Regions are where a request may be served by the newest configuration known
+	// here; nil if those that the request came with hold.
+	Regions func(request *Request, route *catalog.Route) catalog.Regions
+	Zone    string
 	// Observe is told of each finished request; may be nil.
 	Observe func(Result)
 	// Refresh brings what the balancer knows of other nodes up to date before an
@@ -166,7 +169,7 @@
 	wish := balance.Wish{
 		Service: fl.service, Zone: fl.Zone, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: fl.waitAtEngine(),
+		Regions: fl.regions(), Avoid: fl.avoid, Wait: fl.waitAtEngine(),
 	}
 	if fl.Refresh != nil {
 		fl.Refresh(ctx)
@@ -178,13 +181,37 @@
 	if !errors.Is(err, balance.ErrNoEngine) {
 		return lease, err
 	}
+	return fl.acquireElsewhere(ctx, wish, err)
+}
+
+// acquireElsewhere takes an engine of the route's other services. It waits for one that
+// has engines for the request: where regions restrict it, the chosen service may have
+// none there for good, and a request must not be refused for whose turn it was.
+func (fl *flight) acquireElsewhere(ctx context.Context, wish balance.Wish, failure error) (*balance.Lease, error) {
+	waiting := ""
 	for _, service := range fl.route.Services() {
 		wish.Service = service
-		if lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0, nil); err == nil {
+		lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0, nil)
+		if err == nil {
 			return lease, nil
 		}
+		if waiting == "" && !errors.Is(err, balance.ErrNoEngine) {
+			waiting = service
+		}
+	}
+	if waiting == "" {
+		return nil, failure
+	}
+	wish.Service = waiting
+	return fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.patienceForRoom(), fl.Refresh)
+}
+
+// regions are where the request may be served now.
+func (fl *flight) regions() catalog.Regions {
+	if fl.Regions == nil {
+		return fl.request.Regions
 	}
-	return nil, err
+	return fl.Regions(fl.request, fl.route)
 }
 
 func (fl *flight) patienceForRoom() time.Duration {
@@ -287,6 +314,7 @@
 // note tells the balancer how the engine did.
 func (fl *flight) note(engine catalog.Engine, outcome outcome) {
 	switch {
+	case errors.Is(outcome.cause, errRegions): // says nothing of the engine
 	case outcome.kind == OutcomeRefused && !outcome.elsewhere:
 		fl.Balancer.Refused(engine.ID)
 	default:
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -222,7 +222,7 @@
 
 // regions are where a tenant's items of a route may be run.
 func (c *core) regions(route *catalog.Route, tenant string) catalog.Regions {
-	return route.RegionsOf(c.facts.Snapshot().Configuration.Tenant(tenant))
+	return c.facts.Snapshot().Configuration.RegionsNow(route, tenant, nil)
 }
 
 // localShard returns this node's replica.
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -10,6 +10,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
 	"chutelock.dev/chutelock/internal/forward"
@@ -73,6 +74,9 @@
 		},
 		Forwarder: &forward.Forwarder{
 			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone,
+			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
+				return f.facts.Snapshot().Configuration.RegionsNow(route, request.Tenant, request.Regions)
+			},
 			Observe: newRequestMetrics(common.registry).observe,
 			Refresh: f.refreshLoad, Chosen: f.reportChoice,
 		},
