Ledger: shards whose replicas lie in one region only

Cause: what a route or tenant binds to regions can be kept by no shard, as replicas are placed by zones of the whole fleet.

Ruled out: numbered region shards (a region that comes later would shift the others); the shard's number is a hash of the region's name, so that nothing has to be agreed on.

Change: Options.Regions and LeastCopies; Service.Need asks for a region's shard, which is placed once the region has enough data nodes, and told of if it hasn't; sites are filtered by region before they are placed, for repair too; a node refuses a replica that may not lie on it, and doesn't run one that it holds after it came back in another region; the directory knows such shards' leaders; AskPlaced tells where a shard lies. A ledger without regions sends and stores what it did.

Seen failing first: with the region filter off, placement, replacement, refusal of a join and the plans' property fail.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,12 +11,25 @@
 	"errors"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chutelock.dev/chutelock/internal/transport"
 )
 
-// ShardID names a shard, from 0.
+// ShardID names a shard, from 0; those of regions have the highest bit.
 type ShardID uint32
 
+const regionalBit ShardID = 1 << 31
+
+// RegionShard is the shard whose replicas lie in a region only. It follows from the
+// region's name, so that nodes need not agree on a numbering.
+func RegionShard(region string) ShardID {
+	return regionalBit | ShardID(xxhash.Sum64String(region)>>33)
+}
+
+// Regional says whether the shard is that of a region.
+func (id ShardID) Regional() bool { return id&regionalBit != 0 }
+
 // Reader reads a state machine's key space. Values alias storage and are
 // valid only until the callback or the transaction ends.
 type Reader interface {
--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -14,6 +14,7 @@
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
+	"chutelock.dev/chutelock/internal/membership"
 	"chutelock.dev/chutelock/internal/platform"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -32,6 +33,8 @@
 
 // shardObject is the spec of a shards object in the platform's store.
 type shardObject struct {
+	// Region is where all replicas lie; empty if they may lie anywhere.
+	Region string `json:"region,omitempty"`
 	// Initial is the first replica set; it is never changed.
 	Initial []replicaRecord `json:"initial"`
 	// Current is the replica set as a leader wrote it last, for operators.
@@ -53,10 +56,14 @@
 	service *Service
 	count   int
 	since   time.Time
+	// short are regions with too few data nodes for a shard, and shortOf how many nodes
+	// there were in all: until that changes, the store need not be asked.
+	short   []ledger.ShardID
+	shortOf int
 }
 
 // runBootstrap places the shards that don't exist yet, and starts the replicas
-// that are placed here. It ends once all shards exist.
+// that are placed here. It rests once all shards exist, until more are needed.
 func (s *Service) runBootstrap() {
 	if s.options.Store == nil {
 		return
@@ -66,7 +73,13 @@
 	for {
 		complete, err := b.step(time.Now())
 		if complete {
-			return
+			select {
+			case <-s.running.Done():
+				return
+			case <-s.need:
+			}
+			b.since, wait = time.Now(), bootstrapInterval
+			continue
 		}
 		if err != nil {
 			eventDirectoryFailed.Error(err, "step", "bootstrap")
@@ -91,6 +104,9 @@
 
 // step returns true once all shards exist in the store.
 func (b *bootstrapper) step(now time.Time) (bool, error) {
+	if b.waitsForNodes() {
+		return false, nil
+	}
 	ctx, cancel := context.WithTimeout(b.service.running, storeTimeout)
 	defer cancel()
 	objects, _, err := b.service.options.Store.List(ctx, platform.KindShard)
@@ -105,20 +121,59 @@
 		}
 	}
 	var missing []ledger.ShardID
-	for id := range ledger.ShardID(b.service.options.Shards) {
-		if !placed[objectName(id)] {
+	for _, id := range b.service.wanted() {
+		if !placed[b.service.objectName(id)] {
 			missing = append(missing, id)
 		}
 	}
 	if len(missing) == 0 {
 		return true, nil
 	}
-	if !b.mayPlace(now) {
+	if missing = b.placeable(missing); len(missing) == 0 || !b.mayPlace(now) {
 		return false, nil
 	}
 	return false, b.service.placeMissing(ctx, missing)
 }
 
+// placeable leaves out the shards of regions with too few data nodes, and tells of them
+// once.
+func (b *bootstrapper) placeable(missing []ledger.ShardID) []ledger.ShardID {
+	members := dataMembers(b.service.options.Members.View(), b.service.self())
+	var short, rest []ledger.ShardID
+	for _, id := range missing {
+		if nodes := len(b.service.within(id, members)); b.service.enough(id, nodes) {
+			rest = append(rest, id)
+		} else {
+			short = append(short, id)
+		}
+	}
+	if !slices.Equal(short, b.short) {
+		for _, id := range short {
+			eventRegionShort.Info("shard", id, "region", b.service.Region(id),
+				"nodes", len(b.service.within(id, members)), "least", b.service.options.LeastCopies)
+		}
+	}
+	b.short, b.shortOf = short, len(members)
+	if len(rest) > 0 {
+		b.shortOf = 0
+	}
+	return rest
+}
+
+// waitsForNodes says that all that is missing are shards of regions with too few data
+// nodes, and that there are as many nodes as before.
+func (b *bootstrapper) waitsForNodes() bool {
+	if len(b.short) == 0 || b.shortOf == 0 {
+		return false
+	}
+	select {
+	case <-b.service.need:
+		return false
+	default:
+	}
+	return len(dataMembers(b.service.options.Members.View(), b.service.self())) == b.shortOf
+}
+
 // mayPlace says whether enough data nodes are known, or no more are coming,
 // and whether it is this node's turn: the first by name, others much later.
 func (b *bootstrapper) mayPlace(now time.Time) bool {
@@ -136,16 +191,20 @@
 	return enough || now.Sub(b.since) >= wait
 }
 
-func objectName(id ledger.ShardID) string { return strconv.FormatUint(uint64(id), 10) }
+func numberName(id ledger.ShardID) string { return strconv.FormatUint(uint64(id), 10) }
+
+func numberOf(name string) (ledger.ShardID, error) {
+	number, err := strconv.ParseUint(name, 10, 31)
+	return ledger.ShardID(number), err
+}
 
 // startInitial bootstraps this node's replica if it is one of the shard's
 // first, with the very identity that its disk gives it, and has never run.
 func (s *Service) startInitial(object platform.Object) error {
-	number, err := strconv.ParseUint(object.Name, 10, 32)
-	if err != nil || int(number) >= s.options.Shards {
-		return trace.BadParameter("shard directory: unexpected object %q", object.Name)
+	id, known, err := s.shardOf(object.Name)
+	if err != nil || !known {
+		return err
 	}
-	id := ledger.ShardID(number)
 	var spec shardObject
 	if err := json.Unmarshal(object.Spec, &spec); err != nil {
 		return trace.Wrap(err, "shard directory: object %q", object.Name)
@@ -162,7 +221,7 @@
 	if !slices.ContainsFunc(spec.Initial, func(r replicaRecord) bool { return r.Replica == own }) {
 		return nil
 	}
-	if _, running := s.local(id); running {
+	if _, running := s.local(id); running || !s.mayHold(id, s.self().Region) {
 		return nil
 	}
 	return s.bootstrapShard(id, spec.Initial)
@@ -194,21 +253,32 @@
 // placeMissing creates the objects of shards that don't exist. A conflict
 // means that another node was faster; an unknown outcome shows at the next list.
 func (s *Service) placeMissing(ctx context.Context, missing []ledger.ShardID) error {
-	var sites []site
-	for _, m := range dataMembers(s.options.Members.View(), s.self()) {
-		sites = append(sites, site{node: m.Name, zone: m.Zone})
-	}
-	placement := placeShards(s.options.Shards, sites, s.options.Copies)
+	members := dataMembers(s.options.Members.View(), s.self())
+	placement := placeShards(s.options.Shards, sitesFor(members), s.options.Copies)
 	for _, id := range missing {
-		if err := s.placeOne(ctx, id, placement[id]); err != nil {
+		var chosen []site
+		if id.Regional() {
+			chosen = placeShards(1, sitesFor(s.within(id, members)), s.options.Copies)[0]
+		} else {
+			chosen = placement[id]
+		}
+		if err := s.placeOne(ctx, id, chosen); err != nil {
 			return trace.Wrap(err, "place shard %d", id)
 		}
 	}
 	return nil
 }
 
+func sitesFor(members []membership.Member) []site {
+	var sites []site
+	for _, m := range members {
+		sites = append(sites, site{node: m.Name, zone: m.Zone})
+	}
+	return sites
+}
+
 func (s *Service) placeOne(ctx context.Context, id ledger.ShardID, sites []site) error {
-	var spec shardObject
+	spec := shardObject{Region: s.Region(id)}
 	for _, chosen := range sites {
 		record, err := s.describeSite(id, chosen)
 		if err != nil {
@@ -220,7 +290,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	object := platform.Object{Kind: platform.KindShard, Name: objectName(id), Spec: encoded}
+	object := platform.Object{Kind: platform.KindShard, Name: s.objectName(id), Spec: encoded}
 	_, err = s.options.Store.Put(ctx, object)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -33,6 +33,7 @@
 	receiver.HandleCall(kindLeave, s.handleLeave)
 	receiver.HandleCall(kindMember, s.handleMember)
 	receiver.HandleCall(kindCommitted, s.handleCommitted)
+	receiver.HandleCall(kindPlaced, s.handlePlaced)
 	receiver.HandleCall(kindSnapshotOpen, s.handleSnapshotOpen)
 	receiver.HandleCall(kindSnapshotChunk, s.handleSnapshotChunk)
 }
@@ -57,7 +58,7 @@
 // one of a shard's first replicas that never ran, and so has forgotten nothing.
 func (s *Service) holdIfMeant(message replication.Message) (*Shard, bool) {
 	store := s.disk()
-	if store == nil || int(message.Shard) >= s.options.Shards || !s.accepting() {
+	if store == nil || !s.exists(ledger.ShardID(message.Shard)) || !s.accepting() {
 		return nil, false
 	}
 	switch message.Type {
@@ -205,7 +206,7 @@
 	if _, err := decode(payload, &request, 0); err != nil {
 		return nil, err
 	}
-	if int(request.Shard) >= s.options.Shards {
+	if !s.exists(request.Shard) {
 		return nil, trace.BadParameter("no shard %d", request.Shard)
 	}
 	if !s.accepting() {
--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -233,7 +233,7 @@
 	opened, err := transport.Listen(listen)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.transport = opened
-	c.list.set(membership.Member{Name: n.name, Address: opened.Address(), Zone: n.zone, HasData: n.data})
+	c.list.set(membership.Member{Name: n.name, Address: opened.Address(), Zone: n.zone, Region: regionOfZone(n.zone), HasData: n.data})
 	options := c.options
 	options.Sender, options.Receiver = opened, opened
 	options.Members = memberSource{c.list, n.name}
@@ -255,6 +255,11 @@
 	n.set(service)
 }
 
+// regionOfZone is north or south by the zone's first letter, else none.
+func regionOfZone(zone string) string {
+	return map[string]string{"n": "north", "s": "south"}[zone[:min(1, len(zone))]]
+}
+
 // kill ends a node as a power cut does: what was not synced is gone.
 func (c *cluster) kill(n *node) {
 	n.fs = n.fs.CrashClone(vfs.CrashCloneCfg{})
--- a/internal/ledger/replica/directory.go
+++ b/internal/ledger/replica/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,30 +21,64 @@
 type directory struct {
 	mutex sync.RWMutex
 	hints []leaderHint
+	// regions are the hints of regions' shards; those that may exist have one.
+	regions map[ledger.ShardID]*leaderHint
 }
 
-func newDirectory(shards int) *directory {
-	return &directory{hints: make([]leaderHint, shards)}
+func newDirectory(shards int, regional ...ledger.ShardID) *directory {
+	d := &directory{hints: make([]leaderHint, shards), regions: make(map[ledger.ShardID]*leaderHint, len(regional))}
+	for _, id := range regional {
+		d.regions[id] = &leaderHint{}
+	}
+	return d
+}
+
+// hint returns a shard's; nil if there can't be such a shard. The caller holds the
+// mutex.
+func (d *directory) hint(shard ledger.ShardID) *leaderHint {
+	if int(shard) < len(d.hints) {
+		return &d.hints[shard]
+	}
+	return d.regions[shard]
 }
 
 func (d *directory) leader(shard ledger.ShardID) (transport.Address, bool) {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
-	if int(shard) >= len(d.hints) {
+	hint := d.hint(shard)
+	if hint == nil {
 		return "", false
 	}
-	hint := d.hints[shard]
 	return hint.leader, hint.leader != ""
 }
 
+// regional lists the shards of regions that have had a leader, in order.
+func (d *directory) regional() []ledger.ShardID {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.led()
+}
+
+// led is regional for a caller that holds the mutex.
+func (d *directory) led() []ledger.ShardID {
+	var ids []ledger.ShardID
+	for id, hint := range d.regions {
+		if hint.term > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // learn takes a hint; it returns whether it was news.
 func (d *directory) learn(shard ledger.ShardID, term uint64, leader transport.Address) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if int(shard) >= len(d.hints) {
+	hint := d.hint(shard)
+	if hint == nil {
 		return false
 	}
-	hint := &d.hints[shard]
 	if term < hint.term || (term == hint.term && (leader == "" || leader == hint.leader)) {
 		return false
 	}
@@ -56,8 +91,8 @@
 func (d *directory) suspect(shard ledger.ShardID, leader transport.Address) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if int(shard) < len(d.hints) && d.hints[shard].leader == leader {
-		d.hints[shard].leader = ""
+	if hint := d.hint(shard); hint != nil && hint.leader == leader {
+		hint.leader = ""
 	}
 }
 
@@ -67,15 +102,22 @@
 	defer d.mutex.RUnlock()
 	hash := xxhash.New()
 	for _, hint := range d.hints {
-		var term [8]byte
-		binary.BigEndian.PutUint64(term[:], hint.term)
-		_, _ = hash.Write(term[:])
-		_, _ = hash.WriteString(string(hint.leader))
-		_, _ = hash.Write([]byte{0})
+		writeHint(hash, hint)
+	}
+	for _, id := range d.led() {
+		writeHint(hash, *d.regions[id])
 	}
 	return hash.Sum64()
 }
 
+func writeHint(hash *xxhash.Digest, hint leaderHint) {
+	var term [8]byte
+	binary.BigEndian.PutUint64(term[:], hint.term)
+	_, _ = hash.Write(term[:])
+	_, _ = hash.WriteString(string(hint.leader))
+	_, _ = hash.Write([]byte{0})
+}
+
 func (d *directory) encodeAll() []byte {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
@@ -85,6 +127,11 @@
 			fields = append(fields, encodeLeader(ledger.ShardID(shard), hint))
 		}
 	}
+	for _, id := range d.led() {
+		if hint := d.regions[id]; hint.leader != "" {
+			fields = append(fields, encodeLeader(id, *hint))
+		}
+	}
 	return encode(directoryAnswer{}, fields...)
 }
 
--- a/internal/ledger/replica/events.go
+++ b/internal/ledger/replica/events.go
@@ -37,4 +37,9 @@
 		"A draining node leads no shard any more.")
 	eventRepairFailed = telemetry.Define(4165, "replica change failed",
 		"A step of a replacement failed; it is tried again.")
+	eventRegionShort = telemetry.Define(4166, "region short of data nodes",
+		"A region has too few data nodes for a shard of its own; batch jobs that have to stay in it are refused until there are more.")
+	eventMisplaced = telemetry.Define(4167, "replica in another region",
+		"The disk holds a replica that has to lie in another region than this node's settings name, or in one of which they don't tell. "+
+			"It isn't run and is replaced; with the former settings it would go on.")
 )
--- a/internal/ledger/replica/messages.go
+++ b/internal/ledger/replica/messages.go
@@ -23,6 +23,7 @@
 	kindDirectory // call: all leaders known
 	kindMember    // call: is a replica still a member?
 	kindCommitted // call: an index that covers all that is committed
+	kindPlaced    // call: does a node hold a replica, and how many others are sound?
 )
 
 // messageVersion is the version of all messages below.
@@ -69,6 +70,16 @@
 	Index uint64
 }
 
+// placedRequest asks a leader about the node in its field.
+type placedRequest struct {
+	Shard ledger.ShardID
+}
+
+type placedAnswer struct {
+	Holds bool
+	Sound uint32
+}
+
 type snapshotOpenRequest struct {
 	Shard   ledger.ShardID
 	Replica replication.ReplicaID // of the receiver
--- a/internal/ledger/replica/metrics.go
+++ b/internal/ledger/replica/metrics.go
@@ -9,6 +9,20 @@
 	replicas      prometheus.Gauge
 	noQuorum      prometheus.Gauge
 	diskBytes     prometheus.Gauge
+	voters        *prometheus.GaugeVec // of regions' shards, at their leaders
+}
+
+// noteRegional takes the number of voters of a region's shard.
+func (m *metrics) noteRegional(shard *Shard) {
+	if !shard.id.Regional() {
+		return
+	}
+	labels := prometheus.Labels{"region": shard.service.Region(shard.id)}
+	if voters := shard.voters(); voters > 0 {
+		m.voters.With(labels).Set(float64(voters))
+	} else {
+		m.voters.Delete(labels)
+	}
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -38,8 +52,12 @@
 			Help: "Disk space that the ledger folder uses.",
 		}),
 	}
+	m.voters = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "chutelock_ledger_region_voters",
+		Help: "Voters of the shard of a region, at the node that leads it.",
+	}, []string{"region"})
 	if registry != nil {
-		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.diskBytes)
+		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.diskBytes, m.voters)
 	}
 	return m
 }
--- a/internal/ledger/replica/options.go
+++ b/internal/ledger/replica/options.go
@@ -51,6 +51,11 @@
 	// once the ledger exists.
 	Shards int
 	Copies int
+	// Regions are those that may get a shard of their own, whose replicas lie only on
+	// nodes of the region; see Service.Need. LeastCopies is the least number of its
+	// replicas: a region with fewer data nodes gets none.
+	Regions     []string
+	LeastCopies int
 	// NewMachine makes the state machine of a shard.
 	NewMachine func(ledger.ShardID) ledger.StateMachine
 	// Registry takes the metrics; nil means none.
@@ -106,6 +111,8 @@
 		return trace.BadParameter("the ledger needs a transport and a membership")
 	case o.Folder != "" && o.NewMachine == nil:
 		return trace.BadParameter("a node with a ledger folder needs a state machine")
+	case hasDoubles(o.Regions):
+		return trace.BadParameter("two of the regions %v are not told apart by the ledger; rename one", o.Regions)
 	case o.Copies%2 == 0:
 		return trace.BadParameter("the number of copies must be odd, not %d", o.Copies)
 	}
--- a/internal/ledger/replica/publish.go
+++ b/internal/ledger/replica/publish.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.service.running, storeTimeout)
 	defer cancel()
-	object, err := s.service.options.Store.Get(ctx, platform.KindShard, objectName(s.id))
+	object, err := s.service.options.Store.Get(ctx, platform.KindShard, s.service.objectName(s.id))
 	if err != nil {
 		return trace.Wrap(err, "read the directory of shard %d", s.id)
 	}
@@ -57,7 +57,7 @@
 	if spec.Term > current.Term {
 		return nil // a later leader was faster
 	}
-	current.Initial = spec.Initial
+	current.Initial, current.Region = spec.Initial, spec.Region
 	encoded, err := json.Marshal(current)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -50,6 +50,7 @@
 		case <-s.changed:
 		}
 		for _, shard := range s.allShards() {
+			s.metrics.noteRegional(shard)
 			if err := shard.repairStep(time.Now()); err != nil && s.running.Err() == nil {
 				eventRepairFailed.Error(err, "shard", shard.id)
 			}
@@ -115,7 +116,7 @@
 			leader:     id == s.replica,
 			superseded: superseded,
 			lost: superseded || (silent && now.Sub(since) >= s.service.options.ReplaceAfter) ||
-				(s.service.options.ReplaceLeaving && s.leaving(id)),
+				(s.service.options.ReplaceLeaving && s.leaving(id)) || s.misplaced(s.roster[id].Node),
 		})
 	}
 	return members, status.Configuration, status.ConfigurationPending || status.TransferringTo != 0
@@ -140,7 +141,8 @@
 // sites lists the living nodes that could hold a replica.
 func (s *Shard) sites() []site {
 	var sites []site
-	for _, m := range dataMembers(s.service.options.Members.View(), s.service.self()) {
+	members := dataMembers(s.service.options.Members.View(), s.service.self())
+	for _, m := range s.service.within(s.id, members) {
 		if m.State == membership.StateAlive {
 			sites = append(sites, site{node: m.Name, zone: m.Zone})
 		}
@@ -424,7 +426,7 @@
 	var best replication.ReplicaID
 	for _, id := range status.Configuration.Voters {
 		follower := status.Followers[id]
-		if id == s.replica || follower.Silent || s.leaving(id) {
+		if id == s.replica || follower.Silent || s.leaving(id) || s.misplaced(s.roster[id].Node) {
 			continue
 		}
 		if best == 0 || follower.Match > status.Followers[best].Match {
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,10 +39,14 @@
 	failed  chan error    // of capacity 1: a replica was halted
 	changed chan struct{} // a replica set changed: the next step may be due
 
+	regions map[ledger.ShardID]string // of the shards that regions may get
+	need    chan struct{}             // of capacity 1: more of them are needed
+
 	// mutex guards what is below.
 	mutex    sync.RWMutex
 	store    *storage.Store // nil without a folder
 	shards   map[ledger.ShardID]*Shard
+	needed   map[ledger.ShardID]bool // shards of regions
 	draining bool
 }
 
@@ -55,7 +61,10 @@
 	}
 	s := &Service{
 		options:   options,
-		directory: newDirectory(options.Shards),
+		directory: newDirectory(options.Shards, slices.Collect(maps.Keys(regionsByShard(options.Regions)))...),
+		regions:   regionsByShard(options.Regions),
+		need:      make(chan struct{}, 1),
+		needed:    map[ledger.ShardID]bool{},
 		outbox:    newOutbox(options.Sender),
 		snapshots: newSnapshots(options.SnapshotBytesPerSecond),
 		workers:   pond.NewPool(workerCount),
@@ -116,6 +125,11 @@
 		return trace.Wrap(err)
 	}
 	for _, id := range ids {
+		if !s.mayHold(id, s.self().Region) {
+			// Left as it is: it may be the settings that are wrong.
+			eventMisplaced.Info("shard", id, "region", s.Region(id), "node_region", s.self().Region)
+			continue
+		}
 		if _, err := s.hold(id, nil); err != nil {
 			return trace.Wrap(err)
 		}
@@ -129,6 +143,9 @@
 	if shard, found := s.local(id); found {
 		return shard, nil
 	}
+	if region := s.self().Region; !s.mayHold(id, region) {
+		return nil, trace.BadParameter("shard %d of region %q may not lie on a node of region %q", id, s.Region(id), region)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if shard, found := s.shards[id]; found {
--- a/internal/ledger/replica/status.go
+++ b/internal/ledger/replica/status.go
@@ -20,6 +20,7 @@
 // replica is, and their lag at the leader.
 type ShardStatus struct {
 	Shard    ledger.ShardID    `json:"shard"`
+	Region   string            `json:"region,omitempty"` // in which all replicas lie
 	Leader   transport.Address `json:"leader,omitempty"`
 	Term     uint64            `json:"term,omitempty"`
 	Local    string            `json:"local,omitempty"` // this node's role, if it has a replica
@@ -41,6 +42,9 @@
 	Lag uint64 `json:"lag"`
 }
 
+// stateVoter is the state of a voter that is there.
+const stateVoter = "voter"
+
 // Status describes this node's view of the ledger.
 func (s *Service) Status() Status {
 	var status Status
@@ -55,11 +59,14 @@
 	for id := range ledger.ShardID(s.options.Shards) {
 		status.Shards = append(status.Shards, s.shardStatus(id))
 	}
+	for _, id := range s.Regional() {
+		status.Shards = append(status.Shards, s.shardStatus(id))
+	}
 	return status
 }
 
 func (s *Service) shardStatus(id ledger.ShardID) ShardStatus {
-	described := ShardStatus{Shard: id}
+	described := ShardStatus{Shard: id, Region: s.Region(id)}
 	described.Leader, _ = s.directory.leader(id)
 	if shard, found := s.local(id); found {
 		shard.describe(&described)
@@ -86,7 +93,7 @@
 
 func (s *Shard) describeReplica(status replication.Status, id replication.ReplicaID) ReplicaStatus {
 	entry := s.roster[id]
-	replica := ReplicaStatus{Replica: id.String(), Node: entry.Node, Zone: entry.Zone, State: "voter"}
+	replica := ReplicaStatus{Replica: id.String(), Node: entry.Node, Zone: entry.Zone, State: stateVoter}
 	if status.Configuration.HasLearner(id) {
 		replica.State = "learner"
 	}
