--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
@@ -23,11 +25,16 @@
 	// nearAside is how long a replica that failed a read is asked for no other. An
 	// estimate: a lost replica is replaced after 1.5 s.
 	nearAside = 3 * time.Second
+	// locatedMost bounds the jobs of which a caller remembers the shard, and emptyMost
+	// the shards seen without tokens of a queue: some 100 bytes each.
+	locatedMost = 4096
+	emptyMost   = 4096
 )
 
 var (
 	eventReplicaAside = telemetry.Define(3210, "replica-aside", "A read at a replica nearby failed; the leader is asked, and that replica not for a while.")
 	eventBadReplicas  = telemetry.Define(3211, "replicas-unreadable", "The leader's list of replicas could not be decoded; reads go on as before.")
+	eventNotWithin    = telemetry.Define(3216, "job-kept-back", "A batch job was not sent to a node that is not known to be in the region of its shard.")
 )
 
 // Suspecter is a directory that wants to be told of a leader that could not be
@@ -37,35 +44,138 @@
 	Suspect(shard ledger.ShardID, leader transport.Address)
 }
 
-// Caller makes calls to the leader from any node, and reads from a replica
+// CallerOptions configure a Caller.
+type CallerOptions struct {
+	// Directory finds the leaders, and Sender reaches them.
+	Directory Suspecter
+	Sender    transport.Sender
+	// Near picks the replica to read from, if one is near enough; false means the leader.
+	Near func(replicas []transport.Address) (transport.Address, bool)
+	// Within says where a job may be kept; nil if there are no regions.
+	Within func(job *Job) Within
+	// LiesWithin says whether the node at an address is known to be in the region of a
+	// shard; nil if there are no regions.
+	LiesWithin func(address transport.Address, shard ledger.ShardID) bool
+}
+
+// Caller makes calls to the leaders from any node, and reads from a replica
 // nearby if there is one. It may be used concurrently.
 type Caller struct {
-	directory Suspecter
-	sender    transport.Sender
-	// near picks the replica to read from, if one is near enough.
-	near func(replicas []transport.Address) (transport.Address, bool)
+	options CallerOptions
 
-	mutex    sync.Mutex // guards what is below; near is called under it
-	replicas []transport.Address
+	mutex    sync.Mutex // guards what is below; Near is called under it
+	replicas map[ledger.ShardID][]transport.Address
 	aside    map[transport.Address]time.Time // until when
+	located  map[string]ledger.ShardID       // jobs at shards of regions
+	empty    map[emptyKey]uint64             // by epoch of the queue's home
 }
 
-// NewCaller returns a caller that finds the leader in the directory. near picks
-// the replica to read from; false means the leader.
-func NewCaller(directory Suspecter, sender transport.Sender, near func([]transport.Address) (transport.Address, bool)) *Caller {
-	return &Caller{directory: directory, sender: sender, near: near, aside: map[transport.Address]time.Time{}}
+// emptyKey is a shard that is not the home of a queue any more.
+type emptyKey struct {
+	shard ledger.ShardID
+	queue queue
 }
 
-// Submit hands a job in. It returns nil once the job is kept, ErrQueueFull or
-// ErrForeign or ErrNotTaken if it certainly isn't, ErrUnknown otherwise.
+// NewCaller returns a caller.
+func NewCaller(options CallerOptions) *Caller {
+	return &Caller{
+		options: options, replicas: map[ledger.ShardID][]transport.Address{}, aside: map[transport.Address]time.Time{},
+		located: map[string]ledger.ShardID{}, empty: map[emptyKey]uint64{},
+	}
+}
+
+// call is a call to the leader of a shard.
+type call struct {
+	shard   ledger.ShardID
+	kind    transport.Kind
+	payload []byte
+	held    time.Duration // at the leader
+	// may says whether the payload may still be sent to a node; nil if anywhere.
+	may func(to transport.Address) error
+}
+
+// errChanged says that a job may not be sent any more where it was to go.
+var errChanged = errors.New("batchwork: the regions changed meanwhile")
+
+// Submit hands a job in. It returns nil once the job is kept, ErrQueueFull,
+// ErrForeign, ErrNoHome or ErrNotTaken if it certainly isn't, ErrUnknown otherwise.
 func (c *Caller) Submit(ctx context.Context, job *Job) error {
-	_, err := c.call(ctx, kindSubmit, encodeJob(job, true), 0)
+	p := newPlacing(job)
+	p.empty = func(shard ledger.ShardID, epoch uint64) bool {
+		return c.knownEmpty(emptyKey{shard, job.queue()}, epoch)
+	}
+	p.noteEmpty = func(shard ledger.ShardID, epoch uint64) { c.noteEmpty(emptyKey{shard, job.queue()}, epoch) }
+	uncertain := false
+	for ctx.Err() == nil {
+		next, err := p.next(c.within(job))
+		if err != nil {
+			return c.sure(uncertain, err)
+		}
+		content, unsure, err := c.call(ctx, c.prepare(job, next))
+		uncertain = uncertain || (unsure && next.body)
+		switch {
+		case errors.Is(err, errChanged):
+			continue
+		case errors.Is(err, ErrOutdated):
+			pause(ctx, 4*retryPause)
+			continue
+		case errors.Is(err, ErrNotTaken), errors.Is(err, ErrUnknown):
+			return c.sure(uncertain, ErrNotTaken)
+		}
+		if done, outcome := p.take(content, err); done {
+			if outcome == nil && p.stage == stagePlace {
+				c.locate(job.ID, p.answer.shard)
+			}
+			return outcome
+		}
+	}
+	return c.sure(uncertain, ErrNotTaken)
+}
+
+// sure is what to say of a job that some call may have handed over.
+func (c *Caller) sure(uncertain bool, err error) error {
+	if uncertain {
+		return ErrUnknown
+	}
 	return err
 }
 
+func (c *Caller) within(job *Job) Within {
+	if c.options.Within == nil {
+		return Within{}
+	}
+	return c.options.Within(job)
+}
+
+// prepare makes a call of an order. Bodies go only where they may be kept at the moment
+// at which they are sent.
+func (c *Caller) prepare(job *Job, next order) call {
+	prepared := call{shard: next.shard, kind: next.kind, payload: next.payload}
+	if !next.body || c.options.Within == nil {
+		return prepared
+	}
+	prepared.may = func(to transport.Address) error {
+		within := c.within(job)
+		plain := next.kind == kindSubmit
+		if (plain && within.Regions != nil) || !within.allows(next.shard) {
+			return errChanged
+		}
+		if next.shard.Regional() && !c.options.LiesWithin(to, next.shard) {
+			eventNotWithin.Info("job", job.ID, "peer", to, "shard", next.shard)
+			return ErrNotTaken
+		}
+		return nil
+	}
+	return prepared
+}
+
 // End ends a tenant's job; it is repeated without harm.
 func (c *Caller) End(ctx context.Context, tenant, job string) error {
-	_, err := c.call(ctx, kindEnd, marshal(fixedEnd{}, []byte(job), []byte(tenant)), 0)
+	payload := marshal(fixedEnd{}, []byte(job), []byte(tenant))
+	_, err := c.find(ctx, job, func(shard ledger.ShardID) ([]byte, error) {
+		content, _, err := c.call(ctx, call{shard: shard, kind: kindEnd, payload: payload})
+		return content, err
+	})
 	return err
 }
 
@@ -73,7 +183,10 @@
 // wait.
 func (c *Caller) Read(ctx context.Context, tenant, job string, since int, wait time.Duration) (Page, error) {
 	fixed := fixedRead{uint32(since), uint32(wait / time.Millisecond)}
-	encoded, err := c.read(ctx, kindRead, marshal(fixed, []byte(job), []byte(tenant)), wait)
+	payload := marshal(fixed, []byte(job), []byte(tenant))
+	encoded, err := c.find(ctx, job, func(shard ledger.ShardID) ([]byte, error) {
+		return c.read(ctx, call{shard: shard, kind: kindRead, payload: payload, held: wait})
+	})
 	if err != nil {
 		return Page{}, err
 	}
@@ -82,30 +195,95 @@
 
 // Body returns the body of an item of a tenant's job.
 func (c *Caller) Body(ctx context.Context, tenant, job, item string) ([]byte, error) {
-	return c.read(ctx, kindBody, marshal(fixedItem{}, []byte(job), []byte(tenant), []byte(item)), 0)
+	payload := marshal(fixedItem{}, []byte(job), []byte(tenant), []byte(item))
+	return c.find(ctx, job, func(shard ledger.ShardID) ([]byte, error) {
+		return c.read(ctx, call{shard: shard, kind: kindBody, payload: payload})
+	})
+}
+
+// find asks the shard that has a job: first the one that is remembered, else shard 0,
+// which names it. A job is unknown if shard 0 says so, or if the shard that it names
+// does and it names no other after that.
+func (c *Caller) find(ctx context.Context, job string, ask func(ledger.ShardID) ([]byte, error)) ([]byte, error) {
+	shard, denied := c.locatedAt(job), ledger.ShardID(0)
+	for ctx.Err() == nil {
+		content, err := ask(shard)
+		var away *elsewhereError
+		switch {
+		case errors.As(err, &away) && away.shard == denied:
+			return nil, ErrNoJob
+		case errors.As(err, &away):
+			shard = away.shard
+			c.locate(job, shard)
+		case errors.Is(err, ErrNoJob) && shard != 0:
+			denied, shard = shard, 0
+			c.locate(job, 0)
+		default:
+			return content, err
+		}
+	}
+	return nil, ErrNotTaken
+}
+
+func (c *Caller) locatedAt(job string) ledger.ShardID {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.located[job]
+}
+
+// locate remembers where a job is; shard 0 forgets it.
+func (c *Caller) locate(job string, shard ledger.ShardID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if shard == 0 {
+		delete(c.located, job)
+		return
+	}
+	if len(c.located) >= locatedMost {
+		clear(c.located)
+	}
+	c.located[job] = shard
+}
+
+func (c *Caller) knownEmpty(of emptyKey, epoch uint64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	seen, known := c.empty[of]
+	return known && seen == epoch
+}
+
+func (c *Caller) noteEmpty(of emptyKey, epoch uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.empty) >= emptyMost {
+		clear(c.empty)
+	}
+	c.empty[of] = epoch
 }
 
 // read calls a replica nearby, and the leader if that fails.
-func (c *Caller) read(ctx context.Context, kind transport.Kind, payload []byte, held time.Duration) ([]byte, error) {
-	replica, found := c.nearby(time.Now())
+func (c *Caller) read(ctx context.Context, asked call) ([]byte, error) {
+	replica, found := c.nearby(asked.shard, time.Now())
 	if !found {
-		return c.call(ctx, kind, payload, held)
+		content, _, err := c.call(ctx, asked)
+		return content, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, nearTimeout+held)
-	content, _, err := c.try(bounded, replica, kind, payload, held)
+	bounded, cancel := context.WithTimeout(ctx, nearTimeout+asked.held)
+	content, _, err := c.try(bounded, replica, asked)
 	cancel()
-	if err == nil || errors.Is(err, ErrNoJob) {
+	if err == nil || final(err) {
 		return content, err
 	}
 	c.setAside(replica, time.Now())
 	eventReplicaAside.Info("peer", replica, "cause", err, "pause", nearAside)
-	return c.call(ctx, kind, payload, held)
+	content, _, err = c.call(ctx, asked)
+	return content, err
 }
 
-func (c *Caller) nearby(now time.Time) (transport.Address, bool) {
+func (c *Caller) nearby(shard ledger.ShardID, now time.Time) (transport.Address, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	replica, found := c.near(c.replicas)
+	replica, found := c.options.Near(c.replicas[shard])
 	return replica, found && !now.Before(c.aside[replica])
 }
 
@@ -120,8 +298,8 @@
 	c.aside[replica] = now.Add(nearAside)
 }
 
-// learn takes the replicas that a leader told of.
-func (c *Caller) learn(encoded []byte) {
+// learn takes the replicas of a shard that its leader told of.
+func (c *Caller) learn(shard ledger.ShardID, encoded []byte) {
 	if len(encoded) == 0 {
 		return
 	}
@@ -132,47 +310,64 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.replicas = replicas
+	c.replicas[shard] = replicas
 }
 
-// call tries leaders until one answers or ctx ends.
-func (c *Caller) call(ctx context.Context, kind transport.Kind, payload []byte, held time.Duration) ([]byte, error) {
-	uncertain := false
+// final says that an error is the answer of a shard, which another try would not change.
+func final(err error) bool {
+	var away *elsewhereError
+	for _, one := range []error{ErrNoJob, ErrQueueFull, ErrForeign, ErrOutdated, errMoved} {
+		if errors.Is(err, one) {
+			return true
+		}
+	}
+	return errors.As(err, &away)
+}
+
+// call tries leaders until one answers or ctx ends. uncertain says that a try other than
+// the last may have had an effect.
+func (c *Caller) call(ctx context.Context, asked call) (content []byte, uncertain bool, err error) {
 	hint := transport.Address("")
 	for ctx.Err() == nil {
 		leader := hint
 		hint = ""
 		if leader == "" {
-			leader, _ = c.directory.Leader(0)
+			leader, _ = c.options.Directory.Leader(asked.shard)
 		}
 		if leader == "" {
 			pause(ctx, retryPause)
 			continue
 		}
-		content, next, err := c.try(ctx, leader, kind, payload, held)
-		if err == nil || errors.Is(err, ErrNoJob) || errors.Is(err, ErrQueueFull) || errors.Is(err, ErrForeign) {
-			return content, err
+		content, next, err := c.try(ctx, leader, asked)
+		if err == nil || final(err) || errors.Is(err, errChanged) {
+			return content, uncertain, err
 		}
 		uncertain = uncertain || !errors.Is(err, ErrNotTaken)
 		if next != leader {
 			hint = next
 		}
 		if hint == "" {
-			c.directory.Suspect(0, leader)
+			c.options.Directory.Suspect(asked.shard, leader)
 			pause(ctx, retryPause)
 		}
 	}
 	if uncertain {
-		return nil, ErrUnknown
+		return nil, true, ErrUnknown
 	}
-	return nil, ErrNotTaken
+	return nil, false, ErrNotTaken
 }
 
 // try calls one node. It returns where the leader is, if that node knows.
-func (c *Caller) try(ctx context.Context, leader transport.Address, kind transport.Kind, payload []byte, held time.Duration) ([]byte, transport.Address, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+held)
+func (c *Caller) try(ctx context.Context, leader transport.Address, asked call) ([]byte, transport.Address, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+asked.held)
 	defer cancel()
-	encoded, err := c.sender.Call(ctx, leader, kind, payload)
+	if asked.may != nil {
+		if err := asked.may(leader); err != nil {
+			return nil, "", err
+		}
+	}
+	kind, payload := addressed(asked.shard, asked.kind, asked.payload)
+	encoded, err := c.options.Sender.Call(ctx, leader, kind, payload)
 	if errors.Is(err, transport.ErrNotSent) {
 		return nil, "", ErrNotTaken
 	}
@@ -186,22 +381,26 @@
 	}
 	switch fixed.Status {
 	case statusDone:
-		c.learn(fields[1])
+		c.learn(asked.shard, fields[1])
 		return fields[0], "", nil
-	case statusNoJob:
-		return nil, "", ErrNoJob
-	case statusQueueFull:
-		return nil, "", ErrQueueFull
-	case statusForeign:
-		return nil, "", ErrForeign
 	case statusNotLeader:
 		return nil, transport.Address(fields[1]), ErrNotTaken
 	case statusNotTaken:
 		return nil, leader, ErrNotTaken
+	case statusElsewhere:
+		return nil, "", trace.Wrap(decodeElsewhere(fields[0]))
+	}
+	if answer, known := answers[fixed.Status]; known {
+		return nil, "", answer
 	}
 	return nil, leader, ErrUnknown
 }
 
+// answers are the final ones without a content.
+var answers = map[status]error{
+	statusNoJob: ErrNoJob, statusQueueFull: ErrQueueFull, statusForeign: ErrForeign, statusMoved: errMoved, statusOutdated: ErrOutdated,
+}
+
 func pause(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -15,6 +15,9 @@
 	kindRead
 	kindBody
 	kindEnd
+	kindPlace
+	kindClaim
+	kindFence
 )
 
 type status uint8
@@ -27,8 +30,22 @@
 	statusNotTaken
 	statusUnknown
 	statusForeign
+	statusElsewhere // the content says where
+	statusMoved
+	statusOutdated
 )
 
+// elsewhereError says which shard has a job.
+type elsewhereError struct{ shard ledger.ShardID }
+
+// Error implements error.
+func (e *elsewhereError) Error() string { return "batchwork: the job is at another shard" }
+
+type fixedElsewhere struct{ Shard uint32 }
+
+// errMoved says that a job was claimed before it or its queue was moved elsewhere.
+var errMoved = errors.New("batchwork: the job's shard is another by now")
+
 // fixedReply heads an answer. Its fields are the content, and what helps to find
 // the next node to call: the leader's address where another node leads, or the
 // replicas' addresses in the leader's answers to reads.
@@ -119,6 +136,7 @@
 func RegisterServer(options ServerOptions) {
 	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
 		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
+		kindPlace: (*Server).place, kindClaim: (*Server).claim, kindFence: (*Server).fence,
 	} {
 		options.Receiver.HandleCall(kind, func(ctx context.Context, _ transport.Address, payload []byte) ([]byte, error) {
 			held, found := options.Shard()
@@ -138,9 +156,16 @@
 // reply encodes the content, or what an error tells.
 func reply(content, replicas []byte, err error) []byte {
 	var notLeader *ledger.NotLeaderError
+	var away *elsewhereError
 	switch {
 	case err == nil:
 		return marshal(fixedReply{statusDone}, content, replicas)
+	case errors.As(err, &away):
+		return marshal(fixedReply{statusElsewhere}, marshal(fixedElsewhere{uint32(away.shard)}), nil)
+	case errors.Is(err, errMoved):
+		return marshal(fixedReply{statusMoved}, nil, nil)
+	case errors.Is(err, ErrOutdated):
+		return marshal(fixedReply{statusOutdated}, nil, nil)
 	case errors.Is(err, ErrNoJob):
 		return marshal(fixedReply{statusNoJob}, nil, nil)
 	case errors.Is(err, ErrQueueFull):
@@ -156,6 +181,15 @@
 }
 
 func (s *Server) submit(ctx context.Context, payload []byte) ([]byte, error) {
+	job, err := s.admit(payload)
+	if err != nil {
+		return nil, err
+	}
+	return s.propose(ctx, encodeSubmit(job))
+}
+
+// admit reads a submission, and refuses it if there is no room.
+func (s *Server) admit(payload []byte) (*Job, error) {
 	job, err := decodeJob(payload)
 	if err != nil {
 		return nil, err
@@ -164,7 +198,33 @@
 		return nil, ledger.ErrUnavailable
 	}
 	job.Submitted = time.Now()
-	return nil, s.propose(ctx, encodeSubmit(job))
+	return job, nil
+}
+
+// place is submit for a job that was claimed for this shard.
+func (s *Server) place(ctx context.Context, payload []byte) ([]byte, error) {
+	var fixed fixedPlace
+	fields, err := unmarshal(payload, &fixed, 1)
+	if err != nil {
+		return nil, err
+	}
+	job, err := s.admit(fields[0])
+	if err != nil {
+		return nil, err
+	}
+	return s.propose(ctx, encodeCommand(commandPlace, marshal(fixed, encodeJob(job, true))))
+}
+
+func (s *Server) claim(ctx context.Context, payload []byte) ([]byte, error) {
+	return s.propose(ctx, encodeCommand(commandClaim, payload))
+}
+
+func (s *Server) fence(ctx context.Context, payload []byte) ([]byte, error) {
+	return s.propose(ctx, encodeCommand(commandFence, payload))
+}
+
+func encodeCommand(kind commandKind, field []byte) []byte {
+	return marshal(fixedCommand{kind, time.Now().UnixMilli()}, field)
 }
 
 func (s *Server) end(ctx context.Context, payload []byte) ([]byte, error) {
@@ -172,24 +232,50 @@
 	if err != nil {
 		return nil, err
 	}
-	return nil, s.propose(ctx, encodeEnd(jobName{string(fields[0]), string(fields[1])}, time.Now()))
+	return s.propose(ctx, encodeEnd(jobName{string(fields[0]), string(fields[1])}, time.Now()))
 }
 
-func (s *Server) propose(ctx context.Context, entry []byte) error {
+// propose returns what the machine answered beside that all is well.
+func (s *Server) propose(ctx context.Context, entry []byte) ([]byte, error) {
 	answer, err := s.shard.Propose(ctx, entry)
-	switch {
-	case err != nil:
+	if err != nil {
+		return nil, err
+	}
+	return readAnswer(answer)
+}
+
+// readAnswer parts a machine's answer.
+func readAnswer(answer []byte) ([]byte, error) {
+	if len(answer) == 0 {
+		return nil, ErrUnknown
+	}
+	switch answer[0] {
+	case answerQueueFull:
+		return nil, ErrQueueFull
+	case answerNoJob:
+		return nil, ErrNoJob
+	case answerForeign:
+		return nil, ErrForeign
+	case answerMoved:
+		return nil, errMoved
+	case answerOutdated:
+		return nil, ErrOutdated
+	case answerElsewhere:
+		return nil, decodeElsewhere(answer[1:])
+	}
+	return answer[1:], nil
+}
+
+// decodeElsewhere reads where a job is; a submission isn't told, and has to ask.
+func decodeElsewhere(content []byte) error {
+	var fixed fixedElsewhere
+	if len(content) == 0 {
+		return &elsewhereError{}
+	}
+	if _, err := unmarshal(content, &fixed, 0); err != nil {
 		return err
-	case len(answer) == 0:
-		return ErrUnknown
-	case answer[0] == answerQueueFull:
-		return ErrQueueFull
-	case answer[0] == answerNoJob:
-		return ErrNoJob
-	case answer[0] == answerForeign:
-		return ErrForeign
 	}
-	return nil
+	return &elsewhereError{ledger.ShardID(fixed.Shard)}
 }
 
 // read waits for results beyond a position, and reads them from a state that
@@ -204,6 +290,9 @@
 	s.await(ctx, name, int(fixed.Since), time.Duration(fixed.WaitMilliseconds)*time.Millisecond)
 	var page Page
 	err = s.shard.FollowerRead(ctx, func(reader ledger.Reader) (err error) {
+		if shard, away := s.machine.locate(name); away {
+			return &elsewhereError{shard}
+		}
 		page, err = s.machine.readPage(reader, name, int(fixed.Since))
 		return err
 	})
@@ -238,6 +327,9 @@
 	name, item := jobName{string(fields[0]), string(fields[1])}, string(fields[2])
 	var body []byte
 	err = s.shard.FollowerRead(ctx, func(reader ledger.Reader) (err error) {
+		if shard, away := s.machine.locate(name); away {
+			return &elsewhereError{shard}
+		}
 		if s.machine.size(name) == 0 {
 			return ErrNoJob
 		}
--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -18,6 +18,10 @@
 	commandAdvance
 	commandEnd
 	commandPurge
+	commandClaim  // shard 0: where a job is to go
+	commandFence  // take nothing that was claimed before an epoch
+	commandPlace  // a job, at the shard that was claimed for it
+	commandForget // claims and fences that are of no use any more
 )
 
 type fixedCommand struct {
--- a/internal/batchwork/delegate.go
+++ b/internal/batchwork/delegate.go
@@ -24,6 +24,7 @@
 func (r *Runner) runAt(next *startedRun, read *Item) runResult {
 	request := runRequest{
 		run: next.number, item: next.item, read: *read, engine: next.engine, attempts: next.route.Attempts,
+		restricted: r.regions(next.route, next.item.tenant) != nil,
 	}
 	calling, cancel := context.WithDeadlineCause(next.calling, next.item.giveUp.Add(giveUpMargin), errRunLost)
 	defer cancel()
--- a/internal/batchwork/doc.go
+++ b/internal/batchwork/doc.go
@@ -8,6 +8,10 @@
 // hand their text over. Server answers the calls of other nodes, reads at any
 // replica and all others at the leader; Caller makes these calls.
 //
+// Jobs that have to stay in regions are kept by shards of regions; shard 0 agrees on
+// which (claim.go), and a placing (pure) leads a job there. Each shard has a Machine, a
+// Runner and a Server of its own; Ports tell their messages apart.
+//
 // Invariants: a job is accepted whole or not at all, once for each identifier;
 // an item has one position at most and its result never changes; text of an
 // item only grows by what follows its last committed event; nothing of an
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -44,9 +44,16 @@
 type ExecutorOptions struct {
 	Pool *upstream.Pool
 	// Usable says whether an engine may still get requests of a service.
-	Usable   func(id, service string) bool
-	Sender   transport.Sender
-	Receiver transport.Receiver
+	Usable func(id, service string) bool
+	// Permitted says whether a tenant's item of a route may go to an engine, by the
+	// newest configuration known here; nil if there are no regions.
+	Permitted func(host, path, tenant, engine string) bool
+	Sender    transport.Sender
+	Receiver  transport.Receiver
+}
+
+func (o ExecutorOptions) permitted(item *openItem, engine string) bool {
+	return o.Permitted == nil || item.path == "" || o.Permitted(item.host, item.path, item.tenant, engine)
 }
 
 // Executor runs items for leaders on other nodes: it holds the streams, and hands
@@ -62,12 +69,20 @@
 	mutex   sync.Mutex // guards what is below; a leaf
 	closed  bool
 	count   int
-	clients map[transport.Address]*client
+	senders []transport.Sender // by port
+	clients map[clientKey]*client
+}
+
+// clientKey names a client: a node may lead several shards.
+type clientKey struct {
+	leader transport.Address
+	port   int // of the executor's ports
 }
 
 // client is a leader that this node runs items for.
 type client struct {
 	leader   transport.Address
+	sender   transport.Sender
 	node     *runNode
 	gatherer *gatherer
 	runs     map[uint64]context.CancelFunc // guarded by the executor's mutex
@@ -75,14 +90,27 @@
 
 // NewExecutor registers the handlers; runs come once the receiver serves.
 func NewExecutor(options ExecutorOptions) *Executor {
-	e := &Executor{options: options, clients: map[transport.Address]*client{}}
+	e := &Executor{options: options, clients: map[clientKey]*client{}}
 	e.running, e.cancel = context.WithCancel(context.Background())
-	options.Receiver.HandleCall(kindRun, e.handleRun)
-	options.Receiver.HandleCall(kindStop, e.handleStop)
+	e.Also(options.Sender, options.Receiver)
 	e.tasks.Go(e.tellAlive)
 	return e
 }
 
+// Also runs items for the leaders of another shard, which are reached by its port.
+func (e *Executor) Also(sender transport.Sender, receiver transport.Receiver) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	port := len(e.senders)
+	e.senders = append(e.senders, sender)
+	receiver.HandleCall(kindRun, func(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
+		return e.handleRun(ctx, clientKey{from, port}, payload)
+	})
+	receiver.HandleCall(kindStop, func(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+		return e.handleStop(clientKey{from, port}, payload)
+	})
+}
+
 // Close ends all runs, after committing what they have, and waits for them.
 func (e *Executor) Close() {
 	e.mutex.Lock()
@@ -111,11 +139,11 @@
 
 // handleRun runs an item and answers how that ended. ctx ends with the leader's
 // connection.
-func (e *Executor) handleRun(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
+func (e *Executor) handleRun(ctx context.Context, from clientKey, payload []byte) ([]byte, error) {
 	request, err := unmarshalRun(payload, time.Now())
 	if err != nil {
-		eventBadRun.Error(err, "peer", from)
-		return nil, trace.Wrap(err, "run of peer %s", from)
+		eventBadRun.Error(err, "peer", from.leader)
+		return nil, trace.Wrap(err, "run of peer %s", from.leader)
 	}
 	ctx, end := context.WithCancel(ctx)
 	defer end()
@@ -124,7 +152,7 @@
 		return nil, err
 	}
 	defer e.end(c, request.run)
-	if err := e.confirm(ctx, from, request); err != nil {
+	if err := e.confirm(ctx, c, request); err != nil {
 		return nil, err
 	}
 	next := &itemRun{node: c.node, item: request.item, engine: request.engine, attempts: request.attempts}
@@ -135,21 +163,21 @@
 // confirm asks the leader whether it still wants a run. The request may have been
 // on its way for long, as after a cut: the item may run elsewhere by now, or its
 // job may have ended.
-func (e *Executor) confirm(ctx context.Context, leader transport.Address, request *runRequest) error {
+func (e *Executor) confirm(ctx context.Context, c *client, request *runRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	question := marshal(fixedConfirm{request.run, request.item.index}, []byte(request.item.job))
-	_, err := e.options.Sender.Call(ctx, leader, kindConfirm, question)
-	return trace.Wrap(err, "confirm the run of item %d of job %s at leader %s", request.item.index, request.item.job, leader)
+	_, err := c.sender.Call(ctx, c.leader, kindConfirm, question)
+	return trace.Wrap(err, "confirm the run of item %d of job %s at leader %s", request.item.index, request.item.job, c.leader)
 }
 
-func (e *Executor) begin(leader transport.Address, run uint64, end context.CancelFunc) (*client, error) {
+func (e *Executor) begin(from clientKey, run uint64, end context.CancelFunc) (*client, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.closed || e.count >= executorMost {
 		return nil, trace.Wrap(errBusy)
 	}
-	c := e.client(leader)
+	c := e.client(from)
 	if c.runs[run] != nil {
 		return nil, trace.Wrap(errRuns)
 	}
@@ -160,18 +188,18 @@
 }
 
 // client returns the leader's; the caller holds the mutex.
-func (e *Executor) client(leader transport.Address) *client {
-	c := e.clients[leader]
+func (e *Executor) client(from clientKey) *client {
+	c := e.clients[from]
 	if c != nil {
 		return c
 	}
-	c = &client{leader: leader, runs: map[uint64]context.CancelFunc{}}
+	c = &client{leader: from.leader, sender: e.senders[from.port], runs: map[uint64]context.CancelFunc{}}
 	c.gatherer = newGatherer(executorGather, func(ctx context.Context, steps []step) error { return e.hand(ctx, c, steps) })
 	c.node = &runNode{
-		pool: e.options.Pool, usable: e.options.Usable, commit: c.commit, opened: time.Now(),
+		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, opened: time.Now(),
 		open: func(string, uint32) bool { return true }, // the ledger drops what it doesn't want
 	}
-	e.clients[leader] = c
+	e.clients[from] = c
 	e.tasks.Go(func() { c.gatherer.run(e.running) })
 	return c
 }
@@ -186,10 +214,10 @@
 
 // handleStop ends a run. One whose request comes only later isn't begun, as the
 // leader doesn't confirm it.
-func (e *Executor) handleStop(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+func (e *Executor) handleStop(from clientKey, payload []byte) ([]byte, error) {
 	var name fixedRunName
 	if _, err := unmarshal(payload, &name, 0); err != nil {
-		return nil, trace.Wrap(err, "end of a run of peer %s", from)
+		return nil, trace.Wrap(err, "end of a run of peer %s", from.leader)
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -214,7 +242,7 @@
 func (e *Executor) hand(ctx context.Context, c *client, steps []step) error {
 	ctx, cancel := context.WithTimeout(ctx, stepsTimeout)
 	defer cancel()
-	_, err := e.options.Sender.Call(ctx, c.leader, kindSteps, marshal(fixedSteps{}, encodeSteps(steps)...))
+	_, err := c.sender.Call(ctx, c.leader, kindSteps, marshal(fixedSteps{}, encodeSteps(steps)...))
 	if err != nil {
 		e.dropRuns(c, err)
 	}
@@ -242,21 +270,21 @@
 			return
 		case <-ticker.C:
 		}
-		for _, leader := range e.leaders() {
-			e.options.Sender.Send(leader, kindAlive, nil)
+		for _, c := range e.busy() {
+			c.sender.Send(c.leader, kindAlive, nil)
 		}
 	}
 }
 
-// leaders are those for whom items run here.
-func (e *Executor) leaders() []transport.Address {
+// busy are the clients for whom items run here.
+func (e *Executor) busy() []*client {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	var leaders []transport.Address
-	for leader, c := range e.clients {
+	var busy []*client
+	for _, c := range e.clients {
 		if len(c.runs) > 0 {
-			leaders = append(leaders, leader)
+			busy = append(busy, c)
 		}
 	}
-	return leaders
+	return busy
 }
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -41,7 +41,7 @@
 
 // exchange returns how long the item rests before it is run again, if it is open.
 func (r *itemRun) exchange(ctx context.Context, read *Item) time.Duration {
-	if !r.node.usable(r.engine.ID, r.engine.Service) {
+	if !r.node.usable(r.engine.ID, r.engine.Service) || !r.node.permitted(&r.item, r.engine.ID) {
 		return refusalPause
 	}
 	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "after", r.last, "failures", r.item.failures)
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -17,6 +17,9 @@
 	answerQueueFull
 	answerNoJob
 	answerForeign
+	answerElsewhere // shard 0: another shard is to have it
+	answerMoved     // it was claimed before the queue or the job was moved elsewhere
+	answerOutdated  // a newer configuration than the asker's holds
 )
 
 // Machine implements ledger.StateMachine. Its own memory is a summary of what
@@ -26,6 +29,10 @@
 	mutex  sync.RWMutex
 	jobs   map[string]*jobState
 	queued map[queue]int64 // tokens of open items
+	// claims and homes are of shard 0; see claim.go.
+	claims map[string]*claim
+	homes  map[queue]*home
+	fences map[string]fenceRecord
 	// added fires whenever a result or job is added.
 	added signal
 }
@@ -64,11 +71,21 @@
 
 // NewMachine returns a machine of an empty store.
 func NewMachine() *Machine {
-	return &Machine{jobs: map[string]*jobState{}, queued: map[queue]int64{}}
+	m := &Machine{}
+	m.clear()
+	return m
+}
+
+func (m *Machine) clear() {
+	m.jobs = map[string]*jobState{}
+	m.queued = map[queue]int64{}
+	m.claims = map[string]*claim{}
+	m.homes = map[queue]*home{}
+	m.fences = map[string]fenceRecord{}
 }
 
 // Apply implements ledger.StateMachine.
-func (m *Machine) Apply(writer ledger.Writer, _ uint64, entry []byte) ([]byte, error) {
+func (m *Machine) Apply(writer ledger.Writer, index uint64, entry []byte) ([]byte, error) {
 	var fixed fixedCommand
 	fields, err := unmarshal(entry, &fixed, -1)
 	if err != nil {
@@ -77,17 +94,26 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	answer := byte(answerDone)
+	var content []byte
 	switch fixed.Kind {
 	case commandSubmit:
 		answer, err = m.submit(writer, fields)
 	case commandAdvance:
 		err = m.advance(writer, fields)
 	case commandEnd:
-		answer, err = m.end(writer, fields)
+		answer, content, err = m.end(writer, fields)
 	case commandPurge:
 		err = m.purge(writer, fields)
+	case commandClaim:
+		answer, content, err = m.claim(writer, index, fixed.At, fields[0])
+	case commandFence:
+		answer, content, err = m.fence(writer, fixed.At, fields[0])
+	case commandPlace:
+		answer, err = m.place(writer, fields)
+	case commandForget:
+		err = m.forget(writer, fields)
 	}
-	return []byte{answer}, err
+	return append([]byte{answer}, content...), err
 }
 
 func (m *Machine) submit(writer ledger.Writer, fields [][]byte) (byte, error) {
@@ -95,6 +121,15 @@
 	if err != nil {
 		return 0, err
 	}
+	if m.jobs[job.ID] == nil && (m.claims[job.ID] != nil || m.homes[job.queue()] != nil) {
+		return answerElsewhere, nil
+	}
+	return m.take(writer, job, 0)
+}
+
+// take takes a job unless it is known; elsewhere are the tokens of its queue that wait
+// at other shards.
+func (m *Machine) take(writer ledger.Writer, job *Job, elsewhere int64) (byte, error) {
 	if known := m.jobs[job.ID]; known != nil {
 		if known.Tenant != job.Tenant {
 			return answerForeign, nil
@@ -105,7 +140,7 @@
 	for i := range job.Items {
 		tokens += job.Items[i].Tokens
 	}
-	if job.QueuedTokens > 0 && m.queued[job.queue()]+tokens > job.QueuedTokens {
+	if job.QueuedTokens > 0 && m.queued[job.queue()]+elsewhere+tokens > job.QueuedTokens {
 		return answerQueueFull, nil
 	}
 	if err := writer.Set(key(keyJob, job.ID), encodeJob(job, false)); err != nil {
@@ -199,16 +234,20 @@
 
 const endedIndex = ^uint64(0) // in place of an item: the job is ended
 
-func (m *Machine) end(writer ledger.Writer, fields [][]byte) (byte, error) {
+func (m *Machine) end(writer ledger.Writer, fields [][]byte) (byte, []byte, error) {
 	if len(fields) != 2 {
-		return 0, wire.ErrLength
+		return 0, nil, wire.ErrLength
+	}
+	name := jobName{string(fields[0]), string(fields[1])}
+	if shard, away := m.elsewhere(name); away {
+		return answerElsewhere, marshal(fixedElsewhere{uint32(shard)}), nil
 	}
-	job := m.jobs[string(fields[0])]
-	if !(jobName{string(fields[0]), string(fields[1])}).names(job) {
-		return answerNoJob, nil
+	job := m.jobs[name.job]
+	if !name.names(job) {
+		return answerNoJob, nil, nil
 	}
 	if job.ended {
-		return answerDone, nil
+		return answerDone, nil, nil
 	}
 	job.ended = true
 	for i := range job.items {
@@ -220,9 +259,9 @@
 	m.added.fire()
 	from, to := keyRange(keyBody, job.ID)
 	if err := writer.DeleteRange(from, to); err != nil {
-		return answerDone, err
+		return answerDone, nil, err
 	}
-	return answerDone, writer.Set(key(keyState, job.ID, endedIndex), marshal(fixedState{}))
+	return answerDone, nil, writer.Set(key(keyState, job.ID, endedIndex), marshal(fixedState{}))
 }
 
 func (m *Machine) purge(writer ledger.Writer, fields [][]byte) error {
@@ -379,6 +418,18 @@
 	return state.positions, state.closed(), state.listed.wait(), true
 }
 
+// Jobs counts the jobs here, and those for which stays is false.
+func (m *Machine) Jobs(stays func(host, path, tenant string) bool) (all, astray int) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	for _, job := range m.jobs {
+		if !stays(job.Host, job.Path, job.Tenant) {
+			astray++
+		}
+	}
+	return len(m.jobs), astray
+}
+
 // changes returns a channel that closes at the next change.
 func (m *Machine) changes() <-chan struct{} {
 	m.mutex.Lock()
--- a/internal/batchwork/reload.go
+++ b/internal/batchwork/reload.go
@@ -13,8 +13,7 @@
 	for _, job := range m.jobs {
 		job.listed.fire()
 	}
-	m.jobs = map[string]*jobState{}
-	m.queued = map[queue]int64{}
+	m.clear()
 	for _, load := range []struct {
 		letter  byte
 		numbers int
@@ -24,6 +23,9 @@
 		{keyItem, 1, m.loadItem},
 		{keyState, 1, m.loadState},
 		{keyResult, 1, m.loadResult},
+		{keyHome, 0, m.loadHome},
+		{keyClaim, 0, m.loadClaim},
+		{keyFence, 0, m.loadFence},
 	} {
 		from, to := keyRange(load.letter, "")
 		err := reader.Scan(from, to, func(k, value []byte) (bool, error) {
--- a/internal/batchwork/runmessage.go
+++ b/internal/batchwork/runmessage.go
@@ -5,6 +5,7 @@
 
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/transport"
+	"chutelock.dev/chutelock/internal/wire"
 )
 
 // Message kinds between the leader and the data nodes that run items for it.
@@ -25,6 +26,9 @@
 	engine catalog.Engine
 	// attempts is how many of an engine's own failures give the item up.
 	attempts int
+	// restricted: the item's regions are; only then is its path told, by which the
+	// executor finds them.
+	restricted bool
 }
 
 type fixedRun struct {
@@ -40,25 +44,38 @@
 
 func (q *runRequest) marshal(now time.Time) []byte {
 	fixed := fixedRun{q.run, q.item.index, q.item.lastEvent, q.item.failures, uint16(q.attempts), int64(q.item.giveUp.Sub(now))}
-	return marshal(fixed, []byte(q.item.job), []byte(q.item.host), []byte(q.item.tenant), encodeItem(&q.read, true),
-		[]byte(q.engine.ID), []byte(q.engine.Service), []byte(q.engine.Address))
+	fields := [][]byte{[]byte(q.item.job), []byte(q.item.host), []byte(q.item.tenant), encodeItem(&q.read, true),
+		[]byte(q.engine.ID), []byte(q.engine.Service), []byte(q.engine.Address)}
+	if q.restricted {
+		fields = append(fields, []byte(q.item.path))
+	}
+	return marshal(fixed, fields...)
 }
 
+const runFields = 7
+
 func unmarshalRun(encoded []byte, now time.Time) (*runRequest, error) {
 	var fixed fixedRun
-	fields, err := unmarshal(encoded, &fixed, 7)
+	fields, err := unmarshal(encoded, &fixed, -1)
 	if err != nil {
 		return nil, err
 	}
+	if len(fields) < runFields || len(fields) > runFields+1 {
+		return nil, wire.ErrLength
+	}
+	path := ""
+	if len(fields) > runFields {
+		path = string(fields[runFields])
+	}
 	read, err := decodeItem(fields[3])
 	if err != nil {
 		return nil, err
 	}
 	return &runRequest{
-		run: fixed.Run, read: read, attempts: int(fixed.Attempts),
+		run: fixed.Run, read: read, attempts: int(fixed.Attempts), restricted: path != "",
 		item: openItem{
 			job: string(fields[0]), host: string(fields[1]), tenant: string(fields[2]), index: fixed.Index, lastEvent: fixed.LastEvent,
-			failures: fixed.Failures, giveUp: now.Add(time.Duration(fixed.GiveUp)),
+			path: path, failures: fixed.Failures, giveUp: now.Add(time.Duration(fixed.GiveUp)),
 		},
 		engine: catalog.Engine{ID: string(fields[4]), Service: string(fields[5]), Address: string(fields[6])},
 	}, nil
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -79,7 +79,10 @@
 	Regions func(route *catalog.Route, tenant string) catalog.Regions
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
-	Zone   string
+	// Permitted says whether a tenant's item of a route may go to an engine, by the
+	// newest configuration known here; nil if there are no regions.
+	Permitted func(host, path, tenant, engine string) bool
+	Zone      string
 	// Settle is how long a new leader starts nothing: it doesn't know yet what
 	// online work the engines have.
 	Settle time.Duration
@@ -94,6 +97,10 @@
 	LocalRuns int
 }
 
+func (o RunnerOptions) permitted(item *openItem, engine string) bool {
+	return o.Permitted == nil || o.Permitted(item.host, item.path, item.tenant, engine)
+}
+
 // Runner runs open items while this node leads the shard.
 type Runner struct {
 	options RunnerOptions
@@ -154,7 +161,7 @@
 	}
 	r.gatherer = newGatherer(gatherTime, r.propose)
 	r.node = &runNode{
-		pool: options.Pool, usable: options.Usable, commit: r.commit, opened: time.Now(), open: options.Machine.isOpen,
+		pool: options.Pool, usable: options.Usable, permitted: options.permitted, commit: r.commit, opened: time.Now(), open: options.Machine.isOpen,
 	}
 	if options.Receiver != nil {
 		options.Receiver.HandleCall(kindConfirm, r.confirmRun)
@@ -235,14 +242,18 @@
 	if r.options.Keep <= 0 || !r.Leading() {
 		return
 	}
-	old := r.options.Machine.purgeable(time.Now().Add(-r.options.Keep))
-	if len(old) == 0 {
-		return
-	}
+	now := time.Now()
+	old := r.options.Machine.purgeable(now.Add(-r.options.Keep))
+	stale := r.options.Machine.forgettable(now, r.options.Keep)
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	// What fails is tried again at the next interval.
-	_, _ = r.options.Shard.Propose(ctx, encodePurge(old[:min(len(old), purgeBatch)], time.Now()))
+	if len(old) > 0 {
+		_, _ = r.options.Shard.Propose(ctx, encodePurge(old[:min(len(old), purgeBatch)], now))
+	}
+	if len(stale) > 0 {
+		_, _ = r.options.Shard.Propose(ctx, encodeForget(stale[:min(len(stale), purgeBatch)], now))
+	}
 }
 
 // commit proposes a step, and returns once it is applied here.
--- a/internal/batchwork/runnode.go
+++ b/internal/batchwork/runnode.go
@@ -14,6 +14,8 @@
 	pool *upstream.Pool
 	// usable says whether an engine may still get requests of a service.
 	usable func(id, service string) bool
+	// permitted says whether an item may go to an engine, by the newest regions.
+	permitted func(item *openItem, engine string) bool
 	// commit hands a step to the ledger, and returns once it is committed.
 	commit func(ctx context.Context, s step) error
 	// open says whether an item is still to be run, as far as known here.
--- a/internal/batchwork/types.go
+++ b/internal/batchwork/types.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
 )
 
 // Item is one request of a job, to be run later.
@@ -35,7 +37,10 @@
 	Completion time.Duration
 	// Submitted is set by the leader.
 	Submitted time.Time
-	Items     []Item
+	// Regions are where it may be kept by the configuration that it came under; they
+	// aren't stored, as newer ones bind in their place.
+	Regions catalog.Regions
+	Items   []Item
 }
 
 // State of an item.
@@ -71,6 +76,11 @@
 	ErrNoJob = errors.New("batchwork: no such job")
 	// ErrForeign: another tenant has a job of this identifier; it was not taken.
 	ErrForeign = errors.New("batchwork: another tenant has a job of this identifier")
+	// ErrNoHome: none of the regions in which the job may be kept has the data nodes that
+	// a shard takes; it was not taken.
+	ErrNoHome = errors.New("batchwork: no region of the route and the tenant has enough data nodes")
+	// ErrOutdated: this node's configuration is older than what shard 0 goes by.
+	ErrOutdated = errors.New("batchwork: a newer configuration holds")
 	// ErrQueueFull: the job doesn't fit the queue's bound; it was not taken.
 	ErrQueueFull = errors.New("batchwork: the queue is full")
 	// ErrNotTaken: the call certainly had no effect.
--- a/internal/catalog/regions.go
+++ b/internal/catalog/regions.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // Regions are the regions in which requests may be served and their bodies kept; nil
 // is no restriction, and an empty set that isn't nil allows none.
@@ -50,3 +54,27 @@
 	}
 	return regions
 }
+
+// KeptRegions lists the regions in which jobs of some batch route and tenant have to be
+// kept, in order; empty if none is restricted.
+func (c *Configuration) KeptRegions() []string {
+	if c == nil {
+		return nil
+	}
+	sets := map[string]Regions{"": nil}
+	for _, regions := range c.bound {
+		sets[strings.Join(regions, "\x00")] = regions
+	}
+	kept := map[string]bool{}
+	for i := range c.Routes {
+		if c.Routes[i].Kind != KindBatch {
+			continue
+		}
+		for _, regions := range sets {
+			for _, region := range c.Routes[i].Regions.And(regions) {
+				kept[region] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(kept))
+}
--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -35,11 +35,8 @@
 		return
 	}
 	job.Host, job.Path, job.Route, job.Tenant = r.Host, r.URL.EscapedPath(), route.Name, request.Tenant
+	job.Regions = request.Regions
 	job.QueuedTokens, job.Retention, job.Completion = route.QueuedTokens, route.Retention, route.Completion
-	if request.Regions != nil {
-		e.reject(w, r, http.StatusServiceUnavailable, "batch jobs can't be kept within the regions of the route and the tenant")
-		return
-	}
 	ctx, cancel := bounded(r.Context(), request.Deadline, 0)
 	defer cancel()
 	err = e.Jobs.Submit(ctx, job)
@@ -60,6 +57,8 @@
 		answer(w, http.StatusConflict, "the identifier is taken")
 	case errors.Is(err, batchwork.ErrQueueFull):
 		answer(w, http.StatusTooManyRequests, "the queue is full")
+	case errors.Is(err, batchwork.ErrNoHome):
+		answer(w, http.StatusServiceUnavailable, "no region in which the job may be kept has the data nodes for it")
 	case errors.Is(err, batchwork.ErrNotTaken):
 		answer(w, http.StatusServiceUnavailable, "batch jobs can't be reached")
 	case call == "submit":
--- a/internal/ledger/replica/regions.go
+++ b/internal/ledger/replica/regions.go
@@ -198,3 +198,12 @@
 	}
 	return len(s.core.Status().Configuration.Voters)
 }
+
+// Enough says whether there are data nodes enough for a region's shard.
+func (s *Service) Enough(id ledger.ShardID) bool {
+	members := dataMembers(s.options.Members.View(), s.self())
+	return s.exists(id) && s.enough(id, len(s.within(id, members)))
+}
+
+// Led says whether a shard has had a leader, as far as known here.
+func (s *Service) Led(id ledger.ShardID) bool { return slices.Contains(s.directory.regional(), id) }
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -70,8 +70,13 @@
 	// sentAt is the last share that it sent, askedAt the first one since it heard
 	// one.
 	sentAt, askedAt time.Time
+	// leaders of regions' batch work hear of load as the leader does.
+	leaders []transport.Address
 }
 
+// AlsoTo sets the leaders of regions' batch work.
+func (e *Exchange) AlsoTo(leaders []transport.Address) { e.leaders = leaders }
+
 // NewExchange returns the exchange of a data node.
 func NewExchange(self mirror.Node) *Exchange {
 	return &Exchange{self: self, reports: map[transport.Address]*report{}, sharers: map[transport.Address]*sharer{}}
@@ -194,7 +199,7 @@
 		switch {
 		case leader == e.self.Address:
 			interval = runsInterval
-		case address == leader && pressed:
+		case (address == leader || slices.Contains(e.leaders, address)) && pressed:
 			interval = PressInterval
 		}
 		receiver := e.sharer(address)
@@ -237,6 +242,11 @@
 	if leader != "" {
 		addresses = append(addresses, leader)
 	}
+	for _, other := range e.leaders {
+		if other != e.self.Address {
+			addresses = append(addresses, other)
+		}
+	}
 	inZone, others := byZone(nodes, e.self.Zone)
 	preferred := relays(inZone, e.self.Zone, leader)
 	if own := slices.Index(preferred, e.self.Address); own > 0 {
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -13,9 +13,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/config"
-	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/telemetry"
@@ -41,7 +41,7 @@
 	repairInterval = 150 * time.Millisecond
 	bootstrapWait  = 3 * time.Second
 	directoryTime  = 700 * time.Millisecond
-	// shards is the number of the ledger's shards.
+	// shards is the number of the ledger's shards; those of regions come beside it.
 	shards = 1
 	// pruneInterval is the time between two looks at resting connections.
 	pruneInterval = time.Second
@@ -61,6 +61,8 @@
 	pool     *upstream.Pool
 	balancer *balance.Balancer
 	ledger   *replica.Service
+	// ports part the messages about the shards of batch work.
+	ports *batchwork.Ports
 
 	metrics *http.Server // nil without an address
 	stop    chan struct{}
@@ -79,6 +81,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for peers")
 	}
+	c.ports = batchwork.NewPorts(c.peers, c.peers)
 	c.facts = newFacts(adapter, settings)
 	c.agent = mirror.New(c.mirrorOptions(dataNode))
 	c.facts.agent = c.agent
@@ -143,7 +146,7 @@
 	disk := newDiskBudget(uint64(c.settings.Data.Size) << 20)
 	return replica.Options{
 		Sender: c.peers, Receiver: c.peers, Members: view, Store: c.adapter.Ledger, Registry: c.registry,
-		Shards: shards, Copies: c.settings.Ledger.Replicas(), ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
+		Shards: shards, Copies: c.settings.Ledger.Replicas(), Regions: c.regionNames(), LeastCopies: 2*c.settings.Ledger.Losses + 1, ReplaceAfter: replaceAfter, BootstrapWait: bootstrapWait,
 		RepairInterval: repairInterval, DirectoryInterval: directoryTime, ReplaceLeaving: true,
 		DiskBytes: disk.size, RetainBytes: disk.retain, Reserve: disk.reserve, Scarce: disk.scarce,
 	}
@@ -220,14 +223,6 @@
 	return route
 }
 
-// regions are where a tenant's items of a route may be run.
-func (c *core) regions(route *catalog.Route, tenant string) catalog.Regions {
-	return c.facts.Snapshot().Configuration.RegionsNow(route, tenant, nil)
-}
-
-// localShard returns this node's replica.
-func (c *core) localShard() (ledger.Shard, bool) { return c.ledger.Local(0) }
-
 // serve answers on an address until the server is shut down.
 func serve(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/ledger"
@@ -20,8 +22,8 @@
 // data is a data node.
 type data struct {
 	*core
-	machine *batchwork.Machine
-	runner  *batchwork.Runner
+	works  *works
+	runner *batchwork.Runner // of shard 0
 	// executor runs items for a leader on another node.
 	executor *batchwork.Executor
 	answers  paces  // of load reports
@@ -29,6 +31,8 @@
 
 	quotas *quotaExchange
 
+	regionJobs, astrayJobs *prometheus.GaugeVec
+
 	exchangeMutex sync.Mutex // guards exchange; a leaf
 	exchange      *loadshare.Exchange
 	shareDue      chan struct{} // of capacity 1: there is news of load
@@ -43,40 +47,37 @@
 		return nil, err
 	}
 	d := &data{
-		core: common, machine: batchwork.NewMachine(),
+		core: common, works: newWorks(),
 		exchange: loadshare.NewExchange(common.self()), shareDue: make(chan struct{}, 1),
 	}
 	d.running, d.cancel = context.WithCancel(context.Background())
 	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: d.evacuating})
 	options.Folder = filepath.Join(settings.Data.Folder, "ledger")
-	options.NewMachine = func(ledger.ShardID) ledger.StateMachine { return d.machine }
+	options.NewMachine = func(id ledger.ShardID) ledger.StateMachine { return d.works.machine(id) }
 	if d.ledger, err = replica.Open(options); err != nil {
 		return nil, err
 	}
 	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
-		Pool: d.pool, Usable: d.facts.usable, Sender: d.peers, Receiver: d.peers,
-	})
-	d.runner = batchwork.NewRunner(batchwork.RunnerOptions{
-		Shard: localShard{d.core}, Machine: d.machine, Pool: d.pool, Balancer: d.balancer,
-		Route: d.route, Regions: d.regions, Usable: d.facts.usable, Zone: settings.Node.Zone, Keep: settings.Batch.Keep,
-		Settle: settleTime, Executors: d.executors, Sender: d.peers, Receiver: d.peers,
-		LocalRuns: settings.Batch.LocalRuns,
+		Pool: d.pool, Usable: d.facts.usable, Permitted: d.permitted, Sender: d.peers, Receiver: d.peers,
 	})
+	for _, region := range d.regionNames() {
+		port := d.ports.For(ledger.RegionShard(region))
+		d.executor.Also(port, port)
+	}
+	d.runner = d.openWork(0)
 	d.registerGauges(map[string]gauge{
-		"chutelock_batch_items_open":     {"Items that are not final, at a replica.", func() float64 { return float64(d.machine.Open()) }},
-		"chutelock_batch_items_running":  {"Items that run for this node as the leader.", func() float64 { return float64(d.runner.Running()) }},
+		"chutelock_batch_items_open":     {"Items that are not final, at a replica.", func() float64 { return float64(d.openItems()) }},
+		"chutelock_batch_items_running":  {"Items that run for this node as the leader.", func() float64 { return float64(d.runningItems()) }},
 		"chutelock_batch_items_executed": {"Items that this node runs for another one that leads.", func() float64 { return float64(d.executor.Running()) }},
 	})
+	d.regionJobs = newRegionGauge(d.registry, "chutelock_batch_region_jobs", "Jobs at this node's replica of a region's shard, while any route or tenant is restricted; no region: of shard 0.")
+	d.astrayJobs = newRegionGauge(d.registry, "chutelock_batch_jobs_astray", "Those of them that lie where they may not by the newest configuration.")
 	d.peers.HandleDatagram(kindLoadReport, d.takeLoadReport)
 	d.peers.HandleDatagram(kindLoadAsk, d.takeLoadAsk)
 	d.peers.HandleDatagram(kindLoadShare, d.takeLoadShare)
 	d.quotas = newQuotaExchange(settings, d.peers, d.facts.Snapshot)
 	d.peers.HandleDatagram(kindQuotaReport, d.quotas.takeReport)
 	d.peers.HandleDatagram(kindQuotaShare, d.quotas.takeShare)
-	batchwork.RegisterServer(batchwork.ServerOptions{
-		Shard: d.localShard, Machine: d.machine, Scarce: d.ledger.Scarce, Receiver: d.peers,
-		Replicas: func() []transport.Address { return d.ledger.Replicas(0) },
-	})
 	return d, nil
 }
 
@@ -103,41 +104,6 @@
 	return membership.RendezvousScore("executor of "+zone, node.Name)
 }
 
-// localShard is this node's replica as a ledger.Shard, also while there is none.
-type localShard struct{ *core }
-
-// Propose implements ledger.Shard.
-func (s localShard) Propose(ctx context.Context, entry []byte) ([]byte, error) {
-	if shard, found := s.localShard(); found {
-		return shard.Propose(ctx, entry)
-	}
-	return nil, ledger.ErrUnavailable
-}
-
-// Read implements ledger.Shard.
-func (s localShard) Read(ctx context.Context, query func(ledger.Reader) error) error {
-	if shard, found := s.localShard(); found {
-		return shard.Read(ctx, query)
-	}
-	return ledger.ErrUnavailable
-}
-
-// FollowerRead implements ledger.Shard.
-func (s localShard) FollowerRead(ctx context.Context, query func(ledger.Reader) error) error {
-	if shard, found := s.localShard(); found {
-		return shard.FollowerRead(ctx, query)
-	}
-	return ledger.ErrUnavailable
-}
-
-// Leading implements ledger.Shard.
-func (s localShard) Leading() (bool, uint64) {
-	if shard, found := s.localShard(); found {
-		return shard.Leading()
-	}
-	return false, 0
-}
-
 // Start implements Node.
 func (d *data) Start() error {
 	if err := d.start(); err != nil {
@@ -145,6 +111,9 @@
 	}
 	d.run(func() { d.runner.Run(d.running) })
 	d.run(func() { d.reportEvacuations(d.running) })
+	if len(d.settings.Zones) > 0 {
+		d.run(d.followShards)
+	}
 	d.run(d.shareLoad)
 	return nil
 }
@@ -153,8 +122,24 @@
 func (d *data) Drain(ctx context.Context) {
 	eventStops.Info("node", d.settings.Node.Name)
 	d.executor.Close()
-	d.runner.Stop()
+	for _, runner := range d.works.runners() {
+		runner.Stop()
+	}
 	_ = d.ledger.Drain(ctx)
 	d.cancel()
 	d.close()
 }
+
+func (d *data) openItems() (open int) {
+	for _, one := range d.works.all() {
+		open += one.machine.Open()
+	}
+	return open
+}
+
+func (d *data) runningItems() (running int) {
+	for _, runner := range d.works.runners() {
+		running += runner.Running()
+	}
+	return running
+}
--- a/internal/system/evacuation.go
+++ b/internal/system/evacuation.go
@@ -10,6 +10,8 @@
 
 var eventEvacuation = telemetry.Define(4201, "evacuation-reported", "The state of a data node that is to be emptied was written to the platform's store.")
 
+var eventEvacuationAsk = telemetry.Define(4202, "evacuation-not-known", "It is not known whether a region's shard has left a data node that is to be emptied; it is asked for again.")
+
 const (
 	evacuationInterval = 200 * time.Millisecond
 	evacuationTimeout  = time.Second
@@ -43,8 +45,11 @@
 		status := d.ledger.Status()
 		for _, object := range objects {
 			reported, done := d.adapter.Evacuations.Reported(object.Content)
-			emptied := evacuated(status, object.Name, d.settings.Ledger.Replicas())
-			if done || (reported && !emptied) {
+			if done {
+				continue
+			}
+			emptied := evacuated(status, object.Name, d.settings.Ledger.Replicas()) && d.regionsEmptied(ctx, object.Name)
+			if reported && !emptied {
 				continue
 			}
 			bounded, cancel := context.WithTimeout(ctx, evacuationTimeout)
@@ -55,10 +60,34 @@
 	}
 }
 
+// regionsEmptied says that none of the replicas of regions' shards lies on the node, and
+// that enough sound ones lie elsewhere: all their leaders say so.
+func (d *data) regionsEmptied(ctx context.Context, node string) bool {
+	ctx, cancel := context.WithTimeout(ctx, evacuationTimeout)
+	defer cancel()
+	for _, shard := range d.ledger.Regional() {
+		if !d.ledger.Enough(shard) && !d.ledger.Led(shard) {
+			continue // there is no such shard yet
+		}
+		placed, err := d.ledger.AskPlaced(ctx, shard, node)
+		if err != nil {
+			eventEvacuationAsk.Error(err, "node", node, "region", d.ledger.Region(shard))
+			return false
+		}
+		if placed.Holds || placed.Sound < 2*d.settings.Ledger.Losses+1 {
+			return false
+		}
+	}
+	return true
+}
+
 // evacuated says that no replica lies on the node, and that enough sound ones
 // lie elsewhere.
 func evacuated(status replica.Status, node string, replicas int) bool {
 	for _, shard := range status.Shards {
+		if shard.Shard.Regional() {
+			continue // its leader is asked
+		}
 		sound := 0
 		for _, one := range shard.Replicas {
 			if one.Node == node {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -80,7 +80,9 @@
 			Observe: newRequestMetrics(common.registry).observe,
 			Refresh: f.refreshLoad, Chosen: f.reportChoice,
 		},
-		Jobs: batchwork.NewCaller(f.ledger, f.peers, f.nearReplica),
+		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
+			Directory: f.ledger, Sender: f.peers, Near: f.nearReplica, Within: f.within, LiesWithin: f.liesWithin,
+		}),
 	}
 	f.callers = &http.Server{
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
--- a/internal/system/loadexchange.go
+++ b/internal/system/loadexchange.go
@@ -52,9 +52,7 @@
 // takeLoad counts a peer's load, and lets batch work make way for it.
 func (d *data) takeLoad(from transport.Address, load balance.Report) {
 	d.balancer.PeerLoad(string(from), load)
-	if d.runner.Leading() {
-		d.runner.Yield()
-	}
+	d.yield()
 	select {
 	case d.shareDue <- struct{}{}:
 	default:
@@ -92,8 +90,10 @@
 	nodes := d.agent.Nodes()
 	leader, _ := d.ledger.Leader(0)
 	pressed := d.balancer.AnyPressed()
+	regional := d.regionLeaders()
 	d.exchangeMutex.Lock()
 	share := d.exchange.Own(d.balancer.Own(), now)
+	d.exchange.AlsoTo(regional)
 	receivers := d.exchange.Due(nodes, leader, pressed, now)
 	lapsed := d.exchange.Lapsed(now)
 	d.exchangeMutex.Unlock()
