--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -102,8 +102,10 @@
 // each look: by old figures all that wait take the same slot that got free.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
 	lease, found := b.take(ctx, wish, nil, priority)
-	if !found && len(allowed(b.snapshot(), wish)) == 0 {
-		return nil, ErrNoEngine
+	if !found {
+		if err := b.noEngine(wish); err != nil {
+			return nil, err
+		}
 	}
 	if !found && wait > 0 {
 		return b.await(ctx, wish, priority, wait, refresh)
@@ -249,8 +251,8 @@
 		if lease, found := b.take(ctx, wish, self, priority); found {
 			return lease, nil
 		}
-		if len(allowed(b.snapshot(), wish)) == 0 {
-			return nil, ErrNoEngine
+		if err := b.noEngine(wish); err != nil {
+			return nil, err
 		}
 	}
 }
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -41,7 +41,7 @@
 
 // exchange returns how long the item rests before it is run again, if it is open.
 func (r *itemRun) exchange(ctx context.Context, read *Item) time.Duration {
-	if !r.node.usable(r.engine.ID, r.engine.Service) {
+	if !r.node.mayRun(&r.item, r.engine) {
 		return refusalPause
 	}
 	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "after", r.last, "failures", r.item.failures)
@@ -85,7 +85,7 @@
 // proceed looks once more before the item is sent: the engine may have become one that
 // gets none while a connection to it was opened.
 func (r *itemRun) proceed() error {
-	if !r.node.usable(r.engine.ID, r.engine.Service) {
+	if !r.node.mayRun(&r.item, r.engine) {
 		return upstream.ErrUnwanted
 	}
 	return nil
--- a/internal/batchwork/runnode.go
+++ b/internal/batchwork/runnode.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -14,6 +15,8 @@
 	pool *upstream.Pool
 	// usable says whether an engine may still get requests of a service.
 	usable func(id, service string) bool
+	// permitted says whether an item may go to an engine, by the newest regions; nil is yes.
+	permitted func(item *openItem, engine string) bool
 	// commit hands a step to the ledger, and returns once it is committed.
 	commit func(ctx context.Context, s step) error
 	// open says whether an item is still to be run, as far as known here.
@@ -22,6 +25,11 @@
 	streams atomic.Int32 // that are being read here
 }
 
+// mayRun says whether an item may be sent to an engine now.
+func (n *runNode) mayRun(item *openItem, engine catalog.Engine) bool {
+	return n.usable(engine.ID, engine.Service) && (n.permitted == nil || n.permitted(item, engine.ID))
+}
+
 // readInterval is the time between two reads of a run's stream.
 func (n *runNode) readInterval() time.Duration { return readInterval(int(n.streams.Load())) }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -63,6 +63,9 @@
 	if !fl.Usable(lease.Engine.ID, lease.Engine.Service) {
 		return upstream.ErrUnwanted
 	}
+	if !fl.regions().Allow(lease.Engine.Region) {
+		return errRegions
+	}
 	return lease.MaySend()
 }
 
@@ -75,7 +78,8 @@
 }
 
 var (
-	errSilent = errors.New("the engine is silent")
+	errSilent  = errors.New("the engine is silent")
+	errRegions = errors.New("the engine is in none of the request's regions any more")
 )
 
 type errStatus int
@@ -114,11 +118,17 @@
 	}
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Fate == upstream.FateNotSent {
-		return outcome{kind: OutcomeNotSent, cause: err, unwanted: errors.Is(err, upstream.ErrUnwanted) || errors.Is(err, balance.ErrPermitVoid)}
+		return outcome{kind: OutcomeNotSent, cause: err, unwanted: isUnwanted(err)}
 	}
 	return outcome{kind: fl.unknown(), cause: err}
 }
 
+// isUnwanted says whether a request was kept back right before it was sent, for a reason
+// that says nothing of its engine's health.
+func isUnwanted(err error) bool {
+	return errors.Is(err, upstream.ErrUnwanted) || errors.Is(err, errRegions) || errors.Is(err, balance.ErrPermitVoid)
+}
+
 // unknown is the outcome of an exchange that broke: once a stream has begun,
 // the caller's answer can only go on or be broken off.
 func (fl *flight) unknown() Outcome {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,6 +36,9 @@
 	Balancer *balance.Balancer
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
+	// Regions are where a request may be served by the newest configuration known
+	// here; nil if those that the request came with hold.
+	Regions func(request *Request, route *catalog.Route) catalog.Regions
 	// Zone and Region are where the node is.
 	Zone, Region string
 	// Observe is told of each finished request; may be nil.
@@ -166,17 +169,37 @@
 	if !errors.Is(err, balance.ErrNoEngine) {
 		return lease, err
 	}
+	return fl.acquireElsewhere(ctx, wish, err)
+}
+
+// acquireElsewhere takes an engine of the route's other services. It waits for one that
+// has engines for the request: where regions restrict it, the chosen service may have
+// none there for good, and a request must not be refused for whose turn it was.
+func (fl *flight) acquireElsewhere(ctx context.Context, wish balance.Wish, failure error) (*balance.Lease, error) {
+	waiting := ""
 	for _, service := range fl.route.Services() {
 		wish.Service = service
-		lease, other := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, door.patience(time.Now()), fl.Refresh)
-		if other == nil {
+		lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, 0, nil)
+		if err == nil {
 			return lease, nil
 		}
-		if !errors.Is(other, balance.ErrNoEngine) {
-			err = other
+		if waiting == "" && !errors.Is(err, balance.ErrNoEngine) {
+			waiting = service
 		}
 	}
-	return nil, err
+	if waiting == "" {
+		return nil, failure
+	}
+	wish.Service = waiting
+	return fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.admission().patience(time.Now()), fl.Refresh)
+}
+
+// regions are where the request may be served now.
+func (fl *flight) regions() catalog.Regions {
+	if fl.Regions == nil {
+		return fl.request.Regions
+	}
+	return fl.Regions(fl.request, fl.route)
 }
 
 // wish is what the request wants of an engine if it may wait there so long.
@@ -184,7 +207,7 @@
 	return balance.Wish{
 		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Regions: fl.request.Regions, Avoid: fl.avoid, Wait: wait,
+		Regions: fl.regions(), Avoid: fl.avoid, Wait: wait,
 	}
 }
 
--- a/internal/ledger/replica/events.go
+++ b/internal/ledger/replica/events.go
@@ -42,4 +42,9 @@
 			"data nodes lie in fewer than three zones.")
 	eventZoneBorne = telemetry.Define(4167, "zone loss borne again",
 		"The shard outlives the loss of any zone again.")
+	eventRegionShort = telemetry.Define(4168, "region short of data nodes",
+		"A region has too few data nodes for a shard of its own; batch jobs that have to stay in it are refused until there are more.")
+	eventMisplaced = telemetry.Define(4169, "replica in another region",
+		"The disk holds a replica that has to lie in another region than this node's settings name, or in one of which they don't tell. "+
+			"It isn't run and is replaced; with the former settings it would go on.")
 )
--- a/internal/ledger/replica/options.go
+++ b/internal/ledger/replica/options.go
@@ -54,6 +54,11 @@
 	// ZoneLosses is how many zones may be lost at once, 0 or 1: no zone holds so many
 	// of a shard's replicas that the rest is no majority, where there are three zones.
 	ZoneLosses int
+	// Regions are those that may get a shard of their own, whose replicas lie only on
+	// nodes of the region; see Service.Need. LeastCopies is the least number of its
+	// replicas: a region with fewer data nodes gets none.
+	Regions     []string
+	LeastCopies int
 	// NewMachine makes the state machine of a shard.
 	NewMachine func(ledger.ShardID) ledger.StateMachine
 	// Registry takes the metrics; nil means none.
@@ -113,6 +118,8 @@
 		return trace.BadParameter("a node with a ledger folder needs a state machine")
 	case o.ZoneLosses < 0 || o.ZoneLosses > 1:
 		return trace.BadParameter("the ledger bears the loss of one zone at most, not of %d", o.ZoneLosses)
+	case hasDoubles(o.Regions):
+		return trace.BadParameter("two of the regions %v are not told apart by the ledger; rename one", o.Regions)
 	case o.Copies%2 == 0:
 		return trace.BadParameter("the number of copies must be odd, not %d", o.Copies)
 	}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -10,6 +10,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
 	"chutelock.dev/chutelock/internal/forward"
@@ -74,10 +75,15 @@
 		},
 		Forwarder: &forward.Forwarder{
 			Pool: f.pool, Balancer: f.balancer, Usable: f.facts.usable, Zone: settings.Node.Zone, Region: settings.Node.Region,
+			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
+				return f.facts.Snapshot().Configuration.RegionsNow(route, request.Tenant, request.Regions)
+			},
 			Observe: newRequestMetrics(common.registry).observe,
 			Refresh: f.refreshLoad, Chosen: f.reportChoice,
 		},
-		Jobs: batchwork.NewCaller(f.ledger, f.peers, f.nearReplica),
+		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
+			Directory: f.ledger, Sender: f.peers, Near: f.nearReplica, Within: f.within, LiesWithin: f.liesWithin,
+		}),
 	}
 	f.callers = &http.Server{
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
