--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,8 +27,8 @@
 // try runs one exchange. done says that the sink has its answer.
 func (fl *flight) try(ctx context.Context, lease *balance.Lease) (outcome, bool) {
 	engine := lease.Engine
-	if !fl.Usable(engine.ID, engine.Service) {
-		return outcome{kind: OutcomeNotSent, cause: upstream.ErrUnwanted, unwanted: true}, false
+	if err := fl.mayProceed(lease); err != nil {
+		return outcome{kind: OutcomeNotSent, cause: err, unwanted: true}, false
 	}
 	call := fl.call(engine)
 	call.Proceed = func() error { return fl.mayProceed(lease) }
@@ -57,8 +57,8 @@
 	return fl.whole(engine, answer)
 }
 
-// mayProceed looks once more right before the request is sent: opening a connection may
-// have taken long.
+// mayProceed says whether the request may be sent to its engine now. It is asked before a
+// connection is opened, and once more after that, as it may have taken long.
 func (fl *flight) mayProceed(lease *balance.Lease) error {
 	if !fl.Usable(lease.Engine.ID, lease.Engine.Service) {
 		return upstream.ErrUnwanted
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -45,7 +45,7 @@
 		g.Expect(lease.Engine.ID).To(gomega.Equal("s"))
 	}
 	time.AfterFunc(5*time.Millisecond, first.Release)
-	fl.route.Target = time.Hour
+	fl.request.Arrived = time.Now().Add(time.Hour) // a request without a target waits for a while after it came
 	waited, err := fl.acquire(context.Background())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(waited.Engine.ID).To(gomega.Equal("s"))
