--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -286,8 +286,6 @@
 	failures  uint8
 	// promptTokens is about how long the prompt is that an engine has to read.
 	promptTokens int
-	// rank is the tenant's on the job's route; 0 goes first.
-	rank int
 }
 
 // openItems lists the items that are not final, the first due first. Jobs are
--- a/internal/batchwork/order.go
+++ b/internal/batchwork/order.go
@@ -1,10 +1,6 @@
 package batchwork
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// paceStart is the assumed time of an event, and lengthStart the assumed
@@ -49,9 +45,9 @@
 }
 
 // order returns open items in the order in which they are to be run: those that
-// can still be done in time go first, by their rank and then the first due before the
-// others; the rest follow in the same order. In overload the first due of all would be
-// late for good and make all others late.
+// can still be done in time go first, the first due before the others; the rest
+// follow in the same order. In overload the first due of all would be late for
+// good and make all others late.
 func (p *pace) order(items []openItem, now time.Time) []openItem {
 	ordered := make([]openItem, 0, len(items))
 	var late []openItem
@@ -62,31 +58,5 @@
 			late = append(late, item)
 		}
 	}
-	ordered = append(ordered, late...)
-	late = ordered[len(ordered)-len(late):]
-	byRank(ordered[:len(ordered)-len(late)])
-	byRank(late)
-	return ordered
-}
-
-// byRank sorts items by their rank; the order within a rank stays.
-func byRank(items []openItem) {
-	slices.SortStableFunc(items, func(a, b openItem) int { return cmp.Compare(a.rank, b.rank) })
-}
-
-// rank fills the ranks of open items in; those of a job follow one another.
-func (r *Runner) rank(open []openItem) {
-	if r.options.Rank == nil {
-		return
-	}
-	for i := range open {
-		item := &open[i]
-		if i > 0 && item.job == open[i-1].job && item.tenant == open[i-1].tenant {
-			item.rank = open[i-1].rank
-			continue
-		}
-		if route := r.options.Route(item.host, item.path); route != nil {
-			item.rank = r.options.Rank(route, item.tenant)
-		}
-	}
+	return append(ordered, late...)
 }
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -41,7 +41,6 @@
 }
 
 func (r *Runner) order(open []openItem, now time.Time) []openItem {
-	r.rank(open)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.pace.order(open, now)
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -77,8 +77,6 @@
 	Route func(host, path string) *catalog.Route
 	// Regions are where a tenant's items of a route may be run; nil if anywhere.
 	Regions func(route *catalog.Route, tenant string) catalog.Regions
-	// Rank is that of a tenant's items of a route, 0 going first; nil if all are equal.
-	Rank func(route *catalog.Route, tenant string) int
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
 	Zone   string
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -225,11 +225,6 @@
 	return route.RegionsOf(c.facts.Snapshot().Configuration.Tenant(tenant))
 }
 
-// rank is that of a tenant's requests on a route.
-func (c *core) rank(route *catalog.Route, tenant string) int {
-	return route.PriorityOf(c.facts.Snapshot().Configuration.Tenant(tenant))
-}
-
 // localShard returns this node's replica.
 func (c *core) localShard() (ledger.Shard, bool) { return c.ledger.Local(0) }
 
