--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -152,7 +152,7 @@
 		of.online += online
 	}
 	sawRoom = len(near.engines)+len(far.engines) > 0
-	near, far = prediction.share(near, 1, draw), prediction.share(far, (1+prediction.farWeight)/2, draw)
+	near, far = prediction.share(near, 1, draw), prediction.share(far, farLooking, draw)
 	near.unheard = t.unheard(near.online, near.age)
 	far.unheard = t.unheard(far.online, far.age)
 	near.wait, far.wait = prediction.waitIn(near), prediction.waitIn(far)
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -231,11 +231,6 @@
 	return route
 }
 
-// rank is that of a tenant's requests on a route.
-func (c *core) rank(route *catalog.Route, tenant string) int {
-	return route.PriorityOf(c.facts.Snapshot().Configuration.Tenant(tenant))
-}
-
 // serve answers on an address until the server is shut down.
 func serve(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -94,7 +94,7 @@
 	runner := batchwork.NewRunner(batchwork.RunnerOptions{
 		Shard: local, Machine: machine, Pool: d.pool, Balancer: d.balancer,
 		Route: d.route, Regions: d.regionsAt(d.ledger.Region(shard)), Permitted: d.permitted,
-		Rank: d.rank, Usable: d.facts.usableForBatch, Zone: d.settings.Node.Zone, Keep: d.settings.Batch.Keep,
+		Usable: d.facts.usableForBatch, Zone: d.settings.Node.Zone, Keep: d.settings.Batch.Keep,
 		Settle: settleTime, Executors: d.executors, Sender: port, Receiver: port,
 		LocalRuns: d.settings.Batch.LocalRuns,
 	})
