--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -119,6 +119,9 @@
 	Machine *Machine
 	// Scarce says that the disk has no room for new jobs.
 	Scarce func() bool
+	// Stays says whether a tenant's job of a host and path may be kept in this shard by the
+	// newest configuration known here; nil if there are no regions.
+	Stays func(host, path, tenant string) bool
 	// Replicas lists the addresses of the nodes that can answer reads.
 	Replicas func() []transport.Address
 	Receiver transport.Receiver
@@ -130,6 +133,7 @@
 	shard   ledger.Shard
 	machine *Machine
 	scarce  func() bool
+	stays   func(host, path, tenant string) bool
 }
 
 // RegisterServer registers the handlers of a data node.
@@ -143,7 +147,7 @@
 			if !found {
 				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
 			}
-			content, err := serve(&Server{held, options.Machine, options.Scarce}, ctx, payload)
+			content, err := serve(&Server{held, options.Machine, options.Scarce, options.Stays}, ctx, payload)
 			var replicas []byte
 			if leads, _ := held.Leading(); leads && (kind == kindRead || kind == kindBody) {
 				replicas = encodeReplicas(options.Replicas())
@@ -188,13 +192,18 @@
 	return s.propose(ctx, encodeSubmit(job))
 }
 
-// admit reads a submission, and refuses it if there is no room.
+// admit reads a submission, and refuses it if there is no room, or if the front node that
+// sent it goes by a configuration that has not heard of the job's regions.
 func (s *Server) admit(payload []byte) (*Job, error) {
 	job, err := decodeJob(payload)
 	if err != nil {
 		return nil, err
 	}
-	if s.scarce() && !s.machine.knows(job.ID) {
+	known := s.machine.knows(job.ID)
+	if !known && s.stays != nil && !s.stays(job.Host, job.Path, job.Tenant) {
+		return nil, ErrOutdated
+	}
+	if !known && s.scarce() {
 		return nil, ledger.ErrUnavailable
 	}
 	job.Submitted = time.Now()
--- a/internal/batchwork/claim.go
+++ b/internal/batchwork/claim.go
@@ -200,7 +200,7 @@
 		return 0, nil, err
 	}
 	answer := claimAnswer{shard: settled.shard, epoch: index, homeEpoch: settled.epoch, formers: settled.formers}
-	if settled.shard != 0 {
+	if settled.shard != 0 && !slices.Contains(settled.formers, 0) { // a former home is asked for its own
 		answer.queued = m.queued[request.queue]
 	}
 	return answerDone, answer.marshal(), nil
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -105,9 +105,9 @@
 // Also runs items for the leaders of another shard, which are reached by its port.
 func (e *Executor) Also(sender transport.Sender, receiver transport.Receiver) {
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
 	port := len(e.senders)
 	e.senders = append(e.senders, sender)
+	e.mutex.Unlock()
 	receiver.HandleCall(kindRun, func(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
 		return e.handleRun(ctx, clientKey{from, port}, payload)
 	})
--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -56,10 +56,10 @@
 	service *Service
 	count   int
 	since   time.Time
-	// short are regions with too few data nodes for a shard, and shortOf how many nodes
-	// there were in all: until that changes, the store need not be asked.
-	short   []ledger.ShardID
-	shortOf int
+	// short are shards of regions with too few data nodes, and onlyShort says that all
+	// others exist.
+	short     []ledger.ShardID
+	onlyShort bool
 }
 
 // runBootstrap places the shards that don't exist yet, and starts the replicas
@@ -141,7 +141,7 @@
 	members := dataMembers(b.service.options.Members.View(), b.service.self())
 	var short, rest []ledger.ShardID
 	for _, id := range missing {
-		if nodes := len(b.service.within(id, members)); b.service.enough(id, nodes) {
+		if b.service.enough(id, b.service.within(id, members)) {
 			rest = append(rest, id)
 		} else {
 			short = append(short, id)
@@ -153,17 +153,14 @@
 				"nodes", len(b.service.within(id, members)), "least", b.service.options.LeastCopies)
 		}
 	}
-	b.short, b.shortOf = short, len(members)
-	if len(rest) > 0 {
-		b.shortOf = 0
-	}
+	b.short, b.onlyShort = short, len(rest) == 0
 	return rest
 }
 
-// waitsForNodes says that all that is missing are shards of regions with too few data
-// nodes, and that there are as many nodes as before.
+// waitsForNodes says that all that is missing are shards of regions that have too few data
+// nodes still.
 func (b *bootstrapper) waitsForNodes() bool {
-	if len(b.short) == 0 || b.shortOf == 0 {
+	if len(b.short) == 0 || !b.onlyShort {
 		return false
 	}
 	select {
@@ -171,7 +168,10 @@
 		return false
 	default:
 	}
-	return len(dataMembers(b.service.options.Members.View(), b.service.self())) == b.shortOf
+	members := dataMembers(b.service.options.Members.View(), b.service.self())
+	return !slices.ContainsFunc(b.short, func(id ledger.ShardID) bool {
+		return b.service.enough(id, b.service.within(id, members))
+	})
 }
 
 // mayPlace says whether enough data nodes are known, or no more are coming,
--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -165,6 +165,22 @@
 	onDisk   bool                 // keep the ledgers in real folders
 	root     string               // of these folders; removed after the nodes have stopped
 	wrap     func(*node) vfs.FS   // what a node sees of its file system; may be nil
+	frames   func(*node, []byte)  // is told of each frame that a node gets; may be nil
+}
+
+// frameWatch tells of the frames that a node gets.
+type frameWatch struct {
+	transport.Receiver
+	got func(payload []byte)
+}
+
+func (w frameWatch) HandleMessage(kind transport.Kind, handler transport.MessageHandler) {
+	w.Receiver.HandleMessage(kind, func(from transport.Address, payload []byte) {
+		if kind == kindFrame {
+			w.got(payload)
+		}
+		handler(from, payload)
+	})
 }
 
 type node struct {
@@ -236,6 +252,9 @@
 	c.list.set(membership.Member{Name: n.name, Address: opened.Address(), Zone: n.zone, Region: regionOfZone(n.zone), HasData: n.data})
 	options := c.options
 	options.Sender, options.Receiver = opened, opened
+	if c.frames != nil {
+		options.Receiver = frameWatch{opened, func(payload []byte) { c.frames(n, payload) }}
+	}
 	options.Members = memberSource{c.list, n.name}
 	options.Store = c.store
 	if n.data {
--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -189,6 +189,11 @@
 // sendAll queues messages for the peers; the caller holds the mutex.
 func (s *Shard) sendAll(messages []replication.Message) {
 	for _, message := range messages {
+		// Entries hold bodies: a node that came back in another region gets none of them
+		// until its replica is replaced.
+		if s.id.Regional() && s.misplaced(s.roster[message.To].Node) {
+			continue
+		}
 		address, known := s.addressOf(message.To)
 		if !known {
 			continue
--- a/internal/ledger/replica/regions.go
+++ b/internal/ledger/replica/regions.go
@@ -126,9 +126,10 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return !s.mayHold(id, m.Region) })
 }
 
-// enough says whether so many data nodes suffice for a shard.
-func (s *Service) enough(id ledger.ShardID, nodes int) bool {
-	return !id.Regional() || oddAtMost(min(nodes, s.options.Copies)) >= s.options.LeastCopies
+// enough says whether data nodes suffice for a shard: a region's gets as many replicas as
+// the losses of disks take, also where no zone may hold most of them, or none.
+func (s *Service) enough(id ledger.ShardID, members []membership.Member) bool {
+	return !id.Regional() || s.options.aim().replicas(sitesFor(members)) >= s.options.LeastCopies
 }
 
 // misplaced says whether a node, as membership sees it, is in another region than its
@@ -202,7 +203,7 @@
 // Enough says whether there are data nodes enough for a region's shard.
 func (s *Service) Enough(id ledger.ShardID) bool {
 	members := dataMembers(s.options.Members.View(), s.self())
-	return s.exists(id) && s.enough(id, len(s.within(id, members)))
+	return s.exists(id) && s.enough(id, s.within(id, members))
 }
 
 // Led says whether a shard has had a leader, as far as known here.
--- a/internal/ledger/replica/regions_test.go
+++ b/internal/ledger/replica/regions_test.go
@@ -1,7 +1,10 @@
 package replica
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,11 +166,48 @@
 	c.g.Expect(c.heldBy(0)).NotTo(gomega.BeEmpty())
 }
 
+// What is proposed while a node is in another region doesn't reach it, also where its
+// voter can't be replaced.
+func TestEntriesDoNotReachANodeOfAnotherRegion(t *testing.T) {
+	c := regionalCluster(t, Options{ReplaceAfter: 300 * time.Millisecond}, "n1", "n1", "n2", "s1", "s2", "s3")
+	const body = "only north may have this"
+	var outside, inside atomic.Int32
+	c.frames = func(n *node, payload []byte) {
+		switch {
+		case !bytes.Contains(payload, []byte(body)):
+		case regionOfZone(n.zone) == "north":
+			inside.Add(1)
+		default:
+			outside.Add(1)
+		}
+	}
+	for _, n := range c.nodes { // again, with their frames watched
+		c.kill(n)
+		c.start(n)
+	}
+	c.settled(0, 3)
+	c.need("north")
+	c.regionSettled(north, 3)
+	leader, known := c.nodes["n3"].service.Leader(north)
+	c.g.Expect(known).To(gomega.BeTrue())
+	at := slices.IndexFunc([]string{"n0", "n1", "n2"}, func(name string) bool { return c.nodes[name].transport.Address() != leader })
+	moved := c.nodes[[]string{"n0", "n1", "n2"}[at]]
+	c.kill(moved)
+	moved.zone = "s1"
+	c.start(moved)
+	for i := range 20 {
+		c.propose(north, fmt.Sprint(body, i))
+	}
+	c.g.Expect(inside.Load()).NotTo(gomega.BeZero())
+	c.g.Expect(outside.Load()).To(gomega.BeZero())
+}
+
 // Whatever nodes come, leave and are lost: no plan puts a replica outside the region,
 // and none falls below what it had.
 func TestPlansKeepToTheRegion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &Service{options: Options{Copies: 5, LeastCopies: 3, Regions: []string{"north", "south"}}, regions: regionsByShard([]string{"north", "south"})}
+		least := rapid.SampledFrom([]int{3, 5}).Draw(t, "least")
+		s := &Service{options: Options{Copies: 5, LeastCopies: least, ZoneLosses: rapid.IntRange(0, 1).Draw(t, "zone losses"), Regions: []string{"north", "south"}}, regions: regionsByShard([]string{"north", "south"})}
 		var members []membership.Member
 		for i := range rapid.IntRange(1, 14).Draw(t, "nodes") {
 			region := rapid.SampledFrom([]string{"north", "south", ""}).Draw(t, "region")
@@ -183,7 +223,7 @@
 			return "none"
 		}
 		inRegion := s.within(north, members)
-		if !s.enough(north, len(inRegion)) {
+		if !s.enough(north, inRegion) {
 			return
 		}
 		chosen := placeShards(1, sitesFor(inRegion), s.options.aim())[0]
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -100,6 +100,7 @@
 	})
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: local.replica, Machine: machine, Scarce: d.ledger.Scarce, Receiver: port,
+		Stays:    d.stays(d.ledger.Region(shard)),
 		Replicas: func() []transport.Address { return d.ledger.Replicas(shard) },
 	})
 	d.works.opened(shard, runner)
