--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,4 @@
 	UPDATE_BENCH=1 $(GO) test -count=1 -run TheTableOfDeployments ./test/docs
 
 events:
-	UPDATE_EVENTS=1 $(GO) test -count=1 ./test/docs
+	UPDATE_EVENTS=1 $(GO) test -count=1 -run Events ./test/docs
