--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -9,6 +9,7 @@
 
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -21,18 +22,20 @@
 	// attempts is how many of an engine's own failures give the item up.
 	attempts int
 
-	id        string
-	committed uint64 // last event that is committed
-	last      uint64 // last event that came
-	text      []byte // of the events after committed
-	commitAt  time.Time
-	result    runResult
+	id          string
+	fingerprint poison.Fingerprint
+	committed   uint64 // last event that is committed
+	last        uint64 // last event that came
+	text        []byte // of the events after committed
+	commitAt    time.Time
+	result      runResult
 }
 
 // run sends the item to its engine and commits what comes, until the stream ends
 // or ctx does.
 func (r *itemRun) run(ctx context.Context, read *Item) runResult {
 	r.id = read.ID
+	r.fingerprint = poison.Of(r.item.tenant, r.item.host, http.MethodPost, read.Path, read.Body)
 	r.committed, r.last = r.item.lastEvent, r.item.lastEvent
 	r.result.pause = r.exchange(ctx, read)
 	r.result.last = r.last
@@ -228,7 +231,7 @@
 	if ctx.Err() == nil || silent {
 		r.judge(engineFailed, cause)
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause,
-			"silent", silent, "last_event", r.last)
+			"silent", silent, "last_event", r.last, "fingerprint", r.fingerprint)
 	}
 	if r.node.open(r.item.job, r.item.index) {
 		_ = r.commitText(ctx, StateOpen, 0)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -134,7 +134,8 @@
 			step = fl.attempts.GiveUp(outcome.kind)
 		}
 		eventAttemptFailed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", engine.ID,
-			"outcome", outcome.kind, "cause", outcome.cause, "attempt", fl.tries, "last_event", fl.lastEvent, "retry", step == StepRetry)
+			"outcome", outcome.kind, "cause", outcome.cause, "attempt", fl.tries, "last_event", fl.lastEvent, "retry", step == StepRetry,
+			"fingerprint", fl.request.Fingerprint())
 		fl.note(engine, outcome)
 		if step != StepRetry {
 			fl.finish(step, outcome)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/poison"
 )
 
 // Request is a caller's request. Its method, target, header and body go to the
@@ -35,6 +36,11 @@
 	LastEvent uint64
 }
 
+// Fingerprint is the same for all requests of one caller with the same target and body.
+func (r *Request) Fingerprint() poison.Fingerprint {
+	return poison.Of(r.Tenant, r.Host, r.Method, r.URI, r.Body)
+}
+
 // Verdict is an answer of the system's own.
 type Verdict uint8
 
