--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/upstream"
 )
@@ -132,14 +133,14 @@
 	l.balancer.mutex.Lock()
 	defer l.balancer.mutex.Unlock()
 	if l.readAt.IsZero() {
-		l.readAt = time.Now()
+		l.readAt = clock.Now()
 	}
 	l.read()
 }
 
 func (l *Lease) read() {
 	if l.tokens > 0 {
-		l.balancer.table.Read(l.Engine.ID, l.tokens, time.Now())
+		l.balancer.table.Read(l.Engine.ID, l.tokens, clock.Now())
 		l.tokens = 0
 	}
 }
@@ -154,7 +155,7 @@
 	}
 	l.released = true
 	l.read()
-	now := time.Now()
+	now := clock.Now()
 	l.end(now)
 	if l.class == ClassOnline {
 		b.table.Took(now.Sub(l.begun))
@@ -177,10 +178,10 @@
 	}
 	l.released = true
 	l.read()
-	time.AfterFunc(max(0, b.table.ran-time.Since(l.begun)), func() {
+	time.AfterFunc(max(0, b.table.ran-clock.Since(l.begun)), func() {
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
-		l.end(time.Now())
+		l.end(clock.Now())
 	})
 }
 
@@ -209,7 +210,7 @@
 			return nil, false
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	engine, found := b.table.Choose(snapshot, wish, now, rand.Float64)
 	if !found {
 		return nil, false
@@ -247,7 +248,7 @@
 func (b *Balancer) await(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
 	self := b.enqueue(wish.Service, priority)
 	defer b.dequeue(self)
-	started, budget := time.Now(), wish.Wait
+	started, budget := clock.Now(), wish.Wait
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	recheck := time.NewTicker(recheckInterval)
@@ -265,13 +266,13 @@
 			refresh(ctx)
 		}
 		if budget > 0 {
-			wish.Wait = max(1, budget-time.Since(started))
+			wish.Wait = max(1, budget-clock.Since(started))
 		}
 		if lease, found := b.take(ctx, wish, self, priority); found {
 			return lease, nil
 		}
 		// Never 0, as the limit tells when the wait is over.
-		if err := b.hopeless(wish, max(1, wait-time.Since(started))); err != nil {
+		if err := b.hopeless(wish, max(1, wait-clock.Since(started))); err != nil {
 			return nil, err
 		}
 	}
@@ -310,7 +311,7 @@
 func (b *Balancer) Reported(id string, load upstream.Load) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.Reported(id, load, time.Now())
+	b.table.Reported(id, load, clock.Now())
 }
 
 // Connected notes how long it took to open a connection to an engine.
@@ -321,20 +322,20 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.distances.note(engine.Zone, took, time.Now())
+	b.table.distances.note(engine.Zone, took, clock.Now())
 }
 
 // Succeeded notes that an engine answered.
 func (b *Balancer) Succeeded(id string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.Succeeded(id, time.Now())
+	b.table.Succeeded(id, clock.Now())
 }
 
 // Failed sets an engine aside for a while.
 func (b *Balancer) Failed(id string, cause error) {
 	b.mutex.Lock()
-	pause := b.table.Failed(id, time.Now())
+	pause := b.table.Failed(id, clock.Now())
 	b.mutex.Unlock()
 	eventEngineAside.Info("engine", id, "pause", pause, "cause", cause)
 }
@@ -343,14 +344,14 @@
 func (b *Balancer) Refused(id string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.Refused(id, time.Now())
+	b.table.Refused(id, clock.Now())
 }
 
 // Own returns what this node has under way.
 func (b *Balancer) Own() Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.Own(time.Now())
+	return b.table.Own(clock.Now())
 }
 
 // OwnIn counts what this node has under way at engines of the zones, by zone.
@@ -380,14 +381,14 @@
 func (b *Balancer) All() Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.All(time.Now())
+	return b.table.All(clock.Now())
 }
 
 // PeerLoad takes what another node, or all others together, have under way.
 func (b *Balancer) PeerLoad(peer string, running Report) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.PeerLoad(peer, running, time.Now())
+	b.table.PeerLoad(peer, running, clock.Now())
 }
 
 // Ran is how long online requests hold a slot, on average.
@@ -409,7 +410,7 @@
 	snapshot := b.snapshot()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.AnyPressed(snapshot, time.Now())
+	return b.table.AnyPressed(snapshot, clock.Now())
 }
 
 // Overfull lists the engines where batch work of this node has to make way.
@@ -417,12 +418,12 @@
 	snapshot := b.snapshot()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.table.Overfull(snapshot, time.Now())
+	return b.table.Overfull(snapshot, clock.Now())
 }
 
 // Forget drops what is out of date.
 func (b *Balancer) Forget() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.Forget(time.Now())
+	b.table.Forget(clock.Now())
 }
--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // permitTries is how many engines a request asks permits for before it waits: each ask
@@ -78,7 +79,7 @@
 	if !permission.Until.IsZero() {
 		lease.permit = permission.Until
 		b.mutex.Lock()
-		b.pressFor(lease, time.Now())
+		b.pressFor(lease, clock.Now())
 		b.mutex.Unlock()
 		return true
 	}
@@ -101,7 +102,7 @@
 	defer b.mutex.Unlock()
 	l.released = true
 	l.read()
-	now := time.Now()
+	now := clock.Now()
 	b.table.End(l.Engine.ID, l.class, now)
 	b.table.fullFor(l.Engine.ID, full, now)
 }
@@ -112,7 +113,7 @@
 	if l.balancer.Permit == nil {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	engine := l.Engine
 	if newer, known := l.balancer.snapshot().Engine(engine.ID); known {
 		engine = newer
@@ -128,7 +129,7 @@
 	engines := allowed(b.snapshot(), wish)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if paced := b.table.pacedOf(engines, time.Now()); paced.Paced > 0 {
+	if paced := b.table.pacedOf(engines, clock.Now()); paced.Paced > 0 {
 		return &paced
 	}
 	return ErrNoRoom
--- a/internal/balance/many.go
+++ b/internal/balance/many.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // AcquireMany returns places for batch work, for as many of the wishes as engines
@@ -21,7 +22,7 @@
 			return nil
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	engines := b.table.chooseMany(snapshot, wishes, now)
 	leases := make([]*Lease, 0, len(engines))
 	for i, engine := range engines {
--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
@@ -263,7 +264,7 @@
 
 // read calls a replica nearby, and the leader if that fails.
 func (c *Caller) read(ctx context.Context, asked call) ([]byte, error) {
-	replica, found := c.nearby(asked.shard, time.Now())
+	replica, found := c.nearby(asked.shard, clock.Now())
 	if !found {
 		content, _, err := c.call(ctx, asked)
 		return content, err
@@ -274,7 +275,7 @@
 	if err == nil || final(err) {
 		return content, err
 	}
-	c.setAside(replica, time.Now())
+	c.setAside(replica, clock.Now())
 	eventReplicaAside.Info("peer", replica, "cause", err, "pause", nearAside)
 	content, _, err = c.call(ctx, asked)
 	return content, err
--- a/internal/batchwork/delegate.go
+++ b/internal/batchwork/delegate.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
@@ -26,11 +27,11 @@
 		run: next.number, item: next.item, read: *read, engine: next.engine, attempts: next.route.Attempts,
 		restricted: r.regions(next.route, next.item.tenant) != nil,
 	}
-	calling, cancel := context.WithDeadlineCause(next.calling, next.item.giveUp.Add(giveUpMargin), errRunLost)
+	calling, cancel := context.WithTimeoutCause(next.calling, clock.Until(next.item.giveUp)+giveUpMargin, errRunLost)
 	defer cancel()
 	release := context.AfterFunc(next.ctx, func() { r.stopAt(next) })
 	defer release()
-	encoded, err := r.options.Sender.Call(calling, next.executor, kindRun, request.marshal(time.Now()))
+	encoded, err := r.options.Sender.Call(calling, next.executor, kindRun, request.marshal(clock.Now()))
 	if err == nil {
 		var result runResult
 		if result, err = unmarshalResult(encoded); err == nil {
@@ -62,7 +63,7 @@
 func (r *Runner) executorFailed(executor transport.Address, cause error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.executors.fail(executor, time.Now())
+	r.executors.fail(executor, clock.Now())
 	eventExecutorLost.Info("peer", executor, "cause", cause)
 }
 
@@ -125,7 +126,7 @@
 func (r *Runner) noteSteps(from transport.Address, encoded [][]byte) (wanted [][]byte, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.executors.hear(from, time.Now())
+	r.executors.hear(from, clock.Now())
 	for _, field := range encoded {
 		s, err := decodeStep(field)
 		if err != nil {
@@ -147,5 +148,5 @@
 func (r *Runner) takeAlive(from transport.Address, _ []byte) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.executors.hear(from, time.Now())
+	r.executors.hear(from, clock.Now())
 }
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
@@ -148,7 +149,7 @@
 // handleRun runs an item and answers how that ended. ctx ends with the leader's
 // connection.
 func (e *Executor) handleRun(ctx context.Context, from clientKey, payload []byte) ([]byte, error) {
-	request, err := unmarshalRun(payload, time.Now())
+	request, err := unmarshalRun(payload, clock.Now())
 	if err != nil {
 		eventBadRun.Error(err, "peer", from.leader)
 		return nil, trace.Wrap(err, "run of peer %s", from.leader)
@@ -207,7 +208,7 @@
 	c = &client{leader: from.leader, sender: e.senders[from.port], runs: map[uint64]context.CancelFunc{}}
 	c.gatherer = newGatherer(executorGather, func(ctx context.Context, steps []step) error { return e.hand(ctx, c, steps) })
 	c.node = &runNode{
-		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, opened: time.Now(), guard: e.options.Guard,
+		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, opened: clock.Now(), guard: e.options.Guard,
 		open: func(string, uint32) bool { return true }, // the ledger drops what it doesn't want
 	}
 	e.clients[from] = c
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/upstream"
@@ -143,9 +144,9 @@
 func (r *itemRun) stream(ctx, watch context.Context, answer *upstream.Answer, timer *time.Timer, silence <-chan struct{}) time.Duration {
 	r.node.streams.Add(1)
 	defer r.node.streams.Add(-1)
-	started, first := time.Now(), r.last
+	started, first := clock.Now(), r.last
 	r.commitAt = started.Add(firstCommit)
-	defer func() { r.result.took, r.result.events = time.Since(started), r.last-first }()
+	defer func() { r.result.took, r.result.events = clock.Since(started), r.last-first }()
 	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: answer, start: r.node.opened, interval: r.node.readInterval})
 	for {
 		event, err := events.Next()
@@ -168,10 +169,10 @@
 		}
 		if r.last == first {
 			r.hooks.noteBegun()
-			r.answered = time.Now()
+			r.answered = clock.Now()
 		}
 		r.add(event)
-		if time.Now().After(r.commitAt) {
+		if clock.Now().After(r.commitAt) {
 			if err := r.commitText(ctx, StateOpen, 0); err != nil {
 				return failurePause
 			}
@@ -190,7 +191,7 @@
 
 // commitText commits what came since the last commit, with a state.
 func (r *itemRun) commitText(ctx context.Context, state State, failures uint8) error {
-	r.commitAt = time.Now().Add(commitInterval)
+	r.commitAt = clock.Now().Add(commitInterval)
 	if r.last == r.committed && state == StateOpen && failures == 0 {
 		return nil
 	}
@@ -251,7 +252,7 @@
 	}
 	answering := time.Duration(0)
 	if !r.answered.IsZero() {
-		answering = time.Since(r.answered)
+		answering = clock.Since(r.answered)
 	}
 	r.node.guard.Broke(ctx, poison.Break{Engine: r.engine, Request: r.id, Answering: answering, Fingerprint: r.print})
 }
--- a/internal/batchwork/leading.go
+++ b/internal/batchwork/leading.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 )
 
@@ -38,7 +39,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.term = term
-	r.since = time.Now()
+	r.since = clock.Now()
 }
 
 // settled says that this node has led for long enough to know engines' load.
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // plan starts and stops runs as leadership and open items demand. It returns how
@@ -12,13 +14,13 @@
 		r.stopAll()
 		return 0
 	}
-	now := time.Now()
-	open := r.order(r.options.Machine.openItems(), now)
+	now := clock.Now()
+	open := r.order(timed(r.options.Machine.openItems(), now, time.Now()), now)
 	r.stopEnded()
 	r.dropSilent(now)
 	r.logState(len(open), now)
 	r.commitVerdicts(open, now)
-	took := time.Since(now)
+	took := clock.Since(now)
 	if !r.settled(now) {
 		return took
 	}
@@ -32,6 +34,18 @@
 	return took
 }
 
+// timed turns the dates of items into times of the clock that runs are kept by: this
+// machine may have been suspended, and its time of day set, since the jobs came.
+func timed(open []openItem, now, date time.Time) []openItem {
+	date = date.Round(0)
+	for i := range open {
+		item := &open[i]
+		item.due = now.Add(item.due.Sub(date))
+		item.giveUp = now.Add(item.giveUp.Sub(date))
+	}
+	return open
+}
+
 // lookAgain makes the next look at open items come without waiting for a change.
 func (r *Runner) lookAgain() {
 	select {
@@ -121,7 +135,7 @@
 	case !r.options.Machine.isOpen(k.job, k.index):
 		delete(r.formers, k)
 	case pause > 0:
-		r.pauses[k] = time.Now().Add(pause)
+		r.pauses[k] = clock.Now().Add(pause)
 	}
 	r.mutex.Unlock()
 	r.lookAgain()
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -11,6 +11,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/telemetry"
@@ -168,7 +169,7 @@
 	}
 	r.gatherer = newGatherer(gatherTime, r.propose)
 	r.node = &runNode{
-		pool: options.Pool, usable: options.Usable, permitted: options.permitted, commit: r.commit, opened: time.Now(), open: options.Machine.isOpen,
+		pool: options.Pool, usable: options.Usable, permitted: options.permitted, commit: r.commit, opened: clock.Now(), open: options.Machine.isOpen,
 		guard: options.Guard,
 	}
 	if options.Receiver != nil {
@@ -250,7 +251,7 @@
 	if r.options.Keep <= 0 || !r.Leading() {
 		return
 	}
-	now := time.Now()
+	now := time.Now() // dates are compared
 	old := r.options.Machine.purgeable(now.Add(-r.options.Keep))
 	stale := r.options.Machine.forgettable(now, r.options.Keep)
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -277,11 +278,11 @@
 }
 
 func (r *Runner) proposeEncoded(ctx context.Context, steps [][]byte) error {
-	started := time.Now()
-	_, err := r.options.Shard.Propose(ctx, encodeAdvanced(steps, started))
+	started := clock.Now()
+	_, err := r.options.Shard.Propose(ctx, encodeAdvanced(steps, time.Now()))
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	r.limit.observe(now.Sub(started), len(r.runs), now)
 	return err
 }
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -8,6 +8,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/transport"
 	"chutelock.dev/chutelock/internal/upstream"
@@ -204,7 +205,7 @@
 	next.calling, next.abandon = context.WithCancel(context.WithoutCancel(ctx))
 	candidates := r.executorsNear(lease.Engine)
 	k := itemKey{item.job, item.index}
-	now := time.Now()
+	now := clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.formers[k] = lease.Engine.ID
--- a/internal/batchwork/verdicts.go
+++ b/internal/batchwork/verdicts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // verdictsMost bounds the ends of items that are committed at once.
@@ -84,7 +86,7 @@
 func (r *Runner) noteVerdicts(steps []step, err error) {
 	if err != nil {
 		eventCommitLost.Error(err, "items", len(steps))
-		r.rest(steps, time.Now().Add(failurePause))
+		r.rest(steps, clock.Now().Add(failurePause))
 		return
 	}
 	r.mutex.Lock()
--- a/internal/batchwork/yield.go
+++ b/internal/batchwork/yield.go
@@ -2,7 +2,8 @@
 
 import (
 	"sort"
-	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // begun notes that the first event of an item's run came.
@@ -16,7 +17,7 @@
 
 // Yield takes slots back from batch work where online work needs them.
 func (r *Runner) Yield() {
-	now := time.Now()
+	now := clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if now.Before(r.yieldAt) {
--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -9,6 +9,7 @@
 
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
@@ -17,11 +18,11 @@
 
 // bounded returns a context that ends in time to answer the caller.
 func bounded(parent context.Context, deadline time.Time, wait time.Duration) (context.Context, context.CancelFunc) {
-	limit := time.Now().Add(callTimeout + wait)
+	limit := clock.Now().Add(callTimeout + wait)
 	if !deadline.IsZero() && deadline.Add(-callMargin).Before(limit) {
 		limit = deadline.Add(-callMargin)
 	}
-	return context.WithDeadline(parent, limit)
+	return context.WithTimeout(parent, clock.Until(limit))
 }
 
 func (e *Edge) submit(w http.ResponseWriter, r *http.Request, route *catalog.Route, body []byte, request *forward.Request) {
@@ -49,7 +50,7 @@
 }
 
 func (e *Edge) jobCallFailed(w http.ResponseWriter, call, job string, err error, arrived time.Time) {
-	eventJobCall.Info("call", call, "job", job, "cause", err, "held", time.Since(arrived))
+	eventJobCall.Info("call", call, "job", job, "cause", err, "held", clock.Since(arrived))
 	switch {
 	case errors.Is(err, batchwork.ErrNoJob):
 		answer(w, http.StatusNotFound, "no such batch job or item")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/telemetry"
@@ -98,7 +99,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	arrived := time.Now()
+	arrived := clock.Now()
 	configuration := e.Snapshot().Configuration
 	if configuration == nil {
 		e.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
@@ -147,7 +148,7 @@
 		e.forward(w, r, route, &request)
 		return
 	}
-	admitted := time.Now()
+	admitted := clock.Now()
 	if !e.fits(w, r, from.tenant, &request) {
 		return
 	}
@@ -168,7 +169,7 @@
 }
 
 func (e *Edge) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	facts, _ := e.Dialect.Facts(r, time.Now()) // what can't be read stays empty
+	facts, _ := e.Dialect.Facts(r, clock.Now()) // what can't be read stays empty
 	eventRejected.Info("request", facts.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
 	answer(w, status, reason)
 }
@@ -243,7 +244,7 @@
 	request.Header = endToEnd(r.Header)
 	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
 	if !request.Deadline.IsZero() {
-		_ = sink.controller.SetWriteDeadline(request.Deadline.Add(writeSlack))
+		_ = sink.controller.SetWriteDeadline(time.Now().Add(clock.Until(request.Deadline) + writeSlack))
 	}
 	sent = e.Forwarder.Serve(r.Context(), request, route, sink)
 	if sink.aborted {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -166,7 +167,7 @@
 		return outcome{kind: OutcomeUnknown, cause: err}, false
 	}
 	fl.Balancer.Succeeded(engine.ID)
-	fl.first = time.Now()
+	fl.first = clock.Now()
 	fl.passed(fl.sink.Whole(answer.Status, answer.Header, body))
 	return outcome{}, true
 }
@@ -198,7 +199,7 @@
 		silence.Heard()
 		lease.Read()
 		if fl.answered.IsZero() {
-			fl.answered = time.Now()
+			fl.answered = clock.Now()
 		}
 		if event.HasID && fl.begun && event.ID <= fl.lastEvent {
 			continue
@@ -214,7 +215,7 @@
 func (fl *flight) pass(answer *upstream.Answer, event Event) error {
 	if !fl.begun {
 		fl.begun = true
-		fl.first = time.Now()
+		fl.first = clock.Now()
 		if err := fl.sink.Begin(answer.Status, answer.Header); err != nil {
 			return err
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,6 +7,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/upstream"
@@ -108,7 +109,7 @@
 	}
 	if !fl.deadline.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, fl.deadline)
+		ctx, cancel = context.WithTimeout(ctx, clock.Until(fl.deadline))
 		defer cancel()
 	}
 	fl.run(ctx)
@@ -122,9 +123,9 @@
 			fl.heldBack(left)
 			return
 		}
-		asked := time.Now()
+		asked := clock.Now()
 		lease, err := fl.acquire(ctx)
-		fl.waited += time.Since(asked)
+		fl.waited += clock.Since(asked)
 		if err != nil {
 			fl.withoutEngine(ctx, err)
 			return
@@ -169,11 +170,11 @@
 // one of the route if that has none.
 func (fl *flight) acquire(ctx context.Context) (*balance.Lease, error) {
 	door := fl.admission()
-	wish := fl.wish(door.waitAtEngine(time.Now()))
+	wish := fl.wish(door.waitAtEngine(clock.Now()))
 	if fl.Refresh != nil {
 		fl.Refresh(ctx)
 	}
-	lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, door.patience(time.Now()), fl.Refresh)
+	lease, err := fl.Balancer.Acquire(ctx, wish, fl.request.Priority, door.patience(clock.Now()), fl.Refresh)
 	if err == nil && fl.Chosen != nil {
 		fl.Chosen()
 	}
@@ -202,7 +203,7 @@
 		return nil, failure
 	}
 	wish.Service = waiting
-	return fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.admission().patience(time.Now()), fl.Refresh)
+	return fl.Balancer.Acquire(ctx, wish, fl.request.Priority, fl.admission().patience(clock.Now()), fl.Refresh)
 }
 
 // regions are where the request may be served now.
@@ -230,7 +231,7 @@
 }
 
 func (fl *flight) timeLeft() bool {
-	return fl.deadline.IsZero() || time.Until(fl.deadline) > leastTime
+	return fl.deadline.IsZero() || clock.Until(fl.deadline) > leastTime
 }
 
 // withoutEngine ends a request that no engine has room for.
@@ -267,7 +268,7 @@
 func (fl *flight) left(cause error) {
 	fl.verdict = verdictLeft
 	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
-		"held", time.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
+		"held", clock.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
 }
 
 func (fl *flight) finish(step Step, outcome outcome) {
@@ -289,7 +290,7 @@
 func (fl *flight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
 	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
-		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
+		"attempts", fl.tries, "held", clock.Since(fl.request.Arrived))
 	after := time.Duration(0)
 	if verdict == VerdictNotRun {
 		after = fl.comeBackFrom(cause)
@@ -302,7 +303,7 @@
 func (fl *flight) abort(cause error) {
 	fl.verdict = verdictAborted
 	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
-		"attempts", fl.tries, "held", time.Since(fl.request.Arrived))
+		"attempts", fl.tries, "held", clock.Since(fl.request.Arrived))
 	fl.sink.Abort()
 }
 
@@ -319,7 +320,7 @@
 
 func (fl *flight) observe() {
 	result := Result{
-		Route: fl.route, Verdict: fl.verdict, Attempts: fl.tries, Waited: fl.waited, Total: time.Since(fl.request.Arrived),
+		Route: fl.route, Verdict: fl.verdict, Attempts: fl.tries, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
 	}
 	if !fl.first.IsZero() {
 		result.First = fl.first.Sub(fl.request.Arrived)
--- a/internal/forward/heldback.go
+++ b/internal/forward/heldback.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/poison"
 )
 
@@ -44,7 +45,7 @@
 	}
 	answering := time.Duration(0)
 	if !fl.answered.IsZero() {
-		answering = time.Since(fl.answered)
+		answering = clock.Since(fl.answered)
 	}
 	fl.Guard.Broke(ctx, poison.Break{Engine: engine, Request: fl.request.ID, Answering: answering, Fingerprint: fl.fingerprint})
 }
--- a/internal/forward/paced.go
+++ b/internal/forward/paced.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // noEngineBack is the least time after which a caller is told to ask again where the service
@@ -29,5 +30,5 @@
 	if errors.As(cause, &paced) && paced.After > 0 {
 		return paced.After + rand.N(max(1, fl.Balancer.Ran()))
 	}
-	return fl.admission().comeBack(fl.Balancer.Ran(), time.Now(), rand.Float64())
+	return fl.admission().comeBack(fl.Balancer.Ran(), clock.Now(), rand.Float64())
 }
--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
@@ -68,17 +69,17 @@
 	if s.options.Store == nil {
 		return
 	}
-	b := &bootstrapper{service: s, since: time.Now()}
+	b := &bootstrapper{service: s, since: clock.Now()}
 	wait := bootstrapInterval
 	for {
-		complete, err := b.step(time.Now())
+		complete, err := b.step(clock.Now())
 		if complete {
 			select {
 			case <-s.running.Done():
 				return
 			case <-s.need:
 			}
-			b.since, wait = time.Now(), bootstrapInterval
+			b.since, wait = clock.Now(), bootstrapInterval
 			continue
 		}
 		if err != nil {
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/membership"
@@ -288,7 +289,7 @@
 	if !found {
 		return nil, trace.Wrap(errNotHere)
 	}
-	session, marker, err := s.snapshots.open(shard, time.Now())
+	session, marker, err := s.snapshots.open(shard, clock.Now())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -1,10 +1,9 @@
 package replica
 
 import (
-	"time"
-
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 )
@@ -179,7 +178,7 @@
 		s.service.announce(s.id, status.Term)
 	case led && !leads:
 		eventFollowing.Info("shard", s.id, "replica", s.replica, "term", status.Term)
-		s.orphanedAt = time.Now()
+		s.orphanedAt = clock.Now()
 	}
 	if address, known := s.leaderAddress(); known {
 		s.service.directory.learn(s.id, status.Term, address)
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
@@ -57,7 +58,7 @@
 		}
 		for _, shard := range s.allShards() {
 			s.metrics.noteRegional(shard)
-			if err := shard.repairStep(time.Now()); err != nil && s.running.Err() == nil {
+			if err := shard.repairStep(clock.Now()); err != nil && s.running.Err() == nil {
 				eventRepairFailed.Error(err, "shard", shard.id)
 			}
 		}
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/storage"
 	"chutelock.dev/chutelock/internal/membership"
@@ -301,7 +302,7 @@
 	leading, noQuorum, exposed := 0, 0, 0
 	shards := s.allShards()
 	for _, shard := range shards {
-		shard.tick(time.Now())
+		shard.tick(clock.Now())
 		shard.mutex.Lock()
 		if shard.soft.Leader == shard.replica {
 			leading++
@@ -314,7 +315,7 @@
 		}
 		shard.mutex.Unlock()
 	}
-	s.snapshots.expire(time.Now(), sessionIdle, nil)
+	s.snapshots.expire(clock.Now(), sessionIdle, nil)
 	s.metrics.leading.Set(float64(leading))
 	s.metrics.noQuorum.Set(float64(noQuorum))
 	s.metrics.zoneExposed.Set(float64(exposed))
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
@@ -126,8 +127,8 @@
 	}
 	s.core = core
 	s.soft = replication.SoftState{}
-	s.leaderlessSince = time.Now()
-	core.Tick(time.Now())
+	s.leaderlessSince = clock.Now()
+	core.Tick(clock.Now())
 	return nil
 }
 
--- a/internal/ledger/replica/transfer.go
+++ b/internal/ledger/replica/transfer.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
@@ -103,7 +104,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	session.inUse--
-	session.used = time.Now()
+	session.used = clock.Now()
 }
 
 // expire closes the sessions that have been idle for so long; of one shard
@@ -132,7 +133,7 @@
 
 // closeAll ends the sessions of a shard.
 func (n *snapshots) closeAll(shard *Shard) {
-	for n.expire(time.Now(), 0, shard) > 0 {
+	for n.expire(clock.Now(), 0, shard) > 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -117,7 +118,7 @@
 // Start begins to read the store and to ask peers. One peer that is asked is of
 // the node's own zone where there is one, the other is of any.
 func (a *Agent) Start() {
-	a.started = time.Now()
+	a.started = clock.Now()
 	for _, kind := range a.options.Kinds {
 		a.run(func() { a.follow(kind) })
 	}
@@ -185,7 +186,7 @@
 		return
 	}
 	eventChanged.Info("kind", delta.Kind, "way", way, "revision", at, "objects", len(delta.Objects),
-		"age", time.Since(confirmed))
+		"age", clock.Since(confirmed))
 	if a.options.Changed != nil {
 		a.options.Changed(delta.Kind)
 	}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 const (
@@ -25,7 +27,7 @@
 	wait := storeRetryFirst
 	mustList, lost := true, false
 	for a.running.Err() == nil {
-		task := a.nextTask(kind, mustList, rand.Float64(), time.Now())
+		task := a.nextTask(kind, mustList, rand.Float64(), clock.Now())
 		if task.rest > 0 {
 			a.pause(task.rest)
 			continue
@@ -80,7 +82,7 @@
 	case mustList && (watches || stale(kind, age, draw)):
 		return task{list: true}
 	case watches:
-		return task{hold: watchTime(kind, rank, now)}
+		return task{hold: watchTime(kind, rank, time.Now())} // watchers go by the time of day that they share
 	case stale(kind, age, draw):
 		return task{hold: pollTime}
 	}
@@ -99,7 +101,7 @@
 
 // readStore does one call of the store, and says whether it told of changes.
 func (a *Agent) readStore(kind Kind, next task) (news bool, err error) {
-	started := time.Now()
+	started := clock.Now()
 	if next.list {
 		ctx, cancel := context.WithTimeout(a.running, listTimeout)
 		defer cancel()
@@ -118,7 +120,7 @@
 		return false, err
 	}
 	// An answer that was held tells of its end, not of its start.
-	confirmed := started.Add(min(time.Since(started), next.hold))
+	confirmed := started.Add(min(clock.Since(started), next.hold))
 	a.merge("watch", Delta{Kind: kind.Name, Since: since, At: max(at, since), Objects: objects}, confirmed)
 	return len(objects) > 0, nil
 }
@@ -126,7 +128,7 @@
 func (a *Agent) noteHeard() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.heard = time.Now()
+	a.heard = clock.Now()
 }
 
 // Heard is when the store last answered this node.
@@ -141,7 +143,7 @@
 func (a *Agent) Age(kind string) time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.fresh.age(kind, time.Now())
+	return a.fresh.age(kind, clock.Now())
 }
 
 func (a *Agent) position(kind string) uint64 {
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "pull of peer %s", from)
 	}
-	received := time.Now()
+	received := clock.Now()
 	a.learnNodes(request.nodes)
 	a.rememberPeer(from)
 	timer := time.NewTimer(request.wait)
@@ -89,7 +90,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	found := newsNone
-	now := time.Now()
+	now := clock.Now()
 	for _, kind := range a.options.Kinds {
 		asked, wanted := request.kinds[kind.Name]
 		if !wanted || a.table.At(kind.Name) == 0 {
@@ -116,7 +117,7 @@
 			reply.nodes = append(reply.nodes, node)
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	for kind, asked := range request.kinds {
 		if delta, known := a.table.Since(kind, asked.at); known {
 			reply.deltas = append(reply.deltas, agedDelta{Delta: delta, age: a.fresh.age(kind, now)})
@@ -165,7 +166,7 @@
 	defer a.mutex.Unlock()
 	askers := make([]transport.Address, 0, len(a.peers))
 	for peer, at := range a.peers {
-		if time.Since(at) <= peerMemory {
+		if clock.Since(at) <= peerMemory {
 			askers = append(askers, peer)
 		}
 	}
@@ -175,10 +176,10 @@
 func (a *Agent) rememberPeer(peer transport.Address) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.peers[peer] = time.Now()
+	a.peers[peer] = clock.Now()
 	delete(a.failing, peer)
 	for other, at := range a.peers {
-		if time.Since(at) > peerMemory {
+		if clock.Since(at) > peerMemory {
 			delete(a.peers, other)
 		}
 	}
@@ -271,7 +272,7 @@
 		}
 	}
 	switch {
-	case zone == "" && a.isStale(time.Now()), a.options.DataNode && a.isStale(time.Now()):
+	case zone == "" && a.isStale(clock.Now()), a.options.DataNode && a.isStale(clock.Now()):
 		return all
 	case a.options.DataNode:
 		return all[:min(len(all), watcherCount)]
@@ -357,6 +358,7 @@
 func (a *Agent) pullFrom(peer transport.Address, failures int) (known bool, err error) {
 	request, known := a.pullRequest()
 	ctx, cancel := context.WithTimeout(a.running, pullTime(request, known, failures))
+	asked := clock.Now()
 	defer cancel()
 	encoded, err := a.options.Sender.Call(ctx, peer, kindPull, request.marshal())
 	if err != nil {
@@ -366,10 +368,12 @@
 	if err != nil {
 		return known, trace.Wrap(err, "pull from peer %s", peer)
 	}
-	received := time.Now()
+	// An answer that lay here while this process stood still is no newer than what the
+	// peer knew when it had held the pull for as long as it may.
+	answered := asked.Add(min(clock.Since(asked), request.wait+pullSlack))
 	a.learnNodes(reply.nodes)
 	for _, delta := range reply.deltas {
-		a.merge("peer", delta.Delta, received.Add(-delta.age))
+		a.merge("peer", delta.Delta, answered.Add(-delta.age))
 	}
 	// A peer may know some kinds only, or mirror fewer: it isn't asked again at once.
 	if !known && !a.knowsAll() {
@@ -393,7 +397,7 @@
 	request.kinds = map[string]position{}
 	request.nodesDigest = digest(a.nodes)
 	known = true
-	now := time.Now()
+	now := clock.Now()
 	for _, kind := range a.options.Kinds {
 		request.kinds[kind.Name] = position{at: a.table.At(kind.Name), age: a.fresh.age(kind.Name, now)}
 		known = known && a.table.At(kind.Name) > 0
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -20,12 +20,18 @@
 type window struct {
 	span   time.Duration
 	counts [kept]int32
-	newest int64 // number of the newest bucket since the zero time
+	// epoch is when bucket 0 began: buckets go by the clock that passed times are of,
+	// which doesn't jump as a date does.
+	epoch  time.Time
+	newest int64 // number of the newest bucket
 }
 
 func (w *window) bucket(now time.Time) (number int64, into float64) {
 	length := int64(w.span / buckets)
-	at := now.UnixNano()
+	if w.epoch.IsZero() {
+		w.epoch = now
+	}
+	at := max(0, int64(now.Sub(w.epoch)))
 	return at / length, float64(at%length) / float64(length)
 }
 
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -15,6 +15,7 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/mirror"
@@ -215,9 +216,9 @@
 		select {
 		case <-c.stop:
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
 			snapshot := c.facts.Snapshot()
-			c.pool.Prune(now, func(_, instance string) bool {
+			c.pool.Prune(clock.Now(), func(_, instance string) bool {
 				engine, found := snapshot.Engine(instance)
 				return found && !engine.Leaving
 			})
--- a/internal/system/drains.go
+++ b/internal/system/drains.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -56,7 +57,7 @@
 			online += counts[balance.ClassOnline]
 			batch += counts[balance.ClassBatch]
 		}
-		if watch.due(online+batch, time.Now()) {
+		if watch.due(online+batch, clock.Now()) {
 			eventDrainProgress.Info("zones", zones, "online", online, "batch", batch, "by_zone", byZone(zones, underWay))
 		}
 	}
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/telemetry"
@@ -89,7 +90,7 @@
 		f.refresh()
 		timer.Stop()
 		if !f.again.IsZero() {
-			timer.Reset(max(0, time.Until(f.again)))
+			timer.Reset(max(0, clock.Until(f.again)))
 		}
 	}
 }
@@ -127,9 +128,9 @@
 	}
 	drained := f.readDrains()
 	var engines []catalog.Engine
-	engines, f.again = f.lapses.Update(f.listed, drained, time.Now())
+	engines, f.again = f.lapses.Update(f.listed, drained, clock.Now())
 	f.place(engines, drained)
-	f.markCold(engines, configuration, time.Now())
+	f.markCold(engines, configuration, clock.Now())
 	f.snapshot.Store(catalog.NewSnapshot(configuration, engines))
 	f.known.Store(f.listedAt > 0 && f.drainsKnown())
 	leaving, out := 0, 0
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -11,6 +11,7 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
 	"chutelock.dev/chutelock/internal/forward"
@@ -175,13 +176,13 @@
 	eventStops.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
 	f.draining.Store(true)
 	f.callers.SetKeepAlivesEnabled(false)
-	started := time.Now()
+	started := clock.Now()
 	deadline, bounded := ctx.Deadline()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		<-ticker.C
-		if f.edge.InFlight() == 0 && time.Since(started) >= leaveTime {
+		if f.edge.InFlight() == 0 && clock.Since(started) >= leaveTime {
 			break
 		}
 		if bounded && time.Until(deadline) < drainMargin {
--- a/internal/system/limits.go
+++ b/internal/system/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/transport"
@@ -63,20 +64,20 @@
 func (l *limits) check(key quota.Key, limit quota.Limit, last bool) quota.Decision {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.limiter.Check(key, limit, last, time.Now(), rand.Float64)
+	return l.limiter.Check(key, limit, last, clock.Now(), rand.Float64)
 }
 
 // withdraw takes back a request that was admitted at a time and reached no engine.
 func (l *limits) withdraw(tenant *catalog.Tenant, admitted time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.limiter.Withdraw(quota.KeyOf(tenant.Name), admitted, time.Now())
+	l.limiter.Withdraw(quota.KeyOf(tenant.Name), admitted, clock.Now())
 }
 
 // reportDue reports what was let through, if there is news.
 func (l *limits) reportDue() {
 	l.mutex.Lock()
-	due := l.limiter.Due(time.Now())
+	due := l.limiter.Due(clock.Now())
 	l.mutex.Unlock()
 	if due {
 		l.report()
@@ -91,7 +92,7 @@
 		return nil
 	}
 	l.mutex.Lock()
-	report, left := l.limiter.Report(l.life, to, time.Now())
+	report, left := l.limiter.Report(l.life, to, clock.Now())
 	heard := l.heard
 	l.mutex.Unlock()
 	if left != "" {
@@ -112,7 +113,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.limiter.Heard(from, sum, time.Now())
+	l.limiter.Heard(from, sum, clock.Now())
 	close(l.heard)
 	l.heard = make(chan struct{})
 }
@@ -144,7 +145,7 @@
 		eventBadMessage.Error(err, "peer", from)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	e.mutex.Lock()
 	e.refresh()
 	e.collector.Report(from, report, now)
@@ -158,7 +159,7 @@
 func (e *quotaExchange) unheard() float64 {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return float64(e.collector.Unheard(time.Now()))
+	return float64(e.collector.Unheard(clock.Now()))
 }
 
 // refresh reads the limits of a new configuration; the caller holds the mutex.
@@ -194,13 +195,13 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.collector.Share(from, share, time.Now())
+	e.collector.Share(from, share, clock.Now())
 }
 
 // share sends this node's counts to a data node of a zone, if there are any.
 func (e *quotaExchange) share(to transport.Address, zone string) {
 	e.mutex.Lock()
-	share, some := e.collector.ShareFor(zone, time.Now())
+	share, some := e.collector.ShareFor(zone, clock.Now())
 	e.mutex.Unlock()
 	if some {
 		// A share that can't be sent is like a lost one; the next is due soon.
--- a/internal/system/loadexchange.go
+++ b/internal/system/loadexchange.go
@@ -1,9 +1,8 @@
 package system
 
 import (
-	"time"
-
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/loadshare"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/transport"
@@ -11,8 +10,8 @@
 
 // takeLoadReport takes a front node's report and answers it now and then.
 func (d *data) takeLoadReport(from transport.Address, payload []byte) {
-	if d.takeReport(from, payload) && d.answers.due(from, time.Now()) {
-		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(time.Now(), d.loadSum))
+	if d.takeReport(from, payload) && d.answers.due(from, clock.Now()) {
+		_ = d.peers.Datagram(from, kindLoadSum, d.sum.get(clock.Now(), d.loadSum))
 	}
 }
 
@@ -30,7 +29,7 @@
 		return false
 	}
 	d.exchangeMutex.Lock()
-	d.exchange.Report(from, report, time.Now())
+	d.exchange.Report(from, report, clock.Now())
 	d.exchangeMutex.Unlock()
 	d.takeLoad(from, report)
 	return true
@@ -44,7 +43,7 @@
 		return
 	}
 	d.exchangeMutex.Lock()
-	d.exchange.Share(from, share, time.Now())
+	d.exchange.Share(from, share, clock.Now())
 	d.exchangeMutex.Unlock()
 	d.takeLoad(from, share.Load)
 }
@@ -61,7 +60,7 @@
 
 // loadSum encodes the answer to front nodes' reports.
 func (d *data) loadSum() []byte {
-	now := time.Now()
+	now := clock.Now()
 	d.exchangeMutex.Lock()
 	sum := loadshare.Sum{Fronts: d.exchange.Fronts(now), Complete: d.exchange.Complete(now)}
 	d.exchangeMutex.Unlock()
@@ -86,7 +85,7 @@
 }
 
 func (d *data) sendShares() {
-	now := time.Now()
+	now := clock.Now()
 	nodes := d.agent.Nodes()
 	leader, _ := d.ledger.Leader(0)
 	pressed := d.balancer.AnyPressed()
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/loadshare"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/telemetry"
@@ -99,7 +100,7 @@
 
 // pick chooses the data node that takes reports; the caller holds choiceMutex.
 func (f *front) pick(nodes []mirror.Node, leader transport.Address) (transport.Address, bool) {
-	to, known := f.choice.Pick(nodes, leader, time.Now())
+	to, known := f.choice.Pick(nodes, leader, clock.Now())
 	if known && to != f.reportsTo {
 		f.reportsTo = to
 		eventReportsTo.Info("peer", to, "leads", to == leader)
@@ -148,7 +149,7 @@
 	}
 	f.choiceMutex.Lock()
 	defer f.choiceMutex.Unlock()
-	if f.choice.Heard(from, sum, time.Now()) {
+	if f.choice.Heard(from, sum, clock.Now()) {
 		f.balancer.PeerLoad("others", sum.Load.Without(f.reported))
 	}
 	close(f.nextSum)
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -3,11 +3,11 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 )
 
@@ -78,7 +78,7 @@
 			return 0
 		}},
 		"chutelock_store_silence_seconds": {"Time since the platform's store last answered this node; watchers' is short.", func() float64 {
-			return time.Since(c.agent.Heard()).Seconds()
+			return clock.Since(c.agent.Heard()).Seconds()
 		}},
 		"chutelock_configuration_age_seconds": {"Time since this node's configuration was known to be the newest.", func() float64 {
 			return c.agent.Age(c.adapter.ConfigurationKind).Seconds()
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -11,6 +11,7 @@
 
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
@@ -129,8 +130,8 @@
 			eventRegions.Info("regions", needed, "version", seen.Version)
 			d.ledger.Need(needed)
 		}
-		if (len(needed) > 0 || d.anyAstray()) && (news || time.Since(counted) >= astrayInterval) {
-			counted = time.Now()
+		if (len(needed) > 0 || d.anyAstray()) && (news || clock.Since(counted) >= astrayInterval) {
+			counted = clock.Now()
 			d.countAstray()
 		}
 	}
--- a/internal/system/slowstart.go
+++ b/internal/system/slowstart.go
@@ -10,6 +10,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/slowstart"
@@ -89,12 +90,12 @@
 func (f *facts) usableForBatch(id, service string) bool {
 	snapshot := f.Snapshot()
 	engine, known := snapshot.Engine(id)
-	return known && snapshot.Usable(id, service) && !engine.Paced(time.Now())
+	return known && snapshot.Usable(id, service) && !engine.Paced(clock.Now())
 }
 
 // coldEngines counts the engines that are cold here.
 func (f *facts) coldEngines() float64 {
-	now, count := time.Now(), 0
+	now, count := clock.Now(), 0
 	for _, engine := range f.Snapshot().Engines() {
 		if now.Before(engine.ColdUntil) {
 			count++
@@ -146,7 +147,7 @@
 		addresses = append(addresses, granter.Address)
 	}
 	answered := make(chan slowstart.Permission, 1)
-	now := time.Now()
+	now := clock.Now()
 	p.mutex.Lock()
 	number, to, after := p.asker.Ask(engine.ID, addresses, now)
 	if to != "" {
@@ -202,7 +203,7 @@
 		return <-answered // takeAnswer puts it there under the mutex
 	}
 	delete(p.waiting, number)
-	permission, aside := p.asker.GiveUp(number, time.Now())
+	permission, aside := p.asker.GiveUp(number, clock.Now())
 	p.mutex.Unlock()
 	p.unanswered.Add(1)
 	if aside {
@@ -220,7 +221,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	permission, known := p.asker.Take(answer, time.Now())
+	permission, known := p.asker.Take(answer, clock.Now())
 	if !known {
 		return
 	}
@@ -255,7 +256,7 @@
 func newGranting(settings *config.Node, peers transport.Sender, nodes func() []mirror.Node, facts func() *catalog.Snapshot) *granting {
 	return &granting{
 		self: settings.Node.Name, bound: slowstart.Bound{Overage: settings.SlowStart.Overage, Slack: settings.SlowStart.Slack},
-		peers: peers, nodes: nodes, facts: facts, granter: slowstart.NewGranter(time.Now()),
+		peers: peers, nodes: nodes, facts: facts, granter: slowstart.NewGranter(clock.Now()),
 	}
 }
 
@@ -266,7 +267,7 @@
 		eventBadPermit.Error(err, "peer", from)
 		return
 	}
-	answer := g.answer(ask, time.Now())
+	answer := g.answer(ask, clock.Now())
 	if answer.Verdict == slowstart.Granted {
 		g.granted.Add(1)
 	} else {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 const (
@@ -183,7 +185,7 @@
 
 // encode writes the request as it goes over the wire.
 func (p *Pool) encode(call *Call) []byte {
-	header := p.dialect.Header(call, time.Now())
+	header := p.dialect.Header(call, clock.Now())
 	message := bytes.NewBuffer(make([]byte, 0, 1024+len(call.Body)))
 	fmt.Fprintf(message, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.URI, call.Host)
 	names := make([]string, 0, len(header))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 const (
@@ -73,7 +75,7 @@
 		if resting == nil {
 			return p.dial(ctx, address, key)
 		}
-		if time.Now().Before(resting.until) && resting.quiet() {
+		if clock.Now().Before(resting.until) && resting.quiet() {
 			return resting, nil
 		}
 		resting.Close()
@@ -104,7 +106,7 @@
 			})
 		},
 	}
-	started := time.Now()
+	started := clock.Now()
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
@@ -112,7 +114,7 @@
 	p.Opened.Add(1)
 	if p.Connected != nil {
 		_, instance, _ := strings.Cut(key, "|")
-		p.Connected(instance, time.Since(started))
+		p.Connected(instance, clock.Since(started))
 	}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), key: key}, nil
 }
@@ -136,7 +138,7 @@
 		c.Close()
 		return
 	}
-	c.until = time.Now().Add(rest)
+	c.until = clock.Now().Add(rest)
 	c.used = true
 	_ = c.SetDeadline(time.Time{})
 	p.rest(c)
