--- a/cmd/chutelock/main.go
+++ b/cmd/chutelock/main.go
@@ -32,6 +32,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	hangups := takeHangups()
 	flags := flag.NewFlagSet("chutelock", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	path := flags.String("config", "", "settings `file` (see docs/OPERATING.md)")
@@ -53,7 +54,7 @@
 	output := telemetry.NewOutput(os.Stdout)
 	telemetry.LogJSON(output)
 	defer output.Close()
-	if err := serve(settings, *readyFile, func() (*config.Node, error) { return config.Load(*path, overrides) }); err != nil {
+	if err := serve(settings, hangups, *readyFile, func() (*config.Node, error) { return config.Load(*path, overrides) }); err != nil {
 		fmt.Fprintln(os.Stderr, "chutelock:", err)
 		return exitFailure
 	}
@@ -62,7 +63,7 @@
 
 // serve runs the node until SIGTERM or SIGINT, then drains it. A second
 // signal ends the process at once.
-func serve(settings *config.Node, readyFile string, load func() (*config.Node, error)) error {
+func serve(settings *config.Node, hangups <-chan os.Signal, readyFile string, load func() (*config.Node, error)) error {
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	debug.SetMemoryLimit(settings.Memory.SoftBytes())
@@ -70,7 +71,7 @@
 		debug.SetGCPercent(dataNodeGCPercent)
 	}
 	if settings.Platform.Dialect == config.DialectObjects {
-		return serveObjects(signals, settings, load)
+		return serveObjects(signals, hangups, settings, load)
 	}
 	running, err := node.Open(settings)
 	if err != nil {
--- a/cmd/chutelock/objects.go
+++ b/cmd/chutelock/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/system"
@@ -10,7 +11,7 @@
 
 // serveObjects runs a node on a platform of objects until the signals' end,
 // then drains it.
-func serveObjects(signals context.Context, settings *config.Node, load func() (*config.Node, error)) error {
+func serveObjects(signals context.Context, hangups <-chan os.Signal, settings *config.Node, load func() (*config.Node, error)) error {
 	running, err := system.Open(settings, platform.NewAdapter(settings.Platform.Address))
 	if err != nil {
 		return err
@@ -18,7 +19,7 @@
 	if err := running.Start(); err != nil {
 		return err
 	}
-	followSettings(signals, settings, load, running.Reload)
+	followSettings(signals, hangups, settings, load, running.Reload)
 	bounded, cancel := context.WithTimeout(context.Background(), settings.Drain.Timeout)
 	defer cancel()
 	running.Drain(bounded)
--- a/cmd/chutelock/reload.go
+++ b/cmd/chutelock/reload.go
@@ -15,12 +15,20 @@
 // reloadInterval is how often the settings file is looked at without a signal.
 const reloadInterval = 3 * time.Second
 
-// followSettings reads the settings again at each SIGHUP and now and then, and
-// hands them on if they changed, until ctx ends.
-func followSettings(ctx context.Context, inForce *config.Node, load func() (*config.Node, error), apply func(*config.Node)) {
+// takeHangups takes SIGHUPs from now on for good: one that nobody takes ends the process,
+// with all that it has under way, also before its settings are followed and while it
+// stops.
+func takeHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// followSettings reads the settings again at each hangup and now and then, and hands
+// them on if they changed, until ctx ends.
+func followSettings(
+	ctx context.Context, hangups <-chan os.Signal, inForce *config.Node, load func() (*config.Node, error), apply func(*config.Node),
+) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
