--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -118,7 +118,7 @@
 		case errors.Is(err, errChanged):
 			continue
 		case errors.Is(err, ErrOutdated):
-			pause(ctx, 4*retryPause)
+			clock.Pause(ctx, 4*retryPause)
 			continue
 		case errors.Is(err, ErrNotTaken), errors.Is(err, ErrUnknown):
 			return c.sure(uncertain, ErrNotTaken)
@@ -336,7 +336,7 @@
 			leader, _ = c.options.Directory.Leader(asked.shard)
 		}
 		if leader == "" {
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 			continue
 		}
 		content, next, err := c.try(ctx, leader, asked)
@@ -349,7 +349,7 @@
 		}
 		if hint == "" {
 			c.options.Directory.Suspect(asked.shard, leader)
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 		}
 	}
 	if uncertain {
@@ -401,12 +401,3 @@
 var answers = map[status]error{
 	statusNoJob: ErrNoJob, statusQueueFull: ErrQueueFull, statusForeign: ErrForeign, statusMoved: errMoved, statusOutdated: ErrOutdated,
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -207,7 +207,7 @@
 		case <-purge.C:
 			r.purge(ctx)
 		}
-		pause(ctx, rest)
+		clock.Pause(ctx, rest)
 	}
 }
 
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -121,20 +121,20 @@
 // now on; each is returned once.
 func (e *Exchange) Lapsed(now time.Time) []transport.Address {
 	var lapsed []transport.Address
-	for address, one := range e.reports {
-		if one.counted && now.Sub(one.at) > lapseTime {
-			one.counted = false
+	lapse := func(address transport.Address, at time.Time, counted *bool) {
+		if *counted && now.Sub(at) > lapseTime {
+			*counted = false
 			lapsed = append(lapsed, address)
 		}
+	}
+	for address, one := range e.reports {
+		lapse(address, one.at, &one.counted)
 		if now.Sub(one.at) > countTime {
 			delete(e.reports, address)
 		}
 	}
 	for address, one := range e.sharers {
-		if one.counted && now.Sub(one.at) > lapseTime {
-			one.counted = false
-			lapsed = append(lapsed, address)
-		}
+		lapse(address, one.at, &one.counted)
 		if now.Sub(one.at) > countTime && now.Sub(one.sentAt) > countTime {
 			delete(e.sharers, address)
 		}
--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -192,11 +192,4 @@
 	}
 }
 
-func (a *Agent) pause(duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-a.running.Done():
-	case <-timer.C:
-	}
-}
+func (a *Agent) pause(duration time.Duration) { clock.Pause(a.running, duration) }
--- a/internal/poison/spread.go
+++ b/internal/poison/spread.go
@@ -4,12 +4,14 @@
 	"context"
 	"slices"
 	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
 )
 
 // tellLoop hands news to peers.
 func (g *Guard) tellLoop() {
 	for g.wait(g.told, 0) {
-		g.rest(gatherTime)
+		clock.Pause(g.running, gatherTime)
 		records, wide := g.takeNews()
 		if len(records) == 0 {
 			continue
@@ -37,7 +39,7 @@
 		g.news[records[i].Fingerprint] = true
 	}
 	g.mutex.Unlock()
-	g.rest(retryPause)
+	clock.Pause(g.running, retryPause)
 	signal(g.told)
 }
 
@@ -68,7 +70,7 @@
 			pause = retryPause
 			continue
 		}
-		g.rest(pause)
+		clock.Pause(g.running, pause)
 		pause = min(2*pause, retryMost)
 		signal(g.kept)
 	}
@@ -166,12 +168,3 @@
 	}
 	return g.running.Err() == nil
 }
-
-func (g *Guard) rest(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-g.running.Done():
-	case <-timer.C:
-	}
-}
