A node that starts takes no requests before it has heard which are held back

Change: a starting node lists all kinds when it lists the one that has to be freshest, and its first configuration, and its engines as an executor, wait until the records are known, for 2 s at most.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -74,7 +75,7 @@
 	age := a.fresh.age(kind.Name, now)
 	switch {
 	case a.table.At(kind.Name) == 0:
-		first := a.started.Add(kind.share(firstShare + jitterShare*draw))
+		first := a.started.Add(a.soonest().share(firstShare + jitterShare*draw))
 		if !a.options.DataNode && now.Before(first) {
 			return task{rest: min(pullRetry, first.Sub(now))}
 		}
@@ -89,6 +90,12 @@
 	return task{rest: min(restMost, kind.share(staleShare+jitterShare*draw)-age)}
 }
 
+// soonest is the kind that has to be freshest. A node that starts lists all kinds when it
+// lists that one: what it knows of one is used together with the others.
+func (a *Agent) soonest() Kind {
+	return slices.MinFunc(a.options.Kinds, func(x, y Kind) int { return cmp.Compare(x.Fresh, y.Fresh) })
+}
+
 // rank is this node's place among the data nodes that answer it, and whether
 // it watches the store; the caller holds the mutex.
 func (a *Agent) rank() (rank int, watches bool) {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -73,6 +73,7 @@
 	// any that may hold a request back: only then fingerprints are worth their time.
 	known, holding atomic.Bool
 	refused        atomic.Int64
+	learnt         atomic.Bool
 
 	mutex  sync.Mutex // guards what is below; a leaf
 	table  *Table
@@ -189,6 +190,7 @@
 	now := g.options.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	defer g.learnt.Store(true)
 	before := g.stored
 	g.stored = make(map[Fingerprint]Record, len(records))
 	for i := range records {
@@ -207,6 +209,9 @@
 	}
 }
 
+// Learnt says whether the guard has heard what the store has.
+func (g *Guard) Learnt() bool { return g.learnt.Load() }
+
 // merge adds a record to the table, and says whether it holds news. The caller holds
 // the mutex, as those of the functions below do.
 func (g *Guard) merge(record Record) bool {
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -89,6 +89,7 @@
 	c.agent = mirror.New(c.mirrorOptions(dataNode))
 	c.facts.agent = c.agent
 	c.guard = c.newGuard(dataNode)
+	c.facts.learnt = c.guard.Learnt
 	c.handlePoison(dataNode)
 	c.pool = upstream.NewPool(adapter.Engines)
 	c.balancer = balance.New(c.facts.Snapshot)
@@ -139,8 +140,12 @@
 // mirrorChanged takes that objects of a kind changed; it doesn't block.
 func (c *core) mirrorChanged(kind string) {
 	if kind == c.adapter.PoisonKind {
+		waited := !c.guard.Learnt()
 		c.learnPoison()
-		return
+		if !waited {
+			return
+		}
+		kind = "" // the configuration may have waited for it
 	}
 	c.facts.changed(kind)
 }
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -20,6 +20,11 @@
 	eventEngines       = telemetry.Define(7201, "engines-changed", "The engines behind the services changed: how many there are, and how many of them are leaving, or drained with their zone; all are as long as drains aren't known.")
 )
 
+// learnTime is how long a configuration waits for what goes with it. A node that starts
+// lists all kinds at once when no peer tells it of them, and a call that fails is made
+// again within 0.6 s.
+const learnTime = 2 * time.Second
+
 // facts publishes the catalog that follows from the mirrored objects.
 type facts struct {
 	adapter  *Adapter
@@ -41,6 +46,10 @@
 	lapses   *catalog.Lapses
 	again    time.Time
 	warmth   *catalog.Warmth
+	// learnt says whether it is known which requests are held back; nil is yes.
+	learnt func() bool
+	// unlearntSince is when the configuration was first kept back for that.
+	unlearntSince time.Time
 	// drained are the zones whose engines get nothing new; nil while that isn't known.
 	drained atomic.Pointer[[]string]
 	// known says that the snapshot has the engines, and which of them are drained.
@@ -121,7 +130,7 @@
 	configuration := before.Configuration
 	switch {
 	case !dirty[f.adapter.ConfigurationKind]:
-	case f.listedAt == 0: // it comes into force with the engines, not before them
+	case f.listedAt == 0 || f.unlearnt(): // it comes into force with the engines, not before them
 		f.markDirty(f.adapter.ConfigurationKind)
 	default:
 		configuration = f.newest(configuration)
@@ -129,10 +138,13 @@
 	drained := f.readDrains()
 	var engines []catalog.Engine
 	engines, f.again = f.lapses.Update(f.listed, drained, clock.Now())
+	if !f.unlearntSince.IsZero() && configuration == nil {
+		f.lookAgainAt(f.unlearntSince.Add(learnTime))
+	}
 	f.place(engines, drained)
 	f.markCold(engines, configuration, clock.Now())
 	f.snapshot.Store(catalog.NewSnapshot(configuration, engines))
-	f.known.Store(f.listedAt > 0 && f.drainsKnown())
+	f.known.Store(f.listedAt > 0 && f.drainsKnown() && !f.unlearnt())
 	leaving, out := 0, 0
 	for _, engine := range engines {
 		if engine.Leaving {
@@ -146,6 +158,28 @@
 		"drained", out, "drains_known", f.drainsKnown(), "revision", f.listedAt)
 }
 
+// unlearnt says that a first configuration has to wait until it is known which requests
+// are held back: a node that starts would send them to engines. Of six nodes that were
+// killed together two sent one four times so. It waits for learnTime at most, as peers of
+// an earlier version don't tell, and the store may be away.
+func (f *facts) unlearnt() bool {
+	if f.Snapshot().Configuration != nil || f.learnt == nil || f.learnt() {
+		return false
+	}
+	now := clock.Now()
+	if f.unlearntSince.IsZero() {
+		f.unlearntSince = now
+	}
+	return now.Sub(f.unlearntSince) < learnTime
+}
+
+// lookAgainAt has the facts read again at a time, or before.
+func (f *facts) lookAgainAt(at time.Time) {
+	if f.again.IsZero() || at.Before(f.again) {
+		f.again = at
+	}
+}
+
 func (f *facts) readEngines() {
 	objects, at := f.agent.Objects(f.adapter.EnginesKind)
 	f.listed, f.listedAt = f.adapter.EngineList(objects), at
--- a/internal/system/slowstart.go
+++ b/internal/system/slowstart.go
@@ -81,8 +81,8 @@
 				"revision", change.Engine.Revision)
 		}
 	}
-	if !again.IsZero() && (f.again.IsZero() || again.Before(f.again)) {
-		f.again = again
+	if !again.IsZero() {
+		f.lookAgainAt(again)
 	}
 }
 
