Ends of engines that had left the list, and answers without an end of their own, prove nothing

Found in reading: an engine that leaves without a word is gone from the list before it ends, and its end counted against all that it had; an answer whose end is that of its connection looks whole when its engine ends, and made a request sound. Test: an answer tells whether its end is told.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -152,7 +152,9 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			r.result.done = true
-			r.node.guard.Served(r.print)
+			if answer.Framed && r.answering {
+				r.node.guard.Served(r.print)
+			}
 			r.judge(engineSound, nil)
 			r.hooks.noteEnded()
 			return r.succeeded(ctx)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -28,7 +28,7 @@
 // try runs one exchange. done says that the sink has its answer.
 func (fl *flight) try(ctx context.Context, lease *balance.Lease) (outcome, bool) {
 	engine := lease.Engine
-	fl.answering = false
+	fl.answering, fl.framed = false, false
 	if err := fl.mayProceed(lease); err != nil {
 		return outcome{kind: OutcomeNotSent, cause: err, unwanted: true}, false
 	}
@@ -43,6 +43,7 @@
 		return fl.exchangeFailed(watch, err), false
 	}
 	defer answer.Close()
+	fl.framed = answer.Framed
 	if answer.Load != nil {
 		fl.Balancer.Reported(engine.ID, *answer.Load)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -90,6 +90,7 @@
 	waited    time.Duration // for engines with room
 	first     time.Time
 	answering bool // an event came in the last exchange
+	framed    bool // the last answer told its end
 	verdict   string
 	print     *poison.Fingerprint // nil until it is needed
 }
@@ -326,7 +327,9 @@
 		result.First = fl.first.Sub(fl.request.Arrived)
 	}
 	if fl.verdict == verdictServed {
-		fl.Guard.Served(fl.fingerprint)
+		if fl.framed {
+			fl.Guard.Served(fl.fingerprint)
+		}
 		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engine, "attempts", fl.tries,
 			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.First > fl.route.Target)
 	}
--- a/internal/forward/paced.go
+++ b/internal/forward/paced.go
@@ -16,7 +16,8 @@
 const noEngineBack = time.Second
 
 // comeBackFrom is when a caller whose request has not run for a cause should ask again.
-// One under which engines ended is not before it may be sent again. Where all engines are cold it is when their pace allows more, and later by up to as long as
+// A request under which engines ended may do so once it is held back no more. Where all
+// engines are cold it is when their pace allows more, and later by up to as long as
 // requests take, as others are told the same; where there are none, after noEngineBack.
 func (fl *flight) comeBackFrom(cause error) time.Duration {
 	if errors.Is(cause, balance.ErrNoEngine) {
--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -61,9 +61,10 @@
 }
 
 // engineEnded says whether an engine has ended that was not about to leave: one that
-// leaves may end with the last of its requests.
+// leaves may end with the last of its requests. Its entry may be gone by then; that of one
+// that crashed is there for some heartbeats more.
 func (c *core) engineEnded(ctx context.Context, engine catalog.Engine) bool {
-	if known, found := c.facts.Snapshot().Engine(engine.ID); found && known.Leaving {
+	if known, found := c.facts.Snapshot().Engine(engine.ID); !found || known.Leaving {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -40,6 +40,9 @@
 	Facts
 	// Length is the body's length, or -1.
 	Length int64
+	// Framed says that the body's end is told. Without that the end of its engine looks
+	// like the end of the answer.
+	Framed bool
 
 	pool    *Pool
 	conn    *connection
@@ -117,7 +120,8 @@
 			restoreFraming(response)
 			return &Answer{
 				Status: response.StatusCode, Header: response.Header, Facts: facts, Length: response.ContentLength,
-				pool: p, conn: conn, body: response.Body,
+				Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+				pool:   p, conn: conn, body: response.Body,
 			}, nil
 		case facts.ID == "":
 			return nil, errForeign
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -289,3 +289,25 @@
 	}
 	g.Expect(opened).To(gomega.Equal([]string{"i-1"}))
 }
+
+// An answer that ends with its connection may have been cut by the end of its engine.
+func TestAnAnswerTellsWhetherItsEndIsTold(t *testing.T) {
+	for head, framed := range map[string]bool{
+		"Content-Length: 2\r\n\r\nok": true, "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n": true, "Connection: close\r\n\r\nok": false,
+	} {
+		g := gomega.NewWithT(t)
+		address := engine(t, func(conn net.Conn, reader *bufio.Reader) {
+			id, err := request(reader)
+			if err == nil {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", id, head)
+			}
+		})
+		answer, err := NewPool(plainDialect{}).Exchange(t.Context(), address, &Call{ID: "a", Method: "POST", URI: "/", Host: "h"})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		body, err := io.ReadAll(answer)
+		answer.Close()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(body)).To(gomega.Equal("ok"))
+		g.Expect(answer.Framed).To(gomega.Equal(framed), head)
+	}
+}
