Connections between nodes don't grow with the fleet

Cause: each node looked at the ledger's directory of any data node, and kept a queue of 32 KB and a task for each peer that it ever called, two buffers of 16 KB a connection besides. Change: a node looks at three data nodes of its zone, chosen by rendezvous hashing, now and then at three of all, seldom at any; a side towards a peer ends when nothing was sent for the idle time-out; buffers of 4 KB.

--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -147,30 +149,58 @@
 	}
 }
 
-// pickDirectoryPeer picks a data node at random, mostly of this node's region.
+// pickDirectoryPeer picks one of a few data nodes of this node's zone mostly, or else of its
+// region; now and then one of a few of all, and seldom any.
 func (s *Service) pickDirectoryPeer() (transport.Address, bool) {
 	self := s.self()
-	var all, near []membership.Member
+	var all, inRegion, inZone []membership.Member
 	for _, member := range dataMembers(s.options.Members.View(), self) {
 		if member.Name == self.Name {
 			continue
 		}
 		all = append(all, member)
 		if member.Region == self.Region {
-			near = append(near, member)
+			inRegion = append(inRegion, member)
+		}
+		if member.Region == self.Region && member.Zone == self.Zone {
+			inZone = append(inZone, member)
 		}
-	}
-	if len(near) > 0 && rand.IntN(farShare) > 0 {
-		all = near
 	}
 	if len(all) == 0 {
 		return "", false
 	}
-	return all[rand.IntN(len(all))].Address, true
+	if rand.IntN(anyShare) == 0 {
+		return all[rand.IntN(len(all))].Address, true
+	}
+	candidates := few(all, self.Name)
+	if near := cmp.Or(len(inZone), len(inRegion)); near > 0 && rand.IntN(farShare) > 0 {
+		candidates = few(inRegion, self.Name)
+		if len(inZone) > 0 {
+			candidates = few(inZone, self.Name)
+		}
+	}
+	return candidates[rand.IntN(len(candidates))].Address, true
 }
 
-// farShare is how many looks at the directory there are for one at another region.
-const farShare = 4
+const (
+	// farShare is how many looks at the directory there are for one beyond the own zone, and
+	// anyShare for one at any data node.
+	farShare = 4
+	anyShare = 16
+	// fewMost is how many data nodes of a group a node looks at: each has connections to
+	// those that look at it, and with any of 150 asked, a node keeps one to most of them.
+	fewMost = 3
+)
+
+// few are the members of a group that a node looks at: others look at others.
+func few(members []membership.Member, self string) []membership.Member {
+	if len(members) <= fewMost {
+		return members
+	}
+	return slices.SortedFunc(slices.Values(members), func(x, y membership.Member) int {
+		return cmp.Compare(membership.RendezvousScore(self, y.Name), membership.RendezvousScore(self, x.Name))
+	})[:fewMost]
+}
 
 func (s *Service) handleDescribe(_ context.Context, _ transport.Address, payload []byte) ([]byte, error) {
 	var request describeRequest
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -20,8 +20,10 @@
 	// writeTimeout closes a connection whose peer takes nothing any more.
 	writeTimeout = 5 * time.Second
 	// keepAlive finds a peer machine that vanished without closing.
-	keepAlive   = 5 * time.Second
-	bufferSize  = 16 << 10
+	keepAlive = 5 * time.Second
+	// bufferSize is that of each direction of a connection: most frames fit it, and longer
+	// ones go past it. A node of a large fleet has some 100 connections.
+	bufferSize  = 4 << 10
 	queueLength = 4096
 	// answerQueue is the number of answers that wait for one connection; a
 	// handler whose answer finds no place waits.
@@ -164,6 +166,9 @@
 	node  *Node
 	queue chan *frame
 
+	// users counts the senders that have the value; guarded by the node's mutex.
+	users int
+
 	// mutex guards pending; it is taken after Node.mutex, never before.
 	mutex   sync.Mutex
 	pending map[uint64]pendingCall
@@ -174,18 +179,27 @@
 }
 
 // run connects when there is work and reconnects with backoff. Frames that
-// wait while the peer can't be reached are failed or dropped.
+// wait while the peer can't be reached are failed or dropped. It ends when nothing was
+// sent for the idle time-out.
 func (o *outgoing) run(stop <-chan struct{}) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = reconnectWait
 	wait.MaxInterval = reconnectMost
+	idle := time.NewTimer(o.node.options.IdleTimeout)
+	defer idle.Stop()
 	for {
 		var first *frame
+		idle.Reset(o.node.options.IdleTimeout)
 		select {
 		case <-stop:
 			o.failPending()
 			return
 		case first = <-o.queue:
+		case <-idle.C:
+			if o.node.retire(o) {
+				return
+			}
+			continue
 		}
 		conn, err := o.dial()
 		if err != nil {
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -26,9 +26,11 @@
 	defaultWorkers = 512
 	// defaultCallTimeout bounds a call whose ctx has no deadline.
 	defaultCallTimeout = 30 * time.Second
-	codeNoHandler      = 0xffff
 )
 
+// CodeNoHandler is the code of a RemoteError of a call that the peer has no handler for.
+const CodeNoHandler = 0xffff
+
 // Options configure a Node.
 type Options struct {
 	// Listen is "ip:port" for TCP and UDP; port 0 takes a free one.
@@ -181,6 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer n.release(peer)
 	deadline, _ := ctx.Deadline()
 	id := n.nextID.Add(1)
 	header := frameHeader{
@@ -209,6 +212,7 @@
 	if err != nil {
 		return
 	}
+	defer n.release(peer)
 	select {
 	case peer.queue <- &frame{header: frameHeader{Type: frameMessage, Kind: kind}, payload: payload}:
 		n.metrics.count("message", kind, len(payload))
@@ -238,6 +242,7 @@
 	return n.options.Allow == nil || n.options.Allow(to)
 }
 
+// peer returns this node's side towards a peer; the caller releases it.
 func (n *Node) peer(key peerKey) (*outgoing, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -245,6 +250,7 @@
 		return nil, trace.Wrap(ErrNotSent, "this node is stopped")
 	}
 	if peer, ok := n.peers[key]; ok {
+		peer.users++
 		return peer, nil
 	}
 	peer := &outgoing{
@@ -252,6 +258,7 @@
 		node:    n,
 		queue:   make(chan *frame, queueLength),
 		pending: map[uint64]pendingCall{},
+		users:   1,
 	}
 	n.peers[key] = peer
 	n.tasks.Add(1)
@@ -262,6 +269,25 @@
 	return peer, nil
 }
 
+// release says that a sender needs its side towards a peer no more.
+func (n *Node) release(peer *outgoing) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	peer.users--
+}
+
+// retire forgets a side towards a peer that nobody needs: a node would keep a queue and a
+// task for each peer that it ever called. False if somebody came to need it.
+func (n *Node) retire(peer *outgoing) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if peer.users > 0 || len(peer.queue) > 0 {
+		return false
+	}
+	delete(n.peers, peer.key)
+	return true
+}
+
 func (n *Node) acceptLoop() {
 	defer n.tasks.Done()
 	for {
@@ -334,7 +360,7 @@
 	handler, ok := n.calls[f.header.Kind]
 	if !ok {
 		answer.header.Type = frameFailure
-		answer.header.Code = codeNoHandler
+		answer.header.Code = CodeNoHandler
 		answer.payload = []byte("no handler for this message kind")
 	} else if payload, err := handler(callCtx, from, f.payload); err != nil {
 		answer.header.Type = frameFailure
--- a/internal/transport/node_test.go
+++ b/internal/transport/node_test.go
@@ -87,7 +87,7 @@
 	g.Expect(remote.Code).To(gomega.BeEquivalentTo(7))
 	_, err = client.Call(ctx, server.Address(), testKind+1, nil)
 	g.Expect(errors.As(err, &remote)).To(gomega.BeTrue())
-	g.Expect(remote.Code).To(gomega.BeEquivalentTo(codeNoHandler))
+	g.Expect(remote.Code).To(gomega.BeEquivalentTo(CodeNoHandler))
 }
 
 func TestOneWayMessagesKeepTheirOrder(t *testing.T) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 )
 
@@ -78,6 +79,13 @@
 	return fmt.Sprintf("peer %s answered code %d: %s", e.Peer, e.Code, e.Message)
 }
 
+// Unhandled says that an error of a call means that the peer has no handler for calls of
+// its kind, as a node of an earlier version.
+func Unhandled(err error) bool {
+	var remote *RemoteError
+	return errors.As(err, &remote) && remote.Code == CodeNoHandler
+}
+
 // CodedError is implemented by a handler's error that wants its code carried
 // to the caller in RemoteError.Code; other errors travel as code 0.
 type CodedError interface {
