Choices for batch work look at 512 engines at a time

Cause: a leader looked at each engine of a service in each choice, and each data node at each engine for whether batch work has to make way, up to 50 times a second. Change: windows that follow each other; the share of slots left free holds in each. Engines without batch work are not looked at for whether it makes way. BenchmarkChoiceForBatchWork, four items among 10,000 engines, beside other load: 11.9 ms and 4.1 MB before, 0.5 ms and 0.2 MB after. Services of 512 engines and fewer are as before. Given up: an item may not go back to the engine that ran a part of it, if that is in another window.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -201,9 +200,44 @@
 }
 
 // AnyPressed says that some engine has more requests than slots, and batch work
-// there would make way.
+// there would make way. It looks at those that have any: data nodes ask up to 50 times a
+// second.
 func (t *Table) AnyPressed(snapshot *catalog.Snapshot, now time.Time) bool {
-	return slices.ContainsFunc(snapshot.Engines(), func(engine catalog.Engine) bool { return t.pressed(engine, now) })
+	if now.Sub(t.heardAt) > yieldLife {
+		return false // nothing counts as making way
+	}
+	for id, state := range t.engines {
+		if engine, found := snapshot.Engine(id); found && state.own[ClassBatch] > 0 && t.pressed(engine, now) {
+			return true
+		}
+	}
+	for key, load := range t.sum {
+		if load.Counts[ClassBatch] == 0 {
+			continue
+		}
+		if engine := t.index.find(snapshot, key); engine != nil && t.pressed(*engine, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// engineIndex finds the engines of the newest snapshot by their keys.
+type engineIndex struct {
+	snapshot *catalog.Snapshot
+	engines  map[EngineKey]*catalog.Engine
+}
+
+// find returns the engine of a key; nil if there is none.
+func (i *engineIndex) find(snapshot *catalog.Snapshot, key EngineKey) *catalog.Engine {
+	if i.snapshot != snapshot {
+		all := snapshot.Engines()
+		i.snapshot, i.engines = snapshot, make(map[EngineKey]*catalog.Engine, len(all))
+		for at := range all {
+			i.engines[KeyOf(all[at].ID)] = &all[at]
+		}
+	}
+	return i.engines[key]
 }
 
 // pressed says that an engine has more requests than slots, and batch work there
--- a/internal/balance/many.go
+++ b/internal/balance/many.go
@@ -51,15 +51,59 @@
 	p.score += 1/float64(max(p.engine.Slots, 1)) + float64(tokens)/pendingUnit
 }
 
+// windowMost is how many engines of a service a choice for batch work looks at together.
+// A leader chooses up to 50 times a second: among 10,000 engines each choice took 11.9 ms of
+// a whole core, and 0.5 ms in windows (BenchmarkChoiceForBatchWork, beside other load).
+const windowMost = 512
+
 // chooseMany returns the engines for as many of the wishes, all of batch work of
 // one service, as there is room for; the share of the slots that is left to online
-// work stays free.
+// work stays free. Of many engines it looks at a window, then at the next one if that has
+// no room for all, and the next choice begins where this one ended.
 func (t *Table) chooseMany(snapshot *catalog.Snapshot, wishes []Wish, now time.Time) []catalog.Engine {
 	if len(wishes) == 0 {
 		return nil
 	}
 	t.expire(now)
-	candidates := unpaced(t.candidates(snapshot, wishes[0], now), now)
+	engines := snapshot.Serving(wishes[0].Service)
+	if len(engines) <= windowMost {
+		return t.chooseFrom(t.candidates(snapshot, wishes[0], now), wishes, now)
+	}
+	var chosen []catalog.Engine
+	anySound := false
+	for range (len(engines) + windowMost - 1) / windowMost {
+		window := t.nextWindow(engines)
+		sound := filter(window, func(e catalog.Engine) bool { return t.mayTake(e, wishes[0], now) })
+		anySound = anySound || len(sound) > 0
+		chosen = append(chosen, t.chooseFrom(sound, wishes[len(chosen):], now)...)
+		if len(chosen) == len(wishes) {
+			return chosen
+		}
+	}
+	if !anySound {
+		return t.chooseFrom(t.candidates(snapshot, wishes[0], now), wishes, now)
+	}
+	return chosen
+}
+
+// nextWindow is the part of the engines that comes after the last one.
+func (t *Table) nextWindow(engines []catalog.Engine) []catalog.Engine {
+	if t.windowEnd >= len(engines) {
+		t.windowEnd = 0
+	}
+	from := t.windowEnd
+	t.windowEnd = min(from+windowMost, len(engines))
+	return engines[from:t.windowEnd]
+}
+
+// mayTake says whether an engine is sound, and one that the wish may go to.
+func (t *Table) mayTake(engine catalog.Engine, wish Wish, now time.Time) bool {
+	return t.sound(engine.ID, now) && !contains(wish.Avoid, engine.ID) && (wish.Regions == nil || wish.Regions.Allow(engine.Region))
+}
+
+// chooseFrom chooses among candidates, all of which are looked at.
+func (t *Table) chooseFrom(candidates []catalog.Engine, wishes []Wish, now time.Time) []catalog.Engine {
+	candidates = unpaced(candidates, now)
 	slots, free := t.slots(candidates, now)
 	places := t.places(candidates, wishes[0], now)
 	var chosen []catalog.Engine
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -95,6 +95,10 @@
 	keys     map[string]EngineKey // of engines seen, to hash each once
 	// distances are those of zones from this node.
 	distances distances
+	// windowEnd is where the last look at many engines ended.
+	windowEnd int
+	// index finds the engines of a snapshot by their keys.
+	index engineIndex
 }
 
 // NewTable returns an empty table.
