Engines are told apart by their starts; entries are read one by one; foreign ones name no engine

Causes: engines were told apart by name alone, though one may start again under it; a load report of four figures was dropped; entries with fields missing or of another type, or with a state that isn't known, counted as engines; each change of one entry decoded all. Change: catalog.EngineID joins name and start, everything kept by ID is of one start; peers of an earlier version still get and tell names. catalog.Roster keeps entries, passes over late ones of a former start, and those without a start where most have one. A line about foreign entries at most each 10 s. An engine that has started anew under its name has ended, for requests that end engines. Refreshes of the catalog take a tenth of a node's processor at most.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/wire"
 )
 
@@ -15,8 +16,10 @@
 // then, which only makes both look busier.
 type EngineKey uint32
 
-// KeyOf returns the key of an engine's ID.
-func KeyOf(id string) EngineKey { return EngineKey(xxhash.Sum64String(id)) }
+// KeyOf returns the key of an engine's ID. It is the same for all starts of an instance:
+// nodes may hear of a start one after the other, and those of an earlier version tell
+// starts not apart.
+func KeyOf(id string) EngineKey { return EngineKey(xxhash.Sum64String(catalog.Instance(id))) }
 
 // Counts is how many requests an engine has, by class.
 type Counts [classes]int
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -49,6 +49,9 @@
 	Pool *upstream.Pool
 	// Usable says whether an engine may still get requests of a service.
 	Usable func(id, service string) bool
+	// EngineID finds the ID of the engine of an instance name, as known here; nil if all
+	// engines have their instance names for IDs.
+	EngineID func(instance string) string
 	// Guard holds items back under which engines ended; nil holds none.
 	Guard *poison.Guard
 	// Knows says whether this node has heard which engines there are and which zones
@@ -65,6 +68,14 @@
 	return o.Permitted == nil || item.path == "" || o.Permitted(item.host, item.path, item.tenant, engine)
 }
 
+// engineID is the ID of the engine of an instance name.
+func (o ExecutorOptions) engineID(instance string) string {
+	if o.EngineID == nil {
+		return instance
+	}
+	return o.EngineID(instance)
+}
+
 // Executor runs items for leaders on other nodes: it holds the streams, and hands
 // their text to the leader in few messages. It decides nothing: a run ends with
 // its stream, when the leader says so, or when the leader takes no text any more.
@@ -164,6 +175,7 @@
 	if err := e.confirm(ctx, c, request); err != nil {
 		return nil, err
 	}
+	request.engine.ID = e.options.engineID(request.engine.ID)
 	next := &itemRun{node: c.node, item: request.item, engine: request.engine, attempts: request.attempts}
 	result := next.run(ctx, &request.read)
 	return result.marshal(), nil
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -87,7 +87,7 @@
 	}
 	return &upstream.Call{
 		ID: item.ID, Method: http.MethodPost, URI: item.Path, Host: r.item.host, Header: header, Body: item.Body,
-		Tenant: r.item.tenant, Instance: r.engine.ID, Deadline: r.item.giveUp, Resume: r.last > 0, ResumeAfter: r.last,
+		Tenant: r.item.tenant, Engine: r.engine.ID, Deadline: r.item.giveUp, Resume: r.last > 0, ResumeAfter: r.last,
 		Proceed: r.proceed,
 	}
 }
--- a/internal/batchwork/runmessage.go
+++ b/internal/batchwork/runmessage.go
@@ -45,7 +45,7 @@
 func (q *runRequest) marshal(now time.Time) []byte {
 	fixed := fixedRun{q.run, q.item.index, q.item.lastEvent, q.item.failures, uint16(q.attempts), int64(q.item.giveUp.Sub(now))}
 	fields := [][]byte{[]byte(q.item.job), []byte(q.item.host), []byte(q.item.tenant), encodeItem(&q.read, true),
-		[]byte(q.engine.ID), []byte(q.engine.Service), []byte(q.engine.Address)}
+		[]byte(catalog.Instance(q.engine.ID)), []byte(q.engine.Service), []byte(q.engine.Address)}
 	if q.restricted {
 		fields = append(fields, []byte(q.item.path))
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -154,8 +155,10 @@
 
 // Engine is one incarnation of a model engine.
 type Engine struct {
-	// ID is new with each start of an engine.
-	ID      string
+	// ID is new with each start of an engine; see EngineID.
+	ID string
+	// Born is when the engine started, by its own clock; zero if it doesn't tell.
+	Born    time.Time
 	Service string
 	Address string // "ip:port"
 	Zone    string
@@ -190,7 +193,10 @@
 	Configuration *Configuration // nil while none is known
 	all           []Engine
 	engines       map[string][]Engine
-	byID          map[string]Engine
+	byID          map[string]*Engine
+	// byInstance finds engines whose ID tells their start, by their instance names: peers
+	// of an earlier version tell only these.
+	byInstance map[string]*Engine
 }
 
 // NewSnapshot joins a configuration and engines.
@@ -199,34 +205,62 @@
 		Configuration: configuration,
 		all:           engines,
 		engines:       map[string][]Engine{},
-		byID:          make(map[string]Engine, len(engines)),
+		byID:          make(map[string]*Engine, len(engines)),
+		byInstance:    map[string]*Engine{},
 	}
-	sort.Slice(engines, func(i, j int) bool { return engines[i].ID < engines[j].ID })
-	for _, engine := range engines {
+	slices.SortFunc(engines, func(x, y Engine) int { return strings.Compare(x.ID, y.ID) })
+	for service, count := range servingByService(engines) {
+		snapshot.engines[service] = make([]Engine, 0, count)
+	}
+	for i := range engines {
+		engine := &engines[i]
 		snapshot.byID[engine.ID] = engine
+		if instance := Instance(engine.ID); instance != engine.ID {
+			snapshot.byInstance[instance] = engine
+		}
 		if engine.mayServe() {
-			snapshot.engines[engine.Service] = append(snapshot.engines[engine.Service], engine)
+			snapshot.engines[engine.Service] = append(snapshot.engines[engine.Service], *engine)
 		}
 	}
 	return snapshot
 }
 
+func servingByService(engines []Engine) map[string]int {
+	counts := map[string]int{}
+	for i := range engines {
+		if engines[i].mayServe() {
+			counts[engines[i].Service]++
+		}
+	}
+	return counts
+}
+
 // Engines lists all engines, leaving ones included, by ID.
 func (s *Snapshot) Engines() []Engine { return s.all }
 
 // Serving lists the engines of a service that may get new requests, by ID.
 func (s *Snapshot) Serving(service string) []Engine { return s.engines[service] }
 
-// Engine finds an engine by its ID, leaving ones included.
+// Engine finds an engine by its ID, or by its instance name alone, leaving ones included.
 func (s *Snapshot) Engine(id string) (Engine, bool) {
-	engine, found := s.byID[id]
-	return engine, found
+	engine := s.find(id)
+	if engine == nil {
+		return Engine{}, false
+	}
+	return *engine, true
+}
+
+func (s *Snapshot) find(id string) *Engine {
+	if engine := s.byID[id]; engine != nil {
+		return engine
+	}
+	return s.byInstance[id]
 }
 
 // Usable says whether an engine may get a new request for the service.
 func (s *Snapshot) Usable(id, service string) bool {
-	engine, found := s.byID[id]
-	return found && engine.mayServe() && engine.Service == service
+	engine := s.find(id)
+	return engine != nil && engine.mayServe() && engine.Service == service
 }
 
 // Services lists the services of a route, by falling weight.
--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -11,7 +11,7 @@
 // could not take heartbeats, many entries of a service disappear at once and
 // come back with the engines' next heartbeats. It is pure.
 type Lapses struct {
-	present map[string]Engine
+	present map[string]*Engine
 	missing map[string]missing
 }
 
@@ -22,7 +22,7 @@
 
 // NewLapses returns a value that has seen no engines.
 func NewLapses() *Lapses {
-	return &Lapses{present: map[string]Engine{}, missing: map[string]missing{}}
+	return &Lapses{present: map[string]*Engine{}, missing: map[string]missing{}}
 }
 
 // Update takes the listed engines and returns those to use: the listed ones,
@@ -44,6 +44,7 @@
 			gone[one.engine.Service]++
 		}
 	}
+	engines = make([]Engine, 0, len(listed)+len(l.missing))
 	engines = append(engines, listed...)
 	for _, one := range l.missing {
 		if gone[one.engine.Service] <= here[one.engine.Service] {
@@ -57,25 +58,30 @@
 	return engines, again
 }
 
-// note compares the list with the one before. Engines that said they leave,
-// and those whose address another has now, are not missing.
+// note compares the list with the one before, which must not have changed since. Engines
+// that said they leave, and those whose address another has now, are not missing.
 func (l *Lapses) note(listed []Engine, now time.Time) {
-	current := make(map[string]Engine, len(listed))
-	addresses := map[string]bool{}
-	for _, engine := range listed {
-		current[engine.ID] = engine
-		addresses[engine.Address] = true
+	current := make(map[string]*Engine, len(listed))
+	for i := range listed {
+		current[listed[i].ID] = &listed[i]
 	}
 	for id, engine := range l.present {
 		if _, still := current[id]; !still && !engine.Leaving {
-			l.missing[id] = missing{engine, now}
+			l.missing[id] = missing{*engine, now}
 		}
 	}
+	l.present = current
+	if len(l.missing) == 0 {
+		return
+	}
+	addresses := make(map[string]bool, len(listed))
+	for i := range listed {
+		addresses[listed[i].Address] = true
+	}
 	for id, one := range l.missing {
 		_, back := current[id]
 		if back || addresses[one.engine.Address] || now.Sub(one.since) >= LapseHold {
 			delete(l.missing, id)
 		}
 	}
-	l.present = current
 }
--- a/internal/catalog/warmth.go
+++ b/internal/catalog/warmth.go
@@ -62,7 +62,7 @@
 // Update sets until when the engines are cold and paced. It returns what changed, and
 // when to call next if nothing changes before; zero means not at all.
 func (w *Warmth) Update(engines []Engine, services map[string]Service, now time.Time) (changes []WarmthChange, again time.Time) {
-	known := make(map[string]warmth, len(engines))
+	known := map[string]warmth{}
 	for i := range engines {
 		engine := &engines[i]
 		state := w.next(engine, now)
@@ -80,7 +80,9 @@
 		if cold && (again.IsZero() || engine.ColdUntil.Before(again)) {
 			again = engine.ColdUntil
 		}
-		known[engine.ID] = state
+		if !state.plain() {
+			known[engine.ID] = state
+		}
 	}
 	w.known, w.begun = known, w.begun || len(engines) > 0
 	return changes, again
@@ -104,6 +106,12 @@
 	return state
 }
 
+// plain says that the engine was never seen cold, nor in a drained zone: there is nothing
+// to remember of it.
+func (s warmth) plain() bool {
+	return s.told == 0 && s.warmed.IsZero() && s.returned.IsZero() && !s.drained && !s.cold
+}
+
 // toldUntil is when the engine is warm by its own words; zero if it never said that it
 // was cold.
 func (s warmth) toldUntil() time.Time {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -78,7 +78,7 @@
 func (fl *flight) call(engine catalog.Engine) *upstream.Call {
 	return &upstream.Call{
 		ID: fl.request.ID, Method: fl.request.Method, URI: fl.request.URI, Host: fl.request.Host,
-		Header: fl.request.Header, Body: fl.request.Body, Tenant: fl.request.Tenant, Instance: engine.ID, Deadline: fl.deadline,
+		Header: fl.request.Header, Body: fl.request.Body, Tenant: fl.request.Tenant, Engine: engine.ID, Deadline: fl.deadline,
 		Resume: fl.begun, ResumeAfter: fl.lastEvent,
 	}
 }
--- a/internal/slowstart/granters.go
+++ b/internal/slowstart/granters.go
@@ -20,7 +20,7 @@
 func Granters(nodes []mirror.Node, engine catalog.Engine) []mirror.Node {
 	all := make([]ranked, 0, len(nodes))
 	for _, node := range nodes {
-		all = append(all, ranked{node, distance(node, engine), membership.RendezvousScore(engine.ID, node.Name)})
+		all = append(all, ranked{node, distance(node, engine), membership.RendezvousScore(catalog.Instance(engine.ID), node.Name)})
 	}
 	slices.SortFunc(all, ranked.compare)
 	if len(all) == 0 {
--- a/internal/system/adapter.go
+++ b/internal/system/adapter.go
@@ -35,7 +35,10 @@
 	ZoneDrainsKind    string
 	PoisonKind        string
 	Configuration     func(content []byte) (*catalog.Configuration, error)
-	EngineList        func(objects []mirror.Object) []catalog.Engine
+	// EnginePlace reads of an engine's entry which nodes are to know it.
+	EnginePlace func(content []byte) mirror.Place
+	// Engine reads an engine's entry; it fails if the entry names no engine to use.
+	Engine func(entry mirror.Object) (*catalog.Engine, error)
 	// ZoneDrains lists the zones whose engines are to get nothing new.
 	ZoneDrains func(objects []mirror.Object) []string
 	// PoisonRecords reads records of requests under which engines ended.
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -121,7 +121,7 @@
 		Self: c.self(), DataNode: dataNode,
 		Kinds: []mirror.Kind{
 			{Name: c.adapter.ConfigurationKind, Fresh: c.settings.Platform.Apply},
-			{Name: c.adapter.EnginesKind, Fresh: c.settings.Platform.Leave},
+			{Name: c.adapter.EnginesKind, Fresh: c.settings.Platform.Leave, Place: c.adapter.EnginePlace},
 			{Name: c.adapter.PoisonKind, Fresh: poisonFresh},
 		},
 		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
-		Pool: d.pool, Usable: d.facts.usableForBatch, Knows: d.facts.enginesKnown, Permitted: d.permitted, Sender: d.peers, Receiver: d.peers,
+		Pool: d.pool, Usable: d.facts.usableForBatch, EngineID: d.facts.engineID, Knows: d.facts.enginesKnown, Permitted: d.permitted, Sender: d.peers, Receiver: d.peers,
 		Guard: d.guard,
 	})
 	for _, region := range d.regionNames() {
--- a/internal/system/drains_test.go
+++ b/internal/system/drains_test.go
@@ -27,6 +27,11 @@
 	return objects, 1
 }
 
+func (m fakeMirror) Since(kind string, _ uint64) (mirror.Delta, bool) {
+	objects, at := m.Objects(kind)
+	return mirror.Delta{Kind: kind, Whole: true, At: at, Objects: objects}, at > 0
+}
+
 // drainFacts are those of a node before three engines, one a zone, each named after it.
 func drainFacts(objects fakeMirror, drain time.Duration) *facts {
 	names := func(objects []mirror.Object) (list []string) {
@@ -37,11 +42,8 @@
 	}
 	f := newFacts(&Adapter{
 		EnginesKind: "engines", ZoneDrainsKind: "drains", ZoneDrains: names,
-		EngineList: func(objects []mirror.Object) (engines []catalog.Engine) {
-			for _, zone := range names(objects) {
-				engines = append(engines, catalog.Engine{ID: zone, Zone: zone, Service: "s", Slots: 4})
-			}
-			return engines
+		Engine: func(entry mirror.Object) (*catalog.Engine, error) {
+			return &catalog.Engine{ID: entry.Name, Zone: entry.Name, Service: "s", Slots: 4}, nil
 		},
 	}, &config.Node{Platform: config.Platform{Drain: drain}})
 	f.agent = objects
@@ -95,9 +97,9 @@
 	g := gomega.NewWithT(t)
 	objects := fakeMirror{"configuration": {"main"}, "drains": nil}
 	f := drainFacts(objects, time.Second)
-	lists, versions := 0, 0
-	list := f.adapter.EngineList
-	f.adapter.EngineList = func(objects []mirror.Object) []catalog.Engine { lists++; return list(objects) }
+	entries, versions := 0, 0
+	read := f.adapter.Engine
+	f.adapter.Engine = func(entry mirror.Object) (*catalog.Engine, error) { entries++; return read(entry) }
 	f.adapter.ConfigurationKind, f.adapter.ConfigurationName = "configuration", "main"
 	f.adapter.Configuration = func([]byte) (*catalog.Configuration, error) {
 		versions++
@@ -112,9 +114,9 @@
 	objects["drains"] = []string{"b"}
 	f.read("drains")
 	g.Expect(f.usableOnes()).To(gomega.Equal([]string{"a"}))
-	g.Expect([]int{lists, versions}).To(gomega.Equal([]int{1, 1}))
+	g.Expect([]int{entries, versions}).To(gomega.Equal([]int{2, 1}))
 	f.read("configuration")
-	g.Expect([]int{lists, versions}).To(gomega.Equal([]int{1, 2}))
+	g.Expect([]int{entries, versions}).To(gomega.Equal([]int{2, 2}))
 	g.Expect(f.Snapshot().Configuration.Version).To(gomega.Equal(uint64(2)))
 }
 
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -25,6 +25,15 @@
 // again within 0.6 s.
 const learnTime = 2 * time.Second
 
+const (
+	// refreshPauseFactor is how many times longer than a refresh took the next one waits,
+	// so that they take a tenth of a node's processor at most: with 10,000 engines some
+	// change many times a second. refreshPauseMost bounds that, as each bound on how soon
+	// a change holds is a second or more.
+	refreshPauseFactor = 9
+	refreshPauseMost   = 100 * time.Millisecond
+)
+
 // facts publishes the catalog that follows from the mirrored objects.
 type facts struct {
 	adapter  *Adapter
@@ -41,8 +50,10 @@
 
 	// What follows belongs to the goroutine that follows: the engines as they were
 	// last read, at which revision, what keeps lapsed ones, and until when some are cold.
+	roster   *catalog.Roster
 	listed   []catalog.Engine
 	listedAt uint64
+	unusable unusableEntries
 	lapses   *catalog.Lapses
 	again    time.Time
 	warmth   *catalog.Warmth
@@ -61,10 +72,13 @@
 // mirrored is what is known of the platform's objects; see mirror.Agent.
 type mirrored interface {
 	Objects(kind string) (objects []mirror.Object, at uint64)
+	// Since returns what changed in a kind after a revision; false if nothing is known.
+	Since(kind string, revision uint64) (mirror.Delta, bool)
 }
 
 func newFacts(adapter *Adapter, settings *config.Node) *facts {
-	f := &facts{adapter: adapter, settings: settings, changes: make(chan struct{}, 1), lapses: catalog.NewLapses(), warmth: catalog.NewWarmth()}
+	f := &facts{adapter: adapter, settings: settings, changes: make(chan struct{}, 1),
+		roster: catalog.NewRoster(), lapses: catalog.NewLapses(), warmth: catalog.NewWarmth()}
 	f.dirty = map[string]bool{adapter.ConfigurationKind: true, adapter.EnginesKind: true}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil))
 	return f
@@ -76,6 +90,14 @@
 // usable says whether an engine may get a new request of a service.
 func (f *facts) usable(id, service string) bool { return f.Snapshot().Usable(id, service) }
 
+// engineID finds the ID of the engine of an instance name; the name itself if there is none.
+func (f *facts) engineID(instance string) string {
+	if engine, found := f.Snapshot().Engine(instance); found {
+		return engine.ID
+	}
+	return instance
+}
+
 // changed asks for a refresh, as objects of a kind changed; it doesn't block.
 func (f *facts) changed(kind string) {
 	f.markDirty(kind)
@@ -96,7 +118,11 @@
 		case <-f.changes:
 		case <-timer.C:
 		}
+		started := clock.Now()
 		f.refresh()
+		if !f.restAfter(clock.Since(started), stop) {
+			return
+		}
 		timer.Stop()
 		if !f.again.IsZero() {
 			timer.Reset(max(0, clock.Until(f.again)))
@@ -104,6 +130,18 @@
 	}
 }
 
+// restAfter waits for a while that grows with what a refresh took; false if stop closes.
+func (f *facts) restAfter(took time.Duration, stop <-chan struct{}) bool {
+	timer := time.NewTimer(min(refreshPauseMost, refreshPauseFactor*took))
+	defer timer.Stop()
+	select {
+	case <-stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (f *facts) markDirty(kind string) {
 	f.dirtyMutex.Lock()
 	defer f.dirtyMutex.Unlock()
@@ -180,9 +218,29 @@
 	}
 }
 
+// readEngines reads the entries that changed since it was called last.
 func (f *facts) readEngines() {
-	objects, at := f.agent.Objects(f.adapter.EnginesKind)
-	f.listed, f.listedAt = f.adapter.EngineList(objects), at
+	delta, known := f.agent.Since(f.adapter.EnginesKind, f.listedAt)
+	if !known {
+		return
+	}
+	present := make(map[string]bool, len(delta.Objects))
+	for _, object := range delta.Objects {
+		if object.Gone {
+			f.roster.Remove(object.Name)
+			continue
+		}
+		present[object.Name] = true
+		engine, err := f.adapter.Engine(object)
+		if err != nil {
+			f.unusable.note(object, err, clock.Now())
+		}
+		f.roster.Put(catalog.Entry{Instance: object.Name, Engine: engine})
+	}
+	if delta.Whole {
+		f.roster.KeepOnly(present)
+	}
+	f.listed, f.listedAt = f.roster.Engines(), delta.At
 }
 
 // place tells each engine its region, and whether its zone is drained.
--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -64,7 +64,11 @@
 // leaves may end with the last of its requests. Its entry may be gone by then; that of one
 // that crashed is there for some heartbeats more.
 func (c *core) engineEnded(ctx context.Context, engine catalog.Engine) bool {
-	if known, found := c.facts.Snapshot().Engine(engine.ID); !found || known.Leaving {
+	snapshot := c.facts.Snapshot()
+	if newer, found := snapshot.Engine(catalog.Instance(engine.ID)); found && newer.Born.After(engine.Born) {
+		return true // it has started anew since
+	}
+	if known, found := snapshot.Engine(engine.ID); !found || known.Leaving {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
--- a/internal/system/slowstart.go
+++ b/internal/system/slowstart.go
@@ -159,7 +159,7 @@
 	}
 	p.asked.Add(1)
 	ask := slowstart.Ask{
-		Number: number, Engine: engine.ID, Revision: engine.Revision, Factor: factorOf(wanted, now),
+		Number: number, Engine: catalog.Instance(engine.ID), Revision: engine.Revision, Factor: factorOf(wanted, now),
 		MaybePast: engine.ColdMaybePast,
 	}
 	// An ask that can't be sent is like a lost one.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -57,7 +57,7 @@
 // answer. The connection is closed as soon as ctx ends, also while the answer
 // is read.
 func (p *Pool) Exchange(ctx context.Context, address string, call *Call) (*Answer, error) {
-	conn, err := p.take(ctx, address, call.Instance)
+	conn, err := p.take(ctx, address, call.Engine)
 	if err != nil {
 		return nil, &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -281,7 +281,7 @@
 		g.Expect(took).To(gomega.BeNumerically(">", 0))
 	}
 	for _, id := range []string{"a", "b"} {
-		answer, err := pool.Exchange(context.Background(), address, &Call{ID: id, Method: http.MethodGet, URI: "/", Host: "h", Instance: "i-1"})
+		answer, err := pool.Exchange(context.Background(), address, &Call{ID: id, Method: http.MethodGet, URI: "/", Host: "h", Engine: "i-1"})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		_, err = io.ReadAll(answer)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -19,8 +19,9 @@
 	Body   []byte
 	// Tenant is whose request it is; empty if callers need no key.
 	Tenant string
-	// Instance is the engine that is meant; any other refuses.
-	Instance string
+	// Engine is the ID of the engine that is meant; an engine of another instance name
+	// refuses.
+	Engine string
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
 	// ResumeAfter is the number of the last event that the caller has; it is
@@ -44,6 +45,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Stretch is how many times as long as usual work takes there now, as engines share
+	// their machines with others; 1 if the engine doesn't tell, 0 if nothing is known.
+	Stretch float64
 }
 
 // Facts are what an answer's head says, whatever its spelling.
