A status that promises 'not run' is passed on or sent only if that is true

Cause: an engine's own 408, 429 or 503 without its word that it has not run the request went to the caller as it was, also of requests that may run once; the other dialect answered 503 for a batch that may have been accepted, and passed a refusal on after a try whose fate is unknown. Change: these get 502 and 504, which promise nothing. Test: promise_test.go, failed before (408 was passed on).

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -109,6 +109,16 @@
 	return StepNotRun
 }
 
+// promisesNotRun says whether a status tells a caller that its request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // retryableStatus says whether another engine may do better than this answer.
 func retryableStatus(status int) bool {
 	switch status {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -162,6 +162,13 @@
 	return result, true
 }
 
+// falsePromise says whether an engine's failure must not be passed on as it is: the engine
+// didn't say that it has not run the request, its status says so, and the caller would send
+// a request again that may run once only.
+func (fl *flight) falsePromise(status int) bool {
+	return promisesNotRun(status) && !fl.route.MayRunAgain()
+}
+
 func (fl *flight) whole(engine catalog.Engine, answer *upstream.Answer) (outcome, bool) {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeMost))
 	if err != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -279,6 +279,10 @@
 	case StepUnknown:
 		fl.refuse(VerdictUnknown, outcome.cause)
 	case StepPass:
+		if fl.falsePromise(outcome.answer.Status) {
+			fl.refuse(VerdictUnknown, outcome.cause)
+			return
+		}
 		fl.verdict = verdictFailed
 		if err := fl.sink.Whole(outcome.answer.Status, outcome.answer.Header, outcome.body); err != nil {
 			fl.left(err)
--- /dev/null
+++ b/internal/forward/promise_test.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// An engine may fail a request that it ran with a status that tells callers that it has
+// not run: they would send it again. A request that may run once is answered so that it
+// promises nothing; one that may run again gets the engine's own answer.
+func TestAStatusThatPromisesIsPassedOnOnlyIfItIsTrue(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, repeatable := range []bool{false, true} {
+			g := gomega.NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Id", r.Header.Get("X-Id"))
+				w.WriteHeader(status)
+			}))
+			engine := catalog.Engine{ID: "e", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8}
+			snapshot := catalog.NewSnapshot(nil, []catalog.Engine{engine})
+			f := &Forwarder{
+				Pool: upstream.NewPool(testDialect{}), Balancer: balance.New(func() *catalog.Snapshot { return snapshot }), Usable: snapshot.Usable,
+			}
+			route := &catalog.Route{Name: "r", Attempts: 1, Target: time.Hour, Repeatable: repeatable, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+			sink := &answered{}
+			f.Serve(t.Context(), &Request{ID: "one", Method: http.MethodPost, URI: "/", Host: "h", Arrived: time.Now()}, route, sink)
+			server.Close()
+			if repeatable {
+				g.Expect(sink.status).To(gomega.Equal(status))
+				continue
+			}
+			g.Expect(sink.refused).To(gomega.BeTrue(), "status %d", status)
+			g.Expect(sink.verdict).To(gomega.Equal(VerdictUnknown), "status %d", status)
+		}
+	}
+}
--- a/internal/gateway/batchapi/errors.go
+++ b/internal/gateway/batchapi/errors.go
@@ -75,7 +75,8 @@
 
 // submissionError makes the error of a submission. A caller that gave a key
 // may have submitted before, so that neither a lost answer nor a missing
-// leader shows that the batch did not run; it can ask again with the same key.
+// leader shows that the batch did not run; it can ask again with the same key. The status
+// is one that promises nothing: 503 would say that the batch never runs.
 func submissionError(err error, keyed bool) error {
 	unavailable := errors.Is(err, ledger.ErrUnavailable)
 	if !unavailable && !errors.Is(err, ledger.ErrUnknownOutcome) {
@@ -89,7 +90,7 @@
 		message = "it is not known whether the batch was accepted; send it again with the same Idempotency-Key"
 	}
 	unknown := &apierror.Error{
-		Status: http.StatusServiceUnavailable, Code: apierror.CodeOutcomeUnknown, Type: apierror.TypeServer,
+		Status: http.StatusGatewayTimeout, Code: apierror.CodeOutcomeUnknown, Type: apierror.TypeServer,
 		Message: message, NoRetry: !keyed, Cause: err,
 	}
 	if keyed {
--- a/internal/gateway/relay/call.go
+++ b/internal/gateway/relay/call.go
@@ -208,7 +208,7 @@
 		cause = c.lastError
 	}
 	switch {
-	case c.lastError != nil && isRefusal(c.lastError) && c.delivered == 0:
+	case c.lastError != nil && isRefusal(c.lastError) && c.delivered == 0 && !c.mayHaveRun:
 		return refused(c.lastError)
 	case !c.mayHaveRun:
 		return apierror.NotRun(http.StatusServiceUnavailable, c.comeBack(), "no engine could take the request; it was not run")
