What a node keeps for slow callers is bounded

Cause: bodies and pages of results were read and kept for as many callers as came, an answer of a caller that reads nothing was held without an end where it named no deadline, and a body that doesn't come was waited for without one. Change: a quarter of a node's memory for bodies and pages, beyond which a request is told at once that it has not run; 10 s for an unread answer, 30 s for a body; bodies of known length are read into as much as they need. Tests in slow_test.go (virtual time over pipes): both bounds, the room. Not begun: what a request will hold at its engine doesn't count in the choice.

--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -16,6 +16,9 @@
 
 var eventJobCall = telemetry.Define(2302, "job-call-failed", "A call about a batch job could not be answered.")
 
+// pageCopies is how many times a page's text is there while it is written.
+const pageCopies = 2
+
 // bounded returns a context that ends in time to answer the caller.
 func bounded(parent context.Context, deadline time.Time, wait time.Duration) (context.Context, context.CancelFunc) {
 	limit := clock.Now().Add(callTimeout + wait)
@@ -69,6 +72,21 @@
 	}
 }
 
+// writePage answers a read, if there is room to keep the page until it is read.
+func (e *Edge) writePage(w http.ResponseWriter, page batchwork.Page) {
+	size := int64(0)
+	for _, result := range page.Results {
+		size += pageCopies * int64(len(result.Text))
+	}
+	if !e.Room.Take(size) {
+		answer(w, http.StatusServiceUnavailable, "this node keeps as much for callers as it may")
+		return
+	}
+	defer e.Room.Give(size)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stallTime))
+	_ = e.Dialect.WritePage(w, page)
+}
+
 func (e *Edge) serveCall(w http.ResponseWriter, r *http.Request, call Call, from caller, arrived time.Time) {
 	request, err := e.Dialect.Facts(r, arrived)
 	deadline := request.Deadline
@@ -84,13 +102,14 @@
 			e.jobCallFailed(w, "read", call.Job, err, arrived)
 			return
 		}
-		_ = e.Dialect.WritePage(w, page)
+		e.writePage(w, page)
 	case CallBody:
 		body, err := e.Jobs.Body(ctx, from.name(), call.Job, call.Item)
 		if err != nil {
 			e.jobCallFailed(w, "body", call.Job, err, arrived)
 			return
 		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stallTime))
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,14 @@
 	callMargin = 150 * time.Millisecond
 	// bodyMost bounds bodies while no configuration says less.
 	bodyMost = 8 << 20
+	// bodyTime bounds how long a body may take to come of a caller that names no deadline.
+	bodyTime = 30 * time.Second
+	// stallTime is how long a caller may leave an answer unread before it is cut. Callers
+	// that read at all take an event within a second or two.
+	stallTime = 10 * time.Second
+	// jobCopies is how many times a batch job's body is there while it is read and handed
+	// on: as it came, decoded, and encoded for the leader.
+	jobCopies = 3
 )
 
 // CallKind is a call about a batch job.
@@ -89,6 +97,8 @@
 	Admit    func(ctx context.Context, tenant *catalog.Tenant) quota.Decision
 	Withdraw func(tenant *catalog.Tenant, admitted time.Time)
 	Jobs     Jobs
+	// Room is what may be kept for callers; nil is no bound.
+	Room     *Room
 	inFlight atomic.Int64
 }
 
@@ -135,7 +145,8 @@
 		return
 	}
 	request.Tenant, request.Priority, request.Regions = from.name(), route.PriorityOf(from.tenant), route.RegionsOf(from.tenant)
-	body, ok := e.readBody(w, r, configuration.Limits.BodyBytes)
+	body, taken, ok := e.readBody(w, r, configuration.Limits.BodyBytes, route.Kind, request.Deadline)
+	defer e.Room.Give(taken)
 	if !ok {
 		return
 	}
@@ -200,17 +211,59 @@
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 }
 
-// readBody reads the whole body within the limit.
-func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+// readBody reads the whole body within the limit. taken is what it takes of the room, to be
+// given back with the body.
+func (e *Edge) readBody(
+	w http.ResponseWriter, r *http.Request, limit int64, kind catalog.Kind, deadline time.Time,
+) (body []byte, taken int64, ok bool) {
 	if limit <= 0 {
 		limit = bodyMost
 	}
 	if r.ContentLength > limit {
 		skipBody(w, r)
 		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
-		return nil, false
+		return nil, 0, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	taken = bodySize(r, limit, kind)
+	if !e.Room.Take(taken) {
+		skipBody(w, r)
+		e.reject(w, r, http.StatusServiceUnavailable, "this node keeps as much for callers as it may; the request has not run")
+		return nil, 0, false
+	}
+	if r.ContentLength == 0 {
+		return nil, taken, true
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(bodyDeadline(deadline))
+	body, ok = e.readWhole(w, r, limit)
+	if ok { // else the server would wait for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, taken, ok
+}
+
+// bodyDeadline is when the body of a request has to be there.
+func bodyDeadline(deadline time.Time) time.Time {
+	if deadline.IsZero() {
+		return time.Now().Add(bodyTime)
+	}
+	return time.Now().Add(clock.Until(deadline))
+}
+
+// bodySize is what a body takes of the room: as much as it may be where it doesn't tell.
+func bodySize(r *http.Request, limit int64, kind catalog.Kind) int64 {
+	size := r.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	if kind == catalog.KindBatch {
+		return jobCopies * size
+	}
+	return size
+}
+
+func (e *Edge) readWhole(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
@@ -226,6 +279,16 @@
 	return nil, false
 }
 
+// readAll reads a body, of which the length may be known: then nothing more is kept for it.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	whole := make([]byte, length)
+	_, err := io.ReadFull(body, whole)
+	return whole, err
+}
+
 // Bounds on what is read of a body that is refused, so that its sender sees
 // the answer and not a broken connection.
 const (
@@ -244,7 +307,7 @@
 	request.Header = endToEnd(r.Header)
 	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
 	if !request.Deadline.IsZero() {
-		_ = sink.controller.SetWriteDeadline(time.Now().Add(clock.Until(request.Deadline) + writeSlack))
+		sink.last = time.Now().Add(clock.Until(request.Deadline) + writeSlack)
 	}
 	sent = e.Forwarder.Serve(r.Context(), request, route, sink)
 	if sink.aborted {
--- a/internal/edge/sink.go
+++ b/internal/edge/sink.go
@@ -12,11 +12,23 @@
 type responseSink struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	aborted    bool
+	// last is when the answer has to be written at the latest; zero is never.
+	last    time.Time
+	aborted bool
 }
 
 var _ forward.Sink = (*responseSink)(nil)
 
+// bound bounds the next write: what a caller doesn't read holds the engine up, and the
+// engine cuts what is left unread for some seconds.
+func (s *responseSink) bound() {
+	until := time.Now().Add(stallTime)
+	if !s.last.IsZero() && s.last.Before(until) {
+		until = s.last
+	}
+	_ = s.controller.SetWriteDeadline(until)
+}
+
 func (s *responseSink) setHeader(header http.Header) {
 	target := s.writer.Header()
 	for name, values := range endToEnd(header) {
@@ -26,6 +38,7 @@
 
 // Whole implements forward.Sink.
 func (s *responseSink) Whole(status int, header http.Header, body []byte) error {
+	s.bound()
 	s.setHeader(header)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	s.writer.WriteHeader(status)
@@ -42,6 +55,7 @@
 
 // Event implements forward.Sink.
 func (s *responseSink) Event(raw []byte) error {
+	s.bound()
 	if _, err := s.writer.Write(raw); err != nil {
 		return err
 	}
@@ -64,6 +78,7 @@
 	case forward.VerdictTimeout:
 		status, reason = http.StatusGatewayTimeout, "the time is over"
 	}
+	s.bound()
 	if after > 0 {
 		setRetryAfter(s.writer, after)
 	}
--- /dev/null
+++ b/internal/edge/slow_test.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// pipeListener hands out one connection.
+type pipeListener struct {
+	conn   chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conn:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller that reads nothing holds its engine up for stallTime at most, also if it names
+// no deadline; then its answer is broken off, so that it doesn't look complete.
+func TestAnAnswerThatIsLeftUnreadIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		held := make(chan time.Duration, 1)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			started := time.Now()
+			sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
+			err := sink.Begin(http.StatusOK, http.Header{})
+			for err == nil {
+				err = sink.Event([]byte("data: x\n\n"))
+			}
+			held <- time.Since(started)
+			panic(http.ErrAbortHandler)
+		})}
+		listener := &pipeListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+		client, node := net.Pipe()
+		listener.conn <- node
+		go func() { _ = server.Serve(listener) }()
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(<-held).To(gomega.BeNumerically("~", stallTime, time.Second))
+		_, err = http.ReadResponse(bufio.NewReader(client), nil)
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(server.Close()).To(gomega.Succeed())
+	})
+}
+
+// A body that doesn't come, of a caller that names no deadline, is waited for bodyTime.
+func TestABodyThatDoesNotComeIsNotWaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e := &Edge{Dialect: plainDialect{}, Snapshot: func() *catalog.Snapshot {
+			return catalog.NewSnapshot(&catalog.Configuration{Routes: []catalog.Route{{Host: "h", Prefix: "/"}}}, nil)
+		}}
+		server := &http.Server{Handler: e}
+		listener := &pipeListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+		client, node := net.Pipe()
+		listener.conn <- node
+		go func() { _ = server.Serve(listener) }()
+		started := time.Now()
+		_, err := io.WriteString(client, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nsome")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.StatusCode).To(gomega.Equal(http.StatusRequestTimeout))
+		g.Expect(time.Since(started)).To(gomega.BeNumerically("~", bodyTime, time.Second))
+		_ = client.Close()
+		g.Expect(server.Close()).To(gomega.Succeed())
+	})
+}
+
+// pageDialect answers pages by their text.
+type pageDialect struct{ plainDialect }
+
+func (pageDialect) WritePage(w http.ResponseWriter, page batchwork.Page) error {
+	_, err := w.Write(page.Results[0].Text)
+	return err
+}
+
+// What callers send and don't read takes room; without room a request is told at once that
+// it has not run, and the room is back once the others have ended.
+func TestBodiesAndPagesTakeRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := &Edge{Dialect: pageDialect{}, Room: NewRoom(roomShare * 1000)}
+	body := func(size int, kind catalog.Kind) (int, int64) {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		read, taken, ok := e.readBody(recorder, request, 0, kind, time.Time{})
+		if !ok {
+			return recorder.Code, 0
+		}
+		g.Expect(read).To(gomega.HaveLen(size))
+		return http.StatusOK, taken
+	}
+	status, first := body(600, catalog.KindStream)
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	status, _ = body(600, catalog.KindStream)
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	status, _ = body(300, catalog.KindBatch)
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), "a job's body is there three times")
+	page := batchwork.Page{Results: []batchwork.Result{{Text: []byte(strings.Repeat("y", 300))}}}
+	recorder := httptest.NewRecorder()
+	e.writePage(recorder, page)
+	g.Expect(recorder.Code).To(gomega.Equal(http.StatusServiceUnavailable))
+	e.Room.Give(first)
+	status, second := body(300, catalog.KindBatch)
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	e.Room.Give(second)
+	recorder = httptest.NewRecorder()
+	e.writePage(recorder, page)
+	g.Expect(recorder.Code).To(gomega.Equal(http.StatusOK))
+	g.Expect(e.Room.Take(1000)).To(gomega.BeTrue(), "all is given back")
+}
+
+// endlessDialect reads answers of an engine that streams without an end.
+type endlessDialect struct{}
+
+func (endlessDialect) Header(call *upstream.Call, _ time.Time) http.Header {
+	return http.Header{"X-Id": {call.ID}}
+}
+func (endlessDialect) Facts(_ int, header http.Header) upstream.Facts {
+	return upstream.Facts{ID: header.Get("X-Id"), Signed: true}
+}
+
+// BenchmarkStalledReaders holds 1,000 callers that read nothing of endless streams. It tells
+// the memory of the heap and of stacks a caller; the stand-in of the engine and the callers
+// themselves are in it, so that a node has less.
+func BenchmarkStalledReaders(b *testing.B) {
+	const readers = 1000
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		for id := 1; ; id++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 1000)); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	}))
+	defer engine.CloseClientConnections()
+	configuration := &catalog.Configuration{Routes: []catalog.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: catalog.KindStream, Attempts: 1, Target: time.Hour, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}}}
+	snapshot := catalog.NewSnapshot(configuration, []catalog.Engine{
+		{ID: "e", Service: "s", Address: strings.TrimPrefix(engine.URL, "http://"), Slots: 2 * readers}})
+	known := func() *catalog.Snapshot { return snapshot }
+	node := httptest.NewServer(&Edge{Dialect: plainDialect{}, Snapshot: known, Forwarder: &forward.Forwarder{
+		Pool: upstream.NewPool(endlessDialect{}), Balancer: balance.New(known), Usable: snapshot.Usable}})
+	defer node.CloseClientConnections()
+	for b.Loop() {
+		before := memory()
+		conns := make([]net.Conn, 0, readers)
+		for range readers {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(node.URL, "http://"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			conns = append(conns, conn)
+			if _, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				b.Fatal(err)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		b.ReportMetric(float64(memory()-before)/readers/1024, "KB/reader")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+func memory() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -69,6 +69,7 @@
 	f.edge = &edge.Edge{
 		Admit: f.limits.admit, Withdraw: f.limits.withdraw,
 		Dialect:  adapter.Callers,
+		Room:     edge.NewRoom(int64(settings.Memory.Limit) << 20),
 		Snapshot: f.facts.Snapshot,
 		Current:  func() bool { return f.configurationAge() <= settings.Platform.Apply },
 		Lapsed: func() bool {
