The test of a lost replica of a region waits until the lost one is out

Cause: TestALostReplicaIsReplacedWithinItsRegion failed 2 of 6 runs side by side on untouched code, 1 of 3 alone: it killed a second replica as soon as a new one was a voter, while the lost one still was one: two of four voters were left, of three copies that bear one loss. Change: the test waits until the leader's voters are three without the lost one; its expectations are as they were. 8 of 8 runs side by side pass.

--- a/internal/ledger/replica/regions_test.go
+++ b/internal/ledger/replica/regions_test.go
@@ -92,6 +92,20 @@
 	return nodes
 }
 
+// voters lists the nodes of all voters, also those that are gone, as the leader sees them.
+func (c *cluster) voters(id ledger.ShardID) (nodes []string) {
+	leader := c.leaderNow(id)
+	if leader == nil {
+		return nil
+	}
+	for _, one := range leader.service.shardStatus(id).Replicas {
+		if one.State == stateVoter {
+			nodes = append(nodes, one.Node)
+		}
+	}
+	return nodes
+}
+
 // A region with too few data nodes gets no shard until there are enough.
 func TestARegionWithTooFewDataNodesGetsNoShard(t *testing.T) {
 	c := regionalCluster(t, Options{}, "n1", "n1", "s1", "s1", "s2")
@@ -117,6 +131,10 @@
 	c.g.Eventually(func() []string { return c.regionReplicas(north) }).
 		Should(gomega.And(gomega.HaveLen(3), gomega.Not(gomega.ContainElement(lost.name))))
 	c.g.Expect(c.heldBy(north)).To(gomega.HaveEach(gomega.HavePrefix("n")))
+	// Until the lost one is out, there are four voters, of which three are needed: one more
+	// loss is one too many for three copies then.
+	c.g.Eventually(func() []string { return c.voters(north) }).
+		Should(gomega.And(gomega.HaveLen(3), gomega.Not(gomega.ContainElement(lost.name))))
 	second := c.nodes[c.regionReplicas(north)[0]]
 	c.kill(second) // nobody of the region is left to take its place
 	c.g.Consistently(func() []string { return c.heldBy(north) }, time.Second).Should(gomega.HaveEach(gomega.HavePrefix("n")))
