--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -249,7 +249,9 @@
 // score is the share of an engine's slots in use, from 0, with penalties and
 // bonuses in the same unit.
 func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
-	score := float64(t.load(engine.ID, now)) / float64(max(engine.Slots, 1))
+	// Where work takes longer, all that the engine has and the request itself do.
+	work := float64(t.load(engine.ID, now)+1)*t.stretch(engine.ID, now) - 1
+	score := work / float64(max(engine.Slots, 1))
 	score += float64(t.pending(engine.ID, now)) / pendingUnit
 	if wish.Zone != "" && engine.Zone != wish.Zone {
 		score += zonePenalty
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -113,7 +113,13 @@
 	if beyond < 0 || p.wish.Wait <= 0 {
 		return beyond < queueDepth
 	}
-	return float64(beyond) < queueShare*float64(engine.Slots) && p.table.likely(beyond, engine.Slots, p.wish.Wait) >= p.sure
+	return float64(beyond) < queueShare*float64(engine.Slots) && p.table.likely(beyond, engine.Slots, p.waitFor(engine)) >= p.sure
+}
+
+// waitFor is what the request may wait at an engine, in the time that work takes there as
+// usual.
+func (p prediction) waitFor(engine catalog.Engine) time.Duration {
+	return time.Duration(float64(p.wish.Wait) / p.table.stretch(engine.ID, p.now))
 }
 
 // noteRoom takes whether a request of this node saw room.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -9,6 +9,9 @@
 const (
 	// reportLife is how long an engine's own figures count.
 	reportLife = 250 * time.Millisecond
+	// stretchLife is how long it counts what an engine told of how long work takes there: it
+	// changes many times a second.
+	stretchLife = 100 * time.Millisecond
 	// peersSawLife is how long what peers heard from an engine counts: a little
 	// longer than the time between two of their reports.
 	peersSawLife = 120 * time.Millisecond
@@ -317,6 +320,15 @@
 	return s.report.Running + s.report.Waiting + max(0, s.total()-s.ownAt)
 }
 
+// stretch is how many times as long as usual work takes at an engine, if it said so lately.
+func (t *Table) stretch(id string, now time.Time) float64 {
+	state := t.engines[id]
+	if state == nil || state.report.Stretch <= 0 || now.Sub(state.reportAt) > stretchLife {
+		return 1
+	}
+	return state.report.Stretch
+}
+
 // load estimates all requests that an engine has: those that nodes count, or
 // what it said itself if that is more, as after the loss of a node whose
 // requests still run there.
