--- a/internal/ledger/replica/outbox.go
+++ b/internal/ledger/replica/outbox.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// run sends what waits. It sleeps while nothing does: a node that keeps no replica woke up
-// 100 times a second, and that was most of what 985 nodes at rest did.
+// run sends what waits. It sleeps while nothing does: most nodes of a large fleet keep no
+// replica, and have nothing to send.
 func (o *outbox) run() {
 	defer o.stopped.Done()
 	for {
--- a/internal/mirror/feeders.go
+++ b/internal/mirror/feeders.go
@@ -14,8 +14,8 @@
 
 const (
 	// feedersMost is how many data nodes a node asks in turn, so that its connections
-	// don't grow with the fleet: a node that asked any of 150 data nodes had some 80 MB
-	// in connections and queues after minutes.
+	// don't grow with the fleet: where nodes asked any of 150 data nodes, processes grew
+	// from 57 MB after 6 minutes to 75 MB after 11 at rest (985 nodes, middle of all).
 	feedersMost = 3
 	// directMost is how many data nodes there may be for each to ask the watchers itself.
 	// With 30 a watcher holds 20 pulls, and a change crosses zones 30 times.
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -30,7 +30,7 @@
 	firstPullSlack = 150 * time.Millisecond
 	firstPullRetry = 40 * time.Millisecond
 	// fillTimeMost bounds a pull of a data node that knows nothing, after others failed: one
-	// data node hands 10,000 entries to thirty others, 0.1 s of a core each.
+	// data node may hand 10,000 entries to thirty others at once. An estimate.
 	fillTimeMost = 4 * time.Second
 	// headsGrace is how long a node that hears that there is news waits for it from the
 	// peer of its zone before it asks who told it, and fillGrace the same for a data node
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -16,8 +16,8 @@
 	// before it tells of one.
 	gatherTime = 20 * time.Millisecond
 	// wholeCacheLeast is the number of objects from which on an encoded collection is kept
-	// for others that ask for all of it, and wholeCacheTime how old it may be: data nodes
-	// that start together ask the same one, and to encode 10,000 entries takes 0.1 s.
+	// for others that ask for all of it, and wholeCacheTime how old it may be: thirty data
+	// nodes of a zone that start together ask the same one.
 	wholeCacheLeast = 500
 	wholeCacheTime  = time.Second
 )
--- a/internal/system/facts.go
+++ b/internal/system/facts.go
@@ -44,8 +44,8 @@
 
 	dirtyMutex sync.Mutex // guards dirty; a leaf
 	// dirty are the kinds that changed since the last refresh. Only these are decoded
-	// again: 5,700 entries of engines take 50 ms of a whole core, and small nodes have a
-	// fifth of one, at which a drain would hold requests up.
+	// again: a configuration of many routes or tenants takes its time at nodes that have a
+	// fifth of a core, at which a drain would hold requests up.
 	dirty map[string]bool
 
 	// What follows belongs to the goroutine that follows: the engines as they were
