--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -83,7 +83,7 @@
 		return
 	}
 	defer e.Room.Give(size)
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stallTime))
+	_ = http.NewResponseController(w).SetWriteDeadline(connectionDeadline(stallTime))
 	_ = e.Dialect.WritePage(w, page)
 }
 
@@ -109,7 +109,7 @@
 			e.jobCallFailed(w, "body", call.Job, err, arrived)
 			return
 		}
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stallTime))
+		_ = http.NewResponseController(w).SetWriteDeadline(connectionDeadline(stallTime))
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -234,7 +234,7 @@
 		return nil, taken, true
 	}
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(bodyDeadline(deadline))
+	_ = controller.SetReadDeadline(connectionDeadline(bodyWait(deadline)))
 	body, ok = e.readWhole(w, r, limit)
 	if ok { // else the server would wait for the rest of the body
 		_ = controller.SetReadDeadline(time.Time{})
@@ -242,14 +242,17 @@
 	return body, taken, ok
 }
 
-// bodyDeadline is when the body of a request has to be there.
-func bodyDeadline(deadline time.Time) time.Time {
+// bodyWait is how long the body of a request may take to come.
+func bodyWait(deadline time.Time) time.Duration {
 	if deadline.IsZero() {
-		return time.Now().Add(bodyTime)
+		return bodyTime
 	}
-	return time.Now().Add(clock.Until(deadline))
+	return clock.Until(deadline)
 }
 
+// connectionDeadline is a deadline of a connection, which goes by the steady clock.
+func connectionDeadline(after time.Duration) time.Time { return time.Now().Add(after) }
+
 // bodySize is what a body takes of the room: as much as it may be where it doesn't tell.
 func bodySize(r *http.Request, limit int64, kind catalog.Kind) int64 {
 	size := r.ContentLength
@@ -298,7 +301,7 @@
 
 func skipBody(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(skipTime))
+	_ = controller.SetReadDeadline(connectionDeadline(skipTime))
 	_, _ = io.CopyN(io.Discard, r.Body, skipMost)
 	_ = controller.SetReadDeadline(time.Time{})
 }
@@ -307,7 +310,7 @@
 	request.Header = endToEnd(r.Header)
 	sink := &responseSink{writer: w, controller: http.NewResponseController(w)}
 	if !request.Deadline.IsZero() {
-		sink.last = time.Now().Add(clock.Until(request.Deadline) + writeSlack)
+		sink.last = request.Deadline.Add(writeSlack)
 	}
 	sent = e.Forwarder.Serve(r.Context(), request, route, sink)
 	if sink.aborted {
--- a/internal/edge/sink.go
+++ b/internal/edge/sink.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 )
 
@@ -22,11 +23,11 @@
 // bound bounds the next write: what a caller doesn't read holds the engine up, and the
 // engine cuts what is left unread for some seconds.
 func (s *responseSink) bound() {
-	until := time.Now().Add(stallTime)
-	if !s.last.IsZero() && s.last.Before(until) {
-		until = s.last
+	left := stallTime
+	if !s.last.IsZero() {
+		left = min(left, clock.Until(s.last))
 	}
-	_ = s.controller.SetWriteDeadline(until)
+	_ = s.controller.SetWriteDeadline(connectionDeadline(left))
 }
 
 func (s *responseSink) setHeader(header http.Header) {
