--- a/internal/ledger/replica/regions_test.go
+++ b/internal/ledger/replica/regions_test.go
@@ -14,6 +14,7 @@
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 var north, south = ledger.RegionShard("north"), ledger.RegionShard("south")
@@ -207,8 +208,12 @@
 	c.settled(0, 3)
 	c.need("north")
 	c.regionSettled(north, 3)
-	leader, known := c.nodes["n3"].service.Leader(north)
-	c.g.Expect(known).To(gomega.BeTrue())
+	// A node of another region hears of the leader a moment after the shard is settled.
+	var leader transport.Address
+	c.g.Eventually(func() (known bool) {
+		leader, known = c.nodes["n3"].service.Leader(north)
+		return known
+	}).Should(gomega.BeTrue())
 	at := slices.IndexFunc([]string{"n0", "n1", "n2"}, func(name string) bool { return c.nodes[name].transport.Address() != leader })
 	moved := c.nodes[[]string{"n0", "n1", "n2"}[at]]
 	c.kill(moved)
