A body of unknown length keeps room for its own size only once it is read

Found in reading the change: a request in chunks kept the room of the longest body (4 MB, three times that for a batch job) until it was answered, so that a node with 36 MB of room refused the tenth at a time though each has some KB. Change: the difference is given back as soon as the body is there. Test: TestABodyOfUnknownLengthKeepsItsOwnSizeOnly; by the old way its second request is refused.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -224,7 +224,11 @@
 		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 		return nil, 0, false
 	}
-	taken = bodySize(r, limit, kind)
+	size := r.ContentLength
+	if size < 0 {
+		size = limit // it doesn't tell
+	}
+	taken = bodyRoom(size, kind)
 	if !e.Room.Take(taken) {
 		skipBody(w, r)
 		e.reject(w, r, http.StatusServiceUnavailable, "this node keeps as much for callers as it may; the request has not run")
@@ -239,7 +243,9 @@
 	if ok { // else the server would wait for the rest of the body
 		_ = controller.SetReadDeadline(time.Time{})
 	}
-	return body, taken, ok
+	kept := bodyRoom(int64(len(body)), kind)
+	e.Room.Give(taken - kept)
+	return body, kept, ok
 }
 
 // bodyWait is how long the body of a request may take to come.
@@ -253,12 +259,8 @@
 // connectionDeadline is a deadline of a connection, which goes by the steady clock.
 func connectionDeadline(after time.Duration) time.Time { return time.Now().Add(after) }
 
-// bodySize is what a body takes of the room: as much as it may be where it doesn't tell.
-func bodySize(r *http.Request, limit int64, kind catalog.Kind) int64 {
-	size := r.ContentLength
-	if size < 0 {
-		size = limit
-	}
+// bodyRoom is what a body of a size takes of the room.
+func bodyRoom(size int64, kind catalog.Kind) int64 {
 	if kind == catalog.KindBatch {
 		return jobCopies * size
 	}
--- a/internal/edge/slow_test.go
+++ b/internal/edge/slow_test.go
@@ -137,6 +137,20 @@
 	g.Expect(e.Room.Take(1000)).To(gomega.BeTrue(), "all is given back")
 }
 
+// A body that doesn't tell its length takes room for the longest one while it comes, and
+// only for what it is from then on: with 36 MB of room nine requests in chunks would be all.
+func TestABodyOfUnknownLengthKeepsItsOwnSizeOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := &Edge{Dialect: plainDialect{}, Room: NewRoom(roomShare * 1000)}
+	for range 5 {
+		request := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader("some bytes")))
+		g.Expect(request.ContentLength).To(gomega.BeNumerically("<", 0))
+		_, taken, ok := e.readBody(httptest.NewRecorder(), request, 900, catalog.KindStream, time.Time{})
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(taken).To(gomega.BeEquivalentTo(len("some bytes")))
+	}
+}
+
 // endlessDialect reads answers of an engine that streams without an end.
 type endlessDialect struct{}
 
