Limits: what front nodes seem to have taken over is forgotten unless it is missing a share later

What callers saw: QUOTA. In virtual time a tenant was let through 1,746 times in 5 s, of 845 allowed, where the front nodes of each zone report to two data nodes and it goes over to five times its limit.

Cause: front nodes that change their data node must count once. So a rise of one data node's counts was taken from the zone's others for 0.1 s. New requests raise counts as well, and each rise renewed all that seemed given before, so that all nodes heard of a part of the requests as long as they grew.

Change: each gift lapses by itself a share later, but for what is missing then; a data node that is heard gives nothing for what another one tells, only for front nodes that report here themselves. Why it holds: what is taken off is bound to evidence that comes each 80 ms; without it, it counts again.

Tests of what must not be refused pass as they were.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -16,6 +16,9 @@
 	// takeTime is how long front nodes take to go over from a data node that fell
 	// silent: three reports without an answer, and one that is due without news.
 	takeTime = 800 * time.Millisecond
+	// quietTime is how long a data node may be silent before its front nodes may have left
+	// it unheard: an interval between shares and half of one.
+	quietTime = 120 * time.Millisecond
 	// giveTime is how long the share of a data node may tell of front nodes that have
 	// left it: an interval between shares, and their way.
 	giveTime = 100 * time.Millisecond
@@ -72,9 +75,8 @@
 type zoneShare struct {
 	heard
 	zone string
-	// given is what others have taken over since, last at givenAt.
-	given   Counts
-	givenAt time.Time
+	// given is what others seem to have taken over since, the oldest first.
+	given []heard
 }
 
 // rest is what nobody has taken over.
@@ -83,19 +85,28 @@
 		return s.heard
 	}
 	rest := Counts{}
-	for key, count := range s.counts {
-		rest[key] = Count{max(0, count.Admitted-s.given[key].Admitted), count.Asked}
+	rest.add(s.counts, 1, 0)
+	for _, one := range s.given {
+		rest.reduce(one.counts)
 	}
 	return heard{s.at, rest}
 }
 
 // follow returns the share that the data node tells next. It may have been sent before
 // front nodes told that they are gone: what was given and isn't missing yet stays given
-// for a while.
+// for a while, each by itself: renewed by all that another data node told, which may be new
+// requests, it stayed given for as long as a tenant asked for more and more.
 func (s *zoneShare) follow(counts Counts, now time.Time) *zoneShare {
 	next := &zoneShare{heard: heard{now, counts}, zone: s.zone}
-	if now.Sub(s.givenAt) <= giveTime {
-		next.given, next.givenAt = s.given.above(s.counts.above(counts)), s.givenAt
+	missing := s.counts.above(counts)
+	for _, one := range s.given {
+		if now.Sub(one.at) > giveTime {
+			continue
+		}
+		if still := one.counts.above(missing); len(still) > 0 {
+			next.given = append(next.given, heard{one.at, still})
+		}
+		missing = missing.above(one.counts)
 	}
 	return next
 }
@@ -149,15 +160,18 @@
 
 // arrive notes that a source told of requests which it didn't let through just now:
 // front nodes came to it, or it is heard again. Other sources of the zone that told of
-// them have them no more, those first that are silent for longest, but for those heard
-// within recent. What none of them had was part of what front nodes remembered.
+// them have them no more, those first that are silent for longest. If recent is given, what
+// was told may be new requests as well, and only sources give that have fallen silent within
+// that time: one that is heard tells itself what it has no more. What none of them had was
+// part of what front nodes remembered.
 func (c *Collector) arrive(counts Counts, zone string, name source, recent time.Duration, now time.Time) {
 	if len(counts) == 0 {
 		return
 	}
 	var givers []*zoneShare
 	for other, share := range c.shares {
-		if share.zone == zone && other != name && (recent == 0 || now.Sub(share.at) <= recent) {
+		age := now.Sub(share.at)
+		if share.zone == zone && other != name && (recent == 0 || quietTime < age && age <= recent) {
 			givers = append(givers, share)
 		}
 	}
@@ -183,14 +197,15 @@
 	}
 	rest := s.rest().counts
 	given := Counts{}
-	given.add(s.given, 1, 0)
 	for key, count := range counts {
 		if taken := min(count.Admitted, rest[key].Admitted*left); taken > 0 {
-			given[key] = Count{Admitted: given[key].Admitted + taken/left}
+			given[key] = Count{Admitted: taken / left}
 			counts[key] = Count{Admitted: count.Admitted - taken}
 		}
 	}
-	s.given, s.givenAt = given, now
+	if len(given) > 0 {
+		s.given = append(s.given, heard{now, given})
+	}
 }
 
 // Share takes another data node's share.
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// reduce takes other counts away, as far as there are so many.
+func (c Counts) reduce(other Counts) {
+	for key, count := range other {
+		if known, found := c[key]; found {
+			c[key] = Count{max(0, known.Admitted-count.Admitted), known.Asked}
+		}
+	}
+}
+
 // above is by how much the counts exceed those of another view.
 func (c Counts) above(other Counts) Counts {
 	rest := Counts{}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -116,6 +116,8 @@
 	zones  int
 	// hops: front nodes of the first zone try the data nodes of it in turn.
 	hops bool
+	// lateShares: data nodes send each second share only, as busy ones do.
+	lateShares bool
 	// admitted are the times of the requests let through, by tenant.
 	admitted map[Key][]time.Time
 	refused  map[Key]int
@@ -272,7 +274,9 @@
 					f.report(front)
 				}
 			}
-			f.share()
+			if !f.lateShares || f.now.Sub(start)%(2*reportEach) == 0 {
+				f.share()
+			}
 		}
 		for _, key := range slices.Sorted(maps.Keys(rates)) {
 			perSecond := rates[key]
