Engines whose address refuses a moment after they ended count against their request

Cause: whether an engine has ended was asked once, right after the connection broke; its address took connections for a moment longer, so the end counted nothing at any node. In the log: three attempts fail with "unexpected EOF" without engine-ended-under-request, and the same addresses refuse within 0.5 s. Ruled out: a record lost with the nodes that were killed 1.3 s later (there never was one).

Change: a second look 0.3 s later, in the background, so that the retry doesn't wait for it. Whatever some engine answered meanwhile stood by and isn't counted; at most 256 requests wait. Why it holds: an end is now lost only if the address takes connections for longer than that.

TestAnEngineThatRefusesAMomentLaterCountsAsEnded fails before, passes after; tests of bystanders unchanged.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -39,6 +40,12 @@
 	standInTime = 500 * time.Millisecond
 	// callTimeout bounds one call of peers or of the store.
 	callTimeout = time.Second
+	// secondLook is how long after a connection broke its engine is looked at again, if its
+	// address took connections right after: a proxy before an engine, or a busy machine,
+	// refuses some tenths of a second after the engine has ended.
+	secondLook = 300 * time.Millisecond
+	// doubtedMost bounds the requests that wait for a second look.
+	doubtedMost = 256
 )
 
 // Store keeps records beyond the lives of nodes.
@@ -75,8 +82,10 @@
 	// known and holding say, without the mutex, whether there are records at all, and
 	// any that may hold a request back: only then fingerprints are worth their time.
 	known, holding atomic.Bool
-	refused        atomic.Int64
-	learnt         atomic.Bool
+	// doubting says the same of requests that wait for a second look.
+	doubting atomic.Bool
+	refused  atomic.Int64
+	learnt   atomic.Bool
 
 	mutex  sync.Mutex // guards what is below; a leaf
 	table  *Table
@@ -85,6 +94,8 @@
 	unkept map[Fingerprint]time.Time
 	told   chan struct{} // of capacity 1: there is something in news
 	kept   chan struct{} // of capacity 1: there is something in unkept
+	// doubted are requests whose engines are to be looked at again, and how many engines.
+	doubted map[Fingerprint]int
 }
 
 // NewGuard returns a guard; nothing is told or kept before Start.
@@ -92,6 +103,7 @@
 	g := &Guard{
 		options: options, table: NewTable(), stored: map[Fingerprint]Record{}, news: map[Fingerprint]bool{},
 		unkept: map[Fingerprint]time.Time{}, told: make(chan struct{}, 1), kept: make(chan struct{}, 1),
+		doubted: map[Fingerprint]int{},
 	}
 	g.running, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -105,7 +117,9 @@
 
 // Close stops the guard, and waits.
 func (g *Guard) Close() {
-	g.cancel()
+	g.mutex.Lock()
+	g.cancel() // from here on there are no new second looks
+	g.mutex.Unlock()
 	g.tasks.Wait()
 }
 
@@ -134,12 +148,54 @@
 }
 
 // Broke takes that a connection broke, and returns once it is known whether that counts
-// against its request.
+// against its request. An engine that seems to be up may be found to have ended later.
 func (g *Guard) Broke(ctx context.Context, broken Break) {
-	if g == nil || !g.options.Ended(ctx, broken.Engine) {
+	switch {
+	case g == nil:
+	case g.options.Ended(ctx, broken.Engine):
+		g.count(broken.Fingerprint(), broken)
+	default:
+		g.lookAgain(broken)
+	}
+}
+
+// lookAgain has an engine looked at a second time. A request that some engine answers
+// meanwhile only stood by, and isn't counted.
+func (g *Guard) lookAgain(broken Break) {
+	f := broken.Fingerprint()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.running.Err() != nil || len(g.doubted) >= doubtedMost {
 		return
 	}
-	f, now := broken.Fingerprint(), g.options.Now()
+	g.doubted[f]++
+	g.doubting.Store(true)
+	g.tasks.Go(func() {
+		clock.Pause(g.running, secondLook)
+		if g.takeDoubt(f) && g.options.Ended(g.running, broken.Engine) {
+			g.count(f, broken)
+		}
+	})
+}
+
+// takeDoubt ends the wait of a request for one second look, and says whether it still
+// waited.
+func (g *Guard) takeDoubt(f Fingerprint) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	waiting := g.doubted[f]
+	if waiting > 1 {
+		g.doubted[f] = waiting - 1
+	} else {
+		delete(g.doubted, f)
+	}
+	g.doubting.Store(len(g.doubted) > 0)
+	return waiting > 0
+}
+
+// count counts an engine that has ended against its request.
+func (g *Guard) count(f Fingerprint, broken Break) {
+	now := g.options.Now()
 	end := End{Engine: broken.Engine.ID, Answering: broken.Answering}
 	record := Record{Fingerprint: f, Ends: []End{end}, Last: now}
 	g.mutex.Lock()
@@ -154,12 +210,13 @@
 
 // Served takes that an engine answered a request whole.
 func (g *Guard) Served(fingerprint func() Fingerprint) {
-	if g == nil || !g.known.Load() {
+	if g == nil || !g.known.Load() && !g.doubting.Load() {
 		return
 	}
 	f := fingerprint()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	delete(g.doubted, f)
 	record, found := g.table.Get(f)
 	if !found || record.Sound {
 		return
