--- a/internal/mirror/askback.go
+++ b/internal/mirror/askback.go
@@ -20,9 +20,8 @@
 	at    time.Time
 }
 
-// noteLead has the sender of a pull asked back if this node is behind it. The store may
-// turn all data nodes away and answer others: a data node that drew its peers by chance
-// heard of a change up to 1.9 s too late.
+// noteLead has the sender of a pull asked back if this node is behind it: so a change gets
+// from whomever the store answers to all data nodes in time, though it turns these away.
 func (a *Agent) noteLead(from transport.Address, request *pull, received time.Time) {
 	seen := lead{from, request.kinds, received}
 	if !a.isBehind(seen) {
@@ -34,7 +33,7 @@
 	}
 }
 
-// askBackLoop asks peers that are ahead, once what they have had time to come from others.
+// askBackLoop asks peers that are ahead, unless what they have comes from others meanwhile.
 func (a *Agent) askBackLoop() {
 	for {
 		var seen lead
@@ -81,7 +80,8 @@
 // and asks again to say so.
 var errOwnNews = errors.New("mirror: this node has read the store itself")
 
-// tellOwnNews ends the pulls that wait at peers. Those that follow say how far this node is.
+// tellOwnNews ends the pulls that wait at peers. Those that follow say how far this node is,
+// and a peer that is behind asks back at once, not when it has held the pull to its end.
 func (a *Agent) tellOwnNews() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/mirror/doc.go
+++ b/internal/mirror/doc.go
@@ -2,6 +2,8 @@
 // on every node. A node reads the store itself and also asks its peers, so
 // that a node which the store refuses still learns what others know, and so
 // that a node which starts while the store is down learns what was last known.
+// A request to a peer says how far its sender is, and a peer that is behind asks
+// back.
 //
 // The pure part (Table) holds one collection a kind: objects by name with the
 // store's revision of their last change, the names that were removed, and the
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -94,8 +94,9 @@
 
 // follow returns the share that the data node tells next. It may have been sent before
 // front nodes told that they are gone: what was given and isn't missing yet stays given
-// for a while, each by itself: renewed by all that another data node told, which may be new
-// requests, it stayed given for as long as a tenant asked for more and more.
+// for a while, each by itself. What another data node tells more of may be new requests, and
+// must not renew what was given before: as long as a tenant asks for more and more, that would
+// hide a part of its requests.
 func (s *zoneShare) follow(counts Counts, now time.Time) *zoneShare {
 	next := &zoneShare{heard: heard{now, counts}, zone: s.zone}
 	missing := s.counts.above(counts)
