--- a/internal/mirror/askback.go
+++ b/internal/mirror/askback.go
@@ -42,8 +42,7 @@
 		case <-a.running.Done():
 			return
 		}
-		a.awaitUntil(clock.Now().Add(headsGrace), func() bool { return !a.isBehind(seen) })
-		if !a.isBehind(seen) {
+		if a.awaitUntil(clock.Now().Add(headsGrace), func() bool { return !a.isBehind(seen) }) {
 			continue
 		}
 		request, known := a.pullRequest()
--- a/internal/mirror/pulls.go
+++ b/internal/mirror/pulls.go
@@ -225,20 +225,20 @@
 	behind := func() bool {
 		return slices.ContainsFunc(reply.deltas, func(delta agedDelta) bool { return delta.held && a.position(delta.Kind) < delta.At })
 	}
-	a.awaitUntil(clock.Now().Add(grace), func() bool { return !behind() })
-	return behind() && a.running.Err() == nil
+	return !a.awaitUntil(clock.Now().Add(grace), func() bool { return !behind() })
 }
 
-// awaitUntil waits until a condition holds that a change here may bring about, or the time
-// is over.
-func (a *Agent) awaitUntil(end time.Time, holds func() bool) {
+// awaitUntil waits until a condition holds that a change here may bring about; false if the
+// time is over before. It ends with the agent.
+func (a *Agent) awaitUntil(end time.Time, holds func() bool) bool {
 	for !holds() && a.running.Err() == nil {
 		left := clock.Until(end)
 		if left <= 0 {
-			return
+			return false
 		}
 		a.awaitChange(left)
 	}
+	return true
 }
 
 // awaitChange waits until something changed or was confirmed here, for a time at most.
