Test: a stand-in engine's start is logged after its first request (fails)

Cause: the truth log's "started" is written by the run loop, a goroutine that the listener doesn't wait for; readers take it for a crash and forget the attempt. Ruled out: a cancellation that is lost (the first token is missing as well, which the client has).

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -296,3 +297,47 @@
 	g.Eventually(models, patience).Should(gomega.ContainSubstring(`"fine"`))
 	g.Consistently(models, "50ms").ShouldNot(gomega.ContainSubstring(`"broken"`))
 }
+
+// A request that comes as soon as the engine listens must not stand before the engine's start in
+// the truth log: readers take a start for a crash, forget the attempts before it, and then know of
+// no end of the request (TestLeavingCancelsAtTheEngine waited 10 s for it: accepted, no first
+// token, no end, though the client had its first piece).
+//
+// Why: the start was written by the run loop, a goroutine that the listener doesn't wait for.
+func TestAnEngineHasStartedBeforeItTakesRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, leave := context.WithCancel(t.Context())
+	log := leavingLog{leave: leave}
+	config := engine.DefaultConfig()
+	config.Models = []string{standintest.Model}
+	server, err := engine.New(config, truth.NewLog(&log, config.Name, time.Now))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	body := strings.NewReader(`{"model":"` + standintest.Model + `","prompt":"a","max_tokens":1}`)
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", body)
+	g.Expect(func() { server.Handler().ServeHTTP(httptest.NewRecorder(), request) }).To(gomega.PanicWith(http.ErrAbortHandler))
+	run, stop := context.WithCancel(t.Context())
+	stop()
+	server.Run(run)
+
+	entries, err := truth.Read(&log.lines)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var kinds []truth.Kind
+	for _, entry := range entries {
+		kinds = append(kinds, entry.Kind)
+	}
+	g.Expect(kinds).To(gomega.Equal([]truth.Kind{truth.KindStarted, truth.KindAccepted, truth.KindEnded}))
+}
+
+// leavingLog is a truth log in memory; its client leaves once a request is accepted.
+type leavingLog struct {
+	lines bytes.Buffer
+	leave func()
+}
+
+// Write implements io.Writer.
+func (l *leavingLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(truth.KindAccepted)) {
+		l.leave()
+	}
+	return l.lines.Write(line)
+}
