Stand-in engines log their start before a request can come

No caller of the product saw anything: the fault is in the stand-in's truth log.

Cause: the start was logged by the run loop's goroutine, at times after the first request; readers take it for a crash and forget the request's attempt. Why this holds: New logs it, and nothing can reach the engine before New has returned. Ruled out: a lost cancellation (the client's first piece was missing in the log, too).

--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -44,7 +44,7 @@
 	draining  bool
 }
 
-// New returns an engine; Run must be running for it to make progress.
+// New returns an engine, whose start it logs; Run must be running for it to make progress.
 func New(config Config, log *truth.Log) (*Server, error) {
 	server := &Server{
 		config:   config,
@@ -77,6 +77,9 @@
 			return nil, trace.Wrap(err, "fault of engine %s", config.Name)
 		}
 	}
+	// Before any request can come: readers of the log take a start for a crash, which ends
+	// the attempts before it.
+	log.Record(truth.Entry{Kind: truth.KindStarted})
 	return server, nil
 }
 
@@ -140,7 +143,6 @@
 
 // Run drives the scheduler until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	s.log.Record(truth.Entry{Kind: truth.KindStarted})
 	go s.reports.run(ctx)
 	due := time.Now()
 	for ctx.Err() == nil {
