A request leaves a zone whose engines are not there

Cause: the former names of the zone's engines are listed for seconds after the engines are back under other names. What is not there looks idle and near, a request left its zone for load only, and five answers of "another engine is here" (421), or four connections that can't be made, end it. Ruled out: full engines (16 other refusals had made no try), engines that lie (all of the zone's engines answered so, no other).

Change: once an engine of a zone was not there the request goes to engines of other zones, as long as one of these has room (balance.Wish.Leave). Why it holds: engines that are lost together are of one zone, so a request makes one such try a zone, below both bounds with three zones lost. Rules on which requests may run again are as they were: these tries ran nothing.

Before: TestARequestLeavesAZoneWhoseEnginesAreGone fails in both cases. After: it passes, unchanged.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -61,17 +61,20 @@
 	Former string
 	// Regions are where the request may be served.
 	Regions catalog.Regions
-	// Avoid lists engines that the request has been to.
+	// Avoid lists engines that the request has been to, and Leave the zones in which one of
+	// them was not there: engines are lost a zone at a time, and those that are lost look
+	// idle until their entries lapse.
 	Avoid []string
+	Leave []string
 	// Wait is how long the request may wait at an engine and still have its first
 	// token in time; 0 means that it has no such bound.
 	Wait time.Duration
 }
 
-// Choose returns the best engine that has room, or false. When every engine
-// of the service is set aside or avoided, these rules give way in turn, so
-// that a request is not refused while some engine may be able to run it. draw is
-// uniform in [0, 1).
+// Choose returns the best engine that has room, or false. When every engine of the service
+// is set aside or avoided, or those beyond the zones to leave have no room, these rules give
+// way in turn, so that a request is not refused while some engine may be able to run it. draw
+// is uniform in [0, 1).
 func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	t.expire(now)
 	if wish.Class == ClassBatch {
@@ -81,7 +84,22 @@
 		}
 		return chosen[0], true
 	}
-	return t.best(t.candidates(snapshot, wish, now), wish, now, draw)
+	candidates := t.candidates(snapshot, wish, now)
+	if elsewhere := wish.beyondLeft(candidates); len(elsewhere) > 0 {
+		if engine, found := t.best(elsewhere, wish, now, draw); found {
+			return engine, true
+		}
+	}
+	return t.best(candidates, wish, now, draw)
+}
+
+// beyondLeft lists the engines outside the zones that the wish is to leave; nil if there are none
+// to leave.
+func (w Wish) beyondLeft(engines []catalog.Engine) []catalog.Engine {
+	if len(w.Leave) == 0 {
+		return nil
+	}
+	return filter(engines, func(e catalog.Engine) bool { return !contains(w.Leave, e.Zone) })
 }
 
 // candidates filters the engines of a wish's service by the first of the rules
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -25,6 +25,11 @@
 	body     []byte
 }
 
+// notThere says that the engine could not be reached, or that another one has its address.
+func (o outcome) notThere() bool {
+	return o.elsewhere || o.kind == OutcomeNotSent && !o.unwanted
+}
+
 // try runs one exchange. done says that the sink has its answer.
 func (fl *flight) try(ctx context.Context, lease *balance.Lease) (outcome, bool) {
 	engine := lease.Engine
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -82,6 +82,7 @@
 	deadline time.Time
 	service  string
 	avoid    []string
+	leave    []string // zones whose engines were not there
 	tries    int
 
 	begun     bool // the head of a stream is out
@@ -154,6 +155,9 @@
 			return
 		}
 		fl.avoid = append(fl.avoid, engine.ID)
+		if outcome.notThere() {
+			fl.leave = append(fl.leave, engine.Zone)
+		}
 	}
 }
 
@@ -220,7 +224,7 @@
 	return balance.Wish{
 		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Regions: fl.regions(), Avoid: fl.avoid, Wait: wait,
+		Regions: fl.regions(), Avoid: fl.avoid, Leave: fl.leave, Wait: wait,
 	}
 }
 
