Limits: a sum tells what other zones will have let through since their shares came

Cause (traced: what nodes see beside what was let through, each 50 ms): for 300 ms after the jump nodes see 447 to 510 while 886 were let through, and decide as if nothing were unknown. Ruled out: the memory of the rate of asking (150 to 350 ms in place of 500: 855 to 924); only the rate of asking expected to grow as here: 848 to 875.

Change: a data node measures by how much its own front nodes' counts grew since another one's share came, and takes as much for let through there, unless that may be chance (within the square root of the count). Front nodes that come over bring no growth. Taking growth in proportion to what both counted before: up to 848; less the deviation: 898. Messages are as they were.

Why it holds: what is unknown is now at most what came within two reports, some 60 to 80 ms. Where callers are not spread alike more is expected than there is, until the next share: with all of a tenant's requests in one zone, 600 a second from none, 526 of 600 are let through in the first second in place of 576; at 300 a second all.

Before: TestALimitHoldsWhereSharesComeLate fails (867 to 931). At a limit's own rate 57 of 7,569 requests refused, as before; at 0.5 and 0.8 of it as before. All tests of the package pass.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -38,7 +39,7 @@
 	zone    string
 	window  time.Duration
 	life    uint32
-	reports map[source]heard
+	reports map[source]report
 	shares  map[source]*zoneShare
 	// others are the other zones that this node tells of requests or hears of.
 	others map[string]*zoneContact
@@ -51,8 +52,21 @@
 	// unheard is what front nodes told of zones, at unheardAt.
 	unheard   Unheard
 	unheardAt time.Time
+	// reported is the sum of reports; nil if it has to be made anew.
+	reported *reportSum
 }
 
+// report is what a front node told last, and what it brought as it came here: of that nothing
+// is new.
+type report struct {
+	heard
+	brought Counts
+}
+
+// reportSum is what all front nodes told last, and by how much that grew since they came. It
+// doesn't change.
+type reportSum struct{ counts, growth Counts }
+
 // source is one life of a node.
 type source struct {
 	address transport.Address
@@ -77,6 +91,8 @@
 	zone string
 	// given is what others seem to have taken over since, the oldest first.
 	given []heard
+	// reported is the sum of the receiver's own reports as the share came.
+	reported *reportSum
 }
 
 // rest is what nobody has taken over.
@@ -120,26 +136,29 @@
 // each.
 func NewCollector(zone string, window time.Duration, life uint32) *Collector {
 	return &Collector{
-		zone: zone, window: window, life: life, reports: map[source]heard{}, shares: map[source]*zoneShare{},
+		zone: zone, window: window, life: life, reports: map[source]report{}, shares: map[source]*zoneShare{},
 		others: map[string]*zoneContact{},
 	}
 }
 
 // Report takes a front node's report.
-func (c *Collector) Report(from transport.Address, report Report, now time.Time) {
-	name := source{from, report.Life}
-	if report.Gone {
+func (c *Collector) Report(from transport.Address, told Report, now time.Time) {
+	name := source{from, told.Life}
+	c.reported = nil
+	if told.Gone {
 		delete(c.reports, name)
 		return
 	}
 	before, known := c.reports[name]
+	brought := before.brought
 	if !known || now.Sub(before.at) > freshTime {
 		counted := before.left(aloneHold-c.window, c.window, now)
-		c.arrive(report.Counts.above(counted), c.zone, name, 0, now)
+		c.arrive(told.Counts.above(counted), c.zone, name, 0, now)
+		brought = told.Counts
 	}
-	c.reports[name] = heard{now, report.Counts}
-	if len(report.Others) > 0 {
-		c.learn(report, now)
+	c.reports[name] = report{heard{now, told.Counts}, brought}
+	if len(told.Others) > 0 {
+		c.learn(told, now)
 	}
 }
 
@@ -221,7 +240,9 @@
 	if before == nil {
 		before = &zoneShare{zone: share.Zone}
 	}
-	c.shares[name] = before.follow(share.Counts, now)
+	next := before.follow(share.Counts, now)
+	next.reported = c.sumOfReports()
+	c.shares[name] = next
 	if len(share.Yours) > 0 {
 		c.echo = heard{now, share.Yours}
 	}
@@ -260,6 +281,7 @@
 	former := c.former(sum, now)
 	more := former.above(sum)
 	sum.raise(former)
+	sum.add(c.sinceShares(now), 1, 0)
 	told := Sum{Life: c.life, Counts: sum, Unheard: c.unheardNow(now)}
 	if told.Unheard.Zones > 0 {
 		told.Within = c.within(more, told.Unheard, bound, now)
@@ -267,6 +289,49 @@
 	return told
 }
 
+// sinceShares is what the front nodes of other data nodes are expected to have let through
+// since their shares came: where a tenant asks for more at once, it does so everywhere, so
+// each has as much more as this node's own. Without it all let through what the old shares
+// leave free, and a limit is exceeded by a tenth where shares are 160 ms old. What may be
+// chance, within the deviation of such a count, is not expected.
+func (c *Collector) sinceShares(now time.Time) Counts {
+	expected := Counts{}
+	own := c.sumOfReports()
+	for _, share := range c.shares {
+		if now.Sub(share.at) > shareFresh {
+			continue
+		}
+		for key, count := range own.growth {
+			then := share.reported.growth[key]
+			more := count.Admitted - then.Admitted
+			if more <= math.Sqrt(share.reported.counts[key].Admitted) {
+				continue
+			}
+			known := expected[key]
+			expected[key] = Count{known.Admitted + more, known.Asked + max(0, count.Asked-then.Asked)}
+		}
+	}
+	return expected
+}
+
+// sumOfReports adds up what all front nodes told last.
+func (c *Collector) sumOfReports() *reportSum {
+	if c.reported != nil {
+		return c.reported
+	}
+	sum := &reportSum{counts: Counts{}, growth: Counts{}}
+	for _, one := range c.reports {
+		sum.counts.add(one.counts, 1, 0)
+		sum.growth.add(one.counts, 1, 0)
+		for key, count := range one.brought {
+			known := sum.growth[key]
+			sum.growth[key] = Count{known.Admitted - count.Admitted, known.Asked - count.Asked}
+		}
+	}
+	c.reported = sum
+	return sum
+}
+
 // within returns which requests lie in the room that is kept for unheard zones: what
 // these told last, each up to its part, and what only front nodes remember.
 func (c *Collector) within(remembered Counts, unheard Unheard, bound func(Key) float64, now time.Time) Counts {
@@ -407,6 +472,7 @@
 		switch {
 		case part <= 0:
 			delete(c.reports, from)
+			c.reported = nil
 		case !isPresent || from.address != but:
 			counts.add(report.counts, part, age)
 		}
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -154,8 +154,9 @@
 type Sum struct {
 	// Life is drawn when the sender starts.
 	Life uint32
-	// Counts are requests that somebody counted, nothing else: they are remembered and
-	// told again when data nodes are lost, and room that is kept must not pile up so.
+	// Counts are requests that somebody counted and, while a tenant asks for more and more,
+	// those expected since. They are remembered and told again when data nodes are lost: room
+	// that is kept must not pile up so, and what was expected runs out with the window.
 	Counts Counts
 	// Unheard is for what room is to be kept beside them, and Within which requests
 	// among Counts use such room.
--- a/internal/quota/two_receivers_test.go
+++ b/internal/quota/two_receivers_test.go
@@ -56,11 +56,13 @@
 }
 
 // Data nodes that are busy send each second share only, and a tenant asks for twelve times its
-// limit: up to 931 requests are let through in 5 s, of 845 that are allowed; 851 where each zone
+// limit: up to 931 requests were let through in 5 s, of 845 that are allowed; 851 where each zone
 // has one data node.
 //
-// Not mended. Suspected: a sum doesn't say how old the shares in it are, so front nodes let as
-// much through as if what other zones did meanwhile were known.
+// Why: for 300 ms after the jump nodes saw 447 to 510 requests of the window while 886 had been let
+// through, and decided as if there were no others. Evidence: what nodes see was put beside what
+// was let through, each 50 ms. Expecting other data nodes' counts to have grown as this one's own leaves
+// 828 at most; expecting the rate of asking only to have grown so, 875.
 func TestALimitHoldsWhereSharesComeLate(t *testing.T) {
 	limit := Limit{Rate: 125, Burst: 125}
 	for _, usual := range []float64{0, 78} {
