Tests of processes side by side never take each other's ports

In the harness, not in the product.

Cause: first ports came from process ids, which are next to each other, and the ranges of e2e (12,000 to beyond 20,000) and of the platform's tests (18,000 to 28,000) overlapped; a node that is down has its port taken.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -2,16 +2,17 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/lab/ports"
 )
 
 // patience bounds every wait for something that must happen; it is generous,
@@ -90,29 +91,28 @@
 	}
 }
 
-// nextPort is where the search for a free port goes on. It stays below the
-// range that the system takes ports for outgoing connections from.
-var nextPort = 12000 + os.Getpid()%8000
+// Ports below the range that the system takes ports for outgoing connections from, and
+// below those of the other tests.
+const (
+	firstPort = 12000
+	lastPort  = 18000
+	// portsOfRun are the ports that one run of the tests takes in turn.
+	portsOfRun = 1500
+)
+
+var portsHere = sync.OnceValues(func() (*ports.Block, error) { return ports.Claim(firstPort, lastPort, portsOfRun) })
 
 // freeAddress finds a port that is free for TCP and UDP and will stay so long
 // enough: a restarted node must come back at its address.
 func freeAddress() string {
 	ginkgo.GinkgoHelper()
-	for range 2000 {
-		nextPort++
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		packets, err := net.ListenPacket("udp", address)
-		listener.Close()
-		if err != nil {
-			continue
-		}
-		packets.Close()
-		return address
+	block, err := portsHere()
+	if err != nil {
+		ginkgo.Fail(err.Error())
+	}
+	addr, err := block.Free()
+	if err != nil {
+		ginkgo.Fail(err.Error())
 	}
-	ginkgo.Fail("no free port")
-	return ""
+	return addr.String()
 }
