--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -298,7 +298,7 @@
 	expected := Counts{}
 	own := c.sumOfReports()
 	for _, share := range c.shares {
-		if now.Sub(share.at) > shareFresh {
+		if now.Sub(share.at) > shareFresh || share.reported == own {
 			continue
 		}
 		for key, count := range own.growth {
