--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -138,6 +138,22 @@
 	}
 }
 
+// An item stood by at five engines that ended within two seconds under other requests, at four of
+// them with events. It is held back for 24 hours, without the thirty seconds that come first, and
+// its job is never whole (the soak, seed 466162590011: 15.284 without events, 15.349, 16.833, 16.937
+// and 17.397 with some, then "request-held-back" until the next day).
+//
+// Why: with the fifth end a request gets no further chance, so that one that is to blame gets three at
+// most after the third; here the fifth end is what makes the first hold, and nothing tells that no
+// chance was given before. Not mended.
+func TestAFirstHoldIsShortWithFiveEnds(t *testing.T) {
+	table := NewTable()
+	table.Merge(Record{Fingerprint: print(1), Last: noon, Ends: []End{{"e1", false}, {"e2", true}, {"e3", true}, {"e4", true}, {"e5", true}}})
+	if until, held := table.HeldUntil(print(1), noon); !held || !until.Equal(noon.Add(firstHold)) {
+		t.Errorf("held %v until %v", held, until)
+	}
+}
+
 const (
 	crowdEngines = 18
 	crowdItems   = 100
