quota: the type of a front node's last report has a name of its own

Read again: the unexported type report stood beside the message Report and was hidden by local names in two functions; it is lastReport now.

--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -39,7 +39,7 @@
 	zone    string
 	window  time.Duration
 	life    uint32
-	reports map[source]report
+	reports map[source]lastReport
 	shares  map[source]*zoneShare
 	// others are the other zones that this node tells of requests or hears of.
 	others map[string]*zoneContact
@@ -56,9 +56,9 @@
 	reported *reportSum
 }
 
-// report is what a front node told last, and what it brought as it came here: of that nothing
+// lastReport is what a front node told last, and what it brought as it came here: of that nothing
 // is new.
-type report struct {
+type lastReport struct {
 	heard
 	brought Counts
 }
@@ -136,7 +136,7 @@
 // each.
 func NewCollector(zone string, window time.Duration, life uint32) *Collector {
 	return &Collector{
-		zone: zone, window: window, life: life, reports: map[source]report{}, shares: map[source]*zoneShare{},
+		zone: zone, window: window, life: life, reports: map[source]lastReport{}, shares: map[source]*zoneShare{},
 		others: map[string]*zoneContact{},
 	}
 }
@@ -156,7 +156,7 @@
 		c.arrive(told.Counts.above(counted), c.zone, name, 0, now)
 		brought = told.Counts
 	}
-	c.reports[name] = report{heard{now, told.Counts}, brought}
+	c.reports[name] = lastReport{heard{now, told.Counts}, brought}
 	if len(told.Others) > 0 {
 		c.learn(told, now)
 	}
@@ -292,8 +292,8 @@
 // sinceShares is what the front nodes of other data nodes are expected to have let through
 // since their shares came: where a tenant asks for more at once, it does so everywhere, so
 // each has as much more as this node's own. Without it all let through what the old shares
-// leave free, and a limit is exceeded by a tenth where shares are 160 ms old. What may be
-// chance, within the deviation of such a count, is not expected.
+// leave free, and a limit is exceeded where shares come late. What may be chance, within
+// the deviation of such a count, is not expected.
 func (c *Collector) sinceShares(now time.Time) Counts {
 	expected := Counts{}
 	own := c.sumOfReports()
