quota: ask for others' counts again when a tenant's requests grow

Cause: a front node asks for others' counts only by their age (60 ms), so for some 0.2 s after a jump all nodes admit all that comes: 104, 97, 99, 83, 67, 18, 1 admitted in spans of 50 ms, 587 of 564 tolerated in the worst window. Ruled out: two relays a zone, losses and late shares, which make it worse but aren't needed.

Change: a node whose own count grew beyond its noise since the last sum asks again, at most each 20 ms. Trials of front nodes that extrapolate their own growth to others were left: they refused tenants at half of their limit, or didn't hold the bound.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"chutelock.dev/chutelock/internal/transport"
@@ -11,8 +12,13 @@
 	// lowUseMaxAge that for one at low use.
 	nearLimitMaxAge = 60 * time.Millisecond
 	lowUseMaxAge    = 400 * time.Millisecond
-	// nearLimitFraction is the fraction of the limit from which a tenant is near it.
+	// growingMaxAge is the maximum age for a tenant whose requests grow here, and so
+	// probably at other nodes.
+	growingMaxAge = 20 * time.Millisecond
+	// nearLimitFraction is the fraction of the limit from which a tenant is near it, and
+	// growingFraction the one from which growth matters.
 	nearLimitFraction = 0.5
+	growingFraction   = 0.25
 	// refreshInterval is the interval between reports without new requests.
 	refreshInterval = 400 * time.Millisecond
 	// isolationAge is the age of the last sum from which a node is isolated. A node whose
@@ -146,7 +152,7 @@
 	d := Decision{Own: t.admitted.count(now), Bound: l.bounds.MaxAdmitted(limit), Age: age}
 	d.Reserve = max(0, l.silentZones.fraction()*d.Bound-l.inReserve[key].Admitted)
 	d.Others = l.othersCount(key, d.Reserve, now)
-	if !final && l.stale(d) {
+	if !final && (l.stale(d) || t.isGrowing(d)) {
 		d.Verdict = Unsure
 		return d
 	}
@@ -179,6 +185,16 @@
 	return d.Age > nearLimitMaxAge
 }
 
+// isGrowing says that others' counts are too old as this node has admitted more than before,
+// beyond the noise of small counts. Other nodes admit as many more before they hear of it, so
+// a tenant that jumps to many times its limit exceeds it by what all admit meanwhile.
+func (t *tenant) isGrowing(d Decision) bool {
+	if d.Age <= growingMaxAge || d.Own+d.Others < growingFraction*d.Bound {
+		return false
+	}
+	return d.Own-t.acknowledged > math.Sqrt(max(1, t.acknowledged))
+}
+
 // decideShared decides by the counts of all nodes. If the demand exceeds the free
 // allowance, requests are admitted at random so that about as many fit.
 func decideShared(d Decision, demand float64, draw func() float64) Verdict {
