poison: tests for retries that meet a heavier suspect, and for Retry-After

Variants of the code without the total limit of retries, without excuses by heavier requests, or with the long hold told at once passed all tests before; each fails one of these now. The other rules (delay between suspects, crashes alone, records of one crash that are stored, limit of shared retries) were noticed already.

--- a/internal/poison/hold_test.go
+++ b/internal/poison/hold_test.go
@@ -81,6 +81,47 @@
 	}
 }
 
+// Guards against a long hold of a bystander both of whose retries met a request that has
+// crashed more engines, and against a fourth retry of any request.
+func TestHoldOfBystanderWhoseRetriesMetPoisonRequest(t *testing.T) {
+	table := NewTable()
+	table.Merge(crashRecord(1, "a", "b", "c", "d"))
+	table.Merge(crashRecord(2, "a", "b", "c"))
+	now := noon
+	hold := func(request int) time.Duration {
+		until, _ := table.HeldUntil(print(request), now)
+		return until.Sub(now)
+	}
+	for retry, engine := range []string{"e", "f", "g"} {
+		now = now.Add(shortHold)
+		for request := 1; request <= 2; request++ {
+			table.Merge(Record{Fingerprint: print(request), Crashes: []Crash{{Engine: engine}}, Last: now})
+		}
+		if long := hold(1) > shortHold; long != (retry+1 >= maxRetries) {
+			t.Errorf("retry %d: poison request held for %v", retry, hold(1))
+		}
+		if long := hold(2) > shortHold; long != (retry+1 > maxRetries) {
+			t.Errorf("retry %d: bystander held for %v", retry, hold(2))
+		}
+	}
+}
+
+// Guards against callers that are told to come back in ten minutes or more before the records
+// that clear their request may have arrived.
+func TestRetryAfterIsShortUntilRecordsHaveArrived(t *testing.T) {
+	table := NewTable()
+	table.Merge(crashRecord(1, "a", "b", "c"))
+	retry := noon.Add(shortHold)
+	table.Merge(Record{Fingerprint: print(1), Crashes: []Crash{{Engine: "d"}}, Last: retry})
+	if left, held := table.RetryAfter(print(1), retry); !held || left > firstHold+releaseSpread {
+		t.Errorf("held %v for %v right after the crash", held, left)
+	}
+	later := retry.Add(shortHold)
+	if left, held := table.RetryAfter(print(1), later); !held || left != nextHold-shortHold {
+		t.Errorf("held %v for %v a minute after the crash", held, left)
+	}
+}
+
 // Guards against a short hold of a poison request because of other requests at the engine
 // that have been answered since.
 func TestHoldIsLongOnceOthersAtTheEngineAreAnswered(t *testing.T) {
