poison: bound of the memory of records

Measured with 4,096 records of 3 crashes: 3.5 MB, of 5: 4.5 MB, with the crash times and the index by engine (1 crash: 2.6 MB).

--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -15,7 +15,7 @@
 	// maxRecordCrashes bounds the crashes listed in a record; the latest are kept, as the
 	// holds depend on them.
 	maxRecordCrashes = 16
-	// maxRecords bounds the records of a node to some 2 MB; the oldest are evicted first,
+	// maxRecords bounds the records of a node to some 4 MB; the oldest are evicted first,
 	// holdable ones last.
 	maxRecords = 4096
 )
