Overload: settings, switch and interfaces of the decisions under contention

Cause: callers that compete for room and engines that share their machines need decisions that no module makes (design 027); they must be off elsewhere. Change: settings overload.*, platform.contracts; core.overloadActive; packages fairshare (max-min shares) and returns (Retry-After, the formula moved from forward); quota's retry time in a file of its own; an engine's report tells whether the engine gave its slowdown. Result: no decision uses the switch yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -391,6 +391,14 @@
 	b.table.SetPeerLoad(peer, report, clock.Now())
 }
 
+// EnginesShareMachines reports whether an engine has told how much slower than usual it is, as
+// engines do that share their machines with other work.
+func (b *Balancer) EnginesShareMachines() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.enginesShareMachines
+}
+
 // MeanHold returns the mean time that online requests hold a slot.
 func (b *Balancer) MeanHold() time.Duration {
 	b.mutex.Lock()
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -103,6 +103,8 @@
 	nextWindowStart int
 	// index maps keys to engines of the newest snapshot.
 	index engineIndex
+	// enginesShareMachines is set once an engine has reported its slowdown.
+	enginesShareMachines bool
 }
 
 // NewTable returns an empty table.
@@ -173,6 +175,7 @@
 	state.report = load
 	state.reportAt = now
 	state.ownAtReport = state.total()
+	t.enginesShareMachines = t.enginesShareMachines || load.ReportsSlowdown
 }
 
 // RecordSuccess records an answer and ends the engine's ejection.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"reflect"
 	"strings"
 	"time"
@@ -36,8 +37,35 @@
 	// Zones maps zones to regions; a zone that is not listed has no region.
 	Zones     map[string]string `koanf:"zones"`
 	SlowStart SlowStart         `koanf:"slow_start"`
+	Overload  Overload          `koanf:"overload"`
 }
 
+// Overload configures the decisions for callers that compete for room and for engines that
+// differ in speed, in the "objects" dialect.
+type Overload struct {
+	// Mode is one of the Overload constants.
+	Mode string `koanf:"mode" validate:"oneof=off on auto"`
+	// Weights are the weights of tenants when room is short, by name. A tenant without one
+	// has its limit's rate as weight, or 1 if it has no limit.
+	Weights map[string]float64 `koanf:"weights" validate:"dive,gt=0,finite"`
+	// JobLateness is the predicted time to complete a batch job, as a multiple of the time
+	// that its route allows, above which the job is refused; 0 accepts all.
+	JobLateness float64 `koanf:"job_lateness" validate:"eq=0|min=1"`
+	// SpeedProbes is the number of health requests per second to each engine whose speed is
+	// not known from other responses, from all nodes together; 0 sends none.
+	SpeedProbes float64 `koanf:"speed_probes" validate:"min=0,max=20"`
+}
+
+// Values of Overload.Mode.
+const (
+	// OverloadOff disables the decisions, and OverloadOn enables them.
+	OverloadOff = "off"
+	OverloadOn  = "on"
+	// OverloadAuto enables them where the platform's contract says that callers compete for
+	// room, and from when engines report that they share their machines with others.
+	OverloadAuto = "auto"
+)
+
 // SlowStart bounds the requests to a cold engine within any second from all nodes together:
 // Overage times its rate, plus Slack requests.
 type SlowStart struct {
@@ -134,6 +162,8 @@
 	// Drain bounds the time from when the platform's store marks a zone as drained until
 	// its engines get no new requests; 0 if zones are never drained.
 	Drain time.Duration `koanf:"drain" validate:"min=0,max=1h"`
+	// Contracts are the parts of the platform's contract that are in force, by its names.
+	Contracts []string `koanf:"contracts"`
 }
 
 // Values of Platform.Dialect.
@@ -193,27 +223,30 @@
 
 // defaults apply to settings that neither the file nor flags set.
 var defaults = map[string]any{
-	"listen.callers":       "127.0.0.1:0",
-	"listen.operators":     "127.0.0.1:0",
-	"listen.peers":         "127.0.0.1:0",
-	"drain.timeout":        "60s",
-	"ledger.shards":        8,
-	"ledger.copies":        5,
-	"ledger.replace_after": "60s",
-	"memory.soft_limit":    48,
-	"memory.limit":         0,
-	"platform.dialect":     DialectOpenAI,
-	"platform.apply":       "2s",
-	"platform.leave":       "2s",
-	"platform.revoke":      "0s",
-	"platform.drain":       "0s",
-	"slow_start.overage":   1.5,
-	"slow_start.slack":     5,
-	"quota.window":         "5s",
-	"quota.overage":        0.1,
-	"quota.slack":          20,
-	"batch.keep":           "24h",
-	"batch.local_runs":     100,
+	"listen.callers":        "127.0.0.1:0",
+	"listen.operators":      "127.0.0.1:0",
+	"listen.peers":          "127.0.0.1:0",
+	"drain.timeout":         "60s",
+	"ledger.shards":         8,
+	"ledger.copies":         5,
+	"ledger.replace_after":  "60s",
+	"memory.soft_limit":     48,
+	"memory.limit":          0,
+	"platform.dialect":      DialectOpenAI,
+	"platform.apply":        "2s",
+	"platform.leave":        "2s",
+	"platform.revoke":       "0s",
+	"platform.drain":        "0s",
+	"slow_start.overage":    1.5,
+	"slow_start.slack":      5,
+	"quota.window":          "5s",
+	"quota.overage":         0.1,
+	"quota.slack":           20,
+	"batch.keep":            "24h",
+	"batch.local_runs":      100,
+	"overload.mode":         OverloadOff,
+	"overload.job_lateness": 0,
+	"overload.speed_probes": 0,
 }
 
 // Overrides are the settings given by flags, by their path in the file.
@@ -294,6 +327,9 @@
 	if err := validate.RegisterValidation("ip_port", isIPPort); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := validate.RegisterValidation("finite", isFinite); err != nil {
+		return trace.Wrap(err)
+	}
 	err := validate.Struct(node)
 	if err == nil && node.Platform.Dialect == DialectOpenAI && node.Peers.KeyFile == "" {
 		return errors.New(`peers.key_file: "" does not satisfy "required"`)
@@ -311,6 +347,12 @@
 	return errors.New(strings.Join(lines, "; "))
 }
 
+// isFinite reports whether a number is neither infinite nor NaN.
+func isFinite(field validator.FieldLevel) bool {
+	value := field.Field().Float()
+	return !math.IsInf(value, 0) && !math.IsNaN(value)
+}
+
 // Describe writes a summary of the effective settings, for the -check flag.
 func Describe(out io.Writer, node *Node) {
 	fmt.Fprintf(out, "node %s in zone %s, region %s: settings are valid\n", node.Node.Name, node.Node.Zone, node.Node.Region)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -78,3 +78,21 @@
 	g.Expect(Memory{SoftLimit: 48, Limit: 64}.SoftBytes()).To(gomega.BeEquivalentTo(48 << 20))
 	g.Expect(Memory{SoftLimit: 48, Limit: 300}.SoftBytes()).To(gomega.BeEquivalentTo(180 << 20))
 }
+
+// Settings of overload that can't be meant are refused with the path of the field.
+func TestOverloadSettingsAreChecked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, c := range []struct{ setting, path string }{
+		{"mode: sometimes", "overload.mode"},
+		{"weights: {a: -1}", "overload.weights"},
+		{"weights: {a: 0}", "overload.weights"},
+		{"weights: {a: .nan}", "overload.weights"},
+		{"weights: {a: .inf}", "overload.weights"},
+		{"job_lateness: 0.5", "overload.job_lateness"},
+		{"job_lateness: .nan", "overload.job_lateness"},
+		{"speed_probes: -1", "overload.speed_probes"},
+	} {
+		_, err := Load(write(t, valid+"\noverload:\n  "+c.setting+"\n"), nil)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.path)), c.setting)
+	}
+}
--- /dev/null
+++ b/internal/fairshare/doc.go
@@ -0,0 +1,8 @@
+// Package fairshare divides room among tenants that ask for more than there is.
+//
+// A tenant that asks for no more than its share gets all it asks for, and what it leaves is
+// divided among the others (max-min fairness). Shares are proportional to weights. The package
+// is free of I/O and clocks.
+//
+// See docs/design/028-shares-of-tenants.md.
+package fairshare
--- a/internal/forward/waitpolicy.go
+++ b/internal/forward/waitpolicy.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/returns"
+)
 
 const (
 	// firstEventOverhead is the part of a target reserved for connecting and reading the prompt.
@@ -12,9 +16,6 @@
 	// refused as not run. Callers abandon a stream after a pause of 2 s, of which
 	// silenceTimeout may already have passed.
 	maxWaitAfterRun = 800 * time.Millisecond
-	// retryAfterFraction is the part of its remaining time after which a caller retries at
-	// the latest.
-	retryAfterFraction = 1.0 / 3
 )
 
 // waitPolicy decides how long a request may wait for an engine and in an engine's queue,
@@ -49,15 +50,8 @@
 	return max(0, wait)
 }
 
-// retryAfter is when the caller of a request that has not run should retry. Retries start
-// after the mean run time, when running requests end, and are spread over the time that
-// callers wait, so that those refused together don't return together. draw is uniform in
-// [0, 1).
+// retryAfter is when the caller of a request that has not run should retry. draw is uniform
+// in [0, 1).
 func (p waitPolicy) retryAfter(meanRun time.Duration, now time.Time, draw float64) time.Duration {
-	earliest, latest := meanRun, 2*meanRun
-	if !p.deadline.IsZero() {
-		latest = time.Duration(retryAfterFraction * float64(p.deadline.Sub(now)))
-		earliest = min(earliest, latest/2)
-	}
-	return max(0, earliest+time.Duration(draw*float64(latest-earliest)))
+	return returns.Spread(returns.Refusal{Deadline: p.deadline, MeanRun: meanRun}, now, draw)
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -222,22 +222,6 @@
 	}
 }
 
-// retryAfter spaces the retries of refused callers at this node's part of the
-// tenant's rate.
-func (t *tenant) retryAfter(limit Limit, othersDemand float64, now time.Time) time.Duration {
-	own := t.demand.current(now)
-	fraction := own / max(own+othersDemand, 1/rateTimeConstant.Seconds())
-	interval := time.Duration(float64(time.Second) / max(limit.Rate*fraction, 1/maxRetryAfter.Seconds()))
-	if t.retryAt.Before(now) {
-		t.retryAt = now
-	}
-	t.retryAt = t.retryAt.Add(interval)
-	if latest := now.Add(maxRetryAfter); t.retryAt.After(latest) {
-		t.retryAt = latest
-	}
-	return t.retryAt.Sub(now)
-}
-
 // ReceiveSum takes a relay's answer to a report. After a change of sender, the former
 // one's counts apply, too, until they expire, as the new one may not know them yet.
 // Late answers of a former relay are ignored.
--- /dev/null
+++ b/internal/quota/retryafter.go
@@ -0,0 +1,19 @@
+package quota
+
+import "time"
+
+// retryAfter spaces the retries of refused callers at this node's part of the
+// tenant's rate.
+func (t *tenant) retryAfter(limit Limit, othersDemand float64, now time.Time) time.Duration {
+	own := t.demand.current(now)
+	fraction := own / max(own+othersDemand, 1/rateTimeConstant.Seconds())
+	interval := time.Duration(float64(time.Second) / max(limit.Rate*fraction, 1/maxRetryAfter.Seconds()))
+	if t.retryAt.Before(now) {
+		t.retryAt = now
+	}
+	t.retryAt = t.retryAt.Add(interval)
+	if latest := now.Add(maxRetryAfter); t.retryAt.After(latest) {
+		t.retryAt = latest
+	}
+	return t.retryAt.Sub(now)
+}
--- a/internal/system/adapter.go
+++ b/internal/system/adapter.go
@@ -41,6 +41,9 @@
 	Engine func(entry mirror.Object) (*catalog.Engine, error)
 	// ZoneDrains lists the drained zones, whose engines get no new requests.
 	ZoneDrains func(objects []mirror.Object) []string
+	// Contended reports whether the parts of the platform's contract that are in force say
+	// that callers compete for room.
+	Contended func(contracts []string) bool
 	// PoisonRecords decodes the records of requests that crashed engines.
 	PoisonRecords func(objects []mirror.Object) []poison.Record
 }
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -89,6 +89,12 @@
 		"chutelock_engine_connections_opened_total": {"Connections opened to engines.", func() float64 {
 			return float64(c.pool.Opened.Load())
 		}},
+		"chutelock_overload_decisions": {"1 while the decisions of overload.mode are in force.", func() float64 {
+			if c.overloadActive() {
+				return 1
+			}
+			return 0
+		}},
 		"chutelock_cold_engines": {"Engines that are cold, as far as known here.", c.catalog.coldEngines},
 		"chutelock_requests_waiting": {"Requests that wait for an engine with room.", func() float64 {
 			return float64(c.balancer.Waiting())
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -47,6 +47,8 @@
 	// Slowdown is the engine's current run time relative to its usual one, as engines share
 	// machines; 1 if the engine doesn't report it, 0 if nothing is known.
 	Slowdown float64
+	// ReportsSlowdown is set if the engine reported Slowdown itself.
+	ReportsSlowdown bool
 }
 
 // Facts are the contents of a response's head.
