Returns: callers refused for lack of room wait as long as they can while overload may end

A return during overload takes the place of a first try, which would be served after it. With overload.mode in force a front node tells the longest wait that callers heed, and spreads returns as before once the overload is older than twice the caller's remaining time.

request-refused has the field retry_after; metrics chutelock_retry_after_seconds and chutelock_planned_returns_total. returns.JobWait is for batch jobs, not used yet. overload_test.go gets hooks only; its tests are as before.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -51,6 +51,8 @@
 	Chosen  func()
 	// Guard holds requests suspected of crashing engines; nil holds none.
 	Guard *poison.Guard
+	// Returns tells callers of requests that found no room when to return; may be nil.
+	Returns *ReturnTimes
 }
 
 // Result summarizes a request for metrics.
@@ -62,6 +64,8 @@
 	Waited time.Duration
 	// First is the time to the first event, or to a whole response; Total the time to the end.
 	First, Total time.Duration
+	// RetryAfter is when the caller was told to retry; 0 if it wasn't.
+	RetryAfter time.Duration
 }
 
 // Values of Result.Verdict besides the names of Verdicts.
@@ -92,6 +96,7 @@
 	firstEventAt  time.Time
 	receivedEvent bool // in the last attempt
 	framed        bool // the last response had a length or was chunked
+	toldRetry     time.Duration
 	verdict       string
 	print         *poison.Fingerprint // of the request; nil until first used
 }
@@ -132,6 +137,7 @@
 			fl.acquireFailed(ctx, err)
 			return
 		}
+		fl.Returns.served(fl.service)
 		fl.attemptCount++
 		engine := lease.Engine
 		fl.engineID = engine.ID
@@ -297,13 +303,12 @@
 
 func (fl *inflight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
-	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
-		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
-	retryAfter := time.Duration(0)
 	if verdict == VerdictNotRun {
-		retryAfter = fl.retryAfter(cause)
+		fl.toldRetry = fl.retryAfter(cause)
 	}
-	if err := fl.sink.Refuse(verdict, retryAfter); err != nil {
+	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
+		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived), "retry_after", fl.toldRetry)
+	if err := fl.sink.Refuse(verdict, fl.toldRetry); err != nil {
 		fl.callerLeft(err)
 	}
 }
@@ -329,6 +334,7 @@
 func (fl *inflight) observe() {
 	result := Result{
 		Route: fl.route, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
+		RetryAfter: fl.toldRetry,
 	}
 	if !fl.firstEventAt.IsZero() {
 		result.First = fl.firstEventAt.Sub(fl.request.Arrived)
--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -35,6 +35,8 @@
 	waitPolicy
 	zone    int
 	isRetry bool
+	// returned is how often the caller returned, where that may be more than once.
+	returned int
 }
 
 type simEngine struct {
@@ -47,6 +49,7 @@
 	zone     int
 	table    *balance.Table
 	reported balance.Report // last report to its zone
+	cutOff   bool           // it gets no load of others
 }
 
 // simCounts counts first requests served in time, retries served in time, requests served
@@ -67,6 +70,11 @@
 	otherZones [simZones]balance.Report // load of all other zones, by zone
 	retry      bool                     // refused callers retry once
 	capacity   float64                  // requests per second that fill all slots
+
+	// Hooks of other tests; they may be nil.
+	found    func(*simFront)              // an engine was chosen
+	refuses  func(*simFront, *simAttempt) // replaces the retry of a refused caller
+	answered func(*simAttempt)            // the first event arrived
 }
 
 // newSimulation returns a deployment whose first emptyZones zones have no engines.
@@ -129,12 +137,25 @@
 	})
 }
 
+// offerVarying generates new requests for a time at a load that varies, in multiples of the
+// engines' capacity and at most highest. Their times don't depend on what callers get.
+func (s *simulation) offerVarying(load func(time.Duration) float64, highest float64, length time.Duration) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for since := time.Duration(0); since < length; since += time.Duration(random.ExpFloat64() / (highest * s.capacity) * float64(time.Second)) {
+		if random.Float64()*highest < load(since) {
+			s.After(since, func() { s.arrive(s.Now().Add(simDeadline), false) })
+		}
+	}
+}
+
 // acquire updates a front node's load table and then chooses an engine.
 func (s *simulation) acquire(front *simFront, attempt *simAttempt) {
 	front.reported = front.table.OwnReport(s.Now())
 	sum := s.sumReports(func(other *simFront) bool { return other != front && other.zone == front.zone })
 	sum.Add(s.otherZones[front.zone])
-	front.table.SetPeerLoad("others", sum, s.Now())
+	if !front.cutOff {
+		front.table.SetPeerLoad("others", sum, s.Now())
+	}
 	s.After(simChooseDelay, func() { s.choose(front, attempt) })
 }
 
@@ -144,6 +165,9 @@
 	engine, found := front.table.Choose(s.snapshot, criteria, now, s.random.Float64)
 	switch {
 	case found:
+		if s.found != nil {
+			s.found(front)
+		}
 		front.table.Begin(engine.ID, balance.ClassOnline, 0, now)
 		report := front.table.OwnReport(now)
 		s.After(simReportDelay, func() { front.reported = report })
@@ -159,6 +183,10 @@
 	now := s.Now()
 	s.refused++
 	s.longestHeld = max(s.longestHeld, now.Sub(attempt.arrived))
+	if s.refuses != nil {
+		s.refuses(front, attempt)
+		return
+	}
 	if s.retry && !attempt.isRetry {
 		s.After(attempt.retryAfter(front.table.MeanHold(), now, s.random.Float64()), func() { s.arrive(attempt.deadline, true) })
 	}
@@ -192,6 +220,9 @@
 }
 
 func (s *simulation) firstEvent(attempt *simAttempt) {
+	if s.answered != nil {
+		s.answered(attempt)
+	}
 	switch {
 	case s.Now().Sub(attempt.arrived) > simTarget:
 		s.late++
--- a/internal/forward/retryafter.go
+++ b/internal/forward/retryafter.go
@@ -7,6 +7,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/returns"
 )
 
 // noEngineRetryAfter is the minimum Retry-After while a service has no usable engine; an
@@ -15,8 +16,8 @@
 
 // retryAfter is when the caller of a request that has not run because of cause should
 // retry: a held request when it is released, one refused by the pace of cold engines when
-// the pace allows more, plus a random delay, and one without any engine after
-// noEngineRetryAfter.
+// the pace allows more, plus a random delay, one without any engine after
+// noEngineRetryAfter, and one that found no room as Returns plans.
 func (fl *inflight) retryAfter(cause error) time.Duration {
 	if errors.Is(cause, balance.ErrNoEngine) {
 		return noEngineRetryAfter + rand.N(noEngineRetryAfter)
@@ -29,5 +30,10 @@
 	if errors.As(cause, &paced) && paced.RetryAfter > 0 {
 		return paced.RetryAfter + rand.N(max(1, fl.Balancer.MeanHold()))
 	}
-	return fl.waitPolicy().retryAfter(fl.Balancer.MeanHold(), clock.Now(), rand.Float64())
+	meanRun, now, draw := fl.Balancer.MeanHold(), clock.Now(), rand.Float64()
+	refusal := returns.Refusal{Tenant: fl.request.Tenant, Deadline: fl.deadline, MeanRun: meanRun}
+	if wait, planned := fl.Returns.plan(fl.service, refusal, now, draw); planned {
+		return wait
+	}
+	return fl.waitPolicy().retryAfter(meanRun, now, draw)
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -91,6 +91,10 @@
 
 // Limiter decides on requests at a front node. It is not safe for concurrent use.
 type Limiter struct {
+	// PlanReturns makes callers wait for maxRetryAfter while their tenant asks for more than
+	// its limit admits.
+	PlanReturns bool
+
 	bounds  Bounds
 	tenants map[Key]*tenant
 	// others are the counts of other nodes as of sumAt, silentZones the zones that don't
@@ -165,7 +169,7 @@
 		t.admitted.add(now)
 		l.unreported = true
 	} else {
-		d.RetryAfter = t.retryAfter(limit, others.Demand, now)
+		d.RetryAfter = l.retryAfter(t, limit, others.Demand, now)
 	}
 	return d
 }
--- a/internal/quota/retryafter.go
+++ b/internal/quota/retryafter.go
@@ -2,6 +2,17 @@
 
 import "time"
 
+// retryAfter is when a caller that was refused should retry. While the tenant asks for more
+// than the window admits, returns take the places of first tries, and no return gets one
+// sooner than by chance; if returns are planned, callers are told so.
+func (l *Limiter) retryAfter(t *tenant, limit Limit, othersDemand float64, now time.Time) time.Duration {
+	demand := t.demand.current(now) + othersDemand
+	if l.PlanReturns && demand*l.bounds.Window.Seconds() > l.bounds.MaxAdmitted(limit) {
+		return maxRetryAfter
+	}
+	return t.retryAfter(limit, othersDemand, now)
+}
+
 // retryAfter spaces the retries of refused callers at this node's part of the
 // tenant's rate.
 func (t *tenant) retryAfter(limit Limit, othersDemand float64, now time.Time) time.Duration {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -45,6 +45,7 @@
 	readiness    *http.Server
 	draining     atomic.Bool
 	quota        *quotaEnforcer
+	returnTimes  *forward.ReturnTimes
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
@@ -66,7 +67,9 @@
 	if f.ledger, err = replica.Open(options); err != nil {
 		return nil, err
 	}
-	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay)
+	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
+	requests := newRequestMetrics(common.registry)
+	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
 	f.edge = &edge.Edge{
 		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
 		Dialect:              adapter.Callers,
@@ -81,8 +84,8 @@
 			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
 				return f.catalog.Snapshot().Configuration.CurrentRegions(route, request.Tenant, request.Regions)
 			},
-			Observe: newRequestMetrics(common.registry).observe,
-			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard,
+			Observe: requests.observe,
+			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
 			Directory: f.ledger, Sender: f.peers, Near: f.nearReplica, RegionPolicy: f.jobRegionPolicy, InRegion: f.inShardRegion,
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -9,6 +9,7 @@
 
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/returns"
 )
 
 // PathMetrics is the path of the metrics.
@@ -24,6 +25,10 @@
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
+	// retryAfter has the times that refused callers were told, and returns their planned
+	// ones by outlook.
+	retryAfter *prometheus.HistogramVec
+	returns    *prometheus.CounterVec
 }
 
 func newRequestMetrics(registry prometheus.Registerer) *requestMetrics {
@@ -40,8 +45,13 @@
 		waited:   histogram("chutelock_request_wait_seconds", "Time that a request waited for an engine with room.", latencyBuckets),
 		first:    histogram("chutelock_request_first_seconds", "Time to an answer's head or first event.", latencyBuckets),
 		total:    histogram("chutelock_request_seconds", "Time to an answer's end.", latencyBuckets),
+
+		retryAfter: histogram("chutelock_retry_after_seconds", "Retry-After of requests that no engine ran.", latencyBuckets),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chutelock_planned_returns_total", Help: "Refusals by what was expected of the return; no-end: no room is foreseen within the longest wait.",
+		}, []string{"outlook"}),
 	}
-	registry.MustRegister(m.requests)
+	registry.MustRegister(m.requests, m.returns)
 	return m
 }
 
@@ -52,11 +62,18 @@
 	m.attempts.WithLabelValues(kind).Observe(float64(result.Attempts))
 	m.waited.WithLabelValues(kind).Observe(result.Waited.Seconds())
 	m.total.WithLabelValues(kind).Observe(result.Total.Seconds())
+	if result.RetryAfter > 0 {
+		m.retryAfter.WithLabelValues(kind).Observe(result.RetryAfter.Seconds())
+	}
 	if result.First > 0 {
 		m.first.WithLabelValues(kind).Observe(result.First.Seconds())
 	}
 }
 
+func (m *requestMetrics) observeReturn(outlook returns.Outlook) {
+	m.returns.WithLabelValues(outlook.String()).Inc()
+}
+
 // registerGauges registers gauges that are read when metrics are collected.
 func (c *core) registerGauges(gauges map[string]gauge) {
 	for name, spec := range gauges {
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -19,6 +19,8 @@
 	// relay returns the data node to report to.
 	relay       func() (transport.Address, bool)
 	incarnation uint32
+	// planReturns reports whether refused callers are told when the limit may admit them.
+	planReturns func() bool
 
 	mutex       sync.Mutex // guards the fields below; a leaf
 	limiter     *quota.Limiter
@@ -33,10 +35,10 @@
 	return quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
 }
 
-func newQuotaEnforcer(settings config.Quota, peers transport.Sender, relay func() (transport.Address, bool)) *quotaEnforcer {
+func newQuotaEnforcer(settings config.Quota, peers transport.Sender, relay func() (transport.Address, bool), planReturns func() bool) *quotaEnforcer {
 	return &quotaEnforcer{
 		peers: peers, relay: relay, incarnation: rand.Uint32(), limiter: quota.NewLimiter(quotaBounds(settings)),
-		sumReceived: make(chan struct{}),
+		sumReceived: make(chan struct{}), planReturns: planReturns,
 	}
 }
 
@@ -61,8 +63,10 @@
 }
 
 func (q *quotaEnforcer) check(key quota.Key, limit quota.Limit, final bool) quota.Decision {
+	planReturns := q.planReturns() // takes locks
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.limiter.PlanReturns = planReturns
 	return q.limiter.Check(key, limit, final, clock.Now(), rand.Float64)
 }
 
