--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -38,8 +38,8 @@
 	// to be preempted.
 	preemptions chan struct{}
 
-	mutex   sync.Mutex // guards the fields below; no other lock is taken while it is held
-	table   *Table
+	mutex   sync.Mutex                    // guards the fields below; no other lock is taken while it is held
+	table   *Table                        // the pointer doesn't change
 	credits map[string]map[string]float64 // by route and service: credit of the smooth weighted round robin
 	waiting []*waiter                     // ordered by priority, then arrival
 }
@@ -392,12 +392,8 @@
 }
 
 // EnginesShareMachines reports whether an engine has told how much slower than usual it is, as
-// engines do that share their machines with other work.
-func (b *Balancer) EnginesShareMachines() bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.table.enginesShareMachines
-}
+// engines do that share their machines with other work. It takes no lock.
+func (b *Balancer) EnginesShareMachines() bool { return b.table.enginesShareMachines.Load() }
 
 // MeanHold returns the mean time that online requests hold a slot.
 func (b *Balancer) MeanHold() time.Duration {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"sync/atomic"
 	"time"
 
 	"chutelock.dev/chutelock/internal/upstream"
@@ -103,8 +104,9 @@
 	nextWindowStart int
 	// index maps keys to engines of the newest snapshot.
 	index engineIndex
-	// enginesShareMachines is set once an engine has reported its slowdown.
-	enginesShareMachines bool
+	// enginesShareMachines is set once an engine has reported its slowdown. It is read without
+	// the lock that guards the table.
+	enginesShareMachines atomic.Bool
 }
 
 // NewTable returns an empty table.
@@ -175,7 +177,9 @@
 	state.report = load
 	state.reportAt = now
 	state.ownAtReport = state.total()
-	t.enginesShareMachines = t.enginesShareMachines || load.ReportsSlowdown
+	if load.ReportsSlowdown && !t.enginesShareMachines.Load() {
+		t.enginesShareMachines.Store(true)
+	}
 }
 
 // RecordSuccess records an answer and ends the engine's ejection.
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -63,7 +63,7 @@
 }
 
 func (q *quotaEnforcer) check(key quota.Key, limit quota.Limit, final bool) quota.Decision {
-	planReturns := q.planReturns() // takes locks
+	planReturns := q.planReturns() // before the mutex, which is a leaf
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.limiter.PlanReturns = planReturns
