--- a/internal/returns/planner.go
+++ b/internal/returns/planner.go
@@ -20,6 +20,9 @@
 	jitterFraction = 0.05
 	// maxWait bounds the times that callers are told.
 	maxWait = time.Minute
+	// maxLeft is the remaining time that maxWait is the longest wait of. Callers with more are
+	// treated alike, and spread like others.
+	maxLeft = 3 * maxWait
 )
 
 // Outlook is what a Planner expects of a return.
@@ -75,15 +78,18 @@
 }
 
 func (p *Planner) waitForRoom(refusal Refusal, now time.Time, draw float64) (time.Duration, Outlook) {
-	spread := min(maxWait, Spread(refusal, now, draw))
 	left := refusal.Deadline.Sub(now)
+	if left > maxLeft {
+		left, refusal.Deadline = maxLeft, now.Add(maxLeft)
+	}
+	spread := min(maxWait, Spread(refusal, now, draw))
 	switch {
 	case refusal.Deadline.IsZero() || left <= 0:
 		return spread, OutlookUnknown
 	case float64(now.Sub(p.began)) > patience*float64(left):
 		return spread, OutlookNoEnd
 	}
-	return min(maxWait, time.Duration(waitFraction*float64(left)*(1-draw*jitterFraction))), OutlookEnd
+	return time.Duration(waitFraction * float64(left) * (1 - draw*jitterFraction)), OutlookEnd
 }
 
 func (p *Planner) recordRefusal(now time.Time) {
--- a/internal/returns/returns_test.go
+++ b/internal/returns/returns_test.go
@@ -127,6 +127,28 @@
 	g.Expect(outlook).To(gomega.Equal(OutlookUnknown))
 }
 
+// Callers with deadlines far away must not be told the same time.
+func TestPlannerSpreadsLongWaits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &Planner{}
+	for _, test := range []struct {
+		age     time.Duration
+		outlook Outlook
+		least   time.Duration // of the difference between two draws
+	}{{0, OutlookEnd, time.Second}, {time.Hour, OutlookNoEnd, 20 * time.Second}} {
+		now := start.Add(test.age)
+		for since := time.Duration(0); since < test.age; since += idleGap {
+			p.Plan(refusalAt(start), start.Add(since), 0)
+		}
+		refusal := Refusal{Deadline: now.Add(24 * time.Hour), MeanRun: meanRun}
+		one, outlook := p.Plan(refusal, now, 0.25)
+		other, _ := p.Plan(refusal, now, 0.75)
+		g.Expect(outlook).To(gomega.Equal(test.outlook))
+		g.Expect((one - other).Abs()).To(gomega.BeNumerically(">=", test.least))
+		g.Expect(max(one, other)).To(gomega.BeNumerically("<", maxWait))
+	}
+}
+
 // A refused batch job must be told when the queue has room, and a bounded wait else.
 func TestJobWait(t *testing.T) {
 	g := gomega.NewWithT(t)
