Returns: only refusals for lack of room are planned

Requests that no engine could be reached for, or that expired, were counted as overload and told the longest wait. Now the balancer's ErrNoRoom and engines' own 429 and 503 are. TestReturnTimesOfOtherRefusals has these causes.

--- a/internal/forward/retryafter.go
+++ b/internal/forward/retryafter.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -31,9 +32,21 @@
 		return paced.RetryAfter + rand.N(max(1, fl.Balancer.MeanHold()))
 	}
 	meanRun, now, draw := fl.Balancer.MeanHold(), clock.Now(), rand.Float64()
-	refusal := returns.Refusal{Tenant: fl.request.Tenant, Deadline: fl.deadline, MeanRun: meanRun}
-	if wait, planned := fl.Returns.plan(fl.service, refusal, now, draw); planned {
-		return wait
+	if isNoRoom(cause) {
+		refusal := returns.Refusal{Tenant: fl.request.Tenant, Deadline: fl.deadline, MeanRun: meanRun}
+		if wait, planned := fl.Returns.plan(fl.service, refusal, now, draw); planned {
+			return wait
+		}
 	}
 	return fl.waitPolicy().retryAfter(meanRun, now, draw)
 }
+
+// isNoRoom reports whether a request has not run because no engine had room, as the balancer
+// or the engines themselves said. Engines that can't be reached are no sign of overload.
+func isNoRoom(cause error) bool {
+	var status statusError
+	if errors.As(cause, &status) {
+		return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	}
+	return errors.Is(cause, balance.ErrNoRoom)
+}
--- a/internal/forward/returns_test.go
+++ b/internal/forward/returns_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"math"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -255,12 +258,16 @@
 		g.Expect(fl.retryAfter(balance.ErrNoEngine)).To(gomega.BeNumerically(">=", noEngineRetryAfter))
 		g.Expect(fl.retryAfter(&heldError{Left: time.Hour})).To(gomega.Equal(time.Hour))
 		g.Expect(fl.retryAfter(&balance.PaceError{RetryAfter: time.Hour})).To(gomega.BeNumerically(">=", time.Hour))
+		for _, cause := range []error{errors.New("connection refused"), context.DeadlineExceeded, statusError(http.StatusMisdirectedRequest)} {
+			fl.retryAfter(cause)
+		}
 		g.Expect(observed).To(gomega.BeEmpty())
 		wait := fl.retryAfter(balance.ErrNoRoom)
 		g.Expect(wait).To(gomega.BeNumerically("<=", 10*time.Second))
 		if active {
 			g.Expect(wait).To(gomega.BeNumerically(">=", 9*time.Second))
-			g.Expect(observed).To(gomega.Equal([]returns.Outlook{returns.OutlookEnd}))
+			fl.retryAfter(statusError(http.StatusServiceUnavailable))
+			g.Expect(observed).To(gomega.Equal([]returns.Outlook{returns.OutlookEnd, returns.OutlookEnd}))
 		}
 	}
 }
