Quota: an isolated node doesn't plan returns by an old sum

A sum's demand stays as it was when the relay is lost, so callers of a tenant that had been over its limit were told 5 s for as long as the node was isolated. It tells the place in its queue then, as before. TestPlannedRetryAfter has the case; TestPlannedReturnsAtLimit asks for fewer second refusals in steady load over the limit, so that it fails without the part.

--- a/internal/quota/retryafter.go
+++ b/internal/quota/retryafter.go
@@ -4,10 +4,12 @@
 
 // retryAfter is when a caller that was refused should retry. While the tenant asks for more
 // than the window admits, returns take the places of first tries, and no return gets one
-// sooner than by chance; if returns are planned, callers are told so.
+// sooner than by chance; if returns are planned, callers are told so. An isolated node
+// doesn't know what the tenant asks for.
 func (l *Limiter) retryAfter(t *tenant, limit Limit, othersDemand float64, now time.Time) time.Duration {
 	demand := t.demand.current(now) + othersDemand
-	if l.PlanReturns && demand*l.bounds.Window.Seconds() > l.bounds.MaxAdmitted(limit) {
+	known := now.Sub(l.sumAt) <= isolationAge
+	if l.PlanReturns && known && demand*l.bounds.Window.Seconds() > l.bounds.MaxAdmitted(limit) {
 		return maxRetryAfter
 	}
 	return t.retryAfter(limit, othersDemand, now)
--- a/internal/quota/returns_test.go
+++ b/internal/quota/returns_test.go
@@ -98,25 +98,33 @@
 			again, asked := float64(before.refusedAgain), float64(before.asked)
 			chance := 2 * math.Sqrt(again*(1-again/asked)) // two standard deviations
 			g.Expect(float64(planned.refusedAgain)).To(gomega.BeNumerically("<=", again+chance))
+			if name == "steady" {
+				g.Expect(float64(planned.refusedAgain)).To(gomega.BeNumerically("<", again-chance))
+			}
 			g.Expect(float64(planned.maxInWindow(1))).To(gomega.BeNumerically("<=", bounds.maxTolerated(planned.limit)))
 		})
 	}
 }
 
-// Callers are told the longest wait only where returns are planned and the tenant asks for
-// more than its limit admits.
+// Callers are told the longest wait only where returns are planned and the tenant is known to
+// ask for more than its limit admits, which a node that lost its relay doesn't know.
 func TestPlannedRetryAfter(t *testing.T) {
 	for _, test := range []struct {
 		planned   bool
 		demand    float64
+		age       time.Duration // of the sum
 		isLongest bool
-	}{{false, 500, false}, {true, 500, true}, {true, 1, false}} {
+	}{{false, 150, 0, false}, {true, 150, 0, true}, {true, 1, 0, false}, {true, 150, isolationAge, true}, {true, 150, time.Minute, false}} {
 		g := gomega.NewWithT(t)
 		l := NewLimiter(bounds)
 		l.PlanReturns = test.planned
 		limit := Limit{Rate: 100, Burst: 0}
 		l.ReceiveSum("", Sum{Counts: Counts{1: {Admitted: 1000, Demand: test.demand}}}, start)
-		decision := l.Check(1, limit, false, start, func() float64 { return 0.5 })
+		now := start.Add(test.age)
+		middle := func() float64 { return 0.5 }
+		l.Check(1, limit, false, now, middle) // counts the demand
+		l.Check(1, limit, true, now, middle)  // an isolated node admits one
+		decision := l.Check(1, limit, true, now, middle)
 		g.Expect(decision.Verdict).To(gomega.Equal(Refused))
 		g.Expect(decision.RetryAfter == maxRetryAfter).To(gomega.Equal(test.isLongest))
 	}
