Returns: idle planners make room for those of other services

After refusals at 64 services a node never planned for others until its restart, though it needed none of the old ones. TestReturnTimesBoundServices.

--- a/internal/forward/returns_test.go
+++ b/internal/forward/returns_test.go
@@ -272,7 +272,7 @@
 	}
 }
 
-// Services beyond a number aren't planned, so that memory is bounded.
+// Services beyond a number aren't planned, so that memory is bounded, until others are idle.
 func TestReturnTimesBoundServices(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var observed []returns.Outlook
@@ -283,8 +283,11 @@
 		times.served(strconv.Itoa(i))
 	}
 	g.Expect(times.planners).To(gomega.HaveLen(maxPlannedServices))
+	_, planned := times.plan("later", returns.Refusal{}, start.Add(time.Minute), 0.5)
+	g.Expect(planned).To(gomega.BeTrue())
+	g.Expect(times.planners).To(gomega.HaveLen(1))
 	var none *ReturnTimes
 	none.served("s")
-	_, planned := none.plan("s", returns.Refusal{}, start, 0)
+	_, planned = none.plan("s", returns.Refusal{}, start, 0)
 	g.Expect(planned).To(gomega.BeFalse())
 }
--- a/internal/forward/returntimes.go
+++ b/internal/forward/returntimes.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,7 +10,7 @@
 	"chutelock.dev/chutelock/internal/returns"
 )
 
-// maxPlannedServices bounds the services whose overload is followed; refusals of further ones
+// maxPlannedServices bounds the services whose overload is followed at a time; refusals of further ones
 // are answered by returns.Spread.
 const maxPlannedServices = 64
 
@@ -43,7 +44,7 @@
 		return 0, false
 	}
 	r.mutex.Lock()
-	planner := r.planner(service)
+	planner := r.planner(service, now)
 	if planner == nil {
 		r.mutex.Unlock()
 		return 0, false
@@ -56,10 +57,13 @@
 	return wait, true
 }
 
-// planner returns the planner of a service, or nil if there are too many. The caller holds
-// the mutex.
-func (r *ReturnTimes) planner(service string) *returns.Planner {
+// planner returns the planner of a service, or nil if there are too many. Idle ones make room
+// for others. The caller holds the mutex.
+func (r *ReturnTimes) planner(service string, now time.Time) *returns.Planner {
 	planner := r.planners[service]
+	if planner == nil && len(r.planners) >= maxPlannedServices {
+		maps.DeleteFunc(r.planners, func(_ string, p *returns.Planner) bool { return p.Idle(now) })
+	}
 	if planner == nil && len(r.planners) < maxPlannedServices {
 		if r.planners == nil {
 			r.planners = map[string]*returns.Planner{}
--- a/internal/returns/planner.go
+++ b/internal/returns/planner.go
@@ -64,6 +64,9 @@
 // Served records a request that found room.
 func (p *Planner) Served() { p.served = min(p.served+1, calmServed) }
 
+// Idle reports whether a Planner knows no more than its zero value.
+func (p *Planner) Idle(now time.Time) bool { return now.Sub(p.last) > idleGap }
+
 // Plan records a refusal and returns how long its caller should wait. draw is uniform in [0, 1).
 //
 // The wait is at most a third of the remaining time, which callers heed, unless the refusal
@@ -93,8 +96,7 @@
 }
 
 func (p *Planner) recordRefusal(now time.Time) {
-	quiet := now.Sub(p.last)
-	if quiet > idleGap || quiet > calmGap && p.served >= calmServed {
+	if p.Idle(now) || now.Sub(p.last) > calmGap && p.served >= calmServed {
 		p.began = now
 	}
 	p.last, p.served = now, 0
