--- a/internal/forward/returns_test.go
+++ b/internal/forward/returns_test.go
@@ -264,6 +264,9 @@
 		g.Expect(observed).To(gomega.BeEmpty())
 		wait := fl.retryAfter(balance.ErrNoRoom)
 		g.Expect(wait).To(gomega.BeNumerically("<=", 10*time.Second))
+		if !active {
+			g.Expect(observed).To(gomega.BeEmpty())
+		}
 		if active {
 			g.Expect(wait).To(gomega.BeNumerically(">=", 9*time.Second))
 			fl.retryAfter(statusError(http.StatusServiceUnavailable))
