Who paid: refusals and lateness by tenant

Cause: lines of online requests didn't name the tenant, and no counter did, so an operator couldn't tell who paid when room was short.

--- a/cmd/chutelockctl/explainspan.go
+++ b/cmd/chutelockctl/explainspan.go
@@ -26,13 +26,18 @@
 
 Sums up, for each second, the requests by outcome, the refusals by cause, what
 batch work ran and gave up, and the zones whose engines were out as drained.
+With -by-tenant, it tells for each second and tenant what the tenant asked for,
+which rule refused how much of it, and what was late.
 
-  chutelockctl explain-span -since 2026-07-31T07:51:10Z front-*.log data-*.log`
+  chutelockctl explain-span -since 2026-07-31T07:51:10Z front-*.log data-*.log
+  chutelockctl explain-span -by-tenant -each 10s front-*.log`
 
 func runExplainSpan(arguments []string) int {
 	flags := flag.NewFlagSet("explain-span", flag.ContinueOnError)
 	format := flags.String("o", "table", "`format`: table or json")
 	length := flags.Duration("each", time.Second, "length of a row")
+	byTenant := flags.Bool("by-tenant", false, "one row for each tenant, in a table")
+	most := flags.Int("tenants", 10, "rows of tenants in a span; the others follow as one")
 	var since, until time.Time
 	flags.Func("since", "first `time` (RFC 3339)", parseTime(&since))
 	flags.Func("until", "`time` (RFC 3339) from which on nothing is told", parseTime(&until))
@@ -40,7 +45,7 @@
 	if flags.Parse(arguments) != nil {
 		return exitUsage
 	}
-	if *length <= 0 || (*format != "table" && *format != "json") {
+	if *length <= 0 || *most < 1 || (*format != "table" && *format != "json") {
 		flags.Usage()
 		return exitUsage
 	}
@@ -54,7 +59,11 @@
 		fmt.Fprintln(os.Stderr, "chutelockctl: no line tells of requests or items")
 		return exitNotFound
 	}
-	if err := writeSpans(os.Stdout, *format, spans); err != nil {
+	write := func() error { return writeSpans(os.Stdout, *format, spans) }
+	if *byTenant && *format == "table" {
+		write = func() error { return writeTenants(os.Stdout, spans, *most) }
+	}
+	if err := write(); err != nil {
 		fmt.Fprintln(os.Stderr, "chutelockctl:", err)
 		return exitReadFailure
 	}
@@ -82,6 +91,30 @@
 	return table.Flush()
 }
 
+// otherTenants is the row of the tenants that have no row of their own.
+const otherTenants = "(others)"
+
+// writeTenants writes a table of the tenants of each span, those that asked most first.
+func writeTenants(out io.Writer, spans []logstory.Span, most int) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "FROM\tTENANT\tASKED\tSERVED\tLATE\tFAILED\tLEFT\tOVER SHARE\tOVER LIMIT\tSHARE/S\tDEMAND/S\tREFUSALS BY CAUSE")
+	for i := range spans {
+		largest, others := spans[i].LargestTenants(most)
+		for _, tenant := range largest {
+			writeTenant(table, spans[i].From, tenant, spans[i].Tenants[tenant])
+		}
+		if others.Asked > 0 {
+			writeTenant(table, spans[i].From, otherTenants, others)
+		}
+	}
+	return table.Flush()
+}
+
+func writeTenant(table io.Writer, from time.Time, name string, s *logstory.TenantSpan) {
+	fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%s\n", from.Format("15:04:05.000"), name, s.Asked, s.Served, s.Late,
+		s.Failed, s.Left, s.OverShare, s.Limited, s.Share, s.Demand, formatCauses(s.Refused))
+}
+
 // formatCauses lists counts by cause in descending order.
 func formatCauses(counts map[string]int) string {
 	causes := make([]string, 0, len(counts))
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -12,6 +12,9 @@
 
 var eventLimited = telemetry.Define(2304, "request-limited", "A tenant's request was refused, as the tenant is at its limit over all nodes; gives the counts and their age.")
 
+// ruleLimit is the rule that refuses requests beyond their tenant's limit.
+const ruleLimit = "limit"
+
 // caller is the tenant that sent a request, or nil if it came without a key.
 type caller struct{ tenant *catalog.Tenant }
 
@@ -61,6 +64,9 @@
 	}
 	eventLimited.Info("request", request.ID, "tenant", tenant.Name, "rate", tenant.Rate, "burst", tenant.Burst,
 		"own", decision.Own, "others", decision.Others, "room", decision.Reserve, "bound", decision.Bound, "age", decision.Age, "come_back", decision.RetryAfter)
+	if e.Refused != nil {
+		e.Refused(tenant.Name, ruleLimit)
+	}
 	writeErrorRetryAfter(w, http.StatusTooManyRequests, "the tenant is at its limit; the request has not run", decision.RetryAfter)
 	return false
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,6 +98,9 @@
 	Admit    func(ctx context.Context, tenant *catalog.Tenant) quota.Decision
 	Withdraw func(tenant *catalog.Tenant, admitted time.Time)
 	Jobs     Jobs
+	// Refused is called for each request of a tenant that is refused before it is forwarded,
+	// with the rule that refused it; may be nil.
+	Refused func(tenant, rule string)
 	// MemoryBudget bounds the memory held for callers; nil means no bound.
 	MemoryBudget *MemoryBudget
 	inFlight     atomic.Int64
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -56,6 +56,7 @@
 // Result summarizes a request for metrics.
 type Result struct {
 	Route    *catalog.Route
+	Tenant   string // empty if callers need no key
 	Verdict  string // name of a Verdict, or one of the constants below
 	Attempts int
 	// Waited is the time spent waiting for an engine.
@@ -64,6 +65,9 @@
 	First, Total time.Duration
 }
 
+// Late reports whether the request was served after its route's target.
+func (r Result) Late() bool { return r.Verdict == verdictServed && r.First > r.Route.Target }
+
 // Values of Result.Verdict besides the names of Verdicts.
 const (
 	verdictServed     = "served"
@@ -271,7 +275,7 @@
 // callerLeft records that the caller disconnected before the response was complete.
 func (fl *inflight) callerLeft(cause error) {
 	fl.verdict = verdictCallerLeft
-	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+	eventCallerLeft.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
 		"held", clock.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
 }
 
@@ -297,7 +301,7 @@
 
 func (fl *inflight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
-	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
+	eventRefused.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "verdict", verdict, "cause", cause,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	retryAfter := time.Duration(0)
 	if verdict == VerdictNotRun {
@@ -310,7 +314,7 @@
 
 func (fl *inflight) abort(cause error) {
 	fl.verdict = verdictAborted
-	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
+	eventAborted.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	fl.sink.Abort()
 }
@@ -328,7 +332,7 @@
 
 func (fl *inflight) observe() {
 	result := Result{
-		Route: fl.route, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
+		Route: fl.route, Tenant: fl.request.Tenant, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
 	}
 	if !fl.firstEventAt.IsZero() {
 		result.First = fl.firstEventAt.Sub(fl.request.Arrived)
@@ -337,8 +341,8 @@
 		if fl.framed {
 			fl.Guard.Served(fl.fingerprint)
 		}
-		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
-			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.First > fl.route.Target)
+		eventServed.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late())
 	}
 	if fl.Observe != nil {
 		fl.Observe(result)
--- a/internal/logstory/span.go
+++ b/internal/logstory/span.go
@@ -35,6 +35,8 @@
 	// Drained lists the zones that a process with counted lines in the span had last
 	// reported as drained.
 	Drained []string `json:"drained_zones,omitempty"`
+	// Tenants summarizes the online requests of each tenant that lines name.
+	Tenants map[string]*TenantSpan `json:"tenants,omitempty"`
 }
 
 // RefusedTotal returns the sum of Refused.
@@ -54,6 +56,8 @@
 			s.Late++
 		}
 	},
+	"request-limited":    func(s *Span, _ Entry) { s.countRefusal(causeLimit) },
+	"request-over-share": func(s *Span, _ Entry) { s.countRefusal(causeShare) },
 	// Requests are refused while being forwarded, and rejected before that.
 	"request-refused":  func(s *Span, e Entry) { s.addRefusal(e, "cause") },
 	"request-rejected": func(s *Span, e Entry) { s.addRefusal(e, "reason") },
@@ -72,6 +76,10 @@
 func (s *Span) addRefusal(e Entry, key string) {
 	cause, _ := e.Fields[key].(string)
 	s.MaxHeld = max(s.MaxHeld, e.durationField("held"))
+	s.countRefusal(cause)
+}
+
+func (s *Span) countRefusal(cause string) {
 	if s.Refused == nil {
 		s.Refused = map[string]int{}
 	}
@@ -135,6 +143,7 @@
 			spans[from] = &Span{From: from}
 		}
 		update(spans[from], entry)
+		spans[from].addTenant(entry)
 		spans[from].addDrained(drained[entry.Process])
 	}
 	var ordered []Span
--- /dev/null
+++ b/internal/logstory/tenant_test.go
@@ -0,0 +1,37 @@
+package logstory
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const tenantLines = `
+ front-1 {"ts":"2026-01-01T00:00:01.1Z","msg":"request-served","request":"r1","tenant":"a","late":false}
+ front-2 {"ts":"2026-01-01T00:00:01.2Z","msg":"request-served","request":"r2","tenant":"a","late":true}
+ front-1 {"ts":"2026-01-01T00:00:01.3Z","msg":"request-refused","request":"r3","tenant":"a","cause":"balance: no engine has room","held":"2ms"}
+ front-1 {"ts":"2026-01-01T00:00:01.4Z","msg":"request-over-share","request":"r4","tenant":"b","share":12.5,"demand":90}
+ front-2 {"ts":"2026-01-01T00:00:01.5Z","msg":"request-over-share","request":"r5","tenant":"b","share":14,"demand":80}
+ front-2 {"ts":"2026-01-01T00:00:01.6Z","msg":"request-limited","request":"r6","tenant":"b"}
+ front-2 {"ts":"2026-01-01T00:00:01.7Z","msg":"caller-left","request":"r7","tenant":"b"}
+ front-2 {"ts":"2026-01-01T00:00:01.8Z","msg":"stream-aborted","request":"r8","tenant":"a"}
+ front-2 {"ts":"2026-01-01T00:00:01.9Z","msg":"request-served","request":"r9","tenant":"","late":false}
+ front-2 {"ts":"2026-01-01T00:00:01.9Z","msg":"request-over-share","request":"r10","tenant":"c","share":"x"}
+`
+
+// Each tenant's requests are summed by what became of them; a malformed line spoils nothing.
+func TestSpansByTenant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries, err := Read(strings.NewReader(tenantLines), "file")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	spans := Spans(entries, time.Time{}, time.Time{}, time.Second)
+	g.Expect(spans).To(gomega.HaveLen(1))
+	g.Expect(spans[0].RefusedTotal()).To(gomega.Equal(5))
+	g.Expect(spans[0].Tenants).To(gomega.Equal(map[string]*TenantSpan{
+		"a": {Asked: 4, Served: 2, Late: 1, Failed: 1, Refused: map[string]int{"balance: no engine has room": 1}},
+		"b": {Asked: 4, Left: 1, OverShare: 2, Limited: 1, Refused: map[string]int{causeShare: 2, causeLimit: 1}, Share: 14, Demand: 90},
+		"c": {Asked: 1, OverShare: 1, Refused: map[string]int{causeShare: 1}},
+	}))
+}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -67,9 +67,11 @@
 		return nil, err
 	}
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay)
+	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
 	f.edge = &edge.Edge{
 		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
 		Dialect:              adapter.Callers,
+		Refused:              tenants.Add,
 		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
 		Snapshot:             f.catalog.Snapshot,
 		ConfigurationCurrent: func() bool { return f.configurationAge() <= settings.Platform.Apply },
@@ -81,7 +83,10 @@
 			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
 				return f.catalog.Snapshot().Configuration.CurrentRegions(route, request.Tenant, request.Regions)
 			},
-			Observe: newRequestMetrics(common.registry).observe,
+			Observe: func(result forward.Result) {
+				requests.observe(result)
+				tenants.observe(result)
+			},
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -9,6 +9,7 @@
 
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/tenantstats"
 )
 
 // PathMetrics is the path of the metrics.
@@ -57,6 +58,47 @@
 	}
 }
 
+// largestTenants is how many tenants a node counts by themselves; the others are counted
+// together.
+const largestTenants = 20
+
+// outcomeLate is the outcome of requests that were served after their route's target.
+const outcomeLate = "late"
+
+var descTenantRequests = prometheus.NewDesc("chutelock_tenant_requests_total",
+	"Online requests by tenant, for those that ask this node most, and outcome: served in time, late, a verdict, or the rule that refused them. Tenant \"\" stands for all others.",
+	[]string{"tenant", "outcome"}, nil)
+
+// tenantMetrics counts online requests by tenant. It implements prometheus.Collector.
+type tenantMetrics struct{ *tenantstats.Counters }
+
+func newTenantMetrics(registry prometheus.Registerer) tenantMetrics {
+	m := tenantMetrics{tenantstats.New(largestTenants)}
+	registry.MustRegister(m)
+	return m
+}
+
+func (m tenantMetrics) observe(result forward.Result) {
+	if result.Tenant == "" {
+		return
+	}
+	outcome := result.Verdict
+	if result.Late() {
+		outcome = outcomeLate
+	}
+	m.Add(result.Tenant, outcome)
+}
+
+// Describe implements prometheus.Collector.
+func (m tenantMetrics) Describe(descs chan<- *prometheus.Desc) { descs <- descTenantRequests }
+
+// Collect implements prometheus.Collector.
+func (m tenantMetrics) Collect(metrics chan<- prometheus.Metric) {
+	for _, count := range m.Counts() {
+		metrics <- prometheus.MustNewConstMetric(descTenantRequests, prometheus.CounterValue, float64(count.Count), count.Tenant, count.Outcome)
+	}
+}
+
 // registerGauges registers gauges that are read when metrics are collected.
 func (c *core) registerGauges(gauges map[string]gauge) {
 	for name, spec := range gauges {
