explain-span by tenant: requests in share, and how many lines were left out

Cause: the table told no requests in share, printed a share of 0.0 where no line gave one, and hid that the rate limit of logs makes rows too low.

--- a/cmd/chutelockctl/explainspan.go
+++ b/cmd/chutelockctl/explainspan.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -85,7 +86,7 @@
 	fmt.Fprintln(table, "FROM\tSERVED\tLATE\tREFUSED\tHELD MOST\tABORTED\tLEFT\tFAILED ATTEMPTS\tITEMS OPEN\tRUNNING\tSENT\tCUT\tDRAINED ZONES\tREFUSALS BY CAUSE")
 	for i := range spans {
 		s := &spans[i]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.From.Format("15:04:05.000"), s.Served, s.Late,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", formatFrom(s.From), s.Served, s.Late,
 			s.RefusedTotal(), s.MaxHeld, s.Aborted, s.Left, s.Failed, s.ItemsOpen, s.ItemsRunning, s.ItemsSent, s.ItemsPreempted, cmp.Or(strings.Join(s.Drained, " "), "-"), formatCauses(s.Refused))
 	}
 	return table.Flush()
@@ -94,10 +95,13 @@
 // otherTenants is the row of the tenants that have no row of their own.
 const otherTenants = "(others)"
 
+// omittedRequests is the row of the requests whose lines the rate limit of logs left out.
+const omittedRequests = "(omitted)"
+
 // writeTenants writes a table of the tenants of each span, those that asked most first.
 func writeTenants(out io.Writer, spans []logstory.Span, most int) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "FROM\tTENANT\tASKED\tSERVED\tLATE\tFAILED\tLEFT\tOVER SHARE\tOVER LIMIT\tSHARE/S\tDEMAND/S\tREFUSALS BY CAUSE")
+	fmt.Fprintln(table, "FROM\tTENANT\tASKED\tIN SHARE\tSERVED\tLATE\tFAILED\tLEFT\tOVER SHARE\tOVER LIMIT\tSHARE/S\tDEMAND/S\tREFUSALS BY CAUSE")
 	for i := range spans {
 		largest, others := spans[i].LargestTenants(most)
 		for _, tenant := range largest {
@@ -106,13 +110,26 @@
 		if others.Asked > 0 {
 			writeTenant(table, spans[i].From, otherTenants, others)
 		}
+		if omitted := spans[i].Omitted; omitted > 0 {
+			fmt.Fprintf(table, "%s\t%s\t%d\n", formatFrom(spans[i].From), omittedRequests, omitted)
+		}
 	}
 	return table.Flush()
 }
 
 func writeTenant(table io.Writer, from time.Time, name string, s *logstory.TenantSpan) {
-	fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%s\n", from.Format("15:04:05.000"), name, s.Asked, s.Served, s.Late,
-		s.Failed, s.Left, s.OverShare, s.Limited, s.Share, s.Demand, formatCauses(s.Refused))
+	fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", formatFrom(from), name, s.Asked, s.InShare, s.Served, s.Late,
+		s.Failed, s.Left, s.OverShare, s.Limited, formatRate(s.Share), formatRate(s.Demand), formatCauses(s.Refused))
+}
+
+func formatFrom(from time.Time) string { return from.Format("15:04:05.000") }
+
+// formatRate formats a rate, or "-" if no line gave it.
+func formatRate(rate float64) string {
+	if rate == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(rate, 'f', 1, 64)
 }
 
 // formatCauses lists counts by cause in descending order.
--- a/cmd/chutelockctl/explainspan_test.go
+++ b/cmd/chutelockctl/explainspan_test.go
@@ -28,15 +28,17 @@
 	g.Expect(writeTenants(&out, []logstory.Span{{
 		From: time.Date(2026, 1, 1, 7, 51, 10, 0, time.UTC),
 		Tenants: map[string]*logstory.TenantSpan{
-			"a": {Asked: 5, Served: 5},
-			"b": {Asked: 90, Served: 10, OverShare: 80, Share: 12, Demand: 90.4, Refused: map[string]int{"over": 80}},
-			"c": {Asked: 7, Late: 1, Refused: map[string]int{"no room": 2}},
-			"d": {Asked: 1, Refused: map[string]int{"no room": 1}},
+			"a": {Asked: 5, InShare: 5, Served: 5},
+			"b": {Asked: 90, InShare: 10, Served: 10, OverShare: 80, Share: 12, Demand: 90.4, Refused: map[string]int{"over": 80}},
+			"c": {Asked: 7, InShare: 7, Late: 1, Refused: map[string]int{"no room": 2}},
+			"d": {Asked: 1, InShare: 1, Refused: map[string]int{"no room": 1}},
 		},
+		Omitted: 34,
 	}}, 2)).To(gomega.Succeed())
 	lines := strings.Split(out.String(), "\n")
-	g.Expect(lines).To(gomega.HaveLen(5))
-	g.Expect(lines[1]).To(gomega.MatchRegexp(`^07:51:10.000 +b +90 +10 +0 +0 +0 +80 +0 +12.0 +90.4 +80 over$`))
-	g.Expect(lines[2]).To(gomega.MatchRegexp(`^07:51:10.000 +c +7 +0 +1 .*2 no room$`))
-	g.Expect(lines[3]).To(gomega.MatchRegexp(`^07:51:10.000 +\(others\) +6 +5 .*1 no room$`))
+	g.Expect(lines).To(gomega.HaveLen(6))
+	g.Expect(lines[1]).To(gomega.MatchRegexp(`^07:51:10.000 +b +90 +10 +10 +0 +0 +0 +80 +0 +12.0 +90.4 +80 over$`))
+	g.Expect(lines[2]).To(gomega.MatchRegexp(`^07:51:10.000 +c +7 +7 +0 +1 .* - +- +2 no room$`))
+	g.Expect(lines[3]).To(gomega.MatchRegexp(`^07:51:10.000 +\(others\) +6 +6 +5 .*1 no room$`))
+	g.Expect(lines[4]).To(gomega.MatchRegexp(`^07:51:10.000 +\(omitted\) +34$`))
 }
--- a/internal/logstory/span.go
+++ b/internal/logstory/span.go
@@ -37,6 +37,9 @@
 	Drained []string `json:"drained_zones,omitempty"`
 	// Tenants summarizes the online requests of each tenant that lines name.
 	Tenants map[string]*TenantSpan `json:"tenants,omitempty"`
+	// Omitted counts the lines about ends of requests that the rate limit of logs left out, as
+	// told by the next line of the same event. They are in no other count.
+	Omitted int `json:"omitted,omitempty"`
 }
 
 // RefusedTotal returns the sum of Refused.
--- a/internal/logstory/tenant.go
+++ b/internal/logstory/tenant.go
@@ -17,6 +17,8 @@
 	// Asked counts the requests with a known end, retries included: Served, Failed, Left and
 	// those refused.
 	Asked int `json:"asked"`
+	// InShare counts those of Asked that were not refused by OverShare or Limited.
+	InShare int `json:"in_share"`
 	// Served counts the requests with a complete response, and Late those of them whose first
 	// event came after the route's target.
 	Served int `json:"served"`
@@ -92,6 +94,7 @@
 // add adds the counts of another tenant.
 func (s *TenantSpan) add(other *TenantSpan) {
 	s.Asked += other.Asked
+	s.InShare += other.InShare
 	s.Served += other.Served
 	s.Late += other.Late
 	s.Failed += other.Failed
@@ -109,8 +112,12 @@
 // addTenant adds a line to the span of the tenant that it names, if any.
 func (s *Span) addTenant(e Entry) {
 	update := tenantUpdates[e.Name]
+	if update == nil {
+		return
+	}
+	s.Omitted += max(0, e.intField("omitted"))
 	tenant, _ := e.Fields["tenant"].(string)
-	if update == nil || tenant == "" {
+	if tenant == "" {
 		return
 	}
 	if s.Tenants == nil {
@@ -119,6 +126,8 @@
 	if s.Tenants[tenant] == nil {
 		s.Tenants[tenant] = &TenantSpan{}
 	}
-	s.Tenants[tenant].Asked++
-	update(s.Tenants[tenant], e)
+	t := s.Tenants[tenant]
+	update(t, e)
+	t.Asked++
+	t.InShare = t.Asked - t.OverShare - t.Limited
 }
--- a/internal/logstory/tenant_test.go
+++ b/internal/logstory/tenant_test.go
@@ -30,8 +30,27 @@
 	g.Expect(spans).To(gomega.HaveLen(1))
 	g.Expect(spans[0].RefusedTotal()).To(gomega.Equal(5))
 	g.Expect(spans[0].Tenants).To(gomega.Equal(map[string]*TenantSpan{
-		"a": {Asked: 4, Served: 2, Late: 1, Failed: 1, Refused: map[string]int{"balance: no engine has room": 1}},
-		"b": {Asked: 4, Left: 1, OverShare: 2, Limited: 1, Refused: map[string]int{causeShare: 2, causeLimit: 1}, Share: 14, Demand: 90},
+		"a": {Asked: 4, InShare: 4, Served: 2, Late: 1, Failed: 1, Refused: map[string]int{"balance: no engine has room": 1}},
+		"b": {Asked: 4, InShare: 1, Left: 1, OverShare: 2, Limited: 1, Refused: map[string]int{causeShare: 2, causeLimit: 1}, Share: 14, Demand: 90},
 		"c": {Asked: 1, OverShare: 1, Refused: map[string]int{causeShare: 1}},
 	}))
 }
+
+// omittedLines are written under a rate limit, which each kind of line has for itself.
+const omittedLines = `
+ front-1 {"ts":"2026-01-01T00:00:01.1Z","msg":"request-refused","request":"r1","tenant":"a","cause":"c","omitted":30}
+ front-2 {"ts":"2026-01-01T00:00:01.2Z","msg":"request-served","request":"r2","tenant":"","late":false,"omitted":4}
+ front-2 {"ts":"2026-01-01T00:00:01.3Z","msg":"attempt-failed","request":"r3","omitted":100}
+ front-2 {"ts":"2026-01-01T00:00:01.4Z","msg":"caller-left","request":"r4","tenant":"a","omitted":"x"}
+`
+
+// Lines left out by the rate limit are told apart from the tenants' counts.
+func TestSpansCountOmittedLines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries, err := Read(strings.NewReader(omittedLines), "file")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	spans := Spans(entries, time.Time{}, time.Time{}, time.Second)
+	g.Expect(spans).To(gomega.HaveLen(1))
+	g.Expect(spans[0].Omitted).To(gomega.Equal(34))
+	g.Expect(spans[0].Tenants["a"].Asked).To(gomega.Equal(2))
+}
