tenantstats: the property test checks which tenants are kept

Cause: design 032 says that a tenant with more than 1/size of the requests is always counted by itself; no test drew such orders. Change: TestCountsAddUp asserts it besides its sums and bound.

--- a/internal/tenantstats/counters_test.go
+++ b/internal/tenantstats/counters_test.go
@@ -26,17 +26,19 @@
 	g.Expect(byTenant).To(gomega.HaveKeyWithValue("large-b", int64(5000)))
 }
 
-// No request is lost or counted twice when tenants replace each other, and no more tenants
-// are kept than allowed.
+// No request is lost or counted twice when tenants replace each other, no more tenants are kept
+// than allowed, and tenants with more than 1/size of all requests are among them.
 func TestCountsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := gomega.NewWithT(t)
 		size := rapid.IntRange(1, 5).Draw(t, "size")
 		counters := New(size)
-		added := map[string]int64{}
-		for range rapid.IntRange(0, 200).Draw(t, "requests") {
+		added, requests, total := map[string]int64{}, map[string]int{}, rapid.IntRange(0, 200).Draw(t, "requests")
+		for range total {
 			outcome := rapid.SampledFrom([]string{"served", "late", "refused"}).Draw(t, "outcome")
-			counters.Add(strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "tenant")), outcome)
+			tenant := strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "tenant"))
+			counters.Add(tenant, outcome)
+			requests[tenant]++
 			added[outcome]++
 		}
 		counted, tenants := map[string]int64{}, map[string]bool{}
@@ -47,6 +49,11 @@
 		delete(tenants, Rest)
 		g.Expect(counted).To(gomega.Equal(added))
 		g.Expect(len(tenants)).To(gomega.BeNumerically("<=", size))
+		for tenant, count := range requests {
+			if count*size > total {
+				g.Expect(tenants).To(gomega.HaveKey(tenant))
+			}
+		}
 	})
 }
 
