--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -275,7 +275,7 @@
 // callerLeft records that the caller disconnected before the response was complete.
 func (fl *inflight) callerLeft(cause error) {
 	fl.verdict = verdictCallerLeft
-	eventCallerLeft.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
 		"held", clock.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
 }
 
@@ -301,7 +301,7 @@
 
 func (fl *inflight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
-	eventRefused.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "verdict", verdict, "cause", cause,
+	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "verdict", verdict, "cause", cause,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	retryAfter := time.Duration(0)
 	if verdict == VerdictNotRun {
@@ -314,7 +314,7 @@
 
 func (fl *inflight) abort(cause error) {
 	fl.verdict = verdictAborted
-	eventAborted.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
+	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "cause", cause, "last_event", fl.lastEvent,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	fl.sink.Abort()
 }
@@ -341,7 +341,7 @@
 		if fl.framed {
 			fl.Guard.Served(fl.fingerprint)
 		}
-		eventServed.Info("request", fl.request.ID, "tenant", fl.request.Tenant, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
 			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late())
 	}
 	if fl.Observe != nil {
