--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -58,6 +58,7 @@
 // Result summarizes a request for metrics.
 type Result struct {
 	Route    *catalog.Route
+	Tenant   string // empty if callers need no key
 	Verdict  string // name of a Verdict, or one of the constants below
 	Attempts int
 	// Waited is the time spent waiting for an engine.
@@ -68,6 +69,9 @@
 	RetryAfter time.Duration
 }
 
+// Late reports whether the request was served after its route's target.
+func (r Result) Late() bool { return r.Verdict == verdictServed && r.First > r.Route.Target }
+
 // Values of Result.Verdict besides the names of Verdicts.
 const (
 	verdictServed     = "served"
@@ -277,7 +281,7 @@
 // callerLeft records that the caller disconnected before the response was complete.
 func (fl *inflight) callerLeft(cause error) {
 	fl.verdict = verdictCallerLeft
-	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
 		"held", clock.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
 }
 
@@ -306,7 +310,7 @@
 	if verdict == VerdictNotRun {
 		fl.toldRetry = fl.retryAfter(cause)
 	}
-	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
+	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "verdict", verdict, "cause", cause,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived), "retry_after", fl.toldRetry)
 	if err := fl.sink.Refuse(verdict, fl.toldRetry); err != nil {
 		fl.callerLeft(err)
@@ -315,7 +319,7 @@
 
 func (fl *inflight) abort(cause error) {
 	fl.verdict = verdictAborted
-	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
+	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "cause", cause, "last_event", fl.lastEvent,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	fl.sink.Abort()
 }
@@ -333,7 +337,7 @@
 
 func (fl *inflight) observe() {
 	result := Result{
-		Route: fl.route, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
+		Route: fl.route, Tenant: fl.request.Tenant, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
 		RetryAfter: fl.toldRetry,
 	}
 	if !fl.firstEventAt.IsZero() {
@@ -343,8 +347,8 @@
 		if fl.framed {
 			fl.Guard.Served(fl.fingerprint)
 		}
-		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
-			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.First > fl.route.Target)
+		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
+			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late())
 	}
 	if fl.Observe != nil {
 		fl.Observe(result)
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -68,11 +68,12 @@
 		return nil, err
 	}
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
-	requests := newRequestMetrics(common.registry)
+	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
 	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
 	f.edge = &edge.Edge{
 		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
 		Dialect:              adapter.Callers,
+		Refused:              tenants.Add,
 		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
 		Snapshot:             f.catalog.Snapshot,
 		ConfigurationCurrent: func() bool { return f.configurationAge() <= settings.Platform.Apply },
@@ -84,7 +85,10 @@
 			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
 				return f.catalog.Snapshot().Configuration.CurrentRegions(route, request.Tenant, request.Regions)
 			},
-			Observe: requests.observe,
+			Observe: func(result forward.Result) {
+				requests.observe(result)
+				tenants.observe(result)
+			},
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
