--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -7,10 +7,14 @@
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/quota"
+	"chutelock.dev/chutelock/internal/returns"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
-var eventLimited = telemetry.Define(2304, "request-limited", "A tenant's request was refused, as the tenant is at its limit over all nodes; gives the counts and their age.")
+var (
+	eventLimited   = telemetry.Define(2304, "request-limited", "A tenant's request was refused, as the tenant is at its limit over all nodes; gives the counts and their age.")
+	eventOverShare = telemetry.Define(2305, "request-over-share", "A tenant's request was refused, as room is short and the tenant asks for more than its share; gives both and the age of the counts.")
+)
 
 // caller is the tenant that sent a request, or nil if it came without a key.
 type caller struct{ tenant *catalog.Tenant }
@@ -65,6 +69,23 @@
 	return false
 }
 
+// checkShare refuses a request that exceeds its tenant's share of the room, and then returns
+// false.
+func (e *Edge) checkShare(w http.ResponseWriter, tenant *catalog.Tenant, route *catalog.Route, request *forward.Request) bool {
+	if e.Share == nil || tenant == nil {
+		return true
+	}
+	decision := e.Share(tenant, route)
+	if !decision.Refused {
+		return true
+	}
+	retryAfter := e.RetryAfter(returns.Refusal{Tenant: tenant.Name, Deadline: request.Deadline, Earliest: decision.Earliest})
+	eventOverShare.Info("request", request.ID, "route", route.Name, "tenant", tenant.Name, "weight", decision.Weight, "share", decision.Share,
+		"demand", decision.Demand, "capacity", decision.Capacity, "age", decision.Age, "come_back", retryAfter)
+	writeErrorRetryAfter(w, http.StatusServiceUnavailable, "the tenant asks for more than its share while room is short; the request has not run", retryAfter)
+	return false
+}
+
 // callAllowsAnonymous reports whether calls about batch jobs need no key: the host has a
 // public batch route.
 func callAllowsAnonymous(configuration *catalog.Configuration, host string) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,8 +14,10 @@
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/fairshare"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/quota"
+	"chutelock.dev/chutelock/internal/returns"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -97,7 +99,13 @@
 	// a request that was admitted at the given time and reached no engine.
 	Admit    func(ctx context.Context, tenant *catalog.Tenant) quota.Decision
 	Withdraw func(tenant *catalog.Tenant, admitted time.Time)
-	Jobs     Jobs
+	// Share decides whether a tenant's request for a route exceeds the tenant's share of the
+	// room; nil refuses none.
+	Share func(tenant *catalog.Tenant, route *catalog.Route) fairshare.Decision
+	// RetryAfter returns when the caller of a request that exceeds a share should retry. It
+	// must be set with Share.
+	RetryAfter func(refusal returns.Refusal) time.Duration
+	Jobs       Jobs
 	// MemoryBudget bounds the memory held for callers; nil means no bound.
 	MemoryBudget *MemoryBudget
 	inFlight     atomic.Int64
@@ -156,15 +164,12 @@
 		return
 	}
 	request.Body = body
-	if !from.tenant.Limited() {
-		e.forward(w, r, route, &request)
-		return
-	}
 	checkedAt := clock.Now() // stands for the time of admission in Withdraw
-	if !e.checkLimit(w, r, from.tenant, &request) {
+	if from.tenant.Limited() && !e.checkLimit(w, r, from.tenant, &request) {
 		return
 	}
-	if sent := e.forward(w, r, route, &request); !sent {
+	sent := e.checkShare(w, from.tenant, route, &request) && e.forward(w, r, route, &request)
+	if !sent && from.tenant.Limited() {
 		e.Withdraw(from.tenant, checkedAt)
 	}
 }
--- a/internal/fairshare/crowd_test.go
+++ b/internal/fairshare/crowd_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/quota"
 )
 
 // crowd is all traffic at 2.5 times the usual, and the largest tenant at 12 times that.
@@ -16,15 +20,109 @@
 	return 2.5
 }
 
-func TestTry(t *testing.T) {
-	for _, load := range []float64{0.3, 0.36, 0.8} {
-		for w := noShares; w <= sharesByZone; w++ {
-			p := newPlayer(w, load, 1)
-			p.factor = crowd
-			begun := time.Now()
-			p.play()
-			t.Logf("%v %v: hot %+v %.2f others %+v %.3f worst tenth %.3f bytes %d took %v", load, w, p.outcomes[0], p.outcomes[0].share(),
-				p.sum(func(i int) bool { return i != 0 }), p.sum(func(i int) bool { return i != 0 }).share(), p.worstTenth(), p.bytes, time.Since(begun))
+// crowdLoad is the usual load at which all tenants but the hot one fit in the crowd: they are
+// 0.86 of all traffic, so they ask for 0.77 of the capacity.
+const crowdLoad = 0.36
+
+func others(tenant int) bool { return tenant != 0 }
+
+// playCrowdWith plays a crowd. prepare may be nil.
+func playCrowdWith(t *testing.T, w way, load float64, seed uint64, prepare func(*player)) *player {
+	t.Helper()
+	p := newPlayer(w, load, seed)
+	p.factor = crowd
+	if prepare != nil {
+		prepare(p)
+	}
+	p.play()
+	total := p.sum(others)
+	t.Logf("load %.2f, %v: in time %.3f of the others' requests (worst tenth of tenants %.3f), %.3f of the hot tenant's; others %+v, hot %+v, %d bytes of counts",
+		load, w, total.share(), p.worstTenth(), p.outcomes[0].share(), total, p.outcomes[0], p.bytes)
+	return p
+}
+
+// Tenants within their share must be served while the sum of them fits, whatever one tenant
+// asks for.
+func TestTenantsWithinTheirShareAreServed(t *testing.T) {
+	var bytes [sharesByZone + 1]int
+	t.Run("play", func(t *testing.T) {
+		for _, w := range []way{noShares, equalShares, weightedShares, sharesByZone} {
+			t.Run(w.String(), func(t *testing.T) {
+				t.Parallel()
+				p := playCrowdWith(t, w, crowdLoad, 1, nil)
+				bytes[w] = p.bytes
+				if w == weightedShares {
+					gomega.NewWithT(t).Expect(p.sum(others).share()).To(gomega.BeNumerically(">=", 0.95))
+				}
+			})
 		}
+	})
+	gomega.NewWithT(t).Expect(float64(bytes[weightedShares])).To(gomega.BeNumerically("<=", 1.1*float64(bytes[noShares])))
+}
+
+// Where the sum of all doesn't fit, tenants must get room by weight, not by what they ask for,
+// and the engines must stay busy.
+func TestRoomIsSharedWhereNothingFits(t *testing.T) {
+	for _, w := range []way{noShares, weightedShares} {
+		t.Run(w.String(), func(t *testing.T) {
+			t.Parallel()
+			p := playCrowdWith(t, w, 0.8, 1, nil)
+			if w == weightedShares {
+				g := gomega.NewWithT(t)
+				hot, rest := p.outcomes[0].inTime, p.sum(others).inTime
+				weights := 0.0
+				for _, usual := range p.usual {
+					weights += usual
+				}
+				g.Expect(float64(hot) / float64(hot+rest)).To(gomega.BeNumerically("~", p.usual[0]/weights, 0.1))
+				g.Expect(float64(hot + rest)).To(gomega.BeNumerically(">=", 0.9*p.capacity*playCrowd.Seconds()))
+			}
+		})
+	}
+}
+
+// Where all requests fit, no share may refuse any, also not of a tenant that asks for many times
+// its usual.
+func TestNoShareRefusesWhileThereIsRoom(t *testing.T) {
+	for _, c := range []struct {
+		load, most float64 // of the usual: of all tenants together, and the factor in the crowd
+	}{{0.3, 2.5}, {0.34, 2.5}, {0.15, 30}} {
+		p := newPlayer(weightedShares, c.load, 1)
+		p.factor = func(tenant int, since time.Duration) float64 { return min(c.most, crowd(tenant, since)) }
+		p.play()
+		t.Logf("%+v: %d refused, %+v", c, p.refused, p.sum(func(int) bool { return true }))
+		gomega.NewWithT(t).Expect(p.refused).To(gomega.BeZero())
+	}
+}
+
+// While a zone's counts are lost, or a part of all, tenants within their share must be served.
+func TestSharesWithLostCounts(t *testing.T) {
+	for name, prepare := range map[string]func(*player){
+		"a fifth of the messages lost": func(p *player) { p.lossRate = 0.2 },
+		"relay lost for 1 s": func(p *player) {
+			setCutOff := func(cutOff bool) func() {
+				return func() {
+					for _, front := range p.fronts {
+						front.cutOff = cutOff && front.zone == 0
+					}
+					p.relays[0] = quota.NewCollector("0", playBounds.Window, p.random.Uint32())
+				}
+			}
+			p.After(playWarmUp+time.Second, setCutOff(true))
+			p.After(playWarmUp+2*time.Second, setCutOff(false))
+		},
+		"front nodes restarted": func(p *player) {
+			p.After(playWarmUp+time.Second, func() {
+				for _, front := range p.fronts[:playFronts/3] {
+					front.limiter, front.gate = quota.NewLimiter(playBounds), &Gate{}
+				}
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := playCrowdWith(t, weightedShares, crowdLoad, 1, prepare)
+			gomega.NewWithT(t).Expect(p.sum(others).share()).To(gomega.BeNumerically(">=", 0.95))
+		})
 	}
 }
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -39,6 +39,8 @@
 	quota.Asking
 }
 
+func (t Tenant) total() float64 { return validRate(t.Own) + validRate(t.Others) }
+
 // Decision is the outcome for one request.
 type Decision struct {
 	// Refused is set if the tenant asks for more than its share, and the request belongs to
@@ -109,7 +111,8 @@
 			continue
 		}
 		key, tenant := keys[i], tenants[keys[i]]
-		e := &excess{weight: demands[i].Weight, share: share, demand: demands[i].Amount, fraction: share / certain, own: tenant.Own / (tenant.Own + tenant.Others)}
+		own := validRate(tenant.Own) / max(tenant.total(), 1)
+		e := &excess{weight: demands[i].Weight, share: share, demand: demands[i].Amount, fraction: share / certain, own: own}
 		if before := previous[key]; before != nil {
 			e.returnAt = before.returnAt
 		}
@@ -139,11 +142,10 @@
 // withinLimit returns what a tenant asks for within its limit, which is taken to admit the
 // same part of its requests at all nodes.
 func (g *Gate) withinLimit(key quota.Key, tenant Tenant, now time.Time) float64 {
-	demand := validRate(tenant.Own) + validRate(tenant.Others)
-	if tenant.Own > 0 {
-		demand *= min(1, g.passed.Rate(key, now)/tenant.Own)
+	if !(tenant.Own > 0) {
+		return tenant.total()
 	}
-	return demand
+	return tenant.total() * min(1, g.passed.Rate(key, now)/tenant.Own)
 }
 
 // certainDemand is a demand less a standard deviation of its moving average: that of a rate of
--- a/internal/fairshare/player_test.go
+++ b/internal/fairshare/player_test.go
@@ -71,7 +71,7 @@
 	reported balance.Report
 	limiter  *quota.Limiter
 	gate     *Gate
-	cutOff   bool // from its relay
+	cutOff   bool // from its relay's counts
 }
 
 type playRequest struct {
@@ -379,18 +379,19 @@
 
 func (o outcome) share() float64 { return float64(o.inTime) / float64(max(1, o.asked)) }
 
-// worstTenth returns the share in time of the tenth of the tenants that fare worst.
+// worstTenth returns the mean share in time of the tenth of the tenants that fare worst, the hot
+// one left out.
 func (p *player) worstTenth() float64 {
-	order := slices.Collect(func(yield func(int) bool) {
-		for tenant := range p.outcomes {
-			if p.outcomes[tenant].asked > 0 && !yield(tenant) {
-				return
-			}
+	var shares []float64
+	for _, o := range p.outcomes[1:] {
+		if o.asked > 0 {
+			shares = append(shares, o.share())
 		}
-	})
-	slices.SortFunc(order, func(a, b int) int {
-		return int(math.Copysign(1, p.outcomes[a].share()-p.outcomes[b].share()))
-	})
-	worst := order[:max(1, len(order)/10)]
-	return p.sum(func(tenant int) bool { return slices.Contains(worst, tenant) }).share()
+	}
+	slices.Sort(shares)
+	total := 0.0
+	for _, share := range shares[:len(shares)/10] {
+		total += share
+	}
+	return total / float64(len(shares)/10)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -297,7 +297,7 @@
 
 func (fl *inflight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
-	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
+	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "verdict", verdict, "cause", cause,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	retryAfter := time.Duration(0)
 	if verdict == VerdictNotRun {
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -1,7 +1,10 @@
 package quota
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,6 +51,20 @@
 	}
 }
 
+// KeepLargest drops tenants beyond those that fit a message: the ones with the fewest admitted
+// requests, and among them, as among tenants without limits, those that ask for least.
+func (c Counts) KeepLargest() {
+	if len(c) <= maxCounts {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(c), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(c[b].Admitted, c[a].Admitted), cmp.Compare(c[b].Demand, c[a].Demand), cmp.Compare(a, b))
+	})
+	for _, key := range keys[maxCounts:] {
+		delete(c, key)
+	}
+}
+
 // Meter holds moving averages of rates by tenant, over the same time as demand. The zero value
 // is empty. It is not safe for concurrent use.
 type Meter struct{ rates map[Key]*rate }
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -77,6 +77,7 @@
 	d.peers.HandleDatagram(kindLoadQuery, d.handleLoadQuery)
 	d.peers.HandleDatagram(kindLoadShare, d.handleLoadShare)
 	d.quotas = newQuotaExchange(settings, d.peers, d.catalog.Snapshot)
+	d.quotas.exactDemand = d.overloadActive
 	d.registerGauges(map[string]gauge{
 		"chutelock_limits_zones_unheard": {"Zones that leave counts of limits unanswered: room is kept for their part.", d.quotas.silentZoneCount},
 	})
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -45,6 +45,7 @@
 	readiness    *http.Server
 	draining     atomic.Bool
 	quota        *quotaEnforcer
+	shares       *shareGate
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
@@ -67,8 +68,10 @@
 		return nil, err
 	}
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay)
+	f.quota.exactDemand = f.overloadActive
+	f.shares = newShareGate(f)
 	f.edge = &edge.Edge{
-		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
+		Admit: f.quota.admit, Withdraw: f.quota.withdraw, Share: f.shares.decide, RetryAfter: f.shares.retryAfter,
 		Dialect:              adapter.Callers,
 		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
 		Snapshot:             f.catalog.Snapshot,
@@ -164,6 +167,7 @@
 		return err
 	}
 	f.spawn(f.reportLoad)
+	f.spawn(f.shares.run)
 	if f.settings.Listen.Readiness != "" {
 		if err := serve(f.settings.Listen.Readiness, f.readiness); err != nil {
 			return err
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -19,6 +19,9 @@
 	// relay returns the data node to report to.
 	relay       func() (transport.Address, bool)
 	incarnation uint32
+	// exactDemand reports whether messages carry demands for shares of tenants: rounded
+	// without bias, those of the largest tenants; nil means never.
+	exactDemand func() bool
 
 	mutex       sync.Mutex // guards the fields below; a leaf
 	limiter     *quota.Limiter
@@ -94,6 +97,7 @@
 	report, formerRelay := q.limiter.Report(q.incarnation, to, clock.Now())
 	received := q.sumReceived
 	q.mutex.Unlock()
+	prepareDemand(report.Counts, q.exactDemand)
 	if formerRelay != "" {
 		// Repeated with the next reports; if all are lost, the counts expire there.
 		_ = q.peers.Datagram(formerRelay, kindQuotaReport, quota.Report{Incarnation: q.incarnation, Gone: true}.Marshal())
@@ -103,6 +107,28 @@
 	return received
 }
 
+// prepareDemand makes a message's counts fit for shares of tenants if exact says so.
+func prepareDemand(counts quota.Counts, exact func() bool) {
+	if exact != nil && exact() {
+		counts.KeepLargest()
+		counts.RoundDemand(rand.Float64)
+	}
+}
+
+// asking returns what tenants ask for over all nodes, and the age of others' counts.
+func (q *quotaEnforcer) asking() (map[quota.Key]quota.Asking, time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.limiter.Asking(clock.Now())
+}
+
+// addDemand counts a request of a tenant without a limit.
+func (q *quotaEnforcer) addDemand(key quota.Key) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.limiter.AddDemand(key, clock.Now())
+}
+
 // handleSum applies the counts of all other nodes and wakes the requests waiting for them.
 func (q *quotaEnforcer) handleSum(from transport.Address, payload []byte) {
 	sum, err := quota.UnmarshalSum(payload)
@@ -122,6 +148,8 @@
 	peers    transport.Sender
 	bounds   quota.Bounds
 	snapshot func() *catalog.Snapshot
+	// exactDemand is that of quotaEnforcer.
+	exactDemand func() bool
 
 	mutex     sync.Mutex // guards the fields below; a leaf
 	collector *quota.Collector
@@ -150,6 +178,7 @@
 	e.collector.Report(from, report, now)
 	sum := e.collector.Sum(from, e.maxAdmitted, now)
 	e.mutex.Unlock()
+	prepareDemand(sum.Counts, e.exactDemand)
 	// An unsent sum counts as lost; the next report gets another.
 	_ = e.peers.Datagram(from, kindQuotaSum, sum.Marshal())
 }
@@ -204,6 +233,7 @@
 	share, hasCounts := e.collector.ShareFor(zone, clock.Now())
 	e.mutex.Unlock()
 	if hasCounts {
+		prepareDemand(share.Counts, e.exactDemand)
 		// An unsent share counts as lost; the next one follows soon.
 		_ = e.peers.Datagram(to, kindQuotaShare, share.Marshal())
 	}
