--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -28,6 +28,9 @@
 	// minCapacityFactor bounds that from below, so that errors of the figures leave each
 	// tenant a part of its share.
 	minCapacityFactor = 0.5
+	// minOwn is the demand at this node from which it shows which part a tenant's limit
+	// admits.
+	minOwn = 1
 	// maxReturn bounds the time in which a refused request finds room in its tenant's share.
 	maxReturn = 5 * time.Second
 )
@@ -142,7 +145,7 @@
 // withinLimit returns what a tenant asks for within its limit, which is taken to admit the
 // same part of its requests at all nodes.
 func (g *Gate) withinLimit(key quota.Key, tenant Tenant, now time.Time) float64 {
-	if !(tenant.Own > 0) {
+	if !(tenant.Own >= minOwn) {
 		return tenant.total()
 	}
 	return tenant.total() * min(1, g.passed.Rate(key, now)/tenant.Own)
