--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -25,8 +25,8 @@
 // FleetOccupancy is the occupancy of services.
 type FleetOccupancy struct {
 	Services map[string]Occupancy
-	// Unlisted are online requests that other nodes reported at engines of none of the
-	// services, as where this node's catalog holds a part of the engines.
+	// Unlisted are online requests that other nodes reported at engines that this node's
+	// catalog doesn't hold, as in a large fleet.
 	Unlisted int
 	// MeanHold is the mean time that online requests hold a slot.
 	MeanHold time.Duration
@@ -51,10 +51,12 @@
 	for _, load := range t.peerSum {
 		fleet.Unlisted += load.Counts[ClassOnline]
 	}
+	for _, engine := range snapshot.Engines() {
+		fleet.Unlisted -= t.peersOnline(engine.ID)
+	}
 	for _, service := range services {
 		occupancy := Occupancy{}
 		for _, engine := range snapshot.Serving(service) {
-			fleet.Unlisted -= t.peersOnline(engine.ID)
 			if t.healthy(engine.ID, now) {
 				occupancy.Slots += engine.Slots
 				occupancy.Online += t.running(engine.ID, ClassOnline, now)
--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -31,5 +31,6 @@
 	}))
 	g.Expect(got.Services["s"].Utilization()).To(gomega.Equal(0.25))
 	g.Expect(got.Services["none"].Utilization()).To(gomega.Equal(1.0))
+	g.Expect(table.Occupancy(snapshot, nil, now).Unlisted).To(gomega.Equal(6))
 	g.Expect(table.Occupancy(snapshot, nil, now.Add(2*peerTTL)).Unlisted).To(gomega.BeZero(), "reports of silent peers lapse")
 }
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -31,6 +31,8 @@
 	// minOwn is the demand at this node from which it shows which part a tenant's limit
 	// admits.
 	minOwn = 1
+	// maxWeight bounds weights, so that their sum is finite.
+	maxWeight = 1e12
 	// maxReturn bounds the time in which a refused request finds room in its tenant's share.
 	maxReturn = 5 * time.Second
 )
@@ -158,7 +160,7 @@
 
 func validWeight(weight float64) float64 {
 	if weight > 0 && !math.IsInf(weight, 0) {
-		return weight
+		return min(weight, maxWeight)
 	}
 	return 1
 }
--- a/internal/fairshare/gate_test.go
+++ b/internal/fairshare/gate_test.go
@@ -86,6 +86,8 @@
 	for key := quota.Key(1); key <= 3; key++ {
 		g.Expect(gate.excess[key].share).To(gomega.BeNumerically("~", 80.0/3, 1e-9))
 	}
+	gate.Update(map[quota.Key]Tenant{1: asks(math.MaxFloat64, 500), 2: asks(math.MaxFloat64, 500), 3: asks(1e-300, 500)}, 0, fullRoom, playStart)
+	g.Expect(gate.excess[1].share).To(gomega.BeNumerically("~", 50, 1e-9))
 	gate.Update(map[quota.Key]Tenant{1: asks(1, 500)}, 0, balance.FleetOccupancy{Services: map[string]balance.Occupancy{"s": {}}}, playStart)
 	g.Expect(gate.State().Capacity).To(gomega.BeZero())
 }
--- a/internal/system/shares.go
+++ b/internal/system/shares.go
@@ -161,14 +161,13 @@
 }
 
 // retryAfter returns when a caller refused over its tenant's share should retry: spread as for
-// requests without room, but not before the share has room for it while the caller waits.
+// requests without room, but not before the share has room for it if the caller has the time.
 func (s *shareGate) retryAfter(refusal returns.Refusal) time.Duration {
 	now := clock.Now()
 	refusal.MeanRun = s.balancer.MeanHold()
 	wait := returns.Spread(refusal, now, rand.Float64())
-	earliest := refusal.Earliest.Sub(now)
-	if !refusal.Deadline.IsZero() && refusal.Earliest.After(refusal.Deadline) {
+	if !refusal.Deadline.IsZero() && refusal.Earliest.Add(refusal.MeanRun).After(refusal.Deadline) {
 		return wait
 	}
-	return max(wait, earliest)
+	return max(wait, refusal.Earliest.Sub(now))
 }
