--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -1,7 +1,9 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -99,12 +101,11 @@
 	if max(countsAge, room.Age) > maxAge {
 		g.scarce = nil
 	}
-	keys := make([]quota.Key, 0, len(tenants))
-	demands := make([]Demand, 0, len(tenants))
-	for key, tenant := range tenants {
-		demand := Demand{validWeight(tenant.Weight), g.withinLimit(key, tenant, now)}
-		keys, demands = append(keys, key), append(demands, demand)
-		g.demand += demand.Amount
+	keys := slices.Sorted(maps.Keys(tenants))
+	demands := make([]Demand, len(keys))
+	for i, key := range keys {
+		demands[i] = Demand{validWeight(tenants[key].Weight), g.withinLimit(key, tenants[key], now)}
+		g.demand += demands[i].Amount
 	}
 	if len(g.scarce) == 0 || g.demand <= g.capacity {
 		return
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -42,7 +42,8 @@
 // is kept. Messages carry integers and round up, which adds up to several requests per second
 // and tenant over many nodes that get a request at times. draw returns uniform values in [0, 1).
 func (c Counts) RoundDemand(draw func() float64) {
-	for key, count := range c {
+	for _, key := range slices.Sorted(maps.Keys(c)) { // one order, so that a seed repeats
+		count := c[key]
 		whole := math.Floor(count.Demand)
 		if draw() < count.Demand-whole {
 			whole++
