Shares: nodes wake up for them where they are in force only

Cause: a ticker of 0.1 s at all front nodes, also where overload.mode is off. Change: no loop with mode off, a look each second with auto while it isn't in force. Result: platform, system, edge tests pass; the latter two with the race detector, too.

--- a/internal/fairshare/doc.go
+++ b/internal/fairshare/doc.go
@@ -4,5 +4,9 @@
 // divided among the others (max-min fairness). Shares are proportional to weights. The package
 // is free of I/O and clocks.
 //
+// MaxMin divides any amount once. A Gate divides the rate of the engines among tenants of online
+// requests: its owner calls Update each UpdateInterval, and Decide for each request that its
+// tenant's limit admits, before an engine is sought.
+//
 // See docs/design/028-shares-of-tenants.md.
 package fairshare
--- a/internal/system/shares.go
+++ b/internal/system/shares.go
@@ -13,6 +13,7 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/fairshare"
 	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/returns"
@@ -57,18 +58,15 @@
 	return s
 }
 
-// run updates the shares while the decisions for contention are in force.
+// run updates the shares while the decisions for contention are in force. Elsewhere the node
+// wakes up seldom for it, or never if the settings disable them.
 func (s *shareGate) run() {
-	ticker := time.NewTicker(fairshare.UpdateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-ticker.C:
-			if s.overloadActive() {
-				s.update()
-			}
+	pause := idlePollInterval
+	for s.settings.Overload.Mode != config.OverloadOff && s.sleep(pause) {
+		pause = idlePollInterval
+		if s.overloadActive() {
+			s.update()
+			pause = fairshare.UpdateInterval
 		}
 	}
 }
