Shares: weights that are far apart divide the room right

Cause: MaxMin subtracted weights from their sum, which loses small ones beside 1e12: 38 of a capacity of 10 was given out (NaN with none left, which would refuse every request). Change: sums of the remaining weights, added from the end. Result: two new cases of TestMaxMin fail before and pass now.

--- a/internal/fairshare/maxmin.go
+++ b/internal/fairshare/maxmin.go
@@ -17,11 +17,9 @@
 func MaxMin(capacity float64, demands []Demand) []float64 {
 	shares := make([]float64, len(demands))
 	var order []int
-	weights := 0.0
 	for i, demand := range demands {
 		if demand.Weight > 0 && demand.Amount > 0 {
 			order = append(order, i)
-			weights += demand.Weight
 		}
 	}
 	level := func(i int) float64 { return demands[i].Amount / demands[i].Weight }
@@ -34,10 +32,14 @@
 		}
 		return 0
 	})
-	for _, i := range order {
-		shares[i] = max(0, min(demands[i].Amount, capacity*demands[i].Weight/weights))
+	// Sums from the end, as differences of weights that are far apart lose the small ones.
+	weights := make([]float64, len(order)+1)
+	for n, i := range slices.Backward(order) {
+		weights[n] = weights[n+1] + demands[i].Weight
+	}
+	for n, i := range order {
+		shares[i] = max(0, min(demands[i].Amount, capacity*(demands[i].Weight/weights[n])))
 		capacity -= shares[i]
-		weights -= demands[i].Weight
 	}
 	return shares
 }
--- a/internal/fairshare/maxmin_test.go
+++ b/internal/fairshare/maxmin_test.go
@@ -21,6 +21,8 @@
 		{12, []Demand{{1, 20}, {3, 20}}, []float64{3, 9}},
 		{10, []Demand{{0, 5}, {-1, 5}, {1, 20}, {1, -2}}, []float64{0, 0, 10, 0}},
 		{0, []Demand{{1, 5}}, []float64{0}},
+		{10, []Demand{{1e12, 4}, {1e-6, 20}, {1e-6, 20}}, []float64{4, 3, 3}},
+		{4, []Demand{{1e12, 4}, {1e-6, 20}}, []float64{4, 0}},
 	} {
 		g.Expect(MaxMin(c.capacity, c.demands)).To(gomega.Equal(c.want))
 	}
