Shares: requests update them, no timer runs

Cause: a loop at each front node, ten times a second where the decisions are in force and each second with mode auto, also at rest; wake-ups are priced (design 026). Change: decide updates if the last update is older than UpdateInterval; one request does (TryLock), others go on. Requests are counted as admitted by the limit before the update on their behalf, as the demand already includes them (else the tenant that triggers it is taken as limited). Gauges are zero after a pause. The player updates in the same way, hears other zones' load only when it was shared, and warms up for 2 s.

--- a/internal/fairshare/doc.go
+++ b/internal/fairshare/doc.go
@@ -5,8 +5,8 @@
 // is free of I/O and clocks.
 //
 // MaxMin divides any amount once. A Gate divides the rate of the engines among tenants of online
-// requests: its owner calls Update each UpdateInterval, and Decide for each request that its
-// tenant's limit admits, before an engine is sought.
+// requests: for each one that its tenant's limit admits, its owner calls Count, Update if the last
+// one is older than UpdateInterval, and Decide, before an engine is sought.
 //
 // See docs/design/028-shares-of-tenants.md.
 package fairshare
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// UpdateInterval is the time between updates of a gate: short against the time that
-	// requests hold a slot, in which too many admitted ones fill the engines.
+	// UpdateInterval is the age from which an update is replaced when a request comes: short
+	// against the time that requests hold a slot, in which too many admitted ones fill the
+	// engines.
 	UpdateInterval = 100 * time.Millisecond
 	// maxAge is the age of other nodes' figures above which no request is refused: a front
 	// node whose relay fails hears from another one sooner, and one that is cut off can't
@@ -173,10 +174,13 @@
 	return 0
 }
 
-// Decide decides on a request that its tenant's limit admits, for a route with the given
-// services. draw is uniform in [0, 1).
+// Count counts a request that its tenant's limit admits. It comes before an update on the
+// request's behalf, as the tenant's own demand includes the request.
+func (g *Gate) Count(key quota.Key, now time.Time) { g.passed.Add(key, now) }
+
+// Decide decides on a counted request for a route with the given services. draw is uniform in
+// [0, 1).
 func (g *Gate) Decide(key quota.Key, services []string, now time.Time, draw float64) Decision {
-	g.passed.Add(key, now)
 	e := g.excess[key]
 	if e == nil || draw < e.fraction || now.Sub(g.updatedAt) > maxAge || !g.scarceAll(services) {
 		return Decision{}
@@ -221,5 +225,10 @@
 	Age time.Duration
 }
 
-// State returns what the gate decides by.
-func (g *Gate) State() State { return State{g.capacity, g.demand, len(g.excess), g.countsAge} }
+// State returns what the gate decides by; the zero value after a pause without updates.
+func (g *Gate) State(now time.Time) State {
+	if now.Sub(g.updatedAt) > maxAge {
+		return State{}
+	}
+	return State{g.capacity, g.demand, len(g.excess), g.countsAge}
+}
--- a/internal/fairshare/gate_test.go
+++ b/internal/fairshare/gate_test.go
@@ -34,7 +34,7 @@
 	g := gomega.NewWithT(t)
 	var gate Gate
 	gate.Update(map[quota.Key]Tenant{1: asks(1, 40), 2: asks(1, 400), 3: asks(0.5, 2)}, 0, fullRoom, playStart)
-	g.Expect(gate.State()).To(gomega.Equal(State{Capacity: 100, Demand: 442, OverShare: 1}))
+	g.Expect(gate.State(playStart)).To(gomega.Equal(State{Capacity: 100, Demand: 442, OverShare: 1}))
 	g.Expect(refusedPart(&gate, 1, playStart, "s")).To(gomega.BeZero())
 	g.Expect(refusedPart(&gate, 3, playStart, "s")).To(gomega.BeZero())
 	g.Expect(refusedPart(&gate, 2, playStart, "s")).To(gomega.BeNumerically("~", 1-58.0/380, 0.01))
@@ -72,6 +72,8 @@
 	gate.Update(tenants, maxAge, fullRoom, playStart)
 	g.Expect(refusedPart(&gate, 1, playStart, "s")).To(gomega.BeNumerically(">", 0.8))
 	g.Expect(refusedPart(&gate, 1, playStart.Add(2*maxAge), "s")).To(gomega.BeZero(), "no update")
+	g.Expect(gate.State(playStart.Add(maxAge)).OverShare).To(gomega.Equal(1))
+	g.Expect(gate.State(playStart.Add(2*maxAge))).To(gomega.Equal(State{}), "gauges at rest")
 }
 
 // Malformed weights and rates must disturb no other tenant.
@@ -81,7 +83,7 @@
 	gate.Update(map[quota.Key]Tenant{
 		1: asks(math.NaN(), 500), 2: asks(-3, 500), 3: asks(math.Inf(1), 500), 4: asks(1, 20), 5: asks(1, math.NaN()), 6: asks(1, -7), 7: asks(1, math.Inf(1)),
 	}, 0, fullRoom, playStart)
-	g.Expect(gate.State().Demand).To(gomega.Equal(1520.0))
+	g.Expect(gate.State(playStart).Demand).To(gomega.Equal(1520.0))
 	g.Expect(refusedPart(&gate, 4, playStart, "s")).To(gomega.BeZero())
 	for key := quota.Key(1); key <= 3; key++ {
 		g.Expect(gate.excess[key].share).To(gomega.BeNumerically("~", 80.0/3, 1e-9))
@@ -89,7 +91,7 @@
 	gate.Update(map[quota.Key]Tenant{1: asks(math.MaxFloat64, 500), 2: asks(math.MaxFloat64, 500), 3: asks(1e-300, 500)}, 0, fullRoom, playStart)
 	g.Expect(gate.excess[1].share).To(gomega.BeNumerically("~", 50, 1e-9))
 	gate.Update(map[quota.Key]Tenant{1: asks(1, 500)}, 0, balance.FleetOccupancy{Services: map[string]balance.Occupancy{"s": {}}}, playStart)
-	g.Expect(gate.State().Capacity).To(gomega.BeZero())
+	g.Expect(gate.State(playStart).Capacity).To(gomega.BeZero())
 }
 
 // What a tenant's limit refuses must not count as asked for room.
@@ -99,10 +101,10 @@
 	now := playStart
 	for range 300 { // 50 a second pass
 		now = now.Add(20 * time.Millisecond)
-		gate.Decide(1, []string{"s"}, now, 0)
+		gate.Count(1, now)
 	}
 	gate.Update(map[quota.Key]Tenant{1: {1, quota.Asking{Own: 100, Others: 300}}, 2: asks(1, 10)}, 0, fullRoom, now)
-	g.Expect(gate.State().Demand).To(gomega.BeNumerically("~", 210, 10))
+	g.Expect(gate.State(now).Demand).To(gomega.BeNumerically("~", 210, 10))
 	g.Expect(gate.excess[1].share).To(gomega.BeNumerically("~", 90, 1e-9))
 }
 
@@ -113,5 +115,15 @@
 	room := fullRoom
 	room.Unlisted = 95
 	gate.Update(map[quota.Key]Tenant{1: asks(1, 190)}, 0, room, playStart)
-	g.Expect(gate.State()).To(gomega.Equal(State{Capacity: 200, Demand: 190}))
+	g.Expect(gate.State(playStart)).To(gomega.Equal(State{Capacity: 200, Demand: 190}))
+}
+
+// A request that comes after a pause, and that an update is made for, must count as admitted by
+// its tenant's limit.
+func TestGateCountsTheRequestItUpdatesFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var gate Gate
+	gate.Count(1, playStart)
+	gate.Update(map[quota.Key]Tenant{1: {1, quota.Asking{Own: 2, Others: 300}}}, 0, fullRoom, playStart)
+	g.Expect(gate.State(playStart)).To(gomega.Equal(State{Capacity: 100, Demand: 302, OverShare: 1}))
 }
--- a/internal/fairshare/player_test.go
+++ b/internal/fairshare/player_test.go
@@ -31,7 +31,7 @@
 	playDelay          = time.Millisecond // of a message within a zone
 	playZoneDelay      = 3 * time.Millisecond
 	playReportInterval = 80 * time.Millisecond
-	playWarmUp         = 3 * time.Second
+	playWarmUp         = 2 * time.Second
 	playCrowd          = 6 * time.Second
 	// playHeadroom is the ratio of a tenant's limit to its usual rate.
 	playHeadroom = 6
@@ -71,7 +71,11 @@
 	reported balance.Report
 	limiter  *quota.Limiter
 	gate     *Gate
-	cutOff   bool // from its relay's counts
+	// updatedAt is when the gate was updated.
+	updatedAt time.Time
+	// heardAt is when the load of other zones was shared that the node knows.
+	heardAt time.Time
+	cutOff  bool // from its relay's counts
 }
 
 type playRequest struct {
@@ -92,8 +96,9 @@
 	relays   [playZones]*quota.Collector
 	zoneLoad [playZones]balance.Report // as the relay knows it
 	shared   [playZones]balance.Report // as other zones know it
-	capacity float64                   // requests per second that fill all slots
-	usual    [playTenants]float64      // requests per second of each tenant
+	sharedAt time.Time
+	capacity float64              // requests per second that fill all slots
+	usual    [playTenants]float64 // requests per second of each tenant
 	factor   func(tenant int, since time.Duration) float64
 	outcomes [playTenants]outcome
 	lossRate float64 // of messages about counts
@@ -133,7 +138,6 @@
 			limiter: quota.NewLimiter(playBounds), gate: &Gate{},
 		}
 		p.fronts = append(p.fronts, front)
-		p.After(time.Duration(i)*UpdateInterval/playFronts, func() { p.update(front) })
 		p.After(time.Duration(i)*playReportInterval/playFronts, func() { p.reportDue(front) })
 	}
 	p.shareLoad()
@@ -153,11 +157,12 @@
 	return quota.Limit{Rate: rate, Burst: rate}
 }
 
-func (p *player) update(front *playFront) {
-	p.After(UpdateInterval, func() { p.update(front) })
-	if p.way == noShares {
+// updateIfDue updates a gate when a request comes, as front nodes do.
+func (p *player) updateIfDue(front *playFront) {
+	if p.way == noShares || p.Now().Sub(front.updatedAt) < UpdateInterval {
 		return
 	}
+	front.updatedAt = p.Now()
 	asking, age := front.limiter.Asking(p.Now())
 	tenants := map[quota.Key]Tenant{}
 	for key, asked := range asking {
@@ -179,6 +184,7 @@
 
 // shareLoad exchanges the zones' load and counts.
 func (p *player) shareLoad() {
+	p.sharedAt = p.Now()
 	for zone := range playZones {
 		p.shared[zone] = balance.Report{}
 		p.shared[zone].Add(p.zoneLoad[zone])
@@ -277,6 +283,8 @@
 	if p.way == sharesByZone {
 		front.limiter.AddDemand(p.key(request.tenant, front), now)
 	}
+	front.gate.Count(p.key(request.tenant, front), now)
+	p.updateIfDue(front)
 	share := front.gate.Decide(p.key(request.tenant, front), []string{"s"}, now, p.random.Float64())
 	if share.Refused {
 		p.refused++
@@ -284,13 +292,22 @@
 		p.returnAfter(request, p.spread(front, request), func(o *outcome) { o.overShare++ })
 		return
 	}
-	load := p.shared[(front.zone+1)%playZones].Without(nil)
-	load.Add(p.shared[(front.zone+2)%playZones])
-	load.Add(p.zoneLoad[front.zone].Without(front.reported))
-	front.table.SetPeerLoad("others", load, now)
+	p.hearLoad(front)
 	p.After(playChooseDelay, func() { p.choose(front, request, now) })
 }
 
+// hearLoad tells a front node the present load of its zone, and the last share of others.
+func (p *player) hearLoad(front *playFront) {
+	if front.heardAt != p.sharedAt {
+		front.heardAt = p.sharedAt
+		for i := range playZones - 1 {
+			zone := (front.zone + 1 + i) % playZones
+			front.table.SetPeerLoad(strconv.Itoa(zone), p.shared[zone], p.Now())
+		}
+	}
+	front.table.SetPeerLoad(strconv.Itoa(front.zone), p.zoneLoad[front.zone].Without(front.reported), p.Now())
+}
+
 func (p *player) spread(front *playFront, request *playRequest) time.Duration {
 	return returns.Spread(returns.Refusal{Deadline: request.deadline, MeanRun: front.table.MeanHold()}, p.Now(), p.random.Float64())
 }
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -167,7 +167,6 @@
 		return err
 	}
 	f.spawn(f.reportLoad)
-	f.spawn(f.shares.run)
 	if f.settings.Listen.Readiness != "" {
 		if err := serve(f.settings.Listen.Readiness, f.readiness); err != nil {
 			return err
--- a/internal/system/shares.go
+++ b/internal/system/shares.go
@@ -13,7 +13,6 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
-	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/fairshare"
 	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/returns"
@@ -31,7 +30,8 @@
 	mutex sync.Mutex // guards the fields below; a leaf
 	gate  fairshare.Gate
 
-	// The fields below are used by update alone.
+	updating      sync.Mutex            // guards the fields below; acquired before all others, by TryLock only
+	updatedAt     time.Time             // the start of the last update
 	weights       map[quota.Key]float64 // of all tenants of configuration
 	services      []string              // of its online routes
 	configuration *catalog.Configuration
@@ -47,7 +47,7 @@
 		return func() float64 {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
-			return read(s.gate.State())
+			return read(s.gate.State(clock.Now()))
 		}
 	}
 	f.registerGauges(map[string]gauge{
@@ -58,16 +58,16 @@
 	return s
 }
 
-// run updates the shares while the decisions for contention are in force. Elsewhere the node
-// wakes up seldom for it, or never if the settings disable them.
-func (s *shareGate) run() {
-	pause := idlePollInterval
-	for s.settings.Overload.Mode != config.OverloadOff && s.sleep(pause) {
-		pause = idlePollInterval
-		if s.overloadActive() {
-			s.update()
-			pause = fairshare.UpdateInterval
-		}
+// updateIfDue updates the shares if they are older than an interval. While a request does so,
+// others go on with the last ones. Nodes without requests don't wake up for it.
+func (s *shareGate) updateIfDue() {
+	if !s.updating.TryLock() {
+		return
+	}
+	defer s.updating.Unlock()
+	if now := clock.Now(); now.Sub(s.updatedAt) >= fairshare.UpdateInterval {
+		s.updatedAt = now
+		s.update()
 	}
 }
 
@@ -149,6 +149,8 @@
 	if !tenant.Limited() {
 		s.quota.addDemand(key)
 	}
+	s.count(key)
+	s.updateIfDue()
 	s.mutex.Lock()
 	decision := s.gate.Decide(key, route.Services(), clock.Now(), rand.Float64())
 	s.mutex.Unlock()
@@ -158,6 +160,13 @@
 	return decision
 }
 
+// count counts a request that its tenant's limit admits.
+func (s *shareGate) count(key quota.Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gate.Count(key, clock.Now())
+}
+
 // retryAfter returns when a caller refused over its tenant's share should retry: spread as for
 // requests without room, but not before the share has room for it if the caller has the time.
 func (s *shareGate) retryAfter(refusal returns.Refusal) time.Duration {
--- a/internal/system/shares_test.go
+++ b/internal/system/shares_test.go
@@ -1,12 +1,18 @@
 package system
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/config"
+	"chutelock.dev/chutelock/internal/fairshare"
 	"chutelock.dev/chutelock/internal/quota"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -60,3 +66,69 @@
 	g.Expect(asking[7].Others).To(gomega.BeZero())
 	g.Expect(age).To(gomega.BeNumerically(">", time.Hour))
 }
+
+// newTestShareGate returns the gate of a front node with one full engine, whose tenants have no
+// limit.
+func newTestShareGate(mode string) *shareGate {
+	tracker := newTestTracker(fakeMirror{"engines": {"a"}}, time.Second)
+	c := &core{
+		settings: &config.Node{Overload: config.Overload{Mode: mode}}, registry: prometheus.NewRegistry(), catalog: tracker,
+		adapter: &Adapter{Contended: func([]string) bool { return false }}, balancer: balance.New(tracker.Snapshot),
+	}
+	c.balancer.AcquireMany([]balance.Wish{{Service: "s"}, {Service: "s"}, {Service: "s"}, {Service: "s"}}, 0)
+	c.balancer.SetPeerLoad("relay", balance.Report{})
+	enforcer := newQuotaEnforcer(config.Quota{Window: 5 * time.Second}, nil, nil)
+	enforcer.limiter.Report(1, "relay", clock.Now())
+	enforcer.limiter.ReceiveSum("relay", quota.Sum{Counts: quota.Counts{quota.KeyOf("hot"): {Demand: 5000}}}, clock.Now())
+	s := newShareGate(&front{core: c, quota: enforcer})
+	s.configuration, s.services = &catalog.Configuration{}, []string{"s"}
+	return s
+}
+
+// A request that finds no update of the last moments must be decided by a new one, also the first
+// after a pause, and several at a time must share one.
+func TestSharesAreUpdatedByRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestShareGate(config.OverloadOn)
+	hot, route := &catalog.Tenant{Name: "hot"}, &catalog.Route{Backends: []catalog.Backend{{Service: "s"}}}
+	s.decide(hot, route)
+	g.Expect(s.gate.State(clock.Now()).Demand).To(gomega.BeNumerically(">", 4900), "the first request")
+	g.Expect(s.gate.State(clock.Now()).OverShare).To(gomega.Equal(1))
+	first := s.updatedAt
+	var requests sync.WaitGroup
+	for range 8 {
+		requests.Go(func() {
+			for range 50 {
+				s.decide(hot, route)
+			}
+		})
+	}
+	requests.Wait()
+	if clock.Since(first) < fairshare.UpdateInterval {
+		g.Expect(s.updatedAt).To(gomega.Equal(first))
+	}
+	s.gate = fairshare.Gate{}
+	s.updatedAt = first.Add(-fairshare.UpdateInterval)
+	s.decide(hot, route)
+	g.Expect(s.gate.State(clock.Now()).Demand).To(gomega.BeNumerically(">", 0), "the first request after a pause")
+
+	s.gate = fairshare.Gate{}
+	s.updatedAt = time.Time{}
+	s.updating.Lock()
+	g.Expect(s.decide(hot, route)).To(gomega.Equal(fairshare.Decision{}), "another request updates")
+	s.updating.Unlock()
+}
+
+// Where the decisions for contention aren't in force, requests must not be counted, nor shares
+// updated.
+func TestSharesRestWhereInactive(t *testing.T) {
+	for _, mode := range []string{config.OverloadOff, config.OverloadAuto} {
+		g := gomega.NewWithT(t)
+		s := newTestShareGate(mode)
+		g.Expect(s.decide(&catalog.Tenant{Name: "hot"}, &catalog.Route{})).To(gomega.Equal(fairshare.Decision{}))
+		g.Expect(s.updatedAt).To(gomega.BeZero())
+		asking, _ := s.quota.asking()
+		g.Expect(asking[quota.KeyOf("hot")].Own).To(gomega.BeZero())
+		g.Expect(s.quota.limiter.Due(clock.Now())).To(gomega.BeFalse())
+	}
+}
