Counts of tenants: demand leaves the space of a message's second list

Cause: tenants without limits, counted for shares alone, filled a message before the reserve in use (or remembered counts), so that with a zone silent and many tenants the reserve of tenants with limits was kept in full. Change: KeepLargest gives demand only what both lists' admitted requests leave. Result: new test; messages elsewhere are as before (the function runs where shares are in force).

--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -52,17 +52,20 @@
 	}
 }
 
-// KeepLargest drops tenants beyond those that fit a message: the ones with the fewest admitted
-// requests, and among them, as among tenants without limits, those that ask for least.
-func (c Counts) KeepLargest() {
-	if len(c) <= maxCounts {
+// KeepLargest drops tenants beyond those that fit a message with a second list of the given
+// length: first those without admitted requests that ask for least, as their demand must not
+// take the space of either list's admitted requests, then those with the fewest.
+func (c Counts) KeepLargest(secondList int) {
+	if len(c)+secondList <= maxCounts {
 		return
 	}
 	keys := slices.SortedFunc(maps.Keys(c), func(a, b Key) int {
 		return cmp.Or(cmp.Compare(c[b].Admitted, c[a].Admitted), cmp.Compare(c[b].Demand, c[a].Demand), cmp.Compare(a, b))
 	})
-	for _, key := range keys[maxCounts:] {
-		delete(c, key)
+	for i, key := range keys {
+		if i >= maxCounts || (c[key].Admitted <= 0 && i >= maxCounts-secondList) {
+			delete(c, key)
+		}
 	}
 }
 
--- a/internal/quota/demand_test.go
+++ b/internal/quota/demand_test.go
@@ -46,7 +46,7 @@
 	g.Expect(asking[9].Others).To(gomega.BeZero())
 	counts := limiter.ownCounts(start)
 	g.Expect(counts).To(gomega.HaveLen(2 * maxCounts))
-	counts.KeepLargest()
+	counts.KeepLargest(0)
 	g.Expect(counts).To(gomega.HaveLen(maxCounts))
 	for key := range counts {
 		g.Expect(key).To(gomega.BeNumerically(">=", 1000))
@@ -55,11 +55,34 @@
 	for key := range Key(maxCounts + 10) {
 		unlimited[key] = Count{Demand: float64(key)}
 	}
-	unlimited.KeepLargest()
+	unlimited.KeepLargest(0)
 	g.Expect(unlimited).To(gomega.HaveLen(maxCounts))
 	g.Expect(unlimited).To(gomega.HaveKey(Key(maxCounts + 9)))
 }
 
+// Demands of tenants without limits must not push out the reserve in use or the remembered counts
+// of others, which share the message.
+func TestDemandLeavesSpaceForSecondList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sum := Sum{Counts: Counts{}, InReserve: Counts{}}
+	for key := range Key(100) {
+		sum.Counts[key] = Count{Admitted: 5, Demand: 5}
+		sum.Counts[1000+key] = Count{Demand: float64(key)}
+		if key < 40 {
+			sum.InReserve[key] = Count{Admitted: 2}
+		}
+	}
+	sum.Counts.KeepLargest(len(sum.InReserve))
+	decoded, err := UnmarshalSum(sum.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded.InReserve).To(gomega.HaveLen(40))
+	g.Expect(decoded.Counts).To(gomega.HaveLen(120))
+	for key := range Key(100) {
+		g.Expect(decoded.Counts).To(gomega.HaveKey(key))
+	}
+	g.Expect(decoded.Counts).To(gomega.HaveKey(Key(1099)))
+}
+
 // What other nodes are asked for must come with its age, also before the first sum.
 func TestAskingOfOtherNodes(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -97,7 +97,7 @@
 	report, formerRelay := q.limiter.Report(q.incarnation, to, clock.Now())
 	received := q.sumReceived
 	q.mutex.Unlock()
-	prepareDemand(report.Counts, q.exactDemand)
+	prepareDemand(report.Counts, report.Remembered, q.exactDemand)
 	if formerRelay != "" {
 		// Repeated with the next reports; if all are lost, the counts expire there.
 		_ = q.peers.Datagram(formerRelay, kindQuotaReport, quota.Report{Incarnation: q.incarnation, Gone: true}.Marshal())
@@ -107,10 +107,11 @@
 	return received
 }
 
-// prepareDemand makes a message's counts fit for shares of tenants if exact says so.
-func prepareDemand(counts quota.Counts, exact func() bool) {
+// prepareDemand makes a message's counts fit for shares of tenants if exact says so. other is the
+// message's second list.
+func prepareDemand(counts, other quota.Counts, exact func() bool) {
 	if exact != nil && exact() {
-		counts.KeepLargest()
+		counts.KeepLargest(len(other))
 		counts.RoundDemand(rand.Float64)
 	}
 }
@@ -178,7 +179,7 @@
 	e.collector.Report(from, report, now)
 	sum := e.collector.Sum(from, e.maxAdmitted, now)
 	e.mutex.Unlock()
-	prepareDemand(sum.Counts, e.exactDemand)
+	prepareDemand(sum.Counts, sum.InReserve, e.exactDemand)
 	// An unsent sum counts as lost; the next report gets another.
 	_ = e.peers.Datagram(from, kindQuotaSum, sum.Marshal())
 }
@@ -233,7 +234,7 @@
 	share, hasCounts := e.collector.ShareFor(zone, clock.Now())
 	e.mutex.Unlock()
 	if hasCounts {
-		prepareDemand(share.Counts, e.exactDemand)
+		prepareDemand(share.Counts, share.Recovered, e.exactDemand)
 		// An unsent share counts as lost; the next one follows soon.
 		_ = e.peers.Datagram(to, kindQuotaShare, share.Marshal())
 	}
--- a/internal/system/shares_test.go
+++ b/internal/system/shares_test.go
@@ -39,7 +39,7 @@
 		total := 0.0
 		for range 400 {
 			counts := quota.Counts{1: {Admitted: 1, Demand: 0.25}}
-			prepareDemand(counts, func() bool { return active })
+			prepareDemand(counts, nil, func() bool { return active })
 			report, err := quota.UnmarshalReport(quota.Report{Counts: counts}.Marshal())
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			total += report.Counts[1].Demand
@@ -49,7 +49,7 @@
 	g.Expect(sent(false)).To(gomega.Equal(400.0))
 	g.Expect(sent(true)).To(gomega.BeNumerically("~", 100, 40))
 	counts := quota.Counts{1: {Demand: 0.25}}
-	prepareDemand(counts, nil)
+	prepareDemand(counts, nil, nil)
 	g.Expect(counts[1].Demand).To(gomega.Equal(0.25))
 }
 
