Shares: an idle service doesn't count for several times its rate

Cause: the factor on the capacity grows to 3.85 for a service without load, so that a full service beside an idle one got no shares until the sum of demands exceeded several times all capacity. Change: the factor ends at the utilization below which a service has room for all (1.75).

--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -25,8 +25,8 @@
 	freeUtilization   = 0.7
 	targetUtilization = 0.95
 	// utilizationGain is the part of the engines' rate by which more or less is divided for
-	// each unit of utilization below or above the target. A higher gain oscillates, as a
-	// change is seen some 150 ms later.
+	// each unit of utilization below or above the target. It is
+	// limited by the time after which a change is seen, some 150 ms.
 	utilizationGain = 3.0
 	// minCapacityFactor bounds that from below, so that errors of the figures leave each
 	// tenant a part of its share.
@@ -137,7 +137,8 @@
 		if utilization >= freeUtilization {
 			scarce[service] = true
 		}
-		factor := max(minCapacityFactor, 1+utilizationGain*(targetUtilization-utilization))
+		// Room of services that aren't short of it isn't for the requests of others.
+		factor := max(minCapacityFactor, 1+utilizationGain*(targetUtilization-max(utilization, freeUtilization)))
 		slots += factor * float64(occupancy.Slots)
 		online += occupancy.Online
 	}
--- a/internal/fairshare/gate_test.go
+++ b/internal/fairshare/gate_test.go
@@ -57,6 +57,17 @@
 	g.Expect(refusedPart(&gate, 1, playStart, "unknown")).To(gomega.BeZero())
 }
 
+// An idle service must not count for several times its rate, as requests for a full one can't use
+// it.
+func TestGateWithIdleService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var gate Gate
+	room := balance.FleetOccupancy{Services: map[string]balance.Occupancy{"s": {Slots: 100, Online: 95}, "idle": {Slots: 100}}, MeanHold: time.Second}
+	gate.Update(map[quota.Key]Tenant{1: asks(1, 1000)}, 0, room, playStart)
+	g.Expect(gate.State(playStart).Capacity).To(gomega.BeNumerically("~", 275, 1e-9))
+	g.Expect(refusedPart(&gate, 1, playStart, "s")).To(gomega.BeNumerically(">", 0.7))
+}
+
 // A node that is cut off, was restarted or stands still must not refuse by old figures.
 func TestGateAdmitsByStaleFigures(t *testing.T) {
 	g := gomega.NewWithT(t)
