--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -46,6 +46,7 @@
 	draining     atomic.Bool
 	quota        *quotaEnforcer
 	returnTimes  *forward.ReturnTimes
+	shares       *shareGate
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
@@ -70,8 +71,9 @@
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
 	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
 	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
+	f.shares = newShareGate(f)
 	f.edge = &edge.Edge{
-		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
+		Admit: f.quota.admit, Withdraw: f.quota.withdraw, Share: f.shares.decide, RetryAfter: f.shares.retryAfter,
 		Dialect:              adapter.Callers,
 		Refused:              tenants.Add,
 		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
