poison: save records as soon as the store answers any node again

Callers saw: a request held back at all nodes crashed engines again after all nodes were killed 1.1 to 1.5 s after the return of the platform's store (soak).

Cause: the record was known everywhere and stored nowhere. An attempt to save it waits 1 s for an answer and pauses between attempts double to 3 s, so the next one came up to 4 s after the return, though other calls had been answered. In one process: saved 1.28 to 1.68 s after the return where that falls into a pause.

Change: the mirror tells when the store answers this node or a peer after it answered nobody; the guard ends a call that may have been lost and saves at once what was reported to it.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -73,6 +73,9 @@
 	Receiver transport.Receiver
 	// Changed is called after each change of a kind; it must not block.
 	Changed func(kind string)
+	// StoreBack is called when the store answers this node or a peer after it answered
+	// neither for so long that nodes read it themselves; it must not block. It may be nil.
+	StoreBack func()
 }
 
 // Agent keeps a Table up to date from the store and from peers. Its methods may be called
@@ -240,12 +243,17 @@
 	first := a.table.Revision(delta.Kind) == 0
 	changed := merge(delta) || (first && a.table.Revision(delta.Kind) > 0)
 	revision := a.table.Revision(delta.Kind)
+	latest := a.fresh.latest()
 	confirmedLater := revision >= delta.Revision && a.fresh.confirm(delta.Kind, confirmed)
+	storeBack := confirmedLater && !latest.IsZero() && stale(a.strictestKind(), confirmed.Sub(latest), 0)
 	if changed || confirmedLater {
 		close(a.changed)
 		a.changed = make(chan struct{})
 	}
 	a.mutex.Unlock()
+	if storeBack && a.options.StoreBack != nil {
+		a.options.StoreBack()
+	}
 	if !changed {
 		return
 	}
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -71,6 +71,17 @@
 	return true
 }
 
+// latest returns the time of the latest confirmation of any kind; zero if there is none.
+func (f *freshness) latest() time.Time {
+	var latest time.Time
+	for _, at := range f.confirmed {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // everConfirmed says whether a kind was ever confirmed.
 func (f *freshness) everConfirmed(kind string) bool { return !f.confirmed[kind].IsZero() }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -89,21 +89,30 @@
 
 	mutex        sync.Mutex // guards the fields below; only telemetry's locks are taken under it
 	table        *Table
-	stored       map[Fingerprint]Record    // as last loaded from the store
-	unpublished  map[Fingerprint]bool      // to be published; the value says whether to data nodes, too
-	unsynced     map[Fingerprint]time.Time // to be synced with the store, and from when on
-	publishReady chan struct{}             // of capacity 1: unpublished is not empty
-	syncReady    chan struct{}             // of capacity 1: unsynced is not empty
+	stored       map[Fingerprint]Record      // as last loaded from the store
+	unpublished  map[Fingerprint]bool        // to be published; the value says whether to data nodes, too
+	unsynced     map[Fingerprint]pendingSync // to be synced with the store
+	publishReady chan struct{}               // of capacity 1: unpublished is not empty
+	syncReady    chan struct{}               // of capacity 1: unsynced is not empty
+	storeBack    chan struct{}               // of capacity 1: the store answers again
+	cancelCall   context.CancelFunc          // of the pending call of the store; nil without one
 	// rechecks counts the engines to be rechecked by request.
 	rechecks map[Fingerprint]int
 }
 
+// pendingSync is a record that is to be synced with the store.
+type pendingSync struct {
+	from time.Time // when to sync
+	// standIn is set if another node is to write the record first.
+	standIn bool
+}
+
 // NewGuard returns a guard; it publishes and stores nothing before Start.
 func NewGuard(options Options) *Guard {
 	g := &Guard{
 		options: options, table: NewTable(), stored: map[Fingerprint]Record{}, unpublished: map[Fingerprint]bool{},
-		unsynced: map[Fingerprint]time.Time{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
-		rechecks: map[Fingerprint]int{},
+		unsynced: map[Fingerprint]pendingSync{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
+		storeBack: make(chan struct{}, 1), rechecks: map[Fingerprint]int{},
 	}
 	g.running, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -309,17 +318,41 @@
 	}
 }
 
-// scheduleSync schedules a sync of the stored record with the table, not before from.
+// scheduleSync schedules a sync of the stored record with the table, not before from. A later
+// time than the present one means that another node is to write the record first.
 func (g *Guard) scheduleSync(f Fingerprint, from time.Time) {
 	if g.isSynced(f) {
 		return
 	}
-	if _, scheduled := g.unsynced[f]; !scheduled {
-		g.unsynced[f] = from
+	standIn := from.After(g.options.Now())
+	pending, scheduled := g.unsynced[f]
+	if !scheduled {
+		pending = pendingSync{from, standIn}
 	}
+	pending.standIn = pending.standIn && standIn
+	g.unsynced[f] = pending
 	signal(g.syncReady)
 }
 
+// StoreBack tells that the store answers again, this node or another one, after it answered
+// nobody. A pending call may have been lost and is made again. Records are saved without
+// waiting for the next retry, those that other nodes are to save only after takeoverDelay, so
+// that not all nodes write at once.
+func (g *Guard) StoreBack() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	from := g.options.Now().Add(takeoverDelay)
+	for f, pending := range g.unsynced {
+		if pending.standIn {
+			g.unsynced[f] = pendingSync{from, true}
+		}
+	}
+	if g.cancelCall != nil {
+		g.cancelCall()
+	}
+	signal(g.storeBack)
+}
+
 // isSynced reports whether the store, as last loaded, agrees with the table: it has the
 // same crashes, or no record where the table has none to store.
 func (g *Guard) isSynced(f Fingerprint) bool {
--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -65,24 +65,45 @@
 			reconciled = time.Now()
 			g.reconcile()
 		}
+		select {
+		case <-g.storeBack: // before this attempt
+		default:
+		}
 		if g.syncDue() {
 			delay = retryDelay
 			continue
 		}
-		clock.Sleep(g.running, delay)
-		delay = min(2*delay, maxRetryDelay)
+		if g.sleepUntilStoreBack(delay) {
+			delay = retryDelay
+		} else {
+			delay = min(2*delay, maxRetryDelay)
+		}
 		signal(g.syncReady)
 	}
 }
 
+// sleepUntilStoreBack sleeps for the given time and returns true at once when the store answers
+// again.
+func (g *Guard) sleepUntilStoreBack(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-g.storeBack:
+		return true
+	case <-timer.C:
+	case <-g.running.Done():
+	}
+	return false
+}
+
 // untilSync returns the time until the next scheduled sync, at most reconcileInterval.
 func (g *Guard) untilSync() time.Duration {
 	now := g.options.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	wait := reconcileInterval
-	for _, from := range g.unsynced {
-		if left := from.Sub(now); left > 0 {
+	for _, pending := range g.unsynced {
+		if left := pending.from.Sub(now); left > 0 {
 			wait = min(wait, left)
 		}
 	}
@@ -126,11 +147,11 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	var due []Fingerprint
-	for f, from := range g.unsynced {
+	for f, pending := range g.unsynced {
 		switch {
 		case g.isSynced(f): // synced by another node
 			delete(g.unsynced, f)
-		case !now.Before(from):
+		case !now.Before(pending.from):
 			due = append(due, f)
 		}
 	}
@@ -139,13 +160,14 @@
 
 // syncRecord saves or removes the stored record of a request as the table has it.
 func (g *Guard) syncRecord(f Fingerprint) error {
+	ctx, cancel := context.WithTimeout(g.running, callTimeout)
+	defer cancel()
 	g.mutex.Lock()
 	record, _ := g.table.Get(f)
 	save := g.belongsInStore(f)
 	_, stored := g.stored[f]
+	g.cancelCall = cancel
 	g.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(g.running, callTimeout)
-	defer cancel()
 	var err error
 	switch {
 	case save:
@@ -153,11 +175,12 @@
 	case stored:
 		err = g.options.Store.Remove(ctx, f)
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.cancelCall = nil
 	if err != nil {
 		return err
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	delete(g.unsynced, f)
 	if latest, _ := g.table.Get(f); !latest.sameCrashes(&record) {
 		g.scheduleSync(f, g.options.Now()) // changed during the call
--- /dev/null
+++ b/internal/poison/storeback_test.go
@@ -0,0 +1,139 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+)
+
+// silentStore is a Store that leaves calls unanswered while it is silent.
+type silentStore struct {
+	fakeStore
+	mutex  sync.Mutex
+	silent bool
+	calls  int
+}
+
+func (s *silentStore) Save(ctx context.Context, record Record) error {
+	s.mutex.Lock()
+	s.calls++
+	silent := s.silent
+	s.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.fakeStore.Save(ctx, record)
+}
+
+func (s *silentStore) setSilent(silent bool) (calls int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = silent
+	calls, s.calls = s.calls, 0
+	return calls
+}
+
+// dataNodes returns data nodes that share a silent store. The first one gets the report of a
+// request that crashed engines and spreads it to the others.
+func dataNodes(t *testing.T, count int) (*silentStore, []*Guard) {
+	store := &silentStore{fakeStore: fakeStore{table: NewTable()}, silent: true}
+	guards := make([]*Guard, count)
+	store.onChange = func(records []Record) {
+		for _, guard := range guards {
+			guard.LoadRecords(records)
+		}
+	}
+	for i := range guards {
+		options := Options{
+			Store: store, Now: time.Now, EngineCrashed: func(context.Context, catalog.Engine) bool { return true },
+			Spread: func([]Record, bool) {},
+		}
+		if i == 0 {
+			options.Spread = func(records []Record, _ bool) {
+				for _, other := range guards[1:] {
+					_ = other.Receive("first", Marshal(records), false)
+				}
+			}
+		}
+		guards[i] = NewGuard(options)
+		guards[i].Start()
+		t.Cleanup(guards[i].Close)
+	}
+	record := Record{Fingerprint: print(1), Last: time.Now().Truncate(time.Millisecond)}
+	for _, engine := range []string{"a", "b", "c"} {
+		record.Crashes = append(record.Crashes, Crash{Engine: engine})
+	}
+	if err := guards[0].Receive("front", Marshal([]Record{record}), true); err != nil {
+		t.Fatal(err)
+	}
+	return store, guards
+}
+
+// noticeDelay is the time until data nodes notice that the store answers again.
+const noticeDelay = 100 * time.Millisecond
+
+// Guards against records that known nodes save only seconds after the store answers again, so
+// that they are lost if all nodes are killed before. One node writes, not all.
+func TestGuardSavesRecordsWhenStoreIsBack(t *testing.T) {
+	for silence := 500 * time.Millisecond; silence < 8*time.Second; silence += 300 * time.Millisecond {
+		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, guards := dataNodes(t, 5)
+				time.Sleep(silence)
+				store.setSilent(false)
+				time.Sleep(noticeDelay)
+				for _, guard := range guards {
+					guard.StoreBack()
+				}
+				time.Sleep(noticeDelay)
+				if !store.has(print(1)) {
+					t.Errorf("the record is not stored %v after the store is back", 2*noticeDelay)
+				}
+				time.Sleep(reconcileInterval)
+				if calls := store.setSilent(false); calls > len(guards) {
+					t.Errorf("%d calls to store the record", calls)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the same if the node that got the report is killed before the store is back.
+func TestGuardSavesRecordsOfKilledNodeWhenStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, guards := dataNodes(t, 3)
+		time.Sleep(3700 * time.Millisecond)
+		guards[0].Close()
+		store.setSilent(false)
+		time.Sleep(noticeDelay)
+		for _, guard := range guards[1:] {
+			guard.StoreBack()
+		}
+		time.Sleep(takeoverDelay + noticeDelay)
+		if !store.has(print(1)) {
+			t.Error("the record is not stored")
+		}
+	})
+}
+
+// Guards against calls without a pause where the store answers other nodes only.
+func TestGuardPausesAfterStoreIsBackForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, guards := dataNodes(t, 1)
+		time.Sleep(3700 * time.Millisecond)
+		store.setSilent(true)
+		for range 3 {
+			guards[0].StoreBack()
+		}
+		time.Sleep(2 * time.Second)
+		if calls := store.setSilent(true); calls > 4 {
+			t.Errorf("%d calls within 2 s", calls)
+		}
+	})
+}
