poison: retry early also after an answer that came before the store's return

Change: the mirror tells of each answer and the silence before it; the guard grants early retries at most three in a row and one a second (retryPacer, pure), at once after an outage, else 0.3 s after its last call began.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -73,9 +73,10 @@
 	Receiver transport.Receiver
 	// Changed is called after each change of a kind; it must not block.
 	Changed func(kind string)
-	// StoreBack is called when the store answers this node or a peer after it answered
-	// neither for so long that nodes read it themselves; it must not block. It may be nil.
-	StoreBack func()
+	// StoreAnswered is called when this node hears, itself or from a peer, that the store
+	// answered; silence is the time since its last known answer. It must not block and may be
+	// nil.
+	StoreAnswered func(silence time.Duration)
 }
 
 // Agent keeps a Table up to date from the store and from peers. Its methods may be called
@@ -245,14 +246,13 @@
 	revision := a.table.Revision(delta.Kind)
 	latest := a.fresh.latest()
 	confirmedLater := revision >= delta.Revision && a.fresh.confirm(delta.Kind, confirmed)
-	storeBack := confirmedLater && !latest.IsZero() && stale(a.strictestKind(), confirmed.Sub(latest), 0)
 	if changed || confirmedLater {
 		close(a.changed)
 		a.changed = make(chan struct{})
 	}
 	a.mutex.Unlock()
-	if storeBack && a.options.StoreBack != nil {
-		a.options.StoreBack()
+	if silence := confirmed.Sub(latest); confirmedLater && silence > 0 && a.options.StoreAnswered != nil {
+		a.options.StoreAnswered(silence)
 	}
 	if !changed {
 		return
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -87,15 +87,16 @@
 	refused     atomic.Int64
 	loaded      atomic.Bool
 
-	mutex        sync.Mutex // guards the fields below; only telemetry's locks are taken under it
-	table        *Table
-	stored       map[Fingerprint]Record      // as last loaded from the store
-	unpublished  map[Fingerprint]bool        // to be published; the value says whether to data nodes, too
-	unsynced     map[Fingerprint]pendingSync // to be synced with the store
-	publishReady chan struct{}               // of capacity 1: unpublished is not empty
-	syncReady    chan struct{}               // of capacity 1: unsynced is not empty
-	storeBack    chan struct{}               // of capacity 1: the store answers again
-	cancelCall   context.CancelFunc          // of the pending call of the store; nil without one
+	mutex         sync.Mutex // guards the fields below; only telemetry's locks are taken under it
+	table         *Table
+	stored        map[Fingerprint]Record      // as last loaded from the store
+	unpublished   map[Fingerprint]bool        // to be published; the value says whether to data nodes, too
+	unsynced      map[Fingerprint]pendingSync // to be synced with the store
+	publishReady  chan struct{}               // of capacity 1: unpublished is not empty
+	syncReady     chan struct{}               // of capacity 1: unsynced is not empty
+	storeAnswered chan struct{}               // of capacity 1: to retry early
+	pacer         *retryPacer                 // of syncs with the store
+	cancelCall    context.CancelFunc          // of the pending call of the store; nil without one
 	// rechecks counts the engines to be rechecked by request.
 	rechecks map[Fingerprint]int
 }
@@ -112,7 +113,7 @@
 	g := &Guard{
 		options: options, table: NewTable(), stored: map[Fingerprint]Record{}, unpublished: map[Fingerprint]bool{},
 		unsynced: map[Fingerprint]pendingSync{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
-		storeBack: make(chan struct{}, 1), rechecks: map[Fingerprint]int{},
+		storeAnswered: make(chan struct{}, 1), pacer: newRetryPacer(), rechecks: map[Fingerprint]int{},
 	}
 	g.running, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -334,23 +335,29 @@
 	signal(g.syncReady)
 }
 
-// StoreBack tells that the store answers again, this node or another one, after it answered
-// nobody. A pending call may have been lost and is made again. Records are saved without
-// waiting for the next retry, those that other nodes are to save only after takeoverDelay, so
-// that not all nodes write at once.
-func (g *Guard) StoreBack() {
+// StoreAnswered tells that the store answered this node or another one, and for how long it
+// had answered nobody. A failed sync is tried again soon, and a pending call that may have
+// been lost is ended. After an outage of the store, records that other nodes are to save wait
+// for takeoverDelay, so that not all nodes write at once.
+func (g *Guard) StoreAnswered(silence time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	from := g.options.Now().Add(takeoverDelay)
-	for f, pending := range g.unsynced {
-		if pending.standIn {
-			g.unsynced[f] = pendingSync{from, true}
+	now := g.options.Now()
+	if silence >= callTimeout {
+		for f, pending := range g.unsynced {
+			if pending.standIn {
+				g.unsynced[f] = pendingSync{now.Add(takeoverDelay), true}
+			}
 		}
 	}
+	wait, early := g.pacer.storeAnswered(silence, g.cancelCall != nil, now)
+	if !early {
+		return
+	}
 	if g.cancelCall != nil {
-		g.cancelCall()
+		time.AfterFunc(wait, g.cancelCall)
 	}
-	signal(g.storeBack)
+	signal(g.storeAnswered)
 }
 
 // isSynced reports whether the store, as last loaded, agrees with the table: it has the
--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -59,41 +59,47 @@
 // syncLoop syncs records with the store and reconciles all of them at intervals.
 func (g *Guard) syncLoop() {
 	reconciled := time.Now()
-	delay := retryDelay
 	for g.wait(g.syncReady, g.untilSync()) {
 		if time.Since(reconciled) >= reconcileInterval {
 			reconciled = time.Now()
 			g.reconcile()
 		}
 		select {
-		case <-g.storeBack: // before this attempt
+		case <-g.storeAnswered: // before this attempt
 		default:
 		}
-		if g.syncDue() {
-			delay = retryDelay
-			continue
-		}
-		if g.sleepUntilStoreBack(delay) {
-			delay = retryDelay
-		} else {
-			delay = min(2*delay, maxRetryDelay)
+		ok := g.syncDue()
+		if delay := g.finishSync(ok); delay > 0 {
+			g.sleepUntilRetry(delay)
+			signal(g.syncReady)
 		}
-		signal(g.syncReady)
 	}
 }
 
-// sleepUntilStoreBack sleeps for the given time and returns true at once when the store answers
-// again.
-func (g *Guard) sleepUntilStoreBack(duration time.Duration) bool {
-	timer := time.NewTimer(duration)
+// finishSync returns the delay until the next attempt; 0 if this one succeeded.
+func (g *Guard) finishSync(ok bool) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if ok {
+		g.pacer.succeed()
+		return 0
+	}
+	return g.pacer.fail()
+}
+
+// sleepUntilRetry sleeps for the given time, or until an early retry.
+func (g *Guard) sleepUntilRetry(delay time.Duration) {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
-	case <-g.storeBack:
-		return true
+	case <-g.storeAnswered:
+		g.mutex.Lock()
+		spacing := g.pacer.spacing(g.options.Now())
+		g.mutex.Unlock()
+		clock.Sleep(g.running, spacing)
 	case <-timer.C:
 	case <-g.running.Done():
 	}
-	return false
 }
 
 // untilSync returns the time until the next scheduled sync, at most reconcileInterval.
@@ -167,6 +173,7 @@
 	save := g.belongsInStore(f)
 	_, stored := g.stored[f]
 	g.cancelCall = cancel
+	g.pacer.start(g.options.Now())
 	g.mutex.Unlock()
 	var err error
 	switch {
