mirror: a peer's report of a known answer is no news of the store

Cause: ages are sent in whole milliseconds and confirmations gain the time of transmission, so during an outage data nodes that pull from each other seemed to hear new answers 0.01 to 2 ms later than the last. Guards with a failed save retried early on them, about twice a second, and used up the early retries.

Change: an answer is told only if it is at least 20 ms later than the last.

Result: TestAgentTellsThatStoreAnswered asks for it and failed before.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -251,7 +251,7 @@
 		a.changed = make(chan struct{})
 	}
 	a.mutex.Unlock()
-	if silence := confirmed.Sub(latest); confirmedLater && silence > 0 && a.options.StoreAnswered != nil {
+	if silence := confirmed.Sub(latest); confirmedLater && silence >= minSilence && a.options.StoreAnswered != nil {
 		a.options.StoreAnswered(silence)
 	}
 	if !changed {
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -71,6 +71,10 @@
 	return true
 }
 
+// minSilence is the least time between two known answers of the store for the later one to
+// count as news: a peer's report of the same answer may seem later by its transmission.
+const minSilence = 20 * time.Millisecond
+
 // latest returns the time of the latest confirmation of any kind; zero if there is none.
 func (f *freshness) latest() time.Time {
 	var latest time.Time
--- a/internal/mirror/storeback_test.go
+++ b/internal/mirror/storeback_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against nodes that don't notice that the store answers, or take a peer's older news
-// for it.
+// or a report of the same answer for it.
 func TestAgentTellsThatStoreAnswered(t *testing.T) {
 	g := gomega.NewWithT(t)
 	kinds := []Kind{{Name: "slow", MaxStaleness: 8 * time.Second}, {Name: "strict", MaxStaleness: 2 * time.Second}}
@@ -32,5 +32,7 @@
 	confirm("slow", 3500*time.Millisecond)
 	confirm("strict", 3400*time.Millisecond)
 	confirm("strict", 3600*time.Millisecond)
+	confirm("strict", 3602*time.Millisecond) // the same answer by way of a peer
+	confirm("slow", 3604*time.Millisecond)
 	g.Expect(told).To(gomega.Equal([]time.Duration{500 * time.Millisecond, 3 * time.Second, 100 * time.Millisecond}))
 }
