poison: always retry early at the end of an outage

Cause: where answers to other nodes had used up the early retries, the end of an outage of the store was ignored for up to a second.

Change: an answer after a silence of callTimeout or more needs no early retry left; such answers are at least that far apart. TestEndOfOutageAllowsEarlyRetry failed before.

--- a/internal/poison/retry.go
+++ b/internal/poison/retry.go
@@ -45,19 +45,21 @@
 
 // storeAnswered returns in what time to retry as the store answered a node after the given
 // silence: at once after an outage, else at the earliest retryDelay after the last call began.
-// It returns false if the store is not to be called early. calling says that a call is
+// It returns false if the store is not to be called early; the end of an outage is exempt from
+// the bound on early retries, as outages are at least callTimeout apart. calling says that a call is
 // pending: the first one of an outage has not failed yet.
 func (p *retryPacer) storeAnswered(silence time.Duration, calling bool, now time.Time) (time.Duration, bool) {
 	lost := calling && silence >= lostCallSilence && p.spacing(now) == 0
 	if p.pending || !p.failing && !lost {
 		return 0, false
 	}
+	outage := silence >= callTimeout
 	used := max(0, p.used-now.Sub(p.usedAt).Seconds()/earlyRetryInterval.Seconds())
-	if used+1 > maxEarlyRetries {
+	if !outage && used+1 > maxEarlyRetries {
 		return 0, false
 	}
-	p.used, p.usedAt, p.pending = used+1, now, true
-	if silence >= callTimeout {
+	p.used, p.usedAt, p.pending = min(used+1, maxEarlyRetries), now, true
+	if outage {
 		p.startedAt = time.Time{} // the call began in the outage
 	}
 	return p.spacing(now), true
--- a/internal/poison/storeback_test.go
+++ b/internal/poison/storeback_test.go
@@ -166,6 +166,36 @@
 	})
 }
 
+// Guards against several calls at the end of an outage where the store answers others only.
+func TestGuardCallsOnceWhenStoreIsBackForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, guards := dataNodes(t, 1)
+		time.Sleep(3700 * time.Millisecond)
+		store.setSilent(true)
+		for range 3 {
+			guards[0].StoreAnswered(3700 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		if calls := store.setSilent(true); calls > 4 {
+			t.Errorf("%d calls within 2 s", calls)
+		}
+	})
+}
+
+// Guards against ignoring the end of an outage after other answers used up the early retries.
+func TestEndOfOutageAllowsEarlyRetry(t *testing.T) {
+	now := time.Now()
+	p := newRetryPacer()
+	for early := true; early; {
+		p.start(now)
+		p.fail()
+		_, early = p.storeAnswered(noticeDelay, false, now)
+	}
+	if _, early := p.storeAnswered(callTimeout, false, now); !early {
+		t.Error("the store is not called early at the end of its outage")
+	}
+}
+
 // Guards against ending calls that the store only answers slowly.
 func TestSlowCallsAreNotEndedWhileStoreAnswers(t *testing.T) {
 	now := time.Now()
