--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -290,8 +290,8 @@
 
 // expectedGrowth estimates what front nodes of other data nodes admitted since their
 // shares were sent. Demand rises at all nodes alike, so each is expected to grow as
-// this node's own. Without it, a limit is exceeded where shares come late. Growth within
-// the standard deviation of the count is ignored.
+// this node's own. Without it, a limit is exceeded where shares come late. Growth that
+// may be chance is ignored.
 func (c *Collector) expectedGrowth(now time.Time) Counts {
 	expected := Counts{}
 	totals := c.reportTotals()
