--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -124,7 +124,9 @@
 			{Name: c.adapter.PoisonKind, MaxStaleness: maxPoisonStaleness},
 		},
 		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
-		Changed: c.mirrorChanged, StoreAnswered: func(silence time.Duration) { c.guard.StoreAnswered(silence) }, // the guard is set before the agent starts
+		Changed: c.mirrorChanged,
+		// c.guard is not set yet, but is before the agent starts.
+		StoreAnswered: func(silence time.Duration) { c.guard.StoreAnswered(silence) },
 	}
 	if c.settings.Platform.Drain > 0 {
 		options.Kinds = append(options.Kinds, mirror.Kind{Name: c.adapter.ZoneDrainsKind, MaxStaleness: c.settings.Platform.Drain})
