--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -73,6 +73,10 @@
 	Receiver transport.Receiver
 	// Changed is called after each change of a kind; it must not block.
 	Changed func(kind string)
+	// StoreAnswered is called when this node hears, itself or from a peer, that the store
+	// answered; silence is the time since its last known answer. It must not block and may be
+	// nil.
+	StoreAnswered func(silence time.Duration)
 }
 
 // Agent keeps a Table up to date from the store and from peers. Its methods may be called
@@ -240,12 +244,16 @@
 	first := a.table.Revision(delta.Kind) == 0
 	changed := merge(delta) || (first && a.table.Revision(delta.Kind) > 0)
 	revision := a.table.Revision(delta.Kind)
+	latest := a.fresh.latest()
 	confirmedLater := revision >= delta.Revision && a.fresh.confirm(delta.Kind, confirmed)
 	if changed || confirmedLater {
 		close(a.changed)
 		a.changed = make(chan struct{})
 	}
 	a.mutex.Unlock()
+	if silence := confirmed.Sub(latest); confirmedLater && silence >= minSilence && a.options.StoreAnswered != nil {
+		a.options.StoreAnswered(silence)
+	}
 	if !changed {
 		return
 	}
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -71,6 +71,21 @@
 	return true
 }
 
+// minSilence is the least time between two known answers of the store for the later one to
+// count as news: a peer's report of the same answer may seem later by its transmission.
+const minSilence = 20 * time.Millisecond
+
+// latest returns the time of the latest confirmation of any kind; zero if there is none.
+func (f *freshness) latest() time.Time {
+	var latest time.Time
+	for _, at := range f.confirmed {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // everConfirmed says whether a kind was ever confirmed.
 func (f *freshness) everConfirmed(kind string) bool { return !f.confirmed[kind].IsZero() }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -87,23 +87,33 @@
 	refused     atomic.Int64
 	loaded      atomic.Bool
 
-	mutex        sync.Mutex // guards the fields below; only telemetry's locks are taken under it
-	table        *Table
-	stored       map[Fingerprint]Record    // as last loaded from the store
-	unpublished  map[Fingerprint]bool      // to be published; the value says whether to data nodes, too
-	unsynced     map[Fingerprint]time.Time // to be synced with the store, and from when on
-	publishReady chan struct{}             // of capacity 1: unpublished is not empty
-	syncReady    chan struct{}             // of capacity 1: unsynced is not empty
+	mutex         sync.Mutex // guards the fields below; only telemetry's locks are taken under it
+	table         *Table
+	stored        map[Fingerprint]Record      // as last loaded from the store
+	unpublished   map[Fingerprint]bool        // to be published; the value says whether to data nodes, too
+	unsynced      map[Fingerprint]pendingSync // to be synced with the store
+	publishReady  chan struct{}               // of capacity 1: unpublished is not empty
+	syncReady     chan struct{}               // of capacity 1: unsynced is not empty
+	storeAnswered chan struct{}               // of capacity 1: to retry early
+	pacer         *retryPacer                 // of syncs with the store
+	cancelCall    context.CancelFunc          // of the pending call of the store; nil without one
 	// rechecks counts the engines to be rechecked by request.
 	rechecks map[Fingerprint]int
 }
 
+// pendingSync is a record that is to be synced with the store.
+type pendingSync struct {
+	from time.Time // when to sync
+	// standIn is set if another node is to write the record first.
+	standIn bool
+}
+
 // NewGuard returns a guard; it publishes and stores nothing before Start.
 func NewGuard(options Options) *Guard {
 	g := &Guard{
 		options: options, table: NewTable(), stored: map[Fingerprint]Record{}, unpublished: map[Fingerprint]bool{},
-		unsynced: map[Fingerprint]time.Time{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
-		rechecks: map[Fingerprint]int{},
+		unsynced: map[Fingerprint]pendingSync{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
+		storeAnswered: make(chan struct{}, 1), pacer: newRetryPacer(), rechecks: map[Fingerprint]int{},
 	}
 	g.running, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -309,17 +319,47 @@
 	}
 }
 
-// scheduleSync schedules a sync of the stored record with the table, not before from.
+// scheduleSync schedules a sync of the stored record with the table, not before from. A later
+// time than the present one means that another node is to write the record first.
 func (g *Guard) scheduleSync(f Fingerprint, from time.Time) {
 	if g.isSynced(f) {
 		return
 	}
-	if _, scheduled := g.unsynced[f]; !scheduled {
-		g.unsynced[f] = from
+	standIn := from.After(g.options.Now())
+	pending, scheduled := g.unsynced[f]
+	if !scheduled {
+		pending = pendingSync{from, standIn}
 	}
+	pending.standIn = pending.standIn && standIn
+	g.unsynced[f] = pending
 	signal(g.syncReady)
 }
 
+// StoreAnswered tells that the store answered this node or another one, and for how long it
+// had answered nobody. A failed sync is tried again soon, and a pending call that may have
+// been lost is ended. After an outage of the store, records that other nodes are to save wait
+// for takeoverDelay, so that not all nodes write at once.
+func (g *Guard) StoreAnswered(silence time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.options.Now()
+	if silence >= callTimeout {
+		for f, pending := range g.unsynced {
+			if pending.standIn {
+				g.unsynced[f] = pendingSync{now.Add(takeoverDelay), true}
+			}
+		}
+	}
+	wait, early := g.pacer.storeAnswered(silence, g.cancelCall != nil, now)
+	if !early {
+		return
+	}
+	if g.cancelCall != nil {
+		time.AfterFunc(wait, g.cancelCall)
+	}
+	signal(g.storeAnswered)
+}
+
 // isSynced reports whether the store, as last loaded, agrees with the table: it has the
 // same crashes, or no record where the table has none to store.
 func (g *Guard) isSynced(f Fingerprint) bool {
--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -59,19 +59,46 @@
 // syncLoop syncs records with the store and reconciles all of them at intervals.
 func (g *Guard) syncLoop() {
 	reconciled := time.Now()
-	delay := retryDelay
 	for g.wait(g.syncReady, g.untilSync()) {
 		if time.Since(reconciled) >= reconcileInterval {
 			reconciled = time.Now()
 			g.reconcile()
 		}
-		if g.syncDue() {
-			delay = retryDelay
-			continue
+		select {
+		case <-g.storeAnswered: // before this attempt
+		default:
+		}
+		ok := g.syncDue()
+		if delay := g.finishSync(ok); delay > 0 {
+			g.sleepUntilRetry(delay)
+			signal(g.syncReady)
 		}
-		clock.Sleep(g.running, delay)
-		delay = min(2*delay, maxRetryDelay)
-		signal(g.syncReady)
+	}
+}
+
+// finishSync returns the delay until the next attempt; 0 if this one succeeded.
+func (g *Guard) finishSync(ok bool) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if ok {
+		g.pacer.succeed()
+		return 0
+	}
+	return g.pacer.fail()
+}
+
+// sleepUntilRetry sleeps for the given time, or until an early retry.
+func (g *Guard) sleepUntilRetry(delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-g.storeAnswered:
+		g.mutex.Lock()
+		spacing := g.pacer.spacing(g.options.Now())
+		g.mutex.Unlock()
+		clock.Sleep(g.running, spacing)
+	case <-timer.C:
+	case <-g.running.Done():
 	}
 }
 
@@ -81,8 +108,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	wait := reconcileInterval
-	for _, from := range g.unsynced {
-		if left := from.Sub(now); left > 0 {
+	for _, pending := range g.unsynced {
+		if left := pending.from.Sub(now); left > 0 {
 			wait = min(wait, left)
 		}
 	}
@@ -126,11 +153,11 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	var due []Fingerprint
-	for f, from := range g.unsynced {
+	for f, pending := range g.unsynced {
 		switch {
 		case g.isSynced(f): // synced by another node
 			delete(g.unsynced, f)
-		case !now.Before(from):
+		case !now.Before(pending.from):
 			due = append(due, f)
 		}
 	}
@@ -139,13 +166,15 @@
 
 // syncRecord saves or removes the stored record of a request as the table has it.
 func (g *Guard) syncRecord(f Fingerprint) error {
+	ctx, cancel := context.WithTimeout(g.running, callTimeout)
+	defer cancel()
 	g.mutex.Lock()
 	record, _ := g.table.Get(f)
 	save := g.belongsInStore(f)
 	_, stored := g.stored[f]
+	g.cancelCall = cancel
+	g.pacer.start(g.options.Now())
 	g.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(g.running, callTimeout)
-	defer cancel()
 	var err error
 	switch {
 	case save:
@@ -153,11 +182,12 @@
 	case stored:
 		err = g.options.Store.Remove(ctx, f)
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.cancelCall = nil
 	if err != nil {
 		return err
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	delete(g.unsynced, f)
 	if latest, _ := g.table.Get(f); !latest.sameCrashes(&record) {
 		g.scheduleSync(f, g.options.Now()) // changed during the call
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -125,6 +125,8 @@
 		},
 		Store: c.adapter.Store, Registry: c.adapter.Registry, Sender: c.peers, Receiver: c.peers,
 		Changed: c.mirrorChanged,
+		// c.guard is not set yet, but is before the agent starts.
+		StoreAnswered: func(silence time.Duration) { c.guard.StoreAnswered(silence) },
 	}
 	if c.settings.Platform.Drain > 0 {
 		options.Kinds = append(options.Kinds, mirror.Kind{Name: c.adapter.ZoneDrainsKind, MaxStaleness: c.settings.Platform.Drain})
