Estimates of engines' speeds, used by choices

Change: package enginespeed estimates usual pace and slowness; the table uses them for hold times, scores and deadlines where UseSpeeds says so.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -34,6 +34,9 @@
 	// Permit is called before a request is sent to a paced engine; nil disables pacing. It
 	// must be set before the balancer is used.
 	Permit func(ctx context.Context, request PermitRequest) Permission
+	// UseSpeeds reports whether choices follow the engines' speeds; nil means they don't. It
+	// must be set before the balancer is used and may call EnginesShareMachines.
+	UseSpeeds func() bool
 	// preemptions holds a token when an online request went to an engine where batch work has
 	// to be preempted.
 	preemptions chan struct{}
@@ -93,7 +96,10 @@
 	permitExpiry time.Time // end of the permit's validity
 	prefilledAt  time.Time // first event received; guarded by the balancer's mutex
 	unreadTokens int       // prompt tokens not read yet; guarded by the balancer's mutex
-	released     bool
+	events       int       // received; set by RecordEvents, guarded by the balancer's mutex
+	// slowness is the engine's when its first event arrived; guarded by the balancer's mutex.
+	slowness float64
+	released bool
 }
 
 // Acquire reserves a place at an engine for the wish, counted until it is released. It waits
@@ -133,6 +139,7 @@
 	defer l.balancer.mutex.Unlock()
 	if l.prefilledAt.IsZero() {
 		l.prefilledAt = clock.Now()
+		l.slowness = l.balancer.table.speeds.SlownessAt(l.balancer.table.speedKey(l.Engine.ID), l.prefilledAt)
 	}
 	l.clearUnread()
 }
@@ -160,6 +167,7 @@
 		b.table.RecordResidence(now.Sub(l.startedAt))
 		if !l.prefilledAt.IsZero() {
 			b.table.RecordHold(now.Sub(l.prefilledAt))
+			b.table.recordServiceHold(l.Engine, now.Sub(l.prefilledAt), l.events, now)
 		}
 	}
 }
@@ -200,8 +208,10 @@
 // service.
 func (b *Balancer) tryAcquire(wish Wish, self *waiter, priority int) (*Lease, bool) {
 	snapshot := b.snapshot()
+	useSpeeds := b.usesSpeeds()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.table.useSpeeds = useSpeeds
 	for _, other := range b.waiting {
 		if other == self {
 			break
@@ -394,9 +404,7 @@
 // EnginesShareMachines reports whether an engine has told how much slower than usual it is, as
 // engines do that share their machines with other work.
 func (b *Balancer) EnginesShareMachines() bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.table.enginesShareMachines
+	return b.table.enginesShareMachines.Load()
 }
 
 // MeanHold returns the mean time that online requests hold a slot.
--- a/internal/balance/batch.go
+++ b/internal/balance/batch.go
@@ -15,8 +15,10 @@
 		return nil
 	}
 	snapshot := b.snapshot()
+	useSpeeds := b.usesSpeeds()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.table.useSpeeds = useSpeeds
 	for _, other := range b.waiting {
 		if other.service == wishes[0].Service && other.priority < priority {
 			return nil
@@ -40,6 +42,7 @@
 	load    int
 	pending int
 	score   float64
+	factor  float64 // see Table.durationFactor
 }
 
 func (c *batchCandidate) hasRoom() bool {
@@ -49,7 +52,7 @@
 func (c *batchCandidate) add(tokens int) {
 	c.load++
 	c.pending += tokens
-	c.score += 1/float64(max(c.engine.Slots, 1)) + float64(tokens)/pendingTokensPerScore
+	c.score += c.factor/float64(max(c.engine.Slots, 1)) + float64(tokens)/pendingTokensPerScore
 }
 
 // windowSize is the number of engines of a service that are considered together for batch
@@ -129,7 +132,7 @@
 		}
 		scored = append(scored, batchCandidate{
 			engine: engine, load: t.load(engine.ID, now), pending: t.pending(engine.ID, now),
-			score: t.score(engine, Wish{Zone: wish.Zone}, "", now),
+			score: t.score(engine, Wish{Zone: wish.Zone}, "", now), factor: t.batchFactor(engine, now),
 		})
 	}
 	return scored
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -66,6 +66,8 @@
 	// Wait is how long the request may queue at an engine and still get its first token on
 	// time; 0 means no bound.
 	Wait time.Duration
+	// Left is the time until the request's deadline; 0 means no bound.
+	Left time.Duration
 }
 
 // Choose returns the best engine that has room, or false. If all engines are ejected or
@@ -149,6 +151,24 @@
 func (t *Table) groupByZone(engines []catalog.Engine, wish Wish, now time.Time, draw func() float64) (near, far group, foundRoom bool) {
 	home := prefixHomeEngine(engines, wish)
 	prediction := t.predict(engines, wish, now)
+	near, far, tooSlow := prediction.enginesWithRoom(engines, home)
+	if tooSlow > 0 && len(near.engines)+len(far.engines) == 0 {
+		prediction.wish.Left = 0 // no engine can end the request in time
+		near, far, _ = prediction.enginesWithRoom(engines, home)
+	}
+	foundRoom = len(near.engines)+len(far.engines) > 0
+	near, far = prediction.admitRandomly(near, 1, draw), prediction.admitRandomly(far, farCompetition, draw)
+	near.unreported = t.unreported(near.online, near.age)
+	far.unreported = t.unreported(far.online, far.age)
+	near.minWait, far.minWait = prediction.minWait(near), prediction.minWait(far)
+	return near, far, foundRoom
+}
+
+// enginesWithRoom splits engines of one region that have room into those of the wish's zone
+// and the others. It leaves out those that are too slow to end the request by its deadline,
+// and counts them.
+func (p prediction) enginesWithRoom(engines []catalog.Engine, home string) (near, far group, tooSlow int) {
+	t, wish, now := p.table, p.wish, p.now
 	near = group{engines: make([]scoredEngine, 0, len(engines)), age: now.Sub(t.lastPeerReport) + nearAge}
 	far = group{age: now.Sub(t.lastPeerReport) + farAge}
 	for _, engine := range engines {
@@ -158,18 +178,17 @@
 		}
 		online := t.peersOnline(engine.ID)
 		zoneGroup.allOnline += online
-		if !prediction.hasRoom(engine) {
+		if !p.hasRoom(engine) {
+			continue
+		}
+		if p.tooSlow(engine) {
+			tooSlow++
 			continue
 		}
 		zoneGroup.engines = append(zoneGroup.engines, scoredEngine{engine: engine, score: t.score(engine, wish, home, now)})
 		zoneGroup.online += online
 	}
-	foundRoom = len(near.engines)+len(far.engines) > 0
-	near, far = prediction.admitRandomly(near, 1, draw), prediction.admitRandomly(far, farCompetition, draw)
-	near.unreported = t.unreported(near.online, near.age)
-	far.unreported = t.unreported(far.online, far.age)
-	near.minWait, far.minWait = prediction.minWait(near), prediction.minWait(far)
-	return near, far, foundRoom
+	return near, far, tooSlow
 }
 
 // countSlots returns the number of slots, and of free ones less the online requests queued at
@@ -262,7 +281,7 @@
 // same unit. Lower is better.
 func (t *Table) score(engine catalog.Engine, wish Wish, home string, now time.Time) float64 {
 	// At a slow engine its whole load and the new request count more.
-	work := float64(t.load(engine.ID, now)+1)*t.slowdown(engine.ID, now) - 1
+	work := float64(t.load(engine.ID, now)+1)*t.durationFactor(engine, now) - 1
 	score := work / float64(max(engine.Slots, 1))
 	score += float64(t.pending(engine.ID, now)) / pendingTokensPerScore
 	if wish.Zone != "" && engine.Zone != wish.Zone {
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -110,9 +110,13 @@
 	return float64(excess) < maxQueuedShare*float64(engine.Slots) && p.table.slotProbability(excess, engine.Slots, p.allowedWait(engine)) >= p.requiredOnTime
 }
 
-// allowedWait returns the request's allowed wait, scaled down by the engine's slowdown.
+// allowedWait returns the request's allowed wait, scaled from the engine's hold time to the
+// mean of all.
 func (p prediction) allowedWait(engine catalog.Engine) time.Duration {
-	return time.Duration(float64(p.wish.Wait) / p.table.slowdown(engine.ID, p.now))
+	if !p.table.useSpeeds {
+		return time.Duration(float64(p.wish.Wait) / p.table.slowdown(engine.ID, p.now))
+	}
+	return time.Duration(float64(p.wish.Wait) * float64(p.table.meanHold) / float64(max(p.table.hold(engine, p.now), 1)))
 }
 
 // recordRoom updates foundRoomFraction with whether a request of this node found room.
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -51,7 +51,7 @@
 	for _, scored := range g.engines {
 		slots := max(scored.engine.Slots, 1)
 		excess := p.table.load(scored.engine.ID, p.now) - p.table.preemptible(scored.engine.ID, p.now) - slots
-		shortest = min(shortest, p.table.meanHold*time.Duration(max(0, excess+1))/time.Duration(slots))
+		shortest = min(shortest, p.table.hold(scored.engine, p.now)*time.Duration(max(0, excess+1))/time.Duration(slots))
 	}
 	return shortest
 }
--- /dev/null
+++ b/internal/balance/speeds.go
@@ -0,0 +1,203 @@
+package balance
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/enginespeed"
+)
+
+const (
+	// minPaceEvents is the number of events from which on a run tells its engine's pace.
+	minPaceEvents = 5
+	// muchFaster is by which factor another engine has to be faster for a stream to move
+	// there: it has to wait for a slot and to have its prompt read again.
+	muchFaster = 2
+)
+
+// speedKey returns the key of an engine in package enginespeed.
+func (t *Table) speedKey(id string) enginespeed.Key { return enginespeed.Key(t.key(id)) }
+
+// durationFactor returns how much longer than usual work takes at an engine.
+func (t *Table) durationFactor(engine catalog.Engine, now time.Time) float64 {
+	if !t.useSpeeds {
+		return t.slowdown(engine.ID, now)
+	}
+	return t.speeds.Factor(t.speedKey(engine.ID), now)
+}
+
+// batchFactor returns how many requests' time a batch request takes at an engine.
+func (t *Table) batchFactor(engine catalog.Engine, now time.Time) float64 {
+	if !t.useSpeeds {
+		return 1
+	}
+	return t.durationFactor(engine, now)
+}
+
+// hold returns the mean time that online requests hold a slot of an engine.
+func (t *Table) hold(engine catalog.Engine, now time.Time) time.Duration {
+	if !t.useSpeeds {
+		return t.meanHold
+	}
+	hold, known := t.speeds.MeanHold(engine.Service)
+	if !known {
+		hold = t.meanHold
+	}
+	return time.Duration(float64(hold) * t.durationFactor(engine, now))
+}
+
+// tooSlow reports whether a request that got a slot of an engine at once could not be expected
+// to end by its deadline.
+func (p prediction) tooSlow(engine catalog.Engine) bool {
+	return p.table.useSpeeds && p.wish.Left > 0 && p.table.hold(engine, p.now) > p.wish.Left
+}
+
+// recordServiceHold updates the mean hold time of an engine's service.
+func (t *Table) recordServiceHold(engine catalog.Engine, hold time.Duration, events int, now time.Time) {
+	if t.enginesShareMachines.Load() {
+		t.speeds.Hold(engine.Service, hold, events, t.speeds.Factor(t.speedKey(engine.ID), now))
+	}
+}
+
+// RecordRun records a run at an engine. startSlowness is the engine's at the first event.
+func (t *Table) RecordRun(engine catalog.Engine, perEvent time.Duration, startSlowness float64, now time.Time) {
+	if !t.enginesShareMachines.Load() {
+		return
+	}
+	key := t.speedKey(engine.ID)
+	t.speeds.Run(enginespeed.Run{
+		Key: key, ID: engine.ID, Service: engine.Service, PerEvent: perEvent,
+		StartSlowness: startSlowness, EndSlowness: t.speeds.SlownessAt(key, now),
+	}, now, enginespeed.Source{})
+}
+
+// ApplySpeeds records what a peer observed of engines. Engines not in the snapshot are left
+// out.
+func (t *Table) ApplySpeeds(snapshot *catalog.Snapshot, peer string, update enginespeed.Update, now time.Time) {
+	source := enginespeed.Source{Peer: peer, Relayed: update.Relayed}
+	for _, entry := range update.Slownesses {
+		if engine := t.index.find(snapshot, EngineKey(entry.Key)); engine != nil {
+			t.enginesShareMachines.Store(true)
+			t.speeds.Slowness(entry.Key, engine.ID, entry.Slowness, now.Add(-entry.Age), now, source)
+		}
+	}
+	for _, entry := range update.Runs {
+		if engine := t.index.find(snapshot, EngineKey(entry.Key)); engine != nil {
+			t.speeds.Run(enginespeed.Run{Key: entry.Key, ID: engine.ID, Service: engine.Service, PerEvent: entry.PerEvent}, now, source)
+		}
+	}
+}
+
+// SpeedsSince returns the observations of engines' speeds after the cursor that include
+// accepts, and the next cursor.
+func (t *Table) SpeedsSince(cursor uint64, now time.Time, include func(enginespeed.Source) bool) (enginespeed.Update, uint64) {
+	return t.speeds.Since(cursor, now, include)
+}
+
+// SetUseSpeeds sets whether choices follow the engines' speeds.
+func (t *Table) SetUseSpeeds(use bool) { t.useSpeeds = use }
+
+// usesSpeeds is called without the balancer's mutex.
+func (b *Balancer) usesSpeeds() bool {
+	return b.UseSpeeds != nil && b.EnginesShareMachines() && b.UseSpeeds()
+}
+
+// RecordEvents records that an online request received events over a time since the first
+// one.
+func (l *Lease) RecordEvents(count int, span time.Duration) {
+	b := l.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	l.events = count
+	if count >= minPaceEvents {
+		b.table.RecordRun(l.Engine, span/time.Duration(count-1), l.slowness, clock.Now())
+	}
+}
+
+// ApplySpeeds records what a peer observed of engines.
+func (b *Balancer) ApplySpeeds(peer string, update enginespeed.Update) {
+	snapshot := b.snapshot()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.ApplySpeeds(snapshot, peer, update, clock.Now())
+}
+
+// SpeedsSince returns the observations of engines' speeds after the cursor that include
+// accepts, and the next cursor. It returns none where choices don't follow the speeds.
+func (b *Balancer) SpeedsSince(cursor uint64, include func(enginespeed.Source) bool) (enginespeed.Update, uint64) {
+	if !b.usesSpeeds() {
+		return enginespeed.Update{}, cursor
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.SpeedsSince(cursor, clock.Now(), include)
+}
+
+// DurationFactor returns how long work takes at an engine now relative to the mean of its
+// service's engines at their usual speed; 1 where choices don't follow the speeds.
+func (b *Balancer) DurationFactor(engine catalog.Engine) float64 {
+	if !b.usesSpeeds() {
+		return 1
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.speeds.Factor(b.table.speedKey(engine.ID), clock.Now())
+}
+
+// SpeedSummary describes the estimates of engines' speeds.
+func (b *Balancer) SpeedSummary() enginespeed.Summary {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.speeds.Summarize(clock.Now())
+}
+
+// SpeedHeardAt returns when an engine's slowness was last reported; zero if it wasn't.
+func (b *Balancer) SpeedHeardAt(engine catalog.Engine) time.Time {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.speeds.HeardAt(b.table.speedKey(engine.ID))
+}
+
+// Pace describes the engine of a running stream and the best other engine for it.
+type Pace struct {
+	// Slowness is the engine's, as heard Age ago.
+	Slowness float64
+	Age      time.Duration
+	// EventsLeft is the expected number of further events.
+	EventsLeft float64
+	// FasterElsewhere is set if an engine that is much faster has room.
+	FasterElsewhere bool
+}
+
+// Pace returns what is known of a stream's engine after the given number of events. The wish
+// describes the remaining request; ok is false where choices don't follow the speeds.
+func (b *Balancer) Pace(engine catalog.Engine, wish Wish, events uint64) (pace Pace, ok bool) {
+	if !b.usesSpeeds() {
+		return Pace{}, false
+	}
+	snapshot := b.snapshot()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.table.useSpeeds = true
+	now := clock.Now()
+	key := b.table.speedKey(engine.ID)
+	return Pace{
+		Slowness: b.table.speeds.SlownessAt(key, now), Age: now.Sub(b.table.speeds.HeardAt(key)),
+		EventsLeft:      max(0, b.table.speeds.MeanEvents(engine.Service)-float64(events)),
+		FasterElsewhere: b.table.hasFaster(snapshot, engine, wish, now),
+	}, true
+}
+
+// hasFaster reports whether an engine that may serve the wish, has a free slot and is much
+// faster than the given one.
+func (t *Table) hasFaster(snapshot *catalog.Snapshot, than catalog.Engine, wish Wish, now time.Time) bool {
+	limit := t.durationFactor(than, now) / muchFaster
+	for _, engine := range allowed(snapshot, wish) {
+		if engine.ID != than.ID && t.mayTake(engine, wish, now) && !t.isFull(engine.ID, now) &&
+			t.durationFactor(engine, now) <= limit && t.load(engine.ID, now)-t.preemptible(engine.ID, now) < engine.Slots {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -1,8 +1,10 @@
 package balance
 
 import (
+	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/enginespeed"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -103,8 +105,12 @@
 	nextWindowStart int
 	// index maps keys to engines of the newest snapshot.
 	index engineIndex
-	// enginesShareMachines is set once an engine has reported its slowdown.
-	enginesShareMachines bool
+	// enginesShareMachines is set once an engine has reported its slowdown, here or to a peer.
+	enginesShareMachines atomic.Bool
+	// speeds are the estimates of all engines' speeds, and useSpeeds whether choices follow
+	// them.
+	speeds    *enginespeed.Estimates
+	useSpeeds bool
 }
 
 // NewTable returns an empty table.
@@ -112,6 +118,7 @@
 	return &Table{
 		engines: map[string]*engineState{}, peers: map[string]peerLoad{}, peerSum: Report{}, engineReported: map[EngineKey]relayedLoad{},
 		keys: map[string]EngineKey{}, zoneRTTs: rttTracker{}, meanResidence: initialMean, meanHold: initialMean, foundRoomFraction: 1,
+		speeds: enginespeed.New(),
 	}
 }
 
@@ -175,7 +182,10 @@
 	state.report = load
 	state.reportAt = now
 	state.ownAtReport = state.total()
-	t.enginesShareMachines = t.enginesShareMachines || load.ReportsSlowdown
+	if load.ReportsSlowdown {
+		t.enginesShareMachines.Store(true)
+		t.speeds.Slowness(t.speedKey(id), id, load.Slowdown, now, now, enginespeed.Source{})
+	}
 }
 
 // RecordSuccess records an answer and ends the engine's ejection.
@@ -289,6 +299,7 @@
 			delete(t.keys, id)
 		}
 	}
+	t.speeds.Forget(now)
 	t.expire(now)
 }
 
