Engines' speeds ride beside load messages; probes; streams move from slow engines

Data nodes ask engines that nobody heard, within overload.speed_probes. A stream that may be resumed moves when its engine pauses for half of the gap target, or can't end it by the deadline, and a much faster one has a free slot.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -37,6 +38,8 @@
 	// UseSpeeds reports whether choices follow the engines' speeds; nil means they don't. It
 	// must be set before the balancer is used and may call EnginesShareMachines.
 	UseSpeeds func() bool
+	// StreamsMoved is the number of streams that moved to a faster engine.
+	StreamsMoved atomic.Int64
 	// preemptions holds a token when an online request went to an engine where batch work has
 	// to be preempted.
 	preemptions chan struct{}
@@ -167,7 +170,7 @@
 		b.table.RecordResidence(now.Sub(l.startedAt))
 		if !l.prefilledAt.IsZero() {
 			b.table.RecordHold(now.Sub(l.prefilledAt))
-			b.table.recordServiceHold(l.Engine, now.Sub(l.prefilledAt), l.events, now)
+			b.table.RecordServiceHold(l.Engine, now.Sub(l.prefilledAt), l.events, now)
 		}
 	}
 }
--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -53,8 +53,8 @@
 	return p.table.useSpeeds && p.wish.Left > 0 && p.table.hold(engine, p.now) > p.wish.Left
 }
 
-// recordServiceHold updates the mean hold time of an engine's service.
-func (t *Table) recordServiceHold(engine catalog.Engine, hold time.Duration, events int, now time.Time) {
+// RecordServiceHold updates the mean hold time of an engine's service.
+func (t *Table) RecordServiceHold(engine catalog.Engine, hold time.Duration, events int, now time.Time) {
 	if t.enginesShareMachines.Load() {
 		t.speeds.Hold(engine.Service, hold, events, t.speeds.Factor(t.speedKey(engine.ID), now))
 	}
@@ -107,6 +107,9 @@
 // one.
 func (l *Lease) RecordEvents(count int, span time.Duration) {
 	b := l.balancer
+	if !b.EnginesShareMachines() {
+		return
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	l.events = count
@@ -159,40 +162,44 @@
 	return b.table.speeds.HeardAt(b.table.speedKey(engine.ID))
 }
 
-// Pace describes the engine of a running stream and the best other engine for it.
-type Pace struct {
-	// Slowness is the engine's, as heard Age ago.
-	Slowness float64
-	Age      time.Duration
-	// EventsLeft is the expected number of further events.
-	EventsLeft float64
-	// FasterElsewhere is set if an engine that is much faster has room.
-	FasterElsewhere bool
+// FollowsSpeeds reports whether choices follow the engines' speeds.
+func (b *Balancer) FollowsSpeeds() bool { return b.usesSpeeds() }
+
+// ExpectedEvents returns the mean number of events of a service's runs; 0 if it is unknown.
+func (b *Balancer) ExpectedEvents(service string) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.speeds.MeanEvents(service)
 }
 
-// Pace returns what is known of a stream's engine after the given number of events. The wish
-// describes the remaining request; ok is false where choices don't follow the speeds.
-func (b *Balancer) Pace(engine catalog.Engine, wish Wish, events uint64) (pace Pace, ok bool) {
-	if !b.usesSpeeds() {
-		return Pace{}, false
-	}
-	snapshot := b.snapshot()
+// Slowness is an engine's slowness with the age of its last report.
+type Slowness struct {
+	Value float64
+	Age   time.Duration
+}
+
+// FindFaster reports whether a stream whose events come at an interval of perEvent should
+// move from its engine: another one that may serve the wish is much faster and has a free
+// slot. It also returns what is known of the engine.
+func (b *Balancer) FindFaster(engine catalog.Engine, wish Wish, perEvent time.Duration) (Slowness, bool) {
+	snapshot, useSpeeds := b.snapshot(), b.usesSpeeds()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.table.useSpeeds = true
+	b.table.useSpeeds = useSpeeds
 	now := clock.Now()
 	key := b.table.speedKey(engine.ID)
-	return Pace{
-		Slowness: b.table.speeds.SlownessAt(key, now), Age: now.Sub(b.table.speeds.HeardAt(key)),
-		EventsLeft:      max(0, b.table.speeds.MeanEvents(engine.Service)-float64(events)),
-		FasterElsewhere: b.table.hasFaster(snapshot, engine, wish, now),
-	}, true
+	slowness := Slowness{b.table.speeds.SlownessAt(key, now), now.Sub(b.table.speeds.HeardAt(key))}
+	return slowness, useSpeeds && b.table.hasFaster(snapshot, engine, wish, perEvent, now)
 }
 
-// hasFaster reports whether an engine that may serve the wish, has a free slot and is much
-// faster than the given one.
-func (t *Table) hasFaster(snapshot *catalog.Snapshot, than catalog.Engine, wish Wish, now time.Time) bool {
-	limit := t.durationFactor(than, now) / muchFaster
+// hasFaster reports whether a healthy engine with a free slot is much faster than one whose
+// events come at an interval of perEvent.
+func (t *Table) hasFaster(snapshot *catalog.Snapshot, than catalog.Engine, wish Wish, perEvent time.Duration, now time.Time) bool {
+	usual, known := t.speeds.MeanPerEvent(than.Service)
+	if !known {
+		return false
+	}
+	limit := float64(perEvent) / float64(usual) / muchFaster
 	for _, engine := range allowed(snapshot, wish) {
 		if engine.ID != than.ID && t.mayTake(engine, wish, now) && !t.isFull(engine.ID, now) &&
 			t.durationFactor(engine, now) <= limit && t.load(engine.ID, now)-t.preemptible(engine.ID, now) < engine.Slots {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -76,6 +76,8 @@
 // Service is a group of interchangeable engines.
 type Service struct {
 	Name string
+	// HealthPath is the path of the engines' health requests; empty if unknown.
+	HealthPath string
 	// Connections bounds the connections to one engine from all clients together.
 	Connections int
 	// Slots is the number of requests that an engine processes concurrently.
--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -241,6 +241,16 @@
 	return of.events
 }
 
+// MeanPerEvent returns the geometric mean of the usual times between events of a service's
+// engines; false if no run is known.
+func (e *Estimates) MeanPerEvent(serviceName string) (time.Duration, bool) {
+	of := e.services[serviceName]
+	if of == nil || of.engines == 0 {
+		return 0, false
+	}
+	return time.Duration(math.Exp(of.sumLogPace/float64(of.engines)) * float64(time.Second)), true
+}
+
 // Forget drops engines without recent observations.
 func (e *Estimates) Forget(now time.Time) {
 	for key, state := range e.engines {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -30,6 +30,10 @@
 	return r.addressReused || r.kind == OutcomeNotSent && !r.withheld
 }
 
+// moved reports whether the exchange ended for a stream to move to a faster engine, which
+// says nothing about the engine's health.
+func (r attemptResult) moved() bool { return errors.Is(r.cause, errEnginePace) }
+
 // attempt runs one exchange. done reports whether the sink has its response.
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (attemptResult, bool) {
 	engine := lease.Engine
@@ -60,7 +64,9 @@
 	case !response.Signed:
 		return attemptResult{kind: OutcomeUnknown, cause: upstream.ErrUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
-		return fl.sendStream(exchangeCtx, lease, response, silence)
+		watch := fl.startPaceWatch(engine, cancel)
+		defer watch.stop(lease)
+		return fl.sendStream(exchangeCtx, lease, response, silence, watch)
 	}
 	return fl.sendResponse(engine, response)
 }
@@ -197,7 +203,7 @@
 }
 
 // sendStream forwards whole events as they arrive.
-func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence silenceTimer) (attemptResult, bool) {
+func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence silenceTimer, watch *paceWatch) (attemptResult, bool) {
 	events := NewEventReader(response)
 	for {
 		event, err := events.Next()
@@ -206,7 +212,7 @@
 			return fl.endStream(response), true
 		}
 		if err != nil {
-			if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) {
+			if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) || errors.Is(cause, errEnginePace) {
 				err = cause
 			}
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
@@ -214,6 +220,7 @@
 		silence.Reset()
 		lease.PrefillDone()
 		fl.receivedEvent = true
+		watch.event()
 		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
 			continue
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -141,7 +141,9 @@
 			return
 		}
 		fl.release(lease, result)
-		fl.reportLostConnection(ctx, engine, result)
+		if !result.moved() {
+			fl.reportLostConnection(ctx, engine, result)
+		}
 		step := fl.attempts.Next(result.kind)
 		if step == StepRetry && !fl.timeLeft() {
 			step = fl.attempts.GiveUp(result.kind)
@@ -224,8 +226,16 @@
 	return balance.Wish{
 		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Regions: fl.regions(), Avoid: fl.avoidEngines, AvoidZones: fl.avoidZones, Wait: wait,
+		Regions: fl.regions(), Avoid: fl.avoidEngines, AvoidZones: fl.avoidZones, Wait: wait, Left: fl.left(),
+	}
+}
+
+// left returns the time until the request's deadline; 0 if it has none.
+func (fl *inflight) left() time.Duration {
+	if fl.deadline.IsZero() {
+		return 0
 	}
+	return max(1, clock.Until(fl.deadline))
 }
 
 func (fl *inflight) waitPolicy() waitPolicy {
@@ -318,7 +328,7 @@
 // reportToBalancer reports an attempt that did not succeed.
 func (fl *inflight) reportToBalancer(engine catalog.Engine, result attemptResult) {
 	switch {
-	case result.withheld:
+	case result.withheld, result.moved():
 	case result.kind == OutcomeRefused && !result.addressReused:
 		fl.Balancer.RecordRefusal(engine.ID)
 	default:
--- /dev/null
+++ b/internal/forward/pace.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventStreamMoved = telemetry.Define(2207, "stream-moved", "A stream's engine stopped keeping its pace, and the stream continues at a faster one.")
+
+// errEnginePace ends an exchange whose stream continues at another engine.
+var errEnginePace = errors.New("the engine stopped keeping its pace")
+
+const (
+	// pauseShare is the part of a route's target for the time between events after which a
+	// stream may move: the rest is for connecting and for reading the prompt there.
+	pauseShare = 0.5
+	// paceCheckEvents is the number of events between two predictions of a stream's end.
+	paceCheckEvents = 8
+)
+
+// streamPace follows the events of one exchange. It has no side effects.
+type streamPace struct {
+	events           int
+	first, last      time.Time
+	checkedAt        time.Time
+	recentlyPerEvent time.Duration // mean between the last two checks
+}
+
+// add records an event and reports whether a prediction of the stream's end is due.
+func (p *streamPace) add(now time.Time) (due bool) {
+	p.events++
+	p.last = now
+	switch {
+	case p.events == 1:
+		p.first, p.checkedAt = now, now
+	case p.events%paceCheckEvents == 1:
+		p.recentlyPerEvent = now.Sub(p.checkedAt) / paceCheckEvents
+		p.checkedAt = now
+		return true
+	}
+	return false
+}
+
+// endsLate predicts whether the stream ends after its deadline at its recent pace.
+func (p *streamPace) endsLate(eventsLeft float64, left time.Duration) bool {
+	return eventsLeft*float64(p.recentlyPerEvent) > float64(left)
+}
+
+// paceWatch moves a stream to a faster engine when its own pauses or gets too slow.
+type paceWatch struct {
+	pace     streamPace
+	fl       *inflight
+	engine   catalog.Engine
+	wish     balance.Wish
+	cancel   context.CancelCauseFunc
+	maxPause time.Duration
+	timer    *time.Timer // fires when a pause gets too long; nil if pauses aren't watched
+	ended    atomic.Bool // the stream ended or moves; always set if it isn't watched
+}
+
+// startPaceWatch watches a stream that may be resumed. The last allowed attempt isn't
+// watched, as it could not be continued.
+func (fl *inflight) startPaceWatch(engine catalog.Engine, cancel context.CancelCauseFunc) *paceWatch {
+	w := &paceWatch{fl: fl, engine: engine, cancel: cancel}
+	if !fl.route.Resumable || fl.attempts.runs+1 >= fl.route.Attempts || !fl.Balancer.FollowsSpeeds() {
+		w.ended.Store(true)
+		return w
+	}
+	w.wish = fl.wish(0)
+	if w.maxPause = time.Duration(pauseShare * float64(fl.route.GapTarget)); w.maxPause > 0 {
+		// The first event starts the timer.
+		w.timer = time.AfterFunc(math.MaxInt64, w.checkPause)
+	}
+	return w
+}
+
+// event records an event of the stream.
+func (w *paceWatch) event() {
+	now := clock.Now()
+	due := w.pace.add(now)
+	if w.ended.Load() {
+		return
+	}
+	if w.timer != nil {
+		w.timer.Reset(w.maxPause)
+	}
+	if due && !w.fl.deadline.IsZero() {
+		eventsLeft := w.fl.Balancer.ExpectedEvents(w.engine.Service) - float64(w.fl.lastEvent)
+		if w.pace.endsLate(eventsLeft, w.fl.deadline.Sub(now)) {
+			w.moveIfFaster(w.pace.recentlyPerEvent)
+		}
+	}
+}
+
+// checkPause is called when no event came for maxPause, and repeatedly while the pause lasts.
+func (w *paceWatch) checkPause() {
+	if w.ended.Load() {
+		return
+	}
+	w.moveIfFaster(w.maxPause)
+	w.timer.Reset(w.maxPause / 2)
+}
+
+// moveIfFaster ends the exchange if a much faster engine has room; the stream is then resumed
+// as after a lost connection.
+func (w *paceWatch) moveIfFaster(perEvent time.Duration) {
+	slowness, found := w.fl.Balancer.FindFaster(w.engine, w.wish, perEvent)
+	if !found || w.ended.Swap(true) {
+		return
+	}
+	eventStreamMoved.Info("request", w.fl.request.ID, "engine", w.engine.ID, "slowdown", slowness.Value, "age", slowness.Age, "per_event", perEvent)
+	w.fl.Balancer.StreamsMoved.Add(1)
+	w.cancel(errEnginePace)
+}
+
+// stop ends the watch and records the run in the lease.
+func (w *paceWatch) stop(lease *balance.Lease) {
+	w.ended.Store(true)
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	lease.RecordEvents(w.pace.events, w.pace.last.Sub(w.pace.first))
+}
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -61,6 +61,7 @@
 	catalog  *catalogTracker
 	pool     *upstream.Pool
 	balancer *balance.Balancer
+	speeds   *speedExchange
 	guard    *poison.Guard
 	ledger   *replica.Service // set by openData and openFront
 	// shardPorts shares peers between the shards of batch work.
@@ -92,7 +93,10 @@
 	c.registerPoisonHandlers(dataNode)
 	c.pool = upstream.NewPool(adapter.Engines)
 	c.balancer = balance.New(c.catalog.Snapshot)
+	c.balancer.UseSpeeds = c.overloadActive
 	c.pool.Connected = c.balancer.RecordConnect
+	c.speeds = newSpeedExchange(c.balancer, c.peers)
+	c.peers.HandleDatagram(kindEngineSpeeds, c.speeds.handle)
 	c.registerGauges(c.commonGauges())
 	c.registerPoisonMetrics()
 	if settings.Platform.Drain > 0 {
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -30,6 +30,7 @@
 	encodedSum      encodedCache    // of the responses
 
 	quotas *quotaExchange
+	probes speedProbes
 
 	regionJobs, misplacedJobs *prometheus.GaugeVec
 
@@ -85,6 +86,10 @@
 	permits := newPermitServer(settings, d.peers, d.agent.Nodes, d.catalog.Snapshot)
 	d.peers.HandleDatagram(kindPermitAsk, permits.handleAsk)
 	d.registerGauges(permits.gauges())
+	d.registerGauges(map[string]gauge{
+		"chutelock_speed_probes_total":        {"Health requests sent to engines whose slowness was not known.", func() float64 { return float64(d.probes.sent.Load()) }},
+		"chutelock_speed_probes_failed_total": {"Those of them without an answer that tells it.", func() float64 { return float64(d.probes.failed.Load()) }},
+	})
 	return d, nil
 }
 
@@ -122,6 +127,9 @@
 		d.spawn(d.manageShards)
 	}
 	d.spawn(d.shareLoad)
+	if d.settings.Overload.SpeedProbes > 0 {
+		d.spawn(d.probeSpeeds)
+	}
 	return nil
 }
 
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -100,6 +100,11 @@
 	f.balancer.Permit = permits.permit
 	f.peers.HandleDatagram(kindPermitAnswer, permits.handleAnswer)
 	f.registerGauges(permits.gauges())
+	f.registerGauges(map[string]gauge{
+		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
+			return float64(f.balancer.StreamsMoved.Load())
+		}},
+	})
 	return f, nil
 }
 
--- a/internal/system/loadexchange.go
+++ b/internal/system/loadexchange.go
@@ -11,6 +11,7 @@
 // handleLoadReport records a front node's load and responds with the sum, at a bounded rate.
 func (d *data) handleLoadReport(from transport.Address, payload []byte) {
 	if d.receiveReport(from, payload) && d.responseLimiter.allow(from, clock.Now()) {
+		d.speeds.sendToFront(from)
 		_ = d.peers.Datagram(from, kindLoadSum, d.encodedSum.get(clock.Now(), d.loadSum))
 	}
 }
@@ -18,6 +19,7 @@
 // handleLoadQuery records a front node's load and responds with the current sum.
 func (d *data) handleLoadQuery(from transport.Address, payload []byte) {
 	if d.receiveReport(from, payload) {
+		d.speeds.sendToFront(from)
 		_ = d.peers.Datagram(from, kindLoadSum, d.loadSum())
 	}
 }
@@ -110,6 +112,7 @@
 		// An unsent share counts as lost; the next one follows soon.
 		_ = d.peers.Datagram(receiver, kindLoadShare, encoded)
 		d.quotas.sendShare(receiver, zones[receiver])
+		d.speeds.sendToData(receiver)
 	}
 }
 
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -14,13 +14,14 @@
 
 // Datagrams about load and quotas; see packages loadshare and quota.
 const (
-	kindLoadReport  transport.Kind = transport.KindLoad + iota // a front node's balance.Report
-	kindLoadSum                                                // loadshare.Sum
-	kindLoadShare                                              // loadshare.Share
-	kindLoadQuery                                              // a front node's balance.Report; answered at once
-	kindQuotaReport                                            // a front node's quota.Report; answered at once
-	kindQuotaSum                                               // quota.Sum
-	kindQuotaShare                                             // quota.Share
+	kindLoadReport   transport.Kind = transport.KindLoad + iota // a front node's balance.Report
+	kindLoadSum                                                 // loadshare.Sum
+	kindLoadShare                                               // loadshare.Share
+	kindLoadQuery                                               // a front node's balance.Report; answered at once
+	kindQuotaReport                                             // a front node's quota.Report; answered at once
+	kindQuotaSum                                                // quota.Sum
+	kindQuotaShare                                              // quota.Share
+	kindEngineSpeeds                                            // enginespeed.Update; unknown to earlier versions, which ignore it
 )
 
 const (
@@ -99,6 +100,7 @@
 		return nil
 	}
 	f.lastReport = own
+	f.speeds.sendToRelay(to)
 	// An unsent report counts as lost: the picker detects the missing sum.
 	_ = f.peers.Datagram(to, kind, own.Marshal())
 	return f.sumReceived
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -95,6 +95,15 @@
 			}
 			return 0
 		}},
+		"chutelock_engines_slow": {"Engines that are slower than usual now, by their own reports to any node.", func() float64 {
+			return float64(c.balancer.SpeedSummary().Slow)
+		}},
+		"chutelock_engines_speed_age_seconds": {"Mean age of the engines' reports of their slowness, of those that still count.", func() float64 {
+			return c.balancer.SpeedSummary().MeanAge.Seconds()
+		}},
+		"chutelock_engines_pace_known": {"Engines whose usual pace relative to others of their service is known from runs.", func() float64 {
+			return float64(c.balancer.SpeedSummary().Learned)
+		}},
 		"chutelock_cold_engines": {"Engines that are cold, as far as known here.", c.catalog.coldEngines},
 		"chutelock_requests_waiting": {"Requests that wait for an engine with room.", func() float64 {
 			return float64(c.balancer.Waiting())
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -61,7 +61,9 @@
 	Signed bool
 	// AddressReused reports that another engine has this address now.
 	AddressReused bool
-	Load          *Load
+	// Instance is the engine that answered a health request; empty if missing.
+	Instance string
+	Load     *Load
 }
 
 // Dialect translates between calls, responses and the engines' headers.
@@ -96,7 +98,7 @@
 // Error reports a failed exchange.
 type Error struct {
 	Fate Fate
-	// Step is what failed: dial, proceed, send or head.
+	// Step is what failed: path, dial, proceed, send, head or body.
 	Step string
 	// Peer is the engine's address.
 	Peer  string
