--- /dev/null
+++ b/internal/forward/pace_test.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+func TestStreamPace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pace, now := streamPace{}, start
+	for event := 1; event <= 3*paceCheckEvents+1; event++ {
+		g.Expect(pace.add(now)).To(gomega.Equal(event > 1 && event%paceCheckEvents == 1), "event %d", event)
+		now = now.Add(100 * time.Millisecond)
+	}
+	g.Expect(pace.endsLate(10, 1100*time.Millisecond)).To(gomega.BeFalse())
+	g.Expect(pace.endsLate(10, 900*time.Millisecond)).To(gomega.BeTrue())
+}
+
+// streamDialect is the protocol of streamingEngine.
+type streamDialect struct{ testDialect }
+
+func (streamDialect) Header(call *upstream.Call, _ time.Time) http.Header {
+	header := http.Header{"X-Id": {call.ID}}
+	if call.Resume {
+		header.Set("X-After", fmt.Sprint(call.ResumeAfter))
+	}
+	return header
+}
+
+func (streamDialect) Facts(_ int, header http.Header) upstream.Facts {
+	return upstream.Facts{ID: header.Get("X-Id"), Signed: true, Load: &upstream.Load{Slots: 8, Slowdown: 1, ReportsSlowdown: true}}
+}
+
+const streamEvents = 20
+
+// streamingEngine sends streams of streamEvents events. It stops after stopAfter of them, if
+// that isn't 0, until the connection closes, which it counts in closed.
+func streamingEngine(t *testing.T, id string, stopAfter int, closed *atomic.Int32) catalog.Engine {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		after := 0
+		_, _ = fmt.Sscan(r.Header.Get("X-After"), &after)
+		for event := after + 1; event <= streamEvents; event++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
+			_ = http.NewResponseController(w).Flush()
+			if event == stopAfter {
+				<-r.Context().Done()
+				closed.Add(1)
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return catalog.Engine{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8}
+}
+
+// streamSink counts the events of a stream.
+type streamSink struct {
+	recordingSink
+	events         int
+	ended, aborted bool
+}
+
+func (s *streamSink) WriteEvent([]byte) error {
+	s.events++
+	return nil
+}
+
+func (s *streamSink) EndStream() error {
+	s.ended = true
+	return nil
+}
+
+func (s *streamSink) Abort() { s.aborted = true }
+
+// A stream whose engine stops must go on at another one without a pause that the caller
+// notices, but only if it may and another engine has room.
+func TestStreamMovesFromPausingEngine(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		resumable bool
+		attempts  int
+		useSpeeds bool
+		ejected   bool // the other engine
+		moves     int64
+	}{
+		{"moves", true, 3, true, false, 1},
+		{"not resumable", false, 3, true, false, 0},
+		{"last attempt", true, 1, true, false, 0},
+		{"speeds not used", true, 3, false, false, 0},
+		{"no other engine", true, 3, true, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			var closed atomic.Int32
+			engines := []catalog.Engine{streamingEngine(t, "a", 8, &closed), streamingEngine(t, "b", 0, &closed)}
+			snapshot := catalog.NewSnapshot(nil, engines)
+			balancer := balance.New(func() *catalog.Snapshot { return snapshot })
+			balancer.UseSpeeds = func() bool { return test.useSpeeds }
+			f := &Forwarder{Pool: upstream.NewPool(streamDialect{}), Balancer: balancer, Usable: snapshot.Usable}
+			route := &catalog.Route{
+				Name: "r", Kind: catalog.KindStream, Resumable: true, Attempts: test.attempts, Target: time.Second,
+				GapTarget: 400 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}},
+			}
+			serve := func(wait time.Duration) *streamSink {
+				sink := &streamSink{}
+				now := time.Now()
+				f.Serve(context.Background(), &Request{ID: "one", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(wait)}, route, sink)
+				return sink
+			}
+			balancer.RecordFailure("a", nil) // the pace is learned at b
+			g.Expect(serve(5 * time.Second).ended).To(gomega.BeTrue())
+			balancer.RecordSuccess("a")
+			balancer.RecordFailure("b", nil)
+			if test.ejected {
+				balancer.RecordFailure("b", nil) // for longer
+				balancer.RecordFailure("b", nil)
+			} else {
+				time.AfterFunc(50*time.Millisecond, func() { balancer.RecordSuccess("b") })
+			}
+			route.Resumable = test.resumable
+			begun := time.Now()
+			sink := serve(700 * time.Millisecond)
+			g.Expect(balancer.StreamsMoved.Load()).To(gomega.Equal(test.moves))
+			g.Expect(sink.ended).To(gomega.Equal(test.moves > 0))
+			g.Eventually(closed.Load).Should(gomega.BeEquivalentTo(1))
+			if test.moves > 0 {
+				g.Expect(sink.events).To(gomega.Equal(streamEvents))
+				g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 600*time.Millisecond))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/probe_test.go
@@ -0,0 +1,49 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// probeDialect parses the headers of health responses.
+type probeDialect struct{ Dialect }
+
+func (probeDialect) Facts(_ int, header http.Header) Facts {
+	return Facts{Instance: header.Get("X-Instance"), Load: &Load{Slowdown: 2}}
+}
+
+func TestProbeReadsFactsAndKeepsConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Instance", r.URL.Path)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	pool, address := NewPool(probeDialect{}), strings.TrimPrefix(server.URL, "http://")
+	for range 2 {
+		facts, err := pool.Probe(context.Background(), address, "e", "/health")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(facts.Instance).To(gomega.Equal("/health"))
+		g.Expect(facts.Load.Slowdown).To(gomega.BeEquivalentTo(2))
+	}
+	g.Expect(pool.Opened.Load()).To(gomega.BeEquivalentTo(1))
+	_, err := pool.Probe(context.Background(), address, "e", "/a HTTP/1.1\r\nX: y")
+	g.Expect(err).To(gomega.MatchError(errInvalidPath))
+}
+
+// A silent engine must not hold a probe beyond its time.
+func TestProbeOfSilentEngineEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := NewPool(probeDialect{}).Probe(ctx, strings.TrimPrefix(server.URL, "http://"), "e", "/health")
+	g.Expect(err).To(gomega.HaveOccurred())
+}
