--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -156,6 +156,10 @@
 		age, weight = p.now.Sub(p.table.lastPeerReport)+farAge, p.farWeight
 	}
 	unreported := weight * p.table.unreported(p.table.peersOnline(engine.ID), age)
+	if p.table.useSpeeds {
+		// As many requests ended as were sent, on average, so only the deviation counts.
+		return int(math.Round(math.Sqrt(2 * unreported)))
+	}
 	return int(math.Round(unreported + math.Sqrt(unreported)))
 }
 
