--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -29,7 +29,7 @@
 }
 
 // streamDialect is the protocol of streamingEngine.
-type streamDialect struct{ testDialect }
+type streamDialect struct{}
 
 func (streamDialect) Header(call *upstream.Call, _ time.Time) http.Header {
 	header := http.Header{"X-Id": {call.ID}}
