Callers of all zones of a region share the room of a service

Change: front nodes count what they are asked, relays sum it by zone, and a zone that serves a larger part of its requests leaves some of its room to the others.

--- a/internal/forward/uneven_test.go
+++ b/internal/forward/uneven_test.go
@@ -56,6 +56,8 @@
 	table    *balance.Table
 	reported balance.Report
 	cursors  map[*unevenNode]uint64 // of the speeds sent to peers
+	shares   *balance.ZoneShares    // of a front node
+	demand   *balance.DemandExchange
 	name     string
 }
 
@@ -69,17 +71,19 @@
 type unevenSimulation struct {
 	*virtualtime.Clock
 	unevenCounts
-	random     *rand.Rand
-	snapshot   *catalog.Snapshot
-	engines    map[string]*unevenEngine
-	fronts     []*unevenNode
-	relays     [unevenZones]*unevenNode
-	otherZones [unevenZones]balance.Report
-	byZone     [unevenZones]unevenCounts
-	capacity   float64
-	crossed    int // requests sent to other zones
+	random      *rand.Rand
+	snapshot    *catalog.Snapshot
+	engines     map[string]*unevenEngine
+	fronts      []*unevenNode
+	relays      [unevenZones]*unevenNode
+	otherZones  [unevenZones]balance.Report
+	byZone      [unevenZones]unevenCounts
+	capacity    float64
+	crossed     int // requests sent to other zones
+	leftToZones int // requests refused for callers of other zones
 	// hotRate is the traffic of zone 0 as a multiple of another zone's.
 	hotRate    float64
+	shareRoom  bool // callers of all zones share the room
 	relaysLost bool // no observations of speeds are passed on
 }
 
@@ -102,6 +106,7 @@
 	s.snapshot = catalog.NewSnapshot(nil, engines)
 	node := func(zone int, name string) *unevenNode {
 		n := &unevenNode{zone: zone, table: balance.NewTable(), cursors: map[*unevenNode]uint64{}, name: name}
+		n.shares, n.demand = balance.NewZoneShares(strconv.Itoa(zone), ""), balance.NewDemandExchange()
 		n.table.SetUseSpeeds(useSpeeds)
 		return n
 	}
@@ -147,9 +152,37 @@
 			}
 		}
 	}
+	s.exchangeDemand()
 	s.After(simReportInterval, s.exchange)
 }
 
+// exchangeDemand sends the demand of front nodes to their relays, of relays to each other and
+// back.
+func (s *unevenSimulation) exchangeDemand() {
+	if !s.shareRoom || s.relaysLost {
+		return
+	}
+	now := s.Now()
+	for _, front := range s.fronts {
+		s.relays[front.zone].demand.Receive(front.name, sentDemand(front.shares.Own(now), false), false, now)
+	}
+	for _, relay := range s.relays {
+		for _, other := range s.relays {
+			if other != relay {
+				other.demand.Receive(relay.name, sentDemand(relay.demand.Share(now), true), true, now)
+			}
+		}
+	}
+	for _, front := range s.fronts {
+		front.shares.SetTotal(sentDemand(s.relays[front.zone].demand.Total(now).Short(), true), now)
+	}
+}
+
+func sentDemand(demand balance.Demand, fromData bool) balance.Demand {
+	received, _, _ := balance.UnmarshalDemand(demand.Marshal(fromData))
+	return received
+}
+
 func (s *unevenSimulation) sum(include func(*unevenNode) bool) balance.Report {
 	sum := balance.Report{}
 	for _, front := range s.fronts {
@@ -192,12 +225,18 @@
 func (s *unevenSimulation) choose(front *unevenNode, policy waitPolicy) {
 	now, zone := s.Now(), strconv.Itoa(front.zone)
 	wish := balance.Wish{Service: "s", Zone: zone, Wait: policy.waitAtEngine(now), Left: policy.deadline.Sub(now)}
-	chosen, found := front.table.Choose(s.snapshot, wish, now, s.random.Float64)
+	chosen, found := catalog.Engine{}, false
+	if s.shareRoom && !front.shares.Pass("s", now, s.random.Float64()) {
+		s.leftToZones++
+	} else {
+		chosen, found = front.table.Choose(s.snapshot, wish, now, s.random.Float64)
+	}
 	if !found {
 		s.refused++
 		s.byZone[front.zone].refused++
 		return
 	}
+	front.shares.Admitted("s", now)
 	if chosen.Zone != zone {
 		s.crossed++
 	}
@@ -305,3 +344,37 @@
 	after.log(t, "relays lost")
 	g.Expect(after.share()).To(gomega.BeNumerically(">=", before.share()))
 }
+
+// Callers of a zone whose traffic is four times that of the others must get what the others
+// get. Without relays nobody is refused for others.
+func TestUnevenDemandIsSharedAmongZones(t *testing.T) {
+	play := func(load float64, shareRoom, relaysLost bool) *unevenSimulation {
+		s := newUnevenSimulation(true, true, 1)
+		s.hotRate, s.shareRoom, s.relaysLost = 4, shareRoom, relaysLost
+		return s.play(load)
+	}
+	logZones := func(t *testing.T, name string, s *unevenSimulation) {
+		s.log(t, name)
+		for zone := range s.byZone {
+			t.Logf("%s: zone %d: in time %.3f; use of its engines relative to speed %.2f", name, zone, s.byZone[zone].share(),
+				s.useBySpeed(func(e *unevenEngine) bool { return e.zone == strconv.Itoa(zone) }))
+		}
+	}
+	for _, load := range []float64{0.5, 0.9, 1.2} {
+		t.Run(strconv.FormatFloat(load, 'f', 1, 64), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			logZones(t, "without", play(load, false, false))
+			shared := play(load, true, false)
+			logZones(t, "with", shared)
+			for zone := range shared.byZone {
+				g.Expect(shared.byZone[zone].share()).To(gomega.BeNumerically(">=", shared.share()-0.03))
+			}
+		})
+	}
+	t.Run("relays lost", func(t *testing.T) {
+		t.Parallel()
+		g := gomega.NewWithT(t)
+		g.Expect(play(0.9, true, true).leftToZones).To(gomega.BeZero())
+	})
+}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -46,6 +46,7 @@
 	draining     atomic.Bool
 	quota        *quotaEnforcer
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
+	demand       *demandReporter
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
 	receiverPicker *loadshare.ReceiverPicker
@@ -94,6 +95,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	f.balancer.ShareAmongZones(settings.Node.Zone, settings.Node.Region)
+	f.demand = &demandReporter{balancer: f.balancer, sender: f.peers}
+	f.peers.HandleDatagram(kindZoneDemand, f.demand.handle)
 	f.peers.HandleDatagram(kindLoadSum, f.handleLoadSum)
 	f.peers.HandleDatagram(kindQuotaSum, f.quota.handleSum)
 	permits := newPermitClient(f.peers, f.agent.Nodes, f.catalog.noteWarm)
@@ -104,6 +108,9 @@
 		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
 			return float64(f.balancer.StreamsMoved.Load())
 		}},
+		"chutelock_requests_left_to_zones_total": {"Requests refused as callers of other zones got less of the room.", func() float64 {
+			return float64(f.balancer.LeftToZones.Load())
+		}},
 	})
 	return f, nil
 }
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -22,6 +22,7 @@
 	kindQuotaSum                                                // quota.Sum
 	kindQuotaShare                                              // quota.Share
 	kindEngineSpeeds                                            // enginespeed.Update; unknown to earlier versions, which ignore it
+	kindZoneDemand                                              // balance.Demand; as above
 )
 
 const (
@@ -101,6 +102,7 @@
 	}
 	f.lastReport = own
 	f.speeds.sendToRelay(to)
+	f.demand.sendToRelay(to)
 	// An unsent report counts as lost: the picker detects the missing sum.
 	_ = f.peers.Datagram(to, kind, own.Marshal())
 	return f.sumReceived
