The zone with the least room leaves none to others

Change: the parts are scaled so that the worst zone leaves nothing; below 2 in 100 nothing is left. The player's jump that ends shows it.

--- a/internal/balance/zoneshare.go
+++ b/internal/balance/zoneshare.go
@@ -25,6 +25,8 @@
 	demandTTL = 500 * time.Millisecond
 	// minDemand is the number of requests from which on a zone's figures count.
 	minDemand = 10
+	// tolerance is the part of a zone's requests below which it leaves nothing to others.
+	tolerance = 0.02
 	// minPassing bounds how much a zone leaves to others, so that a false figure can't stop it.
 	minPassing = 0.25
 
@@ -183,20 +185,41 @@
 }
 
 // passing returns the fraction of this zone's requests that may look for an engine, so that
-// the part that gets one is that of all zones.
+// the part that gets one is that of all zones. The zone whose requests find room least leaves
+// nothing to others: else all zones could go on leaving room to each other after a shortage.
 func (z *ZoneShares) passing(service uint32, now time.Time) float64 {
 	own := z.total[DemandKey{service, z.zone, z.region}]
 	if now.Sub(z.totalAt) > demandTTL || own.Asked < minDemand || own.Admitted <= 0 {
 		return 1
 	}
-	asked, admitted := 0.0, 0.0
+	asked, admitted, leastRoom := 0.0, 0.0, 1.0
 	for key, counts := range z.total {
-		if key.Service == service && key.Region == z.region {
-			asked += counts.Asked
-			admitted += counts.Admitted
+		if key.Service != service || key.Region != z.region {
+			continue
+		}
+		asked += counts.Asked
+		admitted += counts.Admitted
+		if counts.Asked >= minDemand {
+			leastRoom = min(leastRoom, counts.foundRoom())
 		}
 	}
-	return min(1, max(minPassing, admitted/asked*own.Passed/own.Admitted))
+	served := admitted / asked
+	passing := min(1, served/own.foundRoom())
+	if served < leastRoom {
+		passing /= served / leastRoom
+	}
+	if passing > 1-tolerance {
+		return 1
+	}
+	return max(minPassing, passing)
+}
+
+// foundRoom returns the part of the requests let pass that got an engine.
+func (c DemandCounts) foundRoom() float64 {
+	if c.Passed <= 0 {
+		return 1
+	}
+	return c.Admitted / c.Passed
 }
 
 // Own returns this node's demand.
--- a/internal/balance/zoneshare_test.go
+++ b/internal/balance/zoneshare_test.go
@@ -28,6 +28,7 @@
 		{"the other refuses half", [3]float64{400, 400, 200}, [3]float64{200, 200, 200}, 0, 400.0 / 600, "s", "cold"},
 		{"the jumped zone itself", [3]float64{400, 400, 200}, [3]float64{200, 200, 200}, 0, 1, "s", "hot"},
 		{"in balance", [3]float64{400, 400, 300}, [3]float64{200, 150, 150}, 0, 0.75, "s", "cold"},
+		{"both still leave room", [3]float64{400, 320, 320}, [3]float64{200, 160, 160}, 0, 1, "s", "cold"},
 		{"another service", [3]float64{400, 400, 200}, [3]float64{200, 200, 200}, 0, 1, "other", "cold"},
 		{"old figures", [3]float64{400, 400, 200}, [3]float64{200, 200, 200}, demandTTL + 1, 1, "s", "cold"},
 		{"few requests", [3]float64{400, 400, 200}, [3]float64{5, 5, 5}, 0, 1, "s", "cold"},
--- a/internal/forward/uneven_test.go
+++ b/internal/forward/uneven_test.go
@@ -79,12 +79,14 @@
 	otherZones  [unevenZones]balance.Report
 	byZone      [unevenZones]unevenCounts
 	capacity    float64
-	crossed     int // requests sent to other zones
-	leftToZones int // requests refused for callers of other zones
+	crossed     int       // requests sent to other zones
+	leftToZones int       // requests refused for callers of other zones
+	lastLeft    time.Time // when the last of them was
 	// hotRate is the traffic of zone 0 as a multiple of another zone's.
 	hotRate    float64
-	shareRoom  bool // callers of all zones share the room
-	relaysLost bool // no observations of speeds are passed on
+	hotUntil   time.Duration // when the jump ends; 0 if it lasts
+	shareRoom  bool          // callers of all zones share the room
+	relaysLost bool          // no observations of speeds are passed on
 }
 
 func newUnevenSimulation(useSpeeds, slowness bool, seed uint64) *unevenSimulation {
@@ -195,12 +197,16 @@
 
 // offer generates requests; zone 0 gets hotRate times the traffic of another zone.
 func (s *unevenSimulation) offer(rate float64) {
-	s.After(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
+	hotRate, current := s.hotRate, rate
+	if s.hotUntil > 0 && s.Now().Sub(start) >= s.hotUntil {
+		hotRate, current = 1, rate*unevenZones/(s.hotRate+unevenZones-1)
+	}
+	s.After(time.Duration(s.random.ExpFloat64()/current*float64(time.Second)), func() {
 		if s.Now().Sub(start) >= unevenDuration {
 			return
 		}
 		zone := 0
-		if other := s.random.Float64()*(s.hotRate+unevenZones-1) - s.hotRate; other >= 0 {
+		if other := s.random.Float64()*(hotRate+unevenZones-1) - hotRate; other >= 0 {
 			zone = 1 + int(other)
 		}
 		front := s.fronts[zone+unevenZones*s.random.IntN(unevenFronts)]
@@ -228,6 +234,7 @@
 	chosen, found := catalog.Engine{}, false
 	if s.shareRoom && !front.shares.Pass("s", now, s.random.Float64()) {
 		s.leftToZones++
+		s.lastLeft = now
 	} else {
 		chosen, found = front.table.Choose(s.snapshot, wish, now, s.random.Float64)
 	}
@@ -372,6 +379,15 @@
 			}
 		})
 	}
+	t.Run("jump ends", func(t *testing.T) {
+		t.Parallel()
+		g := gomega.NewWithT(t)
+		s := newUnevenSimulation(true, false, 1)
+		s.hotRate, s.shareRoom, s.hotUntil = 4, true, 6*time.Second
+		s.play(1.2)
+		g.Expect(s.leftToZones).NotTo(gomega.BeZero())
+		g.Expect(s.lastLeft).To(gomega.BeTemporally("<", start.Add(s.hotUntil+simDeadline)), "who returns after the jump isn't refused for others")
+	})
 	t.Run("relays lost", func(t *testing.T) {
 		t.Parallel()
 		g := gomega.NewWithT(t)
