--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -106,6 +106,7 @@
 	// index maps keys to engines of the newest snapshot.
 	index engineIndex
 	// enginesShareMachines is set once an engine has reported its slowdown, here or to a peer.
+	// It is read without the lock that guards the table.
 	enginesShareMachines atomic.Bool
 	// speeds are the estimates of all engines' speeds, and useSpeeds whether choices follow
 	// them.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -51,19 +51,27 @@
 	Chosen  func()
 	// Guard holds requests suspected of crashing engines; nil holds none.
 	Guard *poison.Guard
+	// Returns tells callers of requests that found no room when to return; may be nil.
+	Returns *ReturnTimes
 }
 
 // Result summarizes a request for metrics.
 type Result struct {
 	Route    *catalog.Route
+	Tenant   string // empty if callers need no key
 	Verdict  string // name of a Verdict, or one of the constants below
 	Attempts int
 	// Waited is the time spent waiting for an engine.
 	Waited time.Duration
 	// First is the time to the first event, or to a whole response; Total the time to the end.
 	First, Total time.Duration
+	// RetryAfter is when the caller was told to retry; 0 if it wasn't.
+	RetryAfter time.Duration
 }
 
+// Late reports whether the request was served after its route's target.
+func (r Result) Late() bool { return r.Verdict == verdictServed && r.First > r.Route.Target }
+
 // Values of Result.Verdict besides the names of Verdicts.
 const (
 	verdictServed     = "served"
@@ -92,6 +100,7 @@
 	firstEventAt  time.Time
 	receivedEvent bool // in the last attempt
 	framed        bool // the last response had a length or was chunked
+	toldRetry     time.Duration
 	verdict       string
 	print         *poison.Fingerprint // of the request; nil until first used
 }
@@ -132,6 +141,7 @@
 			fl.acquireFailed(ctx, err)
 			return
 		}
+		fl.Returns.served(fl.service)
 		fl.attemptCount++
 		engine := lease.Engine
 		fl.engineID = engine.ID
@@ -281,7 +291,7 @@
 // callerLeft records that the caller disconnected before the response was complete.
 func (fl *inflight) callerLeft(cause error) {
 	fl.verdict = verdictCallerLeft
-	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
+	eventCallerLeft.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
 		"held", clock.Since(fl.request.Arrived), "last_event", fl.lastEvent, "cause", cause)
 }
 
@@ -307,20 +317,19 @@
 
 func (fl *inflight) refuse(verdict Verdict, cause error) {
 	fl.verdict = verdict.String()
-	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "verdict", verdict, "cause", cause,
-		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
-	retryAfter := time.Duration(0)
 	if verdict == VerdictNotRun {
-		retryAfter = fl.retryAfter(cause)
+		fl.toldRetry = fl.retryAfter(cause)
 	}
-	if err := fl.sink.Refuse(verdict, retryAfter); err != nil {
+	eventRefused.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "verdict", verdict, "cause", cause,
+		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived), "retry_after", fl.toldRetry)
+	if err := fl.sink.Refuse(verdict, fl.toldRetry); err != nil {
 		fl.callerLeft(err)
 	}
 }
 
 func (fl *inflight) abort(cause error) {
 	fl.verdict = verdictAborted
-	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "cause", cause, "last_event", fl.lastEvent,
+	eventAborted.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "cause", cause, "last_event", fl.lastEvent,
 		"attempts", fl.attemptCount, "held", clock.Since(fl.request.Arrived))
 	fl.sink.Abort()
 }
@@ -338,7 +347,8 @@
 
 func (fl *inflight) observe() {
 	result := Result{
-		Route: fl.route, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
+		Route: fl.route, Tenant: fl.request.Tenant, Verdict: fl.verdict, Attempts: fl.attemptCount, Waited: fl.waited, Total: clock.Since(fl.request.Arrived),
+		RetryAfter: fl.toldRetry,
 	}
 	if !fl.firstEventAt.IsZero() {
 		result.First = fl.firstEventAt.Sub(fl.request.Arrived)
@@ -347,8 +357,8 @@
 		if fl.framed {
 			fl.Guard.Served(fl.fingerprint)
 		}
-		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", fl.engineID, "attempts", fl.attemptCount,
-			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.First > fl.route.Target)
+		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
+			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late())
 	}
 	if fl.Observe != nil {
 		fl.Observe(result)
