An engine's first run keeps what it reported of its slowness

The first run of an engine dropped its state, as its service was not set yet. Only an engine that has runs of another service is learned anew.

--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -177,11 +177,11 @@
 
 func (e *Estimates) recordPace(key Key, id, serviceName string, perEvent time.Duration, now time.Time) {
 	state := e.engine(key, id, now)
-	if state.service != serviceName {
+	if state.runs > 0 && state.service != serviceName {
 		e.drop(key)
 		state = e.engine(key, id, now)
-		state.service = serviceName
 	}
+	state.service = serviceName
 	of := e.service(serviceName)
 	observed := math.Log(perEvent.Seconds())
 	if of.engines > 0 {
--- a/internal/enginespeed/estimates_test.go
+++ b/internal/enginespeed/estimates_test.go
@@ -46,6 +46,15 @@
 	g.Expect(e.Factor(1, after(time.Minute))).To(gomega.Equal(before))
 }
 
+// An engine's first run must not drop what it reported of its slowness.
+func TestFirstRunKeepsSlowness(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := New()
+	e.Slowness(1, "a", 4, start, start, Source{})
+	e.Run(Run{Key: 1, ID: "a", Service: "s", PerEvent: 20 * time.Millisecond}, start, Source{Peer: "p"})
+	g.Expect(e.SlownessAt(1, start)).To(gomega.BeEquivalentTo(4))
+}
+
 // An engine that starts again under its name must be learned anew.
 func TestRestartedEngineIsLearnedAnew(t *testing.T) {
 	g := gomega.NewWithT(t)
