A moved stream reserves its place at the faster engine first

All streams that paused at an engine saw the same free slot elsewhere, closed their connections and then competed for it; those that got none were aborted, and the choice then made could be an engine as slow as the one left. The place is now reserved before the connection is closed (Balancer.AcquireFaster), and given back if it isn't used. Streams also stay where less than minAttemptTime is left, as they were aborted after the move, and where events have no IDs, as they can't be resumed. An engine that is slow itself counts only if it is twice as fast as what is known of the stream's. Tests: one slot for two streams; a slow engine; no time left; events without IDs; the events of a moved stream in order; no place stays reserved.

--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -244,10 +244,10 @@
 	Age   time.Duration
 }
 
-// FindFaster reports whether a stream whose events come at an interval of perEvent should
-// move from its engine: another one that may serve the wish is much faster and has a free
-// slot. It also returns what is known of the engine.
-func (b *Balancer) FindFaster(engine catalog.Engine, wish Wish, perEvent time.Duration) (Slowness, bool) {
+// AcquireFaster reserves a place for a stream whose events come at an interval of perEvent at
+// a much faster engine, so that the stream can leave its own one. The lease is nil if there is
+// none with a free slot. It also returns what is known of the stream's engine.
+func (b *Balancer) AcquireFaster(engine catalog.Engine, wish Wish, perEvent time.Duration) (*Lease, Slowness) {
 	snapshot, useSpeeds := b.snapshot(), b.usesSpeeds()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -255,22 +255,49 @@
 	now := clock.Now()
 	key := b.table.speedKey(engine.ID)
 	slowness := Slowness{b.table.speeds.SlownessAt(key, now), now.Sub(b.table.speeds.HeardAt(key))}
-	return slowness, useSpeeds && b.table.hasFaster(snapshot, engine, wish, perEvent, now)
+	if !useSpeeds {
+		return nil, slowness
+	}
+	faster, found := b.table.chooseFaster(snapshot, engine, wish, perEvent, now, rand.Float64)
+	if !found {
+		return nil, slowness
+	}
+	lease := &Lease{Engine: faster, balancer: b, class: wish.Class, startedAt: now, unreadTokens: b.table.unreadTokens(snapshot, wish, faster)}
+	b.table.Begin(faster.ID, wish.Class, lease.unreadTokens, now)
+	b.signalPreemptionFor(lease, now)
+	return lease, slowness
 }
 
-// hasFaster reports whether a healthy engine with a free slot is much faster than one whose
-// events come at an interval of perEvent.
-func (t *Table) hasFaster(snapshot *catalog.Snapshot, than catalog.Engine, wish Wish, perEvent time.Duration, now time.Time) bool {
+// chooseFaster returns a healthy engine with a free slot that is much faster than one whose
+// events come at an interval of perEvent, and of usual speed or much faster than what is known
+// of that one.
+func (t *Table) chooseFaster(snapshot *catalog.Snapshot, than catalog.Engine, wish Wish, perEvent time.Duration, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	usual, known := t.speeds.MeanPerEvent(than.Service)
 	if !known {
-		return false
+		return catalog.Engine{}, false
 	}
-	limit := float64(perEvent) / float64(usual) / muchFaster
+	limit := min(float64(perEvent)/float64(usual)/muchFaster, max(1, t.durationFactor(than, now)/muchFaster))
+	var faster []scoredEngine
 	for _, engine := range allowed(snapshot, wish) {
-		if engine.ID != than.ID && t.mayTake(engine, wish, now) && !t.isFull(engine.ID, now) &&
+		if engine.ID != than.ID && t.mayTake(engine, wish, now) && !engine.Paced(now) && !t.isFull(engine.ID, now) &&
 			t.durationFactor(engine, now) <= limit && t.load(engine.ID, now)-t.preemptible(engine.ID, now) < engine.Slots {
-			return true
+			faster = append(faster, scoredEngine{engine: engine, score: t.score(engine, wish, "", now)})
 		}
 	}
-	return false
+	if len(faster) == 0 {
+		return catalog.Engine{}, false
+	}
+	return pick(faster, 1, draw()), true
+}
+
+// Cancel gives up a place that was never used.
+func (l *Lease) Cancel() {
+	b := l.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if !l.released {
+		l.released = true
+		l.clearUnread()
+		l.end(clock.Now())
+	}
 }
--- a/internal/balance/speeds_test.go
+++ b/internal/balance/speeds_test.go
@@ -106,7 +106,7 @@
 }
 
 // A stream must move only to an engine that is much faster and has a free slot.
-func TestHasFaster(t *testing.T) {
+func TestChooseFaster(t *testing.T) {
 	g := gomega.NewWithT(t)
 	snapshot, table := newSnapshot(2, 2), NewTable()
 	table.SetUseSpeeds(true)
@@ -114,7 +114,10 @@
 	engineA, _ := snapshot.Engine("a")
 	engineB, _ := snapshot.Engine("b")
 	wish := Wish{Service: "s"}
-	hasFaster := func(perEvent time.Duration) bool { return table.hasFaster(snapshot, engineA, wish, perEvent, start) }
+	hasFaster := func(perEvent time.Duration) bool {
+		_, found := table.chooseFaster(snapshot, engineA, wish, perEvent, start, zeroDraw)
+		return found
+	}
 	g.Expect(hasFaster(time.Second)).To(gomega.BeFalse(), "the service's usual pace is unknown")
 	table.RecordRun(engineB, 20*time.Millisecond, 1, start)
 	g.Expect(hasFaster(30 * time.Millisecond)).To(gomega.BeFalse())
@@ -127,6 +130,48 @@
 	g.Expect(hasFaster(200 * time.Millisecond)).To(gomega.BeFalse())
 }
 
+// A pause doesn't make a slow engine worth moving to, unless it is much faster than what is
+// known of the stream's own.
+func TestChooseFasterLeavesOutSlowEngines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot, table := newSnapshot(2, 2), NewTable()
+	table.SetUseSpeeds(true)
+	engineA, _ := snapshot.Engine("a")
+	engineB, _ := snapshot.Engine("b")
+	table.enginesShareMachines.Store(true)
+	table.RecordRun(engineB, 20*time.Millisecond, 1, start)
+	reportSlowness(table, "b", 3)
+	found := func() bool {
+		_, found := table.chooseFaster(snapshot, engineA, Wish{Service: "s"}, time.Second, start, zeroDraw)
+		return found
+	}
+	g.Expect(found()).To(gomega.BeFalse())
+	reportSlowness(table, "a", 7)
+	g.Expect(found()).To(gomega.BeTrue())
+}
+
+// Streams that leave an engine at a time must not leave it for the same free slot.
+func TestAcquireFasterReservesSlot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	snapshot := newSnapshot(2, 1)
+	balancer := New(func() *catalog.Snapshot { return snapshot })
+	balancer.UseSpeeds = func() bool { return true }
+	engineA, _ := snapshot.Engine("a")
+	engineB, _ := snapshot.Engine("b")
+	balancer.RecordReport("b", upstream.Load{Slots: 1, Slowdown: 1, ReportsSlowdown: true})
+	balancer.table.RecordRun(engineB, 20*time.Millisecond, 1, time.Now())
+	acquire := func() *Lease {
+		lease, _ := balancer.AcquireFaster(engineA, Wish{Service: "s"}, time.Second)
+		return lease
+	}
+	first := acquire()
+	g.Expect(first.Engine.ID).To(gomega.Equal("b"))
+	g.Expect(acquire()).To(gomega.BeNil())
+	first.Cancel()
+	first.Cancel() // changes nothing
+	g.Expect(acquire()).NotTo(gomega.BeNil())
+}
+
 // A choice that follows the speeds must allocate no more than one that doesn't.
 func TestSpeedsAllocateNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -65,7 +65,7 @@
 		return attemptResult{kind: OutcomeUnknown, cause: upstream.ErrUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
 		watch := fl.startPaceWatch(engine, cancel)
-		defer watch.stop(lease)
+		defer func() { fl.next = watch.stop(lease) }()
 		return fl.sendStream(exchangeCtx, lease, response, silence, watch)
 	}
 	return fl.sendResponse(engine, response)
@@ -220,7 +220,7 @@
 		silence.Reset()
 		lease.PrefillDone()
 		fl.receivedEvent = true
-		watch.event()
+		watch.event(event.HasID)
 		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
 			continue
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -102,6 +102,7 @@
 	framed        bool // the last response had a length or was chunked
 	toldRetry     time.Duration
 	verdict       string
+	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
 }
 
@@ -129,6 +130,11 @@
 }
 
 func (fl *inflight) run(ctx context.Context) {
+	defer func() {
+		if fl.next != nil {
+			fl.next.Cancel()
+		}
+	}()
 	for {
 		if left, held := fl.Guard.Held(fl.fingerprint); held {
 			fl.refuseHeld(left)
@@ -183,9 +189,16 @@
 	}
 }
 
-// acquire waits for an engine of the chosen service, or of another service of the route if
-// the chosen one has no engine.
+// acquire returns the reserved place if there is one. Else it waits for an engine of the chosen
+// service, or of another service of the route if the chosen one has no engine.
 func (fl *inflight) acquire(ctx context.Context) (*balance.Lease, error) {
+	if lease := fl.next; lease != nil {
+		fl.next = nil
+		if fl.Chosen != nil {
+			fl.Chosen()
+		}
+		return lease, nil
+	}
 	policy := fl.waitPolicy()
 	wish := fl.wish(policy.waitAtEngine(clock.Now()))
 	if fl.Refresh != nil {
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 	maxPause time.Duration
 	timer    *time.Timer // fires when a pause gets too long; nil if pauses aren't watched
 	ended    atomic.Bool // the stream ended or moves; always set if it isn't watched
+
+	mutex sync.Mutex     // guards next; acquired before the balancer's
+	next  *balance.Lease // where the stream moves
 }
 
 // startPaceWatch watches a stream that may be resumed. The last allowed attempt isn't
@@ -82,10 +86,14 @@
 	return w
 }
 
-// event records an event of the stream.
-func (w *paceWatch) event() {
+// event records an event of the stream. Without an ID it can't be resumed after the event, so
+// it doesn't move any more.
+func (w *paceWatch) event(hasID bool) {
 	now := clock.Now()
 	due := w.pace.add(now)
+	if !hasID {
+		w.ended.Store(true)
+	}
 	if w.ended.Load() {
 		return
 	}
@@ -109,23 +117,35 @@
 	w.timer.Reset(w.maxPause / 2)
 }
 
-// moveIfFaster ends the exchange if a much faster engine has room; the stream is then resumed
-// as after a lost connection.
+// moveIfFaster ends the exchange if a much faster engine has room, where the stream is then
+// resumed as after a lost connection. The place there is reserved first: else all streams that
+// pause at an engine would leave it for the same free slot.
 func (w *paceWatch) moveIfFaster(perEvent time.Duration) {
-	slowness, found := w.fl.Balancer.FindFaster(w.engine, w.wish, perEvent)
-	if !found || w.ended.Swap(true) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.ended.Load() || !w.fl.timeLeft() {
 		return
 	}
-	eventStreamMoved.Info("request", w.fl.request.ID, "engine", w.engine.ID, "slowdown", slowness.Value, "age", slowness.Age, "per_event", perEvent)
+	next, slowness := w.fl.Balancer.AcquireFaster(w.engine, w.wish, perEvent)
+	if next == nil {
+		return
+	}
+	w.next = next
+	w.ended.Store(true)
+	eventStreamMoved.Info("request", w.fl.request.ID, "engine", w.engine.ID, "to", next.Engine.ID, "slowdown", slowness.Value, "age", slowness.Age, "per_event", perEvent)
 	w.fl.Balancer.StreamsMoved.Add(1)
 	w.cancel(errEnginePace)
 }
 
-// stop ends the watch and records the run in the lease.
-func (w *paceWatch) stop(lease *balance.Lease) {
+// stop ends the watch, records the run in the lease and returns the place where the stream
+// moves, if any.
+func (w *paceWatch) stop(lease *balance.Lease) *balance.Lease {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.ended.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 	lease.RecordEvents(w.pace.events, w.pace.last.Sub(w.pace.first))
+	return w.next
 }
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -47,13 +48,16 @@
 
 // streamingEngine sends streams of streamEvents events. It stops after stopAfter of them, if
 // that isn't 0, until the connection closes, which it counts in closed.
-func streamingEngine(t *testing.T, id string, stopAfter int, closed *atomic.Int32) catalog.Engine {
+func streamingEngine(t *testing.T, id string, withIDs bool, stopAfter int, closed *atomic.Int32) catalog.Engine {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		after := 0
 		_, _ = fmt.Sscan(r.Header.Get("X-After"), &after)
 		for event := after + 1; event <= streamEvents; event++ {
-			fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
+			if withIDs {
+				fmt.Fprintf(w, "id: %d\n", event)
+			}
+			fmt.Fprintf(w, "data: %d\n\n", event)
 			_ = http.NewResponseController(w).Flush()
 			if event == stopAfter {
 				<-r.Context().Done()
@@ -67,15 +71,16 @@
 	return catalog.Engine{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8}
 }
 
-// streamSink counts the events of a stream.
+// streamSink records the events of a stream.
 type streamSink struct {
 	recordingSink
-	events         int
+	events         []string
 	ended, aborted bool
 }
 
-func (s *streamSink) WriteEvent([]byte) error {
-	s.events++
+func (s *streamSink) WriteEvent(raw []byte) error {
+	_, data, _ := strings.Cut(string(raw), "data: ")
+	s.events = append(s.events, strings.TrimSpace(data))
 	return nil
 }
 
@@ -95,19 +100,21 @@
 		attempts  int
 		useSpeeds bool
 		ejected   bool // the other engine
+		withIDs   bool // of events
 		moves     int64
 	}{
-		{"moves", true, 3, true, false, 1},
-		{"not resumable", false, 3, true, false, 0},
-		{"last attempt", true, 1, true, false, 0},
-		{"speeds not used", true, 3, false, false, 0},
-		{"no other engine", true, 3, true, true, 0},
+		{"moves", true, 3, true, false, true, 1},
+		{"not resumable", false, 3, true, false, true, 0},
+		{"last attempt", true, 1, true, false, true, 0},
+		{"speeds not used", true, 3, false, false, true, 0},
+		{"no other engine", true, 3, true, true, true, 0},
+		{"no event IDs", true, 3, true, false, false, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
 			var closed atomic.Int32
-			engines := []catalog.Engine{streamingEngine(t, "a", 8, &closed), streamingEngine(t, "b", 0, &closed)}
+			engines := []catalog.Engine{streamingEngine(t, "a", test.withIDs, 8, &closed), streamingEngine(t, "b", test.withIDs, 0, &closed)}
 			snapshot := catalog.NewSnapshot(nil, engines)
 			balancer := balance.New(func() *catalog.Snapshot { return snapshot })
 			balancer.UseSpeeds = func() bool { return test.useSpeeds }
@@ -138,10 +145,31 @@
 			g.Expect(balancer.StreamsMoved.Load()).To(gomega.Equal(test.moves))
 			g.Expect(sink.ended).To(gomega.Equal(test.moves > 0))
 			g.Eventually(closed.Load).Should(gomega.BeEquivalentTo(1))
+			g.Eventually(balancer.OwnReport, 5*time.Second).Should(gomega.BeEmpty(), "no place stays reserved")
 			if test.moves > 0 {
-				g.Expect(sink.events).To(gomega.Equal(streamEvents))
+				g.Expect(sink.events).To(gomega.HaveLen(streamEvents))
+				for i, event := range sink.events {
+					g.Expect(event).To(gomega.Equal(strconv.Itoa(i + 1)))
+				}
 				g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 600*time.Millisecond))
 			}
 		})
 	}
 }
+
+// A stream without time for another attempt must not leave its engine.
+func TestStreamStaysWithoutTimeLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	balancer := balance.New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
+	asked := false
+	balancer.UseSpeeds = func() bool { asked = true; return true }
+	balancer.RecordReport("a", upstream.Load{Slowdown: 1, ReportsSlowdown: true})
+	move := func(left time.Duration) {
+		fl := &inflight{Forwarder: &Forwarder{Balancer: balancer}, deadline: time.Now().Add(left)}
+		(&paceWatch{fl: fl}).moveIfFaster(time.Second)
+	}
+	move(minAttemptTime / 2)
+	g.Expect(asked).To(gomega.BeFalse())
+	move(time.Minute)
+	g.Expect(asked).To(gomega.BeTrue())
+}
