--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -40,15 +40,12 @@
 	UseSpeeds func() bool
 	// StreamsMoved is the number of streams that moved to a faster engine.
 	StreamsMoved atomic.Int64
-	// LeftToZones is the number of requests refused with ErrZoneShare.
-	LeftToZones atomic.Int64
 	// preemptions holds a token when an online request went to an engine where batch work has
 	// to be preempted.
 	preemptions chan struct{}
 
 	mutex   sync.Mutex                    // guards the fields below; no other lock is taken while it is held
 	table   *Table                        // the pointer doesn't change
-	shares  *ZoneShares                   // nil if room isn't shared among zones
 	credits map[string]map[string]float64 // by route and service: credit of the smooth weighted round robin
 	waiting []*waiter                     // ordered by priority, then arrival
 }
@@ -113,16 +110,8 @@
 // refresh, if not nil, to update the peers' load: with stale load, all waiting requests would
 // take the same free slot.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
-	shared := b.sharesRoom(wish)
-	if shared && !b.passes(wish) {
-		b.LeftToZones.Add(1)
-		return nil, ErrZoneShare
-	}
 	lease, found := b.acquirePermitted(ctx, wish, nil, priority)
 	if found {
-		if shared {
-			b.countAdmitted(wish)
-		}
 		return lease, nil
 	}
 	if err := b.rejection(wish, wait); err != nil {
--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -128,47 +128,6 @@
 	return b.UseSpeeds != nil && b.EnginesShareMachines() && b.UseSpeeds()
 }
 
-// ShareAmongZones makes a front node share room with callers of other zones of its region,
-// where choices follow the speeds. It must be called before the balancer is used.
-func (b *Balancer) ShareAmongZones(zone, region string) { b.shares = NewZoneShares(zone, region) }
-
-// sharesRoom reports whether a request takes part in the sharing among zones: the first try of
-// an online request that may be served in time, anywhere.
-func (b *Balancer) sharesRoom(wish Wish) bool {
-	return b.shares != nil && wish.Class == ClassOnline && wish.Wait > 0 && len(wish.Avoid) == 0 && wish.Regions == nil && b.usesSpeeds()
-}
-
-func (b *Balancer) passes(wish Wish) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.shares.Pass(wish.Service, clock.Now(), rand.Float64())
-}
-
-func (b *Balancer) countAdmitted(wish Wish) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.shares.Admitted(wish.Service, clock.Now())
-}
-
-// OwnDemand returns this node's demand; none where room isn't shared among zones.
-func (b *Balancer) OwnDemand() Demand {
-	if b.shares == nil || !b.usesSpeeds() {
-		return nil
-	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.shares.Own(clock.Now())
-}
-
-// SetDemand records the demand of all zones.
-func (b *Balancer) SetDemand(total Demand) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.shares != nil {
-		b.shares.SetTotal(total, clock.Now())
-	}
-}
-
 // RecordEvents records that an online request received events over a time since the first
 // one.
 func (l *Lease) RecordEvents(count int, span time.Duration) {
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -31,7 +31,6 @@
 
 	quotas *quotaExchange
 	probes speedProbes
-	demand *demandRelay
 
 	regionJobs, misplacedJobs *prometheus.GaugeVec
 
@@ -88,8 +87,6 @@
 	permits := newPermitServer(settings, d.peers, d.agent.Nodes, d.catalog.Snapshot)
 	d.peers.HandleDatagram(kindPermitAsk, permits.handleAsk)
 	d.registerGauges(permits.gauges())
-	d.demand = newDemandRelay(d.peers)
-	d.peers.HandleDatagram(kindZoneDemand, d.demand.handle)
 	d.registerGauges(map[string]gauge{
 		"chutelock_speed_probes_total":        {"Health requests sent to engines whose slowness was not known.", func() float64 { return float64(d.probes.sent.Load()) }},
 		"chutelock_speed_probes_failed_total": {"Those of them without an answer that tells it.", func() float64 { return float64(d.probes.failed.Load()) }},
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -48,7 +48,6 @@
 	returnTimes  *forward.ReturnTimes
 	shares       *shareGate
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
-	demand       *demandReporter
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
 	receiverPicker *loadshare.ReceiverPicker
@@ -104,9 +103,6 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	f.balancer.ShareAmongZones(settings.Node.Zone, settings.Node.Region)
-	f.demand = &demandReporter{balancer: f.balancer, sender: f.peers}
-	f.peers.HandleDatagram(kindZoneDemand, f.demand.handle)
 	f.peers.HandleDatagram(kindLoadSum, f.handleLoadSum)
 	f.peers.HandleDatagram(kindQuotaSum, f.quota.handleSum)
 	permits := newPermitClient(f.peers, f.agent.Nodes, f.catalog.noteWarm)
@@ -117,9 +113,6 @@
 		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
 			return float64(f.balancer.StreamsMoved.Load())
 		}},
-		"chutelock_requests_left_to_zones_total": {"Requests refused as callers of other zones got less of the room.", func() float64 {
-			return float64(f.balancer.LeftToZones.Load())
-		}},
 	})
 	return f, nil
 }
--- a/internal/system/loadexchange.go
+++ b/internal/system/loadexchange.go
@@ -12,7 +12,6 @@
 func (d *data) handleLoadReport(from transport.Address, payload []byte) {
 	if d.receiveReport(from, payload) && d.responseLimiter.allow(from, clock.Now()) {
 		d.speeds.sendToFront(from)
-		d.demand.sendToFront(from)
 		_ = d.peers.Datagram(from, kindLoadSum, d.encodedSum.get(clock.Now(), d.loadSum))
 	}
 }
@@ -114,7 +113,6 @@
 		_ = d.peers.Datagram(receiver, kindLoadShare, encoded)
 		d.quotas.sendShare(receiver, zones[receiver])
 		d.speeds.sendToData(receiver)
-		d.demand.sendToData(receiver)
 	}
 }
 
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -22,7 +22,6 @@
 	kindQuotaSum                                                // quota.Sum
 	kindQuotaShare                                              // quota.Share
 	kindEngineSpeeds                                            // enginespeed.Update; unknown to earlier versions, which ignore it
-	kindZoneDemand                                              // balance.Demand; as above
 )
 
 const (
@@ -102,7 +101,6 @@
 	}
 	f.lastReport = own
 	f.speeds.sendToRelay(to)
-	f.demand.sendToRelay(to)
 	// An unsent report counts as lost: the picker detects the missing sum.
 	_ = f.peers.Datagram(to, kind, own.Marshal())
 	return f.sumReceived
