--- a/internal/forward/uneven_test.go
+++ b/internal/forward/uneven_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -268,6 +269,15 @@
 	return s
 }
 
+// playTogether plays independent simulations at the same time.
+func playTogether(load float64, simulations ...*unevenSimulation) {
+	var group sync.WaitGroup
+	for _, s := range simulations {
+		group.Go(func() { s.play(load) })
+	}
+	group.Wait()
+}
+
 func (s *unevenSimulation) log(t *testing.T, name string) {
 	share := func(count int) float64 { return float64(count) / float64(s.offered) }
 	t.Logf("%s: in time %.3f late %.3f refused %.3f past the deadline %.4f, into other zones %.3f; use relative to speed: fast %.2f slow %.2f",
@@ -282,7 +292,8 @@
 		t.Run(strconv.FormatFloat(load, 'f', 1, 64), func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			before, after := newUnevenSimulation(false, true, 1).play(load), newUnevenSimulation(true, true, 1).play(load)
+			before, after := newUnevenSimulation(false, true, 1), newUnevenSimulation(true, true, 1)
+			playTogether(load, before, after)
 			before.log(t, "without")
 			after.log(t, "with")
 			g.Expect(after.share()).To(gomega.BeNumerically(">=", before.share()))
@@ -298,10 +309,11 @@
 
 // Without figures from other nodes callers must fare no worse than without the speeds.
 func TestUnevenEnginesWithoutRelays(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
-	before, after := newUnevenSimulation(false, true, 1).play(0.7), newUnevenSimulation(true, true, 1)
+	before, after := newUnevenSimulation(false, true, 1), newUnevenSimulation(true, true, 1)
 	after.relaysLost = true
-	after.play(0.7)
+	playTogether(0.7, before, after)
 	after.log(t, "relays lost")
 	g.Expect(after.share()).To(gomega.BeNumerically(">=", before.share()))
 }
