Speeds: no state of peers, and no probe timer, where they are off

Peers got a cursor at each message even where choices don't follow the speeds, and data nodes with probes configured woke up in mode off, too.

--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -128,7 +128,7 @@
 		d.spawn(d.manageShards)
 	}
 	d.spawn(d.shareLoad)
-	if d.settings.Overload.SpeedProbes > 0 {
+	if d.settings.Overload.SpeedProbes > 0 && d.settings.Overload.Mode != config.OverloadOff {
 		d.spawn(d.probeSpeeds)
 	}
 	return nil
--- a/internal/system/enginespeeds.go
+++ b/internal/system/enginespeeds.go
@@ -41,6 +41,9 @@
 }
 
 func (s *speedExchange) send(to transport.Address, relayed bool, include func(enginespeed.Source) bool) {
+	if !s.balancer.FollowsSpeeds() {
+		return
+	}
 	s.mutex.Lock()
 	if len(s.cursors) > maxTrackedPeers {
 		s.cursors = map[transport.Address]uint64{}
--- a/internal/system/enginespeeds_test.go
+++ b/internal/system/enginespeeds_test.go
@@ -92,6 +92,7 @@
 	unused.sendToRelay("relay")
 	calm.sendToRelay("relay")
 	g.Expect(network.sent).To(gomega.BeZero())
+	g.Expect(unused.cursors).To(gomega.BeEmpty())
 }
 
 // A lost or malformed datagram must change nothing; the next report arrives. A relay that
