A stream's pause is checked less and less often

Each check looks at all engines, 1.5 ms at 5,700 of which none has room, under the balancer's lock, and was repeated at half the pause as long as it lasted.

--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -25,6 +25,9 @@
 	pauseShare = 0.5
 	// paceCheckEvents is the number of events between two predictions of a stream's end.
 	paceCheckEvents = 8
+	// maxCheckDoublings bounds the interval between two checks of a pause to 8 times the pause
+	// after which a stream may move.
+	maxCheckDoublings = 4
 )
 
 // streamPace follows the events of one exchange. It has no side effects.
@@ -63,8 +66,9 @@
 	wish     balance.Wish
 	cancel   context.CancelCauseFunc
 	maxPause time.Duration
-	timer    *time.Timer // fires when a pause gets too long; nil if pauses aren't watched
-	ended    atomic.Bool // the stream ended or moves; always set if it isn't watched
+	timer    *time.Timer  // fires when a pause gets too long; nil if pauses aren't watched
+	checks   atomic.Int32 // of the current pause
+	ended    atomic.Bool  // the stream ended or moves; always set if it isn't watched
 
 	mutex sync.Mutex     // guards next; acquired before the balancer's
 	next  *balance.Lease // where the stream moves
@@ -98,6 +102,7 @@
 		return
 	}
 	if w.timer != nil {
+		w.checks.Store(0)
 		w.timer.Reset(w.maxPause)
 	}
 	if due && !w.fl.deadline.IsZero() {
@@ -108,13 +113,14 @@
 	}
 }
 
-// checkPause is called when no event came for maxPause, and repeatedly while the pause lasts.
+// checkPause is called when no event came for maxPause, and less and less often while the pause
+// lasts: a check looks at all engines, and many streams pause when room is short.
 func (w *paceWatch) checkPause() {
 	if w.ended.Load() {
 		return
 	}
 	w.moveIfFaster(w.maxPause)
-	w.timer.Reset(w.maxPause / 2)
+	w.timer.Reset(w.maxPause / 2 << min(w.checks.Add(1)-1, maxCheckDoublings))
 }
 
 // moveIfFaster ends the exchange if a much faster engine has room, where the stream is then
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -173,3 +173,24 @@
 	move(time.Minute)
 	g.Expect(asked).To(gomega.BeTrue())
 }
+
+// Many streams that pause while no engine has room must not look for one all the time.
+func TestPauseIsCheckedLessOften(t *testing.T) {
+	g := gomega.NewWithT(t)
+	balancer := balance.New(func() *catalog.Snapshot { return catalog.NewSnapshot(nil, nil) })
+	var checks atomic.Int32
+	balancer.UseSpeeds = func() bool { checks.Add(1); return true }
+	balancer.RecordReport("a", upstream.Load{Slowdown: 1, ReportsSlowdown: true})
+	fl := &inflight{Forwarder: &Forwarder{Balancer: balancer}, request: &Request{}, route: &catalog.Route{Resumable: true, Attempts: 2, GapTarget: 20 * time.Millisecond}}
+	fl.attempts = NewAttempts(fl.route)
+	lease, err := balance.New(func() *catalog.Snapshot {
+		return catalog.NewSnapshot(nil, []catalog.Engine{{ID: "a", Service: "s", Slots: 1}})
+	}).Acquire(context.Background(), balance.Wish{Service: "s"}, 0, 0, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	watch := fl.startPaceWatch(catalog.Engine{ID: "a", Service: "s"}, nil)
+	watch.event(true)
+	checks.Store(0)
+	time.Sleep(300 * time.Millisecond)
+	watch.stop(lease)
+	g.Expect(checks.Load()).To(gomega.BeNumerically("~", 6, 3), "60 at a constant interval")
+}
