--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -34,6 +35,11 @@
 	// Permit is called before a request is sent to a paced engine; nil disables pacing. It
 	// must be set before the balancer is used.
 	Permit func(ctx context.Context, request PermitRequest) Permission
+	// UseSpeeds reports whether choices follow the engines' speeds; nil means they don't. It
+	// must be set before the balancer is used and may call EnginesShareMachines.
+	UseSpeeds func() bool
+	// StreamsMoved is the number of streams that moved to a faster engine.
+	StreamsMoved atomic.Int64
 	// preemptions holds a token when an online request went to an engine where batch work has
 	// to be preempted.
 	preemptions chan struct{}
@@ -93,7 +99,10 @@
 	permitExpiry time.Time // end of the permit's validity
 	prefilledAt  time.Time // first event received; guarded by the balancer's mutex
 	unreadTokens int       // prompt tokens not read yet; guarded by the balancer's mutex
-	released     bool
+	events       int       // received; set by RecordEvents, guarded by the balancer's mutex
+	// slowness is the engine's when its first event arrived; guarded by the balancer's mutex.
+	slowness float64
+	released bool
 }
 
 // Acquire reserves a place at an engine for the wish, counted until it is released. It waits
@@ -133,6 +142,7 @@
 	defer l.balancer.mutex.Unlock()
 	if l.prefilledAt.IsZero() {
 		l.prefilledAt = clock.Now()
+		l.slowness = l.balancer.table.speeds.SlownessAt(l.balancer.table.speedKey(l.Engine.ID), l.prefilledAt)
 	}
 	l.clearUnread()
 }
@@ -160,6 +170,7 @@
 		b.table.RecordResidence(now.Sub(l.startedAt))
 		if !l.prefilledAt.IsZero() {
 			b.table.RecordHold(now.Sub(l.prefilledAt))
+			b.table.RecordServiceHold(l.Engine, now.Sub(l.prefilledAt), l.events, now)
 		}
 	}
 }
@@ -200,8 +211,10 @@
 // service.
 func (b *Balancer) tryAcquire(wish Wish, self *waiter, priority int) (*Lease, bool) {
 	snapshot := b.snapshot()
+	useSpeeds := b.usesSpeeds()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.table.useSpeeds = useSpeeds
 	for _, other := range b.waiting {
 		if other == self {
 			break
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/enginespeed"
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
@@ -104,9 +105,13 @@
 	nextWindowStart int
 	// index maps keys to engines of the newest snapshot.
 	index engineIndex
-	// enginesShareMachines is set once an engine has reported its slowdown. It is read without
-	// the lock that guards the table.
+	// enginesShareMachines is set once an engine has reported its slowdown, here or to a peer.
+	// It is read without the lock that guards the table.
 	enginesShareMachines atomic.Bool
+	// speeds are the estimates of all engines' speeds, and useSpeeds whether choices follow
+	// them.
+	speeds    *enginespeed.Estimates
+	useSpeeds bool
 }
 
 // NewTable returns an empty table.
@@ -114,6 +119,7 @@
 	return &Table{
 		engines: map[string]*engineState{}, peers: map[string]peerLoad{}, peerSum: Report{}, engineReported: map[EngineKey]relayedLoad{},
 		keys: map[string]EngineKey{}, zoneRTTs: rttTracker{}, meanResidence: initialMean, meanHold: initialMean, foundRoomFraction: 1,
+		speeds: enginespeed.New(),
 	}
 }
 
@@ -177,8 +183,9 @@
 	state.report = load
 	state.reportAt = now
 	state.ownAtReport = state.total()
-	if load.ReportsSlowdown && !t.enginesShareMachines.Load() {
+	if load.ReportsSlowdown {
 		t.enginesShareMachines.Store(true)
+		t.speeds.Slowness(t.speedKey(id), id, load.Slowdown, now, now, enginespeed.Source{})
 	}
 }
 
@@ -293,6 +300,7 @@
 			delete(t.keys, id)
 		}
 	}
+	t.speeds.Forget(now)
 	t.expire(now)
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -102,6 +102,7 @@
 	framed        bool // the last response had a length or was chunked
 	toldRetry     time.Duration
 	verdict       string
+	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
 }
 
@@ -129,6 +130,11 @@
 }
 
 func (fl *inflight) run(ctx context.Context) {
+	defer func() {
+		if fl.next != nil {
+			fl.next.Cancel()
+		}
+	}()
 	for {
 		if left, held := fl.Guard.Held(fl.fingerprint); held {
 			fl.refuseHeld(left)
@@ -151,7 +157,9 @@
 			return
 		}
 		fl.release(lease, result)
-		fl.reportLostConnection(ctx, engine, result)
+		if !result.moved() {
+			fl.reportLostConnection(ctx, engine, result)
+		}
 		step := fl.attempts.Next(result.kind)
 		if step == StepRetry && !fl.timeLeft() {
 			step = fl.attempts.GiveUp(result.kind)
@@ -181,9 +189,16 @@
 	}
 }
 
-// acquire waits for an engine of the chosen service, or of another service of the route if
-// the chosen one has no engine.
+// acquire returns the reserved place if there is one. Else it waits for an engine of the chosen
+// service, or of another service of the route if the chosen one has no engine.
 func (fl *inflight) acquire(ctx context.Context) (*balance.Lease, error) {
+	if lease := fl.next; lease != nil {
+		fl.next = nil
+		if fl.Chosen != nil {
+			fl.Chosen()
+		}
+		return lease, nil
+	}
 	policy := fl.waitPolicy()
 	wish := fl.wish(policy.waitAtEngine(clock.Now()))
 	if fl.Refresh != nil {
@@ -234,8 +249,16 @@
 	return balance.Wish{
 		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
-		Regions: fl.regions(), Avoid: fl.avoidEngines, AvoidZones: fl.avoidZones, Wait: wait,
+		Regions: fl.regions(), Avoid: fl.avoidEngines, AvoidZones: fl.avoidZones, Wait: wait, Left: fl.left(),
+	}
+}
+
+// left returns the time until the request's deadline; 0 if it has none.
+func (fl *inflight) left() time.Duration {
+	if fl.deadline.IsZero() {
+		return 0
 	}
+	return max(1, clock.Until(fl.deadline))
 }
 
 func (fl *inflight) waitPolicy() waitPolicy {
@@ -327,7 +350,7 @@
 // reportToBalancer reports an attempt that did not succeed.
 func (fl *inflight) reportToBalancer(engine catalog.Engine, result attemptResult) {
 	switch {
-	case result.withheld:
+	case result.withheld, result.moved():
 	case result.kind == OutcomeRefused && !result.addressReused:
 		fl.Balancer.RecordRefusal(engine.ID)
 	default:
