--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -100,9 +100,13 @@
 // to.
 var errRegionsChanged = errors.New("batchwork: the regions of the job have changed")
 
-// Submit submits a job. It returns nil once the job is stored; ErrQueueFull, ErrTenantMismatch,
-// ErrNoHome or ErrNotTaken if it was certainly not accepted; and ErrUnknown otherwise.
+// Submit submits a job. It returns nil once the job is stored; a RefusedError, ErrQueueFull,
+// ErrTenantMismatch, ErrNoHome, ErrNotTaken or an InvalidJobError if it was certainly not
+// accepted; and ErrUnknown otherwise.
 func (c *Caller) Submit(ctx context.Context, job *Job) error {
+	if err := job.validate(); err != nil {
+		return err
+	}
 	p := newPlacement(job)
 	p.isEmpty = func(shard ledger.ShardID, epoch uint64) bool {
 		return c.isEmpty(formerHomeKey{shard, job.queue()}, epoch)
@@ -124,6 +128,9 @@
 			continue
 		case errors.Is(err, ErrNotTaken), errors.Is(err, ErrUnknown):
 			return c.orUnknown(uncertain, ErrNotTaken)
+		case errors.Is(err, ErrTooLate):
+			// An earlier call may still be on its way to a leader that accepts the job.
+			return c.orUnknown(uncertain, err)
 		}
 		if done, outcome := p.handleAnswer(content, err); done {
 			if outcome == nil && p.stage == stagePlace {
@@ -320,12 +327,13 @@
 // isFinal reports whether an error is a shard's answer, so that a retry is pointless.
 func isFinal(err error) bool {
 	var other *otherShardError
-	for _, answer := range []error{ErrNoJob, ErrQueueFull, ErrTenantMismatch, ErrOutdated, errMoved} {
+	var invalid *InvalidJobError
+	for _, answer := range []error{ErrNoJob, ErrQueueFull, ErrTooLate, ErrTenantMismatch, ErrOutdated, errMoved} {
 		if errors.Is(err, answer) {
 			return true
 		}
 	}
-	return errors.As(err, &other)
+	return errors.As(err, &other) || errors.As(err, &invalid)
 }
 
 // call tries leaders until one answers or ctx ends. uncertain reports whether an attempt
@@ -393,6 +401,10 @@
 		return nil, leader, ErrNotTaken
 	case statusOtherShard:
 		return nil, "", trace.Wrap(decodeOtherShard(fields[0]))
+	case statusQueueFull:
+		return nil, "", decodeRefusal(fields[0])
+	case statusInvalid:
+		return nil, "", invalidJob(string(fields[0]))
 	}
 	if answer, known := statusErrors[fixed.Status]; known {
 		return nil, "", answer
@@ -402,5 +414,5 @@
 
 // statusErrors maps final statuses without content to errors.
 var statusErrors = map[status]error{
-	statusNoJob: ErrNoJob, statusQueueFull: ErrQueueFull, statusTenantMismatch: ErrTenantMismatch, statusMoved: errMoved, statusOutdated: ErrOutdated,
+	statusNoJob: ErrNoJob, statusTenantMismatch: ErrTenantMismatch, statusMoved: errMoved, statusOutdated: ErrOutdated,
 }
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -33,6 +33,7 @@
 	statusOtherShard // the content names the shard
 	statusMoved
 	statusOutdated
+	statusInvalid // the content is the cause; submissions of older nodes are never answered so
 )
 
 // otherShardError reports which shard has a job.
@@ -125,7 +126,11 @@
 	Permitted func(host, path, tenant string) bool
 	// Replicas lists the addresses of the nodes that can answer reads.
 	Replicas func() []transport.Address
-	Receiver transport.Receiver
+	// Refuse returns an error if the leader predicts that a job is done too late, and QueueRoom
+	// predicts when a full queue has room for a job; both may be nil.
+	Refuse    func(job *Job) error
+	QueueRoom func(job *Job) (retryAfter time.Duration, known bool)
+	Receiver  transport.Receiver
 }
 
 // Server handles calls: reads at any replica, all other calls at the shard's leader.
@@ -134,10 +139,14 @@
 	machine   *Machine
 	lowSpace  func() bool
 	permitted func(host, path, tenant string) bool
+	refuse    func(job *Job) error
+	queueRoom func(job *Job) (retryAfter time.Duration, known bool)
+	submitted *submissions
 }
 
 // RegisterServer registers the handlers of a data node.
 func RegisterServer(options ServerOptions) {
+	submitted := newSubmissions()
 	for kind, serve := range map[transport.Kind]func(*Server, context.Context, []byte) ([]byte, error){
 		kindSubmit: (*Server).submit, kindRead: (*Server).read, kindBody: (*Server).body, kindEnd: (*Server).end,
 		kindPlace: (*Server).place, kindClaim: (*Server).claim, kindFence: (*Server).fence,
@@ -147,7 +156,10 @@
 			if !found {
 				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
 			}
-			content, err := serve(&Server{held, options.Machine, options.LowSpace, options.Permitted}, ctx, payload)
+			content, err := serve(&Server{
+				shard: held, machine: options.Machine, lowSpace: options.LowSpace, permitted: options.Permitted,
+				refuse: options.Refuse, queueRoom: options.QueueRoom, submitted: submitted,
+			}, ctx, payload)
 			var replicas []byte
 			if leads, _ := held.Leading(); leads && (kind == kindRead || kind == kindBody) {
 				replicas = encodeReplicas(options.Replicas())
@@ -161,6 +173,8 @@
 func reply(content, replicas []byte, err error) []byte {
 	var notLeader *ledger.NotLeaderError
 	var other *otherShardError
+	var refused *RefusedError
+	var invalid *InvalidJobError
 	switch {
 	case err == nil:
 		return marshal(fixedReply{statusDone}, content, replicas)
@@ -172,8 +186,12 @@
 		return marshal(fixedReply{statusOutdated}, nil, nil)
 	case errors.Is(err, ErrNoJob):
 		return marshal(fixedReply{statusNoJob}, nil, nil)
+	case errors.As(err, &refused):
+		return marshal(fixedReply{statusQueueFull}, refused.marshal(), nil)
 	case errors.Is(err, ErrQueueFull):
 		return marshal(fixedReply{statusQueueFull}, nil, nil)
+	case errors.As(err, &invalid):
+		return marshal(fixedReply{statusInvalid}, []byte(invalid.Cause), nil)
 	case errors.Is(err, ErrTenantMismatch):
 		return marshal(fixedReply{statusTenantMismatch}, nil, nil)
 	case errors.As(err, &notLeader):
@@ -189,7 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.propose(ctx, encodeSubmit(job))
+	return s.proposeJob(ctx, job, 0, encodeSubmit(job))
 }
 
 // admit decodes a submission. It rejects new jobs if the disk is too full, or if the
@@ -221,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.propose(ctx, encodeCommand(commandPlace, marshal(fixed, encodeJob(job, true))))
+	return s.proposeJob(ctx, job, fixed.Epoch, encodeCommand(commandPlace, marshal(fixed, encodeJob(job, true))))
 }
 
 func (s *Server) claim(ctx context.Context, payload []byte) ([]byte, error) {
--- a/internal/batchwork/estimator.go
+++ b/internal/batchwork/estimator.go
@@ -35,8 +35,12 @@
 
 // remaining estimates how long an item still takes.
 func (e *itemEstimator) remaining(item openItem) time.Duration {
-	events := max(e.itemEvents-float64(item.lastEvent), e.itemEvents/8)
-	return time.Duration(e.eventTime * events)
+	return time.Duration(e.eventTime * e.eventsLeft(item))
+}
+
+// eventsLeft estimates how many events of an item are still to come.
+func (e *itemEstimator) eventsLeft(item openItem) float64 {
+	return max(e.itemEvents-float64(item.lastEvent), e.itemEvents/8)
 }
 
 // feasible reports whether an item started now can be done in time.
--- /dev/null
+++ b/internal/batchwork/jobforecast.go
@@ -0,0 +1,70 @@
+package batchwork
+
+import (
+	"time"
+
+	"chutelock.dev/chutelock/internal/fairshare"
+)
+
+// minJobRetryAfter is the least Retry-After of a refused job: the time that a plan needs to see
+// what has ended.
+const minJobRetryAfter = 200 * time.Millisecond
+
+// jobForecast predicts when a service's jobs are done, from the open work of its tenants and
+// the mean number of slots that online work leaves. It assumes max-min fair shares of these
+// slots. Work is the time for which items hold a slot.
+type jobForecast struct {
+	slots  float64
+	weight func(tenant string) float64
+	work   map[string]time.Duration
+}
+
+// timeFor returns how long a tenant's first work of the given amount takes. While it runs,
+// each other tenant gets no more than its weight's share.
+func (f jobForecast) timeFor(tenant string, work time.Duration) time.Duration {
+	own := f.weight(tenant)
+	if own <= 0 || f.slots <= 0 {
+		return 0
+	}
+	total := float64(work)
+	for other, open := range f.work {
+		if other != tenant {
+			total += min(float64(open), float64(work)*f.weight(other)/own)
+		}
+	}
+	return time.Duration(total / f.slots)
+}
+
+// share returns a tenant's max-min fair share of the slot time within a period, if it asks for
+// work in addition to what it has open.
+func (f jobForecast) share(tenant string, work, period time.Duration) time.Duration {
+	demands := []fairshare.Demand{{Weight: f.weight(tenant), Amount: float64(f.work[tenant] + work)}}
+	for other, open := range f.work {
+		if other != tenant {
+			demands = append(demands, fairshare.Demand{Weight: f.weight(other), Amount: float64(open)})
+		}
+	}
+	return time.Duration(fairshare.MaxMin(f.slots*float64(period), demands)[0])
+}
+
+// open returns the open work of all tenants.
+func (f jobForecast) open() time.Duration {
+	total := time.Duration(0)
+	for _, work := range f.work {
+		total += work
+	}
+	return total
+}
+
+// completion predicts how long a new job takes whose items hold slots for work in all, and a
+// single one for longest.
+func (f jobForecast) completion(tenant string, work, longest time.Duration) time.Duration {
+	return max(f.timeFor(tenant, f.work[tenant]+work), longest)
+}
+
+// retryAfter returns when a refused job that is predicted to take completion may be accepted,
+// if it may take at most limit. Predictions shrink as open work is done, so the difference
+// suffices while no other jobs arrive.
+func (f jobForecast) retryAfter(completion, limit time.Duration) time.Duration {
+	return min(max(completion-limit, minJobRetryAfter), limit)
+}
--- /dev/null
+++ b/internal/batchwork/overload.go
@@ -0,0 +1,157 @@
+package batchwork
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var eventJobRefused = telemetry.Define(3219, "batch-job-refused", "A batch job was refused before it was accepted; gives what its tenant's share of the slot time is, what is open, and when the job would be done.")
+
+// OverloadOptions configure the decisions under overload.
+type OverloadOptions struct {
+	// Active reports whether the decisions are in force; nil means never.
+	Active func() bool
+	// Weight returns a tenant's weight when slots are short; nil means that all are equal.
+	Weight func(tenant string) float64
+	// Speed returns an engine's speed in relation to others; nil means that all are equal.
+	Speed func(engine string) float64
+	// JobLateness is the predicted time to complete a job, as a multiple of the time that its
+	// route allows, above which the job is refused; 0 accepts all.
+	JobLateness float64
+}
+
+func (o OverloadOptions) active() bool { return o.Active != nil && o.Active() }
+
+func (o OverloadOptions) weight(tenant string) float64 {
+	if o.Weight == nil {
+		return 1
+	}
+	return o.Weight(tenant)
+}
+
+// serviceLoad is what a leader knows of the batch work of a service.
+type serviceLoad struct {
+	room roomMeter
+	gate *startGate
+	// work is the open work of items that can be done in time, by tenant.
+	work map[string]time.Duration
+}
+
+// overload holds what the decisions under overload know at a leader. A new leader knows
+// nothing, so that it accepts all jobs and orders items by due time.
+type overload struct {
+	services map[string]*serviceLoad
+	late     int // items that are expected to be late
+}
+
+func newOverload() *overload { return &overload{services: map[string]*serviceLoad{}} }
+
+func (o *overload) service(name string) *serviceLoad {
+	load := o.services[name]
+	if load == nil {
+		load = &serviceLoad{gate: newStartGate(), work: map[string]time.Duration{}}
+		o.services[name] = load
+	}
+	return load
+}
+
+// eventTime returns how long a slot is held for each event of an item.
+func (l *serviceLoad) eventTime(estimator *itemEstimator) float64 {
+	if measured, known := l.room.eventTime(); known {
+		return measured
+	}
+	return estimator.eventTime
+}
+
+// order orders open items, which are ordered by due time, of several services; service returns
+// an item's service. Without an estimate of a service's room its items are ordered by due time.
+func (o *overload) order(items []openItem, service func(openItem) string, estimator *itemEstimator, weight func(string) float64, now time.Time) []openItem {
+	var names []string
+	byService := map[string][]openItem{}
+	for _, item := range items {
+		name := service(item)
+		if byService[name] == nil {
+			names = append(names, name)
+		}
+		byService[name] = append(byService[name], item)
+	}
+	for name, load := range o.services {
+		if byService[name] == nil {
+			clear(load.work)
+		}
+	}
+	ordered := make([]openItem, 0, len(items))
+	o.late = 0
+	for _, name := range names {
+		sorted, late := o.service(name).order(byService[name], estimator, weight, now)
+		ordered = append(ordered, sorted...)
+		o.late += late
+	}
+	return ordered
+}
+
+func (l *serviceLoad) order(items []openItem, estimator *itemEstimator, weight func(string) float64, now time.Time) ([]openItem, int) {
+	eventTime := l.eventTime(estimator)
+	remaining := func(item openItem) time.Duration { return time.Duration(eventTime * estimator.eventsLeft(item)) }
+	feasible := func(item openItem) bool { return estimator.feasible(item, now) }
+	clear(l.work)
+	late := 0
+	for _, item := range items {
+		if feasible(item) {
+			l.work[item.tenant] += remaining(item)
+		} else {
+			late++
+		}
+	}
+	slots, known := l.room.slots(now)
+	if !known {
+		return estimator.order(items, now), late
+	}
+	return shareOrder{slots: slots, remaining: remaining, weight: weight}.order(items, feasible, now)
+}
+
+// forecast returns the forecast for a service's jobs and the work of a new item; false if too
+// little is known.
+func (l *serviceLoad) forecast(estimator *itemEstimator, weight func(string) float64, now time.Time) (forecast jobForecast, itemWork time.Duration, known bool) {
+	slots, known := l.room.slots(now)
+	perEvent, measured := l.room.eventTime()
+	if !known || !measured {
+		return jobForecast{}, 0, false
+	}
+	return jobForecast{slots: slots, weight: weight, work: l.work}, time.Duration(perEvent * estimator.itemEvents), true
+}
+
+// serviceOf returns the service that runs most of a route's items.
+func serviceOf(route *catalog.Route) string {
+	if route == nil || len(route.Backends) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(route.Backends, func(a, b catalog.Backend) int { return cmp.Compare(a.Weight, b.Weight) }).Service
+}
+
+// assignSpeeds orders leases so that the items that take longest get the fastest engines. Items
+// whose previous engine is among the leases keep it, as it may have their prompt cached.
+func assignSpeeds(items []openItem, leases []*balance.Lease, previous func(openItem) string, length func(openItem) float64, speed func(engine string) float64) []*balance.Lease {
+	assigned := make([]*balance.Lease, len(leases))
+	var open []int
+	var free []*balance.Lease
+	for i, lease := range leases {
+		if previous(items[i]) == lease.Engine.ID {
+			assigned[i] = lease
+			continue
+		}
+		open = append(open, i)
+		free = append(free, lease)
+	}
+	slices.SortStableFunc(open, func(a, b int) int { return cmp.Compare(length(items[b]), length(items[a])) })
+	slices.SortStableFunc(free, func(a, b *balance.Lease) int { return cmp.Compare(speed(b.Engine.ID), speed(a.Engine.ID)) })
+	for i, lease := range free {
+		assigned[open[i]] = lease
+	}
+	return assigned
+}
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -57,13 +57,30 @@
 func (r *Runner) orderItems(open []openItem, now time.Time) []openItem {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.itemEstimator.order(open, now)
+	if !r.options.Overload.active() {
+		return r.itemEstimator.order(open, now)
+	}
+	services := map[routeKey]string{}
+	service := func(item openItem) string {
+		key := routeKey{item.host, item.path}
+		name, known := services[key]
+		if !known {
+			name = serviceOf(r.options.Route(item.host, item.path))
+			services[key] = name
+		}
+		return name
+	}
+	return r.overload.order(open, service, r.itemEstimator, r.options.Overload.weight, now)
 }
 
+// routeKey determines a job's route.
+type routeKey struct{ host, path string }
+
 // observeRun updates the estimates with a run that ended.
-func (r *Runner) observeRun(result runResult) {
+func (r *Runner) observeRun(next *startedRun, result runResult) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.overload.service(next.engine.Service).room.observeRun(clock.Since(next.started), result.events)
 	if result.events > 0 || result.done {
 		r.itemEstimator.observe(result.took, result.events, result.last, result.done)
 	}
@@ -72,12 +89,17 @@
 func (r *Runner) logState(open int, now time.Time) {
 	r.mutex.Lock()
 	running, local, paused, maxRuns := len(r.runs), r.localRuns(), len(r.pauses), r.runLimit.maxRuns
+	late, active := r.overload.late, r.options.Overload.active()
 	due := now.Sub(r.stateLoggedAt) >= stateInterval
 	if due {
 		r.stateLoggedAt = now
 	}
 	r.mutex.Unlock()
-	if due && open > 0 {
+	switch {
+	case !due || open == 0:
+	case active:
+		eventState.Info("open", open, "running", running, "local", local, "paused", paused, "most", maxRuns, "late", late)
+	default:
 		eventState.Info("open", open, "running", running, "local", local, "paused", paused, "most", maxRuns)
 	}
 }
@@ -102,7 +124,7 @@
 	defer r.mutex.Unlock()
 	for k, run := range r.runs {
 		if !r.options.Machine.isOpen(k.job, k.index) {
-			run.cancel()
+			r.cut(run, cutJobEnded)
 		}
 	}
 	for k := range r.pauses {
@@ -128,6 +150,9 @@
 	r.mutex.Lock()
 	k := itemKey{next.item.job, next.item.index}
 	delete(r.runs, k)
+	if state, found := r.options.Machine.item(k.job, k.index); found {
+		r.options.Metrics.itemEnded(state.state, next.item.due, clock.Now())
+	}
 	if next.executor != "" {
 		r.executors.end(next.executor)
 	}
--- a/internal/batchwork/preempt.go
+++ b/internal/batchwork/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"chutelock.dev/chutelock/internal/clock"
 )
@@ -11,10 +12,26 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if run := r.runs[k]; run != nil {
-		run.begun = true
+		r.setBegun(run)
 	}
 }
 
+// setBegun records that a run has had an event; the caller holds the mutex.
+func (r *Runner) setBegun(run *run) {
+	if !run.begun {
+		r.overload.service(run.engine.Service).gate.observeStart(clock.Since(run.started))
+	}
+	run.begun = true
+}
+
+// cut cancels a run; the caller holds the mutex.
+func (r *Runner) cut(run *run, cause cutCause) {
+	if run.ctx.Err() == nil {
+		r.options.Metrics.runCut(cause)
+	}
+	run.cancel()
+}
+
 // Preempt preempts batch runs at engines whose slots online work needs.
 func (r *Runner) Preempt() {
 	now := clock.Now()
@@ -29,18 +46,23 @@
 		return
 	}
 	byEngine := r.runsByEngine()
+	shared := r.options.Overload.active()
 	for _, overfull := range overfullEngines {
 		runs := byEngine[overfull.Engine]
 		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
 		victims := preemptionOrder(runs)
+		if shared {
+			victims = r.cutOrder(victims, now)
+		}
 		victims = victims[:min(overfull.Excess, len(victims))]
 		if len(victims) == 0 {
 			continue
 		}
 		for _, run := range victims {
 			run.preempted = true
-			run.cancel()
+			r.cut(run, cutOnline)
 			run.lease.Release()
+			r.overload.service(run.engine.Service).gate.observeCut(now.Sub(run.started), now)
 		}
 		eventPreempted.Info("engine", overfull.Engine, "runs", len(runs), "cut", len(victims))
 	}
@@ -68,3 +90,21 @@
 	}
 	return byEngine
 }
+
+// cutOrder returns runs of one engine in the order in which to cut them under overload; the
+// caller holds the mutex.
+func (r *Runner) cutOrder(runs []*run, now time.Time) []*run {
+	if len(runs) == 0 {
+		return nil
+	}
+	load := r.overload.service(runs[0].engine.Service)
+	candidates := make([]cutCandidate, 0, len(runs))
+	for _, run := range runs {
+		item := run.item
+		if state, found := r.options.Machine.item(item.job, item.index); found {
+			item.lastEvent = state.lastEvent
+		}
+		candidates = append(candidates, cutCandidate{run, item.due.Sub(now) - r.itemEstimator.remaining(item) - readMargin})
+	}
+	return cutOrder(candidates, load.gate.startTime, now)
+}
--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -75,7 +75,7 @@
 		lost := 0
 		for _, run := range r.runs {
 			if run.executor == executor {
-				run.cancel()
+				r.cut(run, cutExecutorLost)
 				run.abandon()
 				lost++
 			}
@@ -137,7 +137,7 @@
 			continue
 		}
 		if run != nil {
-			run.begun = true
+			r.setBegun(run)
 			run.lease.PrefillDone()
 		}
 		wanted = append(wanted, field)
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -105,6 +105,10 @@
 	Receiver  transport.Receiver
 	// LocalRuns is the number of runs whose streams the leader reads itself.
 	LocalRuns int
+	// Overload configures the decisions under overload.
+	Overload OverloadOptions
+	// Metrics counts refused jobs, cut runs and ended items; nil counts none.
+	Metrics *Metrics
 }
 
 func (o RunnerOptions) permitted(item *openItem, engine string) bool {
@@ -131,6 +135,7 @@
 	stateLoggedAt   time.Time
 	nextPreemption  time.Time
 	itemEstimator   *itemEstimator
+	overload        *overload
 	runLimit        *runLimit
 	// executors run items for this leader. lastRunNumber starts at a random value, so that
 	// runs of an earlier process at this address are not mistaken for this one's.
@@ -156,6 +161,7 @@
 	number   uint64
 	abandon  context.CancelFunc
 
+	item    openItem
 	engine  catalog.Engine
 	lease   *balance.Lease
 	started time.Time
@@ -169,6 +175,7 @@
 func NewRunner(options RunnerOptions) *Runner {
 	r := &Runner{
 		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, previousEngines: map[itemKey]string{}, itemEstimator: newItemEstimator(), runLimit: newRunLimit(),
+		overload:    newOverload(),
 		pendingEnds: map[itemKey]itemUpdate{},
 		wake:        make(chan struct{}, 1),
 		executors:   newExecutors(options.LocalRuns), lastRunNumber: rand.Uint64(),
@@ -243,7 +250,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, run := range r.runs {
-		run.cancel()
+		r.cut(run, cutNotLeading)
 	}
 }
 
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -19,6 +19,9 @@
 func (r *Runner) startOpen(ctx context.Context, open []openItem, now time.Time) []*startedRun {
 	groups, maxStarts := r.selectStartable(open, now)
 	var started []*startedRun
+	if r.options.Overload.active() {
+		return r.startShared(ctx, groups, maxStarts, now)
+	}
 	for _, group := range groups {
 		wishes := group.wishes[:min(len(group.wishes), maxStarts-len(started))]
 		leases := r.options.Balancer.AcquireMany(wishes, group.priority)
@@ -136,7 +139,7 @@
 		result = r.runRemotely(next, read)
 		r.reportOutcome(next.engine, result)
 	}
-	r.observeRun(result)
+	r.observeRun(next, result)
 	if result.end != nil {
 		r.addPendingEnd(*result.end)
 	}
@@ -186,6 +189,8 @@
 	lease  *balance.Lease
 	ctx    context.Context // ends when the run is stopped
 	cancel context.CancelFunc
+	// started is when the slot was reserved.
+	started time.Time
 
 	// executor is the data node that runs the item; empty if this one does. number
 	// identifies the run there; callCtx ends when no more text is expected.
@@ -203,6 +208,7 @@
 	candidates := r.executorsNear(lease.Engine)
 	k := itemKey{item.job, item.index}
 	now := clock.Now()
+	next.started = now
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.previousEngines[k] = lease.Engine.ID
@@ -213,7 +219,7 @@
 		r.executors.begin(executor, now)
 	}
 	r.runs[k] = &run{
-		ctx: next.ctx, cancel: next.cancel, executor: next.executor, number: next.number, abandon: next.abandon, engine: lease.Engine, lease: lease, started: now,
+		ctx: next.ctx, cancel: next.cancel, executor: next.executor, number: next.number, abandon: next.abandon, item: item, engine: lease.Engine, lease: lease, started: now,
 	}
 	return next
 }
--- /dev/null
+++ b/internal/batchwork/startshared.go
@@ -0,0 +1,79 @@
+package batchwork
+
+import (
+	"context"
+	"time"
+
+	"chutelock.dev/chutelock/internal/balance"
+)
+
+// startShared starts items of groups under overload. It leaves the slots free that online work
+// takes back soon, and gives the longest items the fastest engines.
+func (r *Runner) startShared(ctx context.Context, groups []*startGroup, maxStarts int, now time.Time) []*startedRun {
+	var started []*startedRun
+	for _, group := range groups {
+		leases, full := r.acquireShared(group, min(len(group.wishes), maxStarts-len(started)), now)
+		for i, lease := range r.matchSpeeds(group, leases) {
+			started = append(started, r.start(ctx, group.items[i], group.routes[i], lease))
+		}
+		limited := maxStarts < maxStartsPerPlan && len(started) == maxStarts
+		r.observeRoom(group, full || limited, now)
+	}
+	return started
+}
+
+// acquireShared reserves places for at most count items of a group; full reports that there was
+// no room for more.
+func (r *Runner) acquireShared(group *startGroup, count int, now time.Time) (leases []*balance.Lease, full bool) {
+	if count <= 0 {
+		return nil, false
+	}
+	reserve := r.reserve(group, now)
+	leases = r.options.Balancer.AcquireMany(padWishes(group.wishes[:count], reserve), group.priority)
+	usable := min(count, max(0, len(leases)-reserve))
+	for _, lease := range leases[usable:] {
+		lease.Release()
+	}
+	return leases[:usable], len(leases) < count+reserve
+}
+
+// padWishes returns wishes, of which there is one at least, and reserve more like the last one.
+func padWishes(wishes []balance.Wish, reserve int) []balance.Wish {
+	padded := append([]balance.Wish(nil), wishes...)
+	for range reserve {
+		padded = append(padded, wishes[len(wishes)-1])
+	}
+	return padded
+}
+
+func (g *startGroup) service() string { return g.wishes[0].Service }
+
+func (r *Runner) reserve(group *startGroup, now time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.overload.service(group.service()).gate.reserve(now)
+}
+
+// observeRoom records the runs of a group's service; full reports whether items remain for which
+// there is no slot.
+func (r *Runner) observeRoom(group *startGroup, full bool, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	running := 0
+	for _, run := range r.runs {
+		if run.engine.Service == group.service() && !run.preempted {
+			running++
+		}
+	}
+	r.overload.service(group.service()).room.observe(running, full, now)
+}
+
+func (r *Runner) matchSpeeds(group *startGroup, leases []*balance.Lease) []*balance.Lease {
+	if r.options.Overload.Speed == nil {
+		return leases
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	previous := func(item openItem) string { return r.previousEngines[itemKey{item.job, item.index}] }
+	return assignSpeeds(group.items, leases, previous, r.itemEstimator.eventsLeft, r.options.Overload.Speed)
+}
--- a/internal/batchwork/types.go
+++ b/internal/batchwork/types.go
@@ -83,6 +83,8 @@
 	ErrOutdated = errors.New("batchwork: the configuration is outdated")
 	// ErrQueueFull means that the job exceeds the queue's bound; it was not accepted.
 	ErrQueueFull = errors.New("batchwork: the queue is full")
+	// ErrTooLate means that the job can't be done in time by far; it was not accepted.
+	ErrTooLate = errors.New("batchwork: the job can't be done in time")
 	// ErrNotTaken means that the call certainly had no effect.
 	ErrNotTaken = errors.New("batchwork: no leader accepted the call")
 	// ErrUnknown means that the call may or may not have taken effect.
