--- a/internal/batchwork/acceptance.go
+++ b/internal/batchwork/acceptance.go
@@ -33,15 +33,16 @@
 	if !known {
 		return nil
 	}
-	work := time.Duration(len(job.Items)) * itemWork
+	work, returns := time.Duration(len(job.Items))*itemWork, r.overload.service(service).returns
 	completion := forecast.completion(job.Tenant, work, itemWork)
 	limit := time.Duration(options.JobLateness * float64(job.Completion))
 	if completion <= limit {
 		// Counts until the next plan, which finds the job's items open.
 		forecast.work[job.Tenant] += work
+		returns.accept(job.ID)
 		return nil
 	}
-	refusal := &RefusedError{Cause: ErrTooLate, RetryAfter: forecast.retryAfter(completion, limit)}
+	refusal := &RefusedError{Cause: ErrTooLate, RetryAfter: returns.refuse(job.ID, job.Tenant, work, limit, forecast, now)}
 	r.options.Metrics.jobRefused(refusedTooLate)
 	eventJobRefused.Info(
 		"job", job.ID, "tenant", job.Tenant, "service", service, "items", len(job.Items), "work", work,
--- a/internal/batchwork/jobforecast.go
+++ b/internal/batchwork/jobforecast.go
@@ -10,6 +10,9 @@
 // what has ended.
 const minJobRetryAfter = 200 * time.Millisecond
 
+// maxReturning bounds the refused jobs of a service that are remembered.
+const maxReturning = 4096
+
 // jobForecast predicts when a service's jobs are done, from the open work of its tenants and
 // the mean number of slots that online work leaves. It assumes max-min fair shares of these
 // slots. Work is the time for which items hold a slot.
@@ -62,9 +65,40 @@
 	return max(f.timeFor(tenant, f.work[tenant]+work), longest)
 }
 
-// retryAfter returns when a refused job that is predicted to take completion may be accepted,
-// if it may take at most limit. Predictions shrink as open work is done, so the difference
-// suffices while no other jobs arrive.
-func (f jobForecast) retryAfter(completion, limit time.Duration) time.Duration {
-	return min(max(completion-limit, minJobRetryAfter), limit)
+// returns tracks the refused jobs that were told to return, so that those told later return
+// after them. It is not safe for concurrent use.
+type returns struct {
+	jobs map[string]returningJob
+}
+
+type returningJob struct {
+	tenant string
+	work   time.Duration
+	at     time.Time
+}
+
+func newReturns() *returns { return &returns{jobs: map[string]returningJob{}} }
+
+// refuse returns when a refused job of a tenant may be accepted, if it may take limit at most:
+// once its tenant's open work and that of the tenant's jobs that return before it have shrunk
+// enough. No Retry-After is longer than limit, after which the forecast says nothing.
+func (r *returns) refuse(job, tenant string, work, limit time.Duration, forecast jobForecast, now time.Time) time.Duration {
+	delete(r.jobs, job)
+	ahead := forecast.work[tenant] + work
+	for id, other := range r.jobs {
+		switch {
+		case !now.Before(other.at):
+			delete(r.jobs, id)
+		case other.tenant == tenant:
+			ahead += other.work
+		}
+	}
+	retryAfter := min(max(forecast.timeFor(tenant, ahead)-limit, minJobRetryAfter), limit)
+	if len(r.jobs) < maxReturning {
+		r.jobs[job] = returningJob{tenant, work, now.Add(retryAfter)}
+	}
+	return retryAfter
 }
+
+// accept forgets a job that has returned.
+func (r *returns) accept(job string) { delete(r.jobs, job) }
--- a/internal/batchwork/overload.go
+++ b/internal/batchwork/overload.go
@@ -39,7 +39,8 @@
 	room roomMeter
 	gate *startGate
 	// work is the open work of items that can be done in time, by tenant.
-	work map[string]time.Duration
+	work    map[string]time.Duration
+	returns *returns
 }
 
 // overload holds what the decisions under overload know at a leader. A new leader knows
@@ -54,7 +55,7 @@
 func (o *overload) service(name string) *serviceLoad {
 	load := o.services[name]
 	if load == nil {
-		load = &serviceLoad{gate: newStartGate(), work: map[string]time.Duration{}}
+		load = &serviceLoad{gate: newStartGate(), work: map[string]time.Duration{}, returns: newReturns()}
 		o.services[name] = load
 	}
 	return load
@@ -155,3 +156,13 @@
 	}
 	return assigned
 }
+
+// Late returns how many open items this leader expects to be late; 0 without overload.
+func (r *Runner) Late() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.term == 0 || !r.options.Overload.active() {
+		return 0
+	}
+	return r.overload.late
+}
--- a/internal/batchwork/roommeter.go
+++ b/internal/batchwork/roommeter.go
@@ -13,6 +13,10 @@
 	minRoomTime = 2 * time.Second
 	// maxRoomAge is how long the mean is used after batch work last took all room.
 	maxRoomAge = 30 * time.Second
+	// plannedRoom is the part of the mean room that is planned for. Items hold one slot at a
+	// time and wait while online work has a burst, so that they are done later than the mean
+	// room alone suggests; with this part the median job is done when predicted.
+	plannedRoom = 0.65
 	// runDecay is the factor on the weight of earlier runs per ended run, and minRuns the
 	// number of runs from which on their mean is used.
 	runDecay = 0.98
@@ -57,10 +61,10 @@
 	m.runs++
 }
 
-// slots returns the mean room, or false if it isn't known.
+// slots returns the room to plan for, or false if it isn't known.
 func (m *roomMeter) slots(now time.Time) (float64, bool) {
 	known := m.observed >= minRoomTime && now.Sub(m.exhausted) <= maxRoomAge && m.mean > 0
-	return m.mean, known
+	return plannedRoom * m.mean, known
 }
 
 // eventTime returns how long a slot is held for each event, with the time that runs were cut
--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -52,7 +52,18 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// jobRetryAfter returns the Retry-After of a refused job: the predicted time at which there is
+// room, if it is known.
+func jobRetryAfter(err error) time.Duration {
+	var refused *batchwork.RefusedError
+	if errors.As(err, &refused) && refused.RetryAfter > 0 {
+		return refused.RetryAfter
+	}
+	return defaultRetryAfter
+}
+
 func (e *Edge) writeJobError(w http.ResponseWriter, call, job string, err error, arrived time.Time) {
+	var invalid *batchwork.InvalidJobError
 	eventJobCallFailed.Info("call", call, "job", job, "cause", err, "held", clock.Since(arrived))
 	switch {
 	case errors.Is(err, batchwork.ErrNoJob):
@@ -60,7 +71,11 @@
 	case errors.Is(err, batchwork.ErrTenantMismatch):
 		writeError(w, http.StatusConflict, "the identifier is taken")
 	case errors.Is(err, batchwork.ErrQueueFull):
-		writeError(w, http.StatusTooManyRequests, "the queue is full")
+		writeErrorRetryAfter(w, http.StatusTooManyRequests, "the queue is full", jobRetryAfter(err))
+	case errors.Is(err, batchwork.ErrTooLate):
+		writeErrorRetryAfter(w, http.StatusTooManyRequests, "the batch job can't be done in time; it was not accepted", jobRetryAfter(err))
+	case errors.As(err, &invalid):
+		writeError(w, http.StatusBadRequest, "the batch job was not accepted: "+invalid.Cause)
 	case errors.Is(err, batchwork.ErrNoHome):
 		writeError(w, http.StatusServiceUnavailable, "no region in which the job may be kept has the data nodes for it")
 	case errors.Is(err, batchwork.ErrNotTaken):
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -31,6 +31,8 @@
 
 	quotas *quotaExchange
 
+	batchMetrics *batchwork.Metrics
+
 	regionJobs, misplacedJobs *prometheus.GaugeVec
 
 	exchangeMutex sync.Mutex // guards exchange; a leaf
@@ -51,6 +53,7 @@
 		exchange: loadshare.NewExchange(common.self()), shareDue: make(chan struct{}, 1),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.batchMetrics = batchwork.NewMetrics(d.registry)
 	options := common.ledgerOptions(&members{self: common.self(), agent: common.agent, evacuating: d.evacuating})
 	options.Folder = filepath.Join(settings.Data.Folder, "ledger")
 	options.NewMachine = func(id ledger.ShardID) ledger.StateMachine { return d.shardWork.machine(id) }
@@ -69,6 +72,7 @@
 	d.registerGauges(map[string]gauge{
 		"chutelock_batch_items_open":     {"Items that are not final, at a replica.", func() float64 { return float64(d.openItems()) }},
 		"chutelock_batch_items_running":  {"Items that run for this node as the leader.", func() float64 { return float64(d.runningItems()) }},
+		"chutelock_batch_items_late":     {"Open items that are expected to be late, by this node as the leader under overload.", func() float64 { return float64(d.lateItems()) }},
 		"chutelock_batch_items_executed": {"Items that this node runs for another one that leads.", func() float64 { return float64(d.executor.Running()) }},
 	})
 	d.regionJobs = newRegionGauge(d.registry, "chutelock_batch_region_jobs", "Jobs at this node's replica of a region's shard, while any route or tenant is restricted; no region: of shard 0.")
@@ -150,3 +154,24 @@
 	}
 	return running
 }
+
+func (d *data) lateItems() (late int) {
+	for _, runner := range d.shardWork.runners() {
+		late += runner.Late()
+	}
+	return late
+}
+
+// batchWeight returns a tenant's weight when slots for batch work are short: the one of the
+// settings, else the rate of the tenant's limit, else 1.
+func (d *data) batchWeight(tenant string) float64 {
+	if weight, found := d.settings.Overload.Weights[tenant]; found {
+		return weight
+	}
+	if configuration := d.catalog.Snapshot().Configuration; configuration != nil {
+		if known := configuration.Tenant(tenant); known.Limited() {
+			return known.Rate
+		}
+	}
+	return 1
+}
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -97,12 +97,17 @@
 		Route: d.route, Regions: d.allowedRegions(d.ledger.Region(shard)), Permitted: d.permitted,
 		Usable: d.catalog.usableForBatch, Zone: d.settings.Node.Zone, Keep: d.settings.Batch.Keep,
 		Settle: settleTime, Executors: d.executors, Sender: port, Receiver: port,
-		LocalRuns: d.settings.Batch.LocalRuns, Guard: d.guard,
+		LocalRuns: d.settings.Batch.LocalRuns, Guard: d.guard, Metrics: d.batchMetrics,
+		Overload: batchwork.OverloadOptions{
+			Active: d.overloadActive, Weight: d.batchWeight, JobLateness: d.settings.Overload.JobLateness,
+		},
 	})
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: local.replica, Machine: machine, LowSpace: d.ledger.LowSpace, Receiver: port,
 		Permitted: d.mayStore(d.ledger.Region(shard)),
 		Replicas:  func() []transport.Address { return d.ledger.Replicas(shard) },
+		Refuse:    runner.Refuse,
+		QueueRoom: runner.QueueRoom,
 	})
 	d.shardWork.setRunner(shard, runner)
 	return runner
