--- a/internal/batchwork/acceptance.go
+++ b/internal/batchwork/acceptance.go
@@ -19,60 +19,92 @@
 )
 
 // Refuse returns a RefusedError if a new job is predicted to be done too late, by the estimates
-// of a leader. A node without estimates refuses nothing.
-func (r *Runner) Refuse(job *Job) error {
-	options := r.options.Overload
-	if !options.active() || options.JobLateness <= 0 || job.Completion <= 0 {
-		return nil
-	}
+// of a leader, and if certain reports that the job is not accepted and won't be. A node without
+// estimates refuses nothing.
+func (r *Runner) Refuse(job *Job, certain func() bool) error {
 	now := clock.Now()
 	service := serviceOf(r.options.Route(job.Host, job.Path))
+	if r.judge(job, service, now) == nil || !certain() {
+		return nil
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	verdict := r.judgeLocked(job, service, now)
+	if verdict == nil {
+		return nil // the estimates have changed meanwhile
+	}
+	returns := r.overload.service(service).returns
+	retryAfter := returns.refuse(job.ID, job.Tenant, verdict.work, verdict.limit, verdict.forecast, now)
+	r.options.Metrics.jobRefused(refusedTooLate)
+	eventJobRefused.Info("cause", refusedTooLate,
+		"job", job.ID, "tenant", job.Tenant, "service", service, "items", len(job.Items), "work", verdict.work,
+		"share", verdict.forecast.share(job.Tenant, verdict.work, job.Completion), "open", verdict.forecast.work[job.Tenant],
+		"open_all", verdict.forecast.open(), "slots", verdict.forecast.slots, "done_in", verdict.completion, "limit", verdict.limit,
+		"come_back", retryAfter)
+	return &RefusedError{Cause: ErrTooLate, RetryAfter: retryAfter}
+}
+
+// lateVerdict is why a job is too late.
+type lateVerdict struct {
+	forecast   jobForecast
+	work       time.Duration // of the job
+	completion time.Duration // predicted
+	limit      time.Duration
+}
+
+// judge returns a verdict if a job would be done too late. The work of other jobs counts as open
+// from now on.
+func (r *Runner) judge(job *Job, service string, now time.Time) *lateVerdict {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.judgeLocked(job, service, now)
+}
+
+// judgeLocked is judge for callers that hold the mutex.
+func (r *Runner) judgeLocked(job *Job, service string, now time.Time) *lateVerdict {
+	options := r.options.Overload
+	if !options.active() || options.JobLateness <= 0 || job.Completion <= 0 {
+		return nil
+	}
 	forecast, itemWork, known := r.forecast(service, now)
 	if !known {
 		return nil
 	}
-	work, returns := time.Duration(len(job.Items))*itemWork, r.overload.service(service).returns
-	completion := forecast.completion(job.Tenant, work, itemWork)
-	limit := time.Duration(options.JobLateness * float64(job.Completion))
-	if completion <= limit {
-		// Counts until the next plan, which finds the job's items open.
-		forecast.work[job.Tenant] += work
-		returns.accept(job.ID)
-		return nil
+	work := time.Duration(len(job.Items)) * itemWork
+	verdict := &lateVerdict{
+		forecast: forecast, work: work, completion: forecast.completion(job.Tenant, work, itemWork),
+		limit: time.Duration(options.JobLateness * float64(job.Completion)),
 	}
-	refusal := &RefusedError{Cause: ErrTooLate, RetryAfter: returns.refuse(job.ID, job.Tenant, work, limit, forecast, now)}
-	r.options.Metrics.jobRefused(refusedTooLate)
-	eventJobRefused.Info(
-		"job", job.ID, "tenant", job.Tenant, "service", service, "items", len(job.Items), "work", work,
-		"share", forecast.share(job.Tenant, work, job.Completion), "open", forecast.work[job.Tenant], "open_all", forecast.open(),
-		"slots", forecast.slots, "done_in", completion, "limit", limit, "come_back", refusal.RetryAfter,
-	)
-	return refusal
+	if verdict.completion > verdict.limit {
+		return verdict
+	}
+	// Counts until the next plan, which finds the job's items open.
+	forecast.work[job.Tenant] += work
+	r.overload.service(service).returns.accept(job.ID)
+	return nil
 }
 
 // QueueRoom predicts when the queue of a job that it is too full for has room; false if that
 // isn't known.
-func (r *Runner) QueueRoom(job *Job) (time.Duration, bool) {
+func (r *Runner) QueueRoom(job *Job) (retryAfter time.Duration, known bool) {
 	if !r.options.Overload.active() {
 		return 0, false
 	}
-	r.options.Metrics.jobRefused(refusedQueueFull)
 	queued, needed := r.options.Machine.excess(job)
-	if needed <= 0 || queued <= 0 {
-		return 0, false
-	}
 	now := clock.Now()
 	service := serviceOf(r.options.Route(job.Host, job.Path))
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.options.Metrics.jobRefused(refusedQueueFull)
 	forecast, _, known := r.forecast(service, now)
-	if !known {
-		return 0, false
+	if known = known && needed > 0 && queued > 0; known {
+		work := time.Duration(float64(forecast.work[job.Tenant]) * min(1, float64(needed)/float64(queued)))
+		retryAfter = max(forecast.timeFor(job.Tenant, work), minJobRetryAfter)
 	}
-	work := time.Duration(float64(forecast.work[job.Tenant]) * min(1, float64(needed)/float64(queued)))
-	return max(forecast.timeFor(job.Tenant, work), minJobRetryAfter), true
+	eventJobRefused.Info("cause", refusedQueueFull,
+		"job", job.ID, "tenant", job.Tenant, "service", service, "items", len(job.Items), "queued_tokens", queued, "bound", job.QueuedTokens,
+		"open", forecast.work[job.Tenant], "open_all", forecast.open(), "slots", forecast.slots, "come_back", retryAfter)
+	return retryAfter, known
 }
 
 // forecast returns the forecast for a service while this node leads; the caller holds the mutex.
@@ -115,28 +147,24 @@
 
 // refuseLate returns an error if a job is to be refused because it would be done too late. A
 // refusal has to be certain: a read confirms that this node leads and has applied what earlier
-// leaders accepted, and no proposal of this node may still add the job.
+// leaders accepted, and no proposal of this node may still add the job. Otherwise the state
+// machine decides.
 func (s *Server) refuseLate(ctx context.Context, job *Job, epoch uint64) error {
 	leading, term := s.shard.Leading()
 	if s.refuse == nil || !leading || !s.machine.mayRefuse(job, epoch) || s.submitted.mayAppear(job.ID, term) {
 		return nil
 	}
-	refusal := s.refuse(job)
-	if refusal == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	certain := false
-	err := s.shard.Read(ctx, func(ledger.Reader) error {
-		certain = s.machine.mayRefuse(job, epoch)
-		return nil
+	return s.refuse(job, func() bool {
+		ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+		defer cancel()
+		certain := false
+		err := s.shard.Read(ctx, func(ledger.Reader) error {
+			certain = s.machine.mayRefuse(job, epoch)
+			return nil
+		})
+		_, confirmed := s.shard.Leading()
+		return err == nil && certain && confirmed == term && !s.submitted.mayAppear(job.ID, term)
 	})
-	_, confirmed := s.shard.Leading()
-	if err != nil || !certain || confirmed != term || s.submitted.mayAppear(job.ID, term) {
-		return nil // the state machine decides
-	}
-	return refusal
 }
 
 // withRetryAfter adds the predicted time at which there is room to ErrQueueFull.
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -126,9 +126,10 @@
 	Permitted func(host, path, tenant string) bool
 	// Replicas lists the addresses of the nodes that can answer reads.
 	Replicas func() []transport.Address
-	// Refuse returns an error if the leader predicts that a job is done too late, and QueueRoom
-	// predicts when a full queue has room for a job; both may be nil.
-	Refuse    func(job *Job) error
+	// Refuse returns an error if the leader predicts that a job is done too late and certain
+	// reports that it isn't accepted; QueueRoom predicts when a full queue has room for a job.
+	// Both may be nil.
+	Refuse    func(job *Job, certain func() bool) error
 	QueueRoom func(job *Job) (retryAfter time.Duration, known bool)
 	Receiver  transport.Receiver
 }
@@ -139,7 +140,7 @@
 	machine   *Machine
 	lowSpace  func() bool
 	permitted func(host, path, tenant string) bool
-	refuse    func(job *Job) error
+	refuse    func(job *Job, certain func() bool) error
 	queueRoom func(job *Job) (retryAfter time.Duration, known bool)
 	submitted *submissions
 }
--- a/internal/batchwork/jobforecast.go
+++ b/internal/batchwork/jobforecast.go
@@ -26,9 +26,6 @@
 // each other tenant gets no more than its weight's share.
 func (f jobForecast) timeFor(tenant string, work time.Duration) time.Duration {
 	own := f.weight(tenant)
-	if own <= 0 || f.slots <= 0 {
-		return 0
-	}
 	total := float64(work)
 	for other, open := range f.work {
 		if other != tenant {
--- a/internal/batchwork/leading.go
+++ b/internal/batchwork/leading.go
@@ -38,6 +38,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.term = term
+	r.overload = newOverload()
 	r.since = clock.Now()
 }
 
--- a/internal/batchwork/overload.go
+++ b/internal/batchwork/overload.go
@@ -16,7 +16,8 @@
 type OverloadOptions struct {
 	// Active reports whether the decisions are in force; nil means never.
 	Active func() bool
-	// Weight returns a tenant's weight when slots are short; nil means that all are equal.
+	// Weight returns a tenant's weight when slots are short; one that isn't positive counts as
+	// 1. nil means that all are equal.
 	Weight func(tenant string) float64
 	// Speed returns an engine's speed in relation to others; nil means that all are equal.
 	Speed func(engine string) float64
@@ -28,10 +29,12 @@
 func (o OverloadOptions) active() bool { return o.Active != nil && o.Active() }
 
 func (o OverloadOptions) weight(tenant string) float64 {
-	if o.Weight == nil {
-		return 1
+	if o.Weight != nil {
+		if weight := o.Weight(tenant); weight > 0 {
+			return weight
+		}
 	}
-	return o.Weight(tenant)
+	return 1
 }
 
 // serviceLoad is what a leader knows of the batch work of a service.
