--- /dev/null
+++ b/internal/batchwork/jobforecast_test.go
@@ -0,0 +1,115 @@
+package batchwork
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// A tenant's job takes as long as what its tenant has open and as much of the others' work as
+// their weights allow.
+func TestForecastDelaysBurstByItsOwnWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	forecast := jobForecast{slots: 2, weight: equalWeights, work: map[string]time.Duration{"burst": 100 * time.Second, "calm": 4 * time.Second}}
+	g.Expect(forecast.completion("calm", 2*time.Second, time.Second)).To(gomega.Equal(6 * time.Second))
+	g.Expect(forecast.completion("burst", 2*time.Second, time.Second)).To(gomega.Equal(53 * time.Second))
+	g.Expect(forecast.completion("new", 100*time.Millisecond, time.Second)).To(gomega.Equal(time.Second), "an item takes its time")
+	g.Expect(forecast.share("burst", 2*time.Second, 10*time.Second)).To(gomega.Equal(16 * time.Second))
+	forecast.weight = func(tenant string) float64 { return map[string]float64{"burst": 1, "calm": 3}[tenant] }
+	g.Expect(forecast.completion("calm", 2*time.Second, time.Second)).To(gomega.Equal(4 * time.Second))
+}
+
+// Jobs that are refused one after another return one after another, each at most after the
+// limit; one that asks again keeps its place.
+func TestRefusedJobsReturnInTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	forecast := jobForecast{slots: 2, weight: equalWeights, work: map[string]time.Duration{"a": 40 * time.Second}}
+	r := newReturns()
+	limit := 18 * time.Second
+	refuse := func(job, tenant string, now time.Time) time.Duration {
+		return r.refuse(job, tenant, 4*time.Second, limit, forecast, now)
+	}
+	g.Expect(refuse("1", "a", submitted)).To(gomega.Equal(4 * time.Second))
+	g.Expect(refuse("2", "a", submitted)).To(gomega.Equal(6 * time.Second))
+	g.Expect(refuse("1", "a", submitted)).To(gomega.Equal(6 * time.Second))
+	g.Expect(refuse("3", "b", submitted)).To(gomega.Equal(minJobRetryAfter), "another tenant's returns don't count")
+	for range 20 {
+		g.Expect(refuse(time.Now().String(), "a", submitted)).To(gomega.BeNumerically("<=", limit))
+	}
+	g.Expect(refuse("4", "a", submitted.Add(limit))).To(gomega.Equal(4*time.Second), "those that have returned don't count")
+}
+
+func TestRoomIsKnownWhileBatchTakesAllOfIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var m roomMeter
+	now := submitted
+	observe := func(running int, full bool, steps int) {
+		for range steps {
+			now = now.Add(50 * time.Millisecond)
+			m.observe(running, full, now)
+		}
+	}
+	observe(30, false, 100)
+	_, known := m.slots(now)
+	g.Expect(known).To(gomega.BeFalse(), "there may be more room")
+	for range 20 { // bursts and valleys
+		observe(10, true, 50)
+		observe(90, true, 50)
+	}
+	slots, known := m.slots(now)
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(slots).To(gomega.BeNumerically("~", plannedRoom*50, plannedRoom*15))
+	_, known = m.slots(now.Add(maxRoomAge + time.Second))
+	g.Expect(known).To(gomega.BeFalse())
+}
+
+// Time in which runs hold slots without producing events counts.
+func TestEventTimeIncludesCutRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var m roomMeter
+	for range minRuns {
+		_, known := m.eventTime()
+		g.Expect(known).To(gomega.BeFalse())
+		m.observeRun(time.Second, 20)
+	}
+	perEvent, known := m.eventTime()
+	g.Expect(known).To(gomega.BeTrue())
+	g.Expect(time.Duration(perEvent)).To(gomega.BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+	for range 500 {
+		m.observeRun(time.Second, 20)
+		m.observeRun(time.Second, 0)
+	}
+	perEvent, _ = m.eventTime()
+	g.Expect(time.Duration(perEvent)).To(gomega.BeNumerically("~", 100*time.Millisecond, 3*time.Millisecond))
+}
+
+// As many slots stay free as were just taken from runs that had no use of them.
+func TestStartGateLeavesSlotsTakenBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := newStartGate()
+	for range 100 {
+		gate.observeStart(100 * time.Millisecond)
+	}
+	g.Expect(gate.useful()).To(gomega.BeNumerically("~", 200*time.Millisecond, time.Millisecond))
+	gate.observeCut(time.Second, submitted)
+	g.Expect(gate.reserve(submitted)).To(gomega.BeZero(), "the run was useful")
+	gate.observeCut(50*time.Millisecond, submitted)
+	gate.observeCut(0, submitted.Add(100*time.Millisecond))
+	g.Expect(gate.reserve(submitted.Add(100 * time.Millisecond))).To(gomega.Equal(2))
+	g.Expect(gate.reserve(submitted.Add(250 * time.Millisecond))).To(gomega.Equal(1))
+	g.Expect(gate.reserve(submitted.Add(time.Second))).To(gomega.BeZero())
+}
+
+func TestCutOrderLosesLeast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const start = 200 * time.Millisecond
+	ago := func(age time.Duration, begun bool) *run { return &run{started: submitted.Add(-age), begun: begun} }
+	late, fresh, reading, begun, urgent := ago(time.Second, true), ago(10*time.Millisecond, false), ago(150*time.Millisecond, false), ago(time.Second, true), ago(0, false)
+	order := cutOrder([]cutCandidate{
+		{urgent, 100 * time.Millisecond}, {begun, time.Minute}, {reading, time.Minute}, {fresh, time.Minute}, {late, -time.Second},
+	}, start, submitted)
+	for i, want := range []*run{late, fresh, reading, begun, urgent} {
+		g.Expect(order[i]).To(gomega.BeIdenticalTo(want), "%d", i)
+	}
+}
--- a/internal/batchwork/startshared.go
+++ b/internal/batchwork/startshared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -37,11 +38,12 @@
 	return leases[:usable], len(leases) < count+reserve
 }
 
-// padWishes returns wishes, of which there is one at least, and reserve more like the last one.
+// padWishes returns wishes, of which there is one at least, and reserve more for any engine.
 func padWishes(wishes []balance.Wish, reserve int) []balance.Wish {
-	padded := append([]balance.Wish(nil), wishes...)
+	padded := slices.Clone(wishes)
+	first := wishes[0]
 	for range reserve {
-		padded = append(padded, wishes[len(wishes)-1])
+		padded = append(padded, balance.Wish{Service: first.Service, Zone: first.Zone, Class: first.Class, Regions: first.Regions})
 	}
 	return padded
 }
