--- a/internal/batchwork/acceptance_test.go
+++ b/internal/batchwork/acceptance_test.go
@@ -72,7 +72,7 @@
 func (l *busyLeader) learn() {
 	load := l.runner.overload.service("s")
 	now := clock.Now()
-	load.room = roomMeter{mean: 1 / plannedRoom, observed: time.Minute, last: now, exhausted: now, slotTime: float64(200 * 10 * time.Millisecond * minRuns), events: 200 * minRuns, runs: minRuns}
+	load.room = roomMeter{mean: 1 / plannedRoom, observed: time.Minute, last: now, slotTime: float64(200 * 10 * time.Millisecond * minRuns), events: 200 * minRuns, runs: minRuns}
 	load.work["t"] = 100 * time.Second
 }
 
--- a/internal/batchwork/jobforecast_test.go
+++ b/internal/batchwork/jobforecast_test.go
@@ -40,28 +40,33 @@
 	g.Expect(refuse("4", "a", submitted.Add(limit))).To(gomega.Equal(4*time.Second), "those that have returned don't count")
 }
 
-func TestRoomIsKnownWhileBatchTakesAllOfIt(t *testing.T) {
+// The mean covers bursts and valleys of online work, and lapses if it isn't renewed.
+func TestRoomIsMeanOverBurstsAndValleys(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var m roomMeter
 	now := submitted
-	observe := func(running int, full bool, steps int) {
-		for range steps {
-			now = now.Add(50 * time.Millisecond)
-			m.observe(running, full, now)
+	observe := func(slots float64) {
+		for range 10 {
+			now = now.Add(roomInterval)
+			m.observe(slots, now)
 		}
 	}
-	observe(30, false, 100)
+	m.observe(50, now)
 	_, known := m.slots(now)
-	g.Expect(known).To(gomega.BeFalse(), "there may be more room")
-	for range 20 { // bursts and valleys
-		observe(10, true, 50)
-		observe(90, true, 50)
+	g.Expect(known).To(gomega.BeFalse())
+	for range 20 {
+		observe(10)
+		observe(90)
 	}
 	slots, known := m.slots(now)
 	g.Expect(known).To(gomega.BeTrue())
-	g.Expect(slots).To(gomega.BeNumerically("~", plannedRoom*50, plannedRoom*15))
-	_, known = m.slots(now.Add(maxRoomAge + time.Second))
+	g.Expect(slots).To(gomega.BeNumerically("~", 50, 5))
+	now = now.Add(maxRoomAge + time.Second)
+	_, known = m.slots(now)
 	g.Expect(known).To(gomega.BeFalse())
+	m.observe(5, now)
+	_, known = m.slots(now)
+	g.Expect(known).To(gomega.BeFalse(), "what was known before is too old")
 }
 
 // Time in which runs hold slots without producing events counts.
--- a/internal/batchwork/overload.go
+++ b/internal/batchwork/overload.go
@@ -19,6 +19,9 @@
 	// Weight returns a tenant's weight when slots are short; one that isn't positive counts as
 	// 1. nil means that all are equal.
 	Weight func(tenant string) float64
+	// Room returns how many slots of a service online work leaves at present; nil means that it
+	// is only known while batch work takes them all.
+	Room func(service string) int
 	// Speed returns an engine's speed in relation to others; nil means that all are equal.
 	Speed func(engine string) float64
 	// JobLateness is the predicted time to complete a job, as a multiple of the time that its
@@ -40,6 +43,8 @@
 // serviceLoad is what a leader knows of the batch work of a service.
 type serviceLoad struct {
 	room roomMeter
+	// full: at the last plan items remained for which there was no slot.
+	full bool
 	gate *startGate
 	// work is the open work of items that can be done in time, by tenant.
 	work    map[string]time.Duration
@@ -49,8 +54,9 @@
 // overload holds what the decisions under overload know at a leader. A new leader knows
 // nothing, so that it accepts all jobs and orders items by due time.
 type overload struct {
-	services map[string]*serviceLoad
-	late     int // items that are expected to be late
+	services   map[string]*serviceLoad
+	late       int       // items that are expected to be late
+	observedAt time.Time // when rooms were observed last
 }
 
 func newOverload() *overload { return &overload{services: map[string]*serviceLoad{}} }
@@ -87,6 +93,7 @@
 	for name, load := range o.services {
 		if byService[name] == nil {
 			clear(load.work)
+			load.full = false
 		}
 	}
 	ordered := make([]openItem, 0, len(items))
@@ -104,6 +111,7 @@
 	remaining := func(item openItem) time.Duration { return time.Duration(eventTime * estimator.eventsLeft(item)) }
 	feasible := func(item openItem) bool { return estimator.feasible(item, now) }
 	clear(l.work)
+	l.full = false
 	late := 0
 	for _, item := range items {
 		if feasible(item) {
@@ -127,7 +135,7 @@
 	if !known || !measured {
 		return jobForecast{}, 0, false
 	}
-	return jobForecast{slots: slots, weight: weight, work: l.work}, time.Duration(perEvent * estimator.itemEvents), true
+	return jobForecast{slots: plannedRoom * slots, weight: weight, work: l.work}, time.Duration(perEvent * estimator.itemEvents), true
 }
 
 // serviceOf returns the service that runs most of a route's items.
--- a/internal/batchwork/overload_test.go
+++ b/internal/batchwork/overload_test.go
@@ -31,6 +31,7 @@
 // play drives the decisions under overload, or those without, against simulated engines.
 type play struct {
 	seed     uint64
+	crowd    bool // online work takes all slots for 8 s, and half of them else
 	shared   bool
 	lateness float64
 	jobs     float64 // per second
@@ -158,7 +159,13 @@
 		p.online[e] = slices.DeleteFunc(p.online[e], func(end time.Time) bool { return !p.now.Before(end) })
 	}
 	level := 0.19 // of all slots
-	if p.now.Sub(submitted)%(5800*time.Millisecond) >= 3400*time.Millisecond {
+	elapsed := p.now.Sub(submitted)
+	switch {
+	case p.crowd && elapsed >= 6*time.Second && elapsed < 14*time.Second:
+		level = 2
+	case p.crowd:
+		level = 0.4
+	case elapsed%(5800*time.Millisecond) >= 3400*time.Millisecond:
 		level = 0.94
 	}
 	for range p.draw(level * playEngines * playSlots / playOnlineHold.Seconds()) {
@@ -281,7 +288,13 @@
 		starts++
 		item.running, item.engine, item.first = &run{started: p.now}, engine, p.now.Add(playStart)
 	}
-	p.load().room.observe(running+starts, full, p.now)
+	room := running + starts
+	if !full {
+		for e := range p.online {
+			room += max(0, playSlots-used[e])
+		}
+	}
+	p.load().room.observe(float64(room), p.now)
 }
 
 // playResult sums up plays of the same load with other draws.
@@ -357,3 +370,13 @@
 	g.Expect(calm.refused).To(gomega.BeZero())
 	g.Expect(calm.late).To(gomega.BeZero())
 }
+
+// After a crowd of online requests that takes all room once, as many items are in time as by due
+// time, although the mean room lags behind.
+func TestCrowdCostsNoItemsInTime(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	before := playAll(t, "crowd, by due time", play{jobs: 1.4, burst: 1, crowd: true})
+	shared := playAll(t, "crowd, by shares", play{jobs: 1.4, burst: 1, crowd: true, shared: true})
+	g.Expect(shared.inTime).To(gomega.BeNumerically(">=", before.inTime))
+}
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -25,6 +25,7 @@
 		return took
 	}
 	started := r.startOpen(ctx, open, now)
+	r.observeRooms(now)
 	if len(started) > 0 {
 		r.tasks.Go(func() { r.launch(ctx, started) })
 	}
--- a/internal/batchwork/shareorder.go
+++ b/internal/batchwork/shareorder.go
@@ -12,6 +12,17 @@
 // divided to test whether items can be done in time. It bounds the cost of an item's test.
 const dueBuckets = 32
 
+// Parts of the mean room. Items hold one slot at a time and wait while online work has a burst,
+// so that they are done later than the mean room alone suggests.
+const (
+	// calmRoom is the part that open items may need for the order by due time to make none of
+	// them late.
+	calmRoom = 0.75
+	// plannedRoom is the part that is planned for beyond that, and in forecasts. It is less, as
+	// an item that is planned for is to be in time, and others use what remains.
+	plannedRoom = 0.55
+)
+
 // shareOrder orders open items of one service that compete for too few slots.
 type shareOrder struct {
 	// slots is the mean number of slots that online work leaves.
@@ -25,7 +36,8 @@
 // order returns the items in the order in which to run them, and how many of them are
 // expected to be late: first those that can be done in time together, by due time; then those
 // that could be in time alone; then the rest. items must be ordered by due time, and feasible
-// reports whether an item started now can be done in time.
+// reports whether an item started now can be done in time. While all of these fit into the room
+// they are ordered by due time.
 func (o shareOrder) order(items []openItem, feasible func(openItem) bool, now time.Time) (ordered []openItem, late int) {
 	var timely, rest []int
 	for i, item := range items {
@@ -69,7 +81,14 @@
 	if len(timely) == 0 {
 		return chosen
 	}
-	room := newDueRoom(o.slots, items[timely[len(timely)-1]].due.Sub(now))
+	horizon := items[timely[len(timely)-1]].due.Sub(now)
+	if o.fits(items, timely, horizon, now) {
+		for _, i := range timely {
+			chosen[i] = true
+		}
+		return chosen
+	}
+	room := newDueRoom(plannedRoom*o.slots, horizon)
 	tenants := o.divide(items, timely, room.total())
 	for _, t := range tenants {
 		used := time.Duration(0)
@@ -92,6 +111,17 @@
 	return chosen
 }
 
+// fits reports whether all timely items can be done in time by due time.
+func (o shareOrder) fits(items []openItem, timely []int, horizon time.Duration, now time.Time) bool {
+	room := newDueRoom(calmRoom*o.slots, horizon)
+	for _, i := range timely {
+		if !room.take(o.remaining(items[i]), items[i].due.Sub(now)) {
+			return false
+		}
+	}
+	return true
+}
+
 // divide groups items by tenant and sets the tenants' shares of the slot time. Tenants that ask
 // for least in relation to their weight come first, and of a tenant those of jobs with the
 // fewest open items, so that as many jobs as possible become complete.
--- a/internal/batchwork/startshared.go
+++ b/internal/batchwork/startshared.go
@@ -18,7 +18,7 @@
 			started = append(started, r.start(ctx, group.items[i], group.routes[i], lease))
 		}
 		limited := maxStarts < maxStartsPerPlan && len(started) == maxStarts
-		r.observeRoom(group, full || limited, now)
+		r.setFull(group.service(), full || limited)
 	}
 	return started
 }
@@ -50,24 +50,47 @@
 
 func (g *startGroup) service() string { return g.wishes[0].Service }
 
+// setFull records whether items of a service remain for which there is no slot.
+func (r *Runner) setFull(service string, full bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.overload.service(service).full = full
+}
+
 func (r *Runner) reserve(group *startGroup, now time.Time) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.overload.service(group.service()).gate.reserve(now)
 }
 
-// observeRoom records the runs of a group's service; full reports whether items remain for which
-// there is no slot.
-func (r *Runner) observeRoom(group *startGroup, full bool, now time.Time) {
+// observeRooms records how many slots of each service batch work has or may have: the runs while
+// items remain for which there is no slot, else what online work leaves.
+func (r *Runner) observeRooms(now time.Time) {
+	if !r.options.Overload.active() {
+		return
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	running := 0
+	if now.Sub(r.overload.observedAt) < roomInterval {
+		return
+	}
+	r.overload.observedAt = now
+	running := map[string]int{}
 	for _, run := range r.runs {
-		if run.engine.Service == group.service() && !run.preempted {
-			running++
+		if !run.preempted {
+			running[run.engine.Service]++
+		}
+	}
+	for name, load := range r.overload.services {
+		slots := running[name]
+		if !load.full {
+			if r.options.Overload.Room == nil {
+				continue
+			}
+			slots = max(slots, r.options.Overload.Room(name))
 		}
+		load.room.observe(float64(slots), now)
 	}
-	r.overload.service(group.service()).room.observe(running, full, now)
 }
 
 func (r *Runner) matchSpeeds(group *startGroup, leases []*balance.Lease) []*balance.Lease {
--- a/internal/batchwork/startshared_test.go
+++ b/internal/batchwork/startshared_test.go
@@ -30,7 +30,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.Expect(runner.startOpen(ctx, runner.options.Machine.openItems(), time.Now())).To(gomega.HaveLen(maxStartsPerPlan))
-	g.Expect(runner.overload.service("s").room.exhausted.IsZero()).To(gomega.BeTrue(), "there is more room")
+	g.Expect(runner.overload.service("s").full).To(gomega.BeFalse(), "there is more room")
 
 	// 1000 slots, of which 20 are the balancer's reserve: 32 remain.
 	online := balance.Load{Counts: balance.Counts{balance.ClassOnline: 1000 - 20 - maxStartsPerPlan - 32}}
@@ -41,7 +41,7 @@
 	}
 	g.Expect(runner.startOpen(ctx, runner.options.Machine.openItems(), now)).To(gomega.HaveLen(7))
 	g.Expect(runner.leasedBatch()).To(gomega.Equal(maxStartsPerPlan + 7))
-	g.Expect(runner.overload.service("s").room.exhausted.IsZero()).To(gomega.BeFalse())
+	g.Expect(runner.overload.service("s").full).To(gomega.BeTrue())
 }
 
 // A leader at its run limit takes no room for its items to be free.
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.Expect(runner.startOpen(ctx, runner.options.Machine.openItems(), time.Now())).To(gomega.HaveLen(5))
-	g.Expect(runner.overload.service("s").room.exhausted.IsZero()).To(gomega.BeFalse())
+	g.Expect(runner.overload.service("s").full).To(gomega.BeTrue())
 	g.Expect(runner.startOpen(ctx, runner.options.Machine.openItems(), time.Now())).To(gomega.BeEmpty())
 }
 
