Batch jobs under overload: room follows a valley at once

Change: the room is the mean or, in a valley, the recent one; less of it is planned for; the time of an event is a mean over some hundred runs instead of fifty.

--- a/internal/batchwork/jobforecast.go
+++ b/internal/batchwork/jobforecast.go
@@ -14,7 +14,7 @@
 const maxReturning = 4096
 
 // jobForecast predicts when a service's jobs are done, from the open work of its tenants and
-// the mean number of slots that online work leaves. It assumes max-min fair shares of these
+// the part of the slots to plan for. It assumes max-min fair shares of these
 // slots. Work is the time for which items hold a slot.
 type jobForecast struct {
 	slots  float64
--- a/internal/batchwork/jobforecast_test.go
+++ b/internal/batchwork/jobforecast_test.go
@@ -40,8 +40,8 @@
 	g.Expect(refuse("4", "a", submitted.Add(limit))).To(gomega.Equal(4*time.Second), "those that have returned don't count")
 }
 
-// The mean covers bursts and valleys of online work, and lapses if it isn't renewed.
-func TestRoomIsMeanOverBurstsAndValleys(t *testing.T) {
+// The room covers bursts and valleys of online work, and lapses if it isn't renewed.
+func TestRoomCoversBurstsAndValleys(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var m roomMeter
 	now := submitted
@@ -55,12 +55,15 @@
 	_, known := m.slots(now)
 	g.Expect(known).To(gomega.BeFalse())
 	for range 20 {
-		observe(10)
 		observe(90)
+		observe(10)
 	}
 	slots, known := m.slots(now)
 	g.Expect(known).To(gomega.BeTrue())
-	g.Expect(slots).To(gomega.BeNumerically("~", 50, 5))
+	g.Expect(slots).To(gomega.BeNumerically("~", 50, 5), "in a burst")
+	observe(90)
+	slots, _ = m.slots(now)
+	g.Expect(slots).To(gomega.BeNumerically(">", 75), "in a valley")
 	now = now.Add(maxRoomAge + time.Second)
 	_, known = m.slots(now)
 	g.Expect(known).To(gomega.BeFalse())
--- a/internal/batchwork/roommeter.go
+++ b/internal/batchwork/roommeter.go
@@ -9,6 +9,8 @@
 	// roomWindow is the time constant of the mean room. It is as long as jobs may take, and
 	// covers several bursts and valleys of online work, which last some seconds.
 	roomWindow = 20 * time.Second
+	// valleyWindow is the time constant of the room in a valley, which lasts seconds.
+	valleyWindow = time.Second
 	// roomInterval is the time between two observations.
 	roomInterval = 200 * time.Millisecond
 	// minRoomTime is the observed time from which on the mean is used.
@@ -16,17 +18,17 @@
 	// maxRoomAge is the longest time without an observation that the mean outlasts.
 	maxRoomAge = 5 * time.Second
 	// runDecay is the factor on the weight of earlier runs per ended run, and minRuns the
-	// number of runs from which on their mean is used.
-	runDecay = 0.98
+	// number of runs from which on their mean is used. Some hundred runs end in roomWindow.
+	runDecay = 0.998
 	minRuns  = 16
 )
 
-// roomMeter estimates how many slots of a service online work leaves to batch work, as a mean
-// over time. It is not safe for concurrent use.
+// roomMeter estimates how many slots of a service online work leaves to batch work. It is not
+// safe for concurrent use.
 type roomMeter struct {
-	mean     float64
-	observed time.Duration
-	last     time.Time // of the last observation
+	mean, recent float64
+	observed     time.Duration
+	last         time.Time // of the last observation
 	// slotTime and events are sums over ended runs, decayed by runDecay; runs is their number.
 	slotTime, events float64
 	runs             int
@@ -36,13 +38,18 @@
 func (m *roomMeter) observe(slots float64, now time.Time) {
 	elapsed := now.Sub(m.last)
 	if elapsed > maxRoomAge {
-		m.mean, m.observed, elapsed = slots, 0, 0
+		m.mean, m.recent, m.observed, elapsed = slots, slots, 0, 0
 	}
 	m.last = now
 	m.observed += elapsed
 	// The first observations count as in an ordinary mean.
-	window := max(min(roomWindow, m.observed), time.Millisecond)
-	m.mean += (1 - math.Exp(-float64(elapsed)/float64(window))) * (slots - m.mean)
+	m.mean = approach(m.mean, slots, elapsed, max(min(roomWindow, m.observed), time.Millisecond))
+	m.recent = approach(m.recent, slots, elapsed, valleyWindow)
+}
+
+// approach returns the exponential mean after a value was observed for a time.
+func approach(mean, value float64, elapsed, window time.Duration) float64 {
+	return mean + (1-math.Exp(-float64(elapsed)/float64(window)))*(value-mean)
 }
 
 // observeRun adds a run that held a slot for a time and produced events.
@@ -52,9 +59,11 @@
 	m.runs++
 }
 
-// slots returns the mean, or false if it isn't known.
+// slots returns the room, or false if it isn't known: the mean, or more in a valley of online
+// work, in which items start. The mean alone would lag behind the end of a crowd.
 func (m *roomMeter) slots(now time.Time) (float64, bool) {
-	return m.mean, m.observed >= minRoomTime && now.Sub(m.last) <= maxRoomAge && m.mean > 0
+	slots := max(m.mean, m.recent)
+	return slots, m.observed >= minRoomTime && now.Sub(m.last) <= maxRoomAge && slots > 0
 }
 
 // eventTime returns how long a slot is held for each event, with the time that runs were cut
--- a/internal/batchwork/shareorder.go
+++ b/internal/batchwork/shareorder.go
@@ -12,20 +12,20 @@
 // divided to test whether items can be done in time. It bounds the cost of an item's test.
 const dueBuckets = 32
 
-// Parts of the mean room. Items hold one slot at a time and wait while online work has a burst,
-// so that they are done later than the mean room alone suggests.
+// Parts of the room in a valley of online work. Items hold one slot at a time and wait while
+// online work has a burst, so that they are done later than that room alone suggests.
 const (
 	// calmRoom is the part that open items may need for the order by due time to make none of
 	// them late.
-	calmRoom = 0.75
+	calmRoom = 0.6
 	// plannedRoom is the part that is planned for beyond that, and in forecasts. It is less, as
 	// an item that is planned for is to be in time, and others use what remains.
-	plannedRoom = 0.55
+	plannedRoom = 0.45
 )
 
 // shareOrder orders open items of one service that compete for too few slots.
 type shareOrder struct {
-	// slots is the mean number of slots that online work leaves.
+	// slots is the room that online work leaves; see roomMeter.
 	slots float64
 	// remaining estimates how long an item holds a slot from now on.
 	remaining func(item openItem) time.Duration
