Batch jobs under overload: small tenants first, due time within a tenant

Change: room counts online work only, as of now in a valley; within a tenant due time decides, but for jobs near whole; tenants well within their share precede the plan.

--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -327,6 +327,8 @@
 	failures  uint8
 	// promptTokens is an estimate of the prompt's length.
 	promptTokens int
+	// jobItems is the number of items of the job.
+	jobItems int
 }
 
 // openItems lists the items that are not final by earliest due time. It sorts jobs, which
@@ -367,7 +369,7 @@
 		}
 		open = append(open, openItem{
 			job: j.ID, index: uint32(i), host: j.Host, path: j.Path, tenant: j.Tenant, due: due, giveUp: giveUp,
-			lastEvent: item.lastEvent, failures: item.failures, promptTokens: int(item.tokens / 2),
+			lastEvent: item.lastEvent, failures: item.failures, promptTokens: int(item.tokens / 2), jobItems: len(j.items),
 		})
 	}
 	return open
--- a/internal/batchwork/roommeter.go
+++ b/internal/batchwork/roommeter.go
@@ -9,8 +9,6 @@
 	// roomWindow is the time constant of the mean room. It is as long as jobs may take, and
 	// covers several bursts and valleys of online work, which last some seconds.
 	roomWindow = 20 * time.Second
-	// valleyWindow is the time constant of the room in a valley, which lasts seconds.
-	valleyWindow = time.Second
 	// roomInterval is the time between two observations.
 	roomInterval = 200 * time.Millisecond
 	// minRoomTime is the observed time from which on the mean is used.
@@ -26,9 +24,9 @@
 // roomMeter estimates how many slots of a service online work leaves to batch work. It is not
 // safe for concurrent use.
 type roomMeter struct {
-	mean, recent float64
+	mean, newest float64
 	observed     time.Duration
-	last         time.Time // of the last observation
+	last         time.Time // of the newest observation
 	// slotTime and events are sums over ended runs, decayed by runDecay; runs is their number.
 	slotTime, events float64
 	runs             int
@@ -38,18 +36,14 @@
 func (m *roomMeter) observe(slots float64, now time.Time) {
 	elapsed := now.Sub(m.last)
 	if elapsed > maxRoomAge {
-		m.mean, m.recent, m.observed, elapsed = slots, slots, 0, 0
+		m.mean, m.observed, elapsed = slots, 0, 0
 	}
 	m.last = now
 	m.observed += elapsed
 	// The first observations count as in an ordinary mean.
-	m.mean = approach(m.mean, slots, elapsed, max(min(roomWindow, m.observed), time.Millisecond))
-	m.recent = approach(m.recent, slots, elapsed, valleyWindow)
-}
-
-// approach returns the exponential mean after a value was observed for a time.
-func approach(mean, value float64, elapsed, window time.Duration) float64 {
-	return mean + (1-math.Exp(-float64(elapsed)/float64(window)))*(value-mean)
+	window := max(min(roomWindow, m.observed), time.Millisecond)
+	m.mean += (1 - math.Exp(-float64(elapsed)/float64(window))) * (slots - m.mean)
+	m.newest = slots
 }
 
 // observeRun adds a run that held a slot for a time and produced events.
@@ -60,9 +54,9 @@
 }
 
 // slots returns the room, or false if it isn't known: the mean, or more in a valley of online
-// work, in which items start. The mean alone would lag behind the end of a crowd.
+// work, in which items start. The mean alone would lag behind a valley after a long burst.
 func (m *roomMeter) slots(now time.Time) (float64, bool) {
-	slots := max(m.mean, m.recent)
+	slots := max(m.mean, m.newest)
 	return slots, m.observed >= minRoomTime && now.Sub(m.last) <= maxRoomAge && slots > 0
 }
 
--- a/internal/batchwork/shareorder.go
+++ b/internal/batchwork/shareorder.go
@@ -12,6 +12,13 @@
 // divided to test whether items can be done in time. It bounds the cost of an item's test.
 const dueBuckets = 32
 
+// nearWhole is the number of items of a job for each open one from which on it is near whole.
+const nearWhole = 4
+
+// wellWithin is how many times as much slot time as a tenant asks for another tenant of its weight
+// has to get for the first one's items to precede planned ones.
+const wellWithin = 2
+
 // Parts of the room in a valley of online work. Items hold one slot at a time and wait while
 // online work has a burst, so that they are done later than that room alone suggests.
 const (
@@ -34,81 +41,90 @@
 }
 
 // order returns the items in the order in which to run them, and how many of them are
-// expected to be late: first those that can be done in time together, by due time; then those
-// that could be in time alone; then the rest. items must be ordered by due time, and feasible
-// reports whether an item started now can be done in time. While all of these fit into the room
-// they are ordered by due time.
+// expected to be late: first those of tenants well within their share, then those of other
+// tenants that can be done in time together, each by due time; then those that could be in time alone;
+// then the rest. items must be ordered by due time, and feasible reports whether an item started
+// now can be done in time. While all of these fit into the room they are ordered by due time.
 func (o shareOrder) order(items []openItem, feasible func(openItem) bool, now time.Time) (ordered []openItem, late int) {
-	var timely, rest []int
+	var timely []int
+	ranks := make([]itemRank, len(items))
 	for i, item := range items {
+		ranks[i] = rankLate
 		if feasible(item) {
 			timely = append(timely, i)
-		} else {
-			rest = append(rest, i)
+			ranks[i] = rankBeyond
 		}
 	}
-	chosen := o.choose(items, timely, now)
+	o.rank(ranks, items, timely, now)
 	ordered = make([]openItem, 0, len(items))
-	var beyond []openItem
-	for _, i := range timely {
-		if chosen[i] {
-			ordered = append(ordered, items[i])
-		} else {
-			beyond = append(beyond, items[i])
+	for rank := rankWithinShare; rank <= rankLate; rank++ {
+		for i, item := range items {
+			if ranks[i] == rank {
+				ordered = append(ordered, item)
+			}
+		}
+		if rank == rankPlanned {
+			late = len(items) - len(ordered)
 		}
-	}
-	late = len(beyond) + len(rest)
-	ordered = append(ordered, beyond...)
-	for _, i := range rest {
-		ordered = append(ordered, items[i])
 	}
 	return ordered, late
 }
 
+// itemRank is how early an item runs, from first to last.
+type itemRank uint8
+
+const (
+	rankWithinShare itemRank = iota // its tenant asks for much less than others get
+	rankPlanned                     // it can be done in time together with others
+	rankBeyond                      // it can be done in time alone
+	rankLate
+)
+
 // tenantItems are a tenant's items that can be done in time alone.
 type tenantItems struct {
 	tenant string
 	weight float64
 	work   time.Duration
 	share  time.Duration
+	within bool // it asks for much less than others get
 	items  []int
 }
 
-// choose selects items that can all be done in time. Each tenant gets slot time up to its
-// max-min fair share; what no tenant needs goes to the items with the earliest due times.
-func (o shareOrder) choose(items []openItem, timely []int, now time.Time) map[int]bool {
-	chosen := make(map[int]bool, len(timely))
+// rank ranks the timely items. Each tenant gets slot time up to its max-min fair share; what no
+// tenant needs goes to the items with the earliest due times.
+func (o shareOrder) rank(ranks []itemRank, items []openItem, timely []int, now time.Time) {
 	if len(timely) == 0 {
-		return chosen
+		return
 	}
 	horizon := items[timely[len(timely)-1]].due.Sub(now)
 	if o.fits(items, timely, horizon, now) {
 		for _, i := range timely {
-			chosen[i] = true
+			ranks[i] = rankPlanned
 		}
-		return chosen
+		return
 	}
 	room := newDueRoom(plannedRoom*o.slots, horizon)
-	tenants := o.divide(items, timely, room.total())
-	for _, t := range tenants {
+	for _, t := range o.divide(items, timely, room.total()) {
 		used := time.Duration(0)
 		for _, i := range t.items {
 			work := o.remaining(items[i])
-			if used+work > t.share {
-				continue
+			fits := used+work <= t.share && room.take(work, items[i].due.Sub(now))
+			switch {
+			case t.within:
+				ranks[i] = rankWithinShare
+			case fits:
+				ranks[i] = rankPlanned
 			}
-			if room.take(work, items[i].due.Sub(now)) {
-				chosen[i] = true
+			if fits {
 				used += work
 			}
 		}
 	}
 	for _, i := range timely {
-		if !chosen[i] && room.take(o.remaining(items[i]), items[i].due.Sub(now)) {
-			chosen[i] = true
+		if ranks[i] == rankBeyond && room.take(o.remaining(items[i]), items[i].due.Sub(now)) {
+			ranks[i] = rankPlanned
 		}
 	}
-	return chosen
 }
 
 // fits reports whether all timely items can be done in time by due time.
@@ -123,8 +139,8 @@
 }
 
 // divide groups items by tenant and sets the tenants' shares of the slot time. Tenants that ask
-// for least in relation to their weight come first, and of a tenant those of jobs with the
-// fewest open items, so that as many jobs as possible become complete.
+// for least in relation to their weight come first, and of a tenant the items of jobs that are
+// near whole, so that more jobs become complete.
 func (o shareOrder) divide(items []openItem, timely []int, slotTime time.Duration) []*tenantItems {
 	byTenant := map[string]*tenantItems{}
 	var tenants []*tenantItems
@@ -144,13 +160,18 @@
 	for i, t := range tenants {
 		demands[i] = fairshare.Demand{Weight: t.weight, Amount: float64(t.work)}
 	}
-	for i, share := range fairshare.MaxMin(float64(slotTime), demands) {
+	shares, level := fairshare.MaxMin(float64(slotTime), demands), 0.0
+	for i, share := range shares {
+		level = max(level, share/demands[i].Weight)
+	}
+	for i, share := range shares {
 		tenants[i].share = time.Duration(share)
 		if share >= demands[i].Amount {
 			tenants[i].share = tenants[i].work
 		}
-		slices.SortStableFunc(tenants[i].items, func(a, b int) int {
-			return cmp.Compare(open[items[a].job], open[items[b].job])
+		tenants[i].within = wellWithin*demands[i].Amount <= level*demands[i].Weight
+		tenants[i].items = nearWholeFirst(tenants[i].items, func(i int) bool {
+			return nearWhole*open[items[i].job] <= items[i].jobItems
 		})
 	}
 	slices.SortStableFunc(tenants, func(a, b *tenantItems) int {
@@ -159,6 +180,20 @@
 	return tenants
 }
 
+// nearWholeFirst moves the items of jobs near whole to the front.
+func nearWholeFirst(items []int, near func(i int) bool) []int {
+	first := make([]int, 0, len(items))
+	var others []int
+	for _, i := range items {
+		if near(i) {
+			first = append(first, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	return append(first, others...)
+}
+
 // dueRoom is the slot time left until each of several due times.
 type dueRoom struct {
 	width time.Duration
--- a/internal/batchwork/startshared.go
+++ b/internal/batchwork/startshared.go
@@ -63,8 +63,8 @@
 	return r.overload.service(group.service()).gate.reserve(now)
 }
 
-// observeRooms records how many slots of each service batch work has or may have: the runs while
-// items remain for which there is no slot, else what online work leaves.
+// observeRooms records how many slots of each service online work leaves; if only batch work
+// tells, those of its runs while items remain for which there is no slot.
 func (r *Runner) observeRooms(now time.Time) {
 	if !r.options.Overload.active() {
 		return
@@ -82,14 +82,12 @@
 		}
 	}
 	for name, load := range r.overload.services {
-		slots := running[name]
-		if !load.full {
-			if r.options.Overload.Room == nil {
-				continue
-			}
-			slots = max(slots, r.options.Overload.Room(name))
+		switch {
+		case r.options.Overload.Room != nil:
+			load.room.observe(float64(r.options.Overload.Room(name)), now)
+		case load.full:
+			load.room.observe(float64(running[name]), now)
 		}
-		load.room.observe(float64(slots), now)
 	}
 }
 
