--- a/internal/batchwork/shareorder.go
+++ b/internal/batchwork/shareorder.go
@@ -1,8 +1,6 @@
 package batchwork
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"chutelock.dev/chutelock/internal/fairshare"
@@ -16,7 +14,7 @@
 const nearWhole = 4
 
 // wellWithin is how many times as much slot time as a tenant asks for another tenant of its weight
-// has to get for the first one's items to precede planned ones.
+// has to get for the first one's items to precede the others.
 const wellWithin = 2
 
 // Parts of the room in a valley of online work. Items hold one slot at a time and wait while
@@ -25,8 +23,9 @@
 	// calmRoom is the part that open items may need for the order by due time to make none of
 	// them late.
 	calmRoom = 0.6
-	// plannedRoom is the part that is planned for beyond that, and in forecasts. It is less, as
-	// an item that is planned for is to be in time, and others use what remains.
+	// plannedRoom is the part that is divided among tenants beyond that, and counted on in
+	// forecasts. It is less, as an item in its tenant's share is to be in time, and others use
+	// what remains.
 	plannedRoom = 0.45
 )
 
@@ -41,10 +40,10 @@
 }
 
 // order returns the items in the order in which to run them, and how many of them are
-// expected to be late: first those of tenants well within their share, then those of other
-// tenants that can be done in time together, each by due time; then those that could be in time alone;
-// then the rest. items must be ordered by due time, and feasible reports whether an item started
-// now can be done in time. While all of these fit into the room they are ordered by due time.
+// expected to be late: first those of tenants well within their share, then those in the share of
+// other tenants, then those beyond it, then those that can't be in time, each by due time. items
+// must be ordered by due time, and feasible reports whether an item started now can be done in
+// time. While all of these fit into the room they are ordered by due time.
 func (o shareOrder) order(items []openItem, feasible func(openItem) bool, now time.Time) (ordered []openItem, late int) {
 	var timely []int
 	ranks := make([]itemRank, len(items))
@@ -57,13 +56,13 @@
 	}
 	o.rank(ranks, items, timely, now)
 	ordered = make([]openItem, 0, len(items))
-	for rank := rankWithinShare; rank <= rankLate; rank++ {
+	for rank := rankWellWithin; rank <= rankLate; rank++ {
 		for i, item := range items {
 			if ranks[i] == rank {
 				ordered = append(ordered, item)
 			}
 		}
-		if rank == rankPlanned {
+		if rank == rankInShare {
 			late = len(items) - len(ordered)
 		}
 	}
@@ -74,9 +73,9 @@
 type itemRank uint8
 
 const (
-	rankWithinShare itemRank = iota // its tenant asks for much less than others get
-	rankPlanned                     // it can be done in time together with others
-	rankBeyond                      // it can be done in time alone
+	rankWellWithin itemRank = iota // its tenant asks for much less than others get
+	rankInShare
+	rankBeyond // its tenant asks for more than its share
 	rankLate
 )
 
@@ -90,8 +89,7 @@
 	items  []int
 }
 
-// rank ranks the timely items. Each tenant gets slot time up to its max-min fair share; what no
-// tenant needs goes to the items with the earliest due times.
+// rank ranks the timely items by the max-min fair shares of slot time of their tenants.
 func (o shareOrder) rank(ranks []itemRank, items []openItem, timely []int, now time.Time) {
 	if len(timely) == 0 {
 		return
@@ -99,32 +97,22 @@
 	horizon := items[timely[len(timely)-1]].due.Sub(now)
 	if o.fits(items, timely, horizon, now) {
 		for _, i := range timely {
-			ranks[i] = rankPlanned
+			ranks[i] = rankInShare
 		}
 		return
 	}
-	room := newDueRoom(plannedRoom*o.slots, horizon)
-	for _, t := range o.divide(items, timely, room.total()) {
+	for _, t := range o.divide(items, timely, plannedRoom*o.slots*float64(horizon)) {
 		used := time.Duration(0)
 		for _, i := range t.items {
-			work := o.remaining(items[i])
-			fits := used+work <= t.share && room.take(work, items[i].due.Sub(now))
+			used += o.remaining(items[i])
 			switch {
 			case t.within:
-				ranks[i] = rankWithinShare
-			case fits:
-				ranks[i] = rankPlanned
-			}
-			if fits {
-				used += work
+				ranks[i] = rankWellWithin
+			case used <= t.share:
+				ranks[i] = rankInShare
 			}
 		}
 	}
-	for _, i := range timely {
-		if ranks[i] == rankBeyond && room.take(o.remaining(items[i]), items[i].due.Sub(now)) {
-			ranks[i] = rankPlanned
-		}
-	}
 }
 
 // fits reports whether all timely items can be done in time by due time.
@@ -138,10 +126,9 @@
 	return true
 }
 
-// divide groups items by tenant and sets the tenants' shares of the slot time. Tenants that ask
-// for least in relation to their weight come first, and of a tenant the items of jobs that are
-// near whole, so that more jobs become complete.
-func (o shareOrder) divide(items []openItem, timely []int, slotTime time.Duration) []*tenantItems {
+// divide groups items by tenant and sets the tenants' shares of the slot time. Of a tenant the
+// items of jobs that are near whole come first, so that more jobs become complete.
+func (o shareOrder) divide(items []openItem, timely []int, slotTime float64) []*tenantItems {
 	byTenant := map[string]*tenantItems{}
 	var tenants []*tenantItems
 	open := map[string]int{}
@@ -160,7 +147,7 @@
 	for i, t := range tenants {
 		demands[i] = fairshare.Demand{Weight: t.weight, Amount: float64(t.work)}
 	}
-	shares, level := fairshare.MaxMin(float64(slotTime), demands), 0.0
+	shares, level := fairshare.MaxMin(slotTime, demands), 0.0
 	for i, share := range shares {
 		level = max(level, share/demands[i].Weight)
 	}
@@ -174,9 +161,6 @@
 			return nearWhole*open[items[i].job] <= items[i].jobItems
 		})
 	}
-	slices.SortStableFunc(tenants, func(a, b *tenantItems) int {
-		return cmp.Compare(float64(a.work)*b.weight, float64(b.work)*a.weight)
-	})
 	return tenants
 }
 
@@ -208,8 +192,6 @@
 	return r
 }
 
-func (r *dueRoom) total() time.Duration { return r.left[dueBuckets-1] }
-
 // take reserves slot time before a due time, unless that would make reserved work late.
 func (r *dueRoom) take(work, due time.Duration) bool {
 	first := min(int(max(0, due-1)/r.width), dueBuckets-1)
