Batch jobs under overload: cuts go by what a run loses, not by due times

While engines are slow items seem late that aren't, were cut first each time and became late. Change: due times don't count in cuts.

--- a/internal/batchwork/preempt.go
+++ b/internal/batchwork/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"chutelock.dev/chutelock/internal/clock"
 )
@@ -51,8 +50,8 @@
 		runs := byEngine[overfull.Engine]
 		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
 		victims := preemptionOrder(runs)
-		if shared {
-			victims = r.cutOrder(victims, now)
+		if shared && len(victims) > 0 {
+			victims = cutOrder(victims, r.overload.service(victims[0].engine.Service).gate.startTime, now)
 		}
 		victims = victims[:min(overfull.Excess, len(victims))]
 		if len(victims) == 0 {
@@ -90,21 +89,3 @@
 	}
 	return byEngine
 }
-
-// cutOrder returns runs of one engine in the order in which to cut them under overload; the
-// caller holds the mutex.
-func (r *Runner) cutOrder(runs []*run, now time.Time) []*run {
-	if len(runs) == 0 {
-		return nil
-	}
-	load := r.overload.service(runs[0].engine.Service)
-	candidates := make([]cutCandidate, 0, len(runs))
-	for _, run := range runs {
-		item := run.item
-		if state, found := r.options.Machine.item(item.job, item.index); found {
-			item.lastEvent = state.lastEvent
-		}
-		candidates = append(candidates, cutCandidate{run, item.due.Sub(now) - r.itemEstimator.remaining(item) - readMargin})
-	}
-	return cutOrder(candidates, load.gate.startTime, now)
-}
