--- a/internal/batchwork/acceptance.go
+++ b/internal/batchwork/acceptance.go
@@ -52,8 +52,8 @@
 	limit      time.Duration
 }
 
-// judge returns a verdict if a job would be done too late. The work of other jobs counts as open
-// from now on.
+// judge returns a verdict if a job would be done too late; else nil, and the job's work counts as
+// open from now on.
 func (r *Runner) judge(job *Job, service string, now time.Time) *lateVerdict {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
