--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -7,10 +7,21 @@
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/quota"
+	"chutelock.dev/chutelock/internal/returns"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
-var eventLimited = telemetry.Define(2304, "request-limited", "A tenant's request was refused, as the tenant is at its limit over all nodes; gives the counts and their age.")
+var (
+	eventLimited   = telemetry.Define(2304, "request-limited", "A tenant's request was refused, as the tenant is at its limit over all nodes; gives the counts and their age.")
+	eventOverShare = telemetry.Define(2305, "request-over-share", "A tenant's request was refused, as room is short and the tenant asks for more than its share; gives both and the age of the counts.")
+)
+
+// Rules that refuse a tenant's requests: ruleLimit those beyond its limit, ruleShare those
+// beyond its share while room is short.
+const (
+	ruleLimit = "limit"
+	ruleShare = "share"
+)
 
 // caller is the tenant that sent a request, or nil if it came without a key.
 type caller struct{ tenant *catalog.Tenant }
@@ -61,10 +72,35 @@
 	}
 	eventLimited.Info("request", request.ID, "tenant", tenant.Name, "rate", tenant.Rate, "burst", tenant.Burst,
 		"own", decision.Own, "others", decision.Others, "room", decision.Reserve, "bound", decision.Bound, "age", decision.Age, "come_back", decision.RetryAfter)
+	e.countRefusal(tenant, ruleLimit)
 	writeErrorRetryAfter(w, http.StatusTooManyRequests, "the tenant is at its limit; the request has not run", decision.RetryAfter)
 	return false
 }
 
+// checkShare refuses a request that exceeds its tenant's share of the room, and then returns
+// false.
+func (e *Edge) checkShare(w http.ResponseWriter, tenant *catalog.Tenant, route *catalog.Route, request *forward.Request) bool {
+	if e.Share == nil || tenant == nil {
+		return true
+	}
+	decision := e.Share(tenant, route)
+	if !decision.Refused {
+		return true
+	}
+	retryAfter := e.RetryAfter(returns.Refusal{Tenant: tenant.Name, Deadline: request.Deadline, Earliest: decision.Earliest})
+	eventOverShare.Info("request", request.ID, "route", route.Name, "tenant", tenant.Name, "weight", decision.Weight, "share", decision.Share,
+		"demand", decision.Demand, "capacity", decision.Capacity, "age", decision.Age, "come_back", retryAfter)
+	e.countRefusal(tenant, ruleShare)
+	writeErrorRetryAfter(w, http.StatusServiceUnavailable, "the tenant asks for more than its share while room is short; the request has not run", retryAfter)
+	return false
+}
+
+func (e *Edge) countRefusal(tenant *catalog.Tenant, rule string) {
+	if e.Refused != nil {
+		e.Refused(tenant.Name, rule)
+	}
+}
+
 // callAllowsAnonymous reports whether calls about batch jobs need no key: the host has a
 // public batch route.
 func callAllowsAnonymous(configuration *catalog.Configuration, host string) bool {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -45,6 +45,8 @@
 	readiness    *http.Server
 	draining     atomic.Bool
 	quota        *quotaEnforcer
+	returnTimes  *forward.ReturnTimes
+	shares       *shareGate
 	engineChosen chan struct{} // of capacity 1: an engine was chosen
 
 	pickerMutex    sync.Mutex // guards the fields below; acquired before the balancer's
@@ -66,10 +68,14 @@
 	if f.ledger, err = replica.Open(options); err != nil {
 		return nil, err
 	}
-	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay)
+	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
+	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
+	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
+	f.shares = newShareGate(f)
 	f.edge = &edge.Edge{
-		Admit: f.quota.admit, Withdraw: f.quota.withdraw,
+		Admit: f.quota.admit, Withdraw: f.quota.withdraw, Share: f.shares.decide, RetryAfter: f.shares.retryAfter,
 		Dialect:              adapter.Callers,
+		Refused:              tenants.Add,
 		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
 		Snapshot:             f.catalog.Snapshot,
 		ConfigurationCurrent: func() bool { return f.configurationAge() <= settings.Platform.Apply },
@@ -81,8 +87,11 @@
 			Regions: func(request *forward.Request, route *catalog.Route) catalog.Regions {
 				return f.catalog.Snapshot().Configuration.CurrentRegions(route, request.Tenant, request.Regions)
 			},
-			Observe: newRequestMetrics(common.registry).observe,
-			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard,
+			Observe: func(result forward.Result) {
+				requests.observe(result)
+				tenants.observe(result)
+			},
+			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
 			Directory: f.ledger, Sender: f.peers, Near: f.nearReplica, RegionPolicy: f.jobRegionPolicy, InRegion: f.inShardRegion,
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -9,6 +9,8 @@
 
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/returns"
+	"chutelock.dev/chutelock/internal/tenantstats"
 )
 
 // PathMetrics is the path of the metrics.
@@ -24,6 +26,10 @@
 	waited   *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
+	// retryAfter has the times that refused callers were told, and returns their planned
+	// ones by outlook.
+	retryAfter *prometheus.HistogramVec
+	returns    *prometheus.CounterVec
 }
 
 func newRequestMetrics(registry prometheus.Registerer) *requestMetrics {
@@ -40,8 +46,13 @@
 		waited:   histogram("chutelock_request_wait_seconds", "Time that a request waited for an engine with room.", latencyBuckets),
 		first:    histogram("chutelock_request_first_seconds", "Time to an answer's head or first event.", latencyBuckets),
 		total:    histogram("chutelock_request_seconds", "Time to an answer's end.", latencyBuckets),
+
+		retryAfter: histogram("chutelock_retry_after_seconds", "Retry-After of requests that no engine ran.", latencyBuckets),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chutelock_planned_returns_total", Help: "Refusals by what was expected of the return; no-end: no room is foreseen within the longest wait.",
+		}, []string{"outlook"}),
 	}
-	registry.MustRegister(m.requests)
+	registry.MustRegister(m.requests, m.returns)
 	return m
 }
 
@@ -52,11 +63,59 @@
 	m.attempts.WithLabelValues(kind).Observe(float64(result.Attempts))
 	m.waited.WithLabelValues(kind).Observe(result.Waited.Seconds())
 	m.total.WithLabelValues(kind).Observe(result.Total.Seconds())
+	if result.RetryAfter > 0 {
+		m.retryAfter.WithLabelValues(kind).Observe(result.RetryAfter.Seconds())
+	}
 	if result.First > 0 {
 		m.first.WithLabelValues(kind).Observe(result.First.Seconds())
 	}
 }
 
+func (m *requestMetrics) observeReturn(outlook returns.Outlook) {
+	m.returns.WithLabelValues(outlook.String()).Inc()
+}
+
+// largestTenants is how many tenants a node counts by themselves; the others are counted
+// together.
+const largestTenants = 20
+
+// outcomeLate is the outcome of requests that were served after their route's target.
+const outcomeLate = "late"
+
+var descTenantRequests = prometheus.NewDesc("chutelock_tenant_requests_total",
+	"Online requests by tenant, for those that ask this node most, and outcome: served in time, late, a verdict, or the rule that refused them. Tenant \"\" stands for all others.",
+	[]string{"tenant", "outcome"}, nil)
+
+// tenantMetrics counts online requests by tenant. It implements prometheus.Collector.
+type tenantMetrics struct{ *tenantstats.Counters }
+
+func newTenantMetrics(registry prometheus.Registerer) tenantMetrics {
+	m := tenantMetrics{tenantstats.New(largestTenants)}
+	registry.MustRegister(m)
+	return m
+}
+
+func (m tenantMetrics) observe(result forward.Result) {
+	if result.Tenant == "" {
+		return
+	}
+	outcome := result.Verdict
+	if result.Late() {
+		outcome = outcomeLate
+	}
+	m.Add(result.Tenant, outcome)
+}
+
+// Describe implements prometheus.Collector.
+func (m tenantMetrics) Describe(descs chan<- *prometheus.Desc) { descs <- descTenantRequests }
+
+// Collect implements prometheus.Collector.
+func (m tenantMetrics) Collect(metrics chan<- prometheus.Metric) {
+	for _, count := range m.Counts() {
+		metrics <- prometheus.MustNewConstMetric(descTenantRequests, prometheus.CounterValue, float64(count.Count), count.Tenant, count.Outcome)
+	}
+}
+
 // registerGauges registers gauges that are read when metrics are collected.
 func (c *core) registerGauges(gauges map[string]gauge) {
 	for name, spec := range gauges {
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -19,6 +19,10 @@
 	// relay returns the data node to report to.
 	relay       func() (transport.Address, bool)
 	incarnation uint32
+	// overloadActive reports whether refused callers are told when the limit may admit them,
+	// and messages carry demands for shares of tenants: rounded without bias, those of the
+	// largest tenants.
+	overloadActive func() bool
 
 	mutex       sync.Mutex // guards the fields below; a leaf
 	limiter     *quota.Limiter
@@ -33,10 +37,10 @@
 	return quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
 }
 
-func newQuotaEnforcer(settings config.Quota, peers transport.Sender, relay func() (transport.Address, bool)) *quotaEnforcer {
+func newQuotaEnforcer(settings config.Quota, peers transport.Sender, relay func() (transport.Address, bool), overloadActive func() bool) *quotaEnforcer {
 	return &quotaEnforcer{
 		peers: peers, relay: relay, incarnation: rand.Uint32(), limiter: quota.NewLimiter(quotaBounds(settings)),
-		sumReceived: make(chan struct{}),
+		sumReceived: make(chan struct{}), overloadActive: overloadActive,
 	}
 }
 
@@ -61,8 +65,10 @@
 }
 
 func (q *quotaEnforcer) check(key quota.Key, limit quota.Limit, final bool) quota.Decision {
+	active := q.overloadActive() // before the mutex, which is a leaf
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.limiter.PlanReturns = active
 	return q.limiter.Check(key, limit, final, clock.Now(), rand.Float64)
 }
 
@@ -94,6 +100,7 @@
 	report, formerRelay := q.limiter.Report(q.incarnation, to, clock.Now())
 	received := q.sumReceived
 	q.mutex.Unlock()
+	prepareDemand(report.Counts, report.Remembered, q.overloadActive)
 	if formerRelay != "" {
 		// Repeated with the next reports; if all are lost, the counts expire there.
 		_ = q.peers.Datagram(formerRelay, kindQuotaReport, quota.Report{Incarnation: q.incarnation, Gone: true}.Marshal())
@@ -103,6 +110,29 @@
 	return received
 }
 
+// prepareDemand makes a message's counts fit for shares of tenants if active says so. other is the
+// message's second list.
+func prepareDemand(counts, other quota.Counts, active func() bool) {
+	if active != nil && active() {
+		counts.KeepLargest(len(other))
+		counts.RoundDemand(rand.Float64)
+	}
+}
+
+// asking returns what tenants ask for over all nodes, and the age of others' counts.
+func (q *quotaEnforcer) asking() (map[quota.Key]quota.Asking, time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.limiter.Asking(clock.Now())
+}
+
+// addDemand counts a request of a tenant without a limit.
+func (q *quotaEnforcer) addDemand(key quota.Key) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.limiter.AddDemand(key, clock.Now())
+}
+
 // handleSum applies the counts of all other nodes and wakes the requests waiting for them.
 func (q *quotaEnforcer) handleSum(from transport.Address, payload []byte) {
 	sum, err := quota.UnmarshalSum(payload)
@@ -122,6 +152,8 @@
 	peers    transport.Sender
 	bounds   quota.Bounds
 	snapshot func() *catalog.Snapshot
+	// overloadActive is that of quotaEnforcer.
+	overloadActive func() bool
 
 	mutex     sync.Mutex // guards the fields below; a leaf
 	collector *quota.Collector
@@ -150,6 +182,7 @@
 	e.collector.Report(from, report, now)
 	sum := e.collector.Sum(from, e.maxAdmitted, now)
 	e.mutex.Unlock()
+	prepareDemand(sum.Counts, sum.InReserve, e.overloadActive)
 	// An unsent sum counts as lost; the next report gets another.
 	_ = e.peers.Datagram(from, kindQuotaSum, sum.Marshal())
 }
@@ -204,6 +237,7 @@
 	share, hasCounts := e.collector.ShareFor(zone, clock.Now())
 	e.mutex.Unlock()
 	if hasCounts {
+		prepareDemand(share.Counts, share.Recovered, e.overloadActive)
 		// An unsent share counts as lost; the next one follows soon.
 		_ = e.peers.Datagram(to, kindQuotaShare, share.Marshal())
 	}
