--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -164,18 +164,9 @@
 	return late
 }
 
-// batchWeight returns a tenant's weight when slots for batch work are short: the one of the
-// settings, else the rate of the tenant's limit, else 1.
+// batchWeight returns a tenant's weight when slots for batch work are short; 0 if it has none.
 func (d *data) batchWeight(tenant string) float64 {
-	if weight, found := d.settings.Overload.Weights[tenant]; found {
-		return weight
-	}
-	if configuration := d.catalog.Snapshot().Configuration; configuration != nil {
-		if known := configuration.Tenant(tenant); known.Limited() {
-			return known.Rate
-		}
-	}
-	return 1
+	return tenantWeight(d.catalog.Snapshot().Configuration.Tenant(tenant), d.settings.Overload.Weights)
 }
 
 // batchRoom returns how many slots of a service online work leaves, by the load of all nodes.
--- a/internal/system/shares.go
+++ b/internal/system/shares.go
@@ -103,20 +103,29 @@
 	s.unknown = unknown
 }
 
-// tenantWeights returns the tenants' weights: by the settings, else the limit's rate. Tenants
-// with neither are left out, which counts as 1.
+// tenantWeights returns the tenants' weights; tenants without one are left out, which counts as 1.
 func tenantWeights(configuration *catalog.Configuration, settings map[string]float64) map[quota.Key]float64 {
 	weights := map[quota.Key]float64{}
 	for tenant := range configuration.EachTenant() {
-		if weight, set := settings[tenant.Name]; set {
+		if weight := tenantWeight(tenant, settings); weight > 0 {
 			weights[quota.KeyOf(tenant.Name)] = weight
-		} else if tenant.Limited() {
-			weights[quota.KeyOf(tenant.Name)] = tenant.Rate
 		}
 	}
 	return weights
 }
 
+// tenantWeight returns a tenant's weight when room is short: by the settings, else the limit's
+// rate. It is 0 for a tenant with neither and for nil.
+func tenantWeight(tenant *catalog.Tenant, settings map[string]float64) float64 {
+	if tenant == nil {
+		return 0
+	}
+	if weight, set := settings[tenant.Name]; set {
+		return weight
+	}
+	return tenant.Rate
+}
+
 // unknownTenants returns the names in the settings that the configuration doesn't have.
 func unknownTenants(configuration *catalog.Configuration, settings map[string]float64) []string {
 	unknown := []string{}
--- a/internal/system/shares_test.go
+++ b/internal/system/shares_test.go
@@ -28,6 +28,9 @@
 	configuration.SetTenants([]catalog.Tenant{{Name: "limited", Rate: 40}, {Name: "set", Rate: 40}, {Name: "free"}})
 	settings := map[string]float64{"set": 2.5, "gone": 7, "absent": 1}
 	g.Expect(tenantWeights(configuration, settings)).To(gomega.Equal(map[quota.Key]float64{quota.KeyOf("limited"): 40, quota.KeyOf("set"): 2.5}))
+	for name, weight := range map[string]float64{"limited": 40, "set": 2.5, "free": 0, "gone": 0} {
+		g.Expect(tenantWeight(configuration.Tenant(name), settings)).To(gomega.Equal(weight), name)
+	}
 	g.Expect(unknownTenants(configuration, settings)).To(gomega.Equal([]string{"absent", "gone"}))
 	g.Expect(onlineServices(configuration)).To(gomega.Equal([]string{"a", "b"}))
 }
