Bound forecasts of batch jobs

Cause: with next to no room, as after minutes of online work at all slots, the predicted time overflowed to a negative one, so that a job that would be late was accepted as in time. A huge overload.job_lateness made the limit negative, so that all jobs were refused. Change: predicted times and limits are at most 1000 h. Result: TestForecastWithoutRoomIsLate and TestHugeLatenessAcceptsAll, which fail without the bound.

--- a/internal/batchwork/acceptance.go
+++ b/internal/batchwork/acceptance.go
@@ -73,7 +73,7 @@
 	work := time.Duration(len(job.Items)) * itemWork
 	verdict := &lateVerdict{
 		forecast: forecast, work: work, completion: forecast.completion(job.Tenant, work, itemWork),
-		limit: time.Duration(options.JobLateness * float64(job.Completion)),
+		limit: boundedTime(options.JobLateness * float64(job.Completion)),
 	}
 	if verdict.completion > verdict.limit {
 		return verdict
--- a/internal/batchwork/acceptance_test.go
+++ b/internal/batchwork/acceptance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -102,6 +103,14 @@
 	l.g.Expect(l.runner.overload.service("s").work["t"]).To(gomega.Equal(26*time.Second), "counts until the next plan")
 }
 
+// A setting beyond any duration refuses nothing.
+func TestHugeLatenessAcceptsAll(t *testing.T) {
+	for _, lateness := range []float64{1e300, math.Inf(1)} {
+		l := newBusyLeader(t, lateness)
+		l.g.Expect(l.submit("a")).To(gomega.Succeed())
+	}
+}
+
 // A resend of an accepted job is answered as accepted, whatever is predicted.
 func TestAcceptedJobStaysAccepted(t *testing.T) {
 	l := newBusyLeader(t, 2)
--- a/internal/batchwork/jobforecast.go
+++ b/internal/batchwork/jobforecast.go
@@ -13,9 +13,17 @@
 // maxReturning bounds the refused jobs of a service that are remembered.
 const maxReturning = 4096
 
+// maxForecast bounds predicted times and limits, so that sums of them don't overflow.
+const maxForecast = 1000 * time.Hour
+
+// boundedTime converts nanoseconds to a duration of at most maxForecast.
+func boundedTime(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(maxForecast)))
+}
+
 // jobForecast predicts when a service's jobs are done, from the open work of its tenants and
-// the part of the slots to plan for. It assumes max-min fair shares of these
-// slots. Work is the time for which items hold a slot.
+// the part of the slots to plan for. It assumes max-min fair shares of these slots. Work is the
+// time for which items hold a slot.
 type jobForecast struct {
 	slots  float64
 	weight func(tenant string) float64
@@ -32,7 +40,7 @@
 			total += min(float64(open), float64(work)*f.weight(other)/own)
 		}
 	}
-	return time.Duration(total / f.slots)
+	return boundedTime(total / f.slots)
 }
 
 // share returns a tenant's max-min fair share of the slot time within a period, if it asks for
--- a/internal/batchwork/jobforecast_test.go
+++ b/internal/batchwork/jobforecast_test.go
@@ -20,6 +20,14 @@
 	g.Expect(forecast.completion("calm", 2*time.Second, time.Second)).To(gomega.Equal(4 * time.Second))
 }
 
+// With next to no room a job is late, not in time by an overflow.
+func TestForecastWithoutRoomIsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	forecast := jobForecast{slots: 1e-12, weight: equalWeights, work: map[string]time.Duration{"a": time.Minute}}
+	g.Expect(forecast.completion("a", time.Second, time.Second)).To(gomega.Equal(maxForecast))
+	g.Expect(newReturns().refuse("1", "a", time.Second, time.Minute, forecast, submitted)).To(gomega.Equal(time.Minute))
+}
+
 // Jobs that are refused one after another return one after another, each at most after the
 // limit; one that asks again keeps its place.
 func TestRefusedJobsReturnInTurn(t *testing.T) {
