Group open items by service with one copy at most

Change: items are counted before they are copied, and not copied if all are of one service. TestOrderGroupsItemsByService.

--- a/internal/batchwork/overload.go
+++ b/internal/batchwork/overload.go
@@ -81,31 +81,61 @@
 // order orders open items, which are ordered by due time, of several services; service returns
 // an item's service. Without an estimate of a service's room its items are ordered by due time.
 func (o *overload) order(items []openItem, service func(openItem) string, estimator *itemEstimator, weight func(string) float64, now time.Time) []openItem {
-	var names []string
-	byService := map[string][]openItem{}
-	for _, item := range items {
-		name := service(item)
-		if byService[name] == nil {
-			names = append(names, name)
-		}
-		byService[name] = append(byService[name], item)
-	}
+	groups := groupByService(items, service)
 	for name, load := range o.services {
-		if byService[name] == nil {
+		if !slices.ContainsFunc(groups, func(g serviceItems) bool { return g.service == name }) {
 			clear(load.work)
 			load.full = false
 		}
 	}
-	ordered := make([]openItem, 0, len(items))
 	o.late = 0
-	for _, name := range names {
-		sorted, late := o.service(name).order(byService[name], estimator, weight, now)
-		ordered = append(ordered, sorted...)
+	var ordered []openItem
+	for _, group := range groups {
+		sorted, late := o.service(group.service).order(group.items, estimator, weight, now)
 		o.late += late
+		if len(groups) == 1 {
+			return sorted
+		}
+		ordered = append(slices.Grow(ordered, len(items)-len(ordered)), sorted...)
 	}
 	return ordered
 }
 
+type serviceItems struct {
+	service string
+	items   []openItem
+}
+
+// groupByService groups items by service in their order, with one copy of them at most.
+func groupByService(items []openItem, service func(openItem) string) []serviceItems {
+	var groups []serviceItems
+	known, counts := map[string]int{}, []int{}
+	groupOf := make([]int, len(items))
+	for i, item := range items {
+		name := service(item)
+		group, found := known[name]
+		if !found {
+			group = len(groups)
+			known[name] = group
+			groups, counts = append(groups, serviceItems{service: name}), append(counts, 0)
+		}
+		groupOf[i] = group
+		counts[group]++
+	}
+	if len(groups) == 1 {
+		groups[0].items = items
+		return groups
+	}
+	for i, count := range counts {
+		groups[i].items = make([]openItem, 0, count)
+	}
+	for i, item := range items {
+		group := &groups[groupOf[i]]
+		group.items = append(group.items, item)
+	}
+	return groups
+}
+
 func (l *serviceLoad) order(items []openItem, estimator *itemEstimator, weight func(string) float64, now time.Time) ([]openItem, int) {
 	eventTime := l.eventTime(estimator)
 	remaining := func(item openItem) time.Duration { return time.Duration(eventTime * estimator.eventsLeft(item)) }
--- a/internal/batchwork/shareorder_test.go
+++ b/internal/batchwork/shareorder_test.go
@@ -102,3 +102,19 @@
 	_, _, known := o.service("s").forecast(e, equalWeights, submitted)
 	g.Expect(known).To(gomega.BeFalse())
 }
+
+// Items of several services stay together by service, in their order and each once.
+func TestOrderGroupsItemsByService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, e := newOverload(), newItemEstimator()
+	o.service("idle").full = true
+	items := []openItem{
+		{job: "y1", due: submitted.Add(time.Hour)}, {job: "x1", due: submitted.Add(time.Hour)},
+		{job: "x2", due: submitted}, {job: "y2", due: submitted.Add(time.Hour)},
+	}
+	service := func(item openItem) string { return item.job[:1] }
+	g.Expect(jobsOf(o.order(items, service, e, equalWeights, submitted))).To(gomega.Equal([]string{"y1", "y2", "x1", "x2"}))
+	g.Expect(o.late).To(gomega.Equal(1))
+	g.Expect(o.service("idle").full).To(gomega.BeFalse())
+	g.Expect(o.order(nil, service, e, equalWeights, submitted)).To(gomega.BeEmpty())
+}
