Room for batch work: engines that aren't ejected, without a report of all engines

Cause: for each service five times a second, under the runner's and the balancer's mutex, a report of all engines of all services was made, and ejected engines counted as free room. Change: balance.BatchRoom looks at the service's engines only and leaves out ejected ones.

--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -67,3 +67,24 @@
 	fleet.Unlisted = max(0, fleet.Unlisted)
 	return fleet
 }
+
+// BatchRoom returns how many slots of a service's engines online requests leave, as known at
+// this node.
+func (b *Balancer) BatchRoom(service string) int {
+	engines := b.snapshot().Serving(service)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.BatchRoom(engines, clock.Now())
+}
+
+// BatchRoom returns how many slots of engines that aren't ejected online requests leave.
+func (t *Table) BatchRoom(engines []catalog.Engine, now time.Time) int {
+	t.expire(now)
+	room := 0
+	for _, engine := range engines {
+		if t.healthy(engine.ID, now) {
+			room += max(0, engine.Slots-t.running(engine.ID, ClassOnline, now))
+		}
+	}
+	return room
+}
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -9,7 +9,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/ledger"
@@ -168,13 +167,3 @@
 func (d *data) batchWeight(tenant string) float64 {
 	return tenantWeight(d.catalog.Snapshot().Configuration.Tenant(tenant), d.settings.Overload.Weights)
 }
-
-// batchRoom returns how many slots of a service online work leaves, by the load of all nodes.
-func (d *data) batchRoom(service string) int {
-	report, room := d.balancer.TotalReport(), 0
-	for _, engine := range d.catalog.Snapshot().Serving(service) {
-		online := report[balance.KeyOf(engine.ID)].Counts[balance.ClassOnline]
-		room += max(0, engine.Slots-online)
-	}
-	return room
-}
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -99,7 +99,7 @@
 		Settle: settleTime, Executors: d.executors, Sender: port, Receiver: port,
 		LocalRuns: d.settings.Batch.LocalRuns, Guard: d.guard, Metrics: d.batchMetrics,
 		Overload: batchwork.OverloadOptions{
-			Active: d.overloadActive, Weight: d.batchWeight, Room: d.batchRoom, JobLateness: d.settings.Overload.JobLateness,
+			Active: d.overloadActive, Weight: d.batchWeight, Room: d.balancer.BatchRoom, JobLateness: d.settings.Overload.JobLateness,
 		},
 	})
 	batchwork.RegisterServer(batchwork.ServerOptions{
