Count batch items whose ends are committed apart from a run

Cause: chutelock_batch_items_ended_total counted at the end of a run only, so that items given up while none was under way, and ends whose commit was repeated, were missing. Change: counted when such an end is committed. Result: TestExpiredItemsAreGivenUpInOneEntry also checks the counter, and fails without the change.

--- a/internal/batchwork/pending_ends.go
+++ b/internal/batchwork/pending_ends.go
@@ -21,7 +21,7 @@
 // commitPendingEnds commits due ends in one entry: those whose commit failed before, and
 // those of items past their retention. The items are paused meanwhile.
 func (r *Runner) commitPendingEnds(open []openItem, now time.Time) {
-	due := r.dueEnds(open, now)
+	due, dueTimes := r.dueEnds(open, now)
 	if len(due) == 0 {
 		return
 	}
@@ -31,14 +31,14 @@
 		defer r.tasks.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 		defer cancel()
-		r.finishPendingEnds(due, r.propose(ctx, due))
+		r.finishPendingEnds(due, dueTimes, r.propose(ctx, due))
 	}()
 }
 
-func (r *Runner) dueEnds(open []openItem, now time.Time) []itemUpdate {
+// dueEnds returns the ends to commit, and when their items were to end.
+func (r *Runner) dueEnds(open []openItem, now time.Time) (due []itemUpdate, dueTimes []time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var due []itemUpdate
 	for i := range open {
 		if len(due) == maxEndsPerCommit {
 			break
@@ -52,9 +52,10 @@
 		}
 		if end, found := r.dueEnd(item, now); found {
 			due = append(due, end)
+			dueTimes = append(dueTimes, item.due)
 		}
 	}
-	return due
+	return due, dueTimes
 }
 
 // dueEnd returns an item's due end, if any. It deletes one that doesn't follow the committed
@@ -82,7 +83,7 @@
 	}
 }
 
-func (r *Runner) finishPendingEnds(ends []itemUpdate, err error) {
+func (r *Runner) finishPendingEnds(ends []itemUpdate, dueTimes []time.Time, err error) {
 	if err != nil {
 		eventCommitLost.Error(err, "items", len(ends))
 		r.pauseItems(ends, clock.Now().Add(failurePause))
@@ -90,8 +91,9 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, end := range ends {
+	for i, end := range ends {
 		k := itemKey{end.job, end.index}
+		r.options.Metrics.itemEnded(end.state, dueTimes[i], clock.Now())
 		delete(r.pendingEnds, k)
 		delete(r.pauses, k)
 		if end.state == StateDead {
--- a/internal/batchwork/pending_ends_test.go
+++ b/internal/batchwork/pending_ends_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"chutelock.dev/chutelock/internal/ledger"
 )
@@ -82,9 +83,14 @@
 	job.Retention = time.Second
 	job.Submitted = time.Now().Add(-time.Minute)
 	apply(g, shard.machine, shard.store, encodeSubmit(job))
-	runner := NewRunner(RunnerOptions{Shard: shard, Machine: shard.machine})
+	registry := prometheus.NewRegistry()
+	runner := NewRunner(RunnerOptions{Shard: shard, Machine: shard.machine, Metrics: NewMetrics(registry)})
 	runner.commitPendingEnds(shard.machine.openItems(), time.Now())
 	runner.tasks.Wait()
 	g.Expect(shard.machine.openItems()).To(gomega.BeEmpty())
 	g.Expect(shard.entries).To(gomega.Equal(1))
+	families, err := registry.Gather()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(families).To(gomega.HaveLen(1))
+	g.Expect(families[0].String()).To(gomega.And(gomega.ContainSubstring(`"given-up"`), gomega.ContainSubstring("value:5")))
 }
