Submissions take the runner's mutex only where jobs may be refused

Cause: each submission looked up its route and waited for the runner's mutex, which a plan holds, also where the switch is off or overload.job_lateness is 0. Change: Refuse returns first there. Result: TestSubmissionTakesNoLockOfRunner, which hangs without the change.

--- a/internal/batchwork/acceptance.go
+++ b/internal/batchwork/acceptance.go
@@ -22,6 +22,9 @@
 // of a leader, and if certain reports that the job is not accepted and won't be. A node without
 // estimates refuses nothing.
 func (r *Runner) Refuse(job *Job, certain func() bool) error {
+	if r.options.Overload.JobLateness <= 0 || !r.options.Overload.active() {
+		return nil
+	}
 	now := clock.Now()
 	service := serviceOf(r.options.Route(job.Host, job.Path))
 	if r.judge(job, service, now) == nil || !certain() {
@@ -62,8 +65,7 @@
 
 // judgeLocked is judge for callers that hold the mutex.
 func (r *Runner) judgeLocked(job *Job, service string, now time.Time) *lateVerdict {
-	options := r.options.Overload
-	if !options.active() || options.JobLateness <= 0 || job.Completion <= 0 {
+	if job.Completion <= 0 {
 		return nil
 	}
 	forecast, itemWork, known := r.forecast(service, now)
@@ -73,7 +75,7 @@
 	work := time.Duration(len(job.Items)) * itemWork
 	verdict := &lateVerdict{
 		forecast: forecast, work: work, completion: forecast.completion(job.Tenant, work, itemWork),
-		limit: boundedTime(options.JobLateness * float64(job.Completion)),
+		limit: boundedTime(r.options.Overload.JobLateness * float64(job.Completion)),
 	}
 	if verdict.completion > verdict.limit {
 		return verdict
--- a/internal/batchwork/acceptance_test.go
+++ b/internal/batchwork/acceptance_test.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// Where no job is refused for lateness, submissions don't wait for plans.
+func TestSubmissionTakesNoLockOfRunner(t *testing.T) {
+	for name, change := range map[string]func(o *OverloadOptions){
+		"by the switch":  func(o *OverloadOptions) { o.Active = func() bool { return false } },
+		"by the setting": func(o *OverloadOptions) { o.JobLateness = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newBusyLeader(t, 2)
+			change(&l.runner.options.Overload)
+			l.runner.mutex.Lock()
+			defer l.runner.mutex.Unlock()
+			submitted := make(chan error, 1)
+			go func() { submitted <- l.submit("a") }()
+			l.g.Eventually(submitted, 10*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		})
+	}
+}
+
 // Between the prediction and the read another leader accepted the job, or took over.
 func TestRefusalIsDroppedIfJobAppears(t *testing.T) {
 	l := newBusyLeader(t, 2)
