--- a/internal/batchwork/overload.go
+++ b/internal/batchwork/overload.go
@@ -44,8 +44,8 @@
 type serviceLoad struct {
 	room roomMeter
 	// full: at the last plan items remained for which there was no slot.
-	full bool
-	gate *startGate
+	full  bool
+	start *startTime
 	// work is the open work of items that can be done in time, by tenant.
 	work    map[string]time.Duration
 	returns *returns
@@ -64,7 +64,7 @@
 func (o *overload) service(name string) *serviceLoad {
 	load := o.services[name]
 	if load == nil {
-		load = &serviceLoad{gate: newStartGate(), work: map[string]time.Duration{}, returns: newReturns()}
+		load = &serviceLoad{start: newStartTime(), work: map[string]time.Duration{}, returns: newReturns()}
 		o.services[name] = load
 	}
 	return load
--- a/internal/batchwork/preempt.go
+++ b/internal/batchwork/preempt.go
@@ -18,7 +18,7 @@
 // setBegun records that a run has had an event; the caller holds the mutex.
 func (r *Runner) setBegun(run *run) {
 	if !run.begun {
-		r.overload.service(run.engine.Service).gate.observeStart(clock.Since(run.started))
+		r.overload.service(run.engine.Service).start.observe(clock.Since(run.started))
 	}
 	run.begun = true
 }
@@ -51,7 +51,7 @@
 		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
 		victims := preemptionOrder(runs)
 		if shared && len(victims) > 0 {
-			victims = cutOrder(victims, r.overload.service(victims[0].engine.Service).gate.startTime, now)
+			victims = cutOrder(victims, r.overload.service(victims[0].engine.Service).start.mean, now)
 		}
 		victims = victims[:min(overfull.Excess, len(victims))]
 		if len(victims) == 0 {
@@ -61,7 +61,6 @@
 			run.preempted = true
 			r.cut(run, cutOnline)
 			run.lease.Release()
-			r.overload.service(run.engine.Service).gate.observeCut(now.Sub(run.started), now)
 		}
 		eventPreempted.Info("engine", overfull.Engine, "runs", len(runs), "cut", len(victims))
 	}
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -20,7 +20,7 @@
 	groups, maxStarts := r.selectStartable(open, now)
 	var started []*startedRun
 	if r.options.Overload.active() {
-		return r.startShared(ctx, groups, maxStarts, now)
+		return r.startShared(ctx, groups, maxStarts)
 	}
 	for _, group := range groups {
 		wishes := group.wishes[:min(len(group.wishes), maxStarts-len(started))]
