--- a/internal/batchwork/preempt.go
+++ b/internal/batchwork/preempt.go
@@ -11,10 +11,26 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if run := r.runs[k]; run != nil {
-		run.begun = true
+		r.setBegun(run)
 	}
 }
 
+// setBegun records that a run has had an event; the caller holds the mutex.
+func (r *Runner) setBegun(run *run) {
+	if !run.begun {
+		r.overload.service(run.engine.Service).start.observe(clock.Since(run.started))
+	}
+	run.begun = true
+}
+
+// cut cancels a run; the caller holds the mutex.
+func (r *Runner) cut(run *run, cause cutCause) {
+	if run.ctx.Err() == nil {
+		r.options.Metrics.runCut(cause)
+	}
+	run.cancel()
+}
+
 // Preempt preempts batch runs at engines whose slots online work needs.
 func (r *Runner) Preempt() {
 	now := clock.Now()
@@ -29,17 +45,21 @@
 		return
 	}
 	byEngine := r.runsByEngine()
+	shared := r.options.Overload.active()
 	for _, overfull := range overfullEngines {
 		runs := byEngine[overfull.Engine]
 		sort.Slice(runs, func(i, j int) bool { return runs[i].started.Before(runs[j].started) })
 		victims := preemptionOrder(runs)
+		if shared && len(victims) > 0 {
+			victims = cutOrder(victims, r.overload.service(victims[0].engine.Service).start.mean, now)
+		}
 		victims = victims[:min(overfull.Excess, len(victims))]
 		if len(victims) == 0 {
 			continue
 		}
 		for _, run := range victims {
 			run.preempted = true
-			run.cancel()
+			r.cut(run, cutOnline)
 			run.lease.Release()
 		}
 		eventPreempted.Info("engine", overfull.Engine, "runs", len(runs), "cut", len(victims))
