--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -77,14 +77,13 @@
 	return b.table.BatchRoom(engines, clock.Now())
 }
 
-// BatchRoom returns how many slots of engines that aren't ejected online requests leave.
+// BatchRoom returns how many slots of engines online requests leave. Engines that are ejected
+// count, as they return within the time that the room is used for.
 func (t *Table) BatchRoom(engines []catalog.Engine, now time.Time) int {
 	t.expire(now)
 	room := 0
 	for _, engine := range engines {
-		if t.healthy(engine.ID, now) {
-			room += max(0, engine.Slots-t.running(engine.ID, ClassOnline, now))
-		}
+		room += max(0, engine.Slots-t.running(engine.ID, ClassOnline, now))
 	}
 	return room
 }
