--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -67,3 +67,23 @@
 	fleet.Unlisted = max(0, fleet.Unlisted)
 	return fleet
 }
+
+// BatchRoom returns how many slots of a service's engines online requests leave, as known at
+// this node.
+func (b *Balancer) BatchRoom(service string) int {
+	engines := b.snapshot().Serving(service)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.table.BatchRoom(engines, clock.Now())
+}
+
+// BatchRoom returns how many slots of engines online requests leave. Engines that are ejected
+// count, as they return within the time that the room is used for.
+func (t *Table) BatchRoom(engines []catalog.Engine, now time.Time) int {
+	t.expire(now)
+	room := 0
+	for _, engine := range engines {
+		room += max(0, engine.Slots-t.running(engine.ID, ClassOnline, now))
+	}
+	return room
+}
