poison: one retry after a hold while it is unknown whether it crashed an engine

A batch item that was released after its hold went to five engines within 250 ms (logs: item-sent at 56:26.416, .468, .521, .575, .629; the first engine's crash was recorded at 56:26.748). Cause: the crashed engine's address still took connections, so the crash counted only after the recheck, 300 ms later, and the item was retried at once meanwhile. Change: a request that may be held back isn't sent while a recheck of it is pending. Result: TestGuardHoldsRetryUntilRecheck fails without the change.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -134,7 +134,9 @@
 	g.tasks.Wait()
 }
 
-// Held returns after what time a held request may be tried again; false if it may be sent.
+// Held returns after what time a held request may be tried again; false if it may be sent. A
+// request that may be held back is not sent while it is unknown whether it has crashed one more
+// engine: it would crash several more before the first counts against it.
 func (g *Guard) Held(fingerprint func() Fingerprint) (time.Duration, bool) {
 	if g == nil || !g.hasHoldable.Load() {
 		return 0, false
@@ -143,6 +145,9 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	left, held := g.table.RetryAfter(f, now)
+	if !held && g.rechecks[f] > 0 && g.table.Holdable(f) {
+		left, held = recheckDelay, true
+	}
 	if held {
 		g.refused.Add(1)
 	}
--- a/internal/poison/recheck_test.go
+++ b/internal/poison/recheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,52 @@
 	}
 }
 
+// Guards against several retries after a hold before the first one's crash is known: the
+// engine's address still accepts connections for a moment, and the request went to five engines
+// within 250 ms.
+func TestGuardHoldsRetryUntilRecheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var crashed atomic.Bool
+		guard := NewGuard(Options{
+			EngineCrashed: func(context.Context, catalog.Engine) bool { return crashed.Load() },
+			Report:        func(context.Context, []Record) error { return nil }, Now: time.Now,
+		})
+		guard.Start()
+		t.Cleanup(guard.Close)
+		lose := func(engine string) {
+			guard.ConnectionLost(context.Background(), LostConnection{Engine: catalog.Engine{ID: engine}, Fingerprint: func() Fingerprint { return print(1) }})
+		}
+		crashed.Store(true)
+		for _, engine := range []string{"a", "b", "c"} {
+			lose(engine)
+		}
+		for isHeld(guard, 1) {
+			time.Sleep(time.Second)
+		}
+		crashed.Store(false)
+		lose("d")
+		if !isHeld(guard, 1) {
+			t.Error("a request is retried although it may have crashed a further engine")
+		}
+		crashed.Store(true)
+		time.Sleep(time.Second)
+		if !isHeld(guard, 1) {
+			t.Error("a request that crashed a further engine is not held back")
+		}
+	})
+}
+
+// A request that may not be held back is retried at once, also while a recheck is pending.
+func TestGuardRetriesWithoutRecheckBelowThreshold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard, lostConnection := newRecheckGuard(t, time.Hour)
+		guard.ConnectionLost(context.Background(), lostConnection("a"))
+		if isHeld(guard, 1) {
+			t.Error("request held back")
+		}
+	})
+}
+
 // newRecheckGuard returns a front node's guard whose engines count as crashed after a delay,
 // and a function that returns the lost connection of request 1 to an engine.
 func newRecheckGuard(t *testing.T, delay time.Duration) (*Guard, func(engine string) LostConnection) {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -163,6 +163,12 @@
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
+// Holdable reports whether a request may be held back, though its hold may be over.
+func (t *Table) Holdable(f Fingerprint) bool {
+	record := t.records[f]
+	return record != nil && record.holdable()
+}
+
 // HasHoldable reports whether any request may be held back.
 func (t *Table) HasHoldable() bool { return t.holdable > 0 }
 
