Updates of batch items that had no effect are logged and counted

Cause: the machine dropped an update that doesn't follow the item's committed text, and neither log nor metric told of it, so the hypotheses on a text of two runs could not be told apart. Change: the machine answers with what each update did; the leader logs item-update-dropped (3220) with sender, events and where the item stands, and counts chutelock_batch_updates_dropped_total. What runs do is unchanged.

--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -100,7 +100,7 @@
 	case commandSubmit:
 		answer, err = m.submit(writer, fields)
 	case commandAdvance:
-		err = m.advance(writer, fields)
+		content, err = m.advance(writer, fields)
 	case commandEnd:
 		answer, content, err = m.end(writer, fields)
 	case commandPurge:
@@ -165,61 +165,68 @@
 	return answerDone, nil
 }
 
-func (m *Machine) advance(writer ledger.Writer, fields [][]byte) error {
+// advance applies updates and returns the outcome of each.
+func (m *Machine) advance(writer ledger.Writer, fields [][]byte) ([]byte, error) {
+	outcomes := make([]byte, 0, len(fields))
 	changed := false
 	for _, field := range fields {
 		u, err := decodeUpdate(field)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		final, err := m.advanceItem(writer, u)
+		outcome, err := m.advanceItem(writer, u)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		changed = changed || final
+		outcomes = append(outcomes, byte(outcome))
+		changed = changed || (outcome == updateApplied && u.state != StateOpen)
 	}
 	if changed {
 		m.changed.fire()
 	}
-	return nil
+	return outcomes, nil
 }
 
-// advanceItem applies one update and reports whether the item became final.
-func (m *Machine) advanceItem(writer ledger.Writer, u itemUpdate) (bool, error) {
+// advanceItem applies one update, unless the item is final or its text doesn't end at the
+// event that the update follows.
+func (m *Machine) advanceItem(writer ledger.Writer, u itemUpdate) (updateOutcome, error) {
 	job := m.jobs[u.job]
 	if job == nil || job.ended || int(u.index) >= len(job.items) {
-		return false, nil
+		return updateClosed, nil
 	}
 	item := &job.items[u.index]
-	if item.state != StateOpen || item.lastEvent != u.from {
-		return false, nil
+	switch {
+	case item.state != StateOpen:
+		return updateClosed, nil
+	case item.lastEvent != u.from:
+		return updateSuperseded, nil
 	}
 	if u.to > u.from {
 		if err := writer.Set(key(keyText, u.job, uint64(u.index), u.to), u.text); err != nil {
-			return false, err
+			return 0, err
 		}
 		item.lastEvent = u.to
 	}
 	item.failures += u.failures
 	item.state = u.state
 	if err := writer.Set(key(keyState, u.job, uint64(u.index)), encodeState(item)); err != nil {
-		return false, err
+		return 0, err
 	}
 	if u.state == StateOpen {
-		return false, nil
+		return updateApplied, nil
 	}
 	m.queued[job.queue()] -= item.tokens
 	if u.state == StateSucceeded {
 		// Bodies stay readable until the item has a result; a succeeded one isn't run
 		// again.
 		if err := writer.Delete(key(keyBody, u.job, uint64(u.index))); err != nil {
-			return false, err
+			return 0, err
 		}
 	}
 	position := uint64(job.positions)
 	job.positions++
 	job.changed.fire()
-	return true, writer.Set(key(keyResult, u.job, position), marshal(fixedIndex{u.index}))
+	return updateApplied, writer.Set(key(keyResult, u.job, position), marshal(fixedIndex{u.index}))
 }
 
 type fixedIndex struct{ Index uint32 }
--- a/internal/batchwork/metrics.go
+++ b/internal/batchwork/metrics.go
@@ -18,7 +18,7 @@
 
 // Metrics counts batch work at a leader. A nil Metrics counts nothing.
 type Metrics struct {
-	refused, cuts, ended *prometheus.CounterVec
+	refused, cuts, ended, dropped *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with a registry.
@@ -32,6 +32,7 @@
 		refused: counter("chutelock_batch_jobs_refused_total", "Batch jobs refused by this node as the leader: too late, or queue full.", "cause"),
 		cuts:    counter("chutelock_batch_runs_cut_total", "Runs of items that this node as the leader cut.", "cause"),
 		ended:   counter("chutelock_batch_items_ended_total", "Items that ended at this node as the leader: in time, late or given up.", "outcome"),
+		dropped: counter("chutelock_batch_updates_dropped_total", "Updates of items that had no effect at this node as the leader: superseded by another run's text, or closed.", "outcome"),
 	}
 }
 
@@ -47,6 +48,12 @@
 	}
 }
 
+func (m *Metrics) updateDropped(outcome updateOutcome) {
+	if m != nil {
+		m.dropped.WithLabelValues(outcome.String()).Inc()
+	}
+}
+
 func (m *Metrics) itemEnded(state State, due, now time.Time) {
 	if m == nil || state == StateOpen {
 		return
--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -118,7 +118,7 @@
 	if err != nil || len(wanted) == 0 {
 		return nil, err
 	}
-	return nil, r.proposeEncoded(ctx, wanted)
+	return nil, r.proposeEncoded(ctx, from, wanted)
 }
 
 // filterUpdates records a heartbeat and the start of the executor's runs. It drops updates
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -21,15 +21,16 @@
 
 // Log events of batch work.
 var (
-	eventLeading     = telemetry.Define(3201, "batch-leading", "This node leads and runs the items of batch jobs.")
-	eventNotLeading  = telemetry.Define(3202, "batch-not-leading", "This node stopped running items, as it no longer leads or is not certain to.")
-	eventItemRetried = telemetry.Define(3203, "item-retried", "An item's run ended early; the item resumes elsewhere after its last event.")
-	eventItemDead    = telemetry.Define(3204, "item-dead", "An item was given up.")
-	eventState       = telemetry.Define(3207, "batch-state", "Number of open and running items at this leader; logged once a second while any are open.")
-	eventItemSent    = telemetry.Define(3208, "item-sent", "An item is sent to an engine and starts after the given event.")
-	eventItemHeld    = telemetry.Define(3218, "item-held-back", "An item is held back, as too many engines ended while running it; it is checked again later, and given up when its retention is over.")
-	eventPreempted   = telemetry.Define(3206, "batch-yielded", "Batch runs at an engine were preempted to free slots for online work.")
-	eventCommitLost  = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; the item resumes after its committed text.")
+	eventLeading       = telemetry.Define(3201, "batch-leading", "This node leads and runs the items of batch jobs.")
+	eventNotLeading    = telemetry.Define(3202, "batch-not-leading", "This node stopped running items, as it no longer leads or is not certain to.")
+	eventItemRetried   = telemetry.Define(3203, "item-retried", "An item's run ended early; the item resumes elsewhere after its last event.")
+	eventItemDead      = telemetry.Define(3204, "item-dead", "An item was given up.")
+	eventState         = telemetry.Define(3207, "batch-state", "Number of open and running items at this leader; logged once a second while any are open.")
+	eventItemSent      = telemetry.Define(3208, "item-sent", "An item is sent to an engine and starts after the given event.")
+	eventItemHeld      = telemetry.Define(3218, "item-held-back", "An item is held back, as too many engines ended while running it; it is checked again later, and given up when its retention is over.")
+	eventPreempted     = telemetry.Define(3206, "batch-yielded", "Batch runs at an engine were preempted to free slots for online work.")
+	eventCommitLost    = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; the item resumes after its committed text.")
+	eventUpdateDropped = telemetry.Define(3220, "item-update-dropped", "An update of an item had no effect, as the item's committed text ends at another event than the one that the update follows.")
 )
 
 const (
@@ -296,17 +297,27 @@
 
 // propose commits updates in one entry.
 func (r *Runner) propose(ctx context.Context, updates []itemUpdate) error {
-	return r.proposeEncoded(ctx, encodeUpdates(updates))
+	return r.proposeEncoded(ctx, "", encodeUpdates(updates))
 }
 
-func (r *Runner) proposeEncoded(ctx context.Context, updates [][]byte) error {
+// proposeEncoded commits updates that a node sent, empty for this one.
+func (r *Runner) proposeEncoded(ctx context.Context, from transport.Address, updates [][]byte) error {
 	started := clock.Now()
-	_, err := r.options.Shard.Propose(ctx, encodeAdvanceFields(updates, time.Now()))
+	answer, err := r.options.Shard.Propose(ctx, encodeAdvanceFields(updates, time.Now()))
+	r.observeCommit(started)
+	if err != nil {
+		return err
+	}
+	outcomes, err := decodeOutcomes(answer, len(updates))
+	r.reportDropped(from, updates, outcomes)
+	return err
+}
+
+func (r *Runner) observeCommit(started time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := clock.Now()
 	r.runLimit.observe(now.Sub(started), len(r.runs), now)
-	return err
 }
 
 // errNoText means that an item's stream ended before any event.
