A batch run ends when the ledger did not apply its update

Cause: an update is a conditional write, applied only if it follows the item's committed text, but the machine dropped the others and answered as if they had been applied; the leader did the same with updates of runs that it had given up. The run advanced its own position and went on, and where another run's text reached the same event, its next update was applied behind text that isn't its own. The class: a conditional write whose rejection its writer isn't told. Evidence: three tests, by a late commit, a rival run and an old state, failed 5 of 5 on ("after event 11 the text continues with a run that resumed after event 0"), each with item-update-dropped just before. Change: the outcome of each update (applied, superseded, closed) goes back to its run, also across nodes; a run that is told otherwise ends. A superseded end is neither retried nor counted. Leaders also cut and reject superseded runs of executors of older versions, which don't read the reply; older leaders' empty replies count as applied. Why it holds: a run's position is the event it was asked to resume after, or the last event of an update of its own that was applied. An item's last event only rises and each value comes from one update, so an update that follows it comes from the run that wrote it or from one asked to resume there. Result: the three tests pass 5 of 5, the package's tests pass.

--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -217,10 +217,12 @@
 		return c
 	}
 	c = &client{leader: from.leader, sender: e.senders[from.port], runs: map[uint64]context.CancelFunc{}}
-	c.committer = newGroupCommitter(executorGroupDelay, func(ctx context.Context, updates []itemUpdate) error { return e.sendUpdates(ctx, c, updates) })
+	c.committer = newGroupCommitter(executorGroupDelay, func(ctx context.Context, updates []itemUpdate) ([]updateOutcome, error) {
+		return e.sendUpdates(ctx, c, updates)
+	})
 	c.node = &runNode{
 		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, readStart: clock.Now(), guard: e.options.Guard,
-		open: func(string, uint32) bool { return true }, // the ledger drops updates of items that aren't open
+		open: func(string, uint32) bool { return true }, // the leader tells when an item is closed
 	}
 	e.clients[from] = c
 	e.tasks.Go(func() { c.committer.run(e.ctx) })
@@ -250,7 +252,8 @@
 	return nil, nil
 }
 
-// commit sends an update to the leader and returns once it is committed.
+// commit sends an update to the leader and returns once it is committed. It fails with
+// errSuperseded or errItemClosed if the update had no effect.
 func (c *client) commit(ctx context.Context, u itemUpdate) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), updatesTimeout+executorGroupDelay)
 	defer cancel()
@@ -260,16 +263,18 @@
 // fixedUpdates heads updates sent to the leader.
 type fixedUpdates struct{}
 
-// sendUpdates sends updates to the leader. If that fails, it drops the leader's runs: it no
-// longer leads or is unreachable.
-func (e *Executor) sendUpdates(ctx context.Context, c *client, updates []itemUpdate) error {
+// sendUpdates sends updates to the leader and returns the outcome of each. If that fails, it
+// drops the leader's runs: it no longer leads or is unreachable.
+func (e *Executor) sendUpdates(ctx context.Context, c *client, updates []itemUpdate) ([]updateOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
-	_, err := c.sender.Call(ctx, c.leader, kindUpdates, marshal(fixedUpdates{}, encodeUpdates(updates)...))
+	reply, err := c.sender.Call(ctx, c.leader, kindUpdates, marshal(fixedUpdates{}, encodeUpdates(updates)...))
 	if err != nil {
 		e.dropRuns(c, err)
+		return nil, err
 	}
-	return err
+	outcomes, err := decodeUpdatesReply(reply, len(updates))
+	return outcomes, trace.Wrap(err, "decode outcomes of updates from leader %s", c.leader)
 }
 
 func (e *Executor) dropRuns(c *client, cause error) {
--- a/internal/batchwork/group_commit.go
+++ b/internal/batchwork/group_commit.go
@@ -18,8 +18,9 @@
 // groupCommitter commits updates of many runs in one entry, as an entry costs the same
 // messages and syncs whatever its size.
 type groupCommitter struct {
-	time    time.Duration // how long an update waits for others
-	propose func(ctx context.Context, updates []itemUpdate) error
+	time time.Duration // how long an update waits for others
+	// propose commits updates in one entry and returns the outcome of each.
+	propose func(ctx context.Context, updates []itemUpdate) ([]updateOutcome, error)
 	arrived chan *pendingUpdate
 	commits sync.WaitGroup
 }
@@ -30,11 +31,12 @@
 	done   chan error // buffered by one
 }
 
-func newGroupCommitter(time time.Duration, propose func(context.Context, []itemUpdate) error) *groupCommitter {
+func newGroupCommitter(time time.Duration, propose func(context.Context, []itemUpdate) ([]updateOutcome, error)) *groupCommitter {
 	return &groupCommitter{time: time, propose: propose, arrived: make(chan *pendingUpdate)}
 }
 
-// commit adds an update to a group and returns once it is committed or ctx ends.
+// commit adds an update to a group and returns once its outcome is known or ctx ends. It fails
+// with errSuperseded or errItemClosed if the update had no effect.
 func (g *groupCommitter) commit(ctx context.Context, u itemUpdate) error {
 	pending := &pendingUpdate{update: u, done: make(chan error, 1)}
 	select {
@@ -89,8 +91,12 @@
 	for _, pending := range group {
 		updates = append(updates, pending.update)
 	}
-	err := g.propose(ctx, updates)
-	for _, pending := range group {
-		pending.done <- err
+	outcomes, err := g.propose(ctx, updates)
+	for i, pending := range group {
+		if err != nil {
+			pending.done <- err
+			continue
+		}
+		pending.done <- outcomes[i].err()
 	}
 }
--- a/internal/batchwork/group_commit_test.go
+++ b/internal/batchwork/group_commit_test.go
@@ -18,14 +18,14 @@
 		var mu sync.Mutex
 		var entries []int
 		refused := errors.New("refused")
-		committer := newGroupCommitter(groupDelay, func(_ context.Context, updates []itemUpdate) error {
+		committer := newGroupCommitter(groupDelay, func(_ context.Context, updates []itemUpdate) ([]updateOutcome, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			entries = append(entries, len(updates))
 			if updates[0].job == "bad" {
-				return refused
+				return nil, refused
 			}
-			return nil
+			return make([]updateOutcome, len(updates)), nil
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -192,7 +192,8 @@
 	r.last = event.ID
 }
 
-// commitText commits the text since the last commit, with a state.
+// commitText commits the text since the last commit, with a state. After an error the run must
+// not commit again, as the item may have other text.
 func (r *itemRun) commitText(ctx context.Context, state State, failures uint8) error {
 	r.commitAt = clock.Now().Add(commitInterval)
 	if r.last == r.committed && state == StateOpen && failures == 0 {
@@ -203,15 +204,18 @@
 		failures: failures, state: state, text: r.text,
 	}
 	err := r.node.commit(ctx, next)
-	if err != nil {
+	switch {
+	case err == nil:
+		r.committed, r.text = r.last, nil
+	case hadNoEffect(err):
+		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", err, "last_event", r.last)
+	default:
+		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
 		if state != StateOpen {
 			r.result.end = &next
 		}
-		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
-		return err
 	}
-	r.committed, r.text = r.last, nil
-	return nil
+	return err
 }
 
 func (r *itemRun) commitSuccess(ctx context.Context) time.Duration {
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -167,7 +167,7 @@
 
 // advance applies updates and returns the outcome of each.
 func (m *Machine) advance(writer ledger.Writer, fields [][]byte) ([]byte, error) {
-	outcomes := make([]byte, 0, len(fields))
+	outcomes := make([]updateOutcome, 0, len(fields))
 	changed := false
 	for _, field := range fields {
 		u, err := decodeUpdate(field)
@@ -178,13 +178,13 @@
 		if err != nil {
 			return nil, err
 		}
-		outcomes = append(outcomes, byte(outcome))
+		outcomes = append(outcomes, outcome)
 		changed = changed || (outcome == updateApplied && u.state != StateOpen)
 	}
 	if changed {
 		m.changed.fire()
 	}
-	return outcomes, nil
+	return encodeOutcomes(outcomes), nil
 }
 
 // advanceItem applies one update, unless the item is final or its text doesn't end at the
--- a/internal/batchwork/metrics.go
+++ b/internal/batchwork/metrics.go
@@ -14,6 +14,7 @@
 	cutNotLeading   cutCause = "not-leading"
 	cutJobEnded     cutCause = "job-ended"
 	cutExecutorLost cutCause = "executor-lost"
+	cutSuperseded   cutCause = "superseded"
 )
 
 // Metrics counts batch work at a leader. A nil Metrics counts nothing.
--- a/internal/batchwork/outcome.go
+++ b/internal/batchwork/outcome.go
@@ -30,21 +30,74 @@
 	}
 }
 
+// Errors of updates that had no effect. The run that gets one has other text than the item, so
+// it must end without another update.
+var (
+	errSuperseded = errors.New("batchwork: another run has committed text of the item")
+	errItemClosed = errors.New("batchwork: the item is final or its job has ended")
+)
+
+// err returns the error for the run that sent the update, nil if it was applied.
+func (o updateOutcome) err() error {
+	switch o {
+	case updateApplied:
+		return nil
+	case updateSuperseded:
+		return errSuperseded
+	default:
+		return errItemClosed
+	}
+}
+
+// hadNoEffect reports whether a commit failed because the ledger certainly did not apply the
+// update and never will.
+func hadNoEffect(err error) bool {
+	return errors.Is(err, errSuperseded) || errors.Is(err, errItemClosed)
+}
+
 // errOutcomeCount means that an answer to updates doesn't have one outcome for each of them.
 var errOutcomeCount = errors.New("batchwork: the number of outcomes differs from that of the updates")
 
-// decodeOutcomes decodes the machine's answer to a command with count updates.
-func decodeOutcomes(answer []byte, count int) ([]updateOutcome, error) {
-	if len(answer) != 1+count {
+func encodeOutcomes(outcomes []updateOutcome) []byte {
+	encoded := make([]byte, 0, len(outcomes))
+	for _, outcome := range outcomes {
+		encoded = append(encoded, byte(outcome))
+	}
+	return encoded
+}
+
+// decodeOutcomes decodes the outcomes of count updates.
+func decodeOutcomes(encoded []byte, count int) ([]updateOutcome, error) {
+	if len(encoded) != count {
 		return nil, errOutcomeCount
 	}
 	outcomes := make([]updateOutcome, 0, count)
-	for _, outcome := range answer[1:] {
+	for _, outcome := range encoded {
 		outcomes = append(outcomes, updateOutcome(outcome))
 	}
 	return outcomes, nil
 }
 
+// fixedOutcomes heads the leader's reply to updates; its field holds their outcomes.
+type fixedOutcomes struct{}
+
+func encodeUpdatesReply(outcomes []updateOutcome) []byte {
+	return marshal(fixedOutcomes{}, encodeOutcomes(outcomes))
+}
+
+// decodeUpdatesReply decodes a leader's reply to count updates. Leaders of older versions reply
+// with nothing; their updates count as applied.
+func decodeUpdatesReply(reply []byte, count int) ([]updateOutcome, error) {
+	if len(reply) == 0 {
+		return make([]updateOutcome, count), nil
+	}
+	fields, err := unmarshal(reply, &fixedOutcomes{}, 1)
+	if err != nil {
+		return nil, err
+	}
+	return decodeOutcomes(fields[0], count)
+}
+
 // reportDropped counts the updates that had no effect, and logs those that another run's text
 // superseded. from is the node that sent them, empty for this one.
 func (r *Runner) reportDropped(from transport.Address, updates [][]byte, outcomes []updateOutcome) {
--- a/internal/batchwork/pending_ends.go
+++ b/internal/batchwork/pending_ends.go
@@ -31,7 +31,8 @@
 		defer r.tasks.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 		defer cancel()
-		r.finishPendingEnds(due, dueTimes, r.propose(ctx, due))
+		outcomes, err := r.propose(ctx, due)
+		r.finishPendingEnds(due, dueTimes, outcomes, err)
 	}()
 }
 
@@ -83,7 +84,9 @@
 	}
 }
 
-func (r *Runner) finishPendingEnds(ends []itemUpdate, dueTimes []time.Time, err error) {
+// finishPendingEnds forgets the ends whose outcome is known; an item whose end had no effect
+// resumes after its committed text.
+func (r *Runner) finishPendingEnds(ends []itemUpdate, dueTimes []time.Time, outcomes []updateOutcome, err error) {
 	if err != nil {
 		eventCommitLost.Error(err, "items", len(ends))
 		r.pauseItems(ends, clock.Now().Add(failurePause))
@@ -93,9 +96,12 @@
 	defer r.mutex.Unlock()
 	for i, end := range ends {
 		k := itemKey{end.job, end.index}
-		r.options.Metrics.itemEnded(end.state, dueTimes[i], clock.Now())
 		delete(r.pendingEnds, k)
 		delete(r.pauses, k)
+		if outcomes[i] != updateApplied {
+			continue
+		}
+		r.options.Metrics.itemEnded(end.state, dueTimes[i], clock.Now())
 		if end.state == StateDead {
 			eventItemDead.Info("job", end.job, "item", end.index, "cause", "its end was committed late")
 		}
--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -48,8 +48,8 @@
 func (r *Runner) stopRemotely(next *startedRun) {
 	ctx, cancel := context.WithTimeout(next.callCtx, stopTime)
 	defer cancel()
-	// If this call is lost, the run ends with its stream; the ledger drops its text once
-	// the item has resumed elsewhere.
+	// If this call is lost, the run ends with its stream, or once the ledger has text of the
+	// run that the item resumed with.
 	_, _ = r.options.Sender.Call(ctx, next.executor, kindStop, marshal(fixedRunName{next.number}))
 	timer := time.NewTimer(stopTime)
 	defer timer.Stop()
@@ -105,7 +105,7 @@
 	return nil, nil
 }
 
-// handleUpdates commits updates of runs at another data node.
+// handleUpdates commits updates of runs at another data node and replies with their outcomes.
 func (r *Runner) handleUpdates(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
 	encoded, err := unmarshal(payload, &fixedUpdates{}, -1)
 	if err != nil {
@@ -115,36 +115,84 @@
 		return nil, trace.Wrap(&ledger.NotLeaderError{})
 	}
 	wanted, err := r.filterUpdates(from, encoded)
-	if err != nil || len(wanted) == 0 {
+	if err != nil {
 		return nil, err
 	}
-	return nil, r.proposeEncoded(ctx, from, wanted)
+	outcomes := make([]updateOutcome, len(encoded))
+	for i := range outcomes {
+		outcomes[i] = updateSuperseded
+	}
+	if err := r.proposeWanted(ctx, from, encoded, wanted, outcomes); err != nil {
+		return nil, err
+	}
+	r.cutSuperseded(from, encoded, outcomes)
+	return encodeUpdatesReply(outcomes), nil
 }
 
-// filterUpdates records a heartbeat and the start of the executor's runs. It drops updates
-// of items that another node runs now.
-func (r *Runner) filterUpdates(from transport.Address, encoded [][]byte) (wanted [][]byte, err error) {
+// proposeWanted commits the updates with the wanted indices and sets their outcomes.
+func (r *Runner) proposeWanted(ctx context.Context, from transport.Address, encoded [][]byte, wanted []int, outcomes []updateOutcome) error {
+	if len(wanted) == 0 {
+		return nil
+	}
+	updates := make([][]byte, 0, len(wanted))
+	for _, i := range wanted {
+		updates = append(updates, encoded[i])
+	}
+	committed, err := r.proposeEncoded(ctx, from, updates)
+	if err != nil {
+		return err
+	}
+	for n, i := range wanted {
+		outcomes[i] = committed[n]
+	}
+	return nil
+}
+
+// filterUpdates records a heartbeat and the start of the executor's runs. It returns the
+// indices of the updates, except those of items that another node runs now and of superseded
+// runs.
+func (r *Runner) filterUpdates(from transport.Address, encoded [][]byte) (wanted []int, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.executors.heartbeat(from, clock.Now())
-	for _, field := range encoded {
+	for i, field := range encoded {
 		u, err := decodeUpdate(field)
 		if err != nil {
 			return nil, trace.Wrap(err, "decode updates of peer %s", from)
 		}
 		run := r.runs[itemKey{u.job, u.index}]
-		if run != nil && run.executor != from {
+		if run != nil && (run.executor != from || run.superseded) {
 			continue
 		}
 		if run != nil {
 			r.setBegun(run)
 			run.lease.PrefillDone()
 		}
-		wanted = append(wanted, field)
+		wanted = append(wanted, i)
 	}
 	return wanted, nil
 }
 
+// cutSuperseded cuts the executor's runs whose updates were superseded. Executors of older
+// versions don't read the outcomes and would go on.
+func (r *Runner) cutSuperseded(from transport.Address, encoded [][]byte, outcomes []updateOutcome) {
+	for i, outcome := range outcomes {
+		if outcome != updateSuperseded {
+			continue
+		}
+		u, err := decodeUpdate(encoded[i])
+		if err != nil {
+			continue // filterUpdates decoded it before
+		}
+		r.mutex.Lock()
+		if run := r.runs[itemKey{u.job, u.index}]; run != nil && run.executor == from {
+			run.superseded = true
+			r.cut(run, cutSuperseded)
+		}
+		r.mutex.Unlock()
+	}
+}
+
 func (r *Runner) handleHeartbeat(from transport.Address, _ []byte) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -170,6 +170,8 @@
 	begun bool
 	// preempted: the run was told to release its slot.
 	preempted bool
+	// superseded: the ledger has other text than the run, which may not commit any more.
+	superseded bool
 }
 
 // NewRunner returns a runner; call Run to start it.
@@ -288,29 +290,34 @@
 	}
 }
 
-// commit commits an update and returns once it is applied here.
+// commit commits an update and returns once it is applied here. It fails with errSuperseded or
+// errItemClosed if the update had no effect.
 func (r *Runner) commit(ctx context.Context, u itemUpdate) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout+groupDelay)
 	defer cancel()
 	return trace.Wrap(r.committer.commit(ctx, u), "commit item %d of job %s", u.index, u.job)
 }
 
-// propose commits updates in one entry.
-func (r *Runner) propose(ctx context.Context, updates []itemUpdate) error {
+// propose commits updates in one entry and returns the outcome of each.
+func (r *Runner) propose(ctx context.Context, updates []itemUpdate) ([]updateOutcome, error) {
 	return r.proposeEncoded(ctx, "", encodeUpdates(updates))
 }
 
 // proposeEncoded commits updates that a node sent, empty for this one.
-func (r *Runner) proposeEncoded(ctx context.Context, from transport.Address, updates [][]byte) error {
+func (r *Runner) proposeEncoded(ctx context.Context, from transport.Address, updates [][]byte) ([]updateOutcome, error) {
 	started := clock.Now()
 	answer, err := r.options.Shard.Propose(ctx, encodeAdvanceFields(updates, time.Now()))
 	r.observeCommit(started)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	outcomes, err := decodeOutcomes(answer, len(updates))
+	content, err := decodeAnswer(answer)
+	if err != nil {
+		return nil, err
+	}
+	outcomes, err := decodeOutcomes(content, len(updates))
 	r.reportDropped(from, updates, outcomes)
-	return err
+	return outcomes, err
 }
 
 func (r *Runner) observeCommit(started time.Time) {
--- a/internal/batchwork/superseded_test.go
+++ b/internal/batchwork/superseded_test.go
@@ -226,7 +226,8 @@
 		text = append(text, fmt.Sprint("0 ", n))
 	}
 	update := itemUpdate{job: "a", to: burstEvents + 1, text: []byte(strings.Join(text, "\n"))}
-	p.g.Expect(p.runner.propose(context.Background(), []itemUpdate{update})).To(gomega.Succeed())
+	_, err := p.runner.propose(context.Background(), []itemUpdate{update})
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
 	p.runner.mutex.Lock()
 	p.runner.stopped = false
 	p.runner.mutex.Unlock()
