Batch runs resume after the newest text, not after that of their plan

Callers saw: nothing by itself since runs end when they are superseded; before, a text joined from two runs. Cause: a plan lists the open items, then starts runs; text that a former run commits in between is not in the list, so the new run repeats it and its first update is rejected. Change: the linearizable read that fetches an item's body also sets the event and the failures that its run starts from, and drops runs of closed items. So a commit of unknown outcome that the read sees is not run again either.

--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -102,7 +102,8 @@
 	return r.options.Zone
 }
 
-// launch reads the items of new runs in one linearizable read and starts the runs.
+// launch reads the items of new runs in one linearizable read and starts the runs. Text may have
+// been committed since the plan listed the items, so the runs resume after what is read.
 func (r *Runner) launch(ctx context.Context, started []*startedRun) {
 	items := make([]Item, len(started))
 	failures := make([]error, len(started))
@@ -111,6 +112,9 @@
 	err := r.options.Shard.Read(bounded, func(reader ledger.Reader) error {
 		for i, next := range started {
 			items[i], failures[i] = readItem(reader, next.item.job, next.item.index)
+			if failures[i] == nil {
+				failures[i] = r.refresh(&next.item)
+			}
 		}
 		return nil
 	})
@@ -128,6 +132,16 @@
 	}
 }
 
+// refresh sets an item's progress to what is applied now. It fails if the item is closed.
+func (r *Runner) refresh(item *openItem) error {
+	state, found := r.options.Machine.item(item.job, item.index)
+	if !found || state.state != StateOpen {
+		return errItemClosed
+	}
+	item.lastEvent, item.failures = state.lastEvent, state.failures
+	return nil
+}
+
 // execute runs an item, here or at another data node, and returns the pause before it may
 // run again, if it is still open.
 func (r *Runner) execute(next *startedRun, read *Item) time.Duration {
--- a/internal/batchwork/superseded_test.go
+++ b/internal/batchwork/superseded_test.go
@@ -233,4 +233,5 @@
 	p.runner.mutex.Unlock()
 	p.runner.launch(context.Background(), p.runner.startOpen(context.Background(), open, time.Now()))
 	p.expectTextOf(engine)
+	p.g.Expect(engine.resumedAfter).To(gomega.Equal([]uint64{0, burstEvents + 1}), "resumes after the newest text")
 }
