--- a/internal/batchwork/superseded_test.go
+++ b/internal/batchwork/superseded_test.go
@@ -65,25 +65,30 @@
 	return len(e.resumedAfter)
 }
 
-// checkText returns an error unless a text holds all events in order, and each run in it was
-// asked to resume at the event where its part begins.
+// checkText returns an error unless a text holds all events and is a chain of runs.
 func (e *burstEngine) checkText(text []byte) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if got := strings.Count(string(text), "\n") + 1; got != e.events {
+		return fmt.Errorf("%d events of %d", got, e.events)
+	}
+	return checkChain(text, e.resumedAfter)
+}
+
+// checkChain returns an error unless a text, whose lines name run and event, holds the events
+// in order and each run in it resumed at the event where its part begins.
+func checkChain(text []byte, resumedAfter []uint64) error {
 	previous := -1
 	for i, line := range strings.Split(string(text), "\n") {
 		var run, event int
 		if _, err := fmt.Sscanf(line, "%d %d", &run, &event); err != nil || event != i+1 {
 			return fmt.Errorf("event %d is %q", i+1, line)
 		}
-		if run != previous && e.resumedAfter[run] != uint64(i) {
-			return fmt.Errorf("after event %d the text continues with a run that resumed after event %d", i, e.resumedAfter[run])
+		if run != previous && resumedAfter[run] != uint64(i) {
+			return fmt.Errorf("after event %d the text continues with a run that resumed after event %d", i, resumedAfter[run])
 		}
 		previous = run
 	}
-	if got := strings.Count(string(text), "\n") + 1; got != e.events {
-		return fmt.Errorf("%d events of %d", got, e.events)
-	}
 	return nil
 }
 
