Rejected updates of runs that the leader gave up are logged as well

Cause: item-update-dropped told only of updates that the ledger dropped; those that the leader rejected itself, as another node runs the item, were counted nowhere. Change: both kinds are logged and counted. Result: the package's tests pass.

--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -122,6 +122,10 @@
 	for i := range outcomes {
 		outcomes[i] = updateSuperseded
 	}
+	for _, i := range wanted {
+		outcomes[i] = updateApplied
+	}
+	r.reportDropped(from, encoded, outcomes)
 	if err := r.proposeWanted(ctx, from, encoded, wanted, outcomes); err != nil {
 		return nil, err
 	}
