A run whose item is closed no longer logs that it is retried

Cause: since runs hear of closed items, item-retried told of each run of a job that its caller ended. Change: only superseded runs log it.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -207,7 +207,8 @@
 	switch {
 	case err == nil:
 		r.committed, r.text = r.last, nil
-	case hadNoEffect(err):
+	case errors.Is(err, errItemClosed):
+	case errors.Is(err, errSuperseded):
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", err, "last_event", r.last)
 	default:
 		eventCommitLost.Error(err, "job", r.item.job, "item", r.id, "last_event", r.last)
--- a/internal/batchwork/outcome.go
+++ b/internal/batchwork/outcome.go
@@ -49,12 +49,6 @@
 	}
 }
 
-// hadNoEffect reports whether a commit failed because the ledger certainly did not apply the
-// update and never will.
-func hadNoEffect(err error) bool {
-	return errors.Is(err, errSuperseded) || errors.Is(err, errItemClosed)
-}
-
 // errOutcomeCount means that an answer to updates doesn't have one outcome for each of them.
 var errOutcomeCount = errors.New("batchwork: the number of outcomes differs from that of the updates")
 
