The forecast of late batch items follows their order and due times

What was seen: TestShareOrderFitsRoom failed: one slot, two items of 1 s due at 1.001 s and one due at 6.667 s, of one tenant, none expected late. Callers saw nothing, operators a figure of late items (batch-state, chutelock_batch_items_late) that is too low.

Cause: late were the items put behind. Since these are only what tenants ask for beyond their share of the slot time until the last due time (here 3.0 s for 3 s of work), no more those without room before their due time. The count stayed. The check is right: one slot can't do 2 s of work by 1.001 s.

Change: the order stays as it was. Unless all items fit by due time, those count as late that running in this order at 0.45 of the room (the part counted on in forecasts) doesn't finish in time. If none is late, all items due by any time are thus done by it, which is what the check asks for.

--- a/internal/batchwork/shareorder.go
+++ b/internal/batchwork/shareorder.go
@@ -40,10 +40,11 @@
 }
 
 // order returns the items in the order in which to run them, and how many of them are
-// expected to be late: first those of tenants well within their share, then those in the share of
-// other tenants, then those beyond it, then those that can't be in time, each by due time. items
-// must be ordered by due time, and feasible reports whether an item started now can be done in
-// time. While all of these fit into the room they are ordered by due time.
+// expected to be late in it: first those of tenants well within their share, then those in the
+// share of other tenants, then those beyond it, then those that can't be in time, each by due time.
+// items must be ordered by due time, and feasible reports whether an item started now can be done
+// in time. While all of these fit into the room they are ordered by due time. Those expected to be
+// late may come before others, as order puts none behind for its due time alone.
 func (o shareOrder) order(items []openItem, feasible func(openItem) bool, now time.Time) (ordered []openItem, late int) {
 	var timely []int
 	ranks := make([]itemRank, len(items))
@@ -54,7 +55,7 @@
 			ranks[i] = rankBeyond
 		}
 	}
-	o.rank(ranks, items, timely, now)
+	fits := o.rank(ranks, items, timely, now)
 	ordered = make([]openItem, 0, len(items))
 	for rank := rankWellWithin; rank <= rankLate; rank++ {
 		for i, item := range items {
@@ -62,13 +63,29 @@
 				ordered = append(ordered, item)
 			}
 		}
-		if rank == rankInShare {
-			late = len(items) - len(ordered)
-		}
+	}
+	late = len(items) - len(timely)
+	if !fits {
+		late += o.missed(ordered[:len(timely)], now)
 	}
 	return ordered, late
 }
 
+// missed returns how many items aren't done before their due time if they run in the given order.
+// An item takes no room from those behind it once it can't be in time, as it is then put behind.
+func (o shareOrder) missed(ordered []openItem, now time.Time) int {
+	missed, used := 0, 0.0
+	for _, item := range ordered {
+		needed := used + float64(o.remaining(item))
+		if needed > plannedRoom*o.slots*float64(item.due.Sub(now)) {
+			missed++
+			continue
+		}
+		used = needed
+	}
+	return missed
+}
+
 // itemRank is how early an item runs, from first to last.
 type itemRank uint8
 
@@ -89,17 +106,18 @@
 	items  []int
 }
 
-// rank ranks the timely items by the max-min fair shares of slot time of their tenants.
-func (o shareOrder) rank(ranks []itemRank, items []openItem, timely []int, now time.Time) {
+// rank ranks the timely items by the max-min fair shares of slot time of their tenants, and
+// reports whether all of them fit into the room before their due times.
+func (o shareOrder) rank(ranks []itemRank, items []openItem, timely []int, now time.Time) bool {
 	if len(timely) == 0 {
-		return
+		return true
 	}
 	horizon := items[timely[len(timely)-1]].due.Sub(now)
 	if o.fits(items, timely, horizon, now) {
 		for _, i := range timely {
 			ranks[i] = rankInShare
 		}
-		return
+		return true
 	}
 	for _, t := range o.divide(items, timely, plannedRoom*o.slots*float64(horizon)) {
 		used := time.Duration(0)
@@ -113,6 +131,7 @@
 			}
 		}
 	}
+	return false
 }
 
 // fits reports whether all timely items can be done in time by due time.
--- a/internal/batchwork/shareorder_test.go
+++ b/internal/batchwork/shareorder_test.go
@@ -92,6 +92,28 @@
 	})
 }
 
+// Items whose due time leaves no room for all of them count as late, however much room there is
+// until the last due time.
+func TestShareOrderForecastsCrowdedDueTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	order := unitOrder
+	order.slots = 1
+	crowd, last := itemsOf("crowd", "x", 2, 1001*time.Millisecond), itemsOf("last", "x", 1, 6667*time.Millisecond)
+	ordered, late := order.order(slices.Concat(crowd, last), always, submitted)
+	g.Expect(jobsOf(ordered)).To(gomega.Equal([]string{"crowd", "crowd", "last"}))
+	g.Expect(late).To(gomega.BeNumerically(">=", 1), "one of two fits")
+}
+
+// An item that waits for those of a tenant well within its share counts as late, although it would
+// be in time by due time.
+func TestShareOrderForecastFollowsOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	large := slices.Concat(itemsOf("soon", "x", 4, 2500*time.Millisecond), itemsOf("later", "x", 3, 20*time.Second))
+	ordered, late := unitOrder.order(slices.Concat(large, itemsOf("b", "y", 3, 30*time.Second)), always, submitted)
+	g.Expect(jobsOf(ordered)).To(gomega.Equal(slices.Concat(slices.Repeat([]string{"b"}, 3), slices.Repeat([]string{"soon"}, 4), slices.Repeat([]string{"later"}, 3))))
+	g.Expect(late).To(gomega.Equal(4), "0.45 of the room is 2.25 s until the first are due")
+}
+
 // A new leader has no estimates and orders by due time.
 func TestOrderWithoutEstimatesIsByDueTime(t *testing.T) {
 	g := gomega.NewWithT(t)
