A refused attempt doesn't use up a request's attempts

Callers saw: 503 not_run for a request that idle engines would have served: 1 of 2,000 at times in TestRetriesWithThirdOfEnginesFailing, mode "refuse".

Cause: a request had 4 attempts of any kind. The first requests, while no failure is known, may meet all four engines that refuse; retrying them is safe and costs engines nothing, yet they counted as runs.

Change: MaxAttempts bounds the attempts that may have run or are under way; refused ones are limited by the retry budget, one attempt an engine, and the deadline. As an attempt counts as refused only after its end was received, the channel of ends still has room for all.

Tests: TestRefusedByFourEnginesServedByNext failed before (not_run). Two rows of TestCallFinalResponse said that refusals end a call after 4 attempts, which is the fault; they now say, as exactly, after the budget's 10 retries, and two rows more mix refusals with unknown fates. The plan of TestResponsesWithFaultyEngines has a behaviour for each engine rather than for 4 attempts.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,7 +39,9 @@
 	// firstTokenLimit and nextTokenLimit are the timeouts of the waits for tokens.
 	firstTokenLimit, nextTokenLimit time.Duration
 
-	ends chan ended // has capacity for all attempts, so that senders never block
+	// ends has capacity for all attempts that are not received from it, so that senders never
+	// block: relay.MaxAttempts, as one counts as refused only once it is received.
+	ends chan ended
 
 	// mutex guards the fields below, routeRequest and the live attempts. The
 	// locks of placement and the observer are acquired while it is held.
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -12,10 +12,13 @@
 	"pgregory.net/rapid"
 
 	"chutelock.dev/chutelock/internal/gateway/apierror"
-	"chutelock.dev/chutelock/internal/gateway/relay"
 	"chutelock.dev/chutelock/internal/settings"
 )
 
+// maxHostileEngines is the maximum number of engines in TestResponsesWithFaultyEngines, each of
+// which a request is sent to once at most.
+const maxHostileEngines = 6
+
 // caller is one request of TestResponsesWithFaultyEngines and its reply.
 type caller struct {
 	prompt     string
@@ -24,7 +27,7 @@
 	repeatable bool
 	leaveAfter time.Duration // time until the caller disconnects; 0 means never
 	timeout    string        // value of HeaderTimeout
-	plan       [relay.MaxAttempts]behaviour
+	plan       [maxHostileEngines]behaviour
 	reply      reply
 	err        error
 }
@@ -93,7 +96,7 @@
 			drawn := drawCaller(t, i)
 			callers[drawn.prompt] = drawn
 		}
-		engines := newFakeFleet(rapid.IntRange(1, 6).Draw(t, "engines"))
+		engines := newFakeFleet(rapid.IntRange(1, maxHostileEngines).Draw(t, "engines"))
 		engines.plan = func(prompt string, attempt uint32) behaviour { return callers[prompt].plan[attempt-1] }
 		server := newTestServer(engines, settings.Tenant{}, Config{HedgeAfter: drawHedgeAfter(t)})
 		var group sync.WaitGroup
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -283,6 +283,26 @@
 	}
 }
 
+// Guards against a refusal while untried engines would take the request.
+func TestRefusedByFourEnginesServedByNext(t *testing.T) {
+	for _, streamed := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		engines := newFakeFleet(5)
+		engines.plan = func(_ string, attempt uint32) behaviour {
+			if attempt <= 4 {
+				return refuseConnection
+			}
+			return behaveWell
+		}
+		server := newTestServer(engines, settings.Tenant{}, Config{})
+		got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, "one of five", streamed), nil)
+		server.Close()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.whole).To(gomega.BeTrue(), got.message)
+		g.Expect(engines.ran("one of five")).To(gomega.Equal(1))
+	}
+}
+
 // Guards against incomplete responses, and against retries above a tenth of the
 // requests, while a third of the engines fail.
 func TestRetriesWithThirdOfEnginesFailing(t *testing.T) {
--- a/internal/gateway/relay/call.go
+++ b/internal/gateway/relay/call.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// MaxAttempts is the maximum number of attempts of one call.
+	// MaxAttempts is the maximum number of attempts of one call without those that an engine
+	// refused, which cost it nothing; the budget limits these.
 	MaxAttempts = 4
 	// retryAfterNoEngine is the retry delay if no engine suggested one.
 	retryAfterNoEngine = time.Second
@@ -39,6 +40,7 @@
 	budget     *Budget
 
 	attempts  uint32
+	refused   uint32         // attempts that certainly did not run
 	live      map[uint32]int // first token of each live attempt
 	owner     uint32         // attempt that delivers tokens; 0 if none
 	delivered int            // number of tokens delivered to the caller
@@ -148,6 +150,9 @@
 }
 
 func (c *Call) recordFailure(attempt uint32, failure *engine.Error) {
+	if failure.Fate == engine.FateNotRun && c.owner != attempt {
+		c.refused++
+	}
 	if c.owner == attempt {
 		c.owner = 0
 	}
@@ -167,7 +172,7 @@
 	if isInvalidRequest(failure) {
 		return false
 	}
-	if c.attempts >= MaxAttempts || c.expired(now) {
+	if c.attempts-c.refused >= MaxAttempts || c.expired(now) {
 		return false
 	}
 	return c.budget.Spend()
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -45,6 +45,7 @@
 	deadline   time.Time
 
 	ran       map[uint32]bool // attempts that an engine ran
+	refused   int             // attempts that ended as not run
 	open      []uint32        // attempts that their engine has not ended
 	begun     []uint32
 	delivered []int
@@ -66,6 +67,9 @@
 		t.Fatalf("attempt %d resumes at %d, the caller has %d", number, resumeFrom, len(h.delivered))
 	}
 	h.begun = append(h.begun, number)
+	if counted := len(h.begun) - h.refused; counted > MaxAttempts {
+		t.Fatalf("%d attempts ran or may have run", counted)
+	}
 	h.open = append(h.open, number)
 }
 
@@ -106,8 +110,11 @@
 		fates = append(fates, engine.FateNotRun)
 	}
 	fate := rapid.SampledFrom(fates).Draw(t, "fate")
-	if fate == engine.FateFailed {
+	switch fate {
+	case engine.FateFailed:
 		h.ran[number] = true
+	case engine.FateNotRun:
+		h.refused++
 	}
 	status := rapid.SampledFrom([]int{0, 500, 503, 429, 400}).Draw(t, "status")
 	h.follow(t, h.call.Fail(h.now, number, failure(fate, status)))
@@ -193,6 +200,21 @@
 	})
 }
 
+// refusals are failures of attempts that did not run, by connection and by response in turns.
+func refusals(count int) (failures []*engine.Error) {
+	for i := range count {
+		failures = append(failures, failure(engine.FateNotRun, []int{0, http.StatusServiceUnavailable}[i%2]))
+	}
+	return failures
+}
+
+func unknowns(count int) (failures []*engine.Error) {
+	for range count {
+		failures = append(failures, failure(engine.FateUnknown, 0))
+	}
+	return failures
+}
+
 // Guards against a final response that claims more than is known of the attempts.
 func TestCallFinalResponse(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -204,13 +226,15 @@
 		noRetry    bool
 		attempts   int
 	}{
-		"refused everywhere":          {true, 0, []*engine.Error{failure(engine.FateNotRun, 0), failure(engine.FateNotRun, 503), failure(engine.FateNotRun, 0), failure(engine.FateNotRun, 0)}, apierror.CodeNotRun, 503, false, 4},
+		"refused everywhere":          {true, 0, refusals(DefaultReserve + 1), apierror.CodeNotRun, 503, false, DefaultReserve + 1},
+		"refused, then unknown":       {true, 0, append(refusals(MaxAttempts+1), unknowns(MaxAttempts)...), apierror.CodeOutcomeUnknown, 502, false, 2*MaxAttempts + 1},
+		"unknown, then refused":       {true, 0, append(unknowns(MaxAttempts-1), refusals(DefaultReserve+2-MaxAttempts)...), apierror.CodeOutcomeUnknown, 502, false, DefaultReserve + 1},
 		"non-repeatable refused":      {false, 0, []*engine.Error{failure(engine.FateNotRun, 0), failure(engine.FateUnknown, 0)}, apierror.CodeOutcomeUnknown, 502, true, 2},
 		"non-repeatable unknown":      {false, 0, []*engine.Error{failure(engine.FateUnknown, 0)}, apierror.CodeOutcomeUnknown, 502, true, 1},
 		"non-repeatable failed":       {false, 0, []*engine.Error{failure(engine.FateFailed, 500)}, apierror.CodeEngineFailed, 502, true, 1},
 		"non-repeatable broken":       {false, 2, []*engine.Error{failure(engine.FateUnknown, 0)}, apierror.CodeOutcomeUnknown, 502, true, 1},
-		"repeatable broken":           {true, 2, []*engine.Error{failure(engine.FateUnknown, 0), failure(engine.FateNotRun, 0), failure(engine.FateNotRun, 0), failure(engine.FateNotRun, 0)}, apierror.CodeStreamBroken, 502, false, 4},
-		"repeatable unknown":          {true, 0, []*engine.Error{failure(engine.FateUnknown, 0), failure(engine.FateUnknown, 0), failure(engine.FateUnknown, 0), failure(engine.FateUnknown, 0)}, apierror.CodeOutcomeUnknown, 502, false, 4},
+		"repeatable broken":           {true, 2, append(unknowns(1), refusals(DefaultReserve)...), apierror.CodeStreamBroken, 502, false, DefaultReserve + 1},
+		"repeatable unknown":          {true, 0, unknowns(MaxAttempts), apierror.CodeOutcomeUnknown, 502, false, MaxAttempts},
 		"engine finds it malformed":   {true, 0, []*engine.Error{failure(engine.FateNotRun, 400)}, apierror.CodeInvalidValue, 400, false, 1},
 		"a broken stream isn't a 400": {true, 1, []*engine.Error{failure(engine.FateUnknown, 400)}, apierror.CodeStreamBroken, 502, false, 1},
 	} {
