relay's fuzz test: a refused attempt can't run by a late token

Cause: in the test only. It sent late tokens also of attempts whose engine had said that they did not run, and took that as a run, which contradicts the fate that it had reported. Change: such tokens are still sent, but aren't runs; instead none of them may be delivered, which was not checked. All else is checked as before.

--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -45,7 +45,7 @@
 	deadline   time.Time
 
 	ran       map[uint32]bool // attempts that an engine ran
-	refused   int             // attempts that ended as not run
+	refused   map[uint32]bool // attempts that ended as not run, of which tokens are ignored
 	open      []uint32        // attempts that their engine has not ended
 	begun     []uint32
 	delivered []int
@@ -67,7 +67,7 @@
 		t.Fatalf("attempt %d resumes at %d, the caller has %d", number, resumeFrom, len(h.delivered))
 	}
 	h.begun = append(h.begun, number)
-	if counted := len(h.begun) - h.refused; counted > MaxAttempts {
+	if counted := len(h.begun) - len(h.refused); counted > MaxAttempts {
 		t.Fatalf("%d attempts ran or may have run", counted)
 	}
 	h.open = append(h.open, number)
@@ -76,11 +76,16 @@
 func (h *faultyEngines) sendChunk(t *rapid.T) {
 	number := rapid.SampledFrom(h.begun).Draw(t, "attempt")
 	index := rapid.OneOf(rapid.Just(len(h.delivered)), rapid.IntRange(0, h.length-1)).Draw(t, "index")
-	h.ran[number] = true
+	if !h.refused[number] {
+		h.ran[number] = true
+	}
 	deliver, _ := h.call.Accept(number, index)
 	if !deliver {
 		return
 	}
+	if h.refused[number] {
+		t.Fatalf("token %d of attempt %d delivered, which was refused", index, number)
+	}
 	if h.answer != nil || h.succeeded {
 		t.Fatalf("token %d delivered after the final response", index)
 	}
@@ -114,7 +119,7 @@
 	case engine.FateFailed:
 		h.ran[number] = true
 	case engine.FateNotRun:
-		h.refused++
+		h.refused[number] = true
 	}
 	status := rapid.SampledFrom([]int{0, 500, 503, 429, 400}).Draw(t, "status")
 	h.follow(t, h.call.Fail(h.now, number, failure(fate, status)))
@@ -190,6 +195,7 @@
 			now:        epoch,
 			deadline:   epoch.Add(time.Minute),
 			ran:        map[uint32]bool{},
+			refused:    map[uint32]bool{},
 		}
 		h.call = NewCall(h.repeatable, h.deadline, NewBudget(0.1, DefaultReserve))
 		h.begin(t)
