--- a/internal/ledger/replica/process.go
+++ b/internal/ledger/replica/process.go
@@ -67,6 +67,8 @@
 // install replaces the state with the staged snapshot and saves the entries that
 // follow it in the same Ready.
 func (s *Shard) install(ready replication.Ready) error {
+	s.state.Lock()
+	defer s.state.Unlock()
 	s.mutex.Lock()
 	staged := s.staged
 	s.staged = nil
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -25,6 +25,10 @@
 	users sync.WaitGroup
 	// readIndexes batches a follower's read index requests to its leader.
 	readIndexes readIndexBatcher
+	// state is held for writing while a snapshot replaces the store and then the state
+	// machine's caches, and for reading by queries, which need both of one position. It is
+	// taken before mutex.
+	state sync.RWMutex
 
 	// mutex guards the fields below, but not disk, which is set only by newShard.
 	mutex     sync.Mutex
@@ -251,6 +255,10 @@
 	case <-ctx.Done():
 		return trace.Wrap(ledger.ErrUnavailable, "read shard %d: %v", s.id, ctx.Err())
 	}
+	if !s.state.TryRLock() { // the write of a snapshot may take long; the leader can answer
+		return trace.Wrap(ledger.ErrUnavailable, "shard %d is installing a snapshot", s.id)
+	}
+	defer s.state.RUnlock()
 	view, err := s.disk.NewView()
 	if err != nil {
 		return trace.Wrap(err)
