A full queue after a lost call is no certain refusal

Cause: the first call may still be on its way, as on a connection that was cut, and be proposed once the queue has room; the second call's refusal was returned as the outcome of both. Change: such a refusal returns ErrUnknown, as one for lateness already does, and the client sends the job again.

--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -128,7 +128,7 @@
 			continue
 		case errors.Is(err, ErrNotTaken), errors.Is(err, ErrUnknown):
 			return c.orUnknown(uncertain, ErrNotTaken)
-		case errors.Is(err, ErrTooLate):
+		case errors.Is(err, ErrTooLate), errors.Is(err, ErrQueueFull):
 			// An earlier call may still be on its way to a leader that accepts the job.
 			return c.orUnknown(uncertain, err)
 		}
