A batch run's silence timer rests during commits

Cause: the timer for silent engines went on during commits, and its function, which closes a channel, ran twice if it was set again after it had fired. Change: the timer is stopped during a commit and set again afterwards; its function runs once, as it may fire just before it is stopped.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
@@ -56,7 +57,7 @@
 	silence := make(chan struct{})
 	exchangeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(engineSilenceTimeout, func() { close(silence); cancel() })
+	timer := time.AfterFunc(engineSilenceTimeout, sync.OnceFunc(func() { close(silence); cancel() }))
 	defer timer.Stop()
 	response, err := r.node.pool.Exchange(exchangeCtx, r.engine.Address, r.newCall(read))
 	if errors.Is(err, upstream.ErrEngineExcluded) {
@@ -176,9 +177,11 @@
 		}
 		r.add(event)
 		if clock.Now().After(r.commitAt) {
+			timer.Stop() // a slow commit isn't silence of the engine
 			if err := r.commitText(ctx, StateOpen, 0); err != nil {
 				return failurePause
 			}
+			timer.Reset(engineSilenceTimeout)
 		}
 	}
 }
