A replica that was added again isn't told to leave

Callers saw: nothing known; a member that deletes its log leaves the shard one disk closer to losing what was acknowledged. Cause: retries of the message to a removed replica didn't check that it is still removed; a node that is chosen again keeps its replica's identity. Change: the leader drops the message if its newest configuration has the replica. What was sent before and is delivered after the replica was added again remains.

--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -400,6 +400,9 @@
 // notifyOrRequeue notifies a removed replica; on failure the next repair step
 // retries, up to maxLeaveAttempts.
 func (s *Shard) notifyOrRequeue(r removedReplica) {
+	if s.isMember(r.entry.Replica) { // added again
+		return
+	}
 	if s.sendLeave(r.entry) == nil || r.attempts >= maxLeaveAttempts {
 		return
 	}
@@ -409,6 +412,13 @@
 	s.repair.removed = append(s.repair.removed, r)
 }
 
+func (s *Shard) isMember(id replication.ReplicaID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	configuration := s.core.Status().Configuration
+	return configuration.HasVoter(id) || configuration.HasLearner(id)
+}
+
 func (s *Shard) sendLeave(entry storage.RosterEntry) error {
 	m, found := findMember(s.service.options.Members.View(), entry.Node)
 	if !found || m.State > membership.StateSuspect {
