A leader takes updates only of runs that it has

Callers saw: nothing yet; while versions are mixed, a text could still be joined from two runs. Cause: an executor of an older version doesn't read that its update was rejected and goes on. The leader let updates pass of items that had no run just then, so a stale run of such an executor could commit behind other runs' text. Change: updates of items that the executor doesn't run for this leader are rejected. The start of a run also looks at whether its job has ended. Two ways remain while versions are mixed: the older executor runs the item again beside its stale run, and an older leader's empty reply counts as applied.

--- a/internal/batchwork/outcome.go
+++ b/internal/batchwork/outcome.go
@@ -11,8 +11,8 @@
 
 const (
 	updateApplied updateOutcome = iota
-	// updateSuperseded: another run has the item, or its text doesn't end at the event that the
-	// update follows. Nothing changed.
+	// updateSuperseded: the leader has given up the run, or the item's text doesn't end at the
+	// event that the update follows. Nothing changed.
 	updateSuperseded
 	// updateClosed: the item is final, or its job has ended or was deleted. Nothing changed.
 	updateClosed
@@ -33,7 +33,7 @@
 // Errors of updates that had no effect. The run that gets one has other text than the item, so
 // it must end without another update.
 var (
-	errSuperseded = errors.New("batchwork: another run has continued the item")
+	errSuperseded = errors.New("batchwork: the run was given up, or another has continued the item")
 	errItemClosed = errors.New("batchwork: the item is final or its job has ended")
 )
 
--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -48,8 +48,8 @@
 func (r *Runner) stopRemotely(next *startedRun) {
 	ctx, cancel := context.WithTimeout(next.callCtx, stopTime)
 	defer cancel()
-	// If this call is lost, the run ends with its stream, or once the ledger has text of the
-	// run that the item resumed with.
+	// If this call is lost, the run ends with its stream or at its next update, which is
+	// rejected once the run is abandoned.
 	_, _ = r.options.Sender.Call(ctx, next.executor, kindStop, marshal(fixedRunName{next.number}))
 	timer := time.NewTimer(stopTime)
 	defer timer.Stop()
@@ -153,8 +153,8 @@
 }
 
 // filterUpdates records a heartbeat and the start of the executor's runs. It returns the
-// indices of the updates, except those of items that another node runs now and of superseded
-// runs.
+// indices of the updates, except those of items that the executor doesn't run for this leader
+// now and of superseded runs.
 func (r *Runner) filterUpdates(from transport.Address, encoded [][]byte) (wanted []int, err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -165,13 +165,11 @@
 			return nil, trace.Wrap(err, "decode updates of peer %s", from)
 		}
 		run := r.runs[itemKey{u.job, u.index}]
-		if run != nil && (run.executor != from || run.superseded) {
+		if run == nil || run.executor != from || run.superseded {
 			continue
 		}
-		if run != nil {
-			r.setBegun(run)
-			run.lease.PrefillDone()
-		}
+		r.setBegun(run)
+		run.lease.PrefillDone()
 		wanted = append(wanted, i)
 	}
 	return wanted, nil
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -30,7 +30,7 @@
 	eventItemHeld      = telemetry.Define(3218, "item-held-back", "An item is held back, as too many engines ended while running it; it is checked again later, and given up when its retention is over.")
 	eventPreempted     = telemetry.Define(3206, "batch-yielded", "Batch runs at an engine were preempted to free slots for online work.")
 	eventCommitLost    = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; the item resumes after its committed text.")
-	eventUpdateDropped = telemetry.Define(3220, "item-update-dropped", "An update of an item had no effect, as another node runs the item now or the item's committed text ends at another event; the run that sent it ends.")
+	eventUpdateDropped = telemetry.Define(3220, "item-update-dropped", "An update of an item had no effect, as the leader has given up the run that sent it or the item's committed text ends at another event; the run ends.")
 )
 
 const (
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -134,10 +134,10 @@
 
 // refresh sets an item's progress to what is applied now. It fails if the item is closed.
 func (r *Runner) refresh(item *openItem) error {
-	state, found := r.options.Machine.item(item.job, item.index)
-	if !found || state.state != StateOpen {
+	if !r.options.Machine.isOpen(item.job, item.index) {
 		return errItemClosed
 	}
+	state, _ := r.options.Machine.item(item.job, item.index)
 	item.lastEvent, item.failures = state.lastEvent, state.failures
 	return nil
 }
