spec: model of a batch item's text committed by several runs

Cause: that a text is one chain of runs was shown by three tests and fuzzing (docs/incidents/text-of-two-runs.md), not exhaustively. Change: spec/texts.pml: a ledger, a leader that starts up to three runs from the present or any former state, runs whose updates are applied, applied without an answer, applied late or lost, pending ends that are proposed again, and ends by the leader. Checked: each event once and in order, a text changes only to a run that was asked to resume there, a final item never changes. Four cases hold, five with one rule off break. retry-any-end holds: the leader's check of the event that a pending end follows (dueEnd) saves commits and isn't needed for safety. With ends and retries for three runs of two events the search isn't done after 100 s, so that is split.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -21,6 +21,10 @@
   "jobs repeatable holds"
   "jobs non-repeatable holds NON_REPEATABLE"
   "permits two-granters holds"
+  "texts two-runs holds RUNS=2 EVENTS=3"
+  "texts three-runs holds RUNS=3 EVENTS=4 NO_ENDS"
+  "texts three-runs-ends holds RUNS=3 EVENTS=2 NO_RETRIES"
+  "texts retry-any-end holds RETRY_ANY_END"
   "ledger empty-disk-votes breaks MAX_TERM=2 MAX_INDEX=2 EMPTY_DISK_VOTES"
   "ledger commit-old-term breaks MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0 COMMIT_OLD_TERM"
   "ledger vote-any-log breaks MAX_TERM=3 MAX_INDEX=2 VOTE_ANY_LOG"
@@ -49,6 +53,11 @@
   "permits answer-twice breaks ANSWER_TWICE"
   "permits whole-bound breaks WHOLE_BOUND"
   "permits three-grant breaks THREE_GRANT"
+  "texts silent-rejection breaks SILENT_REJECTION"
+  "texts go-on-unknown breaks GO_ON_UNKNOWN"
+  "texts unconditional breaks UNCONDITIONAL"
+  "texts end-anywhere breaks END_ANYWHERE"
+  "texts change-final breaks CHANGE_FINAL"
 )
 
 # check MODEL NAME EXPECTED MACRO... runs one case and prints its result.
