Updates of executors: outcomes are made in one place

Cause: handleUpdates mixed the marking of rejected updates with the commit. Change: proposeWanted returns the outcomes of all updates. No change of behaviour. Result: the package's tests pass.

--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -118,38 +118,38 @@
 	if err != nil {
 		return nil, err
 	}
-	outcomes := make([]updateOutcome, len(encoded))
-	for i := range outcomes {
-		outcomes[i] = updateSuperseded
-	}
-	for _, i := range wanted {
-		outcomes[i] = updateApplied
-	}
-	r.reportDropped(from, encoded, outcomes)
-	if err := r.proposeWanted(ctx, from, encoded, wanted, outcomes); err != nil {
+	outcomes, err := r.proposeWanted(ctx, from, encoded, wanted)
+	if err != nil {
 		return nil, err
 	}
 	r.cutSuperseded(from, encoded, outcomes)
 	return encodeUpdatesReply(outcomes), nil
 }
 
-// proposeWanted commits the updates with the wanted indices and sets their outcomes.
-func (r *Runner) proposeWanted(ctx context.Context, from transport.Address, encoded [][]byte, wanted []int, outcomes []updateOutcome) error {
-	if len(wanted) == 0 {
-		return nil
+// proposeWanted commits the updates with the wanted indices and returns the outcomes of all; the
+// others count as superseded.
+func (r *Runner) proposeWanted(ctx context.Context, from transport.Address, encoded [][]byte, wanted []int) ([]updateOutcome, error) {
+	outcomes := make([]updateOutcome, len(encoded))
+	for i := range outcomes {
+		outcomes[i] = updateSuperseded
 	}
 	updates := make([][]byte, 0, len(wanted))
 	for _, i := range wanted {
+		outcomes[i] = updateApplied
 		updates = append(updates, encoded[i])
 	}
+	r.reportDropped(from, encoded, outcomes)
+	if len(updates) == 0 {
+		return outcomes, nil
+	}
 	committed, err := r.proposeEncoded(ctx, from, updates)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for n, i := range wanted {
 		outcomes[i] = committed[n]
 	}
-	return nil
+	return outcomes, nil
 }
 
 // filterUpdates records a heartbeat and the start of the executor's runs. It returns the
