Evacuation: only committed replica sets count

Cause: the leader's status lists the newest replica set of its log, committed or not. The report of an evacuation (system.evacuated) and the answer to QueryPlacement read it without asking whether it is committed. A leader that has appended the removal of the leaving node's replica, but whose followers have not stored it, reported the node as empty; the platform then takes the machine and its disk away. If that leader's disk is lost before the removal commits, the shard falls back to four voters of which two disks are gone: no majority is left though one lost disk is to be borne. Class: an uncommitted state acted upon outside (handleMember, publish and notifyRemoved asked already).

Change: ShardStatus.ChangePending; evacuated is false and QueryPlacement fails while it is set.

TestEvacuatedRequiresAllVotersElsewhere failed with the new case before, passes after.

--- a/internal/ledger/replica/regions.go
+++ b/internal/ledger/replica/regions.go
@@ -167,7 +167,8 @@
 	return Placement{Holds: answer.Holds, HealthyVoters: int(answer.HealthyVoters)}, nil
 }
 
-// handlePlaced serves QueryPlacement after this replica confirmed its leadership.
+// handlePlaced serves QueryPlacement after this replica confirmed its leadership. It fails while
+// the replica set is not committed, since a later leader may have the previous one.
 func (s *Service) handlePlaced(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
 	var request placedRequest
 	fields, err := decode(payload, &request, 1)
@@ -181,8 +182,12 @@
 	if err := shard.Read(ctx, func(ledger.Reader) error { return nil }); err != nil {
 		return nil, err
 	}
+	status := s.shardStatus(request.Shard)
+	if status.ChangePending {
+		return nil, trace.Wrap(ledger.ErrUnavailable, "a configuration change is pending")
+	}
 	var answer placedResponse
-	for _, r := range s.shardStatus(request.Shard).Replicas {
+	for _, r := range status.Replicas {
 		switch {
 		case r.Node == string(fields[0]):
 			answer.Holds = true
--- a/internal/ledger/replica/status.go
+++ b/internal/ledger/replica/status.go
@@ -29,6 +29,9 @@
 	NoQuorum bool              `json:"noQuorum,omitempty"`
 	Halted   string            `json:"halted,omitempty"`
 	Replicas []ReplicaStatus   `json:"replicas,omitempty"`
+	// ChangePending is set while the listed replica set is not committed: a later leader may
+	// have the previous one.
+	ChangePending bool `json:"changePending,omitempty"`
 }
 
 // ReplicaStatus is the state of one replica of a shard.
@@ -83,6 +86,7 @@
 	described.Commit = status.Commit
 	described.Applied = status.Applied
 	described.NoQuorum = s.quorumLost
+	described.ChangePending = status.ConfigurationPending
 	if s.halted != nil {
 		described.Halted = s.halted.Error()
 	}
--- a/internal/system/evacuation.go
+++ b/internal/system/evacuation.go
@@ -89,12 +89,15 @@
 }
 
 // evacuated reports whether no replica of the shards without a region is on the
-// node, and enough voters are elsewhere.
+// node, and enough voters are elsewhere, by committed replica sets.
 func evacuated(status replica.Status, node string, replicaCount int) bool {
 	for _, shard := range status.Shards {
 		if shard.Shard.Regional() {
 			continue // see regionsEvacuated
 		}
+		if shard.ChangePending {
+			return false // a later leader may still need the node's vote
+		}
 		healthy := 0
 		for _, r := range shard.Replicas {
 			if r.Node == node {
--- a/internal/system/evacuation_test.go
+++ b/internal/system/evacuation_test.go
@@ -25,4 +25,7 @@
 	g.Expect(evacuated(voters("voter", "voter", "voter"), "z", 5)).To(gomega.BeFalse(), "three voters of five")
 	g.Expect(evacuated(voters("voter", "voter", "voter", "voter", "silent"), "z", 5)).To(gomega.BeFalse(), "one replica is silent")
 	g.Expect(evacuated(voters("voter", "voter", "voter"), "z", 3)).To(gomega.BeTrue())
+	pending := voters("voter", "voter", "voter")
+	pending.Shards[0].ChangePending = true
+	g.Expect(evacuated(pending, "z", 3)).To(gomega.BeFalse(), "the replica set is not committed")
 }
