replica: disks lost while all other nodes lose power

Cause: the chaos test takes one or two nodes at a time; that disks are lost in the same instant in which all other nodes lose power, and that a replica is being moved then, was not shown.

One file system holds all disks, so a crash clone has their state at one moment, that of an acknowledgement. All start again at their addresses, in half of the rounds without knowing the members or with the store down.

--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -57,6 +58,7 @@
 	mutex   sync.Mutex
 	members map[string]membership.Member
 	view    atomic.Pointer[membership.View]
+	hidden  atomic.Bool // views list no member
 }
 
 func newMemberList() *memberList {
@@ -83,10 +85,15 @@
 	name string
 }
 
-func (s memberSource) View() *membership.View { return s.list.view.Load() }
+func (s memberSource) View() *membership.View {
+	if s.list.hidden.Load() {
+		return &membership.View{}
+	}
+	return s.list.view.Load()
+}
 
 func (s memberSource) Self() membership.Member {
-	m, _ := findMember(s.View(), s.name)
+	m, _ := findMember(s.list.view.Load(), s.name)
 	return m
 }
 
@@ -166,6 +173,7 @@
 	onDisk   bool                 // use real folders instead of memory
 	root     string               // parent of the real folders
 	wrapFS   func(*node) vfs.FS   // wraps a node's file system; may be nil
+	disks    *vfs.MemFS           // one file system with a folder per node instead of one each; may be nil
 	onFrame  func(*node, []byte)  // called for each frame that a node receives; may be nil
 }
 
@@ -188,6 +196,7 @@
 	name        string
 	zone        string
 	hasData     bool
+	listen      string // address to listen on; empty for a free port at each start
 	fs          *vfs.MemFS
 	transport   *transport.Node
 	partitioned atomic.Bool
@@ -240,7 +249,7 @@
 
 func (c *cluster) start(n *node) {
 	listen := transport.Options{
-		Listen: "127.0.0.1:0",
+		Listen: cmp.Or(n.listen, "127.0.0.1:0"),
 		Keys:   c.keys,
 		Allow:  func(transport.Address) bool { return !n.partitioned.Load() },
 	}
@@ -264,6 +273,9 @@
 		if c.onDisk {
 			options.Folder, options.FS = filepath.Join(c.root, n.name), nil
 		}
+		if c.disks != nil {
+			options.Folder, options.FS = c.disks.PathJoin(n.name, "ledger"), c.disks
+		}
 		if c.wrapFS != nil {
 			options.FS = c.wrapFS(n)
 		}
