batchwork: jobs of new shards kept when a disk is lost and all others lose power

Change: TestJobsOfNewShardsKeptWhenDiskLostAndOthersLosePower: the power fails after at most ten acknowledgements since the shards were placed, so that some of their initial replicas may not have started.

With the log written without sync, on a scratch copy, it fails ("acknowledged job is lost"). How often a replica had not started is not counted.

--- a/internal/batchwork/powerloss_test.go
+++ b/internal/batchwork/powerloss_test.go
@@ -27,7 +27,9 @@
 	replicatedTimeout = 60 * time.Second
 	// maxCallsBeforeFailure limits the acknowledged calls before the power fails.
 	maxCallsBeforeFailure = 120
-	submitters            = 4
+	// maxCallsAfterPlacement is the same where shards have just been placed.
+	maxCallsAfterPlacement = 10
+	submitters             = 4
 )
 
 // nodeList is a membership whose nodes keep their addresses.
@@ -276,10 +278,10 @@
 	return false
 }
 
-// failPower runs callers until the power fails, then restarts all nodes, one with an empty
-// disk.
-func (c *replicatedShards) failPower(round int) {
-	c.crashed, c.remaining = nil, 1+c.random.IntN(maxCallsBeforeFailure)
+// failPower runs callers until the power fails after at most maxCalls acknowledgements, then
+// restarts all nodes, one with an empty disk.
+func (c *replicatedShards) failPower(round, maxCalls int) {
+	c.crashed, c.remaining = nil, 1+c.random.IntN(maxCalls)
 	var group sync.WaitGroup
 	for worker := range submitters {
 		random := rand.New(rand.NewPCG(c.random.Uint64(), 1))
@@ -454,7 +456,7 @@
 	c := newReplicatedShards(t, 7)
 	c.waitForReplicas()
 	for round := range 4 {
-		c.failPower(round)
+		c.failPower(round, maxCallsBeforeFailure)
 		c.check()
 		c.resubmit()
 		c.check()
@@ -462,3 +464,17 @@
 	}
 	t.Logf("%d jobs, %d read, %d ended", len(c.jobs), len(c.results), len(c.ended))
 }
+
+// Guards against losing jobs of shards that were just placed, some of whose initial replicas may
+// not have started, when a disk is lost and all other nodes lose power.
+func TestJobsOfNewShardsKeptWhenDiskLostAndOthersLosePower(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			c := newReplicatedShards(t, seed)
+			c.failPower(0, maxCallsAfterPlacement)
+			c.check()
+			c.waitForReplicas()
+			c.check()
+		})
+	}
+}
