mirror's tests: hosts join the fake fleet under its mutex

What was seen: under go test -race ./internal/mirror, in each of two of three runs, TestNodeStartingWithoutStoreSyncsFromPeers, TestUnreachableSeedsDelayStartOnlyBriefly and TestPullsPausedWhilePeersLackKind failed.

Cause: in the test's fakes only. These three tests add a node while the fleet runs: testFleet.add wrote the map of hosts without the mutex with which fakeHost.Call reads it. All six reports are of this map, and "race detected" is all that failed: no expectation did, so product code isn't at fault. The host was in the map before its agent had registered its handlers, too, and a test registers handlers of a running host again; neither was reported.

Change: add puts a host into the map with the mutex held and after its agent is made; handlers have a mutex.

--- a/internal/mirror/agent_test.go
+++ b/internal/mirror/agent_test.go
@@ -148,7 +148,7 @@
 	agents    map[string]*Agent
 
 	mutex sync.Mutex
-	hosts map[transport.Address]*fakeHost
+	hosts map[transport.Address]*fakeHost // guarded by mutex
 }
 
 // fakeHost is an agent's transport. It implements transport.Sender and transport.Receiver.
@@ -161,8 +161,10 @@
 	peersCalled map[transport.Address]bool
 	// legacy hosts are of an earlier version, which doesn't know fetches; guarded by the
 	// fleet's mutex.
-	legacy   bool
-	handlers map[transport.Kind]transport.CallHandler
+	legacy bool
+
+	handlersMutex sync.Mutex
+	handlers      map[transport.Kind]transport.CallHandler // guarded by handlersMutex
 }
 
 func (h *fakeHost) Call(ctx context.Context, to transport.Address, kind transport.Kind, payload []byte) ([]byte, error) {
@@ -184,7 +186,7 @@
 	if unhandled {
 		return nil, &transport.RemoteError{Peer: to, Code: transport.CodeNoHandler}
 	}
-	response, err := peer.handlers[kind](ctx, h.address, payload)
+	response, err := peer.handler(kind)(ctx, h.address, payload)
 	time.Sleep(latency)
 	return response, err
 }
@@ -192,11 +194,20 @@
 func (h *fakeHost) Send(transport.Address, transport.Kind, []byte)           {}
 func (h *fakeHost) Datagram(transport.Address, transport.Kind, []byte) error { return nil }
 func (h *fakeHost) HandleCall(kind transport.Kind, handler transport.CallHandler) {
+	h.handlersMutex.Lock()
+	defer h.handlersMutex.Unlock()
 	if h.handlers == nil {
 		h.handlers = map[transport.Kind]transport.CallHandler{}
 	}
 	h.handlers[kind] = handler
 }
+
+func (h *fakeHost) handler(kind transport.Kind) transport.CallHandler {
+	h.handlersMutex.Lock()
+	defer h.handlersMutex.Unlock()
+	return h.handlers[kind]
+}
+
 func (h *fakeHost) HandleMessage(transport.Kind, transport.MessageHandler)      {}
 func (h *fakeHost) HandleDatagram(_ transport.Kind, _ transport.MessageHandler) {}
 
@@ -226,11 +237,13 @@
 
 func (f *testFleet) add(node Node, data bool) {
 	host := &fakeHost{fleet: f, address: node.Address}
-	f.hosts[node.Address] = host
 	store := nodeStore{f.store, node.Name, f}
 	f.agents[node.Name] = New(Options{
 		Self: node, DataNode: data, Kinds: []Kind{{Name: kind, MaxStaleness: testFresh}}, Store: store, Registry: store, Sender: host, Receiver: host,
 	})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.hosts[node.Address] = host
 }
 
 // startWithoutStore starts a front node named late that the store doesn't answer.
