quota: a steady tenant's demand isn't paced by the noise of its average

Callers saw: while a zone is silent, one request of a tenant at half of a limit of 8 a second is refused (TestZoneFaultRefusesNothingBelowLimit, known red). Cause: with room kept for silent zones little is free, and that is spread over the demand of the next second, whose average over half a second is mostly noise for a few requests a second; that requests leave the window in that second was not counted. Change: demand that exceeds the requests that leave the window by no more than three standard deviations counts only with what exceeds them; demand beyond counts in full, as before, so jumps and floods are paced as they were. Why it works: a steady tenant frees as much as it uses, and over that only its growth needs the free allowance. The new test fails with the rule off.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -164,7 +164,8 @@
 	if age > isolationAge {
 		d.Verdict = l.decideIsolated(t, d)
 	} else {
-		d.Verdict = decideShared(d, t.demand.current(now)+others.Demand, draw)
+		demand := pacedDemand(t.demand.current(now)+others.Demand, d.Own+others.Admitted, l.bounds.Window)
+		d.Verdict = decideShared(d, demand, draw)
 	}
 	if d.Verdict == Admitted {
 		t.admitted.add(now)
@@ -200,6 +201,18 @@
 	return d.Own-t.acknowledged > growthNoise(t.acknowledged, d.Age, t.admitted.span)
 }
 
+// pacedDemand returns the demand that the free allowance is spread over. Of a steady tenant's
+// it is what exceeds the requests that leave the window, as these free as much. Demand beyond
+// the noise of its average counts in full: limits are exceeded in jumps and after restarts if
+// the allowance that comes back is spent in advance.
+func pacedDemand(demand, counted float64, window time.Duration) float64 {
+	returning := counted / window.Seconds()
+	if demand-returning > rateNoise(returning) {
+		return demand
+	}
+	return max(0, demand-returning)
+}
+
 // decideShared decides by the counts of all nodes. If the demand exceeds the free
 // allowance, requests are admitted at random so that about as many fit.
 func decideShared(d Decision, demand float64, draw func() float64) Verdict {
--- a/internal/quota/returns_test.go
+++ b/internal/quota/returns_test.go
@@ -129,3 +129,19 @@
 		g.Expect(decision.RetryAfter == maxRetryAfter).To(gomega.Equal(test.isLongest))
 	}
 }
+
+// Guards against refusing a steady tenant below its limit because its average demand is high by
+// chance while room is kept for a silent zone; a jump must still be paced.
+func TestNoiseOfDemandDoesNotRefuseSteadyTenant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	highestDraw := func() float64 { return 0.99 }
+	check := func(demand float64) Verdict {
+		l := NewLimiter(bounds)
+		l.ReceiveSum("", Sum{
+			Counts: Counts{1: {Admitted: 38, Demand: demand}}, SilentZones: SilentZones{1, 3}, InReserve: Counts{1: {Admitted: 9}},
+		}, start)
+		return l.Check(1, Limit{Rate: 8, Burst: 8}, false, start, highestDraw).Verdict
+	}
+	g.Expect(check(8)).To(gomega.Equal(Admitted))
+	g.Expect(check(80)).To(gomega.Equal(Refused))
+}
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -91,3 +91,8 @@
 func decayedRate(value float64, age time.Duration) float64 {
 	return value * math.Exp(-max(0, age.Seconds())/rateTimeConstant.Seconds())
 }
+
+// rateNoise is three standard deviations of the average of steady events at a rate.
+func rateNoise(perSecond float64) float64 {
+	return 3 * math.Sqrt(perSecond/(2*rateTimeConstant.Seconds()))
+}
