replica's tests wait for committed configurations

Cause, by its log: the removal of the wiped replica was proposed at 33.811; the test took it for done, as the leader's status lists the newest configuration, committed or not, and wiped the leader. Both survivors then name the removed replica among four members: two of four voters' disks were gone, which no majority bears. Change: waitForReplicas waits until no change is pending, which is what the test's next line states. Nothing else is looser or stricter.

--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -414,8 +414,8 @@
 	return voters
 }
 
-// waitForReplicas waits until the shard has exactly count replicas, all of them
-// healthy voters, and none on the nodes in without.
+// waitForReplicas waits until the shard has exactly count replicas by a committed
+// configuration, all of them healthy voters, and none on the nodes in without.
 func (c *cluster) waitForReplicas(id ledger.ShardID, count int, without ...*node) {
 	for _, n := range without {
 		c.g.Eventually(func() map[string]ReplicaStatus { return c.replicas(id) }).
@@ -426,7 +426,11 @@
 		if n == nil {
 			return nil
 		}
-		replicas := n.service.Status().Shards[id].Replicas
+		status := n.service.Status().Shards[id]
+		if status.ChangePending {
+			return nil
+		}
+		replicas := status.Replicas
 		for i := range replicas {
 			if !c.runsReplica(id, replicas[i]) {
 				replicas[i].State = "gone"
