Logs and metrics tell which software version begins and resumes a stream

Nothing told the hypotheses on streams of two versions apart: an engine's version was parsed and dropped, and a request that continues an earlier one looked like a new one. The catalog now keeps the version, lines on attempts and items name it, stream-resumed (2208) tells each resumption with the version that began the stream if this node knows it, and chutelock_streams_resumed_total counts them by same, other and unknown. No decision changes.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -53,7 +53,7 @@
 		eventItemHeld.Info("job", r.item.job, "item", r.id, "fingerprint", r.fingerprint, "left", left)
 		return min(left, maxHeldPause)
 	}
-	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "after", r.last, "failures", r.item.failures)
+	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "version", r.engine.Version, "after", r.last, "failures", r.item.failures)
 	silence := make(chan struct{})
 	exchangeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -157,6 +157,11 @@
 	return nil
 }
 
+// Release is one version of the software of a service's engines. The zero value stands for an
+// unknown one. The outputs of two releases don't fit together: a text that one has begun can't
+// be continued by another.
+type Release struct{ Service, Version string }
+
 // Engine is one incarnation of a model engine.
 type Engine struct {
 	// ID changes with each start of the engine; see EngineID.
@@ -164,6 +169,9 @@
 	// Started is the engine's start time by its own clock; zero if unknown.
 	Started time.Time
 	Service string
+	// Version is that of the engine's software. Engines of several versions may serve at the
+	// same time.
+	Version string
 	Address string // "ip:port"
 	Zone    string
 	// Region of the zone; empty if the settings assign none.
@@ -188,6 +196,9 @@
 	ColdMaybePast bool
 }
 
+// Release returns the release of the engine's software.
+func (e *Engine) Release() Release { return Release{e.Service, e.Version} }
+
 // mayServe reports whether the engine may get new requests.
 func (e *Engine) mayServe() bool { return !e.Leaving && !e.Drained }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -43,6 +43,7 @@
 	}
 	call := fl.newCall(engine)
 	call.Proceed = func() error { return fl.checkSend(lease) }
+	fl.reportResumed(engine)
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := fl.startSilenceTimer(cancel)
@@ -71,6 +72,21 @@
 	return fl.sendResponse(engine, response)
 }
 
+// reportResumed reports that a stream which already has events is sent to an engine.
+func (fl *inflight) reportResumed(engine catalog.Engine) {
+	if !fl.streamStarted && !fl.continues() {
+		return
+	}
+	eventResumed.Info("request", fl.request.ID, "continues", fl.request.Resumes, "route", fl.route.Name, "last_event", fl.lastEvent,
+		"began", fl.began.Version, "engine", engine.ID, "version", engine.Version)
+	if fl.Resumed != nil {
+		fl.Resumed(fl.began, engine.Release())
+	}
+}
+
+// continues reports whether the request continues the stream of an earlier one.
+func (fl *inflight) continues() bool { return fl.request.LastEvent > 0 || fl.request.Resumes != "" }
+
 // checkSend returns an error if the request may not be sent to its engine now. It is called
 // before a connection is opened and again afterwards, as opening one may take long.
 func (fl *inflight) checkSend(lease *balance.Lease) error {
@@ -224,7 +240,7 @@
 		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
 			continue
 		}
-		if err := fl.sendEvent(response, event); err != nil {
+		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
 			fl.callerLeft(err)
 			fl.sink.Abort()
 			return attemptResult{}, true
@@ -232,9 +248,12 @@
 	}
 }
 
-func (fl *inflight) sendEvent(response *upstream.Response, event Event) error {
+func (fl *inflight) sendEvent(engine catalog.Engine, response *upstream.Response, event Event) error {
 	if !fl.streamStarted {
 		fl.streamStarted = true
+		if !fl.continues() {
+			fl.began = engine.Release()
+		}
 		fl.firstEventAt = clock.Now()
 		if err := fl.sink.BeginStream(response.Status, response.Header); err != nil {
 			return err
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	eventRefused       = telemetry.Define(2202, "request-refused", "A request was refused by this node instead of being answered by an engine.")
 	eventAborted       = telemetry.Define(2203, "stream-aborted", "A stream to a caller was aborted before its end.")
 	eventServed        = telemetry.Define(2205, "request-served", "A request was answered by an engine; gives the time to the first output and in total.")
+	eventResumed       = telemetry.Define(2208, "stream-resumed", "A stream that already has events continues at an engine: within its response, or in a request that continues an earlier one.")
 	eventCallerLeft    = telemetry.Define(2204, "caller-left", "A caller closed its connection before the response was complete.")
 )
 
@@ -49,6 +50,9 @@
 	// chosen, and Chosen reports the choice to them; either may be nil.
 	Refresh func(ctx context.Context)
 	Chosen  func()
+	// Resumed is called when a stream that already has events is sent to an engine, with the
+	// release that began it, zero if unknown, and the engine's; may be nil.
+	Resumed func(began, next catalog.Release)
 	// Guard holds requests suspected of crashing engines; nil holds none.
 	Guard *poison.Guard
 	// Returns tells callers of requests that found no room when to return; may be nil.
@@ -95,8 +99,9 @@
 
 	streamStarted bool // the head of a stream was sent to the caller
 	lastEvent     uint64
-	engineID      string        // of the last attempt
-	waited        time.Duration // for an engine
+	began         catalog.Release // the release that began the stream; zero if unknown
+	engineID      string          // of the last attempt
+	waited        time.Duration   // for an engine
 	firstEventAt  time.Time
 	receivedEvent bool // in the last attempt
 	framed        bool // the last response had a length or was chunked
@@ -164,7 +169,7 @@
 		if step == StepRetry && !fl.timeLeft() {
 			step = fl.attempts.GiveUp(result.kind)
 		}
-		eventAttemptFailed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", engine.ID,
+		eventAttemptFailed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", engine.ID, "version", engine.Version,
 			"outcome", result.kind, "cause", result.cause, "attempt", fl.attemptCount, "last_event", fl.lastEvent, "retry", step == StepRetry,
 			"fingerprint", fl.fingerprint())
 		fl.reportToBalancer(engine, result)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -33,6 +33,9 @@
 	PrefixTokens int
 	// LastEvent is the number of the last event that the caller has received.
 	LastEvent uint64
+	// Resumes is the ID of the request that brought the first event of the stream that this one
+	// continues; empty if the stream is new.
+	Resumes string
 }
 
 // Fingerprint identifies equal requests: same tenant, target and body.
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -91,6 +91,7 @@
 				requests.observe(result)
 				tenants.observe(result)
 			},
+			Resumed: requests.observeResumed,
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
--- a/internal/system/metrics.go
+++ b/internal/system/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/returns"
@@ -30,6 +31,7 @@
 	// ones by outlook.
 	retryAfter *prometheus.HistogramVec
 	returns    *prometheus.CounterVec
+	resumed    *prometheus.CounterVec
 }
 
 func newRequestMetrics(registry prometheus.Registerer) *requestMetrics {
@@ -52,7 +54,10 @@
 			Name: "chutelock_planned_returns_total", Help: "Refusals by what was expected of the return; no-end: no room is foreseen within the longest wait.",
 		}, []string{"outlook"}),
 	}
-	registry.MustRegister(m.requests, m.returns)
+	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chutelock_streams_resumed_total", Help: "Streams with events that were sent to an engine again, by the engine's software version relative to that which began them: same, other or unknown.",
+	}, []string{"version"})
+	registry.MustRegister(m.requests, m.returns, m.resumed)
 	return m
 }
 
@@ -75,6 +80,17 @@
 	m.returns.WithLabelValues(outlook.String()).Inc()
 }
 
+func (m *requestMetrics) observeResumed(began, next catalog.Release) {
+	label := "same"
+	switch {
+	case began == catalog.Release{}:
+		label = "unknown"
+	case began != next:
+		label = "other"
+	}
+	m.resumed.WithLabelValues(label).Inc()
+}
+
 // largestTenants is how many tenants a node counts by themselves; the others are counted
 // together.
 const largestTenants = 20
