A stream is resumed only at the engine software release that began it

Cause: what a text began with was no part of what its next run asks for. A request now remembers the release (service and version) of the engine that brought its first event; the wish for the next engine names it, no other service of the route stands in, a pace watch looks at no other release, and the check before a request is sent rejects any other engine whatever chose it. With no engine of the release left the stream is cut at once. Requests that continue a stream have hooks for its origin, which nothing sets yet.

--- a/internal/balance/batch.go
+++ b/internal/balance/batch.go
@@ -8,7 +8,7 @@
 )
 
 // AcquireMany reserves places for batch work, for as many of the wishes as engines have room
-// for, in order. All wishes must be of one service and the same regions. Each engine is
+// for, in order. All wishes must be of one service, release and set of regions. Each engine is
 // scored once, so the cost hardly depends on the number of wishes.
 func (b *Balancer) AcquireMany(wishes []Wish, priority int) []*Lease {
 	if len(wishes) == 0 {
@@ -101,7 +101,7 @@
 
 // mayTake reports whether an engine is healthy and may serve the wish.
 func (t *Table) mayTake(engine catalog.Engine, wish Wish, now time.Time) bool {
-	return t.healthy(engine.ID, now) && !contains(wish.Avoid, engine.ID) && (wish.Regions == nil || wish.Regions.Allow(engine.Region))
+	return t.healthy(engine.ID, now) && !contains(wish.Avoid, engine.ID) && wish.allows(engine)
 }
 
 // chooseFrom assigns wishes to the candidates, all of which it scores.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -44,6 +44,9 @@
 	// Request identifies the request in logs.
 	Request string
 	Service string
+	// Release is the only release that may serve the request, as it began the text that the
+	// request continues; zero allows all.
+	Release catalog.Release
 	// Engines of Zone are preferred, then those of its Region; empty means no preference.
 	Zone   string
 	Region string
@@ -116,13 +119,19 @@
 	return engines
 }
 
-// allowed returns the service's engines in the wish's regions, regardless of load.
+// allowed returns the service's engines that are in the wish's regions and of its release,
+// regardless of load.
 func allowed(snapshot *catalog.Snapshot, wish Wish) []catalog.Engine {
 	engines := snapshot.Serving(wish.Service)
-	if wish.Regions == nil {
+	if wish.Regions == nil && wish.Release == (catalog.Release{}) {
 		return engines
 	}
-	return filter(engines, func(e catalog.Engine) bool { return wish.Regions.Allow(e.Region) })
+	return filter(engines, wish.allows)
+}
+
+// allows reports whether an engine is in the wish's regions and of its release.
+func (w Wish) allows(engine catalog.Engine) bool {
+	return w.Regions.Allow(engine.Region) && (w.Release == (catalog.Release{}) || engine.Release() == w.Release)
 }
 
 // bestWithRoom picks a candidate with room. It prefers the wish's own region unless waiting
@@ -139,7 +148,9 @@
 			chosen = other
 		}
 	}
-	t.recordRoom(foundRoom)
+	if wish.Release == (catalog.Release{}) { // few engines may be of a release
+		t.recordRoom(foundRoom)
+	}
 	if len(chosen.engines) == 0 {
 		return catalog.Engine{}, false
 	}
--- a/internal/balance/noengine.go
+++ b/internal/balance/noengine.go
@@ -13,6 +13,8 @@
 	RuleDrained
 	// RuleRegions: no engine of the service is in one of the request's regions.
 	RuleRegions
+	// RuleRelease: no engine that may serve the request is of the release that began its text.
+	RuleRelease
 )
 
 // String describes the rule in error messages.
@@ -21,6 +23,7 @@
 		"the service has no engine",
 		"the service's engines are in drained zones",
 		"the service has no engine in the regions of the route and the tenant",
+		"the service has no engine of the release that began the text",
 	}[r]
 }
 
@@ -40,15 +43,21 @@
 		if engine.Service != wish.Service || engine.Leaving {
 			continue
 		}
-		if !wish.Regions.Allow(engine.Region) {
-			rule = RuleRegions
-			continue
+		switch {
+		case !wish.Regions.Allow(engine.Region):
+			rule = max(rule, RuleRegions)
+		case !wish.allows(engine):
+			rule = RuleRelease
+		default:
+			return RuleDrained // not leaving, in an allowed region and of the release
 		}
-		return RuleDrained // not leaving and in an allowed region
 	}
 	return rule
 }
 
+// Serves reports whether any engine may serve the wish, regardless of load.
+func (b *Balancer) Serves(wish Wish) bool { return len(allowed(b.snapshot(), wish)) > 0 }
+
 // noEngineError returns a NoEngineError if no engine may serve the wish, else nil.
 func (b *Balancer) noEngineError(wish Wish) error {
 	snapshot := b.snapshot()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -74,7 +74,7 @@
 
 // reportResumed reports that a stream which already has events is sent to an engine.
 func (fl *inflight) reportResumed(engine catalog.Engine) {
-	if !fl.streamStarted && !fl.continues() {
+	if !fl.streamStarted && !fl.request.Continues() {
 		return
 	}
 	eventResumed.Info("request", fl.request.ID, "continues", fl.request.Resumes, "route", fl.route.Name, "last_event", fl.lastEvent,
@@ -84,9 +84,6 @@
 	}
 }
 
-// continues reports whether the request continues the stream of an earlier one.
-func (fl *inflight) continues() bool { return fl.request.LastEvent > 0 || fl.request.Resumes != "" }
-
 // checkSend returns an error if the request may not be sent to its engine now. It is called
 // before a connection is opened and again afterwards, as opening one may take long.
 func (fl *inflight) checkSend(lease *balance.Lease) error {
@@ -96,6 +93,9 @@
 	if !fl.regions().Allow(lease.Engine.Region) {
 		return errRegions
 	}
+	if fl.began != (catalog.Release{}) && lease.Engine.Release() != fl.began {
+		return errRelease
+	}
 	if left, held := fl.Guard.Held(fl.fingerprint); held {
 		return &heldError{left}
 	}
@@ -113,6 +113,7 @@
 var (
 	errEngineSilent = errors.New("no data from the engine within the silence timeout")
 	errRegions      = errors.New("the engine's region is no longer allowed for the request")
+	errRelease      = errors.New("the engine's software isn't of the release that began the stream")
 )
 
 type statusError int
@@ -162,7 +163,7 @@
 // engine's health.
 func isWithheld(err error) bool {
 	var held *heldError
-	return errors.As(err, &held) || errors.Is(err, upstream.ErrEngineExcluded) || errors.Is(err, errRegions) || errors.Is(err, balance.ErrPermitVoid)
+	return errors.As(err, &held) || errors.Is(err, upstream.ErrEngineExcluded) || errors.Is(err, errRegions) || errors.Is(err, errRelease) || errors.Is(err, balance.ErrPermitVoid)
 }
 
 // brokenOutcome is the outcome of an exchange that broke: a started stream can only be
@@ -249,11 +250,9 @@
 }
 
 func (fl *inflight) sendEvent(engine catalog.Engine, response *upstream.Response, event Event) error {
+	fl.recordOrigin(engine)
 	if !fl.streamStarted {
 		fl.streamStarted = true
-		if !fl.continues() {
-			fl.began = engine.Release()
-		}
 		fl.firstEventAt = clock.Now()
 		if err := fl.sink.BeginStream(response.Status, response.Header); err != nil {
 			return err
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -50,6 +50,12 @@
 	// chosen, and Chosen reports the choice to them; either may be nil.
 	Refresh func(ctx context.Context)
 	Chosen  func()
+	// Origin returns the release that began the stream which a request continues, or false if
+	// that is unknown; nil means that no request does. Began records the release that began a
+	// request's stream; it is called before the first event is passed on, and again while the
+	// stream lasts. It must not block and may be nil.
+	Origin func(ctx context.Context, request *Request, route *catalog.Route) (catalog.Release, bool)
+	Began  func(request *Request, release catalog.Release)
 	// Resumed is called when a stream that already has events is sent to an engine, with the
 	// release that began it, zero if unknown, and the engine's; may be nil.
 	Resumed func(began, next catalog.Release)
@@ -99,9 +105,12 @@
 
 	streamStarted bool // the head of a stream was sent to the caller
 	lastEvent     uint64
-	began         catalog.Release // the release that began the stream; zero if unknown
-	engineID      string          // of the last attempt
-	waited        time.Duration   // for an engine
+	// began is the release that began the stream, which all of its engines must have; zero until
+	// it has begun. recordedAt is when it was recorded last.
+	began         catalog.Release
+	recordedAt    time.Time
+	engineID      string        // of the last attempt
+	waited        time.Duration // for an engine
 	firstEventAt  time.Time
 	receivedEvent bool // in the last attempt
 	framed        bool // the last response had a length or was chunked
@@ -129,7 +138,9 @@
 		ctx, cancel = context.WithTimeout(ctx, clock.Until(fl.deadline))
 		defer cancel()
 	}
-	fl.run(ctx)
+	if fl.findOrigin(ctx) {
+		fl.run(ctx)
+	}
 	fl.observe()
 	return fl.attemptCount > 0
 }
@@ -213,7 +224,7 @@
 	if err == nil && fl.Chosen != nil {
 		fl.Chosen()
 	}
-	if !errors.Is(err, balance.ErrNoEngine) {
+	if !errors.Is(err, balance.ErrNoEngine) || fl.began != (catalog.Release{}) {
 		return lease, err
 	}
 	return fl.acquireFromOtherService(ctx, wish, err)
@@ -252,7 +263,7 @@
 // wish returns the conditions for choosing an engine; wait bounds the time in the engine's queue.
 func (fl *inflight) wish(wait time.Duration) balance.Wish {
 	return balance.Wish{
-		Request: fl.request.ID, Service: fl.service, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
+		Request: fl.request.ID, Service: fl.service, Release: fl.began, Zone: fl.Zone, Region: fl.Region, Class: balance.ClassOnline,
 		Prefix: fl.request.Prefix, PrefixTokens: fl.request.PrefixTokens, PromptTokens: fl.request.PromptTokens,
 		Regions: fl.regions(), Avoid: fl.avoidEngines, AvoidZones: fl.avoidZones, Wait: wait, Left: fl.left(),
 	}
@@ -268,7 +279,7 @@
 
 func (fl *inflight) waitPolicy() waitPolicy {
 	return waitPolicy{
-		target: fl.route.Target, arrived: fl.request.Arrived, deadline: fl.deadline, mayHaveRun: fl.attempts.MayHaveRun() || fl.streamStarted,
+		target: fl.route.Target, arrived: fl.request.Arrived, deadline: fl.deadline, mayHaveRun: fl.attempts.MayHaveRun() || fl.streamStarted || fl.request.Continues(),
 	}
 }
 
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -99,22 +99,25 @@
 		resumable bool
 		attempts  int
 		useSpeeds bool
-		ejected   bool // the other engine
-		withIDs   bool // of events
+		ejected   bool   // the other engine
+		withIDs   bool   // of events
+		version   string // of the other engine
 		moves     int64
 	}{
-		{"moves", true, 3, true, false, true, 1},
-		{"not resumable", false, 3, true, false, true, 0},
-		{"last attempt", true, 1, true, false, true, 0},
-		{"speeds not used", true, 3, false, false, true, 0},
-		{"no other engine", true, 3, true, true, true, 0},
-		{"no event IDs", true, 3, true, false, false, 0},
+		{"moves", true, 3, true, false, true, "", 1},
+		{"not resumable", false, 3, true, false, true, "", 0},
+		{"last attempt", true, 1, true, false, true, "", 0},
+		{"speeds not used", true, 3, false, false, true, "", 0},
+		{"no other engine", true, 3, true, true, true, "", 0},
+		{"no event IDs", true, 3, true, false, false, "", 0},
+		{"no other engine of the release", true, 3, true, false, true, "2", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
 			var closed atomic.Int32
 			engines := []catalog.Engine{streamingEngine(t, "a", test.withIDs, 8, &closed), streamingEngine(t, "b", test.withIDs, 0, &closed)}
+			engines[1].Version = test.version
 			snapshot := catalog.NewSnapshot(nil, engines)
 			balancer := balance.New(func() *catalog.Snapshot { return snapshot })
 			balancer.UseSpeeds = func() bool { return test.useSpeeds }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -38,6 +38,18 @@
 	Resumes string
 }
 
+// Stream returns the ID of the request that began the stream: this one, or the one that it
+// continues.
+func (r *Request) Stream() string {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
+// Continues reports whether the request continues the stream of an earlier one.
+func (r *Request) Continues() bool { return r.LastEvent > 0 || r.Resumes != "" }
+
 // Fingerprint identifies equal requests: same tenant, target and body.
 func (r *Request) Fingerprint() poison.Fingerprint {
 	return poison.FingerprintOf(r.Tenant, r.Host, r.Method, r.URI, r.Body)
--- a/internal/forward/retryafter.go
+++ b/internal/forward/retryafter.go
@@ -18,8 +18,12 @@
 // retryAfter is when the caller of a request that has not run because of cause should
 // retry: a held request when it is released, one refused by the pace of cold engines when
 // the pace allows more, plus a random delay, one without any engine after
-// noEngineRetryAfter, and one that found no room as Returns plans.
+// noEngineRetryAfter, and one that found no room as Returns plans. It is 0 if the request
+// continues a stream that can't go on.
 func (fl *inflight) retryAfter(cause error) time.Duration {
+	if fl.cannotContinue(cause) {
+		return 0
+	}
 	if errors.Is(cause, balance.ErrNoEngine) {
 		return noEngineRetryAfter + rand.N(noEngineRetryAfter)
 	}
--- a/internal/forward/waitpolicy.go
+++ b/internal/forward/waitpolicy.go
@@ -13,8 +13,9 @@
 	// for an engine.
 	maxWaitWithoutTarget = 100 * time.Millisecond
 	// maxWaitAfterRun bounds the wait of a request that may have run, which can't be
-	// refused as not run. Callers abandon a stream after a pause of 2 s, of which
-	// silenceTimeout may already have passed.
+	// refused as not run, or that continues a stream, for which few engines may be fit.
+	// Callers abandon a stream after a pause of 2 s, of which silenceTimeout may already
+	// have passed.
 	maxWaitAfterRun = 800 * time.Millisecond
 )
 
@@ -23,7 +24,7 @@
 type waitPolicy struct {
 	target            time.Duration
 	arrived, deadline time.Time // deadline may be zero
-	// mayHaveRun is set if an engine may have run the request.
+	// mayHaveRun is set if an engine may have run the request or a part of its stream.
 	mayHaveRun bool
 }
 
