A caller continues a stream only at the release that began it

Cause: no other node knew at which version the first attempt had begun, and Resumes, which names it, wasn't read. The node that passes on a stream's first event now first records the release at two data nodes, of different zones, chosen by the hash of tenant and request ID (package origin). Whoever is asked to continue the stream asks them, then those of other regions, and sends it to that release only; it records it again, so that a third request finds it, too. There is one record a stream, so records need no order; different ones for an ID make it unknown.

A node that can't know refuses at once, as not run and without a Retry-After, except where the service had a single release for as long as a stream may last, by a current list: its own, or that of a data node, as a front node that has just started has none. This also serves callers that don't send Resumes, and streams begun by nodes of the last landing.

--- /dev/null
+++ b/internal/origin/message.go
@@ -0,0 +1,125 @@
+package origin
+
+import (
+	"errors"
+	"time"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/wire"
+)
+
+const messageVersion = 1
+
+// Record tells which release began a stream. It is sent to the stream's homes.
+type Record struct {
+	Key     Key
+	Release catalog.Release
+}
+
+type fixedRecord struct{ Key Key }
+
+// Marshal encodes the record.
+func (r Record) Marshal() []byte {
+	return mustMarshal(fixedRecord{r.Key}, []byte(r.Release.Service), []byte(r.Release.Version))
+}
+
+// UnmarshalRecord decodes a record.
+func UnmarshalRecord(message []byte) (Record, error) {
+	var fixed fixedRecord
+	fields, err := wire.Unmarshal(message, messageVersion, &fixed, 2)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{Key: fixed.Key, Release: catalog.Release{Service: string(fields[0]), Version: string(fields[1])}}, nil
+}
+
+// Query asks a data node which release began a stream.
+type Query struct {
+	Key Key
+	// Service, unless empty, is the only one that may have begun the stream. If the node has no
+	// record, it tells the service's sole release within Window.
+	Service string
+	Window  time.Duration
+}
+
+type fixedQuery struct {
+	Key    Key
+	Window int64 // nanoseconds
+}
+
+// Marshal encodes the query.
+func (q Query) Marshal() []byte {
+	return mustMarshal(fixedQuery{q.Key, int64(q.Window)}, []byte(q.Service))
+}
+
+// UnmarshalQuery decodes a query.
+func UnmarshalQuery(message []byte) (Query, error) {
+	var fixed fixedQuery
+	fields, err := wire.Unmarshal(message, messageVersion, &fixed, 1)
+	if err != nil {
+		return Query{}, err
+	}
+	return Query{Key: fixed.Key, Service: string(fields[0]), Window: time.Duration(fixed.Window)}, nil
+}
+
+// Source is what an answer rests on.
+type Source uint8
+
+// Sources of answers.
+const (
+	// SourceNone: the beginning is unknown.
+	SourceNone Source = iota
+	// SourceRecord: the node that began the stream has recorded it.
+	SourceRecord
+	// SourceSole: the service had a single release.
+	SourceSole
+)
+
+// String returns the name used in logs and metrics.
+func (s Source) String() string {
+	switch s {
+	case SourceRecord:
+		return "record"
+	case SourceSole:
+		return "sole-release"
+	default:
+		return "none"
+	}
+}
+
+// Answer is a node's answer to a query.
+type Answer struct {
+	Source  Source
+	Release catalog.Release
+}
+
+type fixedAnswer struct{ Source Source }
+
+// ErrSource means that an answer has an unknown source.
+var ErrSource = errors.New("origin: unknown source")
+
+// Marshal encodes the answer.
+func (a Answer) Marshal() []byte {
+	return mustMarshal(fixedAnswer{a.Source}, []byte(a.Release.Service), []byte(a.Release.Version))
+}
+
+// UnmarshalAnswer decodes an answer.
+func UnmarshalAnswer(message []byte) (Answer, error) {
+	var fixed fixedAnswer
+	fields, err := wire.Unmarshal(message, messageVersion, &fixed, 2)
+	if err != nil {
+		return Answer{}, err
+	}
+	if fixed.Source > SourceSole {
+		return Answer{}, ErrSource
+	}
+	return Answer{Source: fixed.Source, Release: catalog.Release{Service: string(fields[0]), Version: string(fields[1])}}, nil
+}
+
+func mustMarshal(fixed any, fields ...[]byte) []byte {
+	encoded, err := wire.Marshal(messageVersion, fixed, fields...)
+	if err != nil {
+		panic(err) // unreachable: all fixed parts have a fixed size
+	}
+	return encoded
+}
--- a/internal/system/catalogtracker.go
+++ b/internal/system/catalogtracker.go
@@ -10,6 +10,7 @@
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/origin"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -64,6 +65,9 @@
 	complete atomic.Bool
 
 	warmReports warmReports
+
+	releasesMutex sync.Mutex // guards releases; a leaf
+	releases      *origin.History
 }
 
 // objectSource provides the mirrored objects of the platform; see mirror.Agent.
@@ -75,7 +79,7 @@
 
 func newCatalogTracker(adapter *Adapter, settings *config.Node) *catalogTracker {
 	t := &catalogTracker{adapter: adapter, settings: settings, changes: make(chan struct{}, 1),
-		roster: catalog.NewRoster(), expiryTracker: catalog.NewExpiryTracker(), coldTracker: catalog.NewColdTracker()}
+		roster: catalog.NewRoster(), expiryTracker: catalog.NewExpiryTracker(), coldTracker: catalog.NewColdTracker(), releases: origin.NewHistory()}
 	t.dirty = map[string]bool{adapter.ConfigurationKind: true, adapter.EnginesKind: true}
 	t.snapshot.Store(catalog.NewSnapshot(nil, nil))
 	return t
@@ -179,6 +183,7 @@
 	t.setZoneAttributes(engines, drained)
 	t.markCold(engines, configuration, clock.Now())
 	t.snapshot.Store(catalog.NewSnapshot(configuration, engines))
+	t.observeReleases(engines)
 	t.complete.Store(t.enginesRevision > 0 && t.drainsKnown() && !t.awaitingPoison())
 	leavingEngines, drainedEngines := 0, 0
 	for _, engine := range engines {
@@ -193,6 +198,24 @@
 		"drained", drainedEngines, "drains_known", t.drainsKnown(), "revision", t.enginesRevision)
 }
 
+// observeReleases records the releases of the engines once they are known.
+func (t *catalogTracker) observeReleases(engines []catalog.Engine) {
+	if t.enginesRevision == 0 {
+		return
+	}
+	t.releasesMutex.Lock()
+	defer t.releasesMutex.Unlock()
+	t.releases.Observe(engines, clock.Now())
+}
+
+// soleRelease returns the only release of a service's engines within the window; false if there
+// was more than one, or the engines are not known for so long.
+func (t *catalogTracker) soleRelease(service string, window time.Duration) (catalog.Release, bool) {
+	t.releasesMutex.Lock()
+	defer t.releasesMutex.Unlock()
+	return t.releases.Sole(service, window, clock.Now())
+}
+
 // awaitingPoison reports whether the first configuration has to wait for the poison
 // records, without which a starting node would send requests that are held back. It waits
 // for maxPoisonWait at most, as the store may be down and peers of an earlier version don't
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -88,6 +88,10 @@
 	})
 	d.peers.HandleDatagram(kindQuotaReport, d.quotas.handleReport)
 	d.peers.HandleDatagram(kindQuotaShare, d.quotas.handleShare)
+	origins := &originServer{store: newOriginStore(), sole: d.soleRelease}
+	d.peers.HandleDatagram(kindOriginRecord, origins.handleRecord)
+	d.peers.HandleCall(kindOriginQuery, origins.handleQuery)
+	d.registerGauges(origins.store.gauges())
 	permits := newPermitServer(settings, d.peers, d.agent.Nodes, d.catalog.Snapshot)
 	d.peers.HandleDatagram(kindPermitAsk, permits.handleAsk)
 	d.registerGauges(permits.gauges())
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -18,6 +18,7 @@
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/loadshare"
 	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/origin"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -70,6 +71,8 @@
 	}
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
 	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
+	origins := newOriginClient(common)
+	f.registerGauges(origins.store.gauges())
 	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
 	f.shares = newShareGate(f)
 	f.edge = &edge.Edge{
@@ -91,7 +94,10 @@
 				requests.observe(result)
 				tenants.observe(result)
 			},
-			Resumed: requests.observeResumed,
+			Resumed: requests.observeResumed, Origin: origins.find,
+			Began: func(request *forward.Request, release catalog.Release) {
+				origins.record(origin.KeyOf(request.Tenant, request.Stream()), release)
+			},
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
--- /dev/null
+++ b/internal/system/origins_test.go
@@ -0,0 +1,245 @@
+package system
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/forward"
+	"chutelock.dev/chutelock/internal/mirror"
+	"chutelock.dev/chutelock/internal/origin"
+	"chutelock.dev/chutelock/internal/transport"
+)
+
+var errDown = errors.New("the node is down")
+
+// originFleet connects front nodes with data nodes in the test process. It implements
+// transport.Sender for all front nodes.
+type originFleet struct {
+	mutex   sync.Mutex
+	servers map[transport.Address]*originServer
+	down    map[transport.Address]bool
+	loses   bool // datagrams
+	calls   int
+	// soleAtServers is the service's sole release as data nodes know it.
+	soleAtServers *catalog.Release
+}
+
+func newOriginFleet() *originFleet {
+	return &originFleet{servers: map[transport.Address]*originServer{}, down: map[transport.Address]bool{}}
+}
+
+func (f *originFleet) sole(string, time.Duration) (catalog.Release, bool) {
+	if f.soleAtServers == nil {
+		return catalog.Release{}, false
+	}
+	return *f.soleAtServers, true
+}
+
+// add adds a data node, or empties one.
+func (f *originFleet) add(address transport.Address) {
+	f.servers[address] = &originServer{store: newOriginStore(), sole: f.sole}
+}
+
+// nodes lists the data nodes; those with even numbers are in the region "north".
+func (f *originFleet) nodes() []mirror.Node {
+	var nodes []mirror.Node
+	for i := range 12 {
+		address := transport.Address(fmt.Sprint("d", i))
+		if f.servers[address] != nil {
+			nodes = append(nodes, mirror.Node{Name: string(address), Address: address, Region: []string{"north", "south"}[i%2], Zone: fmt.Sprint("z", i%4)})
+		}
+	}
+	return nodes
+}
+
+func (f *originFleet) front(region string) *originClient {
+	return &originClient{
+		store: newOriginStore(), peers: f, nodes: f.nodes, region: region, leave: time.Second,
+		sole:  func(string, time.Duration) (catalog.Release, bool) { return catalog.Release{}, false },
+		found: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "found"}, []string{"source"}),
+	}
+}
+
+func (f *originFleet) Call(ctx context.Context, to transport.Address, _ transport.Kind, payload []byte) ([]byte, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.calls++
+	if f.down[to] || f.servers[to] == nil {
+		return nil, errDown
+	}
+	return f.servers[to].handleQuery(ctx, "front", payload)
+}
+
+func (f *originFleet) Send(transport.Address, transport.Kind, []byte) {}
+
+func (f *originFleet) Datagram(to transport.Address, _ transport.Kind, payload []byte) error {
+	if f.loses || f.down[to] || f.servers[to] == nil {
+		return errDown
+	}
+	f.servers[to].handleRecord("front", payload)
+	return nil
+}
+
+var (
+	releaseOne  = catalog.Release{Service: "s", Version: "1"}
+	releaseTwo  = catalog.Release{Service: "s", Version: "2"}
+	streamRoute = &catalog.Route{Name: "r", Kind: catalog.KindStream, Resumable: true, Timeout: 4 * time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+)
+
+// begin records the beginning of a stream.
+func (c *originClient) begin(id string, release catalog.Release) {
+	c.record(origin.KeyOf("tenant", id), release)
+}
+
+func (c *originClient) findBegun(id string) (catalog.Release, bool) {
+	return c.find(context.Background(), &forward.Request{ID: "again", Tenant: "tenant", Resumes: id, LastEvent: 1}, streamRoute)
+}
+
+func newNorthFleet(dataNodes int) *originFleet {
+	f := newOriginFleet()
+	for i := range dataNodes {
+		f.add(transport.Address(fmt.Sprint("d", 2*i)))
+	}
+	return f
+}
+
+func TestOriginFoundAtOtherNodeWhileOneHomeLives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	first, second := f.front("north"), f.front("north")
+	for i := range 50 {
+		id := fmt.Sprint("r", i)
+		first.begin(id, releaseTwo)
+		homes := origin.Homes(f.nodes(), "north", origin.KeyOf("tenant", id))
+		f.down[homes[i%2].Address] = true
+		release, found := second.findBegun(id)
+		g.Expect(found).To(gomega.BeTrue())
+		g.Expect(release).To(gomega.Equal(releaseTwo))
+		clear(f.down)
+	}
+}
+
+func TestOriginUnknownIsNotGuessed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	node := f.front("north")
+	_, found := node.findBegun("never")
+	g.Expect(found).To(gomega.BeFalse())
+	f.loses = true
+	f.front("north").begin("lost", releaseOne)
+	_, found = node.findBegun("lost")
+	g.Expect(found).To(gomega.BeFalse())
+	for _, other := range f.nodes() {
+		f.down[other.Address] = true
+	}
+	_, found = node.findBegun("unreachable")
+	g.Expect(found).To(gomega.BeFalse())
+	_, found = newOriginFleet().front("north").findBegun("no data node")
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+func TestOriginOfOtherTenantIsNotFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	f.front("north").record(origin.KeyOf("another", "r"), releaseOne)
+	_, found := f.front("north").findBegun("r")
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+func TestOriginFoundInOtherRegion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newOriginFleet()
+	for i := range 12 {
+		f.add(transport.Address(fmt.Sprint("d", i)))
+	}
+	f.front("south").begin("r", releaseOne)
+	release, found := f.front("north").findBegun("r")
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(release).To(gomega.Equal(releaseOne))
+}
+
+func TestSoleReleaseStandsInForLostRecord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	node := f.front("north")
+	unnamed := &forward.Request{ID: "again", Tenant: "tenant", LastEvent: 1}
+	_, found := node.find(context.Background(), unnamed, streamRoute)
+	g.Expect(found).To(gomega.BeFalse())
+	f.soleAtServers = &releaseTwo
+	for _, request := range []*forward.Request{unnamed, {ID: "again", Resumes: "lost", LastEvent: 1}} {
+		release, found := node.find(context.Background(), request, streamRoute)
+		g.Expect(found).To(gomega.BeTrue())
+		g.Expect(release).To(gomega.Equal(releaseTwo))
+	}
+	f.front("north").begin("r", releaseOne)
+	release, _ := node.findBegun("r")
+	g.Expect(release).To(gomega.Equal(releaseOne), "a record counts more")
+	calls := f.calls
+	node.sole = f.sole
+	release, found = node.find(context.Background(), unnamed, streamRoute)
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(release).To(gomega.Equal(releaseTwo))
+	g.Expect(f.calls).To(gomega.Equal(calls), "no data node is asked for what this node knows")
+}
+
+func TestRouteOfTwoServicesOrWithoutTimeoutHasNoSoleRelease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := newNorthFleet(1).front("north")
+	two, endless := *streamRoute, *streamRoute
+	two.Backends = []catalog.Backend{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	endless.Timeout = 0
+	for _, route := range []*catalog.Route{&two, &endless} {
+		g.Expect(node.query(&forward.Request{}, route).Service).To(gomega.BeEmpty())
+	}
+	g.Expect(node.query(&forward.Request{}, streamRoute).Window).To(gomega.BeNumerically(">", 2*streamRoute.Timeout))
+}
+
+// Random sequences of streams that begin and continue at any front node, while data nodes are lost,
+// come back empty, join and leave, datagrams are lost and IDs are used twice. A continued stream
+// always gets the release that began it.
+func TestContinuedStreamsGetTheirReleaseUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newNorthFleet(3)
+		fronts := []*originClient{f.front("north"), f.front("north"), f.front("south")}
+		begun := map[string]map[catalog.Release]bool{}
+		front := func(t *rapid.T) *originClient { return rapid.SampledFrom(fronts).Draw(t, "front") }
+		address := func(t *rapid.T) transport.Address {
+			return transport.Address(fmt.Sprint("d", rapid.IntRange(0, 11).Draw(t, "data node")))
+		}
+		id := func(t *rapid.T) string { return fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				request, release := id(t), rapid.SampledFrom([]catalog.Release{releaseOne, releaseTwo}).Draw(t, "release")
+				if known := begun[request]; known != nil && !known[release] && rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+					t.Skip("an ID is rarely used twice")
+				}
+				if begun[request] == nil {
+					begun[request] = map[catalog.Release]bool{}
+				}
+				begun[request][release] = true
+				front(t).begin(request, release)
+			},
+			"continue": func(t *rapid.T) {
+				request := id(t)
+				release, found := front(t).findBegun(request)
+				if found && !begun[request][release] {
+					t.Fatalf("%s continues at %v, begun at %v", request, release, begun[request])
+				}
+			},
+			"empty": func(t *rapid.T) { f.add(address(t)) },
+			"leave": func(t *rapid.T) { delete(f.servers, address(t)) },
+			"down":  func(t *rapid.T) { f.down[address(t)] = true },
+			"up":    func(t *rapid.T) { delete(f.down, address(t)) },
+			"lose":  func(*rapid.T) { f.loses = !f.loses },
+		})
+	})
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,6 +31,7 @@
 	KindLoad       Kind = 0x0900
 	KindSlowStart  Kind = 0x0a00
 	KindPoison     Kind = 0x0b00
+	KindOrigin     Kind = 0x0c00
 )
 
 // CallHandler answers a call. It runs on the transport's worker pool and may
