A batch item's text is continued only at the release that began it

Callers could get a result whose text two software versions had written: an item whose run ended resumed after its committed text at any engine.

Cause: the committed text didn't say which release began it. The ledger now keeps the release beside the text, updates and run requests carry it, and the state machine rejects text of another release. A run at an engine that can't continue the text starts over: its first update replaces the text, in one entry.

An item waits for an engine of its release for as long as producing its text again would take, counted only while there is room at others, and starts over at once if no engine of the release is left. Text of unknown release, from a node of the last landing, isn't continued.

Older data nodes can't decode the new updates and stop applying entries until they are upgraded; older leaders and their executors work as before.

The test of runs started from an old state commits text with its release now, as runs do.

--- a/internal/balance/batch.go
+++ b/internal/balance/batch.go
@@ -36,6 +36,14 @@
 	return leases
 }
 
+// HasBatchRoom reports whether an engine has room for batch work.
+func (b *Balancer) HasBatchRoom(wish Wish) bool {
+	snapshot := b.snapshot()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.table.chooseMany(snapshot, []Wish{wish}, clock.Now())) > 0
+}
+
 // batchCandidate is an engine with its load, including requests that chooseMany has assigned.
 type batchCandidate struct {
 	engine  catalog.Engine
--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -48,13 +48,24 @@
 	to       uint64
 	failures uint8 // to add
 	state    State
+	// origin has the release of the run's engine, and the restarts of the text that the update
+	// follows.
+	origin textOrigin
+	// fresh is set if the text replaces the item's, as the run has started over.
+	fresh bool
 	// text is compressed in log entries and in the store.
 	text []byte
 }
 
+// hasText reports whether the update appends or replaces text.
+func (u *itemUpdate) hasText() bool { return u.fresh || u.to > u.from }
+
+// beginsText reports whether the update's text has none before it.
+func (u *itemUpdate) beginsText() bool { return u.fresh || u.from == 0 }
+
 // textWithSeparator returns the text, with a separator from earlier text if there is any.
 func (u itemUpdate) textWithSeparator() []byte {
-	if u.from == 0 || len(u.text) == 0 {
+	if u.beginsText() || len(u.text) == 0 {
 		return u.text
 	}
 	return append([]byte{'\n'}, u.text...)
@@ -62,7 +73,7 @@
 
 // textWithoutSeparator undoes textWithSeparator for an update with decompressed text.
 func (u itemUpdate) textWithoutSeparator() []byte {
-	if u.from == 0 || len(u.text) == 0 {
+	if u.beginsText() || len(u.text) == 0 {
 		return u.text
 	}
 	return u.text[1:]
@@ -121,21 +132,35 @@
 	return fields
 }
 
+// updateFields is the number of an update's fields without the optional last one, its origin.
+const updateFields = 2
+
 func encodeUpdate(u itemUpdate) []byte {
-	fixed := fixedUpdate{u.index, u.from, u.to, u.failures, u.state, u.to > u.from}
-	return marshal(fixed, []byte(u.job), compress(u.textWithSeparator()))
+	fixed := fixedUpdate{u.index, u.from, u.to, u.failures, u.state, u.hasText()}
+	fields := [][]byte{[]byte(u.job), compress(u.textWithSeparator())}
+	if u.origin != (textOrigin{}) || u.fresh {
+		fields = append(fields, encodeOrigin(u.origin, u.fresh))
+	}
+	return marshal(fixed, fields...)
 }
 
 func decodeUpdate(field []byte) (itemUpdate, error) {
 	var fixed fixedUpdate
-	parts, err := unmarshal(field, &fixed, 2)
+	parts, err := unmarshal(field, &fixed, -1)
 	if err != nil {
 		return itemUpdate{}, err
 	}
-	return itemUpdate{
+	if len(parts) < updateFields || len(parts) > updateFields+1 {
+		return itemUpdate{}, fmt.Errorf("%w: update has %d fields", wire.ErrLength, len(parts))
+	}
+	u := itemUpdate{
 		job: string(parts[0]), index: fixed.Index, from: fixed.From, to: fixed.To,
 		failures: fixed.Failures, state: fixed.State, text: parts[1],
-	}, nil
+	}
+	if len(parts) > updateFields {
+		u.origin, u.fresh, err = decodeOrigin(parts[updateFields])
+	}
+	return u, err
 }
 
 // encodeJob encodes a job, with or without its items.
@@ -215,6 +240,7 @@
 	keyState  = 's' // item state, once it differs from the initial one
 	keyText   = 't' // by item index and last event
 	keyResult = 'r' // item index, by result position
+	keyOrigin = 'o' // textOrigin, by item index, once the item has text
 )
 
 func key(prefix byte, job string, numbers ...uint64) []byte {
--- a/internal/batchwork/estimator.go
+++ b/internal/batchwork/estimator.go
@@ -38,6 +38,11 @@
 	return time.Duration(e.eventTime * e.eventsLeft(item))
 }
 
+// textTime estimates how long producing an item's text so far took.
+func (e *itemEstimator) textTime(item openItem) time.Duration {
+	return time.Duration(e.eventTime * float64(item.lastEvent))
+}
+
 // eventsLeft estimates how many events of an item are still to come.
 func (e *itemEstimator) eventsLeft(item openItem) float64 {
 	return max(e.itemEvents-float64(item.lastEvent), e.itemEvents/8)
--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -176,7 +176,7 @@
 		return nil, err
 	}
 	request.engine.ID = e.options.engineID(request.engine.ID)
-	next := &itemRun{node: c.node, item: request.item, engine: request.engine, maxFailures: request.maxFailures}
+	next := &itemRun{node: c.node, item: request.item, engine: request.engine, maxFailures: request.maxFailures, origin: request.origin, startsOver: request.startsOver}
 	result := next.run(ctx, &request.read)
 	return result.marshal(), nil
 }
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -23,10 +23,16 @@
 	engine catalog.Engine
 	// maxFailures is how many internal server errors of engines end the item.
 	maxFailures int
+	// origin has the release of the run's engine, and the restarts of the item's text. It is zero
+	// for a leader of an older version.
+	origin textOrigin
+	// startsOver is set until the run has committed text, if that replaces the item's: the text
+	// can't be continued at this engine.
+	startsOver bool
 
 	id          string
 	fingerprint poison.Fingerprint
-	committed   uint64 // last committed event
+	committed   uint64 // last committed event of the text that the run continues or has begun
 	last        uint64 // last received event
 	text        []byte // of the events after committed
 	commitAt    time.Time
@@ -38,7 +44,9 @@
 func (r *itemRun) run(ctx context.Context, read *Item) runResult {
 	r.id = read.ID
 	r.fingerprint = poison.FingerprintOf(r.item.tenant, r.item.host, http.MethodPost, read.Path, read.Body)
-	r.committed, r.last = r.item.lastEvent, r.item.lastEvent
+	if !r.startsOver {
+		r.committed, r.last = r.item.lastEvent, r.item.lastEvent
+	}
 	r.result.pause = r.exchange(ctx, read)
 	r.result.last = r.last
 	return r.result
@@ -202,14 +210,14 @@
 	if r.last == r.committed && state == StateOpen && failures == 0 {
 		return nil
 	}
-	next := itemUpdate{
-		job: r.item.job, index: r.item.index, from: r.committed, to: r.last,
-		failures: failures, state: state, text: r.text,
-	}
+	next := r.nextUpdate(state, failures)
 	err := r.node.commit(ctx, next)
 	switch {
 	case err == nil:
 		r.committed, r.text = r.last, nil
+		if next.fresh {
+			r.startsOver, r.origin = false, next.nextOrigin()
+		}
 	case errors.Is(err, errItemClosed):
 	case errors.Is(err, errSuperseded):
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", err, "last_event", r.last)
@@ -222,6 +230,21 @@
 	return err
 }
 
+// nextUpdate returns the update with the text since the last commit.
+func (r *itemRun) nextUpdate(state State, failures uint8) itemUpdate {
+	u := itemUpdate{
+		job: r.item.job, index: r.item.index, from: r.committed, to: r.last,
+		failures: failures, state: state, origin: r.origin, text: r.text,
+	}
+	switch {
+	case r.startsOver && r.last > 0:
+		u.from, u.fresh = r.item.lastEvent, true
+	case r.startsOver:
+		u.from, u.to = r.item.lastEvent, r.item.lastEvent // no text
+	}
+	return u
+}
+
 func (r *itemRun) commitSuccess(ctx context.Context) time.Duration {
 	if r.last == 0 {
 		return r.handleInterruption(ctx, errNoText, false)
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -66,6 +66,7 @@
 	state     State
 	lastEvent uint64
 	failures  uint8
+	origin    textOrigin
 }
 
 var _ ledger.StateMachine = (*Machine)(nil)
@@ -187,8 +188,7 @@
 	return encodeOutcomes(outcomes), nil
 }
 
-// advanceItem applies one update, unless the item is final or its text doesn't end at the
-// event that the update follows.
+// advanceItem applies one update, unless the item is final or the update doesn't follow its text.
 func (m *Machine) advanceItem(writer ledger.Writer, u itemUpdate) (updateOutcome, error) {
 	job := m.jobs[u.job]
 	if job == nil || job.ended || int(u.index) >= len(job.items) {
@@ -198,14 +198,13 @@
 	switch {
 	case item.state != StateOpen:
 		return updateClosed, nil
-	case item.lastEvent != u.from:
+	case !u.follows(item):
 		return updateSuperseded, nil
 	}
-	if u.to > u.from {
-		if err := writer.Set(key(keyText, u.job, uint64(u.index), u.to), u.text); err != nil {
+	if u.hasText() {
+		if err := item.setText(writer, u); err != nil {
 			return 0, err
 		}
-		item.lastEvent = u.to
 	}
 	item.failures += u.failures
 	item.state = u.state
@@ -229,6 +228,25 @@
 	return updateApplied, writer.Set(key(keyResult, u.job, position), marshal(fixedIndex{u.index}))
 }
 
+// setText appends an update's text, or replaces the item's by it.
+func (i *itemState) setText(writer ledger.Writer, u itemUpdate) error {
+	if u.fresh {
+		if err := writer.DeleteRange(key(keyText, u.job, uint64(u.index)), key(keyText, u.job, uint64(u.index)+1)); err != nil {
+			return err
+		}
+	}
+	if err := writer.Set(key(keyText, u.job, uint64(u.index), u.to), u.text); err != nil {
+		return err
+	}
+	i.lastEvent = u.to
+	next := u.nextOrigin()
+	if next == i.origin {
+		return nil
+	}
+	i.origin = next
+	return writer.Set(key(keyOrigin, u.job, uint64(u.index)), encodeOrigin(next, false))
+}
+
 type fixedIndex struct{ Index uint32 }
 
 type fixedState struct {
@@ -279,7 +297,7 @@
 		if job == nil || !job.closed() {
 			continue
 		}
-		for _, prefix := range []byte{keyJob, keyItem, keyBody, keyState, keyText, keyResult} {
+		for _, prefix := range []byte{keyJob, keyItem, keyBody, keyState, keyText, keyResult, keyOrigin} {
 			from, to := keyRange(prefix, job.ID)
 			if err := writer.DeleteRange(from, to); err != nil {
 				return err
@@ -332,6 +350,7 @@
 	giveUp    time.Time
 	lastEvent uint64
 	failures  uint8
+	origin    textOrigin
 	// promptTokens is an estimate of the prompt's length.
 	promptTokens int
 	// jobItems is the number of items of the job.
@@ -376,7 +395,7 @@
 		}
 		open = append(open, openItem{
 			job: j.ID, index: uint32(i), host: j.Host, path: j.Path, tenant: j.Tenant, due: due, giveUp: giveUp,
-			lastEvent: item.lastEvent, failures: item.failures, promptTokens: int(item.tokens / 2), jobItems: len(j.items),
+			lastEvent: item.lastEvent, failures: item.failures, origin: item.origin, promptTokens: int(item.tokens / 2), jobItems: len(j.items),
 		})
 	}
 	return open
--- a/internal/batchwork/pending_ends.go
+++ b/internal/batchwork/pending_ends.go
@@ -64,13 +64,13 @@
 func (r *Runner) dueEnd(item *openItem, now time.Time) (itemUpdate, bool) {
 	k := itemKey{item.job, item.index}
 	if end, found := r.pendingEnds[k]; found {
-		if end.from == item.lastEvent {
+		if end.from == item.lastEvent && end.origin.restarts == item.origin.restarts {
 			return end, true
 		}
 		delete(r.pendingEnds, k)
 	}
 	if now.After(item.giveUp.Add(giveUpMargin)) {
-		return itemUpdate{job: item.job, index: item.index, from: item.lastEvent, to: item.lastEvent, state: StateDead}, true
+		return itemUpdate{job: item.job, index: item.index, from: item.lastEvent, to: item.lastEvent, origin: item.origin, state: StateDead}, true
 	}
 	return itemUpdate{}, false
 }
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -132,6 +132,7 @@
 		if !r.options.Machine.isOpen(k.job, k.index) {
 			delete(r.pauses, k)
 			delete(r.previousEngines, k)
+			delete(r.releaseWaits, k)
 			delete(r.pendingEnds, k)
 		}
 	}
@@ -160,6 +161,7 @@
 	switch {
 	case !r.options.Machine.isOpen(k.job, k.index):
 		delete(r.previousEngines, k)
+		delete(r.releaseWaits, k)
 	case pause > 0:
 		r.pauses[k] = clock.Now().Add(pause)
 	}
--- a/internal/batchwork/reload.go
+++ b/internal/batchwork/reload.go
@@ -22,6 +22,7 @@
 		{keyJob, 0, m.loadJob},
 		{keyItem, 1, m.loadItem},
 		{keyState, 1, m.loadState},
+		{keyOrigin, 1, m.loadOrigin},
 		{keyResult, 1, m.loadResult},
 		{keyHome, 0, m.loadHome},
 		{keyClaim, 0, m.loadClaim},
@@ -84,6 +85,16 @@
 	return nil
 }
 
+func (m *Machine) loadOrigin(id string, numbers []uint64, value []byte) error {
+	job := m.jobs[id]
+	if job == nil || numbers[0] >= uint64(len(job.items)) {
+		return nil
+	}
+	origin, _, err := decodeOrigin(value)
+	job.items[numbers[0]].origin = origin
+	return err
+}
+
 func (m *Machine) loadResult(id string, _ []uint64, _ []byte) error {
 	if job := m.jobs[id]; job != nil {
 		job.positions++
--- a/internal/batchwork/remote_runs.go
+++ b/internal/batchwork/remote_runs.go
@@ -25,7 +25,7 @@
 func (r *Runner) runRemotely(next *startedRun, read *Item) runResult {
 	request := runRequest{
 		run: next.number, item: next.item, read: *read, engine: next.engine, maxFailures: next.route.Attempts,
-		restricted: r.regions(next.route, next.item.tenant) != nil,
+		origin: next.origin(), startsOver: next.startsOver, restricted: r.regions(next.route, next.item.tenant) != nil,
 	}
 	callCtx, cancel := context.WithTimeoutCause(next.callCtx, clock.Until(next.item.giveUp)+giveUpMargin, errRunLost)
 	defer cancel()
--- a/internal/batchwork/runmessage.go
+++ b/internal/batchwork/runmessage.go
@@ -26,6 +26,10 @@
 	engine catalog.Engine
 	// maxFailures is how many internal server errors of engines end the item.
 	maxFailures int
+	// origin has the release of the run's engine, and the restarts of the item's text; startsOver
+	// is set if the engine can't continue the text.
+	origin     textOrigin
+	startsOver bool
 	// restricted reports whether the item is restricted to regions; only then is its path
 	// sent, which the executor needs to look them up.
 	restricted bool
@@ -46,12 +50,15 @@
 	fixed := fixedRun{q.run, q.item.index, q.item.lastEvent, q.item.failures, uint16(q.maxFailures), int64(q.item.giveUp.Sub(now))}
 	fields := [][]byte{[]byte(q.item.job), []byte(q.item.host), []byte(q.item.tenant), encodeItem(&q.read, true),
 		[]byte(catalog.Instance(q.engine.ID)), []byte(q.engine.Service), []byte(q.engine.Address)}
+	path := ""
 	if q.restricted {
-		fields = append(fields, []byte(q.item.path))
+		path = q.item.path
 	}
-	return marshal(fixed, fields...)
+	return marshal(fixed, append(fields, []byte(path), encodeOrigin(q.origin, q.startsOver))...)
 }
 
+// runFields is the number of a request's fields without the optional last ones: the path, and the
+// origin of the run's text, which leaders of older versions don't send.
 const runFields = 7
 
 func unmarshalRun(encoded []byte, now time.Time) (*runRequest, error) {
@@ -60,24 +67,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(fields) < runFields || len(fields) > runFields+1 {
+	if len(fields) < runFields || len(fields) > runFields+2 {
 		return nil, wire.ErrLength
 	}
-	path := ""
+	path, origin, startsOver := "", textOrigin{}, false
 	if len(fields) > runFields {
 		path = string(fields[runFields])
 	}
+	if len(fields) > runFields+1 {
+		if origin, startsOver, err = decodeOrigin(fields[runFields+1]); err != nil {
+			return nil, err
+		}
+	}
 	read, err := decodeItem(fields[3])
 	if err != nil {
 		return nil, err
 	}
 	return &runRequest{
-		run: fixed.Run, read: read, maxFailures: int(fixed.Attempts), restricted: path != "",
+		run: fixed.Run, read: read, maxFailures: int(fixed.Attempts), restricted: path != "", origin: origin, startsOver: startsOver,
 		item: openItem{
 			job: string(fields[0]), host: string(fields[1]), tenant: string(fields[2]), index: fixed.Index, lastEvent: fixed.LastEvent,
 			path: path, failures: fixed.Failures, giveUp: now.Add(time.Duration(fixed.GiveUp)),
 		},
-		engine: catalog.Engine{ID: string(fields[4]), Service: string(fields[5]), Address: string(fields[6])},
+		engine: catalog.Engine{ID: string(fields[4]), Service: string(fields[5]), Version: origin.value().Version, Address: string(fields[6])},
 	}, nil
 }
 
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -130,6 +130,7 @@
 	runs            map[itemKey]*run
 	pauses          map[itemKey]time.Time
 	previousEngines map[itemKey]string     // last engine of each open item
+	releaseWaits    map[itemKey]time.Time  // since when items wait for the release of their text
 	pendingEnds     map[itemKey]itemUpdate // item ends whose commit failed
 	stopped         bool
 	wake            chan struct{}
@@ -177,7 +178,7 @@
 // NewRunner returns a runner; call Run to start it.
 func NewRunner(options RunnerOptions) *Runner {
 	r := &Runner{
-		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, previousEngines: map[itemKey]string{}, itemEstimator: newItemEstimator(), runLimit: newRunLimit(),
+		options: options, runs: map[itemKey]*run{}, pauses: map[itemKey]time.Time{}, previousEngines: map[itemKey]string{}, releaseWaits: map[itemKey]time.Time{}, itemEstimator: newItemEstimator(), runLimit: newRunLimit(),
 		overload:    newOverload(),
 		pendingEnds: map[itemKey]itemUpdate{},
 		wake:        make(chan struct{}, 1),
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,11 +21,10 @@
 	groups, maxStarts := r.selectStartable(open, now)
 	var started []*startedRun
 	if r.options.Overload.active() {
-		return r.startShared(ctx, groups, maxStarts)
+		return r.startShared(ctx, groups, maxStarts, now)
 	}
 	for _, group := range groups {
-		wishes := group.wishes[:min(len(group.wishes), maxStarts-len(started))]
-		leases := r.options.Balancer.AcquireMany(wishes, group.priority)
+		leases := r.acquire(group, min(len(group.wishes), maxStarts-len(started)), now)
 		for i, lease := range leases {
 			started = append(started, r.start(ctx, group.items[i], group.routes[i], lease))
 		}
@@ -36,6 +36,7 @@
 type groupKey struct {
 	service, regions string
 	restricted       bool
+	release          catalog.Release // zero if any may run the items
 }
 
 // regions returns where a tenant's items of a route may run.
@@ -46,22 +47,24 @@
 	return r.options.Regions(route, tenant)
 }
 
-// startGroup holds startable items of one service and set of regions, in order.
+// startGroup holds startable items of one service, release and set of regions, in order.
 type startGroup struct {
 	priority int
+	release  catalog.Release // zero if any may run the items
 	items    []openItem
 	routes   []*catalog.Route
 	wishes   []balance.Wish
 }
 
-// selectStartable groups the first idle open items by service and regions, and returns how
-// many runs may start in total.
+// selectStartable groups the first idle open items by service, release and regions, and returns
+// how many runs may start in total. Groups of a release come first, as fewer engines may run them.
 func (r *Runner) selectStartable(open []openItem, now time.Time) (groups []*startGroup, maxStarts int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	maxStarts = max(0, min(maxStartsPerPlan, r.runLimit.maxRuns-len(r.runs)))
 	zone := r.preferredZone()
 	byKey := map[groupKey]*startGroup{}
+	serving := servingReleases{balancer: r.options.Balancer, known: map[string]bool{}}
 	var route *catalog.Route
 	for i := range open {
 		item := &open[i]
@@ -73,26 +76,44 @@
 		}
 		service := r.options.Balancer.Service(route)
 		regions := r.regions(route, item.tenant)
-		key := groupKey{service, strings.Join(regions, " "), regions != nil}
+		var release catalog.Release
+		if item.lastEvent > 0 {
+			if !r.isIdle(item, now) {
+				continue
+			}
+			if release = r.releaseToWaitFor(item, route, regions, serving, now); release != (catalog.Release{}) {
+				service = release.Service
+			}
+		}
+		key := groupKey{service, strings.Join(regions, " "), regions != nil, release}
 		group := byKey[key]
 		if (group != nil && len(group.items) >= maxStarts) || !r.isIdle(item, now) {
 			continue
 		}
 		if group == nil {
-			group = &startGroup{priority: route.Priority}
+			group = &startGroup{priority: route.Priority, release: release}
 			byKey[key] = group
 			groups = append(groups, group)
 		}
 		group.items = append(group.items, *item)
 		group.routes = append(group.routes, route)
 		group.wishes = append(group.wishes, balance.Wish{
-			Service: service, Zone: zone, Class: balance.ClassBatch,
+			Service: service, Release: release, Zone: zone, Class: balance.ClassBatch,
 			Regions: regions, PreviousEngine: r.previousEngines[itemKey{item.job, item.index}], PromptTokens: item.promptTokens,
 		})
 	}
+	slices.SortStableFunc(groups, func(a, b *startGroup) int { return a.rank() - b.rank() })
 	return groups, maxStarts
 }
 
+// rank orders groups.
+func (g *startGroup) rank() int {
+	if g.release == (catalog.Release{}) {
+		return 1
+	}
+	return 0
+}
+
 // preferredZone returns this node's zone while it reads the streams itself, to avoid traffic
 // between zones. An executor is in its engine's zone. The caller holds the mutex.
 func (r *Runner) preferredZone() string {
@@ -114,6 +135,7 @@
 			items[i], failures[i] = readItem(reader, next.item.job, next.item.index)
 			if failures[i] == nil {
 				failures[i] = r.refresh(&next.item)
+				next.startsOver = next.item.mustStartOver(next.engine)
 			}
 		}
 		return nil
@@ -138,7 +160,7 @@
 		return errItemClosed
 	}
 	state, _ := r.options.Machine.item(item.job, item.index)
-	item.lastEvent, item.failures = state.lastEvent, state.failures
+	item.lastEvent, item.failures, item.origin = state.lastEvent, state.failures, state.origin
 	return nil
 }
 
@@ -147,7 +169,7 @@
 func (r *Runner) execute(next *startedRun, read *Item) time.Duration {
 	var result runResult
 	if next.executor == "" {
-		local := &itemRun{node: r.node, hooks: r.hooks(next), item: next.item, engine: next.engine, maxFailures: next.route.Attempts}
+		local := &itemRun{node: r.node, hooks: r.hooks(next), item: next.item, engine: next.engine, maxFailures: next.route.Attempts, origin: next.origin(), startsOver: next.startsOver}
 		result = local.run(next.ctx, read)
 	} else {
 		result = r.runRemotely(next, read)
@@ -201,8 +223,10 @@
 	route  *catalog.Route
 	engine catalog.Engine
 	lease  *balance.Lease
-	ctx    context.Context // ends when the run is stopped
-	cancel context.CancelFunc
+	// startsOver is set if the engine can't continue the item's text.
+	startsOver bool
+	ctx        context.Context // ends when the run is stopped
+	cancel     context.CancelFunc
 	// started is when the slot was reserved.
 	started time.Time
 
@@ -214,6 +238,11 @@
 	abandon  context.CancelFunc
 }
 
+// origin returns the origin of the run's text.
+func (s *startedRun) origin() textOrigin {
+	return newTextOrigin(s.engine.Release(), s.item.origin.restarts)
+}
+
 // start prepares the run of an item at the engine of a lease.
 func (r *Runner) start(ctx context.Context, item openItem, route *catalog.Route, lease *balance.Lease) *startedRun {
 	next := &startedRun{item: item, route: route, engine: lease.Engine, lease: lease}
@@ -226,6 +255,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.previousEngines[k] = lease.Engine.ID
+	delete(r.releaseWaits, k)
 	r.lastRunNumber++
 	next.number = r.lastRunNumber
 	if executor, found := r.executors.pick(candidates, r.localRuns(), now); found {
--- a/internal/batchwork/startshared.go
+++ b/internal/batchwork/startshared.go
@@ -5,30 +5,33 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
 )
 
 // startShared starts items of groups under overload and gives the longest of them the fastest
 // engines.
-func (r *Runner) startShared(ctx context.Context, groups []*startGroup, maxStarts int) []*startedRun {
+func (r *Runner) startShared(ctx context.Context, groups []*startGroup, maxStarts int, now time.Time) []*startedRun {
 	var started []*startedRun
 	for _, group := range groups {
-		leases, full := r.acquireShared(group, min(len(group.wishes), maxStarts-len(started)))
+		leases, full := r.acquireShared(group, min(len(group.wishes), maxStarts-len(started)), now)
 		for i, lease := range r.matchSpeeds(group, leases) {
 			started = append(started, r.start(ctx, group.items[i], group.routes[i], lease))
 		}
 		limited := maxStarts < maxStartsPerPlan && len(started) == maxStarts
-		r.setFull(group.service(), full || limited)
+		if group.release == (catalog.Release{}) { // few engines may be of a release
+			r.setFull(group.service(), full || limited)
+		}
 	}
 	return started
 }
 
 // acquireShared reserves places for at most count items of a group; full reports that there was
 // no room for more.
-func (r *Runner) acquireShared(group *startGroup, count int) (leases []*balance.Lease, full bool) {
+func (r *Runner) acquireShared(group *startGroup, count int, now time.Time) (leases []*balance.Lease, full bool) {
 	if count <= 0 {
 		return nil, false
 	}
-	leases = r.options.Balancer.AcquireMany(group.wishes[:count], group.priority)
+	leases = r.acquire(group, count, now)
 	return leases, len(leases) < count
 }
 
--- a/internal/batchwork/superseded_test.go
+++ b/internal/batchwork/superseded_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/onsi/gomega"
 
+	"chutelock.dev/chutelock/internal/catalog"
+
 	"chutelock.dev/chutelock/internal/ledger"
 )
 
@@ -230,7 +232,7 @@
 	for n := 1; n <= burstEvents+1; n++ {
 		text = append(text, fmt.Sprint("0 ", n))
 	}
-	update := itemUpdate{job: "a", to: burstEvents + 1, text: []byte(strings.Join(text, "\n"))}
+	update := itemUpdate{job: "a", to: burstEvents + 1, origin: newTextOrigin(catalog.Release{Service: "s"}, 0), text: []byte(strings.Join(text, "\n"))}
 	_, err := p.runner.propose(context.Background(), []itemUpdate{update})
 	p.g.Expect(err).NotTo(gomega.HaveOccurred())
 	p.runner.mutex.Lock()
--- a/internal/batchwork/textchain_test.go
+++ b/internal/batchwork/textchain_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/ledger"
@@ -21,10 +23,12 @@
 	store   memoryStore
 	runs    []*itemRun
 	after   []uint64 // where each run resumed, by its number
-	delayed [][]byte
-	ends    []itemUpdate
-	states  []openItem // past states of the item
-	fate    int        // of the next commit
+	// versions are those of the runs' engines, by number.
+	versions []string
+	delayed  [][]byte
+	ends     []itemUpdate
+	states   []openItem // past states of the item
+	fate     int        // of the next commit
 }
 
 const chainEvents = 6
@@ -83,11 +87,17 @@
 }
 
 // start starts a run from a state of the item, which may be an old one.
-func (c *textChain) start(item openItem) {
-	run := &itemRun{node: &runNode{commit: c.commit}, item: item, id: fmt.Sprint(len(c.after))}
-	run.committed, run.last = item.lastEvent, item.lastEvent
+func (c *textChain) start(item openItem, version string) {
+	engine := catalog.Engine{Service: "s", Version: version}
+	run := &itemRun{
+		node: &runNode{commit: c.commit}, item: item, id: fmt.Sprint(len(c.after)), engine: engine,
+		origin: newTextOrigin(engine.Release(), item.origin.restarts), startsOver: item.mustStartOver(engine),
+	}
+	if !run.startsOver {
+		run.committed, run.last = item.lastEvent, item.lastEvent
+	}
 	run.commitAt = clock.Now().Add(time.Hour)
-	c.after = append(c.after, item.lastEvent)
+	c.after, c.versions = append(c.after, run.last), append(c.versions, version)
 	c.runs = append(c.runs, run)
 }
 
@@ -119,7 +129,26 @@
 	if result.State == StateOpen && len(text) == 0 {
 		return nil
 	}
-	return checkChain(text, c.after)
+	if err := checkChain(text, c.after); err != nil {
+		return err
+	}
+	return c.checkVersions(text)
+}
+
+// checkVersions returns an error unless all events of a text are of runs of one version.
+func (c *textChain) checkVersions(text []byte) error {
+	version := ""
+	for line := range strings.Lines(string(text)) {
+		var run int
+		if _, err := fmt.Sscan(line, &run); err != nil {
+			return err
+		}
+		if version != "" && c.versions[run] != version {
+			return fmt.Errorf("%q is of version %s, but version %s began the text", line, c.versions[run], version)
+		}
+		version = c.versions[run]
+	}
+	return nil
 }
 
 func TestTextsAreChainsOfRunsUnderRandomFaults(t *testing.T) {
@@ -129,7 +158,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"start": func(*rapid.T) {
 				c.remember()
-				c.start(c.states[len(c.states)-1-draw("age", min(len(c.states), 4))])
+				c.start(c.states[len(c.states)-1-draw("age", min(len(c.states), 4))], []string{"1", "1", "2"}[draw("version", 3)])
 			},
 			"receive": func(t *rapid.T) {
 				if len(c.runs) == 0 {
