A text that is whole isn't resumed after its last token

Callers of make demo saw 11,995 to 11,999 of 12,000 batch items done: a stream whose last token had arrived, and whose end had not, was moved off its engine (suspend answered 404, as it had just ended) and sent again with all of its tokens; the engine has nothing left to generate and refuses that, 116,373 to 147,507 times for each of five items by the engines' logs. An online stream that broke between its last token and its end was refused for the same reason and ended as broken.

Both resume before the last token now if the request's max_tokens are all there. The token is repeated and ignored, and the engine tells how the completion ended, which no other node knows.

TestWholeTextWithoutItsEndIsNotResumedAfterItsLastToken and, at the gateway, TestResponseWhoseEndWasLostIsCompleted failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -143,7 +143,7 @@
 		Body:       x.completion.Body,
 		Model:      x.completion.Model,
 		Priority:   x.priority,
-		ResumeFrom: resumeFrom,
+		ResumeFrom: engine.ResumePoint(x.completion.Body, resumeFrom),
 		Tenant:     x.tenant,
 	}
 	go x.run(attemptContext, begun, request)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -56,7 +56,9 @@
 	skipToken       // omits a token
 	panicMidway
 	returnError    // runs and returns an error
-	behaviourCount // number of behaviours
+	behaviourCount // number of the behaviours that random tests draw from
+	// loseEnd fails after the last token.
+	loseEnd
 )
 
 // fakeFleet is a fleet of fake engines and implements fleet.Source and
@@ -112,10 +114,14 @@
 
 func (e *fakeEngine) Generate(ctx context.Context, request engine.Request, sink func(engine.Chunk) error) (engine.Finish, error) {
 	var body struct {
-		Prompt   string
-		Messages []struct{ Content string }
+		Prompt    string
+		Messages  []struct{ Content string }
+		MaxTokens int `json:"max_tokens"`
 	}
 	_ = json.Unmarshal(request.Body, &body)
+	if body.MaxTokens > 0 && request.ResumeFrom >= body.MaxTokens {
+		return engine.Finish{}, &engine.Error{Engine: e.name, Step: "generate", Fate: engine.FateNotRun, Status: http.StatusBadRequest, Err: errors.New("nothing left to generate")}
+	}
 	if len(body.Messages) > 0 {
 		body.Prompt = body.Messages[len(body.Messages)-1].Content
 	}
@@ -161,6 +167,9 @@
 	case cutStream:
 		_ = send(request.ResumeFrom, middle)
 		return e.fail(engine.FateUnknown, broken)
+	case loseEnd:
+		_ = send(request.ResumeFrom, len(tokens))
+		return e.fail(engine.FateUnknown, broken)
 	case neverAnswer:
 		<-ctx.Done()
 		return e.fail(engine.FateUnknown, ctx.Err())
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -303,6 +303,27 @@
 	}
 }
 
+func TestResponseWhoseEndWasLostIsCompleted(t *testing.T) {
+	for _, streamed := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		engines := newFakeFleet(3)
+		engines.plan = func(_ string, attempt uint32) behaviour {
+			if attempt == 1 {
+				return loseEnd
+			}
+			return behaveWell
+		}
+		server := newTestServer(engines, settings.Tenant{}, Config{})
+		tokens := expectedTokens("no end")
+		body := fmt.Sprintf(`{"model":%q,"prompt":"no end","max_tokens":%d,"stream":%v}`, testModel, len(tokens), streamed)
+		got, err := server.ask("POST", PathCompletions, body, nil)
+		server.Close()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.whole).To(gomega.BeTrue(), got.message)
+		g.Expect(got.text).To(gomega.Equal(strings.Join(tokens, "")))
+	}
+}
+
 // Guards against incomplete responses, and against retries above a tenth of the
 // requests, while a third of the engines fail.
 func TestRetriesWithThirdOfEnginesFailing(t *testing.T) {
--- a/internal/jobs/dispatch/dispatcher.go
+++ b/internal/jobs/dispatch/dispatcher.go
@@ -161,7 +161,7 @@
 	return attempt{
 		request: engine.Request{
 			ID: running.id, Attempt: running.attempt, Path: item.Path, Body: item.Body, Model: running.task.model,
-			Priority: engine.PriorityBatch, ResumeFrom: running.task.tokens, Tenant: running.task.lease.Tenant,
+			Priority: engine.PriorityBatch, ResumeFrom: engine.ResumePoint(item.Body, running.task.tokens), Tenant: running.task.lease.Tenant,
 		},
 		lease: running.task.lease, index: item.Index, repeatable: item.Repeatable,
 	}
--- a/internal/jobs/dispatch/outcome.go
+++ b/internal/jobs/dispatch/outcome.go
@@ -25,12 +25,16 @@
 // would block the reports of all others.
 const maxResponseBytes = 8 << 20
 
-// addToken appends a chunk to the item's text. It reports whether the attempt
-// is still current; if not, the attempt must end.
+// addToken appends a chunk to the item's text, which may have it already. It reports whether the
+// attempt is still current and its chunk in order; if not, the attempt must end.
 func (s *scheduler) addToken(now time.Time, running *stream, attempt uint32, chunk engine.Chunk) bool {
-	if !s.isCurrent(running, attempt) || chunk.Index != running.task.tokens {
+	if !s.isCurrent(running, attempt) || chunk.Index > running.task.tokens {
 		return false
 	}
+	if chunk.Index < running.task.tokens {
+		running.lastToken = now
+		return true
+	}
 	running.task.tokens++
 	running.task.text.WriteString(chunk.Text)
 	running.lastToken = now
--- a/internal/jobs/dispatch/scheduler_test.go
+++ b/internal/jobs/dispatch/scheduler_test.go
@@ -255,3 +255,28 @@
 	g.Expect(b.policy.received).To(gomega.Equal([]string{"owned e1", "owned e2", "gone e1", "owned e1"}))
 	g.Expect(b.admit("e1", 1)).To(gomega.ContainElement("run j-0-7 at e1 from 0"))
 }
+
+func TestWholeTextWithoutItsEndIsNotResumedAfterItsLastToken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newTestScheduler()
+	b.lease("j", 1)
+	b.admit("e1", 1)
+	running := b.streams["j-0-7"]
+	running.task.item.Body = []byte(`{"max_tokens":2}`)
+	for index, text := range []string{"a", "b"} {
+		g.Expect(b.addToken(b.now, running, 1, engine.Chunk{Index: index, Text: text})).To(gomega.BeTrue())
+	}
+	g.Expect(b.decide(batch.ActionCancel, running.id)).To(gomega.Equal([]string{"cancel j-0-7"}))
+	b.attemptEnded(b.now, running, 1, engine.Finish{}, errors.New("cancelled"))
+	b.admit("e1", 1)
+	again := b.streams["j-0-7"]
+	planned := newAttempt(again)
+	g.Expect(planned.request.ResumeFrom).To(gomega.Equal(1), "the engine has nothing left to generate after all tokens")
+	g.Expect(b.addToken(b.now, again, 2, engine.Chunk{Index: 1, Text: "b"})).To(gomega.BeTrue())
+	b.attemptEnded(b.now, again, 2, engine.Finish{Reason: "length", CompletionTokens: 2}, nil)
+	actions := b.takeActions()
+	g.Expect(actions).NotTo(gomega.BeEmpty())
+	result := actions[len(actions)-1].result
+	g.Expect(result.Status).To(gomega.Equal(jobs.ItemSucceeded))
+	g.Expect(string(result.Body)).To(gomega.ContainSubstring(`"text":"ab"`))
+}
