A batch item that an engine rejects as invalid isn't sent again

Other refusals, also a 404 of an engine that lacks the model, are sent elsewhere as before.

TestInvalidItemIsNotSentAgain failed before.

--- a/internal/jobs/dispatch/outcome.go
+++ b/internal/jobs/dispatch/outcome.go
@@ -121,14 +121,14 @@
 func (s *scheduler) failed(now time.Time, running *stream, err error) {
 	failure := asEngineError(err)
 	s.block(now, running.engine, failure)
-	if failure.Fate == engine.FateNotRun && running.task.item.Repeatable {
+	if failure.Fate == engine.FateNotRun && running.task.item.Repeatable && !isInvalidRequest(failure.Status) {
 		s.requeue(now, running)
 		return
 	}
 	s.remove(running)
 	result := newResult(running.task)
 	switch {
-	case failure.Fate == engine.FateNotRun:
+	case failure.Fate == engine.FateNotRun && !isInvalidRequest(failure.Status):
 		result.HTTPStatus = machine.ReturnNotRun
 	case isRejection(failure.Status):
 		result.Status, result.HTTPStatus = jobs.ItemFailed, uint16(failure.Status)
@@ -177,6 +177,16 @@
 		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
 }
 
+// isInvalidRequest reports whether the status rejects the request whatever engine gets it and
+// whenever. Other rejections may be of the one engine, which may lack the model.
+func isInvalidRequest(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 // block starts the backoff of an engine that refused or lost an item.
 func (s *scheduler) block(now time.Time, name string, failure *engine.Error) {
 	home, ok := s.engines[name]
--- a/internal/jobs/dispatch/scheduler_test.go
+++ b/internal/jobs/dispatch/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -280,3 +281,17 @@
 	g.Expect(result.Status).To(gomega.Equal(jobs.ItemSucceeded))
 	g.Expect(string(result.Body)).To(gomega.ContainSubstring(`"text":"ab"`))
 }
+
+// A request that its engine rejects as invalid is rejected by all others.
+func TestInvalidItemIsNotSentAgain(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity} {
+		g := gomega.NewWithT(t)
+		b := newTestScheduler()
+		b.lease("j", 1)
+		b.admit("e1", 1)
+		running := b.streams["j-0-7"]
+		b.attemptEnded(b.now, running, 1, engine.Finish{}, &engine.Error{Fate: engine.FateNotRun, Status: status, Err: errors.New("invalid")})
+		g.Expect(b.describeActions()).To(gomega.Equal([]string{fmt.Sprintf("report j-0 status %d http %d", jobs.ItemFailed, status)}))
+		g.Expect(b.admit("e1", 1)).NotTo(gomega.ContainElement(gomega.HavePrefix("run")))
+	}
+}
