--- a/spec/run.sh
+++ b/spec/run.sh
@@ -25,6 +25,9 @@
   "texts three-runs holds RUNS=3 EVENTS=4 NO_ENDS"
   "texts three-runs-ends holds RUNS=3 EVENTS=2 NO_RETRIES"
   "texts retry-any-end holds RETRY_ANY_END"
+  "texts releases holds RUNS=2 EVENTS=2 RELEASES"
+  "texts releases-three-runs holds RUNS=3 EVENTS=2 NO_ENDS RELEASES"
+  "origins two-releases holds"
   "ledger empty-disk-votes breaks MAX_TERM=2 MAX_INDEX=2 EMPTY_DISK_VOTES"
   "ledger commit-old-term breaks MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0 COMMIT_OLD_TERM"
   "ledger vote-any-log breaks MAX_TERM=3 MAX_INDEX=2 VOTE_ANY_LOG"
@@ -58,6 +61,13 @@
   "texts unconditional breaks UNCONDITIONAL"
   "texts end-anywhere breaks END_ANYWHERE"
   "texts change-final breaks CHANGE_FINAL"
+  "texts never-start-over breaks RUNS=3 EVENTS=2 NO_ENDS RELEASES NEVER_START_OVER"
+  "texts no-restart-count breaks RUNS=3 EVENTS=2 NO_ENDS RELEASES NO_RESTART_COUNT"
+  "origins any-release breaks ANY_RELEASE"
+  "origins guess breaks GUESS"
+  "origins record-at-choice breaks RECORD_AT_CHOICE"
+  "origins stale-list breaks STALE_LIST"
+  "origins short-window breaks SHORT_WINDOW"
 )
 
 # check MODEL NAME EXPECTED MACRO... runs one case and prints its result.
--- a/spec/texts.pml
+++ b/spec/texts.pml
@@ -14,10 +14,15 @@
  * updates of runs that it gave up (as good as lost), executors of versions that don't read
  * outcomes, and the job's end.
  *
+ * RELEASES gives each run an engine of one of two software releases. All runs start from the present
+ * state, as they do after a linearizable read. A run at another release than that of the item's text
+ * starts over: its first update replaces the text.
+ *
  * NO_ENDS leaves out ends; NO_RETRIES leaves out pending ends and those of the leader.
  *
  * Checked: each event is in the text once and in order; where the text changes to another run,
- * that run was asked to resume there; a final item never changes.
+ * that run was asked to resume there; all runs of a text are of one release; a final item never
+ * changes.
  *
  * A macro on the command line removes one safety rule:
  *   SILENT_REJECTION  a run is not told that its update had no effect
@@ -25,6 +30,9 @@
  *   UNCONDITIONAL     an update is applied whatever event it follows
  *   END_ANYWHERE      a pending end is applied whatever event it follows
  *   CHANGE_FINAL      an update is applied to a final item
+ *   NEVER_START_OVER  a run resumes after text of another release, and its updates are applied
+ *   NO_RESTART_COUNT  an update may follow a text that ends at the same event as the one that its
+ *                     run continued
  * One that is not needed for safety, as the ledger's condition suffices:
  *   RETRY_ANY_END     the leader proposes pending ends that don't follow the text
  */
@@ -55,6 +63,15 @@
 bool final;
 byte writer[EVENTS + 1]; /* the run that wrote each event */
 
+#ifdef RELEASES
+byte textRelease;        /* that began the text; 0 if there is none */
+byte restarts;           /* how often the text was replaced */
+byte release[RUNS + 1];  /* of each run's engine */
+byte seen[RUNS + 1];     /* restarts of the text that each run continues */
+bool startsOver[RUNS + 1];
+byte base[RUNS + 1];     /* the last event of the text that the run replaces */
+#endif
+
 /* All values that lastEvent had, as a bit set. */
 byte formerEvents = 1;
 
@@ -66,6 +83,10 @@
 	byte from;
 	byte to;
 	bool end;
+#ifdef RELEASES
+	bool fresh;    /* replaces the text */
+	byte restarts; /* of the text that it follows */
+#endif
 	bool inFlight;
 	bool awaited;  /* its run waits for the outcome */
 	mtype outcome;
@@ -83,7 +104,21 @@
 #else
 #define OPEN (!final)
 #endif
+#ifndef RELEASES
 #define FOLLOWS_TEXT(n) (update[n].from == lastEvent)
+#else
+#ifdef NO_RESTART_COUNT
+#define SAME_TEXT(n) true
+#else
+#define SAME_TEXT(n) (update[n].restarts == restarts)
+#endif
+#ifdef NEVER_START_OVER
+#define FITS(n) true
+#else
+#define FITS(n) (update[n].fresh || n == NONE || lastEvent == 0 || release[n] == textRelease)
+#endif
+#define FOLLOWS_TEXT(n) (update[n].from == lastEvent && SAME_TEXT(n) && FITS(n))
+#endif
 #ifdef UNCONDITIONAL
 #define APPLICABLE(n) OPEN
 #else
@@ -103,22 +138,50 @@
 inline checkText() {
 	for (event : 1 .. lastEvent) {
 		assert(writer[event] != NONE);
+#ifdef RELEASES
+		assert(release[writer[event]] == release[writer[1]]);
+#endif
 		assert(writer[event] == writer[event - 1] || resumedAfter[writer[event]] == event - 1)
 	}
 }
 
+#ifdef RELEASES
+#define HAS_TEXT(n) (update[n].fresh || update[n].to > update[n].from)
+#define FIRST(n) (update[n].fresh -> 1 : update[n].from + 1)
+/* Clears the text that a fresh update replaces, and sets the release of the next one. */
+inline replaceText(n) {
+	if
+	:: update[n].fresh ->
+		for (event : 1 .. EVENTS) {
+			writer[event] = NONE
+		}
+		restarts++
+	:: else
+	fi;
+	if
+	:: update[n].fresh || (lastEvent == 0 && update[n].to > 0) -> textRelease = release[n]
+	:: else
+	fi
+}
+#else
+#define HAS_TEXT(n) (update[n].to > update[n].from)
+#define FIRST(n) (update[n].from + 1)
+inline replaceText(n) { skip }
+#endif
+
 /* Applies the update of a sender if the condition holds, and sets outcome. */
 inline apply(n, condition) {
 	if
 	:: condition ->
 		outcome = Applied;
 		assert(!final);
-		for (event : update[n].from + 1 .. update[n].to) {
+		replaceText(n);
+		for (event : FIRST(n) .. update[n].to) {
 			assert(writer[event] == NONE);
 			writer[event] = n
 		}
 		if
-		:: update[n].to > update[n].from ->
+		:: HAS_TEXT(n) ->
 			lastEvent = update[n].to;
 			formerEvents = formerEvents | (1 << lastEvent)
 		:: else
@@ -135,7 +198,11 @@
 	:: !update[n].inFlight && !update[n].awaited && !update[n].pending && !update[n].retried ->
 		update[n].from = 0;
 		update[n].to = 0;
-		update[n].end = false
+		update[n].end = false;
+#ifdef RELEASES
+		update[n].fresh = false;
+		update[n].restarts = 0
+#endif
 	:: else
 	fi
 }
@@ -198,14 +265,37 @@
 	:: atomic {
 		started < RUNS ->
 		started++;
+#ifdef RELEASES
+		resumedAfter[started] = lastEvent;
+		if
+		:: release[started] = 1
+		:: release[started] = 2
+		fi;
+		seen[started] = restarts;
+#ifndef NEVER_START_OVER
+		if
+		:: lastEvent > 0 && release[started] != textRelease ->
+			startsOver[started] = true;
+			base[started] = lastEvent;
+			resumedAfter[started] = 0
+		:: else
+		fi;
+#endif
+#else
 		chooseState(resumedAfter[started]);
+#endif
 		run itemRun(started, resumedAfter[started])
 	   }
 #if !defined(NO_ENDS) && !defined(NO_RETRIES)
 	:: atomic {
 		!gaveUp ->
 		gaveUp = true;
+#ifdef RELEASES
+		update[NONE].from = lastEvent;
+		update[NONE].restarts = restarts;
+#else
 		chooseState(update[NONE].from);
+#endif
 		update[NONE].to = update[NONE].from;
 		update[NONE].end = true;
 		update[NONE].inFlight = true
@@ -229,7 +319,15 @@
 	update[n].awaited = false;
 	update[n].outcome = 0;
 	if
-	:: goesOn -> committed = received; forgetUnused(n)
+	:: goesOn ->
+		committed = received;
+#ifdef RELEASES
+		if
+		:: startsOver[n] -> startsOver[n] = false; seen[n]++; base[n] = 0
+		:: else
+		fi;
+#endif
+		forgetUnused(n)
 	:: else -> forgetUnused(n); endRun()
 	fi
 }
@@ -251,6 +349,15 @@
 		fi;
 		update[n].from = committed;
 		update[n].to = received;
+#ifdef RELEASES
+		update[n].restarts = seen[n];
+		if
+		:: startsOver[n] ->
+			update[n].from = base[n];
+			update[n].fresh = true
+		:: else
+		fi;
+#endif
 		update[n].inFlight = true;
 		update[n].awaited = true
 	   }
