Engines and requests by software version in metrics; explain-request follows a stream

An operator could not see that a version is about to lose its last engine while streams of it run. chutelock_release_engines and chutelock_release_requests count engines by state and this node's requests by class, for each service and version. explain-request of the request that began a stream lists those that continue it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -390,6 +390,26 @@
 	return counts
 }
 
+// OwnByRelease counts this node's requests in flight by the release of their engines.
+func (b *Balancer) OwnByRelease() map[catalog.Release]Counts {
+	snapshot := b.snapshot()
+	counts := map[catalog.Release]Counts{}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for id, state := range b.table.engines {
+		engine, found := snapshot.Engine(id)
+		if !found || state.total() == 0 {
+			continue
+		}
+		total := counts[engine.Release()]
+		for class, count := range state.own {
+			total[class] += count
+		}
+		counts[engine.Release()] = total
+	}
+	return counts
+}
+
 // TotalReport returns the load of all nodes, as far as known here.
 func (b *Balancer) TotalReport() Report {
 	b.mutex.Lock()
--- a/internal/logstory/story.go
+++ b/internal/logstory/story.go
@@ -30,8 +30,9 @@
 	Context bool
 }
 
-// identifierKeys are the fields that hold identifiers of requests, items and jobs.
-var identifierKeys = []string{"request", "item", "job"}
+// identifierKeys are the fields that hold identifiers of requests, items and jobs, and of the
+// request that began the stream which another one continues.
+var identifierKeys = []string{"request", "item", "job", "continues"}
 
 // stateEvents log the state of a process; the last one of each before an entry is
 // included as context.
--- a/internal/logstory/story_test.go
+++ b/internal/logstory/story_test.go
@@ -59,3 +59,15 @@
 	}
 	g.Expect(names).To(gomega.Equal([]string{"engine-cold", "engine-paced", "request-served"}))
 }
+
+func TestRequestsThatContinueStreamAreIncluded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries, err := Read(strings.NewReader(`
+ front-1 {"ts":"2026-01-01T00:00:01Z","msg":"stream-aborted","event":2203,"request":"r1"}
+ front-2 {"ts":"2026-01-01T00:00:02Z","msg":"stream-origin","event":2209,"request":"r2","continues":"r1","source":"record","version":"v1"}
+ front-2 {"ts":"2026-01-01T00:00:03Z","msg":"stream-origin","event":2209,"request":"r4","continues":"r3","source":"none"}
+`), "file")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(Select(entries, "r1")).To(gomega.HaveLen(2))
+	g.Expect(Select(entries, "r2")).To(gomega.HaveLen(1))
+}
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -99,6 +99,7 @@
 	c.peers.HandleDatagram(kindEngineSpeeds, c.speeds.handle)
 	c.registerGauges(c.commonGauges())
 	c.registerPoisonMetrics()
+	c.registry.MustRegister(releaseCollector{c})
 	if settings.Platform.Drain > 0 {
 		c.registry.MustRegister(drainCollector{c})
 	}
