No record of a stream while its service has one release

A record is only needed where releases stand side by side: while a node knows the release to be the service's only one for as long as a stream may last, by a current list, others know it as well and continue the stream without a record. Once its list has another release, a node records the streams that it begins, and those under way with their next event, at most 100 ms later.

TestNoRecordSentWhileServiceHasOneRelease and TestOriginOfRunningStream- RecordedOnceNeeded; origins.pml holds with it.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -52,10 +52,11 @@
 	Chosen  func()
 	// Origin returns the release that began the stream which a request continues, or false if
 	// that is unknown; nil means that no request does. Began records the release that began a
-	// request's stream; it is called before the first event is passed on, and again while the
-	// stream lasts. It must not block and may be nil.
+	// request's stream, if other nodes need the record, and reports whether it did; it is called
+	// before the first event is passed on, and again while the stream lasts. It must not block and
+	// may be nil.
 	Origin func(ctx context.Context, request *Request, route *catalog.Route) (catalog.Release, bool)
-	Began  func(request *Request, release catalog.Release)
+	Began  func(request *Request, route *catalog.Route, release catalog.Release) (recorded bool)
 	// Resumed is called when a stream that already has events is sent to an engine, with the
 	// release that began it, zero if unknown, and the engine's; may be nil.
 	Resumed func(began, next catalog.Release)
@@ -106,9 +107,9 @@
 	streamStarted bool // the head of a stream was sent to the caller
 	lastEvent     uint64
 	// began is the release that began the stream, which all of its engines must have; zero until
-	// it has begun. recordedAt is when it was recorded last.
+	// it has begun. It is next recorded with the first event from recordAt on.
 	began         catalog.Release
-	recordedAt    time.Time
+	recordAt      time.Time
 	engineID      string        // of the last attempt
 	waited        time.Duration // for an engine
 	firstEventAt  time.Time
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -11,9 +11,14 @@
 	"chutelock.dev/chutelock/internal/clock"
 )
 
-// originInterval is the interval at which the origin of a long stream is recorded again; see
-// origin.RecordTTL.
-const originInterval = 10 * time.Second
+const (
+	// originInterval is the interval at which the origin of a long stream is recorded again; see
+	// origin.RecordTTL.
+	originInterval = 10 * time.Second
+	// originCheckInterval is the interval of the checks whether an origin that other nodes didn't
+	// need has to be recorded now. It adds little to the time in which nodes learn of an engine.
+	originCheckInterval = 100 * time.Millisecond
+)
 
 var (
 	errOriginUnknown = errors.New("it is not known which release of the engines began the stream")
@@ -57,9 +62,11 @@
 		fl.began, fl.service = engine.Release(), engine.Service
 	}
 	now := clock.Now()
-	if fl.Began == nil || !fl.route.Resumable || !fl.recordedAt.IsZero() && now.Sub(fl.recordedAt) < originInterval {
+	if fl.Began == nil || !fl.route.Resumable || now.Before(fl.recordAt) {
 		return
 	}
-	fl.recordedAt = now
-	fl.Began(fl.request, fl.began)
+	fl.recordAt = now.Add(originCheckInterval)
+	if fl.Began(fl.request, fl.route, fl.began) {
+		fl.recordAt = now.Add(originInterval)
+	}
 }
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -22,6 +22,7 @@
 	route   *catalog.Route
 	origin  catalog.Release
 	known   bool // the origin
+	records bool // whether origins are recorded
 	began   []catalog.Release
 	beganOf []string // streams, by their first requests
 }
@@ -38,8 +39,9 @@
 	f.Forwarder = &Forwarder{
 		Pool: upstream.NewPool(streamDialect{}), Balancer: balance.New(func() *catalog.Snapshot { return snapshot }), Usable: snapshot.Usable,
 		Origin: func(context.Context, *Request, *catalog.Route) (catalog.Release, bool) { return f.origin, f.known },
-		Began: func(request *Request, release catalog.Release) {
+		Began: func(request *Request, _ *catalog.Route, release catalog.Release) bool {
 			f.began, f.beganOf = append(f.began, release), append(f.beganOf, request.Stream())
+			return f.records
 		},
 	}
 	f.route = &catalog.Route{
@@ -104,7 +106,10 @@
 	f := newOriginFixture(t, "1")
 	sink := &streamSink{}
 	eventsBefore := -1
-	f.Began = func(*Request, catalog.Release) { eventsBefore = len(sink.events) }
+	f.Began = func(*Request, *catalog.Route, catalog.Release) bool {
+		eventsBefore = len(sink.events)
+		return true
+	}
 	now := time.Now()
 	f.Serve(context.Background(), &Request{ID: "one", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(5 * time.Second)}, f.route, sink)
 	g.Expect(sink.ended).To(gomega.BeTrue())
@@ -124,3 +129,22 @@
 	g.Expect(result.withheld).To(gomega.BeTrue())
 	g.Expect(errors.Is(result.cause, errRelease)).To(gomega.BeTrue())
 }
+
+// Guards against a stream that begins while its release is the only one and has no record once
+// there are two.
+func TestOriginOfRunningStreamRecordedOnceNeeded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newOriginFixture(t, "1")
+	fl := &inflight{Forwarder: f.Forwarder, request: &Request{ID: "one"}, route: f.route}
+	calls := func() int {
+		fl.recordOrigin(f.engines[0])
+		return len(f.began)
+	}
+	g.Expect(calls()).To(gomega.Equal(1))
+	g.Expect(calls()).To(gomega.Equal(1), "checked again after an interval only")
+	fl.recordAt = time.Now()
+	f.records = true
+	g.Expect(calls()).To(gomega.Equal(2))
+	g.Expect(fl.recordAt).To(gomega.BeTemporally("~", time.Now().Add(originInterval), time.Second))
+	g.Expect(calls()).To(gomega.Equal(2))
+}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -18,7 +18,6 @@
 	"chutelock.dev/chutelock/internal/ledger/replica"
 	"chutelock.dev/chutelock/internal/loadshare"
 	"chutelock.dev/chutelock/internal/mirror"
-	"chutelock.dev/chutelock/internal/origin"
 	"chutelock.dev/chutelock/internal/transport"
 )
 
@@ -94,10 +93,7 @@
 				requests.observe(result)
 				tenants.observe(result)
 			},
-			Resumed: requests.observeResumed, Origin: origins.find,
-			Began: func(request *forward.Request, release catalog.Release) {
-				origins.record(origin.KeyOf(request.Tenant, request.Stream()), release)
-			},
+			Resumed: requests.observeResumed, Origin: origins.find, Began: origins.began,
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -142,13 +142,23 @@
 	return client
 }
 
-// record records the release that began a stream, here and at the stream's homes. It doesn't wait
-// for them.
-func (o *originClient) record(key origin.Key, release catalog.Release) {
-	record := origin.Record{Key: key, Release: release}
+// began records the release that began a request's stream. While it is the service's only one,
+// other nodes know it without a record and none is sent, which began reports.
+func (o *originClient) began(request *forward.Request, route *catalog.Route, release catalog.Release) (recorded bool) {
+	record := origin.Record{Key: origin.KeyOf(request.Tenant, request.Stream()), Release: release}
 	o.store.put(record)
+	query := o.query(request, route)
+	if sole, found := o.sole(query.Service, query.Window); found && sole == release {
+		return false
+	}
+	o.send(record)
+	return true
+}
+
+// send sends a record to the stream's homes. It doesn't wait for them.
+func (o *originClient) send(record origin.Record) {
 	message := record.Marshal()
-	for _, home := range origin.Homes(o.nodes(), o.region, key) {
+	for _, home := range origin.Homes(o.nodes(), o.region, record.Key) {
 		// An unsent record counts as lost: the stream can then be continued only with the
 		// other copy.
 		_ = o.peers.Datagram(home.Address, kindOriginRecord, message)
--- a/internal/system/origins_test.go
+++ b/internal/system/origins_test.go
@@ -96,8 +96,8 @@
 )
 
 // begin records the beginning of a stream.
-func (c *originClient) begin(id string, release catalog.Release) {
-	c.record(origin.KeyOf("tenant", id), release)
+func (c *originClient) begin(id string, release catalog.Release) bool {
+	return c.began(&forward.Request{ID: id, Tenant: "tenant"}, streamRoute, release)
 }
 
 func (c *originClient) findBegun(id string) (catalog.Release, bool) {
@@ -150,7 +150,7 @@
 func TestOriginOfOtherTenantIsNotFound(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newNorthFleet(4)
-	f.front("north").record(origin.KeyOf("another", "r"), releaseOne)
+	f.front("north").began(&forward.Request{ID: "r", Tenant: "another"}, streamRoute, releaseOne)
 	_, found := f.front("north").findBegun("r")
 	g.Expect(found).To(gomega.BeFalse())
 }
@@ -191,6 +191,33 @@
 	g.Expect(f.calls).To(gomega.Equal(calls), "no data node is asked for what this node knows")
 }
 
+// Guards against messages for each stream while a service has one release.
+func TestNoRecordSentWhileServiceHasOneRelease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	first, second := f.front("north"), f.front("north")
+	f.soleAtServers = &releaseOne
+	first.sole = f.sole
+	g.Expect(first.begin("r", releaseOne)).To(gomega.BeFalse())
+	for _, node := range f.nodes() {
+		g.Expect(f.servers[node.Address].store.count()).To(gomega.BeZero())
+	}
+	release, found := second.findBegun("r")
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(release).To(gomega.Equal(releaseOne))
+	// The list has another release now: a stream of either is recorded, also one under way.
+	f.soleAtServers = nil
+	_, found = second.findBegun("r")
+	g.Expect(found).To(gomega.BeFalse())
+	g.Expect(first.begin("r", releaseOne)).To(gomega.BeTrue())
+	g.Expect(first.begin("new", releaseTwo)).To(gomega.BeTrue())
+	release, found = second.findBegun("r")
+	g.Expect(found).To(gomega.BeTrue())
+	g.Expect(release).To(gomega.Equal(releaseOne))
+	f.soleAtServers = &releaseOne // a list that is behind
+	g.Expect(first.begin("newer", releaseTwo)).To(gomega.BeTrue(), "another release than the only one of the list")
+}
+
 func TestRouteOfTwoServicesOrWithoutTimeoutHasNoSoleRelease(t *testing.T) {
 	g := gomega.NewWithT(t)
 	node := newNorthFleet(1).front("north")
--- a/spec/origins.pml
+++ b/spec/origins.pml
@@ -5,7 +5,8 @@
  * The list of engines changes from release 1 alone, to releases 1 and 2, to release 2 alone. Node A
  * knows a present or former list and begins the stream at a release of it, after any number of
  * attempts that bring no event. Before it passes on the first event it sends a record to two homes;
- * each copy may be lost or arrive late. A continues the stream itself when an engine ends. A may end
+ * each copy may be lost or arrive late. While A takes the release for the only one, it sends none, but
+ * does once it no longer does, while the stream lasts. A continues the stream itself when an engine ends. A may end
  * at any time, and homes may lose their records at any time. The caller continues the stream up to
  * twice at node B, which asks the homes; any of them may not answer. B sends the records again. B
  * may watch the list since any of its changes.
@@ -71,6 +72,10 @@
 	fi
 }
 
+/* Whether A takes a release for the only one. It watches the list from the start, and may be behind
+ * the present one, as its list may be up to date for the bound that it goes by. */
+#define ONLY_AT_A(release) (release == 1 && known == 0)
+
 active proctype nodeA() {
 	byte known, release;
 	do
@@ -85,10 +90,14 @@
 	:: atomic { /* the first event */
 		began == 0 ->
 		chooseRelease(release, known);
-		send(release);
+		if
+		:: ONLY_AT_A(release)
+		:: !ONLY_AT_A(release) -> send(release)
+		fi;
 		listAtBegin = known;
 		began = release
 	   }
+	:: atomic { began > 0 && !ONLY_AT_A(began) -> send(began) }
 	:: atomic { /* an engine ends */
 		began > 0 ->
 		release = began;
