A node that knows the sole release doesn't ask twice for a record

A request that names a first request without a record waited 20 ms and asked its homes again, up to 250 ms if they don't answer, although this node knew the service's only release.

--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -175,6 +175,8 @@
 	return release, source != origin.SourceNone.String()
 }
 
+// lookUp returns the release and what tells it. A record counts more than a sole release, as a list
+// of engines may be a little behind.
 func (o *originClient) lookUp(ctx context.Context, request *forward.Request, route *catalog.Route) (catalog.Release, string) {
 	query := o.query(request, route)
 	named := request.Resumes != ""
@@ -182,25 +184,23 @@
 		if release, found := o.store.get(query.Key); found {
 			return release, sourceOwn
 		}
-	} else if release, found := o.sole(query.Service, query.Window); found {
+		if answer := o.askRegions(ctx, query); answer.Source != origin.SourceNone {
+			return answer.Release, answer.Source.String()
+		}
+	}
+	if release, found := o.sole(query.Service, query.Window); found {
 		return release, origin.SourceSole.String()
 	}
-	answer := o.askRegions(ctx, query)
-	if answer.Source == origin.SourceNone && named {
+	if named {
 		clock.Sleep(ctx, originRetryDelay)
-		answer = o.ask(ctx, o.region, query)
-	}
-	if answer.Source == origin.SourceNone {
-		if release, found := o.sole(query.Service, query.Window); found {
-			return release, origin.SourceSole.String()
-		}
 	}
+	answer := o.ask(ctx, o.region, query)
 	return answer.Release, answer.Source.String()
 }
 
 // query returns the question for a request. A route of several services has no sole release.
 func (o *originClient) query(request *forward.Request, route *catalog.Route) origin.Query {
-	query := origin.Query{Key: origin.KeyOf(request.Tenant, request.Resumes)}
+	query := origin.Query{Key: origin.KeyOf(request.Tenant, request.Stream())}
 	if services := route.Services(); len(services) == 1 && route.Timeout > 0 {
 		query.Service, query.Window = services[0], 2*route.Timeout+o.leave
 	}
