--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -222,12 +222,14 @@
 // else the best answer once all have answered or originTimeout is over.
 func (o *originClient) ask(ctx context.Context, region string, query origin.Query) origin.Answer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	defer cancel()
 	candidates := origin.Candidates(o.nodes(), region, query.Key)
 	answers := make(chan origin.Answer, len(candidates))
 	message := query.Marshal()
 	for _, node := range candidates {
-		go func() { answers <- o.askNode(ctx, node.Address, message) }()
+		calls.Go(func() { answers <- o.askNode(ctx, node.Address, message) })
 	}
 	var best origin.Answer
 	for range candidates {
