An item whose runs make no progress at its release starts over

Soak: a job stayed at 5 of 7 items for two minutes. The only engine of its two other items' version had ended and its entry stayed in the store; each run was refused (421: another engine has the address), and each start began the wait for the release anew, 2,000 times.

The wait goes on now until a run has made progress. In the users' store entries of ended engines stay for three heartbeats, and while the store is down. TestItemStartsOverWhenRunsAtItsReleaseMakeNoProgress failed before.

--- a/internal/batchwork/origin_test.go
+++ b/internal/batchwork/origin_test.go
@@ -188,6 +188,32 @@
 	g.Expect(item.mustStartOver(catalog.Engine{Service: "s", Version: "2"})).To(gomega.BeTrue())
 }
 
+// Guards against an item that runs again and again at the last engine of its release, which is gone
+// though its entry isn't.
+func TestItemStartsOverWhenRunsAtItsReleaseMakeNoProgress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	runner, _ := newRunnerOfReleases(g, "1", "2")
+	textTime := runner.itemEstimator.textTime(runner.options.Machine.openItems()[0])
+	now := time.Now()
+	run := func() string {
+		now = now.Add(planInterval)
+		started := runner.startOpen(context.Background(), runner.options.Machine.openItems(), now)
+		g.Expect(started).To(gomega.HaveLen(1))
+		runner.reportOutcome(started[0].engine, runResult{engine: engineFailed, cause: "gone"})
+		runner.forgetPreviousEngine(itemKey{"a", 0})
+		started[0].lease.Release()
+		runner.finishRun(started[0], 0)
+		return started[0].engine.ID
+	}
+	begun := now
+	g.Expect(run()).To(gomega.Equal("e1"))
+	for now.Sub(begun) < textTime {
+		run()
+	}
+	run()
+	g.Expect(run()).To(gomega.Equal("e2"))
+}
+
 func TestItemStartsOverAtOnceWithoutEngineOfItsRelease(t *testing.T) {
 	g := gomega.NewWithT(t)
 	runner, _ := newRunnerOfReleases(g, "2")
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -154,6 +154,9 @@
 	delete(r.runs, k)
 	if state, found := r.options.Machine.item(k.job, k.index); found {
 		r.options.Metrics.itemEnded(state.state, next.item.due, clock.Now())
+		if state.lastEvent != next.item.lastEvent || state.origin != next.item.origin {
+			delete(r.releaseWaits, k) // the run made progress
+		}
 	}
 	if next.executor != "" {
 		r.executors.end(next.executor)
--- a/internal/batchwork/releasewait.go
+++ b/internal/batchwork/releasewait.go
@@ -15,8 +15,8 @@
 
 // releaseToWaitFor returns the release whose engines are to run an idle item, as they can continue
 // its text; zero if any may run it. An item that finds no room at engines of its release, while
-// there is room at others, waits for as long as producing its text again would take, and then
-// starts over. The caller holds the mutex.
+// there is room at others, or whose runs there make no progress, waits for as long as producing its
+// text again would take, and then starts over. The caller holds the mutex.
 func (r *Runner) releaseToWaitFor(item *openItem, route *catalog.Route, regions catalog.Regions, serving servingReleases, now time.Time) catalog.Release {
 	release := item.origin.value()
 	if !item.origin.known() || !slices.Contains(route.Services(), release.Service) || !serving.any(release, regions) {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -130,7 +130,7 @@
 	runs            map[itemKey]*run
 	pauses          map[itemKey]time.Time
 	previousEngines map[itemKey]string     // last engine of each open item
-	releaseWaits    map[itemKey]time.Time  // since when items wait for the release of their text
+	releaseWaits    map[itemKey]time.Time  // since when items wait for progress at the release of their text
 	pendingEnds     map[itemKey]itemUpdate // item ends whose commit failed
 	stopped         bool
 	wake            chan struct{}
--- a/internal/batchwork/start.go
+++ b/internal/batchwork/start.go
@@ -255,7 +255,6 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.previousEngines[k] = lease.Engine.ID
-	delete(r.releaseWaits, k)
 	r.lastRunNumber++
 	next.number = r.lastRunNumber
 	if executor, found := r.executors.pick(candidates, r.localRuns(), now); found {
