Waits of items whose jobs ended are forgotten

An item that waited for the release of its text when its job ended left its entry with the leader for good. TestWaitOfEndedItemIsForgotten failed before.

--- a/internal/batchwork/origin_test.go
+++ b/internal/batchwork/origin_test.go
@@ -229,3 +229,17 @@
 	unknown := openItem{lastEvent: 1}
 	g.Expect(unknown.mustStartOver(catalog.Engine{Service: "s", Version: "2"})).To(gomega.BeTrue(), "what began the text is unknown")
 }
+
+// Guards against a wait that is kept for an item whose job ended while it waited.
+func TestWaitOfEndedItemIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	runner, setLoad := newRunnerOfReleases(g, "1", "2")
+	setLoad("e1", 10)
+	g.Expect(startAt(runner, time.Now())).To(gomega.BeEmpty())
+	runner.cancelEnded()
+	g.Expect(runner.releaseWaits).To(gomega.HaveLen(1))
+	shard := runner.options.Shard.(*failingShard)
+	apply(g, shard.machine, shard.store, encodeEnd(jobName{job: "a"}, submitted))
+	runner.cancelEnded()
+	g.Expect(runner.releaseWaits).To(gomega.BeEmpty())
+}
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -132,10 +132,14 @@
 		if !r.options.Machine.isOpen(k.job, k.index) {
 			delete(r.pauses, k)
 			delete(r.previousEngines, k)
-			delete(r.releaseWaits, k)
 			delete(r.pendingEnds, k)
 		}
 	}
+	for k := range r.releaseWaits {
+		if !r.options.Machine.isOpen(k.job, k.index) {
+			delete(r.releaseWaits, k)
+		}
+	}
 }
 
 // localRuns returns the number of runs whose streams this node reads; the caller holds the
