Logs name the shared parts of prompts at crashes, failed attempts and answers

Whether a part of the prompt crashes engines can't be told from the logs: no line names the parts of a request. attempt-failed, item-retried, engine-ended-under-request and request-served now do. No decision changes.

--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -54,6 +54,9 @@
 	EngineID func(instance string) string
 	// Guard holds back items that may crash engines; nil holds back none.
 	Guard *poison.Guard
+	// SharedParts returns the IDs of the parts of an item's prompt that other requests may share;
+	// nil means none.
+	SharedParts func(header []string) []string
 	// Ready reports whether this node knows the engines and the drained zones; nil means
 	// yes.
 	Ready func() bool
@@ -221,7 +224,7 @@
 		return e.sendUpdates(ctx, c, updates)
 	})
 	c.node = &runNode{
-		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, readStart: clock.Now(), guard: e.options.Guard,
+		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, readStart: clock.Now(), guard: e.options.Guard, partsOf: e.options.SharedParts,
 		open: func(string, uint32) bool { return true }, // the leader tells when an item is closed
 	}
 	e.clients[from] = c
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -32,9 +32,10 @@
 
 	id          string
 	fingerprint poison.Fingerprint
-	committed   uint64 // last committed event of the text that the run continues or has begun
-	last        uint64 // last received event
-	text        []byte // of the events after committed
+	parts       []string // IDs of the shared parts of the prompt
+	committed   uint64   // last committed event of the text that the run continues or has begun
+	last        uint64   // last received event
+	text        []byte   // of the events after committed
 	commitAt    time.Time
 	answering   bool // this run has received an event
 	result      runResult
@@ -44,6 +45,7 @@
 func (r *itemRun) run(ctx context.Context, read *Item) runResult {
 	r.id = read.ID
 	r.fingerprint = poison.FingerprintOf(r.item.tenant, r.item.host, http.MethodPost, read.Path, read.Body)
+	r.parts = r.node.sharedParts(read.Header)
 	if !r.startsOver {
 		r.committed, r.last = r.item.lastEvent, r.item.lastEvent
 	}
@@ -285,7 +287,7 @@
 	if notSent || ctx.Err() != nil {
 		return
 	}
-	r.node.guard.ConnectionLost(ctx, poison.LostConnection{Engine: r.engine, Request: r.id, Answering: r.answering, Fingerprint: r.print})
+	r.node.guard.ConnectionLost(ctx, poison.LostConnection{Engine: r.engine, Request: r.id, Answering: r.answering, Fingerprint: r.print, Parts: r.parts})
 }
 
 // handleInterruption commits the text received so far, so that the item can resume elsewhere.
@@ -293,7 +295,7 @@
 	if ctx.Err() == nil || silent {
 		r.reportOutcome(engineFailed, cause)
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause,
-			"silent", silent, "last_event", r.last, "fingerprint", r.fingerprint)
+			"silent", silent, "last_event", r.last, "fingerprint", r.fingerprint, "parts", r.parts)
 	}
 	if r.node.open(r.item.job, r.item.index) {
 		_ = r.commitText(ctx, StateOpen, 0)
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -90,6 +90,9 @@
 	Usable func(id, service string) bool
 	// Guard holds back items that may crash engines; nil holds back none.
 	Guard *poison.Guard
+	// SharedParts returns the IDs of the parts of an item's prompt that other requests may share;
+	// nil means none.
+	SharedParts func(header []string) []string
 	// Permitted reports whether the newest known configuration permits a tenant's item of
 	// a route at an engine; nil if there are no regions.
 	Permitted func(host, path, tenant, engine string) bool
@@ -187,7 +190,7 @@
 	r.committer = newGroupCommitter(groupDelay, r.propose)
 	r.node = &runNode{
 		pool: options.Pool, usable: options.Usable, permitted: options.permitted, commit: r.commit, readStart: clock.Now(), open: options.Machine.isOpen,
-		guard: options.Guard,
+		guard: options.Guard, partsOf: options.SharedParts,
 	}
 	if options.Receiver != nil {
 		options.Receiver.HandleCall(kindConfirm, r.handleConfirm)
--- a/internal/batchwork/runnode.go
+++ b/internal/batchwork/runnode.go
@@ -24,7 +24,9 @@
 	// open reports whether an item is still to be run, as far as this node knows.
 	open func(job string, index uint32) bool
 	// guard holds back items that may crash engines; nil holds back none.
-	guard     *poison.Guard
+	guard *poison.Guard
+	// partsOf returns the IDs of the shared parts of an item's prompt; nil means none.
+	partsOf   func(header []string) []string
 	readStart time.Time
 	streams   atomic.Int32 // streams being read here
 }
@@ -34,6 +36,13 @@
 	return n.usable(engine.ID, engine.Service) && (n.permitted == nil || n.permitted(item, engine.ID))
 }
 
+func (n *runNode) sharedParts(header []string) []string {
+	if n.partsOf == nil {
+		return nil
+	}
+	return n.partsOf(header)
+}
+
 // readInterval returns the time between two reads of a run's stream.
 func (n *runNode) readInterval() time.Duration { return readInterval(int(n.streams.Load())) }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -183,7 +183,7 @@
 		}
 		eventAttemptFailed.Info("request", fl.request.ID, "route", fl.route.Name, "engine", engine.ID, "version", engine.Version,
 			"outcome", result.kind, "cause", result.cause, "attempt", fl.attemptCount, "last_event", fl.lastEvent, "retry", step == StepRetry,
-			"fingerprint", fl.fingerprint())
+			"fingerprint", fl.fingerprint(), "parts", fl.request.SharedParts)
 		fl.reportToBalancer(engine, result)
 		if step != StepRetry {
 			fl.finish(step, result)
@@ -388,7 +388,7 @@
 			fl.Guard.Served(fl.fingerprint)
 		}
 		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
-			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late())
+			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late(), "parts", fl.request.SharedParts)
 	}
 	if fl.Observe != nil {
 		fl.Observe(result)
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -42,5 +42,5 @@
 	if result.kind != OutcomeUnknown && result.kind != OutcomeBroken {
 		return
 	}
-	fl.Guard.ConnectionLost(ctx, poison.LostConnection{Engine: engine, Request: fl.request.ID, Answering: fl.receivedEvent, Fingerprint: fl.fingerprint})
+	fl.Guard.ConnectionLost(ctx, poison.LostConnection{Engine: engine, Request: fl.request.ID, Answering: fl.receivedEvent, Fingerprint: fl.fingerprint, Parts: fl.request.SharedParts})
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -31,6 +31,8 @@
 	// Prefix identifies the shared parts of the prompt; PrefixTokens is their length.
 	Prefix       string
 	PrefixTokens int
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
+	SharedParts []string
 	// LastEvent is the number of the last event that the caller has received.
 	LastEvent uint64
 	// Resumes is the ID of the request that brought the first event of the stream that this one
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -161,6 +161,8 @@
 	// Answering is set if events of the answer had arrived.
 	Answering   bool
 	Fingerprint func() Fingerprint
+	// Parts are the IDs of the shared parts of the request's prompt.
+	Parts []string
 }
 
 // ConnectionLost records a crash against the request of a lost connection if the engine has
@@ -220,7 +222,7 @@
 	}
 	merged, _ := g.table.Get(f)
 	eventCrashed.Info("request", lost.Request, "fingerprint", f, "engine", lost.Engine.ID, "answering", lost.Answering,
-		"ended", len(merged.Crashes), "sound", merged.Served)
+		"ended", len(merged.Crashes), "sound", merged.Served, "parts", lost.Parts)
 }
 
 // Served records that an engine answered a request completely.
--- a/internal/system/adapter.go
+++ b/internal/system/adapter.go
@@ -24,6 +24,8 @@
 
 	Engines upstream.Dialect
 	Callers edge.Dialect
+	// SharedParts returns the IDs of the parts of an item's prompt that other requests may share.
+	SharedParts func(header []string) []string
 	// ReadyPath is the path of the platform's readiness probes.
 	ReadyPath string
 
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -63,7 +63,7 @@
 	}
 	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
 		Pool: d.pool, Usable: d.catalog.usableForBatch, EngineID: d.catalog.engineID, Ready: d.catalog.enginesKnown, Permitted: d.permitted, Sender: d.peers, Receiver: d.peers,
-		Guard: d.guard,
+		Guard: d.guard, SharedParts: adapter.SharedParts,
 	})
 	for _, region := range d.regionNames() {
 		port := d.shardPorts.For(ledger.RegionShard(region))
