Parts of prompts that crash engines are held back at all nodes

Cause: crashes are counted by the fingerprint of a whole request. No two of these requests are alike, so each began with no crashes against it. The class: harm is counted by the identity of a whole where it comes from a shared part.

Evidence: with the parts in the logs one part is unanswered at each of 77 engines that crashed; its 77 crashes lie under ever new fingerprints, while the part before it, with as many crashes, was answered 15 times and the first one 1,378 times.

The fix: a crash counts against each shared part of the prompts that the engine had; an answer clears the parts of its prompt. A part is held back once three engines crashed under two different requests and no other part is more suspect; answers that nodes saw before tell sound parts. Records go the way of those of requests: data nodes, all nodes, store. A held part is released by an answer only; the store grants its trials, two in all, so nodes together stay within them.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -32,10 +32,10 @@
 
 	id          string
 	fingerprint poison.Fingerprint
-	parts       []string // IDs of the shared parts of the prompt
-	committed   uint64   // last committed event of the text that the run continues or has begun
-	last        uint64   // last received event
-	text        []byte   // of the events after committed
+	prompt      *poison.Prompt
+	committed   uint64 // last committed event of the text that the run continues or has begun
+	last        uint64 // last received event
+	text        []byte // of the events after committed
 	commitAt    time.Time
 	answering   bool // this run has received an event
 	result      runResult
@@ -45,7 +45,7 @@
 func (r *itemRun) run(ctx context.Context, read *Item) runResult {
 	r.id = read.ID
 	r.fingerprint = poison.FingerprintOf(r.item.tenant, r.item.host, http.MethodPost, read.Path, read.Body)
-	r.parts = r.node.sharedParts(read.Header)
+	r.prompt = poison.NewPrompt(r.node.sharedParts(read.Header))
 	if !r.startsOver {
 		r.committed, r.last = r.item.lastEvent, r.item.lastEvent
 	}
@@ -63,6 +63,11 @@
 		eventItemHeld.Info("job", r.item.job, "item", r.id, "fingerprint", r.fingerprint, "left", left)
 		return min(left, maxHeldPause)
 	}
+	if part, held := r.node.guard.AdmitPrompt(ctx, r.prompt); held {
+		eventItemHeld.Info("job", r.item.job, "item", r.id, "part", part.ID, "left", part.Left)
+		return min(part.Left, maxHeldPause)
+	}
+	defer r.prompt.EndTrial()
 	eventItemSent.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "version", r.engine.Version, "after", r.last, "failures", r.item.failures)
 	silence := make(chan struct{})
 	exchangeCtx, cancel := context.WithCancel(ctx)
@@ -111,6 +116,9 @@
 	if _, held := r.node.guard.Held(r.print); held {
 		return upstream.ErrEngineExcluded
 	}
+	if _, held := r.node.guard.PromptHeld(r.prompt); held {
+		return upstream.ErrEngineExcluded
+	}
 	return nil
 }
 
@@ -167,6 +175,9 @@
 			if response.Framed && r.answering {
 				r.node.guard.Served(r.print)
 			}
+			if r.answering {
+				r.node.guard.PromptAnswered(r.prompt)
+			}
 			r.reportOutcome(engineSucceeded, nil)
 			r.hooks.callEnded()
 			return r.commitSuccess(ctx)
@@ -287,7 +298,7 @@
 	if notSent || ctx.Err() != nil {
 		return
 	}
-	r.node.guard.ConnectionLost(ctx, poison.LostConnection{Engine: r.engine, Request: r.id, Answering: r.answering, Fingerprint: r.print, Parts: r.parts})
+	r.node.guard.ConnectionLost(ctx, poison.LostConnection{Engine: r.engine, Request: r.id, Answering: r.answering, Fingerprint: r.print, Prompt: r.prompt})
 }
 
 // handleInterruption commits the text received so far, so that the item can resume elsewhere.
@@ -295,7 +306,7 @@
 	if ctx.Err() == nil || silent {
 		r.reportOutcome(engineFailed, cause)
 		eventItemRetried.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "cause", cause,
-			"silent", silent, "last_event", r.last, "fingerprint", r.fingerprint, "parts", r.parts)
+			"silent", silent, "last_event", r.last, "fingerprint", r.fingerprint, "parts", r.prompt.IDs())
 	}
 	if r.node.open(r.item.job, r.item.index) {
 		_ = r.commitText(ctx, StateOpen, 0)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -37,7 +37,7 @@
 // attempt runs one exchange. done reports whether the sink has its response.
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (attemptResult, bool) {
 	engine := lease.Engine
-	fl.receivedEvent, fl.framed = false, false
+	fl.receivedEvent, fl.framed, fl.answered = false, false, false
 	if err := fl.checkSend(lease); err != nil {
 		return attemptResult{kind: OutcomeNotSent, cause: err, withheld: true}, false
 	}
@@ -96,8 +96,8 @@
 	if fl.began != (catalog.Release{}) && lease.Engine.Release() != fl.began {
 		return errRelease
 	}
-	if left, held := fl.Guard.Held(fl.fingerprint); held {
-		return &heldError{left}
+	if err := fl.checkHeld(); err != nil {
+		return err
 	}
 	return lease.MaySend()
 }
@@ -205,6 +205,7 @@
 		return attemptResult{kind: OutcomeUnknown, cause: err}, false
 	}
 	fl.Balancer.RecordSuccess(engine.ID)
+	fl.answered = len(body) > 0
 	fl.firstEventAt = clock.Now()
 	fl.responseSent(fl.sink.WriteResponse(response.Status, response.Header, body))
 	return attemptResult{}, true
@@ -226,6 +227,7 @@
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			fl.Balancer.RecordSuccess(lease.Engine.ID)
+			fl.answered = fl.receivedEvent
 			return fl.endStream(response), true
 		}
 		if err != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -115,10 +115,12 @@
 	firstEventAt  time.Time
 	receivedEvent bool // in the last attempt
 	framed        bool // the last response had a length or was chunked
+	answered      bool // the last response was whole and not empty
 	toldRetry     time.Duration
 	verdict       string
 	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
+	prompt        *poison.Prompt
 }
 
 // Serve forwards a request until its sink has a response. ctx ends when the caller leaves.
@@ -127,6 +129,7 @@
 	fl := &inflight{
 		Forwarder: f, request: request, route: route, sink: sink, attempts: NewAttempts(route),
 		deadline: request.Deadline, service: f.Balancer.Service(route), lastEvent: request.LastEvent,
+		prompt: poison.NewPrompt(request.SharedParts),
 	}
 	if route.Timeout > 0 {
 		limit := request.Arrived.Add(route.Timeout)
@@ -153,8 +156,8 @@
 		}
 	}()
 	for {
-		if left, held := fl.Guard.Held(fl.fingerprint); held {
-			fl.refuseHeld(left)
+		if err := fl.admit(ctx); err != nil {
+			fl.refuseHeld(err)
 			return
 		}
 		waitStart := clock.Now()
@@ -169,6 +172,9 @@
 		engine := lease.Engine
 		fl.engineID = engine.ID
 		result, done := fl.attempt(ctx, lease)
+		if result.kind != OutcomeNotSent {
+			fl.prompt.EndTrial()
+		}
 		if done || fl.contextEnded(ctx) {
 			lease.Release()
 			return
@@ -387,6 +393,9 @@
 		if fl.framed {
 			fl.Guard.Served(fl.fingerprint)
 		}
+		if fl.answered {
+			fl.Guard.PromptAnswered(fl.prompt)
+		}
 		eventServed.Info("request", fl.request.ID, "route", fl.route.Name, "tenant", fl.request.Tenant, "engine", fl.engineID, "attempts", fl.attemptCount,
 			"waited", fl.waited, "first", result.First, "total", result.Total, "late", result.Late(), "parts", fl.request.SharedParts)
 	}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -52,8 +52,11 @@
 type Store interface {
 	// Save merges a record into the stored one.
 	Save(ctx context.Context, record Record) error
-	// Remove deletes a record if it exists.
-	Remove(ctx context.Context, f Fingerprint) error
+	// Remove deletes a record of a request, or of a part of prompts, if it exists.
+	Remove(ctx context.Context, f Fingerprint, isPart bool) error
+	// GrantTrial adds a trial at the given time to the stored record of a part, in one step, and
+	// reports whether one was due.
+	GrantTrial(ctx context.Context, f Fingerprint, now time.Time) (granted bool, err error)
 }
 
 // Options configure a Guard.
@@ -85,8 +88,10 @@
 	hasRecords, hasHoldable atomic.Bool
 	// hasRechecks tells without the mutex whether rechecks are pending.
 	hasRechecks atomic.Bool
-	refused     atomic.Int64
-	loaded      atomic.Bool
+	// watchesParts tells without the mutex whether parts of prompts are held back or may be.
+	watchesParts atomic.Bool
+	refused      atomic.Int64
+	loaded       atomic.Bool
 
 	mutex         sync.Mutex // guards the fields below; only telemetry's locks are taken under it
 	table         *Table
@@ -100,6 +105,10 @@
 	cancelCall    context.CancelFunc          // of the pending call of the store; nil without one
 	// rechecks counts the engines to be rechecked by request.
 	rechecks map[Fingerprint]int
+	// clears are the parts whose answers are news for peers, with the time of the last crash before.
+	clears map[Fingerprint]time.Time
+	// trialAskedAt is when this node last asked for a trial of a part.
+	trialAskedAt map[Fingerprint]time.Time
 }
 
 // pendingSync is a record that is to be synced with the store.
@@ -115,6 +124,7 @@
 		options: options, table: NewTable(), stored: map[Fingerprint]Record{}, unpublished: map[Fingerprint]bool{},
 		unsynced: map[Fingerprint]pendingSync{}, publishReady: make(chan struct{}, 1), syncReady: make(chan struct{}, 1),
 		storeAnswered: make(chan struct{}, 1), pacer: newRetryPacer(), rechecks: map[Fingerprint]int{},
+		clears: map[Fingerprint]time.Time{}, trialAskedAt: map[Fingerprint]time.Time{},
 	}
 	g.running, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -161,8 +171,8 @@
 	// Answering is set if events of the answer had arrived.
 	Answering   bool
 	Fingerprint func() Fingerprint
-	// Parts are the IDs of the shared parts of the request's prompt.
-	Parts []string
+	// Prompt has the shared parts of the request's prompt; may be nil.
+	Prompt *Prompt
 }
 
 // ConnectionLost records a crash against the request of a lost connection if the engine has
@@ -217,12 +227,15 @@
 	record := Record{Fingerprint: f, Crashes: []Crash{crash}, Last: now}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.merge(record) {
-		g.schedulePublish(f, true)
+	for _, record := range append(lost.Prompt.crashRecords(f, lost.Engine.ID, lost.Answering, now), record) {
+		if g.merge(record) {
+			g.schedulePublish(record.Fingerprint, true)
+		}
 	}
+	g.holdGuiltyParts(now)
 	merged, _ := g.table.Get(f)
 	eventCrashed.Info("request", lost.Request, "fingerprint", f, "engine", lost.Engine.ID, "answering", lost.Answering,
-		"ended", len(merged.Crashes), "sound", merged.Served, "parts", lost.Parts)
+		"ended", len(merged.Crashes), "sound", merged.Served, "parts", lost.Prompt.IDs())
 }
 
 // Served records that an engine answered a request completely.
@@ -247,6 +260,17 @@
 // as they come from a front node.
 func (g *Guard) Receive(from transport.Address, message []byte, toDataNodes bool) error {
 	records, err := Unmarshal(message)
+	return g.receive(from, records, err, toDataNodes)
+}
+
+// ReceiveParts is Receive for records of parts of prompts.
+func (g *Guard) ReceiveParts(from transport.Address, message []byte, toDataNodes bool) error {
+	records, err := UnmarshalParts(message)
+	return g.receive(from, records, err, toDataNodes)
+}
+
+// receive merges decoded records; err is the error of decoding them.
+func (g *Guard) receive(from transport.Address, records []Record, err error, toDataNodes bool) error {
 	if err != nil {
 		eventUnreadable.Error(err, "peer", from)
 		return err
@@ -257,7 +281,9 @@
 		if g.merge(records[i]) && g.options.Report == nil {
 			g.schedulePublish(records[i].Fingerprint, toDataNodes)
 		}
+		g.heardOf(&records[i])
 	}
+	g.holdGuiltyParts(g.options.Now())
 	return nil
 }
 
@@ -277,6 +303,7 @@
 			g.merge(*record)
 		}
 	}
+	g.holdGuiltyParts(now)
 	for f := range previous {
 		_, kept := g.stored[f]
 		known, found := g.table.Get(f)
@@ -302,10 +329,13 @@
 	_, before := g.table.HeldUntil(f, now)
 	changed := apply()
 	until, after := g.table.HeldUntil(f, now)
-	g.hasRecords.Store(g.table.Len() > 0)
-	g.hasHoldable.Store(g.table.HasHoldable())
+	g.updateFlags()
 	record, _ := g.table.Get(f)
 	switch {
+	case after && !before && record.IsPart():
+		g.logPartHeld(f)
+	case before && !after && record.IsPart():
+		eventPartReleased.Info("part", record.Part, "fingerprint", f, "sound", len(record.Crashes) == 0)
 	case after && !before:
 		eventHeld.Info("fingerprint", f, "ends", record.Crashes, "until", until)
 	case before && !after:
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -27,10 +27,19 @@
 	return s.write(func() { s.table.Merge(record) })
 }
 
-func (s *fakeStore) Remove(_ context.Context, f Fingerprint) error {
+func (s *fakeStore) Remove(_ context.Context, f Fingerprint, _ bool) error {
 	return s.write(func() { s.table.Drop(f) })
 }
 
+func (s *fakeStore) GrantTrial(_ context.Context, f Fingerprint, now time.Time) (granted bool, err error) {
+	err = s.write(func() {
+		if record, found := s.table.Get(f); found {
+			granted = record.AddTrial(now) && s.table.Merge(record)
+		}
+	})
+	return granted, err
+}
+
 func (s *fakeStore) write(change func()) error {
 	s.mutex.Lock()
 	if s.unavailable {
@@ -239,6 +248,6 @@
 	c.crash(0, 1, "a", "b", "c")
 	c.awaitHeld(t, 1)
 	eventually(t, "the store has the record", func() bool { return c.store.has(print(1)) })
-	_ = c.store.Remove(t.Context(), print(1))
+	_ = c.store.Remove(t.Context(), print(1), false)
 	eventually(t, "all nodes release the request", func() bool { return !isHeld(c.data, 1) && !isHeld(c.fronts[0], 1) && !isHeld(c.fronts[1], 1) })
 }
--- a/internal/poison/hold.go
+++ b/internal/poison/hold.go
@@ -55,9 +55,12 @@
 //   - it happened on more than maxRetries retries of any kind.
 //
 // The hold depends on the set of known crashes only, not on the order in which they became
-// known.
+// known. For a part of prompts see PartHeldUntil.
 func (t *Table) HeldUntil(f Fingerprint, now time.Time) (time.Time, bool) {
 	record := t.records[f]
+	if record != nil && record.IsPart() {
+		return t.PartHeldUntil(f)
+	}
 	if record == nil || !record.holdable() {
 		return time.Time{}, false
 	}
@@ -195,6 +198,9 @@
 // request, it does, as that request would seem to have been alone after a restart.
 func (t *Table) Persistent(f Fingerprint) bool {
 	record := t.records[f]
+	if record != nil && record.IsPart() {
+		return record.isPersistentPart()
+	}
 	if record == nil || len(record.Crashes) == 0 {
 		return false
 	}
--- a/internal/poison/hold_test.go
+++ b/internal/poison/hold_test.go
@@ -22,7 +22,7 @@
 		now := noon
 		for crash := range 3 + rng.IntN(4) {
 			now = now.Add(time.Duration(rng.Int64N(int64(400 * time.Millisecond))))
-			table.Merge(Record{Fingerprint: print(wave), Crashes: []Crash{{fmt.Sprint("e", crash), rng.IntN(2) == 0}}, Last: now})
+			table.Merge(Record{Fingerprint: print(wave), Crashes: []Crash{{Engine: fmt.Sprint("e", crash), Answering: rng.IntN(2) == 0}}, Last: now})
 		}
 		if until, held := table.HeldUntil(print(wave), now); held {
 			holds++
@@ -242,7 +242,7 @@
 		}
 		answering := rapid.Bool().Draw(t, "answering")
 		crash.answering[request] = answering
-		m.tables[node].Merge(Record{Fingerprint: print(request), Last: m.now, Crashes: []Crash{{crash.engine, answering}}})
+		m.tables[node].Merge(Record{Fingerprint: print(request), Last: m.now, Crashes: []Crash{{Engine: crash.engine, Answering: answering}}})
 	}
 	m.crashes = append(m.crashes, crash)
 	m.now = m.now.Add(10 * time.Millisecond)
--- a/internal/poison/message_test.go
+++ b/internal/poison/message_test.go
@@ -29,7 +29,7 @@
 		table.Merge(record)
 	}
 	first, _ := table.Get(print(1))
-	if want := []Crash{{"a@1", false}, {"b@1", true}}; !slices.Equal(first.Crashes, want) || !first.CrashTime("a@1").Equal(noon) {
+	if want := []Crash{{Engine: "a@1", Answering: false}, {Engine: "b@1", Answering: true}}; !slices.Equal(first.Crashes, want) || !first.CrashTime("a@1").Equal(noon) {
 		t.Errorf("read %+v", first)
 	}
 	if second, _ := table.Get(print(2)); !second.Served {
@@ -47,7 +47,7 @@
 	}
 	table.Merge(Record{Fingerprint: print(2), Last: noon, Served: true})
 	crashes, last, served := readAsEarlierVersion(t, Marshal(table.All()))
-	if want := []Crash{{"a@1", false}, {"b@1", true}, {"c@1", false}}; !slices.Equal(crashes[print(1)], want) {
+	if want := []Crash{{Engine: "a@1", Answering: false}, {Engine: "b@1", Answering: true}, {Engine: "c@1", Answering: false}}; !slices.Equal(crashes[print(1)], want) {
 		t.Errorf("crashes of request 1: %v", crashes[print(1)])
 	}
 	if want := noon.Add(2 * time.Second); !last[print(1)].Equal(want) {
@@ -83,7 +83,7 @@
 		for _, end := range ends {
 			var flags struct{ Answering bool }
 			engine := decode(end, &flags, 1)
-			crashes[f] = append(crashes[f], Crash{string(engine[0]), flags.Answering})
+			crashes[f] = append(crashes[f], Crash{Engine: string(engine[0]), Answering: flags.Answering})
 		}
 	}
 	for _, list := range crashes {
--- /dev/null
+++ b/internal/poison/part.go
@@ -0,0 +1,285 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"slices"
+	"time"
+)
+
+const (
+	// minPartRequests is how many different requests must have crashed engines before a part
+	// that they share is held back: a poison request crashes several engines by itself.
+	minPartRequests = 2
+	// minAnswers is how many answers a node must have seen before it blames a part that it
+	// has not seen answered. Without any, the engines may crash for another reason.
+	minAnswers = 3
+	// soundTime is how long a part counts as sound after an answer to a prompt with it.
+	soundTime = 10 * time.Minute
+	// contrastDelay is the age from which a crash counts against a sound part. Until then
+	// other requests with the part may be answered, which clears it.
+	contrastDelay = time.Second
+)
+
+// trialDelays are the times from the last crash or trial to the next trial. There are no more
+// trials than delays, so that a poison part crashes no more engines after its hold.
+var trialDelays = [...]time.Duration{15 * time.Second, 2 * time.Minute}
+
+// PartFingerprint returns the fingerprint of the part of prompts with an ID. It doesn't depend
+// on the caller, as engines share the memory of a part among callers, too.
+func PartFingerprint(id string) Fingerprint {
+	hash := sha256.Sum256([]byte("prompt part " + id))
+	return Fingerprint(hash[:len(Fingerprint{})])
+}
+
+// maxPartName bounds the part of an ID that records keep for operators.
+const maxPartName = 64
+
+// Prompt has the shared parts of a request's prompt. It belongs to one request and is not safe
+// for concurrent use. A nil Prompt has no parts.
+type Prompt struct {
+	ids   []string
+	parts []Fingerprint // of ids; nil until first used
+	// trial is the part that the request may try at one engine although it is held back; zero
+	// if there is none.
+	trial Fingerprint
+}
+
+// NewPrompt returns a prompt with the given IDs of shared parts, in order.
+func NewPrompt(ids []string) *Prompt { return &Prompt{ids: ids} }
+
+// IDs returns the IDs of the shared parts, in order.
+func (p *Prompt) IDs() []string {
+	if p == nil {
+		return nil
+	}
+	return p.ids
+}
+
+// EndTrial ends the trial of a part: the request has been sent.
+func (p *Prompt) EndTrial() {
+	if p != nil {
+		p.trial = Fingerprint{}
+	}
+}
+
+// fingerprints returns the fingerprints of the parts.
+func (p *Prompt) fingerprints() []Fingerprint {
+	if p == nil {
+		return nil
+	}
+	if p.parts == nil {
+		for _, id := range p.ids {
+			p.parts = append(p.parts, PartFingerprint(id))
+		}
+	}
+	return p.parts
+}
+
+// crashRecords returns the records of a crash for the parts of the prompt. request is the
+// fingerprint of the whole request.
+func (p *Prompt) crashRecords(request Fingerprint, engine string, answering bool, at time.Time) (records []Record) {
+	for depth, f := range p.fingerprints() {
+		if slices.Contains(p.parts[:depth], f) {
+			continue
+		}
+		name := p.ids[depth]
+		records = append(records, Record{
+			Fingerprint: f, Part: name[:min(len(name), maxPartName)], Last: at,
+			Crashes: []Crash{{Engine: engine, Answering: answering, Request: request, Depth: depth}},
+		})
+	}
+	return records
+}
+
+// IsPart reports whether the record is that of a part of prompts.
+func (r *Record) IsPart() bool { return r.Part != "" }
+
+// mergePart adds another record of the same part and reports whether that changed r. Answered
+// and HeldAt only grow, and crashes up to Answered don't count any more, so that the result
+// doesn't depend on the order of merges.
+func (r *Record) mergePart(other *Record) bool {
+	changed := r.setAnswered(other.Answered)
+	for _, crash := range other.Crashes {
+		at := other.CrashTime(crash.Engine)
+		if at.After(r.Answered) {
+			changed = r.add(crash, at) || changed
+		}
+	}
+	if other.HeldAt.After(r.HeldAt) {
+		r.HeldAt, changed = other.HeldAt, true
+	}
+	for _, at := range other.Trials {
+		if index, found := slices.BinarySearchFunc(r.Trials, at, time.Time.Compare); !found {
+			r.Trials, changed = slices.Insert(r.Trials, index, at), true
+		}
+	}
+	r.Trials = r.Trials[max(0, len(r.Trials)-len(trialDelays)):]
+	if changed && other.Last.After(r.Last) {
+		r.Last = other.Last
+	}
+	return changed
+}
+
+// setAnswered notes an answer to a prompt with the part and drops the crashes up to then.
+func (r *Record) setAnswered(at time.Time) bool {
+	if !at.After(r.Answered) {
+		return false
+	}
+	r.Answered = at
+	if at.After(r.Last) {
+		r.Last = at
+	}
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(crash Crash) bool {
+		cleared := !r.CrashTime(crash.Engine).After(at)
+		if cleared {
+			delete(r.Times, crash.Engine)
+		}
+		return cleared
+	})
+	return true
+}
+
+// isHeldPart reports whether the part is held back.
+func (r *Record) isHeldPart() bool {
+	return r.IsPart() && r.HeldAt.After(r.Answered) && len(r.Crashes) > 0
+}
+
+// isSoundPart reports whether a prompt with the part was answered not long before its first crash
+// that counts.
+func (r *Record) isSoundPart() bool {
+	return len(r.Crashes) == 0 || r.firstCrash().Sub(r.Answered) < soundTime
+}
+
+// trials returns the times of the trials since the last answer.
+func (r *Record) trials() []time.Time {
+	index, _ := slices.BinarySearchFunc(r.Trials, r.Answered, time.Time.Compare)
+	return r.Trials[index:]
+}
+
+// trialDue returns when the next trial of a held part is due; the end of the record's retention
+// if there are no more.
+func (r *Record) trialDue() time.Time {
+	last, trials := r.lastCrash(), r.trials()
+	if len(trials) > 0 && trials[len(trials)-1].After(last) {
+		last = trials[len(trials)-1]
+	}
+	if len(trials) >= len(trialDelays) {
+		return last.Add(heldRetention)
+	}
+	return last.Add(trialDelays[len(trials)])
+}
+
+// AddTrial adds a trial if one is due, and reports whether it did.
+func (r *Record) AddTrial(now time.Time) bool {
+	if !r.isHeldPart() || now.Before(r.trialDue()) || len(r.trials()) >= len(trialDelays) {
+		return false
+	}
+	r.Trials = append(r.Trials, now)
+	return true
+}
+
+// PartHeldUntil returns when the next trial of a part is due; false if the part may be sent. Until
+// a trial is answered the part is held back also after that time.
+func (t *Table) PartHeldUntil(f Fingerprint) (time.Time, bool) {
+	record := t.records[f]
+	if record == nil || !record.isHeldPart() {
+		return time.Time{}, false
+	}
+	return record.trialDue(), true
+}
+
+// Answered notes that prompts with the given parts were answered at a node of this table. It returns
+// the parts that several crashes counted against until then, with the time of the last one.
+func (t *Table) Answered(parts []Fingerprint, now time.Time) (cleared map[Fingerprint]time.Time) {
+	t.answers.add(parts, now)
+	for _, f := range parts {
+		record := t.records[f]
+		if record == nil || len(record.Crashes) == 0 {
+			continue
+		}
+		last, several := record.lastCrash(), len(record.Crashes) > 1
+		t.unindex(record)
+		record.setAnswered(now)
+		t.index(record)
+		if several && !last.After(now) {
+			if cleared == nil {
+				cleared = map[Fingerprint]time.Time{}
+			}
+			cleared[f] = last
+		}
+	}
+	return cleared
+}
+
+// HoldGuiltyParts holds back the parts that are to blame for crashes by what is known now, and
+// returns them.
+//
+// A part is to blame if crashes of some weight count against it, under different requests. A crash
+// doesn't count if another part of a prompt at that engine is more suspect: it has more crashes, or
+// as many and stands deeper in the prompt, so that fewer requests have it. Against a part that was
+// answered not long before, only those crashes count after which others were answered, and it wasn't.
+func (t *Table) HoldGuiltyParts(now time.Time) (held []Fingerprint) {
+	for f, record := range t.suspectParts {
+		if t.isGuilty(record, now) {
+			held = append(held, f)
+		}
+	}
+	for _, f := range held {
+		record := t.records[f]
+		t.unindex(record)
+		record.HeldAt = record.lastCrash()
+		t.index(record)
+	}
+	return held
+}
+
+// HasSuspectParts reports whether HoldGuiltyParts may hold back any part.
+func (t *Table) HasSuspectParts() bool { return len(t.suspectParts) > 0 }
+
+func (t *Table) isGuilty(r *Record, now time.Time) bool {
+	sound := r.isSoundPart()
+	if !sound && t.answers.count < minAnswers {
+		return false
+	}
+	weight := 0
+	requests := map[Fingerprint]bool{}
+	for _, crash := range r.Crashes {
+		if sound && !t.isContrasted(r.CrashTime(crash.Engine), now) || t.isCausedByOther(crash, r) {
+			continue
+		}
+		weight += crash.weight()
+		requests[crash.Request] = true
+	}
+	return weight >= holdWeight && len(requests) >= minPartRequests
+}
+
+// isContrasted reports whether a crash is old enough to count against a sound part, and others were
+// answered after it.
+func (t *Table) isContrasted(crashed, now time.Time) bool {
+	return now.Sub(crashed) >= contrastDelay && t.answers.last.After(crashed)
+}
+
+// isCausedByOther reports whether a crash that a part was at was more likely caused by another part.
+func (t *Table) isCausedByOther(crash Crash, r *Record) bool {
+	for _, other := range t.partsAtEngine[crash.Engine] {
+		if other == r || other.isSoundPart() && !r.isSoundPart() {
+			continue
+		}
+		if difference := other.weight() - r.weight(); difference > 0 || difference == 0 && other.depthAt(crash.Engine) > crash.Depth {
+			return true
+		}
+	}
+	return false
+}
+
+// depthAt returns the part's depth in the prompt at a crashed engine.
+func (r *Record) depthAt(engine string) int {
+	index := slices.IndexFunc(r.Crashes, func(crash Crash) bool { return crash.Engine == engine })
+	return r.Crashes[index].Depth
+}
+
+// isPersistentPart reports whether the record of a part belongs in the store. Parts that were answered
+// not long ago are most likely bystanders and do not, unless they are held back.
+func (r *Record) isPersistentPart() bool {
+	return r.isHeldPart() || len(r.Crashes) > 1 && !r.isSoundPart()
+}
--- a/internal/poison/publish.go
+++ b/internal/poison/publish.go
@@ -134,8 +134,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.table.Forget(now)
-	g.hasRecords.Store(g.table.Len() > 0)
-	g.hasHoldable.Store(g.table.HasHoldable())
+	g.updateFlags()
 	if g.options.Report != nil {
 		return // data nodes write to the store
 	}
@@ -171,7 +170,7 @@
 	g.mutex.Lock()
 	record, _ := g.table.Get(f)
 	save := g.belongsInStore(f)
-	_, stored := g.stored[f]
+	inStore, stored := g.stored[f]
 	g.cancelCall = cancel
 	g.pacer.start(g.options.Now())
 	g.mutex.Unlock()
@@ -180,7 +179,7 @@
 	case save:
 		err = g.options.Store.Save(ctx, record)
 	case stored:
-		err = g.options.Store.Remove(ctx, f)
+		err = g.options.Store.Remove(ctx, f, inStore.IsPart())
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -26,11 +27,18 @@
 	// Answering is set if events of the answer had arrived, so that the request may well
 	// be a bystander.
 	Answering bool
+	// Request and Depth are set for parts of prompts: a request with the part that the engine
+	// had, and the number of parts before it there.
+	Request Fingerprint
+	Depth   int
 }
 
-// Record lists the crashes of engines under one request.
+// Record lists the crashes of engines under one request, or under requests that share a part of
+// their prompts.
 type Record struct {
 	Fingerprint Fingerprint
+	// Part is the ID of the part, maybe shortened; empty in the record of a request.
+	Part string
 	// Crashes is sorted by engine.
 	Crashes []Crash
 	// Times has the time of the crash of each engine, in whole milliseconds by the wall
@@ -41,6 +49,12 @@
 	Last time.Time
 	// Served is set once an engine has answered the request completely; Crashes is empty then.
 	Served bool
+
+	// The following are set for parts only. Answered is when an engine last answered a prompt with
+	// the part; crashes up to then are dropped. HeldAt is the time of the last crash for which the
+	// part was held back, and Trials are the times of its trials, in order.
+	Answered, HeldAt time.Time
+	Trials           []time.Time
 }
 
 // weight returns the sum of the weights of the crashes.
@@ -52,19 +66,26 @@
 	return weight
 }
 
-// holdable reports whether the weight suffices for a hold, which may be over by now.
-func (r *Record) holdable() bool { return r.weight() >= holdWeight }
+// holdable reports whether the weight suffices for a hold of the request, which may be over by
+// now.
+func (r *Record) holdable() bool { return !r.IsPart() && r.weight() >= holdWeight }
 
 // retention returns how long the record is kept after Last.
 func (r *Record) retention() time.Duration {
-	if r.holdable() {
+	switch {
+	case r.weight() >= holdWeight:
 		return heldRetention
+	case r.IsPart() && len(r.Crashes) == 0:
+		return soundTime
 	}
 	return suspectRetention
 }
 
 // merge adds another record of the same request and reports whether that changed r.
 func (r *Record) merge(other *Record) bool {
+	if r.IsPart() {
+		return r.mergePart(other)
+	}
 	if r.Served {
 		return false
 	}
@@ -95,9 +116,10 @@
 	return cmp.Or(r.CrashTime(x.Engine).Compare(r.CrashTime(y.Engine)), cmp.Compare(x.Engine, y.Engine))
 }
 
-// sameCrashes reports whether two records list the same crashes with the same times.
+// sameCrashes reports whether two records list the same crashes with the same times, and for a part
+// the same hold and trials.
 func (r *Record) sameCrashes(other *Record) bool {
-	return slices.EqualFunc(r.Crashes, other.Crashes, func(x, y Crash) bool {
+	return r.HeldAt.Equal(other.HeldAt) && slices.EqualFunc(r.Trials, other.Trials, time.Time.Equal) && slices.EqualFunc(r.Crashes, other.Crashes, func(x, y Crash) bool {
 		return x == y && r.CrashTime(x.Engine).Equal(other.CrashTime(y.Engine))
 	})
 }
@@ -123,7 +145,8 @@
 }
 
 // combine merges another report of a crash and reports whether that changed r. If the nodes
-// disagree on whether the engine was answering, it was not; of two times the earlier one counts.
+// disagree on whether the engine was answering, it was not; of two times the earlier one counts,
+// of two requests or depths the lower one.
 func (r *Record) combine(index int, other Crash, at time.Time) bool {
 	known := &r.Crashes[index]
 	changed := false
@@ -131,6 +154,14 @@
 		known.Answering = false
 		changed = true
 	}
+	if bytes.Compare(other.Request[:], known.Request[:]) < 0 {
+		known.Request = other.Request
+		changed = true
+	}
+	if other.Depth < known.Depth {
+		known.Depth = other.Depth
+		changed = true
+	}
 	if at.Before(r.CrashTime(other.Engine)) {
 		r.Times[other.Engine] = at
 		changed = true
@@ -143,6 +174,7 @@
 	copied := *r
 	copied.Crashes = slices.Clone(r.Crashes)
 	copied.Times = maps.Clone(r.Times)
+	copied.Trials = slices.Clone(r.Trials)
 	return copied
 }
 
@@ -153,11 +185,20 @@
 	// atEngine has the records that list a crash of an engine.
 	atEngine map[string]map[Fingerprint]*Record
 	holdable int // number of holdable records
+	// partsAtEngine is atEngine for parts of prompts. suspectParts are those that enough crashes
+	// count against for a hold, and heldParts is the number of those that are held back.
+	partsAtEngine map[string]map[Fingerprint]*Record
+	suspectParts  map[Fingerprint]*Record
+	heldParts     int
+	answers       answerLog // of this node
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Fingerprint]*Record{}, atEngine: map[string]map[Fingerprint]*Record{}}
+	return &Table{
+		records: map[Fingerprint]*Record{}, atEngine: map[string]map[Fingerprint]*Record{},
+		partsAtEngine: map[string]map[Fingerprint]*Record{}, suspectParts: map[Fingerprint]*Record{},
+	}
 }
 
 // Len returns the number of records.
@@ -172,6 +213,9 @@
 // HasHoldable reports whether any request may be held back.
 func (t *Table) HasHoldable() bool { return t.holdable > 0 }
 
+// HeldParts returns the number of parts of prompts that are held back.
+func (t *Table) HeldParts() int { return t.heldParts }
+
 // CountHeld returns the number of requests that are held back, without release delays.
 func (t *Table) CountHeld(now time.Time) int {
 	count := 0
@@ -208,9 +252,12 @@
 		if len(t.records) >= maxRecords {
 			t.evict()
 		}
-		known = &Record{Fingerprint: record.Fingerprint}
+		known = &Record{Fingerprint: record.Fingerprint, Part: record.Part}
 		t.records[record.Fingerprint] = known
 	}
+	if at := t.answers.lastAnswer(record.Fingerprint); at.After(record.Answered) {
+		record.Answered = at
+	}
 	t.unindex(known)
 	changed := known.merge(&record)
 	t.index(known)
@@ -230,23 +277,42 @@
 	if r.holdable() {
 		t.holdable++
 	}
+	if r.isHeldPart() {
+		t.heldParts++
+	} else if r.IsPart() && r.weight() >= holdWeight {
+		t.suspectParts[r.Fingerprint] = r
+	}
+	atEngine := t.recordsAtEngine(r)
 	for _, crash := range r.Crashes {
-		if t.atEngine[crash.Engine] == nil {
-			t.atEngine[crash.Engine] = map[Fingerprint]*Record{}
+		if atEngine[crash.Engine] == nil {
+			atEngine[crash.Engine] = map[Fingerprint]*Record{}
 		}
-		t.atEngine[crash.Engine][r.Fingerprint] = r
+		atEngine[crash.Engine][r.Fingerprint] = r
 	}
 }
 
+// recordsAtEngine returns the index by engine of requests, or of parts if r is one.
+func (t *Table) recordsAtEngine(r *Record) map[string]map[Fingerprint]*Record {
+	if r.IsPart() {
+		return t.partsAtEngine
+	}
+	return t.atEngine
+}
+
 // unindex undoes index.
 func (t *Table) unindex(r *Record) {
 	if r.holdable() {
 		t.holdable--
 	}
+	if r.isHeldPart() {
+		t.heldParts--
+	}
+	delete(t.suspectParts, r.Fingerprint)
+	atEngine := t.recordsAtEngine(r)
 	for _, crash := range r.Crashes {
-		delete(t.atEngine[crash.Engine], r.Fingerprint)
-		if len(t.atEngine[crash.Engine]) == 0 {
-			delete(t.atEngine, crash.Engine)
+		delete(atEngine[crash.Engine], r.Fingerprint)
+		if len(atEngine[crash.Engine]) == 0 {
+			delete(atEngine, crash.Engine)
 		}
 	}
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -114,7 +114,7 @@
 // first event.
 func TestTableDoesNotHoldBystanderOfThreeCrashes(t *testing.T) {
 	table := NewTable()
-	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{"e1", true}, {"e3", true}, {"e4", false}}})
+	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{Engine: "e1", Answering: true}, {Engine: "e3", Answering: true}, {Engine: "e4", Answering: false}}})
 	if _, held := table.HeldUntil(print(1), noon); held {
 		t.Error("held back")
 	}
@@ -124,12 +124,12 @@
 // crashThreshold in number.
 func TestTableFirstHoldIsShortAfterFourCrashes(t *testing.T) {
 	table := NewTable()
-	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{"e1", false}, {"e2", true}, {"e3", false}, {"e4", true}}})
+	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{Engine: "e1", Answering: false}, {Engine: "e2", Answering: true}, {Engine: "e3", Answering: false}, {Engine: "e4", Answering: true}}})
 	until, held := table.HeldUntil(print(1), noon)
 	if !held || !until.Equal(noon.Add(firstHold)) {
 		t.Errorf("held %v until %v", held, until)
 	}
-	table.Merge(Record{Fingerprint: print(1), Last: noon.Add(firstHold), Crashes: []Crash{{"e5", true}}})
+	table.Merge(Record{Fingerprint: print(1), Last: noon.Add(firstHold), Crashes: []Crash{{Engine: "e5", Answering: true}}})
 	if until, held := table.HeldUntil(print(1), noon.Add(firstHold)); !held || !until.Equal(noon.Add(firstHold+heldRetention)) {
 		t.Errorf("after the fifth crash: held %v until %v", held, until)
 	}
@@ -138,7 +138,7 @@
 // Guards against a first hold of 24 hours where five crashes come before any hold.
 func TestTableFirstHoldIsShortAfterFiveCrashes(t *testing.T) {
 	table := NewTable()
-	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{"e1", false}, {"e2", true}, {"e3", true}, {"e4", true}, {"e5", true}}})
+	table.Merge(Record{Fingerprint: print(1), Last: noon, Crashes: []Crash{{Engine: "e1", Answering: false}, {Engine: "e2", Answering: true}, {Engine: "e3", Answering: true}, {Engine: "e4", Answering: true}, {Engine: "e5", Answering: true}}})
 	if until, held := table.HeldUntil(print(1), noon); !held || !until.Equal(noon.Add(firstHold)) {
 		t.Errorf("held %v until %v", held, until)
 	}
--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -18,6 +18,8 @@
 const (
 	kindPoisonReport transport.Kind = transport.KindPoison + iota // call to a data node
 	kindPoisonSpread                                              // from a data node
+	kindPartReport                                                // kindPoisonReport for parts of prompts
+	kindPartSpread                                                // kindPoisonSpread for parts of prompts
 )
 
 const (
@@ -50,9 +52,15 @@
 	c.peers.HandleMessage(kindPoisonSpread, func(from transport.Address, payload []byte) {
 		_ = c.guard.Receive(from, payload, false) // it logs decoding errors
 	})
+	c.peers.HandleMessage(kindPartSpread, func(from transport.Address, payload []byte) {
+		_ = c.guard.ReceiveParts(from, payload, false) // it logs decoding errors
+	})
 	if !dataNode {
 		return
 	}
+	c.peers.HandleCall(kindPartReport, func(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
+		return nil, trace.Wrap(c.guard.ReceiveParts(from, payload, true), "report of peer %s", from)
+	})
 	c.peers.HandleCall(kindPoisonReport, func(_ context.Context, from transport.Address, payload []byte) ([]byte, error) {
 		return nil, trace.Wrap(c.guard.Receive(from, payload, true), "report of peer %s", from)
 	})
@@ -88,12 +96,10 @@
 		return 2
 	}
 	slices.SortStableFunc(nodes, func(x, y mirror.Node) int { return distance(x) - distance(y) })
-	message := poison.Marshal(records)
+	messages := poisonMessages(records, kindPoisonReport, kindPartReport)
 	failure := errNoDataNode
 	for _, node := range nodes {
-		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, err := c.peers.Call(callCtx, node.Address, kindPoisonReport, message)
-		cancel()
+		err := c.reportMessages(ctx, node.Address, messages)
 		if err == nil {
 			return nil
 		}
@@ -102,10 +108,47 @@
 	return failure
 }
 
+// reportMessages sends messages to a data node and returns once it has them.
+func (c *core) reportMessages(ctx context.Context, to transport.Address, messages []poisonMessage) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	for _, message := range messages {
+		if _, err := c.peers.Call(ctx, to, message.kind, message.payload); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// poisonMessage is an encoded message of records.
+type poisonMessage struct {
+	kind    transport.Kind
+	payload []byte
+}
+
+// poisonMessages encodes records of requests and of parts of prompts in messages of the given kinds.
+func poisonMessages(records []poison.Record, requestKind, partKind transport.Kind) (messages []poisonMessage) {
+	var requests, parts []poison.Record
+	for i := range records {
+		if records[i].IsPart() {
+			parts = append(parts, records[i])
+		} else {
+			requests = append(requests, records[i])
+		}
+	}
+	if len(requests) > 0 {
+		messages = append(messages, poisonMessage{requestKind, poison.Marshal(requests)})
+	}
+	if len(parts) > 0 {
+		messages = append(messages, poisonMessage{partKind, poison.MarshalParts(parts)})
+	}
+	return messages
+}
+
 // spreadPoison sends records to the nodes that recently pulled from this one and, if
 // toDataNodes is set, to all data nodes.
 func (c *core) spreadPoison(records []poison.Record, toDataNodes bool) {
-	message := poison.Marshal(records)
+	messages := poisonMessages(records, kindPoisonSpread, kindPartSpread)
 	self := c.self().Address
 	targets := c.agent.RecentPullers()
 	if toDataNodes {
@@ -115,8 +158,10 @@
 	}
 	slices.Sort(targets)
 	for _, target := range slices.Compact(targets) {
-		if target != self {
-			c.peers.Send(target, kindPoisonSpread, message)
+		for _, message := range messages {
+			if target != self {
+				c.peers.Send(target, message.kind, message.payload)
+			}
 		}
 	}
 }
@@ -131,6 +176,7 @@
 func (c *core) registerPoisonMetrics() {
 	c.registerGauges(map[string]gauge{
 		"chutelock_requests_held_back":         {"Requests, by their fingerprints, that get to no engine as too many ended under them.", func() float64 { return float64(c.guard.HeldBack()) }},
-		"chutelock_requests_held_back_refused": {"How often such a request was kept from an engine here.", func() float64 { return float64(c.guard.Refused()) }},
+		"chutelock_prompt_parts_held_back":     {"Parts of prompts that get to no engine as engines crashed under requests that share them.", func() float64 { return float64(c.guard.HeldParts()) }},
+		"chutelock_requests_held_back_refused": {"How often a request that is held back, or whose prompt is, was kept from an engine here.", func() float64 { return float64(c.guard.Refused()) }},
 	})
 }
