An answer that ends with its connection is checked for a crash of its engine

What callers saw: a stream without length or chunks ended as whole, 200 and all, where its engine had crashed between two events, or before the first one.

Cause: the end of the connection was taken for the end of the answer. A crash closes connections as well, and where the answer has neither a length nor chunks nothing else tells them apart; so that crash wasn't counted against the request or its parts either.

The fix: such an answer is cut off if it has no content, or its engine refuses connections. Runs of items do the same.

Left: an engine that crashes between two events while its address still takes connections.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -170,6 +170,9 @@
 	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: response, start: r.node.readStart, interval: r.node.readInterval})
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !response.Framed {
+			err = r.checkEnd(ctx)
+		}
 		if errors.Is(err, io.EOF) {
 			r.result.done = true
 			if response.Framed && r.answering {
@@ -207,6 +210,15 @@
 	}
 }
 
+// checkEnd returns io.EOF if a response that ended with its connection seems whole. It was probably cut
+// off if the item has no text or its engine has crashed.
+func (r *itemRun) checkEnd(ctx context.Context) error {
+	if r.last == 0 || r.node.guard.EngineCrashed(ctx, r.engine) {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
 // add appends an event's data, separated as the store separates committed parts.
 func (r *itemRun) add(event forward.Event) {
 	if r.last > r.committed {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -69,7 +69,7 @@
 		defer func() { fl.next = watch.stop(lease) }()
 		return fl.sendStream(exchangeCtx, lease, response, silence, watch)
 	}
-	return fl.sendResponse(engine, response)
+	return fl.sendResponse(exchangeCtx, engine, response)
 }
 
 // reportResumed reports that a stream which already has events is sent to an engine.
@@ -111,9 +111,11 @@
 }
 
 var (
-	errEngineSilent = errors.New("no data from the engine within the silence timeout")
-	errRegions      = errors.New("the engine's region is no longer allowed for the request")
-	errRelease      = errors.New("the engine's software isn't of the release that began the stream")
+	errEngineSilent  = errors.New("no data from the engine within the silence timeout")
+	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
+	errEngineCrashed = errors.New("the engine crashed as its response ended with the connection")
+	errRegions       = errors.New("the engine's region is no longer allowed for the request")
+	errRelease       = errors.New("the engine's software isn't of the release that began the stream")
 )
 
 type statusError int
@@ -199,8 +201,11 @@
 	return impliesNotRun(status) && !fl.route.MayRunAgain()
 }
 
-func (fl *inflight) sendResponse(engine catalog.Engine, response *upstream.Response) (attemptResult, bool) {
+func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response) (attemptResult, bool) {
 	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
+	if err == nil {
+		err = fl.checkEnd(ctx, engine, len(body) > 0)
+	}
 	if err != nil {
 		return attemptResult{kind: OutcomeUnknown, cause: err}, false
 	}
@@ -211,6 +216,20 @@
 	return attemptResult{}, true
 }
 
+// checkEnd returns an error if a response that ended with its connection was probably cut off: it has
+// no content, not even from an earlier engine, or its engine has crashed.
+func (fl *inflight) checkEnd(ctx context.Context, engine catalog.Engine, hasContent bool) error {
+	switch {
+	case fl.framed:
+		return nil
+	case !hasContent:
+		return errEmptyResponse
+	case fl.Guard.EngineCrashed(ctx, engine):
+		return errEngineCrashed
+	}
+	return nil
+}
+
 // responseSent ends a request after its whole response was written to the caller; err is
 // the result of the last write.
 func (fl *inflight) responseSent(err error) {
@@ -226,6 +245,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if err := fl.checkEnd(ctx, lease.Engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
+				return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+			}
 			fl.Balancer.RecordSuccess(lease.Engine.ID)
 			fl.answered = fl.receivedEvent
 			return fl.endStream(response), true
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -175,6 +175,11 @@
 	Prompt *Prompt
 }
 
+// EngineCrashed reports whether an engine seems to have crashed.
+func (g *Guard) EngineCrashed(ctx context.Context, engine catalog.Engine) bool {
+	return g != nil && g.options.EngineCrashed(ctx, engine)
+}
+
 // ConnectionLost records a crash against the request of a lost connection if the engine has
 // crashed. It returns after the first check; an engine that seems to run is rechecked later.
 func (g *Guard) ConnectionLost(ctx context.Context, lost LostConnection) {
