A crowded front node sheds new connections unread, and bounds open ones

What callers may see: while a load balancer hands most new connections of a region to one front node, that node reads more requests than it can serve in time, and runs out of descriptors for engines.

Cause: the callers' listener took each connection at once; nothing knew how busy the node is, or how many connections are open.

The fix: a gate at the listener. While the node has twice its even share of the online requests in flight and timers fire late, a growing share of new connections is closed unread, at most nine in ten; a caller whose connection is closed unread tries another node at once. At a bound from descriptors and memory the longest idle connection makes room for a new one. Nothing is shed while all nodes are equally busy, and open connections are served as before.

--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// Online returns the number of online requests in flight.
+func (r Report) Online() (requests int) {
+	for _, load := range r {
+		requests += load.Counts[ClassOnline]
+	}
+	return requests
+}
+
 const (
 	reportVersion = 5
 	// maxReportEngines bounds the number of engines in a report so that it fits into a
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -122,6 +122,9 @@
 	// Metrics is the address that serves /metrics in the "objects" dialect; empty
 	// disables it.
 	Metrics string `koanf:"metrics" validate:"omitempty,ip_port"`
+	// Descriptors is how many sockets and files the process may have open, from which the bound on
+	// callers' connections follows in the "objects" dialect; 0 if unknown.
+	Descriptors int `koanf:"descriptors" validate:"min=0"`
 }
 
 // PeerAddress returns the address at which peers reach the node.
@@ -226,6 +229,7 @@
 	"listen.callers":        "127.0.0.1:0",
 	"listen.operators":      "127.0.0.1:0",
 	"listen.peers":          "127.0.0.1:0",
+	"listen.descriptors":    0,
 	"drain.timeout":         "60s",
 	"ledger.shards":         8,
 	"ledger.copies":         5,
--- /dev/null
+++ b/internal/edge/gate.go
@@ -0,0 +1,169 @@
+package edge
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chutelock.dev/chutelock/internal/telemetry"
+)
+
+var (
+	eventShedding     = telemetry.Define(2310, "connections-shed", "A load balancer sends this node more new connections than it can serve: some are closed unread, so that their callers try other nodes.")
+	eventSheddingOver = telemetry.Define(2311, "connections-not-shed", "New connections are no longer closed unread for want of processor time; gives how many were.")
+)
+
+const (
+	// sampleInterval is the time between two samples of the processor's load.
+	sampleInterval = 20 * time.Millisecond
+)
+
+// Gate is a listener for callers' connections that bounds how many are open, and closes new ones unread
+// if the node is crowded and can't keep up. A caller whose connection is closed unread tries another
+// node at once, which is better than to be read and answered late.
+type Gate struct {
+	net.Listener
+	// MaxConnections bounds the open connections; 0 means no bound. At the bound the connection that is
+	// idle for longest makes room for a new one.
+	MaxConnections int
+	// Crowded reports whether this node has more than its even share of the callers; nil means never.
+	Crowded func() bool
+
+	shed    atomic.Int64 // connections closed for want of processor time
+	evicted atomic.Int64 // idle connections closed for new ones, and new ones closed as none was idle
+	closed  atomic.Bool
+	tasks   sync.WaitGroup
+
+	mutex    sync.Mutex // guards the fields below; a leaf
+	shedder  shedder
+	open     map[net.Conn]*list.Element // element of idle, or nil
+	idle     list.List                  // of net.Conn, idle for longest first
+	sampling bool
+	accepted int // since the last sample
+}
+
+// NewGate returns a gate that bounds the open connections; 0 means no bound. Its Listener has to be
+// set before it is used.
+func NewGate(maxConnections int) *Gate {
+	return &Gate{MaxConnections: maxConnections, open: map[net.Conn]*list.Element{}}
+}
+
+// Accept implements net.Listener.
+func (g *Gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if g.admit(conn) {
+			return conn, nil
+		}
+		conn.Close()
+	}
+}
+
+// Close closes the listener and waits for the gate's goroutine.
+func (g *Gate) Close() error {
+	g.mutex.Lock()
+	g.closed.Store(true) // under the mutex, so that no goroutine starts from here on
+	g.mutex.Unlock()
+	err := g.Listener.Close()
+	g.tasks.Wait()
+	return err
+}
+
+// admit reports whether a new connection is served.
+func (g *Gate) admit(conn net.Conn) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.accepted++
+	if !g.sampling && !g.closed.Load() {
+		g.sampling = true
+		g.tasks.Go(g.sample)
+	}
+	if g.shedder.sheds(rand.Float64()) {
+		g.shed.Add(1)
+		return false
+	}
+	if g.MaxConnections > 0 && len(g.open) >= g.MaxConnections {
+		g.evicted.Add(1)
+		oldest := g.idle.Front()
+		if oldest == nil {
+			return false
+		}
+		evicted := oldest.Value.(net.Conn)
+		g.remove(evicted)
+		defer evicted.Close()
+	}
+	g.open[conn] = nil
+	return true
+}
+
+// TrackState is the ConnState function of the server that serves the gate's connections.
+func (g *Gate) TrackState(conn net.Conn, state http.ConnState) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	element, known := g.open[conn]
+	if !known {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		if element == nil {
+			g.open[conn] = g.idle.PushBack(conn)
+		}
+	case http.StateActive:
+		if element != nil {
+			g.idle.Remove(element)
+			g.open[conn] = nil
+		}
+	case http.StateClosed, http.StateHijacked:
+		g.remove(conn)
+	}
+}
+
+// remove forgets a connection; the caller holds the mutex.
+func (g *Gate) remove(conn net.Conn) {
+	if element := g.open[conn]; element != nil {
+		g.idle.Remove(element)
+	}
+	delete(g.open, conn)
+}
+
+// sample feeds the shedder while many connections are accepted.
+func (g *Gate) sample() {
+	for before := time.Now(); ; before = time.Now() {
+		time.Sleep(sampleInterval)
+		if !g.observe(time.Since(before) - sampleInterval) {
+			return
+		}
+	}
+}
+
+// observe passes a sample to the shedder and reports whether to go on.
+func (g *Gate) observe(lateness time.Duration) bool {
+	crowded := g.Crowded != nil && g.Crowded()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	before := g.shedder.share
+	g.shedder.observe(lateness, crowded)
+	if before == 0 && g.shedder.share > 0 {
+		eventShedding.Info("lateness", lateness, "accepted", g.accepted, "open", len(g.open))
+	} else if before > 0 && g.shedder.share == 0 {
+		eventSheddingOver.Info("shed", g.shed.Load(), "open", len(g.open))
+	}
+	busy := g.accepted > 0 || g.shedder.share > 0
+	g.accepted = 0
+	g.sampling = busy && !g.closed.Load()
+	return g.sampling
+}
+
+// Shed returns how many connections were closed unread for want of processor time.
+func (g *Gate) Shed() int64 { return g.shed.Load() }
+
+// Evicted returns how many connections were closed at the bound on open connections.
+func (g *Gate) Evicted() int64 { return g.evicted.Load() }
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -266,12 +266,17 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	serveOn(listener, server)
+	return nil
+}
+
+// serveOn serves a listener until the server is closed.
+func serveOn(listener net.Listener, server *http.Server) {
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			eventListenerFailed.Error(err, "address", address)
+			eventListenerFailed.Error(err, "address", listener.Addr())
 		}
 	}()
-	return nil
 }
 
 // EventSettingsRefused is logged by the program that reads the settings file.
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
@@ -35,6 +38,10 @@
 	drainMargin = 700 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
+	// connectionMemory is the memory of a caller's connection: its buffers and goroutine.
+	connectionMemory = 24 << 10
+	// crowdFactor is the share of the load, relative to an even one, from which a node is crowded.
+	crowdFactor = 2
 )
 
 // front is a front node, which serves callers.
@@ -42,6 +49,7 @@
 	*core
 	edge         *edge.Edge
 	callers      *http.Server
+	gate         *edge.Gate // of callers' connections
 	readiness    *http.Server
 	draining     atomic.Bool
 	quota        *quotaEnforcer
@@ -54,6 +62,7 @@
 	lastReport     balance.Report    // the last load sent
 	relay          transport.Address // the data node that gets load reports
 	sumReceived    chan struct{}     // closed when a sum arrives
+	loadShare      float64           // of this node by the last sum, relative to an even share
 }
 
 func openFront(settings *config.Node, adapter *Adapter) (*front, error) {
@@ -103,6 +112,9 @@
 	f.callers = &http.Server{
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	f.gate = edge.NewGate(maxConnections(settings))
+	f.gate.Crowded = f.crowded
+	f.callers.ConnState = f.gate.TrackState
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -112,6 +124,10 @@
 	f.balancer.Permit = permits.permit
 	f.peers.HandleDatagram(kindPermitAnswer, permits.handleAnswer)
 	f.registerGauges(permits.gauges())
+	f.registerGauges(map[string]gauge{
+		"chutelock_connections_shed_total":    {"Callers' new connections that were closed unread, as the node was crowded and short of processor time.", func() float64 { return float64(f.gate.Shed()) }},
+		"chutelock_connections_evicted_total": {"Callers' idle connections that were closed to make room for new ones, and new ones without room.", func() float64 { return float64(f.gate.Evicted()) }},
+	})
 	f.registerGauges(map[string]gauge{
 		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
 			return float64(f.balancer.StreamsMoved.Load())
@@ -120,6 +136,35 @@
 	return f, nil
 }
 
+// maxConnections returns the bound on callers' connections; 0 if the settings imply none. The rest of
+// the descriptors is for engines and peers.
+func maxConnections(settings *config.Node) int {
+	byDescriptors := settings.Listen.Descriptors * 3 / 5
+	byMemory := settings.Memory.Limit << 20 / 4 / connectionMemory
+	if byDescriptors == 0 || byMemory == 0 {
+		return max(byDescriptors, byMemory)
+	}
+	return min(byDescriptors, byMemory)
+}
+
+// crowded reports whether this node has at least crowdFactor times its even share of the online requests
+// in flight, as of the last sum of the load.
+func (f *front) crowded() bool {
+	f.pickerMutex.Lock()
+	defer f.pickerMutex.Unlock()
+	return f.loadShare >= crowdFactor
+}
+
+// loadShare returns a node's online requests in flight, relative to an even share of those of all front
+// nodes; 0 if there are none.
+func loadShare(own balance.Report, sum loadshare.Sum) float64 {
+	mine, all := own.Online(), sum.Load.Online()
+	if all == 0 {
+		return 0
+	}
+	return float64(mine) * float64(sum.Fronts) / float64(max(mine, all))
+}
+
 // nearReplica picks the replica of the ledger in this node's zone, or else in its
 // region: results are read more often than written, and traffic between zones and
 // regions is costly.
@@ -186,7 +231,13 @@
 			return err
 		}
 	}
-	return serve(f.settings.Listen.Callers, f.callers)
+	listener, err := net.Listen("tcp", f.settings.Listen.Callers)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	f.gate.Listener = listener
+	serveOn(f.gate, f.callers)
+	return nil
 }
 
 // Drain implements Node. The node reports that it is not ready, accepts requests for
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -181,6 +181,7 @@
 	f.pickerMutex.Lock()
 	defer f.pickerMutex.Unlock()
 	if f.receiverPicker.ReceiveSum(from, sum, clock.Now()) {
+		f.loadShare = loadShare(f.lastReport, sum)
 		f.balancer.SetPeerLoad("others", sum.Load.Without(f.lastReport))
 	}
 	close(f.sumReceived)
