An answer that goes on for a second clears the parts of its prompt

A part of prompts that nobody has seen answered yet, such as that of a batch job whose items have just begun, was suspect at each engine that crashed for another reason: six at a time, a rack or a zone, hold it back. A poison part crashes its engine as the answer begins, so an answer that goes on for a second shows that its parts are sound, long before it ends.

Trials come 5 s and 45 s after the hold: one engine each, and what is held wrongly waits less. Tests of the decision and of trials over several nodes.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -192,6 +192,7 @@
 			return r.handleInterruption(ctx, err, isClosed(silence))
 		}
 		timer.Reset(engineSilenceTimeout)
+		r.node.guard.EventReceived(r.prompt)
 		if !event.HasID || event.ID <= r.last {
 			continue
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,6 +38,7 @@
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (attemptResult, bool) {
 	engine := lease.Engine
 	fl.receivedEvent, fl.framed, fl.answered = false, false, false
+	fl.prompt.BeginAttempt()
 	if err := fl.checkSend(lease); err != nil {
 		return attemptResult{kind: OutcomeNotSent, cause: err, withheld: true}, false
 	}
@@ -261,6 +262,7 @@
 		silence.Reset()
 		lease.PrefillDone()
 		fl.receivedEvent = true
+		fl.Guard.EventReceived(fl.prompt)
 		watch.event(event.HasID)
 		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
 			continue
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -27,6 +27,9 @@
 // String returns the hexadecimal form used in logs and in the platform's store.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
 var errInvalidFingerprint = errors.New("poison: invalid fingerprint")
 
 // ParseFingerprint is the inverse of String.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -340,7 +340,7 @@
 	case after && !before && record.IsPart():
 		g.logPartHeld(f)
 	case before && !after && record.IsPart():
-		eventPartReleased.Info("part", record.Part, "fingerprint", f, "sound", len(record.Crashes) == 0)
+		eventPartReleased.Info("part", record.Part, "fingerprint", f, "sound", len(record.suspectCrashes()) == 0)
 	case after && !before:
 		eventHeld.Info("fingerprint", f, "ends", record.Crashes, "until", until)
 	case before && !after:
@@ -422,7 +422,7 @@
 	}
 	record, _ := g.table.Get(f)
 	_, isStored := g.stored[f]
-	return isStored && len(record.Crashes) > 0
+	return isStored && len(record.suspectCrashes()) > 0
 }
 
 func signal(channel chan struct{}) {
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 const waitTimeout = 10 * time.Second
@@ -72,7 +74,24 @@
 	data        *Guard
 	fronts      []*Guard
 	mutex       sync.Mutex
-	reportsFail bool // reports do not reach the data node
+	reportsFail bool         // reports do not reach the data node
+	ahead       atomic.Int64 // how far the nodes' clocks are ahead, in nanoseconds
+}
+
+// now is the nodes' clock.
+func (c *testCluster) now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
+
+// deliver passes records to a guard in messages, as nodes do.
+func deliver(to *Guard, from transport.Address, records []Record, toDataNodes bool) error {
+	var requests, parts []Record
+	for _, record := range records {
+		if record.IsPart() {
+			parts = append(parts, record)
+		} else {
+			requests = append(requests, record)
+		}
+	}
+	return errors.Join(to.Receive(from, Marshal(requests), toDataNodes), to.ReceiveParts(from, MarshalParts(parts), toDataNodes))
 }
 
 func newTestCluster(t *testing.T, fronts int) *testCluster {
@@ -84,7 +103,7 @@
 	}
 	c.data = c.newGuard(Options{Spread: func(records []Record, _ bool) {
 		for _, front := range c.fronts {
-			_ = front.Receive("data", Marshal(records), false)
+			_ = deliver(front, "data", records, false)
 		}
 	}})
 	for i := range fronts {
@@ -98,7 +117,7 @@
 }
 
 func (c *testCluster) newGuard(options Options) *Guard {
-	options.Store, options.Now = c.store, time.Now
+	options.Store, options.Now = c.store, c.now
 	options.EngineCrashed = func(_ context.Context, engine catalog.Engine) bool { return engine.Address != "up" }
 	return NewGuard(options)
 }
@@ -111,7 +130,7 @@
 		if fail {
 			return errors.New("data node unreachable")
 		}
-		return c.data.Receive("front", Marshal(records), true)
+		return deliver(c.data, "front", records, true)
 	}})
 }
 
--- a/internal/poison/hold.go
+++ b/internal/poison/hold.go
@@ -183,14 +183,14 @@
 	return suspects
 }
 
-// firstCrash returns the time of the earliest crash.
+// firstCrash returns the time of the earliest crash that counts.
 func (r *Record) firstCrash() time.Time {
-	return r.CrashTime(slices.MinFunc(r.Crashes, r.compareTime).Engine)
+	return r.CrashTime(slices.MinFunc(r.suspectCrashes(), r.compareTime).Engine)
 }
 
-// lastCrash returns the time of the latest crash.
+// lastCrash returns the time of the latest crash that counts.
 func (r *Record) lastCrash() time.Time {
-	return r.CrashTime(slices.MaxFunc(r.Crashes, r.compareTime).Engine)
+	return r.CrashTime(slices.MaxFunc(r.suspectCrashes(), r.compareTime).Engine)
 }
 
 // Persistent reports whether the record of a request belongs in the store. Most records with
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -22,7 +22,11 @@
 
 // trialDelays are the times from the last crash or trial to the next trial. There are no more
 // trials than delays, so that a poison part crashes no more engines after its hold.
-var trialDelays = [...]time.Duration{15 * time.Second, 2 * time.Minute}
+var trialDelays = [...]time.Duration{5 * time.Second, 45 * time.Second}
+
+// survivalTime is how long after its first event an answer shows that the parts of its prompt
+// don't crash engines: a poison part does as the engine begins to answer.
+const survivalTime = time.Second
 
 // PartFingerprint returns the fingerprint of the part of prompts with an ID. It doesn't depend
 // on the caller, as engines share the memory of a part among callers, too.
@@ -42,6 +46,10 @@
 	// trial is the part that the request may try at one engine although it is held back; zero
 	// if there is none.
 	trial Fingerprint
+	// begun is the time of the first event of the answer under way, and sound is set once it has
+	// gone on for survivalTime.
+	begun time.Time
+	sound bool
 }
 
 // NewPrompt returns a prompt with the given IDs of shared parts, in order.
@@ -55,6 +63,26 @@
 	return p.ids
 }
 
+// BeginAttempt notes that the request is sent to an engine.
+func (p *Prompt) BeginAttempt() {
+	if p != nil {
+		p.begun, p.sound = time.Time{}, false
+	}
+}
+
+// survives notes an event of the answer and reports whether it is the first one that shows the parts to
+// be sound.
+func (p *Prompt) survives(now time.Time) bool {
+	switch {
+	case p == nil || p.sound:
+		return false
+	case p.begun.IsZero():
+		p.begun = now
+	}
+	p.sound = now.Sub(p.begun) >= survivalTime
+	return p.sound
+}
+
 // EndTrial ends the trial of a part: the request has been sent.
 func (p *Prompt) EndTrial() {
 	if p != nil {
@@ -76,8 +104,11 @@
 }
 
 // crashRecords returns the records of a crash for the parts of the prompt. request is the
-// fingerprint of the whole request.
+// fingerprint of the whole request. There are none if its answer shows the parts to be sound.
 func (p *Prompt) crashRecords(request Fingerprint, engine string, answering bool, at time.Time) (records []Record) {
+	if p != nil && p.sound {
+		return nil
+	}
 	for depth, f := range p.fingerprints() {
 		if slices.Contains(p.parts[:depth], f) {
 			continue
@@ -95,15 +126,12 @@
 func (r *Record) IsPart() bool { return r.Part != "" }
 
 // mergePart adds another record of the same part and reports whether that changed r. Answered
-// and HeldAt only grow, and crashes up to Answered don't count any more, so that the result
-// doesn't depend on the order of merges.
+// and HeldAt only grow, and crashes up to Answered are kept but don't count any more, so that the
+// result doesn't depend on the order of merges.
 func (r *Record) mergePart(other *Record) bool {
 	changed := r.setAnswered(other.Answered)
 	for _, crash := range other.Crashes {
-		at := other.CrashTime(crash.Engine)
-		if at.After(r.Answered) {
-			changed = r.add(crash, at) || changed
-		}
+		changed = r.add(crash, other.CrashTime(crash.Engine)) || changed
 	}
 	if other.HeldAt.After(r.HeldAt) {
 		r.HeldAt, changed = other.HeldAt, true
@@ -120,7 +148,7 @@
 	return changed
 }
 
-// setAnswered notes an answer to a prompt with the part and drops the crashes up to then.
+// setAnswered notes an answer to a prompt with the part.
 func (r *Record) setAnswered(at time.Time) bool {
 	if !at.After(r.Answered) {
 		return false
@@ -129,25 +157,32 @@
 	if at.After(r.Last) {
 		r.Last = at
 	}
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(crash Crash) bool {
-		cleared := !r.CrashTime(crash.Engine).After(at)
-		if cleared {
-			delete(r.Times, crash.Engine)
-		}
-		return cleared
-	})
 	return true
 }
 
+// suspectCrashes returns the crashes that count: for a part those after the last answer.
+func (r *Record) suspectCrashes() []Crash {
+	if r.Answered.IsZero() {
+		return r.Crashes
+	}
+	var crashes []Crash
+	for _, crash := range r.Crashes {
+		if r.CrashTime(crash.Engine).After(r.Answered) {
+			crashes = append(crashes, crash)
+		}
+	}
+	return crashes
+}
+
 // isHeldPart reports whether the part is held back.
 func (r *Record) isHeldPart() bool {
-	return r.IsPart() && r.HeldAt.After(r.Answered) && len(r.Crashes) > 0
+	return r.IsPart() && r.HeldAt.After(r.Answered) && len(r.suspectCrashes()) > 0
 }
 
 // isSoundPart reports whether a prompt with the part was answered not long before its first crash
 // that counts.
 func (r *Record) isSoundPart() bool {
-	return len(r.Crashes) == 0 || r.firstCrash().Sub(r.Answered) < soundTime
+	return len(r.suspectCrashes()) == 0 || r.firstCrash().Sub(r.Answered) < soundTime
 }
 
 // trials returns the times of the trials since the last answer.
@@ -194,10 +229,10 @@
 	t.answers.add(parts, now)
 	for _, f := range parts {
 		record := t.records[f]
-		if record == nil || len(record.Crashes) == 0 {
+		if record == nil || len(record.suspectCrashes()) == 0 {
 			continue
 		}
-		last, several := record.lastCrash(), len(record.Crashes) > 1
+		last, several := record.lastCrash(), len(record.suspectCrashes()) > 1
 		t.unindex(record)
 		record.setAnswered(now)
 		t.index(record)
@@ -243,7 +278,7 @@
 	}
 	weight := 0
 	requests := map[Fingerprint]bool{}
-	for _, crash := range r.Crashes {
+	for _, crash := range r.suspectCrashes() {
 		if sound && !t.isContrasted(r.CrashTime(crash.Engine), now) || t.isCausedByOther(crash, r) {
 			continue
 		}
@@ -281,5 +316,5 @@
 // isPersistentPart reports whether the record of a part belongs in the store. Parts that were answered
 // not long ago are most likely bystanders and do not, unless they are held back.
 func (r *Record) isPersistentPart() bool {
-	return r.isHeldPart() || len(r.Crashes) > 1 && !r.isSoundPart()
+	return r.isHeldPart() || len(r.suspectCrashes()) > 1 && !r.isSoundPart()
 }
--- /dev/null
+++ b/internal/poison/part_test.go
@@ -0,0 +1,232 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// partCrash is the record of a crash for one part of the prompt of a numbered request.
+func partCrash(part string, depth, request int, engine string, at time.Time) Record {
+	return Record{
+		Fingerprint: PartFingerprint(part), Part: part, Last: at,
+		Crashes: []Crash{{Engine: engine, Request: print(request), Depth: depth}}, Times: map[string]time.Time{engine: at},
+	}
+}
+
+// mergePartCrash merges a crash for all parts of a prompt.
+func mergePartCrash(table *Table, request int, engine string, at time.Time, parts ...string) {
+	for depth, part := range parts {
+		table.Merge(partCrash(part, depth, request, engine, at))
+	}
+}
+
+// answer notes answers to prompts with the given parts.
+func answer(table *Table, at time.Time, parts ...string) {
+	var fingerprints []Fingerprint
+	for _, part := range parts {
+		fingerprints = append(fingerprints, PartFingerprint(part))
+	}
+	table.Answered(fingerprints, at)
+}
+
+// newAnsweringTable returns the table of a node that has seen prompts with the part "first" answered.
+func newAnsweringTable() *Table {
+	table := NewTable()
+	for range minAnswers {
+		answer(table, noon.Add(-time.Second), "first")
+	}
+	return table
+}
+
+// heldParts returns the names of the parts that are held back at a time, sorted.
+func heldParts(table *Table, now time.Time) (names []string) {
+	table.HoldGuiltyParts(now)
+	for _, record := range table.records {
+		if record.isHeldPart() {
+			names = append(names, record.Part)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func expectHeldParts(t *testing.T, table *Table, now time.Time, want ...string) {
+	t.Helper()
+	if got := heldParts(table, now); !slices.Equal(got, want) {
+		t.Fatalf("parts %q are held back, want %q", got, want)
+	}
+}
+
+func TestPartIsHeldAfterCrashesUnderTwoRequests(t *testing.T) {
+	table := newAnsweringTable()
+	for i, request := range []int{1, 1, 1} {
+		mergePartCrash(table, request, fmt.Sprint("e", i), noon.Add(time.Duration(i)*time.Second), "first", "bad")
+	}
+	expectHeldParts(t, table, noon.Add(3*time.Second))
+	mergePartCrash(table, 2, "e3", noon.Add(4*time.Second), "first", "bad")
+	expectHeldParts(t, table, noon.Add(4*time.Second), "bad")
+}
+
+func TestPartIsNotHeldBeforeAnyAnswer(t *testing.T) {
+	table := NewTable()
+	for i := range 9 {
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "bad")
+	}
+	expectHeldParts(t, table, noon.Add(time.Minute))
+}
+
+// Guards against holding back the part that most requests share while no engine is left to answer one.
+func TestSharedPartIsNotHeldWhileAllEnginesAreDown(t *testing.T) {
+	table := newAnsweringTable()
+	for i := range 12 {
+		mergePartCrash(table, 100+i, fmt.Sprint("e", i), noon.Add(time.Duration(i)*50*time.Millisecond), "first", fmt.Sprint("subject", i))
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon.Add(time.Duration(i)*50*time.Millisecond), "first", "bad")
+	}
+	expectHeldParts(t, table, noon.Add(time.Minute), "bad")
+}
+
+// Guards against holding back a part that is in all prompts with the poison part and in sound ones.
+func TestPartBesidePoisonPartIsNotHeld(t *testing.T) {
+	for name, parts := range map[string][]string{"poison part last": {"first", "document", "bad"}, "poison part between": {"first", "bad", "document"}} {
+		t.Run(name, func(t *testing.T) {
+			table := newAnsweringTable()
+			answer(table, noon.Add(-time.Minute), "first", "document")
+			for i := range 6 {
+				mergePartCrash(table, i, fmt.Sprint("e", i), noon.Add(time.Duration(i)*100*time.Millisecond), parts...)
+			}
+			expectHeldParts(t, table, noon.Add(time.Second), "bad")
+			expectHeldParts(t, table, noon.Add(time.Minute), "bad")
+		})
+	}
+}
+
+// Guards against a part that is only tried by its trials where a part beside it that is seldom seen was
+// held back in its place.
+func TestPoisonPartIsHeldOnceTheOneBesideItIsAnswered(t *testing.T) {
+	table := newAnsweringTable()
+	for i := range 4 {
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "bad", "document")
+	}
+	expectHeldParts(t, table, noon, "document")
+	answer(table, noon.Add(time.Second), "first", "document")
+	expectHeldParts(t, table, noon.Add(time.Second), "bad")
+}
+
+func TestPartIsHeldThatWasSoundBefore(t *testing.T) {
+	table := newAnsweringTable()
+	answer(table, noon.Add(-time.Second), "first", "changed")
+	for i := range 4 {
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "changed")
+	}
+	expectHeldParts(t, table, noon.Add(contrastDelay))
+	answer(table, noon.Add(contrastDelay), "first")
+	expectHeldParts(t, table, noon.Add(contrastDelay), "changed")
+}
+
+func TestAnswerReleasesPart(t *testing.T) {
+	table := newAnsweringTable()
+	for i := range 4 {
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "bad")
+	}
+	expectHeldParts(t, table, noon, "bad")
+	answer(table, noon, "first", "bad")
+	expectHeldParts(t, table, noon.Add(time.Minute))
+	mergePartCrash(table, 1, "e1", noon, "first", "bad")
+	expectHeldParts(t, table, noon.Add(time.Minute))
+}
+
+func TestPartHasTwoTrials(t *testing.T) {
+	table := newAnsweringTable()
+	for i := range 4 {
+		mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "bad")
+	}
+	expectHeldParts(t, table, noon, "bad")
+	trials := 0
+	for now := noon; now.Before(noon.Add(heldRetention)); now = now.Add(time.Second) {
+		record, _ := table.Get(PartFingerprint("bad"))
+		if !record.AddTrial(now) {
+			continue
+		}
+		trials++
+		table.Merge(record)
+		mergePartCrash(table, 100+trials, fmt.Sprint("t", trials), now, "first", "bad")
+		expectHeldParts(t, table, now, "bad")
+	}
+	if trials != len(trialDelays) {
+		t.Errorf("%d trials, want %d", trials, len(trialDelays))
+	}
+}
+
+// Guards against tables that differ after merging records of parts in another order, twice or from
+// messages.
+func TestPartMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			record := partCrash(fmt.Sprint("p", rapid.IntRange(1, 3).Draw(t, "part")), rapid.IntRange(0, 2).Draw(t, "depth"),
+				rapid.IntRange(1, 4).Draw(t, "request"), fmt.Sprint("e", rapid.IntRange(1, 6).Draw(t, "engine")), noon.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "crash"))*time.Second))
+			record.Crashes[0].Answering = rapid.Bool().Draw(t, "answering")
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				record.Answered = noon.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "answered")) * time.Second)
+			case 1:
+				record.HeldAt = record.Last
+			case 2:
+				record.Trials = []time.Time{record.Last}
+			}
+			return record
+		}), 1, 30).Draw(t, "records")
+		inOrder, shuffled, relayed := NewTable(), NewTable(), NewTable()
+		for _, record := range records {
+			inOrder.Merge(record.clone())
+		}
+		for _, i := range rapid.Permutation(indices(len(records))).Draw(t, "order") {
+			shuffled.Merge(records[i].clone())
+			shuffled.Merge(records[i].clone())
+			decoded, err := UnmarshalParts(MarshalParts([]Record{records[i]}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			relayed.Merge(decoded[0])
+		}
+		for f := range inOrder.records {
+			first, _ := inOrder.Get(f)
+			for _, table := range []*Table{shuffled, relayed} {
+				second, _ := table.Get(f)
+				if !first.sameCrashes(&second) || !first.Answered.Equal(second.Answered) || first.isHeldPart() != second.isHeldPart() {
+					t.Fatalf("merged in order: %+v; otherwise: %+v", first, second)
+				}
+			}
+		}
+		if inOrder.heldParts != shuffled.heldParts || len(inOrder.suspectParts) != len(shuffled.suspectParts) {
+			t.Fatalf("%d held and %d suspect parts, or %d and %d", inOrder.heldParts, len(inOrder.suspectParts), shuffled.heldParts, len(shuffled.suspectParts))
+		}
+	})
+}
+
+func TestUnmarshalPartsRejectsMalformedMessages(t *testing.T) {
+	record := partCrash("p", 1, 2, "e", noon)
+	record.Trials = []time.Time{noon}
+	message := MarshalParts([]Record{record})
+	for length := 2; length < len(message); length++ { // one byte is an empty list
+		if _, err := UnmarshalParts(message[:length]); err == nil {
+			t.Errorf("a message cut to %d of %d bytes is accepted", length, len(message))
+		}
+	}
+}
+
+func TestAnswersAreForgotten(t *testing.T) {
+	var log answerLog
+	for i := range 10 * maxAnsweredParts {
+		log.add([]Fingerprint{print(i)}, noon)
+	}
+	if size := len(log.recent) + len(log.older); size > 2*maxAnsweredParts {
+		t.Errorf("%d parts are kept", size)
+	}
+	if last := print(10*maxAnsweredParts - 1); !log.lastAnswer(last).Equal(noon) {
+		t.Error("the latest answer is forgotten")
+	}
+}
--- a/internal/poison/partguard.go
+++ b/internal/poison/partguard.go
@@ -113,6 +113,14 @@
 	return part, due
 }
 
+// EventReceived notes an event of the answer to a prompt. Once the answer has gone on for a while it clears
+// the prompt's parts.
+func (g *Guard) EventReceived(p *Prompt) {
+	if g != nil && p.survives(clock.Now()) {
+		g.PromptAnswered(p)
+	}
+}
+
 // PromptAnswered records that an engine answered a prompt, which clears its parts.
 func (g *Guard) PromptAnswered(p *Prompt) {
 	if g == nil {
@@ -170,7 +178,7 @@
 		delete(g.clears, record.Fingerprint)
 	}
 	known, _ := g.table.Get(record.Fingerprint)
-	if len(record.Crashes) > 1 && len(known.Crashes) == 0 && known.Answered.After(record.Answered) {
+	if len(record.suspectCrashes()) > 1 && len(known.suspectCrashes()) == 0 && known.Answered.After(record.Answered) {
 		g.scheduleClear(record.Fingerprint, record.lastCrash())
 	}
 }
@@ -189,7 +197,7 @@
 
 func (g *Guard) logPartHeld(f Fingerprint) {
 	record, _ := g.table.Get(f)
-	eventPartHeld.Info("part", record.Part, "fingerprint", f, "ends", record.Crashes, "answered", record.Answered, "until", record.trialDue())
+	eventPartHeld.Info("part", record.Part, "fingerprint", f, "ends", record.suspectCrashes(), "answered", record.Answered, "until", record.trialDue())
 }
 
 // updateFlags updates the flags that are read without the mutex.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -29,8 +29,8 @@
 	Answering bool
 	// Request and Depth are set for parts of prompts: a request with the part that the engine
 	// had, and the number of parts before it there.
-	Request Fingerprint
-	Depth   int
+	Request Fingerprint `json:",omitzero"`
+	Depth   int         `json:",omitzero"`
 }
 
 // Record lists the crashes of engines under one request, or under requests that share a part of
@@ -51,7 +51,7 @@
 	Served bool
 
 	// The following are set for parts only. Answered is when an engine last answered a prompt with
-	// the part; crashes up to then are dropped. HeldAt is the time of the last crash for which the
+	// the part; crashes up to then don't count. HeldAt is the time of the last crash for which the
 	// part was held back, and Trials are the times of its trials, in order.
 	Answered, HeldAt time.Time
 	Trials           []time.Time
@@ -60,7 +60,7 @@
 // weight returns the sum of the weights of the crashes.
 func (r *Record) weight() int {
 	weight := 0
-	for _, crash := range r.Crashes {
+	for _, crash := range r.suspectCrashes() {
 		weight += crash.weight()
 	}
 	return weight
@@ -75,7 +75,7 @@
 	switch {
 	case r.weight() >= holdWeight:
 		return heldRetention
-	case r.IsPart() && len(r.Crashes) == 0:
+	case r.IsPart() && len(r.suspectCrashes()) == 0:
 		return soundTime
 	}
 	return suspectRetention
@@ -117,9 +117,9 @@
 }
 
 // sameCrashes reports whether two records list the same crashes with the same times, and for a part
-// the same hold and trials.
+// the same crashes that count, hold and trials.
 func (r *Record) sameCrashes(other *Record) bool {
-	return r.HeldAt.Equal(other.HeldAt) && slices.EqualFunc(r.Trials, other.Trials, time.Time.Equal) && slices.EqualFunc(r.Crashes, other.Crashes, func(x, y Crash) bool {
+	return r.HeldAt.Equal(other.HeldAt) && slices.EqualFunc(r.Trials, other.Trials, time.Time.Equal) && slices.EqualFunc(r.suspectCrashes(), other.suspectCrashes(), func(x, y Crash) bool {
 		return x == y && r.CrashTime(x.Engine).Equal(other.CrashTime(y.Engine))
 	})
 }
@@ -283,7 +283,7 @@
 		t.suspectParts[r.Fingerprint] = r
 	}
 	atEngine := t.recordsAtEngine(r)
-	for _, crash := range r.Crashes {
+	for _, crash := range r.suspectCrashes() {
 		if atEngine[crash.Engine] == nil {
 			atEngine[crash.Engine] = map[Fingerprint]*Record{}
 		}
@@ -309,7 +309,7 @@
 	}
 	delete(t.suspectParts, r.Fingerprint)
 	atEngine := t.recordsAtEngine(r)
-	for _, crash := range r.Crashes {
+	for _, crash := range r.suspectCrashes() {
 		delete(atEngine[crash.Engine], r.Fingerprint)
 		if len(atEngine[crash.Engine]) == 0 {
 			delete(atEngine, crash.Engine)
