--- a/spec/run.sh
+++ b/spec/run.sh
@@ -28,6 +28,8 @@
   "texts releases holds RUNS=2 EVENTS=2 RELEASES"
   "texts releases-three-runs holds RUNS=3 EVENTS=2 NO_ENDS RELEASES"
   "origins two-releases holds"
+  "parts two-nodes holds"
+  "parts three-nodes holds NODES=3"
   "ledger empty-disk-votes breaks MAX_TERM=2 MAX_INDEX=2 EMPTY_DISK_VOTES"
   "ledger commit-old-term breaks MAX_TERM=4 MAX_INDEX=2 TWO_CONTENDERS MAX_DISK_LOSSES=0 COMMIT_OLD_TERM"
   "ledger vote-any-log breaks MAX_TERM=3 MAX_INDEX=2 VOTE_ANY_LOG"
@@ -68,6 +70,11 @@
   "origins record-at-choice breaks RECORD_AT_CHOICE"
   "origins stale-list breaks STALE_LIST"
   "origins short-window breaks SHORT_WINDOW"
+  "parts unconditional breaks UNCONDITIONAL"
+  "parts local-trials breaks LOCAL_TRIALS"
+  "parts unread-start breaks UNREAD_START"
+  "parts not-stored breaks NOT_STORED"
+  "parts expires breaks EXPIRES"
 )
 
 # check MODEL NAME EXPECTED MACRO... runs one case and prints its result.
