A recheck of a crash looks at the prompt as it was sent

Found by reading: the recheck runs 0.3 s later beside the request, which may be at its next engine by then and marks its prompt as sound. It now has a copy.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -196,6 +196,7 @@
 // request by then, no crash is recorded against it.
 func (g *Guard) scheduleRecheck(lost LostConnection) {
 	f := lost.Fingerprint()
+	lost.Prompt = lost.Prompt.clone() // the request goes on with its own
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.running.Err() != nil || len(g.rechecks) >= maxRechecks {
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// clone returns a copy that isn't changed any more.
+func (p *Prompt) clone() *Prompt {
+	if p == nil {
+		return nil
+	}
+	p.fingerprints()
+	copied := *p
+	return &copied
+}
+
 // fingerprints returns the fingerprints of the parts.
 func (p *Prompt) fingerprints() []Fingerprint {
 	if p == nil {
--- a/internal/poison/partguard_test.go
+++ b/internal/poison/partguard_test.go
@@ -124,6 +124,25 @@
 	eventually(t, "the store has dropped the record", func() bool { return !c.store.has(PartFingerprint("suspect")) })
 }
 
+// Guards against a recheck that reads the prompt of a request which goes on meanwhile.
+func TestRecheckCountsCrashOfAttemptBefore(t *testing.T) {
+	c, _ := newPartCluster(t, 1)
+	var down atomic.Bool
+	c.fronts[0].options.EngineCrashed = func(context.Context, catalog.Engine) bool { return down.Load() }
+	for i := range 4 {
+		prompt := NewPrompt([]string{"first", "bad"})
+		prompt.BeginAttempt()
+		c.fronts[0].ConnectionLost(context.Background(), LostConnection{
+			Engine: catalog.Engine{ID: fmt.Sprint("e", i)}, Fingerprint: func() Fingerprint { return print(i) }, Prompt: prompt,
+		})
+		prompt.BeginAttempt()
+		prompt.survives(noon)
+		prompt.survives(noon.Add(survivalTime))
+	}
+	down.Store(true)
+	c.awaitPart(t, "bad", true)
+}
+
 // Guards against crashes counted against a part whose answer had been under way for long.
 func TestCrashDuringLongAnswerDoesNotCountAgainstPart(t *testing.T) {
 	prompt := NewPrompt([]string{"part"})
