--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -109,6 +109,7 @@
 	clears map[Fingerprint]time.Time
 	// trialAskedAt is when this node last asked for a trial of a part.
 	trialAskedAt map[Fingerprint]time.Time
+	decidedAt    time.Time // when it was last decided which parts to hold back
 }
 
 // pendingSync is a record that is to be synced with the store.
--- a/internal/poison/partguard.go
+++ b/internal/poison/partguard.go
@@ -23,6 +23,9 @@
 	maxClearDelay = 300 * time.Millisecond
 	// trialPause is how long a node waits before it asks for a trial again.
 	trialPause = 2 * time.Second
+	// decisionInterval is the least time between two decisions about suspect parts without news, as
+	// crashes count against sound parts only after a while.
+	decisionInterval = 100 * time.Millisecond
 	// minPartRetryAfter is the least time after which callers of a held part are told to return.
 	minPartRetryAfter = time.Second
 )
@@ -43,7 +46,9 @@
 	now := g.options.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.holdGuiltyParts(now)
+	if now.Sub(g.decidedAt).Abs() >= decisionInterval {
+		g.holdGuiltyParts(now)
+	}
 	for i, f := range p.fingerprints() {
 		if until, held := g.table.PartHeldUntil(f); held && f != p.trial {
 			g.refused.Add(1)
@@ -188,6 +193,7 @@
 	if !g.table.HasSuspectParts() {
 		return
 	}
+	g.decidedAt = now
 	for _, f := range g.table.HoldGuiltyParts(now) {
 		g.logPartHeld(f)
 		g.schedulePublish(f, true)
