--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -17,10 +18,8 @@
 	eventSheddingOver = telemetry.Define(2311, "connections-not-shed", "New connections are no longer closed unread for want of processor time; gives how many were.")
 )
 
-const (
-	// sampleInterval is the time between two samples of the processor's load.
-	sampleInterval = 20 * time.Millisecond
-)
+// sampleInterval is the time between two samples of the processor's load.
+const sampleInterval = 20 * time.Millisecond
 
 // Gate is a listener for callers' connections that bounds how many are open, and closes new ones unread
 // if the node is crowded and can't keep up. A caller whose connection is closed unread tries another
@@ -35,10 +34,10 @@
 
 	shed    atomic.Int64 // connections closed for want of processor time
 	evicted atomic.Int64 // idle connections closed for new ones, and new ones closed as none was idle
-	closed  atomic.Bool
 	tasks   sync.WaitGroup
 
 	mutex    sync.Mutex // guards the fields below; a leaf
+	closed   bool
 	shedder  shedder
 	open     map[net.Conn]*list.Element // element of idle, or nil
 	idle     list.List                  // of net.Conn, idle for longest first
@@ -69,7 +68,7 @@
 // Close closes the listener and waits for the gate's goroutine.
 func (g *Gate) Close() error {
 	g.mutex.Lock()
-	g.closed.Store(true) // under the mutex, so that no goroutine starts from here on
+	g.closed = true // no goroutine starts from here on
 	g.mutex.Unlock()
 	err := g.Listener.Close()
 	g.tasks.Wait()
@@ -81,7 +80,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.accepted++
-	if !g.sampling && !g.closed.Load() {
+	if !g.sampling && !g.closed {
 		g.sampling = true
 		g.tasks.Go(g.sample)
 	}
@@ -136,9 +135,9 @@
 
 // sample feeds the shedder while many connections are accepted.
 func (g *Gate) sample() {
-	for before := time.Now(); ; before = time.Now() {
+	for before := clock.Now(); ; before = clock.Now() {
 		time.Sleep(sampleInterval)
-		if !g.observe(time.Since(before) - sampleInterval) {
+		if !g.observe(clock.Since(before) - sampleInterval) {
 			return
 		}
 	}
@@ -158,7 +157,7 @@
 	}
 	busy := g.accepted > 0 || g.shedder.share > 0
 	g.accepted = 0
-	g.sampling = busy && !g.closed.Load()
+	g.sampling = busy && !g.closed
 	return g.sampling
 }
 
