A poison part is held before the first answer, too, once other answers have begun

Cause: a node blames no part before it has seen answers, as nothing tells the part from the first one of all prompts. But answers begin also where none ends: those that stood by had got events, the poison part never.

The fix: beginnings of answers count for that bound, and speak for the parts of their prompts where no answer does; a part for which nothing speaks is more suspect. TestPartIsHeldBeforeAnyAnswerOnceOthersHaveBegun.

--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -10,8 +10,8 @@
 	// minPartRequests is how many different requests must have crashed engines before a part
 	// that they share is held back: a poison request crashes several engines by itself.
 	minPartRequests = 2
-	// minAnswers is how many answers a node must have seen before it blames a part that it
-	// has not seen answered. Without any, the engines may crash for another reason.
+	// minAnswers is how many answers a node must have seen, or beginnings of answers, before it
+	// blames a part of which it has seen none. Without any, the engines may crash for another reason.
 	minAnswers = 3
 	// soundTime is how long a part counts as sound after an answer to a prompt with it.
 	soundTime = 10 * time.Minute
@@ -70,17 +70,18 @@
 	}
 }
 
-// survives notes an event of the answer and reports whether it is the first one that shows the parts to
-// be sound.
-func (p *Prompt) survives(now time.Time) bool {
-	switch {
-	case p == nil || p.sound:
-		return false
-	case p.begun.IsZero():
+// event notes an event of the answer and reports whether it is the first one, or the first one that shows
+// the parts to be sound.
+func (p *Prompt) event(now time.Time) (begins, survives bool) {
+	if p == nil || p.sound {
+		return false, false
+	}
+	if p.begun.IsZero() {
 		p.begun = now
+		return true, false
 	}
 	p.sound = now.Sub(p.begun) >= survivalTime
-	return p.sound
+	return false, p.sound
 }
 
 // EndTrial ends the trial of a part: the request has been sent.
@@ -256,13 +257,47 @@
 	return cleared
 }
 
+// Begun notes that the answer to a prompt with the given parts has begun at a node of this table.
+func (t *Table) Begun(parts []Fingerprint, now time.Time) { t.beginnings.add(parts, now) }
+
+// standing tells how much speaks for a part, by what this node knows.
+type standing uint8
+
+const (
+	standingNone  standing = iota
+	standingBegun          // answers have begun at this node
+	standingSound          // a prompt with it was answered not long before its first crash that counts
+)
+
+func (t *Table) standingOf(r *Record) standing {
+	switch {
+	case r.isSoundPart():
+		return standingSound
+	case !t.beginnings.lastTime(r.Fingerprint).IsZero():
+		return standingBegun
+	}
+	return standingNone
+}
+
+// canBlame reports whether this node has seen enough to blame a part of the given standing.
+func (t *Table) canBlame(s standing) bool {
+	switch s {
+	case standingNone:
+		return t.answers.count+t.beginnings.count >= minAnswers
+	case standingBegun:
+		return t.answers.count >= minAnswers
+	}
+	return true
+}
+
 // HoldGuiltyParts holds back the parts that are to blame for crashes by what is known now, and
 // returns them.
 //
 // A part is to blame if crashes of some weight count against it, under different requests. A crash
 // doesn't count if another part of a prompt at that engine is more suspect: it has more crashes, or
-// as many and stands deeper in the prompt, so that fewer requests have it. Against a part that was
-// answered not long before, only those crashes count after which others were answered, and it wasn't.
+// as many and stands deeper in the prompt, so that fewer requests have it. Parts for which more speaks are
+// less suspect. Against a part that was answered not long before, only those crashes count after which
+// others were answered, and it wasn't.
 func (t *Table) HoldGuiltyParts(now time.Time) (held []Fingerprint) {
 	for f, record := range t.suspectParts {
 		if t.isGuilty(record, now) {
@@ -283,7 +318,7 @@
 
 func (t *Table) isGuilty(r *Record, now time.Time) bool {
 	sound := r.isSoundPart()
-	if !sound && t.answers.count < minAnswers {
+	if !t.canBlame(t.standingOf(r)) {
 		return false
 	}
 	weight := 0
@@ -306,8 +341,9 @@
 
 // isCausedByOther reports whether a crash that a part was at was more likely caused by another part.
 func (t *Table) isCausedByOther(crash Crash, r *Record) bool {
+	known := t.standingOf(r)
 	for _, other := range t.partsAtEngine[crash.Engine] {
-		if other == r || other.isSoundPart() && !r.isSoundPart() {
+		if other == r || t.standingOf(other) > known {
 			continue
 		}
 		if difference := other.weight() - r.weight(); difference > 0 || difference == 0 && other.depthAt(crash.Engine) > crash.Depth {
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -79,6 +79,20 @@
 	expectHeldParts(t, table, noon.Add(time.Minute))
 }
 
+// Guards against a part that crashes all engines as soon as they start, so that nodes which have just started
+// see no answer that would tell it from the others.
+func TestPartIsHeldBeforeAnyAnswerOnceOthersHaveBegun(t *testing.T) {
+	table := NewTable()
+	for i := range 9 {
+		table.Begun([]Fingerprint{PartFingerprint("first"), PartFingerprint(fmt.Sprint("document", i%2))}, noon)
+		mergePartCrash(table, 100+i, fmt.Sprint("e", i), noon, "first", fmt.Sprint("document", i%2))
+		if i%2 == 0 {
+			mergePartCrash(table, i, fmt.Sprint("e", i), noon, "first", "bad")
+		}
+	}
+	expectHeldParts(t, table, noon, "bad")
+}
+
 // Guards against holding back the part that most requests share while no engine is left to answer one.
 func TestSharedPartIsNotHeldWhileAllEnginesAreDown(t *testing.T) {
 	table := newAnsweringTable()
@@ -219,14 +233,14 @@
 }
 
 func TestAnswersAreForgotten(t *testing.T) {
-	var log answerLog
-	for i := range 10 * maxAnsweredParts {
+	var log partLog
+	for i := range 10 * maxLoggedParts {
 		log.add([]Fingerprint{print(i)}, noon)
 	}
-	if size := len(log.recent) + len(log.older); size > 2*maxAnsweredParts {
+	if size := len(log.recent) + len(log.older); size > 2*maxLoggedParts {
 		t.Errorf("%d parts are kept", size)
 	}
-	if last := print(10*maxAnsweredParts - 1); !log.lastAnswer(last).Equal(noon) {
+	if last := print(10*maxLoggedParts - 1); !log.lastTime(last).Equal(noon) {
 		t.Error("the latest answer is forgotten")
 	}
 }
--- a/internal/poison/partguard.go
+++ b/internal/poison/partguard.go
@@ -121,8 +121,18 @@
 // EventReceived notes an event of the answer to a prompt. Once the answer has gone on for a while it clears
 // the prompt's parts.
 func (g *Guard) EventReceived(p *Prompt) {
-	if g != nil && p.survives(clock.Now()) {
+	if g == nil {
+		return
+	}
+	begins, survives := p.event(clock.Now())
+	switch {
+	case survives:
 		g.PromptAnswered(p)
+	case begins:
+		parts := p.fingerprints()
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.table.Begun(parts, g.options.Now())
 	}
 }
 
--- a/internal/poison/partguard_test.go
+++ b/internal/poison/partguard_test.go
@@ -136,8 +136,8 @@
 			Engine: catalog.Engine{ID: fmt.Sprint("e", i)}, Fingerprint: func() Fingerprint { return print(i) }, Prompt: prompt,
 		})
 		prompt.BeginAttempt()
-		prompt.survives(noon)
-		prompt.survives(noon.Add(survivalTime))
+		prompt.event(noon)
+		prompt.event(noon.Add(survivalTime))
 	}
 	down.Store(true)
 	c.awaitPart(t, "bad", true)
@@ -147,8 +147,11 @@
 func TestCrashDuringLongAnswerDoesNotCountAgainstPart(t *testing.T) {
 	prompt := NewPrompt([]string{"part"})
 	prompt.BeginAttempt()
-	if prompt.survives(noon) || !prompt.survives(noon.Add(survivalTime)) || prompt.survives(noon.Add(survivalTime)) {
-		t.Error("an answer must clear its parts once, after survivalTime")
+	for i, want := range [][2]bool{{true, false}, {false, false}, {false, true}, {false, false}} {
+		begins, survives := prompt.event(noon.Add(time.Duration(i) * survivalTime / 2))
+		if [2]bool{begins, survives} != want {
+			t.Errorf("event %d: begins %v, survives %v", i, begins, survives)
+		}
 	}
 	if records := prompt.crashRecords(print(1), "e", true, noon); len(records) > 0 {
 		t.Errorf("records of the crash: %+v", records)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -190,7 +190,9 @@
 	partsAtEngine map[string]map[Fingerprint]*Record
 	suspectParts  map[Fingerprint]*Record
 	heldParts     int
-	answers       answerLog // of this node
+	// answers are the prompts that this node saw answered, and beginnings those of which it saw a
+	// first event.
+	answers, beginnings partLog
 }
 
 // NewTable returns an empty table.
@@ -255,7 +257,7 @@
 		known = &Record{Fingerprint: record.Fingerprint, Part: record.Part}
 		t.records[record.Fingerprint] = known
 	}
-	if at := t.answers.lastAnswer(record.Fingerprint); at.After(record.Answered) {
+	if at := t.answers.lastTime(record.Fingerprint); at.After(record.Answered) {
 		record.Answered = at
 	}
 	t.unindex(known)
