Crashes of many engines at once count once against a sound part

What callers saw: after all engines had lost power, requests that take longer were refused for 5 s and more, as a part that all of them share was held back; items of the part lay still.

Cause: a part that was answered before is blamed once others were answered after the crashes and it wasn't. After a loss of all engines the shortest requests are answered first. The fix: of crashes within a quarter of a second one counts, so that three moments are needed. A trial without an outcome is repeated after 10 s rather than 45 s.

TestSoundPartsAreNotHeldWhenAllEnginesCrashAtOnce fails without the interval. TestPartIsHeldThatWasSoundBefore asks for the hold 3 s after the fifth crash, 50 ms to a minute apart.

--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -18,12 +18,19 @@
 	// contrastDelay is the age from which a crash counts against a sound part. Until then
 	// other requests with the part may be answered, which clears it.
 	contrastDelay = time.Second
+	// minCrashInterval is the least time between two crashes that both count against a sound part. A
+	// rack, a zone or all engines may crash at once.
+	minCrashInterval = 250 * time.Millisecond
+	// maxTrials is the number of trials of a held part: it crashes no more engines after its hold.
+	maxTrials = 2
+	// The first trial is due firstTrialDelay after the last crash. The second one is due
+	// secondTrialDelay after a crash under the first, and lostTrialDelay after the first if that had no
+	// outcome.
+	firstTrialDelay  = 5 * time.Second
+	secondTrialDelay = 45 * time.Second
+	lostTrialDelay   = 10 * time.Second
 )
 
-// trialDelays are the times from the last crash or trial to the next trial. There are no more
-// trials than delays, so that a poison part crashes no more engines after its hold.
-var trialDelays = [...]time.Duration{5 * time.Second, 45 * time.Second}
-
 // survivalTime is how long after its first event an answer shows that the parts of its prompt
 // don't crash engines: a poison part does as the engine begins to answer.
 const survivalTime = time.Second
@@ -152,7 +159,7 @@
 			r.Trials, changed = slices.Insert(r.Trials, index, at), true
 		}
 	}
-	r.Trials = r.Trials[max(0, len(r.Trials)-len(trialDelays)):]
+	r.Trials = r.Trials[max(0, len(r.Trials)-maxTrials):]
 	if changed && other.Last.After(r.Last) {
 		r.Last = other.Last
 	}
@@ -205,19 +212,21 @@
 // trialDue returns when the next trial of a held part is due; the end of the record's retention
 // if there are no more.
 func (r *Record) trialDue() time.Time {
-	last, trials := r.lastCrash(), r.trials()
-	if len(trials) > 0 && trials[len(trials)-1].After(last) {
-		last = trials[len(trials)-1]
-	}
-	if len(trials) >= len(trialDelays) {
-		return last.Add(heldRetention)
+	crash, trials := r.lastCrash(), r.trials()
+	switch {
+	case len(trials) == 0:
+		return crash.Add(firstTrialDelay)
+	case len(trials) >= maxTrials:
+		return r.Last.Add(heldRetention)
+	case crash.Before(trials[0]):
+		return trials[0].Add(lostTrialDelay)
 	}
-	return last.Add(trialDelays[len(trials)])
+	return crash.Add(secondTrialDelay)
 }
 
 // AddTrial adds a trial if one is due, and reports whether it did.
 func (r *Record) AddTrial(now time.Time) bool {
-	if !r.isHeldPart() || now.Before(r.trialDue()) || len(r.trials()) >= len(trialDelays) {
+	if !r.isHeldPart() || now.Before(r.trialDue()) || len(r.trials()) >= maxTrials {
 		return false
 	}
 	r.Trials = append(r.Trials, now)
@@ -297,7 +306,7 @@
 // doesn't count if another part of a prompt at that engine is more suspect: it has more crashes, or
 // as many and stands deeper in the prompt, so that fewer requests have it. Parts for which more speaks are
 // less suspect. Against a part that was answered not long before, only those crashes count after which
-// others were answered, and it wasn't.
+// others were answered, and it wasn't, and of those at a time only one.
 func (t *Table) HoldGuiltyParts(now time.Time) (held []Fingerprint) {
 	for f, record := range t.suspectParts {
 		if t.isGuilty(record, now) {
@@ -323,10 +332,13 @@
 	}
 	weight := 0
 	requests := map[Fingerprint]bool{}
-	for _, crash := range r.suspectCrashes() {
-		if sound && !t.isContrasted(r.CrashTime(crash.Engine), now) || t.isCausedByOther(crash, r) {
+	var counted time.Time // the last crash that counts
+	for _, crash := range slices.SortedFunc(slices.Values(r.suspectCrashes()), r.compareTime) {
+		at := r.CrashTime(crash.Engine)
+		if sound && (at.Sub(counted) < minCrashInterval || !t.isContrasted(at, now)) || t.isCausedByOther(crash, r) {
 			continue
 		}
+		counted = at
 		weight += crash.weight()
 		requests[crash.Request] = true
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -16,6 +16,9 @@
 	// maxRecordCrashes bounds the crashes listed in a record; the latest are kept, as the
 	// holds depend on them.
 	maxRecordCrashes = 16
+	// maxPartCrashes is the same for a part. Its crashes have to span several times
+	// minCrashInterval, also where many come at a time.
+	maxPartCrashes = 32
 	// maxRecords bounds the records of a node to some 4 MB; the oldest are evicted first,
 	// holdable ones last.
 	maxRecords = 4096
@@ -135,7 +138,7 @@
 	}
 	r.Crashes = slices.Insert(r.Crashes, index, crash)
 	r.Times[crash.Engine] = at
-	if len(r.Crashes) <= maxRecordCrashes {
+	if len(r.Crashes) <= maxRecordCrashes || r.IsPart() && len(r.Crashes) <= maxPartCrashes {
 		return true
 	}
 	oldest := slices.MinFunc(r.Crashes, r.compareTime)
