An answer that ends with its connection is whole only if its engine is known to serve

What callers saw: a batch item listed as succeeded with six of its eight events.

Cause: the check whether the engine had crashed was canceled, as the item had to make way for online requests, and a check without a result counted as an engine that serves. The fix: only an opened connection, or an announced end, makes such an answer whole.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -171,7 +171,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !response.Framed {
-			err = r.checkEnd(ctx)
+			err = r.checkEnd(exchangeCtx)
 		}
 		if errors.Is(err, io.EOF) {
 			r.result.done = true
@@ -212,9 +212,9 @@
 }
 
 // checkEnd returns io.EOF if a response that ended with its connection seems whole. It was probably cut
-// off if the item has no text or its engine has crashed.
+// off if the item has no text or its engine may have crashed.
 func (r *itemRun) checkEnd(ctx context.Context) error {
-	if r.last == 0 || r.node.guard.EngineCrashed(ctx, r.engine) {
+	if r.last == 0 || !r.node.guard.EngineServes(ctx, r.engine) {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -114,7 +114,7 @@
 var (
 	errEngineSilent  = errors.New("no data from the engine within the silence timeout")
 	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
-	errEngineCrashed = errors.New("the engine crashed as its response ended with the connection")
+	errEngineGone    = errors.New("the engine takes no connections after its response ended with the connection")
 	errRegions       = errors.New("the engine's region is no longer allowed for the request")
 	errRelease       = errors.New("the engine's software isn't of the release that began the stream")
 )
@@ -218,15 +218,15 @@
 }
 
 // checkEnd returns an error if a response that ended with its connection was probably cut off: it has
-// no content, not even from an earlier engine, or its engine has crashed.
+// no content, not even from an earlier engine, or its engine may have crashed.
 func (fl *inflight) checkEnd(ctx context.Context, engine catalog.Engine, hasContent bool) error {
 	switch {
 	case fl.framed:
 		return nil
 	case !hasContent:
 		return errEmptyResponse
-	case fl.Guard.EngineCrashed(ctx, engine):
-		return errEngineCrashed
+	case !fl.Guard.EngineServes(ctx, engine):
+		return errEngineGone
 	}
 	return nil
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -65,6 +65,9 @@
 	// ended without an announced shutdown. It delays the request's retry and must return
 	// quickly.
 	EngineCrashed func(ctx context.Context, engine catalog.Engine) bool
+	// EngineServes reports whether an engine is known to serve on, or to have ended as announced; nil
+	// means that all do.
+	EngineServes func(ctx context.Context, engine catalog.Engine) bool
 	// Report sends records to a data node, which spreads and stores them. It is nil on data
 	// nodes and only there: the guard takes its role from that.
 	Report func(ctx context.Context, records []Record) error
@@ -176,9 +179,9 @@
 	Prompt *Prompt
 }
 
-// EngineCrashed reports whether an engine seems to have crashed.
-func (g *Guard) EngineCrashed(ctx context.Context, engine catalog.Engine) bool {
-	return g != nil && g.options.EngineCrashed(ctx, engine)
+// EngineServes reports whether an engine is known not to have crashed.
+func (g *Guard) EngineServes(ctx context.Context, engine catalog.Engine) bool {
+	return g == nil || g.options.EngineServes == nil || g.options.EngineServes(ctx, engine)
 }
 
 // ConnectionLost records a crash against the request of a lost connection if the engine has
--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -39,7 +39,7 @@
 // newGuard returns the node's guard. Data nodes forward and store records; front nodes
 // report theirs to a data node.
 func (c *core) newGuard(dataNode bool) *poison.Guard {
-	options := poison.Options{EngineCrashed: c.engineCrashed, Store: c.adapter.Poison, Now: time.Now}
+	options := poison.Options{EngineCrashed: c.engineCrashed, EngineServes: c.engineServes, Store: c.adapter.Poison, Now: time.Now}
 	if dataNode {
 		options.Spread = c.spreadPoison
 	} else {
@@ -81,6 +81,19 @@
 	return c.pool.RefusesConnections(ctx, engine.Address, engine.ID)
 }
 
+// engineServes reports whether an engine takes connections, or left as announced. If that can't be told,
+// it doesn't.
+func (c *core) engineServes(ctx context.Context, engine catalog.Engine) bool {
+	snapshot := c.catalog.Snapshot()
+	if newer, found := snapshot.Engine(catalog.Instance(engine.ID)); found && newer.Started.After(engine.Started) {
+		return false // it has restarted
+	}
+	if known, found := snapshot.Engine(engine.ID); !found || known.Leaving {
+		return true
+	}
+	return c.pool.AcceptsConnections(ctx, engine.Address, engine.ID)
+}
+
 // reportPoison sends records to one data node, trying those of this node's zone first,
 // then those of its region.
 func (c *core) reportPoison(ctx context.Context, records []poison.Record) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,6 +130,17 @@
 	return false
 }
 
+// AcceptsConnections reports whether a connection to an engine's address can be opened; it is kept for
+// the next request.
+func (p *Pool) AcceptsConnections(ctx context.Context, address, engineID string) bool {
+	conn, err := p.dial(ctx, address, poolKey(address, engineID))
+	if err != nil {
+		return false
+	}
+	p.release(conn, nil)
+	return true
+}
+
 // release keeps a connection idle until shortly before the engine would close it.
 func (p *Pool) release(c *connection, header http.Header) {
 	timeout := idleTimeout(header)
