--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -11,6 +11,10 @@
 // other nodes and write them to the platform's store, so that they survive a restart of
 // all nodes. Merging records is commutative and idempotent.
 //
+// A part that requests share in their prompts may crash engines, too, under requests of which no two
+// are alike. It has a Record of its own (Record.Part): Table.HoldGuiltyParts decides which part is to
+// blame, and an answer to any prompt with it releases it. Docs: design note 034.
+//
 // Invariants: a node that has the record of a request that crashed crashThreshold engines
 // sends it to no engine until the hold expires, whether as a first attempt, a retry or an
 // item of a batch job. A request that an engine has answered completely is never held
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -79,8 +79,7 @@
 	expectHeldParts(t, table, noon.Add(time.Minute))
 }
 
-// Guards against a part that crashes all engines as soon as they start, so that nodes which have just started
-// see no answer that would tell it from the others.
+// Guards against a part that crashes all engines as they start, so that new nodes see no answer at all.
 func TestPartIsHeldBeforeAnyAnswerOnceOthersHaveBegun(t *testing.T) {
 	table := NewTable()
 	for i := range 9 {
@@ -118,8 +117,7 @@
 	}
 }
 
-// Guards against a part that is only tried by its trials where a part beside it that is seldom seen was
-// held back in its place.
+// Guards against more crashes after a part that is seldom seen was held back in the poison part's place.
 func TestPoisonPartIsHeldOnceTheOneBesideItIsAnswered(t *testing.T) {
 	table := newAnsweringTable()
 	for i := range 4 {
@@ -154,8 +152,7 @@
 	}
 }
 
-// Guards against holding back the parts of requests that take long, after all engines have crashed at once
-// and requests that take less time are answered first.
+// Guards against holding back the parts of long requests, as shorter ones are answered first after a crash of all.
 func TestSoundPartsAreNotHeldWhenAllEnginesCrashAtOnce(t *testing.T) {
 	table := newAnsweringTable()
 	answer(table, noon.Add(-time.Second), "long", "job")
@@ -226,8 +223,7 @@
 	}
 }
 
-// Guards against tables that differ after merging records of parts in another order, twice or from
-// messages.
+// Guards against tables that differ after merging records in another order, twice or from messages.
 func TestPartMergeIsCommutativeAndIdempotent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
