A front node with few requests isn't crowded

By reading: two of two requests in flight are nine times an even share among nine nodes, so a node at rest might shed connections after a late timer. A test of the share, which had none.

--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -42,6 +42,8 @@
 	connectionMemory = 24 << 10
 	// crowdFactor is the share of the load, relative to an even one, from which a node is crowded.
 	crowdFactor = 2
+	// minCrowd is the number of online requests in flight from which on a node may be crowded.
+	minCrowd = 8
 )
 
 // front is a front node, which serves callers.
@@ -156,10 +158,10 @@
 }
 
 // loadShare returns a node's online requests in flight, relative to an even share of those of all front
-// nodes; 0 if there are none.
+// nodes; 0 if they are fewer than minCrowd.
 func loadShare(own balance.Report, sum loadshare.Sum) float64 {
 	mine, all := own.Online(), sum.Load.Online()
-	if all == 0 {
+	if mine < minCrowd {
 		return 0
 	}
 	return float64(mine) * float64(sum.Fronts) / float64(max(mine, all))
--- a/internal/system/front_test.go
+++ b/internal/system/front_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/onsi/gomega"
 
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/loadshare"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -27,3 +29,19 @@
 	g.Expect(nearestFrom("d", "south", "c1", "b1")).To(gomega.BeEmpty(), "the leader is in the region and preferred to another zone's replica")
 	g.Expect(nearestFrom("c", "south", "c1", "b1")).To(gomega.Equal(transport.Address("c1")))
 }
+
+// Guards against shedding connections at a node that is as busy as others, or that has few requests.
+func TestLoadShareOfCrowdedNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	report := func(requests int) balance.Report {
+		return balance.Report{1: balance.Load{Counts: balance.Counts{balance.ClassOnline: requests}}}
+	}
+	for _, c := range []struct {
+		mine, all, fronts int
+		want              float64
+	}{
+		{0, 0, 9, 0}, {minCrowd - 1, minCrowd - 1, 9, 0}, {20, 180, 9, 1}, {90, 180, 9, 4.5}, {30, 20, 9, 9}, {20, 20, 1, 1},
+	} {
+		g.Expect(loadShare(report(c.mine), loadshare.Sum{Fronts: c.fronts, Load: report(c.all)})).To(gomega.BeNumerically("~", c.want), "%+v", c)
+	}
+}
