Callers' connections that end without a response are logged

Change: connection-ended-unanswered for each connection that ends after bytes of a request were read and before any of its response was written (who closed, the request if a handler had it), response-cut beside stream-aborted and caller-left, left-behind right before the server is closed; each with the version of the configuration in force and its age, and whether the node stops. A counter of those that the node closed. No decision is changed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,7 +111,9 @@
 	Jobs    Jobs
 	// MemoryBudget bounds the memory held for callers; nil means no bound.
 	MemoryBudget *MemoryBudget
-	inFlight     atomic.Int64
+	// State describes the node in log lines, as key and value in turn; may be nil.
+	State    func() []any
+	inFlight atomic.Int64
 }
 
 // InFlight returns the number of requests being served.
@@ -156,6 +158,10 @@
 		e.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
+	if conn := connOf(r.Context()); conn != nil {
+		conn.handling(request.ID)
+		defer conn.handling("")
+	}
 	request.Tenant, request.Priority, request.Regions = from.name(), route.PriorityOf(from.tenant), route.RegionsOf(from.tenant)
 	body, reserved, ok := e.readBody(w, r, configuration.Limits.BodyBytes, route.Kind, request.Deadline)
 	defer e.MemoryBudget.Release(reserved)
@@ -325,12 +331,22 @@
 	}
 	sent = e.Forwarder.Serve(r.Context(), request, route, sink)
 	if sink.aborted {
+		e.reportCut(request, route)
 		panic(http.ErrAbortHandler)
 	}
 	_ = sink.controller.SetWriteDeadline(time.Time{})
 	return sent
 }
 
+// reportCut logs a response that ends before it is whole.
+func (e *Edge) reportCut(request *forward.Request, route *catalog.Route) {
+	fields := []any{"request", request.ID, "route", route.Name, "held", clock.Since(request.Arrived)}
+	if e.State != nil {
+		fields = append(fields, e.State()...)
+	}
+	eventResponseCut.Info(fields...)
+}
+
 // hopByHopHeaders apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -31,10 +31,13 @@
 	MaxConnections int
 	// Crowded reports whether this node has more than its even share of the callers; nil means never.
 	Crowded func() bool
+	// State describes the node in log lines about connections, as key and value in turn; may be nil.
+	State func() []any
 
-	shed    atomic.Int64 // connections closed for want of processor time
-	evicted atomic.Int64 // idle connections closed for new ones, and new ones closed as none was idle
-	tasks   sync.WaitGroup
+	shed       atomic.Int64 // connections closed for want of processor time
+	evicted    atomic.Int64 // idle connections closed for new ones, and new ones closed as none was idle
+	unanswered atomic.Int64 // connections that this node closed on a request that was read and had no response
+	tasks      sync.WaitGroup
 
 	mutex    sync.Mutex // guards the fields below; a leaf
 	closed   bool
@@ -58,10 +61,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if g.admit(conn) {
-			return conn, nil
+		tracked := &callerConn{Conn: conn, gate: g}
+		if g.admit(tracked) {
+			return tracked, nil
 		}
-		conn.Close()
+		tracked.Close()
 	}
 }
 
@@ -166,3 +170,41 @@
 
 // Evicted returns how many connections were closed at the bound on open connections.
 func (g *Gate) Evicted() int64 { return g.evicted.Load() }
+
+// Unanswered returns how many connections this node closed on a request that was read and had no
+// response.
+func (g *Gate) Unanswered() int64 { return g.unanswered.Load() }
+
+func (g *Gate) reportUnanswered(conn *callerConn, by string, bytes int64) {
+	if by == "node" {
+		g.unanswered.Add(1)
+	}
+	eventUnanswered.Info(append([]any{"request", conn.handled(), "caller", conn.RemoteAddr(), "by", by, "bytes", bytes}, g.state()...)...)
+}
+
+func (g *Gate) state() []any {
+	if g.State == nil {
+		return nil
+	}
+	return g.State()
+}
+
+// ReportLeftBehind logs the requests that are being handled and the connections with a request that was
+// read and has no response; it is called right before the server is closed.
+func (g *Gate) ReportLeftBehind() {
+	var handled, unread []string
+	g.mutex.Lock()
+	for open := range g.open {
+		conn, ok := open.(*callerConn)
+		switch {
+		case !ok:
+		case conn.handled() != "":
+			handled = append(handled, conn.handled())
+		case conn.unanswered.Load() > 0:
+			unread = append(unread, conn.RemoteAddr().String())
+		}
+	}
+	open := len(g.open)
+	g.mutex.Unlock()
+	eventLeftBehind.Info(append([]any{"open", open, "requests", handled, "not_handled", unread}, g.state()...)...)
+}
--- a/internal/system/catalogtracker.go
+++ b/internal/system/catalogtracker.go
@@ -39,7 +39,9 @@
 	settings *config.Node
 	agent    objectSource
 	snapshot atomic.Pointer[catalog.Snapshot]
-	changes  chan struct{} // of capacity 1
+	// appliedAt is when the configuration in force was applied; nil if there is none.
+	appliedAt atomic.Pointer[time.Time]
+	changes   chan struct{} // of capacity 1
 
 	dirtyMutex sync.Mutex // guards dirty; a leaf
 	// dirty has the kinds that changed since the last refresh. Only these are decoded
@@ -88,6 +90,16 @@
 // Snapshot returns the current catalog; it is never nil.
 func (t *catalogTracker) Snapshot() *catalog.Snapshot { return t.snapshot.Load() }
 
+// inForce returns the version of the configuration in force and the time since it was applied; zeros
+// if there is none.
+func (t *catalogTracker) inForce() (version uint64, age time.Duration) {
+	configuration, appliedAt := t.Snapshot().Configuration, t.appliedAt.Load()
+	if configuration == nil || appliedAt == nil {
+		return 0, 0
+	}
+	return configuration.Version, clock.Since(*appliedAt)
+}
+
 // usable reports whether an engine may get a new request of a service.
 func (t *catalogTracker) usable(id, service string) bool { return t.Snapshot().Usable(id, service) }
 
@@ -183,6 +195,10 @@
 	t.setZoneAttributes(engines, drained)
 	t.markCold(engines, configuration, clock.Now())
 	t.snapshot.Store(catalog.NewSnapshot(configuration, engines))
+	if configuration != previous.Configuration {
+		now := clock.Now()
+		t.appliedAt.Store(&now)
+	}
 	t.observeReleases(engines)
 	t.complete.Store(t.enginesRevision > 0 && t.drainsKnown() && !t.awaitingPoison())
 	leavingEngines, drainedEngines := 0, 0
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -116,7 +116,8 @@
 	}
 	f.gate = edge.NewGate(maxConnections(settings))
 	f.gate.Crowded = f.crowded
-	f.callers.ConnState = f.gate.TrackState
+	f.gate.State, f.edge.State = f.describe, f.describe
+	f.callers.ConnState, f.callers.ConnContext = f.gate.TrackState, f.gate.ConnContext
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -127,8 +128,9 @@
 	f.peers.HandleDatagram(kindPermitAnswer, permits.handleAnswer)
 	f.registerGauges(permits.gauges())
 	f.registerGauges(map[string]gauge{
-		"chutelock_connections_shed_total":    {"Callers' new connections that were closed unread, as the node was crowded and short of processor time.", func() float64 { return float64(f.gate.Shed()) }},
-		"chutelock_connections_evicted_total": {"Callers' idle connections that were closed to make room for new ones, and new ones without room.", func() float64 { return float64(f.gate.Evicted()) }},
+		"chutelock_connections_shed_total":       {"Callers' new connections that were closed unread, as the node was crowded and short of processor time.", func() float64 { return float64(f.gate.Shed()) }},
+		"chutelock_connections_unanswered_total": {"Callers' connections that this node closed on a request that it had read and not answered.", func() float64 { return float64(f.gate.Unanswered()) }},
+		"chutelock_connections_evicted_total":    {"Callers' idle connections that were closed to make room for new ones, and new ones without room.", func() float64 { return float64(f.gate.Evicted()) }},
 	})
 	f.registerGauges(map[string]gauge{
 		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
@@ -214,6 +216,12 @@
 	return !f.draining.Load() && f.catalog.Snapshot().Configuration != nil && f.catalog.drainsKnown()
 }
 
+// describe returns the state of the node for log lines about connections.
+func (f *front) describe() []any {
+	version, age := f.catalog.inForce()
+	return []any{"version", version, "version_age", age, "stopping", f.draining.Load(), "in_flight", f.edge.InFlight()}
+}
+
 func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !f.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -264,6 +272,7 @@
 	closing, cancel := context.WithTimeout(context.Background(), drainMargin/2)
 	defer cancel()
 	_ = f.callers.Shutdown(closing)
+	f.gate.ReportLeftBehind()
 	_ = f.readiness.Close()
 	f.close()
 }
