A connection is closed as idle only if nothing of a request was read

What callers saw: a request on a kept connection that ends without a response, as its node stops or makes room for a new connection. Cause: http.Server counts a connection as idle until it has parsed the head of its next request. SetKeepAlivesEnabled and the gate's eviction closed such connections on requests that had been read. Change: the gate retires connections. A retired one that is idle gets a read deadline in the past, so that a read takes either no bytes, and its server closes, or bytes, and then the request is answered and the connection closed after that. Responses announce the end of the connection while the node stops.

--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"chutelock.dev/chutelock/internal/telemetry"
 )
@@ -15,7 +18,9 @@
 )
 
 // callerConn is a caller's connection that knows whether bytes of a request were read since the last
-// bytes of a response were written.
+// bytes of a response were written. It can be retired, that is, closed once no request is on it: unlike
+// http.Server, which counts a connection as idle until the head of its next request is parsed, it never
+// closes on bytes that were read.
 type callerConn struct {
 	net.Conn
 	gate *Gate
@@ -24,18 +29,82 @@
 	ended      atomic.Bool  // the caller has closed, or the connection failed
 	closed     atomic.Bool
 	request    atomic.Pointer[string] // being handled; nil if none is
+
+	mutex   sync.Mutex // guards the fields below; acquired after the gate's, a leaf
+	state   http.ConnState
+	retired bool
+	// deadline is the server's for reads, which is put aside once the connection has expired: a read
+	// then fails unless it has taken bytes before.
+	deadline time.Time
+	expired  bool
 }
 
+// longPast is a deadline for reads that must take no more bytes.
+var longPast = time.Unix(1, 0)
+
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	c.unanswered.Add(int64(n))
+	if n > 0 {
+		c.recordRead(n)
+	}
 	if err != nil && !isTimeout(err) {
 		c.ended.Store(true)
 	}
 	return n, err
 }
 
+// recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
+// request is to be answered.
+func (c *callerConn) recordRead(n int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.unanswered.Add(int64(n))
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.deadline = deadline
+	if c.retired && c.isIdle() {
+		c.expired = true
+		return c.Conn.SetReadDeadline(longPast)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// retire ends the connection once no request is on it.
+func (c *callerConn) retire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.retired = true
+	if c.isIdle() {
+		c.expired = true
+		_ = c.Conn.SetReadDeadline(longPast)
+	}
+}
+
+// setState records the state that the server gives the connection.
+func (c *callerConn) setState(state http.ConnState) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = state
+	if state == http.StateIdle {
+		c.unanswered.Store(0) // what was read is part of the request that was answered
+	}
+}
+
+// isIdle reports whether no byte of a request was read since the last response; the caller holds the
+// mutex.
+func (c *callerConn) isIdle() bool {
+	return (c.state == http.StateNew || c.state == http.StateIdle) && c.unanswered.Load() == 0
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,7 +112,10 @@
 	// MemoryBudget bounds the memory held for callers; nil means no bound.
 	MemoryBudget *MemoryBudget
 	// State describes the node in log lines, as key and value in turn; may be nil.
-	State    func() []any
+	State func() []any
+	// Stopping reports whether the node stops, so that responses announce the end of their connections;
+	// may be nil.
+	Stopping func() bool
 	inFlight atomic.Int64
 }
 
@@ -120,9 +123,10 @@
 func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
 
 // ServeHTTP implements http.Handler.
-func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *Edge) ServeHTTP(netWriter http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	w := &responseWriter{ResponseWriter: netWriter, stopping: e.Stopping}
 	arrived := clock.Now()
 	configuration := e.Snapshot().Configuration
 	if configuration == nil {
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -42,8 +42,9 @@
 	mutex    sync.Mutex // guards the fields below; a leaf
 	closed   bool
 	shedder  shedder
-	open     map[net.Conn]*list.Element // element of idle, or nil
-	idle     list.List                  // of net.Conn, idle for longest first
+	open     map[*callerConn]*list.Element // element of idle, or nil
+	idle     list.List                     // of *callerConn, idle for longest first
+	retiring bool                          // connections are retired, new ones too
 	sampling bool
 	accepted int // since the last sample
 }
@@ -51,7 +52,7 @@
 // NewGate returns a gate that bounds the open connections; 0 means no bound. Its Listener has to be
 // set before it is used.
 func NewGate(maxConnections int) *Gate {
-	return &Gate{MaxConnections: maxConnections, open: map[net.Conn]*list.Element{}}
+	return &Gate{MaxConnections: maxConnections, open: map[*callerConn]*list.Element{}}
 }
 
 // Accept implements net.Listener.
@@ -80,7 +81,7 @@
 }
 
 // admit reports whether a new connection is served.
-func (g *Gate) admit(conn net.Conn) bool {
+func (g *Gate) admit(conn *callerConn) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.accepted++
@@ -98,16 +99,26 @@
 		if oldest == nil {
 			return false
 		}
-		evicted := oldest.Value.(net.Conn)
-		g.remove(evicted)
-		defer evicted.Close()
+		// It is closed by its server, and counts as open until then.
+		evicted := oldest.Value.(*callerConn)
+		g.idle.Remove(oldest)
+		g.open[evicted] = nil
+		evicted.retire()
 	}
 	g.open[conn] = nil
+	if g.retiring {
+		conn.retire()
+	}
 	return true
 }
 
 // TrackState is the ConnState function of the server that serves the gate's connections.
-func (g *Gate) TrackState(conn net.Conn, state http.ConnState) {
+func (g *Gate) TrackState(netConn net.Conn, state http.ConnState) {
+	conn, ok := netConn.(*callerConn)
+	if !ok {
+		return
+	}
+	conn.setState(state)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	element, known := g.open[conn]
@@ -130,7 +141,7 @@
 }
 
 // remove forgets a connection; the caller holds the mutex.
-func (g *Gate) remove(conn net.Conn) {
+func (g *Gate) remove(conn *callerConn) {
 	if element := g.open[conn]; element != nil {
 		g.idle.Remove(element)
 	}
@@ -194,10 +205,8 @@
 func (g *Gate) ReportLeftBehind() {
 	var handled, unread []string
 	g.mutex.Lock()
-	for open := range g.open {
-		conn, ok := open.(*callerConn)
+	for conn := range g.open {
 		switch {
-		case !ok:
 		case conn.handled() != "":
 			handled = append(handled, conn.handled())
 		case conn.unanswered.Load() > 0:
@@ -209,5 +218,20 @@
 	eventLeftBehind.Info(append([]any{"open", open, "requests", handled, "not_handled", unread}, g.state()...)...)
 }
 
-// Drain closes idle connections, and others after their responses.
-func (g *Gate) Drain(server *http.Server) { server.SetKeepAlivesEnabled(false) }
+// Retire closes idle connections, and others after their responses. Responses should say so; see
+// Edge.Stopping.
+func (g *Gate) Retire() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.retiring = true
+	for conn := range g.open {
+		conn.retire()
+	}
+}
+
+// Open returns the number of open connections.
+func (g *Gate) Open() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.open)
+}
--- a/internal/edge/gate_test.go
+++ b/internal/edge/gate_test.go
@@ -105,15 +105,16 @@
 	for range 3 {
 		conns = append(conns, dialGate(t, gate))
 	}
-	for _, conn := range conns {
+	for i, conn := range conns {
 		g.Expect(exchange(conn)).To(gomega.Succeed())
+		g.Eventually(func() int { // the connections become idle in this order
+			gate.mutex.Lock()
+			defer gate.mutex.Unlock()
+			return gate.idle.Len()
+		}, 10*time.Second).Should(gomega.Equal(i + 1))
 	}
-	g.Eventually(func() int {
-		gate.mutex.Lock()
-		defer gate.mutex.Unlock()
-		return gate.idle.Len()
-	}, 10*time.Second).Should(gomega.Equal(3))
 	g.Expect(exchange(dialGate(t, gate))).To(gomega.Succeed())
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.Equal(3))
 	g.Expect(exchange(conns[0])).NotTo(gomega.Succeed(), "the oldest idle connection is closed")
 	g.Expect(exchange(conns[2])).To(gomega.Succeed())
 	g.Expect(gate.Evicted()).To(gomega.BeEquivalentTo(1))
--- a/internal/edge/retire_test.go
+++ b/internal/edge/retire_test.go
@@ -50,14 +50,14 @@
 }
 
 // startHeldGate serves a gate whose connections' reads can be held up.
-func startHeldGate(t *testing.T, gate *Gate) (server *http.Server, conns <-chan *heldConn) {
+func startHeldGate(t *testing.T, gate *Gate) <-chan *heldConn {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	held := &heldListener{Listener: listener, conns: make(chan *heldConn, 10)}
 	gate.Listener = held
-	server = &http.Server{ConnState: gate.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{ConnState: gate.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "served")
 	})}
 	done := make(chan struct{})
@@ -69,7 +69,7 @@
 		_ = server.Close()
 		<-done
 	})
-	return server, held.conns
+	return held.conns
 }
 
 // idleConn returns a connection that has served a request, whose next read that takes bytes is held up.
@@ -91,12 +91,12 @@
 func TestGateDrainAnswersRequestOnConnectionThatCountsAsIdle(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := NewGate(0)
-	server, conns := startHeldGate(t, gate)
+	conns := startHeldGate(t, gate)
 	conn, held := idleConn(t, gate, conns)
 	answered := make(chan error)
 	go func() { answered <- exchange(conn) }()
 	<-held.taken
-	gate.Drain(server)
+	gate.Retire()
 	close(held.release)
 	g.Expect(<-answered).To(gomega.Succeed())
 }
@@ -105,7 +105,7 @@
 func TestGateEvictionAnswersRequestOnConnectionThatCountsAsIdle(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := NewGate(1)
-	_, conns := startHeldGate(t, gate)
+	conns := startHeldGate(t, gate)
 	conn, held := idleConn(t, gate, conns)
 	answered := make(chan error)
 	go func() { answered <- exchange(conn) }()
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -117,6 +117,7 @@
 	f.gate = edge.NewGate(maxConnections(settings))
 	f.gate.Crowded = f.crowded
 	f.gate.State, f.edge.State = f.describe, f.describe
+	f.edge.Stopping = f.draining.Load
 	f.callers.ConnState, f.callers.ConnContext = f.gate.TrackState, f.gate.ConnContext
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
@@ -255,7 +256,7 @@
 func (f *front) Drain(ctx context.Context) {
 	eventStopping.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
 	f.draining.Store(true)
-	f.gate.Drain(f.callers)
+	f.gate.Retire()
 	started := clock.Now()
 	deadline, bounded := ctx.Deadline()
 	ticker := time.NewTicker(drainPollInterval)
