A stopping front node takes requests for a bounded time and answers them all

What callers saw: streams cut in the middle by a node that got SIGTERM up to 7.3 s before; requests on open connections that were read and dropped. Cause: Drain took new connections until no request was under way, a moment that doesn't come under steady callers, and ended under the last ones when its time was over. Where it came, http.Server.Shutdown had 0.35 s, and drops requests that it reads while it shuts down. Change: the node takes requests for 2.5 s, or a third of its time to stop, then closes its port, refuses what it still reads as not run, and has the rest of its time for the requests that it has taken. Shutdown is not used any more. Why it works: how long requests are taken no longer depends on callers, and nothing but the end of the time to stop ends a request that was taken.

--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -114,6 +114,14 @@
 	return n, err
 }
 
+// CloseWrite lets the server end a response whose request it did not read to its end.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn. It logs a request that was read and has no response.
 func (c *callerConn) Close() error {
 	if c.closed.Swap(true) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,9 +116,13 @@
 	// Stopping reports whether the node stops, so that responses announce the end of their connections;
 	// may be nil.
 	Stopping func() bool
+	refusing atomic.Bool
 	inFlight atomic.Int64
 }
 
+// RefuseAll refuses all requests whose head is read from now on, as the node has no time left for them.
+func (e *Edge) RefuseAll() { e.refusing.Store(true) }
+
 // InFlight returns the number of requests being served.
 func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
 
@@ -128,6 +132,10 @@
 	defer e.inFlight.Add(-1)
 	w := &responseWriter{ResponseWriter: netWriter, stopping: e.Stopping}
 	arrived := clock.Now()
+	if e.refusing.Load() {
+		e.rejectRetryAfter(w, r, "this node is stopping; the request has not run", 0)
+		return
+	}
 	configuration := e.Snapshot().Configuration
 	if configuration == nil {
 		e.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
@@ -199,9 +207,19 @@
 }
 
 func (e *Edge) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	e.logRejected(r, status, reason)
+	writeError(w, status, reason)
+}
+
+// rejectRetryAfter rejects a request as not run and tells its caller when to retry.
+func (e *Edge) rejectRetryAfter(w http.ResponseWriter, r *http.Request, reason string, retryAfter time.Duration) {
+	e.logRejected(r, http.StatusServiceUnavailable, reason)
+	writeErrorRetryAfter(w, http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+func (e *Edge) logRejected(r *http.Request, status int, reason string) {
 	parsed, _ := e.Dialect.ParseRequest(r, clock.Now()) // fields that can't be parsed stay empty
 	eventRejected.Info("request", parsed.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
-	writeError(w, status, reason)
 }
 
 // writeError writes a short error response.
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -55,12 +55,12 @@
 	return &Gate{MaxConnections: maxConnections, open: map[*callerConn]*list.Element{}}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After Close it returns http.ErrServerClosed.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		conn, err := g.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, g.acceptError(err)
 		}
 		tracked := &callerConn{Conn: conn, gate: g}
 		if g.admit(tracked) {
@@ -70,6 +70,15 @@
 	}
 }
 
+func (g *Gate) acceptError(err error) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
 // Close closes the listener and waits for the gate's goroutine.
 func (g *Gate) Close() error {
 	g.mutex.Lock()
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -1,7 +1,6 @@
 package system
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -14,7 +13,6 @@
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
-	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
 	"chutelock.dev/chutelock/internal/forward"
@@ -31,13 +29,6 @@
 	idleTimeout = time.Minute
 	// maxHeaderBytes bounds a request's headers before the configured limit applies.
 	maxHeaderBytes = 64 << 10
-	// lameDuckPeriod is how long a stopping node keeps accepting connections: the
-	// platform notices within two readiness probes that it is not ready.
-	lameDuckPeriod = 2500 * time.Millisecond
-	// drainMargin is the part of the shutdown deadline kept for closing servers.
-	drainMargin = 700 * time.Millisecond
-	// drainPollInterval is how often a stopping node checks for requests in flight.
-	drainPollInterval = 20 * time.Millisecond
 	// connectionMemory is the memory of a caller's connection: its buffers and goroutine.
 	connectionMemory = 24 << 10
 	// crowdFactor is the share of the load, relative to an even one, from which a node is crowded.
@@ -250,31 +241,3 @@
 	serveOn(f.gate, f.callers)
 	return nil
 }
-
-// Drain implements Node. The node reports that it is not ready, accepts requests for
-// lameDuckPeriod, completes them and stops.
-func (f *front) Drain(ctx context.Context) {
-	eventStopping.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
-	f.draining.Store(true)
-	f.gate.Retire()
-	started := clock.Now()
-	deadline, bounded := ctx.Deadline()
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		<-ticker.C
-		if f.edge.InFlight() == 0 && clock.Since(started) >= lameDuckPeriod {
-			break
-		}
-		if bounded && time.Until(deadline) < drainMargin {
-			break
-		}
-	}
-	closing, cancel := context.WithTimeout(context.Background(), drainMargin/2)
-	defer cancel()
-	_ = f.callers.Shutdown(closing)
-	f.gate.ReportLeftBehind()
-	_ = f.callers.Close() // as the end of the process does
-	_ = f.readiness.Close()
-	f.close()
-}
--- /dev/null
+++ b/internal/system/stop.go
@@ -0,0 +1,63 @@
+package system
+
+import (
+	"context"
+	"time"
+
+	"chutelock.dev/chutelock/internal/clock"
+)
+
+const (
+	// lameDuckPeriod is how long a stopping node keeps accepting connections: the
+	// platform notices within two readiness probes that it is not ready.
+	lameDuckPeriod = 2500 * time.Millisecond
+	// maxLameDuckShare bounds the lame-duck period to a share of the time to stop: the rest is for the
+	// slowest of the requests that were taken.
+	maxLameDuckShare = 1. / 3
+	// drainMargin is the part of the time to stop that is kept for closing servers and ledger.
+	drainMargin = 700 * time.Millisecond
+	// drainPollInterval is how often a stopping node checks for requests in flight.
+	drainPollInterval = 20 * time.Millisecond
+)
+
+// Drain implements Node. The node reports that it is not ready and goes on taking requests for
+// lameDuckPeriod, as long as callers may be sent here. Then it closes its port and refuses what it still
+// reads, however many callers there are: so the requests that it has taken have the rest of the time.
+// http.Server.Shutdown is not used, as it drops requests that it reads.
+func (f *front) Drain(ctx context.Context) {
+	eventStopping.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
+	f.draining.Store(true)
+	f.gate.Retire()
+	end := drainEnd(ctx)
+	awaitUntil(clock.Now().Add(lameDuck(clock.Until(end))), func() bool { return false })
+	f.edge.RefuseAll()
+	_ = f.gate.Close()
+	awaitUntil(end, func() bool { return f.edge.InFlight() == 0 && f.gate.Open() == 0 })
+	f.gate.ReportLeftBehind()
+	_ = f.callers.Close()
+	_ = f.readiness.Close()
+	f.close()
+}
+
+// lameDuck returns how long a node takes requests that has the given time to stop.
+func lameDuck(left time.Duration) time.Duration {
+	return min(lameDuckPeriod, time.Duration(maxLameDuckShare*float64(left)))
+}
+
+// drainEnd returns when requests must have ended for the node to stop before ctx ends.
+func drainEnd(ctx context.Context) time.Time {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return clock.Now().Add(time.Hour)
+	}
+	return clock.Now().Add(time.Until(deadline) - drainMargin)
+}
+
+// awaitUntil polls until done reports true, or the time has come.
+func awaitUntil(end time.Time, done func() bool) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for clock.Now().Before(end) && !done() {
+		<-ticker.C
+	}
+}
