Requests whose node has no time left for them are told what is known

What callers saw: a connection that ends without a response as its node stops. Cause: nothing ended the requests that were under way when the time to stop was over; their connections were closed. Change: their contexts end with ErrStopping 0.2 s before the server is closed: 502 if the request may have run, 503 and Retry-After if not, and only streams that have begun are cut off.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -175,7 +175,7 @@
 		if result.kind != OutcomeNotSent {
 			fl.prompt.EndTrial()
 		}
-		if done || fl.contextEnded(ctx) {
+		if done || fl.contextEnded(ctx, result.kind) {
 			lease.Release()
 			return
 		}
@@ -296,7 +296,7 @@
 
 // acquireFailed ends a request that got no engine.
 func (fl *inflight) acquireFailed(ctx context.Context, err error) {
-	if fl.contextEnded(ctx) {
+	if fl.contextEnded(ctx, OutcomeNotSent) {
 		return
 	}
 	result := attemptResult{kind: OutcomeNotSent, cause: err}
@@ -306,11 +306,17 @@
 	fl.finish(fl.attempts.GiveUp(result.kind), result)
 }
 
-// contextEnded reports whether ctx has ended, and ends the request if so.
-func (fl *inflight) contextEnded(ctx context.Context) bool {
+// ErrStopping is the cause with which a request's context ends if its node has no time left for it.
+var ErrStopping = errors.New("forward: the node is stopping")
+
+// contextEnded reports whether ctx has ended, and ends the request if so. outcome is that of the last
+// attempt.
+func (fl *inflight) contextEnded(ctx context.Context, outcome Outcome) bool {
 	switch {
 	case ctx.Err() == nil:
 		return false
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		fl.endStopped(outcome)
 	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		fl.callerLeft(context.Cause(ctx))
 		fl.sink.Abort()
@@ -324,6 +330,19 @@
 	return true
 }
 
+// endStopped ends a request whose node stops: it is told what is known of it, but for a stream that has
+// begun, which is aborted.
+func (fl *inflight) endStopped(outcome Outcome) {
+	step := fl.attempts.GiveUp(outcome)
+	switch {
+	case fl.streamStarted:
+		step = StepAbort
+	case outcome == OutcomeUnknown || outcome == OutcomeFailed:
+		step = StepUnknown
+	}
+	fl.finish(step, attemptResult{kind: outcome, cause: ErrStopping})
+}
+
 // callerLeft records that the caller disconnected before the response was complete.
 func (fl *inflight) callerLeft(cause error) {
 	fl.verdict = verdictCallerLeft
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -33,7 +33,7 @@
 	}
 	release, found := fl.Origin(ctx, fl.request, fl.route)
 	switch {
-	case fl.contextEnded(ctx):
+	case fl.contextEnded(ctx, OutcomeNotSent):
 		return false
 	case !found:
 		fl.refuse(VerdictNotRun, errOriginUnknown)
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -45,6 +46,7 @@
 	gate         *edge.Gate // of callers' connections
 	readiness    *http.Server
 	draining     atomic.Bool
+	endRequests  context.CancelCauseFunc // ends the contexts of all callers' requests
 	quota        *quotaEnforcer
 	returnTimes  *forward.ReturnTimes
 	shares       *shareGate
@@ -110,6 +112,9 @@
 	f.gate.State, f.edge.State = f.describe, f.describe
 	f.edge.Stopping = f.draining.Load
 	f.callers.ConnState, f.callers.ConnContext = f.gate.TrackState, f.gate.ConnContext
+	requestContext, endRequests := context.WithCancelCause(context.Background())
+	f.callers.BaseContext = func(net.Listener) context.Context { return requestContext }
+	f.endRequests = endRequests
 	mux := http.NewServeMux()
 	mux.HandleFunc(adapter.ReadyPath, f.serveReady)
 	f.readiness = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/internal/system/stop.go
+++ b/internal/system/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/forward"
 )
 
 const (
@@ -16,13 +17,16 @@
 	maxLameDuckShare = 1. / 3
 	// drainMargin is the part of the time to stop that is kept for closing servers and ledger.
 	drainMargin = 700 * time.Millisecond
+	// answerTime is the part of drainMargin in which requests whose time is over get their responses.
+	answerTime = 200 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // Drain implements Node. The node reports that it is not ready and goes on taking requests for
 // lameDuckPeriod, as long as callers may be sent here. Then it closes its port and refuses what it still
-// reads, however many callers there are: so the requests that it has taken have the rest of the time.
+// reads, however many callers there are: so the requests that it has taken have the rest of the time, and
+// are told what is known of them at its end.
 // http.Server.Shutdown is not used, as it drops requests that it reads.
 func (f *front) Drain(ctx context.Context) {
 	eventStopping.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
@@ -34,6 +38,8 @@
 	_ = f.gate.Close()
 	awaitUntil(end, func() bool { return f.edge.InFlight() == 0 && f.gate.Open() == 0 })
 	f.gate.ReportLeftBehind()
+	f.endRequests(forward.ErrStopping)
+	awaitUntil(clock.Now().Add(answerTime), func() bool { return f.edge.InFlight() == 0 })
 	_ = f.callers.Close()
 	_ = f.readiness.Close()
 	f.close()
