A request whose handler panics is answered

What callers would see: a connection that ends without a response, with a stack in the node's output and no line or counter. Cause: nothing recovered panics of callers' requests; http.Server closes the connection. Change: 502, as the request may have run, or a cut if the response has begun; a line with the stack and a counter. Evidence: TestRequestWhoseHandlerPanicsIsAnswered got EOF with the recovery off.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -21,7 +23,10 @@
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
-var eventRejected = telemetry.Define(2301, "request-rejected", "A request was rejected before it reached an engine.")
+var (
+	eventRejected = telemetry.Define(2301, "request-rejected", "A request was rejected before it reached an engine.")
+	eventPanicked = telemetry.Define(2315, "handler-panicked", "The handler of a caller's request panicked; the request is answered as one that may have run, or cut off if its response has begun.")
+)
 
 const (
 	// defaultRetryAfter is the Retry-After of responses without a better estimate.
@@ -42,6 +47,8 @@
 	// jobCopies is how many copies of a batch job's body are in memory while it is submitted:
 	// as received, decoded, and encoded for the leader.
 	jobCopies = 3
+	// maxStackBytes bounds the stack in the log line on a panic.
+	maxStackBytes = 4 << 10
 )
 
 // CallKind is the kind of a call about a batch job.
@@ -117,6 +124,7 @@
 	// may be nil.
 	Stopping func() bool
 	refusing atomic.Bool
+	panics   atomic.Int64
 	inFlight atomic.Int64
 }
 
@@ -131,6 +139,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	w := &responseWriter{ResponseWriter: netWriter, stopping: e.Stopping}
+	defer e.recoverPanic(w, r)
 	arrived := clock.Now()
 	if e.refusing.Load() {
 		e.rejectRetryAfter(w, r, "this node is stopping; the request has not run", 0)
@@ -161,6 +170,29 @@
 	}
 }
 
+// recoverPanic is deferred: it answers a request whose handler panicked, which may have run. A response
+// that has begun is cut off.
+func (e *Edge) recoverPanic(w *responseWriter, r *http.Request) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	e.panics.Add(1)
+	parsed, _ := e.Dialect.ParseRequest(r, clock.Now()) // fields that can't be parsed stay empty
+	stack := debug.Stack()
+	eventPanicked.Error(fmt.Errorf("panic: %v", fault), "request", parsed.ID, "begun", w.begun, "stack", string(stack[:min(len(stack), maxStackBytes)]))
+	if w.begun {
+		panic(http.ErrAbortHandler)
+	}
+	writeError(w, http.StatusBadGateway, "this node failed; the request may have run")
+}
+
+// Panics returns how many requests ended as their handlers panicked.
+func (e *Edge) Panics() int64 { return e.panics.Load() }
+
 // serveRequest serves a request whose route and caller are known.
 func (e *Edge) serveRequest(
 	w http.ResponseWriter, r *http.Request, configuration *catalog.Configuration, route *catalog.Route, from caller, arrived time.Time,
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -126,6 +126,7 @@
 	f.registerGauges(permits.gauges())
 	f.registerGauges(map[string]gauge{
 		"chutelock_connections_shed_total":       {"Callers' new connections that were closed unread, as the node was crowded and short of processor time.", func() float64 { return float64(f.gate.Shed()) }},
+		"chutelock_handler_panics_total":         {"Callers' requests whose handlers panicked.", func() float64 { return float64(f.edge.Panics()) }},
 		"chutelock_connections_unanswered_total": {"Callers' connections that this node closed on a request that it had read and not answered.", func() float64 { return float64(f.gate.Unanswered()) }},
 		"chutelock_connections_evicted_total":    {"Callers' idle connections that were closed to make room for new ones, and new ones without room.", func() float64 { return float64(f.gate.Evicted()) }},
 	})
