A stopping node serves new connections until its port is closed

Cause: connections that are new when they are retired counted as idle, so those accepted while the node still takes requests were closed at once. Change: a new connection may bring its first request until the gate is closed. Evidence: TestStoppingNodeServesNewConnections... got EOF before.

--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -32,7 +32,8 @@
 
 	mutex   sync.Mutex // guards the fields below; acquired after the gate's, a leaf
 	state   http.ConnState
-	retired bool
+	retired bool // no request is taken but the first
+	unused  bool // nor the first
 	// deadline is the server's for reads, which is put aside once the connection has expired: a read
 	// then fails unless it has taken bytes before.
 	deadline time.Time
@@ -71,22 +72,39 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.deadline = deadline
-	if c.retired && c.isIdle() {
-		c.expired = true
-		return c.Conn.SetReadDeadline(longPast)
+	if c.expire() {
+		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// retire ends the connection once no request is on it.
+// retire ends the connection after its response, or now if it is idle. A new connection may bring its
+// first request.
 func (c *callerConn) retire() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired = true
-	if c.isIdle() {
-		c.expired = true
-		_ = c.Conn.SetReadDeadline(longPast)
+	c.expire()
+}
+
+// retireUnused is retire, but ends new connections, too.
+func (c *callerConn) retireUnused() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.retired, c.unused = true, true
+	c.expire()
+}
+
+// expire makes the server close the connection if no more requests are taken from it and no byte of one
+// was read. It reports whether it did; the caller holds the mutex.
+func (c *callerConn) expire() bool {
+	waits := c.state == http.StateIdle && c.retired || c.state == http.StateNew && c.unused
+	if !waits || c.unanswered.Load() > 0 {
+		return false
 	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(longPast)
+	return true
 }
 
 // setState records the state that the server gives the connection.
@@ -99,21 +117,6 @@
 	}
 }
 
-// isIdle reports whether no byte of a request was read since the last response; the caller holds the
-// mutex.
-func (c *callerConn) isIdle() bool {
-	return (c.state == http.StateNew || c.state == http.StateIdle) && c.unanswered.Load() == 0
-}
-
-// Write implements net.Conn.
-func (c *callerConn) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	if n > 0 {
-		c.unanswered.Store(0)
-	}
-	return n, err
-}
-
 // CloseWrite lets the server end a response whose request it did not read to its end.
 func (c *callerConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -79,10 +79,13 @@
 	return err
 }
 
-// Close closes the listener and waits for the gate's goroutine.
+// Close closes the listener and the connections without a request, and waits for the gate's goroutine.
 func (g *Gate) Close() error {
 	g.mutex.Lock()
 	g.closed = true // no goroutine starts from here on
+	for conn := range g.open {
+		conn.retireUnused()
+	}
 	g.mutex.Unlock()
 	err := g.Listener.Close()
 	g.tasks.Wait()
@@ -118,6 +121,9 @@
 	if g.retiring {
 		conn.retire()
 	}
+	if g.closed {
+		conn.retireUnused()
+	}
 	return true
 }
 
@@ -227,8 +233,8 @@
 	eventLeftBehind.Info(append([]any{"open", open, "requests", handled, "not_handled", unread}, g.state()...)...)
 }
 
-// Retire closes idle connections, and others after their responses. Responses should say so; see
-// Edge.Stopping.
+// Retire closes idle connections, and others, new ones included, after their next responses. Responses
+// should say so; see Edge.Stopping.
 func (g *Gate) Retire() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
