--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -117,6 +117,15 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(buffer []byte) (int, error) {
+	n, err := c.Conn.Write(buffer)
+	if n > 0 {
+		c.unanswered.Store(0)
+	}
+	return n, err
+}
+
 // CloseWrite lets the server end a response whose request it did not read to its end.
 func (c *callerConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/edge/gate_test.go
+++ b/internal/edge/gate_test.go
@@ -32,14 +32,17 @@
 
 // startGate serves requests that come through a gate with a short body.
 func startGate(t *testing.T, gate *Gate) {
+	startGateWith(t, gate, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+}
+
+// startGateWith serves requests that come through a gate with a handler.
+func startGateWith(t *testing.T, gate *Gate, handler http.HandlerFunc) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	gate.Listener = listener
-	server := &http.Server{ConnState: gate.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "served")
-	})}
+	server := &http.Server{ConnState: gate.TrackState, Handler: handler}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -52,9 +55,11 @@
 }
 
 // exchange sends a request on a connection and returns the error of the response.
-func exchange(conn net.Conn) error {
+func exchange(conn net.Conn) error { return exchangePath(conn, "/") }
+
+func exchangePath(conn net.Conn, path string) error {
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		return err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/edge/retire_test.go
+++ b/internal/edge/retire_test.go
@@ -115,3 +115,32 @@
 	close(held.release)
 	g.Expect(<-answered).To(gomega.Succeed())
 }
+
+// Guards against reports of connections that ended after their responses, or without a request.
+func TestGateCountsOnlyRequestsWithoutResponses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := NewGate(0)
+	startGateWith(t, gate, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/last" {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, "served")
+	})
+	g.Expect(exchange(dialGate(t, gate))).To(gomega.Succeed())
+	g.Expect(exchangePath(dialGate(t, gate), "/last")).To(gomega.Succeed())
+	dialGate(t, gate)
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.Equal(2))
+	gate.Retire()
+	g.Expect(gate.Close()).To(gomega.Succeed())
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.BeZero())
+	g.Expect(gate.Unanswered()).To(gomega.BeZero())
+}
+
+// Guards against a response that fails without a count, as its handler gave up.
+func TestGateCountsRequestsWithoutResponses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := NewGate(0)
+	startGateWith(t, gate, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	g.Expect(exchange(dialGate(t, gate))).NotTo(gomega.Succeed())
+	g.Eventually(gate.Unanswered, 10*time.Second).Should(gomega.BeEquivalentTo(1))
+}
