Callers' connections follow the configured time-outs

What callers would see: a kept connection that closes though the configuration allows it to rest for longer, or a head that comes as slowly as allowed and is dropped. Cause: headerTimeoutMs and idleTimeoutMs were parsed and used by nothing; 5 s and a minute stood in their place. Change: the gate's connections set the deadlines for the next request and for its head by the configuration in force. A raised limit holds for connections that are idle already; a lowered one from their next request on.

--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -34,6 +34,8 @@
 	state   http.ConnState
 	retired bool // no request is taken but the first
 	unused  bool // nor the first
+	// idleSince is when the last response ended.
+	idleSince time.Time
 	// deadline is the server's for reads, which is put aside once the connection has expired: a read
 	// then fails unless it has taken bytes before.
 	deadline time.Time
@@ -45,14 +47,31 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	if n > 0 {
-		c.recordRead(n)
+	for {
+		n, err := c.Conn.Read(buffer)
+		switch {
+		case n > 0:
+			c.recordRead(n)
+		case isTimeout(err) && c.extendIdle():
+			continue
+		}
+		if err != nil && !isTimeout(err) {
+			c.ended.Store(true)
+		}
+		return n, err
 	}
-	if err != nil && !isTimeout(err) {
-		c.ended.Store(true)
+}
+
+// extendIdle reports whether the connection may be idle for longer, as the limit was raised.
+func (c *callerConn) extendIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	end := c.idleSince.Add(c.gate.limits().IdleTimeout)
+	if c.state != http.StateIdle || c.expired || !time.Now().Before(end) {
+		return false
 	}
-	return n, err
+	c.deadline = end
+	return c.Conn.SetReadDeadline(end) == nil
 }
 
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
@@ -67,15 +86,32 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. The configured limits take the place of the server's own
+// timeouts.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.deadline = deadline
+	c.deadline = c.withinLimits(deadline)
 	if c.expire() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// withinLimits returns the deadline for what the server waits for: the next request, or its head. The
+// caller holds the mutex.
+func (c *callerConn) withinLimits(deadline time.Time) time.Time {
+	limits := c.gate.limits()
+	switch {
+	case deadline.IsZero() || c.state == http.StateActive:
+	case c.state == http.StateIdle && c.unanswered.Load() == 0:
+		if limits.IdleTimeout > 0 {
+			return c.idleSince.Add(limits.IdleTimeout)
+		}
+	case limits.HeaderTimeout > 0:
+		return time.Now().Add(limits.HeaderTimeout)
+	}
+	return deadline
 }
 
 // retire ends the connection after its response, or now if it is idle. A new connection may bring its
@@ -114,6 +150,7 @@
 	c.state = state
 	if state == http.StateIdle {
 		c.unanswered.Store(0) // what was read is part of the request that was answered
+		c.idleSince = time.Now()
 	}
 }
 
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
@@ -31,6 +32,9 @@
 	MaxConnections int
 	// Crowded reports whether this node has more than its even share of the callers; nil means never.
 	Crowded func() bool
+	// Limits returns the configured limits on connections; those that are 0 are the server's. It may be
+	// nil.
+	Limits func() catalog.Limits
 	// State describes the node in log lines about connections, as key and value in turn; may be nil.
 	State func() []any
 
@@ -208,6 +212,13 @@
 	eventUnanswered.Info(append([]any{"request", conn.handled(), "caller", conn.RemoteAddr(), "by", by, "bytes", bytes}, g.state()...)...)
 }
 
+func (g *Gate) limits() catalog.Limits {
+	if g.Limits == nil {
+		return catalog.Limits{}
+	}
+	return g.Limits()
+}
+
 func (g *Gate) state() []any {
 	if g.State == nil {
 		return nil
--- a/internal/edge/gate_test.go
+++ b/internal/edge/gate_test.go
@@ -59,7 +59,15 @@
 
 func exchangePath(conn net.Conn, path string) error {
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\n"); err != nil {
+		return err
+	}
+	return exchangeRest(conn)
+}
+
+// exchangeRest is exchange for a request of which a part was sent.
+func exchangeRest(conn net.Conn) error {
+	if _, err := io.WriteString(conn, "Host: h\r\n\r\n"); err != nil {
 		return err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -108,7 +108,7 @@
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	f.gate = edge.NewGate(maxConnections(settings))
-	f.gate.Crowded = f.crowded
+	f.gate.Crowded, f.gate.Limits = f.crowded, f.connectionLimits
 	f.gate.State, f.edge.State = f.describe, f.describe
 	f.edge.Stopping = f.draining.Load
 	f.callers.ConnState, f.callers.ConnContext = f.gate.TrackState, f.gate.ConnContext
@@ -214,6 +214,16 @@
 	return !f.draining.Load() && f.catalog.Snapshot().Configuration != nil && f.catalog.drainsKnown()
 }
 
+// connectionLimits returns the configured limits on callers' connections; zeros before a configuration is
+// known.
+func (f *front) connectionLimits() catalog.Limits {
+	configuration := f.catalog.Snapshot().Configuration
+	if configuration == nil {
+		return catalog.Limits{}
+	}
+	return configuration.Limits
+}
+
 // describe returns the state of the node for log lines about connections.
 func (f *front) describe() []any {
 	version, age := f.catalog.inForce()
