Rests of requests that were refused don't count as unanswered

Change: none count from the begin of a response to its end. Evidence: TestGateCountsOnlyRequestsWithoutResponses fails without it.

--- a/internal/edge/connection.go
+++ b/internal/edge/connection.go
@@ -17,15 +17,16 @@
 	eventLeftBehind  = telemetry.Define(2314, "left-behind", "A stopping node closes its server; gives the requests that are still being handled and the connections with a request that was read and has no response.")
 )
 
-// callerConn is a caller's connection that knows whether bytes of a request were read since the last
-// bytes of a response were written. It can be retired, that is, closed once no request is on it: unlike
+// callerConn is a caller's connection that knows whether bytes of a request were read that has no
+// response yet. It can be retired, that is, closed once no request is on it: unlike
 // http.Server, which counts a connection as idle until the head of its next request is parsed, it never
 // closes on bytes that were read.
 type callerConn struct {
 	net.Conn
 	gate *Gate
 
-	unanswered atomic.Int64 // bytes read since the last write
+	unanswered atomic.Int64 // bytes read of a request without a response
+	answered   atomic.Bool  // a response has begun; more bytes may be read of its request
 	ended      atomic.Bool  // the caller has closed, or the connection failed
 	closed     atomic.Bool
 	request    atomic.Pointer[string] // being handled; nil if none is
@@ -79,7 +80,9 @@
 func (c *callerConn) recordRead(n int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.unanswered.Add(int64(n))
+	if !c.answered.Load() {
+		c.unanswered.Add(int64(n))
+	}
 	if c.expired {
 		c.expired = false
 		_ = c.Conn.SetReadDeadline(c.deadline)
@@ -149,7 +152,8 @@
 	defer c.mutex.Unlock()
 	c.state = state
 	if state == http.StateIdle {
-		c.unanswered.Store(0) // what was read is part of the request that was answered
+		c.answered.Store(false)
+		c.unanswered.Store(0)
 		c.idleSince = time.Now()
 	}
 }
@@ -158,6 +162,7 @@
 func (c *callerConn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
 	if n > 0 {
+		c.answered.Store(true)
 		c.unanswered.Store(0)
 	}
 	return n, err
--- a/internal/edge/retire_test.go
+++ b/internal/edge/retire_test.go
@@ -128,6 +128,13 @@
 	})
 	g.Expect(exchange(dialGate(t, gate))).To(gomega.Succeed())
 	g.Expect(exchangePath(dialGate(t, gate), "/last")).To(gomega.Succeed())
+	refused := dialGate(t, gate)
+	_, err := io.WriteString(refused, "POST /last HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = refused.Read(make([]byte, 1)) // of the response
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(refused, "too late!")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	dialGate(t, gate)
 	g.Eventually(gate.Open, 10*time.Second).Should(gomega.Equal(2))
 	gate.Retire()
