Callers' connections have a package of their own

The gate that retires connections without dropping what was read on them, and its log lines, move from edge to callerconn, so that the server of the OpenAI dialect can use them, too. No change of behaviour; event names and numbers stay.

--- a/internal/edge/connection.go
+++ b/internal/callerconn/conn.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"context"
@@ -12,16 +12,15 @@
 )
 
 var (
-	eventUnanswered  = telemetry.Define(2312, "connection-ended-unanswered", "A caller's connection ended after bytes of a request were read and before any of its response was written; gives the request if it was being handled, who closed, the version of the configuration in force and its age.")
-	eventResponseCut = telemetry.Define(2313, "response-cut", "A response ended before it was whole, by this node's decision or as its caller left; gives the version of the configuration in force and its age.")
-	eventLeftBehind  = telemetry.Define(2314, "left-behind", "A stopping node closes its server; gives the requests that are still being handled and the connections with a request that was read and has no response.")
+	eventUnanswered = telemetry.Define(2312, "connection-ended-unanswered", "A caller's connection ended after bytes of a request were read and before any of its response was written; gives the request if it was being handled, who closed, the version of the configuration in force and its age.")
+	eventLeftBehind = telemetry.Define(2314, "left-behind", "A stopping node closes its server; gives the requests that are still being handled and the connections with a request that was read and has no response.")
 )
 
-// callerConn is a caller's connection that knows whether bytes of a request were read since the last
+// Conn is a caller's connection that knows whether bytes of a request were read since the last
 // bytes of a response were written. It can be retired, that is, closed once no request is on it: unlike
 // http.Server, which counts a connection as idle until the head of its next request is parsed, it never
 // closes on bytes that were read.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	gate *Gate
 
@@ -43,7 +42,7 @@
 var longPast = time.Unix(1, 0)
 
 // Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
 		c.recordRead(n)
@@ -56,7 +55,7 @@
 
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
 // request is to be answered.
-func (c *callerConn) recordRead(n int) {
+func (c *Conn) recordRead(n int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.unanswered.Add(int64(n))
@@ -67,7 +66,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.deadline = deadline
@@ -79,7 +78,7 @@
 }
 
 // retire ends the connection once no request is on it.
-func (c *callerConn) retire() {
+func (c *Conn) retire() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired = true
@@ -90,7 +89,7 @@
 }
 
 // setState records the state that the server gives the connection.
-func (c *callerConn) setState(state http.ConnState) {
+func (c *Conn) setState(state http.ConnState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.state = state
@@ -101,12 +100,12 @@
 
 // isIdle reports whether no byte of a request was read since the last response; the caller holds the
 // mutex.
-func (c *callerConn) isIdle() bool {
+func (c *Conn) isIdle() bool {
 	return (c.state == http.StateNew || c.state == http.StateIdle) && c.unanswered.Load() == 0
 }
 
 // Write implements net.Conn.
-func (c *callerConn) Write(buffer []byte) (int, error) {
+func (c *Conn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
 	if n > 0 {
 		c.unanswered.Store(0)
@@ -115,7 +114,7 @@
 }
 
 // CloseWrite lets the server end a response whose request it did not read to its end.
-func (c *callerConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
 	}
@@ -123,7 +122,7 @@
 }
 
 // Close implements net.Conn. It logs a request that was read and has no response.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
@@ -137,8 +136,8 @@
 	return c.Conn.Close()
 }
 
-// handling records the request that is being handled; an empty ID that none is.
-func (c *callerConn) handling(request string) {
+// Handling records the request that is being handled; an empty ID that none is.
+func (c *Conn) Handling(request string) {
 	if request == "" {
 		c.request.Store(nil)
 		return
@@ -147,7 +146,7 @@
 }
 
 // handled returns the ID of the request that is being handled; empty if none is.
-func (c *callerConn) handled() string {
+func (c *Conn) handled() string {
 	if request := c.request.Load(); request != nil {
 		return *request
 	}
@@ -161,9 +160,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// connOf returns the connection of a request's context; nil if the server has no gate.
-func connOf(ctx context.Context) *callerConn {
-	conn, _ := ctx.Value(connKey{}).(*callerConn)
+// Of returns the connection of a request's context; nil if the server has no gate.
+func Of(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
 	return conn
 }
 
--- a/internal/edge/gate.go
+++ b/internal/callerconn/gate.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"container/list"
@@ -42,9 +42,9 @@
 	mutex    sync.Mutex // guards the fields below; a leaf
 	closed   bool
 	shedder  shedder
-	open     map[*callerConn]*list.Element // element of idle, or nil
-	idle     list.List                     // of *callerConn, idle for longest first
-	retiring bool                          // connections are retired, new ones too
+	open     map[*Conn]*list.Element // element of idle, or nil
+	idle     list.List               // of *Conn, idle for longest first
+	retiring bool                    // connections are retired, new ones too
 	sampling bool
 	accepted int // since the last sample
 }
@@ -52,7 +52,7 @@
 // NewGate returns a gate that bounds the open connections; 0 means no bound. Its Listener has to be
 // set before it is used.
 func NewGate(maxConnections int) *Gate {
-	return &Gate{MaxConnections: maxConnections, open: map[*callerConn]*list.Element{}}
+	return &Gate{MaxConnections: maxConnections, open: map[*Conn]*list.Element{}}
 }
 
 // Accept implements net.Listener. After Close it returns http.ErrServerClosed.
@@ -62,7 +62,7 @@
 		if err != nil {
 			return nil, g.acceptError(err)
 		}
-		tracked := &callerConn{Conn: conn, gate: g}
+		tracked := &Conn{Conn: conn, gate: g}
 		if g.admit(tracked) {
 			return tracked, nil
 		}
@@ -90,7 +90,7 @@
 }
 
 // admit reports whether a new connection is served.
-func (g *Gate) admit(conn *callerConn) bool {
+func (g *Gate) admit(conn *Conn) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.accepted++
@@ -109,7 +109,7 @@
 			return false
 		}
 		// It is closed by its server, and counts as open until then.
-		evicted := oldest.Value.(*callerConn)
+		evicted := oldest.Value.(*Conn)
 		g.idle.Remove(oldest)
 		g.open[evicted] = nil
 		evicted.retire()
@@ -123,7 +123,7 @@
 
 // TrackState is the ConnState function of the server that serves the gate's connections.
 func (g *Gate) TrackState(netConn net.Conn, state http.ConnState) {
-	conn, ok := netConn.(*callerConn)
+	conn, ok := netConn.(*Conn)
 	if !ok {
 		return
 	}
@@ -150,7 +150,7 @@
 }
 
 // remove forgets a connection; the caller holds the mutex.
-func (g *Gate) remove(conn *callerConn) {
+func (g *Gate) remove(conn *Conn) {
 	if element := g.open[conn]; element != nil {
 		g.idle.Remove(element)
 	}
@@ -195,7 +195,7 @@
 // response.
 func (g *Gate) Unanswered() int64 { return g.unanswered.Load() }
 
-func (g *Gate) reportUnanswered(conn *callerConn, by string, bytes int64) {
+func (g *Gate) reportUnanswered(conn *Conn, by string, bytes int64) {
 	if by == "node" {
 		g.unanswered.Add(1)
 	}
@@ -227,8 +227,7 @@
 	eventLeftBehind.Info(append([]any{"open", open, "requests", handled, "not_handled", unread}, g.state()...)...)
 }
 
-// Retire closes idle connections, and others after their responses. Responses should say so; see
-// Edge.Stopping.
+// Retire closes idle connections, and others after their responses. Responses should say so.
 func (g *Gate) Retire() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/edge/shedder.go
+++ b/internal/callerconn/shedder.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import "time"
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/callerconn"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/fairshare"
@@ -24,8 +25,9 @@
 )
 
 var (
-	eventRejected = telemetry.Define(2301, "request-rejected", "A request was rejected before it reached an engine.")
-	eventPanicked = telemetry.Define(2315, "handler-panicked", "The handler of a caller's request panicked; the request is answered as one that may have run, or cut off if its response has begun.")
+	eventRejected    = telemetry.Define(2301, "request-rejected", "A request was rejected before it reached an engine.")
+	eventResponseCut = telemetry.Define(2313, "response-cut", "A response ended before it was whole, by this node's decision or as its caller left; gives the version of the configuration in force and its age.")
+	eventPanicked    = telemetry.Define(2315, "handler-panicked", "The handler of a caller's request panicked; the request is answered as one that may have run, or cut off if its response has begun.")
 )
 
 const (
@@ -202,9 +204,9 @@
 		e.reject(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
-	if conn := connOf(r.Context()); conn != nil {
-		conn.handling(request.ID)
-		defer conn.handling("")
+	if conn := callerconn.Of(r.Context()); conn != nil {
+		conn.Handling(request.ID)
+		defer conn.Handling("")
 	}
 	request.Tenant, request.Priority, request.Regions = from.name(), route.PriorityOf(from.tenant), route.RegionsOf(from.tenant)
 	body, reserved, ok := e.readBody(w, r, configuration.Limits.BodyBytes, route.Kind, request.Deadline)
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -13,6 +13,7 @@
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
+	"chutelock.dev/chutelock/internal/callerconn"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/edge"
@@ -43,7 +44,7 @@
 	*core
 	edge         *edge.Edge
 	callers      *http.Server
-	gate         *edge.Gate // of callers' connections
+	gate         *callerconn.Gate // of callers' connections
 	readiness    *http.Server
 	draining     atomic.Bool
 	endRequests  context.CancelCauseFunc // ends the contexts of all callers' requests
@@ -107,7 +108,7 @@
 	f.callers = &http.Server{
 		Handler: f.edge, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	f.gate = edge.NewGate(maxConnections(settings))
+	f.gate = callerconn.NewGate(maxConnections(settings))
 	f.gate.Crowded = f.crowded
 	f.gate.State, f.edge.State = f.describe, f.describe
 	f.edge.Stopping = f.draining.Load
