--- a/internal/edge/connection.go
+++ b/internal/callerconn/conn.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"context"
@@ -12,16 +12,15 @@
 )
 
 var (
-	eventUnanswered  = telemetry.Define(2312, "connection-ended-unanswered", "A caller's connection ended after bytes of a request were read and before any of its response was written; gives the request if it was being handled, who closed, the version of the configuration in force and its age.")
-	eventResponseCut = telemetry.Define(2313, "response-cut", "A response ended before it was whole, by this node's decision or as its caller left; gives the version of the configuration in force and its age.")
-	eventLeftBehind  = telemetry.Define(2314, "left-behind", "A stopping node closes its server; gives the requests that are still being handled and the connections with a request that was read and has no response.")
+	eventUnanswered = telemetry.Define(2312, "connection-ended-unanswered", "A caller's connection ended after bytes of a request were read and before any of its response was written; gives the request if it was being handled, who closed, the version of the configuration in force and its age.")
+	eventLeftBehind = telemetry.Define(2314, "left-behind", "A stopping node closes its server; gives the requests that are still being handled and the connections with a request that was read and has no response.")
 )
 
-// callerConn is a caller's connection that knows whether bytes of a request were read that has no
+// Conn is a caller's connection that knows whether bytes of a request were read that has no
 // response yet. It can be retired, that is, closed once no request is on it: unlike
 // http.Server, which counts a connection as idle until the head of its next request is parsed, it never
 // closes on bytes that were read.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	gate *Gate
 
@@ -47,7 +46,7 @@
 var longPast = time.Unix(1, 0)
 
 // Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
+func (c *Conn) Read(buffer []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(buffer)
 		switch {
@@ -64,7 +63,7 @@
 }
 
 // extendIdle reports whether the connection may be idle for longer, as the limit was raised.
-func (c *callerConn) extendIdle() bool {
+func (c *Conn) extendIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	end := c.idleSince.Add(c.gate.limits().IdleTimeout)
@@ -77,7 +76,7 @@
 
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
 // request is to be answered.
-func (c *callerConn) recordRead(n int) {
+func (c *Conn) recordRead(n int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.answered.Load() {
@@ -91,7 +90,7 @@
 
 // SetReadDeadline implements net.Conn. The configured limits take the place of the server's own
 // timeouts.
-func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.deadline = c.withinLimits(deadline)
@@ -103,7 +102,7 @@
 
 // withinLimits returns the deadline for what the server waits for: the next request, or its head. The
 // caller holds the mutex.
-func (c *callerConn) withinLimits(deadline time.Time) time.Time {
+func (c *Conn) withinLimits(deadline time.Time) time.Time {
 	limits := c.gate.limits()
 	switch {
 	case deadline.IsZero() || c.state == http.StateActive:
@@ -119,7 +118,7 @@
 
 // retire ends the connection after its response, or now if it is idle. A new connection may bring its
 // first request.
-func (c *callerConn) retire() {
+func (c *Conn) retire() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired = true
@@ -127,7 +126,7 @@
 }
 
 // retireUnused is retire, but ends new connections, too.
-func (c *callerConn) retireUnused() {
+func (c *Conn) retireUnused() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired, c.unused = true, true
@@ -136,7 +135,7 @@
 
 // expire makes the server close the connection if no more requests are taken from it and no byte of one
 // was read. It reports whether it did; the caller holds the mutex.
-func (c *callerConn) expire() bool {
+func (c *Conn) expire() bool {
 	waits := c.state == http.StateIdle && c.retired || c.state == http.StateNew && c.unused
 	if !waits || c.unanswered.Load() > 0 {
 		return false
@@ -147,7 +146,7 @@
 }
 
 // setState records the state that the server gives the connection.
-func (c *callerConn) setState(state http.ConnState) {
+func (c *Conn) setState(state http.ConnState) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.state = state
@@ -159,7 +158,7 @@
 }
 
 // Write implements net.Conn.
-func (c *callerConn) Write(buffer []byte) (int, error) {
+func (c *Conn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
 	if n > 0 {
 		c.answered.Store(true)
@@ -169,7 +168,7 @@
 }
 
 // CloseWrite lets the server end a response whose request it did not read to its end.
-func (c *callerConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
 	}
@@ -177,7 +176,7 @@
 }
 
 // Close implements net.Conn. It logs a request that was read and has no response.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
@@ -191,8 +190,8 @@
 	return c.Conn.Close()
 }
 
-// handling records the request that is being handled; an empty ID that none is.
-func (c *callerConn) handling(request string) {
+// Handling records the request that is being handled; an empty ID that none is.
+func (c *Conn) Handling(request string) {
 	if request == "" {
 		c.request.Store(nil)
 		return
@@ -201,7 +200,7 @@
 }
 
 // handled returns the ID of the request that is being handled; empty if none is.
-func (c *callerConn) handled() string {
+func (c *Conn) handled() string {
 	if request := c.request.Load(); request != nil {
 		return *request
 	}
@@ -215,9 +214,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// connOf returns the connection of a request's context; nil if the server has no gate.
-func connOf(ctx context.Context) *callerConn {
-	conn, _ := ctx.Value(connKey{}).(*callerConn)
+// Of returns the connection of a request's context; nil if the server has no gate.
+func Of(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
 	return conn
 }
 
