A job whose tenant isn't in the configuration isn't denied

Callers would see 404 for the pages and bodies of accepted jobs, and 409 for their submission, while a version of the configuration lacks the job's tenant: the tenant was renamed, or no tenants and so no keys are configured. 404 says that there is no such job, 409 that it was not accepted. A job was denied to everyone but the tenant of its name, though nobody can be that tenant at the time. Now such calls get 503, a submission 504 (it isn't known whether it was taken), by a status of its own between nodes, which fronts of earlier versions read as unknown. Another tenant still gets 404 and 409 while the owner is in the configuration.

--- a/internal/batchwork/caller.go
+++ b/internal/batchwork/caller.go
@@ -102,7 +102,7 @@
 
 // Submit submits a job. It returns nil once the job is stored; a RefusedError, ErrQueueFull,
 // ErrTenantMismatch, ErrNoHome, ErrNotTaken or an InvalidJobError if it was certainly not
-// accepted; and ErrUnknown otherwise.
+// accepted; and ErrOwnerUnknown or ErrUnknown otherwise.
 func (c *Caller) Submit(ctx context.Context, job *Job) error {
 	if err := job.validate(); err != nil {
 		return err
@@ -328,7 +328,7 @@
 func isFinal(err error) bool {
 	var other *otherShardError
 	var invalid *InvalidJobError
-	for _, answer := range []error{ErrNoJob, ErrQueueFull, ErrTooLate, ErrTenantMismatch, ErrOutdated, errMoved} {
+	for _, answer := range []error{ErrNoJob, ErrQueueFull, ErrTooLate, ErrTenantMismatch, ErrOwnerUnknown, ErrOutdated, errMoved} {
 		if errors.Is(err, answer) {
 			return true
 		}
@@ -414,5 +414,6 @@
 
 // statusErrors maps final statuses without content to errors.
 var statusErrors = map[status]error{
-	statusNoJob: ErrNoJob, statusTenantMismatch: ErrTenantMismatch, statusMoved: errMoved, statusOutdated: ErrOutdated,
+	statusNoJob: ErrNoJob, statusTenantMismatch: ErrTenantMismatch, statusOwnerUnknown: ErrOwnerUnknown,
+	statusMoved: errMoved, statusOutdated: ErrOutdated,
 }
--- a/internal/batchwork/calls.go
+++ b/internal/batchwork/calls.go
@@ -34,6 +34,7 @@
 	statusMoved
 	statusOutdated
 	statusInvalid // the content is the cause; submissions of older nodes are never answered so
+	statusOwnerUnknown
 )
 
 // otherShardError reports which shard has a job.
@@ -124,6 +125,8 @@
 	// Permitted reports whether the newest known configuration permits a tenant's job of a
 	// host and path in this shard; nil if there are no regions.
 	Permitted func(host, path, tenant string) bool
+	// TenantKnown reports whether the newest known configuration has a tenant; nil means yes.
+	TenantKnown func(tenant string) bool
 	// Replicas lists the addresses of the nodes that can answer reads.
 	Replicas func() []transport.Address
 	// Refuse returns an error if the leader predicts that a job is done too late and certain
@@ -140,9 +143,11 @@
 	machine   *Machine
 	lowSpace  func() bool
 	permitted func(host, path, tenant string) bool
-	refuse    func(job *Job, certain func() bool) error
-	queueRoom func(job *Job) (retryAfter time.Duration, known bool)
-	submitted *submissions
+	// tenantKnown may be nil.
+	tenantKnown func(tenant string) bool
+	refuse      func(job *Job, certain func() bool) error
+	queueRoom   func(job *Job) (retryAfter time.Duration, known bool)
+	submitted   *submissions
 }
 
 // RegisterServer registers the handlers of a data node.
@@ -158,7 +163,7 @@
 				return marshal(fixedReply{statusNotLeader}, nil, nil), nil
 			}
 			content, err := serve(&Server{
-				shard: held, machine: options.Machine, lowSpace: options.LowSpace, permitted: options.Permitted,
+				shard: held, machine: options.Machine, lowSpace: options.LowSpace, permitted: options.Permitted, tenantKnown: options.TenantKnown,
 				refuse: options.Refuse, queueRoom: options.QueueRoom, submitted: submitted,
 			}, ctx, payload)
 			var replicas []byte
@@ -185,6 +190,8 @@
 		return marshal(fixedReply{statusMoved}, nil, nil)
 	case errors.Is(err, ErrOutdated):
 		return marshal(fixedReply{statusOutdated}, nil, nil)
+	case errors.Is(err, ErrOwnerUnknown):
+		return marshal(fixedReply{statusOwnerUnknown}, nil, nil)
 	case errors.Is(err, ErrNoJob):
 		return marshal(fixedReply{statusNoJob}, nil, nil)
 	case errors.As(err, &refused):
@@ -208,7 +215,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.proposeJob(ctx, job, 0, encodeSubmit(job))
+	content, err := s.proposeJob(ctx, job, 0, encodeSubmit(job))
+	return content, s.denial(jobName{job.ID, job.Tenant}, err)
+}
+
+// denial returns ErrOwnerUnknown for an error which denies a job to a caller that isn't its tenant, while
+// the configuration doesn't have that tenant: the caller may be the tenant under another name, or no
+// keys may be needed for a while. It returns other errors as they are.
+func (s *Server) denial(name jobName, err error) error {
+	if s.tenantKnown == nil || !errors.Is(err, ErrNoJob) && !errors.Is(err, ErrTenantMismatch) {
+		return err
+	}
+	if owner := s.machine.owner(name.job); owner != "" && owner != name.tenant && !s.tenantKnown(owner) {
+		return ErrOwnerUnknown
+	}
+	return err
 }
 
 // admit decodes a submission. It rejects new jobs if the disk is too full, or if the
@@ -240,11 +261,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.proposeJob(ctx, job, fixed.Epoch, encodeCommand(commandPlace, marshal(fixed, encodeJob(job, true))))
+	content, err := s.proposeJob(ctx, job, fixed.Epoch, encodeCommand(commandPlace, marshal(fixed, encodeJob(job, true))))
+	return content, s.denial(jobName{job.ID, job.Tenant}, err)
 }
 
 func (s *Server) claim(ctx context.Context, payload []byte) ([]byte, error) {
-	return s.propose(ctx, encodeCommand(commandClaim, payload))
+	request, err := unmarshalClaim(payload)
+	if err != nil {
+		return nil, err
+	}
+	content, err := s.propose(ctx, encodeCommand(commandClaim, payload))
+	return content, s.denial(jobName{request.job, request.queue.tenant}, err)
 }
 
 func (s *Server) fence(ctx context.Context, payload []byte) ([]byte, error) {
@@ -260,7 +287,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.propose(ctx, encodeEnd(jobName{string(fields[0]), string(fields[1])}, time.Now()))
+	name := jobName{string(fields[0]), string(fields[1])}
+	content, err := s.propose(ctx, encodeEnd(name, time.Now()))
+	return content, s.denial(name, err)
 }
 
 // propose commits an entry and returns the content of the machine's answer.
@@ -324,7 +353,7 @@
 		page, err = s.machine.readPage(reader, name, int(fixed.Since))
 		return err
 	})
-	return encodePage(page), err
+	return encodePage(page), s.denial(name, err)
 }
 
 // await returns once the job has results beyond since, is closed or unknown here, or the
@@ -364,5 +393,5 @@
 		body, err = readBody(reader, name.job, item)
 		return err
 	})
-	return body, err
+	return body, s.denial(name, err)
 }
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -318,6 +318,20 @@
 	return m.jobs[job] != nil
 }
 
+// owner returns the tenant of a job that exists here or was claimed for another shard; empty if there is
+// none.
+func (m *Machine) owner(job string) string {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if state := m.jobs[job]; state != nil {
+		return state.Tenant
+	}
+	if known := m.claims[job]; known != nil {
+		return known.tenant
+	}
+	return ""
+}
+
 // size returns the number of a job's items, or 0 if the job doesn't exist for its tenant.
 func (m *Machine) size(name jobName) int {
 	m.mutex.RLock()
--- a/internal/batchwork/types.go
+++ b/internal/batchwork/types.go
@@ -76,6 +76,9 @@
 	// ErrTenantMismatch means that the identifier is used by another tenant's job; the job was
 	// not accepted.
 	ErrTenantMismatch = errors.New("batchwork: the job identifier is in use by another tenant")
+	// ErrOwnerUnknown means that the job is that of a tenant which the configuration doesn't have, so
+	// that it isn't known whether the caller may access it.
+	ErrOwnerUnknown = errors.New("batchwork: the job's tenant is not in the configuration")
 	// ErrNoHome means that no permitted region has enough data nodes for a shard; the job
 	// was not accepted.
 	ErrNoHome = errors.New("batchwork: no region permitted for the route and the tenant has enough data nodes")
--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -80,6 +80,8 @@
 		writeError(w, http.StatusServiceUnavailable, "no region in which the job may be kept has the data nodes for it")
 	case errors.Is(err, batchwork.ErrNotTaken):
 		writeError(w, http.StatusServiceUnavailable, "batch jobs can't be reached")
+	case errors.Is(err, batchwork.ErrOwnerUnknown) && call != "submit":
+		writeError(w, http.StatusServiceUnavailable, "the tenant of the batch job is not in the configuration")
 	case call == "submit":
 		writeError(w, http.StatusGatewayTimeout, "it is not known whether the job was taken")
 	default:
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -106,6 +106,9 @@
 	batchwork.RegisterServer(batchwork.ServerOptions{
 		Shard: local.replica, Machine: machine, LowSpace: d.ledger.LowSpace, Receiver: port,
 		Permitted: d.mayStore(d.ledger.Region(shard)),
+		TenantKnown: func(tenant string) bool {
+			return d.catalog.Snapshot().Configuration.Tenant(tenant) != nil
+		},
 		Replicas:  func() []transport.Address { return d.ledger.Replicas(shard) },
 		Refuse:    runner.Refuse,
 		QueueRoom: runner.QueueRoom,
