--- a/internal/batchwork/executor_test.go
+++ b/internal/batchwork/executor_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -360,3 +361,22 @@
 	p.g.Eventually(p.engine.running).Should(gomega.BeZero())
 	p.g.Expect(p.engine.resumedAfter).To(gomega.HaveLen(1), "only the current run reached the engine")
 }
+
+// Guards against a leader that stops and rejects the last text of its runs at other nodes.
+func TestStoppingLeaderCommitsLastTextOfRemoteRuns(t *testing.T) {
+	p := newRunnerAndExecutor(t, 1000, 20*time.Millisecond)
+	p.submit(3)
+	p.g.Eventually(p.engine.running).Should(gomega.Equal(3))
+	// The first text is committed after 150 ms, the next 500 ms later.
+	time.Sleep(450 * time.Millisecond)
+	p.runner.Stop()
+	p.g.Eventually(p.engine.running).Should(gomega.BeZero())
+	p.engine.mutex.Lock()
+	defer p.engine.mutex.Unlock()
+	least := slices.Min(p.engine.lastSent)
+	for index := range uint32(3) {
+		item, _ := p.shard.machine.item("a", index)
+		// Streams are read every few ms, so two events may be in flight.
+		p.g.Expect(item.lastEvent).To(gomega.BeNumerically(">=", least-2), "item %d of streams that ended at %v", index, p.engine.lastSent)
+	}
+}
