A stopping leader takes the last text of its runs at other nodes

Callers would see items late, and engines run again what they had done: a leader that stops ended its runs, waited for them, and meanwhile answered the nodes that read their streams that it doesn't lead, so up to half a second of text, and ends of whole items, were dropped with each stop of a leader. It forgot its term as soon as it was told to stop, though it led until its leadership is handed over after the runs. Now it keeps the term until then and starts no runs.

--- a/internal/batchwork/leading.go
+++ b/internal/batchwork/leading.go
@@ -14,6 +14,9 @@
 	r.mutex.Lock()
 	confirmed, stopped := r.term, r.stopped
 	r.mutex.Unlock()
+	if stopped && leading && confirmed == term {
+		return false // the last text of the runs that Stop ends is still taken
+	}
 	if !leading || stopped {
 		if confirmed != 0 {
 			r.setTerm(0)
