New requests prefer engines that are heard from

It knows since when nothing was heard from an engine that has online requests of this node, from a second on prefers other engines with a free slot, as long as there are any, and takes the engine back with the first byte heard.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -110,7 +110,7 @@
 // refresh, if not nil, to update the peers' load: with stale load, all waiting requests would
 // take the same free slot.
 func (b *Balancer) Acquire(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
-	lease, found := b.acquirePermitted(ctx, wish, nil, priority)
+	lease, found := b.acquirePermitted(ctx, wish, b.best(wish), nil, priority)
 	if found {
 		return lease, nil
 	}
@@ -136,7 +136,7 @@
 }
 
 // PrefillDone records that the engine has read the request's prompt, that is, its first event
-// arrived.
+// arrived. It may be called for each event, and implies Heard.
 func (l *Lease) PrefillDone() {
 	l.balancer.mutex.Lock()
 	defer l.balancer.mutex.Unlock()
@@ -144,6 +144,7 @@
 		l.prefilledAt = clock.Now()
 		l.slowness = l.balancer.table.speeds.SlownessAt(l.balancer.table.speedKey(l.Engine.ID), l.prefilledAt)
 	}
+	l.balancer.table.Heard(l.Engine.ID, clock.Now())
 	l.clearUnread()
 }
 
@@ -207,9 +208,19 @@
 	}
 }
 
-// tryAcquire reserves an engine, unless a request of higher priority waits for the same
-// service.
-func (b *Balancer) tryAcquire(wish Wish, self *waiter, priority int) (*Lease, bool) {
+// chooser chooses an engine with the mutex held.
+type chooser func(snapshot *catalog.Snapshot, now time.Time) (catalog.Engine, bool)
+
+// best returns the choice of the best engine for a wish.
+func (b *Balancer) best(wish Wish) chooser {
+	return func(snapshot *catalog.Snapshot, now time.Time) (catalog.Engine, bool) {
+		return b.table.Choose(snapshot, wish, now, rand.Float64)
+	}
+}
+
+// tryAcquire reserves the engine that choose returns, unless a request of higher priority waits for the
+// same service.
+func (b *Balancer) tryAcquire(wish Wish, choose chooser, self *waiter, priority int) (*Lease, bool) {
 	snapshot := b.snapshot()
 	useSpeeds := b.usesSpeeds()
 	b.mutex.Lock()
@@ -224,13 +235,16 @@
 		}
 	}
 	now := clock.Now()
-	engine, found := b.table.Choose(snapshot, wish, now, rand.Float64)
+	engine, found := choose(snapshot, now)
 	if !found {
 		return nil, false
 	}
 	lease := &Lease{Engine: engine, balancer: b, class: wish.Class, startedAt: now, unreadTokens: b.table.unreadTokens(snapshot, wish, engine)}
 	lease.paced = b.Permit != nil && engine.Paced(now)
 	b.table.Begin(engine.ID, wish.Class, lease.unreadTokens, now)
+	if wish.Class == ClassOnline {
+		b.table.Await(engine.ID, now)
+	}
 	if !lease.paced {
 		b.signalPreemptionFor(lease, now)
 	}
@@ -281,7 +295,7 @@
 		if budget > 0 {
 			wish.Wait = max(1, budget-clock.Since(started))
 		}
-		if lease, found := b.acquirePermitted(ctx, wish, self, priority); found {
+		if lease, found := b.acquirePermitted(ctx, wish, b.best(wish), self, priority); found {
 			return lease, nil
 		}
 		// At least 1, as the timer reports the end of the wait.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -75,8 +75,8 @@
 }
 
 // Choose returns the best engine that has room, or false. If all engines are ejected or
-// avoided, or those outside AvoidZones have no room, these rules are relaxed rather than
-// refuse a request that some engine may serve. draw is uniform in [0, 1).
+// avoided, or those that aren't silent or are outside AvoidZones have no room, these rules are
+// relaxed rather than refuse a request that some engine may serve. draw is uniform in [0, 1).
 func (t *Table) Choose(snapshot *catalog.Snapshot, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	t.expire(now)
 	if wish.Class == ClassBatch {
@@ -87,6 +87,16 @@
 		return chosen[0], true
 	}
 	candidates := t.candidates(snapshot, wish, now)
+	if speaking := t.speaking(candidates, now); len(speaking) > 0 && len(speaking) < len(candidates) {
+		if engine, found := t.outsideFirst(speaking, wish, now, draw); found {
+			return engine, true
+		}
+	}
+	return t.outsideFirst(candidates, wish, now, draw)
+}
+
+// outsideFirst is bestWithRoom, but prefers the candidates outside the zones to leave.
+func (t *Table) outsideFirst(candidates []catalog.Engine, wish Wish, now time.Time, draw func() float64) (catalog.Engine, bool) {
 	if outside := wish.outsideLeftZones(candidates); len(outside) > 0 {
 		if engine, found := t.bestWithRoom(outside, wish, now, draw); found {
 			return engine, true
--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -56,11 +56,11 @@
 	RetryAfter time.Duration
 }
 
-// acquirePermitted reserves an engine, with a permit if it is paced. An engine without a
-// permit counts as full for a while, and another one is tried.
-func (b *Balancer) acquirePermitted(ctx context.Context, wish Wish, self *waiter, priority int) (*Lease, bool) {
+// acquirePermitted reserves the engine that choose returns, with a permit if it is paced. An engine
+// without a permit counts as full for a while, and another one is tried.
+func (b *Balancer) acquirePermitted(ctx context.Context, wish Wish, choose chooser, self *waiter, priority int) (*Lease, bool) {
 	for range maxPermitAttempts {
-		lease, found := b.tryAcquire(wish, self, priority)
+		lease, found := b.tryAcquire(wish, choose, self, priority)
 		if !found {
 			return nil, false
 		}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -65,6 +65,9 @@
 	ejectedUntil time.Time
 	fullUntil    time.Time
 	lastUsed     time.Time
+	// unheardSince is since when nothing was heard from the engine though it had requests whose answers
+	// are awaited; zero if none is.
+	unheardSince time.Time
 }
 
 // peerLoad is a peer's last report.
@@ -153,7 +156,13 @@
 func (t *Table) PrefillDone(id string, tokens int, now time.Time) { t.state(id, now).pending -= tokens }
 
 // End uncounts a request that ended.
-func (t *Table) End(id string, class Class, now time.Time) { t.state(id, now).own[class]-- }
+func (t *Table) End(id string, class Class, now time.Time) {
+	state := t.state(id, now)
+	state.own[class]--
+	if state.own[ClassOnline] == 0 && state.silence(now) < silentAfter {
+		state.unheardSince = time.Time{}
+	}
+}
 
 // RecordResidence updates the mean residence time with that of an online request of this node.
 func (t *Table) RecordResidence(length time.Duration) {
@@ -183,6 +192,7 @@
 	state.report = load
 	state.reportAt = now
 	state.ownAtReport = state.total()
+	t.Heard(id, now)
 	if load.ReportsSlowdown {
 		t.enginesShareMachines.Store(true)
 		t.speeds.Slowness(t.speedKey(id), id, load.Slowdown, now, now, enginespeed.Source{})
@@ -194,6 +204,7 @@
 	state := t.state(id, now)
 	state.failures = 0
 	state.ejectedUntil = time.Time{}
+	t.Heard(id, now)
 }
 
 // RecordFailure ejects an engine and returns for how long.
