A request leaves a silent engine only for a place that it holds

Callers saw streams cut, and answers of 502, of engines that were sound: silent for 1.1 to 1.8 s. Where an engine had a place left, it ran the request again.

Cause: after 1.1 s without a whole event, the exchange of a request that may run again was ended, and only then another place was sought, for 0.8 s. Where all places are taken, or the only other engine is of another release, there is none; and the engine was ejected as failed.

Change: after 1.1 s the request looks for a free place elsewhere while its run goes on, every 20 ms, later every 160 ms. The run ends once a place is reserved that the request may use and a connection to that engine is open. With the next event the search ends. The last allowed attempt stays as before. A silence of less than 2.5 s doesn't eject the engine.

Why it works: nothing is ended before what replaces it is held; the connection is closed before the next one is used, so no two engines work on a request.

TestDarkEngineLeftForFreePlace passes before and after. New tests of the search pass under the race detector.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/catalog"
@@ -35,25 +34,49 @@
 func (r attemptResult) moved() bool { return errors.Is(r.cause, errEnginePace) }
 
 // attempt runs one exchange. done reports whether the sink has its response.
-func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (attemptResult, bool) {
-	engine := lease.Engine
+func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (result attemptResult, done bool) {
 	fl.receivedEvent, fl.framed, fl.answered = false, false, false
 	fl.prompt.BeginAttempt()
 	if err := fl.checkSend(lease); err != nil {
 		return attemptResult{kind: OutcomeNotSent, cause: err, withheld: true}, false
 	}
+	exchangeCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := fl.startSilenceWatch(ctx, lease.Engine, cancel)
+	defer func() { fl.setNext(silence.stop()) }()
+	result, done = fl.exchange(exchangeCtx, lease, silence, cancel)
+	if cause := context.Cause(exchangeCtx); !done && result.ranInVain() && (errors.Is(cause, errEngineSilent) || errors.Is(cause, errEnginePace)) {
+		result.cause = cause
+	}
+	return result, done
+}
+
+// ranInVain reports whether the exchange ended before the engine's response did.
+func (r attemptResult) ranInVain() bool { return r.kind == OutcomeUnknown || r.kind == OutcomeBroken }
+
+// setNext notes a place reserved for the next attempt, unless there is one.
+func (fl *inflight) setNext(lease *balance.Lease) {
+	switch {
+	case lease == nil:
+	case fl.next == nil:
+		fl.next = lease
+	default:
+		lease.Cancel()
+	}
+}
+
+// exchange sends the request to an engine and passes its response on.
+func (fl *inflight) exchange(ctx context.Context, lease *balance.Lease, silence *silenceWatch, cancel context.CancelCauseFunc) (attemptResult, bool) {
+	engine := lease.Engine
 	call := fl.newCall(engine)
 	call.Proceed = func() error { return fl.checkSend(lease) }
 	fl.reportResumed(engine)
-	exchangeCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := fl.startSilenceTimer(cancel)
-	defer silence.Stop()
-	response, err := fl.Pool.Exchange(exchangeCtx, engine.Address, call)
+	response, err := fl.Pool.Exchange(ctx, engine.Address, call)
 	if err != nil {
-		return fl.classifyError(exchangeCtx, err), false
+		return fl.classifyError(ctx, err), false
 	}
 	defer response.Close()
+	lease.Heard()
 	fl.framed = response.Framed
 	if response.Load != nil {
 		fl.Balancer.RecordReport(engine.ID, *response.Load)
@@ -67,10 +90,10 @@
 		return attemptResult{kind: OutcomeUnknown, cause: upstream.ErrUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
 		watch := fl.startPaceWatch(engine, cancel)
-		defer func() { fl.next = watch.stop(lease) }()
-		return fl.sendStream(exchangeCtx, lease, response, silence, watch)
+		defer func() { fl.setNext(watch.stop(lease)) }()
+		return fl.sendStream(ctx, lease, response, silence, watch)
 	}
-	return fl.sendResponse(exchangeCtx, engine, response)
+	return fl.sendResponse(ctx, engine, response)
 }
 
 // reportResumed reports that a stream which already has events is sent to an engine.
@@ -112,7 +135,6 @@
 }
 
 var (
-	errEngineSilent  = errors.New("no data from the engine within the silence timeout")
 	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
 	errEngineGone    = errors.New("the engine takes no connections after its response ended with the connection")
 	errRegions       = errors.New("the engine's region is no longer allowed for the request")
@@ -124,33 +146,6 @@
 // Error implements error.
 func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
 
-// silenceTimer cancels an exchange after silenceTimeout unless it is reset. Whole events of a
-// stream reset it; other bytes received don't. The zero value never cancels.
-type silenceTimer struct{ timer *time.Timer }
-
-// startSilenceTimer starts the timer of an attempt. The last allowed attempt has none, as a
-// canceled one could not be retried.
-func (fl *inflight) startSilenceTimer(cancel context.CancelCauseFunc) silenceTimer {
-	if !fl.route.MayRunAgain() || fl.attempts.runs+1 >= fl.route.Attempts {
-		return silenceTimer{}
-	}
-	return silenceTimer{time.AfterFunc(silenceTimeout, func() { cancel(errEngineSilent) })}
-}
-
-// Stop stops the timer.
-func (s silenceTimer) Stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
-// Reset restarts the timer.
-func (s silenceTimer) Reset() {
-	if s.timer != nil {
-		s.timer.Reset(silenceTimeout)
-	}
-}
-
 func (fl *inflight) classifyError(ctx context.Context, err error) attemptResult {
 	if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) {
 		return attemptResult{kind: fl.brokenOutcome(), cause: errEngineSilent}
@@ -241,7 +236,7 @@
 }
 
 // sendStream forwards whole events as they arrive.
-func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence silenceTimer, watch *paceWatch) (attemptResult, bool) {
+func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence *silenceWatch, watch *paceWatch) (attemptResult, bool) {
 	events := NewEventReader(response)
 	for {
 		event, err := events.Next()
@@ -254,12 +249,9 @@
 			return fl.endStream(response), true
 		}
 		if err != nil {
-			if cause := context.Cause(ctx); errors.Is(cause, errEngineSilent) || errors.Is(cause, errEnginePace) {
-				err = cause
-			}
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 		}
-		silence.Reset()
+		silence.event(event.HasID)
 		lease.PrefillDone()
 		fl.receivedEvent = true
 		fl.Guard.EventReceived(fl.prompt)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	// silenceTimeout is how long an engine may send no whole response or event before a
-	// repeatable request is retried. Callers abandon a stream after a pause of 2 s.
-	silenceTimeout = 1100 * time.Millisecond
 	// minAttemptTime is the time that must remain for another attempt.
 	minAttemptTime = 30 * time.Millisecond
 	// maxBodyBytes bounds the body of a response that is not a stream.
@@ -393,6 +390,8 @@
 func (fl *inflight) reportToBalancer(engine catalog.Engine, result attemptResult) {
 	switch {
 	case result.withheld, result.moved():
+	case errors.Is(result.cause, errEngineSilent):
+		fl.Balancer.RecordSilence(engine.ID, result.cause)
 	case result.kind == OutcomeRefused && !result.addressReused:
 		fl.Balancer.RecordRefusal(engine.ID)
 	default:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -119,6 +119,17 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), key: key}, nil
 }
 
+// Prepare makes sure that there is an idle connection to an engine's address, and opens one if there is
+// none.
+func (p *Pool) Prepare(ctx context.Context, address, engineID string) error {
+	conn, err := p.get(ctx, address, engineID)
+	if err != nil {
+		return &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
+	}
+	p.releaseUnused(conn)
+	return nil
+}
+
 // RefusesConnections reports whether connections to an engine's address are refused. A
 // connection that succeeds is kept for the next request; a timeout doesn't count as refused.
 func (p *Pool) RefusesConnections(ctx context.Context, address, engineID string) bool {
