An answer without a length isn't cut as its engine is silent at its end

Callers saw whole answers cut, or replaced by 502, also of requests that run once and so are never answered again.

Cause: an answer that ends with its connection is whole if its engine still serves.

Change: only a refused connection, or a restart in the catalog, means that the engine ended. One that times out is tried again within the request's time, for 3 s at most: an engine that is dark by then doesn't serve.

Why it works: the connection is opened as soon as the engine goes on, as each try begins anew instead of waiting for the kernel's next SYN.

--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/transport"
@@ -26,6 +28,12 @@
 	// crashProbeTimeout bounds the check whether an engine refuses connections, which
 	// takes one round trip.
 	crashProbeTimeout = 100 * time.Millisecond
+	// servesTimeout bounds the check whether an engine takes connections after an answer without a
+	// length. It is well above the second or so for which a sound engine may be silent; until it ends,
+	// a dark engine holds the end of the answer.
+	servesTimeout = 3 * time.Second
+	// servesPause is the pause before a silent engine is asked again.
+	servesPause = 20 * time.Millisecond
 	// reportTimeout bounds a report to one data node before the next one is tried.
 	reportTimeout = 250 * time.Millisecond
 	// maxPoisonStaleness bounds how late nodes get records from the store. Peers send
@@ -81,17 +89,31 @@
 	return c.pool.RefusesConnections(ctx, engine.Address, engine.ID)
 }
 
-// engineServes reports whether an engine takes connections, or left as announced. If that can't be told,
-// it doesn't.
+// engineServes reports whether an engine takes connections, or left as announced. A silent engine may be
+// sound, so it is asked again for servesTimeout. If it can't be told, the engine doesn't serve.
 func (c *core) engineServes(ctx context.Context, engine catalog.Engine) bool {
+	ctx, cancel := context.WithTimeout(ctx, servesTimeout)
+	defer cancel()
+	for {
+		serves, known := c.checkServes(ctx, engine)
+		if known || ctx.Err() != nil {
+			return serves
+		}
+		clock.Sleep(ctx, servesPause)
+	}
+}
+
+// checkServes reports whether an engine serves; known is false if it doesn't say.
+func (c *core) checkServes(ctx context.Context, engine catalog.Engine) (serves, known bool) {
 	snapshot := c.catalog.Snapshot()
 	if newer, found := snapshot.Engine(catalog.Instance(engine.ID)); found && newer.Started.After(engine.Started) {
-		return false // it has restarted
+		return false, true // it has restarted
 	}
-	if known, found := snapshot.Engine(engine.ID); !found || known.Leaving {
-		return true
+	if entry, found := snapshot.Engine(engine.ID); !found || entry.Leaving {
+		return true, true
 	}
-	return c.pool.AcceptsConnections(ctx, engine.Address, engine.ID)
+	err := c.pool.Connect(ctx, engine.Address, engine.ID)
+	return err == nil, err == nil || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // reportPoison sends records to one data node, trying those of this node's zone first,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,26 +130,26 @@
 	return nil
 }
 
-// RefusesConnections reports whether connections to an engine's address are refused. A
-// connection that succeeds is kept for the next request; a timeout doesn't count as refused.
-func (p *Pool) RefusesConnections(ctx context.Context, address, engineID string) bool {
+// Connect opens a connection to an engine's address, which is kept for the next request.
+func (p *Pool) Connect(ctx context.Context, address, engineID string) error {
 	conn, err := p.dial(ctx, address, poolKey(address, engineID))
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
 	}
 	p.release(conn, nil)
-	return false
+	return nil
+}
+
+// RefusesConnections reports whether connections to an engine's address are refused. A
+// connection that succeeds is kept for the next request; a timeout doesn't count as refused.
+func (p *Pool) RefusesConnections(ctx context.Context, address, engineID string) bool {
+	return errors.Is(p.Connect(ctx, address, engineID), syscall.ECONNREFUSED)
 }
 
 // AcceptsConnections reports whether a connection to an engine's address can be opened; it is kept for
 // the next request.
 func (p *Pool) AcceptsConnections(ctx context.Context, address, engineID string) bool {
-	conn, err := p.dial(ctx, address, poolKey(address, engineID))
-	if err != nil {
-		return false
-	}
-	p.release(conn, nil)
-	return true
+	return p.Connect(ctx, address, engineID) == nil
 }
 
 // release keeps a connection idle until shortly before the engine would close it.
