Connections to engines bear a silence of a second or so

Callers of routes that run once saw requests end, with an answer that promises nothing, as their engine acknowledged nothing for 1.5 s.

Cause: TCP_USER_TIMEOUT of 1.5 s, also in place of the keep-alives' count. After a silence of 1.8 s TCP's next retransmission comes as late as 3 s after its start.

Change: 4 s while a connection has a request. Idle ones keep 1.5 s, as they cost little to open again and a request should rarely meet a dead one.

Evidence: TestSilenceWhileRequestIsSentEndsNoExchange failed before and passes; the engine reads nothing of a request of 16 MB for 1.8 s. TestDarkEngineEndsExchangeThatIsSent passes in 4.3 s. Lost acknowledgements themselves are not tested: that takes a network that drops packets.

What is given up: a request that runs once is told of a dark machine after 4 s instead of 1.5 s.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,9 +22,16 @@
 	// dialTimeout bounds a connect. Engines are milliseconds away, and a lost SYN is
 	// retransmitted only after a second.
 	dialTimeout = 350 * time.Millisecond
-	// ackTimeout is how long sent bytes may stay unacknowledged.
-	ackTimeout = 1500 * time.Millisecond
-	// Keep-alive probes detect an engine that lost power.
+	// ackTimeout is how long the kernel of an engine with a request may acknowledge nothing. A sound
+	// engine may be silent for a second or so. The doubled intervals of TCP's retransmissions end a
+	// silence of up to 1.8 s as late as 3 s after its start: from the least one, at 0.2, 0.6, 1.4 and 3 s.
+	// The bound is for requests that run once; others leave a silent engine sooner.
+	ackTimeout = 4 * time.Second
+	// idleAckTimeout is ackTimeout of idle connections, which cost little to open again, so that a
+	// request rarely meets a dead one.
+	idleAckTimeout = 1500 * time.Millisecond
+	// Keep-alive probes detect an engine that lost power. With a user timeout the kernel ends a
+	// connection by that, from the last bytes received, and not by the number of probes.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
@@ -76,6 +83,7 @@
 			return p.dial(ctx, address, key)
 		}
 		if clock.Now().Before(idle.idleDeadline) && idle.usable() {
+			idle.setAckTimeout(ackTimeout)
 			return idle, nil
 		}
 		idle.Close()
@@ -100,11 +108,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout/time.Millisecond))
-			})
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setAckTimeout(raw, ackTimeout) },
 	}
 	started := clock.Now()
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
@@ -176,6 +180,7 @@
 }
 
 func (p *Pool) addIdle(c *connection) {
+	c.setAckTimeout(idleAckTimeout)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[c.key]) >= maxIdlePerEngine {
@@ -185,6 +190,20 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
+func setAckTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
+	})
+}
+
+func (c *connection) setAckTimeout(timeout time.Duration) {
+	if systemConn, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := systemConn.SyscallConn(); err == nil {
+			_ = setAckTimeout(raw, timeout) // else the timeout stays what it was
+		}
+	}
+}
+
 // idleTimeout returns how long the connection may be idle according to a response's header.
 func idleTimeout(header http.Header) time.Duration {
 	if strings.EqualFold(header.Get("Connection"), "close") {
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Guards against requests ended, after they were sent in part, as their engine read nothing for a second
@@ -37,3 +41,60 @@
 		t.Errorf("got %q, %v, want ok", got, err)
 	}
 }
+
+// Guards against a request that is held by an engine that reads nothing for good.
+func TestDarkEngineEndsExchangeThatIsSent(t *testing.T) {
+	t.Parallel()
+	address := startEngine(t, func(net.Conn, *bufio.Reader) { <-t.Context().Done() })
+	call := &Call{ID: "a", Method: "POST", URI: "/", Host: "h", Body: make([]byte, 16<<20)}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*ackTimeout)
+	defer cancel()
+	if response, err := NewPool(plainDialect{}).Exchange(ctx, address, call); err == nil {
+		response.Close()
+		t.Error("got a response")
+	}
+	if ctx.Err() != nil {
+		t.Error("the exchange has not ended by itself")
+	}
+}
+
+// Guards against idle connections that are kept as long as ones with a request.
+func TestIdleConnectionsEndSooner(t *testing.T) {
+	address := startEngine(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			respond(conn, id, "ok")
+		}
+	})
+	pool := NewPool(plainDialect{})
+	timeout := func(c *connection) (value time.Duration) {
+		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = raw.Control(func(fd uintptr) {
+			ms, _ := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+			value = time.Duration(ms) * time.Millisecond
+		})
+		return value
+	}
+	for range 2 {
+		conn, err := pool.get(t.Context(), address, "e")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := timeout(conn); got != ackTimeout {
+			t.Errorf("with a request: %v, want %v", got, ackTimeout)
+		}
+		pool.release(conn, nil)
+		if got := timeout(conn); got != idleAckTimeout {
+			t.Errorf("idle: %v, want %v", got, idleAckTimeout)
+		}
+	}
+	if pool.Opened.Load() != 1 {
+		t.Errorf("opened %d connections, want 1", pool.Opened.Load())
+	}
+}
