A stop answers requests whose first byte came before the last response ended

A caller of a stopping node could have its connection reset under a request of which the node had read a byte, though it was sent on an open connection that no response had announced the end of.

Cause: while a request is handled, net/http reads the first byte of the next one by itself, to notice that the caller leaves. Conn forgot it as the response ended: the connection counted as idle without a request, and was ended by a deadline in the past. The same held for connections closed for room, and for the idle time-out.

Change: a byte that is read alone while a request is handled counts as one of the next request.

A request that was read whole with the one before it was not dropped before either.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -34,6 +34,8 @@
 	state   http.ConnState
 	retired bool // no request is taken but the first
 	unused  bool // nor the first
+	// early is how many bytes of the next request were read before the response ended.
+	early int64
 	// idleSince is when the last response ended.
 	idleSince time.Time
 	// deadline is the server's for reads, which is put aside once the connection has expired: a read
@@ -51,7 +53,7 @@
 		n, err := c.Conn.Read(buffer)
 		switch {
 		case n > 0:
-			c.recordRead(n)
+			c.recordRead(n, len(buffer) == 1)
 		case isTimeout(err) && c.extendIdle():
 			continue
 		}
@@ -75,11 +77,15 @@
 }
 
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
-// request is to be answered.
-func (c *Conn) recordRead(n int) {
+// request is to be answered. While a request is handled, the server reads only the first byte of the
+// next one, and alone.
+func (c *Conn) recordRead(n int, alone bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.answered.Load() {
+	switch {
+	case alone && c.state == http.StateActive:
+		c.early = int64(n)
+	case !c.answered.Load():
 		c.unanswered.Add(int64(n))
 	}
 	if c.expired {
@@ -152,7 +158,8 @@
 	c.state = state
 	if state == http.StateIdle {
 		c.answered.Store(false)
-		c.unanswered.Store(0)
+		c.unanswered.Store(c.early)
+		c.early = 0
 		c.idleSince = time.Now()
 	}
 }
