A stopping node serves new connections as long as it is sent some

Cause: a retiring gate set a deadline in the past on connections without a request, new ones included; a read with such a deadline fails at once, even if bytes have arrived. Change: new connections may have their first request until the gate is closed; a connection that is to end is read for 50 ms more, so that a request in its socket is answered. Evidence: TestRetiringGateServesNewConnections and TestRetiredConnectionAnswersRequestInItsSocket failed before (connection reset by peer), and pass now, also under the race detector; callerconn and the Stopping tests of platform pass. Why it works: the deadline is set where no first request is awaited, and lies after what has arrived by then can be read.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -32,14 +32,17 @@
 	mutex   sync.Mutex // guards the fields below; acquired after the gate's, a leaf
 	state   http.ConnState
 	retired bool
+	// closing says that the connection ends without its first request, too.
+	closing bool
 	// deadline is the server's for reads, which is put aside once the connection has expired: a read
 	// then fails unless it has taken bytes before.
 	deadline time.Time
 	expired  bool
 }
 
-// longPast is a deadline for reads that must take no more bytes.
-var longPast = time.Unix(1, 0)
+// arrivalTime is how long a connection that is to end is still read: a request that is in its socket by
+// then is answered.
+const arrivalTime = 50 * time.Millisecond
 
 // Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) {
@@ -71,23 +74,28 @@
 	defer c.mutex.Unlock()
 	c.deadline = deadline
 	if c.retired && c.isIdle() {
-		c.expired = true
-		return c.Conn.SetReadDeadline(longPast)
+		return c.expire()
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// retire ends the connection once no request is on it.
-func (c *Conn) retire() {
+// retire ends the connection once no request is on it; if closing isn't set, it may have its first one.
+func (c *Conn) retire(closing bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired = true
+	c.closing = c.closing || closing
 	if c.isIdle() {
-		c.expired = true
-		_ = c.Conn.SetReadDeadline(longPast)
+		_ = c.expire()
 	}
 }
 
+// expire ends the connection unless a request arrives within arrivalTime; the caller holds the mutex.
+func (c *Conn) expire() error {
+	c.expired = true
+	return c.Conn.SetReadDeadline(time.Now().Add(arrivalTime))
+}
+
 // setState records the state that the server gives the connection.
 func (c *Conn) setState(state http.ConnState) {
 	c.mutex.Lock()
@@ -98,10 +106,10 @@
 	}
 }
 
-// isIdle reports whether no byte of a request was read since the last response; the caller holds the
-// mutex.
+// isIdle reports whether the connection can end: no byte of a request was read since the last response,
+// and its first request isn't awaited. The caller holds the mutex.
 func (c *Conn) isIdle() bool {
-	return (c.state == http.StateNew || c.state == http.StateIdle) && c.unanswered.Load() == 0
+	return (c.state == http.StateIdle || c.state == http.StateNew && c.closing) && c.unanswered.Load() == 0
 }
 
 // Write implements net.Conn.
@@ -162,8 +170,22 @@
 
 // Of returns the connection of a request's context; nil if the server has no gate.
 func Of(ctx context.Context) *Conn {
-	conn, _ := ctx.Value(connKey{}).(*Conn)
-	return conn
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return unwrap(conn)
+}
+
+// NetConn returns the connection that the gate's listener accepted.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// unwrap returns the gate's connection under one of TLS; nil if there is none.
+func unwrap(conn net.Conn) *Conn {
+	if tracked, ok := conn.(*Conn); ok {
+		return tracked
+	}
+	if over, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return unwrap(over.NetConn())
+	}
+	return nil
 }
 
 func isTimeout(err error) bool {
--- a/internal/callerconn/gate.go
+++ b/internal/callerconn/gate.go
@@ -79,10 +79,14 @@
 	return err
 }
 
-// Close closes the listener and waits for the gate's goroutine.
+// Close closes the listener and waits for the gate's goroutine. A gate that retires its connections ends
+// those, too, that have had no request.
 func (g *Gate) Close() error {
 	g.mutex.Lock()
 	g.closed = true // no goroutine starts from here on
+	if g.retiring {
+		g.retireAll()
+	}
 	g.mutex.Unlock()
 	err := g.Listener.Close()
 	g.tasks.Wait()
@@ -112,19 +116,19 @@
 		evicted := oldest.Value.(*Conn)
 		g.idle.Remove(oldest)
 		g.open[evicted] = nil
-		evicted.retire()
+		evicted.retire(false)
 	}
 	g.open[conn] = nil
 	if g.retiring {
-		conn.retire()
+		conn.retire(g.closed)
 	}
 	return true
 }
 
 // TrackState is the ConnState function of the server that serves the gate's connections.
 func (g *Gate) TrackState(netConn net.Conn, state http.ConnState) {
-	conn, ok := netConn.(*Conn)
-	if !ok {
+	conn := unwrap(netConn)
+	if conn == nil {
 		return
 	}
 	conn.setState(state)
@@ -227,13 +231,19 @@
 	eventLeftBehind.Info(append([]any{"open", open, "requests", handled, "not_handled", unread}, g.state()...)...)
 }
 
-// Retire closes idle connections, and others after their responses. Responses should say so.
+// Retire closes idle connections, and others after their responses, which should say so. Connections
+// without a request, new ones too, may have their first one until Close.
 func (g *Gate) Retire() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.retiring = true
+	g.retireAll()
+}
+
+// retireAll retires all open connections; the caller holds the mutex.
+func (g *Gate) retireAll() {
 	for conn := range g.open {
-		conn.retire()
+		conn.retire(g.closed)
 	}
 }
 
--- a/internal/callerconn/retire_test.go
+++ b/internal/callerconn/retire_test.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -115,3 +116,52 @@
 	close(held.release)
 	g.Expect(<-answered).To(gomega.Succeed())
 }
+
+// Guards against a stopping node that closes new connections unread while callers may still be sent there.
+func TestRetiringGateServesNewConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := NewGate(0)
+	startGate(t, gate)
+	waiting := dialGate(t, gate)
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.Equal(1))
+	gate.Retire()
+	g.Expect(exchange(dialGate(t, gate))).To(gomega.Succeed())
+	g.Expect(exchange(waiting)).To(gomega.Succeed())
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.BeZero(), "each has had its one request")
+}
+
+// Guards against connections without a request that hold up a stop.
+func TestClosedGateEndsConnectionsWithoutRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := NewGate(0)
+	startGate(t, gate)
+	dialGate(t, gate)
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.Equal(1))
+	gate.Retire()
+	g.Expect(gate.Close()).To(gomega.Succeed())
+	g.Eventually(gate.Open, 10*time.Second).Should(gomega.BeZero())
+}
+
+// Guards against a stop that drops requests which have arrived and are not read yet.
+func TestRetiredConnectionAnswersRequestInItsSocket(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 100 {
+		gate := NewGate(0)
+		startGate(t, gate)
+		conn := dialGate(t, gate)
+		g.Expect(exchange(conn)).To(gomega.Succeed())
+		answered := make(chan error)
+		sent := make(chan struct{})
+		go func() {
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			close(sent)
+			if err == nil {
+				_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+			answered <- err
+		}()
+		<-sent
+		gate.Retire()
+		g.Expect(<-answered).To(gomega.Succeed())
+	}
+}
