--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -33,7 +33,7 @@
 	mutex   sync.Mutex // guards the fields below; acquired after the gate's, a leaf
 	state   http.ConnState
 	retired bool // no request is taken but the first
-	unused  bool // nor the first
+	closing bool // nor the first
 	// early is how many bytes of the next request were read before the response ended.
 	early int64
 	// idleSince is when the last response ended.
@@ -44,8 +44,9 @@
 	expired  bool
 }
 
-// longPast is a deadline for reads that must take no more bytes.
-var longPast = time.Unix(1, 0)
+// arrivalTime is how long a connection that is to end is still read: a request that is in its socket by
+// then is answered.
+const arrivalTime = 50 * time.Millisecond
 
 // Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) {
@@ -122,32 +123,25 @@
 	return deadline
 }
 
-// retire ends the connection after its response, or now if it is idle. A new connection may bring its
-// first request.
-func (c *Conn) retire() {
+// retire ends the connection after its response, or soon if it is idle. A new connection may have its first
+// request unless closing is set.
+func (c *Conn) retire(closing bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.retired = true
+	c.closing = c.closing || closing
 	c.expire()
 }
 
-// retireUnused is retire, but ends new connections, too.
-func (c *Conn) retireUnused() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.retired, c.unused = true, true
-	c.expire()
-}
-
-// expire makes the server close the connection if no more requests are taken from it and no byte of one
-// was read. It reports whether it did; the caller holds the mutex.
+// expire ends the connection unless a request arrives within arrivalTime, if no more are taken from it and
+// no byte of one was read. It reports whether it does; the caller holds the mutex.
 func (c *Conn) expire() bool {
-	waits := c.state == http.StateIdle && c.retired || c.state == http.StateNew && c.unused
+	waits := c.state == http.StateIdle && c.retired || c.state == http.StateNew && c.closing
 	if !waits || c.unanswered.Load() > 0 {
 		return false
 	}
 	c.expired = true
-	_ = c.Conn.SetReadDeadline(longPast)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(arrivalTime))
 	return true
 }
 
@@ -223,8 +217,22 @@
 
 // Of returns the connection of a request's context; nil if the server has no gate.
 func Of(ctx context.Context) *Conn {
-	conn, _ := ctx.Value(connKey{}).(*Conn)
-	return conn
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return unwrap(conn)
+}
+
+// NetConn returns the connection that the gate's listener accepted.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// unwrap returns the gate's connection under one of TLS; nil if there is none.
+func unwrap(conn net.Conn) *Conn {
+	if tracked, ok := conn.(*Conn); ok {
+		return tracked
+	}
+	if over, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return unwrap(over.NetConn())
+	}
+	return nil
 }
 
 func isTimeout(err error) bool {
--- a/internal/callerconn/gate.go
+++ b/internal/callerconn/gate.go
@@ -87,9 +87,7 @@
 func (g *Gate) Close() error {
 	g.mutex.Lock()
 	g.closed = true // no goroutine starts from here on
-	for conn := range g.open {
-		conn.retireUnused()
-	}
+	g.retireAll()
 	g.mutex.Unlock()
 	err := g.Listener.Close()
 	g.tasks.Wait()
@@ -119,22 +117,19 @@
 		evicted := oldest.Value.(*Conn)
 		g.idle.Remove(oldest)
 		g.open[evicted] = nil
-		evicted.retire()
+		evicted.retire(false)
 	}
 	g.open[conn] = nil
-	if g.retiring {
-		conn.retire()
-	}
-	if g.closed {
-		conn.retireUnused()
+	if g.retiring || g.closed {
+		conn.retire(g.closed)
 	}
 	return true
 }
 
 // TrackState is the ConnState function of the server that serves the gate's connections.
 func (g *Gate) TrackState(netConn net.Conn, state http.ConnState) {
-	conn, ok := netConn.(*Conn)
-	if !ok {
+	conn := unwrap(netConn)
+	if conn == nil {
 		return
 	}
 	conn.setState(state)
@@ -250,8 +245,13 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.retiring = true
+	g.retireAll()
+}
+
+// retireAll retires all open connections; the caller holds the mutex.
+func (g *Gate) retireAll() {
 	for conn := range g.open {
-		conn.retire()
+		conn.retire(g.closed)
 	}
 }
 
