--- a/internal/batchwork/slow_commit_test.go
+++ b/internal/batchwork/slow_commit_test.go
@@ -53,3 +53,29 @@
 	g.Expect(result.engine).To(gomega.Equal(engineSucceeded))
 	g.Expect(last).To(gomega.BeEquivalentTo(3))
 }
+
+// Guards against runs that end as a sound engine, which takes up to a second to an event, is silent for
+// 1.8 s as well.
+func TestRunOutlivesSilenceOnTopOfUsualPause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const pause = time.Second + 1800*time.Millisecond
+	engine := newFakeEngine(t, 2, pause)
+	firstLate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(pause)
+		engine.ServeHTTP(w, r)
+	}))
+	defer firstLate.Close()
+	node := &runNode{
+		pool: upstream.NewPool(testDialect{}), readStart: clock.Now(),
+		commit: func(context.Context, itemUpdate) error { return nil },
+		usable: func(string, string) bool { return true }, open: func(string, uint32) bool { return true },
+	}
+	run := &itemRun{
+		node: node, engine: catalog.Engine{ID: "e", Address: strings.TrimPrefix(firstLate.URL, "http://")}, maxFailures: 3,
+		item: openItem{job: "a", host: "h", giveUp: time.Now().Add(time.Hour)},
+	}
+	result := run.run(context.Background(), &Item{ID: "a-0", Path: "/x"})
+	g.Expect(result.cause).To(gomega.BeEmpty())
+	g.Expect(result.engine).To(gomega.Equal(engineSucceeded))
+	g.Expect(result.last).To(gomega.BeEquivalentTo(2))
+}
