Items wait 3.5 s for an engine that says nothing

A run of an item ended 2.5 s after its engine's last event. A sound engine may be silent for 1.8 s, on top of the time to connect and to an event (0.9 s to the first is usual): such runs ended, the engine counted as failed, and the item was prefilled again. Now it is 3.5 s. An engine whose machine is cut off is still left by the keep-alive after 2.5 s; one whose connections stay open and say nothing a second later than before. Evidence: TestRunOutlivesSilenceOnTopOfUsualPause failed before, passes now; TestItemsLeaveDarkEngine takes 7.0 s as before.

--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -55,8 +55,9 @@
 	commitTimeout = 4 * time.Second
 	// barrierTimeout bounds the confirmation of a new leader.
 	barrierTimeout = time.Second
-	// engineSilenceTimeout is how long an engine may be silent while it runs an item.
-	engineSilenceTimeout = 2500 * time.Millisecond
+	// engineSilenceTimeout is how long an engine may be silent while it runs an item: a sound one for
+	// 1.8 s beside the time that it takes to connect and to an event, of which the first is the slowest.
+	engineSilenceTimeout = 3500 * time.Millisecond
 	// failurePause is the pause after an engine's internal error or a failed commit.
 	failurePause = 150 * time.Millisecond
 	// refusalPause is the pause after an engine refused an item or was unreachable.
