A route that has moved has no sole release for a while

Callers would get one text out of two: a stream that its caller continues at another front node, after its route moved, went on with the output of the service that the route leads to now. While a service has one release its streams leave no record, and the node that continues one takes the release of the route's service for the one that began it. Now that holds only if the route has led to that service for as long as a stream may last, as the node has seen; until then streams leave records, and one without is refused as not run.

--- a/internal/system/catalogtracker.go
+++ b/internal/system/catalogtracker.go
@@ -68,8 +68,9 @@
 
 	warmReports warmReports
 
-	releasesMutex sync.Mutex // guards releases; a leaf
+	releasesMutex sync.Mutex // guards releases and routes; a leaf
 	releases      *origin.History
+	routes        origin.RouteHistory
 }
 
 // objectSource provides the mirrored objects of the platform; see mirror.Agent.
@@ -198,6 +199,7 @@
 	if configuration != previous.Configuration {
 		now := clock.Now()
 		t.appliedAt.Store(&now)
+		t.observeRoutes(configuration, now)
 	}
 	t.observeReleases(engines)
 	t.complete.Store(t.enginesRevision > 0 && t.drainsKnown() && !t.awaitingPoison())
@@ -224,6 +226,19 @@
 	t.releases.Observe(engines, clock.Now())
 }
 
+func (t *catalogTracker) observeRoutes(configuration *catalog.Configuration, now time.Time) {
+	t.releasesMutex.Lock()
+	defer t.releasesMutex.Unlock()
+	t.routes.Observe(configuration.Routes, now)
+}
+
+// steadyRoute reports whether a route has one service, and had no other within the window.
+func (t *catalogTracker) steadyRoute(route *catalog.Route, window time.Duration) bool {
+	t.releasesMutex.Lock()
+	defer t.releasesMutex.Unlock()
+	return t.routes.Steady(route, window, clock.Now())
+}
+
 // soleRelease returns the only release of a service's engines within the window; false if there
 // was more than one, or the engines are not known for so long.
 func (t *catalogTracker) soleRelease(service string, window time.Duration) (catalog.Release, bool) {
--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -126,13 +126,15 @@
 	// leave bounds how long a node may begin streams at a release that another one knows is gone.
 	leave time.Duration
 	sole  func(service string, window time.Duration) (catalog.Release, bool)
-	found *prometheus.CounterVec
+	// steady reports whether a route had no other service within the window; nil if no route changes.
+	steady func(route *catalog.Route, window time.Duration) bool
+	found  *prometheus.CounterVec
 }
 
 func newOriginClient(c *core) *originClient {
 	client := &originClient{
 		store: newOriginStore(), peers: c.peers, nodes: c.agent.Nodes, region: c.settings.Node.Region,
-		leave: c.settings.Platform.Leave, sole: c.soleRelease,
+		leave: c.settings.Platform.Leave, sole: c.soleRelease, steady: c.catalog.steadyRoute,
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chutelock_stream_origins_total",
 			Help: "Requests that continue a stream, by what tells the release that began it: own-record, record, sole-release or none.",
@@ -198,11 +200,13 @@
 	return answer.Release, answer.Source.String()
 }
 
-// query returns the question for a request. A route of several services has no sole release.
+// query returns the question for a request. A route has no sole release if its streams may have begun at
+// several services.
 func (o *originClient) query(request *forward.Request, route *catalog.Route) origin.Query {
 	query := origin.Query{Key: origin.KeyOf(request.Tenant, request.Stream())}
-	if services := route.Services(); len(services) == 1 && route.Timeout > 0 {
-		query.Service, query.Window = services[0], 2*route.Timeout+o.leave
+	services, window := route.Services(), 2*route.Timeout+o.leave
+	if len(services) == 1 && route.Timeout > 0 && (o.steady == nil || o.steady(route, window)) {
+		query.Service, query.Window = services[0], window
 	}
 	return query
 }
