The submission of an accepted job is answered 202 without its route, too

A front node answered 404 before it looked for the job. Now a POST of a job in JSON that has no route is looked up; it gets 202 if its caller's job is kept, else 404 as before, also if that can't be told. A route that is of another kind takes such requests as its own, as before. Evidence: TestAcceptedJobsOutliveChangesOfTheirRoutes ("dropped and added" twice, "other host") failed before, passes now; a job that isn't known still gets 404.

--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
+	"chutelock.dev/chutelock/internal/apikey"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
@@ -52,6 +55,49 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// serveUnrouted answers a request without a route: 404, unless it submits again a job that was accepted
+// while there was one. Its caller may have missed the answer.
+func (e *Edge) serveUnrouted(w http.ResponseWriter, r *http.Request, configuration *catalog.Configuration, arrived time.Time) {
+	if mayBeSubmission(r) && r.ContentLength <= bodyLimit(configuration.Limits.BodyBytes) {
+		body, reserved, ok := e.readBody(w, r, configuration.Limits.BodyBytes, catalog.KindBatch, arrived.Add(callTimeout))
+		defer e.MemoryBudget.Release(reserved)
+		if !ok {
+			return
+		}
+		if job, err := e.Dialect.Job(r, body); err == nil && e.keepsJob(r, configuration, job.ID, arrived) {
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+	}
+	e.reject(w, r, http.StatusNotFound, "no route for this host and path")
+}
+
+// mayBeSubmission reports whether a request may submit a job, by its head.
+func mayBeSubmission(r *http.Request) bool {
+	mediaType, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return r.Method == http.MethodPost && r.ContentLength > 0 && mediaType == "application/json"
+}
+
+// keepsJob reports whether a job of the request's caller is known to be accepted.
+func (e *Edge) keepsJob(r *http.Request, configuration *catalog.Configuration, job string, arrived time.Time) bool {
+	var from caller
+	if configuration.KeyRequired() {
+		key, presence := apikey.Read(r.Header)
+		if presence != apikey.Given || e.ConfigurationExpired() {
+			return false
+		}
+		if from.tenant = configuration.TenantOf(key); from.tenant == nil {
+			return false
+		}
+	}
+	parsed, _ := e.Dialect.ParseRequest(r, arrived) // fields that can't be parsed stay empty
+	ctx, cancel := callContext(r.Context(), parsed.Deadline, 0)
+	defer cancel()
+	_, err := e.Jobs.Read(ctx, from.name(), job, math.MaxInt32, 0)
+	return err == nil
+}
+
 // jobRetryAfter returns the Retry-After of a refused job: the predicted time at which there is
 // room, if it is known.
 func jobRetryAfter(err error) time.Duration {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,7 +162,7 @@
 	}
 	route := configuration.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		e.reject(w, r, http.StatusNotFound, "no route for this host and path")
+		e.serveUnrouted(w, r, configuration, arrived)
 		return
 	}
 	if from, known := e.authenticate(w, r, configuration, route.Public); known {
@@ -285,9 +285,7 @@
 func (e *Edge) readBody(
 	w http.ResponseWriter, r *http.Request, limit int64, kind catalog.Kind, deadline time.Time,
 ) (body []byte, reserved int64, ok bool) {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
+	limit = bodyLimit(limit)
 	if r.ContentLength > limit {
 		discardBody(w, r)
 		e.reject(w, r, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
@@ -317,6 +315,14 @@
 	return body, needed, ok
 }
 
+// bodyLimit returns the bound on bodies for the configured one, which may be missing.
+func bodyLimit(configured int64) int64 {
+	if configured <= 0 {
+		return defaultMaxBody
+	}
+	return configured
+}
+
 // bodyTimeout returns how long the request's body may take to arrive.
 func bodyTimeout(deadline time.Time) time.Duration {
 	if deadline.IsZero() {
