Requests leave a dark engine for a queue, and new ones don't pile up there

Cause: the search took only free slots, and under full load none gets free for more than an instant; new requests went to the dark engine's places.

Change: a request that has heard nothing for 2.5 s takes a place in a queue, too. A search waits in line with other requests and is woken by a freed place, but holds up none of lower priority, as it may want what nobody else wants. An engine silent to its streams for 2.5 s gets new requests only if there is no other, but for one that tries it after 1 to 4 s. Whole answers may take as long, so they make an engine less preferred only. A look for a place elsewhere no longer counts in the share of requests that find room.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -54,6 +54,8 @@
 	service  string
 	priority int
 	wake     chan struct{} // capacity 1
+	// hasPlace is set if the request has a place already; then it holds up no others.
+	hasPlace bool
 }
 
 // New returns a balancer that reads the current catalog from snapshot.
@@ -103,6 +105,8 @@
 	// slowness is the engine's when its first event arrived; guarded by the balancer's mutex.
 	slowness float64
 	released bool
+	// awaits is set for online requests, of which isStream tells whether the answer comes in pieces.
+	awaits, isStream bool
 }
 
 // Acquire reserves a place at an engine for the wish, counted until it is released. It waits
@@ -200,6 +204,7 @@
 func (l *Lease) end(now time.Time) {
 	b := l.balancer
 	b.table.End(l.Engine.ID, l.class, now)
+	l.stopAwaiting(now)
 	if len(b.waiting) > 0 {
 		select {
 		case b.waiting[0].wake <- struct{}{}:
@@ -230,7 +235,7 @@
 		if other == self {
 			break
 		}
-		if other.service == wish.Service && other.priority < priority {
+		if other.service == wish.Service && other.priority < priority && !other.hasPlace {
 			return nil, false
 		}
 	}
@@ -242,9 +247,7 @@
 	lease := &Lease{Engine: engine, balancer: b, class: wish.Class, startedAt: now, unreadTokens: b.table.unreadTokens(snapshot, wish, engine)}
 	lease.paced = b.Permit != nil && engine.Paced(now)
 	b.table.Begin(engine.ID, wish.Class, lease.unreadTokens, now)
-	if wish.Class == ClassOnline {
-		b.table.Await(engine.ID, now)
-	}
+	lease.await(wish, now)
 	if !lease.paced {
 		b.signalPreemptionFor(lease, now)
 	}
@@ -273,7 +276,7 @@
 // waitForRoom waits for an engine with room. It stops early once rejection finds that the
 // rest of the wait can't succeed.
 func (b *Balancer) waitForRoom(ctx context.Context, wish Wish, priority int, wait time.Duration, refresh func(context.Context)) (*Lease, error) {
-	self := b.enqueue(wish.Service, priority)
+	self := b.enqueue(&waiter{service: wish.Service, priority: priority})
 	defer b.dequeue(self)
 	started, budget := clock.Now(), wish.Wait
 	timeout := time.NewTimer(wait)
@@ -305,11 +308,11 @@
 	}
 }
 
-func (b *Balancer) enqueue(service string, priority int) *waiter {
-	self := &waiter{service: service, priority: priority, wake: make(chan struct{}, 1)}
+func (b *Balancer) enqueue(self *waiter) *waiter {
+	self.wake = make(chan struct{}, 1)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > priority })
+	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > self.priority })
 	b.waiting = append(b.waiting, nil)
 	copy(b.waiting[at+1:], b.waiting[at:])
 	b.waiting[at] = self
@@ -327,11 +330,16 @@
 	}
 }
 
-// Waiting returns the number of requests that wait for an engine.
-func (b *Balancer) Waiting() int {
+// Waiting returns the number of requests that wait for an engine and have none.
+func (b *Balancer) Waiting() (count int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return len(b.waiting)
+	for _, waiting := range b.waiting {
+		if !waiting.hasPlace {
+			count++
+		}
+	}
+	return count
 }
 
 // RecordReport records the load that an engine reported.
--- a/internal/balance/batch.go
+++ b/internal/balance/batch.go
@@ -20,7 +20,7 @@
 	defer b.mutex.Unlock()
 	b.table.useSpeeds = useSpeeds
 	for _, other := range b.waiting {
-		if other.service == wishes[0].Service && other.priority < priority {
+		if other.service == wishes[0].Service && other.priority < priority && !other.hasPlace {
 			return nil
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -51,6 +51,8 @@
 	Zone   string
 	Region string
 	Class  Class
+	// Stream is set if the answer comes in pieces, so that an engine that runs the request is heard from.
+	Stream bool
 	// Prefix identifies the shared part of the prompt and PrefixTokens is its length; an
 	// engine that has it cached reads the prompt faster.
 	Prefix       string
@@ -72,6 +74,8 @@
 	Wait time.Duration
 	// Left is the time until the request's deadline; 0 means no bound.
 	Left time.Duration
+	// hasPlace is set if the request has a place at an engine already.
+	hasPlace bool
 }
 
 // Choose returns the best engine that has room, or false. If all engines are ejected or
@@ -158,7 +162,7 @@
 			chosen = other
 		}
 	}
-	if wish.Release == (catalog.Release{}) { // few engines may be of a release
+	if wish.Release == (catalog.Release{}) && !wish.hasPlace { // few engines may be of a release
 		t.recordRoom(foundRoom)
 	}
 	if len(chosen.engines) == 0 {
--- a/internal/balance/coldstart.go
+++ b/internal/balance/coldstart.go
@@ -105,6 +105,7 @@
 	l.clearUnread()
 	now := clock.Now()
 	b.table.End(l.Engine.ID, l.class, now)
+	l.stopAwaiting(now)
 	b.table.markFull(l.Engine.ID, pause, now)
 }
 
--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -223,7 +223,7 @@
 	}
 	lease := &Lease{Engine: faster, balancer: b, class: wish.Class, startedAt: now, unreadTokens: b.table.unreadTokens(snapshot, wish, faster)}
 	b.table.Begin(faster.ID, wish.Class, lease.unreadTokens, now)
-	b.table.Await(faster.ID, now)
+	lease.await(wish, now)
 	b.signalPreemptionFor(lease, now)
 	return lease, slowness
 }
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -65,9 +65,9 @@
 	ejectedUntil time.Time
 	fullUntil    time.Time
 	lastUsed     time.Time
-	// unheardSince is since when nothing was heard from the engine though it had requests whose answers
-	// are awaited; zero if none is.
-	unheardSince time.Time
+	// answers are this node's online requests at the engine, and streams those whose answers come in
+	// pieces.
+	answers, streams awaited
 }
 
 // peerLoad is a peer's last report.
@@ -156,13 +156,7 @@
 func (t *Table) PrefillDone(id string, tokens int, now time.Time) { t.state(id, now).pending -= tokens }
 
 // End uncounts a request that ended.
-func (t *Table) End(id string, class Class, now time.Time) {
-	state := t.state(id, now)
-	state.own[class]--
-	if state.own[ClassOnline] == 0 && state.silence(now) < silentAfter {
-		state.unheardSince = time.Time{}
-	}
-}
+func (t *Table) End(id string, class Class, now time.Time) { t.state(id, now).own[class]-- }
 
 // RecordResidence updates the mean residence time with that of an online request of this node.
 func (t *Table) RecordResidence(length time.Duration) {
@@ -373,10 +367,10 @@
 	return tokens
 }
 
-// healthy reports whether the engine isn't ejected.
+// healthy reports whether the engine is neither ejected nor dark.
 func (t *Table) healthy(id string, now time.Time) bool {
 	state := t.engines[id]
-	return state == nil || !now.Before(state.ejectedUntil)
+	return state == nil || !now.Before(state.ejectedUntil) && !state.dark(now)
 }
 
 func (t *Table) isFull(id string, now time.Time) bool {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -221,6 +221,7 @@
 	}
 	policy := fl.waitPolicy()
 	wish := fl.wish(policy.waitAtEngine(clock.Now()))
+	wish.Stream = fl.isStream()
 	if fl.Refresh != nil {
 		fl.Refresh(ctx)
 	}
@@ -273,6 +274,9 @@
 	}
 }
 
+// isStream reports whether the request's answer comes in pieces.
+func (fl *inflight) isStream() bool { return fl.route.Kind == catalog.KindStream }
+
 // left returns the time until the request's deadline; 0 if it has none.
 func (fl *inflight) left() time.Duration {
 	if fl.deadline.IsZero() {
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -83,7 +83,7 @@
 		return w
 	}
 	w.wish = fl.wish(0)
-	w.wish.Service, w.wish.Release = engine.Service, engine.Release()
+	w.wish.Service, w.wish.Release, w.wish.Stream = engine.Service, engine.Release(), true
 	if w.maxPause = time.Duration(pauseShare * float64(fl.route.GapTarget)); w.maxPause > 0 {
 		// The first event starts the timer.
 		w.timer = time.AfterFunc(math.MaxInt64, w.checkPause)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -15,13 +15,14 @@
 	// silenceTimeout is how long an engine may send no whole response or event before a repeatable
 	// request looks for another one. Callers abandon a stream after a pause of 2 s.
 	silenceTimeout = 1100 * time.Millisecond
-	// searchInterval is the interval of the first looks for a place at another engine; it doubles up to
-	// maxSearchDoublings times, as a look considers all engines and room may be short for long.
-	searchInterval     = 20 * time.Millisecond
-	maxSearchDoublings = 3
+	// darkTimeout is the silence from which on a request leaves its engine for a place in the queue of
+	// another one, too. A sound engine may be silent for a second or so.
+	darkTimeout = 2500 * time.Millisecond
 	// minMoveTime is the time that must remain for a request to leave a silent engine, which may go on
 	// at any moment.
 	minMoveTime = 250 * time.Millisecond
+	// retryPause is the pause after a place was found that the request may not use.
+	retryPause = 50 * time.Millisecond
 )
 
 // errEngineSilent ends an exchange whose request goes on at another engine.
@@ -36,19 +37,18 @@
 	engine catalog.Engine
 	cancel context.CancelCauseFunc
 
-	mutex  sync.Mutex // guards the fields below; acquired before the balancer's and the guard's
-	wish   balance.Wish
-	timer  *time.Timer // of the next look for a place
-	looks  int         // since an event was received
-	events int
-	ended  bool           // the request doesn't move any more; always set if it may not
-	next   *balance.Lease // where the request moves
+	mutex      sync.Mutex // guards the fields below; acquired before the balancer's and the guard's
+	wish       balance.Wish
+	timer      *time.Timer // starts the search
+	stopSearch context.CancelFunc
+	ended      bool           // the request doesn't move any more; always set if it may not
+	next       *balance.Lease // where the request moves
 }
 
 // startSilenceWatch watches an attempt. The last allowed attempt isn't watched, as the request could
 // not be sent again.
 func (fl *inflight) startSilenceWatch(ctx context.Context, engine catalog.Engine, cancel context.CancelCauseFunc) *silenceWatch {
-	w := &silenceWatch{fl: fl, ctx: ctx, engine: engine, cancel: cancel}
+	w := &silenceWatch{fl: fl, ctx: ctx, engine: engine, cancel: cancel, stopSearch: func() {}}
 	if !fl.route.MayRunAgain() || fl.attempts.runs+1 >= fl.route.Attempts {
 		w.ended = true
 		return w
@@ -56,8 +56,8 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.wish = fl.wish(0)
-	w.wish.Service = engine.Service
-	w.timer = time.AfterFunc(silenceTimeout, w.look)
+	w.wish.Service, w.wish.Stream = engine.Service, fl.isStream()
+	w.timer = time.AfterFunc(silenceTimeout, w.search)
 	return w
 }
 
@@ -66,59 +66,73 @@
 func (w *silenceWatch) event(hasID bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.stopSearch()
 	w.ended = w.ended || !hasID
 	if w.ended {
 		return
 	}
-	w.events++
-	w.looks = 0
 	w.wish.Release = w.engine.Release()
 	w.timer.Reset(silenceTimeout)
 }
 
-// look moves the request if a place elsewhere is free, and else looks again later.
-func (w *silenceWatch) look() {
+// search moves the request once a place elsewhere is free, unless an event comes first.
+func (w *silenceWatch) search() {
 	w.mutex.Lock()
-	events, wish, ended := w.events, w.wish, w.ended
-	w.mutex.Unlock()
-	if ended {
-		return
-	}
-	lease := w.reserve(wish)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	isCurrent := !w.ended && w.events == events // checkSend reads what the exchange changes at events
-	if lease != nil && isCurrent && w.fl.checkSend(lease) == nil {
-		w.next, w.ended = lease, true
-		w.cancel(errEngineSilent)
+	if w.ended {
+		w.mutex.Unlock()
 		return
 	}
-	if lease != nil {
+	ctx, stop := w.searchContext()
+	w.stopSearch = stop
+	wish, queueFrom := w.wish, clock.Now().Add(darkTimeout-silenceTimeout)
+	w.mutex.Unlock()
+	defer stop()
+	for ctx.Err() == nil {
+		lease := w.reserve(ctx, wish, queueFrom)
+		if lease == nil {
+			continue
+		}
+		if w.move(ctx, lease) {
+			return
+		}
 		lease.Cancel()
-	}
-	if isCurrent {
-		w.timer.Reset(searchInterval << min(w.looks, maxSearchDoublings))
-		w.looks++
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
-// reserve reserves a place elsewhere to which a connection can be opened; nil if there is none.
-func (w *silenceWatch) reserve(wish balance.Wish) *balance.Lease {
-	fl := w.fl
-	if !fl.deadline.IsZero() && clock.Until(fl.deadline) < minMoveTime {
-		return nil
+// searchContext returns the context of a search, which ends while there is still time to move.
+func (w *silenceWatch) searchContext() (context.Context, context.CancelFunc) {
+	if w.fl.deadline.IsZero() {
+		return context.WithCancel(w.ctx)
 	}
-	if fl.Refresh != nil {
-		fl.Refresh(w.ctx)
+	return context.WithTimeout(w.ctx, clock.Until(w.fl.deadline)-minMoveTime)
+}
+
+// move ends the exchange if the request may go on at the reserved place, and reports whether it does.
+func (w *silenceWatch) move(ctx context.Context, lease *balance.Lease) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	// The context ends before the exchange changes, at an event, what checkSend reads.
+	if w.ended || ctx.Err() != nil || w.fl.checkSend(lease) != nil {
+		return false
 	}
+	w.next, w.ended = lease, true
+	w.cancel(errEngineSilent)
+	return true
+}
+
+// reserve reserves a place elsewhere to which a connection can be opened; nil if that fails.
+func (w *silenceWatch) reserve(ctx context.Context, wish balance.Wish, queueFrom time.Time) *balance.Lease {
+	fl := w.fl
 	wish.Regions, wish.Left = fl.regions(), fl.left()
-	lease, found := fl.Balancer.Elsewhere(w.ctx, w.engine, wish, fl.request.Priority)
-	if !found {
+	wish.Wait = max(0, fl.route.Target-clock.Since(fl.request.Arrived))
+	lease := fl.Balancer.Elsewhere(ctx, w.engine, wish, fl.request.Priority, queueFrom, fl.Refresh)
+	if lease == nil {
 		return nil
 	}
-	if err := fl.Pool.Prepare(w.ctx, lease.Engine.Address, lease.Engine.ID); err != nil {
+	if err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID); err != nil {
 		lease.Cancel()
-		if w.ctx.Err() == nil {
+		if ctx.Err() == nil {
 			fl.Balancer.RecordFailure(lease.Engine.ID, err)
 		}
 		return nil
@@ -130,6 +144,7 @@
 func (w *silenceWatch) stop() *balance.Lease {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.stopSearch()
 	w.ended = true
 	if w.timer != nil {
 		w.timer.Stop()
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -18,8 +18,8 @@
 	"chutelock.dev/chutelock/internal/upstream"
 )
 
-// silentEngine sends streams of streamEvents events. It stops after half of the events until spoken is
-// closed, or the connection is, and counts the streams that it began.
+// silentEngine sends streams of streamEvents events. It stops after half of the events, and before the
+// last one, until spoken or the connection is closed, and counts the streams that it began.
 func silentEngine(t *testing.T, id string, slots int, spoken <-chan struct{}, begun *atomic.Int32) catalog.Engine {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		begun.Add(1)
@@ -29,7 +29,7 @@
 		for event := after + 1; event <= streamEvents; event++ {
 			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", event, event)
 			_ = http.NewResponseController(w).Flush()
-			if event == streamEvents/2 {
+			if event == streamEvents/2 || event == streamEvents-1 {
 				select {
 				case <-spoken:
 				case <-r.Context().Done():
@@ -53,11 +53,14 @@
 	sinks   []*streamSink
 }
 
-func newSilenceFixture(t *testing.T, slotsOfB int) *silenceFixture {
+func newSilenceFixture(t *testing.T, slotsOfB int, bFallsSilent bool) *silenceFixture {
 	f := &silenceFixture{g: gomega.NewWithT(t), spoken: make(chan struct{})}
-	always := make(chan struct{})
-	close(always)
-	engines := []catalog.Engine{silentEngine(t, "a", 8, f.spoken, &f.begun[0]), silentEngine(t, "b", slotsOfB, always, &f.begun[1])}
+	spokenByB := f.spoken
+	if !bFallsSilent {
+		spokenByB = make(chan struct{})
+		close(spokenByB)
+	}
+	engines := []catalog.Engine{silentEngine(t, "a", 8, f.spoken, &f.begun[0]), silentEngine(t, "b", slotsOfB, spokenByB, &f.begun[1])}
 	snapshot := catalog.NewSnapshot(nil, engines)
 	f.Forwarder = &Forwarder{
 		Pool: upstream.NewPool(streamDialect{}), Balancer: balance.New(func() *catalog.Snapshot { return snapshot }), Usable: snapshot.Usable,
@@ -96,7 +99,7 @@
 // Guards against streams of a silent engine that all leave it for the same free place.
 func TestSilentEngineLeftByAsManyStreamsAsPlacesAreFree(t *testing.T) {
 	t.Parallel()
-	f := newSilenceFixture(t, 1)
+	f := newSilenceFixture(t, 1, true)
 	f.begin(3)
 	hold, err := f.Balancer.Acquire(context.Background(), balance.Wish{Service: "s", Avoid: []string{"a"}}, 0, 0, nil)
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -113,7 +116,7 @@
 func TestSilenceThatEndsWhilePlacesAreSought(t *testing.T) {
 	t.Parallel()
 	for range 4 {
-		f := newSilenceFixture(t, 8)
+		f := newSilenceFixture(t, 8, false)
 		f.begin(8)
 		time.Sleep(silenceTimeout - 50*time.Millisecond)
 		close(f.spoken)
@@ -124,7 +127,7 @@
 // Guards against streams that leave a silent engine for one that can't be reached.
 func TestSilentEngineNotLeftForUnreachableOne(t *testing.T) {
 	t.Parallel()
-	f := newSilenceFixture(t, 8)
+	f := newSilenceFixture(t, 8, false)
 	unreachable := catalog.Engine{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 8}
 	snapshot := catalog.NewSnapshot(nil, []catalog.Engine{silentEngine(t, "a", 8, f.spoken, &f.begun[0]), unreachable})
 	f.Balancer = balance.New(func() *catalog.Snapshot { return snapshot })
@@ -139,7 +142,7 @@
 // Guards against a sound engine that is ejected for a silence.
 func TestEngineNotEjectedForSilence(t *testing.T) {
 	t.Parallel()
-	f := newSilenceFixture(t, 8)
+	f := newSilenceFixture(t, 8, false)
 	f.begin(1)
 	f.g.Eventually(f.begun[1].Load, 10*time.Second).Should(gomega.BeEquivalentTo(1))
 	f.expectWhole()
