A stream doesn't leave its engine as its caller doesn't read

A caller that read nothing for over a second, as its link was held up, had the run of its sound engine ended and begun again elsewhere; after 2.5 s the engine counted as failed. The look for a place also read the release that began the stream while the stream wrote it.

Cause: an event started the timer on the next one as it arrived, before it was passed on, and a caller that doesn't read holds that up.

Change: the timer starts once the event was passed on.

Evidence: TestEngineNotLeftAsCallerDoesNotRead failed in both of 2 runs before (a second run was begun; the engine was set aside in one) with a data race of checkSend and recordOrigin under the race detector. It passes twice under it; the package's tests pass once.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -256,14 +256,14 @@
 		fl.receivedEvent = true
 		fl.Guard.EventReceived(fl.prompt)
 		watch.event(event.HasID)
-		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
-			continue
-		}
-		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
-			fl.callerLeft(err)
-			fl.sink.Abort()
-			return attemptResult{}, true
+		if repeated := event.HasID && fl.streamStarted && event.ID <= fl.lastEvent; !repeated {
+			if err := fl.sendEvent(lease.Engine, response, event); err != nil {
+				fl.callerLeft(err)
+				fl.sink.Abort()
+				return attemptResult{}, true
+			}
 		}
+		silence.passedOn()
 	}
 }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -61,8 +61,9 @@
 	return w
 }
 
-// event records a whole event of a stream; other bytes received don't count. Without an ID the stream
-// can't be resumed after the event, so it doesn't move any more.
+// event records a whole event of a stream; other bytes received don't count. Until it is passed on, the
+// engine isn't waited for. Without an ID the stream can't be resumed after the event, so it doesn't move
+// any more.
 func (w *silenceWatch) event(hasID bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -73,7 +74,16 @@
 	w.events++
 	w.looks = 0
 	w.wish.Release = w.engine.Release()
-	w.timer.Reset(silenceTimeout)
+	w.timer.Stop()
+}
+
+// passedOn records that the last event was passed on to the caller, who may be slow to read.
+func (w *silenceWatch) passedOn() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.ended {
+		w.timer.Reset(silenceTimeout)
+	}
 }
 
 // look moves the request if a place elsewhere is free, and else looks again later.
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -145,3 +145,31 @@
 	f.expectWhole()
 	f.g.Expect(f.Balancer.Occupancy([]string{"s"}).Services["s"].Slots).To(gomega.Equal(16))
 }
+
+// stalledSink holds up its first event, as a caller that doesn't read for a while.
+type stalledSink struct {
+	streamSink
+	stall time.Duration
+}
+
+func (s *stalledSink) WriteEvent(raw []byte) error {
+	time.Sleep(s.stall)
+	s.stall = 0
+	return s.streamSink.WriteEvent(raw)
+}
+
+// Guards against a stream that leaves its engine, or counts as its failure, as the caller doesn't read.
+func TestEngineNotLeftAsCallerDoesNotRead(t *testing.T) {
+	t.Parallel()
+	f := newSilenceFixture(t, 8)
+	time.AfterFunc(500*time.Millisecond, func() {
+		f.Balancer.RecordSuccess("b")
+		close(f.spoken)
+	})
+	sink := &stalledSink{stall: 3 * time.Second}
+	now := time.Now()
+	f.Serve(context.Background(), &Request{ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(20 * time.Second)}, f.route, sink)
+	f.g.Expect(sink.events).To(gomega.HaveLen(streamEvents))
+	f.g.Expect(f.begun[1].Load()).To(gomega.BeZero())
+	f.g.Expect(f.Balancer.Occupancy([]string{"s"}).Services["s"].Slots).To(gomega.Equal(16), "none counts as failed")
+}
