Failing test: a stream that moved is cut as the place it held was taken by others

A place elsewhere is held in this node's counts only. Where other nodes' requests take it first, the engine refuses; after five refusals, or 0.8 s without room, the stream is cut, though its own engine was sound, its caller waits for four times the target, and time is left.

--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -173,3 +173,51 @@
 	f.g.Expect(f.begun[1].Load()).To(gomega.BeZero())
 	f.g.Expect(f.Balancer.Occupancy([]string{"s"}).Services["s"].Slots).To(gomega.Equal(16), "none counts as failed")
 }
+
+// refusingDialect reads the status 503 as not run.
+type refusingDialect struct{ streamDialect }
+
+func (d refusingDialect) Facts(status int, header http.Header) upstream.Facts {
+	facts := d.streamDialect.Facts(status, header)
+	facts.NotRun, facts.Load = status == http.StatusServiceUnavailable, nil
+	return facts
+}
+
+// Guards against a stream that is cut off as the place to which it moved is refused, though its caller
+// waits and places become free.
+func TestStreamThatMovedWaitsAfterRefusal(t *testing.T) {
+	t.Parallel()
+	f := newSilenceFixture(t, 1)
+	var refusals atomic.Int32
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refusals.Add(1)
+		time.Sleep(100 * time.Millisecond)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(refusing.Close)
+	snapshot := catalog.NewSnapshot(nil, []catalog.Engine{
+		silentEngine(t, "a", 1, f.spoken, &f.begun[0]), {ID: "b", Service: "s", Address: strings.TrimPrefix(refusing.URL, "http://"), Slots: 1, Region: "b"},
+	})
+	f.Balancer = balance.New(func() *catalog.Snapshot { return snapshot })
+	f.Pool = upstream.NewPool(refusingDialect{})
+	f.Usable = snapshot.Usable
+	f.Balancer.RecordFailure("b", nil)
+	f.begin(1)
+	var other sync.WaitGroup
+	defer other.Wait()
+	other.Go(func() { // others take all places at a for a while, also the one that is given up
+		var leases []*balance.Lease
+		for end := time.Now().Add(silenceTimeout + 1500*time.Millisecond); time.Now().Before(end); {
+			if lease, err := f.Balancer.Acquire(context.Background(), balance.Wish{Service: "s", Regions: catalog.Regions{""}}, 0, time.Millisecond, nil); err == nil {
+				leases = append(leases, lease)
+			}
+		}
+		for _, lease := range leases {
+			lease.Release()
+		}
+	})
+	f.g.Eventually(refusals.Load, 10*time.Second).Should(gomega.BeNumerically(">", 0))
+	close(f.spoken)
+	f.expectWhole()
+}
