A silent engine ends no answer of the OpenAI server within 2.5 s

Callers of the OpenAI server saw streams end with an error after 1 s without a token, also where their engine was sound, was the only one, or the request runs once.

Cause: the same as on the platform: MinTokenTimeout, the least time for a token, was 1 s, and a sound engine may be silent for a second or so. With objectives of up to 40 ms between tokens, or 250 ms to the first, the limit was that.

Change: 2.5 s, as for batch items. Objectives that imply longer limits keep theirs.

What is given up: with such objectives, a repeatable request leaves a dark engine after 2.5 s instead of 1 s. To hold a place elsewhere first, as the platform's forwarder does, would keep both; not done here.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,7 +20,8 @@
 	// clamped to MinTokenTimeout and FirstTokenTimeout.
 	FirstTokenTimeout time.Duration
 	FirstTokenFactor  float64
-	// NextTokenTimeout and NextTokenFactor do the same for later tokens.
+	// NextTokenTimeout and NextTokenFactor do the same for later tokens. MinTokenTimeout is well above the
+	// second or so for which a sound engine may be silent.
 	NextTokenTimeout time.Duration
 	NextTokenFactor  float64
 	MinTokenTimeout  time.Duration
@@ -44,7 +45,7 @@
 		FirstTokenFactor:  4,
 		NextTokenTimeout:  10 * time.Second,
 		NextTokenFactor:   25,
-		MinTokenTimeout:   time.Second,
+		MinTokenTimeout:   2500 * time.Millisecond,
 		DrainSettle:       time.Second,
 	}
 }
