Requests whose node has no time left for them are told what is known

What callers would see: a connection that ends without a response, as their node of the OpenAI dialect stops; a handler that returns as its context ended would even have sent an empty 200. Cause: an end of the request's context counted as the caller's leaving. Change: with the cause ErrStopping a request that waits gets 503 not_run, one at an engine what is known of it (502, or an error event), one whose body is still read 503 not_run; uploads and batch submissions, too.

--- a/internal/gateway/apierror/apierror.go
+++ b/internal/gateway/apierror/apierror.go
@@ -144,6 +144,18 @@
 	return &Error{Status: status, Code: CodeNotRun, Type: kind, RetryAfter: max(retryAfter, time.Millisecond), Message: fmt.Sprintf(format, arguments...)}
 }
 
+// ErrStopping is the cause with which a request's context ends if its node has no time left for it.
+var ErrStopping = errors.New("the node is stopping")
+
+// stoppingRetryAfter is the retry delay of requests that a stopping node refuses; other nodes take them
+// at once.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+// Stopping returns the error for a request that a stopping node has no time for and did not run.
+func Stopping() *Error {
+	return NotRun(http.StatusServiceUnavailable, stoppingRetryAfter, "this node is stopping; the request was not run")
+}
+
 // OutcomeUnknown returns the error for a request that an engine may have run in
 // part or in full. Clients are told not to retry it.
 func OutcomeUnknown(cause error) *Error {
--- a/internal/gateway/batchapi/batches.go
+++ b/internal/gateway/batchapi/batches.go
@@ -38,7 +38,7 @@
 func readBatchRequest(w http.ResponseWriter, r *http.Request) (batchRequest, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxJSONBody))
 	if err != nil {
-		return batchRequest{}, err
+		return batchRequest{}, uploadError(r.Context(), err)
 	}
 	var request batchRequest
 	if err := json.Unmarshal(body, &request); err != nil {
--- a/internal/gateway/batchapi/files.go
+++ b/internal/gateway/batchapi/files.go
@@ -39,7 +39,7 @@
 		}
 	}
 	r.Body = http.MaxBytesReader(w, &idleTimeoutReader{
-		ReadCloser: r.Body, controller: http.NewResponseController(w),
+		ReadCloser: r.Body, ctx: r.Context(), controller: http.NewResponseController(w),
 	}, h.Limits.FileBytes+multipartOverhead)
 	parts, err := r.MultipartReader()
 	if err != nil {
@@ -48,7 +48,7 @@
 	form := &uploadForm{handler: h, tenant: tenant}
 	if err := form.read(r.Context(), parts); err != nil {
 		form.discard(r.Context())
-		return uploadError(err)
+		return uploadError(r.Context(), err)
 	}
 	record, err := h.Queries.File(r.Context(), tenant.Name, form.fileID)
 	if err != nil {
@@ -57,7 +57,11 @@
 	return writeJSON(w, newFileJSON(record))
 }
 
-func uploadError(err error) error {
+// uploadError returns the error for a body that was not read to its end.
+func uploadError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), apierror.ErrStopping) {
+		return apierror.Stopping()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return apierror.BodyTimeout(bodyIdleTimeout)
 	}
@@ -71,6 +75,7 @@
 // upload times out.
 type idleTimeoutReader struct {
 	io.ReadCloser
+	ctx        context.Context // of the request
 	controller *http.ResponseController
 }
 
@@ -78,6 +83,9 @@
 func (p *idleTimeoutReader) Read(into []byte) (int, error) {
 	// If deadlines are not supported, the timeouts of the server apply.
 	_ = p.controller.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
+	if err := p.ctx.Err(); err != nil { // its end has set the deadline before
+		return 0, err
+	}
 	return p.ReadCloser.Read(into)
 }
 
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"mime"
@@ -28,8 +29,14 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	keep := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
+	defer keep()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
 	if err != nil {
+		if errors.Is(context.Cause(r.Context()), apierror.ErrStopping) {
+			w.Header().Set("Connection", "close")
+			return nil, apierror.Stopping()
+		}
 		return nil, g.bodyError(w, err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -37,3 +37,6 @@
 	eventDrainEnded.Info("in_progress", 0)
 	return nil
 }
+
+// InFlight returns the number of requests being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,7 +88,7 @@
 		case <-timer.C:
 			x.checkTimes(ctx)
 		case <-ctx.Done():
-			x.leave()
+			x.leave(context.Cause(ctx))
 		}
 		timer.Reset(x.untilNextCheck())
 	}
@@ -102,10 +102,18 @@
 	return x.code
 }
 
-// leave ends the exchange because the caller disconnected.
-func (x *exchange) leave() {
+// leave ends the exchange because the caller disconnected, or with a response because the node has no
+// time left for it.
+func (x *exchange) leave(cause error) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
+	if x.code != "" {
+		return
+	}
+	if errors.Is(cause, apierror.ErrStopping) {
+		x.respondError(x.call.GiveUp(time.Now()))
+		return
+	}
 	x.code = codeCallerLeft
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -150,7 +152,7 @@
 	ticket := online.Ticket{Tenant: admitted.tenant, Service: admitted.service, Deadline: admitted.deadline}
 	release, refusal, err := g.gate.Admit(r.Context(), ticket)
 	if err != nil {
-		return codeCallerLeft
+		return g.endedWaiting(w, r)
 	}
 	if refusal != nil {
 		failure := g.rejected(refusal)
@@ -161,6 +163,16 @@
 	return g.newExchange(w, id, started, admitted).serve(r.Context())
 }
 
+// endedWaiting ends a request whose context ended while it waited.
+func (g *Gateway) endedWaiting(w http.ResponseWriter, r *http.Request) string {
+	if !errors.Is(context.Cause(r.Context()), apierror.ErrStopping) {
+		return codeCallerLeft
+	}
+	failure := apierror.Stopping()
+	apierror.Write(w, failure)
+	return string(failure.Code)
+}
+
 // checked is an authenticated and validated request.
 type checked struct {
 	path       string
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,12 +54,23 @@
 
 // trackState is the server's ConnState hook.
 func trackState(conn net.Conn, state http.ConnState) {
+	if over, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = over.NetConn()
+	}
 	if tracked, ok := conn.(*headerConn); ok {
 		tracked.active.Store(state == http.StateActive)
 		tracked.partial.Store(false)
 	}
 }
 
+// CloseWrite lets the server end a response whose request it did not read to its end.
+func (c *headerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *headerConn) Read(into []byte) (int, error) {
 	count, err := c.Conn.Read(into)
