A stopping node of the OpenAI dialect answers all that it has read

What callers would see, as their node stops: requests sent on open connections and dropped; uploads cut off after five seconds whatever time is left; requests cut off without a response when the time is over; all without a line in the log. Cause: http.Server.Shutdown drops requests that it reads, and had 5 s for whatever the drain did not count, such as uploads; the drain of callers began after those of batch work and ledger, with whatever time they left, and the stop lasted up to 5 s longer than drain.timeout. Change: the callers' port has the gate of callerconn. The node takes requests for a second, or a third of its time to stop, closes its port, refuses what it still reads, and leaves what it took the rest of the time, but for a second in which it answers what is left and closes. Batch work and ledger are handed over beside. Lines 2312 and 2314 and a counter tell what is left. That the drain of the ledger may take all the time is by reading. Why it works: nothing but the end of the time to stop ends what was read.

--- /dev/null
+++ b/internal/node/callers.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"chutelock.dev/chutelock/internal/callerconn"
+	"chutelock.dev/chutelock/internal/gateway"
+	"chutelock.dev/chutelock/internal/gateway/apierror"
+)
+
+const (
+	// maxSettleShare bounds the time in which a stopping node still takes requests to a share of the time
+	// to stop: the rest is for the slowest of the requests that were taken.
+	maxSettleShare = 1. / 3
+	// answerTime is how long requests whose time is over have for their responses.
+	answerTime = 300 * time.Millisecond
+	// drainPollInterval is how often a stopping node checks for requests in progress.
+	drainPollInterval = 20 * time.Millisecond
+)
+
+// callers serves the callers' port and answers every request that it has read, also while it stops.
+type callers struct {
+	server      *http.Server
+	listener    net.Listener // the gate, or TLS over it
+	gate        *callerconn.Gate
+	next        http.Handler
+	endRequests context.CancelCauseFunc // ends the contexts of all requests
+
+	stopping atomic.Bool // responses announce the end of their connections
+	refusing atomic.Bool // requests are refused as not run
+	inFlight atomic.Int64
+}
+
+// newCallers returns the server of the callers' port. If tlsConfig is nil, it serves without TLS. state
+// describes the node in log lines.
+func newCallers(listener net.Listener, tlsConfig *tls.Config, handler http.Handler, state func() []any) *callers {
+	c := &callers{next: handler, gate: callerconn.NewGate(0)}
+	c.gate.Listener = listener
+	c.gate.State = func() []any {
+		return append(state(), "stopping", c.stopping.Load(), "in_flight", c.inFlight.Load())
+	}
+	c.listener = c.gate
+	if tlsConfig != nil {
+		c.listener = tls.NewListener(c.gate, tlsConfig)
+	}
+	c.server = gateway.NewServer(gateway.WithRequestID(c), gateway.Config{})
+	track := c.server.ConnState
+	c.server.ConnState = func(conn net.Conn, state http.ConnState) {
+		track(conn, state)
+		c.gate.TrackState(conn, state)
+	}
+	c.server.ConnContext = c.gate.ConnContext
+	ctx, endRequests := context.WithCancelCause(context.Background())
+	c.server.BaseContext = func(net.Listener) context.Context { return ctx }
+	c.endRequests = endRequests
+	return c
+}
+
+func (c *callers) register(registry prometheus.Registerer) {
+	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chutelock_connections_unanswered_total", Help: "Callers' connections that this node closed on a request that it had read and not answered."},
+			func() float64 { return float64(c.gate.Unanswered()) }))
+}
+
+// ServeHTTP implements http.Handler.
+func (c *callers) ServeHTTP(netWriter http.ResponseWriter, r *http.Request) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	w := &callersWriter{ResponseWriter: netWriter, stopping: &c.stopping}
+	id := w.Header().Get(apierror.HeaderRequestID)
+	if conn := callerconn.Of(r.Context()); conn != nil {
+		conn.Handling(id)
+		defer conn.Handling("")
+	}
+	if c.refusing.Load() {
+		apierror.Write(w, apierror.Stopping())
+		return
+	}
+	control := http.NewResponseController(w)
+	keep := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
+	defer keep()
+	c.next.ServeHTTP(w, r)
+}
+
+// drain takes requests for a bounded time, then closes the port, and answers what was read: with what is
+// known of it if end comes first. http.Server.Shutdown is not used, as it drops requests that it reads.
+func (c *callers) drain(end time.Time) {
+	c.stopping.Store(true)
+	c.gate.Retire()
+	settle := min(gateway.DefaultConfig().DrainSettle, time.Duration(maxSettleShare*float64(time.Until(end))))
+	awaitUntil(time.Now().Add(settle), func() bool { return false })
+	c.refusing.Store(true)
+	_ = c.gate.Close()
+	awaitUntil(end, func() bool { return c.inFlight.Load() == 0 && c.gate.Open() == 0 })
+	c.gate.ReportLeftBehind()
+	c.endRequests(apierror.ErrStopping)
+	awaitUntil(time.Now().Add(answerTime), func() bool { return c.inFlight.Load() == 0 })
+	c.close()
+}
+
+// close closes the port and all connections.
+func (c *callers) close() {
+	_ = c.gate.Close()
+	_ = c.server.Close()
+}
+
+// awaitUntil polls until done reports true, or the time has come.
+func awaitUntil(end time.Time, done func() bool) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for time.Now().Before(end) && !done() {
+		<-ticker.C
+	}
+}
+
+// callersWriter knows whether the response has begun, and announces the end of its connection while the
+// node stops.
+type callersWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+	begun    bool
+}
+
+// Unwrap lets http.ResponseController reach the server's writer.
+func (w *callersWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callersWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *callersWriter) Write(body []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(body)
+}
+
+func (w *callersWriter) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -9,22 +10,50 @@
 // rest is handed back, which costs only the engines' work on them.
 const batchDrainTimeout = 5 * time.Second
 
-// closeTimeout bounds the shutdown of the HTTP servers.
-const closeTimeout = 5 * time.Second
+const (
+	// closeTimeout bounds the shutdown of the operators' port.
+	closeTimeout = 5 * time.Second
+	// drainMargin is the part of the time to stop that is kept for closing ports, peers and disks.
+	drainMargin = time.Second
+	// unboundedDrain is the time to stop of a context without a deadline.
+	unboundedDrain = time.Hour
+)
 
-// Drain stops the node as planned: it notifies the peers, transfers ledger
-// leadership, waits for requests in progress until ctx ends, and only then
-// closes ports and disks.
+// Drain stops the node as planned: it notifies the peers, hands over batch work and ledger leadership,
+// and beside that takes requests for a bounded time and answers them. It ends before ctx does.
 func (n *Node) Drain(ctx context.Context) {
+	ctx, cancel := beforeDeadline(ctx, drainMargin)
+	defer cancel()
 	EventDraining.Info("node", n.config.Node.Name)
 	n.readiness.Drain()
 	n.members.Leave()
-	n.logDrainError("batch", n.drainBatch(ctx))
-	n.logDrainError("ledger", n.ledger.Drain(ctx))
-	n.logDrainError("gateway", n.gateway.Drain(ctx))
+	var steps sync.WaitGroup
+	steps.Go(func() {
+		n.logDrainError("batch", n.drainBatch(ctx))
+		n.logDrainError("ledger", n.ledger.Drain(ctx))
+	})
+	steps.Go(func() { n.logDrainError("gateway", n.gateway.Drain(ctx)) })
+	n.callers.drain(deadlineOf(ctx))
+	steps.Wait()
 	n.Close()
 }
 
+// beforeDeadline returns a context that ends earlier than ctx by the margin, if ctx has a deadline.
+func beforeDeadline(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		return context.WithDeadline(ctx, deadline.Add(-margin))
+	}
+	return context.WithCancel(ctx)
+}
+
+// deadlineOf returns when ctx ends; unboundedDrain from now if it has no deadline.
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		return deadline
+	}
+	return time.Now().Add(unboundedDrain)
+}
+
 // drainBatch lets running items finish for a while, then hands them back.
 func (n *Node) drainBatch(stop context.Context) error {
 	finish, cancel := context.WithTimeout(stop, batchDrainTimeout)
@@ -40,12 +69,11 @@
 
 // Close stops all components without handing over their work.
 func (n *Node) Close() {
+	n.callers.close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range n.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			server.Close()
-		}
+	if err := n.operator.Shutdown(ctx); err != nil {
+		n.operator.Close()
 	}
 	n.cancel()
 	n.peers.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -32,6 +33,7 @@
 	"chutelock.dev/chutelock/internal/platform"
 	"chutelock.dev/chutelock/internal/platform/objecthttp"
 	"chutelock.dev/chutelock/internal/routing"
+	"chutelock.dev/chutelock/internal/settings"
 	settingsagent "chutelock.dev/chutelock/internal/settings/agent"
 	"chutelock.dev/chutelock/internal/transport"
 )
@@ -61,7 +63,8 @@
 	registry  *prometheus.Registry
 	readiness *operator.Readiness
 	sockets   *sockets
-	servers   []*http.Server // for callers, then for operators
+	callers   *callers
+	operator  *http.Server
 
 	keys      *transport.Keyring
 	peers     *transport.Node
@@ -224,7 +227,13 @@
 	mux.Handle("/v1/batches", batchHandler)
 	mux.Handle("/v1/batches/", batchHandler)
 	mux.Handle("/", n.gateway)
-	n.servers = append(n.servers, gateway.NewServer(gateway.WithRequestID(mux), gateway.Config{}))
+	n.callers = newCallers(n.sockets.callers, n.sockets.callersTLS, mux, func() []any {
+		if current := n.settings.Current(); current != nil {
+			return []any{"version", settings.Version(current.Revision)}
+		}
+		return nil
+	})
+	n.callers.register(n.registry)
 }
 
 func (n *Node) openOperators() {
@@ -232,12 +241,12 @@
 	query.Register(n.operators, n.members, n.engines)
 	n.operators.HandleFunc("GET "+replica.PathLedger, n.ledger.ServeStatus)
 	n.serveSettings()
-	n.servers = append(n.servers, &http.Server{
+	n.operator = &http.Server{
 		Handler:           n.operators,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	})
+	}
 }
 
 // Addresses returns the node's listening addresses.
@@ -262,8 +271,8 @@
 	n.goRun(func() { n.keys.Follow(ctx.Done(), keyFileInterval, logKeyReload) })
 	n.ledger.Start()
 	n.goRun(func() { n.batch.run(ctx) })
-	n.serve(n.servers[0], "callers")
-	n.serve(n.servers[1], "operators")
+	n.serve(n.callers.server, n.callers.listener, "callers")
+	n.serve(n.operator, n.sockets.operators, "operators")
 }
 
 func (n *Node) goRun(run func()) {
@@ -274,11 +283,7 @@
 	}()
 }
 
-func (n *Node) serve(server *http.Server, port string) {
-	listener := n.sockets.callers
-	if port == "operators" {
-		listener = n.sockets.operators
-	}
+func (n *Node) serve(server *http.Server, listener net.Listener, port string) {
 	n.goRun(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			EventServeFailed.Error(err, "port", port)
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -13,8 +13,9 @@
 
 // sockets holds the node's listening TCP sockets for HTTP.
 type sockets struct {
-	callers   net.Listener
-	operators net.Listener
+	callers    net.Listener // without TLS
+	callersTLS *tls.Config  // nil if the callers' port is served without TLS
+	operators  net.Listener
 }
 
 // openSockets listens on the callers' and operators' ports, with TLS if the
@@ -28,7 +29,7 @@
 		}
 		tlsConfig = reloader.Config()
 	}
-	callers, err := listen(settings.Listen.Callers, tlsConfig)
+	callers, err := listen(settings.Listen.Callers, nil)
 	if err != nil {
 		return nil, trace.Wrap(err, "opening the callers' port")
 	}
@@ -40,7 +41,7 @@
 		callers.Close()
 		return nil, trace.Wrap(err, "opening the operators' port")
 	}
-	return &sockets{callers: callers, operators: operators}, nil
+	return &sockets{callers: callers, callersTLS: tlsConfig, operators: operators}, nil
 }
 
 func listen(address string, tlsConfig *tls.Config) (net.Listener, error) {
