A request of the OpenAI dialect whose handler panics is answered

What callers would see: a connection that ends without a response, with a stack in the node's output and no event or counter. Cause: nothing recovered panics of callers' requests outside the engines' clients; http.Server closes the connection. Change: 500 outcome_unknown, as the request may have run, or a cut if the response has begun; event 1010 with the stack, and a counter. Evidence: TestRequestWhoseHandlerPanicsIsAnswered failed with the recovery off.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +26,8 @@
 	answerTime = 300 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for requests in progress.
 	drainPollInterval = 20 * time.Millisecond
+	// maxStackBytes bounds the stack in the log line on a panic.
+	maxStackBytes = 4 << 10
 )
 
 // callers serves the callers' port and answers every request that it has read, also while it stops.
@@ -36,6 +41,7 @@
 	stopping atomic.Bool // responses announce the end of their connections
 	refusing atomic.Bool // requests are refused as not run
 	inFlight atomic.Int64
+	panics   atomic.Int64
 }
 
 // newCallers returns the server of the callers' port. If tlsConfig is nil, it serves without TLS. state
@@ -65,6 +71,8 @@
 
 func (c *callers) register(registry prometheus.Registerer) {
 	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chutelock_handler_panics_total", Help: "Callers' requests whose handlers panicked."},
+			func() float64 { return float64(c.panics.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chutelock_connections_unanswered_total", Help: "Callers' connections that this node closed on a request that it had read and not answered."},
 			func() float64 { return float64(c.gate.Unanswered()) }))
 }
@@ -75,6 +83,7 @@
 	defer c.inFlight.Add(-1)
 	w := &callersWriter{ResponseWriter: netWriter, stopping: &c.stopping}
 	id := w.Header().Get(apierror.HeaderRequestID)
+	defer c.recoverPanic(w, id)
 	if conn := callerconn.Of(r.Context()); conn != nil {
 		conn.Handling(id)
 		defer conn.Handling("")
@@ -89,6 +98,26 @@
 	c.next.ServeHTTP(w, r)
 }
 
+// recoverPanic is deferred: it answers a request whose handler panicked, which may have run. A response
+// that has begun is cut off.
+func (c *callers) recoverPanic(w *callersWriter, id string) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	c.panics.Add(1)
+	err := fmt.Errorf("panic: %v", fault)
+	stack := debug.Stack()
+	EventRequestPanicked.Error(err, "request", id, "begun", w.begun, "stack", string(stack[:min(len(stack), maxStackBytes)]))
+	if w.begun {
+		panic(http.ErrAbortHandler)
+	}
+	apierror.Write(w, apierror.From(err))
+}
+
 // drain takes requests for a bounded time, then closes the port, and answers what was read: with what is
 // known of it if end comes first. http.Server.Shutdown is not used, as it drops requests that it reads.
 func (c *callers) drain(end time.Time) {
