A silent engine keeps its run until another has a place for it

What callers would see: 502 outcome_unknown for a request that may not be repeated, and broken streams where all places are taken, as a sound engine is silent for a second and goes on. Change: such an attempt is moved once an engine with a free place is picked, and goes on else; a look every 100 ms. Run-once requests aren't moved. Why it works: a timer alone ends no run within the silence of sound engines.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,9 +15,10 @@
 	WriteTimeout time.Duration
 	// RequestTimeout limits a whole request; a caller may set a shorter limit.
 	RequestTimeout time.Duration
-	// FirstTokenTimeout limits the wait for an attempt's first token. If the
-	// service has a latency objective, the limit is FirstTokenFactor × objective,
-	// clamped to MinTokenTimeout and FirstTokenTimeout.
+	// FirstTokenTimeout limits the wait for an attempt's first token. An attempt
+	// moves to an engine with a free place sooner if the service has a latency
+	// objective: after FirstTokenFactor × objective, clamped to MinTokenTimeout and
+	// FirstTokenTimeout.
 	FirstTokenTimeout time.Duration
 	FirstTokenFactor  float64
 	// NextTokenTimeout and NextTokenFactor do the same for later tokens.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,8 +36,10 @@
 	routeRequest routing.Request
 	deadline     time.Time
 	started      time.Time
-	// firstTokenLimit and nextTokenLimit are the timeouts of the waits for tokens.
+	// firstTokenLimit and nextTokenLimit are the waits for tokens after which an attempt moves to an engine
+	// with a free place.
 	firstTokenLimit, nextTokenLimit time.Duration
+	slots                           int // of an engine
 
 	// ends has capacity for all attempts that are not received from it, so that senders never
 	// block: relay.MaxAttempts, as one counts as refused only once it is received.
@@ -64,8 +66,12 @@
 	progress time.Time // time of the last token, zero before the first
 	highest  int       // highest token index received, -1 before the first
 	tokens   int
+	looked   time.Time // last time that no other engine had a place for it
 }
 
+// lookInterval is the time between two looks for a place for a silent attempt.
+const lookInterval = 100 * time.Millisecond
+
 // ended is the result of an attempt.
 type ended struct {
 	attempt *attempt
@@ -134,6 +140,11 @@
 		}
 		return
 	}
+	x.begin(ctx, now, decision)
+}
+
+// begin begins an attempt at the engine that was picked.
+func (x *exchange) begin(ctx context.Context, now time.Time, decision routing.Decision) {
 	number, resumeFrom := x.call.Begin()
 	attemptContext, cancel := context.WithCancel(ctx)
 	begun := &attempt{number: number, decision: decision, cancel: cancel, began: now, highest: -1}
@@ -292,24 +303,33 @@
 // fail ends a failed attempt, then waits, retries or ends the exchange as relay.Call
 // decides.
 func (x *exchange) fail(ctx context.Context, now time.Time, failed *attempt, failure *engine.Error, timedOut bool) {
-	eventAttemptFailed.Error(failure, "request", x.id, "attempt", failed.number, "fate", fateName(failure.Fate), "tokens", failed.tokens)
-	outcome := routing.FailureOutcome(failed.decision.Attempt, failure, timedOut)
-	x.release(now, failed, outcome, fateName(failure.Fate))
+	x.endFailed(now, failed, failure, timedOut)
 	next := x.call.Fail(now, failed.number, failure)
 	switch {
 	case next.Wait:
 	case next.Retry:
-		kind := retryPlain
-		if x.call.Delivered() > 0 {
-			kind = retryResume
-		}
-		x.gateway.metrics.retries.WithLabelValues(kind).Inc()
+		x.countRetry()
 		x.launchLocked(ctx)
 	default:
 		x.respondError(next.Failure)
 	}
 }
 
+// endFailed logs and releases a failed attempt.
+func (x *exchange) endFailed(now time.Time, failed *attempt, failure *engine.Error, timedOut bool) {
+	eventAttemptFailed.Error(failure, "request", x.id, "attempt", failed.number, "fate", fateName(failure.Fate), "tokens", failed.tokens)
+	outcome := routing.FailureOutcome(failed.decision.Attempt, failure, timedOut)
+	x.release(now, failed, outcome, fateName(failure.Fate))
+}
+
+func (x *exchange) countRetry() {
+	kind := retryPlain
+	if x.call.Delivered() > 0 {
+		kind = retryResume
+	}
+	x.gateway.metrics.retries.WithLabelValues(kind).Inc()
+}
+
 func fateName(fate engine.Fate) string {
 	switch fate {
 	case engine.FateNotRun:
@@ -354,8 +374,7 @@
 		if now.Before(x.expiry(live)) {
 			continue
 		}
-		failure := &engine.Error{Engine: live.decision.Endpoint.Name, Step: "waiting for a token", Fate: engine.FateUnknown, Err: errTimedOut}
-		x.fail(ctx, now, live, failure, true)
+		x.handleSilence(ctx, now, live)
 		return // the timer fires again at once for further attempts
 	}
 	if at := x.hedgeAt(); !at.IsZero() && !now.Before(at) {
@@ -365,12 +384,51 @@
 	}
 }
 
-// expiry returns the time at which an attempt fails unless it sends a token.
+// handleSilence moves a silent attempt to an engine with a free place. If there is none, the attempt goes
+// on, as its engine may, unless another attempt is live or the longest wait is over.
+func (x *exchange) handleSilence(ctx context.Context, now time.Time, live *attempt) {
+	failure := &engine.Error{Engine: live.decision.Endpoint.Name, Step: "waiting for a token", Fate: engine.FateUnknown, Err: errTimedOut}
+	if len(x.attempts) > 1 || !now.Before(x.lastWait(live)) {
+		x.fail(ctx, now, live, failure, true)
+		return
+	}
+	live.looked = now
+	if !x.call.MayReplace(now) {
+		return
+	}
+	request := x.routeRequest
+	request.Slots, request.Ready = x.slots, true
+	decision, err := x.gateway.placement.pick(now, request)
+	if err != nil {
+		return
+	}
+	if !x.call.Replace(now, live.number, failure) {
+		x.gateway.placement.observe(now, routing.Outcome{Attempt: decision.Attempt, Kind: routing.OutcomeCancelled})
+		return
+	}
+	x.endFailed(now, live, failure, true)
+	x.countRetry()
+	x.begin(ctx, now, decision)
+}
+
+// expiry returns the time at which an attempt counts as silent unless it sends a token.
 func (x *exchange) expiry(live *attempt) time.Time {
+	at := live.began.Add(x.firstTokenLimit)
+	if !live.progress.IsZero() {
+		at = live.progress.Add(x.nextTokenLimit)
+	}
+	if next := live.looked.Add(lookInterval); !live.looked.IsZero() && next.After(at) {
+		return next
+	}
+	return at
+}
+
+// lastWait returns the time at which a silent attempt fails, even if no other engine has a place.
+func (x *exchange) lastWait(live *attempt) time.Time {
 	if live.progress.IsZero() {
-		return live.began.Add(x.firstTokenLimit)
+		return live.began.Add(x.gateway.config.FirstTokenTimeout)
 	}
-	return live.progress.Add(x.nextTokenLimit)
+	return live.progress.Add(x.gateway.config.NextTokenTimeout)
 }
 
 // hedgeAt returns the time to begin a second attempt beside one without tokens, or
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -297,6 +297,7 @@
 			Repeatable:   request.repeatable,
 			Slots:        service.SlotsPerEngine,
 		},
+		slots:           service.SlotsPerEngine,
 		deadline:        request.deadline,
 		started:         started,
 		firstTokenLimit: g.config.tokenTimeout(service.TimeToFirstToken, g.config.FirstTokenFactor, g.config.FirstTokenTimeout),
--- a/internal/gateway/relay/call.go
+++ b/internal/gateway/relay/call.go
@@ -192,6 +192,23 @@
 	return !c.deadline.IsZero() && !now.Before(c.deadline)
 }
 
+// MayReplace reports whether another attempt may begin in place of the only live one, which may have run.
+// It takes nothing from the budget.
+func (c *Call) MayReplace(now time.Time) bool {
+	return !c.finished && len(c.live) == 1 && c.repeatable && c.attempts-c.refused < MaxAttempts && !c.expired(now)
+}
+
+// Replace ends the only live attempt, which sends nothing, in favour of another that begins at once. It
+// reports false, and changes nothing, if none may begin.
+func (c *Call) Replace(now time.Time, attempt uint32, failure *engine.Error) bool {
+	if _, live := c.live[attempt]; !live || !c.MayReplace(now) || !c.budget.Spend() {
+		return false
+	}
+	delete(c.live, attempt)
+	c.recordFailure(attempt, failure)
+	return true
+}
+
 // Abandon ends a live attempt without a result, because the caller disconnected or
 // another attempt became the owner.
 func (c *Call) Abandon(attempt uint32) {
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -32,7 +32,7 @@
 	if !state.ejected {
 		return true
 	}
-	return !view.Now.Before(state.ejectedUntil) && !state.probing && view.Request.Repeatable
+	return !view.Now.Before(state.ejectedUntil) && !state.probing && view.Request.Repeatable && !view.Request.Ready
 }
 
 // busyFilter drops endpoints whose Retry-After time has not passed.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -154,6 +154,9 @@
 		}
 		r.preferred = append(r.preferred[:0], r.candidates[:dropped]...)
 		r.preferred = keep(r.preferred, r.candidates[dropped:], view, stage)
+		if len(r.preferred) == 0 && view.Request.Ready {
+			return ReasonFull
+		}
 		if len(r.preferred) > 0 {
 			r.candidates, r.preferred = r.preferred, r.candidates
 		}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -24,6 +24,8 @@
 	Tried []string
 	// Repeatable requests may probe an ejected endpoint.
 	Repeatable bool
+	// Ready requests get no endpoint that is ejected, busy, stalled or full, even if no other is left.
+	Ready bool
 	// Slots is the maximum number of streams on one endpoint; 0 means no limit.
 	Slots int
 }
