--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,13 +15,13 @@
 	WriteTimeout time.Duration
 	// RequestTimeout limits a whole request; a caller may set a shorter limit.
 	RequestTimeout time.Duration
-	// FirstTokenTimeout limits the wait for an attempt's first token. If the
-	// service has a latency objective, the limit is FirstTokenFactor × objective,
-	// clamped to MinTokenTimeout and FirstTokenTimeout.
+	// FirstTokenTimeout limits the wait for an attempt's first token. An attempt
+	// moves to an engine with a free place sooner if the service has a latency
+	// objective: after FirstTokenFactor × objective, clamped to MinTokenTimeout and
+	// FirstTokenTimeout.
 	FirstTokenTimeout time.Duration
 	FirstTokenFactor  float64
-	// NextTokenTimeout and NextTokenFactor do the same for later tokens. MinTokenTimeout is well above the
-	// second or so for which a sound engine may be silent.
+	// NextTokenTimeout and NextTokenFactor do the same for later tokens.
 	NextTokenTimeout time.Duration
 	NextTokenFactor  float64
 	MinTokenTimeout  time.Duration
@@ -45,7 +45,7 @@
 		FirstTokenFactor:  4,
 		NextTokenTimeout:  10 * time.Second,
 		NextTokenFactor:   25,
-		MinTokenTimeout:   2500 * time.Millisecond,
+		MinTokenTimeout:   time.Second,
 		DrainSettle:       time.Second,
 	}
 }
