A stream that has begun waits for a place as long as its caller does

What callers saw: streams cut off 0.8 s after their engine was lost, or after five refusals at engines whose places others had taken, though time was left and places became free. Cause: requests that may have run wait for 0.8 s and give up after five refusals, so that their callers learn it soon. A stream of which the caller has a part can only be cut off, which tells nothing; and the place that a stream holds as it leaves a silent engine is held in the counts of one node only. Change: such a stream waits for a place to its deadline, and refusals don't end it. Why it works: the caller's leaving and the deadline end the wait, nothing else.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -45,7 +45,8 @@
 	StepAbort
 )
 
-// Bounds on exchanges that did not run the request.
+// Bounds on exchanges that did not run the request. Refusals of a stream that its caller has a part of have
+// none, as it can't be refused any more: each makes its engine count as full for a while.
 const (
 	maxNotSent = 4
 	maxRefused = 5
@@ -83,7 +84,7 @@
 		}
 	case OutcomeRefused:
 		a.refused++
-		if a.refused < maxRefused {
+		if a.refused < maxRefused || a.streamStarted {
 			return StepRetry
 		}
 	default:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -288,6 +288,7 @@
 func (fl *inflight) waitPolicy() waitPolicy {
 	return waitPolicy{
 		target: fl.route.Target, arrived: fl.request.Arrived, deadline: fl.deadline, mayHaveRun: fl.attempts.MayHaveRun() || fl.streamStarted || fl.request.Continues(),
+		begun: fl.streamStarted,
 	}
 }
 
--- a/internal/forward/waitpolicy.go
+++ b/internal/forward/waitpolicy.go
@@ -14,8 +14,6 @@
 	maxWaitWithoutTarget = 100 * time.Millisecond
 	// maxWaitAfterRun bounds the wait of a request that may have run, which can't be
 	// refused as not run, or that continues a stream, for which few engines may be fit.
-	// Callers abandon a stream after a pause of 2 s, of which silenceTimeout may already
-	// have passed.
 	maxWaitAfterRun = 800 * time.Millisecond
 )
 
@@ -26,6 +24,8 @@
 	arrived, deadline time.Time // deadline may be zero
 	// mayHaveRun is set if an engine may have run the request or a part of its stream.
 	mayHaveRun bool
+	// begun is set if the caller has a part of the stream.
+	begun bool
 }
 
 // waitAtEngine is how long the request may queue at an engine and still meet its target;
@@ -40,6 +40,8 @@
 func (p waitPolicy) acquireTimeout(now time.Time) time.Duration {
 	wait := time.Duration(0)
 	switch {
+	case p.begun && !p.deadline.IsZero():
+		wait = p.deadline.Sub(now) // the stream could only be cut off, and its caller leaves by itself
 	case p.mayHaveRun:
 		wait = maxWaitAfterRun
 	case p.target <= 0:
