A retry goes to an engine that has just finished requests

What callers would see: a broken stream though two thirds of the engines are sound, if a request meets four faulty ones before their failures are known. Cause: while a fault is new, engines of which nothing is known count as much as those that serve others, and a first token even clears an engine's failures. Tests of routing and gateway pass. Not done: four runs of a request stay the bound, also for streams that go forward by each run, as it is what keeps a prompt that crashes engines from more of them.

--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -63,3 +63,15 @@
 func (totalSlotsFilter) Keep(view *View, candidate *Candidate) bool {
 	return view.Request.Slots <= 0 || candidate.Load < float64(view.Request.Slots)
 }
+
+// provenFilter drops, for requests that failed elsewhere, endpoints of which this node's last attempt that
+// ended did not finish of late: while a fault is new, others' attempts tell sooner than their failures do.
+type provenFilter struct{}
+
+func (provenFilter) Name() string { return "proven" }
+
+func (provenFilter) Keep(view *View, candidate *Candidate) bool {
+	state := candidate.state
+	return len(view.Request.Tried) == 0 ||
+		view.Now.Sub(state.lastFinish) < view.config.Outliers.FailureHalfLife && !state.lastFinish.Before(state.lastFailure)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,7 +24,8 @@
 	sweptSnapshot *fleet.Snapshot
 
 	hardFilters []Filter // must pass
-	softFilters []Filter // pass if any endpoint does
+	softFilters []Filter // pass if any endpoint does; must pass for requests that are Ready
+	preferences []Filter // pass if any endpoint does
 	scorers     []weightedScorer
 	prefix      *prefixScorer
 	picker      Picker
@@ -76,6 +77,7 @@
 	}
 	router.hardFilters = []Filter{triedFilter{}, ownSlotsFilter{}}
 	router.softFilters = []Filter{ejectedFilter{}, busyFilter{}, stalledFilter{router}, totalSlotsFilter{}}
+	router.preferences = []Filter{provenFilter{}}
 	router.scorers = []weightedScorer{
 		{loadScorer{}, config.Weights.Load},
 		{kvScorer{}, config.Weights.KV},
@@ -148,22 +150,31 @@
 		return ReasonFull
 	}
 	for _, stage := range r.softFilters {
-		dropped := firstDropped(r.candidates, view, stage)
-		if dropped == len(r.candidates) {
-			continue
-		}
-		r.preferred = append(r.preferred[:0], r.candidates[:dropped]...)
-		r.preferred = keep(r.preferred, r.candidates[dropped:], view, stage)
-		if len(r.preferred) == 0 && view.Request.Ready {
+		if !r.prefer(view, stage) && view.Request.Ready {
 			return ReasonFull
 		}
-		if len(r.preferred) > 0 {
-			r.candidates, r.preferred = r.preferred, r.candidates
-		}
+	}
+	for _, stage := range r.preferences {
+		r.prefer(view, stage)
 	}
 	return ""
 }
 
+// prefer drops the candidates that the stage drops, unless these are all. It reports whether any passed.
+func (r *Router) prefer(view *View, stage Filter) bool {
+	dropped := firstDropped(r.candidates, view, stage)
+	if dropped == len(r.candidates) {
+		return true
+	}
+	r.preferred = append(r.preferred[:0], r.candidates[:dropped]...)
+	r.preferred = keep(r.preferred, r.candidates[dropped:], view, stage)
+	if len(r.preferred) == 0 {
+		return false
+	}
+	r.candidates, r.preferred = r.preferred, r.candidates
+	return true
+}
+
 // firstDropped returns the index of the first candidate that the stage drops, or
 // len(candidates), which spares the caller the copying.
 func firstDropped(candidates []Candidate, view *View, stage Filter) int {
@@ -335,6 +346,7 @@
 			attempt.state.betweenToken.add(now.Sub(attempt.started).Seconds() / float64(outcome.Tokens-1))
 		}
 		attempt.state.failures = 0
+		attempt.state.lastFinish = now
 		if attempt.state.ejected && attempt.probe && wasWaiting {
 			r.restore(attempt.state)
 		}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -22,6 +22,7 @@
 
 	oldestWaiting, newestWaiting *Attempt
 	lastFirstToken               time.Time
+	lastFinish                   time.Time
 
 	failures     int // consecutive
 	lastFailure  time.Time
