Under TLS, a stop goes by the requests that are known

What callers and operators would see: lines on connections without a response where only frames of HTTP/2 or of the handshake had been read, and, by reading, a stop that waits for such connections until its time is over. Cause: the gate lies under TLS, where bytes that were read need not be of a request. Change: under TLS only requests that are being handled count. Evidence: TestStoppingNodeAnswersRequestsUnderTLS, HTTP/2, counted an unanswered connection before, and passes; HTTP/1.1 passed before. callerconn passes under the race detector.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -104,12 +104,23 @@
 	if state == http.StateIdle {
 		c.unanswered.Store(0) // what was read is part of the request that was answered
 	}
+	if c.retired && c.isIdle() {
+		_ = c.expire()
+	}
 }
 
 // isIdle reports whether the connection can end: no byte of a request was read since the last response,
 // and its first request isn't awaited. The caller holds the mutex.
 func (c *Conn) isIdle() bool {
-	return (c.state == http.StateIdle || c.state == http.StateNew && c.closing) && c.unanswered.Load() == 0
+	return (c.state == http.StateIdle || c.state == http.StateNew && c.closing) && c.unread() == 0
+}
+
+// unread returns the bytes of requests that were read since the last response.
+func (c *Conn) unread() int64 {
+	if c.gate.Encrypted && c.handled() == "" {
+		return 0
+	}
+	return c.unanswered.Load()
 }
 
 // Write implements net.Conn.
@@ -134,7 +145,7 @@
 	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
-	if bytes := c.unanswered.Load(); bytes > 0 {
+	if bytes := c.unread(); bytes > 0 {
 		by := "node"
 		if c.ended.Load() {
 			by = "caller"
--- a/internal/callerconn/gate.go
+++ b/internal/callerconn/gate.go
@@ -31,6 +31,9 @@
 	MaxConnections int
 	// Crowded reports whether this node has more than its even share of the callers; nil means never.
 	Crowded func() bool
+	// Encrypted says that TLS is spoken over the connections, so that bytes that are read need not be of a
+	// request: only requests that are being handled are known.
+	Encrypted bool
 	// State describes the node in log lines about connections, as key and value in turn; may be nil.
 	State func() []any
 
@@ -222,7 +225,7 @@
 		switch {
 		case conn.handled() != "":
 			handled = append(handled, conn.handled())
-		case conn.unanswered.Load() > 0:
+		case conn.unread() > 0:
 			unread = append(unread, conn.RemoteAddr().String())
 		}
 	}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -54,6 +54,7 @@
 	}
 	c.listener = c.gate
 	if tlsConfig != nil {
+		c.gate.Encrypted = true
 		c.listener = tls.NewListener(c.gate, tlsConfig)
 	}
 	c.server = gateway.NewServer(gateway.WithRequestID(c), gateway.Config{})
