--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -137,7 +137,7 @@
 // no byte of one was read. It reports whether it does; the caller holds the mutex.
 func (c *Conn) expire() bool {
 	waits := c.state == http.StateIdle && c.retired || c.state == http.StateNew && c.closing
-	if !waits || c.unanswered.Load() > 0 {
+	if !waits || c.unread() > 0 {
 		return false
 	}
 	c.expired = true
@@ -156,6 +156,15 @@
 		c.early = 0
 		c.idleSince = time.Now()
 	}
+	c.expire()
+}
+
+// unread returns the bytes read of a request that has no response.
+func (c *Conn) unread() int64 {
+	if c.gate.Encrypted && c.handled() == "" {
+		return 0
+	}
+	return c.unanswered.Load()
 }
 
 // Write implements net.Conn.
@@ -181,7 +190,7 @@
 	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
-	if bytes := c.unanswered.Load(); bytes > 0 {
+	if bytes := c.unread(); bytes > 0 {
 		by := "node"
 		if c.ended.Load() {
 			by = "caller"
--- a/internal/callerconn/gate.go
+++ b/internal/callerconn/gate.go
@@ -35,6 +35,9 @@
 	// Limits returns the configured limits on connections; those that are 0 are the server's. It may be
 	// nil.
 	Limits func() catalog.Limits
+	// Encrypted says that TLS is spoken over the connections, so that bytes that are read need not be of a
+	// request: only requests that are being handled are known.
+	Encrypted bool
 	// State describes the node in log lines about connections, as key and value in turn; may be nil.
 	State func() []any
 
@@ -230,7 +233,7 @@
 		switch {
 		case conn.handled() != "":
 			handled = append(handled, conn.handled())
-		case conn.unanswered.Load() > 0:
+		case conn.unread() > 0:
 			unread = append(unread, conn.RemoteAddr().String())
 		}
 	}
