--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -148,3 +148,33 @@
 	f.expectWhole()
 	f.g.Expect(f.Balancer.Occupancy([]string{"s"}).Services["s"].Slots).To(gomega.Equal(16))
 }
+
+// slowSink takes a while to write one of the events.
+type slowSink struct {
+	streamSink
+	slow func()
+}
+
+func (s *slowSink) WriteEvent(raw []byte) error {
+	if len(s.events) == streamEvents/2 {
+		s.slow()
+	}
+	return s.streamSink.WriteEvent(raw)
+}
+
+// Guards against streams that leave their engine as their caller is slow to read.
+func TestSlowCallerIsNoSilenceOfEngine(t *testing.T) {
+	t.Parallel()
+	f := newSilenceFixture(t, 8, false)
+	close(f.spoken)
+	sink := &slowSink{slow: func() {
+		f.Balancer.RecordSuccess("b")
+		time.Sleep(silenceTimeout + 400*time.Millisecond)
+	}}
+	now := time.Now()
+	f.Serve(context.Background(), &Request{ID: "one", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(20 * time.Second)}, f.route, sink)
+	f.g.Expect(sink.ended).To(gomega.BeTrue())
+	f.g.Expect(sink.events).To(gomega.HaveLen(streamEvents))
+	f.g.Expect(f.begun[1].Load()).To(gomega.BeZero())
+	f.g.Eventually(f.Balancer.OwnReport, 10*time.Second).Should(gomega.BeEmpty())
+}
