A caller that is slow to read is no silence of its engine

A stream whose caller took over 1.1 s to read an event was run again at another engine, though its own one was sound, at the cost of one of its attempts.

Cause: the time in which an event is written counted as silence of the engine, whose next events wait to be read meanwhile.

Change: the watch pauses from an event until it is written, and ends before the end of an answer is.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -93,7 +93,7 @@
 		defer func() { fl.setNext(watch.stop(lease)) }()
 		return fl.sendStream(ctx, lease, response, silence, watch)
 	}
-	return fl.sendResponse(ctx, engine, response)
+	return fl.sendResponse(ctx, engine, response, silence)
 }
 
 // reportResumed reports that a stream which already has events is sent to an engine.
@@ -197,7 +197,7 @@
 	return impliesNotRun(status) && !fl.route.MayRunAgain()
 }
 
-func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response) (attemptResult, bool) {
+func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
 	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
 	if err == nil {
 		err = fl.checkEnd(ctx, engine, len(body) > 0)
@@ -205,6 +205,7 @@
 	if err != nil {
 		return attemptResult{kind: OutcomeUnknown, cause: err}, false
 	}
+	silence.stop() // the caller may be slow to read
 	fl.Balancer.RecordSuccess(engine.ID)
 	fl.answered = len(body) > 0
 	fl.firstEventAt = clock.Now()
@@ -244,6 +245,7 @@
 			if err := fl.checkEnd(ctx, lease.Engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
 				return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 			}
+			silence.stop() // the caller may be slow to read
 			fl.Balancer.RecordSuccess(lease.Engine.ID)
 			fl.answered = fl.receivedEvent
 			return fl.endStream(response), true
@@ -257,6 +259,7 @@
 		fl.Guard.EventReceived(fl.prompt)
 		watch.event(event.HasID)
 		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
+			silence.await()
 			continue
 		}
 		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
@@ -264,6 +267,7 @@
 			fl.sink.Abort()
 			return attemptResult{}, true
 		}
+		silence.await()
 	}
 }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -41,6 +41,7 @@
 	wish       balance.Wish
 	timer      *time.Timer // starts the search
 	stopSearch context.CancelFunc
+	isPaused   bool           // an event is being written
 	ended      bool           // the request doesn't move any more; always set if it may not
 	next       *balance.Lease // where the request moves
 }
@@ -61,8 +62,9 @@
 	return w
 }
 
-// event records a whole event of a stream; other bytes received don't count. Without an ID the stream
-// can't be resumed after the event, so it doesn't move any more.
+// event records a whole event of a stream; other bytes received don't count. Nothing is watched until
+// await is called, as the caller may be slow to read the event. Without an ID the stream can't be resumed
+// after the event, so it doesn't move any more.
 func (w *silenceWatch) event(hasID bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -71,14 +73,25 @@
 	if w.ended {
 		return
 	}
+	w.timer.Stop()
+	w.isPaused = true
 	w.wish.Release = w.engine.Release()
-	w.timer.Reset(silenceTimeout)
+}
+
+// await goes on to watch a stream after an event was written.
+func (w *silenceWatch) await() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.isPaused = false
+	if !w.ended {
+		w.timer.Reset(silenceTimeout)
+	}
 }
 
 // search moves the request once a place elsewhere is free, unless an event comes first.
 func (w *silenceWatch) search() {
 	w.mutex.Lock()
-	if w.ended {
+	if w.ended || w.isPaused {
 		w.mutex.Unlock()
 		return
 	}
@@ -140,7 +153,7 @@
 	return lease
 }
 
-// stop ends the watch and returns the place where the request moves, if any.
+// stop ends the watch and returns the place where the request moves, if any. It may be called again.
 func (w *silenceWatch) stop() *balance.Lease {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
