A stream leaves a slow engine only for one that it can be sent to

Callers saw a stream that went on slowly cut off: it left its engine for a faster one that refused connections, was dialled four times within a millisecond, and was aborted with half a second left. The same happens at a change of the configuration that takes the faster engine's region from the request, or while its prompt is held back.

Cause: paceWatch reserves a place and ends the run, and only then is it checked whether the request may and can be sent there. The regions were those at the attempt's start.

Change: as silenceWatch does: the regions of now, the check before sending, and an open connection come before the run ends. An engine that can't be reached counts as failed.

TestStreamStaysWithoutTimeLeft gets a request in its fixture, which the regions need.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -89,7 +89,7 @@
 	case !response.Signed:
 		return attemptResult{kind: OutcomeUnknown, cause: upstream.ErrUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
-		watch := fl.startPaceWatch(engine, cancel)
+		watch := fl.startPaceWatch(ctx, engine, cancel)
 		defer func() { fl.setNext(watch.stop(lease)) }()
 		return fl.sendStream(ctx, lease, response, silence, watch)
 	}
@@ -111,15 +111,20 @@
 // checkSend returns an error if the request may not be sent to its engine now. It is called
 // before a connection is opened and again afterwards, as opening one may take long.
 func (fl *inflight) checkSend(lease *balance.Lease) error {
+	if fl.began != (catalog.Release{}) && lease.Engine.Release() != fl.began {
+		return errRelease
+	}
+	return fl.checkPlace(lease)
+}
+
+// checkPlace is checkSend but for the release that began the stream. It may be called at any time.
+func (fl *inflight) checkPlace(lease *balance.Lease) error {
 	if !fl.Usable(lease.Engine.ID, lease.Engine.Service) {
 		return upstream.ErrEngineExcluded
 	}
 	if !fl.regions().Allow(lease.Engine.Region) {
 		return errRegions
 	}
-	if fl.began != (catalog.Release{}) && lease.Engine.Release() != fl.began {
-		return errRelease
-	}
 	if err := fl.checkHeld(); err != nil {
 		return err
 	}
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -62,6 +62,7 @@
 type paceWatch struct {
 	pace     streamPace
 	fl       *inflight
+	ctx      context.Context // of the exchange
 	engine   catalog.Engine
 	wish     balance.Wish
 	cancel   context.CancelCauseFunc
@@ -76,8 +77,8 @@
 
 // startPaceWatch watches a stream that may be resumed. The last allowed attempt isn't
 // watched, as it could not be continued.
-func (fl *inflight) startPaceWatch(engine catalog.Engine, cancel context.CancelCauseFunc) *paceWatch {
-	w := &paceWatch{fl: fl, engine: engine, cancel: cancel}
+func (fl *inflight) startPaceWatch(ctx context.Context, engine catalog.Engine, cancel context.CancelCauseFunc) *paceWatch {
+	w := &paceWatch{fl: fl, ctx: ctx, engine: engine, cancel: cancel}
 	if !fl.route.Resumable || fl.attempts.runs+1 >= fl.route.Attempts || !fl.Balancer.FollowsSpeeds() {
 		w.ended.Store(true)
 		return w
@@ -126,17 +127,24 @@
 
 // moveIfFaster ends the exchange if a much faster engine has room, where the stream is then
 // resumed as after a lost connection. The place there is reserved first: else all streams that
-// pause at an engine would leave it for the same free slot.
+// pause at an engine would leave it for the same free slot. A connection to it is opened, too, as the
+// present engine may go on.
 func (w *paceWatch) moveIfFaster(perEvent time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.ended.Load() || !w.fl.timeLeft() {
 		return
 	}
-	next, slowness := w.fl.Balancer.AcquireFaster(w.engine, w.wish, perEvent)
+	wish := w.wish
+	wish.Regions = w.fl.regions()
+	next, slowness := w.fl.Balancer.AcquireFaster(w.engine, wish, perEvent)
 	if next == nil {
 		return
 	}
+	if w.fl.checkPlace(next) != nil || !w.fl.prepare(w.ctx, next) {
+		next.Cancel()
+		return
+	}
 	w.next = next
 	w.ended.Store(true)
 	eventStreamMoved.Info("request", w.fl.request.ID, "engine", w.engine.ID, "to", next.Engine.ID, "slowdown", slowness.Value, "age", slowness.Age, "per_event", perEvent)
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -160,6 +160,60 @@
 	}
 }
 
+// Guards against streams that leave a slow engine for one that they may not or can't be sent to.
+func TestStreamStaysWhereFasterEngineIsOfNoUse(t *testing.T) {
+	for name, test := range map[string]struct {
+		address string          // of the faster engine, if not its own
+		regions catalog.Regions // once the stream has begun
+	}{
+		"unreachable":                   {address: "127.0.0.1:1"},
+		"in a region not allowed since": {regions: catalog.Regions{"of a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			var closed atomic.Int32
+			engines := []catalog.Engine{streamingEngine(t, "a", true, 8, &closed), streamingEngine(t, "b", true, 0, &closed)}
+			engines[0].Region, engines[1].Region = "of a", "of b"
+			var snapshot atomic.Pointer[catalog.Snapshot]
+			snapshot.Store(catalog.NewSnapshot(nil, engines))
+			balancer := balance.New(snapshot.Load)
+			balancer.UseSpeeds = func() bool { return true }
+			var regions atomic.Pointer[catalog.Regions]
+			regions.Store(new(catalog.Regions))
+			f := &Forwarder{
+				Pool: upstream.NewPool(streamDialect{}), Balancer: balancer, Usable: func(id, service string) bool { return snapshot.Load().Usable(id, service) },
+				Regions: func(*Request, *catalog.Route) catalog.Regions { return *regions.Load() },
+			}
+			route := &catalog.Route{
+				Name: "r", Kind: catalog.KindStream, Resumable: true, Attempts: 3, Target: time.Second,
+				GapTarget: 400 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}},
+			}
+			serve := func(wait time.Duration) {
+				now := time.Now()
+				f.Serve(context.Background(), &Request{ID: "one", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(wait)}, route, &streamSink{})
+			}
+			balancer.RecordFailure("a", nil) // the pace is learned at b
+			serve(5 * time.Second)
+			balancer.RecordSuccess("a")
+			balancer.RecordFailure("b", nil)
+			time.AfterFunc(50*time.Millisecond, func() {
+				regions.Store(&test.regions)
+				if test.address != "" {
+					moved := append([]catalog.Engine{}, engines...)
+					moved[1].Address = test.address
+					snapshot.Store(catalog.NewSnapshot(nil, moved))
+				}
+				balancer.RecordSuccess("b")
+			})
+			serve(700 * time.Millisecond)
+			g.Expect(balancer.StreamsMoved.Load()).To(gomega.BeZero())
+			g.Eventually(closed.Load, 10*time.Second).Should(gomega.BeEquivalentTo(1))
+			g.Eventually(balancer.OwnReport, 5*time.Second).Should(gomega.BeEmpty(), "no place stays reserved")
+		})
+	}
+}
+
 // A stream without time for another attempt must not leave its engine.
 func TestStreamStaysWithoutTimeLeft(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -168,7 +222,7 @@
 	balancer.UseSpeeds = func() bool { asked = true; return true }
 	balancer.RecordReport("a", upstream.Load{Slowdown: 1, ReportsSlowdown: true})
 	move := func(left time.Duration) {
-		fl := &inflight{Forwarder: &Forwarder{Balancer: balancer}, deadline: time.Now().Add(left)}
+		fl := &inflight{Forwarder: &Forwarder{Balancer: balancer}, request: &Request{}, deadline: time.Now().Add(left)}
 		(&paceWatch{fl: fl}).moveIfFaster(time.Second)
 	}
 	move(minAttemptTime / 2)
@@ -190,7 +244,7 @@
 		return catalog.NewSnapshot(nil, []catalog.Engine{{ID: "a", Service: "s", Slots: 1}})
 	}).Acquire(context.Background(), balance.Wish{Service: "s"}, 0, 0, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	watch := fl.startPaceWatch(catalog.Engine{ID: "a", Service: "s"}, nil)
+	watch := fl.startPaceWatch(context.Background(), catalog.Engine{ID: "a", Service: "s"}, nil)
 	watch.event(true)
 	checks.Store(0)
 	time.Sleep(300 * time.Millisecond)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -126,16 +126,22 @@
 	if !found {
 		return nil
 	}
-	if err := fl.Pool.Prepare(w.ctx, lease.Engine.Address, lease.Engine.ID); err != nil {
+	if !fl.prepare(w.ctx, lease) {
 		lease.Cancel()
-		if w.ctx.Err() == nil {
-			fl.Balancer.RecordFailure(lease.Engine.ID, err)
-		}
 		return nil
 	}
 	return lease
 }
 
+// prepare reports whether there is a connection to the engine of a reserved place.
+func (fl *inflight) prepare(ctx context.Context, lease *balance.Lease) bool {
+	err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID)
+	if err != nil && ctx.Err() == nil {
+		fl.Balancer.RecordFailure(lease.Engine.ID, err)
+	}
+	return err == nil
+}
+
 // stop ends the watch and returns the place where the request moves, if any.
 func (w *silenceWatch) stop() *balance.Lease {
 	w.mutex.Lock()
