Failing test: a stream is cut as its engines can't be reached for a moment

After its engine broke off, a stream is given up after four dials that fail, which takes a millisecond where connections are refused, as while a process starts again. Its caller waits two seconds at least.

--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -214,6 +214,42 @@
 	}
 }
 
+// Guards against a stream that is cut off as no engine can be reached for a moment.
+func TestStreamOutlivesMomentWithoutReachableEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var closed atomic.Int32
+	var snapshot atomic.Pointer[catalog.Snapshot]
+	set := func(engine catalog.Engine) { snapshot.Store(catalog.NewSnapshot(nil, []catalog.Engine{engine})) }
+	whole := streamingEngine(t, "a", true, 0, &closed)
+	down := whole
+	down.Address = "127.0.0.1:1"
+	breaking := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		set(down)
+		time.AfterFunc(300*time.Millisecond, func() { set(whole) })
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(breaking.Close)
+	first := whole
+	first.Address = strings.TrimPrefix(breaking.URL, "http://")
+	set(first)
+	f := &Forwarder{
+		Pool: upstream.NewPool(streamDialect{}), Balancer: balance.New(snapshot.Load),
+		Usable: func(id, service string) bool { return snapshot.Load().Usable(id, service) },
+	}
+	route := &catalog.Route{
+		Name: "r", Kind: catalog.KindStream, Resumable: true, Attempts: 3, Target: time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}},
+	}
+	sink := &streamSink{}
+	now := time.Now()
+	f.Serve(context.Background(), &Request{ID: "one", Method: http.MethodGet, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(5 * time.Second)}, route, sink)
+	g.Expect(sink.ended).To(gomega.BeTrue())
+	g.Expect(sink.events).To(gomega.HaveLen(streamEvents))
+}
+
 // A stream without time for another attempt must not leave its engine.
 func TestStreamStaysWithoutTimeLeft(t *testing.T) {
 	g := gomega.NewWithT(t)
