--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -143,16 +143,22 @@
 	if lease == nil {
 		return nil
 	}
-	if err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID); err != nil {
+	if !fl.prepare(ctx, lease) {
 		lease.Cancel()
-		if ctx.Err() == nil {
-			fl.Balancer.RecordFailure(lease.Engine.ID, err)
-		}
 		return nil
 	}
 	return lease
 }
 
+// prepare reports whether there is a connection to the engine of a reserved place.
+func (fl *inflight) prepare(ctx context.Context, lease *balance.Lease) bool {
+	err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID)
+	if err != nil && ctx.Err() == nil {
+		fl.Balancer.RecordFailure(lease.Engine.ID, err)
+	}
+	return err == nil
+}
+
 // stop ends the watch and returns the place where the request moves, if any. It may be called again.
 func (w *silenceWatch) stop() *balance.Lease {
 	w.mutex.Lock()
