A stream that has begun outlives a moment in which no engine can be reached

What callers saw: a stream cut off a millisecond after its engine broke off, after four dials of engines that refused connections for 0.3 s. Cause: requests give up after four attempts that were not sent, without a pause. A stream of which the caller has a part can only be cut off then. Change: such a stream tries on to its deadline, 50 ms apart from the fourth on. Why it works: engines that restart or are replaced come within that time, and the caller's leaving ends the wait.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -45,8 +45,9 @@
 	StepAbort
 )
 
-// Bounds on exchanges that did not run the request. Refusals of a stream that its caller has a part of have
-// none, as it can't be refused any more: each makes its engine count as full for a while.
+// Bounds on exchanges that did not run the request. A stream of which its caller has a part has none, as it
+// can't be refused any more: refusals make their engine count as full for a while, and for the rest see
+// PauseDue.
 const (
 	maxNotSent = 4
 	maxRefused = 5
@@ -79,7 +80,7 @@
 	switch outcome {
 	case OutcomeNotSent:
 		a.notSent++
-		if a.notSent < maxNotSent {
+		if a.notSent < maxNotSent || a.streamStarted {
 			return StepRetry
 		}
 	case OutcomeRefused:
@@ -97,6 +98,9 @@
 	return a.GiveUp(outcome)
 }
 
+// PauseDue reports whether so many exchanges were not sent that the next one should wait for a change.
+func (a *Attempts) PauseDue() bool { return a.notSent >= maxNotSent }
+
 // GiveUp returns the final step of a request that is not retried after the outcome.
 func (a *Attempts) GiveUp(outcome Outcome) Step {
 	switch {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -24,6 +24,8 @@
 )
 
 const (
+	// notSentPause is the pause between attempts of a stream that can be sent to no engine.
+	notSentPause = 50 * time.Millisecond
 	// minAttemptTime is the time that must remain for another attempt.
 	minAttemptTime = 30 * time.Millisecond
 	// maxBodyBytes bounds the body of a response that is not a stream.
@@ -192,6 +194,9 @@
 			fl.finish(step, result)
 			return
 		}
+		if result.kind == OutcomeNotSent && fl.attempts.PauseDue() {
+			clock.Sleep(ctx, notSentPause)
+		}
 		fl.avoidEngines = append(fl.avoidEngines, engine.ID)
 		if result.unreachable() {
 			fl.avoidZones = append(fl.avoidZones, engine.Zone)
