A stop waits until its last responses are written

What callers could see: a connection closed on a refusal that was not written yet, at the end of a node's time to stop; after a panic, a 502 with the signature of an engine. Cause: the wait ended with the last handler, before its response is flushed; the head of an engine's response may be set as a handler panics. Change: the wait ends with the last connection; the head is cleared. Result: the tests of stops and panics pass.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -189,6 +189,7 @@
 	if w.begun {
 		panic(http.ErrAbortHandler)
 	}
+	clear(w.Header()) // it may have an engine's
 	writeError(w, http.StatusBadGateway, "this node failed; the request may have run")
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -128,10 +128,12 @@
 	awaitUntil(time.Now().Add(settle), func() bool { return false })
 	c.refusing.Store(true)
 	_ = c.gate.Close()
-	awaitUntil(end, func() bool { return c.inFlight.Load() == 0 && c.gate.Open() == 0 })
+	// A response is written to its end only as its connection ends.
+	allAnswered := func() bool { return c.inFlight.Load() == 0 && c.gate.Open() == 0 }
+	awaitUntil(end, allAnswered)
 	c.gate.ReportLeftBehind()
 	c.endRequests(apierror.ErrStopping)
-	awaitUntil(time.Now().Add(answerTime), func() bool { return c.inFlight.Load() == 0 })
+	awaitUntil(time.Now().Add(answerTime), allAnswered)
 	c.close()
 }
 
--- a/internal/system/stop.go
+++ b/internal/system/stop.go
@@ -36,10 +36,12 @@
 	awaitUntil(clock.Now().Add(lameDuck(clock.Until(end))), func() bool { return false })
 	f.edge.RefuseAll()
 	_ = f.gate.Close()
-	awaitUntil(end, func() bool { return f.edge.InFlight() == 0 && f.gate.Open() == 0 })
+	// A response is written to its end only as its connection ends.
+	allAnswered := func() bool { return f.edge.InFlight() == 0 && f.gate.Open() == 0 }
+	awaitUntil(end, allAnswered)
 	f.gate.ReportLeftBehind()
 	f.endRequests(forward.ErrStopping)
-	awaitUntil(clock.Now().Add(answerTime), func() bool { return f.edge.InFlight() == 0 })
+	awaitUntil(clock.Now().Add(answerTime), allAnswered)
 	_ = f.callers.Close()
 	_ = f.readiness.Close()
 	f.close()
