One writer of responses and one wait for both servers of callers

Cause: the OpenAI server's stop brought copies of the writer that announces the end of a connection and of the polling wait; four tests started servers alike. Change: both live in callerconn. No change of behaviour.

--- a/internal/callerconn/early_test.go
+++ b/internal/callerconn/early_test.go
@@ -52,26 +52,15 @@
 func TestGateDrainAnswersRequestThatCameBeforeTheLastOneEnded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := NewGate(0)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
 	early := make(chan struct{}, 1)
-	gate.Listener = &earlyListener{Listener: listener, read: early}
+	gate.Listener = &earlyListener{Listener: listen(t), read: early}
 	ending := make(chan struct{})
-	server := &http.Server{ConnState: gate.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	serveGate(t, gate, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "6")
 		_, _ = io.WriteString(w, "served")
 		_ = http.NewResponseController(w).Flush()
 		<-ending
-	})}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(gate)
-	}()
-	t.Cleanup(func() {
-		_ = server.Close()
-		<-done
-	})
+	})})
 	conn := dialGate(t, gate)
 	reader := bufio.NewReader(conn)
 	send := func() {
--- a/internal/callerconn/gate_test.go
+++ b/internal/callerconn/gate_test.go
@@ -32,17 +32,26 @@
 
 // startGate serves requests that come through a gate with a short body.
 func startGate(t *testing.T, gate *Gate) {
-	startGateWith(t, gate, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	startGateWith(t, gate, serveShortly)
 }
 
 // startGateWith serves requests that come through a gate with a handler.
 func startGateWith(t *testing.T, gate *Gate, handler http.HandlerFunc) {
+	gate.Listener = listen(t)
+	serveGate(t, gate, &http.Server{Handler: handler})
+}
+
+func listen(t *testing.T) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	gate.Listener = listener
-	server := &http.Server{ConnState: gate.TrackState, Handler: handler}
+	return listener
+}
+
+// serveGate serves a gate, which has its listener, until the test ends.
+func serveGate(t *testing.T, gate *Gate, server *http.Server) {
+	server.ConnState = gate.TrackState
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -54,6 +63,9 @@
 	})
 }
 
+// serveShortly is a handler that responds with a short body.
+func serveShortly(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }
+
 // exchange sends a request on a connection and returns the error of the response.
 func exchange(conn net.Conn) error { return exchangePath(conn, "/") }
 
--- a/internal/callerconn/limits_test.go
+++ b/internal/callerconn/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -18,22 +17,8 @@
 	const own = 100 * time.Millisecond
 	gate := NewGate(0)
 	gate.Limits = limits
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	gate.Listener = listener
-	server := &http.Server{ConnState: gate.TrackState, IdleTimeout: own, ReadHeaderTimeout: own,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(gate)
-	}()
-	t.Cleanup(func() {
-		_ = server.Close()
-		<-done
-	})
+	gate.Listener = listen(t)
+	serveGate(t, gate, &http.Server{IdleTimeout: own, ReadHeaderTimeout: own, Handler: http.HandlerFunc(serveShortly)})
 	return gate
 }
 
--- a/internal/callerconn/retire_test.go
+++ b/internal/callerconn/retire_test.go
@@ -52,24 +52,9 @@
 
 // startHeldGate serves a gate whose connections' reads can be held up.
 func startHeldGate(t *testing.T, gate *Gate) <-chan *heldConn {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	held := &heldListener{Listener: listener, conns: make(chan *heldConn, 10)}
+	held := &heldListener{Listener: listen(t), conns: make(chan *heldConn, 10)}
 	gate.Listener = held
-	server := &http.Server{ConnState: gate.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "served")
-	})}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(gate)
-	}()
-	t.Cleanup(func() {
-		_ = server.Close()
-		<-done
-	})
+	serveGate(t, gate, &http.Server{Handler: http.HandlerFunc(serveShortly)})
 	return held.conns
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -140,7 +140,7 @@
 func (e *Edge) ServeHTTP(netWriter http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	w := &responseWriter{ResponseWriter: netWriter, stopping: e.Stopping}
+	w := callerconn.NewResponseWriter(netWriter, e.Stopping)
 	defer e.recoverPanic(w, r)
 	arrived := clock.Now()
 	if e.refusing.Load() {
@@ -174,7 +174,7 @@
 
 // recoverPanic is deferred: it answers a request whose handler panicked, which may have run. A response
 // that has begun is cut off.
-func (e *Edge) recoverPanic(w *responseWriter, r *http.Request) {
+func (e *Edge) recoverPanic(w *callerconn.ResponseWriter, r *http.Request) {
 	fault := recover()
 	if fault == nil {
 		return
@@ -185,8 +185,8 @@
 	e.panics.Add(1)
 	parsed, _ := e.Dialect.ParseRequest(r, clock.Now()) // fields that can't be parsed stay empty
 	stack := debug.Stack()
-	eventPanicked.Error(fmt.Errorf("panic: %v", fault), "request", parsed.ID, "begun", w.begun, "stack", string(stack[:min(len(stack), maxStackBytes)]))
-	if w.begun {
+	eventPanicked.Error(fmt.Errorf("panic: %v", fault), "request", parsed.ID, "begun", w.Begun(), "stack", string(stack[:min(len(stack), maxStackBytes)]))
+	if w.Begun() {
 		panic(http.ErrAbortHandler)
 	}
 	clear(w.Header()) // it may have an engine's
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -24,8 +24,6 @@
 	maxSettleShare = 1. / 3
 	// answerTime is how long requests whose time is over have for their responses.
 	answerTime = 300 * time.Millisecond
-	// drainPollInterval is how often a stopping node checks for requests in progress.
-	drainPollInterval = 20 * time.Millisecond
 	// maxStackBytes bounds the stack in the log line on a panic.
 	maxStackBytes = 4 << 10
 )
@@ -82,7 +80,7 @@
 func (c *callers) ServeHTTP(netWriter http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	w := &callersWriter{ResponseWriter: netWriter, stopping: &c.stopping}
+	w := callerconn.NewResponseWriter(netWriter, c.stopping.Load)
 	id := w.Header().Get(apierror.HeaderRequestID)
 	defer c.recoverPanic(w, id)
 	if conn := callerconn.Of(r.Context()); conn != nil {
@@ -101,7 +99,7 @@
 
 // recoverPanic is deferred: it answers a request whose handler panicked, which may have run. A response
 // that has begun is cut off.
-func (c *callers) recoverPanic(w *callersWriter, id string) {
+func (c *callers) recoverPanic(w *callerconn.ResponseWriter, id string) {
 	fault := recover()
 	if fault == nil {
 		return
@@ -112,8 +110,8 @@
 	c.panics.Add(1)
 	err := fmt.Errorf("panic: %v", fault)
 	stack := debug.Stack()
-	EventRequestPanicked.Error(err, "request", id, "begun", w.begun, "stack", string(stack[:min(len(stack), maxStackBytes)]))
-	if w.begun {
+	EventRequestPanicked.Error(err, "request", id, "begun", w.Begun(), "stack", string(stack[:min(len(stack), maxStackBytes)]))
+	if w.Begun() {
 		panic(http.ErrAbortHandler)
 	}
 	apierror.Write(w, apierror.From(err))
@@ -125,15 +123,15 @@
 	c.stopping.Store(true)
 	c.gate.Retire()
 	settle := min(gateway.DefaultConfig().DrainSettle, time.Duration(maxSettleShare*float64(time.Until(end))))
-	awaitUntil(time.Now().Add(settle), func() bool { return false })
+	callerconn.Await(settle, nil)
 	c.refusing.Store(true)
 	_ = c.gate.Close()
 	// A response is written to its end only as its connection ends.
 	allAnswered := func() bool { return c.inFlight.Load() == 0 && c.gate.Open() == 0 }
-	awaitUntil(end, allAnswered)
+	callerconn.Await(time.Until(end), allAnswered)
 	c.gate.ReportLeftBehind()
 	c.endRequests(apierror.ErrStopping)
-	awaitUntil(time.Now().Add(answerTime), allAnswered)
+	callerconn.Await(answerTime, allAnswered)
 	c.close()
 }
 
@@ -142,45 +140,3 @@
 	_ = c.gate.Close()
 	_ = c.server.Close()
 }
-
-// awaitUntil polls until done reports true, or the time has come.
-func awaitUntil(end time.Time, done func() bool) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for time.Now().Before(end) && !done() {
-		<-ticker.C
-	}
-}
-
-// callersWriter knows whether the response has begun, and announces the end of its connection while the
-// node stops.
-type callersWriter struct {
-	http.ResponseWriter
-	stopping *atomic.Bool
-	begun    bool
-}
-
-// Unwrap lets http.ResponseController reach the server's writer.
-func (w *callersWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w *callersWriter) WriteHeader(status int) {
-	w.begin()
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *callersWriter) Write(body []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(body)
-}
-
-func (w *callersWriter) begin() {
-	if w.begun {
-		return
-	}
-	w.begun = true
-	if w.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-}
--- a/internal/system/stop.go
+++ b/internal/system/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chutelock.dev/chutelock/internal/callerconn"
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/forward"
 )
@@ -19,29 +20,26 @@
 	drainMargin = 700 * time.Millisecond
 	// answerTime is the part of drainMargin in which requests whose time is over get their responses.
 	answerTime = 200 * time.Millisecond
-	// drainPollInterval is how often a stopping node checks for requests in flight.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // Drain implements Node. The node reports that it is not ready and goes on taking requests for
 // lameDuckPeriod, as long as callers may be sent here. Then it closes its port and refuses what it still
 // reads, however many callers there are: so the requests that it has taken have the rest of the time, and
-// are told what is known of them at its end.
-// http.Server.Shutdown is not used, as it drops requests that it reads.
+// are told what is known of them at its end. http.Server.Shutdown is not used, as it drops requests that it reads.
 func (f *front) Drain(ctx context.Context) {
 	eventStopping.Info("node", f.settings.Node.Name, "in_flight", f.edge.InFlight())
 	f.draining.Store(true)
 	f.gate.Retire()
 	end := drainEnd(ctx)
-	awaitUntil(clock.Now().Add(lameDuck(clock.Until(end))), func() bool { return false })
+	callerconn.Await(lameDuck(clock.Until(end)), nil)
 	f.edge.RefuseAll()
 	_ = f.gate.Close()
 	// A response is written to its end only as its connection ends.
 	allAnswered := func() bool { return f.edge.InFlight() == 0 && f.gate.Open() == 0 }
-	awaitUntil(end, allAnswered)
+	callerconn.Await(clock.Until(end), allAnswered)
 	f.gate.ReportLeftBehind()
 	f.endRequests(forward.ErrStopping)
-	awaitUntil(clock.Now().Add(answerTime), allAnswered)
+	callerconn.Await(answerTime, allAnswered)
 	_ = f.callers.Close()
 	_ = f.readiness.Close()
 	f.close()
@@ -60,12 +58,3 @@
 	}
 	return clock.Now().Add(time.Until(deadline) - drainMargin)
 }
-
-// awaitUntil polls until done reports true, or the time has come.
-func awaitUntil(end time.Time, done func() bool) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for clock.Now().Before(end) && !done() {
-		<-ticker.C
-	}
-}
