Idle times of callers' connections include suspended time

The package of callers' connections, which was part of edge, was no longer looked at; it counted idle times by a clock that stops while the machine is suspended. Change: the list names the new place, and the package; idle times use the clock that includes suspensions.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
 
@@ -69,12 +70,12 @@
 func (c *Conn) extendIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	end := c.idleSince.Add(c.gate.limits().IdleTimeout)
-	if c.state != http.StateIdle || c.expired || !time.Now().Before(end) {
+	left := c.gate.limits().IdleTimeout - clock.Since(c.idleSince)
+	if c.state != http.StateIdle || c.expired || left <= 0 {
 		return false
 	}
-	c.deadline = end
-	return c.Conn.SetReadDeadline(end) == nil
+	c.deadline = readDeadline(left)
+	return c.Conn.SetReadDeadline(c.deadline) == nil
 }
 
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
@@ -115,14 +116,17 @@
 	case deadline.IsZero() || c.state == http.StateActive:
 	case c.state == http.StateIdle && c.unanswered.Load() == 0:
 		if limits.IdleTimeout > 0 {
-			return c.idleSince.Add(limits.IdleTimeout)
+			return readDeadline(limits.IdleTimeout - clock.Since(c.idleSince))
 		}
 	case limits.HeaderTimeout > 0:
-		return time.Now().Add(limits.HeaderTimeout)
+		return readDeadline(limits.HeaderTimeout)
 	}
 	return deadline
 }
 
+// readDeadline returns a deadline by the monotonic clock, which connections use.
+func readDeadline(after time.Duration) time.Time { return time.Now().Add(after) }
+
 // retire ends the connection after its response, or soon if it is idle. A new connection may have its first
 // request unless closing is set.
 func (c *Conn) retire(closing bool) {
@@ -141,7 +145,7 @@
 		return false
 	}
 	c.expired = true
-	_ = c.Conn.SetReadDeadline(time.Now().Add(arrivalTime))
+	_ = c.Conn.SetReadDeadline(readDeadline(arrivalTime))
 	return true
 }
 
@@ -154,7 +158,7 @@
 		c.answered.Store(false)
 		c.unanswered.Store(c.early)
 		c.early = 0
-		c.idleSince = time.Now()
+		c.idleSince = clock.Now()
 	}
 	c.expire()
 }
--- a/internal/clock/use_test.go
+++ b/internal/clock/use_test.go
@@ -12,7 +12,7 @@
 
 // checkedPackages have leases, windows, deadlines or ages that must include suspended time.
 var checkedPackages = []string{
-	"balance", "batchwork", "catalog", "edge", "forward", "ledger/replica", "ledger/replication", "loadshare", "mirror", "quota",
+	"balance", "batchwork", "callerconn", "catalog", "edge", "forward", "ledger/replica", "ledger/replication", "loadshare", "mirror", "quota",
 	"slowstart", "system", "transport", "upstream",
 }
 
@@ -28,7 +28,8 @@
 	"edge/edge.go connectionDeadline(":                   "a connection's deadline",
 	"mirror/storereader.go watchHold(":                   "the time of day that watchers share",
 	"system/core.go UnixMilli()":                         "a date that other machines read",
-	"system/front.go bounded &&":                         "a context's deadline",
+	"callerconn/conn.go readDeadline(":                   "a connection's deadline",
+	"system/stop.go time.Until(deadline)":                "a context's deadline",
 	"transport/node.go time.Until(deadline)":             "a context's deadline",
 	"transport/connection.go SetDeadline(":               "a connection's deadline",
 	"transport/connection.go SetWriteDeadline":           "a connection's deadline",
