Jobs are accepted again once no run has ended for long

Cause: jobs are refused by the mean time of runs. While engines were silent and dark runs took 46 s an item, over the 20 s allowed; then every job was refused, no run ended, and the mean stayed (batch-job-refused: open 0s, slots 19.35, done_in 46.36 s). An estimate that stops its own correction. Evidence: TestJobsAcceptedAgainOnceNoRunHasEndedForLong failed before, passes now.

--- a/internal/batchwork/jobforecast_test.go
+++ b/internal/batchwork/jobforecast_test.go
@@ -110,3 +110,33 @@
 		g.Expect(order[i]).To(gomega.BeIdenticalTo(want), "%d", i)
 	}
 }
+
+// Guards against jobs that are refused for good, as no run ends any more that would correct the estimate.
+func TestJobsAcceptedAgainOnceNoRunHasEndedForLong(t *testing.T) {
+	g := gomega.NewWithT(t)
+	load := newOverload().service("s")
+	now := time.Now()
+	pass := func(duration time.Duration) {
+		for range duration / roomInterval {
+			now = now.Add(roomInterval)
+			load.room.observe(10, now)
+		}
+	}
+	refuses := func() bool {
+		forecast, itemWork, known := load.forecast(newItemEstimator(), func(string) float64 { return 1 }, now)
+		return known && forecast.completion("t", itemWork, itemWork) > 20*time.Second
+	}
+	pass(minRoomTime + roomInterval)
+	for range minRuns {
+		load.room.observeRun(10*time.Second, 20)
+	}
+	g.Expect(refuses()).To(gomega.BeTrue(), "items take 100 s")
+	pass(roomWindow / 2)
+	g.Expect(refuses()).To(gomega.BeTrue())
+	pass(roomWindow)
+	g.Expect(refuses()).To(gomega.BeFalse())
+	for range minRuns {
+		load.room.observeRun(time.Second, 20)
+	}
+	g.Expect(refuses()).To(gomega.BeFalse(), "items take 10 s now")
+}
--- a/internal/batchwork/roommeter.go
+++ b/internal/batchwork/roommeter.go
@@ -19,6 +19,9 @@
 	// number of runs from which on their mean is used. Some hundred runs end in roomWindow.
 	runDecay = 0.998
 	minRuns  = 16
+	// maxRunAge is the longest time without an ended run that their mean outlasts. Jobs are refused by
+	// that mean, and without jobs no run ends that would correct it.
+	maxRunAge = roomWindow
 )
 
 // roomMeter estimates how many slots of a service online work leaves to batch work. It is not
@@ -30,6 +33,7 @@
 	// slotTime and events are sums over ended runs, decayed by runDecay; runs is their number.
 	slotTime, events float64
 	runs             int
+	lastRun          time.Time // by the observations of the room
 }
 
 // observe adds the number of slots at a time.
@@ -48,11 +52,20 @@
 
 // observeRun adds a run that held a slot for a time and produced events.
 func (m *roomMeter) observeRun(held time.Duration, events uint64) {
+	if m.runsAreOld() {
+		m.slotTime, m.events, m.runs = 0, 0, 0
+	}
+	m.lastRun = m.last
 	m.slotTime = runDecay*m.slotTime + float64(held)
 	m.events = runDecay*m.events + float64(events)
 	m.runs++
 }
 
+// runsAreOld reports whether no run has ended for longer than maxRunAge.
+func (m *roomMeter) runsAreOld() bool {
+	return !m.lastRun.IsZero() && m.last.Sub(m.lastRun) > maxRunAge
+}
+
 // slots returns the room, or false if it isn't known: the mean, or more in a valley of online
 // work, in which items start. The mean alone would lag behind a valley after a long burst.
 func (m *roomMeter) slots(now time.Time) (float64, bool) {
@@ -63,7 +76,7 @@
 // eventTime returns how long a slot is held for each event, with the time that runs were cut
 // short or waited; false if it isn't known.
 func (m *roomMeter) eventTime() (float64, bool) {
-	if m.runs < minRuns || m.events <= 0 {
+	if m.runs < minRuns || m.events <= 0 || m.runsAreOld() {
 		return 0, false
 	}
 	return m.slotTime / m.events, true
