A stop cuts no answer whose engine it has no time left to ask

Cause: such an answer is whole if its engine takes connections; one that is silent is asked again for 3 s, and where the node's time to stop was over before, the answer counted as cut. Change: then it counts as whole, unless connections are refused. An engine whose process has ended refuses them; one without power ends no connection. Evidence: TestStoppingNodeEndsAnswerWhoseEngineFellSilentAtItsEnd failed before (unexpected EOF), passes now; the test of a dark engine's answer passes.

--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -11,6 +11,7 @@
 
 	"chutelock.dev/chutelock/internal/catalog"
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/forward"
 	"chutelock.dev/chutelock/internal/mirror"
 	"chutelock.dev/chutelock/internal/poison"
 	"chutelock.dev/chutelock/internal/transport"
@@ -90,14 +91,18 @@
 }
 
 // engineServes reports whether an engine takes connections, or left as announced. A silent engine may be
-// sound, so it is asked again for servesTimeout. If it can't be told, the engine doesn't serve.
+// sound, so it is asked again for servesTimeout. If it can't be told, the engine doesn't serve, unless this
+// node has no time left to ask: an engine whose process has ended refuses connections.
 func (c *core) engineServes(ctx context.Context, engine catalog.Engine) bool {
 	ctx, cancel := context.WithTimeout(ctx, servesTimeout)
 	defer cancel()
 	for {
 		serves, known := c.checkServes(ctx, engine)
-		if known || ctx.Err() != nil {
+		switch {
+		case known:
 			return serves
+		case ctx.Err() != nil:
+			return errors.Is(context.Cause(ctx), forward.ErrStopping)
 		}
 		clock.Sleep(ctx, servesPause)
 	}
