--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 # deploy/system.toml, and needs no network beside the modules that this build has fetched.
 set -eu
 cd "$(dirname "$0")/.."
+go build -tags review -o target/review-lab ./review/lab
--- /dev/null
+++ b/review/lab/engine.go
@@ -0,0 +1,178 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	queued     = 64 // requests beyond the slots that an engine takes
+	firstEvent = 40 * time.Millisecond
+	eventPause = 15 * time.Millisecond
+)
+
+// arrival is a request that reached an engine and was not refused by it.
+type arrival struct {
+	at       time.Time
+	id       string
+	after    int // Last-Event-Id
+	sent     int // the last event sent
+	complete bool
+}
+
+// engine is a stand-in for a model engine that follows PROTOCOL.md.
+type engine struct {
+	id, zone, address string
+	// events is how many events an answer has; data returns that of one.
+	events int
+	data   func(id string, event int) string
+	// breakAfter returns the event after which the answer breaks off; 0 if it doesn't.
+	breakAfter func(e *engine, id string, after int) int
+
+	server   *http.Server
+	listener net.Listener
+	slot     chan struct{}
+
+	mutex    sync.Mutex // guards the fields below
+	running  int
+	arrivals []*arrival
+	goneAt   time.Time // when the store acknowledged that the entry is gone
+}
+
+func newEngine(id, zone string) *engine {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		couldNotRun("%v", err)
+	}
+	e := &engine{id: id, zone: zone, address: listener.Addr().String(), listener: listener, slot: make(chan struct{}, slots), events: 12}
+	e.data = func(id string, event int) string { return fmt.Sprintf("%s-%d", id, event) }
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	go func() { _ = e.server.Serve(listener) }()
+	return e
+}
+
+func (e *engine) close() { _ = e.server.Close() }
+
+// entry is the engine's entry in the platform's store.
+func (e *engine) entry() map[string]any {
+	return map[string]any{
+		"service": service, "address": e.address, "zone": e.zone, "version": "v1", "slots": slots, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+	}
+}
+
+func (e *engine) load() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return fmt.Sprintf("%d,%d,%d", min(e.running, slots), max(0, e.running-slots), slots)
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/health":
+		w.Header().Set("Instance-Id", e.id)
+		w.Header().Set("Server-Load", e.load())
+		return
+	case r.URL.Path == "/-/report":
+		_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 153000, "handles": 0})
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if instance := r.Header.Get("Target-Instance"); instance != "" && instance != e.id {
+		w.Header().Set("Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run := e.take(id, after)
+	if run == nil {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.update(func() { e.running-- })
+	e.slot <- struct{}{}
+	defer func() { <-e.slot }()
+	e.stream(w, r, run)
+}
+
+// take records a request, or returns nil if the engine is full.
+func (e *engine) take(id string, after int) *arrival {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.running >= slots+queued {
+		return nil
+	}
+	e.running++
+	run := &arrival{at: time.Now(), id: id, after: after}
+	e.arrivals = append(e.arrivals, run)
+	return run
+}
+
+func (e *engine) update(change func()) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	change()
+}
+
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, run *arrival) {
+	breakAfter := 0
+	if e.breakAfter != nil {
+		breakAfter = e.breakAfter(e, run.id, run.after)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Response-Signature", e.id+"."+run.id)
+	w.Header().Set("Server-Load", e.load())
+	pause := firstEvent
+	for event := run.after + 1; event <= e.events; event++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = eventPause
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, e.data(run.id, event)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		e.update(func() { run.sent = event })
+		if event == breakAfter {
+			reset(w)
+			return
+		}
+	}
+	e.update(func() { run.complete = true })
+}
+
+// reset breaks an answer off by a reset of its connection, once what was sent has arrived.
+func reset(w http.ResponseWriter) {
+	time.Sleep(5 * time.Millisecond)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// runs returns copies of all arrivals so far.
+func (e *engine) runs() []arrival {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	all := make([]arrival, 0, len(e.arrivals))
+	for _, run := range e.arrivals {
+		all = append(all, *run)
+	}
+	return all
+}
