Review: machines that are gone keep a lost replica from being replaced

Where store machines were replaced before, a machine that is back with an empty disk has no replica within catchUpS, and the next lost disk, which is to be borne, takes all batch jobs.

--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -37,6 +37,7 @@
 // node is one process of the project's program.
 type node struct {
 	name, zone, callers, readiness string
+	program, file, log, data       string // data is empty for a front
 	command                        *exec.Cmd
 }
 
@@ -89,6 +90,7 @@
 		} else {
 			seeds = append(seeds, fmt.Sprintf("%q", peers))
 		}
+		n.data = data
 		d.nodes = append(d.nodes, n)
 		settings = append(settings, n.settings(peers, data, d.store.Address()))
 	}
@@ -98,7 +100,8 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			couldNotRun("%v", err)
 		}
-		n.start(program, file, filepath.Join(folder, n.name+".log"))
+		n.program, n.file, n.log = program, file, filepath.Join(folder, n.name+".log")
+		n.start()
 	}
 	d.awaitReady()
 	return d
@@ -143,13 +146,13 @@
 `, n.name, n.zone, listen, peers, freeAddress(), descriptors, store, drainMs, folder, memory, graceS)
 }
 
-func (n *node) start(program, file, log string) {
-	output, err := os.Create(log)
+func (n *node) start() {
+	output, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		couldNotRun("%v", err)
 	}
 	defer output.Close()
-	n.command = exec.Command(program, "-config", file)
+	n.command = exec.Command(n.program, "-config", n.file)
 	n.command.Stdout, n.command.Stderr = output, output
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
@@ -157,6 +160,25 @@
 	}
 }
 
+// kill ends the process at once, as a loss of power does.
+func (n *node) kill() {
+	_ = n.command.Process.Kill()
+	_ = n.command.Wait()
+}
+
+// loseDisk kills the process and starts it again 2 s later at its old address, with an empty disk.
+func (n *node) loseDisk() {
+	n.kill()
+	if err := os.RemoveAll(n.data); err != nil {
+		couldNotRun("%v", err)
+	}
+	time.Sleep(2 * time.Second)
+	n.start()
+}
+
+// stores lists the nodes that keep data.
+func (d *deployment) stores() []*node { return d.nodes[:zoneCount] }
+
 // fronts lists the nodes that take callers.
 func (d *deployment) fronts() []*node { return d.nodes[zoneCount:] }
 
@@ -180,15 +202,16 @@
 func (d *deployment) close() {
 	for _, n := range d.nodes {
 		if n.command != nil && n.command.Process != nil {
-			_ = n.command.Process.Kill()
-			_ = n.command.Wait()
+			n.kill()
 		}
 	}
 	for _, e := range d.engines {
 		e.close()
 	}
 	d.store.Close()
-	_ = os.RemoveAll(d.folder)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(d.folder)
+	}
 }
 
 // configuration has one stream route and one batch route.
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -12,11 +12,7 @@
 	"time"
 )
 
-const (
-	queued     = 64 // requests beyond the slots that an engine takes
-	firstEvent = 40 * time.Millisecond
-	eventPause = 15 * time.Millisecond
-)
+const queued = 64 // requests beyond the slots that an engine takes
 
 // arrival is a request that reached an engine and was not refused by it.
 type arrival struct {
@@ -31,8 +27,9 @@
 type engine struct {
 	id, zone, address string
 	// events is how many events an answer has; data returns that of one.
-	events int
-	data   func(id string, event int) string
+	events                 int
+	firstEvent, eventPause time.Duration
+	data                   func(id string, event int) string
 	// breakAfter returns the event after which the answer breaks off; 0 if it doesn't.
 	breakAfter func(e *engine, id string, after int) int
 
@@ -51,7 +48,8 @@
 	if err != nil {
 		couldNotRun("%v", err)
 	}
-	e := &engine{id: id, zone: zone, address: listener.Addr().String(), listener: listener, slot: make(chan struct{}, slots), events: 12}
+	e := &engine{id: id, zone: zone, address: listener.Addr().String(), listener: listener, slot: make(chan struct{}, slots)}
+	e.events, e.firstEvent, e.eventPause = 12, 40*time.Millisecond, 15*time.Millisecond
 	e.data = func(id string, event int) string { return fmt.Sprintf("%s-%d", id, event) }
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(listener) }()
@@ -130,14 +128,14 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Signature", e.id+"."+run.id)
 	w.Header().Set("Server-Load", e.load())
-	pause := firstEvent
+	pause := e.firstEvent
 	for event := run.after + 1; event <= e.events; event++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(pause):
 		}
-		pause = eventPause
+		pause = e.eventPause
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, e.data(run.id, event)); err != nil {
 			return
 		}
--- /dev/null
+++ b/review/lab/former.go
@@ -0,0 +1,124 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+const (
+	formerPerZone = 20
+	catchUp       = 4800 * time.Millisecond
+	recoverTime   = 12 * time.Second
+	rounds        = 5
+)
+
+// playFormer lets store machines lose their disks, one at a time and each only after the one before has
+// been back for catchUpS, in a deployment that has replaced store machines before, FORMER of them in each
+// zone.
+func playFormer(d *deployment, trouble bool) bool {
+	start := time.Now()
+	perZone := formerPerZone
+	if number, err := strconv.Atoi(os.Getenv("FORMER")); err == nil {
+		perZone = number
+	}
+	d.addFormerMachines(perZone)
+	time.Sleep(10 * time.Second)
+	var ids []string
+	for range 5 {
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		submit(d, id)
+		ids = append(ids, id)
+		record("%7.3f job %s accepted", time.Since(start).Seconds(), id)
+	}
+	for _, id := range ids {
+		results := readAll(d.fronts()[0].callers, id, time.Now().Add(15*time.Second))
+		record("%7.3f job %s: %d results read", time.Since(start).Seconds(), id, len(results))
+	}
+	for round := range rounds {
+		n := d.stores()[round%zoneCount]
+		if trouble {
+			record("%7.3f %s loses its disk", time.Since(start).Seconds(), n.name)
+			n.loseDisk()
+			record("%7.3f %s is back", time.Since(start).Seconds(), n.name)
+		}
+		time.Sleep(catchUp)
+	}
+	time.Sleep(recoverTime)
+	lost := d.unreadable(ids, 8*time.Second)
+	for _, id := range lost {
+		record("%7.3f LOST: job %s can't be read at any front", time.Since(start).Seconds(), id)
+	}
+	summary := fmt.Sprintf("%d of %d accepted jobs can't be read at the end", len(lost), len(ids))
+	record("%s", summary)
+	fmt.Println(summary)
+	return len(lost) == 0
+}
+
+// addFormerMachines writes what store machines that were replaced have left in the platform's store:
+// the entries that they wrote themselves as they started. Their addresses say nothing.
+func (d *deployment) addFormerMachines(perZone int) {
+	for i := range zoneCount * perZone {
+		d.store.Write("nodes", fmt.Sprintf("store-%s-%d", zoneName(i), 2+i/zoneCount), map[string]any{
+			"address": silentAddress(), "zone": zoneName(i), "region": "ulaanbaatar", "started": time.Now().Add(-time.Duration(i+1) * time.Hour).UnixMilli(),
+		})
+	}
+}
+
+// silentAddress returns a loopback address that answers nothing, so that connections to it hang: a
+// listener whose queue is full.
+func silentAddress() string {
+	listener, err := net.Listen("tcp4", freeAddress())
+	if err != nil {
+		couldNotRun("%v", err)
+	}
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		couldNotRun("%v", err)
+	}
+	silent = append(silent, listener)
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+	for {
+		conn, err := net.DialTimeout("tcp4", listener.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return listener.Addr().String()
+		}
+		fillers = append(fillers, conn)
+	}
+}
+
+var (
+	silent  []net.Listener // kept open
+	fillers []net.Conn     // take the room of new connections
+)
+
+// unreadable lists the jobs that no front reads whole within a time.
+func (d *deployment) unreadable(ids []string, limit time.Duration) (missing []string) {
+	end := time.Now().Add(limit)
+	for _, id := range ids {
+		for try := 0; ; try++ {
+			var page struct {
+				Total int `json:"total"`
+			}
+			status, body := call(http.MethodGet, d.fronts()[try%zoneCount].callers, "/-/lots/"+id+"?sinceRevision=0", "", nil)
+			record("read of %s: status %d", id, status)
+			if status == http.StatusOK && json.Unmarshal(body, &page) == nil && page.Total == jobItems {
+				break
+			}
+			if time.Now().After(end) {
+				missing = append(missing, id)
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return missing
+}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -44,7 +44,7 @@
 		couldNotRun("%v", err)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	play := map[string]func(d *deployment, trouble bool) bool{"leaving": playLeaving, "texts": playTexts}[flag.Arg(0)]
+	play := map[string]func(d *deployment, trouble bool) bool{"leaving": playLeaving, "texts": playTexts, "former": playFormer}[flag.Arg(0)]
 	if play == nil {
 		couldNotRun("no such case: %q", flag.Arg(0))
 	}
--- a/review/lab/texts.go
+++ b/review/lab/texts.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	jobs        = 40
-	jobItems    = 40
-	itemEvents  = 10
+	jobs        = 200
+	jobItems    = 20
+	itemEvents  = 8
 	brokenShare = 0.03 // of an engine's answers
+	submitPause = 100 * time.Millisecond
 )
 
 // itemData is the data of an item's event. The last event ends the text and has no data of its own:
@@ -49,7 +50,8 @@
 // an event drawn at random, and reads all results.
 func playTexts(d *deployment, trouble bool) bool {
 	for i, e := range d.engines {
-		e.events, e.data = itemEvents, itemData
+		// An undisturbed answer takes less than 40 ms, so that its text is committed as a whole.
+		e.events, e.firstEvent, e.eventPause, e.data = itemEvents, 10*time.Millisecond, 3*time.Millisecond, itemData
 		if trouble && i%2 == 0 {
 			e.breakAfter = func(*engine, string, int) int {
 				if rand.Float64() < brokenShare {
@@ -66,6 +68,7 @@
 		ids = append(ids, id)
 		submit(d, id)
 		record("%7.3f job %s accepted", time.Since(start).Seconds(), id)
+		time.Sleep(submitPause)
 	}
 	wrong, read := 0, 0
 	end := time.Now().Add(60 * time.Second)
