--- a/review/lab/former.go
+++ b/review/lab/former.go
@@ -15,15 +15,16 @@
 )
 
 const (
-	formerPerZone = 20
-	catchUp       = 4800 * time.Millisecond
-	recoverTime   = 12 * time.Second
+	formerPerZone = 40
+	contact       = 3 * time.Second         // contactMs
+	catchUp       = 4800 * time.Millisecond // catchUpS
+	recoverTime   = 12 * time.Second        // recoverS
 	rounds        = 5
 )
 
 // playFormer lets store machines lose their disks, one at a time and each only after the one before has
-// been back for catchUpS, in a deployment that has replaced store machines before, FORMER of them in each
-// zone.
+// been back for contactMs and catchUpS, in a deployment that has replaced store machines before, FORMER
+// of them in each zone.
 func playFormer(d *deployment, trouble bool) bool {
 	start := time.Now()
 	perZone := formerPerZone
@@ -31,7 +32,7 @@
 		perZone = number
 	}
 	d.addFormerMachines(perZone)
-	time.Sleep(10 * time.Second)
+	time.Sleep(8 * time.Second)
 	var ids []string
 	for range 5 {
 		id := fmt.Sprintf("%016x", rand.Uint64())
@@ -50,9 +51,9 @@
 			n.loseDisk()
 			record("%7.3f %s is back", time.Since(start).Seconds(), n.name)
 		}
-		time.Sleep(catchUp)
+		time.Sleep(contact + catchUp)
 	}
-	time.Sleep(recoverTime)
+	time.Sleep(recoverTime - contact - catchUp)
 	lost := d.unreadable(ids, 8*time.Second)
 	for _, id := range lost {
 		record("%7.3f LOST: job %s can't be read at any front", time.Since(start).Seconds(), id)
