--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -40,6 +41,7 @@
 	mutex    sync.Mutex // guards the fields below
 	running  int
 	arrivals []*arrival
+	leaving  bool
 	goneAt   time.Time // when the store acknowledged that the entry is gone
 }
 
@@ -66,19 +68,31 @@
 }
 
 func (e *engine) load() string {
+	running, waiting, _ := e.state()
+	return fmt.Sprintf("%d,%d,%d", running, waiting, slots)
+}
+
+// state returns the requests that run and wait, and whether the engine is leaving.
+func (e *engine) state() (running, waiting int, leaving bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return fmt.Sprintf("%d,%d,%d", min(e.running, slots), max(0, e.running-slots), slots)
+	return min(e.running, slots), max(0, e.running-slots), e.leaving
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	running, waiting, leaving := e.state()
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case r.URL.Path == "/health":
-		w.Header().Set("Instance-Id", e.id)
-		w.Header().Set("Server-Load", e.load())
+		e.serveHealth(w)
 		return
 	case r.URL.Path == "/-/report":
-		_ = json.NewEncoder(w).Encode(map[string]any{"stage": "both", "models": []any{}, "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 153000, "handles": 0})
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "sequence": 0,
+			"waiting": waiting, "running": running, "kvUsed": 0, "kvTotal": 153000, "handles": 0,
+		})
 		return
 	}
 	id := r.Header.Get("Request-Id")
@@ -91,26 +105,66 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	run := e.take(id, after)
 	if run == nil {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
+		return
+	}
+	defer e.update(func() { e.running-- })
+	ctx := r.Context()
+	if left, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(left)*time.Millisecond)
+		defer cancel()
+		ctx = limited
+	}
+	select {
+	case e.slot <- struct{}{}:
+		defer func() { <-e.slot }()
+	case <-ctx.Done(): // in the queue
+		refuse(w)
+		return
+	}
+	e.stream(ctx, w, run)
+}
+
+// serveHealth waits for a slot or is rejected, as a request is. A leaving engine answers 503.
+func (e *engine) serveHealth(w http.ResponseWriter) {
+	w.Header().Set("Instance-Id", e.id)
+	if e.full() {
+		refuse(w)
 		return
 	}
 	defer e.update(func() { e.running-- })
 	e.slot <- struct{}{}
 	defer func() { <-e.slot }()
-	e.stream(w, r, run)
+	w.Header().Set("Server-Load", e.load())
+	if _, _, leaving := e.state(); leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
-// take records a request, or returns nil if the engine is full.
-func (e *engine) take(id string, after int) *arrival {
+// refuse says that the engine did not run the request.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// full reports whether the engine takes no more, and else takes a place in it.
+func (e *engine) full() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.running >= slots+queued {
-		return nil
+		return true
 	}
 	e.running++
+	return false
+}
+
+// take records a request, or returns nil if the engine is full.
+func (e *engine) take(id string, after int) *arrival {
+	if e.full() {
+		return nil
+	}
 	run := &arrival{at: time.Now(), id: id, after: after}
-	e.arrivals = append(e.arrivals, run)
+	e.update(func() { e.arrivals = append(e.arrivals, run) })
 	return run
 }
 
@@ -120,7 +174,8 @@
 	change()
 }
 
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, run *arrival) {
+// stream writes the answer's events. It ends early at the deadline, with 504 before the first event.
+func (e *engine) stream(ctx context.Context, w http.ResponseWriter, run *arrival) {
 	breakAfter := 0
 	if e.breakAfter != nil {
 		breakAfter = e.breakAfter(e, run.id, run.after)
@@ -131,7 +186,11 @@
 	pause := e.firstEvent
 	for event := run.after + 1; event <= e.events; event++ {
 		select {
-		case <-r.Context().Done():
+		case <-ctx.Done():
+			if event > run.after+1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(http.StatusGatewayTimeout)
 			return
 		case <-time.After(pause):
 		}
@@ -174,3 +233,12 @@
 	}
 	return all
 }
+
+// recordRuns records what all engines ran.
+func (d *deployment) recordRuns(start time.Time) {
+	for _, e := range d.engines {
+		for _, run := range e.runs() {
+			record("%7.3f run %s at %s after event %d: sent up to %d, complete %t", run.at.Sub(start).Seconds(), run.id, e.id, run.after, run.sent, run.complete)
+		}
+	}
+}
--- a/review/lab/former.go
+++ b/review/lab/former.go
@@ -46,6 +46,10 @@
 	for _, id := range ids {
 		results := readAll(d.fronts()[0].callers, id, time.Now().Add(15*time.Second))
 		record("%7.3f job %s: %d results read", time.Since(start).Seconds(), id, len(results))
+		if len(results) < jobItems {
+			d.close()
+			couldNotRun("job %s has %d results before the first loss", id, len(results))
+		}
 	}
 	for round := range rounds {
 		n := d.stores()[round%zoneCount]
@@ -58,6 +62,7 @@
 	}
 	time.Sleep(recoverTime - contact - catchUp)
 	lost := d.unreadable(ids, readTime)
+	d.recordRuns(start)
 	for _, id := range lost {
 		record("%7.3f LOST: job %s can't be read at any front", time.Since(start).Seconds(), id)
 	}
--- a/review/lab/leaving.go
+++ b/review/lab/leaving.go
@@ -27,8 +27,9 @@
 const requestsPerSecond = 40
 
 // playLeaving sends streams at a steady rate while three of four engines are taken away, one every
-// half second. None of them says that it is draining: their entries disappear, and they serve on
-// for drainMs and 3.5 s more, and then end.
+// half second. None of them says in its entry that it is draining: their entries disappear, and they
+// serve on for drainMs and 3.5 s more, and then end. Meanwhile their answers close the connection, and
+// they answer health requests with 503.
 func playLeaving(d *deployment, trouble bool) bool {
 	var sent []*request
 	var clients sync.WaitGroup
@@ -53,6 +54,7 @@
 
 // leave removes the engine's entry; the store has acknowledged that once it returns.
 func (e *engine) leave(d *deployment) {
+	e.update(func() { e.leaving = true })
 	d.store.Remove("servers", e.id)
 	e.update(func() { e.goneAt = time.Now() })
 	time.AfterFunc(drainMs*time.Millisecond+3500*time.Millisecond, e.close)
@@ -99,6 +101,7 @@
 		counts[outcome]++
 		record("%7.3f sent %s to %s: status %d, %d events, whole %t, %v", one.sentAt.Sub(start).Seconds(), one.id, one.front, one.status, one.events, one.whole, one.err)
 	}
+	d.recordRuns(start)
 	late, cut := 0, 0
 	latest := time.Duration(0)
 	for _, e := range d.engines {
--- a/review/lab/texts.go
+++ b/review/lab/texts.go
@@ -90,9 +90,9 @@
 			if !run.complete {
 				broken++
 			}
-			record("run %s at %s after event %d: sent up to %d, complete %t", run.id, e.id, run.after, run.sent, run.complete)
 		}
 	}
+	d.recordRuns(start)
 	summary := fmt.Sprintf("%d results of %d items read; %d runs ended early; %d results succeeded with another text than the item's whole output", read, jobs*jobItems, broken, wrong)
 	record("%s", summary)
 	fmt.Println(summary)
@@ -121,7 +121,9 @@
 	}
 	body, _ := json.Marshal(map[string]any{"items": items})
 	for try := range 20 {
-		status, _ := call(http.MethodPost, d.fronts()[try%zoneCount].callers, "/pule252/"+id[:6], id, body)
+		front := d.fronts()[try%zoneCount]
+		status, _ := call(http.MethodPost, front.callers, "/pule252/"+id[:6], id, body)
+		record("job %s sent to %s: status %d", id, front.name, status)
 		if status == http.StatusAccepted {
 			return
 		}
@@ -139,6 +141,7 @@
 			Results []listedResult `json:"results"`
 		}
 		if status != http.StatusOK || json.Unmarshal(body, &page) != nil || len(page.Results) == 0 {
+			record("read of %s at %s: status %d, no new results", id, front, status)
 			time.Sleep(300 * time.Millisecond)
 			continue
 		}
