Ledger: replicas return once a failed disk accepts writes again

Cause: the first refused write stops a node's store for good. watchDisk halted the replicas and returned; nothing opened the store again. Each full disk took one replica away until the process restarted; the second one took the majority. Evidence: events 4103 and 4152 of both nodes, 4102 (room again), and no event of their replicas after it; a restart brings all jobs back. Two more ways to the same end: pebble ends the process where a rotation of its log is refused, and a process ends at its start on a full disk.

Change: operations that the disk refuses are hidden from pebble (guardFS). The replicas halt and keep their identity. Once a probe is written and synced, the folder is opened again in the same process, as after a crash; a store that failed for lack of space is closed in order first, any other is fenced, and the lock of the folder is released when none of its operations is in progress. A node starts without its ledger on a disk that refuses writes. Related: a corrupt folder that can't be replaced at once is tried again, and a replica that its state machine halted is restarted.

Why it works: votes, terms and acknowledged entries are synced before they are told and are read from disk; nothing is taken from memory.

--- a/internal/ledger/replica/chaos_test.go
+++ b/internal/ledger/replica/chaos_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -63,7 +64,15 @@
 // Guards against lost committed entries and applied refused entries while up to two
 // nodes at a time lose power, disk, network or disk space. CHUTELOCK_CAMPAIGN sets
 // the number of rounds, CHUTELOCK_SEED the first seed.
-func TestChaos(t *testing.T) {
+func TestChaos(t *testing.T) { runChaosRounds(t, chaosKinds) }
+
+// Guards against the same while disks refuse writes and accept them again.
+func TestChaosWithRefusedWrites(t *testing.T) { runChaosRounds(t, chaosKinds+2) }
+
+// chaosKinds is the number of kinds of faults of TestChaos.
+const chaosKinds = 5
+
+func runChaosRounds(t *testing.T, kinds int) {
 	rounds, seed := 1, uint64(7)
 	if campaign := os.Getenv("CHUTELOCK_CAMPAIGN"); campaign != "" {
 		rounds, _ = strconv.Atoi(campaign)
@@ -74,12 +83,13 @@
 	}
 	for round := range rounds {
 		name := fmt.Sprintf("seed %d", seed+uint64(round))
-		t.Run(name, func(t *testing.T) { runChaos(t, rand.New(rand.NewPCG(seed+uint64(round), 1))) })
+		t.Run(name, func(t *testing.T) { runChaos(t, rand.New(rand.NewPCG(seed+uint64(round), 1)), kinds) })
 	}
 }
 
-func runChaos(t *testing.T, random *rand.Rand) {
+func runChaos(t *testing.T, random *rand.Rand, kinds int) {
 	c := newCluster(t, Options{Copies: 5, ReplaceAfter: time.Second, RetainBytes: 8 << 10, Reserve: 1 << 20})
+	disks := newRefusedDisks(c, func(n *node) vfs.FS { return n.fs })
 	c.addAll("a", "a", "b", "b", "c", "c")
 	c.proposeMany(0, "first", 20)
 	outcomes := &proposalOutcomes{committed: map[string]bool{}, refused: map[string]bool{}}
@@ -96,7 +106,7 @@
 		}()
 	}
 	for range 8 {
-		c.injectFaults(random)
+		c.injectFaults(random, kinds, disks)
 	}
 	stop.Store(true)
 	group.Wait()
@@ -108,12 +118,12 @@
 }
 
 // injectFaults injects faults into one or two nodes and then reverts them.
-func (c *cluster) injectFaults(random *rand.Rand) {
+func (c *cluster) injectFaults(random *rand.Rand, kinds int, disks *refusedDisks) {
 	names := random.Perm(6)[:1+random.IntN(2)]
 	var reverts []func()
 	for _, at := range names {
 		n := c.nodes[fmt.Sprintf("n%d", at)]
-		reverts = append(reverts, c.injectFault(n, random.IntN(5)))
+		reverts = append(reverts, c.injectFault(n, random.IntN(kinds), disks))
 	}
 	c.store.down.Store(random.IntN(2) == 0)
 	time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
@@ -125,7 +135,7 @@
 }
 
 // injectFault injects one kind of fault and returns the function that reverts it.
-func (c *cluster) injectFault(n *node, kind int) func() {
+func (c *cluster) injectFault(n *node, kind int, disks *refusedDisks) func() {
 	switch kind {
 	case 0:
 		c.kill(n)
@@ -139,11 +149,16 @@
 	case 3:
 		n.fs.TestingSetDiskUsage(vfs.DiskUsage{AvailBytes: 1, TotalBytes: 1 << 30})
 		return func() { n.fs.TestingSetDiskUsage(vfs.DiskUsage{AvailBytes: 1 << 29, TotalBytes: 1 << 30}) }
-	default:
+	case 4:
 		c.kill(n)
 		c.start(n)
 		return func() {}
+	case 5:
+		disks.refuse(n.name, syscall.ENOSPC)
+	default:
+		disks.refuse(n.name, syscall.EIO)
 	}
+	return func() { disks.refuse(n.name, nil) }
 }
 
 func (c *cluster) expectOutcomes(outcomes *proposalOutcomes) {
--- a/internal/ledger/replica/events.go
+++ b/internal/ledger/replica/events.go
@@ -44,6 +44,12 @@
 		"The shard keeps a majority after the loss of any one zone again.")
 	eventRegionShort = telemetry.Define(4168, "region short of data nodes",
 		"A region has too few data nodes for its own shard; batch jobs restricted to it are refused until it has more.")
+	eventReopened = telemetry.Define(4170, "ledger disk reopened",
+		"The disk of a failed ledger accepts writes again; its replicas were restarted.")
+	eventReopenFailed = telemetry.Define(4171, "ledger disk not reopened",
+		"The ledger could not be closed or opened after a failure of its disk; opening it is retried.")
+	eventRestarted = telemetry.Define(4172, "replica restarted",
+		"A halted replica was restarted from its state on disk.")
 	eventMisplaced = telemetry.Define(4169, "replica in another region",
 		"The disk holds a replica of a region that is not this node's, or that is missing from its settings. "+
 			"The replica is not started and will be replaced; restoring the previous settings would start it again.")
--- a/internal/ledger/replica/metrics.go
+++ b/internal/ledger/replica/metrics.go
@@ -10,6 +10,8 @@
 	noQuorum      prometheus.Gauge
 	zoneExposed   prometheus.Gauge
 	diskBytes     prometheus.Gauge
+	diskFailed    prometheus.Gauge
+	halted        prometheus.Gauge
 	voters        *prometheus.GaugeVec // by region, set at the leader of its shard
 }
 
@@ -57,13 +59,21 @@
 			Name: "chutelock_ledger_disk_bytes",
 			Help: "Disk space that the ledger folder uses.",
 		}),
+		diskFailed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_disk_failed",
+			Help: "1 while the ledger's disk refuses writes and its replicas are halted.",
+		}),
+		halted: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chutelock_ledger_replicas_halted",
+			Help: "Replicas of this node that stopped because their disk or their state machine failed.",
+		}),
 	}
 	m.voters = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "chutelock_ledger_region_voters",
 		Help: "Voters of the shard of a region, at the node that leads it.",
 	}, []string{"region"})
 	if registry != nil {
-		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.zoneExposed, m.diskBytes, m.voters)
+		registry.MustRegister(m.applied, m.snapshotBytes, m.leading, m.replicas, m.noQuorum, m.zoneExposed, m.diskBytes, m.diskFailed, m.halted, m.voters)
 	}
 	return m
 }
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -44,11 +44,13 @@
 	shardsNeeded chan struct{}             // capacity 1; more regional shards were requested
 
 	// mutex guards the fields below.
-	mutex    sync.RWMutex
-	store    *storage.Store // nil without a folder
-	shards   map[ledger.ShardID]*Shard
-	needed   map[ledger.ShardID]bool // requested regional shards
-	draining bool
+	mutex sync.RWMutex
+	store *storage.Store // nil without a folder, or while it can't be opened
+	// openFailure is why the store could not be opened; see watchDisk.
+	openFailure error
+	shards      map[ledger.ShardID]*Shard
+	needed      map[ledger.ShardID]bool // requested regional shards
+	draining    bool
 }
 
 var _ ledger.Directory = (*Service)(nil)
@@ -78,10 +80,12 @@
 	}
 	s.running, s.cancel = context.WithCancel(context.Background())
 	if options.Folder != "" {
-		if err := s.openDisk(); err != nil {
+		err := s.openDisk()
+		if err != nil && !errors.Is(err, storage.ErrFailed) {
 			s.cancel()
 			return nil, err
 		}
+		s.openFailure = err
 	}
 	s.registerHandlers()
 	return s, nil
@@ -94,13 +98,6 @@
 	if !errors.Is(err, storage.ErrCorrupt) {
 		return err
 	}
-	s.mutex.Lock()
-	s.shards = map[ledger.ShardID]*Shard{}
-	if s.store != nil {
-		_ = s.store.Close()
-		s.store = nil
-	}
-	s.mutex.Unlock()
 	if err := storage.Discard(s.diskOptions(), err); err != nil {
 		return trace.Wrap(err)
 	}
@@ -121,6 +118,14 @@
 	s.mutex.Lock()
 	s.store = store
 	s.mutex.Unlock()
+	if err := s.openReplicas(store); err != nil {
+		return errors.Join(err, s.closeDisk())
+	}
+	return nil
+}
+
+// openReplicas opens the replicas that the store holds.
+func (s *Service) openReplicas(store *storage.Store) error {
 	ids, err := store.ShardIDs()
 	if err != nil {
 		return trace.Wrap(err)
@@ -152,6 +157,9 @@
 	if shard, found := s.shards[id]; found {
 		return shard, nil
 	}
+	if s.store == nil {
+		return nil, trace.Wrap(ledger.ErrUnavailable, "open shard %d: the disk is closed", id)
+	}
 	shard, err := newShard(s, id, prepare)
 	if err != nil {
 		return nil, err
@@ -193,19 +201,20 @@
 	return err
 }
 
+// closeDisk stops the replicas and closes the store.
 func (s *Service) closeDisk() error {
 	for _, shard := range s.allShards() {
 		shard.stop()
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	store := s.store
 	s.shards = map[ledger.ShardID]*Shard{}
-	if s.store == nil {
+	s.store = nil
+	s.mutex.Unlock()
+	if store == nil {
 		return nil
 	}
-	err := s.store.Close()
-	s.store = nil
-	return trace.Wrap(err)
+	return trace.Wrap(store.Close())
 }
 
 // Shards implements ledger.Directory.
@@ -307,11 +316,14 @@
 }
 
 func (s *Service) tickAll() {
-	leading, noQuorum, exposed := 0, 0, 0
+	leading, noQuorum, exposed, halted := 0, 0, 0, 0
 	shards := s.allShards()
 	for _, shard := range shards {
 		shard.tick(clock.Now())
 		shard.mutex.Lock()
+		if shard.halted != nil {
+			halted++
+		}
 		if shard.softState.Leader == shard.replicaID {
 			leading++
 			if shard.repair.exposed {
@@ -327,10 +339,11 @@
 	s.metrics.leading.Set(float64(leading))
 	s.metrics.noQuorum.Set(float64(noQuorum))
 	s.metrics.zoneExposed.Set(float64(exposed))
+	s.metrics.halted.Set(float64(halted))
 	s.metrics.replicas.Set(float64(len(shards)))
 }
 
-// replicaHalted notifies watchDisk of a halted replica.
+// replicaHalted tells watchDisk why a replica halted.
 func (s *Service) replicaHalted(cause error) {
 	select {
 	case s.failed <- cause:
@@ -338,61 +351,6 @@
 	}
 }
 
-// watchDisk restarts with an empty disk after corruption, halts the replicas of a
-// failed disk, and resigns leadership while the disk is full or the node drains.
-func (s *Service) watchDisk() {
-	ticker := time.NewTicker(s.options.RepairInterval)
-	defer ticker.Stop()
-	for {
-		ticker.Reset(s.interval(s.options.RepairInterval))
-		store := s.disk()
-		if store == nil {
-			return
-		}
-		select {
-		case <-s.running.Done():
-			return
-		case cause := <-s.failed:
-			if errors.Is(cause, storage.ErrCorrupt) {
-				s.restartWithEmptyDisk(cause)
-			}
-		case <-store.Failed():
-			if !errors.Is(store.Failure(), storage.ErrCorrupt) {
-				s.haltAll(store.Failure())
-				return
-			}
-			s.restartWithEmptyDisk(store.Failure())
-		case <-ticker.C:
-			s.metrics.diskBytes.Set(float64(store.DiskBytes()))
-			if store.Full() || s.isDraining() || s.evacuating() {
-				s.resignAll() // repeated in case of a re-election
-			}
-		}
-	}
-}
-
-// restartWithEmptyDisk discards a corrupt folder and opens a new one, whose replicas
-// get new IDs.
-func (s *Service) restartWithEmptyDisk(cause error) {
-	eventRejoining.Error(cause, "folder", s.options.Folder)
-	_ = s.closeDisk()
-	if err := storage.Discard(s.diskOptions(), cause); err != nil {
-		eventHalted.Error(err, "folder", s.options.Folder)
-		return
-	}
-	if err := s.tryOpenDisk(); err != nil {
-		eventHalted.Error(err, "folder", s.options.Folder)
-	}
-}
-
-func (s *Service) haltAll(cause error) {
-	for _, shard := range s.allShards() {
-		shard.mutex.Lock()
-		shard.halt(cause)
-		shard.mutex.Unlock()
-	}
-}
-
 func (s *Service) isDraining() bool {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
--- a/internal/ledger/replica/shard.go
+++ b/internal/ledger/replica/shard.go
@@ -399,7 +399,7 @@
 	eventNoQuorum.Error(ledger.ErrUnavailable, "shard", s.id, "replica", s.replicaID, "members", s.describeMembers())
 }
 
-// halt stops the replica until the process restarts; the caller holds the mutex.
+// halt stops the replica until Service.watchDisk restarts it; the caller holds the mutex.
 // Service.replicaHalted, called under it, takes no lock and does not block.
 func (s *Shard) halt(cause error) {
 	if s.halted != nil {
--- a/internal/ledger/replica/status.go
+++ b/internal/ledger/replica/status.go
@@ -55,9 +55,9 @@
 		status.Incarnation = store.Incarnation()
 		status.DiskFull = store.Full()
 		status.DiskBytes = store.DiskBytes()
-		if err := store.Failure(); err != nil {
-			status.DiskFailure = err.Error()
-		}
+	}
+	if err := s.diskFailure(); err != nil {
+		status.DiskFailure = err.Error()
 	}
 	for id := range ledger.ShardID(s.options.Shards) {
 		status.Shards = append(status.Shards, s.shardStatus(id))
--- a/internal/ledger/replica/transfer.go
+++ b/internal/ledger/replica/transfer.go
@@ -243,7 +243,7 @@
 			return nil
 		}
 		failure = err
-		if !errors.Is(err, storage.ErrBadChunk) && s.service.store.Failure() != nil {
+		if !errors.Is(err, storage.ErrBadChunk) && s.disk.Failure() != nil {
 			break
 		}
 	}
--- a/internal/ledger/storage/committer.go
+++ b/internal/ledger/storage/committer.go
@@ -120,6 +120,9 @@
 			return
 		}
 		group := queue.take()
+		if c.hasFailed() {
+			return // callers were released by failed
+		}
 		if err := write(group.batch); err != nil {
 			group.err = trace.Wrap(classify(err), "write a batch")
 		}
@@ -128,6 +131,15 @@
 	}
 }
 
+func (c *committer) hasFailed() bool {
+	select {
+	case <-c.failed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *committer) writeUnsynced(batch *pebble.Batch) error {
 	return c.db.Apply(batch, pebble.NoSync)
 }
@@ -153,7 +165,3 @@
 	close(c.stop)
 	c.stopped.Wait()
 }
-
-// abandon stops the committer without waiting for its goroutines, which may be
-// blocked in a disk operation forever.
-func (c *committer) abandon() { close(c.stop) }
--- a/internal/ledger/storage/doc.go
+++ b/internal/ledger/storage/doc.go
@@ -14,6 +14,7 @@
 //     file beside pebble's files tells a torn tail from lost synced writes.
 //
 // Full reports true while there is still space for the small writes that a
-// leadership transfer takes. After a disk failure, all writes fail with
-// ErrFailed.
+// leadership transfer takes. After a disk failure, all writes to the store fail with
+// ErrFailed. Once CheckWritable succeeds, the store can be closed and opened again, as after
+// a crash of the process.
 package storage
--- a/internal/ledger/storage/errors.go
+++ b/internal/ledger/storage/errors.go
@@ -10,8 +10,8 @@
 var (
 	// ErrCorrupt means that durable data is damaged: the folder must be discarded.
 	ErrCorrupt = errors.New("storage: the ledger folder is corrupt")
-	// ErrFailed means that a disk write failed. All later writes fail until the
-	// process restarts.
+	// ErrFailed means that a disk write failed. All later writes to the store fail; it can
+	// be opened again once the disk accepts writes.
 	ErrFailed = errors.New("storage: the ledger disk has failed")
 	// ErrClosed means that the store was closed.
 	ErrClosed = errors.New("storage: closed")
--- a/internal/ledger/storage/shard.go
+++ b/internal/ledger/storage/shard.go
@@ -35,6 +35,10 @@
 // OpenShard loads and checks a shard's records. It fails with ErrCorrupt when
 // they are damaged or inconsistent. A new shard is empty.
 func (s *Store) OpenShard(id ledger.ShardID) (*Shard, error) {
+	if err := s.acquire(); err != nil {
+		return nil, trace.Wrap(err, "open shard %d", id)
+	}
+	defer s.access.RUnlock()
 	shard := &Shard{store: s, id: id}
 	if err := shard.load(); err != nil {
 		if errors.Is(err, ErrCorrupt) {
@@ -48,6 +52,10 @@
 
 // ShardIDs returns the shards with data in the store, in ascending order.
 func (s *Store) ShardIDs() ([]ledger.ShardID, error) {
+	if err := s.acquire(); err != nil {
+		return nil, trace.Wrap(err, "list shards")
+	}
+	defer s.access.RUnlock()
 	iterator, err := s.db.NewIter(&pebble.IterOptions{
 		LowerBound: []byte{spaceShard},
 		UpperBound: []byte{spaceShard + 1},
@@ -64,6 +72,9 @@
 	return ids, trace.Wrap(classify(iterator.Close()), "list shards")
 }
 
+// Failure returns the reason that the shard's store can't write any more, or nil.
+func (s *Shard) Failure() error { return s.store.Failure() }
+
 // ID returns the shard's ID.
 func (s *Shard) ID() ledger.ShardID { return s.id }
 
@@ -297,6 +308,10 @@
 
 // IncarnationAt returns the Incarnation of a shard without opening it.
 func (s *Store) IncarnationAt(id ledger.ShardID) (uint64, error) {
+	if err := s.acquire(); err != nil {
+		return 0, trace.Wrap(err, "read the incarnation at shard %d", id)
+	}
+	defer s.access.RUnlock()
 	shard := &Shard{store: s, id: id}
 	if err := shard.loadGeneration(); err != nil {
 		return 0, trace.Wrap(err, "read the incarnation at shard %d", id)
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -68,6 +68,7 @@
 // concurrent use. Lock order: mutex is a leaf lock; no call is made under it.
 type Store struct {
 	options      Options
+	guard        *guardFS
 	db           *pebble.DB
 	healthChecks io.Closer
 	incarnation  uint64
@@ -77,6 +78,9 @@
 	lowSpace     atomic.Bool
 	lastSlow     atomic.Int64 // UnixNano when an operation was last found slow
 
+	access sync.RWMutex // held for reading by uses of db that no shard accounts for
+	closed bool         // guarded by access
+
 	mutex   sync.Mutex
 	failure error         // set before failed is closed
 	failed  chan struct{} // closed when the store can't write any more
@@ -85,7 +89,7 @@
 }
 
 // Open opens or creates the store. It fails with ErrCorrupt when the folder must
-// be discarded.
+// be discarded, and with ErrFailed when the disk refuses writes.
 func Open(options Options) (*Store, error) {
 	if options.FS == nil {
 		options.FS = vfs.Default
@@ -95,7 +99,9 @@
 	}
 	options.LowSpaceThreshold = max(options.LowSpaceThreshold, options.Reserve)
 	s := &Store{options: options, failed: make(chan struct{}), stop: make(chan struct{})}
-	if err := s.openAndVerify(); err != nil {
+	s.guard = newGuardFS(options.FS, s.fail)
+	if err := s.openUnlessFailed(); err != nil {
+		s.guard.fence()
 		return nil, trace.Wrap(classify(err), "open the ledger folder %s", options.Folder)
 	}
 	s.checkSpace()
@@ -104,6 +110,18 @@
 	return s, nil
 }
 
+// openUnlessFailed opens the folder. It doesn't wait for pebble after a disk failure.
+func (s *Store) openUnlessFailed() error {
+	opened := make(chan error, 1)
+	go func() { opened <- s.openAndVerify() }()
+	select {
+	case err := <-opened:
+		return err
+	case <-s.failed:
+		return s.Failure()
+	}
+}
+
 // openAndVerify opens the folder and checks its incarnation and watermark.
 func (s *Store) openAndVerify() error {
 	if err := s.open(); err != nil {
@@ -160,7 +178,7 @@
 }
 
 func (s *Store) open() error {
-	if err := s.options.FS.MkdirAll(s.options.Folder, folderMode); err != nil {
+	if err := s.guard.MkdirAll(s.options.Folder, folderMode); err != nil {
 		return err
 	}
 	marked, err := isMarkedCorrupt(s.options)
@@ -170,11 +188,11 @@
 	if marked {
 		return ErrCorrupt
 	}
-	fs, healthChecks := vfs.WithDiskHealthChecks(s.options.FS, slowThreshold, nil, s.onDiskSlow)
-	s.healthChecks = healthChecks
-	s.db, err = pebble.Open(s.options.Folder, s.pebbleOptions(fs))
+	// The guard is outermost, since the operations that wait in it are not slow.
+	s.guard.FS, s.healthChecks = vfs.WithDiskHealthChecks(s.options.FS, slowThreshold, nil, s.onDiskSlow)
+	s.db, err = pebble.Open(s.options.Folder, s.pebbleOptions(s.guard))
 	if err != nil {
-		_ = healthChecks.Close()
+		_ = s.healthChecks.Close()
 		return err
 	}
 	sequence, err := s.loadSequence()
@@ -285,40 +303,68 @@
 	return time.Unix(0, at)
 }
 
-// DiskBytes returns the disk space that the store uses.
-func (s *Store) DiskBytes() uint64 { return s.db.Metrics().DiskSpaceUsage() }
+// DiskBytes returns the disk space that the store uses, or 0 once it is closed.
+func (s *Store) DiskBytes() uint64 {
+	if s.acquire() != nil {
+		return 0
+	}
+	defer s.access.RUnlock()
+	return s.db.Metrics().DiskSpaceUsage()
+}
 
-// MemoryBytes estimates the memory used by memtables and the block cache.
+// MemoryBytes estimates the memory used by memtables and the block cache; it is 0 once the
+// store is closed.
 func (s *Store) MemoryBytes() uint64 {
+	if s.acquire() != nil {
+		return 0
+	}
+	defer s.access.RUnlock()
 	metrics := s.db.Metrics()
 	return metrics.MemTable.Size + uint64(metrics.BlockCache.Size)
 }
 
-// Close closes the store; uncommitted writes are lost. After ErrFailed, files
-// stay open until the process ends, since closing pebble might hang.
-func (s *Store) Close() error {
-	close(s.stop)
-	s.monitor.Wait()
-	failure := s.Failure()
-	if failure == nil {
-		return trace.Wrap(s.closeFiles(), "close the ledger folder %s", s.options.Folder)
-	}
-	if errors.Is(failure, ErrFailed) {
-		s.committer.abandon()
-		return nil
+// acquire keeps the store from being closed until access is released for reading. It fails
+// with ErrClosed.
+func (s *Store) acquire() error {
+	s.access.RLock()
+	if s.closed {
+		s.access.RUnlock()
+		return ErrClosed
 	}
-	return s.closeCorrupt()
+	return nil
 }
 
-// closeCorrupt closes a corrupt store, so that its folder can be discarded. It
-// waits for a limited time, since pebble's background tasks may hang.
-func (s *Store) closeCorrupt() error {
+// Resume lets a store that failed for lack of space go on, so that Close can release all it
+// holds. Call it once CheckWritable succeeds; Failure is kept.
+func (s *Store) Resume() { s.guard.resume() }
+
+// Close closes the store; uncommitted writes are lost. No shard may be in use. It may be
+// called once, and another store may then open the folder.
+//
+// After a failure its files and memory are kept until the process ends, since pebble can't be
+// closed, unless Resume let it go on; the lock of the folder is released when the operations in
+// progress are done.
+func (s *Store) Close() error {
+	close(s.stop)
+	s.monitor.Wait()
+	s.access.Lock()
+	s.closed = true
+	s.access.Unlock()
 	closed := make(chan error, 1)
 	go func() { closed <- s.closeFiles() }()
 	select {
-	case <-closed:
-	case <-time.After(closeTimeout):
+	case err := <-closed:
+		return trace.Wrap(err, "close the ledger folder %s", s.options.Folder)
+	case <-s.failed:
+	}
+	if errors.Is(s.Failure(), ErrCorrupt) || s.guard.isOpen() {
+		select {
+		case <-closed:
+			return nil
+		case <-time.After(closeTimeout):
+		}
 	}
+	s.guard.fence()
 	return nil
 }
 
