Listeners accept connections again after a failure

What peers saw: after a node had too many open files for a moment, no peer could connect to it any more until its process restarted.

Cause: the transport's accept loop returned with the first error; HTTP servers end with errors other than a lack of descriptors.

--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/acceptor"
 	"chutelock.dev/chutelock/internal/config"
 	"chutelock.dev/chutelock/internal/gateway"
 	"chutelock.dev/chutelock/internal/node/certificate"
@@ -49,8 +50,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
+	retrying := acceptor.New(listener)
 	if tlsConfig == nil {
-		return listener, nil
+		return retrying, nil
 	}
-	return tls.NewListener(listener, tlsConfig), nil
+	return tls.NewListener(retrying, tlsConfig), nil
 }
--- a/internal/system/core.go
+++ b/internal/system/core.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"chutelock.dev/chutelock/internal/acceptor"
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/catalog"
@@ -27,7 +28,7 @@
 
 var (
 	eventStarted        = telemetry.Define(1011, "started", "A node started.")
-	eventListenerFailed = telemetry.Define(1016, "listener-ended", "A server stopped accepting connections while the node keeps running; the node has to be restarted.")
+	eventListenerFailed = telemetry.Define(1016, "listener-ended", "A server stopped accepting connections while the node keeps running, though failed attempts are repeated; the node has to be restarted.")
 	eventStopped        = telemetry.Define(1012, "stopped", "A node completed its planned shutdown.")
 	eventReloaded       = telemetry.Define(1014, "settings-reloaded", "The settings file was reloaded; gives what was applied and whether a restart is needed for the rest.")
 	eventStopping       = telemetry.Define(1013, "stopping", "A planned shutdown began; the node reports that it is not ready.")
@@ -266,7 +267,7 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	serveOn(listener, server)
+	serveOn(acceptor.New(listener), server)
 	return nil
 }
 
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/acceptor"
 	"chutelock.dev/chutelock/internal/balance"
 	"chutelock.dev/chutelock/internal/batchwork"
 	"chutelock.dev/chutelock/internal/callerconn"
@@ -254,7 +255,7 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	f.gate.Listener = listener
+	f.gate.Listener = acceptor.New(listener)
 	serveOn(f.gate, f.callers)
 	return nil
 }
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -11,6 +11,8 @@
 	"github.com/alitto/pond/v2"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"chutelock.dev/chutelock/internal/acceptor"
 )
 
 // Errors of Call other than *RemoteError and those of ctx.
@@ -124,7 +126,7 @@
 		tcp := listener.Addr().(*net.TCPAddr)
 		packets, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcp.IP, Port: tcp.Port})
 		if err == nil {
-			return listener, packets, nil
+			return acceptor.New(listener), packets, nil
 		}
 		listener.Close()
 		lastErr = err
@@ -294,7 +296,7 @@
 	for {
 		conn, err := n.listener.Accept()
 		if err != nil {
-			return
+			return // it is closed
 		}
 		n.mutex.Lock()
 		if n.stopped {
