Ledger: lost replicas are replaced in time among entries of former nodes

Cause: entries of data nodes last for good and count as alive; a leader asked three nodes drawn by lot for a replica, most of them gone, and drew again after up to 2 s.

Change: candidates are asked in the order of who answered lately and who started last, more at a time while none answers; who doesn't answer is passed over for a growing time. The same for the fetch of leaders and for the placement of new shards.

--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -256,11 +258,19 @@
 // another node created the object first; the next list resolves unknown outcomes.
 func (s *Service) placeMissing(ctx context.Context, missing []ledger.ShardID) error {
 	members := dataMembers(s.options.Members.View(), s.self())
-	placement := placeShards(s.options.Shards, sitesFor(members), s.options.placementPolicy())
+	present, err := s.presentMembers(missing[0], members)
+	if err != nil {
+		return err
+	}
+	placement := placeShards(s.options.Shards, sitesFor(present), s.options.placementPolicy())
 	for _, id := range missing {
 		var chosen []site
 		if id.Regional() {
-			chosen = placeShards(1, sitesFor(s.eligibleMembers(id, members)), s.options.placementPolicy())[0]
+			present, err := s.presentMembers(id, s.eligibleMembers(id, members))
+			if err != nil {
+				return err
+			}
+			chosen = placeShards(1, sitesFor(present), s.options.placementPolicy())[0]
 		} else {
 			chosen = placement[id]
 		}
@@ -271,6 +281,52 @@
 	return nil
 }
 
+// presentMembers returns the members that answer, enough of them for as many replicas as all could
+// hold. Members may be listed long after their machines are gone.
+func (s *Service) presentMembers(id ledger.ShardID, members []membership.Member) ([]membership.Member, error) {
+	policy := s.options.placementPolicy()
+	wanted := policy.replicaCount(sitesFor(members))
+	left := slices.Clone(members)
+	s.responses.order(left, clock.Now())
+	var present []membership.Member
+	for len(left) > 0 && (len(present) == 0 || policy.replicaCount(sitesFor(present)) < wanted) {
+		count := min(maxJoinCandidates, len(left))
+		present = append(present, s.answering(id, left[:count])...)
+		left = left[count:]
+	}
+	if found := policy.replicaCount(sitesFor(present)); found < wanted || wanted == 0 {
+		return nil, trace.ConnectionProblem(nil, "nodes for %d of %d replicas answer", found, wanted)
+	}
+	// Sorted as members are, so that placements agree.
+	slices.SortFunc(present, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
+	return present, nil
+}
+
+// answering asks members at the same time and returns those that answer.
+func (s *Service) answering(id ledger.ShardID, members []membership.Member) []membership.Member {
+	answered := make([]bool, len(members))
+	var calls sync.WaitGroup
+	self := s.self().Name
+	for i, m := range members {
+		if m.Name == self {
+			answered[i] = true
+			continue
+		}
+		calls.Go(func() {
+			_, err := s.callDescribe(m, id)
+			answered[i] = err == nil
+		})
+	}
+	calls.Wait()
+	var present []membership.Member
+	for i, m := range members {
+		if answered[i] {
+			present = append(present, m)
+		}
+	}
+	return present
+}
+
 func sitesFor(members []membership.Member) []site {
 	var sites []site
 	for _, m := range members {
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -104,12 +104,17 @@
 }
 
 // runDirectory fetches the leaders from a data node periodically and after a
-// lookup miss.
+// lookup miss. While none answers, it asks twice as many nodes each time.
 func (s *Service) runDirectory() {
 	ticker := time.NewTicker(s.options.DirectoryInterval)
 	defer ticker.Stop()
+	count := 1
 	for {
-		s.fetchDirectory()
+		if s.fetchDirectory(count) {
+			count = 1
+		} else {
+			count = min(2*count, maxDirectoryFetches)
+		}
 		select {
 		case <-s.running.Done():
 			return
@@ -134,28 +139,55 @@
 	}
 }
 
-func (s *Service) fetchDirectory() {
-	peer, found := s.pickDirectoryPeer()
-	if !found {
-		return
-	}
+// fetchDirectory asks count data nodes at a time for the leaders and reports whether one
+// answered, or there is none.
+func (s *Service) fetchDirectory(count int) bool {
+	peers := s.pickDirectoryPeers(count)
 	ctx, cancel := context.WithTimeout(s.running, directoryTimeout)
 	defer cancel()
 	request := encode(directoryRequest{Digest: s.directory.digest()})
-	answer, err := s.options.Sender.Call(ctx, peer, kindDirectory, request)
-	if err == nil && len(answer) > 0 {
-		_ = s.directory.learnAll(answer)
+	answers := make(chan error, len(peers))
+	for _, peer := range peers {
+		s.run(func() { answers <- s.fetchDirectoryFrom(ctx, peer, request) })
+	}
+	for range peers {
+		if <-answers == nil {
+			return true
+		}
+	}
+	return len(peers) == 0
+}
+
+func (s *Service) fetchDirectoryFrom(ctx context.Context, peer membership.Member, request []byte) error {
+	answer, err := s.options.Sender.Call(ctx, peer.Address, kindDirectory, request)
+	if !errors.Is(err, context.Canceled) { // another peer has answered
+		s.recordResponse(s.fetches, peer, err)
+	}
+	if err != nil {
+		return err
+	}
+	if len(answer) > 0 {
+		return s.directory.learnAll(answer)
 	}
+	return nil
 }
 
-// pickDirectoryPeer picks a data node from a small fixed set, usually in this
+// pickDirectoryPeers picks data nodes from a small fixed set, usually in this
 // node's zone or else its region. Some fetches use a set drawn from all data
-// nodes, and a few use any data node.
-func (s *Service) pickDirectoryPeer() (transport.Address, bool) {
+// nodes, and a few use any data node. Nodes that do not answer are passed over while others do.
+func (s *Service) pickDirectoryPeers(count int) []membership.Member {
 	self := s.self()
-	var all, inRegion, inZone []membership.Member
-	for _, member := range dataMembers(s.options.Members.View(), self) {
-		if member.Name == self.Name {
+	var all, silent, inRegion, inZone []membership.Member
+	now := clock.Now()
+	members := dataMembers(s.options.Members.View(), self)
+	s.responses.retain(members)
+	s.fetches.retain(members)
+	for _, member := range members {
+		switch {
+		case member.Name == self.Name:
+			continue
+		case s.fetches.isSilent(member, now):
+			silent = append(silent, member)
 			continue
 		}
 		all = append(all, member)
@@ -167,20 +199,29 @@
 		}
 	}
 	if len(all) == 0 {
-		return "", false
+		all = silent
+	}
+	if len(all) == 0 {
+		return nil
 	}
 	if rand.IntN(anyNodeFetchRatio) == 0 {
-		return all[rand.IntN(len(all))].Address, true
+		return drawMembers(all, count)
 	}
 	near := inZone
 	if len(near) == 0 {
 		near = inRegion
 	}
-	if len(near) == 0 || rand.IntN(remoteFetchRatio) == 0 {
+	if len(near) < count || rand.IntN(remoteFetchRatio) == 0 {
 		near = all
 	}
-	candidates := membership.Elect(self.Name, near, maxDirectoryPeers) // spreads nodes over different peers
-	return candidates[rand.IntN(len(candidates))].Address, true
+	// Spreads nodes over different peers.
+	return drawMembers(membership.Elect(self.Name, near, max(maxDirectoryPeers, count)), count)
+}
+
+// drawMembers draws up to count members at random.
+func drawMembers(members []membership.Member, count int) []membership.Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(count, len(members))]
 }
 
 const (
@@ -191,6 +232,9 @@
 	// maxDirectoryPeers limits the data nodes of a group that a node fetches from,
 	// to limit the connections per node in a large fleet.
 	maxDirectoryPeers = 3
+	// maxDirectoryFetches limits the data nodes that are asked at the same time while none
+	// answers.
+	maxDirectoryFetches = 16
 )
 
 func (s *Service) handleDescribe(_ context.Context, _ transport.Address, payload []byte) ([]byte, error) {
--- a/internal/ledger/replica/cluster_test.go
+++ b/internal/ledger/replica/cluster_test.go
@@ -173,8 +173,10 @@
 	onDisk   bool                 // use real folders instead of memory
 	root     string               // parent of the real folders
 	wrapFS   func(*node) vfs.FS   // wraps a node's file system; may be nil
-	disks    *vfs.MemFS           // one file system with a folder per node instead of one each; may be nil
-	onFrame  func(*node, []byte)  // called for each frame that a node receives; may be nil
+	// wrapSender wraps a node's sender; may be nil.
+	wrapSender func(transport.Sender) transport.Sender
+	disks      *vfs.MemFS          // one file system with a folder per node instead of one each; may be nil
+	onFrame    func(*node, []byte) // called for each frame that a node receives; may be nil
 }
 
 // frameObserver calls onFrame for each frame that a node receives.
@@ -259,9 +261,14 @@
 	opened, err := transport.Listen(listen)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.transport = opened
-	c.list.set(membership.Member{Name: n.name, Address: opened.Address(), Zone: n.zone, Region: regionOfZone(n.zone), HasData: n.hasData})
+	c.list.set(membership.Member{
+		Name: n.name, Address: opened.Address(), Zone: n.zone, Region: regionOfZone(n.zone), HasData: n.hasData, Incarnation: uint64(time.Now().UnixMilli()),
+	})
 	options := c.options
 	options.Sender, options.Receiver = opened, opened
+	if c.wrapSender != nil {
+		options.Sender = c.wrapSender(opened)
+	}
 	if c.onFrame != nil {
 		options.Receiver = frameObserver{opened, func(payload []byte) { c.onFrame(n, payload) }}
 	}
--- a/internal/ledger/replica/repair.go
+++ b/internal/ledger/replica/repair.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,12 +13,16 @@
 	"chutelock.dev/chutelock/internal/ledger/replication"
 	"chutelock.dev/chutelock/internal/ledger/storage"
 	"chutelock.dev/chutelock/internal/membership"
+	"chutelock.dev/chutelock/internal/transport"
 )
 
 const (
-	// maxJoinCandidates limits the nodes that are asked for their load before one
-	// gets a replica.
-	maxJoinCandidates = 3
+	// joinCandidates is the number of nodes that are asked for their load before one gets a
+	// replica. While none answers, others are asked after each offerWait: twice as many each
+	// time, up to maxJoinCandidates.
+	joinCandidates    = 3
+	maxJoinCandidates = 48
+	offerWait         = 250 * time.Millisecond
 	// changeTimeout limits one step of a replacement.
 	changeTimeout = 5 * time.Second
 	// presumedDeadFactor is the multiple of ReplaceAfter after which a silent voter
@@ -95,7 +98,7 @@
 	if pending {
 		return nil
 	}
-	plan := planRepair(members, s.sites(), s.service.options.placementPolicy())
+	plan := planRepair(members, s.sites(now), s.service.options.placementPolicy())
 	if len(plan.candidates) > 0 && !hasLearner(members) {
 		return trace.Wrap(s.addReplica(plan.candidates), "add a replica")
 	}
@@ -175,12 +178,12 @@
 	}
 }
 
-// sites returns the live nodes that may hold a replica.
-func (s *Shard) sites() []site {
+// sites returns the nodes that may hold a replica, without those that do not answer.
+func (s *Shard) sites(now time.Time) []site {
 	var sites []site
 	members := dataMembers(s.service.options.Members.View(), s.service.self())
 	for _, m := range s.service.eligibleMembers(s.id, members) {
-		if m.State == membership.StateAlive {
+		if m.State == membership.StateAlive && !s.service.responses.isSilent(m, now) {
 			sites = append(sites, site{node: m.Name, zone: m.Zone})
 		}
 	}
@@ -238,7 +241,7 @@
 func (s *Shard) addReplica(sites []site) error {
 	ctx, cancel := context.WithTimeout(s.service.running, changeTimeout)
 	defer cancel()
-	chosen, err := s.chooseSite(sites)
+	chosen, err := s.chooseSite(ctx, sites)
 	if err != nil {
 		return err
 	}
@@ -260,22 +263,18 @@
 // offerGracePeriod is how long to wait for better offers after the first one.
 const offerGracePeriod = 200 * time.Millisecond
 
-// chooseSite asks a few random nodes for their load in parallel and returns the
-// least loaded one.
-func (s *Shard) chooseSite(sites []site) (membership.Member, error) {
-	rand.Shuffle(len(sites), func(i, j int) { sites[i], sites[j] = sites[j], sites[i] })
+// chooseSite asks nodes for their load, those most likely to answer first, and returns the
+// least loaded one of the first that answer.
+func (s *Shard) chooseSite(ctx context.Context, sites []site) (membership.Member, error) {
 	candidates := s.knownMembers(sites)
-	if len(candidates) == 0 {
-		return membership.Member{}, trace.NotFound("no node can hold a replica")
-	}
+	s.service.responses.order(candidates, clock.Now())
 	offers := make(chan offer, len(candidates))
-	for _, m := range candidates {
+	return bestOffer(ctx, candidates, offers, func(m membership.Member) {
 		s.service.run(func() {
 			answer, err := s.service.callDescribe(m, s.id)
 			offers <- offer{m, answer.Replicas, err}
 		})
-	}
-	return bestOffer(offers, len(candidates))
+	})
 }
 
 // offer is a candidate node's response.
@@ -287,7 +286,7 @@
 
 func (s *Shard) knownMembers(sites []site) []membership.Member {
 	var known []membership.Member
-	for _, candidate := range sites[:min(len(sites), maxJoinCandidates)] {
+	for _, candidate := range sites {
 		if m, found := findMember(s.service.options.Members.View(), candidate.node); found {
 			known = append(known, m)
 		}
@@ -295,33 +294,49 @@
 	return known
 }
 
-// bestOffer returns the least loaded member. It waits for all offers, or for
-// offerGracePeriod after the first successful one.
-func bestOffer(offers <-chan offer, count int) (membership.Member, error) {
+// bestOffer asks joinCandidates candidates, and others while none answers. It returns the least
+// loaded one. After the first answer it waits for offerGracePeriod for others.
+func bestOffer(ctx context.Context, candidates []membership.Member, offers <-chan offer, ask func(membership.Member)) (membership.Member, error) {
 	var best offer
-	found := false
+	asked, received, found, count := 0, 0, false, joinCandidates
 	failure := error(trace.NotFound("no node can hold a replica"))
-	var grace <-chan time.Time
-	for range count {
+	wait := time.NewTimer(0)
+	defer wait.Stop()
+	for received < len(candidates) {
 		select {
 		case one := <-offers:
+			received++
 			switch {
 			case one.err != nil:
 				failure = trace.Wrap(one.err, "request the load of peer %s", one.member.Name)
-			case !found || one.replicas < best.replicas:
+			case !found:
 				best, found = one, true
+				wait.Reset(offerGracePeriod)
+			case one.replicas < best.replicas:
+				best = one
+			}
+			if found && received == asked {
+				return best.member, nil
+			}
+		case <-wait.C:
+			if found {
+				return best.member, nil
 			}
-			if found && grace == nil {
-				grace = time.After(offerGracePeriod)
+			next := candidates[asked:min(asked+count, len(candidates))]
+			asked += len(next)
+			count = min(2*count, maxJoinCandidates)
+			for _, m := range next {
+				ask(m)
 			}
-		case <-grace:
-			return best.member, nil
+			wait.Reset(offerWait)
+		case <-ctx.Done():
+			return membership.Member{}, failure
 		}
 	}
-	if !found {
-		return membership.Member{}, failure
+	if found {
+		return best.member, nil
 	}
-	return best.member, nil
+	return membership.Member{}, failure
 }
 
 func (s *Service) callDescribe(m membership.Member, id ledger.ShardID) (describeResponse, error) {
@@ -329,6 +344,7 @@
 	defer cancel()
 	var answer describeResponse
 	encoded, err := s.options.Sender.Call(ctx, m.Address, kindDescribe, encode(describeRequest{Shard: id}))
+	s.recordResponse(s.responses, m, err)
 	if err != nil {
 		return answer, err
 	}
@@ -336,6 +352,14 @@
 	return answer, err
 }
 
+// recordResponse notes whether a node answered a call. An error that it returned is an answer.
+func (s *Service) recordResponse(to *responses, m membership.Member, err error) {
+	var remote *transport.RemoteError
+	if s.running.Err() == nil {
+		to.record(m, err == nil || errors.As(err, &remote), clock.Now())
+	}
+}
+
 // changeTowards proposes the next change towards the wanted voters.
 func (s *Shard) changeTowards(configuration replication.Configuration, wanted []replication.ReplicaID) error {
 	s.mutex.Lock()
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -40,6 +40,8 @@
 	failed           chan error    // capacity 1; the cause of a halted replica
 	repairTrigger    chan struct{} // capacity 1; a replica set changed
 
+	responses    *responses                // to descriptions of replicas
+	fetches      *responses                // to directory fetches, which time out sooner
 	regions      map[ledger.ShardID]string // of all regional shards that may exist
 	shardsNeeded chan struct{}             // capacity 1; more regional shards were requested
 
@@ -65,6 +67,8 @@
 	s := &Service{
 		options:          options,
 		directory:        newDirectory(options.Shards, slices.Collect(maps.Keys(regionsByShard(options.Regions)))...),
+		responses:        newResponses(),
+		fetches:          newResponses(),
 		regions:          regionsByShard(options.Regions),
 		shardsNeeded:     make(chan struct{}, 1),
 		needed:           map[ledger.ShardID]bool{},
