Texts of items keep the line feed before events without data

Cause: the separator from earlier text was left out if the committed part had no characters, as a single event without data. Change: it goes by whether the update has events.

--- a/internal/batchwork/command.go
+++ b/internal/batchwork/command.go
@@ -63,15 +63,19 @@
 // beginsText reports whether the update's text has none before it.
 func (u *itemUpdate) beginsText() bool { return u.fresh || u.from == 0 }
 
+// eventSeparator stands between the data of two events in a text, also if one has no data.
+const eventSeparator = '\n'
+
 // textWithSeparator returns the text, with a separator from earlier text if there is any.
 func (u itemUpdate) textWithSeparator() []byte {
-	if u.beginsText() || len(u.text) == 0 {
+	if u.beginsText() || !u.hasText() {
 		return u.text
 	}
-	return append([]byte{'\n'}, u.text...)
+	return append([]byte{eventSeparator}, u.text...)
 }
 
-// textWithoutSeparator undoes textWithSeparator for an update with decompressed text.
+// textWithoutSeparator undoes textWithSeparator for an update with decompressed text. Nodes of
+// an older version leave the separator out if the events have no data.
 func (u itemUpdate) textWithoutSeparator() []byte {
 	if u.beginsText() || len(u.text) == 0 {
 		return u.text
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -198,7 +198,7 @@
 // add appends an event's data, separated as the store separates committed parts.
 func (r *itemRun) add(event forward.Event) {
 	if r.last > r.committed {
-		r.text = append(r.text, '\n')
+		r.text = append(r.text, eventSeparator)
 	}
 	r.text = append(r.text, event.Data...)
 	r.last = event.ID
