--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/ledger"
 	"chutelock.dev/chutelock/internal/wire"
 )
@@ -36,6 +37,8 @@
 	fences map[string]fenceRecord
 	// changed fires when a result or job is added or a job ends.
 	changed signal
+	// now returns the time of the process's clock.
+	now func() time.Time
 }
 
 // queue identifies the unit that a bound on queued tokens applies to.
@@ -56,6 +59,7 @@
 	items     []itemState
 	positions int
 	ended     bool
+	jobAge
 	// changed fires when a result is added or the job ends.
 	changed signal
 }
@@ -73,7 +77,7 @@
 
 // NewMachine returns a machine of an empty store.
 func NewMachine() *Machine {
-	m := &Machine{}
+	m := &Machine{now: clock.Now}
 	m.clear()
 	return m
 }
@@ -148,7 +152,7 @@
 	if err := writer.Set(key(keyJob, job.ID), encodeJob(job, false)); err != nil {
 		return 0, err
 	}
-	state := &jobState{Job: *job}
+	state := &jobState{Job: *job, jobAge: jobAge{knownSince: m.now()}}
 	state.Items = nil
 	for i := range job.Items {
 		item := &job.Items[i]
@@ -371,9 +375,11 @@
 	jobItems int
 }
 
-// openItems lists the items that are not final by earliest due time. It sorts jobs, which
-// are far fewer than items.
-func (m *Machine) openItems() []openItem {
+// openItems lists the items that are not final by earliest due time, in times of the process's
+// clock. It sorts jobs, which are far fewer than items.
+func (m *Machine) openItems() []openItem { return m.openItemsAt(m.now(), time.Now()) }
+
+func (m *Machine) openItemsAt(now, wallNow time.Time) []openItem {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
 	var jobs []*jobState
@@ -384,24 +390,25 @@
 			count += len(job.items) - job.positions
 		}
 	}
+	due := make(map[string]time.Time, len(jobs))
+	for _, job := range jobs {
+		due[job.ID] = now.Add(job.Completion - job.likely(job.Submitted, now, wallNow))
+	}
 	sort.Slice(jobs, func(i, j int) bool {
-		if a, b := jobs[i].due(), jobs[j].due(); !a.Equal(b) {
+		if a, b := due[jobs[i].ID], due[jobs[j].ID]; !a.Equal(b) {
 			return a.Before(b)
 		}
 		return jobs[i].ID < jobs[j].ID
 	})
 	open := make([]openItem, 0, count)
 	for _, job := range jobs {
-		open = job.appendOpen(open)
+		giveUp := now.Add(job.Retention - job.least(job.Submitted, now, wallNow))
+		open = job.appendOpen(open, due[job.ID], giveUp)
 	}
 	return open
 }
 
-// due returns when the job's results are due.
-func (j *jobState) due() time.Time { return j.Submitted.Add(j.Completion) }
-
-func (j *jobState) appendOpen(open []openItem) []openItem {
-	due, giveUp := j.due(), j.Submitted.Add(j.Retention)
+func (j *jobState) appendOpen(open []openItem, due, giveUp time.Time) []openItem {
 	for i := range j.items {
 		item := &j.items[i]
 		if item.state != StateOpen {
@@ -428,13 +435,14 @@
 	return open
 }
 
-// purgeable lists closed jobs submitted before a time.
-func (m *Machine) purgeable(before time.Time) []string {
+// purgeable lists closed jobs that were submitted at least as long ago as keep.
+func (m *Machine) purgeable(keep time.Duration, wallNow time.Time) []string {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
+	now := m.now()
 	var jobs []string
 	for id, job := range m.jobs {
-		if job.closed() && job.Submitted.Before(before) {
+		if job.closed() && job.least(job.Submitted, now, wallNow) > keep {
 			jobs = append(jobs, id)
 		}
 	}
--- a/internal/batchwork/machine_test.go
+++ b/internal/batchwork/machine_test.go
@@ -150,7 +150,7 @@
 	apply(g, m, store, encodeSubmit(testJob("open", 1, 0)))
 	apply(g, m, store, encodeSubmit(testJob("ended", 1, 0)))
 	apply(g, m, store, encodeEnd(jobName{job: "ended"}, submitted))
-	g.Expect(m.purgeable(submitted.Add(time.Second))).To(gomega.Equal([]string{"ended"}))
+	g.Expect(m.purgeable(time.Second, submitted.Add(time.Second+maxClockError+time.Millisecond))).To(gomega.Equal([]string{"ended"}))
 	apply(g, m, store, encodePurge([]string{"open", "ended", "unknown"}, submitted))
 	_, err := readDecompressed(m, store, "ended", 0)
 	g.Expect(err).To(gomega.MatchError(ErrNoJob))
--- a/internal/batchwork/plan.go
+++ b/internal/batchwork/plan.go
@@ -15,7 +15,7 @@
 		return 0
 	}
 	now := clock.Now()
-	open := r.orderItems(toMonotonic(r.options.Machine.openItems(), now, time.Now()), now)
+	open := r.orderItems(r.options.Machine.openItemsAt(now, time.Now()), now)
 	r.cancelEnded()
 	r.dropSilentExecutors(now)
 	r.logState(len(open), now)
@@ -35,18 +35,6 @@
 	return took
 }
 
-// toMonotonic converts wall-clock times to the clock that runs use: the machine may have
-// been suspended, or its wall clock set, since submission.
-func toMonotonic(open []openItem, now, wallNow time.Time) []openItem {
-	wallNow = wallNow.Round(0)
-	for i := range open {
-		item := &open[i]
-		item.due = now.Add(item.due.Sub(wallNow))
-		item.giveUp = now.Add(item.giveUp.Sub(wallNow))
-	}
-	return open
-}
-
 // wakePlanner triggers the next plan without waiting for a change.
 func (r *Runner) wakePlanner() {
 	select {
--- a/internal/batchwork/reload.go
+++ b/internal/batchwork/reload.go
@@ -10,7 +10,8 @@
 func (m *Machine) Reload(reader ledger.Reader) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	for _, job := range m.jobs {
+	known := m.jobs
+	for _, job := range known {
 		job.changed.fire()
 	}
 	m.clear()
@@ -40,6 +41,13 @@
 			return trace.Wrap(err, "reload records with prefix %q", load.prefix)
 		}
 	}
+	now := m.now()
+	for id, job := range m.jobs {
+		job.jobAge = jobAge{knownSince: now, reloaded: true}
+		if before := known[id]; before != nil && before.Submitted.Equal(job.Submitted) {
+			job.jobAge = before.jobAge
+		}
+	}
 	m.countQueued()
 	m.changed.fire()
 	return nil
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -280,7 +280,7 @@
 		return
 	}
 	now := time.Now() // compared with wall-clock times
-	closedJobs := r.options.Machine.purgeable(now.Add(-r.options.Keep))
+	closedJobs := r.options.Machine.purgeable(r.options.Keep, now)
 	staleRecords := r.options.Machine.forgettable(now, r.options.Keep)
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
