Ledger: locks released with the files, reopen failures logged, regional shards placed alone

Cause: found by reading the recovery of disks and the placement again. A file lock that was taken while a failing store was fenced wasn't in the list of locks yet, so it stayed; a disk that failed otherwise than by refusing writes was probed each second without a word; and a regional shard wasn't placed while too few of all data nodes answered, though its own answered.

Change: the lock is listed inside the operation that takes it, awaitWritable logs failures that are no refusals (event 4172) and waits maxDiskDelay after them, and placeMissing asks for the nodes of all regions only for shards without a region.

--- a/internal/ledger/replica/bootstrap.go
+++ b/internal/ledger/replica/bootstrap.go
@@ -258,29 +258,47 @@
 // another node created the object first; the next list resolves unknown outcomes.
 func (s *Service) placeMissing(ctx context.Context, missing []ledger.ShardID) error {
 	members := dataMembers(s.options.Members.View(), s.self())
-	present, err := s.presentMembers(missing[0], members)
-	if err != nil {
-		return err
-	}
-	placement := placeShards(s.options.Shards, sitesFor(present), s.options.placementPolicy())
+	var placement [][]site // of the shards without a region, once needed
 	for _, id := range missing {
 		var chosen []site
+		var err error
 		if id.Regional() {
-			present, err := s.presentMembers(id, s.eligibleMembers(id, members))
-			if err != nil {
-				return err
-			}
-			chosen = placeShards(1, sitesFor(present), s.options.placementPolicy())[0]
+			chosen, err = s.placeRegional(id, members)
 		} else {
-			chosen = placement[id]
+			if placement == nil {
+				placement, err = s.placeGlobal(id, members)
+			}
+			if err == nil {
+				chosen = placement[id]
+			}
 		}
-		if err := s.placeOne(ctx, id, chosen); err != nil {
+		if err == nil {
+			err = s.placeOne(ctx, id, chosen)
+		}
+		if err != nil {
 			return trace.Wrap(err, "place shard %d", id)
 		}
 	}
 	return nil
 }
 
+func (s *Service) placeRegional(id ledger.ShardID, members []membership.Member) ([]site, error) {
+	present, err := s.presentMembers(id, s.eligibleMembers(id, members))
+	if err != nil {
+		return nil, err
+	}
+	return placeShards(1, sitesFor(present), s.options.placementPolicy())[0], nil
+}
+
+// placeGlobal places all shards without a region; id is one of them.
+func (s *Service) placeGlobal(id ledger.ShardID, members []membership.Member) ([][]site, error) {
+	present, err := s.presentMembers(id, members)
+	if err != nil {
+		return nil, err
+	}
+	return placeShards(s.options.Shards, sitesFor(present), s.options.placementPolicy()), nil
+}
+
 // presentMembers returns the members that answer, enough of them for as many replicas as all could
 // hold. Members may be listed long after their machines are gone.
 func (s *Service) presentMembers(id ledger.ShardID, members []membership.Member) ([]membership.Member, error) {
--- a/internal/ledger/replica/recovery.go
+++ b/internal/ledger/replica/recovery.go
@@ -106,8 +106,8 @@
 	return true
 }
 
-// awaitWritable waits until the disk accepts writes. It returns false if the service closes
-// first, and doesn't wait for a disk that hangs then.
+// awaitWritable waits until the disk accepts writes and logs other failures than a refusal. It
+// returns false if the service closes first, and doesn't wait for a disk that hangs then.
 func (s *Service) awaitWritable() bool {
 	for {
 		probed := make(chan error, 1)
@@ -119,9 +119,14 @@
 			if err == nil {
 				return true
 			}
-		}
-		if !s.sleep(diskProbeInterval) {
-			return false
+			pause := diskProbeInterval
+			if !errors.Is(err, storage.ErrFailed) {
+				eventReopenFailed.Error(err, "folder", s.options.Folder)
+				pause = maxDiskDelay
+			}
+			if !s.sleep(pause) {
+				return false
+			}
 		}
 	}
 }
--- a/internal/ledger/storage/guardfs.go
+++ b/internal/ledger/storage/guardfs.go
@@ -229,16 +229,23 @@
 	var lock *guardLock
 	err := g.change(func() error {
 		closer, err := g.FS.Lock(name)
+		if err != nil {
+			return err
+		}
 		lock = &guardLock{closer: closer}
-		return err
+		g.addLock(lock) // before the operation ends, so that fence releases it
+		return nil
 	})
 	if err != nil {
 		return nil, err
 	}
+	return lock, nil
+}
+
+func (g *guardFS) addLock(lock *guardLock) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.locks = append(g.locks, lock)
-	return lock, nil
 }
 
 // guardLock is the lock of a file, which may be released more than once.
