Entries of other writers stay unused when most engines are removed

Callers saw: attempts at an address that is no engine's, once the entries of five of six engines had been removed at once with the store there (soak: two items sent to foreign1, 29 connections). Cause: an entry without a start time is another writer's where most entries have one, and "most" was counted from the list of the moment. Evidence: engines-changed tells two engines right after the entry was written, item-sent names foreign1. Change: the roster remembers how many engines with a start were listed at once, and needs a start until entries without one are more than half as many. Result: TestRosterExcludesEntryWithoutStartAfterBulkRemoval failed before ("3 removed": 6 engines), passes now.

--- a/internal/catalog/roster.go
+++ b/internal/catalog/roster.go
@@ -18,6 +18,9 @@
 	entries    []Entry // in order of instance
 	withStart  int     // engines with a start time
 	withEngine int     // entries with an engine
+	// mostWithStart is how many engines with a start time were listed at once since entries need
+	// one; 0 while they don't.
+	mostWithStart int
 }
 
 // NewRoster returns an empty roster.
@@ -79,10 +82,10 @@
 // Unusable returns the number of entries without a usable engine.
 func (r *Roster) Unusable() int { return len(r.entries) - len(r.Engines()) }
 
-// Engines returns the engines in order of instance. If most entries have a start time, those
-// without one are from a foreign writer and left out.
+// Engines returns the engines in order of instance. Where entries need a start time, those without
+// one are from a foreign writer and left out.
 func (r *Roster) Engines() []Engine {
-	startRequired := 2*r.withStart > r.withEngine
+	startRequired := r.startRequired()
 	engines := make([]Engine, 0, r.withEngine)
 	for _, entry := range r.entries {
 		if entry.Engine != nil && !(startRequired && entry.Engine.Started.IsZero()) {
@@ -91,3 +94,17 @@
 	}
 	return engines
 }
+
+// startRequired reports whether entries need a start time. They do once most have one, and still do
+// when most engines were removed: until as many lack it as have it, and more than half as many as
+// ever had it at once.
+func (r *Roster) startRequired() bool {
+	withoutStart := r.withEngine - r.withStart
+	switch {
+	case r.withStart > withoutStart:
+		r.mostWithStart = max(r.mostWithStart, r.withStart)
+	case 2*withoutStart > r.mostWithStart:
+		r.mostWithStart = 0
+	}
+	return r.mostWithStart > 0
+}
--- a/internal/catalog/roster_test.go
+++ b/internal/catalog/roster_test.go
@@ -59,6 +59,42 @@
 	g.Expect(engineIDs(plain.Engines())).To(gomega.Equal([]string{"e1"}))
 }
 
+// Guards against using entries of foreign writers once most engines are removed at once.
+func TestRosterExcludesEntryWithoutStartAfterBulkRemoval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	roster := NewRoster()
+	for i := range 6 {
+		roster.Put(Entry{fmt.Sprint("e", i), startedEngine(fmt.Sprint("e", i), 100)})
+	}
+	g.Expect(roster.Engines()).To(gomega.HaveLen(6))
+	for i := range 3 {
+		roster.Put(Entry{fmt.Sprint("foreign", i), &Engine{ID: fmt.Sprint("foreign", i)}})
+	}
+	for i := 1; i < 6; i++ {
+		roster.Remove(fmt.Sprint("e", i))
+		g.Expect(roster.Engines()).To(gomega.HaveLen(6-i), "%d removed", i)
+	}
+	roster.Remove("e0")
+	g.Expect(roster.Engines()).To(gomega.BeEmpty())
+}
+
+// Guards against an outage after a platform that reports start times is replaced by one that doesn't.
+func TestRosterUsesEnginesWithoutStartOnceMostLackIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	roster := NewRoster()
+	const engines = 6
+	for i := range engines {
+		roster.Put(Entry{fmt.Sprint("e", i), startedEngine(fmt.Sprint("e", i), 100)})
+	}
+	g.Expect(roster.Engines()).To(gomega.HaveLen(engines))
+	for i := range engines {
+		roster.Remove(fmt.Sprint("e", i))
+		roster.Put(Entry{fmt.Sprint("p", i), &Engine{ID: fmt.Sprint("p", i)}})
+		g.Expect(roster.Engines()).NotTo(gomega.BeEmpty(), "%d replaced", i+1)
+	}
+	g.Expect(roster.Engines()).To(gomega.HaveLen(engines))
+}
+
 // Peers of an earlier version send instance names only.
 func TestSnapshotFindsEngineByInstanceName(t *testing.T) {
 	g := gomega.NewWithT(t)
