Retention: ages of jobs go by a clock that tells no more than has passed

Callers would see items listed as dead before their retention is over, once a node counts a suspension that didn't pass for the dates of jobs. Cause: measured ages by the process's clock, which adds suspended time. Change: the machine measures by the steady clock.

--- a/internal/batchwork/jobage.go
+++ b/internal/batchwork/jobage.go
@@ -10,7 +10,8 @@
 // node's wall clock, or of this one's before it was set, so a node measures the age itself from
 // when it applied the job.
 type jobAge struct {
-	// knownSince is when this node applied or loaded the job, by the process's clock.
+	// knownSince is when this node applied or loaded the job, by a steady clock that is never set and
+	// stops while the machine is suspended, so that it tells no more than has passed.
 	knownSince time.Time
 	// reloaded is set if the job was loaded from disk or a snapshot and may be older.
 	reloaded bool
@@ -18,13 +19,13 @@
 
 // least returns an age that the job has for certain: what was promised for a time after its
 // submission may end by it.
-func (a jobAge) least(submitted, now, wallNow time.Time) time.Duration {
-	return max(now.Sub(a.knownSince), wallNow.Round(0).Sub(submitted)-maxClockError)
+func (a jobAge) least(submitted, steadyNow, wallNow time.Time) time.Duration {
+	return max(steadyNow.Sub(a.knownSince), wallNow.Round(0).Sub(submitted)-maxClockError)
 }
 
 // likely returns the most likely age.
-func (a jobAge) likely(submitted, now, wallNow time.Time) time.Duration {
-	least := a.least(submitted, now, wallNow)
+func (a jobAge) likely(submitted, steadyNow, wallNow time.Time) time.Duration {
+	least := a.least(submitted, steadyNow, wallNow)
 	if !a.reloaded {
 		return least
 	}
--- a/internal/batchwork/machine.go
+++ b/internal/batchwork/machine.go
@@ -37,7 +37,7 @@
 	fences map[string]fenceRecord
 	// changed fires when a result or job is added or a job ends.
 	changed signal
-	// now returns the time of the process's clock.
+	// now returns the time of a steady clock; see jobAge.
 	now func() time.Time
 }
 
@@ -77,7 +77,7 @@
 
 // NewMachine returns a machine of an empty store.
 func NewMachine() *Machine {
-	m := &Machine{now: clock.Now}
+	m := &Machine{now: time.Now}
 	m.clear()
 	return m
 }
@@ -377,11 +377,12 @@
 
 // openItems lists the items that are not final by earliest due time, in times of the process's
 // clock. It sorts jobs, which are far fewer than items.
-func (m *Machine) openItems() []openItem { return m.openItemsAt(m.now(), time.Now()) }
+func (m *Machine) openItems() []openItem { return m.openItemsAt(clock.Now(), time.Now()) }
 
 func (m *Machine) openItemsAt(now, wallNow time.Time) []openItem {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
+	steadyNow := m.now()
 	var jobs []*jobState
 	count := 0
 	for _, job := range m.jobs {
@@ -392,7 +393,7 @@
 	}
 	due := make(map[string]time.Time, len(jobs))
 	for _, job := range jobs {
-		due[job.ID] = now.Add(job.Completion - job.likely(job.Submitted, now, wallNow))
+		due[job.ID] = now.Add(job.Completion - job.likely(job.Submitted, steadyNow, wallNow))
 	}
 	sort.Slice(jobs, func(i, j int) bool {
 		if a, b := due[jobs[i].ID], due[jobs[j].ID]; !a.Equal(b) {
@@ -402,7 +403,7 @@
 	})
 	open := make([]openItem, 0, count)
 	for _, job := range jobs {
-		giveUp := now.Add(job.Retention - job.least(job.Submitted, now, wallNow))
+		giveUp := now.Add(job.Retention - job.least(job.Submitted, steadyNow, wallNow))
 		open = job.appendOpen(open, due[job.ID], giveUp)
 	}
 	return open
@@ -439,10 +440,10 @@
 func (m *Machine) purgeable(keep time.Duration, wallNow time.Time) []string {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
-	now := m.now()
+	steadyNow := m.now()
 	var jobs []string
 	for id, job := range m.jobs {
-		if job.closed() && job.least(job.Submitted, now, wallNow) > keep {
+		if job.closed() && job.least(job.Submitted, steadyNow, wallNow) > keep {
 			jobs = append(jobs, id)
 		}
 	}
