Limits hold through a kill of all nodes: data nodes save when requests were admitted

Cause: the counts of a window are in memory only; they outlive each node, as others remember them, but not all nodes.

Change: a data node writes when requests of limited tenants were admitted, by all nodes, to its data folder (two files in turn, in place, every 50 ms while there are any) and counts them after a restart until they leave the window. Their age goes by the wall clock and the uptime, whichever tells less. A data node without its disk hears them from the others by a datagram that earlier versions ignore.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -123,3 +123,13 @@
 
 // SimulateSuspension simulates a suspension on the process's clock, for tests.
 func SimulateSuspension(lasted time.Duration) { system.SimulateSuspension(lasted) }
+
+// Uptime returns the time since the machine started, which later runs of a process can compare. It
+// is 0 if the system doesn't tell.
+func Uptime() time.Duration {
+	boot, _, err := readSystem()
+	if err != nil {
+		return 0
+	}
+	return boot
+}
--- a/internal/clock/use_test.go
+++ b/internal/clock/use_test.go
@@ -30,6 +30,7 @@
 	"mirror/storereader.go watchHold(":                   "the time of day that watchers share",
 	"system/core.go UnixMilli()":                         "a date that other machines read",
 	"callerconn/conn.go readDeadline(":                   "a connection's deadline",
+	"system/quotafile.go quota.Instant{":                 "a date that a later run reads",
 	"system/stop.go time.Until(deadline)":                "a context's deadline",
 	"transport/node.go time.Until(deadline)":             "a context's deadline",
 	"transport/connection.go SetDeadline(":               "a connection's deadline",
--- a/internal/quota/collector.go
+++ b/internal/quota/collector.go
@@ -48,6 +48,9 @@
 	// baseline is what was known here when remembered was set, plus counts that became
 	// known since but are older.
 	baseline datedCounts
+	// restored is when requests were admitted before this node started, at any node, and history
+	// what Save knows of it.
+	restored, history history
 	// reportedSilent are the silent zones that a front node reported at reportedSilentAt.
 	reportedSilent   SilentZones
 	reportedSilentAt time.Time
@@ -136,7 +139,7 @@
 func NewCollector(zone string, window time.Duration, incarnation uint32) *Collector {
 	return &Collector{
 		zone: zone, window: window, incarnation: incarnation, reports: map[source]lastReport{}, shares: map[source]*receivedShare{},
-		zones: map[string]*zoneContact{},
+		zones: map[string]*zoneContact{}, history: history{},
 	}
 }
 
@@ -157,21 +160,21 @@
 	}
 	c.reports[src] = lastReport{datedCounts{now, report.Counts}, initial}
 	if len(report.Remembered) > 0 {
-		c.learnRemembered(report, now)
+		c.reportedSilent, c.reportedSilentAt = report.SilentZones, now
+		c.LearnRemembered(report.Remembered, now)
 	}
 }
 
-// learnRemembered takes the remembered counts of a front node if they exceed those
+// LearnRemembered takes counts of all nodes that another node remembers if they exceed those
 // known here.
-func (c *Collector) learnRemembered(report Report, now time.Time) {
-	c.reportedSilent, c.reportedSilentAt = report.SilentZones, now
+func (c *Collector) LearnRemembered(counts Counts, now time.Time) {
 	total := c.total("", now)
 	merged := Counts{}
 	merged.mergeMax(total)
 	merged.mergeMax(c.rememberedCounts(total, now))
-	for key, count := range report.Remembered {
+	for key, count := range counts {
 		if count.Admitted > merged[key].Admitted {
-			merged.mergeMax(report.Remembered)
+			merged.mergeMax(counts)
 			c.remembered, c.baseline = datedCounts{now, merged}, datedCounts{now, total}
 			return
 		}
@@ -385,9 +388,10 @@
 	return counts
 }
 
-// rememberedCounts returns the remembered counts plus the growth since.
+// rememberedCounts returns the remembered and restored counts plus the growth since.
 func (c *Collector) rememberedCounts(total Counts, now time.Time) Counts {
 	remembered, baseline := c.remembered.remaining(0, c.window, now), c.baseline.remaining(0, c.window, now)
+	remembered.mergeMax(c.restored.counts(now))
 	for key, count := range remembered {
 		count.Admitted += max(0, total[key].Admitted-baseline[key].Admitted)
 		remembered[key] = count
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -101,15 +101,7 @@
 	for key := range c {
 		keys = append(keys, key)
 	}
-	if len(keys) > maxTenants {
-		sort.Slice(keys, func(i, j int) bool {
-			if a, b := c[keys[i]].Admitted, c[keys[j]].Admitted; a != b {
-				return a > b
-			}
-			return keys[i] < keys[j]
-		})
-		keys = keys[:maxTenants]
-	}
+	keys = c.largest(keys, maxTenants)
 	encoded := make([]byte, 0, countSize*len(keys))
 	for _, key := range keys {
 		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
@@ -119,6 +111,20 @@
 	return encoded
 }
 
+// largest returns at most n of the keys, those with the most admitted requests. It may reorder keys.
+func (c Counts) largest(keys []Key, n int) []Key {
+	if len(keys) <= n {
+		return keys
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if a, b := c[keys[i]].Admitted, c[keys[j]].Admitted; a != b {
+			return a > b
+		}
+		return keys[i] < keys[j]
+	})
+	return keys[:n]
+}
+
 // toUint16 rounds up and saturates.
 func toUint16(value float64) uint16 { return uint16(min(math.Ceil(max(value, 0)), math.MaxUint16)) }
 
@@ -184,6 +190,27 @@
 	Recovered Counts
 }
 
+// Memory is a data node's message to another one, in a window after it started.
+type Memory struct {
+	// Counts are the requests that all nodes admitted before.
+	Counts Counts
+}
+
+type memoryHeader struct{}
+
+// Marshal encodes the message.
+func (m Memory) Marshal() []byte { return marshal(memoryHeader{}, m.Counts.marshal(maxCounts)) }
+
+// UnmarshalMemory decodes what Memory.Marshal encoded.
+func UnmarshalMemory(encoded []byte) (Memory, error) {
+	fields, err := wire.Unmarshal(encoded, messageVersion, &memoryHeader{}, 1)
+	if err != nil {
+		return Memory{}, err
+	}
+	counts, err := unmarshalCounts(fields[0])
+	return Memory{counts}, err
+}
+
 type reportHeader struct {
 	Incarnation uint32
 	Gone        bool
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -77,6 +77,9 @@
 	decodedSum, err := UnmarshalSum(Sum{Incarnation: 4, Counts: counts, SilentZones: SilentZones{2, 3}, InReserve: Counts{2: {Admitted: 5}}}.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(decodedSum).To(gomega.Equal(Sum{Incarnation: 4, Counts: counts, SilentZones: SilentZones{2, 3}, InReserve: Counts{2: {Admitted: 5}}}))
+	memory, err := UnmarshalMemory(Memory{counts}.Marshal())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(memory).To(gomega.Equal(Memory{counts}))
 	many := Counts{}
 	for i := range 1000 {
 		many[Key(i)] = Count{Admitted: float64(i)}
@@ -84,6 +87,7 @@
 	encoded := Share{Zone: "a-zone-of-some-length", Counts: many, Recovered: many}.Marshal()
 	g.Expect(len(encoded)).To(gomega.BeNumerically("<=", transport.MaxDatagram))
 	g.Expect(len(Sum{Counts: many, InReserve: many}.Marshal())).To(gomega.BeNumerically("<=", transport.MaxDatagram))
+	g.Expect(len(Memory{many}.Marshal())).To(gomega.BeNumerically("<=", transport.MaxDatagram))
 	g.Expect(len(Report{Counts: many, Remembered: many}.Marshal())).To(gomega.BeNumerically("<=", transport.MaxDatagram))
 	sum, err := UnmarshalSum(Sum{Incarnation: 4, Counts: many}.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -97,6 +101,7 @@
 	f.Add(Report{Incarnation: 9, Counts: Counts{1: {2, 3}}}.Marshal())
 	f.Add(Share{Zone: "z", Counts: Counts{1: {2, 3}}}.Marshal())
 	f.Add(Sum{Counts: Counts{1: {2, 3}}}.Marshal())
+	f.Add(Memory{Counts: Counts{1: {2, 3}}}.Marshal())
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		if report, err := UnmarshalReport(encoded); err == nil && len(report.Counts) <= maxCounts {
 			if _, err := UnmarshalReport(report.Marshal()); err != nil {
@@ -105,6 +110,8 @@
 		}
 		_, _ = UnmarshalShare(encoded)
 		_, _ = UnmarshalSum(encoded)
+		_, _ = UnmarshalMemory(encoded)
+		_, _ = UnmarshalSaved(encoded)
 	})
 }
 
@@ -227,6 +234,9 @@
 			if from == to || relay.down {
 				continue
 			}
+			if restored := relay.Restored(f.now); len(restored) > 0 && !receiver.down && !f.separated(relay.zone, receiver.zone) {
+				f.send("memory", len(Memory{restored}.Marshal()), shareDelay, func() { receiver.LearnRemembered(restored, f.now) })
+			}
 			share, send := relay.ShareFor(fmt.Sprint("z", receiver.zone), f.now)
 			if send && !receiver.down && !f.separated(relay.zone, receiver.zone) {
 				f.send("share", len(share.Marshal()), shareDelay, func() { receiver.Share(relay.name, share, f.now) })
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -45,10 +45,22 @@
 	w.newest = number
 }
 
-func (w *window) add(now time.Time) {
+func (w *window) add(now time.Time) { w.addCount(1, now) }
+
+func (w *window) addCount(count int32, now time.Time) {
+	number, _ := w.bucketAt(now)
+	w.advance(number)
+	w.counts[max(number, w.newest)%ringSize] += count
+}
+
+// chronological returns the counts of the buckets, the oldest first.
+func (w *window) chronological(now time.Time) (counts [ringSize]int32) {
 	number, _ := w.bucketAt(now)
 	w.advance(number)
-	w.counts[max(number, w.newest)%ringSize]++
+	for i := range counts {
+		counts[i] = w.counts[(w.newest+1+int64(i))%ringSize]
+	}
+	return counts
 }
 
 // remove takes back an event that was added at the given time.
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -29,8 +29,9 @@
 	responseLimiter peerRateLimiter // of responses to load reports
 	encodedSum      encodedCache    // of the responses
 
-	quotas *quotaExchange
-	probes speedProbes
+	quotas     *quotaExchange
+	quotaFiles quotaFileSet
+	probes     speedProbes
 
 	batchMetrics *batchwork.Metrics
 
@@ -83,11 +84,16 @@
 	d.peers.HandleDatagram(kindLoadShare, d.handleLoadShare)
 	d.quotas = newQuotaExchange(settings, d.peers, d.catalog.Snapshot)
 	d.quotas.overloadActive = d.overloadActive
+	d.quotaFiles.folder = settings.Data.Folder
+	if saved, found := d.quotaFiles.load(); found {
+		d.quotas.restore(saved)
+	}
 	d.registerGauges(map[string]gauge{
 		"chutelock_limits_zones_unheard": {"Zones that leave counts of limits unanswered: room is kept for their part.", d.quotas.silentZoneCount},
 	})
 	d.peers.HandleDatagram(kindQuotaReport, d.quotas.handleReport)
 	d.peers.HandleDatagram(kindQuotaShare, d.quotas.handleShare)
+	d.peers.HandleDatagram(kindQuotaMemory, d.quotas.handleMemory)
 	origins := &originServer{store: newOriginStore(), sole: d.soleRelease}
 	d.peers.HandleDatagram(kindOriginRecord, origins.handleRecord)
 	d.peers.HandleCall(kindOriginQuery, origins.handleQuery)
@@ -136,6 +142,7 @@
 		d.spawn(d.manageShards)
 	}
 	d.spawn(d.shareLoad)
+	d.spawn(d.saveLimits)
 	if d.settings.Overload.SpeedProbes > 0 && d.settings.Overload.Mode != config.OverloadOff {
 		d.spawn(d.probeSpeeds)
 	}
--- a/internal/system/loadreport.go
+++ b/internal/system/loadreport.go
@@ -22,6 +22,7 @@
 	kindQuotaSum                                                // quota.Sum
 	kindQuotaShare                                              // quota.Share
 	kindEngineSpeeds                                            // enginespeed.Update; unknown to earlier versions, which ignore it
+	kindQuotaMemory                                             // quota.Memory; unknown to earlier versions, which ignore it
 )
 
 const (
--- a/internal/system/quota.go
+++ b/internal/system/quota.go
@@ -154,6 +154,7 @@
 	snapshot func() *catalog.Snapshot
 	// overloadActive is that of quotaEnforcer.
 	overloadActive func() bool
+	saveDue        chan struct{} // of capacity 1: counts of limited tenants arrived
 
 	mutex     sync.Mutex // guards the fields below; a leaf
 	collector *quota.Collector
@@ -166,6 +167,7 @@
 	return &quotaExchange{
 		peers: peers, bounds: quotaBounds(settings.Quota), snapshot: snapshot,
 		collector: quota.NewCollector(settings.Node.Zone, settings.Quota.Window, rand.Uint32()),
+		saveDue:   make(chan struct{}, 1),
 	}
 }
 
@@ -180,6 +182,7 @@
 	e.mutex.Lock()
 	e.refresh()
 	e.collector.Report(from, report, now)
+	e.requestSave(report.Counts)
 	sum := e.collector.Sum(from, e.maxAdmitted, now)
 	e.mutex.Unlock()
 	prepareDemand(sum.Counts, sum.InReserve, e.overloadActive)
@@ -228,14 +231,45 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.refresh()
 	e.collector.Share(from, share, clock.Now())
+	e.requestSave(share.Counts)
+}
+
+// requestSave has counts saved if there may be some of limited tenants. The caller holds the mutex.
+func (e *quotaExchange) requestSave(counts quota.Counts) {
+	if len(e.limits) == 0 || len(counts) == 0 {
+		return
+	}
+	select {
+	case e.saveDue <- struct{}{}:
+	default: // requested already
+	}
+}
+
+// handleMemory records what another data node knows of the time before it started.
+func (e *quotaExchange) handleMemory(from transport.Address, payload []byte) {
+	memory, err := quota.UnmarshalMemory(payload)
+	if err != nil {
+		eventMessageInvalid.Error(err, "peer", from)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.collector.LearnRemembered(memory.Counts, clock.Now())
 }
 
 // sendShare sends this node's counts, if there are any, to a data node of a zone.
 func (e *quotaExchange) sendShare(to transport.Address, zone string) {
 	e.mutex.Lock()
-	share, hasCounts := e.collector.ShareFor(zone, clock.Now())
+	now := clock.Now()
+	share, hasCounts := e.collector.ShareFor(zone, now)
+	restored := e.collector.Restored(now)
 	e.mutex.Unlock()
+	if len(restored) > 0 {
+		// Repeated with the next share.
+		_ = e.peers.Datagram(to, kindQuotaMemory, quota.Memory{Counts: restored}.Marshal())
+	}
 	if hasCounts {
 		prepareDemand(share.Counts, share.Recovered, e.overloadActive)
 		// An unsent share counts as lost; the next one follows soon.
