A data node stops in time though its disk hangs

What was seen: a planned stop waits for a disk that hangs, as the node runs or as it gets its ledger back after a full disk, until the process is killed. Found by tests of disks that hang while they are probed or opened again.

Cause: closing a store waits for operations in progress unless the disk had refused one; opening can't be interrupted.

Change: Options.Canceled ends the opening, Store.Abandon fails the uses of a hanging disk after 2 s, and Close goes on without it after 5 s (event 4109). Why it is safe: the old store is fenced, the lock stays until its operations are done, and nothing unsynced was acknowledged.

--- a/internal/ledger/replica/recovery.go
+++ b/internal/ledger/replica/recovery.go
@@ -18,6 +18,8 @@
 	minRestartDelay = 250 * time.Millisecond
 	maxDiskDelay    = 2 * time.Second
 	maxReplicaDelay = time.Minute
+	// stopTimeout limits the wait for the disk's operations in progress as the replicas stop.
+	stopTimeout = 2 * time.Second
 )
 
 // restartPacer spaces repeated restarts: the delay before each doubles up to max, and is
--- a/internal/ledger/replica/service.go
+++ b/internal/ledger/replica/service.go
@@ -115,7 +115,9 @@
 }
 
 func (s *Service) tryOpenDisk() error {
-	store, err := storage.Open(s.diskOptions())
+	options := s.diskOptions()
+	options.Canceled = s.running.Done()
+	store, err := storage.Open(options)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -205,10 +207,22 @@
 	return err
 }
 
-// closeDisk stops the replicas and closes the store.
+// closeDisk stops the replicas and closes the store. It doesn't wait for a disk that hangs.
 func (s *Service) closeDisk() error {
-	for _, shard := range s.allShards() {
-		shard.stop()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for _, shard := range s.allShards() {
+			shard.stop()
+		}
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		if store := s.disk(); store != nil {
+			store.Abandon()
+		}
+		<-stopped
 	}
 	s.mutex.Lock()
 	store := s.store
--- a/internal/ledger/storage/errors.go
+++ b/internal/ledger/storage/errors.go
@@ -15,6 +15,8 @@
 	ErrFailed = errors.New("storage: the ledger disk has failed")
 	// ErrClosed means that the store was closed.
 	ErrClosed = errors.New("storage: closed")
+
+	errHanging = errors.New("an operation of the disk did not end in time")
 )
 
 // classify wraps pebble's corruption errors in ErrCorrupt.
--- a/internal/ledger/storage/events.go
+++ b/internal/ledger/storage/events.go
@@ -20,6 +20,8 @@
 		"Free space fell below the threshold for starting new work on this node, or rose above it again.")
 	eventLockKept = telemetry.Define(4108, "ledger lock kept",
 		"The lock of a failed store's folder could not be released; the folder can't be opened again before the process restarts.")
+	eventAbandoned = telemetry.Define(4109, "ledger not closed",
+		"The ledger folder was not closed in order, as its disk hangs; nothing acknowledged is lost, as after a crash.")
 	eventSlow = telemetry.Define(4106, "ledger disk slow",
 		"A disk operation has been running for longer than the slow-operation threshold.")
 )
--- a/internal/ledger/storage/store.go
+++ b/internal/ledger/storage/store.go
@@ -31,7 +31,7 @@
 	// DefaultReserve is the default of Options.Reserve, in bytes.
 	DefaultReserve = 256 << 20
 	folderMode     = 0o750
-	// closeTimeout limits the wait for closing a corrupt store.
+	// closeTimeout limits the wait for closing a store that is corrupt or whose disk hangs.
 	closeTimeout = 5 * time.Second
 )
 
@@ -50,6 +50,9 @@
 	// DiskBytes is the disk's size, to which the sizes of write-ahead logs and
 	// compactions are adapted; 0 means a large disk.
 	DiskBytes uint64
+	// Canceled makes Open give up, without waiting for a disk that hangs, once it is closed; nil
+	// means never.
+	Canceled <-chan struct{}
 }
 
 func (o Options) smallDisk() bool { return o.DiskBytes > 0 && o.DiskBytes < smallDiskBytes }
@@ -89,7 +92,8 @@
 }
 
 // Open opens or creates the store. It fails with ErrCorrupt when the folder must
-// be discarded, and with ErrFailed when the disk refuses writes.
+// be discarded, with ErrFailed when the disk refuses writes, and with ErrClosed once it
+// is canceled.
 func Open(options Options) (*Store, error) {
 	if options.FS == nil {
 		options.FS = vfs.Default
@@ -110,7 +114,8 @@
 	return s, nil
 }
 
-// openUnlessFailed opens the folder. It doesn't wait for pebble after a disk failure.
+// openUnlessFailed opens the folder. It doesn't wait for pebble after a disk failure or once it is
+// canceled.
 func (s *Store) openUnlessFailed() error {
 	opened := make(chan error, 1)
 	go func() { opened <- s.openAndVerify() }()
@@ -119,6 +124,8 @@
 		return err
 	case <-s.failed:
 		return s.Failure()
+	case <-s.options.Canceled:
+		return ErrClosed
 	}
 }
 
@@ -338,24 +345,37 @@
 // holds. Call it once CheckWritable succeeds; Failure is kept.
 func (s *Store) Resume() { s.guard.resume() }
 
+// Abandon fails the uses of a store whose disk hangs, so that it can be closed without waiting for
+// the disk.
+func (s *Store) Abandon() {
+	s.fail(errHanging)
+	s.guard.fence()
+}
+
 // Close closes the store; uncommitted writes are lost. No shard may be in use. It may be
 // called once, and another store may then open the folder.
 //
 // After a failure its files and memory are kept until the process ends, since pebble can't be
 // closed, unless Resume let it go on; the lock of the folder is released when the operations in
-// progress are done.
+// progress are done. The same holds for a store whose disk hangs.
 func (s *Store) Close() error {
 	close(s.stop)
-	s.monitor.Wait()
 	s.access.Lock()
 	s.closed = true
 	s.access.Unlock()
 	closed := make(chan error, 1)
-	go func() { closed <- s.closeFiles() }()
+	go func() {
+		s.monitor.Wait()
+		closed <- s.closeFiles()
+	}()
 	select {
 	case err := <-closed:
 		return trace.Wrap(err, "close the ledger folder %s", s.options.Folder)
 	case <-s.failed:
+	case <-time.After(closeTimeout):
+		eventAbandoned.Info("folder", s.options.Folder, "after", closeTimeout)
+		s.guard.fence()
+		return nil
 	}
 	if errors.Is(s.Failure(), ErrCorrupt) || s.guard.isOpen() {
 		select {
