--- a/internal/ledger/replica/diskfailure_test.go
+++ b/internal/ledger/replica/diskfailure_test.go
@@ -70,6 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Hour})
 			c.addAll("a", "b", "c")
+			c.waitForReplicas(0, 3)
 			c.proposeMany(0, "before", 20)
 			for round := range 4 {
 				struck := c.leader(0)
@@ -93,6 +94,7 @@
 func TestShardReturnsAfterAllDisksWereFull(t *testing.T) {
 	c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Hour})
 	c.addAll("a", "b", "c")
+	c.waitForReplicas(0, 3)
 	c.proposeMany(0, "before", 20)
 	shard, _ := c.leader(0).service.Local(0)
 	for _, n := range c.nodes {
@@ -115,6 +117,7 @@
 func TestNodeStopsWhileDiskIsFull(t *testing.T) {
 	c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Hour})
 	c.addAll("a", "b", "c")
+	c.waitForReplicas(0, 3)
 	c.proposeMany(0, "before", 20)
 	struck := c.leader(0)
 	disks.refuse(struck.name, syscall.ENOSPC)
@@ -132,6 +135,7 @@
 func TestNodeStartsOnFullDisk(t *testing.T) {
 	c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Hour})
 	c.addAll("a", "b", "c")
+	c.waitForReplicas(0, 3)
 	c.proposeMany(0, "before", 20)
 	struck := c.leader(0)
 	before := c.replicas(0)[struck.name].Replica
@@ -151,6 +155,7 @@
 func TestCorruptFolderReplacedOnceDiskHasRoom(t *testing.T) {
 	c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Hour})
 	c.addAll("a", "b", "c")
+	c.waitForReplicas(0, 3)
 	c.proposeMany(0, "before", 20)
 	struck := c.leader(0)
 	before := c.replicas(0)[struck.name].Replica
--- a/internal/ledger/replica/diskhang_test.go
+++ b/internal/ledger/replica/diskhang_test.go
@@ -90,6 +90,7 @@
 			disks, wrap := newHangingDisks(func(*node) vfs.FS { return vfs.Default })
 			refused := newRefusedDisks(c, wrap)
 			c.addAll("a", "b", "c")
+			c.waitForReplicas(0, 3)
 			c.proposeMany(0, "before", 20)
 			struck := c.leader(0)
 			defer disks.release(struck.name)
@@ -125,6 +126,7 @@
 			disks, wrap := newHangingDisks(func(*node) vfs.FS { return vfs.Default })
 			refused := newRefusedDisks(c, wrap)
 			c.addAll("a", "b", "c")
+			c.waitForReplicas(0, 3)
 			c.proposeMany(0, "before", 20)
 			struck := c.leader(0)
 			refused.refuse(struck.name, syscall.ENOSPC)
@@ -151,6 +153,7 @@
 	var disks *hangingDisks
 	disks, c.wrapFS = newHangingDisks(func(*node) vfs.FS { return vfs.Default })
 	c.addAll("a", "b", "c")
+	c.waitForReplicas(0, 3)
 	c.proposeMany(0, "before", 20)
 	struck := c.leader(0)
 	disks.hang(struck.name, "")
@@ -172,6 +175,7 @@
 		t.Run(full+" full", func(t *testing.T) {
 			c, disks := newClusterWithRefusedDisks(t, Options{ReplaceAfter: time.Second})
 			c.addAll("a", "b", "c")
+			c.waitForReplicas(0, 3)
 			c.proposeMany(0, "before", 20)
 			struck, gone := c.leader(0), c.nodes["n0"]
 			if gone == struck {
