--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -33,7 +34,7 @@
 )
 
 var (
-	eventOrigin        = telemetry.Define(2209, "stream-origin", "A request continues a stream that another request began; gives the release of the engines that began it, and what tells so: a record here or at a data node, a sole release of the service, or none, which refuses the request.")
+	eventOrigin        = telemetry.Define(2209, "stream-origin", "A request continues a stream that another request began; gives the release of the engines that began it, and what tells so: a record here or at a data node, a sole release of the service, or none, which refuses the request. Also how many calls to data nodes were made and answered, and the age of the node's own list of engines.")
 	eventOriginInvalid = telemetry.Define(2210, "origin-message-unreadable", "A peer's message about the beginning of a stream could not be decoded and is ignored.")
 )
 
@@ -128,13 +129,19 @@
 	sole  func(service string, window time.Duration) (catalog.Release, bool)
 	// steady reports whether a route had no other service within the window; nil if no route changes.
 	steady func(route *catalog.Route, window time.Duration) bool
-	found  *prometheus.CounterVec
+	// listAge returns the time since the list of engines was last confirmed.
+	listAge func() time.Duration
+	found   *prometheus.CounterVec
 }
 
+// callCount counts calls to data nodes for one request.
+type callCount struct{ made, answered atomic.Int32 }
+
 func newOriginClient(c *core) *originClient {
 	client := &originClient{
 		store: newOriginStore(), peers: c.peers, nodes: c.agent.Nodes, region: c.settings.Node.Region,
 		leave: c.settings.Platform.Leave, sole: c.soleRelease, steady: c.catalog.steadyRoute,
+		listAge: func() time.Duration { return c.agent.Age(c.adapter.EnginesKind) },
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chutelock_stream_origins_total",
 			Help: "Requests that continue a stream, by what tells the release that began it: own-record, record, sole-release or none.",
@@ -170,23 +177,25 @@
 // find returns the release that began the stream which a request continues.
 func (o *originClient) find(ctx context.Context, request *forward.Request, route *catalog.Route) (catalog.Release, bool) {
 	started := clock.Now()
-	release, source := o.lookUp(ctx, request, route)
+	calls := &callCount{}
+	release, source := o.lookUp(ctx, request, route, calls)
 	o.found.WithLabelValues(source).Inc()
 	eventOrigin.Info("request", request.ID, "continues", request.Resumes, "route", route.Name, "last_event", request.LastEvent,
-		"source", source, "service", release.Service, "version", release.Version, "took", clock.Since(started))
+		"source", source, "service", release.Service, "version", release.Version, "calls", calls.made.Load(), "answers", calls.answered.Load(),
+		"list_age", o.listAge(), "took", clock.Since(started))
 	return release, source != origin.SourceNone.String()
 }
 
 // lookUp returns the release and what tells it. A record counts more than a sole release, as a list
 // of engines may be a little behind.
-func (o *originClient) lookUp(ctx context.Context, request *forward.Request, route *catalog.Route) (catalog.Release, string) {
+func (o *originClient) lookUp(ctx context.Context, request *forward.Request, route *catalog.Route, calls *callCount) (catalog.Release, string) {
 	query := o.query(request, route)
 	named := request.Resumes != ""
 	if named {
 		if release, found := o.store.get(query.Key); found {
 			return release, sourceOwn
 		}
-		if answer := o.askRegions(ctx, query); answer.Source != origin.SourceNone {
+		if answer := o.askRegions(ctx, query, calls); answer.Source != origin.SourceNone {
 			return answer.Release, answer.Source.String()
 		}
 	}
@@ -196,7 +205,7 @@
 	if named {
 		clock.Sleep(ctx, originRetryDelay)
 	}
-	answer := o.ask(ctx, o.region, query)
+	answer := o.ask(ctx, o.region, query, calls)
 	return answer.Release, answer.Source.String()
 }
 
@@ -213,9 +222,9 @@
 
 // askRegions asks the data nodes of this node's region, then those of one other region after
 // another.
-func (o *originClient) askRegions(ctx context.Context, query origin.Query) origin.Answer {
+func (o *originClient) askRegions(ctx context.Context, query origin.Query, calls *callCount) origin.Answer {
 	for _, region := range origin.Regions(o.nodes(), o.region) {
-		if answer := o.ask(ctx, region, query); answer.Source != origin.SourceNone {
+		if answer := o.ask(ctx, region, query, calls); answer.Source != origin.SourceNone {
 			return answer
 		}
 	}
@@ -224,7 +233,7 @@
 
 // ask asks the likely homes in a region at the same time. It returns at once if one has a record,
 // else the best answer once all have answered or originTimeout is over.
-func (o *originClient) ask(ctx context.Context, region string, query origin.Query) origin.Answer {
+func (o *originClient) ask(ctx context.Context, region string, query origin.Query, count *callCount) origin.Answer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -233,7 +242,7 @@
 	answers := make(chan origin.Answer, len(candidates))
 	message := query.Marshal()
 	for _, node := range candidates {
-		calls.Go(func() { answers <- o.askNode(ctx, node.Address, message) })
+		calls.Go(func() { answers <- o.askNode(ctx, node.Address, message, count) })
 	}
 	var best origin.Answer
 	for range candidates {
@@ -249,11 +258,13 @@
 }
 
 // askNode returns a data node's answer; one without a source if there is none.
-func (o *originClient) askNode(ctx context.Context, address transport.Address, message []byte) origin.Answer {
+func (o *originClient) askNode(ctx context.Context, address transport.Address, message []byte, count *callCount) origin.Answer {
+	count.made.Add(1)
 	reply, err := o.peers.Call(ctx, address, kindOriginQuery, message)
 	if err != nil {
 		return origin.Answer{} // logged by find as unknown if no other node knows
 	}
+	count.answered.Add(1)
 	answer, err := origin.UnmarshalAnswer(reply)
 	if err != nil {
 		eventOriginInvalid.Error(err, "peer", address)
--- a/internal/system/origins_test.go
+++ b/internal/system/origins_test.go
@@ -64,8 +64,9 @@
 func (f *originFleet) front(region string) *originClient {
 	return &originClient{
 		store: newOriginStore(), peers: f, nodes: f.nodes, region: region, leave: time.Second,
-		sole:  func(string, time.Duration) (catalog.Release, bool) { return catalog.Release{}, false },
-		found: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "found"}, []string{"source"}),
+		sole:    func(string, time.Duration) (catalog.Release, bool) { return catalog.Release{}, false },
+		listAge: func() time.Duration { return 0 },
+		found:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "found"}, []string{"source"}),
 	}
 }
 
