Mirror: nodes can confirm with the store that nothing else has changed

A small age says that a list is good enough to send new requests by; it doesn't prove that no engine joined since the last confirmation, and it is measured after the fact where a process stood still. Nothing uses it yet.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -113,7 +113,8 @@
 	storeReturned time.Time
 
 	snapshots    snapshotCache
-	reversePulls chan peerState // peers to pull from because they are ahead
+	confirmers   map[string]*confirmer // by kind
+	reversePulls chan peerState        // peers to pull from because they are ahead
 }
 
 // New returns an agent with its call handlers registered. Nothing runs before Start.
@@ -128,6 +129,7 @@
 		legacy:       map[transport.Address]time.Time{},
 		changed:      make(chan struct{}),
 		snapshots:    snapshotCache{kinds: map[string]cachedSnapshot{}},
+		confirmers:   newConfirmers(options.Kinds),
 		reversePulls: make(chan peerState, reversePullQueue),
 	}
 	names := make([]string, 0, len(options.Kinds))
@@ -163,6 +165,9 @@
 	for _, kind := range a.options.Kinds {
 		a.run(func() { a.followStore(kind) })
 	}
+	for _, c := range a.confirmers {
+		a.run(func() { a.confirmLoop(c) })
+	}
 	a.run(func() { a.pullLoop(a.options.Self.Zone) })
 	a.run(func() { a.pullLoop("") })
 	a.run(a.reversePullLoop)
@@ -209,6 +214,13 @@
 	return a.table.Since(kind, revision)
 }
 
+// Partial reports whether this node mirrors only some objects of a kind.
+func (a *Agent) Partial(kind string) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.table.Partial(kind)
+}
+
 // Nodes lists the known data nodes, including this one if it is one.
 func (a *Agent) Nodes() []Node {
 	a.mutex.Lock()
