Continued streams: releases that came and went unseen are not taken for never served

Cause: a node's history had only what its list held when the catalog was refreshed. An entry that came and went between two refreshes, or before a list that replaced a lost history of the store, left no trace, and the other release counted as the only one. Fix: a removal of an entry that was never seen, and a whole list, begin the history anew: for as long as a stream may last no release is the only one, streams are recorded, and those without a record are refused. Result: TestHistoryUnknownWhereReleasesMayHaveComeAndGoneUnseen fails without the two lines in readEngines (both cases) and passes with them.

--- a/internal/catalog/roster.go
+++ b/internal/catalog/roster.go
@@ -52,6 +52,12 @@
 	}
 }
 
+// Has reports whether there is an entry of an instance.
+func (r *Roster) Has(instance string) bool {
+	_, found := r.find(instance)
+	return found
+}
+
 // KeepOnly removes the entries of all other instances.
 func (r *Roster) KeepOnly(instances map[string]bool) {
 	r.entries = slices.DeleteFunc(r.entries, func(entry Entry) bool {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// Miss records that releases may have come and gone unseen until now, so that the history begins anew.
+func (h *History) Miss(now time.Time) {
+	if !h.since.IsZero() {
+		h.since = now
+	}
+}
+
 // Sole returns the only release that the service had in the given time until now. It returns false
 // if there was more than one, or none, or if the history is shorter. window must be at most
 // historyTTL to be meaningful.
--- a/internal/system/catalogtracker.go
+++ b/internal/system/catalogtracker.go
@@ -70,6 +70,8 @@
 	warmReports warmReports
 
 	history *releaseHistory
+	// missedEngines: engines may have come and gone since the last refresh.
+	missedEngines bool
 }
 
 // objectSource provides the mirrored objects of the platform; see mirror.Agent.
@@ -220,7 +222,8 @@
 // observe adds the engines to the history once they are known, and the revisions that it has now.
 func (t *catalogTracker) observe(engines []catalog.Engine) {
 	if t.enginesRevision > 0 {
-		t.history.observeEngines(engines)
+		t.history.observeEngines(engines, t.missedEngines)
+		t.missedEngines = false
 	}
 	t.history.setObserved(t.adapter.EnginesKind, t.enginesRevision)
 	t.history.setObserved(t.adapter.ConfigurationKind, t.configurationRevision)
@@ -261,8 +264,11 @@
 		return
 	}
 	present := make(map[string]bool, len(delta.Objects))
+	t.missedEngines = t.missedEngines || delta.IsSnapshot && t.enginesRevision > 0
 	for _, object := range delta.Objects {
 		if object.Gone {
+			// An entry unknown here came and went since the last refresh.
+			t.missedEngines = t.missedEngines || !t.roster.Has(object.Name)
 			t.roster.Remove(object.Name)
 			continue
 		}
--- a/internal/system/releasehistory.go
+++ b/internal/system/releasehistory.go
@@ -26,11 +26,16 @@
 	return &releaseHistory{releases: origin.NewHistory(), observed: map[string]uint64{}, advanced: make(chan struct{})}
 }
 
-// observeEngines records the engines that are listed from now on.
-func (h *releaseHistory) observeEngines(engines []catalog.Engine) {
+// observeEngines records the engines that are listed from now on. missed says that others may have come
+// and gone since the last call.
+func (h *releaseHistory) observeEngines(engines []catalog.Engine, missed bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.releases.Observe(engines, clock.Now())
+	now := clock.Now()
+	if missed {
+		h.releases.Miss(now)
+	}
+	h.releases.Observe(engines, now)
 }
 
 // observeRoutes records the routes that are in force from now on.
--- a/internal/system/releasehistory_test.go
+++ b/internal/system/releasehistory_test.go
@@ -43,6 +43,16 @@
 	e.Merge(delta)
 }
 
+// list replaces the engines by a list of the store, whose history is lost.
+func (e *engineTable) list(names ...string) {
+	e.revision++
+	delta := mirror.Delta{Kind: "engines", IsSnapshot: true, Revision: e.revision}
+	for _, name := range names {
+		delta.Objects = append(delta.Objects, mirror.Object{Name: name, Revision: e.revision})
+	}
+	e.Merge(delta)
+}
+
 // newReleaseTracker returns a tracker of a table's engines and of one configuration.
 func newReleaseTracker(table *engineTable) *catalogTracker {
 	adapter := &Adapter{
@@ -65,6 +75,45 @@
 // pass lets time pass that the history counts.
 func pass(duration time.Duration) { clock.SimulateSuspension(duration) }
 
+func TestHistoryUnknownWhereReleasesMayHaveComeAndGoneUnseen(t *testing.T) {
+	const leave = 2 * time.Second
+	window := 2*streamRoute.Timeout + leave
+	sole := origin.Answer{Source: origin.SourceSole, Release: catalog.Release{Service: "s", Version: "v1"}}
+	for _, test := range []struct {
+		name   string
+		change func(table *engineTable)
+		known  bool // right after the change
+	}{
+		{"nothing changed", func(*engineTable) {}, true},
+		{"another engine", func(table *engineTable) { table.change("v1.1") }, true},
+		{"an engine left", func(table *engineTable) { table.change("-v1.0", "v1.2") }, true},
+		{"came and went between two refreshes", func(table *engineTable) { table.change("v2.0"); table.change("-v2.0") }, false},
+		{"the store's history is lost", func(table *engineTable) { table.list("v1.0") }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := newEngineTable()
+			tracker := newReleaseTracker(table)
+			table.change("v1.0")
+			tracker.refresh()
+			tracker.refresh() // the configuration comes into force once the engines are known
+			ask := func() origin.Answer { return tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, leave) }
+			g.Expect(ask()).To(gomega.Equal(origin.Answer{}))
+			var passed time.Duration
+			defer func() { pass(-passed) }()
+			wait := func() { pass(window); passed += window }
+			wait()
+			g.Expect(ask()).To(gomega.Equal(sole))
+			test.change(table)
+			tracker.changed("engines")
+			tracker.refresh()
+			g.Expect(ask() == sole).To(gomega.Equal(test.known))
+			wait()
+			g.Expect(ask()).To(gomega.Equal(sole))
+		})
+	}
+}
+
 // Guards against a list that the store has confirmed but that the history doesn't have yet.
 func TestHistoryIsBehindUntilTheCatalogWasRefreshed(t *testing.T) {
 	g := gomega.NewWithT(t)
