Continued streams: a timeout that was shortened still bounds the streams that began by it

Cause: the time for which a release must have been the only one followed the route's timeout of now. After a configuration that shortens it, streams that began before may be older than that time. Fix: the history of routes keeps the timeouts that requests had, and counts each for twice its length after its end; without a bound, for as long as releases are remembered. Result: TestRouteHistoryCoversStreamsOfEarlierTimeouts fails before in its cases "shorter now", "longer for a moment", "in turn" and "without a bound before", and passes now. By reading; no run showed it.

--- a/internal/origin/routes.go
+++ b/internal/origin/routes.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,13 @@
 	service string // empty if there are several
 	since   time.Time
 	timeout time.Duration // 0 means none
+	earlier []endedTimeout
+}
+
+// endedTimeout is a timeout that a route's requests had until a time.
+type endedTimeout struct {
+	timeout time.Duration
+	end     time.Time
 }
 
 func newRouteKey(host, prefix string) routeKey { return routeKey{strings.ToLower(host), prefix} }
@@ -44,6 +52,7 @@
 		}
 		if previous.service == state.service && !previous.since.IsZero() {
 			state.since = previous.since
+			state.endTimeouts(previous, now)
 		}
 		next[key] = state
 	}
@@ -66,9 +75,30 @@
 	} else if previous.since.After(state.since) {
 		state.since = previous.since
 	}
+	state.endTimeouts(previous, now)
 	routes[heir] = state
 }
 
+// endTimeouts records the timeouts that requests of a previous route have had until now.
+func (s *routeState) endTimeouts(previous routeState, now time.Time) {
+	for _, ended := range previous.earlier {
+		if now.Sub(ended.end) <= historyTTL {
+			s.endTimeout(ended)
+		}
+	}
+	if previous.timeout != s.timeout {
+		s.endTimeout(endedTimeout{previous.timeout, now})
+	}
+}
+
+// endTimeout records one timeout that has ended; a later end of the same one counts.
+func (s *routeState) endTimeout(ended endedTimeout) {
+	others := slices.DeleteFunc(slices.Clone(s.earlier), func(other endedTimeout) bool {
+		return other.timeout == ended.timeout && !other.end.After(ended.end)
+	})
+	s.earlier = append(others, ended)
+}
+
 // cover returns the route with the longest prefix that has all requests of a key; a zero state if there is
 // none.
 func cover(routes map[routeKey]routeState, of routeKey) (best routeKey, state routeState) {
@@ -88,7 +118,7 @@
 	if !known || state.service == "" {
 		return "", 0, false
 	}
-	window, bounded := state.streamTime(leave)
+	window, bounded := state.streamTime(leave, now)
 	if !bounded || now.Sub(state.since) < window {
 		return "", 0, false
 	}
@@ -97,6 +127,15 @@
 
 // streamTime returns how long ago a stream that is continued now may have run at an engine that has left
 // the list since: an attempt begun until then lasts for a timeout, and the caller comes back within another.
-func (s *routeState) streamTime(leave time.Duration) (longest time.Duration, bounded bool) {
-	return 2*s.timeout + leave, s.timeout > 0
+func (s *routeState) streamTime(leave time.Duration, now time.Time) (longest time.Duration, bounded bool) {
+	longest, bounded = 2*s.timeout+leave, s.timeout > 0
+	for _, ended := range s.earlier {
+		if ended.timeout == 0 {
+			return 0, false
+		}
+		if life := 2*ended.timeout + leave; now.Sub(ended.end) < life {
+			longest = max(longest, life)
+		}
+	}
+	return longest, bounded
 }
--- a/internal/origin/routes_test.go
+++ b/internal/origin/routes_test.go
@@ -62,3 +62,39 @@
 	_, _, found := h.Sole("h", "/", leave, start.Add(time.Hour))
 	gomega.NewWithT(t).Expect(found).To(gomega.BeFalse())
 }
+
+// Guards against a window that is too short for streams that began by a longer timeout.
+func TestRouteHistoryCoversStreamsOfEarlierTimeouts(t *testing.T) {
+	const second, leave = time.Second, 2 * time.Second
+	start := time.Unix(1000, 0)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * second) }
+	for _, test := range []struct {
+		name     string
+		timeouts map[int]time.Duration // by the second from which on they apply
+		asked    int
+		window   time.Duration
+		found    bool
+	}{
+		{"constant", map[int]time.Duration{0: 5 * second}, 100, 12 * second, true},
+		{"shorter now", map[int]time.Duration{0: 20 * second, 90: second}, 100, 42 * second, true},
+		{"shorter for long", map[int]time.Duration{0: 20 * second, 50: second}, 100, 4 * second, true},
+		{"longer now", map[int]time.Duration{0: second, 90: 20 * second}, 100, 42 * second, true},
+		{"longer for a moment", map[int]time.Duration{0: second, 90: 20 * second, 91: second}, 100, 42 * second, true},
+		{"in turn", map[int]time.Duration{0: second, 80: 3 * second, 85: second, 90: 3 * second, 95: second}, 100, 8 * second, true},
+		{"without a bound now", map[int]time.Duration{0: second, 90: 0}, 100, 0, false},
+		{"without a bound before", map[int]time.Duration{0: 0, 90: second}, 100, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var h RouteHistory
+			for i := range test.asked {
+				if timeout, changed := test.timeouts[i]; changed {
+					h.Observe([]catalog.Route{{Host: "h", Prefix: "/", Timeout: timeout, Backends: []catalog.Backend{{Service: "x", Weight: 1}}}}, at(i))
+				}
+			}
+			_, window, found := h.Sole("h", "/", leave, at(test.asked))
+			g.Expect(found).To(gomega.Equal(test.found))
+			g.Expect(window).To(gomega.Equal(test.window))
+		})
+	}
+}
