Continued streams: a front node cut off from the data nodes asks other front nodes

Cause: where no data node answers, a stream whose record lies at data nodes was refused after 0.25 s, though other front nodes have the record, as they began the stream, or reach those that have it. Change: after 30 ms without an answer it asks the front nodes of its seeds, which answer by their own records or by what data nodes tell them, and don't pass the question on; at the same time it looks for a proof itself, as before. Nodes of earlier versions have no handler and count as not answering.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -198,6 +199,13 @@
 	a.seeds = seeds
 }
 
+// Seeds returns the configured addresses of peers, without this node's own.
+func (a *Agent) Seeds() []transport.Address {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(a.seeds), func(seed transport.Address) bool { return seed == a.options.Self.Address })
+}
+
 // Objects lists the objects of a kind and the revision up to which they are complete. Revision
 // 0 means that the kind has not been synced yet.
 func (a *Agent) Objects(kind string) ([]Object, uint64) {
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -77,6 +77,7 @@
 	f.quota = newQuotaEnforcer(settings.Quota, f.peers, f.currentRelay, common.overloadActive)
 	requests, tenants := newRequestMetrics(common.registry), newTenantMetrics(common.registry)
 	origins := newOriginClient(common)
+	f.peers.HandleCall(kindOriginRelay, origins.handleRelay)
 	f.registerGauges(origins.store.gauges())
 	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
 	f.shares = newShareGate(f)
--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -23,6 +23,7 @@
 	kindOriginRecord  transport.Kind = transport.KindOrigin + iota // datagram to a data node: origin.Record
 	kindOriginQueryV1                                              // call to a data node: origin.QueryV1, answered by origin.Answer
 	kindOriginQuery                                                // call to a data node: origin.Query, answered by origin.Answer
+	kindOriginRelay                                                // call to a front node: origin.Query, answered by origin.Answer
 )
 
 const (
@@ -37,12 +38,12 @@
 	// proofTimeout bounds the proof of a sole release, which takes a call of the store. It leaves time for the
 	// answer of a data node that has no record.
 	proofTimeout = 150 * time.Millisecond
-	// ownProofDelay is how long a front node waits for data nodes before it looks for a proof itself.
-	ownProofDelay = 30 * time.Millisecond
+	// elsewhereDelay is how long a front node waits for data nodes before it asks elsewhere.
+	elsewhereDelay = 30 * time.Millisecond
 )
 
 var (
-	eventOrigin          = telemetry.Define(2209, "stream-origin", "A request continues a stream that another request began; gives the release of the engines that began it, and what tells so: a record here or at a data node, a sole release of the service, or none, which refuses the request. Also how many calls to data nodes were made and answered, and the age of the node's own list of engines.")
+	eventOrigin          = telemetry.Define(2209, "stream-origin", "A request continues a stream that another request began; gives the release of the engines that began it, and what tells so: a record here or at a data node, a sole release of the service, or none, which refuses the request. Also how many calls to data nodes were made and answered, how many were made to front nodes, and the age of the node's own list of engines.")
 	eventReleaseUnproved = telemetry.Define(2211, "release-unproved", "By its own list of engines, this node knows a single release of a service, but could not confirm with the platform's store that the list is up to date.")
 	eventOriginInvalid   = telemetry.Define(2210, "origin-message-unreadable", "A peer's message about the beginning of a stream could not be decoded and is ignored.")
 )
@@ -148,9 +149,11 @@
 
 // originClient records the beginnings of a front node's streams and finds those of others.
 type originClient struct {
-	store  *originStore
-	peers  transport.Sender
-	nodes  func() []mirror.Node
+	store *originStore
+	peers transport.Sender
+	nodes func() []mirror.Node
+	// fronts lists some other front nodes.
+	fronts func() []transport.Address
 	region string
 	// likelySole returns a route's sole release by the node's own list, which may be behind.
 	likelySole func(route *catalog.Route) (catalog.Release, bool)
@@ -161,12 +164,12 @@
 	found   *prometheus.CounterVec
 }
 
-// callCount counts calls to data nodes for one request.
-type callCount struct{ made, answered atomic.Int32 }
+// callCount counts calls to data nodes, and those to front nodes, for one request.
+type callCount struct{ made, answered, toFronts atomic.Int32 }
 
 func newOriginClient(c *core) *originClient {
 	client := &originClient{
-		store: newOriginStore(), peers: c.peers, nodes: c.agent.Nodes, region: c.settings.Node.Region,
+		store: newOriginStore(), peers: c.peers, nodes: c.agent.Nodes, fronts: c.agent.Seeds, region: c.settings.Node.Region,
 		likelySole: c.likelySole, proveRoute: newReleaseProver(c).proveRoute,
 		listAge: func() time.Duration { return c.agent.Age(c.adapter.EnginesKind) },
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -208,7 +211,7 @@
 	o.found.WithLabelValues(source).Inc()
 	eventOrigin.Info("request", request.ID, "continues", request.Resumes, "route", route.Name, "last_event", request.LastEvent,
 		"source", source, "service", release.Service, "version", release.Version, "calls", calls.made.Load(), "answers", calls.answered.Load(),
-		"list_age", o.listAge(), "took", clock.Since(started))
+		"front_calls", calls.toFronts.Load(), "list_age", o.listAge(), "took", clock.Since(started))
 	return release, release != (catalog.Release{})
 }
 
@@ -222,7 +225,7 @@
 			return release, sourceOwn
 		}
 	}
-	answer := o.askOrProve(ctx, query, named, calls)
+	answer := o.search(ctx, query, named, calls)
 	if answer.Release == (catalog.Release{}) && named && calls.answered.Load() > 0 {
 		clock.Sleep(ctx, originRetryDelay)
 		query.Host = ""
@@ -233,35 +236,73 @@
 	return answer.Release, answer.Source.String()
 }
 
-// askOrProve asks data nodes, of all regions if there may be a record. If they don't answer soon, this node
-// looks for a proof itself, too.
-func (o *originClient) askOrProve(ctx context.Context, query origin.Query, named bool, calls *callCount) origin.Answer {
+// search asks data nodes, of all regions if there may be a record. If none answers soon, it looks elsewhere, too.
+func (o *originClient) search(ctx context.Context, query origin.Query, named bool, calls *callCount) origin.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
-	var proof origin.Answer
-	proved := make(chan struct{})
+	asked, elsewhere := make(chan origin.Answer, 1), make(chan origin.Answer, 1)
 	tasks.Go(func() {
-		defer close(proved)
-		clock.Sleep(ctx, ownProofDelay)
-		if ctx.Err() == nil && query.Host != "" {
+		if named {
+			asked <- o.askRegions(ctx, query, calls)
+		} else {
+			asked <- o.ask(ctx, o.region, query, calls)
+		}
+	})
+	tasks.Go(func() { elsewhere <- o.searchElsewhere(ctx, query, calls) })
+	select {
+	case answer := <-asked:
+		if answer.Source != origin.SourceNone {
+			return answer
+		}
+		return <-elsewhere
+	case answer := <-elsewhere:
+		if answer.Release != (catalog.Release{}) {
+			return answer
+		}
+		return <-asked
+	}
+}
+
+// searchElsewhere looks for a proof by this node itself and asks other front nodes, which may have begun the
+// stream or reach the data nodes.
+func (o *originClient) searchElsewhere(ctx context.Context, query origin.Query, calls *callCount) origin.Answer {
+	clock.Sleep(ctx, elsewhereDelay)
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	var sources []func(ctx context.Context) origin.Answer
+	if query.Host != "" {
+		sources = append(sources, func(ctx context.Context) origin.Answer {
 			ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 			defer cancel()
-			proof = o.proveRoute(ctx, query.Host, query.Prefix)
+			return o.proveRoute(ctx, query.Host, query.Prefix)
+		})
+	}
+	if calls.answered.Load() == 0 {
+		for _, front := range o.fronts() {
+			sources = append(sources, func(ctx context.Context) origin.Answer {
+				calls.toFronts.Add(1)
+				reply, err := o.peers.Call(ctx, front, kindOriginRelay, query.Marshal())
+				return decodeAnswer(front, reply, err)
+			})
 		}
-	})
-	var answer origin.Answer
-	if named {
-		answer = o.askRegions(ctx, query, calls)
-	} else {
-		answer = o.ask(ctx, o.region, query, calls)
 	}
-	if answer.Source != origin.SourceNone {
-		return answer
+	return firstAnswer(ctx, sources)
+}
+
+// handleRelay answers a front node that can't reach data nodes, by this node's record or by what data nodes
+// answer.
+func (o *originClient) handleRelay(ctx context.Context, from transport.Address, payload []byte) ([]byte, error) {
+	query, err := origin.UnmarshalQuery(payload)
+	if err != nil {
+		eventOriginInvalid.Error(err, "peer", from)
+		return nil, err
 	}
-	<-proved
-	return proof
+	if release, found := o.store.get(query.Key); found {
+		return origin.Answer{Source: origin.SourceRecord, Release: release}.Marshal(), nil
+	}
+	return o.askRegions(ctx, query, &callCount{}).Marshal(), nil
 }
 
 // query returns the question for a request. A route has no sole release if its streams may have begun at
@@ -287,19 +328,29 @@
 	return best
 }
 
-// ask asks the likely homes in a region at the same time. It returns at once if one has a record, soon after
-// one has a proof, else once all have answered or originTimeout is over.
-func (o *originClient) ask(ctx context.Context, region string, query origin.Query, count *callCount) (best origin.Answer) {
+// ask asks the likely homes in a region at the same time.
+func (o *originClient) ask(ctx context.Context, region string, query origin.Query, count *callCount) origin.Answer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	var sources []func(ctx context.Context) origin.Answer
+	for _, node := range origin.Candidates(o.nodes(), region, query.Key) {
+		sources = append(sources, func(ctx context.Context) origin.Answer { return o.askNode(ctx, node.Address, query, count) })
+	}
+	return firstAnswer(ctx, sources)
+}
+
+// firstAnswer asks several sources at the same time. It returns at once if one has a record, soon after one
+// has a proof, else once all have answered. That several releases served outweighs a proof.
+func firstAnswer(ctx context.Context, sources []func(ctx context.Context) origin.Answer) (best origin.Answer) {
+	ctx, cancel := context.WithCancel(ctx)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer cancel()
-	candidates := origin.Candidates(o.nodes(), region, query.Key)
-	answers := make(chan origin.Answer, len(candidates))
-	for _, node := range candidates {
-		calls.Go(func() { answers <- o.askNode(ctx, node.Address, query, count) })
+	answers := make(chan origin.Answer, len(sources))
+	for _, ask := range sources {
+		calls.Go(func() { answers <- ask(ctx) })
 	}
-	for range candidates {
+	for range sources {
 		answer := <-answers
 		switch answer.Source {
 		case origin.SourceRecord:
@@ -324,13 +375,20 @@
 		// A data node of an earlier version proves nothing: ask for a record only.
 		reply, err = o.peers.Call(ctx, address, kindOriginQueryV1, origin.QueryV1{Key: query.Key}.Marshal())
 	}
+	if err == nil {
+		count.answered.Add(1)
+	}
+	return decodeAnswer(address, reply, err)
+}
+
+// decodeAnswer decodes the reply of a call, which may have failed.
+func decodeAnswer(peer transport.Address, reply []byte, err error) origin.Answer {
 	if err != nil {
-		return origin.Answer{} // logged by find as unknown if no other node knows
+		return origin.Answer{} // find logs how many calls were answered
 	}
-	count.answered.Add(1)
 	answer, err := origin.UnmarshalAnswer(reply)
 	if err != nil {
-		eventOriginInvalid.Error(err, "peer", address)
+		eventOriginInvalid.Error(err, "peer", peer)
 	}
 	return answer
 }
--- a/internal/system/origins_test.go
+++ b/internal/system/origins_test.go
@@ -31,6 +31,9 @@
 	calls   int
 	// proof is what data nodes can prove.
 	proof origin.Answer
+	// relays are front nodes by address; fronts are the addresses that others know.
+	relays map[transport.Address]*originClient
+	fronts []transport.Address
 	// earlierVersion has the data nodes of an earlier version.
 	earlierVersion map[transport.Address]bool
 }
@@ -77,7 +80,7 @@
 
 func (f *originFleet) front(region string) *originClient {
 	return &originClient{
-		store: newOriginStore(), peers: f, nodes: f.nodes, region: region,
+		store: newOriginStore(), peers: f, nodes: f.nodes, fronts: func() []transport.Address { return f.fronts }, region: region,
 		likelySole: func(*catalog.Route) (catalog.Release, bool) { return catalog.Release{}, false },
 		proveRoute: func(context.Context, string, string) origin.Answer { return origin.Answer{} },
 		listAge:    func() time.Duration { return 0 },
@@ -86,6 +89,9 @@
 }
 
 func (f *originFleet) Call(ctx context.Context, to transport.Address, kind transport.Kind, payload []byte) ([]byte, error) {
+	if kind == kindOriginRelay && f.relays[to] != nil {
+		return f.relays[to].handleRelay(ctx, "front", payload)
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.calls++
@@ -218,6 +224,25 @@
 	g.Expect(release).To(gomega.Equal(releaseTwo))
 }
 
+// Guards against refusals at a front node that reaches other front nodes but no data node.
+func TestStreamContinuedThroughOtherFrontNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newNorthFleet(4)
+	first, second := f.front("north"), f.front("north")
+	first.begin("r", releaseTwo)
+	isolated := f.front("north")
+	isolated.nodes = func() []mirror.Node { return []mirror.Node{{Name: "d0", Address: "cut off", Region: "north"}} }
+	f.relays = map[transport.Address]*originClient{"first": first, "second": second}
+	for _, front := range []transport.Address{"first", "second"} {
+		f.fronts = []transport.Address{"down", front}
+		release, found := isolated.findBegun("r")
+		g.Expect(found).To(gomega.BeTrue(), "by %s", front)
+		g.Expect(release).To(gomega.Equal(releaseTwo))
+		_, found = isolated.findBegun("never")
+		g.Expect(found).To(gomega.BeFalse())
+	}
+}
+
 // Guards against a list that may be behind as proof of what began a stream, where no data node answers.
 func TestStreamNotContinuedByOldListOfNodeCutOffFromDataNodes(t *testing.T) {
 	g := gomega.NewWithT(t)
