Continued streams: one data node is asked for a proof first, so that questions share its reads

Change: all front nodes of a region ask the same data node for the proof, and the likely homes for records only.

--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -26,6 +26,12 @@
 	return pick(nodes, region, key, maxAsked)
 }
 
+// Provers returns the nodes of a region in the order in which they are asked for a proof that needs no
+// record. All ask the same one first, so that they share its reads of the platform's store.
+func Provers(nodes []mirror.Node, region string) []mirror.Node {
+	return pick(nodes, region, KeyOf("", "proofs of "+region), maxAsked)
+}
+
 // Regions returns the regions of nodes: own first, then the others by name.
 func Regions(nodes []mirror.Node, own string) []string {
 	regions := []string{own}
--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -228,8 +228,7 @@
 	answer := o.search(ctx, query, named, calls)
 	if answer.Release == (catalog.Release{}) && named && calls.answered.Load() > 0 {
 		clock.Sleep(ctx, originRetryDelay)
-		query.Host = ""
-		if late := o.ask(ctx, o.region, query, calls); late.Source == origin.SourceRecord {
+		if late := o.ask(ctx, o.region, origin.Query{Key: query.Key}, calls); late.Source == origin.SourceRecord {
 			answer = late
 		}
 	}
@@ -243,13 +242,7 @@
 	defer tasks.Wait()
 	defer cancel()
 	asked, elsewhere := make(chan origin.Answer, 1), make(chan origin.Answer, 1)
-	tasks.Go(func() {
-		if named {
-			asked <- o.askRegions(ctx, query, calls)
-		} else {
-			asked <- o.ask(ctx, o.region, query, calls)
-		}
-	})
+	tasks.Go(func() { asked <- o.askDataNodes(ctx, query, named, calls) })
 	tasks.Go(func() { elsewhere <- o.searchElsewhere(ctx, query, calls) })
 	select {
 	case answer := <-asked:
@@ -265,8 +258,24 @@
 	}
 }
 
-// searchElsewhere looks for a proof by this node itself and asks other front nodes, which may have begun the
-// stream or reach the data nodes.
+// askDataNodes asks the first prover for a proof, and the likely homes for a record if the stream may have one.
+func (o *originClient) askDataNodes(ctx context.Context, query origin.Query, named bool, calls *callCount) origin.Answer {
+	var sources []func(ctx context.Context) origin.Answer
+	if query.Host != "" {
+		sources = append(sources, func(ctx context.Context) origin.Answer {
+			provers := origin.Provers(o.nodes(), o.region)
+			return o.askAll(ctx, provers[:min(1, len(provers))], query, calls)
+		})
+	}
+	if named {
+		record := origin.Query{Key: query.Key}
+		sources = append(sources, func(ctx context.Context) origin.Answer { return o.askRegions(ctx, record, calls) })
+	}
+	return firstAnswer(ctx, sources)
+}
+
+// searchElsewhere looks for a proof by this node itself or another data node, and asks other front nodes, which
+// may have begun the stream or reach the data nodes.
 func (o *originClient) searchElsewhere(ctx context.Context, query origin.Query, calls *callCount) origin.Answer {
 	clock.Sleep(ctx, elsewhereDelay)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -277,6 +286,9 @@
 			ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 			defer cancel()
 			return o.proveRoute(ctx, query.Host, query.Prefix)
+		}, func(ctx context.Context) origin.Answer {
+			provers := origin.Provers(o.nodes(), o.region)
+			return o.askAll(ctx, provers[min(1, len(provers)):], query, calls)
 		})
 	}
 	if calls.answered.Load() == 0 {
@@ -302,7 +314,7 @@
 	if release, found := o.store.get(query.Key); found {
 		return origin.Answer{Source: origin.SourceRecord, Release: release}.Marshal(), nil
 	}
-	return o.askRegions(ctx, query, &callCount{}).Marshal(), nil
+	return o.askDataNodes(ctx, query, true, &callCount{}).Marshal(), nil
 }
 
 // query returns the question for a request. A route has no sole release if its streams may have begun at
@@ -315,26 +327,29 @@
 	return query
 }
 
-// askRegions asks the data nodes of this node's region, then those of one other region after
-// another until one has a record or a proof.
-func (o *originClient) askRegions(ctx context.Context, query origin.Query, calls *callCount) (best origin.Answer) {
+// askRegions asks the likely homes in this node's region, then those in one other region after another, until
+// one has a record.
+func (o *originClient) askRegions(ctx context.Context, query origin.Query, calls *callCount) origin.Answer {
 	for _, region := range origin.Regions(o.nodes(), o.region) {
-		answer := o.ask(ctx, region, query, calls)
-		if answer.Release != (catalog.Release{}) {
+		if answer := o.ask(ctx, region, query, calls); answer.Source == origin.SourceRecord {
 			return answer
 		}
-		best.Source = max(best.Source, answer.Source)
 	}
-	return best
+	return origin.Answer{}
 }
 
 // ask asks the likely homes in a region at the same time.
-func (o *originClient) ask(ctx context.Context, region string, query origin.Query, count *callCount) origin.Answer {
+func (o *originClient) ask(ctx context.Context, region string, query origin.Query, calls *callCount) origin.Answer {
+	return o.askAll(ctx, origin.Candidates(o.nodes(), region, query.Key), query, calls)
+}
+
+// askAll asks data nodes at the same time.
+func (o *originClient) askAll(ctx context.Context, nodes []mirror.Node, query origin.Query, calls *callCount) origin.Answer {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	var sources []func(ctx context.Context) origin.Answer
-	for _, node := range origin.Candidates(o.nodes(), region, query.Key) {
-		sources = append(sources, func(ctx context.Context) origin.Answer { return o.askNode(ctx, node.Address, query, count) })
+	sources := make([]func(ctx context.Context) origin.Answer, 0, len(nodes))
+	for _, node := range nodes {
+		sources = append(sources, func(ctx context.Context) origin.Answer { return o.askNode(ctx, node.Address, query, calls) })
 	}
 	return firstAnswer(ctx, sources)
 }
