An engine's stream that skips or repeats an event is ended there

Cause: events were passed on without a look at their numbers, except that lower ones were left out once a response had begun. An answer that left out an event, repeated one, or began with a later one went to the caller with a piece missing or doubled, and ended as whole. A run that was asked to continue and began anew was joined to the text of another run, and in a request that continues a stream all its events came again.

Change: an event must have the number after the one before, from the event after which the run was asked to continue (1 for a new stream). Another number ends the answer as a break does: it goes on elsewhere after the last good event where that is allowed, else it is aborted. The engine's failure is recorded; it doesn't count as a crash. stream-misnumbered (2216) names request, engine, the number due and the one seen; chutelock_streams_misnumbered_total counts. On a route that isn't resumable, the first event of a request with a number of its own may have any number.

That numbers rise by one is what the protocol says for items ("goes on at n + 1") and what pace.go and the kept copies count on ("events so far"); for streams it says "rising" only.

Two fixtures are mended, no check is changed: the engines of streamDialect didn't get the number that the caller of a request that continues a stream sends, so that they began anew; callers' headers reach engines unchanged.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
@@ -25,6 +26,24 @@
 	Data []byte
 }
 
+// NumberError reports an event that doesn't follow the one before: events between them are missing, or
+// the event is one that came before.
+type NumberError struct{ Expected, Seen uint64 }
+
+// Error implements error.
+func (e *NumberError) Error() string {
+	return fmt.Sprintf("the engine's stream has event %d where event %d is due", e.Seen, e.Expected)
+}
+
+// CheckNumber returns a NumberError unless the event is the next one after the event with the number last.
+// An event without a number may stand anywhere.
+func (e *Event) CheckNumber(last uint64) error {
+	if e.HasID && e.ID != last+1 {
+		return &NumberError{Expected: last + 1, Seen: e.ID}
+	}
+	return nil
+}
+
 // EventReader reads the events of a stream.
 type EventReader struct {
 	reader *bufio.Reader
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,6 +33,12 @@
 // says nothing about the engine's health.
 func (r attemptResult) moved() bool { return errors.Is(r.cause, errEnginePace) }
 
+// misnumbered reports whether the exchange was ended because of the number of an event.
+func (r attemptResult) misnumbered() bool {
+	var wrong *NumberError
+	return errors.As(r.cause, &wrong)
+}
+
 // attempt runs one exchange. done reports whether the sink has its response.
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (result attemptResult, done bool) {
 	fl.receivedEvent, fl.framed, fl.answered = false, false, false
@@ -258,15 +264,14 @@
 		if err != nil {
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 		}
+		if err := fl.checkNumber(lease.Engine, &event); err != nil {
+			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+		}
 		silence.event(event.HasID)
 		lease.PrefillDone()
 		fl.receivedEvent = true
 		fl.Guard.EventReceived(fl.prompt)
 		watch.event(event.HasID)
-		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
-			silence.await()
-			continue
-		}
 		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
 			fl.callerLeft(err)
 			fl.sink.Abort()
@@ -276,6 +281,21 @@
 	}
 }
 
+// checkNumber returns an error unless an event is the one that the caller needs next. Where streams can't
+// be resumed, the caller's number says nothing of an engine's first event.
+func (fl *inflight) checkNumber(engine catalog.Engine, event *Event) error {
+	if !fl.streamStarted && !fl.route.Resumable && fl.request.LastEvent > 0 {
+		return nil
+	}
+	err := event.CheckNumber(fl.lastEvent)
+	if err != nil {
+		fl.Misnumbered.Add(1)
+		eventMisnumbered.Info("request", fl.request.ID, "continues", fl.request.Resumes, "route", fl.route.Name, "engine", engine.ID, "version", engine.Version,
+			"expected", fl.lastEvent+1, "seen", event.ID, "begun", fl.streamStarted)
+	}
+	return err
+}
+
 func (fl *inflight) sendEvent(engine catalog.Engine, response *upstream.Response, event Event) error {
 	fl.recordOrigin(engine)
 	if !fl.streamStarted {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"chutelock.dev/chutelock/internal/balance"
@@ -20,6 +21,7 @@
 	eventAborted       = telemetry.Define(2203, "stream-aborted", "A stream to a caller was aborted before its end.")
 	eventServed        = telemetry.Define(2205, "request-served", "A request was answered by an engine; gives the time to the first output and in total.")
 	eventResumed       = telemetry.Define(2208, "stream-resumed", "A stream that already has events continues at an engine: within its response, or in a request that continues an earlier one.")
+	eventMisnumbered   = telemetry.Define(2216, "stream-misnumbered", "An engine's stream has an event that doesn't follow the one before, or the event after which it was asked to continue: events are missing or repeated. The answer ends there, and the stream is continued elsewhere or aborted.")
 	eventCallerLeft    = telemetry.Define(2204, "caller-left", "A caller closed its connection before the response was complete.")
 )
 
@@ -63,6 +65,8 @@
 	Guard *poison.Guard
 	// Returns tells callers of requests that found no room when to return; may be nil.
 	Returns *ReturnTimes
+	// Misnumbered is the number of answers that were ended because of the number of an event.
+	Misnumbered atomic.Int64
 }
 
 // Result summarizes a request for metrics.
@@ -179,7 +183,7 @@
 			return
 		}
 		fl.release(lease, result)
-		if !result.moved() {
+		if !result.moved() && !result.misnumbered() {
 			fl.reportLostConnection(ctx, engine, result)
 		}
 		step := fl.attempts.Next(result.kind)
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,9 @@
 func (f *originFixture) serve(request Request) (sink *streamSink, sent bool) {
 	sink = &streamSink{}
 	request.Method, request.URI, request.Host = http.MethodGet, "/", "h"
+	if request.LastEvent > 0 {
+		request.Header = http.Header{"X-After": {fmt.Sprint(request.LastEvent)}}
+	}
 	request.Arrived = time.Now()
 	request.Deadline = request.Arrived.Add(5 * time.Second)
 	sent = f.Serve(context.Background(), &request, f.route, sink)
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -34,6 +34,9 @@
 
 func (streamDialect) Header(call *upstream.Call, _ time.Time) http.Header {
 	header := http.Header{"X-Id": {call.ID}}
+	if after := call.Header.Get("X-After"); after != "" {
+		header.Set("X-After", after)
+	}
 	if call.Resume {
 		header.Set("X-After", fmt.Sprint(call.ResumeAfter))
 	}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -136,6 +136,9 @@
 		"chutelock_streams_moved_total": {"Streams that moved to a faster engine as theirs stopped keeping its pace.", func() float64 {
 			return float64(f.balancer.StreamsMoved.Load())
 		}},
+		"chutelock_streams_misnumbered_total": {"Engines' streams that were ended as an event is missing or repeated.", func() float64 {
+			return float64(f.edge.Forwarder.Misnumbered.Load())
+		}},
 	})
 	return f, nil
 }
