A late surplus answer is not taken for the next run of its request

Cause: an engine may send a second answer to a request late, where the next one on the connection is due. The ID tells them apart, but not if the next request is the same one: an item that runs again after a 500 or a lost commit, a request or stream that comes back to the engine. The old answer was then taken for the new run's: a text went on with events of a run that was not asked to continue there, a 500 counted twice, or a 503 was passed on as "not run" for a request that ran.

Change: a connection keeps the IDs of its last four requests (as many surplus answers as are skipped), and serves none of them again; another idle one or a new one does.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -152,7 +152,7 @@
 
 // prepare reports whether there is a connection to the engine of a reserved place.
 func (fl *inflight) prepare(ctx context.Context, lease *balance.Lease) bool {
-	err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID)
+	err := fl.Pool.Prepare(ctx, lease.Engine.Address, lease.Engine.ID, fl.request.ID)
 	if err != nil && ctx.Err() == nil {
 		fl.Balancer.RecordFailure(lease.Engine.ID, err)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,7 +54,7 @@
 // Exchange sends a call to the engine at address and returns its response once the head is
 // read. The connection is closed when ctx ends, also while the body is read.
 func (p *Pool) Exchange(ctx context.Context, address string, call *Call) (*Response, error) {
-	conn, err := p.get(ctx, address, call.Engine)
+	conn, err := p.get(ctx, address, call.Engine, call.ID)
 	if err != nil {
 		return nil, &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
 	}
@@ -79,6 +79,7 @@
 
 func (p *Pool) exchange(conn *connection, call *Call) (response *Response, step string, err error) {
 	message := p.encode(call)
+	conn.serves(call.ID)
 	written := make(chan error, 1)
 	if len(message) <= maxDirectWrite {
 		_, err := conn.Write(message)
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,35 @@
 	g.Expect(exchange(pool, address, "b")).To(gomega.Equal("second"))
 }
 
+// Guards against a late surplus answer that is taken for the one to the next run of the same request.
+func TestSurplusAnswerIsNotTakenForNextRunOfRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var runs atomic.Int32
+	address := startEngine(t, func(conn net.Conn, reader *bufio.Reader) {
+		type answer struct{ id, body string }
+		var earlier []answer
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			for _, late := range earlier {
+				respond(conn, late.id, late.body)
+			}
+			own := answer{id, fmt.Sprint("run ", runs.Add(1))}
+			respond(conn, own.id, own.body)
+			earlier = []answer{own}
+		}
+	})
+	pool := NewPool(plainDialect{})
+	g.Expect(exchange(pool, address, "a")).To(gomega.Equal("run 1"))
+	g.Expect(exchange(pool, address, "a")).To(gomega.Equal("run 2"))
+	g.Expect(pool.Opened.Load()).To(gomega.BeEquivalentTo(2))
+	g.Expect(exchange(pool, address, "b")).To(gomega.Equal("run 3"))
+	g.Expect(exchange(pool, address, "c")).To(gomega.Equal("run 4"))
+	g.Expect(pool.Opened.Load()).To(gomega.BeEquivalentTo(2), "other requests use the connections that there are")
+}
+
 func TestPoolDropsConnectionWithUnreadBytes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sent := make(chan struct{}, 8)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,15 +71,27 @@
 	// idleDeadline is when the connection must be closed if it is idle.
 	idleDeadline time.Time
 	wasIdle      bool // idleDeadline is set
+	// served has the IDs of the last requests, latest first: a late answer to one of them would be taken
+	// for the answer to its next run.
+	served [maxSurplusResponses]string
 }
 
+// serves notes the ID of a request that is sent on the connection.
+func (c *connection) serves(id string) {
+	copy(c.served[1:], c.served[:])
+	c.served[0] = id
+}
+
+// fits reports whether an answer to a request can't be mistaken for one to an earlier run of it here.
+func (c *connection) fits(id string) bool { return id == "" || !slices.Contains(c.served[:], id) }
+
 func poolKey(address, engineID string) string { return address + "|" + engineID }
 
-// get returns a usable idle connection or a new one.
-func (p *Pool) get(ctx context.Context, address, engineID string) (*connection, error) {
+// get returns a usable idle connection or a new one for a request; its ID is empty if it has none.
+func (p *Pool) get(ctx context.Context, address, engineID, requestID string) (*connection, error) {
 	key := poolKey(address, engineID)
 	for {
-		idle := p.popIdle(key)
+		idle := p.popIdle(key, requestID)
 		if idle == nil {
 			return p.dial(ctx, address, key)
 		}
@@ -90,16 +103,18 @@
 	}
 }
 
-func (p *Pool) popIdle(key string) *connection {
+// popIdle takes the idle connection used last that fits the request.
+func (p *Pool) popIdle(key, requestID string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if c.fits(requestID) {
+			p.idle[key] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	last := idle[len(idle)-1]
-	p.idle[key] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address, key string) (*connection, error) {
@@ -123,10 +138,10 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), key: key}, nil
 }
 
-// Prepare makes sure that there is an idle connection to an engine's address, and opens one if there is
-// none.
-func (p *Pool) Prepare(ctx context.Context, address, engineID string) error {
-	conn, err := p.get(ctx, address, engineID)
+// Prepare makes sure that there is an idle connection to an engine's address for a request, and opens one
+// if there is none.
+func (p *Pool) Prepare(ctx context.Context, address, engineID, requestID string) error {
+	conn, err := p.get(ctx, address, engineID, requestID)
 	if err != nil {
 		return &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
 	}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -16,7 +16,7 @@
 	if !strings.HasPrefix(path, "/") || strings.ContainsAny(path, " \t\r\n") {
 		return Facts{}, &Error{Fate: FateNotSent, Step: "path", Peer: address, Cause: errInvalidPath}
 	}
-	conn, err := p.get(ctx, address, engineID)
+	conn, err := p.get(ctx, address, engineID, "")
 	if err != nil {
 		return Facts{}, &Error{Fate: FateNotSent, Step: "dial", Peer: address, Cause: err}
 	}
