A batch item's run ends at an event that is missing, repeated or without a number

Cause: runs took any higher number for the next event, left out lower ones and those without a number. An item whose engine left an event out was committed as succeeded without it; one whose engine began anew when asked to continue got the rest of another run's text, which wasn't asked to continue there.

Change: each event with data must have the number after the text's last event. Else the run ends as a failure of its engine, its good events are committed and the item resumes after them. item-misnumbered (3222) names item, engine, the number due and the one seen; chutelock_batch_runs_misnumbered_total counts at the node that reads the stream.

--- a/internal/batchwork/executor.go
+++ b/internal/batchwork/executor.go
@@ -65,6 +65,9 @@
 	Permitted func(host, path, tenant, engine string) bool
 	Sender    transport.Sender
 	Receiver  transport.Receiver
+	// Misnumbered is called for each run that ends because its engine's events leave one out or repeat
+	// one; may be nil.
+	Misnumbered func()
 }
 
 func (o ExecutorOptions) permitted(item *openItem, engine string) bool {
@@ -225,7 +228,8 @@
 	})
 	c.node = &runNode{
 		pool: e.options.Pool, usable: e.options.Usable, permitted: e.options.permitted, commit: c.commit, readStart: clock.Now(), guard: e.options.Guard, partsOf: e.options.SharedParts,
-		open: func(string, uint32) bool { return true }, // the leader tells when an item is closed
+		misnumbered: e.options.Misnumbered,
+		open:        func(string, uint32) bool { return true }, // the leader tells when an item is closed
 	}
 	e.clients[from] = c
 	e.tasks.Go(func() { c.committer.run(e.ctx) })
--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -129,6 +129,7 @@
 
 var (
 	errAddressReused = errors.New("the address belongs to another engine")
+	errNoNumber      = errors.New("the engine's stream has an event without a number")
 )
 
 // reportOutcome records the run's outcome for its engine.
@@ -166,9 +167,14 @@
 			r.hooks.callEnded()
 			return r.handleInterruption(ctx, r.lossOf(exchangeCtx, err), err, isClosed(silence))
 		}
+		if err := r.checkNumber(&event); err != nil {
+			response.Close()
+			r.hooks.callEnded()
+			return r.handleInterruption(ctx, engineFailed, err, false)
+		}
 		timer.Reset(engineSilenceTimeout)
 		r.node.guard.EventReceived(r.prompt)
-		if !event.HasID || event.ID <= r.last {
+		if !event.HasID {
 			continue
 		}
 		if r.last == first {
@@ -186,6 +192,19 @@
 	}
 }
 
+// checkNumber returns an error unless an event has no data or is the next one of the text.
+func (r *itemRun) checkNumber(event *forward.Event) error {
+	err := event.CheckNumber(r.last)
+	if !event.HasID && event.HasData {
+		err = errNoNumber
+	}
+	if err != nil {
+		r.node.countMisnumbered()
+		eventMisnumbered.Info("job", r.item.job, "item", r.id, "engine", r.engine.ID, "version", r.engine.Version, "expected", r.last+1, "seen", event.ID, "cause", err)
+	}
+	return err
+}
+
 // checkEnd returns io.EOF if a response that ended with its connection seems whole. It was probably cut
 // off if the item has no text or its engine may have crashed.
 func (r *itemRun) checkEnd(ctx context.Context) error {
--- a/internal/batchwork/runner.go
+++ b/internal/batchwork/runner.go
@@ -30,6 +30,7 @@
 	eventItemPaced     = telemetry.Define(3221, "item-paced", "Engines lost the connection under an item again and again; it runs again after the given pause.")
 	eventPreempted     = telemetry.Define(3206, "batch-yielded", "Batch runs at an engine were preempted to free slots for online work.")
 	eventCommitLost    = telemetry.Define(3205, "item-commit-failed", "Text of an item could not be committed; the item resumes after its committed text.")
+	eventMisnumbered   = telemetry.Define(3222, "item-misnumbered", "An engine's stream has an event without a number, or one that doesn't follow the item's text: events are missing or repeated. The run ends, and the item resumes after its last event.")
 	eventUpdateDropped = telemetry.Define(3220, "item-update-dropped", "An update of an item had no effect, as the leader has given up the run that sent it or the item's committed text ends at another event; the run ends.")
 )
 
@@ -109,6 +110,8 @@
 	LocalRuns int
 	// Overload configures the decisions under overload.
 	Overload OverloadOptions
+	// Misnumbered is as in ExecutorOptions, for the runs whose streams the leader reads.
+	Misnumbered func()
 	// Metrics counts refused jobs, cut runs and ended items; nil counts none.
 	Metrics *Metrics
 }
@@ -189,7 +192,7 @@
 	r.committer = newGroupCommitter(groupDelay, r.propose)
 	r.node = &runNode{
 		pool: options.Pool, usable: options.Usable, permitted: options.permitted, commit: r.commit, readStart: clock.Now(), open: options.Machine.isOpen,
-		guard: options.Guard, partsOf: options.SharedParts,
+		guard: options.Guard, partsOf: options.SharedParts, misnumbered: options.Misnumbered,
 	}
 	if options.Receiver != nil {
 		options.Receiver.HandleCall(kindConfirm, r.handleConfirm)
--- a/internal/batchwork/runnode.go
+++ b/internal/batchwork/runnode.go
@@ -27,9 +27,11 @@
 	// don't crash engines, they only are there.
 	guard *poison.Guard
 	// partsOf returns the IDs of the shared parts of an item's prompt; nil means none.
-	partsOf   func(header []string) []string
-	readStart time.Time
-	streams   atomic.Int32 // streams being read here
+	partsOf func(header []string) []string
+	// misnumbered is called for each run that ends because of the number of an event; nil counts none.
+	misnumbered func()
+	readStart   time.Time
+	streams     atomic.Int32 // streams being read here
 }
 
 // mayRun reports whether an item may be sent to an engine now.
@@ -44,6 +46,12 @@
 	return n.partsOf(header)
 }
 
+func (n *runNode) countMisnumbered() {
+	if n.misnumbered != nil {
+		n.misnumbered()
+	}
+}
+
 // readInterval returns the time between two reads of a run's stream.
 func (n *runNode) readInterval() time.Duration { return readInterval(int(n.streams.Load())) }
 
--- a/internal/system/data.go
+++ b/internal/system/data.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -34,6 +35,7 @@
 	probes     speedProbes
 
 	batchMetrics *batchwork.Metrics
+	misnumbered  atomic.Int64 // runs of items that ended because of the number of an event
 
 	regionJobs, misplacedJobs *prometheus.GaugeVec
 
@@ -64,7 +66,7 @@
 	}
 	d.executor = batchwork.NewExecutor(batchwork.ExecutorOptions{
 		Pool: d.pool, Usable: d.catalog.usableForBatch, EngineID: d.catalog.engineID, Ready: d.catalog.enginesKnown, Permitted: d.permitted, Sender: d.peers, Receiver: d.peers,
-		Guard: d.guard, SharedParts: adapter.SharedParts,
+		Guard: d.guard, SharedParts: adapter.SharedParts, Misnumbered: d.countMisnumbered,
 	})
 	for _, region := range d.regionNames() {
 		port := d.shardPorts.For(ledger.RegionShard(region))
@@ -76,6 +78,9 @@
 		"chutelock_batch_items_running":  {"Items that run for this node as the leader.", func() float64 { return float64(d.runningItems()) }},
 		"chutelock_batch_items_late":     {"Open items that are expected to be late, by this node as the leader under overload.", func() float64 { return float64(d.lateItems()) }},
 		"chutelock_batch_items_executed": {"Items that this node runs for another one that leads.", func() float64 { return float64(d.executor.Running()) }},
+		"chutelock_batch_runs_misnumbered_total": {"Runs of items whose engines' events left one out or repeated one.", func() float64 {
+			return float64(d.misnumbered.Load())
+		}},
 	})
 	d.regionJobs = newRegionGauge(d.registry, "chutelock_batch_region_jobs", "Jobs at this node's replica of a region's shard, while any route or tenant is restricted; no region: of shard 0.")
 	d.misplacedJobs = newRegionGauge(d.registry, "chutelock_batch_jobs_astray", "Those of them that lie where they may not by the newest configuration.")
@@ -108,6 +113,8 @@
 	return d, nil
 }
 
+func (d *data) countMisnumbered() { d.misnumbered.Add(1) }
+
 // executors lists the data nodes that may run items at engines of a zone for this
 // node: those of the zone, in the same order for all leaders, so that connections
 // to engines are reused.
--- a/internal/system/shardwork.go
+++ b/internal/system/shardwork.go
@@ -97,7 +97,7 @@
 		Route: d.route, Regions: d.allowedRegions(d.ledger.Region(shard)), Permitted: d.permitted,
 		Usable: d.catalog.usableForBatch, Zone: d.settings.Node.Zone, Keep: d.settings.Batch.Keep,
 		Settle: settleTime, Executors: d.executors, Sender: port, Receiver: port,
-		LocalRuns: d.settings.Batch.LocalRuns, Guard: d.guard, SharedParts: d.adapter.SharedParts, Metrics: d.batchMetrics,
+		LocalRuns: d.settings.Batch.LocalRuns, Guard: d.guard, SharedParts: d.adapter.SharedParts, Misnumbered: d.countMisnumbered, Metrics: d.batchMetrics,
 		Overload: batchwork.OverloadOptions{
 			Active: d.overloadActive, Weight: d.batchWeight, Room: d.balancer.BatchRoom, JobLateness: d.settings.Overload.JobLateness,
 			Speed: func(engine catalog.Engine) float64 { return 1 / d.balancer.DurationFactor(engine) },
