--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
@@ -21,8 +22,27 @@
 	// ID is the event's number; HasID is false if it has none.
 	ID    uint64
 	HasID bool
-	// Data holds the values of the data lines, joined by line feeds.
-	Data []byte
+	// Data holds the values of the data lines, joined by line feeds; HasData is false if there are none.
+	Data    []byte
+	HasData bool
+}
+
+// NumberError reports an event that doesn't follow the one before: events between them are missing, or
+// the event is one that came before.
+type NumberError struct{ Expected, Seen uint64 }
+
+// Error implements error.
+func (e *NumberError) Error() string {
+	return fmt.Sprintf("the engine's stream has event %d where event %d is due", e.Seen, e.Expected)
+}
+
+// CheckNumber returns a NumberError unless the event is the next one after the event with the number last.
+// An event without a number may stand anywhere.
+func (e *Event) CheckNumber(last uint64) error {
+	if e.HasID && e.ID != last+1 {
+		return &NumberError{Expected: last + 1, Seen: e.ID}
+	}
+	return nil
 }
 
 // EventReader reads the events of a stream.
@@ -39,7 +59,6 @@
 // io.ErrUnexpectedEOF at an end inside one.
 func (r *EventReader) Next() (Event, error) {
 	var event Event
-	hasData := false
 	for {
 		line, err := r.reader.ReadBytes('\n')
 		if err != nil {
@@ -56,11 +75,11 @@
 		if len(line) == 0 {
 			return event, nil
 		}
-		event.addLine(line, &hasData)
+		event.addLine(line)
 	}
 }
 
-func (e *Event) addLine(line []byte, hasData *bool) {
+func (e *Event) addLine(line []byte) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
@@ -69,10 +88,10 @@
 			e.ID, e.HasID = number, true
 		}
 	case "data":
-		if *hasData {
+		if e.HasData {
 			e.Data = append(e.Data, '\n')
 		}
-		*hasData = true
+		e.HasData = true
 		e.Data = append(e.Data, value...)
 	}
 }
