A request that arrived is answered though its connection's deadline passed unread

What callers see: "connection reset by peer" for a request that arrived at a stopping node, or on an idle connection, in time to be read. Cause: a connection that is to end as idle (stop, room for a new one, idle time-out) is ended by a read deadline. A read after the deadline fails without a look at the socket, and one that waits is ended by the timer though bytes have come, if the process had no processor in between. So the 50 ms in which requests are still taken weren't kept beside heavy load: the server closed the connection on bytes that lay unread. They were not read, so callers may retry, but "a request that is in its socket by then is answered" did not hold. Change: a read that fails by the deadline, on a connection that waits for a request, peeks at the socket, and reads on for 50 ms if bytes lie there. gateway's headerConn passes on the connection's descriptor. What remains: a request that arrives between that look and the close, some microseconds.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"chutelock.dev/chutelock/internal/clock"
 	"chutelock.dev/chutelock/internal/telemetry"
 )
@@ -56,7 +59,7 @@
 		switch {
 		case n > 0:
 			c.recordRead(n, len(buffer) == 1)
-		case isTimeout(err) && c.extendIdle():
+		case isTimeout(err) && (c.extendIdle() || c.extendForArrived()):
 			continue
 		}
 		if err != nil && !isTimeout(err) {
@@ -78,6 +81,15 @@
 	return c.Conn.SetReadDeadline(c.deadline) == nil
 }
 
+// extendForArrived reports whether a request on a connection that is to end as idle lies in its socket. The
+// reads of a process that loses the processor fail by the deadline without a look at the socket.
+func (c *Conn) extendForArrived() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	ends := c.state == http.StateNew && c.expired || c.state == http.StateIdle && (c.expired || c.unanswered.Load() == 0)
+	return ends && hasUnreadBytes(c.Conn) && c.Conn.SetReadDeadline(readDeadline(arrivalTime)) == nil
+}
+
 // recordRead counts bytes of a request. A connection that expired as they were read goes on, as its
 // request is to be answered. While a request is handled, the server reads only the first byte of the
 // next one, and alone.
@@ -248,6 +260,26 @@
 	return nil
 }
 
+// hasUnreadBytes reports whether bytes that were not read lie in the connection's socket.
+func hasUnreadBytes(conn net.Conn) bool {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Control looks also after the read deadline.
+	err = raw.Control(func(fd uintptr) {
+		var peek [1]byte
+		n, _, failure := unix.Recvfrom(int(fd), peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = failure == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 func isTimeout(err error) bool {
 	timeout, ok := err.(net.Error)
 	return ok && timeout.Timeout()
--- a/internal/callerconn/gate_test.go
+++ b/internal/callerconn/gate_test.go
@@ -49,9 +49,15 @@
 	return listener
 }
 
-// serveGate serves a gate, which has its listener, until the test ends.
+// serveGate serves a gate, which has its listener, until the test ends. The server's ConnState may be set.
 func serveGate(t *testing.T, gate *Gate, server *http.Server) {
-	server.ConnState = gate.TrackState
+	observe := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		gate.TrackState(conn, state)
+		if observe != nil {
+			observe(conn, state)
+		}
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chutelock.dev/chutelock/internal/gateway/apierror"
@@ -71,6 +72,14 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *headerConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Read implements net.Conn.
 func (c *headerConn) Read(into []byte) (int, error) {
 	count, err := c.Conn.Read(into)
