--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	dto "github.com/prometheus/client_model/go"
@@ -144,10 +145,13 @@
 	return f, sync.OnceFunc(func() { close(gate) })
 }
 
-// beWhole matches a reply with the complete text for its prompt.
-var beWhole = gomega.WithTransform(func(r reply) bool {
-	return r.whole && r.text == strings.Join(expectedTokens(r.prompt), "")
-}, gomega.BeTrue())
+// beWhole returns a matcher of a reply with the complete text for its prompt. Matchers keep state: parallel
+// tests can't share one.
+func beWhole() types.GomegaMatcher {
+	return gomega.WithTransform(func(r reply) bool {
+		return r.whole && r.text == strings.Join(expectedTokens(r.prompt), "")
+	}, gomega.BeTrue())
+}
 
 // askLater sends a streaming request on another goroutine.
 func (s *testServer) askLater(prompt string) <-chan reply {
@@ -199,7 +203,7 @@
 			g.Expect(got.message).To(gomega.ContainSubstring(test.text))
 			g.Expect(got.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 			release()
-			g.Eventually(first).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole))
+			g.Eventually(first).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole()))
 			g.Expect(engines.ran("second")).To(gomega.BeZero())
 		})
 	}
@@ -230,7 +234,7 @@
 	}).WithTimeout(waitTimeout).Should(gomega.Equal(apierror.CodeNotRun))
 	g.Expect(drained.Load()).To(gomega.BeFalse())
 	release()
-	g.Eventually(held).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole))
+	g.Eventually(held).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole()))
 	g.Eventually(ended).WithTimeout(waitTimeout).Should(gomega.Receive(gomega.BeNil()))
 }
 
@@ -246,7 +250,7 @@
 	defer cancel()
 	g.Expect(server.gateway.Drain(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
 	release()
-	g.Eventually(held).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole))
+	g.Eventually(held).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole()))
 }
 
 // Guards against attempts that continue after the caller disconnects or stops
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -48,7 +48,7 @@
 	got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, "once", true), map[string]string{HeaderRepeatable: "false"})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	got.prompt = "once"
-	g.Expect(got).To(beWhole)
+	g.Expect(got).To(beWhole())
 	g.Expect(server.fleet.ran("once")).To(gomega.Equal(1))
 }
 
@@ -82,7 +82,7 @@
 				server.askLater(string(rune('a' + i)))
 			}
 			server.waitInFlight(g, test.others)
-			g.Eventually(server.askLater("silent")).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole))
+			g.Eventually(server.askLater("silent")).WithTimeout(waitTimeout).Should(gomega.Receive(beWhole()))
 			g.Expect(engines.ran("silent")).To(gomega.Equal(test.runs))
 		})
 	}
@@ -105,7 +105,7 @@
 			got, err := server.ask("POST", PathCompletions, completionBody(PathCompletions, "held", true), map[string]string{HeaderRepeatable: repeatable})
 			got.prompt = "held"
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(got).To(beWhole)
+			g.Expect(got).To(beWhole())
 		})
 	}
 }
