Mirror: readers are told when objects may have come and gone

The catalog tracker therefore stayed behind until the next visible change of the kind, and releaseProver, which waits until the history isn't behind, refused each take-up of a stream without a record ("release-unproved", context deadline exceeded, with the store answering), for as long as no engine or configuration changed. It also learned too late that engines may have come and gone unseen.

Change: Changed is called for these, too; the tracker then reads the kind again and begins its history anew if needed.

Tests of mirror, system and origin pass.

--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -72,7 +72,8 @@
 	Registry Registry
 	Sender   transport.Sender
 	Receiver transport.Receiver
-	// Changed is called after each change of a kind; it must not block.
+	// Changed is called after each change of a kind, also one that is only known to be possible, as
+	// objects may have come and gone; it must not block.
 	Changed func(kind string)
 	// StoreAnswered is called when this node hears, itself or from a peer, that the store
 	// answered; silence is the time since its last known answer. It must not block and may be
@@ -271,9 +272,11 @@
 // held.
 func (a *Agent) mergeWith(source string, delta Delta, confirmed time.Time, merge func(delta Delta) bool) {
 	a.mutex.Lock()
-	first := a.table.Revision(delta.Kind) == 0
-	changed := merge(delta) || (first && a.table.Revision(delta.Kind) > 0)
+	before := a.table.Revision(delta.Kind)
+	changed := merge(delta) || (before == 0 && a.table.Revision(delta.Kind) > 0)
 	revision := a.table.Revision(delta.Kind)
+	// Objects may also have come and gone unseen.
+	mayHaveChanged := changed || a.table.Changed(delta.Kind, before) || delta.IsSnapshot && revision == delta.Revision
 	latest := a.fresh.latest()
 	confirmedLater := revision >= delta.Revision && a.fresh.confirm(delta.Kind, confirmed)
 	if confirmedLater && !latest.IsZero() && confirmed.Sub(latest) >= minOutage {
@@ -287,12 +290,11 @@
 	if silence := confirmed.Sub(latest); confirmedLater && silence >= minSilence && a.options.StoreAnswered != nil {
 		a.options.StoreAnswered(silence)
 	}
-	if !changed {
-		return
+	if changed {
+		eventChanged.Info("kind", delta.Kind, "way", source, "revision", revision, "objects", len(delta.Objects),
+			"age", clock.Since(confirmed))
 	}
-	eventChanged.Info("kind", delta.Kind, "way", source, "revision", revision, "objects", len(delta.Objects),
-		"age", clock.Since(confirmed))
-	if a.options.Changed != nil {
+	if mayHaveChanged && a.options.Changed != nil {
 		a.options.Changed(delta.Kind)
 	}
 }
--- /dev/null
+++ b/internal/mirror/unseen_test.go
@@ -0,0 +1,53 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/clock"
+)
+
+// Guards against a reader that counts as behind for good: Since gives it a delta of which it isn't told.
+func TestAgentReportsChangesUntilReadersAreUpToDate(t *testing.T) {
+	present := Object{Name: "a", Revision: 3}
+	for _, test := range []struct {
+		name  string
+		delta Delta
+		told  bool
+	}{
+		{"nothing changed", Delta{Since: 3, Revision: 9}, false},
+		{"an object changed", Delta{Since: 3, Revision: 9, Objects: []Object{{Name: "a", Revision: 9}}}, true},
+		{"an object came and went", Delta{Since: 3, Revision: 9, Objects: []Object{{Name: "b", Revision: 9, Gone: true}}}, true},
+		{"a snapshot without a change", Delta{IsSnapshot: true, Revision: 9, Objects: []Object{present}}, true},
+	} {
+		for _, confirmedBefore := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				var observed uint64
+				var agent *Agent
+				told := 0
+				agent = New(Options{
+					Self: Node{Name: "d"}, DataNode: true, Kinds: []Kind{{Name: kind, MaxStaleness: time.Second}}, Receiver: &fakeHost{},
+					Changed: func(string) { observed, told = agent.revision(kind), told+1 },
+				})
+				merge := func(delta Delta) {
+					delta.Kind = kind
+					agent.merge("peer", delta, clock.Now())
+				}
+				merge(Delta{IsSnapshot: true, Revision: 3, Objects: []Object{present}})
+				if confirmedBefore {
+					merge(Delta{Since: 3, Revision: test.delta.Revision - 1})
+				}
+				told = 0
+				merge(test.delta)
+				g.Expect(told > 0).To(gomega.Equal(test.told))
+				delta, known := agent.Since(kind, observed)
+				g.Expect(known).To(gomega.BeTrue())
+				g.Expect(delta.IsSnapshot).To(gomega.BeFalse())
+				g.Expect(delta.Objects).To(gomega.BeEmpty())
+			})
+		}
+	}
+}
