--- a/internal/mirror/agent.go
+++ b/internal/mirror/agent.go
@@ -93,14 +93,17 @@
 
 	// mutex guards the fields below, up to the empty line. No other lock is taken
 	// while it is held.
-	mutex   sync.Mutex
-	table   *Table
-	fresh   *freshness // when each kind last matched the store
-	nodes   map[string]Node
-	seeds   []transport.Address
-	peers   map[transport.Address]time.Time // nodes that pulled from this one, by time of the last pull
-	failing map[transport.Address]bool      // peers whose last pull failed
-	legacy  map[transport.Address]time.Time // peers of an earlier version, by time of detection
+	mutex sync.Mutex
+	table *Table
+	fresh *freshness // when each kind last matched the store
+	// unwatched is the longest time, by kind, between two confirmations of which the later one came with a
+	// snapshot: objects that came and went between them left no trace.
+	unwatched map[string]time.Duration
+	nodes     map[string]Node
+	seeds     []transport.Address
+	peers     map[transport.Address]time.Time // nodes that pulled from this one, by time of the last pull
+	failing   map[transport.Address]bool      // peers whose last pull failed
+	legacy    map[transport.Address]time.Time // peers of an earlier version, by time of detection
 	// nodesDigest is the digest of nodes.
 	nodesDigest uint64
 	// lastPeerResponse is when a peer last answered; registryRead is set once the registry has.
@@ -124,6 +127,7 @@
 	a := &Agent{
 		options:      options,
 		fresh:        newFreshness(),
+		unwatched:    map[string]time.Duration{},
 		nodes:        map[string]Node{},
 		seeds:        options.Seeds,
 		peers:        map[transport.Address]time.Time{},
@@ -230,6 +234,16 @@
 	return a.table.Partial(kind)
 }
 
+// TakeUnwatched returns the longest time since the last call in which objects of a kind may have come and gone
+// without a trace.
+func (a *Agent) TakeUnwatched(kind string) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	longest := a.unwatched[kind]
+	delete(a.unwatched, kind)
+	return longest
+}
+
 // Nodes lists the known data nodes, including this one if it is one.
 func (a *Agent) Nodes() []Node {
 	a.mutex.Lock()
@@ -275,8 +289,12 @@
 	before := a.table.Revision(delta.Kind)
 	changed := merge(delta) || (before == 0 && a.table.Revision(delta.Kind) > 0)
 	revision := a.table.Revision(delta.Kind)
+	replaced := delta.IsSnapshot && revision == delta.Revision
+	if replaced && before > 0 {
+		a.unwatched[delta.Kind] = max(a.unwatched[delta.Kind], a.fresh.sinceConfirmed(delta.Kind, confirmed))
+	}
 	// Objects may also have come and gone unseen.
-	mayHaveChanged := changed || a.table.Changed(delta.Kind, before) || delta.IsSnapshot && revision == delta.Revision
+	mayHaveChanged := changed || a.table.Changed(delta.Kind, before) || replaced
 	latest := a.fresh.latest()
 	confirmedLater := revision >= delta.Revision && a.fresh.confirm(delta.Kind, confirmed)
 	if confirmedLater && !latest.IsZero() && confirmed.Sub(latest) >= minOutage {
--- a/internal/mirror/freshness.go
+++ b/internal/mirror/freshness.go
@@ -71,6 +71,11 @@
 	return true
 }
 
+// sinceConfirmed returns how long before a time the kind was last confirmed; 0 if it was later.
+func (f *freshness) sinceConfirmed(kind string, at time.Time) time.Duration {
+	return max(0, at.Sub(f.confirmed[kind]))
+}
+
 // minSilence is the least time between two known answers of the store for the later one to
 // count as news: a peer's report of the same answer may seem later by its transmission.
 const minSilence = 20 * time.Millisecond
--- a/internal/mirror/unseen_test.go
+++ b/internal/mirror/unseen_test.go
@@ -51,3 +51,19 @@
 		}
 	}
 }
+
+func TestSnapshotTellsHowLongObjectsWereUnwatched(t *testing.T) {
+	g := gomega.NewWithT(t)
+	agent := New(Options{Self: Node{Name: "d"}, DataNode: true, Kinds: []Kind{{Name: kind, MaxStaleness: time.Second}}, Receiver: &fakeHost{}})
+	start := clock.Now()
+	merge := func(second int, delta Delta) time.Duration {
+		delta.Kind = kind
+		agent.merge("peer", delta, start.Add(time.Duration(second)*time.Second))
+		return agent.TakeUnwatched(kind)
+	}
+	g.Expect(merge(0, Delta{IsSnapshot: true, Revision: 3})).To(gomega.BeZero(), "nothing was known before")
+	g.Expect(merge(5, Delta{Since: 3, Revision: 4})).To(gomega.BeZero(), "changes leave a trace")
+	g.Expect(merge(8, Delta{IsSnapshot: true, Revision: 9})).To(gomega.Equal(3 * time.Second))
+	g.Expect(merge(20, Delta{IsSnapshot: true, Revision: 7})).To(gomega.BeZero(), "an old snapshot is ignored")
+	g.Expect(merge(7, Delta{IsSnapshot: true, Revision: 10})).To(gomega.BeZero())
+}
--- a/internal/system/catalogtracker.go
+++ b/internal/system/catalogtracker.go
@@ -81,6 +81,9 @@
 	Since(kind string, revision uint64) (mirror.Delta, bool)
 	// StoreReturned returns when the store was back after its last outage, or zero.
 	StoreReturned() time.Time
+	// TakeUnwatched returns the longest time since the last call in which objects of a kind may have come and
+	// gone without a trace.
+	TakeUnwatched(kind string) time.Duration
 }
 
 func newCatalogTracker(adapter *Adapter, settings *config.Node) *catalogTracker {
@@ -264,7 +267,8 @@
 		return
 	}
 	present := make(map[string]bool, len(delta.Objects))
-	t.missedEngines = t.missedEngines || delta.IsSnapshot && t.enginesRevision > 0
+	// An engine's entry stays for longer than that, as it tells of a planned end so long before.
+	t.missedEngines = t.missedEngines || t.agent.TakeUnwatched(t.adapter.EnginesKind) > t.settings.Platform.Leave
 	for _, object := range delta.Objects {
 		if object.Gone {
 			// An entry unknown here came and went since the last refresh.
--- a/internal/system/drains_test.go
+++ b/internal/system/drains_test.go
@@ -41,6 +41,8 @@
 	return time.Time{}
 }
 
+func (fakeMirror) TakeUnwatched(string) time.Duration { return 0 }
+
 // newTestTracker returns a refreshed tracker; each engine is in a zone of its own name.
 func newTestTracker(objects fakeMirror, drain time.Duration) *catalogTracker {
 	names := func(objects []mirror.Object) (list []string) {
