Heads of engines' responses are bounded

Cause: readHead let http.ReadResponse read headers, header lines and status lines of any length, so a head without end filled the node's memory until the request's deadline, and the caller got 504. Change: a connection reads at most maxHeadBytes (32 KiB) for a head; a longer one fails the exchange with its fate unknown, and the connection is closed at once. Interim responses, trailers, chunk extensions and surplus responses without end were bounded before; tests keep that.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -104,7 +104,7 @@
 func (p *Pool) readHead(conn *connection, call *Call) (*Response, error) {
 	request := &http.Request{Method: call.Method}
 	for range maxSurplusResponses {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -65,6 +66,7 @@
 // connection is a TCP connection to an engine that serves one call at a time.
 type connection struct {
 	net.Conn
+	source *boundedReader // of reader
 	reader *bufio.Reader
 	key    string
 	// idleDeadline is when the connection must be closed if it is idle.
@@ -120,7 +122,8 @@
 		_, engineID, _ := strings.Cut(key, "|")
 		p.Connected(engineID, clock.Since(started))
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), key: key}, nil
+	source := &boundedReader{Reader: conn, left: math.MaxInt}
+	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize), key: key}, nil
 }
 
 // Prepare makes sure that there is an idle connection to an engine's address, and opens one if there is
