Probes skip interim responses

Cause: Probe took a response with a status below 200 for the health response, so its facts were missing. Change: it reads on, up to maxSurplusResponses heads, as exchanges do. Measured: TestProbeSkipsInterimResponse fails before this commit (the instance is empty) and passes with -race.

--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -38,11 +38,17 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, host); err != nil {
 		return nil, "send", err
 	}
-	if response, err = http.ReadResponse(conn.reader, &http.Request{Method: http.MethodGet}); err != nil {
-		return nil, "head", err
+	for range maxSurplusResponses {
+		if response, err = http.ReadResponse(conn.reader, &http.Request{Method: http.MethodGet}); err != nil {
+			return nil, "head", err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if err := skipBody(response); err != nil {
+			return nil, "body", err
+		}
+		return response, "", nil
 	}
-	if err := skipBody(response); err != nil {
-		return nil, "body", err
-	}
-	return response, "", nil
+	return nil, "head", errForeignResponse
 }
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -1,7 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -47,3 +50,15 @@
 	_, err := NewPool(probeDialect{}).Probe(ctx, strings.TrimPrefix(server.URL, "http://"), "e", "/health")
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// Guards against a probe that takes an interim response for the health response.
+func TestProbeSkipsInterimResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := startEngine(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nX-Instance: e\r\nContent-Length: 0\r\n\r\n")
+	})
+	facts, err := NewPool(probeDialect{}).Probe(t.Context(), address, "e", "/health")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(facts.Instance).To(gomega.Equal("e"))
+}
