Heads of health responses are bounded

Cause: probes read heads with http.ReadResponse, which has no bound, so an engine could send headers for the whole time of a probe, to 32 probes at a time. Change: probes read heads as exchanges do, up to maxHeadBytes. Measured: TestProbeGivesUpHeadWithoutEnd fails before this commit for headers, a header line, a folded line, a status line and an interim response (given up by its deadline only), and passes with -race. Bodies without end were bounded before; TestProbeGivesUpBodyWithoutEnd keeps that.

--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -39,7 +39,7 @@
 		return nil, "send", err
 	}
 	for range maxSurplusResponses {
-		if response, err = http.ReadResponse(conn.reader, &http.Request{Method: http.MethodGet}); err != nil {
+		if response, err = conn.readResponse(&http.Request{Method: http.MethodGet}); err != nil {
 			return nil, "head", err
 		}
 		if response.StatusCode < http.StatusOK {
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -62,3 +62,30 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(facts.Instance).To(gomega.Equal("e"))
 }
+
+// Guards against a probe that reads a head without end.
+func TestProbeGivesUpHeadWithoutEnd(t *testing.T) {
+	for _, head := range heads {
+		t.Run(head.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address, closed := floodEngine(t, head.begin, head.repeated)
+			ctx, cancel := context.WithTimeout(t.Context(), floodTimeout)
+			defer cancel()
+			_, err := NewPool(probeDialect{}).Probe(ctx, address, "e", "/health")
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), "it must be given up before its time")
+			g.Eventually(closed.Load).Should(gomega.BeEquivalentTo(1))
+		})
+	}
+}
+
+// Guards against a probe that reads a body without end.
+func TestProbeGivesUpBodyWithoutEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, closed := floodEngine(t, "HTTP/1.1 200 OK\r\n\r\n", "more")
+	ctx, cancel := context.WithTimeout(t.Context(), floodTimeout)
+	defer cancel()
+	_, err := NewPool(probeDialect{}).Probe(ctx, address, "e", "/health")
+	g.Expect(err).To(gomega.MatchError(errForeignResponse))
+	g.Eventually(closed.Load).Should(gomega.BeEquivalentTo(1))
+}
