Bodies over the bound fail and are not cut

Cause: responses that are no streams were read up to maxBodyBytes (64 MiB), and what had been read was passed on with its length, so that a longer body, or one without end, looked whole: 200 with a part of it. Error responses alike. The connection is closed, the engine counts as failing, the request runs at another engine if it may, and else is told that it may have run.

--- /dev/null
+++ b/internal/forward/flood_test.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/balance"
+	"chutelock.dev/chutelock/internal/catalog"
+	"chutelock.dev/chutelock/internal/upstream"
+)
+
+// floodTest forwards to the engine a, which sends an answer, and to b, which is chosen only after it.
+type floodTest struct {
+	*Forwarder
+	begun [2]atomic.Int32
+	cut   atomic.Int32 // answers of a whose connection was closed
+}
+
+func newFloodTest(t *testing.T, answer func(w http.ResponseWriter, r *http.Request) error) *floodTest {
+	f := &floodTest{}
+	engines := []catalog.Engine{
+		f.engine(t, 0, "a", func(w http.ResponseWriter, r *http.Request) {
+			if answer(w, r) != nil {
+				f.cut.Add(1)
+			}
+		}),
+		f.engine(t, 1, "b", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 1\ndata: 1\n\n") }),
+	}
+	engines[0].Zone = "z1"
+	snapshot := catalog.NewSnapshot(nil, engines)
+	f.Forwarder = &Forwarder{
+		Pool: upstream.NewPool(streamDialect{}), Balancer: balance.New(func() *catalog.Snapshot { return snapshot }), Usable: snapshot.Usable, Zone: "z1",
+	}
+	return f
+}
+
+func (f *floodTest) engine(t *testing.T, i int, id string, answer http.HandlerFunc) catalog.Engine {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.begun[i].Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		answer(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return catalog.Engine{ID: id, Service: "s", Zone: "z2", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8}
+}
+
+// send forwards a request of a route to the service.
+func (f *floodTest) send(t *testing.T, route catalog.Route) *streamSink {
+	route.Name, route.Target, route.Backends = "r", time.Hour, []catalog.Backend{{Service: "s", Weight: 1}}
+	sink, now := &streamSink{}, time.Now()
+	f.Serve(t.Context(), &Request{ID: "one", Method: http.MethodPost, URI: "/", Host: "h", Arrived: now, Deadline: now.Add(20 * time.Second)}, &route, sink)
+	return sink
+}
+
+// repeat writes a text until size bytes are written, without end if size is 0, and returns the error of a
+// closed connection.
+func repeat(w io.Writer, text string, size int) error {
+	block := strings.Repeat(text, 32<<10/len(text))
+	for sent := 0; size == 0 || sent < size; {
+		if size > 0 {
+			block = block[:min(len(block), size-sent)]
+		}
+		n, err := io.WriteString(w, block)
+		if err != nil {
+			return err
+		}
+		sent += n
+	}
+	return nil
+}
+
+// Guards against a response that is cut at the bound and looks whole.
+func TestBodyOverBoundIsNotWhole(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		status     int
+		size       int // without end if 0
+		repeatable bool
+	}{
+		{"at the bound", http.StatusOK, maxBodyBytes, false},
+		{"one byte more", http.StatusOK, maxBodyBytes + 1, false},
+		{"one byte more, may run again", http.StatusOK, maxBodyBytes + 1, true},
+		{"without end", http.StatusOK, 0, false},
+		{"without end, may run again", http.StatusOK, 0, true},
+		{"failure one byte more", http.StatusBadRequest, maxBodyBytes + 1, false},
+		{"failure without end", http.StatusBadRequest, 0, false},
+		{"failure without end, may run again", http.StatusInternalServerError, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFloodTest(t, func(w http.ResponseWriter, _ *http.Request) error {
+				w.WriteHeader(test.status)
+				return repeat(w, "more", test.size)
+			})
+			sink := f.send(t, catalog.Route{Attempts: 2, Repeatable: test.repeatable})
+			g.Expect(f.begun[0].Load()).To(gomega.BeEquivalentTo(1))
+			switch {
+			case test.size == maxBodyBytes:
+				g.Expect(sink.status).To(gomega.Equal(test.status))
+				return
+			case test.repeatable:
+				g.Expect(sink.status).To(gomega.Equal(http.StatusOK))
+				g.Expect(f.begun[1].Load()).To(gomega.BeEquivalentTo(1))
+			default:
+				g.Expect(sink.status).To(gomega.BeZero(), "part of the response must not look whole")
+				g.Expect(sink.verdict).To(gomega.Equal(VerdictUnknown))
+			}
+			if test.size == 0 {
+				g.Eventually(f.cut.Load).Should(gomega.BeEquivalentTo(1))
+			}
+			g.Expect(f.send(t, catalog.Route{Attempts: 1}).status).To(gomega.Equal(http.StatusOK))
+			g.Expect(f.begun[0].Load()).To(gomega.BeEquivalentTo(1), "the engine must count as failing")
+		})
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -28,7 +28,8 @@
 	notSentPause = 50 * time.Millisecond
 	// minAttemptTime is the time that must remain for another attempt.
 	minAttemptTime = 30 * time.Millisecond
-	// maxBodyBytes bounds the body of a response that is not a stream.
+	// maxBodyBytes bounds the body of a response that is not a stream, and so what one response takes of the
+	// node's memory. A longer one fails.
 	maxBodyBytes = 64 << 20
 )
 
