Lines of a stream without end are given up at the event's bound

Cause: EventReader collected a line to its end with ReadBytes before it compared the event with maxEventBytes (1 MiB), so that a line without end filled the node's memory until the deadline, online and in items. Change: the size is checked as the line comes, a buffer at a time. Measured: TestEventReaderGivesUpLineWithoutEnd fails before this commit (4 MiB of a line are read, and the error is the end of the input) and passes with -race.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -41,18 +41,14 @@
 	var event Event
 	hasData := false
 	for {
-		line, err := r.reader.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(event.Raw)+len(line) > 0 {
+		begin := len(event.Raw)
+		if err := r.readLine(&event.Raw); err != nil {
+			if errors.Is(err, io.EOF) && len(event.Raw) > 0 {
 				return Event{}, io.ErrUnexpectedEOF
 			}
 			return Event{}, err
 		}
-		event.Raw = append(event.Raw, line...)
-		if len(event.Raw) > maxEventBytes {
-			return Event{}, errEventTooLong
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(event.Raw[begin:], "\r\n")
 		if len(line) == 0 {
 			return event, nil
 		}
@@ -60,6 +56,20 @@
 	}
 }
 
+// readLine appends the next line to an event. The event's size is checked as the line comes.
+func (r *EventReader) readLine(raw *[]byte) error {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(*raw)+len(part) > maxEventBytes {
+			return errEventTooLong
+		}
+		*raw = append(*raw, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
 func (e *Event) addLine(line []byte, hasData *bool) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
