Responses of engines are held within a budget of the node's memory

Cause: each response could take up to 64 MiB, and each event 1 MiB twice (with its data), however many were read at a time; only callers' bodies were counted against the node's memory. Change: what a response takes beyond 16 KiB is reserved, its copy included while it grows, in half of the budget of callers' bodies, so that requests go on being taken. A response for which no memory is left fails as one over the bound does. Data is parsed only of whole events. Items hold no reservation: their reads are paced, and end with the engine's silence. TestResponsesTogetherStayWithinMemory and TestBufferReservesWhatItHolds pass with -race.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -146,7 +146,8 @@
 	started, first := clock.Now(), r.last
 	r.commitAt = started.Add(firstCommitDelay)
 	defer func() { r.result.took, r.result.events = clock.Since(started), r.last-first }()
-	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: response, start: r.node.readStart, interval: r.node.readInterval})
+	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: response, start: r.node.readStart, interval: r.node.readInterval}, forward.Memory{})
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !response.Framed {
--- a/internal/edge/memory.go
+++ b/internal/edge/memory.go
@@ -8,9 +8,10 @@
 const memoryDivisor = 4
 
 // MemoryBudget bounds the memory that a node holds for its callers, which may be slow to send
-// and to read. A nil MemoryBudget doesn't bound it.
+// and to read, and for engines' responses. A nil MemoryBudget doesn't bound it.
 type MemoryBudget struct {
-	mutex sync.Mutex // guards free; no other lock is taken while it is held
+	whole *MemoryBudget // of which this one is a part; nil if none
+	mutex sync.Mutex    // guards free; only that of whole is taken while it is held
 	free  int64
 }
 
@@ -23,6 +24,17 @@
 	return &MemoryBudget{free: memory / memoryDivisor}
 }
 
+// Half returns a budget of half of the bytes, which are reserved in b too: what it bounds leaves the other
+// half to the rest.
+func (b *MemoryBudget) Half() *MemoryBudget {
+	if b == nil {
+		return nil
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return &MemoryBudget{whole: b, free: b.free / 2}
+}
+
 // Reserve reserves bytes, and returns false if fewer are free.
 func (b *MemoryBudget) Reserve(bytes int64) bool {
 	if b == nil {
@@ -30,7 +42,7 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if bytes > b.free {
+	if bytes > b.free || !b.whole.Reserve(bytes) {
 		return false
 	}
 	b.free -= bytes
@@ -45,4 +57,5 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.free += bytes
+	b.whole.Release(bytes)
 }
--- a/internal/edge/slow_caller_test.go
+++ b/internal/edge/slow_caller_test.go
@@ -137,6 +137,24 @@
 	g.Expect(e.MemoryBudget.Reserve(1000)).To(gomega.BeTrue(), "all memory must be released")
 }
 
+// Guards against responses that leave no memory for requests.
+func TestHalfOfMemoryLimitLeavesTheRest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	whole := NewMemoryBudget(memoryDivisor * 1000)
+	half := whole.Half()
+	g.Expect(half.Reserve(501)).To(gomega.BeFalse())
+	g.Expect(half.Reserve(500)).To(gomega.BeTrue())
+	g.Expect(whole.Reserve(501)).To(gomega.BeFalse(), "both are held in the same memory")
+	g.Expect(whole.Reserve(500)).To(gomega.BeTrue())
+	half.Release(500)
+	g.Expect(whole.Reserve(200)).To(gomega.BeTrue())
+	g.Expect(half.Reserve(301)).To(gomega.BeFalse())
+	whole.Release(700)
+	g.Expect(half.Reserve(500)).To(gomega.BeTrue(), "all memory must be released")
+	var unbounded *MemoryBudget
+	g.Expect(unbounded.Half().Reserve(1 << 40)).To(gomega.BeTrue())
+}
+
 // A body of unknown length must reserve the maximum only while it is read, then its own size.
 func TestMemoryLimitShrinksToBodySize(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -25,51 +25,63 @@
 	Data []byte
 }
 
-// EventReader reads the events of a stream.
+// EventReader reads the events of a stream. Its memory is released by Close.
 type EventReader struct {
 	reader *bufio.Reader
+	raw    buffer // of the last event
 }
 
-// NewEventReader returns a reader of the events in body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, 4<<10)}
+// NewEventReader returns a reader of the events in body, each of which is held in memory.
+func NewEventReader(body io.Reader, memory Memory) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, 4<<10), raw: buffer{memory: memory}}
 }
 
-// Next returns the next event. Its error is io.EOF at an end between events, and
-// io.ErrUnexpectedEOF at an end inside one.
+// Close releases the memory of the last event.
+func (r *EventReader) Close() { r.raw.free() }
+
+// Next returns the next event, and releases the memory of the last one. Its error is io.EOF at an end
+// between events, and io.ErrUnexpectedEOF at an end inside one.
 func (r *EventReader) Next() (Event, error) {
-	var event Event
-	hasData := false
+	r.raw.free()
 	for {
-		begin := len(event.Raw)
-		if err := r.readLine(&event.Raw); err != nil {
-			if errors.Is(err, io.EOF) && len(event.Raw) > 0 {
-				return Event{}, io.ErrUnexpectedEOF
+		begin := len(r.raw.bytes)
+		if err := r.readLine(); err != nil {
+			if errors.Is(err, io.EOF) && len(r.raw.bytes) > 0 {
+				err = io.ErrUnexpectedEOF
 			}
 			return Event{}, err
 		}
-		line := bytes.TrimRight(event.Raw[begin:], "\r\n")
-		if len(line) == 0 {
-			return event, nil
+		if len(bytes.TrimRight(r.raw.bytes[begin:], "\r\n")) == 0 {
+			return newEvent(r.raw.bytes), nil
 		}
-		event.addLine(line, &hasData)
 	}
 }
 
-// readLine appends the next line to an event. The event's size is checked as the line comes.
-func (r *EventReader) readLine(raw *[]byte) error {
+// readLine appends the next line to the event. The event's size is checked as the line comes.
+func (r *EventReader) readLine() error {
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		if len(*raw)+len(part) > maxEventBytes {
+		if len(r.raw.bytes)+len(part) > maxEventBytes {
 			return errEventTooLong
 		}
-		*raw = append(*raw, part...)
+		if memoryErr := r.raw.append(part); memoryErr != nil {
+			return memoryErr
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
 }
 
+// newEvent parses an event.
+func newEvent(raw []byte) Event {
+	event, hasData := Event{Raw: raw}, false
+	for line := range bytes.Lines(raw) {
+		event.addLine(bytes.TrimRight(line, "\r\n"), &hasData)
+	}
+	return event
+}
+
 func (e *Event) addLine(line []byte, hasData *bool) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -12,7 +12,7 @@
 func TestEventReaderReadsWholeEvents(t *testing.T) {
 	g := gomega.NewWithT(t)
 	body := "weights-version: 2\nid: 7\ndata: one\ndata: two\n\r\nid:8\ndata\n\n"
-	reader := NewEventReader(iotest.OneByteReader(strings.NewReader(body)))
+	reader := NewEventReader(iotest.OneByteReader(strings.NewReader(body)), Memory{})
 	first, err := reader.Next()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(first.Raw)).To(gomega.Equal("weights-version: 2\nid: 7\ndata: one\ndata: two\n\r\n"))
@@ -29,14 +29,14 @@
 func TestEventReaderRejectsTruncatedEvent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, body := range []string{"id: 1", "id: 1\ndata: x\n"} {
-		_, err := NewEventReader(strings.NewReader(body)).Next()
+		_, err := NewEventReader(strings.NewReader(body), Memory{}).Next()
 		g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF), body)
 	}
 }
 
 func TestEventReaderRejectsOverlongEvent(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, err := NewEventReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/8+2))).Next()
+	_, err := NewEventReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/8+2)), Memory{}).Next()
 	g.Expect(err).To(gomega.MatchError(errEventTooLong))
 }
 
@@ -45,7 +45,7 @@
 	g := gomega.NewWithT(t)
 	for _, begin := range []string{"", "data: ", "id: 1\ndata: "} {
 		body := &countingReader{reader: io.MultiReader(strings.NewReader(begin), endless("x"))}
-		_, err := NewEventReader(io.LimitReader(body, 4*maxEventBytes)).Next()
+		_, err := NewEventReader(io.LimitReader(body, 4*maxEventBytes), Memory{}).Next()
 		g.Expect(err).To(gomega.MatchError(errEventTooLong), begin)
 		g.Expect(body.count).To(gomega.BeNumerically("<=", maxEventBytes+8<<10), "it must be given up at the bound")
 	}
@@ -54,7 +54,7 @@
 func TestEventReaderReadsEventUpToBound(t *testing.T) {
 	g := gomega.NewWithT(t)
 	long := "data: " + strings.Repeat("x", maxEventBytes-len("data: \n\n")) + "\n\n"
-	reader := NewEventReader(strings.NewReader(long + "id: 2\n\n" + "x" + long))
+	reader := NewEventReader(strings.NewReader(long+"id: 2\n\n"+"x"+long), Memory{})
 	event, err := reader.Next()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(event.Raw)).To(gomega.Equal(long))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,6 +36,7 @@
 // attempt runs one exchange. done reports whether the sink has its response.
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (result attemptResult, done bool) {
 	fl.receivedEvent, fl.framed, fl.answered = false, false, false
+	fl.body.free()
 	fl.prompt.BeginAttempt()
 	if err := fl.checkSend(lease); err != nil {
 		return attemptResult{kind: OutcomeNotSent, cause: err, withheld: true}, false
@@ -179,28 +180,15 @@
 	return OutcomeUnknown
 }
 
-// readBody reads a whole body of at most maxBodyBytes.
-func readBody(response *upstream.Response) ([]byte, error) {
-	if response.Length > maxBodyBytes {
-		return nil, errBodyTooLong
-	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errBodyTooLong
-	}
-	return body, err
-}
-
 // handleFailure reads an error response of an engine that ran the request.
 func (fl *inflight) handleFailure(response *upstream.Response) (attemptResult, bool) {
-	body, err := readBody(response)
-	if err != nil {
+	if err := fl.body.readAll(response, response.Length, maxBodyBytes); err != nil {
 		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 	}
 	if fl.streamStarted {
 		return attemptResult{kind: OutcomeBroken, cause: statusError(response.Status)}, false
 	}
-	result := attemptResult{kind: OutcomeFailed, cause: statusError(response.Status), response: response, body: body}
+	result := attemptResult{kind: OutcomeFailed, cause: statusError(response.Status), response: response, body: fl.body.bytes}
 	if retryableStatus(response.Status) {
 		return result, false
 	}
@@ -216,7 +204,8 @@
 }
 
 func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
-	body, err := readBody(response)
+	err := fl.body.readAll(response, response.Length, maxBodyBytes)
+	body := fl.body.bytes
 	if err == nil {
 		err = fl.checkEnd(ctx, engine, len(body) > 0)
 	}
@@ -256,7 +245,8 @@
 
 // sendStream forwards whole events as they arrive.
 func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence *silenceWatch, watch *paceWatch) (attemptResult, bool) {
-	events := NewEventReader(response)
+	events := NewEventReader(response, fl.Memory)
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/forward/flood_test.go
+++ b/internal/forward/flood_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +121,91 @@
 		})
 	}
 }
+
+// countedMemory grants up to most bytes and notes the most that were held.
+type countedMemory struct {
+	mutex            sync.Mutex
+	most, held, peak int64
+}
+
+func (m *countedMemory) reserve(bytes int64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.held+bytes > m.most {
+		return false
+	}
+	m.held += bytes
+	m.peak = max(m.peak, m.held)
+	return true
+}
+
+func (m *countedMemory) release(bytes int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.held -= bytes
+}
+
+// Guards against nodes whose memory responses fill that are each within their bound.
+func TestResponsesTogetherStayWithinMemory(t *testing.T) {
+	for _, test := range []struct {
+		name, text string
+		route      catalog.Route
+	}{
+		{"bodies", "more", catalog.Route{Attempts: 2}},
+		{"bodies that may run again", "more", catalog.Route{Attempts: 2, Repeatable: true}},
+		{"lines", "more", catalog.Route{Kind: catalog.KindStream, Attempts: 1}},
+		{"events", "data: more\n", catalog.Route{Kind: catalog.KindStream, Attempts: 1}},
+		{"events that may run again", "data: more\n", catalog.Route{Kind: catalog.KindStream, Attempts: 2, Resumable: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFloodTest(t, func(w http.ResponseWriter, _ *http.Request) error { return repeat(w, test.text, 0) })
+			memory := &countedMemory{most: 1 << 20}
+			f.Memory = Memory{Reserve: memory.reserve, Release: memory.release}
+			var requests sync.WaitGroup
+			sinks := make([]*streamSink, 8)
+			for i := range sinks {
+				requests.Go(func() { sinks[i] = f.send(t, test.route) })
+			}
+			requests.Wait()
+			failed := int32(0)
+			for _, sink := range sinks {
+				if sink.verdict == VerdictUnknown {
+					failed++
+				} else {
+					g.Expect(sink.ended || sink.status == http.StatusOK).To(gomega.BeTrue())
+				}
+			}
+			if test.route.MayRunAgain() {
+				g.Expect(failed).To(gomega.BeZero())
+			} else {
+				g.Expect(failed).To(gomega.Equal(f.begun[0].Load()))
+			}
+			g.Expect(memory.peak).To(gomega.BeNumerically(">", freeBytes), "the responses must have been held")
+			g.Expect(memory.held).To(gomega.BeZero(), "all memory must be released")
+		})
+	}
+}
+
+// Guards against responses of usual size that fail as others hold all memory, and long ones whose memory
+// is held too briefly or counted once while it is copied.
+func TestBufferReservesWhatItHolds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	memory := &countedMemory{}
+	b := buffer{memory: Memory{Reserve: memory.reserve, Release: memory.release}}
+	for _, length := range []int64{-1, freeBytes - 1} {
+		b.free()
+		g.Expect(b.readAll(strings.NewReader(strings.Repeat("x", freeBytes-1)), length, maxBodyBytes)).To(gomega.Succeed())
+		g.Expect(memory.peak).To(gomega.BeZero())
+	}
+	b.free()
+	g.Expect(b.readAll(endless("x"), -1, maxBodyBytes)).To(gomega.MatchError(errNoMemory))
+	memory.most = 8 * freeBytes
+	b.free()
+	g.Expect(b.readAll(strings.NewReader(strings.Repeat("x", 3*freeBytes)), -1, maxBodyBytes)).To(gomega.Succeed())
+	g.Expect(b.bytes).To(gomega.HaveLen(3 * freeBytes))
+	g.Expect(memory.held).To(gomega.BeEquivalentTo(cap(b.bytes)))
+	g.Expect(memory.peak).To(gomega.BeEquivalentTo(cap(b.bytes) + 2*freeBytes))
+	b.free()
+	g.Expect(memory.held).To(gomega.BeZero())
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -62,6 +62,8 @@
 	Resumed func(began, next catalog.Release)
 	// Guard holds requests suspected of crashing engines; nil holds none.
 	Guard *poison.Guard
+	// Memory bounds the memory held for responses.
+	Memory Memory
 	// Returns tells callers of requests that found no room when to return; may be nil.
 	Returns *ReturnTimes
 }
@@ -118,6 +120,7 @@
 	answered      bool // the last response was whole and not empty
 	toldRetry     time.Duration
 	verdict       string
+	body          buffer              // of the last response that is no stream
 	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
 	prompt        *poison.Prompt
@@ -129,7 +132,7 @@
 	fl := &inflight{
 		Forwarder: f, request: request, route: route, sink: sink, attempts: NewAttempts(route),
 		deadline: request.Deadline, service: f.Balancer.Service(route), lastEvent: request.LastEvent,
-		prompt: poison.NewPrompt(request.SharedParts),
+		prompt: poison.NewPrompt(request.SharedParts), body: buffer{memory: f.Memory},
 	}
 	if route.Timeout > 0 {
 		limit := request.Arrived.Add(route.Timeout)
@@ -142,6 +145,7 @@
 		ctx, cancel = context.WithTimeout(ctx, clock.Until(fl.deadline))
 		defer cancel()
 	}
+	defer fl.body.free()
 	if fl.findOrigin(ctx) {
 		fl.run(ctx)
 	}
--- a/internal/system/front.go
+++ b/internal/system/front.go
@@ -80,11 +80,13 @@
 	f.registerGauges(origins.store.gauges())
 	f.returnTimes = &forward.ReturnTimes{Active: common.overloadActive, Observe: requests.observeReturn}
 	f.shares = newShareGate(f)
+	memory := edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20)
+	responses := memory.Half()
 	f.edge = &edge.Edge{
 		Admit: f.quota.admit, Withdraw: f.quota.withdraw, Share: f.shares.decide, RetryAfter: f.shares.retryAfter,
 		Dialect:              adapter.Callers,
 		Refused:              tenants.Add,
-		MemoryBudget:         edge.NewMemoryBudget(int64(settings.Memory.Limit) << 20),
+		MemoryBudget:         memory,
 		Snapshot:             f.catalog.Snapshot,
 		ConfigurationCurrent: func() bool { return f.configurationAge() <= settings.Platform.Apply },
 		ConfigurationExpired: func() bool {
@@ -101,6 +103,7 @@
 			},
 			Resumed: requests.observeResumed, Origin: origins.find, Began: origins.began,
 			Refresh: f.refreshLoad, Chosen: f.reportEngineChosen, Guard: f.guard, Returns: f.returnTimes,
+			Memory: forward.Memory{Reserve: responses.Reserve, Release: responses.Release},
 		},
 		Jobs: batchwork.NewCaller(batchwork.CallerOptions{
 			Directory: f.ledger, Sender: f.peers, Near: f.nearReplica, RegionPolicy: f.jobRegionPolicy, InRegion: f.inShardRegion,
