Streams leave engines that send without progress

Cause: each block of lines counted as an event of the stream. A comment began the stream and, as it has no number, bound it to its engine for good; an event sent again and again was dropped, and yet restarted the time after which a silent engine is left. An engine that sends such bytes without end held the stream until its deadline. Change: blocks with neither a number nor data are no progress. Those before the first event are kept, up to 8 KiB, and passed on with it; more of them fail the attempt. Of one exchange only events with rising numbers are progress. Such an engine is left like a silent one.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -21,10 +21,14 @@
 	// ID is the event's number; HasID is false if it has none.
 	ID    uint64
 	HasID bool
-	// Data holds the values of the data lines, joined by line feeds.
-	Data []byte
+	// Data holds the values of the data lines, joined by line feeds; HasData is false if there are none.
+	Data    []byte
+	HasData bool
 }
 
+// isComment reports whether receivers ignore the event, as it has neither a number nor data.
+func (e *Event) isComment() bool { return !e.HasID && !e.HasData }
+
 // EventReader reads the events of a stream. Its memory is released by Close.
 type EventReader struct {
 	reader *bufio.Reader
@@ -75,14 +79,14 @@
 
 // newEvent parses an event.
 func newEvent(raw []byte) Event {
-	event, hasData := Event{Raw: raw}, false
+	event := Event{Raw: raw}
 	for line := range bytes.Lines(raw) {
-		event.addLine(bytes.TrimRight(line, "\r\n"), &hasData)
+		event.addLine(bytes.TrimRight(line, "\r\n"))
 	}
 	return event
 }
 
-func (e *Event) addLine(line []byte, hasData *bool) {
+func (e *Event) addLine(line []byte) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
@@ -91,10 +95,10 @@
 			e.ID, e.HasID = number, true
 		}
 	case "data":
-		if *hasData {
+		if e.HasData {
 			e.Data = append(e.Data, '\n')
 		}
-		*hasData = true
+		e.HasData = true
 		e.Data = append(e.Data, value...)
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -142,6 +142,7 @@
 
 var (
 	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
+	errNoEvent       = errors.New("the stream has comments and no event")
 	errBodyTooLong   = errors.New("the response's body is too long")
 	errEngineGone    = errors.New("the engine takes no connections after its response ended with the connection")
 	errRegions       = errors.New("the engine's region is no longer allowed for the request")
@@ -247,36 +248,71 @@
 func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence *silenceWatch, watch *paceWatch) (attemptResult, bool) {
 	events := NewEventReader(response, fl.Memory)
 	defer events.Close()
+	fl.comments = nil
+	newest := uint64(0) // event of this exchange
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if err := fl.checkEnd(ctx, lease.Engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
-				return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+			return fl.streamEnded(ctx, lease.Engine, response, silence)
+		}
+		if err == nil && event.isComment() && !fl.streamStarted {
+			if err = fl.keepComment(event); err == nil {
+				continue
 			}
-			silence.stop() // the caller may be slow to read
-			fl.Balancer.RecordSuccess(lease.Engine.ID)
-			fl.answered = fl.receivedEvent
-			return fl.endStream(response), true
 		}
 		if err != nil {
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 		}
-		silence.event(event.HasID)
-		lease.PrefillDone()
-		fl.receivedEvent = true
-		fl.Guard.EventReceived(fl.prompt)
-		watch.event(event.HasID)
-		if event.HasID && fl.streamStarted && event.ID <= fl.lastEvent {
-			silence.await()
-			continue
+		if event.HasID && fl.streamStarted && event.ID <= newest {
+			continue // no progress
 		}
-		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
+		if err := fl.passOn(lease, response, event, silence, watch); err != nil {
 			fl.callerLeft(err)
 			fl.sink.Abort()
 			return attemptResult{}, true
 		}
-		silence.await()
+		newest = max(newest, event.ID)
+	}
+}
+
+// streamEnded ends a stream whose engine ended it.
+func (fl *inflight) streamEnded(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
+	if err := fl.checkEnd(ctx, engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
+		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+	}
+	silence.stop() // the caller may be slow to read
+	fl.Balancer.RecordSuccess(engine.ID)
+	fl.answered = fl.receivedEvent
+	return fl.endStream(response), true
+}
+
+// passOn passes an event on to the caller, unless it has it. A comment isn't progress of its engine.
+func (fl *inflight) passOn(lease *balance.Lease, response *upstream.Response, event Event, silence *silenceWatch, watch *paceWatch) error {
+	if event.isComment() {
+		return fl.sink.WriteEvent(event.Raw)
+	}
+	silence.event(event.HasID)
+	lease.PrefillDone()
+	fl.receivedEvent = true
+	fl.Guard.EventReceived(fl.prompt)
+	watch.event(event.HasID)
+	if !event.HasID || !fl.streamStarted || event.ID > fl.lastEvent {
+		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
+			return err
+		}
 	}
+	silence.await()
+	return nil
+}
+
+// keepComment keeps a comment that comes before a stream's first event. The stream hasn't begun with it, as
+// its engine may send nothing else.
+func (fl *inflight) keepComment(event Event) error {
+	if len(fl.comments)+len(event.Raw) > maxCommentBytes {
+		return errNoEvent
+	}
+	fl.comments = append(fl.comments, event.Raw...)
+	return nil
 }
 
 func (fl *inflight) sendEvent(engine catalog.Engine, response *upstream.Response, event Event) error {
@@ -287,6 +323,7 @@
 		if err := fl.sink.BeginStream(response.Status, response.Header); err != nil {
 			return err
 		}
+		event.Raw = append(fl.comments, event.Raw...)
 	}
 	if event.HasID {
 		fl.lastEvent = event.ID
@@ -296,7 +333,7 @@
 
 func (fl *inflight) endStream(response *upstream.Response) attemptResult {
 	if !fl.streamStarted {
-		fl.responseSent(fl.sink.WriteResponse(response.Status, response.Header, nil))
+		fl.responseSent(fl.sink.WriteResponse(response.Status, response.Header, fl.comments))
 		return attemptResult{}
 	}
 	fl.responseSent(fl.sink.EndStream())
--- a/internal/forward/flood_test.go
+++ b/internal/forward/flood_test.go
@@ -209,3 +209,59 @@
 	b.free()
 	g.Expect(memory.held).To(gomega.BeZero())
 }
+
+// Guards against streams that stay at an engine whose bytes bring them no further.
+func TestStreamLeavesEngineWithoutProgress(t *testing.T) {
+	for _, test := range []struct {
+		name, begin, repeated string
+	}{
+		{"comments", "", ": more\n\n"},
+		{"blank lines", "", "\n"},
+		{"comments after an event", "id: 1\ndata: 1\n\n", ": more\n\n"},
+		{"one event again and again", "", "id: 1\ndata: 1\n\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			f := newFloodTest(t, func(w http.ResponseWriter, r *http.Request) error {
+				if _, err := io.WriteString(w, test.begin); err != nil {
+					return err
+				}
+				for {
+					if _, err := io.WriteString(w, test.repeated); err != nil {
+						return err
+					}
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			started := time.Now()
+			sink := f.send(t, catalog.Route{Kind: catalog.KindStream, Attempts: 2, Resumable: true})
+			g.Expect(sink.ended).To(gomega.BeTrue())
+			g.Expect(f.begun[1].Load()).To(gomega.BeEquivalentTo(1))
+			g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 3*silenceTimeout))
+			g.Eventually(f.cut.Load).Should(gomega.BeEquivalentTo(1))
+		})
+	}
+}
+
+// rawSink records the bytes of a stream.
+type rawSink struct {
+	recordingSink
+	raw string
+}
+
+func (s *rawSink) WriteEvent(raw []byte) error {
+	s.raw += string(raw)
+	return nil
+}
+
+// Guards against comments that are lost or moved on their way.
+func TestCommentsOfStreamPassedOn(t *testing.T) {
+	const stream = ": one\n\n\n: two\n\nid: 1\ndata: 1\n\n: three\n\nid: 2\ndata: 2\n\n: four\n\n"
+	g := gomega.NewWithT(t)
+	f := newFloodTest(t, func(w http.ResponseWriter, _ *http.Request) error { return repeat(w, stream, len(stream)) })
+	sink, route := &rawSink{}, &catalog.Route{Kind: catalog.KindStream, Attempts: 1, Target: time.Hour, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	f.Serve(t.Context(), &Request{ID: "one", Method: http.MethodPost, URI: "/", Host: "h", Arrived: time.Now()}, route, sink)
+	g.Expect(sink.raw).To(gomega.Equal(stream))
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -31,6 +31,9 @@
 	// maxBodyBytes bounds the body of a response that is not a stream, and so what one response takes of the
 	// node's memory. A longer one fails.
 	maxBodyBytes = 64 << 20
+	// maxCommentBytes bounds the comments before a stream's first event. Engines send some to keep idle
+	// connections open, of a few bytes each.
+	maxCommentBytes = 8 << 10
 )
 
 // Forwarder forwards requests to engines. Its methods may be called concurrently.
@@ -120,6 +123,7 @@
 	answered      bool // the last response was whole and not empty
 	toldRetry     time.Duration
 	verdict       string
+	comments      []byte              // before the first event of a stream that has not begun
 	body          buffer              // of the last response that is no stream
 	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
