Items leave engines that send without progress

Cause: any event restarted the time after which a silent engine is left, also one without a number or with a number that had come before, of which an item keeps nothing. An engine that sends those without end held the item until it was given up, which is hours. Change: only events with rising numbers restart it. The item goes on elsewhere after its last text. Measured: TestRunLeavesEngineWithoutProgress fails before this commit in its three cases ("the run must end by the engine's silence") and passes with -race; the platform test of items with comments without end fails on (2 of 4 results after 30 s) and passes.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -148,6 +148,7 @@
 	defer func() { r.result.took, r.result.events = clock.Since(started), r.last-first }()
 	events := forward.NewEventReader(&pacedReader{ctx: ctx, stream: response, start: r.node.readStart, interval: r.node.readInterval}, forward.Memory{})
 	defer events.Close()
+	newest := uint64(0) // event of this run's stream
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !response.Framed {
@@ -167,9 +168,13 @@
 			r.hooks.callEnded()
 			return r.handleInterruption(ctx, r.lossOf(exchangeCtx, err), err, isClosed(silence))
 		}
-		timer.Reset(engineSilenceTimeout)
 		r.node.guard.EventReceived(r.prompt)
-		if !event.HasID || event.ID <= r.last {
+		if !event.HasID || event.ID <= newest {
+			continue // no progress
+		}
+		newest = event.ID
+		timer.Reset(engineSilenceTimeout)
+		if event.ID <= r.last {
 			continue
 		}
 		if r.last == first {
