Idle connections on which engines go on sending are closed

Cause: bytes behind a whole response were seen only when the next request took the connection; until then, or until the idle timeout, an engine could send as much as the kernel keeps, on 16 connections to each engine. Change: Prune, once a second, closes idle connections on which something has come, as get does.

--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -115,3 +115,30 @@
 	g.Expect(err).To(gomega.MatchError(errForeignResponse))
 	g.Eventually(closed.Load).Should(gomega.BeEquivalentTo(1))
 }
+
+// Guards against idle connections on which an engine goes on sending until a request meets them.
+func TestPruneClosesIdleConnectionWithSurplusBytes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	surplus, closed := make(chan struct{}), make(chan struct{})
+	address := startEngine(t, func(conn net.Conn, reader *bufio.Reader) {
+		defer close(closed)
+		id, _ := readRequest(reader)
+		respond(conn, id, "body")
+		<-surplus
+		for {
+			if _, err := io.WriteString(conn, strings.Repeat("more", 1024)); err != nil {
+				return
+			}
+		}
+	})
+	pool, wanted := NewPool(plainDialect{}), func(string, string) bool { return true }
+	_, err := exchange(pool, address, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	pool.Prune(time.Now(), wanted)
+	g.Consistently(closed, 50*time.Millisecond).ShouldNot(gomega.BeClosed(), "a usable connection must be kept")
+	close(surplus)
+	g.Eventually(func() <-chan struct{} {
+		pool.Prune(time.Now(), wanted)
+		return closed
+	}).Should(gomega.BeClosed())
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -249,7 +249,8 @@
 	return err == nil && empty
 }
 
-// Prune closes idle connections that have expired or whose engine is not wanted any more.
+// Prune closes idle connections that have expired, on which something came, or whose engine is not wanted
+// any more.
 func (p *Pool) Prune(now time.Time, wanted func(address, engineID string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -258,7 +259,7 @@
 		engineWanted := wanted(address, engineID)
 		kept := idle[:0]
 		for _, c := range idle {
-			if engineWanted && now.Before(c.idleDeadline) {
+			if engineWanted && now.Before(c.idleDeadline) && c.usable() {
 				kept = append(kept, c)
 			} else {
 				c.Close()
