OpenAI server: bytes behind a whole stream don't hold its request

Cause: after [DONE] the stream was read to its end so that the connection could be used again, so that a request whose answer was whole waited as long as its engine sent more. Change: at most 16 KiB are read; with more the connection is closed.

--- a/internal/engine/openaihttp/stream.go
+++ b/internal/engine/openaihttp/stream.go
@@ -15,6 +15,9 @@
 // readBuffer is the size of the read buffer for a response, in bytes.
 const readBuffer = 4 << 10
 
+// maxDrain bounds what is read behind the last event of a response, in bytes.
+const maxDrain = 16 << 10
+
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
 
 // streamReader reads one streamed response and passes its tokens to sink.
@@ -86,13 +89,10 @@
 	}
 }
 
-// drain reads to the end of the response, so that its connection can be reused.
+// drain reads to the end of the response, so that its connection can be reused. If more than maxDrain bytes
+// follow, the connection isn't worth them.
 func (r *streamReader) drain() {
-	for {
-		if _, err := r.reader.ReadSlice('\n'); err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return
-		}
-	}
+	_, _ = io.CopyN(io.Discard, r.reader, maxDrain)
 }
 
 // readLine returns the next line without its line ending, valid until the next call.
