OpenAI server: lines of a stream are bounded

Cause: a line longer than the read buffer was collected to its end, so that one without end filled the memory until the request's deadline. Change: a line of more than 1 MiB ends the stream with its fate unknown. Measured: the case "line" of TestGenerateGivesUpStreamWithoutEnd fails before this commit (given up by its deadline only) and passes.

--- a/internal/engine/openaihttp/flood_test.go
+++ b/internal/engine/openaihttp/flood_test.go
@@ -49,6 +49,7 @@
 // Guards against requests that read a line of their stream, or what comes behind it, without end.
 func TestGenerateGivesUpStreamWithoutEnd(t *testing.T) {
 	for _, test := range []struct{ name, begin, repeated string }{
+		{"line", "data: ", "more"},
 		{"lines behind the end", wholeStream, "more\n"},
 		{"line behind the end", wholeStream, "more"},
 	} {
--- a/internal/engine/openaihttp/stream.go
+++ b/internal/engine/openaihttp/stream.go
@@ -15,6 +15,11 @@
 // readBuffer is the size of the read buffer for a response, in bytes.
 const readBuffer = 4 << 10
 
+// maxLine bounds a line of a response that is longer than the read buffer, in bytes.
+const maxLine = 1 << 20
+
+var errLineTooLong = errors.New("openaihttp: a line of the response is too long")
+
 // maxDrain bounds what is read behind the last event of a response, in bytes.
 const maxDrain = 16 << 10
 
@@ -101,6 +106,9 @@
 	if errors.Is(err, bufio.ErrBufferFull) {
 		r.longLine = append(r.longLine[:0], line...)
 		for errors.Is(err, bufio.ErrBufferFull) {
+			if len(r.longLine) > maxLine {
+				return nil, errLineTooLong
+			}
 			line, err = r.reader.ReadSlice('\n')
 			r.longLine = append(r.longLine, line...)
 		}
