OpenAI server: responses to control requests are bounded

Cause: load reports and answers to orders were read whole; one without end filled the memory for the 2 s of a control request. Change: more than 1 MiB fails the request.

--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -66,6 +66,9 @@
 // maxIdlePerEngine limits the idle connections per engine.
 const maxIdlePerEngine = 256
 
+// maxControlBody bounds the body of a response to a control request, in bytes; a load report takes some KiB.
+const maxControlBody = 1 << 20
+
 // NewTransport returns a transport for streaming from many engines.
 func NewTransport(connectTimeout time.Duration) *http.Transport {
 	if connectTimeout <= 0 {
@@ -102,7 +105,8 @@
 	base := "http://" + address
 	control := resty.NewWithClient(&http.Client{Transport: transport}).
 		SetBaseURL(base).
-		SetTimeout(options.ControlTimeout)
+		SetTimeout(options.ControlTimeout).
+		SetResponseBodyLimit(maxControlBody)
 	return &Client{
 		name:    name,
 		baseURL: base,
--- a/internal/engine/openaihttp/flood_test.go
+++ b/internal/engine/openaihttp/flood_test.go
@@ -69,3 +69,14 @@
 		})
 	}
 }
+
+// Guards against load reports that are read without end.
+func TestLoadGivesUpReportWithoutEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client, closed := floodClient(t, "", "engine_running 1\n")
+	started := time.Now()
+	_, err := client.Load(t.Context())
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", floodTimeout), "it must be given up before its time")
+	g.Eventually(closed).Should(gomega.Receive())
+}
