OpenAI server: heads of responses are bounded

Cause: net/http bounds a head at 10 MiB, whose lines take several times that in memory, for each request. Change: a head of more than 32 KiB fails the request, as at the platform's nodes. Measured: TestGenerateGivesUpLongHead (64 KiB) fails before this commit (no error) and passes.

--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -66,6 +66,9 @@
 // maxIdlePerEngine limits the idle connections per engine.
 const maxIdlePerEngine = 256
 
+// maxHeadBytes bounds the head of a response, in bytes. Header lines take several times their size in memory.
+const maxHeadBytes = 32 << 10
+
 // maxControlBody bounds the body of a response to a control request, in bytes; a load report takes some KiB.
 const maxControlBody = 1 << 20
 
@@ -75,10 +78,11 @@
 		connectTimeout = DefaultConnectTimeout
 	}
 	return &http.Transport{
-		DialContext:         dialer(connectTimeout),
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            dialer(connectTimeout),
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/engine/openaihttp/flood_test.go
+++ b/internal/engine/openaihttp/flood_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +81,18 @@
 	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", floodTimeout), "it must be given up before its time")
 	g.Eventually(closed).Should(gomega.Receive())
 }
+
+// Guards against heads up to the bound of net/http, 10 MiB.
+func TestGenerateGivesUpLongHead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 64 {
+			w.Header().Set("X-More-"+strconv.Itoa(i), strings.Repeat("m", 1<<10))
+		}
+		_, _ = io.WriteString(w, wholeStream)
+	}))
+	defer server.Close()
+	client := openaihttp.New("e", strings.TrimPrefix(server.URL, "http://"), openaihttp.Options{})
+	_, err := client.Generate(t.Context(), completion("a", "x", 1), func(engine.Chunk) error { return nil })
+	g.Expect(fateOf(err)).To(gomega.Equal(engine.FateUnknown))
+}
