--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -66,16 +66,23 @@
 // maxIdlePerEngine limits the idle connections per engine.
 const maxIdlePerEngine = 256
 
+// maxHeadBytes bounds the head of a response, in bytes. Header lines take several times their size in memory.
+const maxHeadBytes = 32 << 10
+
+// maxControlBody bounds the body of a response to a control request, in bytes; a load report takes some KiB.
+const maxControlBody = 1 << 20
+
 // NewTransport returns a transport for streaming from many engines.
 func NewTransport(connectTimeout time.Duration) *http.Transport {
 	if connectTimeout <= 0 {
 		connectTimeout = DefaultConnectTimeout
 	}
 	return &http.Transport{
-		DialContext:         dialer(connectTimeout),
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            dialer(connectTimeout),
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -102,7 +109,8 @@
 	base := "http://" + address
 	control := resty.NewWithClient(&http.Client{Transport: transport}).
 		SetBaseURL(base).
-		SetTimeout(options.ControlTimeout)
+		SetTimeout(options.ControlTimeout).
+		SetResponseBodyLimit(maxControlBody)
 	return &Client{
 		name:    name,
 		baseURL: base,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,6 +42,7 @@
 // attempt runs one exchange. done reports whether the sink has its response.
 func (fl *inflight) attempt(ctx context.Context, lease *balance.Lease) (result attemptResult, done bool) {
 	fl.receivedEvent, fl.framed, fl.answered = false, false, false
+	fl.body.free()
 	fl.prompt.BeginAttempt()
 	if err := fl.checkSend(lease); err != nil {
 		return attemptResult{kind: OutcomeNotSent, cause: err, withheld: true}, false
@@ -147,6 +148,8 @@
 
 var (
 	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
+	errNoEvent       = errors.New("the stream has comments and no event")
+	errBodyTooLong   = errors.New("the response's body is too long")
 	errEngineGone    = errors.New("the engine takes no connections after its response ended with the connection")
 	errRegions       = errors.New("the engine's region is no longer allowed for the request")
 	errRelease       = errors.New("the engine's software isn't of the release that began the stream")
@@ -186,14 +189,13 @@
 
 // handleFailure reads an error response of an engine that ran the request.
 func (fl *inflight) handleFailure(response *upstream.Response) (attemptResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
-	if err != nil {
+	if err := fl.body.readAll(response, response.Length, maxBodyBytes); err != nil {
 		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 	}
 	if fl.streamStarted {
 		return attemptResult{kind: OutcomeBroken, cause: statusError(response.Status)}, false
 	}
-	result := attemptResult{kind: OutcomeFailed, cause: statusError(response.Status), response: response, body: body}
+	result := attemptResult{kind: OutcomeFailed, cause: statusError(response.Status), response: response, body: fl.body.bytes}
 	if retryableStatus(response.Status) {
 		return result, false
 	}
@@ -209,7 +211,8 @@
 }
 
 func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
+	err := fl.body.readAll(response, response.Length, maxBodyBytes)
+	body := fl.body.bytes
 	if err == nil {
 		err = fl.checkEnd(ctx, engine, len(body) > 0)
 	}
@@ -249,17 +252,18 @@
 
 // sendStream forwards whole events as they arrive.
 func (fl *inflight) sendStream(ctx context.Context, lease *balance.Lease, response *upstream.Response, silence *silenceWatch, watch *paceWatch) (attemptResult, bool) {
-	events := NewEventReader(response)
+	events := NewEventReader(response, fl.Memory)
+	defer events.Close()
+	fl.comments = nil
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if err := fl.checkEnd(ctx, lease.Engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
-				return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+			return fl.streamEnded(ctx, lease.Engine, response, silence)
+		}
+		if err == nil && event.isComment() && !fl.streamStarted {
+			if err = fl.keepComment(event); err == nil {
+				continue
 			}
-			silence.stop() // the caller may be slow to read
-			fl.Balancer.RecordSuccess(lease.Engine.ID)
-			fl.answered = fl.receivedEvent
-			return fl.endStream(response), true
 		}
 		if err != nil {
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
@@ -267,17 +271,11 @@
 		if err := fl.checkNumber(lease.Engine, &event); err != nil {
 			return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 		}
-		silence.event(event.HasID)
-		lease.PrefillDone()
-		fl.receivedEvent = true
-		fl.Guard.EventReceived(fl.prompt)
-		watch.event(event.HasID)
-		if err := fl.sendEvent(lease.Engine, response, event); err != nil {
+		if err := fl.passOn(lease, response, event, silence, watch); err != nil {
 			fl.callerLeft(err)
 			fl.sink.Abort()
 			return attemptResult{}, true
 		}
-		silence.await()
 	}
 }
 
@@ -296,6 +294,44 @@
 	return err
 }
 
+// streamEnded ends a stream whose engine ended it.
+func (fl *inflight) streamEnded(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
+	if err := fl.checkEnd(ctx, engine, fl.receivedEvent || fl.lastEvent > 0); err != nil {
+		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
+	}
+	silence.stop() // the caller may be slow to read
+	fl.Balancer.RecordSuccess(engine.ID)
+	fl.answered = fl.receivedEvent
+	return fl.endStream(response), true
+}
+
+// passOn passes an event on to the caller. A comment isn't progress of its engine.
+func (fl *inflight) passOn(lease *balance.Lease, response *upstream.Response, event Event, silence *silenceWatch, watch *paceWatch) error {
+	if event.isComment() {
+		return fl.sink.WriteEvent(event.Raw)
+	}
+	silence.event(event.HasID)
+	lease.PrefillDone()
+	fl.receivedEvent = true
+	fl.Guard.EventReceived(fl.prompt)
+	watch.event(event.HasID)
+	if err := fl.sendEvent(lease.Engine, response, event); err != nil {
+		return err
+	}
+	silence.await()
+	return nil
+}
+
+// keepComment keeps a comment that comes before a stream's first event. The stream hasn't begun with it, as
+// its engine may send nothing else.
+func (fl *inflight) keepComment(event Event) error {
+	if len(fl.comments)+len(event.Raw) > maxCommentBytes {
+		return errNoEvent
+	}
+	fl.comments = append(fl.comments, event.Raw...)
+	return nil
+}
+
 func (fl *inflight) sendEvent(engine catalog.Engine, response *upstream.Response, event Event) error {
 	fl.recordOrigin(engine)
 	if !fl.streamStarted {
@@ -304,6 +340,7 @@
 		if err := fl.sink.BeginStream(response.Status, response.Header); err != nil {
 			return err
 		}
+		event.Raw = append(fl.comments, event.Raw...)
 	}
 	if event.HasID {
 		fl.lastEvent = event.ID
@@ -314,7 +351,7 @@
 
 func (fl *inflight) endStream(response *upstream.Response) attemptResult {
 	if !fl.streamStarted {
-		fl.responseSent(fl.sink.WriteResponse(response.Status, response.Header, nil))
+		fl.responseSent(fl.sink.WriteResponse(response.Status, response.Header, fl.comments))
 		return attemptResult{}
 	}
 	fl.responseSent(fl.sink.EndStream())
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -30,8 +30,12 @@
 	notSentPause = 50 * time.Millisecond
 	// minAttemptTime is the time that must remain for another attempt.
 	minAttemptTime = 30 * time.Millisecond
-	// maxBodyBytes bounds the body of a response that is not a stream.
+	// maxBodyBytes bounds the body of a response that is not a stream, and so what one response takes of the
+	// node's memory. A longer one fails.
 	maxBodyBytes = 64 << 20
+	// maxCommentBytes bounds the comments before a stream's first event. Engines send some to keep idle
+	// connections open, of a few bytes each.
+	maxCommentBytes = 8 << 10
 )
 
 // Forwarder forwards requests to engines. Its methods may be called concurrently.
@@ -63,6 +67,8 @@
 	Resumed func(began, next catalog.Release)
 	// Guard holds requests suspected of crashing engines; nil holds none.
 	Guard *poison.Guard
+	// Memory bounds the memory held for responses.
+	Memory Memory
 	// Returns tells callers of requests that found no room when to return; may be nil.
 	Returns *ReturnTimes
 	// Misnumbered is the number of answers that were ended because of the number of an event.
@@ -123,6 +129,8 @@
 	answered      bool // the last response was whole and not empty
 	toldRetry     time.Duration
 	verdict       string
+	comments      []byte              // before the first event of a stream that has not begun
+	body          buffer              // of the last response that is no stream
 	next          *balance.Lease      // reserved for the next attempt; nil if none is
 	print         *poison.Fingerprint // of the request; nil until first used
 	prompt        *poison.Prompt
@@ -134,7 +142,7 @@
 	fl := &inflight{
 		Forwarder: f, request: request, route: route, sink: sink, attempts: NewAttempts(route),
 		deadline: request.Deadline, service: f.Balancer.Service(route), lastEvent: request.LastEvent,
-		prompt: poison.NewPrompt(request.SharedParts),
+		prompt: poison.NewPrompt(request.SharedParts), body: buffer{memory: f.Memory},
 	}
 	if route.Timeout > 0 {
 		limit := request.Arrived.Add(route.Timeout)
@@ -147,6 +155,7 @@
 		ctx, cancel = context.WithTimeout(ctx, clock.Until(fl.deadline))
 		defer cancel()
 	}
+	defer fl.body.free()
 	if fl.findOrigin(ctx) {
 		fl.run(ctx)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -66,6 +67,7 @@
 // connection is a TCP connection to an engine that serves one call at a time.
 type connection struct {
 	net.Conn
+	source *boundedReader // of reader
 	reader *bufio.Reader
 	key    string
 	// idleDeadline is when the connection must be closed if it is idle.
@@ -135,7 +137,8 @@
 		_, engineID, _ := strings.Cut(key, "|")
 		p.Connected(engineID, clock.Since(started))
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), key: key}, nil
+	source := &boundedReader{Reader: conn, left: math.MaxInt}
+	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize), key: key}, nil
 }
 
 // Prepare makes sure that there is an idle connection to an engine's address for a request, and opens one
@@ -261,7 +264,8 @@
 	return err == nil && empty
 }
 
-// Prune closes idle connections that have expired or whose engine is not wanted any more.
+// Prune closes idle connections that have expired, on which something came, or whose engine is not wanted
+// any more.
 func (p *Pool) Prune(now time.Time, wanted func(address, engineID string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -270,7 +274,7 @@
 		engineWanted := wanted(address, engineID)
 		kept := idle[:0]
 		for _, c := range idle {
-			if engineWanted && now.Before(c.idleDeadline) {
+			if engineWanted && now.Before(c.idleDeadline) && c.usable() {
 				kept = append(kept, c)
 			} else {
 				c.Close()
