An answer that ends with its connection isn't whole if its leaving engine is gone

Cause: where an answer has no length, its end was taken for whole if the engine was leaving, or not in the list of engines, without asking the engine. Its process may have ended in the middle of the answer, by a drain that was too short or a crash while it drained, and the kernel then closes connections as a whole answer's end does. So streams, answers and items of engines that leave in a release ended as complete before their last piece. A missing entry proves nothing: engines that crash lose theirs after three heartbeats, too.

Change: such an engine is asked as any other, by opening a connection. If it refuses, the answer is continued elsewhere where that is allowed, else cut off. The price: an engine that ends at once after its last answer, before it can be asked, has that answer doubted.

An engine that is restarted at its address before it is asked still makes a cut answer look whole (docs/PROMISES.md names it).

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -65,8 +65,7 @@
 	// ended without an announced shutdown. It delays the request's retry and must return
 	// quickly.
 	EngineCrashed func(ctx context.Context, engine catalog.Engine) bool
-	// EngineServes reports whether an engine is known to serve on, or to have ended as announced; nil
-	// means that all do.
+	// EngineServes reports whether an engine is known to serve on; nil means that all do.
 	EngineServes func(ctx context.Context, engine catalog.Engine) bool
 	// Report sends records to a data node, which spreads and stores them. It is nil on data
 	// nodes and only there: the guard takes its role from that.
--- a/internal/system/poison.go
+++ b/internal/system/poison.go
@@ -90,9 +90,10 @@
 	return c.pool.RefusesConnections(ctx, engine.Address, engine.ID)
 }
 
-// engineServes reports whether an engine takes connections, or left as announced. A silent engine may be
-// sound, so it is asked again for servesTimeout. If it can't be told, the engine doesn't serve, unless this
-// node has no time left to ask: an engine whose process has ended refuses connections.
+// engineServes reports whether an engine takes connections, also one that is leaving: its process may have
+// ended in the middle of an answer. A silent engine may be sound, so it is asked again for servesTimeout. If
+// it can't be told, the engine doesn't serve, unless this node has no time left to ask: an engine whose
+// process has ended refuses connections.
 func (c *core) engineServes(ctx context.Context, engine catalog.Engine) bool {
 	ctx, cancel := context.WithTimeout(ctx, servesTimeout)
 	defer cancel()
@@ -114,9 +115,6 @@
 	if newer, found := snapshot.Engine(catalog.Instance(engine.ID)); found && newer.Started.After(engine.Started) {
 		return false, true // it has restarted
 	}
-	if entry, found := snapshot.Engine(engine.ID); !found || entry.Leaving {
-		return true, true
-	}
 	err := c.pool.Connect(ctx, engine.Address, engine.ID)
 	return err == nil, err == nil || errors.Is(err, syscall.ECONNREFUSED)
 }
