A job that is submitted again isn't denied because no data node answers

Cause: where the route of a job is gone, a node asks whether the job was kept, and any failure of that question counted like the answer that there is none: 404. Callers repeat nothing after 404, so a caller whose 202 was lost took a kept job for refused.

Change: only the answer that there is no such job gives 404; without an answer the node says 503, and the caller asks again elsewhere.

--- a/internal/edge/batch.go
+++ b/internal/edge/batch.go
@@ -64,9 +64,7 @@
 		if !ok {
 			return
 		}
-		if job, err := e.Dialect.Job(r, body); err == nil && e.keepsJob(r, configuration, job.ID, arrived) {
-			w.Header().Set("Content-Length", "0")
-			w.WriteHeader(http.StatusAccepted)
+		if job, err := e.Dialect.Job(r, body); err == nil && e.serveKeptJob(w, r, configuration, job.ID, arrived) {
 			return
 		}
 	}
@@ -79,8 +77,9 @@
 	return r.Method == http.MethodPost && r.ContentLength > 0 && mediaType == "application/json"
 }
 
-// keepsJob reports whether a job of the request's caller is known to be accepted.
-func (e *Edge) keepsJob(r *http.Request, configuration *catalog.Configuration, job string, arrived time.Time) bool {
+// serveKeptJob answers a request that submits again a job of its caller that may have been accepted; false
+// if there is none.
+func (e *Edge) serveKeptJob(w http.ResponseWriter, r *http.Request, configuration *catalog.Configuration, job string, arrived time.Time) bool {
 	var from caller
 	if configuration.KeyRequired() {
 		key, presence := apikey.Read(r.Header)
@@ -95,7 +94,16 @@
 	ctx, cancel := callContext(r.Context(), parsed.Deadline, 0)
 	defer cancel()
 	_, err := e.Jobs.Read(ctx, from.name(), job, math.MaxInt32, 0)
-	return err == nil
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, batchwork.ErrNoJob):
+		return false
+	default: // callers don't repeat what gets 404
+		e.writeJobError(w, "submit-again", job, err, arrived)
+	}
+	return true
 }
 
 // jobRetryAfter returns the Retry-After of a refused job: the predicted time at which there is
