An answer's body beyond the largest size isn't passed on in part

Cause: bodies were read up to 64 MiB, and what was read so far was taken for the whole: a longer answer was cut there and went out with the length of the part, which looks complete. A failure's body likewise.

Change: one byte more is read, and a longer body fails the exchange like a broken one.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -147,6 +147,7 @@
 
 var (
 	errEmptyResponse = errors.New("the connection ended where the response has neither a length nor content")
+	errBodyTooLong   = errors.New("the response's body is too long")
 	errEngineGone    = errors.New("the engine takes no connections after its response ended with the connection")
 	errRegions       = errors.New("the engine's region is no longer allowed for the request")
 	errRelease       = errors.New("the engine's software isn't of the release that began the stream")
@@ -184,9 +185,18 @@
 	return OutcomeUnknown
 }
 
+// readBody reads a whole body of at most maxBodyBytes.
+func readBody(response io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errBodyTooLong
+	}
+	return body, err
+}
+
 // handleFailure reads an error response of an engine that ran the request.
 func (fl *inflight) handleFailure(response *upstream.Response) (attemptResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
+	body, err := readBody(response)
 	if err != nil {
 		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 	}
@@ -209,7 +219,7 @@
 }
 
 func (fl *inflight) sendResponse(ctx context.Context, engine catalog.Engine, response *upstream.Response, silence *silenceWatch) (attemptResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes))
+	body, err := readBody(response)
 	if err == nil {
 		err = fl.checkEnd(ctx, engine, len(body) > 0)
 	}
