A stopping node starts no waiting request as its time ends

What callers see: 502 outcome_unknown in place of 503 not_run for a request that waited for an engine until the node's time to stop was over. It is started at an engine in that moment, and one that may not be repeated is lost to its caller. Cause: at the end the contexts of all requests end one after the other. A request at an engine that ends first frees its place, and admission gives that to a waiting one whose context has not ended yet. Change: waiting requests are refused before the others end (online.Gate.EndWaiting). TestWaitingTicketsAreRefusedOnceWaitingEnds tests the new method.

--- a/internal/admission/online/controller_test.go
+++ b/internal/admission/online/controller_test.go
@@ -297,3 +297,28 @@
 	g.Expect(refusal.Reason).To(gomega.Equal(ReasonDraining))
 	g.Expect(gate.QueueLength()).To(gomega.HaveKeyWithValue("m", 0))
 }
+
+// Guards against a ticket that is admitted in place of one whose request ended because the node stops.
+func TestWaitingTicketsAreRefusedOnceWaitingEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := NewGate(func(time.Time, *settings.Service) int { return 1 })
+	ticket := Ticket{Service: &settings.Service{Model: "m", QueueLimit: 10}, Tenant: &settings.Tenant{}, Deadline: time.Now().Add(time.Minute)}
+	release, refusal, err := gate.Admit(t.Context(), ticket)
+	g.Expect(refusal).To(gomega.BeNil())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	const waiting = 3
+	refusals := make(chan *Refusal, waiting)
+	for range waiting {
+		go func() {
+			_, refusal, _ := gate.Admit(t.Context(), ticket)
+			refusals <- refusal
+		}()
+	}
+	g.Eventually(gate.QueueLength, 10*time.Second).Should(gomega.HaveKeyWithValue("m", waiting))
+	gate.EndWaiting()
+	release()
+	for range waiting {
+		g.Expect((<-refusals).Reason).To(gomega.Equal(ReasonDraining))
+	}
+	g.Expect(gate.QueueLength()).To(gomega.HaveKeyWithValue("m", 0))
+}
--- a/internal/admission/online/gate.go
+++ b/internal/admission/online/gate.go
@@ -139,6 +139,19 @@
 	g.draining = true
 }
 
+// EndWaiting refuses the waiting tickets, and new ones as Drain does.
+func (g *Gate) EndWaiting() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.draining = true
+	waiting := g.waiting
+	g.waiting = map[TicketID]chan *Refusal{}
+	for id, answer := range waiting {
+		answer <- &Refusal{Reason: ReasonDraining, RetryAfter: minRetryAfter}
+		g.controller.Abandon(g.now(), id) // its verdicts are on others of these
+	}
+}
+
 // QueueLength returns the number of waiting tickets of each model.
 func (g *Gate) QueueLength() map[string]int {
 	g.mutex.Lock()
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -38,5 +38,8 @@
 	return nil
 }
 
+// EndWaiting refuses the requests that wait for an engine, as no time is left for them.
+func (g *Gateway) EndWaiting() { g.gate.EndWaiting() }
+
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -35,6 +35,7 @@
 	gate        *callerconn.Gate
 	next        http.Handler
 	endRequests context.CancelCauseFunc // ends the contexts of all requests
+	endWaiting  func()                  // refuses requests that wait for an engine; nil if none do
 
 	stopping atomic.Bool // responses announce the end of their connections
 	refusing atomic.Bool // requests are refused as not run
@@ -130,6 +131,10 @@
 	allAnswered := func() bool { return c.inFlight.Load() == 0 && c.gate.Open() == 0 }
 	callerconn.Await(time.Until(end), allAnswered)
 	c.gate.ReportLeftBehind()
+	// Requests that wait would take the places of those that end before them, and count as run.
+	if c.endWaiting != nil {
+		c.endWaiting()
+	}
 	c.endRequests(apierror.ErrStopping)
 	callerconn.Await(answerTime, allAnswered)
 	c.close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,7 @@
 		}
 		return nil
 	})
+	n.callers.endWaiting = n.gateway.EndWaiting
 	n.callers.register(n.registry)
 }
 
