Continued streams: a sole release must have been one for as long as callers wait

Cause: a sole release counted for twice the route's timeout (0.8 s there) and platform.leave. Callers retry within their own deadline (8 s there), which may be longer. Fix: front nodes remember the longest deadline that callers of a route tell, and give it with the question; the history must cover it, too. A front node that has just started knows the rest of the deadline of the request in hand at least. The soak had been changed to callers that come back within the route's timeout. Its callers now have a deadline over all of their requests, tell what is left of it, and come back until it ends, as the platform's do.

--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -39,13 +39,18 @@
 	// Host and Prefix are those of the stream's route. If the node has no record, it tells the route's sole
 	// release, unless Host is empty.
 	Host, Prefix string
+	// Life is how long callers of the route wait, over all of their requests for one stream; 0 if unknown.
+	Life time.Duration
 }
 
-type fixedQuery struct{ Key Key }
+type fixedQuery struct {
+	Key  Key
+	Life int64 // nanoseconds
+}
 
 // Marshal encodes the query.
 func (q Query) Marshal() []byte {
-	return mustMarshal(fixedQuery{q.Key}, []byte(q.Host), []byte(q.Prefix))
+	return mustMarshal(fixedQuery{q.Key, int64(q.Life)}, []byte(q.Host), []byte(q.Prefix))
 }
 
 // UnmarshalQuery decodes a query.
@@ -55,7 +60,7 @@
 	if err != nil {
 		return Query{}, err
 	}
-	return Query{Key: fixed.Key, Host: string(fields[0]), Prefix: string(fields[1])}, nil
+	return Query{Key: fixed.Key, Host: string(fields[0]), Prefix: string(fields[1]), Life: time.Duration(fixed.Life)}, nil
 }
 
 // QueryV1 is the question of nodes of earlier versions, and the one that they understand.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -196,7 +196,7 @@
 	decoded, err := UnmarshalRecord(record.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(decoded).To(gomega.Equal(record))
-	query := Query{Key: record.Key, Host: "h.example", Prefix: "/s/"}
+	query := Query{Key: record.Key, Host: "h.example", Prefix: "/s/", Life: time.Minute}
 	decodedQuery, err := UnmarshalQuery(query.Marshal())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(decodedQuery).To(gomega.Equal(query))
--- a/internal/origin/routes.go
+++ b/internal/origin/routes.go
@@ -130,8 +130,8 @@
 // Sole returns the only service to which a route has led for as long as its streams may last, and that
 // time. found is false if there was more than one, if streams may last without bound, or
 // if the route wasn't watched for so long; moved tells that there was more than one. leave is how long nodes may
-// use engines that are gone.
-func (h *RouteHistory) Sole(host, prefix string, leave time.Duration, now time.Time) (service string, window time.Duration, found, moved bool) {
+// use engines that are gone, and life how long callers wait for a stream, over all of their requests.
+func (h *RouteHistory) Sole(host, prefix string, leave, life time.Duration, now time.Time) (service string, window time.Duration, found, moved bool) {
 	state, known := h.routes[newRouteKey(host, prefix)]
 	if !known || state.service == "" {
 		return "", 0, false, false
@@ -140,6 +140,7 @@
 	if !bounded {
 		return "", 0, false, false
 	}
+	window = max(window, life+leave)
 	if now.Sub(state.since) < window {
 		return "", 0, false, state.moved
 	}
--- a/internal/origin/routes_test.go
+++ b/internal/origin/routes_test.go
@@ -48,9 +48,9 @@
 				h.Observe(routes, start.Add(time.Duration(i)*time.Second))
 			}
 			soleAt := start.Add(time.Duration(test.steadyFrom)*time.Second + window)
-			_, _, found, _ := h.Sole(test.route.Host, test.route.Prefix, leave, soleAt.Add(-1))
+			_, _, found, _ := h.Sole(test.route.Host, test.route.Prefix, leave, 0, soleAt.Add(-1))
 			g.Expect(found).To(gomega.BeFalse())
-			service, watched, found, _ := h.Sole(test.route.Host, test.route.Prefix, leave, soleAt)
+			service, watched, found, _ := h.Sole(test.route.Host, test.route.Prefix, leave, 0, soleAt)
 			g.Expect(found).To(gomega.BeTrue())
 			g.Expect(service).To(gomega.Equal(test.route.Services()[0]))
 			g.Expect(watched).To(gomega.Equal(window))
@@ -59,7 +59,7 @@
 	split := route("h", "/", "x", "y")
 	var h RouteHistory
 	h.Observe([]catalog.Route{split}, start)
-	_, _, found, _ := h.Sole("h", "/", leave, start.Add(time.Hour))
+	_, _, found, _ := h.Sole("h", "/", leave, 0, start.Add(time.Hour))
 	gomega.NewWithT(t).Expect(found).To(gomega.BeFalse())
 }
 
@@ -92,7 +92,7 @@
 					h.Observe([]catalog.Route{{Host: "h", Prefix: "/", Timeout: timeout, Backends: []catalog.Backend{{Service: "x", Weight: 1}}}}, at(i))
 				}
 			}
-			_, window, found, _ := h.Sole("h", "/", leave, at(test.asked))
+			_, window, found, _ := h.Sole("h", "/", leave, 0, at(test.asked))
 			g.Expect(found).To(gomega.Equal(test.found))
 			g.Expect(window).To(gomega.Equal(test.window))
 		})
@@ -108,7 +108,7 @@
 	var h RouteHistory
 	h.Observe(route("x", 20*time.Second), start)
 	h.Observe(route("y", time.Second), start.Add(90*time.Second))
-	service, window, found, _ := h.Sole("h", "/", 2*time.Second, start.Add(95*time.Second))
+	service, window, found, _ := h.Sole("h", "/", 2*time.Second, 0, start.Add(95*time.Second))
 	if found {
 		t.Errorf("%s counts as the only service within %v, while streams of x may last until 20 s after the move", service, window)
 	}
@@ -121,7 +121,20 @@
 	var h RouteHistory
 	h.Observe(split, start)
 	h.Observe([]catalog.Route{{Host: "h", Prefix: "/", Timeout: time.Second, Backends: split[0].Backends[1:]}}, start.Add(90*time.Second))
-	if service, window, found, _ := h.Sole("h", "/", 2*time.Second, start.Add(95*time.Second)); found {
+	if service, window, found, _ := h.Sole("h", "/", 2*time.Second, 0, start.Add(95*time.Second)); found {
 		t.Errorf("%s counts as the only service within %v", service, window)
 	}
 }
+
+// Guards against a window that is too short for callers that wait for longer than the route's timeout allows.
+func TestRouteIsWatchedForAsLongAsCallersWait(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var h RouteHistory
+	h.Observe([]catalog.Route{{Host: "h", Prefix: "/", Timeout: time.Second, Backends: []catalog.Backend{{Service: "x", Weight: 1}}}}, start)
+	for seconds, found := range map[time.Duration]bool{9: false, 10: true} {
+		_, window, sole, _ := h.Sole("h", "/", 2*time.Second, 8*time.Second, start.Add(seconds*time.Second))
+		if sole != found || found && window != 10*time.Second {
+			t.Errorf("after %d s: sole %v within %v", seconds, sole, window)
+		}
+	}
+}
--- a/internal/system/originclient.go
+++ b/internal/system/originclient.go
@@ -25,14 +25,15 @@
 	fronts func() []transport.Address
 	region string
 	// history returns what this node has seen of a route's releases. A sole release isn't proved by it.
-	history func(host, prefix string) origin.Answer
+	history func(host, prefix string, life time.Duration) origin.Answer
 	// proveRoute returns the sole release of a route, proved by this node itself; see releaseProver.
-	proveRoute func(ctx context.Context, host, prefix string) origin.Answer
+	proveRoute func(ctx context.Context, host, prefix string, life time.Duration) origin.Answer
 	// listAge returns the time since the list of engines was last confirmed. From maxListAge on, other nodes
 	// may not be able to prove a sole release, either.
 	listAge    func() time.Duration
 	maxListAge time.Duration
 	found      *prometheus.CounterVec
+	lives      callerLives
 }
 
 // callCount counts calls to data nodes, and those to front nodes, for one request.
@@ -41,8 +42,8 @@
 func newOriginClient(c *core) *originClient {
 	client := &originClient{
 		store: newOriginStore(), peers: c.peers, nodes: c.agent.Nodes, fronts: c.agent.Seeds, region: c.settings.Node.Region,
-		history: func(host, prefix string) origin.Answer {
-			return c.catalog.history.ofRoute(host, prefix, c.settings.Platform.Leave)
+		history: func(host, prefix string, life time.Duration) origin.Answer {
+			return c.catalog.history.ofRoute(host, prefix, c.settings.Platform.Leave, life)
 		},
 		proveRoute: newReleaseProver(c).proveRoute, maxListAge: c.settings.Platform.Leave,
 		listAge: func() time.Duration { return c.agent.Age(c.adapter.EnginesKind) },
@@ -60,7 +61,8 @@
 func (o *originClient) began(request *forward.Request, route *catalog.Route, release catalog.Release) (recorded bool) {
 	record := origin.Record{Key: origin.KeyOf(request.Tenant, request.Stream()), Release: release}
 	o.store.put(record)
-	if known := o.history(route.Host, route.Prefix); known.Source == origin.SourceSole && known.Release == release && o.listAge() <= o.maxListAge {
+	o.lives.observe(route.Name, lifeOf(request))
+	if known := o.history(route.Host, route.Prefix, o.lives.longest(route.Name)); known.Source == origin.SourceSole && known.Release == release && o.listAge() <= o.maxListAge {
 		return false
 	}
 	o.send(record)
@@ -99,7 +101,7 @@
 			return release, sourceOwn
 		}
 	}
-	if known := o.history(query.Host, query.Prefix); known.Source == origin.SourceSeveral {
+	if known := o.history(query.Host, query.Prefix, query.Life); known.Source == origin.SourceSeveral {
 		query.Host = "" // no proof is possible
 		if !named {
 			return catalog.Release{}, known.Source.String()
@@ -168,7 +170,7 @@
 		sources = append(sources, func(ctx context.Context) origin.Answer {
 			ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 			defer cancel()
-			return o.proveRoute(ctx, query.Host, query.Prefix)
+			return o.proveRoute(ctx, query.Host, query.Prefix, query.Life)
 		}, func(ctx context.Context) origin.Answer {
 			provers := origin.Provers(o.nodes(), o.region)
 			return o.askAll(ctx, provers[min(1, len(provers)):], query, proverTimeout, calls)
@@ -206,6 +208,7 @@
 	query := origin.Query{Key: origin.KeyOf(request.Tenant, request.Stream())}
 	if len(route.Services()) == 1 && route.Timeout > 0 {
 		query.Host, query.Prefix = route.Host, route.Prefix
+		query.Life = max(o.lives.longest(route.Name), lifeOf(request))
 	}
 	return query
 }
--- a/internal/system/origins.go
+++ b/internal/system/origins.go
@@ -98,7 +98,7 @@
 type originServer struct {
 	store *originStore
 	// proveRoute and proveService return the sole release of a route or service; see releaseProver.
-	proveRoute   func(ctx context.Context, host, prefix string) origin.Answer
+	proveRoute   func(ctx context.Context, host, prefix string, life time.Duration) origin.Answer
 	proveService func(ctx context.Context, service string, window time.Duration) origin.Answer
 }
 
@@ -123,7 +123,7 @@
 		if query.Host == "" {
 			return origin.Answer{}
 		}
-		return s.proveRoute(ctx, query.Host, query.Prefix)
+		return s.proveRoute(ctx, query.Host, query.Prefix, query.Life)
 	})
 	return answer.Marshal(), nil
 }
--- a/internal/system/origins_test.go
+++ b/internal/system/origins_test.go
@@ -45,7 +45,9 @@
 	return &originFleet{servers: map[transport.Address]*originServer{}, down: map[transport.Address]bool{}, earlierVersion: map[transport.Address]bool{}}
 }
 
-func (f *originFleet) proveRoute(context.Context, string, string) origin.Answer { return f.proof }
+func (f *originFleet) proveRoute(context.Context, string, string, time.Duration) origin.Answer {
+	return f.proof
+}
 
 func (f *originFleet) proveService(_ context.Context, service string, _ time.Duration) origin.Answer {
 	if service == "" {
@@ -55,7 +57,7 @@
 }
 
 // history is the proof of the data nodes as the history of a front node.
-func (f *originFleet) history(string, string) origin.Answer { return f.proof }
+func (f *originFleet) history(string, string, time.Duration) origin.Answer { return f.proof }
 
 // soleRelease is a proof.
 func soleRelease(release catalog.Release) origin.Answer {
@@ -82,8 +84,8 @@
 func (f *originFleet) front(region string) *originClient {
 	return &originClient{
 		store: newOriginStore(), peers: f, nodes: f.nodes, fronts: func() []transport.Address { return f.fronts }, region: region,
-		history: func(string, string) origin.Answer { return origin.Answer{} }, maxListAge: time.Second,
-		proveRoute: func(context.Context, string, string) origin.Answer { return origin.Answer{} },
+		history: func(string, string, time.Duration) origin.Answer { return origin.Answer{} }, maxListAge: time.Second,
+		proveRoute: func(context.Context, string, string, time.Duration) origin.Answer { return origin.Answer{} },
 		listAge:    func() time.Duration { return 0 },
 		found:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "found"}, []string{"source"}),
 	}
@@ -216,7 +218,7 @@
 func TestStreamContinuedByOwnProofWithoutDataNodes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	node := newOriginFleet().front("north")
-	node.proveRoute = func(_ context.Context, host, prefix string) origin.Answer {
+	node.proveRoute = func(_ context.Context, host, prefix string, _ time.Duration) origin.Answer {
 		g.Expect([]string{host, prefix}).To(gomega.Equal([]string{streamRoute.Host, streamRoute.Prefix}))
 		return soleRelease(releaseTwo)
 	}
@@ -250,7 +252,7 @@
 	f := newNorthFleet(4)
 	f.front("north").begin("r", releaseTwo)
 	cutOff := f.front("north")
-	cutOff.history = func(string, string) origin.Answer { return soleRelease(releaseOne) }
+	cutOff.history = func(string, string, time.Duration) origin.Answer { return soleRelease(releaseOne) }
 	for _, node := range f.nodes() {
 		f.down[node.Address] = true
 	}
@@ -345,7 +347,7 @@
 		if n.Region == "north" {
 			answer = origin.Answer{Source: origin.SourceSeveral}
 		}
-		f.servers[n.Address].proveRoute = func(context.Context, string, string) origin.Answer { return answer }
+		f.servers[n.Address].proveRoute = func(context.Context, string, string, time.Duration) origin.Answer { return answer }
 	}
 	_, found := node.findBegun("r")
 	g.Expect(found).To(gomega.BeFalse())
@@ -362,7 +364,10 @@
 		f.front("north").begin("r", releaseOne)
 		node := f.front("north")
 		var proofs atomic.Int32
-		node.proveRoute = func(context.Context, string, string) origin.Answer { proofs.Add(1); return origin.Answer{} }
+		node.proveRoute = func(context.Context, string, string, time.Duration) origin.Answer {
+			proofs.Add(1)
+			return origin.Answer{}
+		}
 		started := clock.Now()
 		_, found := node.find(t.Context(), &forward.Request{ID: "again", Tenant: "tenant", Resumes: "r", LastEvent: 1}, streamRoute)
 		g.Expect(found).To(gomega.BeTrue())
--- a/internal/system/originworld_test.go
+++ b/internal/system/originworld_test.go
@@ -22,7 +22,12 @@
 	"chutelock.dev/chutelock/internal/transport"
 )
 
-const worldLeave = 2 * time.Second
+const (
+	worldLeave = 2 * time.Second
+	// worldLife is how long callers wait, over all of their requests for a stream. It is longer than
+	// timeouts allow for.
+	worldLife = 3 * time.Second * 4
+)
 
 // originWorld is a store of engines and nodes that know of them more or less late. It implements
 // transport.Sender for all nodes.
@@ -108,10 +113,13 @@
 			fronts: func() []transport.Address {
 				return slices.DeleteFunc([]transport.Address{"f0", "f1", "f2"}, func(a transport.Address) bool { return a == address })
 			},
-			history:    func(host, prefix string) origin.Answer { return n.tracker.history.ofRoute(host, prefix, worldLeave) },
+			history: func(host, prefix string, life time.Duration) origin.Answer {
+				return n.tracker.history.ofRoute(host, prefix, worldLeave, life)
+			},
 			proveRoute: prover.proveRoute, maxListAge: worldLeave, listAge: func() time.Duration { return clock.Since(n.confirmed) },
 			found: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "found"}, []string{"source"}),
 		}
+		n.client.lives.observe(streamRoute.Name, worldLife) // by other callers
 	} else {
 		n.server = &originServer{store: newOriginStore(), proveRoute: prover.proveRoute, proveService: prover.proveService}
 	}
@@ -205,17 +213,9 @@
 	if !found {
 		return
 	}
-	front.client.begin(id, engine.Release())
-	w.streams[id] = &worldStream{release: engine.Release(), until: w.lastReturn(engine)}
-}
-
-// lastReturn returns until when a caller may continue a stream that now begins or goes on at an engine.
-func (w *originWorld) lastReturn(engine catalog.Engine) time.Time {
-	until := clock.Now().Add(streamRoute.Timeout)
-	if gone := w.engines[engine.ID]; !gone.IsZero() && gone.Before(until) {
-		until = gone
-	}
-	return until.Add(streamRoute.Timeout)
+	now := clock.Now()
+	front.client.began(&forward.Request{ID: id, Tenant: "tenant", Arrived: now, Deadline: now.Add(worldLife)}, streamRoute, engine.Release())
+	w.streams[id] = &worldStream{release: engine.Release(), until: now.Add(worldLife)}
 }
 
 // resume continues a stream at a front node, by its name or without.
@@ -224,7 +224,7 @@
 	if stream == nil || !clock.Now().Before(stream.until) {
 		return
 	}
-	request := &forward.Request{ID: fmt.Sprint(id, "+", w.served), Tenant: "tenant", LastEvent: 1}
+	request := &forward.Request{ID: fmt.Sprint(id, "+", w.served), Tenant: "tenant", LastEvent: 1, Arrived: clock.Now(), Deadline: stream.until}
 	if named {
 		request.Resumes = id
 	}
@@ -237,9 +237,8 @@
 	if release != stream.release {
 		t.Fatalf("%s continues at %v, begun at %v", id, release, stream.release)
 	}
-	if engine, found := front.engine(release, pick); found {
+	if _, found := front.engine(release, pick); found {
 		front.client.began(request, streamRoute, release)
-		stream.until = w.lastReturn(engine)
 	}
 }
 
--- a/internal/system/releasehistory.go
+++ b/internal/system/releasehistory.go
@@ -73,12 +73,12 @@
 }
 
 // ofRoute returns the sole release of a route, or that it had several, for as long as its streams may
-// last, as far as this node has seen.
-func (h *releaseHistory) ofRoute(host, prefix string, leave time.Duration) origin.Answer {
+// last and their callers wait, as far as this node has seen.
+func (h *releaseHistory) ofRoute(host, prefix string, leave, life time.Duration) origin.Answer {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	now := clock.Now()
-	service, window, found, moved := h.routes.Sole(host, prefix, leave, now)
+	service, window, found, moved := h.routes.Sole(host, prefix, leave, life, now)
 	switch {
 	case moved:
 		return origin.Answer{Source: origin.SourceSeveral}
@@ -130,9 +130,9 @@
 }
 
 // proveRoute returns the release that a route must have had, up to the call, for as long as its streams may
-// last. The answer has no source if that can't be proved until ctx ends.
-func (p *releaseProver) proveRoute(ctx context.Context, host, prefix string) origin.Answer {
-	return p.prove(ctx, func() origin.Answer { return p.history.ofRoute(host, prefix, p.leave) })
+// last and their callers wait. The answer has no source if that can't be proved until ctx ends.
+func (p *releaseProver) proveRoute(ctx context.Context, host, prefix string, life time.Duration) origin.Answer {
+	return p.prove(ctx, func() origin.Answer { return p.history.ofRoute(host, prefix, p.leave, life) })
 }
 
 // proveService is proveRoute for a service and a time.
--- a/internal/system/releasehistory_test.go
+++ b/internal/system/releasehistory_test.go
@@ -105,7 +105,7 @@
 			table.change("v1.0")
 			tracker.refresh()
 			tracker.refresh() // the configuration comes into force once the engines are known
-			ask := func() origin.Answer { return tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, leave) }
+			ask := func() origin.Answer { return tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, leave, 0) }
 			g.Expect(ask()).To(gomega.Equal(origin.Answer{}))
 			var passed time.Duration
 			defer func() { pass(-passed) }()
@@ -194,7 +194,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), proofTimeout)
 			defer cancel()
-			g.Expect(prover.proveRoute(ctx, streamRoute.Host, streamRoute.Prefix)).To(gomega.Equal(test.want))
+			g.Expect(prover.proveRoute(ctx, streamRoute.Host, streamRoute.Prefix, 0)).To(gomega.Equal(test.want))
 		})
 	}
 }
@@ -239,7 +239,7 @@
 			}
 			revision, _ := tracker.history.state("engines")
 			g.Expect(tracker.isBehind("engines", revision)).To(gomega.BeFalse(), "observed %d, table %d, answer %v",
-				revision, table.Revision("engines"), tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second))
+				revision, table.Revision("engines"), tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second, 0))
 		})
 	}
 }
@@ -259,7 +259,7 @@
 		table.deliver(tracker, mirror.Delta{Kind: "engines", Since: 3, Revision: at, Objects: []mirror.Object{{Name: "v1.1", Gone: true, Revision: at}}})
 	}
 	table.deliver(tracker, mirror.Delta{Kind: "engines", Since: 14, Revision: 15, Objects: []mirror.Object{{Name: "v1.2", Revision: 15}}})
-	g.Expect(tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second).Source).To(gomega.Equal(origin.SourceSole))
+	g.Expect(tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second, 0).Source).To(gomega.Equal(origin.SourceSole))
 }
 
 // Guards against a route that counts as steady although it may have led elsewhere unseen.
@@ -281,7 +281,7 @@
 		tracker.refresh()
 		pass(window)
 		ask := func() origin.Source {
-			return tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, worldLeave).Source
+			return tracker.history.ofRoute(streamRoute.Host, streamRoute.Prefix, worldLeave, 0).Source
 		}
 		g.Expect(ask()).To(gomega.Equal(origin.SourceSole))
 		table.unwatched = unwatched
@@ -306,7 +306,7 @@
 	moved.Backends = []catalog.Backend{{Service: "other", Weight: 1}}
 	h.observeRoutes([]catalog.Route{moved}, false)
 	h.observeRoutes([]catalog.Route{*streamRoute}, false)
-	saw := h.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second)
+	saw := h.ofRoute(streamRoute.Host, streamRoute.Prefix, 2*time.Second, 0)
 	best := firstAnswer(context.Background(), []func(context.Context) origin.Answer{
 		func(context.Context) origin.Answer { return saw },
 		func(context.Context) origin.Answer { return soleRelease(releaseOne) },
