--- a/internal/ledger/replica/diskhang_test.go
+++ b/internal/ledger/replica/diskhang_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -139,6 +140,7 @@
 			go func() { defer close(stopped); c.stop(struck) }()
 			c.g.Eventually(stopped, 7*time.Second).Should(gomega.BeClosed())
 			disks.release(struck.name)
+			c.waitForUnlock(struck)
 			c.start(struck)
 			c.waitForReplicas(0, 3)
 			c.expectEntries(0, "while full", 20)
@@ -146,6 +148,18 @@
 	}
 }
 
+// waitForUnlock waits until a stopped node has closed its store, which ends after the stop if the disk hangs; a
+// process that exits has no locks left.
+func (c *cluster) waitForUnlock(n *node) {
+	c.g.Eventually(func() error {
+		lock, err := vfs.Default.Lock(filepath.Join(c.root, n.name, "LOCK"))
+		if err != nil {
+			return err
+		}
+		return lock.Close()
+	}, 30*time.Second).Should(gomega.Succeed())
+}
+
 // Guards against a planned stop that waits for a disk that hangs while the node runs.
 func TestNodeStopsWhileDiskHangs(t *testing.T) {
 	c := newCluster(t, Options{ReplaceAfter: time.Hour})
@@ -162,6 +176,7 @@
 	go func() { defer close(stopped); c.stop(struck) }()
 	c.g.Eventually(stopped, 7*time.Second).Should(gomega.BeClosed())
 	disks.release(struck.name)
+	c.waitForUnlock(struck)
 	c.start(struck)
 	c.waitForReplicas(0, 3)
 	c.expectEntries(0, "before", 20)
