--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -51,21 +51,24 @@
 }
 
 // submit submits a job, once more at another node if it isn't accepted.
-func (d *deployment) submit() {
+func (d *deployment) submit() { d.submitItems(itemsPerJob, 400) }
+
+// submitItems is submit for a job of so many items with so many tokens out each.
+func (d *deployment) submitItems(count, tokens int) {
 	d.next++
 	id := fmt.Sprintf("job%05x", d.next)
 	var items []item
-	for i := range itemsPerJob {
+	for i := range count {
 		items = append(items, item{
-			ID: fmt.Sprintf("%s.%d", id, i), Path: "/match/" + id, Tokens: 900, Body: "c2VhdHM=",
-			Headers: map[string]string{"Model": "m", "Token-Usage": "500,400", "Prompt-Prefix": "9c2e41:300,5d07b8:200"},
+			ID: fmt.Sprintf("%s.%d", id, i), Path: "/match/" + id, Tokens: int64(500 + tokens), Body: "c2VhdHM=",
+			Headers: map[string]string{"Model": "m", "Token-Usage": fmt.Sprint("500,", tokens), "Prompt-Prefix": "9c2e41:300,5d07b8:200"},
 		})
 	}
 	body, _ := json.Marshal(map[string]any{"items": items})
 	for attempt := range 2 {
 		n := d.fronts[(d.next+attempt)%len(d.fronts)]
 		status, _ := d.call(n, http.MethodPost, "/match/"+id, id, body)
-		d.record.printf("job %s (%d items) at %s: %d", id, itemsPerJob, n.name, status)
+		d.record.printf("job %s (%d items) at %s: %d", id, count, n.name, status)
 		if status == http.StatusAccepted {
 			d.jobs = append(d.jobs, id)
 			return
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -64,28 +64,44 @@
 	record  *record
 	store   *standin.Store
 	engines []*standin.Engine
-	stores  []*node
-	fronts  []*node
-	all     []*node
-	client  *http.Client
-	jobs    []string
-	next    int
-	taken   map[string]bool // addresses of nodes
-	stop    chan struct{}
-	mutex   sync.Mutex // guards the nodes' processes and gone
+	// processes are the engines that are processes of their own.
+	processes []*engineProcess
+	stores    []*node
+	fronts    []*node
+	all       []*node
+	client    *http.Client
+	jobs      []string
+	next      int
+	taken     map[string]bool // addresses of nodes
+	told      map[string]bool // items whose wrong result is in the record
+	stop      chan struct{}
+	mutex     sync.Mutex // guards the nodes' processes and gone
 }
 
 func zone(i int) string { return fmt.Sprint("hall-", i%zones+1) }
 
-func newDeployment(folder string, record *record) (*deployment, error) {
+// newDeployment starts a deployment, with engines that are processes of their own if separate is set.
+func newDeployment(folder string, record *record, separate bool) (*deployment, error) {
 	if _, err := os.Stat(program); err != nil {
 		return nil, fmt.Errorf("the program isn't built: %w", err)
 	}
 	d := &deployment{
-		folder: folder, record: record, store: standin.NewStore(), taken: map[string]bool{}, stop: make(chan struct{}),
+		folder: folder, record: record, store: standin.NewStore(), taken: map[string]bool{}, told: map[string]bool{}, stop: make(chan struct{}),
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
-	for i := range 6 {
+	for i := range engineCount {
+		if separate {
+			address, err := d.freeAddress()
+			if err != nil {
+				return d, err
+			}
+			e := &engineProcess{address: address, zone: zone(i)}
+			d.processes = append(d.processes, e)
+			if err := d.startEngine(e, i); err != nil {
+				return d, err
+			}
+			continue
+		}
 		e := standin.NewEngine(fmt.Sprint("i-", i), 8)
 		e.SetDefaultPlan(standin.Plan{Pause: 15 * time.Millisecond})
 		d.engines = append(d.engines, e)
@@ -93,10 +109,10 @@
 	}
 	d.store.Write("config", "main", map[string]any{
 		"version": 3,
-		"routes": []map[string]any{{
+		"routes": append(configuredStreams(), map[string]any{
 			"name": "seat-match", "host": host, "pathPrefix": "/match/", "routeType": "batch", "timeoutMs": 30000, "targetLatencyMs": 400,
 			"completionTargetMs": 20000, "retentionS": 60, "maxAttempts": 3, "maxQueuedTokens": 1600000, "priority": 2, "service": "placement-lm",
-		}},
+		}),
 		"services": []map[string]any{{"name": "placement-lm", "healthPath": "/health", "maxConnections": 370}},
 		"limits":   map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
@@ -129,6 +145,18 @@
 	lastPort  = 32000
 )
 
+func configuredStreams() []map[string]any {
+	var routes []map[string]any
+	for _, r := range streamRoutes {
+		routes = append(routes, map[string]any{
+			"name": r.name, "host": host, "pathPrefix": "/" + r.name + "/", "routeType": "stream", "timeoutMs": r.deadline.Milliseconds(),
+			"targetLatencyMs": r.target.Milliseconds(), "gapTargetMs": 250, "maxAttempts": r.attempts, "resumable": r.resumable,
+			"priority": 0, "service": "placement-lm",
+		})
+	}
+	return routes
+}
+
 // freeAddress returns a loopback address that is free for TCP and UDP, and not one that it returned before.
 func (d *deployment) freeAddress() (string, error) {
 	for range 200 {
@@ -232,6 +260,11 @@
 	for _, n := range d.all {
 		d.kill(n)
 	}
+	for _, e := range d.processes {
+		if e.command != nil && e.command.Process != nil {
+			_ = e.command.Process.Signal(syscall.SIGKILL)
+		}
+	}
 }
 
 func (d *deployment) close() {
@@ -243,6 +276,12 @@
 	for _, e := range d.engines {
 		e.Close()
 	}
+	for _, e := range d.processes {
+		if e.command != nil && e.command.Process != nil {
+			_ = e.command.Process.Signal(syscall.SIGKILL)
+			<-e.exited
+		}
+	}
 	d.store.Close()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		for _, n := range d.all {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -37,8 +37,11 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) (code int) {
+	if len(arguments) == 4 && arguments[0] == "engine" {
+		return runEngine(arguments[1], arguments[2], arguments[3])
+	}
 	if len(arguments) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: lab2 retire-replace|retire-wipe RECORD")
+		fmt.Fprintln(os.Stderr, "usage: lab2 retire-replace|retire-wipe|frozen-front|frozen-store RECORD")
 		return exitNotRun
 	}
 	record, err := newRecord(arguments[1])
@@ -54,7 +57,7 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(folder)
-	d, err := newDeployment(folder, record)
+	d, err := newDeployment(folder, record, strings.HasPrefix(arguments[0], "frozen-"))
 	if err != nil {
 		record.printf("the deployment could not be set up: %v", err)
 		return exitNotRun
@@ -69,6 +72,12 @@
 	defer guard.Stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.printf("scenario %s, disruptions: %v", arguments[0], trouble)
+	switch arguments[0] {
+	case "frozen-front":
+		return judge(d, trouble, frozenFront, "ORDER: %d streams end as complete before their last event: %s", "every stream that ends as complete has all events")
+	case "frozen-store":
+		return judge(d, trouble, frozenStore, "MIXED: %d results are succeeded though their text isn't the whole output: %s", "every result that is succeeded has the whole output")
+	}
 	steps := map[string]func(*deployment, bool) error{"retire-replace": retireReplace, "retire-wipe": retireWipe}[arguments[0]]
 	if steps == nil {
 		record.printf("no such scenario")
@@ -87,6 +96,21 @@
 	return exitHeld
 }
 
+// judge plays a scenario that returns what breaks a rule.
+func judge(d *deployment, trouble bool, play func(*deployment, bool) ([]string, error), whenBroken, whenHeld string) int {
+	broken, err := play(d, trouble)
+	switch {
+	case err != nil:
+		d.record.printf("could not run: %v", err)
+		return exitNotRun
+	case len(broken) > 0:
+		d.record.printf(whenBroken, len(broken), strings.Join(broken, " "))
+		return exitBroken
+	}
+	d.record.printf("%s", whenHeld)
+	return exitHeld
+}
+
 // calm submits a job about every second for a time.
 func (d *deployment) calm(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
