--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -142,7 +142,7 @@
 // Ports below the kernel's range for outgoing connections.
 const (
 	firstPort = 20000
-	lastPort  = 32000
+	lastPort  = 28000
 )
 
 func configuredStreams() []map[string]any {
--- a/review/lab2/items.go
+++ b/review/lab2/items.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// pauseTime is how long a store machine stands still, which is too short for its runs to be given up;
-	// an engine crashes pauseCrashAfter later and is back after pauseCrashTime.
+	// Engines that crash are back after pauseCrashTime. With FREEZE=1 a store machine stands still for
+	// pauseTime, which is too short for its runs to be given up, and they crash pauseCrashAfter later.
 	pauseTime       = 900 * time.Millisecond
 	pauseCrashAfter = 150 * time.Millisecond
 	pauseCrashTime  = 350 * time.Millisecond
@@ -35,11 +35,13 @@
 	return strings.Join(events, "\n")
 }
 
-// frozenStore submits jobs all the time. In each round a store machine stands still for pauseTime; an engine
-// crashes meanwhile and is back at its address, as a new incarnation, before the machine goes on. It returns
-// the items whose result is succeeded with another text than the engine's.
-func frozenStore(d *deployment, trouble bool) (broken []string, err error) {
-	time.Sleep(5 * time.Second)
+// crashedEngines submits jobs all the time. In each round two engines crash and are soon back at their
+// addresses, as new incarnations. It returns the items whose result is succeeded with another text than the
+// engine's.
+func crashedEngines(d *deployment, trouble bool) (broken []string, err error) {
+	if err := d.awaitReady(); err != nil {
+		return nil, err
+	}
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -56,7 +58,7 @@
 	for round := range 2 * rounds {
 		begun := time.Now()
 		if trouble {
-			if err := d.freezeStoreAndCrash(d.stores[round%len(d.stores)], round%len(d.processes)); err != nil {
+			if err := d.crashEngines(round); err != nil {
 				return nil, err
 			}
 		}
@@ -84,22 +86,28 @@
 	return broken, nil
 }
 
-func (d *deployment) freezeStoreAndCrash(store *node, index int) error {
-	e := d.processes[index]
-	if freezes() {
+// crashEngines kills two engines, a share of 0.17, and starts them again pauseCrashTime later. With FREEZE=1 a
+// store machine stands still for pauseTime around that.
+func (d *deployment) crashEngines(round int) error {
+	end := time.Now().Add(pauseTime)
+	if os.Getenv("FREEZE") == "1" {
+		store := d.stores[round%len(d.stores)]
 		d.record.printf("%s stands still", store.name)
 		d.signal(store, syscall.SIGSTOP)
 		defer func() {
 			d.signal(store, syscall.SIGCONT)
 			d.record.printf("%s goes on", store.name)
 		}()
+		time.Sleep(pauseCrashAfter)
 	}
-	end := time.Now().Add(pauseTime)
-	time.Sleep(pauseCrashAfter)
-	d.crash(e)
+	first, second := 2*round%len(d.processes), (2*round+1)%len(d.processes)
+	d.crash(d.processes[first])
+	d.crash(d.processes[second])
 	time.Sleep(pauseCrashTime)
-	if err := d.startEngine(e, index); err != nil {
-		return err
+	for _, index := range []int{first, second} {
+		if err := d.startEngine(d.processes[index], index); err != nil {
+			return err
+		}
 	}
 	time.Sleep(time.Until(end))
 	return nil
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -31,8 +31,11 @@
 	recover_ = 12 * time.Second
 )
 
-// maxTime bounds a scenario.
-const maxTime = 110 * time.Second
+// maxTime bounds a scenario, and readyTime its set-up.
+const (
+	maxTime   = 115 * time.Second
+	readyTime = 15 * time.Second
+)
 
 func main() { os.Exit(run(os.Args[1:])) }
 
@@ -41,7 +44,7 @@
 		return runEngine(arguments[1], arguments[2], arguments[3])
 	}
 	if len(arguments) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: lab2 retire-replace|retire-wipe|frozen-front|frozen-store RECORD")
+		fmt.Fprintln(os.Stderr, "usage: lab2 retire-replace|retire-wipe|frozen-front|crashed-engines RECORD")
 		return exitNotRun
 	}
 	record, err := newRecord(arguments[1])
@@ -57,7 +60,7 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(folder)
-	d, err := newDeployment(folder, record, strings.HasPrefix(arguments[0], "frozen-"))
+	d, err := newDeployment(folder, record, arguments[0] == "frozen-front" || arguments[0] == "crashed-engines")
 	if err != nil {
 		record.printf("the deployment could not be set up: %v", err)
 		return exitNotRun
@@ -75,8 +78,8 @@
 	switch arguments[0] {
 	case "frozen-front":
 		return judge(d, trouble, frozenFront, "ORDER: %d streams end as complete before their last event: %s", "every stream that ends as complete has all events")
-	case "frozen-store":
-		return judge(d, trouble, frozenStore, "MIXED: %d results are succeeded though their text isn't the whole output: %s", "every result that is succeeded has the whole output")
+	case "crashed-engines":
+		return judge(d, trouble, crashedEngines, "MIXED: %d results are succeeded though their text isn't the whole output: %s", "every result that is succeeded has the whole output")
 	}
 	steps := map[string]func(*deployment, bool) error{"retire-replace": retireReplace, "retire-wipe": retireWipe}[arguments[0]]
 	if steps == nil {
@@ -122,11 +125,8 @@
 
 // lead is the time from the start of the machines to that of the traffic.
 func (d *deployment) lead() error {
-	time.Sleep(5 * time.Second)
-	for _, n := range d.fronts {
-		if !d.ready(n) {
-			return fmt.Errorf("%s isn't ready 5 s after its start", n.name)
-		}
+	if err := d.awaitReady(); err != nil {
+		return err
 	}
 	d.calm(4 * time.Second)
 	if len(d.jobs) == 0 {
@@ -135,6 +135,21 @@
 	return nil
 }
 
+// awaitReady waits 5 s, and until all front nodes are ready.
+func (d *deployment) awaitReady() error {
+	end := time.Now().Add(readyTime)
+	time.Sleep(5 * time.Second)
+	for _, n := range d.fronts {
+		for !d.ready(n) {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s isn't ready %s after its start", n.name, readyTime)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
 // retireReplace: the operator asks to empty store-1, which can't be done with two others; store-3 is
 // lost for good, and a new machine takes its place; once that has had its time, store-2 loses its disk.
 func retireReplace(d *deployment, trouble bool) error {
--- a/review/lab2/streams.go
+++ b/review/lab2/streams.go
@@ -107,11 +107,8 @@
 // frozenFront has callers stream all the time. In each round a front node stands still for freezeTime; an
 // engine crashes meanwhile and is back at its address, as a new incarnation, before the node goes on.
 func frozenFront(d *deployment, trouble bool) (broken []string, err error) {
-	time.Sleep(5 * time.Second)
-	for _, n := range d.fronts {
-		if !d.ready(n) {
-			return nil, fmt.Errorf("%s isn't ready 5 s after its start", n.name)
-		}
+	if err := d.awaitReady(); err != nil {
+		return nil, err
 	}
 	calls := &streamCalls{d: d, stop: make(chan struct{})}
 	for i := range callers {
