Review, cases 4, 5 and 7: jobs are read for finishS after traffic; set-up and ports mended

The scripts of cases 4 and 5 read accepted jobs for 10 s after traffic had ended, where the rule gives finishS, 18 s.

--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -15,8 +15,8 @@
 
 const (
 	itemsPerJob = 4
-	// finalReads is how long jobs are read at the end before one counts as lost.
-	finalReads = 10 * time.Second
+	// finalReads is how long jobs are read after the last submission before one counts as lost: the sites' finishS.
+	finalReads = 18 * time.Second
 )
 
 type item struct {
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -139,10 +139,12 @@
 	return d, nil
 }
 
-// Ports below the kernel's range for outgoing connections.
+// Ports below the kernel's range for outgoing connections, in blocks so that several scripts at a time
+// rarely try the same ones.
 const (
-	firstPort = 20000
-	lastPort  = 28000
+	firstPort  = 20000
+	portBlocks = 80
+	blockPorts = 100
 )
 
 func configuredStreams() []map[string]any {
@@ -159,8 +161,8 @@
 
 // freeAddress returns a loopback address that is free for TCP and UDP, and not one that it returned before.
 func (d *deployment) freeAddress() (string, error) {
-	for range 200 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portBlocks*blockPorts+rand.IntN(blockPorts))
 		if d.taken[address] {
 			continue
 		}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -128,7 +128,12 @@
 	if err := d.awaitReady(); err != nil {
 		return err
 	}
-	d.calm(4 * time.Second)
+	for end := time.Now().Add(readyTime); ; {
+		d.calm(4 * time.Second)
+		if len(d.jobs) > 0 || time.Now().After(end) {
+			break
+		}
+	}
 	if len(d.jobs) == 0 {
 		return fmt.Errorf("no job was accepted before the disruptions")
 	}
