Connections: a reset that a write saw is no end of a response

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part with Content-Length as the whole answer; error answers and streams likewise, and items counted the part as theirs.

Cause: the kernel reports a reset once. An upload over 16 KiB is written beside the reading of its response; where the write gets ECONNRESET, the read of the same connection returns the end of the data, and a body without a length ends as whole. Which call gets it is decided by chance.

Change: engines' connections are of type httpconn.Conn, whose Read returns io.EOF only if the peer ended the connection in order. It keeps the first error by which the kernel reported that the connection broke, whichever call got it. While a write is under way it asks the kernel for the socket's state: a socket that is closed in both directions lets the write return at once, and its error decides. A peer that has ended the connection and resets it later gives EPIPE, and its response stays whole.

Why it works: it doesn't depend on which call meets the error, nor on when its goroutine runs.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 const (
@@ -66,7 +67,7 @@
 
 // connection is a TCP connection to an engine that serves one call at a time.
 type connection struct {
-	net.Conn
+	*httpconn.Conn
 	source *boundedReader // of reader
 	reader *bufio.Reader
 	key    string
@@ -137,8 +138,9 @@
 		_, engineID, _ := strings.Cut(key, "|")
 		p.Connected(engineID, clock.Since(started))
 	}
-	source := &boundedReader{Reader: conn, left: math.MaxInt}
-	return &connection{Conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize), key: key}, nil
+	checked := httpconn.NewConn(conn)
+	source := &boundedReader{Reader: checked, left: math.MaxInt}
+	return &connection{Conn: checked, source: source, reader: bufio.NewReaderSize(source, readBufferSize), key: key}, nil
 }
 
 // Prepare makes sure that there is an idle connection to an engine's address for a request, and opens one
@@ -215,10 +217,8 @@
 }
 
 func (c *connection) setAckTimeout(timeout time.Duration) {
-	if systemConn, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := systemConn.SyscallConn(); err == nil {
-			_ = setAckTimeout(raw, timeout) // else the timeout stays what it was
-		}
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = setAckTimeout(raw, timeout) // else the timeout stays what it was
 	}
 }
 
@@ -246,11 +246,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	systemConn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := systemConn.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
@@ -71,7 +70,7 @@
 	})
 	pool := NewPool(plainDialect{})
 	timeout := func(c *connection) (value time.Duration) {
-		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		raw, err := c.SyscallConn()
 		if err != nil {
 			t.Fatal(err)
 		}
