Responses: a status that is none fails the response at once

What callers saw: an engine in trouble sent an answer whose status was 000. Where another head came behind it, a caller got that one's body as the answer; else the request was held until its deadline, 8 s in the test. Statuses of 600 and above were passed on as they were, and signs ("+20", "-00") were read as numbers.

Cause: net/http parses any three characters that make a number of 0 or more. Package upstream took all below 200 for interim heads and read on.

Change: httpconn.Conn checks the bytes of a head before the parser gets them: the first line, and the bound on the head's size, which package upstream had. A status is one of 100 to 599 in three digits. The exchange fails with fate unknown and the status in its cause, which attempt-failed and item-retried log with the engine.

Why it works: no reader of a connection sees a head that the checker has not accepted, interim heads and those behind a late response to another request included. Requests that may run again go on at another engine.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -27,6 +27,7 @@
 	net.Conn
 
 	mutex sync.Mutex // guards the fields below; a leaf
+	head  headChecker
 	// failed is the first error by which the kernel reported that the connection broke.
 	failed error
 	// writes is the number of writes under way. idle is closed once there are none; nil if nobody waits for that.
@@ -48,9 +49,30 @@
 	return systemConn.SyscallConn()
 }
 
+// ExpectHead makes the connection check the head that is read next, with the interim heads before it. buffered
+// are the bytes of it that were read already.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.head.begin()
+	return c.head.check(buffered)
+}
+
+// HeadErr returns why the head that was read last isn't valid, or nil. The parser may have reported another error.
+func (c *Conn) HeadErr() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.head.err
+}
+
 // Read implements net.Conn. It returns io.EOF only if the peer has ended the connection in order.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		if invalid := c.checkHead(buffer[:n]); invalid != nil {
+			return 0, invalid
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		return n, c.checkEnd()
 	}
@@ -58,6 +80,12 @@
 	return n, err
 }
 
+func (c *Conn) checkHead(read []byte) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.head.check(read)
+}
+
 // checkEnd returns io.EOF if the peer has ended the connection in order, else an error.
 func (c *Conn) checkEnd() error {
 	idle, failed := c.state()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -104,8 +104,11 @@
 // readHead reads response heads until one belongs to the call.
 func (p *Pool) readHead(conn *connection, call *Call) (*Response, error) {
 	request := &http.Request{Method: call.Method}
+	if err := conn.expectHead(); err != nil {
+		return nil, err
+	}
 	for range maxSurplusResponses {
-		response, err := conn.readResponse(request)
+		response, err := conn.readHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -127,18 +130,13 @@
 		if err := skipBody(response); err != nil {
 			return nil, err
 		}
+		if err := conn.expectHead(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errForeignResponse
 }
 
-func skipBody(response *http.Response) error {
-	skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBody))
-	if err == nil && skipped == maxSurplusBody {
-		return errForeignResponse
-	}
-	return err
-}
-
 // restoreConnectionHeader puts back the Connection header, which the parser removes and
 // idleTimeout needs.
 func restoreConnectionHeader(response *http.Response) {
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 // floodTimeout bounds the time for a response without end to be given up.
@@ -67,7 +69,7 @@
 	for _, excess := range []int{0, 1} {
 		address := startEngine(t, func(conn net.Conn, reader *bufio.Reader) {
 			_, _ = readRequest(reader)
-			long := strings.Repeat("x", maxHeadBytes-len(rest)+excess)
+			long := strings.Repeat("x", httpconn.MaxHeadBytes-len(rest)+excess)
 			_, _ = io.WriteString(conn, strings.Replace(rest, "X-Long: ", "X-Long: "+long, 1)+"body")
 		})
 		body, err := exchange(NewPool(plainDialect{}), address, "a")
@@ -76,7 +78,7 @@
 			g.Expect(body).To(gomega.Equal("body"))
 			continue
 		}
-		g.Expect(err).To(gomega.MatchError(errHeadTooLong))
+		g.Expect(err).To(gomega.MatchError(httpconn.ErrHeadTooLong))
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -68,7 +67,6 @@
 // connection is a TCP connection to an engine that serves one call at a time.
 type connection struct {
 	*httpconn.Conn
-	source *boundedReader // of reader
 	reader *bufio.Reader
 	key    string
 	// idleDeadline is when the connection must be closed if it is idle.
@@ -139,8 +137,7 @@
 		p.Connected(engineID, clock.Since(started))
 	}
 	checked := httpconn.NewConn(conn)
-	source := &boundedReader{Reader: checked, left: math.MaxInt}
-	return &connection{Conn: checked, source: source, reader: bufio.NewReaderSize(source, readBufferSize), key: key}, nil
+	return &connection{Conn: checked, reader: bufio.NewReaderSize(checked, readBufferSize), key: key}, nil
 }
 
 // Prepare makes sure that there is an idle connection to an engine's address for a request, and opens one
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -38,8 +38,11 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, host); err != nil {
 		return nil, "send", err
 	}
+	if err := conn.expectHead(); err != nil {
+		return nil, "head", err
+	}
 	for range maxSurplusResponses {
-		if response, err = conn.readResponse(&http.Request{Method: http.MethodGet}); err != nil {
+		if response, err = conn.readHead(&http.Request{Method: http.MethodGet}); err != nil {
 			return nil, "head", err
 		}
 		if response.StatusCode < http.StatusOK {
