Responses: a line of a head that is no field fails the response

What callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank. The caller got it as the answer: with the line passed on; with a body that was read to the end of the connection, as the length behind "Content-Length :" was ignored; or with the line joined to the value of the one before it.

Cause: net/http keeps a name with a blank under that name, and takes a line that begins with a blank or a tab for the rest of the line before. A name with a control byte or a tab within it, and control bytes in values, it rejects; these cases held.

Change: httpconn checks each line of a head: a token, a colon, and no control byte but tabs (RFC 9112, section 5). A folded line is none (section 5.2 lets a gateway reject it). Names of trailers are checked once a body has been read.

Why it works: lines are checked as they come, before the parser joins or drops any.

--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -14,7 +14,7 @@
 var (
 	// ErrHeadTooLong reports a head of more than MaxHeadBytes.
 	ErrHeadTooLong = errors.New("the response's head is too long")
-	// ErrInvalidHead reports a head that isn't valid (RFC 9112, section 4).
+	// ErrInvalidHead reports a head, or a trailer, that isn't valid (RFC 9112, sections 4 and 5).
 	ErrInvalidHead = errors.New("the response's head isn't valid")
 )
 
@@ -55,6 +55,7 @@
 	case h.status == 0:
 		h.status, h.err = parseStatus(line)
 	case len(line) > 0:
+		h.err = checkField(line)
 	default:
 		h.active = h.status < http.StatusOK // another head follows an interim one
 		h.status, h.size = 0, 0
@@ -90,12 +91,49 @@
 	return nil
 }
 
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(string(name)) || !isText(value) {
+		return invalid("field", line)
+	}
+	return nil
+}
+
+// CheckTrailer returns an error unless the names of a trailer that was parsed are valid.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !isToken(name) {
+			return fmt.Errorf("%w: trailer %.100q", ErrInvalidHead, name)
+		}
+	}
+	return nil
+}
+
 func invalid(part string, line []byte) error {
 	return fmt.Errorf("%w: %s %.100q", ErrInvalidHead, part, line)
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// isToken reports whether text is a token, as names of fields are (RFC 9110, section 5.6.2).
+func isToken(text string) bool {
+	for i := range len(text) {
+		if !tokenBytes[text[i]] {
+			return false
+		}
+	}
+	return text != ""
+}
+
+var tokenBytes = func() (set [256]bool) {
+	const others = "!#$%&'*+-.^_`|~"
+	for b := range 256 {
+		c := byte(b)
+		set[b] = isDigit(c) || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || bytes.IndexByte([]byte(others), c) >= 0
+	}
+	return set
+}()
+
 // isText reports whether text has no control bytes but tabs.
 func isText(text []byte) bool {
 	const del = 0x7f
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestCheckerFindsInvalidHeadsInPartsOfAnySize(t *testing.T) {
-	for _, response := range httpconntest.InvalidStatusLines("A: b\r\n") {
+	for _, response := range httpconntest.InvalidHeads("A: b\r\n") {
 		for _, size := range []int{1, 2, 7, 1 << 10} {
 			gomega.NewWithT(t).Expect(checkParts([]byte(response.Bytes), size)).To(gomega.MatchError(ErrInvalidHead), "%s in parts of %d", response.Name, size)
 		}
@@ -59,7 +59,7 @@
 
 // What the checker accepts has a status and names that the parser reads as they are.
 func FuzzChecker(f *testing.F) {
-	for _, response := range append(httpconntest.InvalidStatusLines("A: b\r\n"), httpconntest.ValidHeads("A: b\r\n")...) {
+	for _, response := range append(httpconntest.InvalidHeads("A: b\r\n"), httpconntest.ValidHeads("A: b\r\n")...) {
 		f.Add([]byte(response.Bytes), uint8(3))
 	}
 	f.Fuzz(func(t *testing.T, read []byte, size uint8) {
@@ -74,5 +74,10 @@
 		if response.StatusCode < 100 || response.StatusCode > 599 {
 			t.Fatalf("status %d", response.StatusCode)
 		}
+		for name := range response.Header {
+			if strings.ContainsAny(name, " \t\x00") || name == "" {
+				t.Fatalf("name %q", name)
+			}
+		}
 	})
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chutelock.dev/chutelock/internal/clock"
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 	pool       *Pool
 	conn       *connection
-	body       io.ReadCloser
+	message    *http.Response // whose trailer is known once its body is read
 	written    <-chan error
 	stopCancel func() bool
 	complete   bool
@@ -122,7 +123,7 @@
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Facts: facts, Length: response.ContentLength,
 				Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-				pool:   p, conn: conn, body: response.Body,
+				pool:   p, conn: conn, message: response,
 			}, nil
 		case facts.ID == "":
 			return nil, errForeignResponse
@@ -147,7 +148,10 @@
 
 // Read implements io.Reader for the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(buffer []byte) (int, error) {
-	n, err := r.body.Read(buffer)
+	n, err := r.message.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = r.checkTrailer()
+	}
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 	} else if err != nil {
@@ -156,6 +160,14 @@
 	return n, err
 }
 
+// checkTrailer returns io.EOF if what came behind the body is valid.
+func (r *Response) checkTrailer() error {
+	if err := httpconn.CheckTrailer(r.message.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // SetReadDeadline sets the deadline for reading the body.
 func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.SetReadDeadline(at) }
 
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 // expectHead makes the connection check the next response's head, and the interim ones before it, as they are
@@ -33,5 +35,5 @@
 	case skipped == maxSurplusBody:
 		return errForeignResponse
 	}
-	return nil
+	return httpconn.CheckTrailer(response.Trailer)
 }
--- a/internal/upstream/invalidhead_test.go
+++ b/internal/upstream/invalidhead_test.go
@@ -38,7 +38,7 @@
 // Guards against responses whose head isn't valid and that callers get, or that hold their request until its
 // deadline.
 func TestResponseWithInvalidHeadFailsAtOnce(t *testing.T) {
-	for _, response := range httpconntest.InvalidStatusLines("Id: a\r\n") {
+	for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
 		t.Run(response.Name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
@@ -52,7 +52,7 @@
 
 // Guards against health responses whose head isn't valid and that count.
 func TestProbeWithInvalidHeadFailsAtOnce(t *testing.T) {
-	for _, response := range httpconntest.InvalidStatusLines("Id: a\r\n") {
+	for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
 		t.Run(response.Name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
@@ -65,6 +65,19 @@
 	}
 }
 
+// Guards against responses that pass for whole though what ends them isn't valid.
+func TestResponseWithInvalidTrailerIsNotWhole(t *testing.T) {
+	for _, response := range httpconntest.InvalidTrailers("Id: a\r\n") {
+		t.Run(response.Name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			body, late, err := readWithin(t, answerWith(t, response.Bytes))
+			g.Expect(err).To(gomega.HaveOccurred(), "read %q", body)
+			g.Expect(late).To(gomega.BeFalse(), "it must be known at once")
+		})
+	}
+}
+
 func TestResponseWithUnusualHeadIsRead(t *testing.T) {
 	for _, response := range httpconntest.ValidHeads("Id: a\r\n") {
 		t.Run(response.Name, func(t *testing.T) {
@@ -80,7 +93,7 @@
 // Guards against the head of a response behind a late one to another request that isn't looked at.
 func TestInvalidHeadBehindSurplusResponseFails(t *testing.T) {
 	const surplus = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
-	for _, response := range httpconntest.InvalidStatusLines("Id: a\r\n") {
+	for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
 		t.Run(response.Name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
