OpenAI dialect: heads of responses are checked as those of the other dialect

A stream whose head has a blank in a name is taken for the answer, and a control request counts as done by one.

Change: httpconn.Transport is an http.RoundTripper whose connections check heads and ends; it checks the trailer once a body has been read. Clients of package net/http use it in place of http.Transport.

Why it works: the same checker gets the bytes of each head before net/http's parser.

--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/engine"
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 // Errors that Client wraps in an *engine.Error.
@@ -53,7 +54,7 @@
 	ConnectTimeout time.Duration
 	// ControlTimeout limits each suspend, cancel, order and load request.
 	ControlTimeout time.Duration
-	// Transport may be shared between clients; if nil, New creates one.
+	// Transport is one of NewTransport, and may be shared between clients; if nil, New creates one.
 	Transport *http.Transport
 }
 
@@ -66,9 +67,6 @@
 // maxIdlePerEngine limits the idle connections per engine.
 const maxIdlePerEngine = 256
 
-// maxHeadBytes bounds the head of a response, in bytes. Header lines take several times their size in memory.
-const maxHeadBytes = 32 << 10
-
 // maxControlBody bounds the body of a response to a control request, in bytes; a load report takes some KiB.
 const maxControlBody = 1 << 20
 
@@ -78,11 +76,11 @@
 		connectTimeout = DefaultConnectTimeout
 	}
 	return &http.Transport{
-		DialContext:            dialer(connectTimeout),
+		DialContext:            httpconn.Dialer(dialer(connectTimeout)),
 		MaxIdleConnsPerHost:    maxIdlePerEngine,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 	}
 }
 
@@ -107,14 +105,15 @@
 		transport = NewTransport(options.ConnectTimeout)
 	}
 	base := "http://" + address
-	control := resty.NewWithClient(&http.Client{Transport: transport}).
+	checked := &httpconn.Transport{HTTP: transport}
+	control := resty.NewWithClient(&http.Client{Transport: checked}).
 		SetBaseURL(base).
 		SetTimeout(options.ControlTimeout).
 		SetResponseBodyLimit(maxControlBody)
 	return &Client{
 		name:    name,
 		baseURL: base,
-		streams: &http.Client{Transport: transport},
+		streams: &http.Client{Transport: checked},
 		control: control,
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -150,24 +150,19 @@
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.message.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
-		err = r.checkTrailer()
+		if invalid := httpconn.CheckTrailer(r.message.Trailer); invalid != nil {
+			err = invalid
+		}
 	}
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		r.complete = true
-	} else if err != nil {
+	case err != nil:
 		r.readFailed = true
 	}
 	return n, err
 }
 
-// checkTrailer returns io.EOF if what came behind the body is valid.
-func (r *Response) checkTrailer() error {
-	if err := httpconn.CheckTrailer(r.message.Trailer); err != nil {
-		return err
-	}
-	return io.EOF
-}
-
 // SetReadDeadline sets the deadline for reading the body.
 func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.SetReadDeadline(at) }
 
