OpenAI dialect: a broken error response doesn't tell that a request has not run

What callers saw: an engine answered a long prompt at once with a 503 and "not_run" and reset the connection, or ended it before the response's length. The request counted as not run and was sent again, though nothing vouches for a response that broke off.

Cause: responseError decoded the first JSON value of the body and left the rest unread.

Evidence, before the change: TestErrorResponseResetDuringUploadTellsNothing fails in both cases of a broken response, reset: Expected <engine.Fate>: 1 (not run) to equal 0 (unknown) and passes in those of a whole one that comes during the upload.

Change: the whole body is read before it is decoded, up to the same bound.

Why it works: the end of the body is known, and by the connection's own judgement.

--- a/internal/engine/openaihttp/client.go
+++ b/internal/engine/openaihttp/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -220,7 +221,7 @@
 const maxErrorBody = 64 << 10
 
 // responseError converts an engine's error response. The result is FateNotRun or
-// FateFailed only if the engine reports so.
+// FateFailed only if the engine reports so in a whole response.
 func (c *Client) responseError(step string, response *http.Response) error {
 	var answer struct {
 		Error struct {
@@ -229,9 +230,9 @@
 			Code    any    `json:"code"`
 		} `json:"error"`
 	}
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxErrorBody))
 	fate := engine.FateUnknown
-	if decoder.Decode(&answer) == nil {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxErrorBody))
+	if err == nil && json.Unmarshal(body, &answer) == nil {
 		switch answer.Error.Code {
 		case codeNotRun:
 			fate = engine.FateNotRun
--- a/internal/engine/openaihttp/invalid_test.go
+++ b/internal/engine/openaihttp/invalid_test.go
@@ -57,3 +57,37 @@
 		gomega.NewWithT(t).Expect(answerClient(t, response.Bytes).Cancel(t.Context(), "a")).To(gomega.Succeed(), response.Name)
 	}
 }
+
+// Guards against a request that counts as not run by an error response that was reset during its upload, and
+// against one that counts as unknown though its whole error response came early.
+func TestErrorResponseResetDuringUploadTellsNothing(t *testing.T) {
+	const notRun = `{"error":{"code":"not_run","message":"full"}}`
+	for _, test := range []struct {
+		name, head, body string
+		end              func(c *httpconntest.Conn)
+		fate             engine.Fate
+	}{
+		{"reset", "", notRun + strings.Repeat(" ", 100), (*httpconntest.Conn).Reset, engine.FateUnknown},
+		{"reset before its length", "Content-Length: 200\r\n", notRun, (*httpconntest.Conn).Reset, engine.FateUnknown},
+		{"whole, with a length", fmt.Sprintf("Content-Length: %d\r\n", len(notRun)), notRun, (*httpconntest.Conn).ReadBody, engine.FateNotRun},
+		{"whole", "", notRun, func(c *httpconntest.Conn) {
+			_ = c.CloseWrite()
+			c.ReadBody()
+		}, engine.FateNotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address := httpconntest.Serve(t, func(c *httpconntest.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nContent-Type: application/json\r\n%s\r\n%s", test.head, test.body)
+				time.Sleep(5 * time.Millisecond)
+				test.end(c)
+				return false
+			})
+			for range 20 {
+				client := openaihttp.New("e", address, openaihttp.Options{})
+				_, err := client.Generate(t.Context(), completion("a", strings.Repeat("x", 1<<20), 1), func(engine.Chunk) error { return nil })
+				g.Expect(fateOf(err)).To(gomega.Equal(test.fate), "%v", err)
+			}
+		})
+	}
+}
