Clients of stores and of nodes: heads of responses are checked

A list, an object or a result counts though its head has a blank in a name, or a second head stands behind a first one that is none; a status that is none holds the call until its timeout.

Evidence, before the change (the tests on the commit before): TestAnswerWithInvalidHeadFailsCall fails in 41 of 221 cases in platform/objectstore and in 41 of 221 in internal/platform/objecthttp, TestAnswerWithInvalidHeadFailsCommand at its first case, status 000, which a command took for a refusal.

Why it works: all clients of HTTP in the nodes and in the command line have the same checker of heads and of ends. Peers of both dialects talk in frames with a length and a checksum; they aren't concerned.

--- a/cmd/chutelockctl/connection.go
+++ b/cmd/chutelockctl/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"chutelock.dev/chutelock/internal/httpconn"
 )
 
 // Exit codes of the subcommands, besides exitUsage.
@@ -71,7 +73,7 @@
 
 // client returns an HTTP client for the server that sends the key.
 func (c *connection) client() *resty.Client {
-	client := resty.New().SetBaseURL(c.server).SetTimeout(requestTimeout)
+	client := resty.New().SetTransport(httpconn.NewTransport()).SetBaseURL(c.server).SetTimeout(requestTimeout)
 	if c.key != "" {
 		client.SetAuthToken(c.key)
 	}
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -28,6 +28,14 @@
 // MaxResponseHeaderBytes should be MaxHeadBytes. Heads aren't checked where TLS is used.
 type Transport struct{ HTTP *http.Transport }
 
+// NewTransport returns a transport with the defaults of package net/http.
+func NewTransport() *Transport {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.DialContext = Dialer(base.DialContext)
+	base.MaxResponseHeaderBytes = MaxHeadBytes
+	return &Transport{HTTP: base}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[Conn]
--- a/internal/platform/objecthttp/client.go
+++ b/internal/platform/objecthttp/client.go
@@ -13,6 +13,7 @@
 	"github.com/go-resty/resty/v2"
 	"github.com/gravitational/trace"
 
+	"chutelock.dev/chutelock/internal/httpconn"
 	"chutelock.dev/chutelock/internal/platform"
 )
 
@@ -53,10 +54,11 @@
 		options.Timeout = DefaultTimeout
 	}
 	base := "http://" + address
+	transport := httpconn.NewTransport()
 	return &Client{
 		base:        base,
-		callClient:  resty.New().SetBaseURL(base).SetTimeout(options.Timeout),
-		watchClient: &http.Client{},
+		callClient:  resty.NewWithClient(&http.Client{Transport: transport}).SetBaseURL(base).SetTimeout(options.Timeout),
+		watchClient: &http.Client{Transport: transport},
 		maxSilence:  options.MaxSilence,
 	}
 }
