Package rawjson: decodes objects in parts for both stores

The fallback of the platform's store moves to package rawjson, so that the client of the other dialect's platform can use it; so does the stand-in for answers without end, to httpconntest.

--- a/internal/httpconn/httpconntest/httpconntest.go
+++ b/internal/httpconn/httpconntest/httpconntest.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -121,3 +122,22 @@
 		}
 	}
 }
+
+// ServeWithoutEnd starts a server that answers each request with begin and then with bytes until its connection
+// is closed, or twice as many as wanted were sent. It tells how many bytes each connection took.
+func ServeWithoutEnd(t testing.TB, begin string, wanted int) (address string, sent <-chan int) {
+	t.Helper()
+	const blockBytes = 64 << 10
+	block, taken := strings.Repeat("m", blockBytes), make(chan int, 1)
+	return Serve(t, func(c *Conn) bool {
+		_, err := io.WriteString(c, begin)
+		total := 0
+		for err == nil && total < 2*wanted {
+			var n int
+			n, err = io.WriteString(c, block)
+			total += n
+		}
+		taken <- total
+		return false
+	}), taken
+}
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -35,6 +35,34 @@
 	return members, s.end()
 }
 
+// Parted is a value that can be decoded from the members of an object, some of which it keeps undecoded.
+type Parted interface {
+	DecodeParts(members map[string]json.RawMessage) error
+}
+
+// Decode decodes an object by encoding/json. If that rejects it, and out is Parted, the object is split and
+// decoded from its members; that takes longer.
+func Decode(object []byte, out any) error {
+	err := json.Unmarshal(object, out)
+	parted, ok := out.(Parted)
+	if err == nil || !ok {
+		return err
+	}
+	members, splitErr := Members(object)
+	if splitErr != nil {
+		return err
+	}
+	return parted.DecodeParts(members)
+}
+
+// DecodeMember decodes a member into out, which is left as it is if there is none of that name.
+func DecodeMember(members map[string]json.RawMessage, name string, out any) error {
+	if raw, found := members[name]; found {
+		return json.Unmarshal(raw, out)
+	}
+	return nil
+}
+
 // splitter reads a text from left to right. Once it has failed, its methods do nothing.
 type splitter struct {
 	text []byte
