Platform of the other dialect: an object that can't be decoded leaves the others readable

What callers would see: beside an engine's entry that is nested deeper than 10,000 levels no node of the OpenAI dialect follows the engines any more; the cause is that of the platform's store.

Evidence, before the change: TestOddObjectLeavesOthersReadable/nested: platform: list engines: invalid character '[' exceeded max depth

Change: lists, objects and events are decoded in parts where they aren't valid as a whole. Watches are read by lines, one for each event, of at most 16 MiB; json.Decoder doesn't get over an event that it rejects.

Why it works: package fleet/tracker leaves an engine out whose specification it can't decode, as it did before. A watch that ends inside a line ends as before; the event comes again with the next one.

--- a/internal/platform/objecthttp/client.go
+++ b/internal/platform/objecthttp/client.go
@@ -15,6 +15,7 @@
 
 	"chutelock.dev/chutelock/internal/httpconn"
 	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/rawjson"
 )
 
 const (
@@ -136,7 +137,7 @@
 // effect.
 func (c *Client) decodeObject(step, kind string, response *resty.Response) (platform.Object, error) {
 	var body objectBody
-	if err := json.Unmarshal(response.Body(), &body); err != nil {
+	if err := rawjson.Decode(response.Body(), &body); err != nil {
 		return platform.Object{}, trace.Wrap(err, "platform %s: %s", c.base, step)
 	}
 	return body.object(kind)
@@ -160,7 +161,7 @@
 		return nil, 0, err
 	}
 	var body listBody
-	if err := json.Unmarshal(response.Body(), &body); err != nil {
+	if err := rawjson.Decode(response.Body(), &body); err != nil {
 		return nil, 0, trace.Wrap(err, "platform %s: %s", c.base, step)
 	}
 	revision, err := parseRevision(body.Metadata.ResourceVersion)
--- a/internal/platform/objecthttp/watch.go
+++ b/internal/platform/objecthttp/watch.go
@@ -1,6 +1,8 @@
 package objecthttp
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"chutelock.dev/chutelock/internal/platform"
+	"chutelock.dev/chutelock/internal/rawjson"
 )
 
 // Errors of Watch, in addition to those of package platform.
@@ -29,6 +32,8 @@
 	eventError = "ERROR"
 	// maxErrorBody is how much of an error response is read and discarded, in bytes.
 	maxErrorBody = 4 << 10
+	// maxEventBytes bounds the line of an event.
+	maxEventBytes = 16 << 20
 )
 
 // eventBody is the JSON form of a watch event.
@@ -63,11 +68,16 @@
 		_, _ = io.CopyN(io.Discard, response.Body, maxErrorBody)
 		return c.watchError(kind, statusError(response.StatusCode, response.Status))
 	}
-	decoder := json.NewDecoder(response.Body)
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxEventBytes)
+	lines.Split(wholeLines)
 	for {
 		var body eventBody
-		if err := decoder.Decode(&body); err != nil {
-			return c.watchError(kind, contextCause(ctx, mapEOF(err)))
+		if !lines.Scan() {
+			return c.watchError(kind, contextCause(ctx, watchEnd(lines.Err())))
+		}
+		if err := rawjson.Decode(lines.Bytes(), &body); err != nil {
+			return c.watchError(kind, err)
 		}
 		c.resetWatchdog(watchdog)
 		event, err := body.event(kind)
@@ -115,9 +125,17 @@
 	return err
 }
 
-// mapEOF returns ErrWatchEnded for the end of a response body.
-func mapEOF(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+// wholeLines is bufio.ScanLines without the last line of a response that ends inside it.
+func wholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && !bytes.Contains(data, []byte("\n")) {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, false)
+}
+
+// watchEnd returns ErrWatchEnded for the end of a response's body.
+func watchEnd(err error) error {
+	if err == nil || errors.Is(err, io.ErrUnexpectedEOF) {
 		return ErrWatchEnded
 	}
 	return err
@@ -135,7 +153,7 @@
 		return platform.Event{}, statusError(status.Code, status.Message)
 	}
 	var body objectBody
-	if err := json.Unmarshal(b.Object, &body); err != nil {
+	if err := rawjson.Decode(b.Object, &body); err != nil {
 		return platform.Event{}, err
 	}
 	object, err := body.object(kind)
