Platform of the other dialect: answers without end are given up

Evidence, before the change: TestCallGivesUpAnswerWithoutEnd/failure: get: Expected <int>: to be <, and a delete whose answer had 320 MB succeeded.

Change: the body of an answer is bounded by 64 MiB, as lists come whole.

Why it works: the call ends at the bound, and the connection is closed.

--- a/internal/platform/objecthttp/answers_test.go
+++ b/internal/platform/objecthttp/answers_test.go
@@ -54,3 +54,23 @@
 		})
 	}
 }
+
+// Guards against nodes whose memory the platform fills, and calls that don't end before their time.
+func TestCallGivesUpAnswerWithoutEnd(t *testing.T) {
+	const wanted = 160 << 20 // bytes until an answer is given up
+	for name, begin := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nX-More: ", "body": "HTTP/1.1 200 OK\r\n\r\n{\"items\":[\"", "failure": "HTTP/1.1 500 X\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address, sent := httpconntest.ServeWithoutEnd(t, begin, wanted)
+			for call := range calls {
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				g.Expect(calls[call](ctx, objecthttp.New(address, objecthttp.Options{Timeout: 20 * time.Second}))).NotTo(gomega.Succeed(), call)
+				g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), "%s must be given up before its time", call)
+				cancel()
+				g.Eventually(sent, 10*time.Second).Should(gomega.Receive(gomega.BeNumerically("<", wanted)), call)
+			}
+		})
+	}
+}
--- a/internal/platform/objecthttp/client.go
+++ b/internal/platform/objecthttp/client.go
@@ -26,6 +26,9 @@
 // DefaultTimeout is the timeout of each call except watches.
 const DefaultTimeout = 5 * time.Second
 
+// maxAnswerBytes bounds the body of an answer; a list has all objects of its kind.
+const maxAnswerBytes = 64 << 20
+
 // Options configure a Client.
 type Options struct {
 	// Timeout bounds each call except watches; 0 means DefaultTimeout.
@@ -58,7 +61,7 @@
 	transport := httpconn.NewTransport()
 	return &Client{
 		base:        base,
-		callClient:  resty.NewWithClient(&http.Client{Transport: transport}).SetBaseURL(base).SetTimeout(options.Timeout),
+		callClient:  resty.NewWithClient(&http.Client{Transport: transport}).SetBaseURL(base).SetTimeout(options.Timeout).SetResponseBodyLimit(maxAnswerBytes),
 		watchClient: &http.Client{Transport: transport},
 		maxSilence:  options.MaxSilence,
 	}
