Items: a failure that breaks off neither ends an item nor counts as failed

What callers saw: an engine in trouble sent the head of a 422 and reset the connection, and the item was listed as dead at once; three such answers of 500 in a row ended an item, too.

Cause: a 422 was judged by its head alone; the body of other failures was read, but how it ended wasn't looked at.

Change: a failure counts once its body has been read to its end, up to 256 KiB. Else the run counts as interrupted, like one whose stream broke off, and the item goes on elsewhere.

Why it works: the end of the body is judged where all ends are, in the connection and the parser.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -115,11 +115,11 @@
 	case response.NotRun:
 		r.reportOutcome(engineRefused, nil)
 		return refusalPause
-	case response.Status == http.StatusUnprocessableEntity:
-		return r.giveUp(ctx, "the engine can never run it")
 	case response.Status >= http.StatusMultipleChoices:
-		// The connection can be used again only after its body was read.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, pageBytes))
+		// A failure that breaks off tells nothing of the item.
+		if err := skipFailure(response); err != nil {
+			return r.handleInterruption(ctx, r.lossOf(exchangeCtx, err), err, isClosed(silence))
+		}
 		return r.handleErrorStatus(ctx, response.Status)
 	case !response.Signed:
 		return r.handleInterruption(ctx, engineFailed, upstream.ErrUnsigned, false)
@@ -127,9 +127,22 @@
 	return r.stream(ctx, exchangeCtx, response, timer, silence)
 }
 
+// maxFailureBytes bounds the body of an engine's failure.
+const maxFailureBytes = 256 << 10
+
+// skipFailure reads a failure's body to its end.
+func skipFailure(body io.Reader) error {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxFailureBytes+1))
+	if err == nil && skipped > maxFailureBytes {
+		err = errFailureTooLong
+	}
+	return err
+}
+
 var (
-	errAddressReused = errors.New("the address belongs to another engine")
-	errNoNumber      = errors.New("the engine's stream has an event without a number")
+	errFailureTooLong = errors.New("the engine's failure is too long")
+	errAddressReused  = errors.New("the address belongs to another engine")
+	errNoNumber       = errors.New("the engine's stream has an event without a number")
 )
 
 // reportOutcome records the run's outcome for its engine.
@@ -287,7 +300,11 @@
 // handleErrorStatus handles an error status; an internal server error counts as a failure of
 // the item.
 func (r *itemRun) handleErrorStatus(ctx context.Context, status int) time.Duration {
-	if status != http.StatusInternalServerError {
+	switch status {
+	case http.StatusUnprocessableEntity:
+		return r.giveUp(ctx, "the engine can never run it")
+	case http.StatusInternalServerError:
+	default:
 		return r.handleInterruption(ctx, engineFailed, errors.New(http.StatusText(status)), false)
 	}
 	r.reportOutcome(engineFailed, errors.New(http.StatusText(status)))
