Stop of a front node: requests whose body is read late are refused as not run

What callers saw, on systems like ours: in a planned stop of one front node, in calm, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated. Here: those whose head came before the port closed and whose body came later.

Cause: whether the node still takes requests was asked once the head was read. The rest of the time to stop is meant for the requests that were taken until then; a body may come at any time of it.

Change: package edge asks again once the body is read. Such a request gets 503 and Retry-After 0, so it may go elsewhere at once. A batch job is still taken, as its answer takes milliseconds.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -130,7 +130,8 @@
 	inFlight atomic.Int64
 }
 
-// RefuseAll refuses all requests whose head is read from now on, as the node has no time left for them.
+// RefuseAll refuses all requests that are read from now on, as the node has no time left for them. Batch jobs whose
+// head was read before are still taken.
 func (e *Edge) RefuseAll() { e.refusing.Store(true) }
 
 // InFlight returns the number of requests being served.
@@ -144,7 +145,7 @@
 	defer e.recoverPanic(w, r)
 	arrived := clock.Now()
 	if e.refusing.Load() {
-		e.rejectRetryAfter(w, r, "this node is stopping; the request has not run", 0)
+		e.rejectStopping(w, r)
 		return
 	}
 	configuration := e.Snapshot().Configuration
@@ -219,6 +220,10 @@
 		e.submitJob(w, r, route, body, &request)
 		return
 	}
+	if e.refusing.Load() { // the body may have come late
+		e.rejectStopping(w, r)
+		return
+	}
 	request.Body = body
 	checkedAt := clock.Now() // stands for the time of admission in Withdraw
 	if from.tenant.Limited() && !e.checkLimit(w, r, from.tenant, &request) {
@@ -252,6 +257,10 @@
 	writeErrorRetryAfter(w, http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+func (e *Edge) rejectStopping(w http.ResponseWriter, r *http.Request) {
+	e.rejectRetryAfter(w, r, "this node is stopping; the request has not run", 0)
+}
+
 func (e *Edge) logRejected(r *http.Request, status int, reason string) {
 	parsed, _ := e.Dialect.ParseRequest(r, clock.Now()) // fields that can't be parsed stay empty
 	eventRejected.Info("request", parsed.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
