--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -278,3 +278,35 @@
 	close(finish)
 	n.g.Expect(<-uploaded).To(gomega.MatchError("status 503, not_run"))
 }
+
+// Guards against requests whose body is read late in a stop and that are passed on.
+func TestStoppingNodeRefusesRequestReadLate(t *testing.T) {
+	n := startNode(t)
+	whole := n.request("late")
+	content, err := io.ReadAll(whole.Body)
+	n.g.Expect(err).NotTo(gomega.HaveOccurred())
+	body, input := io.Pipe()
+	request := n.request("late")
+	request.Body = body
+	type result struct {
+		reply
+		err error
+	}
+	results := make(chan result, 1)
+	go func() {
+		got, err := ask(request)
+		results <- result{got, err}
+	}()
+	_, err = input.Write(content[:len(content)/2])
+	n.g.Expect(err).NotTo(gomega.HaveOccurred())
+	n.g.Eventually(n.gateway.InFlight, waitTimeout).Should(gomega.BeEquivalentTo(1))
+	time.AfterFunc(4*time.Second, func() {
+		_, _ = input.Write(content[len(content)/2:])
+		_ = input.Close()
+	})
+	n.drain(7 * time.Second)
+	got := <-results
+	n.g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	n.g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	n.g.Expect(got.code).To(gomega.Equal("not_run"))
+}
