Failures without a length: one whose engine crashed in the middle isn't whole

What callers saw: an engine that crashed while it sent a failure without a length gave a part of it as the whole answer; an item was listed as dead by a part of a 422.

Cause: a response that ends with its connection was judged by whether its engine still takes connections only where it was a success: handleFailure and the items' runs took the end of a failure for whole.

Evidence, before the change: TestFailureOfCrashedEngineIsNotWhole: u: "part of a fail" Expected <int>: 500 to equal 502; TestFailureOfCrashedEngineDoesNotEndItem: job-1: Expected <string>: dead_letter to equal <string>: succeeded.

Change: failures without a length that have content are judged as successes are, online and in items. A failure without any content stays what its status says (TestWholeFailureIsPassedOn).

Why it works: the same function decides for all responses of one reader.

--- a/internal/batchwork/itemrun.go
+++ b/internal/batchwork/itemrun.go
@@ -117,7 +117,7 @@
 		return refusalPause
 	case response.Status >= http.StatusMultipleChoices:
 		// A failure that breaks off tells nothing of the item.
-		if err := skipFailure(response); err != nil {
+		if err := r.skipFailure(exchangeCtx, response); err != nil {
 			return r.handleInterruption(ctx, r.lossOf(exchangeCtx, err), err, isClosed(silence))
 		}
 		return r.handleErrorStatus(ctx, response.Status)
@@ -130,13 +130,18 @@
 // maxFailureBytes bounds the body of an engine's failure.
 const maxFailureBytes = 256 << 10
 
-// skipFailure reads a failure's body to its end.
-func skipFailure(body io.Reader) error {
-	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxFailureBytes+1))
-	if err == nil && skipped > maxFailureBytes {
-		err = errFailureTooLong
+// skipFailure reads a failure to its end. It returns an error if the failure broke off.
+func (r *itemRun) skipFailure(ctx context.Context, response *upstream.Response) error {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(response, maxFailureBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case skipped > maxFailureBytes:
+		return errFailureTooLong
+	case !response.Framed && skipped > 0 && !r.node.guard.EngineServes(ctx, r.engine):
+		return io.ErrUnexpectedEOF
 	}
-	return err
+	return nil
 }
 
 var (
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -92,7 +92,7 @@
 	case response.NotRun:
 		return attemptResult{kind: OutcomeRefused, cause: statusError(response.Status), addressReused: response.AddressReused}, false
 	case response.Status >= 300:
-		return fl.handleFailure(response)
+		return fl.handleFailure(ctx, engine, response)
 	case !response.Signed:
 		return attemptResult{kind: OutcomeUnknown, cause: upstream.ErrUnsigned}, false
 	case fl.route.Kind == catalog.KindStream:
@@ -188,8 +188,12 @@
 }
 
 // handleFailure reads an error response of an engine that ran the request.
-func (fl *inflight) handleFailure(response *upstream.Response) (attemptResult, bool) {
-	if err := fl.body.readAll(response, response.Length, maxBodyBytes); err != nil {
+func (fl *inflight) handleFailure(ctx context.Context, engine catalog.Engine, response *upstream.Response) (attemptResult, bool) {
+	err := fl.body.readAll(response, response.Length, maxBodyBytes)
+	if err == nil && len(fl.body.bytes) > 0 { // a failure may have no content
+		err = fl.checkEnd(ctx, engine, true)
+	}
+	if err != nil {
 		return attemptResult{kind: fl.brokenOutcome(), cause: err}, false
 	}
 	if fl.streamStarted {
--- a/internal/httpconn/httpconntest/httpconntest.go
+++ b/internal/httpconn/httpconntest/httpconntest.go
@@ -27,6 +27,8 @@
 	*net.TCPConn
 	// Request has a body that is still unread.
 	Request *http.Request
+
+	server *server
 }
 
 // Reset ends the connection with a reset, which discards what the client has not received.
@@ -35,6 +37,13 @@
 	_ = c.Close()
 }
 
+// Crash ends the server as the kernel does with that of a process that ends: it takes no connections any more, and
+// those that there are end.
+func (c *Conn) Crash() {
+	_ = c.server.listener.Close()
+	c.server.closeAll()
+}
+
 // ReadBody reads the body to its end.
 func (c *Conn) ReadBody() { _, _ = io.Copy(io.Discard, c.Request.Body) }
 
@@ -52,8 +61,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{respond: respond, open: map[net.Conn]bool{}}
-	s.tasks.Go(func() { s.accept(listener) })
+	s := &server{respond: respond, listener: listener, open: map[net.Conn]bool{}}
+	s.tasks.Go(s.accept)
 	t.Cleanup(func() {
 		_ = listener.Close()
 		s.closeAll()
@@ -63,17 +72,18 @@
 }
 
 type server struct {
-	respond func(c *Conn) bool
-	tasks   sync.WaitGroup
+	respond  func(c *Conn) bool
+	listener net.Listener
+	tasks    sync.WaitGroup
 
 	mutex  sync.Mutex // guards the fields below; a leaf
 	open   map[net.Conn]bool
 	closed bool
 }
 
-func (s *server) accept(listener net.Listener) {
+func (s *server) accept() {
 	for {
-		conn, err := listener.Accept()
+		conn, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -117,7 +127,7 @@
 		if err != nil {
 			return
 		}
-		if !s.respond(&Conn{TCPConn: conn, Request: request}) {
+		if !s.respond(&Conn{TCPConn: conn, Request: request, server: s}) {
 			return
 		}
 	}
