Tests: invalid and undecodable entries by the field's terms; one test for heads behind another response

The cases of TestInvalidHeadBehindSurplusResponseFails are now those "behind another" of TestResponseWithInvalidHeadFailsAtOnce; all are kept, and their errors' fate is checked, too.

--- a/internal/platform/objecthttp/undecodable_test.go
+++ b/internal/platform/objecthttp/undecodable_test.go
@@ -19,7 +19,7 @@
 }
 
 // Guards against lists and watches that fail as one of their objects can't be decoded.
-func TestOddObjectLeavesOthersReadable(t *testing.T) {
+func TestUndecodableObjectLeavesOthersReadable(t *testing.T) {
 	for name, spec := range map[string]string{
 		"nested":    strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
 		"too large": `{"x":1e999}`,
--- a/internal/upstream/invalidhead_test.go
+++ b/internal/upstream/invalidhead_test.go
@@ -36,17 +36,20 @@
 }
 
 // Guards against responses whose head isn't valid and that callers get, or that hold their request until its
-// deadline.
+// deadline; also those behind a late response to another request.
 func TestResponseWithInvalidHeadFailsAtOnce(t *testing.T) {
-	for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
-		t.Run(response.Name, func(t *testing.T) {
-			t.Parallel()
-			g := gomega.NewWithT(t)
-			body, late, err := readWithin(t, answerWith(t, response.Bytes))
-			g.Expect(err).To(gomega.HaveOccurred(), "read %q", body)
-			g.Expect(late).To(gomega.BeFalse(), "it must be known at once")
-			g.Expect(fateOf(err)).To(gomega.Equal(FateUnknown))
-		})
+	const surplus = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
+	for name, before := range map[string]string{"first": "", "behind another": surplus} {
+		for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
+			t.Run(name+"/"+response.Name, func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				body, late, err := readWithin(t, answerWith(t, before+response.Bytes))
+				g.Expect(err).To(gomega.HaveOccurred(), "read %q", body)
+				g.Expect(late).To(gomega.BeFalse(), "it must be known at once")
+				g.Expect(fateOf(err)).To(gomega.Equal(FateUnknown))
+			})
+		}
 	}
 }
 
@@ -89,17 +92,3 @@
 		})
 	}
 }
-
-// Guards against the head of a response behind a late one to another request that isn't looked at.
-func TestInvalidHeadBehindSurplusResponseFails(t *testing.T) {
-	const surplus = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
-	for _, response := range httpconntest.InvalidHeads("Id: a\r\n") {
-		t.Run(response.Name, func(t *testing.T) {
-			t.Parallel()
-			g := gomega.NewWithT(t)
-			body, late, err := readWithin(t, answerWith(t, surplus+response.Bytes))
-			g.Expect(err).To(gomega.HaveOccurred(), "read %q", body)
-			g.Expect(late).To(gomega.BeFalse(), "it must be known at once")
-		})
-	}
-}
