--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,10 +48,7 @@
 	}})
 	response, err := t.HTTP.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		if conn := used.Load(); conn != nil && conn.HeadErr() != nil {
-			err = errors.Join(conn.HeadErr(), err)
-		}
-		return nil, err
+		return nil, withHeadErr(err, used.Load())
 	}
 	if response.StatusCode != http.StatusSwitchingProtocols {
 		response.Body = &checkedBody{ReadCloser: response.Body, response: response}
@@ -58,6 +56,17 @@
 	return response, nil
 }
 
+// withHeadErr adds why the head on a connection isn't valid; conn is nil if none was used.
+func withHeadErr(err error, conn *Conn) error {
+	if conn == nil {
+		return err
+	}
+	if invalid := conn.HeadErr(); invalid != nil {
+		return fmt.Errorf("%w: %w", invalid, err)
+	}
+	return err
+}
+
 // CloseIdleConnections closes connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.HTTP.CloseIdleConnections() }
 
