Connections: a reset is reported where the failed write's user closes the connection

What callers saw: beside load the OpenAI dialect took an engine's error response that had been reset for a whole one, so a request that may have run counted as not run.

Cause: httpconn.Conn.checkEnd noted the state of the writes, then asked the kernel whether the socket is closed, and judged by what it had noted. net/http closes a connection whose write has failed. A read that was interrupted between the two found the socket closed by this side, got no state, and returned the end of the data, though the write had reported the reset by then.

The order of the calls is fixed by a connection of its own in TestReadReportsResetWhoseWriteClosedConnection; before:

Expected <*errors.errorString>: EOF to match error: the connection was reset before its end

Change: a connection that this side has closed counts as closed, so that the write under way is waited for, and the failure is read last.

Why it works: the write's error is noted before the write ends and before its user can close the connection; whatever the state of the socket, a failure noted by the time of the end decides.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -88,17 +88,16 @@
 
 // checkEnd returns io.EOF if the peer has ended the connection in order, else an error.
 func (c *Conn) checkEnd() error {
-	idle, failed := c.state()
-	if failed == nil && idle != nil && c.isClosed() {
+	if idle, _ := c.state(); idle != nil && c.isClosed() {
 		timer := time.NewTimer(closedWriteTimeout)
 		defer timer.Stop()
 		select {
 		case <-idle:
 		case <-timer.C:
 		}
-		_, failed = c.state()
 	}
-	if failed != nil {
+	// Read last: a write may have failed since the data ended.
+	if _, failed := c.state(); failed != nil {
 		return fmt.Errorf("%w: %w", ErrReset, failed)
 	}
 	return io.EOF
@@ -117,16 +116,20 @@
 	return c.idle, c.failed
 }
 
-// isClosed reports whether the kernel has closed the connection in both directions, as after a reset. After an
-// end in order the peer still takes data.
+// isClosed reports whether the connection is closed in both directions: by the kernel, as after a reset, or by
+// this side, as a user may close a connection once a write has failed. After an end in order the peer still
+// takes data.
 func (c *Conn) isClosed() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	var info *unix.TCPInfo
-	err = raw.Control(func(fd uintptr) { info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return err == nil && info != nil && info.State == tcpClose
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return true // closed by this side
+	}
+	return infoErr == nil && info.State == tcpClose
 }
 
 // Write implements net.Conn.
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -130,3 +130,49 @@
 		g.Eventually(written).Should(gomega.Receive())
 	}
 }
+
+// raceConn is a connection whose write fails, and which is closed, while a read that met the end of the data
+// asks for the state of its socket.
+type raceConn struct {
+	net.Conn
+	begun, asked chan struct{}
+	closed       chan struct{} // the user has closed it after the failure
+}
+
+func (c *raceConn) Read([]byte) (int, error) {
+	<-c.begun
+	return 0, io.EOF
+}
+
+func (c *raceConn) Write([]byte) (int, error) {
+	close(c.begun)
+	<-c.asked
+	return 0, syscall.ECONNRESET
+}
+
+func (c *raceConn) SyscallConn() (syscall.RawConn, error) { return rawRaceConn{c}, nil }
+
+type rawRaceConn struct{ *raceConn }
+
+func (c rawRaceConn) Control(func(fd uintptr)) error {
+	close(c.asked)
+	<-c.closed
+	return net.ErrClosed
+}
+
+func (c rawRaceConn) Read(func(fd uintptr) bool) error  { return net.ErrClosed }
+func (c rawRaceConn) Write(func(fd uintptr) bool) error { return net.ErrClosed }
+
+// Guards against a reset that is missed, as the connection was closed after a failed write before its state
+// could be read.
+func TestReadReportsResetWhoseWriteClosedConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inner := &raceConn{begun: make(chan struct{}), asked: make(chan struct{}), closed: make(chan struct{})}
+	client := NewConn(inner)
+	go func() {
+		_, _ = client.Write([]byte("x"))
+		close(inner.closed)
+	}()
+	_, err := client.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(ErrReset))
+}
